Add the side's admission policy as a state machine

Cause: engines admit all they are sent and know no priorities, so the order has to be made before them. One queue a class, online first; the limit is found from step times against a fitted unloaded step; batch streams are preempted by what their stop loses; one setting Headroom bounds how far batch may lengthen the tail of first tokens.

--- a/core/admit/api.go
+++ b/core/admit/api.go
@@ -24,8 +24,31 @@
 	Deadline     time.Time // zero: none
 	// Alone: no other batch request may run beside it.
 	Alone bool
+	// Generated is the number of tokens that earlier, preempted runs of the
+	// request have produced. A resumed request is queued before new ones.
+	Generated int
 }
 
+// Config is what the policy is told; all else it measures.
+type Config struct {
+	// Headroom runs from 0 (most batch throughput) to 1 (least harm to the
+	// online tail). Values outside are clamped.
+	Headroom float64
+	// MaxLimit bounds the concurrency limit; 0 is DefaultMaxLimit.
+	MaxLimit int
+	// MaxQueue bounds the online requests that wait; 0 is DefaultMaxQueue.
+	MaxQueue int
+	// NoPreempt turns preemption off, as a baseline for experiments: batch
+	// gives way only as its streams end.
+	NoPreempt bool
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxLimit = 256
+	DefaultMaxQueue = 1024
+)
+
 // ActionKind says what the shell is to do.
 type ActionKind uint8
 
--- /dev/null
+++ b/core/admit/policy.go
@@ -0,0 +1,128 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// policy is what the one setting Headroom stands for.
+type policy struct {
+	headroom float64
+	// stretch is by how much batch may lengthen the first token of an online
+	// request that arrives now, as a factor on the floor's high quantile.
+	stretch float64
+	// hold is the time constant with which headroom is given back after a burst.
+	hold time.Duration
+	// prefillTokens bounds batch prompts that the engine computes at a time.
+	prefillTokens int
+}
+
+const (
+	// stretchLatency and stretchThroughput are policy.stretch at headroom 1 and 0.
+	stretchLatency    = 1.0
+	stretchThroughput = 4.0
+	holdMax           = 2 * time.Second
+	prefillLatency    = 512
+	prefillThroughput = 16384
+)
+
+// newPolicy spreads the setting between its two ends.
+func newPolicy(headroom float64) policy {
+	h := headroom
+	if math.IsNaN(h) {
+		h = 1
+	}
+	h = max(0, min(1, h))
+	return policy{
+		headroom:      h,
+		stretch:       geometric(stretchThroughput, stretchLatency, h),
+		hold:          time.Duration(h * float64(holdMax)),
+		prefillTokens: int(geometric(prefillThroughput, prefillLatency, h)),
+	}
+}
+
+// geometric is a at h=0 and b at h=1, with equal ratios between.
+func geometric(a, b, h float64) float64 { return a * math.Pow(b/a, h) }
+
+// slack is by how many batch streams the target may be over want before any is
+// preempted: each preemption costs a prefill, so small swings are left alone.
+func (p policy) slack(want int) int {
+	return int(float64(want) * (1 - p.headroom) / slackPart)
+}
+
+const slackPart = 4
+
+// wantBatch is how many batch requests the target should have now.
+func (m *Machine) wantBatch(now time.Time) int {
+	if m.draining {
+		return 0
+	}
+	room := m.limit.value() - m.inFlight.online - m.online.len()
+	return max(0, min(room, m.harmless(now)))
+}
+
+// harmless is how many batch streams leave an online request that arrives now
+// its first token in time.
+func (m *Machine) harmless(now time.Time) int {
+	if !m.model.ready() {
+		return m.shareOfLimit()
+	}
+	if m.model.perStream <= 0 || !m.floor.known() {
+		return m.limit.max
+	}
+	budget := m.floor.high() * m.policy.stretch
+	online := max(m.peak.value(now, m.policy.hold), float64(m.inFlight.online+m.online.len()))
+	prompt := m.floor.prompt + float64(m.inFlight.onlinePrefill)
+	step := (budget - m.model.perToken*prompt) / stepsToFirst
+	streams := (step - m.model.base) / m.model.perStream
+	return int(max(0, min(streams-online, float64(m.limit.max))))
+}
+
+// shareOfLimit is the batch share while there is no step model: at the start, and
+// for plain services, whose calls have no steps.
+func (m *Machine) shareOfLimit() int {
+	return int(math.Ceil(float64(m.limit.value()) * (1 - m.policy.headroom/2)))
+}
+
+// stepsToFirst is how many steps an arrival waits on average: the rest of the
+// present one and its own.
+const stepsToFirst = 1.5
+
+// BatchRoom is how many more batch items the side should pull now: what the
+// policy wants at the target, and a few in the queue so that a freed place is not idle
+// for a round trip.
+func (m *Machine) BatchRoom(now time.Time) int {
+	if m.draining {
+		return 0
+	}
+	for _, r := range m.batch.fresh {
+		if r.Alone {
+			return 0
+		}
+	}
+	if m.inFlight.alone > 0 {
+		return 0
+	}
+	want := m.wantBatch(now)
+	if want == 0 {
+		return 0
+	}
+	ahead := min(maxAhead, 1+want/aheadPart)
+	return max(0, want+ahead-m.inFlight.activeBatch()-m.batch.len())
+}
+
+const (
+	aheadPart = 8
+	maxAhead  = 8
+)
+
+// NextTick is when to call Tick next; zero when nothing depends on time.
+func (m *Machine) NextTick(now time.Time) time.Time {
+	if m.batch.len() == 0 && m.online.len() == 0 && m.inFlight.batch == 0 {
+		return time.Time{}
+	}
+	return now.Add(tickEvery)
+}
+
+// tickEvery is how often headroom is looked at while online is quiet.
+const tickEvery = 20 * time.Millisecond
