--- a/core/admit/floor.go
+++ b/core/admit/floor.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -17,11 +16,12 @@
 }
 
 const (
-	floorRing     = 512
-	floorMin      = 32   // samples before the floor is known
-	floorQuantile = 0.99 // the tail that is protected
-	floorEvery    = 16   // samples between two computations of the quantile
-	floorSmooth   = 64.0 // samples over which the prompt's size is smoothed
+	floorRing = 512
+	floorMin  = 32 // samples before the floor is known
+	// floorDeviations puts the protected tail at the 99th percentile.
+	floorDeviations = 2.33
+	floorEvery      = 16   // samples between two computations of the quantile
+	floorSmooth     = 64.0 // samples over which the prompt's size is smoothed
 )
 
 // observe takes in the first token of a request with prompt tokens.
@@ -35,14 +35,20 @@
 // known reports whether there are enough samples.
 func (f *floor) known() bool { return f.n >= floorMin }
 
-// high is the tail of the floor, in seconds.
+// high is the tail of the floor, in seconds, by a log-normal fit: the few
+// samples of one engine hold too few of the tail to count them.
 func (f *floor) high() float64 {
 	if f.cached > 0 && f.stale < floorEvery {
 		return f.cached
 	}
-	s := slices.Clone(f.ring[:min(f.n, floorRing)])
-	slices.Sort(s)
-	f.cached = s[int(floorQuantile*float64(len(s)-1))]
+	var mean, square float64
+	n := float64(min(f.n, floorRing))
+	for _, v := range f.ring[:min(f.n, floorRing)] {
+		l := math.Log(max(v, 1e-4))
+		mean += l / n
+		square += l * l / n
+	}
+	f.cached = math.Exp(mean + floorDeviations*math.Sqrt(max(0, square-mean*mean)))
 	f.stale = 0
 	return f.cached
 }
@@ -67,19 +73,3 @@
 	}
 	return p.level * math.Exp(-now.Sub(p.at).Seconds()/hold.Seconds())
 }
-
-// expectedFirst is how long r's first token should have taken by the model.
-func (m *Machine) expectedFirst(r *request) time.Duration {
-	if !m.model.ready() {
-		return 0
-	}
-	prefill := r.prefill() + m.inFlight.onlinePrefill + m.inFlight.batchPrefill
-	return 2 * m.model.stepTime(len(m.running), prefill)
-}
-
-// firstTokenNow estimates the first token of an online request that arrives now.
-func (m *Machine) firstTokenNow() time.Duration {
-	streams := m.inFlight.online + m.inFlight.activeBatch() + 1
-	step := m.model.stepTime(streams, m.inFlight.onlinePrefill)
-	return m.queueWait() + time.Duration(stepsToFirst*float64(step)) + m.model.stepTime(0, int(m.floor.prompt))
-}
--- a/core/admit/limiter.go
+++ b/core/admit/limiter.go
@@ -7,10 +7,13 @@
 // first tokens come much later than the step model explains: then the target
 // queues inside, where no priority holds.
 type limiter struct {
-	limit   float64
-	max     int
-	late    int
-	cutAt   time.Time
+	limit float64
+	max   int
+	late  int
+	cutAt time.Time
+	// places is how many requests the target was found to serve at a time; 0 is not known.
+	places  float64
+	foundAt time.Time
 	fastest float64 // seconds of an unloaded call, forgotten slowly
 }
 
@@ -27,6 +30,8 @@
 	// kneeShare is the share of the highest token rate that the limit leaves
 	// reachable. More streams than that lengthen steps and gain almost nothing.
 	kneeShare = 0.97
+	// probeEvery is how often one place more than were found is tried.
+	probeEvery = 30 * time.Second
 	// cutEvery is the least time between two cuts, so that one episode counts once.
 	cutEvery = 500 * time.Millisecond
 )
@@ -39,17 +44,32 @@
 func (l *limiter) value() int { return max(1, int(l.limit)) }
 
 // step learns from one step of the engine.
-func (l *limiter) step(s step, m *model) {
+func (l *limiter) step(now time.Time, s step, m *model) {
 	ceiling := float64(l.max)
 	if m.ready() {
 		ceiling = min(ceiling, knee(m))
 	}
+	if l.places > 0 && now.Sub(l.foundAt) > probeEvery {
+		l.places++
+		l.foundAt = now
+	}
+	if l.places > 0 {
+		ceiling = min(ceiling, l.places)
+	}
 	if float64(s.streams()) >= bindShare*l.limit {
 		l.limit += growPerStep
 	}
 	l.limit = max(min(minLimit, float64(l.max)), min(l.limit, ceiling))
 }
 
+// queuedInside learns that the engine serves no more than served requests
+// and keeps others waiting in a queue of its own, where no priority holds.
+func (l *limiter) queuedInside(now time.Time, served int) {
+	l.limit = max(minLimit, min(l.limit, float64(served)))
+	l.places = l.limit
+	l.foundAt = now
+}
+
 // firstToken learns from the time between a start and its first token.
 func (l *limiter) firstToken(now time.Time, took, expected time.Duration) {
 	if expected <= 0 || float64(took) < lateFactor*float64(expected) {
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -42,11 +42,13 @@
 
 	inFlight counts
 	// batchCost is the seconds by which batch streams have lengthened steps so far.
-	batchCost  float64
-	lastOnline time.Time
-	peak       peak
-	service    float64 // smoothed seconds that an online request spends at the target
-	draining   bool
+	batchCost float64
+	// lastStop is when a stopped request last left: its place is free one step later.
+	lastStop time.Time
+	peak     peak
+	service  float64 // smoothed seconds that an online request spends at the target
+	draining bool
+	atRisk   bool // an online request would get its first token too late beside what runs
 }
 
 // counts is what the target has been given.
@@ -84,7 +86,6 @@
 		return []Action{refuse(r.ID, errs.New(errs.Draining, "the target takes nothing new"))}
 	}
 	if r.Class == structs.ClassOnline {
-		m.lastOnline = now
 		if err := m.turnAway(now, r); err != nil {
 			return []Action{refuse(r.ID, err)}
 		}
@@ -105,7 +106,7 @@
 	r.streaming = true
 	r.tokens = 1
 	r.tokenAt = now
-	r.step = m.steps.first(now, r.batch(), r.prefill())
+	r.step = m.steps.first(now, r)
 	m.limit.firstToken(now, now.Sub(r.started), m.expectedFirst(r))
 	if !r.batch() {
 		m.floor.observe(now.Sub(r.arrived), m.batchCost-r.batchCost, r.PromptTokens)
@@ -123,7 +124,7 @@
 	if !r.streaming {
 		return m.FirstToken(now, id)
 	}
-	seq, closed, ok := m.steps.token(now, r.batch(), r.step, r.tokenAt)
+	seq, closed, ok := m.steps.token(now, r)
 	r.step = seq
 	r.tokenAt = now
 	r.tokens++
@@ -136,11 +137,34 @@
 
 // stepClosed learns from one step of the engine.
 func (m *Machine) stepClosed(now time.Time, s step) {
+	s.unserved = m.unserved(now)
 	m.model.observe(s)
 	m.batchCost += m.model.perStream*float64(s.batch) + m.model.perToken*float64(s.prefillBatch)
-	m.limit.step(s, &m.model)
+	m.limit.step(now, s, &m.model)
+	if m.model.idleInside(s) && m.lastStop.Before(m.steps.before.Add(-wire)) {
+		m.limit.queuedInside(now, s.streams())
+	}
 }
 
+// unserved counts the requests that the engine had when the last closed step
+// began and that have no token yet. Those without one for long are left out: they
+// are stuck, and a limit that fell below them would fall for ever.
+func (m *Machine) unserved(now time.Time) int {
+	n := 0
+	for _, r := range m.running {
+		if r.streaming || r.stopping || now.Sub(r.started) > stuckAfter {
+			continue
+		}
+		if r.started.Before(m.steps.before.Add(-wire)) {
+			n++
+		}
+	}
+	return n
+}
+
+// stuckAfter is when a request without a first token no longer counts as waiting for a place.
+const stuckAfter = 2 * time.Second
+
 // Ended notes that a request has left the target.
 func (m *Machine) Ended(now time.Time, id ID, out Outcome) []Action {
 	r := m.running[id]
@@ -149,6 +173,9 @@
 	}
 	delete(m.running, id)
 	m.inFlight.left(r)
+	if out == Stopped {
+		m.lastStop = now
+	}
 	if out == Finished {
 		m.finished(r, now.Sub(r.started))
 	}
@@ -209,13 +236,13 @@
 func (m *Machine) Drained() bool { return m.draining && len(m.running) == 0 && len(m.queued) == 0 }
 
 // Load is the load now; the shell adds the target, its models and its health.
-func (m *Machine) Load(time.Time) structs.Load {
+func (m *Machine) Load(now time.Time) structs.Load {
 	return structs.Load{
 		OnlineInFlight: m.inFlight.online,
 		BatchInFlight:  m.inFlight.batch,
 		OnlineQueued:   m.online.len(),
 		Limit:          m.limit.value(),
-		FirstTokenUs:   m.firstTokenNow().Microseconds(),
+		FirstTokenUs:   m.firstTokenNow(now).Microseconds(),
 		Draining:       m.draining,
 	}
 }
--- a/core/admit/model.go
+++ b/core/admit/model.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // model predicts the engine's step time as
 //
@@ -12,6 +15,9 @@
 type model struct {
 	base, perStream, perToken float64 // seconds
 	samples                   int
+	// chunk is how long the engine computes prompts in one step at most, in
+	// seconds; 0 until a prompt was seen that took more than one step.
+	chunk float64
 
 	xx [3][3]float64
 	xy [3]float64
@@ -28,14 +34,27 @@
 	// tokenScale keeps the columns of the normal equations alike in size.
 	tokenScale = 100.0
 	ridge      = 1e-6
+	// chunkSmooth is the number of steps over which chunk is smoothed.
+	chunkSmooth = 8
+	// idleFactor is how much longer than without prompts a step may be and
+	// still count as one that computed none.
+	idleFactor = 1.15
 )
 
-// observe takes in one step.
+// observe takes in one step. A step that computed only a part of a prompt says
+// nothing about the time by prompt token, but how much one step holds.
 func (m *model) observe(s step) {
 	y := s.took.Seconds()
 	if m.outlier(s, y) {
 		return
 	}
+	if s.unserved > 0 {
+		m.observeChunk(s, y)
+		return
+	}
+	if s.partial {
+		return
+	}
 	x := [3]float64{1, float64(s.streams()), float64(s.prefill) / tokenScale}
 	for i := range x {
 		for j := range x {
@@ -49,6 +68,39 @@
 	}
 }
 
+// observeChunk follows the time that a step spends on prompts when it can't finish them.
+func (m *model) observeChunk(s step, y float64) {
+	if !m.ready() || m.idleInside(s) {
+		return
+	}
+	spent := y - m.step(s.streams(), 0)
+	m.chunk += (spent - m.chunk) / chunkSmooth
+}
+
+// idleInside reports whether the step left requests unserved without spending time on
+// prompts: the engine keeps them in a queue of its own.
+func (m *model) idleInside(s step) bool {
+	if !m.ready() || s.unserved == 0 || s.prefill > 0 {
+		return false
+	}
+	return s.took.Seconds() < idleFactor*m.step(s.streams(), 0)
+}
+
+// firstToken predicts the seconds from the begin of a step to the first token of a
+// request, with prompt tokens up to and including its own, beside streams.
+func (m *model) firstToken(streams float64, prompt int) float64 {
+	prefill := m.perToken * float64(prompt)
+	return m.stepsFor(prompt)*(m.base+m.perStream*streams) + prefill
+}
+
+// stepsFor is how many steps the engine needs for so many prompt tokens.
+func (m *model) stepsFor(prompt int) float64 {
+	if m.chunk <= 0 {
+		return 1
+	}
+	return max(1, math.Ceil(m.perToken*float64(prompt)/m.chunk))
+}
+
 // outlier reports whether the step tells of a pause rather than of the engine's
 // speed. A paused host would otherwise leave a model that calls any load harmless.
 func (m *model) outlier(s step, y float64) bool {
--- a/core/admit/policy.go
+++ b/core/admit/policy.go
@@ -15,6 +15,11 @@
 	hold time.Duration
 	// prefillTokens bounds batch prompts that the engine computes at a time.
 	prefillTokens int
+	// late is by how much batch may lengthen a first token that is over the
+	// budget without any batch, as a share of what remains.
+	late float64
+	// holdStarts keeps batch requests back while the engine computes online prompts.
+	holdStarts bool
 }
 
 const (
@@ -22,8 +27,11 @@
 	stretchLatency    = 1.0
 	stretchThroughput = 4.0
 	holdMax           = 2 * time.Second
-	prefillLatency    = 512
-	prefillThroughput = 16384
+	prefillLatency    = 256
+	lateThroughput    = 4
+	lateLatency       = 0.25
+	holdStartsOver    = 0.2
+	prefillThroughput = 512
 )
 
 // newPolicy spreads the setting between its two ends.
@@ -38,6 +46,8 @@
 		stretch:       geometric(stretchThroughput, stretchLatency, h),
 		hold:          time.Duration(h * float64(holdMax)),
 		prefillTokens: int(geometric(prefillThroughput, prefillLatency, h)),
+		late:          geometric(lateThroughput, lateLatency, h),
+		holdStarts:    h > holdStartsOver,
 	}
 }
 
@@ -57,25 +67,12 @@
 	if m.draining {
 		return 0
 	}
-	room := m.limit.value() - m.inFlight.online - m.online.len()
-	return max(0, min(room, m.harmless(now)))
+	return min(m.room(), m.harmless(now))
 }
 
-// harmless is how many batch streams leave an online request that arrives now
-// its first token in time.
-func (m *Machine) harmless(now time.Time) int {
-	if !m.model.ready() {
-		return m.shareOfLimit()
-	}
-	if m.model.perStream <= 0 || !m.floor.known() {
-		return m.limit.max
-	}
-	budget := m.floor.high() * m.policy.stretch
-	online := max(m.peak.value(now, m.policy.hold), float64(m.inFlight.online+m.online.len()))
-	prompt := m.floor.prompt + float64(m.inFlight.onlinePrefill)
-	step := (budget - m.model.perToken*prompt) / stepsToFirst
-	streams := (step - m.model.base) / m.model.perStream
-	return int(max(0, min(streams-online, float64(m.limit.max))))
+// room is how many batch requests fit beside the online ones.
+func (m *Machine) room() int {
+	return max(0, m.limit.value()-m.inFlight.online-m.online.len())
 }
 
 // shareOfLimit is the batch share while there is no step model: at the start, and
@@ -84,10 +81,6 @@
 	return int(math.Ceil(float64(m.limit.value()) * (1 - m.policy.headroom/2)))
 }
 
-// stepsToFirst is how many steps an arrival waits on average: the rest of the
-// present one and its own.
-const stepsToFirst = 1.5
-
 // BatchRoom is how many more batch items the side should pull now: what the
 // policy wants at the target, and a few in the queue so that a freed place is not idle
 // for a round trip.
--- a/core/admit/preempt.go
+++ b/core/admit/preempt.go
@@ -5,10 +5,13 @@
 	"slices"
 )
 
-// preempt stops batch streams over want.
-func (m *Machine) preempt(want int, out []Action) []Action {
-	over := m.inFlight.activeBatch() - want
-	if over <= m.policy.slack(want) || m.cfg.NoPreempt || m.draining {
+// preempt stops batch streams over most.
+func (m *Machine) preempt(most int, out []Action) []Action {
+	over := m.inFlight.activeBatch() - most
+	if m.atRisk {
+		over = max(over, m.inFlight.batchPrefilling-m.prefillStopping())
+	}
+	if over <= 0 || m.cfg.NoPreempt || m.draining {
 		return out
 	}
 	for _, r := range m.cheapest(over) {
@@ -50,3 +53,14 @@
 
 // remaining is how many tokens r may still make.
 func (r *request) remaining() int { return r.MaxTokens - r.Generated - r.tokens }
+
+// prefillStopping counts batch requests without a first token that are stopping already.
+func (m *Machine) prefillStopping() int {
+	n := 0
+	for _, r := range m.running {
+		if r.batch() && r.stopping && !r.streaming {
+			n++
+		}
+	}
+	return n
+}
--- a/core/admit/schedule.go
+++ b/core/admit/schedule.go
@@ -11,9 +11,9 @@
 	out := m.expire(now)
 	out = m.startOnline(now, out)
 	m.peak.observe(now, m.inFlight.online+m.online.len(), m.policy.hold)
-	want := m.wantBatch(now)
-	out = m.preempt(want, out)
-	return m.startBatch(now, want, out)
+	room, harmless := m.room(), m.harmless(now)
+	out = m.preempt(min(room, harmless+m.policy.slack(harmless)), out)
+	return m.startBatch(now, min(room, harmless), out)
 }
 
 // expire refuses queued online requests whose deadline has passed. Batch items
@@ -58,6 +58,9 @@
 	if m.inFlight.alone > 0 || r.Alone {
 		return m.inFlight.batch == 0
 	}
+	if m.atRisk || m.inFlight.onlinePrefill > 0 && m.policy.holdStarts {
+		return false
+	}
 	if m.inFlight.batchPrefilling == 0 {
 		return true
 	}
