--- /dev/null
+++ b/internal/settings/page.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Page returns docs/SETTINGS.md. A test compares the two.
+func Page() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\n")
+	b.WriteString("Generated from the tables in internal/settings by `go test ./internal/settings -run TestPage -update`.\n\n")
+	b.WriteString("Settings are INI: `[section]` lines and `key = value` lines; `#` or `;` starts a comment line,\n")
+	b.WriteString("and a ` #` or ` ;` after a value starts a comment. An unknown section or key, a key that is set twice and a\n")
+	b.WriteString("value that is not allowed are faults. `arbutusramp check FILE` names each with file, line, section,\n")
+	b.WriteString("key and what is allowed; a process does not start with a fault. Durations are written like 250ms, 30s or 2h.\n\n")
+	writeTable(&b, "Entry", entryTable())
+	writeTable(&b, "Side", sideTable())
+	return strings.TrimRight(b.String(), "\n") + "\n"
+}
+
+func writeTable[T any](b *strings.Builder, title string, tab table[T]) {
+	fmt.Fprintf(b, "## %s\n\n", title)
+	b.WriteString("| section | key | unit | default | allowed | meaning |\n|---|---|---|---|---|---|\n")
+	for _, r := range tab.rows {
+		def := r.def
+		switch {
+		case r.required:
+			def = "required"
+		case def == "":
+			def = "unset"
+		}
+		fmt.Fprintf(b, "| %s | %s | %s | %s | %s | %s |\n", r.section, r.key, r.unit, def, r.field.allowed, r.doc)
+	}
+	for _, g := range tab.groups {
+		need := "none"
+		if g.required {
+			need = "at least one"
+		}
+		fmt.Fprintf(b, "| %s | any name | %s | %s | %s | %s |\n", g.section, g.unit, need, g.allowed, g.doc)
+	}
+	b.WriteString("\n")
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,197 @@
+package settings
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/structs"
+)
+
+var update = flag.Bool("update", false, "write docs/SETTINGS.md")
+
+const goodEntry = `[host]
+role = entry
+id = entry-1
+domain = a
+[listen]
+callers = 127.0.0.1:0
+admin = 127.0.0.1:0
+peers = 127.0.0.1:0
+status = 127.0.0.1:0
+[platform]
+log_url = http://127.0.0.1:7001
+host_list_url = http://127.0.0.1:7002
+[peer_keys]
+new = 00112233445566778899aabbccddeeff
+old = ffeeddccbbaa99887766554433221100
+`
+
+const goodSide = `[host]
+role = side
+id = side-1
+domain = a
+[listen]
+sessions = 127.0.0.1:0
+status = 127.0.0.1:0
+[target]
+id = t1
+kind = engine
+url = http://127.0.0.1:9000
+models = m1, m2
+[peer_keys]
+new = 00112233445566778899aabbccddeeff
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadEntry(t *testing.T) {
+	e, err := LoadEntry(write(t, goodEntry))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e.Shards != 16 || e.Host.ID != "entry-1" {
+		t.Errorf("got %d shards, id %q", e.Shards, e.Host.ID)
+	}
+	if len(e.PeerKeys) != 2 || e.PeerKeys[0].ID != "new" {
+		t.Errorf("peer keys not in the file's order: %v", e.PeerKeys)
+	}
+}
+
+func TestLoadSide(t *testing.T) {
+	s, err := LoadSide(write(t, goodSide))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Target.Kind != structs.KindEngine || len(s.Target.Models) != 2 || s.Target.Models[1] != "m2" {
+		t.Errorf("target %+v", s.Target)
+	}
+}
+
+// Symptom: an operator corrects one fault, starts again, meets the next.
+// Events: a file with several faults of different kinds is loaded.
+// Cause: a parser that stops at the first.
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := goodEntry + `[online]
+max_body = 12 parsecs
+retry_share = NaN
+default_timeout = 3h
+colour = red
+max_body = 5000
+[weather]
+sky = blue
+just words
+[operators]
+ann = zz
+`
+	text = strings.Replace(text, "callers = 127.0.0.1:0", "callers = localhost:80", 1)
+	text = strings.Replace(text, "domain = a\n", "", 1)
+	path := write(t, text)
+	_, err := LoadEntry(path)
+	if !errs.Is(err, errs.BadSettings) {
+		t.Fatalf("got %v", err)
+	}
+	want := []string{
+		path + ":1: [host] domain: missing; allowed: 1 to 64",
+		path + `:5: [listen] callers: "localhost:80" is not IP:port; allowed: IP:port`,
+		path + ":20: [online] max_body: set twice; allowed: one line a key",
+		path + ":17: [online] retry_share: NaN is out of range; allowed: 0 to 1",
+		path + ":18: [online] default_timeout: 3h is out of range; allowed: 100ms to 1h",
+		path + ":19: [online] colour: unknown key; allowed: max_body, default_timeout",
+		path + ":21: [weather]: unknown section; allowed: host, log",
+		path + ":23: [weather]: neither [section] nor key = value",
+		path + ":25: [operators] ann: not hexadecimal; allowed: NAME = SHA-256",
+	}
+	for _, w := range want {
+		if !strings.Contains(err.Error(), w) {
+			t.Errorf("missing %q in\n%v", w, err)
+		}
+	}
+	if got := len(Check(path)); got != len(want) {
+		t.Errorf("%d faults, want %d:\n%v", got, len(want), err)
+	}
+}
+
+func TestCheckTakesKindFromRole(t *testing.T) {
+	if faults := Check(write(t, goodSide)); len(faults) > 0 {
+		t.Errorf("good side: %v", faults)
+	}
+	if _, err := LoadEntry(write(t, goodSide)); !errs.Is(err, errs.BadSettings) {
+		t.Errorf("a side's file started an entry: %v", err)
+	}
+	if faults := Check(filepath.Join(t.TempDir(), "none")); len(faults) != 1 {
+		t.Errorf("missing file: %v", faults)
+	}
+}
+
+func TestKeysThatBelongTogether(t *testing.T) {
+	for _, c := range []struct{ text, key string }{
+		{strings.Replace(goodSide, "models = m1, m2\n", "", 1), "models"},
+		{strings.Replace(goodSide, "kind = engine", "kind = service", 1), "service"},
+		{goodEntry + "[tls]\ncaller_cert = /a.pem\n", "caller_cert"},
+	} {
+		faults := Check(write(t, c.text))
+		if len(faults) != 1 || faults[0].Key != c.key || faults[0].Line == 0 {
+			t.Errorf("want one fault at %s with a line, got %v", c.key, faults)
+		}
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	e, s := DefaultEntry(), DefaultSide()
+	if e.MaxBody == 0 || e.ItemAttempts == 0 || s.MaxLimit == 0 || s.KeyWindow == 0 {
+		t.Errorf("zero defaults: %+v %+v", e, s)
+	}
+}
+
+func TestPage(t *testing.T) {
+	path := filepath.Join("..", "..", "docs", "SETTINGS.md")
+	if *update {
+		if err := os.WriteFile(path, []byte(Page()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != Page() {
+		t.Error("docs/SETTINGS.md differs from the tables; run with -update")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{goodEntry, goodSide, "", "[", "=", "[a]\nb", "[host]\nid = %(x)s\n", "a = \"\"\"\nb\n", "\xef\xbb\xbf[host]\nrole=entry", "[host]\nid = a ; b\r\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, faults := parse(entryTable(), "f", data)
+		for _, fault := range faults {
+			if fault.File != "f" || fault.Problem == "" || fault.Allowed == "" {
+				t.Errorf("incomplete fault %+v", fault)
+			}
+		}
+		if len(faults) > 0 {
+			return
+		}
+		for _, a := range []string{e.CallerAddr, e.AdminAddr, e.PeerAddr, e.StatusAddr} {
+			if _, err := netip.ParseAddrPort(a); err != nil {
+				t.Errorf("accepted address %q", a)
+			}
+		}
+		if e.Host.ID == "" || len(e.PeerKeys) == 0 || e.MaxBody < kib {
+			t.Errorf("accepted %+v", e)
+		}
+	})
+}
--- /dev/null
+++ b/internal/settings/table.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+
+	"arbutusramp/core/structs"
+)
+
+// row is one key of the settings. The tables of rows drive parsing, checking and
+// docs/SETTINGS.md.
+type row[T any] struct {
+	section, key string
+	unit         string
+	def          string // "" without required: the key is optional and unset
+	required     bool
+	field        field[T]
+	doc          string
+}
+
+// group is a section whose keys the operator names, such as [peer_keys].
+type group[T any] struct {
+	section  string
+	unit     string
+	required bool // at least one key
+	allowed  string
+	doc      string
+	add      func(t *T, key, value string) error
+}
+
+// table is everything that one kind of process can be told.
+type table[T any] struct {
+	role   string
+	rows   []row[T]
+	groups []group[T]
+	// check looks at keys together and returns faults without file and line.
+	check func(t *T) []Fault
+}
+
+// Bounds of a secret between own processes, bytes.
+const (
+	minSecretLen = 16
+	maxSecretLen = 64
+)
+
+func hostRows[T any](role string, get func(*T) *Identity) []row[T] {
+	return []row[T]{
+		{section: "host", key: "role", unit: "word", required: true,
+			field: oneOf(func(*T, string) {}, role),
+			doc:   "what this file is for; a file for another kind of process is refused"},
+		{section: "host", key: "id", unit: "name", required: true,
+			field: name(func(t *T) *structs.HostID { return &get(t).ID }),
+			doc:   "name of this process, unique in the system and the same as in the host list"},
+		{section: "host", key: "domain", unit: "name", required: true,
+			field: name(func(t *T) *structs.FailureDomain { return &get(t).Domain }),
+			doc:   "failure domain that the host stands in"},
+		{section: "host", key: "region", unit: "name",
+			field: name(func(t *T) *structs.Region { return &get(t).Region }),
+			doc:   "region of the failure domain"},
+	}
+}
+
+func logRows[T any](get func(*T) *Logs) []row[T] {
+	return []row[T]{
+		{section: "log", key: "level", unit: "word", def: "info",
+			field: oneOf(func(t *T, v string) { get(t).Level = v }, "trace", "debug", "info", "warn", "error"),
+			doc:   "least level that is written"},
+		{section: "log", key: "json", unit: "boolean", def: "false",
+			field: boolean(func(t *T) *bool { return &get(t).JSON }),
+			doc:   "one JSON object a line in place of text"},
+	}
+}
+
+func peerKeyGroup[T any](get func(*T) *[]PeerKey) group[T] {
+	return group[T]{
+		section: "peer_keys", unit: "hexadecimal", required: true,
+		allowed: fmt.Sprintf("ID = secret of %d to %d bytes in hexadecimal", minSecretLen, maxSecretLen),
+		doc:     "keys between the system's own processes; the first is used for new sessions, every one is accepted, so that a key is replaced by adding the new one everywhere first",
+		add: func(t *T, key, value string) error {
+			secret, err := hexBytes(value, minSecretLen, maxSecretLen)
+			if err != nil {
+				return err
+			}
+			*get(t) = append(*get(t), PeerKey{ID: key, Secret: secret})
+			return nil
+		},
+	}
+}
+
+func operatorGroup() group[Entry] {
+	return group[Entry]{
+		section: "operators", unit: "hexadecimal",
+		allowed: "NAME = SHA-256 sum of the operator's key in hexadecimal (64 digits)",
+		doc:     "who may use the administration API; without any, nobody may",
+		add: func(e *Entry, key, value string) error {
+			if _, err := hexBytes(value, sha256.Size, sha256.Size); err != nil {
+				return err
+			}
+			if e.OperatorKeys == nil {
+				e.OperatorKeys = make(map[string]string)
+			}
+			e.OperatorKeys[key] = strings.ToLower(value)
+			return nil
+		},
+	}
+}
