--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,44 @@
+// Package command holds the subcommands of both binaries, one file each. They read
+// arguments and settings, wire the parts and print; what is decided is decided elsewhere.
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// Ramp runs arbutusramp with the process's arguments and returns its exit status.
+func Ramp() int {
+	return run("arbutusramp", &checkCmd{})
+}
+
+// Ctl runs arbutusctl with the process's arguments and returns its exit status.
+func Ctl() int {
+	return run("arbutusctl")
+}
+
+func run(name string, cmds ...subcommands.Command) int {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	cdr := subcommands.NewCommander(flags, name)
+	cdr.Register(cdr.HelpCommand(), "")
+	cdr.Register(cdr.FlagsCommand(), "")
+	for _, c := range cmds {
+		cdr.Register(c, "")
+	}
+	if err := flags.Parse(os.Args[1:]); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	ctx, stop := withSignals(context.Background())
+	defer stop()
+	return int(cdr.Execute(ctx))
+}
+
+// usage prints what is missing from the arguments.
+func usage(text string) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "usage: "+text)
+	return subcommands.ExitUsageError
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -30,6 +30,11 @@
 		return faults
 	}
 	_, faults := parse(entryTable(), path, data)
+	for i, f := range faults {
+		if f.Section == "host" && f.Key == "role" {
+			faults[i].Allowed = "entry, side"
+		}
+	}
 	return faults
 }
 
--- /dev/null
+++ b/internal/telemetry/status_test.go
@@ -0,0 +1,37 @@
+package telemetry
+
+import (
+	"strings"
+	"testing"
+
+	"arbutusramp/core/errs"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+func get(h fasthttp.RequestHandler, path string) (int, string) {
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI(path)
+	h(&ctx)
+	return ctx.Response.StatusCode(), string(ctx.Response.Body())
+}
+
+func TestHealthAndReadyApart(t *testing.T) {
+	h := Handler(metrics.NewRegistry(), func() error { return errs.New(errs.Draining, "stopping") })
+	if code, _ := get(h, HealthPath); code != 200 {
+		t.Errorf("health %d: a draining process is alive", code)
+	}
+	code, body := get(h, ReadyPath)
+	if code != 503 || !strings.Contains(body, `"type":"draining"`) {
+		t.Errorf("ready %d %s", code, body)
+	}
+}
+
+func TestMetrics(t *testing.T) {
+	reg := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("requests", reg).Inc(3)
+	code, body := get(Handler(reg, func() error { return nil }), MetricsPath)
+	if code != 200 || !strings.Contains(body, `"requests":{"count":3}`) {
+		t.Errorf("%d %s", code, body)
+	}
+}
