--- /dev/null
+++ b/test/scenario/commands_test.go
@@ -0,0 +1,73 @@
+package scenario
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	startTimeout = 20 * time.Second
+	pollEvery    = 20 * time.Millisecond
+)
+
+// addrs FILE PREFIX waits for an address file and sets PREFIX_NAME for each of its
+// NAME=ADDR lines.
+func addrs(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: addrs FILE PREFIX")
+	}
+	for name, value := range readAddrs(ts, args[0]) {
+		ts.Setenv(args[1]+"_"+name, value)
+	}
+}
+
+func readAddrs(ts *testscript.TestScript, file string) map[string]string {
+	path := ts.MkAbs(file)
+	deadline := time.Now().Add(startTimeout)
+	for {
+		data, err := os.ReadFile(path)
+		if err == nil {
+			return parseAddrs(string(data))
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("no %s after %s", file, startTimeout)
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func parseAddrs(text string) map[string]string {
+	found := make(map[string]string)
+	for line := range strings.Lines(text) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), "=")
+		if ok {
+			found[name] = value
+		}
+	}
+	return found
+}
+
+// render SRC DST copies a file with $NAME and ${NAME} replaced from the environment.
+func render(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: render SRC DST")
+	}
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
+}
+
+// term FILE sends SIGTERM to the process that wrote the address file. The script
+// language's own kill command knows INT and KILL only.
+func term(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: term FILE")
+	}
+	pid, err := strconv.Atoi(readAddrs(ts, args[0])["PID"])
+	ts.Check(err)
+	ts.Check(syscall.Kill(pid, syscall.SIGTERM))
+}
--- /dev/null
+++ b/test/scenario/curl_test.go
@@ -0,0 +1,130 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+)
+
+const curlTimeout = 60 * time.Second
+
+// curlOptions are the arguments of the curl command of the scripts.
+type curlOptions struct {
+	method  string
+	data    string // body, or @FILE
+	headers []string
+	code    int            // status that is expected; 0 is any
+	until   *regexp.Regexp // the answer is asked for again until this matches
+	within  time.Duration  // how long until may take
+	show    bool           // print status and headers before the body
+	url     string
+}
+
+// curl sends one request and prints the answer. It fails if the answer is not the
+// one that is expected.
+func curl(args []string, stdout, stderr io.Writer) int {
+	o, err := curlArgs(args, stderr)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return 2
+	}
+	deadline := time.Now().Add(o.within)
+	for {
+		answer, err := curlOnce(o)
+		if err == nil && (o.until == nil || o.until.MatchString(answer)) {
+			fmt.Fprint(stdout, answer)
+			return 0
+		}
+		if o.until == nil || time.Now().After(deadline) {
+			fmt.Fprint(stdout, answer)
+			fmt.Fprintln(stderr, "curl:", err)
+			return 1
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+func curlArgs(args []string, stderr io.Writer) (curlOptions, error) {
+	var o curlOptions
+	f := flag.NewFlagSet("curl", flag.ContinueOnError)
+	f.SetOutput(stderr)
+	f.StringVar(&o.method, "X", "", "method")
+	f.StringVar(&o.data, "d", "", "body or @FILE")
+	f.IntVar(&o.code, "code", 0, "expected status")
+	f.DurationVar(&o.within, "within", startTimeout, "how long -until may take")
+	f.BoolVar(&o.show, "i", false, "print status and headers")
+	f.Func("H", "header", func(h string) error {
+		o.headers = append(o.headers, h)
+		return nil
+	})
+	f.Func("until", "ask again until the answer matches", func(s string) (err error) {
+		o.until, err = regexp.Compile(s)
+		return err
+	})
+	if err := f.Parse(args); err != nil {
+		return o, err
+	}
+	if f.NArg() != 1 {
+		return o, fmt.Errorf("want one URL, have %q", f.Args())
+	}
+	o.url = f.Arg(0)
+	return o, nil
+}
+
+func curlOnce(o curlOptions) (string, error) {
+	req, err := curlRequest(o)
+	if err != nil {
+		return "", err
+	}
+	client := http.Client{Timeout: curlTimeout}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var b strings.Builder
+	if o.show {
+		fmt.Fprintln(&b, resp.Status)
+		resp.Header.Write(&b)
+		fmt.Fprintln(&b)
+	}
+	if _, err := io.Copy(&b, resp.Body); err != nil {
+		return b.String(), err
+	}
+	if o.code != 0 && resp.StatusCode != o.code {
+		return b.String(), fmt.Errorf("status %s, want %d", resp.Status, o.code)
+	}
+	return b.String(), nil
+}
+
+func curlRequest(o curlOptions) (*http.Request, error) {
+	body := o.data
+	if path, ok := strings.CutPrefix(o.data, "@"); ok {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		body = string(data)
+	}
+	method := o.method
+	if method == "" {
+		method = http.MethodGet
+		if body != "" {
+			method = http.MethodPost
+		}
+	}
+	req, err := http.NewRequest(method, o.url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range o.headers {
+		name, value, _ := strings.Cut(h, ":")
+		req.Header.Add(name, strings.TrimSpace(value))
+	}
+	return req, nil
+}
