Name prompt prefixes and loaded versions in the shared types

Engines and entries have to hash the same prompt text for prefix affinity, so the hash stands in core/structs. The load report names versions and role, which a reconciler compares.

--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -72,6 +72,9 @@
 	Waiting   int               `json:"waiting"`
 	CacheUsed float64           `json:"cache_used"` // share of the prefix cache's memory, 0..1
 	Models    []structs.ModelID `json:"models"`
+	// Versions are the versions of the loaded models; adapters stand as MODEL:ADAPTER.
+	Versions map[structs.ModelID]string `json:"versions,omitempty"`
+	Role     string                     `json:"role,omitempty"`
 }
 
 // GenerateCall is one request to a model engine.
@@ -116,7 +119,7 @@
 // CacheEvent says that an engine has cached or dropped a prompt prefix.
 type CacheEvent struct {
 	Seq    uint64 `json:"seq"`
-	Prefix uint64 `json:"prefix"`
+	Prefix uint64 `json:"prefix"` // a hash as from structs.PromptPrefixes
 	Added  bool   `json:"added"`
 }
 
@@ -125,7 +128,8 @@
 	// Generate runs call and hands each token to sink in order. It returns when
 	// the stream has ended. Cancelling ctx cancels the stream at the
 	// engine. Errors: errs.TargetRefused (4xx), errs.TargetFailed (with RanNo only when
-	// the connection was refused), errs.StreamBroken, errs.Cancelled, or sink's own.
+	// the connection was refused), errs.StreamBroken, errs.Cancelled, errs.TargetTimeout (ctx's
+	// deadline passed), or sink's own.
 	Generate(ctx context.Context, call GenerateCall, sink func(Token) error) error
 	// Load returns the engine's lagging report.
 	Load(ctx context.Context) (EngineLoad, error)
