--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -9,6 +9,13 @@
 	day = 24 * time.Hour
 )
 
+// The window of idempotency keys stands in both tables: entries and sides must agree on it.
+const (
+	defaultKeyWindow = "1h"
+	minKeyWindow     = time.Minute
+	maxKeyWindow     = 7 * day
+)
+
 func entryTable() table[Entry] {
 	rows := hostRows("entry", func(e *Entry) *Identity { return &e.Host })
 	rows = append(rows, logRows(func(e *Entry) *Logs { return &e.Logs })...)
@@ -90,6 +97,9 @@
 		{section: "online", key: "max_sides", unit: "sides", def: "0",
 			field: integer(0, 10000, func(e *Entry) *int { return &e.MaxSides }),
 			doc:   "sides that this entry keeps sessions with at most; 0 is all"},
+		{section: "online", key: "key_window", unit: "duration", def: defaultKeyWindow,
+			field: duration(minKeyWindow, maxKeyWindow, func(e *Entry) *time.Duration { return &e.KeyWindow }),
+			doc:   "how long idempotency keys of non-idempotent requests are remembered; must be the same on every entry and side"},
 	}
 }
 
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -11,11 +11,11 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){
-		"arbutusramp": func() { os.Exit(command.Ramp()) },
-		"arbutusctl":  func() { os.Exit(command.Ctl()) },
-		"curl":        func() { os.Exit(curl(os.Args[1:], os.Stdout, os.Stderr)) },
-	})
+	commands := standinCommands()
+	commands["arbutusramp"] = func() { os.Exit(command.Ramp()) }
+	commands["arbutusctl"] = func() { os.Exit(command.Ctl()) }
+	commands["curl"] = func() { os.Exit(curl(os.Args[1:], os.Stdout, os.Stderr)) }
+	testscript.Main(m, commands)
 }
 
 func TestScenarios(t *testing.T) {
@@ -26,6 +26,11 @@
 			"render": render,
 			"term":   term,
 		},
+		Setup: func(env *testscript.Env) error {
+			// The race detector lets every process sleep for a second at its end.
+			env.Setenv("GORACE", "atexit_sleep_ms=50")
+			return nil
+		},
 		RequireExplicitExec: true,
 	})
 }
