--- /dev/null
+++ b/internal/entry/keys.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync/atomic"
+
+	"arbutusramp/core/confstate"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/structs"
+)
+
+type keyHash = [sha256.Size]byte
+
+// keyring finds the workspace of an API key. It is rebuilt when the
+// configuration has changed, so that a revoked key ends without a restart.
+type keyring struct {
+	source confstate.Source
+	built  atomic.Pointer[keyIndex]
+}
+
+type keyIndex struct {
+	state   *confstate.State
+	valid   map[keyHash]structs.WorkspaceID
+	revoked map[keyHash]struct{}
+}
+
+func (k *keyring) index() *keyIndex {
+	state := k.source.Current()
+	if x := k.built.Load(); x != nil && x.state == state {
+		return x
+	}
+	x := newKeyIndex(state)
+	k.built.Store(x)
+	return x
+}
+
+func newKeyIndex(state *confstate.State) *keyIndex {
+	x := &keyIndex{
+		state:   state,
+		valid:   make(map[keyHash]structs.WorkspaceID),
+		revoked: make(map[keyHash]struct{}),
+	}
+	for id, w := range state.Workspaces {
+		for _, s := range w.KeyHashes {
+			if h, ok := parseHash(s); ok {
+				x.valid[h] = id
+			}
+		}
+		for _, s := range w.RevokedHashes {
+			if h, ok := parseHash(s); ok {
+				x.revoked[h] = struct{}{}
+			}
+		}
+	}
+	return x
+}
+
+func parseHash(s string) (keyHash, bool) {
+	var h keyHash
+	n, err := hex.Decode(h[:], []byte(s))
+	return h, err == nil && n == len(h) && len(s) == 2*len(h)
+}
+
+// lookup returns the workspace of key. Error: errs.Unauthenticated.
+func (x *keyIndex) lookup(key []byte) (structs.WorkspaceID, *errs.Error) {
+	if len(key) == 0 {
+		return "", errs.New(errs.Unauthenticated, "no key was sent; send Authorization: Bearer KEY")
+	}
+	h := sha256.Sum256(key)
+	if id, ok := x.valid[h]; ok {
+		return id, nil
+	}
+	if _, ok := x.revoked[h]; ok {
+		return "", errs.New(errs.Unauthenticated, "the key was revoked; use the workspace's new key")
+	}
+	return "", errs.New(errs.Unauthenticated, "the key is not known")
+}
--- /dev/null
+++ b/internal/entry/pool.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/core/structs"
+	"arbutusramp/internal/settings"
+)
+
+const (
+	redialMin   = 100 * time.Millisecond
+	redialMax   = 5 * time.Second
+	surveyEvery = 500 * time.Millisecond
+)
+
+// dialFunc connects to a side. The session it returns has ended when its gone is closed.
+type dialFunc func(ctx context.Context, addr string, p *pool) (*sideSession, error)
+
+// pool keeps the sessions to sides: it follows the host list, dials, and
+// holds what is known of each target.
+type pool struct {
+	set   settings.Entry
+	hosts platform.HostList
+	dial  dialFunc
+	parts *Parts
+	log   hclog.Logger
+	now   func() time.Time
+
+	index  atomic.Pointer[index]
+	listed atomic.Bool // the host list was read once
+
+	mu      sync.Mutex
+	keepers map[structs.HostID]*keeper
+	targets map[structs.TargetID]*target
+
+	wg sync.WaitGroup
+}
+
+// keeper keeps one side connected until it is stopped.
+type keeper struct {
+	addr    string
+	leaving bool
+	stop    context.CancelFunc
+	session *sideSession // nil while there is none; under pool.mu
+}
+
+func newPool(set settings.Entry, hosts platform.HostList, dial dialFunc, parts *Parts, log hclog.Logger, now func() time.Time) *pool {
+	p := &pool{
+		set: set, hosts: hosts, dial: dial, parts: parts, log: log, now: now,
+		keepers: make(map[structs.HostID]*keeper),
+		targets: make(map[structs.TargetID]*target),
+	}
+	p.index.Store(newIndex(nil))
+	return p
+}
+
+// run follows the host list until ctx ends, then closes every session.
+func (p *pool) run(ctx context.Context) {
+	lists := time.NewTicker(p.set.HostListEvery)
+	defer lists.Stop()
+	surveys := time.NewTicker(surveyEvery)
+	defer surveys.Stop()
+	p.follow(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			p.shutdown()
+			return
+		case <-lists.C:
+			p.follow(ctx)
+		case <-surveys.C:
+			p.index.Load().survey()
+		}
+	}
+}
+
+func (p *pool) follow(ctx context.Context) {
+	readCtx, cancel := context.WithTimeout(ctx, p.set.HostListEvery)
+	defer cancel()
+	hosts, err := p.hosts.Hosts(readCtx)
+	if err != nil {
+		p.log.Warn("host list not read; the last one stays in use", "error", err)
+		return
+	}
+	p.listed.Store(true)
+	p.apply(ctx, hosts)
+}
+
+// apply brings the keepers in line with the host list. A side that is missing from the list
+// keeps its session: the list lags and can be wrong, while a session that answers
+// heartbeats is a fresh fact. It is not dialled again once that session ends.
+func (p *pool) apply(ctx context.Context, hosts []platform.Host) {
+	var live []platform.Host
+	leaving := make(map[structs.HostID]bool)
+	for _, h := range hosts {
+		if h.Role != platform.RoleSide {
+			continue
+		}
+		if h.State == platform.HostLeaving {
+			leaving[h.ID] = true
+			continue
+		}
+		live = append(live, h)
+	}
+	wanted := make(map[structs.HostID]platform.Host)
+	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.set.MaxSides) {
+		wanted[h.ID] = h
+	}
+	listed := make(map[structs.HostID]bool, len(live))
+	for _, h := range live {
+		listed[h.ID] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, k := range p.keepers {
+		_, want := wanted[id]
+		p.mark(k, leaving[id] || (listed[id] && !want))
+		if !want && k.idle() {
+			k.drop()
+			delete(p.keepers, id)
+		}
+	}
+	for id, h := range wanted {
+		p.want(ctx, id, h)
+	}
+}
+
+// want starts a keeper for h, or replaces one whose side has moved to another address.
+func (p *pool) want(ctx context.Context, id structs.HostID, h platform.Host) {
+	if k, ok := p.keepers[id]; ok {
+		if k.addr == h.Addr {
+			return
+		}
+		k.drop()
+	}
+	kctx, stop := context.WithCancel(ctx)
+	k := &keeper{addr: h.Addr, stop: stop}
+	p.keepers[id] = k
+	p.wg.Go(func() { p.keep(kctx, k) })
+}
+
+// mark tells the targets behind k whether they may get new requests.
+func (p *pool) mark(k *keeper, leaving bool) {
+	k.leaving = leaving
+	if k.session == nil {
+		return
+	}
+	for _, t := range k.session.targets {
+		t.leaving.Store(leaving)
+	}
+}
+
+// idle says that nothing would be cut off by dropping the session.
+func (k *keeper) idle() bool {
+	return k.session == nil || (k.leaving && k.session.open.Load() == 0)
+}
+
+func (k *keeper) drop() {
+	k.stop()
+	if k.session != nil {
+		k.session.conn.Close(nil)
+	}
+}
+
+// keep dials one side again and again until ctx ends. The pause between failed
+// dials doubles and is jittered, so that entries do not all come back to a restarted side at once.
+func (p *pool) keep(ctx context.Context, k *keeper) {
+	pause := redialMin
+	for ctx.Err() == nil {
+		s, err := p.dial(ctx, k.addr, p)
+		if err == nil {
+			pause = redialMin
+			p.hold(ctx, k, s)
+			continue
+		}
+		p.log.Debug("side not reached", "addr", k.addr, "error", err)
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(redialMax, 2*pause)
+	}
+}
+
+// hold waits until the session ends.
+func (p *pool) hold(ctx context.Context, k *keeper, s *sideSession) {
+	p.mu.Lock()
+	k.session = s
+	p.mark(k, k.leaving)
+	p.mu.Unlock()
+	select {
+	case <-s.gone:
+	case <-ctx.Done():
+		s.conn.Close(nil)
+		<-s.gone
+	}
+	p.mu.Lock()
+	k.session = nil
+	p.mu.Unlock()
+	sleep(ctx, redialMin/2+rand.N(redialMin))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (p *pool) shutdown() {
+	p.mu.Lock()
+	for _, k := range p.keepers {
+		k.drop()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// connected is the number of sides with a session.
+func (p *pool) connected() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, k := range p.keepers {
+		if k.session != nil {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/ports.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"io"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"arbutusramp/core/structs"
+)
+
+// Send passes a frame to one side. It never blocks.
+type Send = func(*structs.Frame) error
+
+// BatchPort takes the session frames that concern batch items. Its methods
+// are called from a session's reader and must not block.
+type BatchPort interface {
+	// OnPull says that a side has room.
+	OnPull(side structs.HostID, send func(*structs.Frame) error, p *structs.Pull)
+	// OnItemDone is the outcome of one item.
+	OnItemDone(side structs.HostID, send func(*structs.Frame) error, d *structs.ItemDone)
+	// SideOpened says that a session to side is up.
+	SideOpened(side structs.HostID, send func(*structs.Frame) error)
+	// SideClosed says that it is gone.
+	SideClosed(side structs.HostID)
+}
+
+// ConfigPort gives sides the configuration over their sessions. Its methods must not block.
+type ConfigPort interface {
+	// OnConfig is a side's question for configuration.
+	OnConfig(side structs.HostID, send func(*structs.Frame) error, m *structs.ConfigMsg)
+	// SideOpened says that a session to side is up.
+	SideOpened(side structs.HostID, send func(*structs.Frame) error)
+	// SideClosed says that it is gone.
+	SideClosed(side structs.HostID)
+}
+
+// Parts are the other parts of an entry process that share its listeners and
+// sessions. Each may be nil.
+type Parts struct {
+	Batch  BatchPort
+	Config ConfigPort
+	// Jobs serves the job paths (/v1/files..., /v1/batches...) of callers whose
+	// key is valid; CallerOf tells who asks.
+	Jobs fasthttp.RequestHandler
+	// Admin serves the administration listener.
+	Admin fasthttp.RequestHandler
+	// Peers serves the listener for other entries and followers.
+	Peers func(net.Listener) io.Closer
+	// Ready holds what must be true besides the entry's own state before
+	// /readyz says so.
+	Ready []func() bool
+}
+
+// Caller is who sent a request.
+type Caller struct {
+	Workspace structs.WorkspaceID
+	Request   structs.RequestID
+}
+
+type callerKey struct{}
+
+// CallerOf returns the caller of a request that was handed to Parts.Jobs.
+func CallerOf(ctx *fasthttp.RequestCtx) (Caller, bool) {
+	c, ok := ctx.UserValue(callerKey{}).(Caller)
+	return c, ok
+}
--- /dev/null
+++ b/internal/entry/subset.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/core/structs"
+)
+
+// minDomains is over how many failure domains a subset stands at least, so that the loss of one
+// domain does not leave the entry without sides.
+const minDomains = 2
+
+// subset picks up to limit sides for one entry by rendezvous hashing, so that a host which
+// joins or leaves changes few subsets. The entry's own failure domain goes first; one
+// place in minDomains is kept for others. limit 0 takes all.
+func subset(self structs.HostID, domain structs.FailureDomain, hosts []platform.Host, limit int) []platform.Host {
+	if limit <= 0 || len(hosts) <= limit {
+		return hosts
+	}
+	var own, other []platform.Host
+	for _, h := range byRendezvous(self, hosts) {
+		if h.Domain == domain {
+			own = append(own, h)
+		} else {
+			other = append(other, h)
+		}
+	}
+	reserved := min(len(other), max(1, limit/minDomains))
+	if limit == 1 {
+		reserved = 0
+	}
+	picked := own[:min(len(own), limit-reserved)]
+	return append(slices.Clone(picked), other[:min(len(other), limit-len(picked))]...)
+}
+
+func byRendezvous(self structs.HostID, hosts []platform.Host) []platform.Host {
+	sorted := slices.Clone(hosts)
+	slices.SortFunc(sorted, func(a, b platform.Host) int {
+		if c := cmp.Compare(rendezvous(self, b.ID), rendezvous(self, a.ID)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return sorted
+}
+
+func rendezvous(a, b structs.HostID) uint64 {
+	return xxhash.Sum64String(string(a) + "\x00" + string(b))
+}
