--- a/core/limit/workspace.go
+++ b/core/limit/workspace.go
@@ -28,18 +28,18 @@
 
 // Fleet is the room for online requests over all workspaces.
 type Fleet struct {
-	InFlight int // of all workspaces through this entry
-	Capacity int // what the targets take; 0 is not known
-	Weights  int // sum over workspaces that have requests in flight
+	Outstanding int // requests at the targets, through all entries
+	Capacity    int // what those targets take; 0 is not known
+	InFlight    int // of all workspaces through this entry
+	Weights     int // sum over workspaces that have requests in flight here
 }
 
 // full says that another request would have to wait.
-func (f Fleet) full() bool { return f.Capacity > 0 && f.InFlight >= f.Capacity }
+func (f Fleet) full() bool { return f.Capacity > 0 && f.Outstanding >= f.Capacity }
 
-// share is how many requests in flight a workspace of that weight may hold when the fleet is full.
-func (f Fleet) share(weight int) int {
-	return max(1, f.Capacity*weight/max(1, f.Weights))
-}
+// shareSlack lets a workspace go a little over its share, so that two with equal weights do
+// not both get refused at exactly half.
+const shareSlack = 1.1
 
 // retryShare is when a workspace over its share is told to come back.
 const retryShare = 250 * time.Millisecond
@@ -97,16 +97,14 @@
 	return nil
 }
 
+// overShare compares with what this entry has in flight: other entries do the same for
+// theirs, and a workspace alone here is over nobody's share.
 func (w *Workspace) overShare(f Fleet) bool {
-	if !f.full() {
+	if !f.full() || w.inFlight == 0 || f.Weights <= w.rules.Share() {
 		return false
 	}
-	weights := f.Weights
-	if w.inFlight == 0 {
-		weights += w.rules.Share()
-	}
-	f.Weights = weights
-	return w.inFlight >= f.share(w.rules.Share())
+	share := float64(f.InFlight) * float64(w.rules.Share()) / float64(f.Weights)
+	return float64(w.inFlight) > shareSlack*share
 }
 
 func (w *Workspace) take(now time.Time) *errs.Error {
--- /dev/null
+++ b/internal/entry/dial.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+
+	"arbutusramp/core/structs"
+	"arbutusramp/internal/session"
+	"arbutusramp/internal/settings"
+)
+
+// sessionDialer connects to sides by internal/session.
+func sessionDialer(e *Entry) dialFunc {
+	options := session.Options{
+		Hello: structs.Hello{
+			Host:        e.set.Host.ID,
+			Domain:      e.set.Host.Domain,
+			Region:      e.set.Host.Region,
+			Incarnation: e.now().UnixMilli(),
+		},
+		PeerKeys: func() []settings.PeerKey { return e.set.PeerKeys },
+		Logger:   e.log,
+		Version:  func() structs.Version { return e.config.Current().Version },
+	}
+	return func(ctx context.Context, addr string, p *pool) (*sideSession, error) {
+		h := &sessionHandler{pool: p, opened: make(chan *sideSession, 1)}
+		if _, err := session.Dial(ctx, addr, options, h); err != nil {
+			return nil, err
+		}
+		return <-h.opened, nil
+	}
+}
+
+// sessionHandler binds one connection to its sideSession.
+type sessionHandler struct {
+	pool    *pool
+	session *sideSession
+	opened  chan *sideSession
+}
+
+// Opened implements session.Handler.
+func (h *sessionHandler) Opened(c *session.Conn) {
+	h.session = h.pool.opened(c)
+	h.opened <- h.session
+}
+
+// Frame implements session.Handler.
+func (h *sessionHandler) Frame(_ *session.Conn, f *structs.Frame) { h.session.frame(f) }
+
+// Closed implements session.Handler.
+func (h *sessionHandler) Closed(_ *session.Conn, err error) { h.pool.closed(h.session, err) }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -22,6 +22,9 @@
 	if p.parts.Config != nil {
 		p.parts.Config.SideOpened(s.host, conn.Send)
 	}
+	if p.parts.Orders != nil {
+		p.parts.Orders.SideOpened(s.host, hello.Targets, conn.Send)
+	}
 	p.log.Info("side connected", "side", s.host, "domain", hello.Domain)
 	return s
 }
@@ -60,6 +63,9 @@
 	if p.parts.Config != nil {
 		p.parts.Config.SideClosed(s.host)
 	}
+	if p.parts.Orders != nil {
+		p.parts.Orders.SideClosed(s.host)
+	}
 	p.log.Info("side disconnected", "side", s.host, "error", err)
 }
 
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -9,9 +9,6 @@
 	"arbutusramp/core/structs"
 )
 
-// Send passes a frame to one side. It never blocks.
-type Send = func(*structs.Frame) error
-
 // BatchPort takes the session frames that concern batch items. Its methods
 // are called from a session's reader and must not block.
 type BatchPort interface {
@@ -35,11 +32,24 @@
 	SideClosed(side structs.HostID)
 }
 
+// OrderPort takes what sides answer to orders. Its methods must not block.
+type OrderPort interface {
+	// OnOrderDone is a target's answer to an Order frame.
+	OnOrderDone(side structs.HostID, d *structs.OrderDone)
+	// SideOpened says that a session to side is up, with what stands behind it.
+	SideOpened(side structs.HostID, targets []structs.TargetInfo, send func(*structs.Frame) error)
+	// SideLoad is a target's newest report.
+	SideLoad(side structs.HostID, l *structs.Load)
+	// SideClosed says that the session is gone.
+	SideClosed(side structs.HostID)
+}
+
 // Parts are the other parts of an entry process that share its listeners and
 // sessions. Each may be nil.
 type Parts struct {
 	Batch  BatchPort
 	Config ConfigPort
+	Orders OrderPort
 	// Jobs serves the job paths (/v1/files..., /v1/batches...) of callers whose
 	// key is valid; CallerOf tells who asks.
 	Jobs fasthttp.RequestHandler
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/errs"
+)
+
+const (
+	idleTimeout = 2 * time.Minute
+	readTimeout = time.Minute
+	// stopGrace is how long a stopping entry still takes new requests: the platform's balancer
+	// needs a moment to see that it is not ready.
+	stopGrace = 2 * time.Second
+	drainPoll = 20 * time.Millisecond
+)
+
+// Run serves until ctx is cancelled. Then the entry is not ready at once, takes new requests for
+// a short grace while closing kept-alive connections, waits for requests in
+// flight up to DrainTimeout and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.makeServers()
+	poolCtx, stopPool := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopPool()
+	var g errgroup.Group
+	g.Go(func() error { return serveOn(e.callerServer, e.callers) })
+	g.Go(func() error { return serveOn(e.adminServer, e.admin) })
+	g.Go(func() error { return serveOn(e.statusServer, e.statuses) })
+	if e.parts.Peers != nil {
+		e.peerServer = e.parts.Peers(e.peers)
+	}
+	g.Go(func() error { e.pool.run(poolCtx); return nil })
+	g.Go(func() error {
+		<-ctx.Done()
+		e.drain(poolCtx)
+		stopPool()
+		return nil
+	})
+	return g.Wait()
+}
+
+func serveOn(s *fasthttp.Server, ln net.Listener) error {
+	if err := s.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errs.Newf(errs.Internal, "serve %s: %v", ln.Addr(), err)
+	}
+	return nil
+}
+
+func (e *Entry) makeServers() {
+	e.callerServer = e.newServer(e.serve)
+	e.callerServer.MaxRequestBodySize = e.set.MaxBody
+	e.callerServer.WriteTimeout = maxTimeout
+	e.adminServer = e.newServer(e.serveAdmin)
+	e.adminServer.MaxRequestBodySize = e.set.MaxBody
+	e.statusServer = e.newServer(e.status)
+}
+
+func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      h,
+		ErrorHandler:                 e.badHTTP,
+		Name:                         "arbutusramp",
+		IdleTimeout:                  idleTimeout,
+		ReadTimeout:                  readTimeout,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       e.log.StandardLogger(nil),
+	}
+}
+
+func (e *Entry) serveAdmin(ctx *fasthttp.RequestCtx) {
+	if e.parts.Admin == nil {
+		WriteError(ctx, errs.New(errs.NotFound, "no administration here"))
+		return
+	}
+	e.parts.Admin(ctx)
+}
+
+// badHTTP answers what is no HTTP request, or one with too large a body.
+func (e *Entry) badHTTP(ctx *fasthttp.RequestCtx, err error) {
+	typed := errs.Newf(errs.BadRequest, "not an HTTP request: %v", err)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		typed = errs.Newf(errs.BodyTooLarge, "the body is larger than %d bytes", e.set.MaxBody)
+	}
+	e.rec.failed("", typed)
+	WriteError(ctx, typed)
+}
+
+// drain waits for requests in flight. ctx is cancelled to end at once.
+func (e *Entry) drain(ctx context.Context) {
+	e.draining.Store(true)
+	e.log.Info("stopping", "in_flight", e.inFlight.Load())
+	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
+	defer cancel()
+	sleep(ctx, min(stopGrace, e.set.DrainTimeout/4))
+	for e.inFlight.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, drainPoll)
+	}
+	if n := e.inFlight.Load(); n > 0 {
+		e.log.Warn("stopping with requests in flight", "in_flight", n)
+	}
+	e.shutdown()
+}
+
+// shutdownTimeout bounds the wait for connections to close once no request is in flight.
+const shutdownTimeout = time.Second
+
+func (e *Entry) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, s := range []*fasthttp.Server{e.callerServer, e.adminServer, e.statusServer} {
+		if err := s.ShutdownWithContext(ctx); err != nil {
+			e.log.Debug("connections left open at the stop", "error", err)
+		}
+	}
+	if e.peerServer != nil {
+		e.peerServer.Close()
+	}
+	e.closeListeners()
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -112,12 +112,17 @@
 	switch {
 	case f.Load != nil:
 		s.learn(f.Load)
+		if parts.Orders != nil {
+			parts.Orders.SideLoad(s.host, f.Load)
+		}
 	case f.Pull != nil && parts.Batch != nil:
 		parts.Batch.OnPull(s.host, s.conn.Send, f.Pull)
 	case f.ItemDone != nil && parts.Batch != nil:
 		parts.Batch.OnItemDone(s.host, s.conn.Send, f.ItemDone)
 	case f.Config != nil && parts.Config != nil:
 		parts.Config.OnConfig(s.host, s.conn.Send, f.Config)
+	case f.OrderDone != nil && parts.Orders != nil:
+		parts.Orders.OnOrderDone(s.host, f.OrderDone)
 	}
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -154,3 +154,10 @@
 	s.room += n
 	s.mu.Unlock()
 }
+
+// isMissing says that the end has come and a part before it has not.
+func (s *stream) isMissing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.end != nil && !s.whole()
+}
