--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -169,7 +169,7 @@
 // baseURL reads the base URL of an outside service.
 func baseURL[T any](get func(*T) *string) field[T] {
 	return field[T]{
-		allowed: "http://IP:port or https://IP:port, without a trailing slash",
+		allowed: "http://IP:port, without a trailing slash",
 		set: func(t *T, value string) error {
 			if err := checkBaseURL(value); err != nil {
 				return err
@@ -185,7 +185,7 @@
 	if err != nil {
 		return bad("%q is not a URL", value)
 	}
-	if u.Scheme != "http" && u.Scheme != "https" {
+	if u.Scheme != "http" {
 		return bad("scheme %q", u.Scheme)
 	}
 	ap, err := netip.ParseAddrPort(u.Host)
