--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -150,7 +150,6 @@
 	}
 }
 
-
 func (s *Server) serveEngine(ctx *fasthttp.RequestCtx) {
 	if !s.knobs.Hold(s.http.Done(), func(k Knobs) bool { return k.Pause }) {
 		knob.CloseUnanswered(ctx)
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -179,10 +179,11 @@
 
 // download is the body of one download: zeros at the shared rate.
 type download struct {
-	s      *Server
-	left   int64
-	ctx    context.Context
-	cancel context.CancelFunc
+	s       *Server
+	left    int64
+	granted int64 // taken from the rate and not sent yet
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func newDownload(s *Server, n int64) *download {
@@ -194,7 +195,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	return &download{s, n, ctx, cancel}
+	return &download{s: s, left: n, ctx: ctx, cancel: cancel}
 }
 
 // Read implements io.Reader.
@@ -202,14 +203,19 @@
 	if d.left == 0 {
 		return 0, io.EOF
 	}
-	n := int(min(d.left, int64(len(p)), chunk))
-	if err := d.s.limiter.WaitN(d.ctx, n); err != nil {
-		return 0, err
+	if d.granted == 0 {
+		want := min(d.left, chunk)
+		if err := d.s.limiter.WaitN(d.ctx, int(want)); err != nil {
+			return 0, err
+		}
+		d.granted = want
 	}
+	n := min(d.granted, int64(len(p)))
 	clear(p[:n])
-	d.left -= int64(n)
-	d.s.sent.Add(int64(n))
-	return n, nil
+	d.left -= n
+	d.granted -= n
+	d.s.sent.Add(n)
+	return int(n), nil
 }
 
 // Close implements io.Closer.
