--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -59,7 +59,6 @@
 	Model    structs.ModelID   // empty for plain services
 	Service  structs.ServiceID // empty for models
 	Domain   structs.FailureDomain
-	Blocks   int                // prefix blocks in the prompt
 	Tried    []structs.TargetID // targets that this request already failed on
 	TimeLeft time.Duration      // until the caller's deadline
 	// MayProbe says that the request is safe to try on a target that is coming back.
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -26,8 +26,8 @@
 	timer    *time.Timer
 
 	// Of the attempt that runs now.
-	target    *target
-	session   *sideSession
+	target *target
+	claimed
 	stream    *stream
 	group     *group
 	sentAt    time.Time
@@ -61,21 +61,21 @@
 	if c.keyed() {
 		route = c.routeHome
 	}
-	t, session, err := route(s)
+	t, got, err := route(s)
 	if err != nil {
 		return err
 	}
-	c.target, c.session = t, session
+	c.target, c.claimed = t, got
 	c.stream = newStream(c.progress.next, c.e.set.SessionWindow)
 	c.sentAt, c.firstByte = c.e.now(), 0
 	c.owed = 0
 	c.head = nil
-	err = session.start(c.stream, c.e.config.Current().Version, c.open(t))
-	if err != nil {
-		c.stream = nil
-		return c.retry(s, err)
+	if err = c.session.start(c.stream, c.e.config.Current().Version, c.open(t)); err == nil {
+		return nil
 	}
-	return nil
+	c.stream = nil
+	t.release(c.reports)
+	return c.retry(s, err)
 }
 
 // keyed calls are bound to the target that remembers their key.
@@ -209,6 +209,7 @@
 	c.done = true
 	c.replayed = end.Replayed
 	c.session.forget(c.stream)
+	c.target.release(c.reports)
 	c.e.report(c.group, c.target, choose.Outcome{FirstByte: c.firstByte})
 	c.stream = nil
 }
@@ -219,6 +220,7 @@
 		return
 	}
 	c.session.cancel(c.stream)
+	c.target.release(c.reports)
 	c.stream = nil
 	if c.speaksAgainstTarget(err) {
 		c.e.report(c.group, c.target, choose.Outcome{Failed: true})
@@ -260,10 +262,14 @@
 	if err != nil {
 		c.abandon(err)
 	}
-	if c.timer != nil {
-		c.timer.Stop()
-	}
+	c.stopTimer()
 	c.e.limits.end(c.in.workspace)
 	c.e.rec.ended(c, err)
 	c.e.inFlight.Add(-1)
 }
+
+func (c *call) stopTimer() {
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,7 +57,6 @@
 	budget  retryBudget
 	pool    *pool
 	rec     *recorder
-	home    homeFunc
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -91,7 +90,6 @@
 		rec:      newRecorder(o.Metrics, o.Logger, o.Clock),
 		idPrefix: string(o.Settings.Host.ID) + "-" + strconv.FormatInt(o.Clock().UnixNano(), 36) + "-",
 	}
-	e.home = e.homeByKey
 	dial := o.dial
 	if dial == nil {
 		dial = sessionDialer(e)
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -3,9 +3,26 @@
 import (
 	"time"
 
+	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
 )
 
-// homeFunc returns the one target that may run a keyed non-idempotent call.
-type homeFunc func(c *call, now time.Time) (structs.TargetID, *errs.Error)
+// homeByKey returns the one target that may run a keyed non-idempotent call.
+// Errors: errs.NoTarget, errs.KeyUnverifiable.
+func (e *Entry) homeByKey(c *call, now time.Time) (structs.TargetID, *errs.Error) {
+	if fresh := e.parts.ConfigFresh; fresh != nil && !fresh() {
+		return "", errs.New(errs.KeyUnverifiable,
+			"this entry's configuration is old; which target knows the key is not certain").WithRetry(retryHome)
+	}
+	window := e.set.KeyWindow
+	if window == 0 {
+		window = dedup.DefaultWindow
+	}
+	id, err := dedup.Home(c.in.workspace, c.in.key, c.req.service,
+		e.config.Current().Targets, now.UnixMilli(), window)
+	if err != nil {
+		return "", errs.As(err)
+	}
+	return id, nil
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -40,6 +40,7 @@
 	t.models = slices.Clone(info.Models)
 	t.load = structs.Load{}
 	t.sent = 0
+	t.reports++
 	t.mu.Unlock()
 	return t
 }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -60,6 +60,10 @@
 	// Ready holds what must be true besides the entry's own state before
 	// /readyz says so.
 	Ready []func() bool
+	// ConfigFresh says that the configuration is at most dedup.DefaultPropagation old.
+	// While it says no, keyed non-idempotent calls are refused: their home may have
+	// moved without this entry knowing. nil counts as yes.
+	ConfigFresh func() bool
 }
 
 // Caller is who sent a request.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -136,7 +136,7 @@
 			break
 		}
 		body = appendPart(body, part)
-		if !c.done && len(body) >= c.e.set.SessionWindow/2 {
+		if c.mustWait() && len(body) >= c.e.set.SessionWindow/2 {
 			return relayLarge(ctx, c, body)
 		}
 	}
@@ -149,6 +149,9 @@
 
 func (c *call) drained() bool { return c.used == len(c.parts) }
 
+// mustWait says that more is to come and nothing is known of how it ends.
+func (c *call) mustWait() bool { return c.drained() && !c.done && c.failure == nil }
+
 // appendPart takes over the first part without a copy.
 func appendPart(body, part []byte) []byte {
 	if body == nil {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -7,7 +7,6 @@
 
 	"arbutusramp/core/choose"
 	"arbutusramp/core/errs"
-	"arbutusramp/core/structs"
 )
 
 // scratch is the working memory of one choice.
@@ -74,12 +73,11 @@
 
 // route chooses a target and claims it. Losing a race for it (a probe, a session that has just
 // ended) counts as tried.
-func (c *call) route(s *scratch) (*target, *sideSession, *errs.Error) {
+func (c *call) route(s *scratch) (*target, claimed, *errs.Error) {
 	now := c.e.now()
 	r := choose.Request{
 		Service:  c.req.service,
 		Domain:   c.e.set.Host.Domain,
-		Blocks:   len(c.req.prefixes()),
 		Tried:    c.tried,
 		TimeLeft: c.deadline.Sub(now),
 		MayProbe: !c.req.nonIdempotent && c.attempt == 0,
@@ -89,12 +87,12 @@
 	}
 	for {
 		if err := c.e.policy.Choose(s.rng, &r, &s.view, &s.decision); err != nil {
-			return nil, nil, err
+			return nil, claimed{}, err
 		}
 		t := s.targets[s.decision.Index]
-		if session := t.claim(now, c.req.prefixes()); session != nil {
+		if got := t.claim(now, c.req.prefixes()); got.session != nil {
 			c.e.rec.routed(c, s)
-			return t, session, nil
+			return t, got, nil
 		}
 		r.Tried = append(r.Tried, t.id)
 	}
@@ -102,38 +100,27 @@
 
 // routeHome claims the one target that a keyed non-idempotent call may go to.
 // It fails closed: another target could not know whether the call has run.
-func (c *call) routeHome(s *scratch) (*target, *sideSession, *errs.Error) {
+func (c *call) routeHome(s *scratch) (*target, claimed, *errs.Error) {
 	now := c.e.now()
-	id, err := c.e.home(c, now)
+	id, err := c.e.homeByKey(c, now)
 	if err != nil {
-		return nil, nil, err
+		return nil, claimed{}, err
 	}
 	for _, t := range s.targets {
 		if t.id != id {
 			continue
 		}
-		if session := t.claimHome(); session != nil {
+		if got := t.claimHome(); got.session != nil {
 			c.e.rec.routedHome(c, id)
-			return t, session, nil
+			return t, got, nil
 		}
 	}
-	return nil, nil, errs.Newf(errs.KeyUnverifiable,
+	return nil, claimed{}, errs.Newf(errs.KeyUnverifiable,
 		"target %s, which knows whether the key was used, is not reachable", id).WithRetry(retryHome)
 }
 
 const retryHome = time.Second
 
-// claimHome counts a request for a home target. Ejection and draining don't matter: the side
-// decides, since it alone can answer for the key.
-func (t *target) claimHome() *sideSession {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.session != nil {
-		t.sent++
-	}
-	return t.session
-}
-
 // report tells the target's health how an attempt ended.
 func (e *Entry) report(g *group, t *target, o choose.Outcome) {
 	var f choose.FleetView
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -23,7 +23,8 @@
 	session  *sideSession // nil while there is none
 	load     structs.Load
 	models   []structs.ModelID
-	sent     int // requests sent since load was reported
+	sent     int    // requests sent since load was reported
+	reports  uint64 // counts reports
 	health   choose.Health
 	prefixes choose.PrefixSet
 }
@@ -34,6 +35,7 @@
 	defer t.mu.Unlock()
 	t.load = *l
 	t.sent = 0
+	t.reports++
 	t.prefixes.Add(l.Prefixes)
 	if l.Models == nil || slices.Equal(t.models, l.Models) {
 		return false
@@ -64,21 +66,48 @@
 	return true
 }
 
+// claimed is a target's session with what release needs.
+type claimed struct {
+	session *sideSession // nil: not claimed
+	reports uint64
+}
+
 // claim counts a request that is about to be sent and returns the session for it. It
-// returns nil when the target has left or lost its session since it was chosen, or
+// gives none when the target has left or lost its session since it was chosen, or
 // another request has the one probe.
-func (t *target) claim(now time.Time, prefixes []uint64) *sideSession {
+func (t *target) claim(now time.Time, prefixes []uint64) claimed {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.session == nil || t.load.Draining || t.leaving.Load() {
-		return nil
+		return claimed{}
 	}
 	if t.health.State(now) != choose.Well && !t.health.BeginProbe(now) {
-		return nil
+		return claimed{}
 	}
 	t.sent++
 	t.prefixes.Add(prefixes)
-	return t.session
+	return claimed{session: t.session, reports: t.reports}
+}
+
+// claimHome counts a request for a home target. Ejection and draining don't matter: the side
+// decides, since it alone can answer for the key.
+func (t *target) claimHome() claimed {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.session == nil {
+		return claimed{}
+	}
+	t.sent++
+	return claimed{session: t.session, reports: t.reports}
+}
+
+// release takes back what claim counted, unless a report has come since.
+func (t *target) release(reports uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reports == reports && t.sent > 0 {
+		t.sent--
+	}
 }
 
 func (t *target) average() time.Duration {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,7 @@
 	SessionWindow  int           // bytes of credit a stream starts with
 	RetryShare     float64       // retries as a share of first tries, 0..1
 	MaxSides       int           // sides this entry keeps sessions with at most; 0 is all
+	KeyWindow      time.Duration // how long sides remember keys of non-idempotent requests; 0 is their default
 
 	Shards       int           // job shards in the whole system; the same everywhere
 	CommitEvery  time.Duration // group commit interval of a shard's owner
