--- /dev/null
+++ b/internal/command/side.go
@@ -0,0 +1,46 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"arbutusramp/internal/logging"
+	"arbutusramp/internal/node"
+	"arbutusramp/internal/settings"
+	"github.com/google/subcommands"
+	"github.com/rcrowley/go-metrics"
+)
+
+type sideCmd struct{ processFlags }
+
+func (*sideCmd) Name() string     { return "side" }
+func (*sideCmd) Synopsis() string { return "run a side: the only door to its target" }
+func (*sideCmd) Usage() string    { return "side -config FILE\n  Runs a side until SIGTERM.\n" }
+
+func (c *sideCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.config == "" {
+		return usage("arbutusramp side -config FILE")
+	}
+	s, err := settings.LoadSide(c.config)
+	if err != nil {
+		return fail(err)
+	}
+	return exit(c.run(ctx, s))
+}
+
+func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
+	logger := logging.New("side", s.Logs, os.Stderr)
+	p, err := node.NewSide(s, logger, metrics.NewRegistry())
+	if err != nil {
+		return err
+	}
+	err = writeAddrFile(c.addrFile, []listenerAddr{
+		{"SESSIONS", p.Addr()},
+		{"STATUS", p.StatusAddr()},
+	})
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx)
+}
