Add Beat, Order and OrderDone frames

A time of arrival can't show that a peer is alive now: after a pause the socket's buffer holds frames that were sent long before. Beat carries an echo of the receiver's own clock, so freshness is counted from a send.

--- a/core/structs/frame.go
+++ b/core/structs/frame.go
@@ -29,6 +29,37 @@
 	ItemStop *ItemStop  `cbor:"14,keyasint,omitempty"`
 	Config   *ConfigMsg `cbor:"15,keyasint,omitempty"`
 	ItemAck  *ItemAck   `cbor:"16,keyasint,omitempty"`
+
+	Beat      *Beat      `cbor:"17,keyasint,omitempty"`
+	Order     *Order     `cbor:"18,keyasint,omitempty"`
+	OrderDone *OrderDone `cbor:"19,keyasint,omitempty"`
+}
+
+// Beat is a heartbeat; sessions handle it themselves. A peer sends Echo back at
+// once, so that the sender knows that the peer was alive after it sent Sent, and
+// that it has read all that the peer had sent before the echo. A time of
+// arrival can't tell that: after a pause, old frames arrive too.
+type Beat struct {
+	Sent int64 `cbor:"1,keyasint,omitempty"` // sender's own clock, ns; opaque to the peer
+	Echo int64 `cbor:"2,keyasint,omitempty"` // Sent of the Beat that is answered
+}
+
+// Order asks a side to pass an order to its target. The side passes on one at
+// a time and refuses a lower Fence than it has seen.
+type Order struct {
+	ID      uint64  `cbor:"1,keyasint"` // chosen by the sender, comes back in OrderDone
+	Fence   Epoch   `cbor:"2,keyasint"`
+	Op      string  `cbor:"3,keyasint"` // load, unload or role
+	Model   ModelID `cbor:"4,keyasint,omitempty"`
+	Version string  `cbor:"5,keyasint,omitempty"`
+	Adapter string  `cbor:"6,keyasint,omitempty"`
+	Role    string  `cbor:"7,keyasint,omitempty"`
+}
+
+// OrderDone answers an Order. Err is nil when the target took it.
+type OrderDone struct {
+	ID  uint64      `cbor:"1,keyasint"`
+	Err *errs.Error `cbor:"2,keyasint,omitempty"`
 }
 
 // Hello is the first frame in both directions.
