Add intents, confirms and the fold of the configuration stream

The fold alone decides confirms: a plan holds only if none of the objects that it touches changed after its base; a copy of a confirm has the first's outcome, also after that was forgotten.

--- a/core/confstate/state.go
+++ b/core/confstate/state.go
@@ -28,6 +28,14 @@
 	Jobs       map[structs.JobID]JobIntent       `cbor:"8,keyasint,omitempty" json:"jobs,omitempty"`
 	Policy     Policy                            `cbor:"9,keyasint" json:"policy"`
 	Touched    map[string]structs.Version        `cbor:"10,keyasint,omitempty" json:"-"` // object -> version that last changed it, for conflicts
+	// Outcomes are those of the latest confirms by plan id, so that a resent
+	// confirm gets the outcome of the first. At most MaxOutcomes are kept.
+	Outcomes map[string]Outcome `cbor:"11,keyasint,omitempty" json:"-"`
+	// Forgot is the version up to which outcomes are no longer kept: a plan
+	// made from an older version is refused, since it may be a resend.
+	Forgot structs.Version `cbor:"12,keyasint,omitempty" json:"-"`
+	// Unreadable counts records that could not be decoded; they change nothing.
+	Unreadable int `cbor:"13,keyasint,omitempty" json:"unreadable,omitempty"`
 }
 
 // Workspace is one workspace with its keys and limits.
@@ -102,6 +110,8 @@
 	ID     structs.JobID `cbor:"1,keyasint" json:"id"`
 	Run    bool          `cbor:"2,keyasint,omitempty" json:"run,omitempty"`
 	Cancel bool          `cbor:"3,keyasint,omitempty" json:"cancel,omitempty"`
+	// At is the version that decided last.
+	At structs.Version `cbor:"4,keyasint,omitempty" json:"at,omitempty"`
 }
 
 // Policy is the one setting between least harm to online requests and most batch throughput.
--- /dev/null
+++ b/core/confstate/target.go
@@ -0,0 +1,74 @@
+package confstate
+
+import (
+	"arbutusramp/core/errs"
+	"arbutusramp/core/structs"
+)
+
+func (f *fold) target(i structs.Intent, in structs.TargetIntent, atMs int64) *errs.Error {
+	if in.ID == "" || in.Host == "" {
+		return misfit(i, "it needs a name and a host")
+	}
+	if err := f.targetKind(i, in); err != nil {
+		return err
+	}
+	if f.s.Hosts[in.Host].Retire {
+		return misfit(i, "host %s is retired", in.Host)
+	}
+	for id, t := range f.s.Targets {
+		if id != in.ID && t.Host == in.Host && t.RemovedAt == 0 {
+			return misfit(i, "host %s already has target %s", in.Host, id)
+		}
+	}
+	t := Target{
+		ID:          in.ID,
+		Kind:        in.Kind,
+		Host:        in.Host,
+		Service:     in.Service,
+		ChecksFence: in.ChecksFence,
+		AddedMs:     atMs,
+	}
+	if have, ok := f.s.Targets[in.ID]; ok && have.RemovedAt == 0 {
+		t.AddedMs = have.AddedMs
+	}
+	f.targets.own(&f.s.Targets)[in.ID] = t
+	return nil
+}
+
+func (f *fold) targetKind(i structs.Intent, in structs.TargetIntent) *errs.Error {
+	switch in.Kind {
+	case structs.KindEngine:
+		if in.Service != "" {
+			return misfit(i, "a model engine has no service")
+		}
+	case structs.KindService:
+		if _, ok := f.s.Services[in.Service]; !ok {
+			return misfit(i, "service %q is not described", in.Service)
+		}
+	default:
+		return misfit(i, "kind is engine or service")
+	}
+	return nil
+}
+
+// removeTarget keeps the target as removed for a while: entries still have to know
+// where requests with an idempotency key ran.
+func (f *fold) removeTarget(i structs.Intent, id structs.TargetID, atMs int64) *errs.Error {
+	t, ok := f.s.Targets[id]
+	if !ok || t.RemovedAt != 0 {
+		return misfit(i, "there is no such target")
+	}
+	t.RemovedAt = f.s.Version
+	if t.RemovedAt == 0 {
+		t.RemovedAt = 1 // a preview of the first record
+	}
+	t.RemovedMs = atMs
+	targets := f.targets.own(&f.s.Targets)
+	targets[id] = t
+	for old, o := range targets {
+		if o.RemovedAt != 0 && o.RemovedMs < atMs-keepRemoved.Milliseconds() {
+			delete(targets, old)
+		}
+	}
+	return nil
+}
--- a/core/structs/frame.go
+++ b/core/structs/frame.go
@@ -205,6 +205,9 @@
 	Prefixes []uint64 `cbor:"9,keyasint,omitempty"`
 	// Unhealthy says that the target accepts and does not answer, or fails.
 	Unhealthy bool `cbor:"10,keyasint,omitempty"`
+	// Loaded are the models with the versions and adapters that the side's
+	// orders have loaded, as far as it knows.
+	Loaded []Loaded `cbor:"11,keyasint,omitempty"`
 }
 
 // ConfigMsg carries configuration records to a side or another follower, in
@@ -215,6 +218,9 @@
 	Snapshot []byte     `cbor:"3,keyasint,omitempty"`
 	Records  []LogEntry `cbor:"4,keyasint,omitempty"`
 	Ask      bool       `cbor:"5,keyasint,omitempty"` // the sender has From and wants what follows
+	// Stale says that the sender can't reach the log by any way just now: what it
+	// holds may be old.
+	Stale bool `cbor:"6,keyasint,omitempty"`
 }
 
 // LogEntry is one record of a stream with its offset.
