--- a/core/confstate/fold_test.go
+++ b/core/confstate/fold_test.go
@@ -139,11 +139,13 @@
 // Sequence: something appends a record that is no confirm.
 // Cause: the fold gives up at the first record that it can't read.
 func TestUnreadableRecordIsPassedOver(t *testing.T) {
-	s := Empty().Fold([]structs.LogEntry{
+	log := []structs.LogEntry{
 		{Offset: 1, Body: []byte("not cbor")},
-		entry(t, 2, confirm("a", "ann", 1, modelIntent("m", 2))),
-	})
-	if s.Unreadable != 1 || s.Version != 2 || s.Models["m"].Replicas != 2 {
+		{Offset: 2, Body: []byte{0xa0}}, // a map without the confirm
+		entry(t, 3, confirm("a", "ann", 2, modelIntent("m", 2))),
+	}
+	s := Empty().Fold(log[:2]).Fold(log[1:])
+	if s.Unreadable != 2 || s.Version != 3 || s.Models["m"].Replicas != 2 {
 		t.Errorf("state %+v", s)
 	}
 }
