--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -179,3 +179,12 @@
 		t.Error(err)
 	}
 }
+
+func TestPlanDoesNotShowWhatIsUnderWayAnyhow(t *testing.T) {
+	s, v := fleetOf(t, "a", "b")
+	s, _ = s.Preview([]structs.Intent{serve(1, 1)}, 0) // m is not loaded yet
+	p := makePlan(t, s, v, structs.Intent{Policy: &structs.PolicyIntent{Headroom: 0.5}})
+	if !slices.Equal(actions(p), []string{"set policy"}) {
+		t.Errorf("steps %v", actions(p))
+	}
+}
