--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -9,6 +9,7 @@
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/telemetry"
 	"github.com/google/subcommands"
 	"github.com/rcrowley/go-metrics"
 )
@@ -41,8 +42,10 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
+	reg := metrics.NewRegistry()
+	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
-	e, err := node.NewEntry(s, logger, metrics.NewRegistry())
+	e, err := node.NewEntry(s, logger, reg)
 	if err != nil {
 		return err
 	}
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -8,6 +8,7 @@
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/telemetry"
 	"github.com/google/subcommands"
 	"github.com/rcrowley/go-metrics"
 )
@@ -30,8 +31,10 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
+	reg := metrics.NewRegistry()
+	telemetry.RegisterProcess(reg)
 	logger := logging.New("side", s.Logs, os.Stderr)
-	p, err := node.NewSide(s, logger, metrics.NewRegistry())
+	p, err := node.NewSide(s, logger, reg)
 	if err != nil {
 		return err
 	}
--- a/internal/telemetry/status_test.go
+++ b/internal/telemetry/status_test.go
@@ -35,3 +35,11 @@
 		t.Errorf("%d %s", code, body)
 	}
 }
+
+func TestProcessMetrics(t *testing.T) {
+	reg := metrics.NewRegistry()
+	RegisterProcess(reg)
+	if gauge, ok := reg.Get(CPUMetric).(metrics.Gauge); !ok || gauge.Value() <= 0 {
+		t.Errorf("no processor time: %v", reg.GetAll())
+	}
+}
