--- a/test/scenario/curl_test.go
+++ b/test/scenario/curl_test.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -22,6 +24,7 @@
 	until   *regexp.Regexp // the answer is asked for again until this matches
 	within  time.Duration  // how long until may take
 	show    bool           // print status and headers before the body
+	sse     bool           // print the joined text of an event stream, which must be whole
 	url     string
 }
 
@@ -58,6 +61,7 @@
 	f.IntVar(&o.code, "code", 0, "expected status")
 	f.DurationVar(&o.within, "within", startTimeout, "how long -until may take")
 	f.BoolVar(&o.show, "i", false, "print status and headers")
+	f.BoolVar(&o.sse, "sse", false, "print the text of an event stream")
 	f.Func("H", "header", func(h string) error {
 		o.headers = append(o.headers, h)
 		return nil
@@ -99,9 +103,40 @@
 	if o.code != 0 && resp.StatusCode != o.code {
 		return b.String(), fmt.Errorf("status %s, want %d", resp.Status, o.code)
 	}
+	if o.sse {
+		return sseText(b.String())
+	}
 	return b.String(), nil
 }
 
+// sseText joins the tokens of a chat stream. It fails unless the stream was ended
+// as streams have to be.
+func sseText(body string) (string, error) {
+	var text strings.Builder
+	for line := range strings.Lines(body) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text.String(), nil
+		}
+		var event struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return text.String(), err
+		}
+		if len(event.Choices) == 0 {
+			return text.String(), fmt.Errorf("event without a token: %s", data)
+		}
+		text.WriteString(event.Choices[0].Delta.Content)
+	}
+	return text.String(), errors.New("the stream ended without [DONE]")
+}
+
 func curlRequest(o curlOptions) (*http.Request, error) {
 	body := o.data
 	if path, ok := strings.CutPrefix(o.data, "@"); ok {
