--- /dev/null
+++ b/test/scenario/main_test.go
@@ -0,0 +1,36 @@
+// Package scenario runs the binaries and the stand-ins as separate processes, by
+// scripts in testdata.
+package scenario
+
+import (
+	"os"
+	"testing"
+
+	"arbutusramp/internal/command"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	commands := standinCommands()
+	commands["arbutusramp"] = func() { os.Exit(command.Ramp()) }
+	commands["arbutusctl"] = func() { os.Exit(command.Ctl()) }
+	commands["curl"] = func() { os.Exit(curl(os.Args[1:], os.Stdout, os.Stderr)) }
+	testscript.Main(m, commands)
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"addrs":  addrs,
+			"render": render,
+			"term":   term,
+		},
+		Setup: func(env *testscript.Env) error {
+			// The race detector lets every process sleep for a second at its end.
+			env.Setenv("GORACE", "atexit_sleep_ms=50")
+			return nil
+		},
+		RequireExplicitExec: true,
+	})
+}
