--- /dev/null
+++ b/internal/side/config.go
@@ -0,0 +1,83 @@
+package side
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/core/confstate"
+	"arbutusramp/core/structs"
+)
+
+// ConfigPort folds configuration messages.
+type ConfigPort interface {
+	// Apply folds m and returns the newest state. An error means that m does
+	// not follow on what was folded; the caller asks for what is missing.
+	Apply(m *structs.ConfigMsg) (*confstate.State, error)
+}
+
+// touchedPolicy is the policy's name in State.Touched.
+const touchedPolicy = "policy"
+
+// configuration is the newest state that the side has seen.
+type configuration struct {
+	port  ConfigPort // nil: settings only
+	log   hclog.Logger
+	apply func(*confstate.State) // carries out a new state
+
+	mu  sync.Mutex // one fold at a time
+	now atomic.Pointer[confstate.State]
+}
+
+func (c *configuration) state() *confstate.State { return c.now.Load() }
+
+func (c *configuration) version() structs.Version {
+	if s := c.now.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// ask asks p for what comes after the version that the side has.
+func (c *configuration) ask(p *peer) {
+	if c.port == nil {
+		return
+	}
+	p.send(&structs.Frame{Config: &structs.ConfigMsg{Ask: true, From: c.version()}})
+}
+
+func (c *configuration) receive(p *peer, m *structs.ConfigMsg) {
+	if c.port == nil || m.Ask {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, err := c.port.Apply(m)
+	if err != nil {
+		c.log.Info("configuration message does not follow", "entry", p.host, "have", c.version(), "error", err)
+		c.ask(p)
+		return
+	}
+	if state == nil {
+		return
+	}
+	if state.Version < c.version() {
+		c.log.Error("configuration went back; the newer one is kept", "have", c.version(), "got", state.Version)
+		return
+	}
+	if state.Version == c.version() {
+		return
+	}
+	c.now.Store(state)
+	c.apply(state)
+	c.log.Info("configuration in force", "version", state.Version)
+}
+
+// configured carries out a new state.
+func (s *Side) configured(state *confstate.State) {
+	if state.Touched[touchedPolicy] != 0 {
+		s.queue.setHeadroom(state.Policy.Headroom)
+	}
+	s.keys.added(state.Targets[s.target.ID].AddedMs)
+}
--- /dev/null
+++ b/internal/side/load.go
@@ -0,0 +1,141 @@
+package side
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"arbutusramp/core/structs"
+)
+
+// loadStep is by what share the time to the first token must change to be news.
+const loadStep = 0.1
+
+// load is the load now, as it goes with each End.
+func (s *Side) load() structs.Load {
+	l := s.queue.load()
+	l.Target = s.target.ID
+	l.Draining = s.draining.Load()
+	l.Unhealthy = s.unhealthy()
+	return l
+}
+
+// fullLoad has the loaded models too.
+func (s *Side) fullLoad() *structs.Load {
+	l := s.load()
+	l.Models = s.models()
+	return &l
+}
+
+// reportLoads sends the load to all sessions on change, every LoadEvery at most.
+func (s *Side) reportLoads(ctx context.Context) error {
+	var last structs.Load
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.loadDirty:
+		}
+		l := s.fullLoad()
+		if !sameLoad(&last, l) {
+			last = *l
+			s.broadcast(&structs.Frame{Version: s.config.version(), Load: l})
+		}
+		if pause(ctx, s.o.Settings.LoadEvery) != nil {
+			return nil
+		}
+	}
+}
+
+func (s *Side) broadcast(f *structs.Frame) {
+	for _, p := range s.peers.all() {
+		each := *f
+		p.send(&each)
+	}
+}
+
+// sameLoad says that b is no news after a.
+func sameLoad(a, b *structs.Load) bool {
+	return a.OnlineInFlight == b.OnlineInFlight &&
+		a.BatchInFlight == b.BatchInFlight &&
+		a.OnlineQueued == b.OnlineQueued &&
+		a.Limit == b.Limit &&
+		a.Draining == b.Draining &&
+		a.Unhealthy == b.Unhealthy &&
+		near(a.FirstTokenUs, b.FirstTokenUs) &&
+		slices.Equal(a.Models, b.Models)
+}
+
+func near(a, b int64) bool {
+	return float64(max(a-b, b-a)) <= loadStep*float64(max(a, b))
+}
+
+// signal says that load or room may have changed. It never blocks.
+func (s *Side) signal() {
+	for _, ch := range [...]chan struct{}{s.loadDirty, s.roomDirty} {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// watchTarget asks an engine for its models, and probes a target that is unhealthy.
+func (s *Side) watchTarget(ctx context.Context) error {
+	for {
+		s.look(ctx)
+		if pause(ctx, watchEvery) != nil {
+			return nil
+		}
+	}
+}
+
+// watchEvery is the time between two looks at the target.
+const watchEvery = 500 * time.Millisecond
+
+func (s *Side) look(ctx context.Context) {
+	ok := true
+	if s.target.Kind == structs.KindEngine {
+		ok = s.askEngine(ctx)
+	}
+	s.healthMu.Lock()
+	defer s.healthMu.Unlock()
+	now := time.Now()
+	if !s.health.wantsProbe(now) {
+		return
+	}
+	s.health.probed(now, ok)
+	s.log.Info("target probed", "target", s.target.ID, "healthy", ok)
+	s.signal()
+}
+
+// askEngine reads the engine's report and says whether it came.
+func (s *Side) askEngine(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.o.Settings.TargetBudget)
+	defer cancel()
+	l, err := s.o.Engine.Load(ctx)
+	if err != nil {
+		if s.log.IsDebug() {
+			s.log.Debug("engine gives no report", "target", s.target.ID, "error", err)
+		}
+		return false
+	}
+	if old := s.models(); !slices.Equal(old, l.Models) {
+		s.loaded.Store(&l.Models)
+		s.signal()
+	}
+	return true
+}
+
+func (s *Side) models() []structs.ModelID {
+	if m := s.loaded.Load(); m != nil {
+		return *m
+	}
+	return s.target.Models
+}
+
+func (s *Side) unhealthy() bool {
+	s.healthMu.Lock()
+	defer s.healthMu.Unlock()
+	return s.health.bad
+}
--- /dev/null
+++ b/internal/side/status.go
@@ -0,0 +1,74 @@
+package side
+
+import (
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// meters are the side's counters; the names are in docs/OPERATING.md.
+type meters struct {
+	registry       metrics.Registry
+	started        metrics.Counter
+	refused        metrics.Counter
+	replayed       metrics.Counter
+	preempted      metrics.Counter
+	resumed        metrics.Counter
+	itemsDone      metrics.Counter
+	targetFailures metrics.Counter
+}
+
+func newMeters(r metrics.Registry) *meters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("side."+name, r) }
+	return &meters{
+		registry:       r,
+		started:        counter("started"),
+		refused:        counter("refused"),
+		replayed:       counter("replayed"),
+		preempted:      counter("preempted"),
+		resumed:        counter("resumed"),
+		itemsDone:      counter("items_done"),
+		targetFailures: counter("target_failures"),
+	}
+}
+
+func (s *Side) serveStatus() *fasthttp.Server {
+	gauge := func(name string, f func() int64) {
+		// A second side of one process keeps the first one's gauge.
+		_ = s.metrics.registry.Register("side."+name, metrics.NewFunctionalGauge(f))
+	}
+	gauge("online_in_flight", func() int64 { return int64(s.queue.load().OnlineInFlight) })
+	gauge("online_queued", func() int64 { return int64(s.queue.load().OnlineQueued) })
+	gauge("batch_in_flight", func() int64 { return int64(s.queue.load().BatchInFlight) })
+	gauge("limit", func() int64 { return int64(s.queue.load().Limit) })
+	gauge("sessions", func() int64 { return int64(len(s.peers.all())) })
+	gauge("config_version", func() int64 { return int64(s.config.version()) })
+	server := &fasthttp.Server{Handler: s.status, NoDefaultServerHeader: true}
+	go func() {
+		if err := server.Serve(s.statusLn); err != nil {
+			s.log.Warn("status listener failed", "error", err)
+		}
+	}()
+	return server
+}
+
+func (s *Side) status(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		s.ready(ctx)
+	case "/metrics":
+		ctx.SetContentType("application/json")
+		metrics.WriteJSONOnce(s.metrics.registry, ctx)
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Side) ready(ctx *fasthttp.RequestCtx) {
+	if !s.serving.Load() || s.draining.Load() {
+		ctx.Error("draining or not serving", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
