--- a/core/admit/floor.go
+++ b/core/admit/floor.go
@@ -77,3 +77,26 @@
 	}
 	return p.level * math.Exp(-now.Sub(p.at).Seconds()/hold.Seconds())
 }
+
+// usual is the mean online load over a longer time.
+type usual struct {
+	mean float64
+	last int
+	at   time.Time
+}
+
+// usualOver is the time constant of the mean.
+const usualOver = 20 * time.Second
+
+// observe takes in that the load is n from now on.
+func (u *usual) observe(now time.Time, n int) {
+	u.mean = u.value(now)
+	u.last = n
+	u.at = now
+}
+
+// value is the mean now.
+func (u *usual) value(now time.Time) float64 {
+	keep := math.Exp(-now.Sub(u.at).Seconds() / usualOver.Seconds())
+	return u.mean*keep + float64(u.last)*(1-keep)
+}
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -49,6 +49,7 @@
 	// lastStop is when a stopped request last left: its place is free one step later.
 	lastStop time.Time
 	peak     peak
+	usual    usual
 	service  float64 // smoothed seconds that an online request spends at the target
 	draining bool
 	atRisk   bool // an online request would get its first token too late beside what runs
@@ -79,6 +80,7 @@
 		running: make(map[ID]*request),
 		queued:  make(map[ID]*request),
 		peak:    peak{at: now},
+		usual:   usual{at: now},
 	}
 }
 
@@ -247,7 +249,7 @@
 		BatchInFlight:  m.inFlight.batch,
 		OnlineQueued:   m.online.len(),
 		Limit:          m.limit.online(),
-		FirstTokenUs:   m.firstTokenNow(now).Microseconds(),
+		FirstTokenUs:   m.firstTokenNow().Microseconds(),
 		Draining:       m.draining,
 	}
 }
--- a/core/admit/policy.go
+++ b/core/admit/policy.go
@@ -11,6 +11,9 @@
 	// stretch is by how much batch may lengthen the first token of an online
 	// request that arrives now, as a factor on the floor's high quantile.
 	stretch float64
+	// displace is how many batch streams each online request of a burst displaces
+	// beyond the place that it takes.
+	displace float64
 	// hold is the time constant with which headroom is given back after a burst.
 	hold time.Duration
 	// prefillTokens bounds batch prompts that the engine computes at a time.
@@ -26,10 +29,11 @@
 	// stretchLatency and stretchThroughput are policy.stretch at headroom 1 and 0.
 	stretchLatency    = 1.0
 	stretchThroughput = 4.0
-	holdMax           = 2 * time.Second
+	holdMax           = 300 * time.Millisecond
+	displaceMax       = 1.5
 	prefillLatency    = 256
 	lateThroughput    = 4
-	lateLatency       = 0.25
+	lateLatency       = 0.2
 	holdStartsOver    = 0.2
 	prefillThroughput = 512
 )
@@ -44,6 +48,7 @@
 	return policy{
 		headroom:      h,
 		stretch:       geometric(stretchThroughput, stretchLatency, h),
+		displace:      displaceMax * h,
 		hold:          time.Duration(h * float64(holdMax)),
 		prefillTokens: int(geometric(prefillThroughput, prefillLatency, h)),
 		late:          geometric(lateThroughput, lateLatency, h),
@@ -67,7 +72,15 @@
 	if m.draining {
 		return 0
 	}
-	return min(m.room(), m.harmless(now))
+	return min(m.room(), m.harmless(now), m.besideBurst(now))
+}
+
+// besideBurst is how many batch streams a burst of online requests leaves. A request's own
+// first token is only a part of the harm: longer steps keep online requests longer, and
+// those that come after wait for them.
+func (m *Machine) besideBurst(now time.Time) int {
+	burst := m.peak.value(now, m.policy.hold) - m.usual.value(now)
+	return max(0, m.room()-int(m.policy.displace*max(0, burst)))
 }
 
 // room is how many batch requests fit beside the online ones.
--- a/core/admit/predict.go
+++ b/core/admit/predict.go
@@ -109,14 +109,14 @@
 }
 
 // firstTokenNow estimates the first token of an online request that arrives now.
-func (m *Machine) firstTokenNow(now time.Time) time.Duration {
-	measured := m.queueWait() + seconds(m.floor.lately*0.5)
+func (m *Machine) firstTokenNow() time.Duration {
+	measured := m.queueWait() + seconds(m.floor.lately/2)
 	if !m.model.ready() {
 		return m.queueWait() + seconds(m.floor.lately*float64(1+m.inFlight.online))
 	}
 	streams := m.inFlight.online + m.inFlight.activeBatch() + 1
 	prompt := int(m.floor.prompt) + m.inFlight.onlinePrefill
-	first := m.rest(now) + m.model.firstToken(float64(streams), prompt)
+	first := m.model.step(streams, 0)/2 + m.model.firstToken(float64(streams), prompt)
 	// A model that is wrong for once must not draw all requests to this target.
 	return max(measured, m.queueWait()+seconds(first))
 }
--- a/core/admit/schedule.go
+++ b/core/admit/schedule.go
@@ -14,7 +14,8 @@
 	}
 	out = m.startOnline(now, out)
 	m.peak.observe(now, m.inFlight.online+m.online.len(), m.policy.hold)
-	room, harmless := m.room(), m.harmless(now)
+	m.usual.observe(now, m.inFlight.online+m.online.len())
+	room, harmless := m.room(), min(m.harmless(now), m.besideBurst(now))
 	out = m.preempt(min(room, harmless+m.policy.slack(harmless)), out)
 	return m.startBatch(now, min(room, harmless), out)
 }
