--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,9 @@
 
 // New binds the listeners of an entry. Errors: errs.BadSettings.
 func New(o Options) (*Entry, error) {
+	if o.Config == nil {
+		return nil, errs.New(errs.BadSettings, "an entry needs a source of configuration")
+	}
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -73,15 +73,19 @@
 
 // fakeSide is a side whose behaviour is a function of each Open.
 type fakeSide struct {
-	hello   structs.Hello
-	onOpen  func(f *fakeSide, stream uint64, o *structs.Open)
-	session *sideSession
+	hello  structs.Hello
+	onOpen func(f *fakeSide, stream uint64, o *structs.Open)
+	// onCredit sends what fits in room and returns what is left of it.
+	onCredit func(f *fakeSide, stream uint64, room int) int
+	session  *sideSession
 
 	mu      sync.Mutex
 	dead    bool
 	opens   []*structs.Open
 	cancels []uint64
 	credit  map[uint64]int
+	room    map[uint64]int // bytes that may be sent, for onCredit
+	sent    map[uint64]int // parts, for onCredit
 }
 
 func (f *fakeSide) Send(fr *structs.Frame) error {
@@ -102,9 +106,20 @@
 	if fr.Open != nil {
 		f.onOpen(f, fr.Stream, fr.Open)
 	}
+	if f.onCredit != nil && (fr.Open != nil || fr.Credit != nil) {
+		f.room[fr.Stream] += creditOf(fr)
+		f.room[fr.Stream] = f.onCredit(f, fr.Stream, f.room[fr.Stream])
+	}
 	return nil
 }
 
+func creditOf(fr *structs.Frame) int {
+	if fr.Open != nil {
+		return fr.Open.Credit
+	}
+	return fr.Credit.Bytes
+}
+
 func (f *fakeSide) Peer() structs.Hello { return f.hello }
 
 func (f *fakeSide) Close(error) {}
@@ -145,7 +160,7 @@
 // connect joins a fake side with one target to the pool. Its estimate orders the
 // targets for the policy "best".
 func connect(e *Entry, id structs.TargetID, estimate time.Duration, onOpen func(*fakeSide, uint64, *structs.Open)) *fakeSide {
-	f := &fakeSide{onOpen: onOpen, credit: make(map[uint64]int)}
+	f := &fakeSide{onOpen: onOpen, credit: make(map[uint64]int), room: make(map[uint64]int), sent: make(map[uint64]int)}
 	f.hello = structs.Hello{Host: structs.HostID("host-" + id), Domain: "d1", Targets: []structs.TargetInfo{
 		{ID: id, Kind: structs.KindService, Service: testService, Models: []structs.ModelID{testModel}},
 	}}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -52,6 +52,7 @@
 		t.mu.Lock()
 		if t.session == s {
 			t.session = nil
+			t.lost = p.now()
 		}
 		t.mu.Unlock()
 	}
@@ -70,6 +71,21 @@
 	p.log.Info("side disconnected", "side", s.host, "error", err)
 }
 
+// forget drops targets that have been without a session for long, so that hosts which are replaced
+// day after day do not pile up.
+func (p *pool) forget() {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, t := range p.targets {
+		t.mu.Lock()
+		if t.session == nil && now.Sub(t.lost) > forgetTarget {
+			delete(p.targets, id)
+		}
+		t.mu.Unlock()
+	}
+}
+
 // learn takes in a load report.
 func (p *pool) learn(t *target, l *structs.Load) {
 	if !t.learn(l) {
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,11 @@
 	redialMin   = 100 * time.Millisecond
 	redialMax   = 5 * time.Second
 	surveyEvery = 500 * time.Millisecond
+	// linger is how long the session to a side that is no longer in the subset stays: batch items
+	// that run there still have to be reported.
+	linger = time.Minute
+	// forgetTarget is how long a target without a session is remembered.
+	forgetTarget = 10 * time.Minute
 )
 
 // dialFunc connects to a side. The session it returns has ended when its gone is closed.
@@ -45,10 +51,11 @@
 
 // keeper keeps one side connected until it is stopped.
 type keeper struct {
-	addr    string
-	leaving bool
-	stop    context.CancelFunc
-	session *sideSession // nil while there is none; under pool.mu
+	addr     string
+	leaving  bool      // its targets get nothing new
+	unwanted time.Time // since when the side is live and not in the subset; zero: it is in
+	stop     context.CancelFunc
+	session  *sideSession // nil while there is none; under pool.mu
 }
 
 func newPool(set settings.Entry, hosts platform.HostList, dial dialFunc, parts *Parts, log hclog.Logger, now func() time.Time) *pool {
@@ -77,6 +84,7 @@
 			p.follow(ctx)
 		case <-surveys.C:
 			p.index.Load().survey()
+			p.forget()
 		}
 	}
 }
@@ -93,36 +101,24 @@
 	p.apply(ctx, hosts)
 }
 
-// apply brings the keepers in line with the host list. A side that is missing from the list
-// keeps its session: the list lags and can be wrong, while a session that answers
-// heartbeats is a fresh fact. It is not dialled again once that session ends.
+// apply brings the keepers in line with the host list. A side that leaves or is missing from the
+// list keeps its session: the list lags and can be wrong, while a session that
+// answers heartbeats is a fresh fact, and a leaving side finishes what it has. It is not
+// dialled again once that session ends.
 func (p *pool) apply(ctx context.Context, hosts []platform.Host) {
-	var live []platform.Host
-	leaving := make(map[structs.HostID]bool)
-	for _, h := range hosts {
-		if h.Role != platform.RoleSide {
-			continue
-		}
-		if h.State == platform.HostLeaving {
-			leaving[h.ID] = true
-			continue
-		}
-		live = append(live, h)
-	}
+	live, leaving := splitSides(hosts)
 	wanted := make(map[structs.HostID]platform.Host)
 	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.set.MaxSides) {
 		wanted[h.ID] = h
 	}
-	listed := make(map[structs.HostID]bool, len(live))
-	for _, h := range live {
-		listed[h.ID] = true
-	}
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, k := range p.keepers {
 		_, want := wanted[id]
-		p.mark(k, leaving[id] || (listed[id] && !want))
-		if !want && k.idle() {
+		k.note(now, want, leaving[id], isListed(live, id))
+		p.mark(k)
+		if !want && k.droppable(now) {
 			k.drop()
 			delete(p.keepers, id)
 		}
@@ -132,6 +128,43 @@
 	}
 }
 
+func splitSides(hosts []platform.Host) (live []platform.Host, leaving map[structs.HostID]bool) {
+	leaving = make(map[structs.HostID]bool)
+	for _, h := range hosts {
+		switch {
+		case h.Role != platform.RoleSide:
+		case h.State == platform.HostLeaving:
+			leaving[h.ID] = true
+		default:
+			live = append(live, h)
+		}
+	}
+	return live, leaving
+}
+
+func isListed(hosts []platform.Host, id structs.HostID) bool {
+	return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.ID == id })
+}
+
+// note takes in what the list says of the keeper's side.
+func (k *keeper) note(now time.Time, wanted, leaving, live bool) {
+	k.leaving = leaving || (live && !wanted)
+	switch {
+	case wanted || !live:
+		k.unwanted = time.Time{}
+	case k.unwanted.IsZero():
+		k.unwanted = now
+	}
+}
+
+// droppable says that nothing would be cut off by dropping the session.
+func (k *keeper) droppable(now time.Time) bool {
+	if k.session == nil {
+		return true
+	}
+	return !k.unwanted.IsZero() && now.Sub(k.unwanted) > linger && k.session.open.Load() == 0
+}
+
 // want starts a keeper for h, or replaces one whose side has moved to another address.
 func (p *pool) want(ctx context.Context, id structs.HostID, h platform.Host) {
 	if k, ok := p.keepers[id]; ok {
@@ -147,21 +180,15 @@
 }
 
 // mark tells the targets behind k whether they may get new requests.
-func (p *pool) mark(k *keeper, leaving bool) {
-	k.leaving = leaving
+func (p *pool) mark(k *keeper) {
 	if k.session == nil {
 		return
 	}
 	for _, t := range k.session.targets {
-		t.leaving.Store(leaving)
+		t.leaving.Store(k.leaving)
 	}
 }
 
-// idle says that nothing would be cut off by dropping the session.
-func (k *keeper) idle() bool {
-	return k.session == nil || (k.leaving && k.session.open.Load() == 0)
-}
-
 func (k *keeper) drop() {
 	k.stop()
 	if k.session != nil {
@@ -190,7 +217,7 @@
 func (p *pool) hold(ctx context.Context, k *keeper, s *sideSession) {
 	p.mu.Lock()
 	k.session = s
-	p.mark(k, k.leaving)
+	p.mark(k)
 	p.mu.Unlock()
 	select {
 	case <-s.gone:
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -21,6 +21,7 @@
 
 	mu       sync.Mutex
 	session  *sideSession // nil while there is none
+	lost     time.Time    // when the last session ended
 	load     structs.Load
 	models   []structs.ModelID
 	sent     int    // requests sent since load was reported
