--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -97,10 +97,14 @@
 	return a
 }
 
+// done returns the outcomes that came; those sent again for want of an acknowledgement count once.
 func (l *fakeLink) done() []structs.ItemDone {
 	var out []structs.ItemDone
 	for _, f := range l.frames(func(f *structs.Frame) bool { return f.ItemDone != nil }) {
-		out = append(out, *f.ItemDone)
+		again := func(d structs.ItemDone) bool { return d.Ref == f.ItemDone.Ref }
+		if !slices.ContainsFunc(out, again) {
+			out = append(out, *f.ItemDone)
+		}
 	}
 	return out
 }
@@ -110,11 +114,11 @@
 	generate func(ctx context.Context, call platform.GenerateCall, sink func(platform.Token) error) error
 	call     func(ctx context.Context, c platform.ServiceCall) (platform.ServiceAnswer, error)
 	order    func(o platform.Order) error
-	loadErr  error
 
-	mu    sync.Mutex
-	gens  []platform.GenerateCall
-	calls int
+	mu      sync.Mutex
+	loadErr error
+	gens    []platform.GenerateCall
+	calls   int
 }
 
 func (t *fakeTarget) Generate(ctx context.Context, call platform.GenerateCall, sink func(platform.Token) error) error {
@@ -125,9 +129,17 @@
 }
 
 func (t *fakeTarget) Load(context.Context) (platform.EngineLoad, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return platform.EngineLoad{Models: []structs.ModelID{"m"}}, t.loadErr
 }
 
+func (t *fakeTarget) failLoad(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loadErr = err
+}
+
 func (t *fakeTarget) Order(_ context.Context, o platform.Order) error { return t.order(o) }
 
 func (t *fakeTarget) CacheEvents(context.Context, uint64) ([]platform.CacheEvent, error) {
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -190,19 +190,24 @@
 	i.end(structs.ItemDone{Err: i.ran(err), GaveBack: true})
 }
 
-// stop ends the item. A call that must not be repeated goes on to its end: cutting it
-// off would leave its outcome unknown.
-func (i *item) stop(err *errs.Error) {
+// markStopped has the item end with err. A call that must not be repeated goes on
+// to its end: cutting it off would leave its outcome unknown.
+func (i *item) markStopped(err *errs.Error) {
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	if i.stopped != nil || i.state == itemEnded {
-		i.mu.Unlock()
 		return
 	}
 	i.stopped = err
-	state, id := i.state, i.id
-	if state == itemRunning && !i.it.NonIdempotent {
+	if i.state == itemRunning && !i.it.NonIdempotent {
 		i.guard.cancel(err)
 	}
+}
+
+// withdraw ends a stopped item that is not at the target.
+func (i *item) withdraw(err *errs.Error) {
+	i.mu.Lock()
+	state, id := i.state, i.id
 	i.mu.Unlock()
 	if state == itemParked || i.s.queue.withdraw(id) {
 		i.end(structs.ItemDone{Err: i.ran(err)})
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -132,10 +132,16 @@
 // stop ends the items of a cancelled job.
 func (is *items) stop(m *structs.ItemStop) {
 	err := errs.New(errs.Cancelled, "the job was cancelled")
-	for _, i := range is.all(func(i *item) bool {
+	cancelled := is.all(func(i *item) bool {
 		return i.it.Ref.Job == m.Job && (m.All || i.it.Ref.Index == m.Index)
-	}) {
-		i.stop(err)
+	})
+	// All are marked before any is withdrawn: a place that one gives back would
+	// else be taken by the next that is to be stopped.
+	for _, i := range cancelled {
+		i.markStopped(err)
+	}
+	for _, i := range cancelled {
+		i.withdraw(err)
 	}
 }
 
