--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,7 +18,8 @@
 
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
-	return run("arbutusctl")
+	return run("arbutusctl",
+		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}}})
 }
 
 func run(name string, cmds ...subcommands.Command) int {
