--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"arbutusramp/core/confstate"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
@@ -45,7 +46,7 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
-	e, err := node.NewEntry(s, logger, reg)
+	e, err := node.NewEntry(s, logger, reg, confstate.Static(confstate.Empty()))
 	if err != nil {
 		return err
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"arbutusramp/core/confstate"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/entry"
@@ -150,7 +151,11 @@
 	s.DrainTimeout = drainTimeout
 	s.CommitEvery = commitEvery
 	s.Shards = shards
-	p, err := node.NewEntry(s, c.logger.Named(string(s.Host.ID)), metrics.NewRegistry())
+	state, err := confstate.Empty().Preview(firstIntents(), time.Now().UnixMilli())
+	if err != nil {
+		return err
+	}
+	p, err := node.NewEntry(s, c.logger.Named(string(s.Host.ID)), metrics.NewRegistry(), confstate.Static(state))
 	if err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"arbutusramp/core/confstate"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/enginehttp"
@@ -38,13 +39,14 @@
 }
 
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
-func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
+func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry, config confstate.Source) (*entry.Entry, error) {
 	o := entry.Options{
 		Settings: s,
 		Logger:   logger,
 		Metrics:  reg,
 		Log:      loghttp.New(s.Platform.LogURL),
 		Hosts:    hosthttp.New(s.Platform.HostListURL),
+		Config:   config,
 	}
 	if s.Platform.WeightsURL != "" {
 		o.Weights = weightshttp.New(s.Platform.WeightsURL)
