--- a/internal/dev/online.go
+++ b/internal/dev/online.go
@@ -16,8 +16,9 @@
 
 const (
 	streamTokens = 12
-	serviceKey   = "dev-once-call"
 	doneEvent    = "[DONE]"
+	keyTimeout   = 10 * time.Second
+	keyPoll      = 100 * time.Millisecond
 )
 
 type chatMessage struct {
@@ -104,33 +105,68 @@
 	return text.String(), tokens, nil
 }
 
-// serviceStep sends one non-idempotent call twice, through both entries, with the same
-// key: the second must get the first one's answer, and the service one call.
-func (o *once) serviceStep(ctx context.Context) error {
+// keyedCall is one non-idempotent call with its idempotency key.
+type keyedCall struct {
+	key    string
+	issued time.Time // when the key was first used
+}
+
+func (k keyedCall) send(ctx context.Context, c *caller) (answer, error) {
 	header := http.Header{
 		"Content-Type":       {"text/plain"},
-		"Idempotency-Key":    {serviceKey},
-		"Idempotency-Issued": {fmt.Sprint(time.Now().UnixMilli())},
+		"Idempotency-Key":    {k.key},
+		"Idempotency-Issued": {fmt.Sprint(k.issued.UnixMilli())},
 	}
 	path := "/svc/" + string(serviceName) + "/confirm-slot"
-	first, err := o.caller(0).call(ctx, http.MethodPost, path, header, []byte("slot 14:30"))
+	return c.call(ctx, http.MethodPost, path, header, []byte("slot 14:30"))
+}
+
+// serviceStep sends one non-idempotent call twice, through both entries, with the same
+// key: the second must get the first one's answer, and the service one call.
+func (o *once) serviceStep(ctx context.Context) error {
+	call, first, err := o.firstKeyedCall(ctx)
 	if err != nil {
 		return err
 	}
-	second, err := o.caller(1).call(ctx, http.MethodPost, path, header, []byte("slot 14:30"))
+	second, err := call.send(ctx, o.caller(1))
 	if err != nil {
 		return err
 	}
 	if !bytes.Equal(first.body, second.body) {
 		return errs.Newf(errs.Internal, "the resend was answered %q, the first call %q", second.body, first.body)
 	}
-	calls := 0
-	for _, s := range o.cluster.standins.services {
-		calls += s.KeyCalls(serviceKey)
-	}
-	if calls != 1 {
+	if calls := o.cluster.standins.serviceCalls(call.key); calls != 1 {
 		return errs.Newf(errs.Internal, "the service was called %d times for one key", calls)
 	}
 	o.say("service call: sent twice with one key, through both entries; run once by %s", first.header.Get("X-Target"))
 	return nil
 }
+
+// firstKeyedCall sends calls with fresh keys until one is taken. A target that was added a
+// moment ago refuses keys issued before every entry knew of it: another target may
+// have run them.
+func (o *once) firstKeyedCall(ctx context.Context) (keyedCall, answer, error) {
+	var call keyedCall
+	var first answer
+	var last error
+	n := 0
+	err := poll(ctx, keyTimeout, keyPoll, func() bool {
+		n++
+		call = keyedCall{key: fmt.Sprintf("dev-once-%d", n), issued: time.Now()}
+		first, last = call.send(ctx, o.caller(0))
+		return !errs.Is(last, errs.KeyUnverifiable)
+	})
+	if last != nil {
+		return call, first, last
+	}
+	return call, first, err
+}
+
+// serviceCalls counts the calls with one key over all plain services.
+func (s *standins) serviceCalls(key string) int {
+	calls := 0
+	for _, svc := range s.services {
+		calls += svc.KeyCalls(key)
+	}
+	return calls
+}
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -11,7 +11,7 @@
 
 // The window of idempotency keys stands in both tables: entries and sides must agree on it.
 const (
-	defaultKeyWindow = "1h"
+	defaultKeyWindow = "10m"
 	minKeyWindow     = time.Minute
 	maxKeyWindow     = 7 * day
 )
