Let a test wait for a waiting read of the log stand-in

TestOutageEndsWaitingReads passed without the mechanism that it is for: the outage came before the read did. Stats now count the reads that wait.

--- a/internal/adapter/loghttp/log_test.go
+++ b/internal/adapter/loghttp/log_test.go
@@ -63,8 +63,20 @@
 	}
 }
 
+// awaitReader waits until a read waits at the service.
+func awaitReader(t *testing.T, s *logsvc.Server) {
+	t.Helper()
+	for range 5000 {
+		if s.Stats().Waiting > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("no read waits")
+}
+
 func TestReadWakesAtAnAppend(t *testing.T) {
-	_, l := start(t, logsvc.Options{})
+	s, l := start(t, logsvc.Options{})
 	read := make(chan string, 1)
 	go func() {
 		page, err := l.Read(t.Context(), "s", 1, 10, time.Hour)
@@ -74,6 +86,7 @@
 		}
 		read <- bodies(page)
 	}()
+	awaitReader(t, s)
 	appendAll(t, l, "other", "x")
 	appendAll(t, l, "s", "a")
 	if got := <-read; got != "a" {
@@ -136,6 +149,7 @@
 		_, err := l.Read(t.Context(), "s", 1, 10, time.Hour)
 		read <- err
 	}()
+	awaitReader(t, s)
 	s.Turn(func(k *logsvc.Knobs) { k.Outage = true })
 	if err := <-read; !errs.Is(err, errs.LogDown) {
 		t.Errorf("got %v", err)
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -82,6 +82,7 @@
 	Refused     int64 `json:"refused"` // over the rate
 	Reads       int64 `json:"reads"`
 	ReadBytes   int64 `json:"read_bytes"`
+	Waiting     int   `json:"waiting"` // reads that wait for an append now
 }
 
 // Server is one log service.
@@ -279,17 +280,45 @@
 		if knobs.Outage || knobs.Hang {
 			return Page{}, false
 		}
-		select {
-		case <-grown:
-		case <-changed:
-		case <-timeout.C:
+		switch s.await(grown, changed, timeout.C) {
+		case waitTimedOut:
 			return page, true
-		case <-s.http.Done():
+		case waitClosed:
 			return Page{}, false
 		}
 	}
 }
 
+type waitResult int
+
+const (
+	waitWoken waitResult = iota
+	waitTimedOut
+	waitClosed
+)
+
+// await waits for an append, a turn of the knobs, the timeout or the service's end.
+func (s *Server) await(grown, changed <-chan struct{}, timeout <-chan time.Time) waitResult {
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
+	select {
+	case <-grown:
+		return waitWoken
+	case <-changed:
+		return waitWoken
+	case <-timeout:
+		return waitTimedOut
+	case <-s.http.Done():
+		return waitClosed
+	}
+}
+
+func (s *Server) countWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Waiting += n
+}
+
 // readNow returns what there is, and a channel that is closed at the stream's next
 // append. Reading a stream that does not exist makes an empty one, to wait on.
 func (s *Server) readNow(name string, from structs.Offset, maxEntries int) (Page, <-chan struct{}) {
