--- a/internal/adapter/servicehttp/service.go
+++ b/internal/adapter/servicehttp/service.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,7 +46,9 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	for _, h := range c.Headers {
-		req.Header.Set(h.Name, h.Value)
+		if !perConnection(h.Name) {
+			req.Header.Add(h.Name, h.Value)
+		}
 	}
 	req.Header.Set(headerRequestID, string(c.Request))
 	req.SetBodyRaw(c.Body)
@@ -57,7 +61,7 @@
 func answer(resp *fasthttp.Response) platform.ServiceAnswer {
 	a := platform.ServiceAnswer{Status: resp.StatusCode()}
 	for name, value := range resp.Header.All() {
-		if !hopByHop(string(name)) {
+		if !perConnection(string(name)) {
 			a.Headers = append(a.Headers, structs.Header{Name: string(name), Value: string(value)})
 		}
 	}
@@ -66,12 +70,12 @@
 	return a
 }
 
-// hopByHop headers belong to one connection and aren't passed on.
-func hopByHop(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "Upgrade", "Proxy-Authenticate", "Te":
-		return true
-	default:
-		return false
-	}
+// perConnection reports whether a header is about one connection, so that it isn't passed on.
+func perConnection(name string) bool {
+	return slices.ContainsFunc(connectionHeaders, func(h string) bool { return strings.EqualFold(h, name) })
+}
+
+var connectionHeaders = []string{
+	"Connection", "Content-Length", "Expect", "Host", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
 }
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -68,7 +68,7 @@
 		model:    r.Model,
 		content:  r.contentHash(),
 		prefixes: r.prefixes(),
-		prompt:   promptTokens(r.text()),
+		prompt:   promptTokens(r.text),
 		from:     from,
 		max:      r.maxTokens(s.opts.MaxTokens),
 		poison:   r.Poison,
