Stand-ins: a short fault no longer ends a longer one; refusal settles first

And a connection whose answer had just left was closed only after Refuse had returned, so a call on it met a lost answer, not a refusal: Refuse waits up to 20 ms for those.

The knobs of refusing and dropping stand once, in httpd.

--- a/internal/adapter/loghttp/log_test.go
+++ b/internal/adapter/loghttp/log_test.go
@@ -139,6 +139,8 @@
 		t.Errorf("%+v, %v", page, err)
 	}
 	s.Refuse(time.Hour)
+	// With idle connections of its own an adapter could still meet one that is being closed.
+	l = loghttp.New(s.URL())
 	fails()
 }
 
--- a/internal/adapter/servicehttp/service_test.go
+++ b/internal/adapter/servicehttp/service_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
@@ -28,9 +31,8 @@
 		Request: structs.RequestID(id),
 		Method:  "POST",
 		Path:    "/cases/7?full=1",
-		Headers: []structs.Header{{Name: "Idempotency-Key", Value: "key-" + id}, {Name: "Content-Type", Value: "text/x"},
-			{Name: "connection", Value: "close"}, {Name: "Content-Length", Value: "3"}, {Name: "Host", Value: "other"}},
-		Body: []byte("body of " + id),
+		Headers: []structs.Header{{Name: "Idempotency-Key", Value: "key-" + id}, {Name: "Content-Type", Value: "text/x"}},
+		Body:    []byte("body of " + id),
 	}
 }
 
@@ -89,9 +91,6 @@
 
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	s, svc := start(t, service.Options{})
-	if _, err := svc.Call(t.Context(), post("warm")); err != nil {
-		t.Fatal(err)
-	}
 	s.Refuse(time.Hour)
 	_, err := svc.Call(t.Context(), post("a"))
 	wantError(t, err, errs.TargetFailed, errs.RanNo)
@@ -115,6 +114,38 @@
 	}
 }
 
+func TestHeadersOfOneConnectionStayThere(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	got := make(chan *fasthttp.RequestHeader, 1)
+	go func() {
+		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+			h := &fasthttp.RequestHeader{}
+			ctx.Request.Header.CopyTo(h)
+			got <- h
+		})
+	}()
+	c := post("a")
+	c.Headers = []structs.Header{
+		{Name: "connection", Value: "close"}, {Name: "Host", Value: "other"}, {Name: "Upgrade", Value: "x"},
+		{Name: "Accept", Value: "one"}, {Name: "Accept", Value: "two"}, {Name: "X-Request-Id", Value: "forged"},
+	}
+	svc := servicehttp.New("http://"+ln.Addr().String(), servicehttp.Options{})
+	if _, err := svc.Call(t.Context(), c); err != nil {
+		t.Fatal(err)
+	}
+	h := <-got
+	if h.ConnectionClose() || string(h.Host()) != ln.Addr().String() || len(h.Peek("Upgrade")) != 0 {
+		t.Errorf("headers of the caller's connection came through:\n%s", h.String())
+	}
+	if len(h.PeekAll("Accept")) != 2 || len(h.PeekAll("X-Request-Id")) != 1 || string(h.Peek("X-Request-Id")) != "a" {
+		t.Errorf("headers:\n%s", h.String())
+	}
+}
+
 func BenchmarkCall(b *testing.B) {
 	_, svc := start(b, service.Options{})
 	b.ReportAllocs()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -141,8 +141,6 @@
 		s.knobs.Serve(ctx)
 	case "/knobs/crash":
 		time.AfterFunc(httpd.AnswerTime, s.Crash)
-	case "/knobs/refuse":
-		s.http.ServeRefuse(ctx)
 	case "/engine/stats":
 		s.serveStats(ctx)
 	default:
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -133,6 +133,21 @@
 	}
 }
 
+func TestPauseStopsRunningStreams(t *testing.T) {
+	s := startTest(t, Options{})
+	go func() { _, _ = ask(s, "POST", "/v1/completions", `{"model":"m","prompt":"x","max_tokens":1000000}`) }()
+	until(t, "it runs", func() bool { return s.Stats(false).Steps > 3 })
+	s.Turn(func(k *Knobs) { k.Pause = true })
+	// The step that is under way may still end.
+	was := s.Stats(false).Steps
+	time.Sleep(30 * time.Millisecond)
+	if got := s.Stats(false).Steps; got > was+1 {
+		t.Errorf("%d steps in the pause", got-was)
+	}
+	s.Turn(func(k *Knobs) { k.Pause = false })
+	until(t, "it goes on", func() bool { return s.Stats(false).Steps > was+3 })
+}
+
 func TestHangingItemHoldsAPlaceUntilCancelled(t *testing.T) {
 	s := startTest(t, Options{MaxRunning: 1})
 	ended := make(chan int)
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -73,8 +73,6 @@
 		switch {
 		case path == "/knobs":
 			s.knobs.Serve(ctx)
-		case path == "/knobs/refuse":
-			s.http.ServeRefuse(ctx)
 		case strings.HasPrefix(path, "/knobs/hosts"):
 			s.serveChange(ctx, strings.TrimPrefix(path, "/knobs/hosts"))
 		case path == "/hosts":
--- a/standin/internal/httpd/httpd.go
+++ b/standin/internal/httpd/httpd.go
@@ -20,6 +20,8 @@
 	readBuffer     = 8 << 10  // bytes; bounds a request's header
 	reopenAttempts = 50
 	reopenPause    = 20 * time.Millisecond
+	settleTime     = 20 * time.Millisecond
+	settlePause    = 200 * time.Microsecond
 )
 
 // AnswerTime is how long an answer is given to leave before connections are dropped.
@@ -35,6 +37,8 @@
 	mu    sync.Mutex
 	ln    net.Listener // nil while connections are refused
 	conns map[net.Conn]fasthttp.ConnState
+	// downUntil is when the last of the timed faults ends.
+	downUntil time.Time
 }
 
 // New returns a Server that does not listen yet.
@@ -48,7 +52,7 @@
 // Start listens at addr and serves h until Close. Error: errs.BadSettings.
 func (s *Server) Start(addr string, h fasthttp.RequestHandler) error {
 	s.srv = &fasthttp.Server{
-		Handler:               h,
+		Handler:               s.withKnobs(h),
 		MaxRequestBodySize:    maxBody,
 		ReadBufferSize:        readBuffer,
 		NoDefaultServerHeader: true,
@@ -74,24 +78,66 @@
 // Refuse closes the listener and the idle connections, so that new connections
 // are refused. Requests that are being served go on.
 func (s *Server) Refuse() {
+	s.mu.Lock()
+	s.closeLocked(false)
+	s.mu.Unlock()
+	s.settle()
+}
+
+// RefuseFor refuses connections for d.
+func (s *Server) RefuseFor(d time.Duration) {
+	s.mu.Lock()
+	s.closeLocked(false)
+	s.acceptAfterLocked(d)
+	s.mu.Unlock()
+	s.settle()
+}
+
+// Drop is Refuse that also cuts the requests being served.
+func (s *Server) Drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeListenerLocked()
+	s.closeLocked(true)
+}
+
+// DropFor drops all connections and refuses new ones for d.
+func (s *Server) DropFor(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeLocked(true)
+	s.acceptAfterLocked(d)
+}
+
+func (s *Server) closeLocked(activeToo bool) {
+	if s.ln != nil {
+		_ = s.ln.Close()
+		s.ln = nil
+	}
 	for c, state := range s.conns {
-		if state != fasthttp.StateActive {
+		if activeToo || state != fasthttp.StateActive {
 			_ = c.Close()
 		}
 	}
 }
 
-// Drop is Refuse that also cuts the requests being served.
-func (s *Server) Drop() {
+// settle waits a little for connections whose answer has just left: they count as active for
+// a moment more. Their clients would send on them in vain once Refuse has returned, and see a
+// lost answer in place of a refusal.
+func (s *Server) settle() {
+	for end := time.Now().Add(settleTime); time.Now().Before(end) && s.active() > 0; {
+		time.Sleep(settlePause)
+	}
+}
+
+func (s *Server) active() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeListenerLocked()
-	for c := range s.conns {
-		_ = c.Close()
+	for _, state := range s.conns {
+		if state == fasthttp.StateActive {
+			n++
+		}
 	}
+	return n
 }
 
 // Accept listens again after Refuse or Drop. Error: errs.BadSettings when the address was
@@ -99,6 +145,10 @@
 func (s *Server) Accept() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.acceptLocked()
+}
+
+func (s *Server) acceptLocked() error {
 	if s.ln != nil || s.closed() {
 		return nil
 	}
@@ -114,20 +164,20 @@
 	return errors.WithStack(errs.Newf(errs.BadSettings, "listen again at %s: %v", s.addr, err))
 }
 
-// RefuseFor refuses connections for d. It returns at once.
-func (s *Server) RefuseFor(d time.Duration) {
-	s.Refuse()
-	s.acceptAfter(d)
-}
-
-// DropFor drops all connections and refuses new ones for d. It returns at once.
-func (s *Server) DropFor(d time.Duration) {
-	s.Drop()
-	s.acceptAfter(d)
-}
-
-func (s *Server) acceptAfter(d time.Duration) {
-	time.AfterFunc(d, func() { _ = s.Accept() })
+// acceptAfterLocked listens again after d, unless a longer time was asked for meanwhile: a
+// short fault must not end a longer one that overlaps it.
+func (s *Server) acceptAfterLocked(d time.Duration) {
+	until := time.Now().Add(d)
+	if until.After(s.downUntil) {
+		s.downUntil = until
+	}
+	time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !time.Now().Before(s.downUntil) {
+			_ = s.acceptLocked()
+		}
+	})
 }
 
 // Close drops all and waits until the listener has ended.
@@ -160,13 +210,6 @@
 	}()
 }
 
-func (s *Server) closeListenerLocked() {
-	if s.ln != nil {
-		_ = s.ln.Close()
-		s.ln = nil
-	}
-}
-
 func (s *Server) track(c net.Conn, state fasthttp.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -195,14 +238,20 @@
 	ctx.SetBody(body)
 }
 
-// ServeRefuse answers POST /knobs/refuse?ms=N: it refuses connections for N milliseconds.
-func (s *Server) ServeRefuse(ctx *fasthttp.RequestCtx) {
-	s.later(ctx, s.RefuseFor)
-}
-
-// ServeDrop answers POST /knobs/drop?ms=N: it drops all connections and refuses new ones for N milliseconds.
-func (s *Server) ServeDrop(ctx *fasthttp.RequestCtx) {
-	s.later(ctx, s.DropFor)
+// withKnobs returns h with the knobs of the listener itself before it: POST
+// /knobs/refuse?ms=N refuses connections for N milliseconds, /knobs/drop?ms=N cuts
+// what is being served as well.
+func (s *Server) withKnobs(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/knobs/refuse":
+			s.later(ctx, s.RefuseFor)
+		case "/knobs/drop":
+			s.later(ctx, s.DropFor)
+		default:
+			h(ctx)
+		}
+	}
 }
 
 // later calls f once the answer has left.
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -121,10 +121,6 @@
 		switch string(ctx.Path()) {
 		case "/knobs":
 			s.knobs.Serve(ctx)
-		case "/knobs/refuse":
-			s.http.ServeRefuse(ctx)
-		case "/knobs/drop":
-			s.http.ServeDrop(ctx)
 		case "/stats":
 			s.serveStats(ctx)
 		default:
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -53,8 +53,6 @@
 		switch string(ctx.Path()) {
 		case "/knobs":
 			s.knobs.Serve(ctx)
-		case "/knobs/refuse":
-			s.http.ServeRefuse(ctx)
 		case "/stats":
 			s.serveStats(ctx)
 		default:
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -93,8 +93,6 @@
 		case "/knobs":
 			s.knobs.Serve(ctx)
 			s.limiter.SetLimit(rate.Limit(s.knobs.Get().BytesPerS))
-		case "/knobs/refuse":
-			s.http.ServeRefuse(ctx)
 		case "/stats":
 			s.serveStats(ctx)
 		default:
