Side: mark all that is to be stopped before anything is stopped

TestItemStopCancelsWhatRuns still failed in one of about 40 runs: marking cancelled the running items at once, and the place that one gave back was taken by a queued item that was not marked yet.

--- a/internal/side/call.go
+++ b/internal/side/call.go
@@ -86,20 +86,15 @@
 	return c.stopped
 }
 
-// stop ends the call for a reason that is not the target's. If it was still queued it was not run.
+// stop ends the call for a reason that is not the target's.
 func (c *call) stop(err *errs.Error) {
 	if c.markStopped(err) {
 		c.withdraw(err)
 	}
 }
 
-// withdraw takes a stopped call out of the queue.
-func (c *call) withdraw(err *errs.Error) {
-	if c.s.queue.withdraw(c.id) {
-		c.end(err.WithRan(errs.RanNo), 0)
-	}
-}
-
+// markStopped has the call not start any more. It reports false if the call has
+// ended or was stopped before.
 func (c *call) markStopped(err *errs.Error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,10 +102,19 @@
 		return false
 	}
 	c.stopped = err
+	return true
+}
+
+// withdraw stops a marked call wherever it is. If it was still queued it was not run.
+func (c *call) withdraw(err *errs.Error) {
+	c.mu.Lock()
 	if c.guard != nil && !c.keepsRunning() {
 		c.guard.cancel(err)
 	}
-	return true
+	c.mu.Unlock()
+	if c.s.queue.withdraw(c.id) {
+		c.end(err.WithRan(errs.RanNo), 0)
+	}
 }
 
 // keepsRunning says that the run goes on without its caller: a call that must
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -190,24 +190,23 @@
 	i.end(structs.ItemDone{Err: i.ran(err), GaveBack: true})
 }
 
-// markStopped has the item end with err. A call that must not be repeated goes on
-// to its end: cutting it off would leave its outcome unknown.
+// markStopped has the item not start any more, and end with err.
 func (i *item) markStopped(err *errs.Error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.stopped != nil || i.state == itemEnded {
-		return
-	}
-	i.stopped = err
-	if i.state == itemRunning && !i.it.NonIdempotent {
-		i.guard.cancel(err)
+	if i.stopped == nil && i.state != itemEnded {
+		i.stopped = err
 	}
 }
 
-// withdraw ends a stopped item that is not at the target.
+// withdraw stops a marked item wherever it is. A call that must not be repeated goes
+// on to its end: cutting it off would leave its outcome unknown.
 func (i *item) withdraw(err *errs.Error) {
 	i.mu.Lock()
 	state, id := i.state, i.id
+	if state == itemRunning && !i.it.NonIdempotent {
+		i.guard.cancel(err)
+	}
 	i.mu.Unlock()
 	if state == itemParked || i.s.queue.withdraw(id) {
 		i.end(structs.ItemDone{Err: i.ran(err)})
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -135,7 +135,7 @@
 	cancelled := is.all(func(i *item) bool {
 		return i.it.Ref.Job == m.Job && (m.All || i.it.Ref.Index == m.Index)
 	})
-	// All are marked before any is withdrawn: a place that one gives back would
+	// All are marked before any is stopped: a place that one gives back would
 	// else be taken by the next that is to be stopped.
 	for _, i := range cancelled {
 		i.markStopped(err)
--- a/internal/side/sessions.go
+++ b/internal/side/sessions.go
@@ -167,7 +167,7 @@
 	s.signal()
 }
 
-// stopAll marks every call before it withdraws any: a place that one gives back
+// stopAll marks every call before it stops any: a place that one gives back
 // would else be taken by the next that is to be stopped.
 func stopAll(calls []*call, err *errs.Error) {
 	for _, c := range calls {
