--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -220,6 +220,34 @@
 	})
 }
 
+// Symptom: as above; the items of the old owner were in the queue already when the new
+// owner was heard of.
+func TestQueuedItemsOfOldEpochDoNotStart(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		release := make(chan struct{})
+		b.target.generate = func(_ context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
+			<-release
+			return tokens(sink, 0, "x")
+		}
+		for i := range 20 {
+			b.items1(batchItem("old", i))
+		}
+		started := len(b.target.generations())
+		newer := batchItem("new", 0)
+		newer.Ref.Epoch++
+		b.items1(newer)
+		close(release)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if n := len(b.target.generations()); started == 20 || n != started+1 {
+			t.Fatalf("%d starts, %d before the newer epoch", n, started)
+		}
+		if d := b.entry.done(); len(d) != 21 {
+			t.Fatalf("%d outcomes", len(d))
+		}
+	})
+}
+
 // Symptom: a harmless item is blamed for a crash that its neighbour caused. All that ran
 // beside it is named, also what broke a moment earlier.
 func TestDeathOfTargetNamesNeighbours(t *testing.T) {
--- a/internal/side/key_test.go
+++ b/internal/side/key_test.go
@@ -64,7 +64,7 @@
 		wantEnd(t, other.answer(1), errs.KeyInProgress, errs.RanNo)
 		time.Sleep(2 * time.Second)
 		b.open(2, keyed("a"))
-		if a := other.answer(2); a.end == nil || !a.end.Replayed || b.target.runs() != 1 || b.active.Load() != 0 {
+		if a := other.answer(2); a.end == nil || a.end.Err != nil || !a.end.Replayed || len(a.data) != 1 || b.target.runs() != 1 || b.active.Load() != 0 {
 			t.Fatalf("%+v after %d runs, %d streams", a.end, b.target.runs(), b.active.Load())
 		}
 	})
