--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -131,6 +131,7 @@
 			first = false
 			c.s.queue.firstToken(c.id)
 			c.s.targetAnswered()
+			c.s.prefixes.add(c.open.Generate.Prefixes)
 			c.sendHead(200, nil)
 		} else {
 			c.s.queue.token(c.id)
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -318,6 +319,41 @@
 	return pulls[len(pulls)-1].Pull.Room
 }
 
+// Symptom: a suspect kills its worker again and takes others with it.
+func TestSuspectRunsAlone(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		running := map[structs.RequestID]bool{}
+		beside := 0
+		b.target.generate = func(_ context.Context, call platform.GenerateCall, sink func(platform.Token) error) error {
+			mu.Lock()
+			running[call.Request] = true
+			if running["suspect/0/0"] {
+				beside = max(beside, len(running)-1)
+			}
+			mu.Unlock()
+			time.Sleep(time.Second)
+			mu.Lock()
+			delete(running, call.Request)
+			mu.Unlock()
+			return tokens(sink, 0, "x")
+		}
+		suspect := batchItem("suspect", 0)
+		suspect.Alone = true
+		for i := range 12 {
+			b.items1(batchItem("j", i))
+			if i == 2 {
+				b.items1(suspect)
+			}
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if n := len(b.entry.done()); n != 13 || beside != 0 {
+			t.Fatalf("%d outcomes, %d ran beside the suspect", n, beside)
+		}
+	})
+}
+
 func TestDrainGivesItemsBack(t *testing.T) {
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
 		b.target.generate = func(ctx context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"arbutusramp/core/platform"
+	"arbutusramp/core/reconcile"
 	"arbutusramp/core/structs"
 )
 
@@ -23,10 +25,28 @@
 // fullLoad has the loaded models too.
 func (s *Side) fullLoad() *structs.Load {
 	l := s.load()
-	l.Models = s.models()
+	if r := s.report.Load(); r != nil {
+		l.Models, l.Loaded = r.models, r.loaded
+	} else {
+		l.Models = s.target.Models
+	}
 	return &l
 }
 
+// engineReport is what an engine last said it has loaded.
+type engineReport struct {
+	models []structs.ModelID
+	loaded []structs.Loaded
+}
+
+func newReport(l *platform.EngineLoad) *engineReport {
+	loaded := reconcile.LoadedOf(l.Models)
+	for i := range loaded {
+		loaded[i].Version = l.Versions[loaded[i].Model]
+	}
+	return &engineReport{l.Models, loaded}
+}
+
 // reportLoads sends the load to all sessions on change, every LoadEvery at most.
 func (s *Side) reportLoads(ctx context.Context) error {
 	var last structs.Load
@@ -37,7 +57,8 @@
 		case <-s.loadDirty:
 		}
 		l := s.fullLoad()
-		if !sameLoad(&last, l) {
+		l.Prefixes = s.prefixes.take()
+		if len(l.Prefixes) > 0 || !sameLoad(&last, l) {
 			last = *l
 			s.broadcast(&structs.Frame{Version: s.config.version(), Load: l})
 		}
@@ -63,7 +84,12 @@
 		a.Draining == b.Draining &&
 		a.Unhealthy == b.Unhealthy &&
 		near(a.FirstTokenUs, b.FirstTokenUs) &&
-		slices.Equal(a.Models, b.Models)
+		slices.Equal(a.Models, b.Models) &&
+		slices.EqualFunc(a.Loaded, b.Loaded, sameLoaded)
+}
+
+func sameLoaded(a, b structs.Loaded) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
 
 func near(a, b int64) bool {
@@ -120,16 +146,14 @@
 		}
 		return false
 	}
-	if old := s.models(); !slices.Equal(old, l.Models) {
-		s.loaded.Store(&l.Models)
-		s.signal()
-	}
+	s.report.Store(newReport(&l))
+	s.signal()
 	return true
 }
 
 func (s *Side) models() []structs.ModelID {
-	if m := s.loaded.Load(); m != nil {
-		return *m
+	if r := s.report.Load(); r != nil {
+		return r.models
 	}
 	return s.target.Models
 }
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -63,7 +63,8 @@
 
 	healthMu sync.Mutex
 	health   health
-	loaded   atomic.Pointer[[]structs.ModelID] // by the engine's last report
+	report   atomic.Pointer[engineReport] // the engine's last one
+	prefixes prefixes
 
 	base     context.Context // of all runs at the target
 	cut      context.CancelCauseFunc
