--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,6 +221,34 @@
 	})
 }
 
+// Symptom: as above; the items of the old owner were in the queue already when the new
+// owner was heard of.
+func TestQueuedItemsOfOldEpochDoNotStart(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		release := make(chan struct{})
+		b.target.generate = func(_ context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
+			<-release
+			return tokens(sink, 0, "x")
+		}
+		for i := range 20 {
+			b.items1(batchItem("old", i))
+		}
+		started := len(b.target.generations())
+		newer := batchItem("new", 0)
+		newer.Ref.Epoch++
+		b.items1(newer)
+		close(release)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if n := len(b.target.generations()); started == 20 || n != started+1 {
+			t.Fatalf("%d starts, %d before the newer epoch", n, started)
+		}
+		if d := b.entry.done(); len(d) != 21 {
+			t.Fatalf("%d outcomes", len(d))
+		}
+	})
+}
+
 // Symptom: a harmless item is blamed for a crash that its neighbour caused. All that ran
 // beside it is named, also what broke a moment earlier.
 func TestDeathOfTargetNamesNeighbours(t *testing.T) {
@@ -290,6 +319,41 @@
 	return pulls[len(pulls)-1].Pull.Room
 }
 
+// Symptom: a suspect kills its worker again and takes others with it.
+func TestSuspectRunsAlone(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		running := map[structs.RequestID]bool{}
+		beside := 0
+		b.target.generate = func(_ context.Context, call platform.GenerateCall, sink func(platform.Token) error) error {
+			mu.Lock()
+			running[call.Request] = true
+			if running["suspect/0/0"] {
+				beside = max(beside, len(running)-1)
+			}
+			mu.Unlock()
+			time.Sleep(time.Second)
+			mu.Lock()
+			delete(running, call.Request)
+			mu.Unlock()
+			return tokens(sink, 0, "x")
+		}
+		suspect := batchItem("suspect", 0)
+		suspect.Alone = true
+		for i := range 12 {
+			b.items1(batchItem("j", i))
+			if i == 2 {
+				b.items1(suspect)
+			}
+		}
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if n := len(b.entry.done()); n != 13 || beside != 0 {
+			t.Fatalf("%d outcomes, %d ran beside the suspect", n, beside)
+		}
+	})
+}
+
 func TestDrainGivesItemsBack(t *testing.T) {
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
 		b.target.generate = func(ctx context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
