--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -19,8 +19,9 @@
 const stopReserve = 5 * time.Second
 
 type devCmd struct {
-	once  bool
-	level string
+	once    bool
+	level   string
+	profile string
 }
 
 func (*devCmd) Name() string     { return "dev" }
@@ -31,10 +32,16 @@
 
 func (c *devCmd) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.once, "once", false, "run one of everything, say what happened and end")
+	f.StringVar(&c.profile, "cpu-profile", "", "file that gets a CPU profile of the whole run")
 	f.StringVar(&c.level, "log", "error", "log level")
 }
 
 func (c *devCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return fail(err)
+	}
+	defer stopProfile()
 	logger := logging.New("dev", settings.Logs{Level: c.level}, os.Stderr)
 	if !c.once {
 		return exit(dev.Serve(ctx, logger, os.Stdout))
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -17,11 +17,12 @@
 
 // processFlags are those that entry and side have in common.
 type processFlags struct {
-	config, addrFile string
+	config, addrFile, profile string
 }
 
 func (p *processFlags) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&p.config, "config", "", "settings file")
+	f.StringVar(&p.profile, "cpu-profile", "", "file that gets a CPU profile of the whole run")
 	f.StringVar(&p.addrFile, "addr-file", "", "file that gets the addresses once the process listens")
 }
 
@@ -43,6 +44,11 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
--- a/internal/command/lab_overhead.go
+++ b/internal/command/lab_overhead.go
@@ -11,18 +11,20 @@
 	"github.com/google/subcommands"
 )
 
-// overheadCmd measures processes that run already: -direct, -through and the
-// status URLs say where.
+// overheadCmd measures processes that run already where -direct and -through name
+// them, else an entry, a side and a service in its own process.
 type overheadCmd struct {
 	options overhead.Options
 	json    bool
+	profile string
 }
 
 func (*overheadCmd) Name() string     { return "overhead" }
 func (*overheadCmd) Synopsis() string { return "measure what entry and side add to a call" }
 func (*overheadCmd) Usage() string {
-	return "overhead -direct URL -through URL [-entry-status URL] [-side-status URL] [-json]\n" +
-		"  Measures added latency and calls a second a core. The workspace's key is in " + envWorkspaceKey + ".\n"
+	return "overhead [-direct URL -through URL [-entry-status URL] [-side-status URL]] [-json]\n" +
+		"  Measures added latency and calls a second a core, without URLs of an entry, a side and a service in this\n" +
+		"  process. The workspace's key for running ones is in " + envWorkspaceKey + ".\n"
 }
 
 func (c *overheadCmd) SetFlags(f *flag.FlagSet) {
@@ -36,12 +38,17 @@
 	f.IntVar(&o.Connections, "connections", o.Connections, "connections of the load")
 	f.DurationVar(&o.Duration, "duration", o.Duration, "duration of the load; 0 measures no rate")
 	f.IntVar(&o.BodyBytes, "body", o.BodyBytes, "bytes of each call's body")
+	f.StringVar(&c.profile, "cpu-profile", "", "file that gets a CPU profile of this process")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
 }
 
 func (c *overheadCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	c.options.Key = os.Getenv(envWorkspaceKey)
-	report, err := overhead.Run(ctx, c.options)
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return fail(err)
+	}
+	defer stopProfile()
+	report, err := c.measure(ctx)
 	if err != nil {
 		return fail(err)
 	}
@@ -52,6 +59,14 @@
 	return subcommands.ExitSuccess
 }
 
+func (c *overheadCmd) measure(ctx context.Context) (*overhead.Report, error) {
+	if c.options.Direct == "" && c.options.Through == "" {
+		return overhead.RunEmbedded(ctx, c.options)
+	}
+	c.options.Key = os.Getenv(envWorkspaceKey)
+	return overhead.Run(ctx, c.options)
+}
+
 func printOverhead(r *overhead.Report) {
 	l := r.Latency
 	fmt.Printf("latency of %d calls each way, one at a time, microseconds\n", l.Calls)
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -31,6 +31,11 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("side", s.Logs, os.Stderr)
