--- a/core/jobs/results.go
+++ b/core/jobs/results.go
@@ -93,7 +93,9 @@
 	}
 	for _, pos := range r.Bad {
 		if pos >= 0 && pos < len(items) {
-			c.add(structs.ItemResult{Index: c.view.First + pos, Err: items[pos].Err})
+			c.add(structs.ItemResult{
+				Index: c.view.First + pos, Err: items[pos].Err, CustomID: items[pos].CustomID,
+			})
 		}
 	}
 	return nil
--- a/core/jobs/sched.go
+++ b/core/jobs/sched.go
@@ -52,6 +52,9 @@
 	Alone   bool
 	// Reported says that the outcome is on its way to the log.
 	Reported bool
+	// Unsent says that the item was picked and did not go out yet.
+	Unsent bool
+	CustomID string // known once the item was sent
 }
 
 // Sched picks the items that sides get. It is not safe for concurrent use.
@@ -308,6 +311,7 @@
 	key := Key{c.job.ID, r.index}
 	l.Side, l.Until, l.Attempt = q.Side, now.Add(q.Lease), r.attempt
 	l.Once = c.job.Once(r.index)
+	l.Unsent = true
 	s.leases[key] = &l
 	s.check.Check(c.job.Runnable(), invariant.NoStartAfterCancel,
 		fmt.Sprintf("job %s item %d is %s", key.Job, key.Index, c.job.Status()))
--- a/core/jobs/sched_queue.go
+++ b/core/jobs/sched_queue.go
@@ -131,6 +131,17 @@
 	return *l, true
 }
 
+// Sent notes that the item of key goes to its side now, whose lease ends at until.
+func (s *Sched) Sent(key Key, until time.Time, customID string) {
+	l := s.leases[key]
+	if l == nil {
+		return
+	}
+	l.Unsent = false
+	l.Until = until
+	l.CustomID = customID
+}
+
 // Return gives an item back to be handed out again as its next attempt. charged is how
 // often it has failed: the wait before it grows with that.
 func (s *Sched) Return(now time.Time, key Key, charged int) {
@@ -170,7 +181,7 @@
 func (s *Sched) Expired(now time.Time) []Key {
 	var out []Key
 	for key, l := range s.leases {
-		if !l.Reported && now.After(l.Until) {
+		if !l.Reported && !l.Unsent && now.After(l.Until) {
 			out = append(out, key)
 		}
 	}
@@ -182,7 +193,7 @@
 func (s *Sched) Holders(job structs.JobID) map[structs.HostID]time.Time {
 	out := make(map[structs.HostID]time.Time)
 	for key, l := range s.leases {
-		if key.Job != job || l.Side == "" || l.Reported {
+		if key.Job != job || l.Side == "" || l.Reported || l.Unsent {
 			continue
 		}
 		if l.Until.After(out[l.Side]) {
@@ -192,6 +203,16 @@
 	return out
 }
 
+// HasUnsent says whether an item was picked and did not go out yet.
+func (s *Sched) HasUnsent() bool {
+	for _, l := range s.leases {
+		if l.Unsent && !l.Reported {
+			return true
+		}
+	}
+	return false
+}
+
 // Drop removes the lease of key without handing the item out again.
 func (s *Sched) Drop(key Key) { delete(s.leases, key) }
 
@@ -203,7 +224,7 @@
 func (s *Sched) Held(now time.Time) []structs.ItemLease {
 	var keys []Key
 	for key, l := range s.leases {
-		if !l.Reported && l.Side != "" {
+		if !l.Reported && !l.Unsent && l.Side != "" {
 			keys = append(keys, key)
 		}
 	}
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -232,16 +232,12 @@
 	return append(out, s.refs.list()...)
 }
 
-// Oldest returns the oldest offset that must be readable for the segment, 0 if none.
-// ended says that the job runs no more items.
-func (s *Segment) Oldest(ended bool) structs.Offset {
+// OldestResult returns the lowest offset at which a result stands, 0 if there is none.
+func (s *Segment) OldestResult() structs.Offset {
 	oldest := s.packed
 	if first := s.refs.first(); first != 0 && (oldest == 0 || first < oldest) {
 		oldest = first
 	}
-	if !ended && s.Done < s.Count && (oldest == 0 || s.Offset < oldest) {
-		oldest = s.Offset
-	}
 	return oldest
 }
 
--- a/core/structs/job_record.go
+++ b/core/structs/job_record.go
@@ -156,6 +156,8 @@
 	Err    *errs.Error `cbor:"4,keyasint,omitempty"`
 	// Attempt is the run that gave the result, from 0.
 	Attempt int `cbor:"5,keyasint,omitempty"`
+	// CustomID is the caller's name of the item: bodies are not kept once a job has ended.
+	CustomID string `cbor:"6,keyasint,omitempty"`
 }
 
 // ResultsPacked carries every result that a segment has up to offset Through
--- /dev/null
+++ b/internal/batch/loghealth.go
@@ -0,0 +1,50 @@
+package batch
+
+import (
+	"sync"
+	"time"
+
+	"arbutusramp/core/errs"
+)
+
+// logHealth is what the last calls have said of the log service.
+type logHealth struct {
+	mu        sync.Mutex
+	downSince time.Time // zero while it answers
+}
+
+// note takes in the error, or nil, of a call of the log service.
+func (h *logHealth) note(now time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil || errs.Is(err, errs.LogBusy) || errs.Is(err, errs.LogTrimmed) {
+		h.downSince = time.Time{}
+		return
+	}
+	if errs.Is(err, errs.LogDown) && h.downSince.IsZero() {
+		h.downSince = now
+	}
+}
+
+func (h *logHealth) down() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.downSince.IsZero()
+}
+
+const (
+	retryLeast = 2 * time.Second
+	retryMost  = time.Minute
+)
+
+// refusal returns the error for a call that needs the log service, nil while it
+// answers. The time to come back grows with the outage.
+func (h *logHealth) refusal(now time.Time) *errs.Error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.downSince.IsZero() {
+		return nil
+	}
+	retry := clamp(now.Sub(h.downSince)/2, retryLeast, retryMost)
+	return errs.New(errs.LogDown, "the log service is down; nothing was accepted").WithRetry(retry)
+}
