--- a/core/confstate/outcome.go
+++ b/core/confstate/outcome.go
@@ -102,8 +102,12 @@
 	}
 	touched := f.touched.own(&f.s.Touched)
 	for object, v := range touched {
-		if v <= f.s.Forgot {
+		if v <= f.s.Forgot && object != policyObject {
 			delete(touched, object)
 		}
 	}
 }
+
+// policyObject keeps its mark: a side tells by it whether the policy was ever
+// set, or its own setting counts.
+const policyObject = "policy"
--- a/core/structs/frame.go
+++ b/core/structs/frame.go
@@ -221,6 +221,10 @@
 	// Stale says that the sender can't reach the log by any way just now: what it
 	// holds may be old.
 	Stale bool `cbor:"6,keyasint,omitempty"`
+	// AgeMs is how long ago the sender's configuration was known to be the
+	// newest, and HeldMs how long it held the question, in milliseconds.
+	AgeMs  int64 `cbor:"7,keyasint,omitempty"`
+	HeldMs int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // LogEntry is one record of a stream with its offset.
