--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -40,7 +40,7 @@
 			field: addr(func(e *Entry) *string { return &e.AdminAddr }),
 			doc:   "administration API"},
 		{section: "listen", key: "peers", unit: "address", required: true,
-			field: addr(func(e *Entry) *string { return &e.PeerAddr }),
+			field: ownAddr(func(e *Entry) *string { return &e.PeerAddr }),
 			doc:   "other entries and followers of the configuration"},
 		{section: "listen", key: "status", unit: "address", required: true,
 			field: addr(func(e *Entry) *string { return &e.StatusAddr }),
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// ownAddr is addr for a listener whose address is told to other processes: one that stands
+// for every interface would send them to themselves.
+func ownAddr[T any](get func(*T) *string) field[T] {
+	f := addr(get)
+	f.allowed = "IP:port of one interface, as in the host list; port 0 takes a free one"
+	set := f.set
+	f.set = func(t *T, value string) error {
+		if ap, err := netip.ParseAddrPort(value); err == nil && ap.Addr().IsUnspecified() {
+			return bad("%s stands for every interface", ap.Addr())
+		}
+		return set(t, value)
+	}
+	return f
+}
+
 // baseURL reads the base URL of an outside service.
 func baseURL[T any](get func(*T) *string) field[T] {
 	return field[T]{
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -139,6 +139,7 @@
 	for _, c := range []struct{ text, key string }{
 		{strings.Replace(goodSide, "models = m1, m2\n", "", 1), "models"},
 		{strings.Replace(goodSide, "kind = engine", "kind = service", 1), "service"},
+		{strings.Replace(goodEntry, "peers = 127.0.0.1:0", "peers = 0.0.0.0:7003", 1), "peers"},
 		{goodEntry + "[tls]\ncaller_cert = /a.pem\n", "caller_cert"},
 	} {
 		faults := Check(write(t, c.text))
