--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,7 +18,7 @@
 
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
-	return run("arbutusctl",
+	return run("arbutusctl", jobGroup(),
 		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}}})
 }
 
--- a/internal/dev/configure.go
+++ b/internal/dev/configure.go
@@ -7,6 +7,8 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/client"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -17,7 +19,7 @@
 // Configure declares what the system serves and waits until every entry serves it.
 func (c *Cluster) Configure(ctx context.Context) error {
 	for _, e := range c.Entries {
-		if err := awaitServing(ctx, newCaller(e.CallerAddr(), WorkspaceKey)); err != nil {
+		if err := awaitServing(ctx, client.New("http://"+e.CallerAddr(), WorkspaceKey)); err != nil {
 			return err
 		}
 	}
@@ -34,26 +36,26 @@
 
 // awaitServing waits until an entry knows the workspace and has sessions with all that it
 // needs: every engine and every service.
-func awaitServing(ctx context.Context, c *caller) error {
+func awaitServing(ctx context.Context, c *client.Client) error {
 	var last error
 	err := poll(ctx, readyTimeout, readyPoll, func() bool {
 		last = serving(ctx, c)
 		return last == nil
 	})
 	if err != nil && last != nil {
-		return wrap(last, "entry not serving in time")
+		return errors.Wrap(last, "entry not serving in time")
 	}
 	return err
 }
 
-func serving(ctx context.Context, c *caller) error {
+func serving(ctx context.Context, c *client.Client) error {
 	var list modelList
-	if err := c.callJSON(ctx, http.MethodGet, "/v1/models", nil, nil, &list); err != nil {
+	if err := c.CallJSON(ctx, http.MethodGet, "/v1/models", nil, nil, &list); err != nil {
 		return err
 	}
 	for _, m := range list.Data {
 		if m.ID == model && m.Targets == domains {
-			_, err := c.call(ctx, http.MethodGet, "/svc/"+string(serviceName)+"/ping", nil, nil)
+			_, err := c.Call(ctx, http.MethodGet, "/svc/"+string(serviceName)+"/ping", nil, nil)
 			return err
 		}
 	}
--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"arbutusramp/internal/client"
 	"github.com/pkg/errors"
 )
 
@@ -12,7 +13,7 @@
 type once struct {
 	cluster *Cluster
 	out     io.Writer
-	callers []*caller
+	callers []*client.Client
 }
 
 // step is one part of the run; it fails unless all that it checks holds.
@@ -26,10 +27,11 @@
 func Once(ctx context.Context, c *Cluster, out io.Writer) error {
 	o := &once{cluster: c, out: out}
 	for _, e := range c.Entries {
-		o.callers = append(o.callers, newCaller(e.CallerAddr(), WorkspaceKey))
+		o.callers = append(o.callers, client.New("http://"+e.CallerAddr(), WorkspaceKey))
 	}
 	steps := []step{
 		{"streamed request", o.onlineStep},
+		{"job", o.jobStep},
 		{"service call", o.serviceStep},
 	}
 	for _, s := range steps {
@@ -41,7 +43,7 @@
 	return nil
 }
 
-func (o *once) caller(i int) *caller { return o.callers[i] }
+func (o *once) caller(i int) *client.Client { return o.callers[i] }
 
 func (o *once) say(format string, args ...any) {
 	fmt.Fprintf(o.out, format+"\n", args...)
--- a/internal/dev/online.go
+++ b/internal/dev/online.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/client"
 	"arbutusramp/standin/engine"
 )
 
@@ -49,11 +50,11 @@
 	body := chatBody("A tenant asks about an eviction date.", streamTokens, true)
 	start := time.Now()
 	header := http.Header{"Content-Type": {"application/json"}}
-	a, err := o.caller(0).call(ctx, http.MethodPost, "/v1/chat/completions", header, body)
+	a, err := o.caller(0).Call(ctx, http.MethodPost, "/v1/chat/completions", header, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
-	text, tokens, err := joinEvents(a.body)
+	text, tokens, err := joinEvents(a.Body)
 	if err != nil {
 		return err
 	}
@@ -61,7 +62,7 @@
 		return errs.Newf(errs.StreamBroken, "answer %q, want %q", text, want)
 	}
 	o.say("streamed request: %d tokens from %s in %s, whole and in order",
-		tokens, a.header.Get("X-Target"), time.Since(start).Round(time.Millisecond))
+		tokens, a.Header.Get("X-Target"), time.Since(start).Round(time.Millisecond))
 	return nil
 }
 
@@ -89,7 +90,7 @@
 			Error *errs.Error `json:"error"`
 		}
 		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return "", 0, wrap(err, "event")
+			return "", 0, errs.Newf(errs.StreamBroken, "event: %v", err)
 		}
 		if event.Error != nil {
 			return "", 0, event.Error
@@ -111,14 +112,14 @@
 	issued time.Time // when the key was first used
 }
 
-func (k keyedCall) send(ctx context.Context, c *caller) (answer, error) {
+func (k keyedCall) send(ctx context.Context, c *client.Client) (client.Answer, error) {
 	header := http.Header{
 		"Content-Type":       {"text/plain"},
 		"Idempotency-Key":    {k.key},
 		"Idempotency-Issued": {fmt.Sprint(k.issued.UnixMilli())},
 	}
 	path := "/svc/" + string(serviceName) + "/confirm-slot"
-	return c.call(ctx, http.MethodPost, path, header, []byte("slot 14:30"))
+	return c.Call(ctx, http.MethodPost, path, header, strings.NewReader("slot 14:30"))
 }
 
 // serviceStep sends one non-idempotent call twice, through both entries, with the same
@@ -132,22 +133,22 @@
 	if err != nil {
 		return err
 	}
-	if !bytes.Equal(first.body, second.body) {
-		return errs.Newf(errs.Internal, "the resend was answered %q, the first call %q", second.body, first.body)
+	if !bytes.Equal(first.Body, second.Body) {
+		return errs.Newf(errs.Internal, "the resend was answered %q, the first call %q", second.Body, first.Body)
 	}
 	if calls := o.cluster.standins.serviceCalls(call.key); calls != 1 {
 		return errs.Newf(errs.Internal, "the service was called %d times for one key", calls)
 	}
-	o.say("service call: sent twice with one key, through both entries; run once by %s", first.header.Get("X-Target"))
+	o.say("service call: sent twice with one key, through both entries; run once by %s", first.Header.Get("X-Target"))
 	return nil
 }
 
 // firstKeyedCall sends calls with fresh keys until one is taken. A target that was added a
 // moment ago refuses keys issued before every entry knew of it: another target may
 // have run them.
-func (o *once) firstKeyedCall(ctx context.Context) (keyedCall, answer, error) {
+func (o *once) firstKeyedCall(ctx context.Context) (keyedCall, client.Answer, error) {
 	var call keyedCall
-	var first answer
+	var first client.Answer
 	var last error
 	n := 0
 	err := poll(ctx, keyTimeout, keyPoll, func() bool {
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+
+	"arbutusramp/core/confstate"
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/adapter/hosthttp"
+	"arbutusramp/internal/adapter/loghttp"
+	"arbutusramp/internal/adapter/weightshttp"
+	"arbutusramp/internal/batch"
+	"arbutusramp/internal/entry"
+	"arbutusramp/internal/settings"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
+func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry, config confstate.Source) (*entry.Entry, error) {
+	log := loghttp.New(s.Platform.LogURL)
+	hosts := &members{HostList: hosthttp.New(s.Platform.HostListURL)}
+	e, err := entry.New(entry.Options{
+		Settings: s,
+		Logger:   logger,
+		Metrics:  reg,
+		Log:      log,
+		Hosts:    hosts,
+		Weights:  weightStore(s),
+		Config:   config,
+	})
+	if err != nil {
+		return nil, err
+	}
+	jobs := batch.New(batch.Options{
+		Settings: s,
+		Log:      log,
+		Config:   config,
+		Members:  hosts.known,
+		Logger:   logger,
+		Metrics:  reg,
+		PeerAddr: e.PeerAddr(),
+	})
+	owner := newStage(jobs.Run)
+	e.Join(entry.Parts{
+		Batch: jobs,
+		Jobs:  serveJobs(jobs),
+		Peers: servePeers([]peerRoute{{batch.PeerPath, jobs.PeerHandler}}, logger),
+		Run:   []func(context.Context) error{owner.run},
+		Drain: []func(context.Context){owner.drain},
+	})
+	return e, nil
+}
+
+// weightStore returns nil without a URL: plans then show no sizes.
+func weightStore(s settings.Entry) platform.WeightStore {
+	if s.Platform.WeightsURL == "" {
+		return nil
+	}
+	return weightshttp.New(s.Platform.WeightsURL)
+}
+
+// serveJobs passes the job paths on with the workspace that asks.
+func serveJobs(jobs *batch.Manager) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		caller, ok := entry.CallerOf(ctx)
+		if !ok {
+			ctx.SetStatusCode(fasthttp.StatusUnauthorized)
+			return
+		}
+		jobs.CallerHandler(ctx, caller.Workspace)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,15 +3,10 @@
 package node
 
 import (
-	"arbutusramp/core/confstate"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/enginehttp"
-	"arbutusramp/internal/adapter/hosthttp"
-	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/servicehttp"
-	"arbutusramp/internal/adapter/weightshttp"
-	"arbutusramp/internal/entry"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/side"
 	"github.com/hashicorp/go-hclog"
@@ -37,19 +32,3 @@
 func newService(s settings.Side) platform.Service {
 	return servicehttp.New(s.TargetURL, servicehttp.Options{})
 }
-
-// NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
-func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry, config confstate.Source) (*entry.Entry, error) {
-	o := entry.Options{
-		Settings: s,
-		Logger:   logger,
-		Metrics:  reg,
-		Log:      loghttp.New(s.Platform.LogURL),
-		Hosts:    hosthttp.New(s.Platform.HostListURL),
-		Config:   config,
-	}
-	if s.Platform.WeightsURL != "" {
-		o.Weights = weightshttp.New(s.Platform.WeightsURL)
-	}
-	return entry.New(o)
-}
