--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -44,6 +44,7 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
+	keepOnHangup()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -31,6 +31,7 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
+	keepOnHangup()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -32,3 +32,7 @@
 		cancel()
 	}
 }
+
+// keepOnHangup lets SIGHUP pass: it is reserved for reading keys again, and an operator
+// who sends it to all processes must not end those that can't do that yet.
+func keepOnHangup() { signal.Ignore(syscall.SIGHUP) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,6 +102,10 @@
 	return e, nil
 }
 
+// Join adds the other parts of the process; it is called before Run. The parts of Options
+// are made before the listeners are bound, those that have to know an address after.
+func (e *Entry) Join(parts Parts) { e.parts = parts }
+
 func (e *Entry) newID() structs.RequestID {
 	return structs.RequestID(e.idPrefix + strconv.FormatUint(e.ids.Add(1), 36))
 }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 
@@ -60,6 +61,11 @@
 	// Ready holds what must be true besides the entry's own state before
 	// /readyz says so.
 	Ready []func() bool
+	// Run holds what works beside the listeners until the entry has stopped. The first error stops it.
+	Run []func(context.Context) error
+	// Drain holds what a planned stop waits for besides requests in flight, up to the drain
+	// timeout: owned job shards are handed over while sessions and listeners still work.
+	Drain []func(context.Context)
 	// ConfigFresh says that the configuration is at most dedup.DefaultPropagation old.
 	// While it says no, keyed non-idempotent calls are refused: their home may have
 	// moved without this entry knowing. nil counts as yes.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,20 +27,27 @@
 // flight up to DrainTimeout and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	e.makeServers()
-	poolCtx, stopPool := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopPool()
-	var g errgroup.Group
+	if e.parts.Peers != nil {
+		e.peerServer = e.parts.Peers(e.peers)
+	}
+	lifeCtx, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, failCtx := errgroup.WithContext(lifeCtx)
 	g.Go(func() error { return serveOn(e.callerServer, e.callers) })
 	g.Go(func() error { return serveOn(e.adminServer, e.admin) })
 	g.Go(func() error { return serveOn(e.statusServer, e.statuses) })
-	if e.parts.Peers != nil {
-		e.peerServer = e.parts.Peers(e.peers)
+	g.Go(func() error { e.pool.run(failCtx); return nil })
+	for _, run := range e.parts.Run {
+		g.Go(func() error { return run(failCtx) })
 	}
-	g.Go(func() error { e.pool.run(poolCtx); return nil })
 	g.Go(func() error {
-		<-ctx.Done()
-		e.drain(poolCtx)
-		stopPool()
+		select {
+		case <-ctx.Done():
+			e.drain(failCtx)
+		case <-failCtx.Done():
+		}
+		e.shutdown()
+		end()
 		return nil
 	})
 	return g.Wait()
@@ -94,20 +102,24 @@
 	WriteError(ctx, typed)
 }
 
-// drain waits for requests in flight. ctx is cancelled to end at once.
+// drain waits for requests in flight and for the other parts.
 func (e *Entry) drain(ctx context.Context) {
 	e.draining.Store(true)
 	e.log.Info("stopping", "in_flight", e.inFlight.Load())
 	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
 	defer cancel()
+	var parts sync.WaitGroup
+	for _, drain := range e.parts.Drain {
+		parts.Go(func() { drain(ctx) })
+	}
 	sleep(ctx, min(stopGrace, e.set.DrainTimeout/4))
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
+	parts.Wait()
 	if n := e.inFlight.Load(); n > 0 {
 		e.log.Warn("stopping with requests in flight", "in_flight", n)
 	}
-	e.shutdown()
 }
 
 // shutdownTimeout bounds the wait for connections to close once no request is in flight.
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -61,13 +61,15 @@
 	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
 }
 
-// term FILE sends SIGTERM to the process that wrote the address file. The script
-// language's own kill command knows INT and KILL only.
-func term(ts *testscript.TestScript, neg bool, args []string) {
-	if neg || len(args) != 1 {
-		ts.Fatalf("usage: term FILE")
+// signalCommand returns a command NAME FILE that sends sig to the process that wrote the
+// address file. The script language's own kill knows INT and KILL only.
+func signalCommand(sig syscall.Signal) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg || len(args) != 1 {
+			ts.Fatalf("want one address file")
+		}
+		pid, err := strconv.Atoi(readAddrs(ts, args[0])["PID"])
+		ts.Check(err)
+		ts.Check(syscall.Kill(pid, sig))
 	}
-	pid, err := strconv.Atoi(readAddrs(ts, args[0])["PID"])
-	ts.Check(err)
-	ts.Check(syscall.Kill(pid, syscall.SIGTERM))
 }
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"syscall"
 	"testing"
 
 	"arbutusramp/internal/command"
@@ -24,7 +25,8 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"addrs":  addrs,
 			"render": render,
-			"term":   term,
+			"term":   signalCommand(syscall.SIGTERM),
+			"hangup": signalCommand(syscall.SIGHUP),
 		},
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
