--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -38,6 +38,7 @@
 	seenResults, seenBytes atomic.Int64
 	leaving                atomic.Bool
 	dispatchCh             chan struct{}
+	placeCh                chan struct{}
 
 	mu      sync.Mutex // guards what follows
 	shards  map[structs.Shard]*shard
@@ -55,6 +56,7 @@
 		o: o, set: set, tune: o.Tuning.withDefaults(set),
 		log: o.Logger, now: o.Clock, addr: o.PeerAddr, check: o.Check, peers: o.Peers,
 		dispatchCh: make(chan struct{}, 1),
+		placeCh:    make(chan struct{}, 1),
 		shards:     make(map[structs.Shard]*shard),
 		offered:    make(map[structs.Shard]time.Time),
 		hints:      make(map[structs.Shard]platform.Host),
@@ -126,12 +128,19 @@
 				return nil
 			})
 		}
-		if !pause(ctx, m.tune.HousekeepEvery) {
+		if !pauseOr(ctx, m.tune.HousekeepEvery, m.placeCh) {
 			return nil
 		}
 	}
 }
 
+func (m *Manager) wakePlace() {
+	select {
+	case m.placeCh <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Manager) register(s *shard) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -242,12 +251,17 @@
 }
 
 // pause waits for d and says whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
+func pause(ctx context.Context, d time.Duration) bool { return pauseOr(ctx, d, nil) }
+
+// pauseOr is pause that a message on wake ends early.
+func pauseOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return true
+	case <-wake:
+		return true
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -18,7 +18,7 @@
 	case OpProbe:
 		return m.serveProbe()
 	case OpOffer:
-		return m.serveOffer(r)
+		return m.serveOffer(ctx, r)
 	}
 	s := m.shard(r.Shard)
 	if s == nil {
@@ -56,16 +56,29 @@
 	return &PeerReply{Incarnation: m.self.Incarnation, Holds: holds, Leaving: m.leaving.Load()}
 }
 
-func (m *Manager) serveOffer(r *PeerRequest) *PeerReply {
+// serveOffer answers once this entry has read the offered shard and follows it:
+// released earlier, the shard would be without owner while it is read.
+func (m *Manager) serveOffer(ctx context.Context, r *PeerRequest) *PeerReply {
 	if m.leaving.Load() {
 		return &PeerReply{Err: errs.New(errs.Draining, "this entry is leaving")}
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.offered[r.Shard] = m.now()
-	return &PeerReply{Acked: true}
+	m.mu.Unlock()
+	m.wakePlace()
+	for {
+		if s := m.shard(r.Shard); s != nil && s.isRead() {
+			return &PeerReply{Acked: true}
+		}
+		if !pause(ctx, offerPoll) {
+			return &PeerReply{Err: errs.New(errs.Overloaded, "the shard is not read yet")}
+		}
+	}
 }
 
+// offerPoll is how often an offered shard is looked at.
+const offerPoll = 5 * time.Millisecond
+
 // serve answers a call as the owner.
 func (s *shard) serve(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
 	switch r.Op {
--- a/internal/batch/shard.go
+++ b/internal/batch/shard.go
@@ -98,6 +98,13 @@
 	return shardmap.Decide(s.m.now(), s.m.self, s.id, o, s.m.probed)
 }
 
+// isRead says whether the shard's stream has been read.
+func (s *shard) isRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state != nil
+}
+
 // holder returns the host that the stream names as owner, and its peer address.
 func (s *shard) holder() (structs.HostID, string) {
 	s.mu.Lock()
--- a/internal/batch/side_test.go
+++ b/internal/batch/side_test.go
@@ -20,6 +20,7 @@
 	cancelled  map[structs.JobID]time.Time // when the cancel was answered
 	violations []string
 	starts     int
+	sent       map[string]sentFile
 }
 
 func (o *oracle) start(it *structs.Item) {
