--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"arbutusramp/core/confstate"
@@ -21,8 +20,7 @@
 	pathModels      = "/v1/models"
 	pathService     = "/svc/"
 
-	prefixBlock      = 256 // bytes of prompt per prefix hash
-	maxBlocks        = 64
+	maxHashed        = 64 * structs.PrefixBlock // bytes of prompt that affinity looks at
 	bytesPerToken    = 4
 	defaultMaxTokens = 256
 )
@@ -113,26 +111,10 @@
 		PromptTokens: 1 + len(text)/bytesPerToken,
 		Chat:         chat,
 		Stream:       p.Stream,
-		Prefixes:     prefixHashes(text),
+		Prefixes:     structs.PromptPrefixes(text[:min(len(text), maxHashed)]),
 	}, nil
 }
 
-// prefixHashes returns hashes of the growing prefixes of text, one for each whole block.
-func prefixHashes(text []byte) []uint64 {
-	n := min(maxBlocks, len(text)/prefixBlock)
-	if n == 0 {
-		return nil
-	}
-	var d xxhash.Digest
-	d.Reset()
-	hashes := make([]uint64, n)
-	for i := range hashes {
-		_, _ = d.Write(text[i*prefixBlock : (i+1)*prefixBlock]) // never fails
-		hashes[i] = d.Sum64()
-	}
-	return hashes
-}
-
 func (e *Entry) knowsModel(m structs.ModelID) bool {
 	if known, ok := e.config.Current().Models[m]; ok {
 		return !known.Retired
