--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
@@ -223,11 +224,8 @@
 	for _, e := range entries {
 		eventually(t, "both sides connected", func() bool { return e.pool.connected() == 2 })
 	}
-	headers := map[string]string{"Idempotency-Key": "letter-7"}
-	var first *http.Response
-	// A side that has just started refuses keys without an issue time, so name one.
-	headers["Idempotency-Issued"] = issuedNow()
-	first = post(t, "http://"+entries[0].CallerAddr()+"/svc/lookup/letters", "send", headers)
+	headers := map[string]string{"Idempotency-Key": "letter-7", "Idempotency-Issued": issuedNow()}
+	first := post(t, "http://"+entries[0].CallerAddr()+"/svc/lookup/letters", "send", headers)
 	if first.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(first.Body)
 		t.Fatalf("status %d: %s", first.StatusCode, body)
@@ -251,9 +249,8 @@
 	}
 }
 
-// issuedNow is a little ahead of now: a side refuses keys that were issued before it
-// started, allowing for clocks that differ.
+// issuedNow is as late as a client's clock may be: a side refuses keys that may have been issued
+// before it started, and this one has just started.
 func issuedNow() string {
-	const skew = 3 * time.Second
-	return strconv.FormatInt(time.Now().Add(skew).UnixMilli(), 10)
+	return strconv.FormatInt(time.Now().Add(dedup.DefaultSkew).UnixMilli(), 10)
 }
