--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"arbutusramp/core/confstate"
@@ -103,6 +104,25 @@
 	}
 }
 
+// Symptom: an answer is cut off by a planned stop when it takes longer than the grace.
+// Sequence: the entry is told to stop; one request goes on for a while.
+// Cause: the stop waited for a time and not for the requests.
+func TestDrainWaitsForRequestsAndNoLongerThanItsTimeout(t *testing.T) {
+	for _, takes := range []time.Duration{5 * time.Second, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			e := newTestEntry(t, testState())
+			e.inFlight.Add(1)
+			time.AfterFunc(takes, func() { e.inFlight.Add(-1) })
+			begin := time.Now()
+			e.drain(t.Context())
+			want := min(takes, e.set.DrainTimeout)
+			if took := time.Since(begin); took < want || took > want+drainPoll {
+				t.Errorf("a request of %v: stopped after %v, want %v", takes, took, want)
+			}
+		})
+	}
+}
+
 type noHosts struct{}
 
 func (noHosts) Hosts(context.Context) ([]platform.Host, error) { return nil, nil }
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -33,6 +32,13 @@
 	ln    net.Listener
 	mu    sync.Mutex
 	conns []net.Conn
+	trip  *trip
+}
+
+// trip cuts the first wire on which more than bytes came from the side.
+type trip struct {
+	bytes int
+	once  sync.Once
 }
 
 func startWire(t *testing.T, to string) *wire {
@@ -42,28 +48,59 @@
 		t.Fatal(err)
 	}
 	w := &wire{ln: ln}
-	go func() {
-		for {
-			in, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", to)
-			if err != nil {
-				in.Close()
-				return
-			}
-			w.mu.Lock()
-			w.conns = append(w.conns, in, out)
-			w.mu.Unlock()
-			go io.Copy(in, out)
-			go io.Copy(out, in)
-		}
-	}()
+	go w.accept(to)
 	t.Cleanup(w.cut)
 	return w
 }
 
+func (w *wire) accept(to string) {
+	for {
+		in, err := w.ln.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", to)
+		if err != nil {
+			in.Close()
+			return
+		}
+		w.mu.Lock()
+		w.conns = append(w.conns, in, out)
+		w.mu.Unlock()
+		go io.Copy(out, in)
+		go w.carry(in, out)
+	}
+}
+
+// carry copies what the side sends.
+func (w *wire) carry(in io.Writer, out io.Reader) {
+	buf := make([]byte, 32<<10)
+	count := 0
+	for {
+		n, err := out.Read(buf)
+		if err != nil {
+			return
+		}
+		w.mu.Lock()
+		tr := w.trip
+		w.mu.Unlock()
+		if tr != nil {
+			if count += n; count > tr.bytes {
+				tr.once.Do(w.cut)
+			}
+		}
+		if _, err := in.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (w *wire) arm(tr *trip) {
+	w.mu.Lock()
+	w.trip = tr
+	w.mu.Unlock()
+}
+
 func (w *wire) cut() {
 	w.ln.Close()
 	w.mu.Lock()
@@ -167,17 +204,10 @@
 		t.Fatalf("%d events, the last %q", len(whole), whole[len(whole)-1])
 	}
 
-	resp := post(t, url, story, nil)
-	first := make([]byte, 64)
-	if _, err := io.ReadFull(resp.Body, first); err != nil {
-		t.Fatal(err)
-	}
-	if resp.Header.Get("X-Target") == "a" {
-		wireA.cut()
-	} else {
-		wireB.cut()
-	}
-	got := readEvents(t, io.MultiReader(bytes.NewReader(first), resp.Body))
+	tr := &trip{bytes: storyTokens / 2 * len(whole[0])}
+	wireA.arm(tr)
+	wireB.arm(tr)
+	got := readEvents(t, post(t, url, story, nil).Body)
 	if len(got) != len(whole) || textOf(t, got) != textOf(t, whole) {
 		t.Errorf("got %d events:\n%s\nwant %d:\n%s", len(got), textOf(t, got), len(whole), textOf(t, whole))
 	}
