Entry: stream request bodies; a refused body is read before the connection closes

TestBodyTooLargeIsTyped failed first with a reset connection in place of the 413: fasthttp closes on unread bytes.

--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -62,7 +62,7 @@
 }
 
 // classifyGenerate reads what is needed of a model request. Errors:
-// errs.BadRequest, errs.UnknownModel.
+// errs.BadRequest, errs.BodyTooLarge, errs.UnknownModel.
 func (e *Entry) classifyGenerate(ctx *fasthttp.RequestCtx, chat bool, c *classified) *errs.Error {
 	if !ctx.IsPost() {
 		return errs.New(errs.BadRequest, "allowed is POST")
@@ -72,8 +72,10 @@
 	if chat {
 		c.path = pathChat
 	}
-	// The frames that carry the body outlive this request's buffers.
-	c.body = ctx.Request.SwapBody(nil)
+	var err *errs.Error
+	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+		return err
+	}
 	g, err := parseGenerate(c.body, chat)
 	if err != nil {
 		return err
@@ -123,7 +125,8 @@
 	return served
 }
 
-// classifyService reads a call of a plain service. Error: errs.UnknownService.
+// classifyService reads a call of a plain service. Errors: errs.UnknownService,
+// errs.BodyTooLarge.
 func (e *Entry) classifyService(ctx *fasthttp.RequestCtx, c *classified) *errs.Error {
 	name, path := splitService(string(ctx.Request.Header.RequestURI()))
 	c.service = structs.ServiceID(name)
@@ -134,7 +137,10 @@
 	c.method = string(ctx.Method())
 	c.path = path
 	c.headers = serviceHeaders(&ctx.Request.Header)
-	c.body = ctx.Request.SwapBody(nil)
+	var err *errs.Error
+	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+		return err
+	}
 	c.nonIdempotent = isNonIdempotent(svc, configured, c.method)
 	c.timeout = e.set.DefaultTimeout
 	if svc.TimeoutMs > 0 {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -167,7 +167,12 @@
 
 func post(t *testing.T, url, body string, headers map[string]string) *http.Response {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	return postBody(t, url, strings.NewReader(body), headers)
+}
+
+func postBody(t *testing.T, url string, body io.Reader, headers map[string]string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, body)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -16,6 +16,8 @@
 const (
 	idleTimeout = 2 * time.Minute
 	readTimeout = time.Minute
+	// uploadTimeout is for callers, whose jobs may have hundreds of megabytes.
+	uploadTimeout = 15 * time.Minute
 	// stopGrace is how long a stopping entry still takes new requests: the platform's balancer
 	// needs a moment to see that it is not ready.
 	stopGrace = 2 * time.Second
@@ -64,6 +66,9 @@
 	e.callerServer = e.newServer(e.serve)
 	e.callerServer.MaxRequestBodySize = e.set.MaxBody
 	e.callerServer.WriteTimeout = maxTimeout
+	e.callerServer.ReadTimeout = uploadTimeout
+	// The files of large jobs must not sit in memory whole.
+	e.callerServer.StreamRequestBody = true
 	e.adminServer = e.newServer(e.serveAdmin)
 	e.adminServer.MaxRequestBodySize = e.set.MaxBody
 	e.statusServer = e.newServer(e.status)
@@ -92,11 +97,12 @@
 	e.parts.Admin(ctx)
 }
 
-// badHTTP answers what is no HTTP request, or one with too large a body.
+// badHTTP answers what is no HTTP request, or one with too large a body for
+// the administration.
 func (e *Entry) badHTTP(ctx *fasthttp.RequestCtx, err error) {
 	typed := errs.Newf(errs.BadRequest, "not an HTTP request: %v", err)
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		typed = errs.Newf(errs.BodyTooLarge, "the body is larger than %d bytes", e.set.MaxBody)
+		typed = tooLarge(e.set.MaxBody)
 	}
 	e.rec.failed("", typed)
 	WriteError(ctx, typed)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -56,6 +56,7 @@
 
 func (e *Entry) refuse(ctx *fasthttp.RequestCtx, a *accepted, err *errs.Error) {
 	e.rec.failed(a.id, err)
+	discardBody(ctx)
 	WriteError(ctx, err)
 }
 
--- a/internal/entry/socket_test.go
+++ b/internal/entry/socket_test.go
@@ -82,7 +82,11 @@
 // startEntry runs an entry on sockets until the test ends.
 func startEntry(t testing.TB, hosts platform.HostList) *Entry {
 	t.Helper()
-	set := testSettings()
+	return runEntry(t, testSettings(), hosts)
+}
+
+func runEntry(t testing.TB, set settings.Entry, hosts platform.HostList) *Entry {
+	t.Helper()
 	set.PeerKeys = peerKeys
 	set.HostListEvery = 20 * time.Millisecond
 	set.DrainTimeout = 100 * time.Millisecond
--- a/internal/entry/stream_failure_test.go
+++ b/internal/entry/stream_failure_test.go
@@ -56,6 +56,9 @@
 		if want := wantTokens(3); body != want {
 			t.Errorf("got\n%s\nwant\n%s", body, want)
 		}
+		if len(b.opens) != 1 {
+			t.Fatalf("the other target got %d requests, want 1", len(b.opens))
+		}
 		if o := b.opens[0]; o.ResumeFrom != 1 || o.PriorText != "t0 " || o.Attempt != 1 {
 			t.Errorf("resumed from %d after %q as attempt %d, want 1, \"t0 \", 1", o.ResumeFrom, o.PriorText, o.Attempt)
 		}
