--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 
-	"arbutusramp/core/confstate"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
@@ -53,7 +52,7 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
-	e, err := node.NewEntry(s, logger, reg, confstate.Static(confstate.Empty()))
+	e, err := node.NewEntry(s, logger, reg)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"arbutusramp/core/confstate"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/entry"
@@ -151,11 +150,7 @@
 	s.DrainTimeout = drainTimeout
 	s.CommitEvery = commitEvery
 	s.Shards = shards
-	state, err := confstate.Empty().Preview(firstIntents(), time.Now().UnixMilli())
-	if err != nil {
-		return err
-	}
-	p, err := node.NewEntry(s, c.logger.Named(string(s.Host.ID)), metrics.NewRegistry(), confstate.Static(state))
+	p, err := node.NewEntry(s, c.logger.Named(string(s.Host.ID)), metrics.NewRegistry())
 	if err != nil {
 		return err
 	}
--- a/internal/dev/configure.go
+++ b/internal/dev/configure.go
@@ -5,9 +5,12 @@
 	"net/http"
 	"time"
 
+	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/client"
+	"arbutusramp/internal/settings"
 	"github.com/pkg/errors"
 )
 
@@ -18,6 +21,9 @@
 
 // Configure declares what the system serves and waits until every entry serves it.
 func (c *Cluster) Configure(ctx context.Context) error {
+	if err := c.declare(ctx); err != nil {
+		return err
+	}
 	for _, e := range c.Entries {
 		if err := awaitServing(ctx, client.New("http://"+e.CallerAddr(), WorkspaceKey)); err != nil {
 			return err
@@ -26,6 +32,18 @@
 	return nil
 }
 
+// declare appends the first intents as a confirm.
+func (c *Cluster) declare(ctx context.Context) error {
+	record, err := confstate.EncodeConfirm(&structs.Confirm{
+		Plan: "dev", Operator: settings.DevOperator, AtMs: time.Now().UnixMilli(), Intents: firstIntents(),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = loghttp.New(c.standins.log.URL()).Append(ctx, structs.ConfigStream, record)
+	return err
+}
+
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Data []struct {
--- a/internal/lab/overhead/embedded.go
+++ b/internal/lab/overhead/embedded.go
@@ -8,6 +8,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
 	"arbutusramp/standin/hostlist"
@@ -75,6 +76,9 @@
 // startEmbedded runs one side and one entry in g and returns the callers' address.
 func startEmbedded(ctx context.Context, g *errgroup.Group, log *logsvc.Server, hosts *hostlist.Server, svc *service.Server) (string, error) {
 	logger := hclog.NewNullLogger()
+	if err := declare(ctx, log.URL()); err != nil {
+		return "", err
+	}
 	ss := settings.DefaultSide()
 	ss.Host.ID = embeddedSide
 	ss.Target = structs.TargetInfo{ID: "echo-1", Kind: structs.KindService, Service: embeddedService}
@@ -90,7 +94,7 @@
 	es := settings.DefaultEntry()
 	es.Platform = settings.Platform{LogURL: log.URL(), HostListURL: hosts.URL()}
 	es.DrainTimeout = embeddedDrain
-	e, err := node.NewEntry(es, logger, metrics.NewRegistry(), confstate.Static(embeddedState()))
+	e, err := node.NewEntry(es, logger, metrics.NewRegistry())
 	if err != nil {
 		return "", err
 	}
@@ -98,18 +102,24 @@
 	return e.CallerAddr(), nil
 }
 
-// embeddedState has what the measurement needs: a workspace without limits, the service
-// and its target.
-func embeddedState() *confstate.State {
-	s, err := confstate.Empty().Preview([]structs.Intent{
-		{Workspace: &structs.WorkspaceIntent{ID: "overhead", KeyHashes: []string{settings.KeySum(embeddedKey)}}},
-		{Service: &structs.ServiceIntent{ID: embeddedService}},
-		{Target: &structs.TargetIntent{ID: "echo-1", Kind: structs.KindService, Host: embeddedSide, Service: embeddedService}},
-	}, time.Now().UnixMilli())
+// declare puts what the measurement needs into the configuration: a workspace without
+// limits, the service and its target.
+func declare(ctx context.Context, logURL string) error {
+	record, err := confstate.EncodeConfirm(&structs.Confirm{
+		Plan:     "overhead",
+		Operator: "lab",
+		AtMs:     time.Now().UnixMilli(),
+		Intents: []structs.Intent{
+			{Workspace: &structs.WorkspaceIntent{ID: "overhead", KeyHashes: []string{settings.KeySum(embeddedKey)}}},
+			{Service: &structs.ServiceIntent{ID: embeddedService}},
+			{Target: &structs.TargetIntent{ID: "echo-1", Kind: structs.KindService, Host: embeddedSide, Service: embeddedService}},
+		},
+	})
 	if err != nil {
-		panic(err) // the intents above are constants
+		return err
 	}
-	return s
+	_, err = loghttp.New(logURL).Append(ctx, structs.ConfigStream, record)
+	return err
 }
 
 // awaitReady waits until a call gets through.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
-	"arbutusramp/core/confstate"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/weightshttp"
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/entry"
+	"arbutusramp/internal/follow"
 	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -17,9 +17,16 @@
 )
 
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
-func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry, config confstate.Source) (*entry.Entry, error) {
+func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
 	log := loghttp.New(s.Platform.LogURL)
 	hosts := &members{HostList: hosthttp.New(s.Platform.HostListURL)}
+	config := follow.New(follow.Options{
+		Self:    s,
+		Log:     log,
+		Members: hosts.known,
+		Logger:  logger,
+		Metrics: reg,
+	})
 	e, err := entry.New(entry.Options{
 		Settings: s,
 		Logger:   logger,
@@ -43,11 +50,17 @@
 	})
 	owner := newStage(jobs.Run)
 	e.Join(entry.Parts{
-		Batch: jobs,
-		Jobs:  serveJobs(jobs),
-		Peers: servePeers([]peerRoute{{batch.PeerPath, jobs.PeerHandler}}, logger),
-		Run:   []func(context.Context) error{owner.run},
-		Drain: []func(context.Context){owner.drain},
+		Batch:  jobs,
+		Jobs:   serveJobs(jobs),
+		Config: config,
+		Peers: servePeers([]peerRoute{
+			{batch.PeerPath, jobs.PeerHandler},
+			{follow.PeerPath, config.PeerHandler},
+		}, logger),
+		Ready:       []func() bool{isClosed(config.Ready())},
+		ConfigFresh: config.Fresh,
+		Run:         []func(context.Context) error{config.Run, owner.run},
+		Drain:       []func(context.Context){owner.drain},
 	})
 	return e, nil
 }
@@ -71,3 +84,15 @@
 		jobs.CallerHandler(ctx, caller.Workspace)
 	}
 }
+
+// isClosed returns whether c has been closed.
+func isClosed(c <-chan struct{}) func() bool {
+	return func() bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/enginehttp"
 	"arbutusramp/internal/adapter/servicehttp"
+	"arbutusramp/internal/follow"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/side"
 	"github.com/hashicorp/go-hclog"
@@ -15,7 +16,7 @@
 
 // NewSide returns a side that listens and does not run yet. Errors: errs.BadSettings.
 func NewSide(s settings.Side, logger hclog.Logger, reg metrics.Registry) (*side.Side, error) {
-	o := side.Options{Settings: s, Logger: logger, Metrics: reg}
+	o := side.Options{Settings: s, Logger: logger, Metrics: reg, Config: &follow.SideFold{}}
 	switch s.Target.Kind {
 	case structs.KindEngine:
 		o.Engine = newEngine(s)
