--- a/internal/command/lab_overhead.go
+++ b/internal/command/lab_overhead.go
@@ -78,7 +78,8 @@
 	}
 	t := r.Rate
 	fmt.Printf("rate over %d connections for %.1f s\n", t.Connections, t.Seconds)
-	fmt.Printf("  %.0f calls/s, p50 %.0f us, p99 %.0f us\n", t.CallsPerS, t.Latency.P50, t.Latency.P99)
+	fmt.Printf("  %.0f calls/s, p50 %.0f us, p99 %.0f us, %d refused and sent again\n",
+		t.CallsPerS, t.Latency.P50, t.Latency.P99, t.Refused)
 	fmt.Printf("  cores used: entry %.2f, side %.2f, load %.2f\n", t.EntryCores, t.SideCores, t.LoadCores)
 	fmt.Printf("  %.0f calls/s per core of the entry\n", t.CallsPerEntryCore)
 }
--- a/internal/lab/overhead/overhead.go
+++ b/internal/lab/overhead/overhead.go
@@ -80,11 +80,15 @@
 	return p
 }
 
-// call sends the call and checks its answer.
+// call sends the call and checks its answer. Errors: errs.Overloaded for a refusal without a
+// run, errs.TargetFailed, errs.TargetRefused.
 func (p *probe) call() error {
 	if err := p.client.Do(p.req, p.resp); err != nil {
 		return errs.Newf(errs.TargetFailed, "%s: %v", p.req.URI(), err)
 	}
+	if p.resp.StatusCode() == fasthttp.StatusServiceUnavailable {
+		return errs.Newf(errs.Overloaded, "%s: %.200s", p.req.URI(), p.resp.Body())
+	}
 	if code := p.resp.StatusCode(); code != fasthttp.StatusOK {
 		return errs.Newf(errs.TargetRefused, "%s: status %d: %.200s", p.req.URI(), code, p.resp.Body())
 	}
