--- a/core/jobs/sched.go
+++ b/core/jobs/sched.go
@@ -53,7 +53,7 @@
 	// Reported says that the outcome is on its way to the log.
 	Reported bool
 	// Unsent says that the item was picked and did not go out yet.
-	Unsent bool
+	Unsent   bool
 	CustomID string // known once the item was sent
 }
 
--- a/core/shardmap/shardmap_test.go
+++ b/core/shardmap/shardmap_test.go
@@ -112,3 +112,29 @@
 		t.Fatalf("owner restarted: %v, want Claim", got)
 	}
 }
+
+// Symptom: a shard stays without owner for ever though all hosts are up. Sequence: an
+// entry claims, gives up waiting for the lost answer, the claim lands late: the stream names an
+// owner that does not know of it. Cause: a holder that answers probes is only ever
+// asked to hand over what it does not have.
+func TestOwnerThatDoesNotKnowIsReplaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPeers(2 * time.Second)
+	o := Owner{Epoch: 5, Writer: structs.Writer{Host: "h", Incarnation: 7}}
+	me := structs.Writer{Host: "me", Incarnation: 1}
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * time.Second)
+		p.Answered(at, "h", 7, map[structs.Shard]structs.Epoch{2: 9})
+		want := AskHandover
+		if i == 2 {
+			want = Claim
+		}
+		if got := Decide(at, me, 1, o, p); got != want {
+			t.Errorf("after %d s: %v, want %v", i, got, want)
+		}
+	}
+	p.Answered(now.Add(3*time.Second), "h", 7, map[structs.Shard]structs.Epoch{1: 5})
+	if got := Decide(now.Add(3*time.Second), me, 1, o, p); got != AskHandover {
+		t.Errorf("it holds the shard: %v, want AskHandover", got)
+	}
+}
--- a/core/shardmap/takeover.go
+++ b/core/shardmap/takeover.go
@@ -34,6 +34,9 @@
 	holds       map[structs.Shard]structs.Epoch
 	lastOK      time.Time
 	failingFrom time.Time // zero while it answers
+	// lacking says since when it answers without holding a shard that the
+	// shard's stream gives to it.
+	lacking map[structs.Shard]time.Time
 }
 
 // NewPeers returns an empty Peers.
@@ -43,7 +46,14 @@
 
 // Answered notes that host answered a probe at now and holds these shards.
 func (p *Peers) Answered(now time.Time, host structs.HostID, incarnation int64, holds map[structs.Shard]structs.Epoch) {
-	p.seen[host] = &peer{incarnation: incarnation, holds: holds, lastOK: now}
+	h := &peer{incarnation: incarnation, holds: holds, lastOK: now}
+	if old := p.seen[host]; old != nil && old.incarnation == incarnation {
+		h.lacking = old.lacking
+	}
+	if h.lacking == nil {
+		h.lacking = make(map[structs.Shard]time.Time)
+	}
+	p.seen[host] = h
 }
 
 // Failed notes that a probe of host failed at now.
@@ -127,7 +137,25 @@
 	if h.incarnation != o.Writer.Incarnation {
 		return Claim
 	}
-	// It answers but does not hold the shard: it has given up, or has not read its claim yet.
-	// Asking it settles which.
+	if h.lacks(now, shard, o.Epoch) >= p.Lease {
+		return Claim
+	}
 	return AskHandover
 }
+
+// lacks returns for how long the peer has answered without holding shard under
+// epoch. It is for a moment at each claim, until the peer has read it; it is for
+// good when a claim landed after its writer had given up on it, and the shard would
+// stay without owner.
+func (h *peer) lacks(now time.Time, shard structs.Shard, epoch structs.Epoch) time.Duration {
+	if h.holds[shard] == epoch {
+		delete(h.lacking, shard)
+		return 0
+	}
+	since, ok := h.lacking[shard]
+	if !ok {
+		h.lacking[shard] = now
+		return 0
+	}
+	return now.Sub(since)
+}
--- a/internal/batch/scenario_test.go
+++ b/internal/batch/scenario_test.go
@@ -48,15 +48,6 @@
 	return nil
 }
 
-func (c *cluster) other(n *node) *node {
-	for _, o := range c.allNodes() {
-		if o != n {
-			return o
-		}
-	}
-	return nil
-}
-
 // awaitOwner waits until another node than old owns the shard of job, and says how long that took.
 func (c *cluster) awaitOwner(job structs.JobID, old *node) time.Duration {
 	begun := time.Now()
