--- a/core/jobs/outcome.go
+++ b/core/jobs/outcome.go
@@ -15,7 +15,7 @@
 	Again
 	// Charge: the failed attempt is counted and the item is handed out again.
 	Charge
-	// Crash: the target died under several items; this one is suspected.
+	// Crash: the target died or hung under several items; this one is suspected.
 	Crash
 	// Reopen: an item that runs at most once did not run and may be started anew.
 	Reopen
@@ -42,10 +42,10 @@
 	if final(done.Err) {
 		return Judgement{Verdict: Finish, Err: done.Err}
 	}
-	// The target died under this item and others. To charge all would end
+	// The target died or hung under this item and others. To charge all would end
 	// innocent items after a few crashes of one bad neighbour; to charge none would crash
 	// targets for ever.
-	if targetDied(done.Err) && len(done.Neighbours) > 0 {
+	if len(done.Neighbours) > 0 {
 		return Judgement{Verdict: Crash}
 	}
 	if t.Charges+t.Crashes+1 >= budget {
@@ -90,10 +90,6 @@
 	return false
 }
 
-func targetDied(e *errs.Error) bool {
-	return e.Type == errs.TargetFailed || e.Type == errs.StreamBroken
-}
-
 func spent(last *errs.Error, budget int) *errs.Error {
 	return errs.Newf(errs.AttemptsSpent, "%d attempts failed, the last with %s: %s",
 		budget, last.Type, last.Detail)
--- a/core/jobs/sched.go
+++ b/core/jobs/sched.go
@@ -17,6 +17,9 @@
 	// retryBase is the wait before a charged item is handed out again; it doubles.
 	retryBase = 500 * time.Millisecond
 	retryMax  = 30 * time.Second
+	// returnWait is the wait of an item that came back uncharged. Without it an
+	// item that every side gives back at once goes round as fast as messages do.
+	returnWait = 100 * time.Millisecond
 )
 
 // Query is what one side asks for.
--- a/core/jobs/sched_queue.go
+++ b/core/jobs/sched_queue.go
@@ -151,7 +151,7 @@
 	if q == nil || !q.job.Open(key.Index) {
 		return
 	}
-	r := returned{index: key.Index}
+	r := returned{index: key.Index, notBefore: now.Add(returnWait)}
 	if l != nil {
 		r.attempt = l.Attempt + 1
 	}
--- a/core/jobs/sched_test.go
+++ b/core/jobs/sched_test.go
@@ -97,8 +97,12 @@
 	s := NewState(nil, Broken{})
 	addJob(s, "a", "w", 3, 0)
 	sc := NewSched(s, start, 0)
-	if n := len(sc.Take(start, query("x", 10))); n != 3 {
-		t.Fatalf("%d picks", n)
+	first := sc.Take(start, query("x", 10))
+	if len(first) != 3 {
+		t.Fatalf("%d picks", len(first))
+	}
+	for _, p := range first {
+		sc.Sent(p.Key, start.Add(time.Minute), "")
 	}
 	if n := len(sc.Take(start, query("y", 10))); n != 0 {
 		t.Fatalf("%d items handed out twice", n)
@@ -108,7 +112,10 @@
 	for _, key := range sc.Expired(later) {
 		sc.Return(later, key, 0)
 	}
-	picks := sc.Take(later, query("y", 10))
+	if n := len(sc.Take(later, query("y", 10))); n != 0 {
+		t.Fatalf("%d items handed out again without a wait", n)
+	}
+	picks := sc.Take(later.Add(returnWait), query("y", 10))
 	if len(picks) != 3 || picks[0].Attempt != 1 {
 		t.Fatalf("picks %v", picks)
 	}
@@ -146,6 +153,7 @@
 			s.applyCharge(&structs.ItemCharge{Job: "a", Index: p.Index, Crash: true})
 			sc.Return(now, p.Key, 0)
 		}
+		now = now.Add(time.Second)
 	}
 	crash(killed)
 	second := sc.Take(now, query("x", 8))
@@ -195,6 +203,7 @@
 		{"timeout", failed(errs.New(errs.TargetTimeout, ""), 0), false, Trouble{}, Charge, ""},
 		{"last timeout", failed(errs.New(errs.TargetTimeout, ""), 0), false, Trouble{Charges: 2}, Finish, errs.AttemptsSpent},
 		{"died with others", failed(died, 3), false, Trouble{Crashes: 5}, Crash, ""},
+		{"hung with others", failed(errs.New(errs.TargetTimeout, ""), 3), false, Trouble{Charges: 2}, Crash, ""},
 		{"died alone", failed(died, 0), false, Trouble{Crashes: 2}, Finish, errs.AttemptsSpent},
 		{"once, not run", failed(died.WithRan(errs.RanNo), 0), true, Trouble{}, Reopen, ""},
 		{"once, unknown", failed(died, 0), true, Trouble{}, Finish, errs.ItemUnknown},
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -36,6 +36,7 @@
 	held atomic.Int64 // bytes of outcomes that are not in the log yet
 	// seenResults and seenBytes give the mean size of a result.
 	seenResults, seenBytes atomic.Int64
+	forwards               atomic.Int64 // outcomes on their way to other entries
 	leaving                atomic.Bool
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -23,9 +23,21 @@
 	if s := m.shard(d.Ref.Shard); s != nil && s.itemDone(d, ack) {
 		return
 	}
-	go m.forward(side, d, ack)
+	// A side without a session to the owner tells every entry. What is over the
+	// bound is dropped: the side sends it again.
+	if m.forwards.Add(1) > maxForwards {
+		m.forwards.Add(-1)
+		return
+	}
+	go func() {
+		defer m.forwards.Add(-1)
+		m.forward(side, d, ack)
+	}()
 }
 
+// maxForwards is how many outcomes are on their way to other entries at most.
+const maxForwards = 1024
+
 func (m *Manager) forward(side structs.HostID, d *structs.ItemDone, ack func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
