--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -43,6 +43,27 @@
 	return parents
 }
 
+// maxBackups bounds Backups.
+const maxBackups = 4
+
+// Backups returns entries to follow when neither the parents nor the log can be
+// reached: the roots of the own failure domain, then one of other domains each.
+func Backups(self platform.Host, hosts []platform.Host) []platform.Host {
+	own := entriesOf(self, hosts)
+	out := slices.Clone(own[:min(Roots, len(own))])
+	others := Peers(self.ID, hosts)
+	rankBy(others, string(self.ID))
+	seen := map[structs.FailureDomain]bool{self.Domain: true}
+	for _, h := range others {
+		if !seen[h.Domain] {
+			seen[h.Domain] = true
+			out = append(out, h)
+		}
+	}
+	out = slices.DeleteFunc(out, func(h platform.Host) bool { return h.ID == self.ID })
+	return out[:min(maxBackups, len(out))]
+}
+
 // entriesOf returns the live entries in self's failure domain with self, by rank.
 func entriesOf(self platform.Host, hosts []platform.Host) []platform.Host {
 	domain := []platform.Host{self}
