--- a/internal/follow/cluster_test.go
+++ b/internal/follow/cluster_test.go
@@ -228,7 +228,7 @@
 	for _, h := range c.members() {
 		<-c.follower(h.ID).Ready()
 	}
-	time.Sleep(2 * PollWait) // virtual time: every follower is waiting at its parent
+	time.Sleep(suspectFor + 2*PollWait) // virtual time: every follower waits at its parent
 }
 
 // bubble runs a test with a cluster in virtual time.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -73,6 +73,9 @@
 		c.setLogCut(cut, true)
 		took := c.inForce(c.change(), inForceWithin)
 		t.Logf("in force after %v", took)
+		if took > PollWait+pollGrace {
+			t.Errorf("its followers did not turn away as soon as it knew")
+		}
 	})
 }
 
@@ -137,6 +140,66 @@
 	})
 }
 
+// Symptom: a part of the system runs on an old configuration for as long as the log is down.
+// Sequence: a change reaches one entry that nobody follows; the log goes down.
+// Cause: entries ask none but their parents.
+func TestVersionSpreadsFromOneHolderWhileTheLogIsDown(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.startMany(2, 12)
+		c.allReady()
+		holder := c.notFollowed()
+		for _, h := range c.members() {
+			c.setSilent(h.ID, true)
+			c.setLogCut(h.ID, h.ID != holder)
+		}
+		time.Sleep(inForceWithin)
+		v := c.change()
+		if _, err := c.follower(holder).WaitFor(t.Context(), v); err != nil {
+			t.Fatal(err)
+		}
+		c.log.SetFaults(logmem.Faults{Down: true})
+		for _, h := range c.members() {
+			c.setSilent(h.ID, false)
+		}
+		c.inForce(v, time.Minute)
+	})
+}
+
+// notFollowed returns an entry that is nobody's parent or backup.
+func (c *cluster) notFollowed() structs.HostID {
+	followed := map[structs.HostID]bool{}
+	for _, h := range c.members() {
+		for _, p := range append(relay.Parents(h, c.members()), relay.Backups(h, c.members())...) {
+			followed[p.ID] = true
+		}
+	}
+	for _, h := range c.members() {
+		if !followed[h.ID] {
+			return h.ID
+		}
+	}
+	c.t.Fatal("everybody is followed by somebody")
+	return ""
+}
+
+// Symptom: entries that are cut off together count as up to date.
+// Sequence: they lose the log; each hears from the others what it told them before.
+// Cause: an answer of any age ends staleness.
+func TestOldNewsLeavesAStaleProcessStale(t *testing.T) {
+	f := New(Options{})
+	at := time.Now()
+	f.heard(at)
+	f.lost()
+	f.heard(at)
+	if !f.stale {
+		t.Error("no longer stale by what it knew before")
+	}
+	f.heard(at.Add(time.Millisecond))
+	if f.stale {
+		t.Error("still stale after news")
+	}
+}
+
 // Symptom: the whole system falls back to an old configuration.
 // Sequence: the log is down; every host is replaced, one after the other.
 // Cause: nothing but the processes holds the newest version meanwhile.
@@ -168,13 +231,20 @@
 // Cause: no snapshot is written in time, or it is not read.
 func TestSnapshotBridgesTheRetention(t *testing.T) {
 	bubble(t, func(t *testing.T, c *cluster) {
+		began := time.Now()
 		c.log.SetFaults(logmem.Faults{Retention: time.Hour, LoseAnswer: 0.3})
 		c.startMany(1, 3)
 		c.allReady()
 		for range 5 {
 			c.change2()
 		}
-		time.Sleep(5 * time.Hour) // far beyond the retention, without any change
+		time.Sleep(2 * snapshotCheck)
+		for range 300 { // far beyond the retention, without any change
+			time.Sleep(time.Minute)
+			if s, err := c.follower("e00").newestSnapshot(t.Context()); err != nil || s == nil {
+				t.Fatalf("no snapshot in the log after %v: %v", time.Since(began), err)
+			}
+		}
 		for _, h := range c.members() {
 			c.kill(h.ID)
 		}
--- a/internal/follow/sides_test.go
+++ b/internal/follow/sides_test.go
@@ -125,6 +125,25 @@
 	}
 }
 
+// Symptom: a side goes back to an old configuration.
+// Sequence: an entry that is behind answers its question with a snapshot.
+func TestSideDoesNotTakeAnOlderSnapshot(t *testing.T) {
+	snapshot := func(v structs.Version) *structs.ConfigMsg {
+		b, err := (&confstate.State{Version: v}).Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &structs.ConfigMsg{To: v, Snapshot: b}
+	}
+	var s SideFold
+	if _, err := s.Apply(snapshot(7)); err != nil {
+		t.Fatal(err)
+	}
+	if state, err := s.Apply(snapshot(5)); err != nil || state.Version != 7 {
+		t.Errorf("version %d, error %v", state.Version, err)
+	}
+}
+
 // A side that is far behind gets a snapshot.
 func TestSideFarBehindGetsASnapshot(t *testing.T) {
 	bubble(t, func(t *testing.T, c *cluster) {
