--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/telemetry"
 )
 
 const (
@@ -66,7 +67,7 @@
 	e.callerServer.WriteTimeout = maxTimeout
 	e.adminServer = e.newServer(e.serveAdmin)
 	e.adminServer.MaxRequestBodySize = e.set.MaxBody
-	e.statusServer = e.newServer(e.status)
+	e.statusServer = e.newServer(telemetry.Handler(e.metrics, e.notReady))
 }
 
 func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"arbutusramp/internal/telemetry"
 )
 
 // meters are the side's counters; the names are in docs/OPERATING.md.
@@ -42,7 +44,7 @@
 	gauge("limit", func() int64 { return int64(s.queue.load().Limit) })
 	gauge("sessions", func() int64 { return int64(len(s.peers.all())) })
 	gauge("config_version", func() int64 { return int64(s.config.version()) })
-	server := &fasthttp.Server{Handler: s.status, NoDefaultServerHeader: true}
+	server := &fasthttp.Server{Handler: telemetry.Handler(s.metrics.registry, s.notReady), NoDefaultServerHeader: true}
 	go func() {
 		if err := server.Serve(s.statusLn); err != nil {
 			s.log.Warn("status listener failed", "error", err)
@@ -51,24 +53,13 @@
 	return server
 }
 
-func (s *Side) status(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.Path()) {
-	case "/healthz":
-		ctx.SetBodyString("ok\n")
-	case "/readyz":
-		s.ready(ctx)
-	case "/metrics":
-		ctx.SetContentType("application/json")
-		metrics.WriteJSONOnce(s.metrics.registry, ctx)
-	default:
-		ctx.Error("not found", fasthttp.StatusNotFound)
+// notReady returns why the side should get no sessions, or "".
+func (s *Side) notReady() string {
+	if s.draining.Load() {
+		return "draining"
 	}
-}
-
-func (s *Side) ready(ctx *fasthttp.RequestCtx) {
-	if !s.serving.Load() || s.draining.Load() {
-		ctx.Error("draining or not serving", fasthttp.StatusServiceUnavailable)
-		return
+	if !s.serving.Load() {
+		return "not serving yet"
 	}
-	ctx.SetBodyString("ready\n")
+	return ""
 }
--- a/internal/telemetry/status.go
+++ b/internal/telemetry/status.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 
-	"arbutusramp/core/errs"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 )
@@ -17,15 +16,15 @@
 	MetricsPath = "/metrics"
 )
 
-// Handler serves the status listener. /healthz answers 200 while the process runs,
-// /readyz 200 or 503 with ready's error, /metrics the registry as JSON.
-func Handler(reg metrics.Registry, ready func() error) fasthttp.RequestHandler {
+// Handler serves the status listener. /healthz answers 200 while the process runs, /readyz 200
+// or 503 with the reason that notReady gives ("" when ready), /metrics the registry as JSON.
+func Handler(reg metrics.Registry, notReady func() string) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case HealthPath:
 			ctx.SetBodyString("ok\n")
 		case ReadyPath:
-			serveReady(ctx, ready())
+			serveReady(ctx, notReady())
 		case MetricsPath:
 			serveMetrics(ctx, reg)
 		default:
@@ -34,23 +33,17 @@
 	}
 }
 
-func serveReady(ctx *fasthttp.RequestCtx, err error) {
-	if err == nil {
+func serveReady(ctx *fasthttp.RequestCtx, why string) {
+	if why == "" {
 		ctx.SetBodyString("ready\n")
 		return
 	}
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	writeJSON(ctx, struct {
-		Error *errs.Error `json:"error"`
-	}{errs.As(err)})
+	ctx.SetBodyString(why + "\n")
 }
 
 func serveMetrics(ctx *fasthttp.RequestCtx, reg metrics.Registry) {
-	writeJSON(ctx, reg.GetAll())
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
+	body, err := json.Marshal(reg.GetAll())
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
