--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -227,7 +227,10 @@
 			synctest.Wait()
 		}()
 		b.opened(b.entry)
-		time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		if kind == structs.KindService {
+			time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		}
+		time.Sleep(time.Second)
 		f(t, b)
 	})
 }
--- a/internal/side/queue.go
+++ b/internal/side/queue.go
@@ -45,13 +45,19 @@
 
 	mu    sync.Mutex
 	m     admitter
-	tasks map[admit.ID]task
+	tasks map[admit.ID]known
 	timer *time.Timer
 	due   time.Time // when timer fires, zero if it is not set
 }
 
+// known is a task that the policy knows of.
+type known struct {
+	task    task
+	started bool // the policy has started it: it is at the target, or about to be
+}
+
 func newQueue(m admitter, changed func()) *queue {
-	return &queue{m: m, changed: changed, tasks: make(map[admit.ID]task)}
+	return &queue{m: m, changed: changed, tasks: make(map[admit.ID]known)}
 }
 
 // order is one action with the task that it is about.
@@ -79,14 +85,17 @@
 	}
 	orders := make([]order, 0, len(actions))
 	for _, a := range actions {
-		t, ok := q.tasks[a.ID]
+		k, ok := q.tasks[a.ID]
 		if !ok {
 			continue
 		}
-		if a.Kind == admit.Refuse {
+		switch a.Kind {
+		case admit.Refuse:
 			delete(q.tasks, a.ID)
+		case admit.Start:
+			q.tasks[a.ID] = known{k.task, true}
 		}
-		orders = append(orders, order{a.Kind, t, a.Err})
+		orders = append(orders, order{a.Kind, k.task, a.Err})
 	}
 	return orders
 }
@@ -131,7 +140,7 @@
 
 func (q *queue) arrive(r admit.Request, t task) {
 	q.apply(func(now time.Time) []admit.Action {
-		q.tasks[r.ID] = t
+		q.tasks[r.ID] = known{task: t}
 		return q.m.Arrive(now, r)
 	})
 }
@@ -164,20 +173,15 @@
 // then surely not run and won't be.
 func (q *queue) withdraw(id admit.ID) (dropped bool) {
 	q.apply(func(now time.Time) []admit.Action {
-		if _, ok := q.tasks[id]; !ok {
+		k, ok := q.tasks[id]
+		if !ok {
 			return nil
 		}
-		actions := q.m.Withdraw(now, id)
-		dropped = true
-		for _, a := range actions {
-			if a.ID == id && a.Kind == admit.Preempt {
-				dropped = false
-			}
-		}
-		if dropped {
+		if !k.started {
+			dropped = true
 			delete(q.tasks, id)
 		}
-		return actions
+		return q.m.Withdraw(now, id)
 	})
 	return dropped
 }
