--- a/internal/side/config.go
+++ b/internal/side/config.go
@@ -3,10 +3,12 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"arbutusramp/core/confstate"
+	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
 )
 
@@ -26,8 +28,11 @@
 	log   hclog.Logger
 	apply func(*confstate.State) // carries out a new state
 
-	mu  sync.Mutex // one fold at a time
-	now atomic.Pointer[confstate.State]
+	mu      sync.Mutex      // one fold at a time
+	wanted  structs.Version // the highest that any entry has announced
+	asked   structs.Version // the one wanted when it was asked for last
+	askedAt time.Time
+	now     atomic.Pointer[confstate.State]
 }
 
 func (c *configuration) state() *confstate.State { return c.now.Load() }
@@ -39,6 +44,28 @@
 	return 0
 }
 
+// askAgain is when a question for configuration counts as lost.
+const askAgain = time.Second
+
+// miss notes that m does not follow, and asks p for what is missing. All entries
+// announce a new version at once; one of them is asked, again only if it does not answer.
+func (c *configuration) miss(p *peer, to structs.Version, now time.Time) {
+	c.wanted = max(c.wanted, to)
+	if c.wanted > c.asked || now.Sub(c.askedAt) >= askAgain {
+		c.asked, c.askedAt = c.wanted, now
+		c.ask(p)
+	}
+}
+
+// catchUp asks p again if an announced version is still missing.
+func (c *configuration) catchUp(p *peer, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wanted > c.version() {
+		c.miss(p, c.wanted, now)
+	}
+}
+
 // ask asks p for what comes after the version that the side has.
 func (c *configuration) ask(p *peer) {
 	if c.port == nil {
@@ -56,7 +83,10 @@
 	state, err := c.port.Apply(m)
 	if err != nil {
 		c.log.Info("configuration message does not follow", "entry", p.host, "have", c.version(), "error", err)
-		c.ask(p)
+		// One that can't be read would come again and again.
+		if !errs.Is(err, errs.BadFrame) {
+			c.miss(p, m.To, time.Now())
+		}
 		return
 	}
 	if state == nil {
--- a/internal/side/key_test.go
+++ b/internal/side/key_test.go
@@ -151,10 +151,40 @@
 		if v := b.config.version(); v != 9 {
 			t.Fatalf("version %d", v)
 		}
-		b.configure(port, nil, errs.New(errs.LogTrimmed, "a gap"))
-		asks := b.entry.frames(func(f *structs.Frame) bool { return f.Config != nil && f.Config.Ask })
-		if len(asks) != 1 || asks[0].Config.From != 9 {
-			t.Fatalf("asks %+v", asks)
+	})
+}
+
+// Symptom: a side stays at an old version, or asks every entry for the same records. All
+// entries announce a version that it lacks; it asks one, and another one later if no answer comes.
+func TestMissingConfigurationIsAskedForOnceAtATime(t *testing.T) {
+	bubble(t, structs.KindService, func(t *testing.T, b *bench) {
+		port := &fixedConfig{}
+		b.configure(port, &confstate.State{Version: 9}, nil)
+		port.state, port.err = nil, errs.New(errs.LogTrimmed, "a gap")
+		asks := func() []structs.Frame {
+			return b.entry.frames(func(f *structs.Frame) bool { return f.Config != nil && f.Config.Ask })
+		}
+		for range 3 {
+			b.send(structs.Frame{Config: &structs.ConfigMsg{To: 12}})
+		}
+		if a := asks(); len(a) != 1 || a[0].Config.From != 9 {
+			t.Fatalf("asks %+v", a)
+		}
+		time.Sleep(3 * askAgain)
+		if a := asks(); len(a) < 3 {
+			t.Fatalf("asked %d times without an answer", len(a))
+		}
+		port.state, port.err = &confstate.State{Version: 12}, nil
+		b.send(structs.Frame{Config: &structs.ConfigMsg{From: 9, To: 12}})
+		before := len(asks())
+		time.Sleep(5 * askAgain)
+		if n := len(asks()); n != before || b.config.version() != 12 {
+			t.Fatalf("asked %d times more; version %d", n-before, b.config.version())
+		}
+		port.state, port.err = nil, errs.New(errs.BadFrame, "unreadable")
+		b.send(structs.Frame{Config: &structs.ConfigMsg{To: 13}})
+		if n := len(asks()); n != before {
+			t.Fatal("asked for what can't be read")
 		}
 	})
 }
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -110,6 +110,9 @@
 func (s *Side) watchTarget(ctx context.Context) error {
 	for {
 		s.look(ctx)
+		if ps := s.peers.all(); len(ps) > 0 {
+			s.config.catchUp(ps[0], time.Now()) // any of them: map order
+		}
 		if pause(ctx, watchEvery) != nil {
 			return nil
 		}
