Side: an engine that nothing listens for counts as unhealthy before a request meets it

A failed probe no longer raises the penalty: a target that was down for a minute was taken back up to 30 s late. Random sequences now stop the side in every second run.

--- a/internal/side/health.go
+++ b/internal/side/health.go
@@ -41,11 +41,20 @@
 }
 
 // probed notes a probe's outcome; a target without probes counts as passed, so that
-// the next request tells.
+// the next request tells. A failed probe harms nobody and does not raise the penalty: a
+// target that was down for long is taken back soon after it is up.
 func (h *health) probed(now time.Time, ok bool) {
 	if !ok {
-		h.failed(now)
+		h.until = now.Add(minPenalty)
 		return
 	}
 	h.bad = false
 }
+
+// unreachable notes that a report could not be had because nothing listens.
+func (h *health) unreachable(now time.Time) {
+	if !h.bad {
+		h.bad = true
+		h.until = now.Add(minPenalty)
+	}
+}
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/reconcile"
 	"arbutusramp/core/structs"
@@ -147,6 +148,7 @@
 		if s.log.IsDebug() {
 			s.log.Debug("engine gives no report", "target", s.target.ID, "error", err)
 		}
+		s.noReport(errs.As(err))
 		return false
 	}
 	s.report.Store(newReport(&l))
@@ -154,6 +156,21 @@
 	return true
 }
 
+// noReport counts an engine that nothing listens for as unhealthy, before a request meets it.
+func (s *Side) noReport(err *errs.Error) {
+	if err.Type != errs.TargetFailed || err.Ran != errs.RanNo {
+		return
+	}
+	s.healthMu.Lock()
+	was := s.health.bad
+	s.health.unreachable(time.Now())
+	s.healthMu.Unlock()
+	if !was {
+		s.log.Warn("target counts as unhealthy", "target", s.target.ID, "why", err.Detail)
+		s.signal()
+	}
+}
+
 func (s *Side) models() []structs.ModelID {
 	if r := s.report.Load(); r != nil {
 		return r.models
--- a/internal/side/random_test.go
+++ b/internal/side/random_test.go
@@ -87,6 +87,7 @@
 	next    int
 	items   map[structs.ItemRef]bool
 	done    map[structs.ItemRef]structs.ItemDone
+	drained chan struct{} // closed when the drain has ended; nil without one
 }
 
 type openStream struct {
@@ -205,6 +206,13 @@
 	for ref := range c.items {
 		c.checkItem(ref)
 	}
+	if c.drained != nil {
+		select {
+		case <-c.drained:
+		default:
+			c.t.Error("the drain has not ended")
+		}
+	}
 	open, _ := c.Side.items.counts()
 	if l := c.queue.load(); c.active.Load() != 0 || open != 0 || l.OnlineInFlight+l.BatchInFlight+l.OnlineQueued != 0 {
 		c.t.Errorf("left behind: %d streams, %d items, %+v", c.active.Load(), open, l)
@@ -229,6 +237,9 @@
 	if a.end.Err == nil && len(a.data) != len(wholeText) {
 		c.t.Errorf("stream %d is called whole after %d tokens", s.stream, len(a.data))
 	}
+	if a.end.Err != nil && a.end.Err.Type == errs.Draining && a.end.Err.Ran != errs.RanNo {
+		c.t.Errorf("stream %d was cut off by the drain", s.stream)
+	}
 	c.checkRan(structs.RequestID(fmt.Sprint("s", s.stream)), a.end.Err)
 }
 
@@ -252,7 +263,7 @@
 }
 
 // Whatever the sequence of opens, cancels, credits, lost sessions, batch items, stopped jobs
-// and moods of the engine: each stream ends once, a whole answer is whole and in order, what is
+// and moods of the engine, with a planned stop in the middle in every second run: each stream ends once, a whole answer is whole and in order, what is
 // called "not run" was never handed over, no item starts after its job's stop, each
 // item has an outcome, and nothing is left behind.
 func TestRandomSequences(t *testing.T) {
@@ -280,6 +291,13 @@
 						synctest.Wait()
 					}
 				}
+				if seed%2 == 1 {
+					c.drained = make(chan struct{})
+					go func() {
+						b.drain()
+						close(c.drained)
+					}()
+				}
 				c.settle()
 				c.check()
 			})
