--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -26,7 +26,7 @@
 	return table[Entry]{
 		role:   "entry",
 		rows:   rows,
-		groups: []group[Entry]{operatorGroup(), peerKeyGroup(func(e *Entry) *[]PeerKey { return &e.PeerKeys })},
+		groups: []group[Entry]{operatorGroup(), revokedOperatorGroup(), peerKeyGroup(func(e *Entry) *[]PeerKey { return &e.PeerKeys })},
 		check:  checkEntry,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,9 @@
 
 	// OperatorKeys maps an operator's name to the SHA-256 sum of its key (hex).
 	OperatorKeys map[string]string
+	// RevokedOperatorKeys are those that were valid once, so that an old key
+	// gets its own refusal.
+	RevokedOperatorKeys map[string]string
 	// PeerKeys are the keys between the system's own processes; the first is used for new sessions.
 	PeerKeys []PeerKey
 
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -91,17 +91,34 @@
 func operatorGroup() group[Entry] {
 	return group[Entry]{
 		section: "operators", unit: "hexadecimal",
-		allowed: "NAME = SHA-256 sum of the operator's key in hexadecimal (64 digits)",
+		allowed: operatorAllowed,
 		doc:     "who may use the administration API; without any, nobody may",
 		add: func(e *Entry, key, value string) error {
-			if _, err := hexBytes(value, sha256.Size, sha256.Size); err != nil {
-				return err
-			}
-			if e.OperatorKeys == nil {
-				e.OperatorKeys = make(map[string]string)
-			}
-			e.OperatorKeys[key] = strings.ToLower(value)
-			return nil
+			return addOperator(&e.OperatorKeys, key, value)
 		},
 	}
 }
+
+func revokedOperatorGroup() group[Entry] {
+	return group[Entry]{
+		section: "revoked_operators", unit: "hexadecimal",
+		allowed: operatorAllowed,
+		doc:     "operators' keys that were valid once; whoever sends one is told that it is an old key",
+		add: func(e *Entry, key, value string) error {
+			return addOperator(&e.RevokedOperatorKeys, key, value)
+		},
+	}
+}
+
+const operatorAllowed = "NAME = SHA-256 sum of the operator's key in hexadecimal (64 digits)"
+
+func addOperator(keys *map[string]string, name, sum string) error {
+	if _, err := hexBytes(sum, sha256.Size, sha256.Size); err != nil {
+		return err
+	}
+	if *keys == nil {
+		*keys = make(map[string]string)
+	}
+	(*keys)[name] = strings.ToLower(sum)
+	return nil
+}
