--- a/internal/dev/configure.go
+++ b/internal/dev/configure.go
@@ -5,10 +5,9 @@
 	"net/http"
 	"time"
 
-	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/adapter/loghttp"
+	adminclient "arbutusramp/internal/admin/client"
 	"arbutusramp/internal/client"
 	"arbutusramp/internal/settings"
 	"github.com/pkg/errors"
@@ -32,18 +31,22 @@
 	return nil
 }
 
-// declare appends the first intents as a confirm.
+// declare plans and confirms the first intents.
 func (c *Cluster) declare(ctx context.Context) error {
-	record, err := confstate.EncodeConfirm(&structs.Confirm{
-		Plan: "dev", Operator: settings.DevOperator, AtMs: time.Now().UnixMilli(), Intents: firstIntents(),
-	})
+	admin := c.admin(0)
+	p, err := admin.Plan(ctx, "dev", []byte(firstIntents()))
 	if err != nil {
 		return err
 	}
-	_, err = loghttp.New(c.standins.log.URL()).Append(ctx, structs.ConfigStream, record)
+	_, err = admin.Confirm(ctx, p)
 	return err
 }
 
+// admin returns an operator's client of entry i.
+func (c *Cluster) admin(i int) *adminclient.Client {
+	return adminclient.New("http://"+c.Entries[i].AdminAddr(), settings.DevOperatorKey)
+}
+
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Data []struct {
--- a/internal/dev/intents.go
+++ b/internal/dev/intents.go
@@ -1,44 +1,23 @@
 package dev
 
 import (
-	"arbutusramp/core/structs"
-	"arbutusramp/internal/settings"
+	"fmt"
+	"strings"
 )
 
-const (
-	maxJobItems  = 10000
-	jobDueWithin = 24 * 60 * 60 // seconds
-)
-
-// firstIntents are what an operator of a new system declares: a workspace that may
-// run jobs, a model, a service and the targets of both.
-func firstIntents() []structs.Intent {
-	replicas, spread := domains, domains
-	intents := []structs.Intent{
-		{Workspace: &structs.WorkspaceIntent{ID: workspace, KeyHashes: []string{settings.KeySum(WorkspaceKey)}}},
-		{Service: &structs.ServiceIntent{ID: serviceName, NonIdempotent: []string{"POST"}}},
-	}
+// firstIntents is what an operator of a new system declares, as a document for
+// arbutusctl plan: a workspace that may run jobs, a model, a service and the targets of both.
+func firstIntents() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[workspace %s]\nkeys = %s\n", workspace, WorkspaceKey)
+	fmt.Fprintf(&b, "[grant %s]\nmax_items = 10000\nmodels = %s\n", workspace, model)
+	fmt.Fprintf(&b, "[service %s]\nnon_idempotent = POST\n", serviceName)
 	for i := range domains {
-		intents = append(intents,
-			structs.Intent{Target: &structs.TargetIntent{
-				ID:   structs.TargetID(numbered("engine", i)),
-				Kind: structs.KindEngine,
-				Host: structs.HostID(numbered("side-engine", i)),
-			}},
-			structs.Intent{Target: &structs.TargetIntent{
-				ID:      structs.TargetID(numbered("service", i)),
-				Kind:    structs.KindService,
-				Host:    structs.HostID(numbered("side-service", i)),
-				Service: serviceName,
-			}})
+		fmt.Fprintf(&b, "[target %s]\ntype = engine\nhost = %s\nchecks_fence = false\n",
+			numbered("engine", i), numbered("side-engine", i))
+		fmt.Fprintf(&b, "[target %s]\ntype = service\nhost = %s\nservice = %s\nchecks_fence = false\n",
+			numbered("service", i), numbered("side-service", i), serviceName)
 	}
-	return append(intents,
-		structs.Intent{Model: &structs.ModelIntent{ID: model, Replicas: &replicas, SpreadDomains: &spread}},
-		structs.Intent{Grant: &structs.GrantIntent{
-			Workspace:  workspace,
-			MaxItems:   maxJobItems,
-			Models:     []structs.ModelID{model},
-			DueWithinS: jobDueWithin,
-		}},
-	)
+	fmt.Fprintf(&b, "[model %s]\nreplicas = %d\nspread_domains = %d\n", model, domains, domains)
+	return b.String()
 }
--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -32,6 +32,7 @@
 	steps := []step{
 		{"streamed request", o.onlineStep},
 		{"job", o.jobStep},
+		{"plan", o.planStep},
 		{"service call", o.serviceStep},
 	}
 	for _, s := range steps {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -7,6 +7,7 @@
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/weightshttp"
+	"arbutusramp/internal/admin"
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/entry"
 	"arbutusramp/internal/follow"
@@ -48,11 +49,19 @@
 		Metrics:  reg,
 		PeerAddr: e.PeerAddr(),
 	})
+	operators := admin.New(admin.Options{
+		Self:    s,
+		Config:  config,
+		Log:     log,
+		Logger:  logger,
+		Metrics: reg,
+	})
 	owner := newStage(jobs.Run)
 	e.Join(entry.Parts{
 		Batch:  jobs,
 		Jobs:   serveJobs(jobs),
 		Config: config,
+		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, jobs.PeerHandler},
 			{follow.PeerPath, config.PeerHandler},
