--- a/test/online/world_test.go
+++ b/test/online/world_test.go
@@ -21,18 +21,31 @@
 // world is a cluster with the network between its processes.
 type world struct {
 	*cluster.Cluster
-	net  *network
+	net  breakable
 	http *http.Client
 	ctx  context.Context
 }
 
 // startWorld starts a cluster and waits until it serves.
 func startWorld(t *testing.T, o cluster.Options) *world {
+	t.Helper()
+	return startWorldOver(t, o, newNetwork())
+}
+
+// breakable is a network that a test can also freeze and close.
+type breakable interface {
+	cluster.Network
+	freeze(pick func(hop) bool)
+	thaw(pick func(hop) bool)
+	close()
+}
+
+func startWorldOver(t *testing.T, o cluster.Options, n breakable) *world {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
 	t.Cleanup(cancel)
-	w := &world{net: newNetwork(), http: newHTTP(), ctx: ctx}
-	o.Network = w.net
+	w := &world{net: n, http: newHTTP(), ctx: ctx}
+	o.Network = n
 	if testing.Verbose() {
 		o.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Warn})
 	}
