--- a/internal/dev/configure.go
+++ b/internal/dev/configure.go
@@ -7,7 +7,9 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	adminclient "arbutusramp/internal/admin/client"
 	"arbutusramp/internal/client"
+	"arbutusramp/internal/settings"
 	"github.com/pkg/errors"
 )
 
@@ -18,6 +20,9 @@
 
 // Configure declares what the system serves and waits until every entry serves it.
 func (c *Cluster) Configure(ctx context.Context) error {
+	if err := c.declare(ctx); err != nil {
+		return err
+	}
 	for _, e := range c.Entries {
 		if err := awaitServing(ctx, client.New("http://"+e.CallerAddr(), WorkspaceKey)); err != nil {
 			return err
@@ -26,6 +31,22 @@
 	return nil
 }
 
+// declare plans and confirms the first intents.
+func (c *Cluster) declare(ctx context.Context) error {
+	admin := c.admin(0)
+	p, err := admin.Plan(ctx, "dev", []byte(firstIntents()))
+	if err != nil {
+		return err
+	}
+	_, err = admin.Confirm(ctx, p)
+	return err
+}
+
+// admin returns an operator's client of entry i.
+func (c *Cluster) admin(i int) *adminclient.Client {
+	return adminclient.New("http://"+c.Entries[i].AdminAddr(), settings.DevOperatorKey)
+}
+
 // modelList is the answer of GET /v1/models.
 type modelList struct {
 	Data []struct {
