Entry: judge bad outcomes one at a time; a stop waits for answers still being written

Two targets judged at once could both be ejected, more than half of the fleet. Results of jobs are written after their handler has returned, so that counting handlers did not cover them: the stop now waits for open connections up to the drain timeout in place of 1 s.

--- a/core/choose/health.go
+++ b/core/choose/health.go
@@ -44,6 +44,9 @@
 	FirstByte time.Duration
 }
 
+// Bad says that the outcome speaks against the target.
+func (o Outcome) Bad(f FleetView) bool { return o.Failed || isSlow(o.FirstByte, f.Median) }
+
 // FleetView is what a target is compared with.
 type FleetView struct {
 	Median         time.Duration // of the targets' average first byte; 0 is not known
@@ -99,9 +102,8 @@
 	if o.FirstByte > 0 {
 		h.learn(o.FirstByte)
 	}
-	bad := o.Failed || isSlow(o.FirstByte, f.Median)
 	if h.state != Well {
-		h.afterEjection(now, bad, jitter)
+		h.afterEjection(now, o.Bad(f), jitter)
 		return
 	}
 	h.count(o, f)
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -113,8 +113,10 @@
 			e := newTestEntry(t, testState())
 			e.inFlight.Add(1)
 			time.AfterFunc(takes, func() { e.inFlight.Add(-1) })
+			ctx, cancel := context.WithTimeout(t.Context(), e.set.DrainTimeout)
+			defer cancel()
 			begin := time.Now()
-			e.drain(t.Context())
+			e.drain(ctx)
 			want := min(takes, e.set.DrainTimeout)
 			if took := time.Since(begin); took < want || took > want+drainPoll {
 				t.Errorf("a request of %v: stopped after %v, want %v", takes, took, want)
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -42,6 +42,8 @@
 	index  atomic.Pointer[index]
 	listed atomic.Bool // the host list was read once
 
+	ejecting sync.Mutex // held while a bad outcome is judged
+
 	mu      sync.Mutex
 	keepers map[structs.HostID]*keeper
 	targets map[structs.TargetID]*target
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -123,8 +123,12 @@
 
 // report tells the target's health how an attempt ended.
 func (e *Entry) report(g *group, t *target, o choose.Outcome) {
-	var f choose.FleetView
-	if g != nil {
+	f := g.fleet()
+	if o.Bad(f) {
+		// Two targets that are judged at once would each count the other as well, and
+		// more than half could be ejected.
+		e.pool.ejecting.Lock()
+		defer e.pool.ejecting.Unlock()
 		f = g.fleet()
 	}
 	now := e.now()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -46,10 +46,10 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			e.drain(failCtx)
+			e.stop(failCtx)
 		case <-failCtx.Done():
+			e.shutdown(failCtx)
 		}
-		e.shutdown()
 		end()
 		return nil
 	})
@@ -109,12 +109,19 @@
 	WriteError(ctx, typed)
 }
 
+// stop ends the entry within DrainTimeout. Sessions and sockets stay until the last answer is
+// written.
+func (e *Entry) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
+	defer cancel()
+	e.drain(ctx)
+	e.shutdown(ctx)
+}
+
 // drain waits for requests in flight and for the other parts.
 func (e *Entry) drain(ctx context.Context) {
 	e.draining.Store(true)
 	e.log.Info("stopping", "in_flight", e.inFlight.Load())
-	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
-	defer cancel()
 	var parts sync.WaitGroup
 	for _, drain := range e.parts.Drain {
 		parts.Go(func() { drain(ctx) })
@@ -129,12 +136,9 @@
 	}
 }
 
-// shutdownTimeout bounds the wait for connections to close once no request is in flight.
-const shutdownTimeout = time.Second
-
-func (e *Entry) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
+// shutdown closes the listeners and waits until ctx ends for connections that are still written
+// to, such as the results of a job.
+func (e *Entry) shutdown(ctx context.Context) {
 	for _, s := range []*fasthttp.Server{e.callerServer, e.adminServer, e.statusServer} {
 		if err := s.ShutdownWithContext(ctx); err != nil {
 			e.log.Debug("connections left open at the stop", "error", err)
