A stream that has begun is not refused for load at its retry

A side was killed just before the end of 24 streams. With the other side's queue counted as full, streams that lacked one token ended with session_lost: the entry took their retry for a new request.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -63,6 +63,9 @@
 	TimeLeft time.Duration      // until the caller's deadline
 	// MayProbe says that the request is safe to try on a target that is coming back.
 	MayProbe bool
+	// Begun says that the caller has a part of the answer. It is not refused for load:
+	// what the targets have done for it would be thrown away.
+	Begun bool
 }
 
 // View is the fleet at one moment, with what scorers compare against.
--- a/core/choose/choose_test.go
+++ b/core/choose/choose_test.go
@@ -57,6 +57,8 @@
 			[]Candidate{with(cand("a", 2), func(c *Candidate) { c.Domain = "d2" }), cand("b", 2)}, "b"},
 		{"other domain when the own is loaded", ask,
 			[]Candidate{cand("a", 8), with(cand("b", 2), func(c *Candidate) { c.Domain = "d2" })}, "b"},
+		{"all full, but the caller has a part of the answer", Request{Model: "m", TimeLeft: time.Minute, Begun: true},
+			[]Candidate{cand("a", 60), cand("b", 50)}, "b"},
 		{"cached prefix", ask, []Candidate{cand("a", 2), with(cand("b", 2), func(c *Candidate) { c.Matched = 4 })}, "b"},
 		{"cached prefix over the bound", ask,
 			[]Candidate{with(cand("a", 9), func(c *Candidate) { c.Matched = 60 }), cand("b", 2), cand("c", 3)}, "b"},
--- a/core/choose/refuse.go
+++ b/core/choose/refuse.go
@@ -24,6 +24,9 @@
 // refuse answers early when no candidate can meet the deadline or all are full: a caller who
 // is told now can come back, one who waits in a queue in vain can't.
 func (p *Policy) refuse(r *Request, v *View, d *Decision) *errs.Error {
+	if r.Begun {
+		return nil
+	}
 	best := time.Duration(-1)
 	full := true
 	for _, k := range d.Kept {
