--- a/test/online/caller_test.go
+++ b/test/online/caller_test.go
@@ -177,3 +177,27 @@
 		t.Errorf("%s: %s", a.id, r.wrong)
 	}
 }
+
+// call sends a request to the plain service, which echoes its body.
+func (w *world) call(req *http.Request, want string) reply {
+	resp, err := w.http.Do(req)
+	if err != nil {
+		return reply{lost: err}
+	}
+	defer resp.Body.Close()
+	r := reply{retryAfter: resp.Header.Get("Retry-After"), target: resp.Header.Get("X-Target")}
+	if resp.StatusCode != http.StatusOK {
+		r.err, r.lost = typedError(resp.Body)
+		return r
+	}
+	body, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		r.lost = err
+	case string(body) != want:
+		r.wrong = fmt.Sprintf("answer %q, not %q", body, want)
+	default:
+		r.whole = true
+	}
+	return r
+}
--- a/test/online/world_test.go
+++ b/test/online/world_test.go
@@ -47,7 +47,7 @@
 	w := &world{net: n, http: newHTTP(), ctx: ctx}
 	o.Network = n
 	if testing.Verbose() {
-		o.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Warn})
+		o.Logger = hclog.New(&hclog.LoggerOptions{Level: hclog.Info})
 	}
 	var err error
 	if w.Cluster, err = cluster.Start(o); err != nil {
