--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -18,6 +18,7 @@
 func (s *shard) claim(ctx context.Context) bool {
 	s.mu.Lock()
 	prev, from := s.state.Epoch, s.state.Owner.Host
+	lost := prev != 0 && !s.state.Released
 	s.seq++
 	record := structs.JobRecord{Claim: &structs.ShardClaim{Prev: prev, Addr: s.m.addr}}
 	env := s.envelope(s.seq, 0, []structs.JobRecord{record})
@@ -34,7 +35,7 @@
 		if !s.readTail(ctx, resendLeast) {
 			return false
 		}
-		won, decided := s.claimed(prev)
+		won, decided := s.claimed(prev, lost)
 		if decided {
 			s.m.log.Info("claim decided", "shard", s.id, "won", won, "prev_epoch", prev, "from", from)
 			return won
@@ -49,8 +50,10 @@
 	return false
 }
 
-// claimed looks whether the epoch has moved on from prev, and to whom.
-func (s *shard) claimed(prev structs.Epoch) (won, decided bool) {
+// claimed looks whether the epoch has moved on from prev, and to whom. lost says that
+// the owner before did not hand over: sides then have outcomes that it never got, and
+// items handed out before those are in would run again for nothing.
+func (s *shard) claimed(prev structs.Epoch, lost bool) (won, decided bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.Epoch == prev {
@@ -64,6 +67,9 @@
 	s.draining, s.releasing = false, false
 	s.sched = jobs.NewSched(s.state, now, s.m.tune.OnceGrace)
 	s.lastRead = now
+	if lost {
+		s.quietUntil = now.Add(s.m.tune.TakeoverWait)
+	}
 	return true, true
 }
 
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -141,7 +141,7 @@
 // gone through again it can't know whether another has taken over. With the
 // log service down no other can.
 func (s *shard) mayDispatch(now time.Time) bool {
-	if s.epoch == 0 || s.draining || s.sched == nil {
+	if s.epoch == 0 || s.draining || now.Before(s.quietUntil) {
 		return false
 	}
 	fresh := now.Sub(s.lastRead) < s.m.tune.ReadWait+s.m.tune.Lease
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -30,13 +30,13 @@
 	check   *invariant.Checker
 	metrics meters
 	cache   *segmentCache
+	forward *forwarder
 	health  logHealth
 	peers   PeerCaller
 
 	held atomic.Int64 // bytes of outcomes that are not in the log yet
 	// seenResults and seenBytes give the mean size of a result.
 	seenResults, seenBytes atomic.Int64
-	forwards               atomic.Int64 // outcomes on their way to other entries
 	leaving                atomic.Bool
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
@@ -79,6 +79,7 @@
 	}
 	m.probed = shardmap.NewPeers(m.tune.Lease)
 	m.cache = newSegmentCache(m.tune.CacheBytes)
+	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
 		m.peers = newHTTPPeers(set.PeerKeys)
--- a/internal/batch/message.go
+++ b/internal/batch/message.go
@@ -18,7 +18,7 @@
 	OpHandover Op = "handover"
 	// OpOffer tells a candidate that its owner is about to release a shard.
 	OpOffer Op = "offer"
-	// OpDone passes on an outcome.
+	// OpDone passes on outcomes.
 	OpDone Op = "done"
 	// OpBegin asks what is known of a job before its upload.
 	OpBegin Op = "begin"
@@ -37,10 +37,10 @@
 type PeerRequest struct {
 	Op        Op                  `cbor:"1,keyasint"`
 	Shard     structs.Shard       `cbor:"2,keyasint,omitempty"`
-	Host      structs.HostID      `cbor:"3,keyasint,omitempty"` // who asks, or the side of an outcome
+	Host      structs.HostID      `cbor:"3,keyasint,omitempty"` // who asks
 	Workspace structs.WorkspaceID `cbor:"4,keyasint,omitempty"`
 	Job       structs.JobID       `cbor:"5,keyasint,omitempty"`
-	Done      *structs.ItemDone   `cbor:"6,keyasint,omitempty"`
+	Done      []SideDone          `cbor:"6,keyasint,omitempty"`
 	Segment   *structs.JobSegment `cbor:"7,keyasint,omitempty"`
 	Accept    *structs.JobAccept  `cbor:"8,keyasint,omitempty"`
 	// From, Limit and FailedOnly choose results: items from index From on, up
@@ -50,6 +50,12 @@
 	FailedOnly bool `cbor:"11,keyasint,omitempty"`
 }
 
+// SideDone is an outcome with the side that reports it.
+type SideDone struct {
+	Side structs.HostID    `cbor:"1,keyasint"`
+	Done *structs.ItemDone `cbor:"2,keyasint"`
+}
+
 // PeerReply answers a PeerRequest.
 type PeerReply struct {
 	Err *errs.Error `cbor:"1,keyasint,omitempty"`
@@ -58,7 +64,8 @@
 	Incarnation int64                           `cbor:"3,keyasint,omitempty"`
 	Holds       map[structs.Shard]structs.Epoch `cbor:"4,keyasint,omitempty"`
 	Leaving     bool                            `cbor:"5,keyasint,omitempty"`
-	Acked       bool                            `cbor:"6,keyasint,omitempty"`
+	// Acked are the positions in PeerRequest.Done that need not be sent again.
+	Acked []int `cbor:"6,keyasint,omitempty"`
 	// Have are the hashes of the segments that are in the log; empty where one is missing.
 	Have    [][]byte             `cbor:"7,keyasint,omitempty"`
 	Job     *JobView             `cbor:"8,keyasint,omitempty"`
--- a/internal/batch/options.go
+++ b/internal/batch/options.go
@@ -48,6 +48,7 @@
 	CallTimeout   time.Duration // one call of a caller at the owner
 	ItemLease     time.Duration // sides start an item only if they heard from the owner within this
 	SideGrace     time.Duration // a side whose session closed may come back and report within this
+	TakeoverWait  time.Duration // after the loss of an owner, for outcomes that sides hold
 	OnceGrace     time.Duration // for outcomes of items that run at most once, after a takeover
 	SnapshotCount int           // envelopes between snapshots
 	SnapshotBytes int           // bytes of envelopes between snapshots
@@ -65,6 +66,7 @@
 	setDuration(&t.CallTimeout, 10*time.Second)
 	setDuration(&t.ItemLease, 2*time.Second)
 	setDuration(&t.SideGrace, 2*time.Second)
+	setDuration(&t.TakeoverWait, time.Second)
 	setDuration(&t.OnceGrace, 30*time.Second)
 	setDuration(&t.UploadTTL, time.Hour)
 	setDuration(&t.HousekeepEvery, 250*time.Millisecond)
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -9,10 +9,6 @@
 	"arbutusramp/core/structs"
 )
 
-// forwardTimeout bounds the passing on of an outcome to the shard's owner. The
-// side keeps the outcome until it is acknowledged.
-const forwardTimeout = 20 * time.Second
-
 // OnItemDone takes the outcome of an item from a side. If this entry does not
 // own the shard, the outcome is passed on to the owner. The side gets an ItemAck
 // once the outcome is in the log or has no effect any more.
@@ -20,40 +16,15 @@
 	ack := func() {
 		_ = send(&structs.Frame{ItemAck: &structs.ItemAck{Refs: []structs.ItemRef{d.Ref}}})
 	}
-	if s := m.shard(d.Ref.Shard); s != nil && s.itemDone(d, ack) {
-		return
-	}
-	// A side without a session to the owner tells every entry. What is over the
-	// bound is dropped: the side sends it again.
-	if m.forwards.Add(1) > maxForwards {
-		m.forwards.Add(-1)
-		return
-	}
-	go func() {
-		defer m.forwards.Add(-1)
-		m.forward(side, d, ack)
-	}()
-}
-
-// maxForwards is how many outcomes are on their way to other entries at most.
-const maxForwards = 1024
-
-func (m *Manager) forward(side structs.HostID, d *structs.ItemDone, ack func()) {
-	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
-	defer cancel()
-	reply, err := m.call(ctx, d.Ref.Shard, &PeerRequest{Op: OpDone, Shard: d.Ref.Shard, Host: side, Done: d})
-	if err != nil {
-		m.log.Debug("outcome not passed on", "shard", d.Ref.Shard, "side", side, "err", err)
+	if s := m.shard(d.Ref.Shard); s != nil && s.itemDone(side, d, ack) {
 		return
 	}
-	if reply.Acked {
-		ack()
-	}
+	m.forward.add(forwarded{side: side, done: d, ack: ack})
 }
 
 // itemDone takes an outcome as the owner and calls ack, under s.mu, when the side may
 // forget it. It says false if this entry does not own the shard.
-func (s *shard) itemDone(d *structs.ItemDone, ack func()) bool {
+func (s *shard) itemDone(side structs.HostID, d *structs.ItemDone, ack func()) bool {
 	key := jobs.Key{Job: d.Ref.Job, Index: d.Ref.Index}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,10 +48,21 @@
 		ack()
 		return true
 	}
+	if held && !lease.Unsent && lease.Side != side {
+		s.stopDouble(key, lease.Side)
+	}
 	s.judged(d, key, verdict, lease, ack)
 	return true
 }
 
+// stopDouble ends the run of an item that was handed out again, now that its first
+// side has reported after all.
+func (s *shard) stopDouble(key jobs.Key, side structs.HostID) {
+	if side != "" {
+		s.m.sides.send(side, &structs.Frame{ItemStop: &structs.ItemStop{Job: key.Job, Index: key.Index}})
+	}
+}
+
 // outdated says whether a failed attempt is of no interest: the item was handed
 // out again since. A result counts whichever attempt it is from.
 func (s *shard) outdated(d *structs.ItemDone, v jobs.Judgement, lease jobs.Lease, held bool) bool {
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -68,7 +68,7 @@
 	m.wakePlace()
 	for {
 		if s := m.shard(r.Shard); s != nil && s.isRead() {
-			return &PeerReply{Acked: true}
+			return &PeerReply{}
 		}
 		if !pause(ctx, offerPoll) {
 			return &PeerReply{Err: errs.New(errs.Overloaded, "the shard is not read yet")}
@@ -120,7 +120,7 @@
 	if !busy {
 		go s.release(rank[at])
 	}
-	return &PeerReply{Acked: true}, nil
+	return &PeerReply{}, nil
 }
 
 // release hands the shard over while this entry goes on.
@@ -134,20 +134,27 @@
 	s.draining = s.releasing
 }
 
+// serveDone takes outcomes and answers when all are in the log or the time is over.
 func (s *shard) serveDone(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
-	if r.Done == nil {
-		return nil, errs.New(errs.BadFrame, "no outcome")
-	}
-	acked := make(chan struct{})
-	if !s.itemDone(r.Done, func() { close(acked) }) {
-		return nil, notOwner()
+	acks := make(chan int, len(r.Done))
+	for i, d := range r.Done {
+		if d.Done == nil {
+			return nil, errs.New(errs.BadFrame, "no outcome")
+		}
+		if !s.itemDone(d.Side, d.Done, func() { acks <- i }) {
+			return nil, notOwner()
+		}
 	}
-	select {
-	case <-acked:
-		return &PeerReply{Acked: true}, nil
-	case <-ctx.Done():
-		return &PeerReply{}, nil
+	reply := &PeerReply{}
+	for range r.Done {
+		select {
+		case i := <-acks:
+			reply.Acked = append(reply.Acked, i)
+		case <-ctx.Done():
+			return reply, nil
+		}
 	}
+	return reply, nil
 }
 
 func (s *shard) serveBegin(r *PeerRequest) (*PeerReply, error) {
@@ -196,7 +203,7 @@
 		// Another upload under the same key has been completed in the meantime; the
 		// commit compares the contents.
 		s.mu.Unlock()
-		return &PeerReply{Acked: true}, nil
+		return &PeerReply{}, nil
 	}
 	if have := s.segmentHash(g.Job, g.Seg); have != nil {
 		s.mu.Unlock()
@@ -213,14 +220,14 @@
 	if have := s.segmentHash(g.Job, g.Seg); have != nil {
 		return sameHash(have, g.Hash)
 	}
-	return &PeerReply{Acked: true}, nil
+	return &PeerReply{}, nil
 }
 
 func sameHash(have, want []byte) (*PeerReply, error) {
 	if !bytes.Equal(have, want) {
 		return nil, errs.New(errs.KeyReused, "the key is in use for a job with other content")
 	}
-	return &PeerReply{Acked: true}, nil
+	return &PeerReply{}, nil
 }
 
 func (s *shard) serveCommit(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
--- a/internal/batch/shard.go
+++ b/internal/batch/shard.go
@@ -25,6 +25,7 @@
 	epoch structs.Epoch
 	// draining stops new items and releasing new records during a handover.
 	draining, releasing bool
+	quietUntil          time.Time // nothing is handed out before
 	seq                 uint64
 	waiting             []*proposal
 	flying              *flight
--- a/internal/batch/side_test.go
+++ b/internal/batch/side_test.go
@@ -108,7 +108,7 @@
 
 func (s *testSide) connect(n *node) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &link{n: n, frames: make(chan *structs.Frame, 4096), ctx: ctx, cancel: cancel, heard: time.Now()}
+	l := &link{n: n, frames: make(chan *structs.Frame, 1<<16), ctx: ctx, cancel: cancel, heard: time.Now()}
 	s.mu.Lock()
 	if s.isDead || s.links[n.host.ID] != nil {
 		s.mu.Unlock()
@@ -125,8 +125,12 @@
 				if !n.gate.pass(ctx) {
 					return
 				}
+				// Frames that wait come together: a session puts them in one message.
 				time.Sleep(time.Millisecond)
 				s.frame(l, f)
+				for len(l.frames) > 0 {
+					s.frame(l, <-l.frames)
+				}
 			case <-ctx.Done():
 				return
 			}
@@ -204,14 +208,10 @@
 			}
 			l.n.gate.mu.Unlock()
 		}
-		var again []*structs.ItemDone
 		for _, d := range s.unacked {
-			again = append(again, d)
+			go s.deliver(d)
 		}
 		s.mu.Unlock()
-		for _, d := range again {
-			s.deliver(d)
-		}
 		s.pull()
 	}
 }
@@ -243,7 +243,7 @@
 func (s *testSide) stop(stop *structs.ItemStop) {
 	kept := s.queue[:0]
 	for _, r := range s.queue {
-		if r.item.Ref.Job == stop.Job {
+		if stop.Job == r.item.Ref.Job && (stop.All || stop.Index == r.item.Ref.Index) {
 			s.end(r, &structs.ItemDone{Err: errs.New(errs.Cancelled, "stopped").WithRan(errs.RanNo)})
 			continue
 		}
@@ -251,7 +251,7 @@
 	}
 	s.queue = kept
 	for r := range s.active {
-		if r.item.Ref.Job == stop.Job {
+		if stop.Job == r.item.Ref.Job && (stop.All || stop.Index == r.item.Ref.Index) {
 			r.cancel()
 		}
 	}
