Side: offer room again when the engine's models change

Symptom: in test/scenario's path script (parts as processes, no online request before) a job was accepted and no item of it started in 30 s, in 3 of 7 runs; in dev, where an online request comes first, never. Cause: the engine's report lags, the first offer went out with no models, and offers were sent again on a change of room only. Ruled out: entry drops offers (the table keeps the newest), ownership of the shard. The new test fails without the change.

--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -117,6 +117,7 @@
 
 	mu      sync.Mutex
 	loadErr error
+	models  []structs.ModelID // loaded; nil for "m"
 	gens    []platform.GenerateCall
 	calls   int
 }
@@ -131,9 +132,18 @@
 func (t *fakeTarget) Load(context.Context) (platform.EngineLoad, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.models != nil {
+		return platform.EngineLoad{Models: t.models}, t.loadErr
+	}
 	return platform.EngineLoad{Models: []structs.ModelID{"m"}}, t.loadErr
 }
 
+func (t *fakeTarget) setModels(ids ...structs.ModelID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.models = ids
+}
+
 func (t *fakeTarget) failLoad(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -447,3 +447,19 @@
 		}
 	})
 }
+
+// Symptom: a job is accepted and none of its items starts, on an idle fleet. Sequence: a side
+// offers its room while its engine's first report, which lags, has no models; later reports
+// have them. Cause: the offer is sent again only when the room has changed.
+func TestOfferFollowsTheModels(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		for _, models := range [][]structs.ModelID{{}, {"m"}, {"m", "n"}} {
+			b.target.setModels(models...)
+			time.Sleep(2 * time.Second)
+			pulls := b.entry.frames(func(f *structs.Frame) bool { return f.Pull != nil })
+			if got := pulls[len(pulls)-1].Pull.Models; !slices.Equal(got, models) {
+				t.Errorf("offered for %v, loaded are %v", got, models)
+			}
+		}
+	})
+}
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -24,6 +24,7 @@
 // pullState is what one entry was told.
 type pullState struct {
 	room      int // the last Pull, less what has come since
+	models    []structs.ModelID
 	delivered time.Time
 }
 
@@ -85,20 +86,25 @@
 		some = some || active[i]
 	}
 	pl.turn++
+	models := pl.s.models()
 	for i, n := range shares(room, active, pl.turn) {
-		if n != ps[i].pulls.room {
-			ps[i].pulls.room = n
-			ps[i].send(&structs.Frame{Pull: pl.pull(n)})
+		told := &ps[i].pulls
+		// An engine's report lags: the models of the first offer can be wrong while the room
+		// never changes on an idle target, and then no item would ever come.
+		if n == told.room && slices.Equal(models, told.models) {
+			continue
 		}
+		told.room, told.models = n, models
+		ps[i].send(&structs.Frame{Pull: pl.pull(n, models)})
 	}
 	return some
 }
 
-func (pl *puller) pull(room int) *structs.Pull {
+func (pl *puller) pull(room int, models []structs.ModelID) *structs.Pull {
 	return &structs.Pull{
 		Target:  pl.s.target.ID,
 		Room:    room,
-		Models:  pl.s.models(),
+		Models:  models,
 		Service: pl.s.target.Service,
 	}
 }
