--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,7 +18,8 @@
 
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
-	return run("arbutusctl", jobGroup(),
+	return run("arbutusctl",
+		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, jobGroup(),
 		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}}})
 }
 
--- a/internal/dev/job.go
+++ b/internal/dev/job.go
@@ -46,7 +46,7 @@
 // as the other entry gives it.
 func (o *once) jobStep(ctx context.Context) error {
 	start := time.Now()
-	spec := client.JobSpec{Key: jobKey, Model: model, DueIn: time.Hour}
+	spec := client.JobSpec{Key: jobKey, DueIn: time.Hour}
 	job, err := o.caller(0).SubmitJob(ctx, spec, bytes.NewReader(jobFile()))
 	if err != nil {
 		return err
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"fmt"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -73,3 +75,32 @@
 		ts.Check(syscall.Kill(pid, sig))
 	}
 }
+
+// jobfile FILE N writes a job of N items.
+func jobfile(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: jobfile FILE N")
+	}
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions",`, i)
+		fmt.Fprintf(&b, `"body":{"model":"m1","messages":[{"role":"user","content":"case %d"}],"max_tokens":4}}`+"\n", i)
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(b.String()), 0o600))
+}
+
+// capture FILE REGEXP NAME sets NAME to the first group of the first match.
+func capture(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: capture FILE REGEXP NAME")
+	}
+	re, err := regexp.Compile(args[1])
+	ts.Check(err)
+	match := re.FindStringSubmatch(ts.ReadFile(args[0]))
+	if len(match) < 2 {
+		ts.Fatalf("%s does not match", args[1])
+	}
+	ts.Setenv(args[2], match[1])
+}
--- a/test/scenario/curl_test.go
+++ b/test/scenario/curl_test.go
@@ -25,7 +25,13 @@
 	within  time.Duration  // how long until may take
 	show    bool           // print status and headers before the body
 	sse     bool           // print the joined text of an event stream, which must be whole
-	url     string
+	started string         // file that is written when the first bytes of the answer are there
+	output  string         // file that gets the answer in place of stdout
+	// freshKey is a file that gets the idempotency key of each try, which is a new one;
+	// sameKey is one whose key is used again.
+	freshKey, sameKey string
+
+	url string
 }
 
 // curl sends one request and prints the answer. It fails if the answer is not the
@@ -40,8 +46,7 @@
 	for {
 		answer, err := curlOnce(o)
 		if err == nil && (o.until == nil || o.until.MatchString(answer)) {
-			fmt.Fprint(stdout, answer)
-			return 0
+			return printAnswer(o, answer, stdout, stderr)
 		}
 		if o.until == nil || time.Now().After(deadline) {
 			fmt.Fprint(stdout, answer)
@@ -52,6 +57,18 @@
 	}
 }
 
+func printAnswer(o curlOptions, answer string, stdout, stderr io.Writer) int {
+	if o.output == "" {
+		fmt.Fprint(stdout, answer)
+		return 0
+	}
+	if err := os.WriteFile(o.output, []byte(answer), 0o600); err != nil {
+		fmt.Fprintln(stderr, err)
+		return 1
+	}
+	return 0
+}
+
 func curlArgs(args []string, stderr io.Writer) (curlOptions, error) {
 	var o curlOptions
 	f := flag.NewFlagSet("curl", flag.ContinueOnError)
@@ -61,6 +78,10 @@
 	f.IntVar(&o.code, "code", 0, "expected status")
 	f.DurationVar(&o.within, "within", startTimeout, "how long -until may take")
 	f.BoolVar(&o.show, "i", false, "print status and headers")
+	f.StringVar(&o.started, "started", "", "file written at the first bytes of the answer")
+	f.StringVar(&o.output, "o", "", "file for the answer")
+	f.StringVar(&o.freshKey, "fresh-key", "", "file for the fresh idempotency key of each try")
+	f.StringVar(&o.sameKey, "same-key", "", "file with the idempotency key to use again")
 	f.BoolVar(&o.sse, "sse", false, "print the text of an event stream")
 	f.Func("H", "header", func(h string) error {
 		o.headers = append(o.headers, h)
@@ -97,7 +118,7 @@
 		resp.Header.Write(&b)
 		fmt.Fprintln(&b)
 	}
-	if _, err := io.Copy(&b, resp.Body); err != nil {
+	if err := readBody(o, resp.Body, &b); err != nil {
 		return b.String(), err
 	}
 	if o.code != 0 && resp.StatusCode != o.code {
@@ -109,6 +130,43 @@
 	return b.String(), nil
 }
 
+func readBody(o curlOptions, body io.Reader, to io.Writer) error {
+	if o.started != "" {
+		if _, err := io.CopyN(to, body, 1); err != nil {
+			return err
+		}
+		if err := os.WriteFile(o.started, nil, 0o600); err != nil {
+			return err
+		}
+	}
+	_, err := io.Copy(to, body)
+	return err
+}
+
+// addKey adds the idempotency key, if one is asked for. A fresh key says when it was
+// first used, as clients should.
+func addKey(o curlOptions, header http.Header) error {
+	file := o.sameKey
+	if o.freshKey != "" {
+		file = o.freshKey
+		key := fmt.Sprintf("key-%d %d", time.Now().UnixNano(), time.Now().UnixMilli())
+		if err := os.WriteFile(file, []byte(key), 0o600); err != nil {
+			return err
+		}
+	}
+	if file == "" {
+		return nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	key, issued, _ := strings.Cut(string(data), " ")
+	header.Set("Idempotency-Key", key)
+	header.Set("Idempotency-Issued", issued)
+	return nil
+}
+
 // sseText joins the tokens of a chat stream. It fails unless the stream was ended
 // as streams have to be.
 func sseText(body string) (string, error) {
@@ -161,5 +219,5 @@
 		name, value, _ := strings.Cut(h, ":")
 		req.Header.Add(name, strings.TrimSpace(value))
 	}
-	return req, nil
+	return req, addKey(o, req.Header)
 }
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -27,10 +27,12 @@
 	return testscript.Params{
 		Dir: dir,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"addrs":  addrs,
-			"render": render,
-			"term":   signalCommand(syscall.SIGTERM),
-			"hangup": signalCommand(syscall.SIGHUP),
+			"addrs":   addrs,
+			"render":  render,
+			"jobfile": jobfile,
+			"capture": capture,
+			"term":    signalCommand(syscall.SIGTERM),
+			"hangup":  signalCommand(syscall.SIGHUP),
 		},
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
