errs.Is no longer panics on a nil *Error in an interface

Cause: errors.As succeeds for a typed nil, and its Type was then read. Ruled out: forbidding typed nils by review alone, since several filters return *Error.

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -127,8 +127,8 @@
 	return New(Internal, err.Error())
 }
 
-// Is reports whether err has type t.
+// Is reports whether err has type t. A nil *Error in an error interface has none.
 func Is(err error, t Type) bool {
 	var e *Error
-	return errors.As(err, &e) && e.Type == t
+	return errors.As(err, &e) && e != nil && e.Type == t
 }
