--- a/internal/lab/mix/caller.go
+++ b/internal/lab/mix/caller.go
@@ -137,12 +137,17 @@
 	return nil
 }
 
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
 // chat is the body of an online request.
 type chat struct {
-	Model     structs.ModelID   `json:"model"`
-	Messages  []structs.Message `json:"messages"`
-	MaxTokens int               `json:"max_tokens"`
-	Stream    bool              `json:"stream"`
+	Model     structs.ModelID `json:"model"`
+	Messages  []message       `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
 }
 
 func (cs *callers) request(ctx context.Context, c *call, d door) (*http.Request, []byte, error) {
@@ -151,7 +156,7 @@
 	case callStream:
 		// A chat holds nothing that can't be marshalled.
 		body, _ = json.Marshal(chat{
-			Model: cs.shape.model, Messages: []structs.Message{{Role: "user", Content: c.Prompt}},
+			Model: cs.shape.model, Messages: []message{{Role: "user", Content: c.Prompt}},
 			MaxTokens: c.Max, Stream: true,
 		})
 	case callLookup:
