--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,85 +21,121 @@
 
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
 func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
-	log := loghttp.New(s.Platform.LogURL)
-	hosts := &members{HostList: hosthttp.New(s.Platform.HostListURL)}
-	config := follow.New(follow.Options{
-		Self:    s,
-		Log:     log,
-		Members: hosts.known,
-		Logger:  logger,
-		Metrics: reg,
-	})
+	k := newKit(s, logger, reg)
 	e, err := entry.New(entry.Options{
 		Settings: s,
 		Logger:   logger,
 		Metrics:  reg,
-		Log:      log,
-		Hosts:    hosts,
-		Weights:  weightStore(s),
-		Config:   config,
+		Log:      k.log,
+		Hosts:    k.hosts,
+		Weights:  k.weights,
+		Config:   k.config,
 	})
 	if err != nil {
 		return nil, err
 	}
-	jobs := batch.New(batch.Options{
-		Settings: s,
-		Log:      log,
-		Config:   config,
-		Members:  hosts.known,
-		Logger:   logger,
-		Metrics:  reg,
-		PeerAddr: e.PeerAddr(),
-	})
-	weights := weightStore(s)
-	fleet := reconcile.NewFleet(reconcile.FleetOptions{
-		Members:   hosts.known,
-		Weights:   weights,
-		BytesPerS: float64(s.Platform.WeightsBytesPerS),
-	})
-	placement := reconcile.New(reconcile.Options{
+	e.Join(k.parts(e.PeerAddr()))
+	return e, nil
+}
+
+// kit is what the parts of one entry process have in common.
+type kit struct {
+	set     settings.Entry
+	logger  hclog.Logger
+	metrics metrics.Registry
+	log     platform.Log
+	hosts   *members
+	weights platform.WeightStore // nil without a URL: plans then show no sizes
+	config  *follow.Follower
+	fleet   *reconcile.Fleet
+}
+
+func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry) *kit {
+	k := &kit{
+		set:     s,
+		logger:  logger,
+		metrics: reg,
+		log:     loghttp.New(s.Platform.LogURL),
+		hosts:   &members{HostList: hosthttp.New(s.Platform.HostListURL)},
+	}
+	if s.Platform.WeightsURL != "" {
+		k.weights = weightshttp.New(s.Platform.WeightsURL)
+	}
+	k.config = follow.New(follow.Options{
 		Self:    s,
-		Log:     log,
-		Config:  config,
-		Members: hosts.known,
-		Fleet:   fleet,
+		Log:     k.log,
+		Members: k.hosts.known,
 		Logger:  logger,
 		Metrics: reg,
 	})
-	operators := admin.New(admin.Options{
-		Self:    s,
-		Config:  config,
-		Log:     log,
-		View:    func() plan.View { return plan.View{Fleet: fleet.View(config.Current())} },
-		Weights: weights,
-		Logger:  logger,
-		Metrics: reg,
+	k.fleet = reconcile.NewFleet(reconcile.FleetOptions{
+		Members:   k.hosts.known,
+		Weights:   k.weights,
+		BytesPerS: float64(s.Platform.WeightsBytesPerS),
 	})
+	return k
+}
+
+// parts makes what works beside the entry itself. peerAddr is where other entries reach it.
+func (k *kit) parts(peerAddr string) entry.Parts {
+	jobs := k.jobs(peerAddr)
 	owner := newStage(jobs.Run)
-	e.Join(entry.Parts{
+	operators := k.operators()
+	return entry.Parts{
 		Batch:  jobs,
 		Jobs:   serveJobs(jobs),
-		Config: config,
-		Orders: fleet,
+		Config: k.config,
+		Orders: k.fleet,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, jobs.PeerHandler},
-			{follow.PeerPath, config.PeerHandler},
-		}, logger),
-		Ready:       []func() bool{isClosed(config.Ready())},
-		ConfigFresh: config.Fresh,
-		Run:         []func(context.Context) error{config.Run, placement.Run, owner.run},
-		Drain:       []func(context.Context){owner.drain},
+			{follow.PeerPath, k.config.PeerHandler},
+		}, k.logger),
+		Ready:       []func() bool{isClosed(k.config.Ready())},
+		ConfigFresh: k.config.Fresh,
+		Run:         []func(context.Context) error{k.config.Run, k.placement().Run, owner.run},
+		Drain: []func(context.Context){
+			// An operator's watch is held for long; without this a stop would wait for it.
+			func(context.Context) { operators.Close() },
+			owner.drain,
+		},
+	}
+}
+
+func (k *kit) jobs(peerAddr string) *batch.Manager {
+	return batch.New(batch.Options{
+		Settings: k.set,
+		Log:      k.log,
+		Config:   k.config,
+		Members:  k.hosts.known,
+		Logger:   k.logger,
+		Metrics:  k.metrics,
+		PeerAddr: peerAddr,
 	})
-	return e, nil
 }
 
-// weightStore returns nil without a URL: plans then show no sizes.
-func weightStore(s settings.Entry) platform.WeightStore {
-	if s.Platform.WeightsURL == "" {
-		return nil
-	}
-	return weightshttp.New(s.Platform.WeightsURL)
+func (k *kit) placement() *reconcile.Reconciler {
+	return reconcile.New(reconcile.Options{
+		Self:    k.set,
+		Log:     k.log,
+		Config:  k.config,
+		Members: k.hosts.known,
+		Fleet:   k.fleet,
+		Logger:  k.logger,
+		Metrics: k.metrics,
+	})
+}
+
+func (k *kit) operators() *admin.Admin {
+	return admin.New(admin.Options{
+		Self:    k.set,
+		Config:  k.config,
+		Log:     k.log,
+		View:    func() plan.View { return plan.View{Fleet: k.fleet.View(k.config.Current())} },
+		Weights: k.weights,
+		Logger:  k.logger,
+		Metrics: k.metrics,
+	})
 }
 
 // serveJobs passes the job paths on with the workspace that asks.
