--- a/core/reconcile/machine.go
+++ b/core/reconcile/machine.go
@@ -95,11 +95,16 @@
 	did map[structs.ModelID]string
 }
 
+// seqBits is the room for the orders of one owner. Ids start at the fencing number, so that
+// a late answer to an earlier owner's order is not taken for one of this owner's.
+const seqBits = 24
+
 // New returns the Machine of the owner whose claim has the offset fence.
 func New(cfg Config, fence structs.Epoch) *Machine {
 	return &Machine{
 		cfg:      cfg,
 		fence:    fence,
+		seq:      uint64(fence) << seqBits,
 		inFlight: make(map[structs.TargetID]flight),
 		seen:     make(map[structs.TargetID]*presence),
 		surplus:  make(map[pair]time.Time),
@@ -378,3 +383,6 @@
 
 // InFlight returns how many orders wait for their outcome.
 func (m *Machine) InFlight() int { return len(m.inFlight) }
+
+// Fence returns the fencing number that the orders carry.
+func (m *Machine) Fence() structs.Epoch { return m.fence }
