Add the laboratory of the configuration: lab config

Real followers over loopback sockets, confirms through the administration API, processes replaced on the way.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,7 +20,7 @@
 func Ctl() int {
 	return run("arbutusctl",
 		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, jobGroup(),
-		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}}})
+		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}, &configCmd{}}})
 }
 
 func run(name string, cmds ...subcommands.Command) int {
--- a/internal/follow/peer.go
+++ b/internal/follow/peer.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/settings"
 )
 
 // PeerPath is where entries ask each other for configuration on their peer listeners.
@@ -78,6 +79,11 @@
 	client *fasthttp.Client
 }
 
+// NewHTTPFetcher returns the Fetcher of the host self over HTTP. dial is nil for TCP.
+func NewHTTPFetcher(self structs.HostID, keys func() []settings.PeerKey, dial fasthttp.DialFunc) Fetcher {
+	return newHTTPFetcher(self, &auth{keys: keys}, dial)
+}
+
 func newHTTPFetcher(self structs.HostID, a *auth, dial fasthttp.DialFunc) *httpFetcher {
 	if dial == nil {
 		dial = func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, pollGrace/2) }
