--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -53,7 +53,9 @@
 	Config Config
 	Log    platform.Log
 	// View returns what this process knows of fleet and jobs; nil knows nothing.
-	View    func() plan.View
+	View func() plan.View
+	// Weights tells the sizes of models that are planned; nil leaves them unknown.
+	Weights platform.WeightStore
 	Logger  hclog.Logger
 	Metrics metrics.Registry
 	Clock   func() time.Time // nil for time.Now
@@ -153,7 +155,8 @@
 	if err != nil {
 		return err
 	}
-	p, err := plan.Make(a.opts.Config.Current(), a.opts.View(), intents, by.operator, a.now().UnixMilli())
+	state := a.opts.Config.Current()
+	p, err := plan.Make(state, a.view(state, intents), intents, by.operator, a.now().UnixMilli())
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"arbutusramp/core/plan"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
@@ -11,6 +12,7 @@
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/entry"
 	"arbutusramp/internal/follow"
+	"arbutusramp/internal/reconcile"
 	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
@@ -49,10 +51,27 @@
 		Metrics:  reg,
 		PeerAddr: e.PeerAddr(),
 	})
+	weights := weightStore(s)
+	fleet := reconcile.NewFleet(reconcile.FleetOptions{
+		Members:   hosts.known,
+		Weights:   weights,
+		BytesPerS: float64(s.Platform.WeightsBytesPerS),
+	})
+	placement := reconcile.New(reconcile.Options{
+		Self:    s,
+		Log:     log,
+		Config:  config,
+		Members: hosts.known,
+		Fleet:   fleet,
+		Logger:  logger,
+		Metrics: reg,
+	})
 	operators := admin.New(admin.Options{
 		Self:    s,
 		Config:  config,
 		Log:     log,
+		View:    func() plan.View { return plan.View{Fleet: fleet.View(config.Current())} },
+		Weights: weights,
 		Logger:  logger,
 		Metrics: reg,
 	})
@@ -61,6 +80,7 @@
 		Batch:  jobs,
 		Jobs:   serveJobs(jobs),
 		Config: config,
+		Orders: fleet,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, jobs.PeerHandler},
@@ -68,7 +88,7 @@
 		}, logger),
 		Ready:       []func() bool{isClosed(config.Ready())},
 		ConfigFresh: config.Fresh,
-		Run:         []func(context.Context) error{config.Run, owner.run},
+		Run:         []func(context.Context) error{config.Run, placement.Run, owner.run},
 		Drain:       []func(context.Context){owner.drain},
 	})
 	return e, nil
--- a/internal/reconcile/fleet.go
+++ b/internal/reconcile/fleet.go
@@ -146,10 +146,11 @@
 	for _, h := range f.members() {
 		hosts[h.ID] = h
 	}
+	waiting := f.waiting()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	view := structs.Fleet{
-		Waiting:         f.waiting(),
+		Waiting:         f.queued(waiting),
 		Sizes:           maps.Clone(f.sizes),
 		WeightBytesPerS: f.rate,
 	}
@@ -161,6 +162,24 @@
 	return view
 }
 
+// queued adds to more what waits at the sides, for each model that the target has.
+func (f *Fleet) queued(more map[structs.ModelID]int) map[structs.ModelID]int {
+	all := maps.Clone(more)
+	if all == nil {
+		all = make(map[structs.ModelID]int)
+	}
+	for _, side := range f.sides {
+		for _, l := range side.loads {
+			for _, m := range l.Models {
+				if l.OnlineQueued > 0 {
+					all[m] += l.OnlineQueued
+				}
+			}
+		}
+	}
+	return all
+}
+
 // target is live while its session is up and it works. What the host list says
 // only adds that the host is leaving: the list lags, the session does not.
 func (s *sideView) target(t structs.TargetInfo, h platform.Host, id structs.HostID) structs.FleetTarget {
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -43,6 +43,8 @@
 	Clock   func() time.Time // nil for time.Now
 	// Tuning of the decisions; the zero value takes reconcile.DefaultConfig.
 	Tuning reconcile.Config
+	// Settle is how long a new owner watches before it orders anything; 0 is 20 s.
+	Settle time.Duration
 }
 
 // Reconciler keeps true what was confirmed, while its process is the owner.
@@ -73,6 +75,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
+	if o.Settle == 0 {
+		o.Settle = settle
+	}
 	if o.Tuning == (reconcile.Config{}) {
 		o.Tuning = reconcile.DefaultConfig()
 	}
@@ -257,7 +262,7 @@
 		r.mustRead = true
 	}
 	r.lastStep = now
-	if r.mustRead || now.Sub(r.since) < settle {
+	if r.mustRead || now.Sub(r.since) < r.opts.Settle {
 		return nil
 	}
 	return r.machine.Step(now, s, fleet)
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -71,6 +71,9 @@
 		{section: "platform", key: "weights_url", unit: "URL",
 			field: baseURL(func(e *Entry) *string { return &e.Platform.WeightsURL }),
 			doc:   "weight store; without it, plans do not show sizes of weights"},
+		{section: "platform", key: "weights_bytes_per_s", unit: "bytes/s", def: "0",
+			field: integer(0, 1<<40, func(e *Entry) *int { return &e.Platform.WeightsBytesPerS }),
+			doc:   "rate of the weight store for all loads together, for the times that plans show and loads are given; 0 is not known"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,8 @@
 	LogURL      string
 	HostListURL string
 	WeightsURL  string
+	// WeightsBytesPerS is the weight store's rate for all loads together; 0 is not known.
+	WeightsBytesPerS int
 }
 
 // Entry is the settings of one entry process.
