--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -22,10 +22,11 @@
 		return "", errs.New(errs.Unauthenticated, "no operator's key was sent; send Authorization: Bearer KEY")
 	}
 	sum := sha256.Sum256([]byte(key))
-	if name, ok := holder(a.opts.Self.OperatorKeys, sum[:]); ok {
+	valid, revoked := a.opts.Self.Operators()
+	if name, ok := holder(valid, sum[:]); ok {
 		return name, nil
 	}
-	if name, ok := holder(a.opts.Self.RevokedOperatorKeys, sum[:]); ok {
+	if name, ok := holder(revoked, sum[:]); ok {
 		return "", errs.Newf(errs.Unauthenticated, "the key is an old one of operator %s; use the new one", name)
 	}
 	return "", errs.New(errs.Unauthenticated, "the operator's key is not known")
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -82,7 +82,7 @@
 	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
-		m.peers = newHTTPPeers(set.PeerKeys)
+		m.peers = newHTTPPeers(set.ValidPeerKeys)
 	}
 	return m
 }
--- a/internal/batch/peerhttp.go
+++ b/internal/batch/peerhttp.go
@@ -37,10 +37,10 @@
 // httpPeers calls other entries over HTTP with CBOR bodies.
 type httpPeers struct {
 	client fasthttp.Client
-	keys   []settings.PeerKey
+	keys   func() []settings.PeerKey
 }
 
-func newHTTPPeers(keys []settings.PeerKey) *httpPeers {
+func newHTTPPeers(keys func() []settings.PeerKey) *httpPeers {
 	return &httpPeers{
 		keys: keys,
 		client: fasthttp.Client{
@@ -63,9 +63,9 @@
 	req.SetRequestURI("http://" + host.Addr + PeerPath)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(body)
-	if len(p.keys) > 0 {
-		req.Header.Set(headerPeerKey, p.keys[0].ID)
-		req.Header.Set(headerPeerProof, proof(p.keys[0].Secret, body))
+	if keys := p.keys(); len(keys) > 0 {
+		req.Header.Set(headerPeerKey, keys[0].ID)
+		req.Header.Set(headerPeerProof, proof(keys[0].Secret, body))
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -111,12 +111,13 @@
 // authentic checks the proof of a call. Without keys in the settings every call passes, as
 // for sessions.
 func (m *Manager) authentic(ctx *fasthttp.RequestCtx, body []byte) bool {
-	if len(m.set.PeerKeys) == 0 {
+	keys := m.set.ValidPeerKeys()
+	if len(keys) == 0 {
 		return true
 	}
 	id := string(ctx.Request.Header.Peek(headerPeerKey))
 	given := ctx.Request.Header.Peek(headerPeerProof)
-	for _, k := range m.set.PeerKeys {
+	for _, k := range keys {
 		if k.ID == id {
 			return hmac.Equal([]byte(proof(k.Secret, body)), given)
 		}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -43,7 +43,6 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
-	keepOnHangup()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -52,6 +51,7 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
+	reloadOnHangup(ctx, logger, func() error { return settings.ReloadEntryKeys(c.config, s.Ring) })
 	e, err := node.NewEntry(s, logger, reg)
 	if err != nil {
 		return err
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -31,7 +31,6 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
-	keepOnHangup()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -40,6 +39,7 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("side", s.Logs, os.Stderr)
+	reloadOnHangup(ctx, logger, func() error { return settings.ReloadSideKeys(c.config, s.Ring) })
 	p, err := node.NewSide(s, logger, reg)
 	if err != nil {
 		return err
--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // exitOnSecondSignal is the status of a process that was told twice to stop.
@@ -33,6 +35,24 @@
 	}
 }
 
-// keepOnHangup lets SIGHUP pass: it is reserved for reading keys again, and an operator
-// who sends it to all processes must not end those that can't do that yet.
-func keepOnHangup() { signal.Ignore(syscall.SIGHUP) }
+// reloadOnHangup calls reload at each SIGHUP until ctx is done: it reads keys anew. A file with
+// faults changes nothing.
+func reloadOnHangup(ctx context.Context, log hclog.Logger, reload func() error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
+			if err := reload(); err != nil {
+				log.Error("keys not read again", "error", err)
+				continue
+			}
+			log.Info("keys read again")
+		}
+	}()
+}
--- a/internal/entry/dial.go
+++ b/internal/entry/dial.go
@@ -5,7 +5,6 @@
 
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/session"
-	"arbutusramp/internal/settings"
 )
 
 // sessionDialer connects to sides by internal/session.
@@ -17,7 +16,7 @@
 			Region:      e.set.Host.Region,
 			Incarnation: e.now().UnixMilli(),
 		},
-		PeerKeys: func() []settings.PeerKey { return e.set.PeerKeys },
+		PeerKeys: e.set.ValidPeerKeys,
 		Logger:   e.log,
 		Version:  func() structs.Version { return e.config.Current().Version },
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -116,8 +116,7 @@
 		o.Metrics = metrics.NewRegistry()
 	}
 	if o.PeerKeys == nil {
-		keys := o.Self.PeerKeys
-		o.PeerKeys = func() []settings.PeerKey { return keys }
+		o.PeerKeys = o.Self.ValidPeerKeys
 	}
 	f := &Follower{
 		opts: o,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -13,10 +13,22 @@
 
 // LoadEntry reads the settings of an entry process. The error is an
 // *errs.Error of type errs.BadSettings that holds every fault, one a line.
-func LoadEntry(path string) (Entry, error) { return load(entryTable(), path) }
+func LoadEntry(path string) (Entry, error) {
+	e, err := load(entryTable(), path)
+	if err == nil {
+		e.Ring = NewKeyRing(e.keys())
+	}
+	return e, err
+}
 
 // LoadSide reads the settings of a side process. Errors as for LoadEntry.
-func LoadSide(path string) (Side, error) { return load(sideTable(), path) }
+func LoadSide(path string) (Side, error) {
+	s, err := load(sideTable(), path)
+	if err == nil {
+		s.Ring = NewKeyRing(Keys{Peers: s.PeerKeys})
+	}
+	return s, err
+}
 
 // Check returns the faults of a settings file of either kind. The kind is what
 // the file's [host] role says; without one, it is checked as an entry's.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,8 @@
 	RevokedOperatorKeys map[string]string
 	// PeerKeys are the keys between the system's own processes; the first is used for new sessions.
 	PeerKeys []PeerKey
+	// Ring has the keys that are valid now if they can change; nil otherwise.
+	Ring *KeyRing
 
 	MaxBody        int           // bytes of one online request's body
 	DefaultTimeout time.Duration // for requests that name no deadline
@@ -82,6 +84,8 @@
 	StatusAddr  string // [listen] status
 
 	PeerKeys []PeerKey
+	// Ring has the keys that are valid now if they can change; nil otherwise.
+	Ring *KeyRing
 
 	Target       structs.TargetInfo
 	TargetURL    string        // base URL of the target, by IP number
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -200,7 +200,7 @@
 			Incarnation: time.Now().UnixMilli(),
 			Targets:     []structs.TargetInfo{s.target},
 		},
-		PeerKeys: func() []settings.PeerKey { return s.o.Settings.PeerKeys },
+		PeerKeys: s.o.Settings.ValidPeerKeys,
 		Logger:   s.log,
 		Version:  s.config.version,
 	}
