A retired host gives up its work first, and cuts off nothing

Entries send nothing more to a retired host or removed target once another can take the request; its side offers no room for items; its models are unloaded when its requests are done (10 minutes at most), its plain services are removed with it, so that new idempotency keys have their home elsewhere. Before, a confirmed retirement changed nothing at entries and sides.

--- a/core/confstate/apply.go
+++ b/core/confstate/apply.go
@@ -51,7 +51,7 @@
 	case i.Job != nil:
 		return f.job(i, *i.Job)
 	case i.Host != nil:
-		return f.host(i, *i.Host)
+		return f.host(i, *i.Host, atMs)
 	case i.Policy != nil:
 		return f.policy(i, *i.Policy)
 	}
@@ -250,11 +250,12 @@
 	return oldest.ID
 }
 
-func (f *fold) host(i structs.Intent, in structs.HostOrder) *errs.Error {
+func (f *fold) host(i structs.Intent, in structs.HostOrder, atMs int64) *errs.Error {
 	if in.ID == "" {
 		return misfit(i, "it has no name")
 	}
-	if have := f.s.Hosts[in.ID]; have.Retire == in.Retire {
+	have := f.s.Hosts[in.ID]
+	if have.Retire == in.Retire {
 		if in.Retire {
 			return misfit(i, "it is retired already")
 		}
@@ -262,10 +263,12 @@
 	}
 	hosts := f.hosts.own(&f.s.Hosts)
 	if !in.Retire {
+		f.returnServices(have, atMs)
 		delete(hosts, in.ID)
 		return nil
 	}
-	hosts[in.ID] = HostIntent{ID: in.ID, Retire: true}
+	hosts[in.ID] = HostIntent{ID: in.ID, Retire: true, At: f.s.Version}
+	f.retireServices(in.ID, atMs)
 	return nil
 }
 
--- a/core/confstate/fold_test.go
+++ b/core/confstate/fold_test.go
@@ -347,3 +347,39 @@
 		}
 	})
 }
+
+// Symptom: calls with an idempotency key go on reaching a host that is being retired.
+// Sequence: the host of a plain service is retired; new keys come.
+// Cause: the service's target stays registered, and keys have their home by registration.
+func TestRetiredHostGivesUpItsPlainService(t *testing.T) {
+	confirmed := func(at structs.Offset, ms int64, i ...structs.Intent) structs.LogEntry {
+		c := confirm(fmt.Sprint("p", at), "ann", structs.Version(at-1), i...)
+		c.AtMs = ms
+		return entry(t, at, c)
+	}
+	host := func(retire bool) structs.Intent {
+		return structs.Intent{Host: &structs.HostOrder{ID: "h", Retire: retire}}
+	}
+	target := func(id structs.TargetID) structs.Intent {
+		return structs.Intent{Target: &structs.TargetIntent{ID: id, Kind: structs.KindService, Host: "h", Service: "s"}}
+	}
+	s := Empty().Fold([]structs.LogEntry{
+		confirmed(1, 100, structs.Intent{Service: &structs.ServiceIntent{ID: "s"}}, target("former")),
+		confirmed(2, 110, structs.Intent{RemoveTarget: &structs.RemoveTargetIntent{ID: "former"}}, target("t")),
+		confirmed(3, 200, host(true)),
+	})
+	if got := s.Targets["t"]; got.RemovedAt != 3 || got.RemovedMs != 200 {
+		t.Errorf("target %+v after the retirement", got)
+	}
+	stale := s.Fold([]structs.LogEntry{entry(t, 4, confirm("x", "ben", 2, structs.Intent{RemoveTarget: &structs.RemoveTargetIntent{ID: "t"}}))})
+	if !errs.Is(stale.Outcomes["x"].Err, errs.StalePlan) {
+		t.Errorf("a plan for the target from before: %+v", stale.Outcomes["x"])
+	}
+	s = s.Fold([]structs.LogEntry{confirmed(4, 300, host(false))})
+	if got := s.Targets["t"]; got.RemovedAt != 0 || got.RemovedMs != 0 || got.AddedMs != 300 {
+		t.Errorf("target %+v after its return", got)
+	}
+	if got := s.Targets["former"]; got.RemovedAt != 2 {
+		t.Errorf("a target that an operator removed: %+v", got)
+	}
+}
--- a/core/confstate/state.go
+++ b/core/confstate/state.go
@@ -103,6 +103,8 @@
 type HostIntent struct {
 	ID     structs.HostID `cbor:"1,keyasint" json:"id"`
 	Retire bool           `cbor:"2,keyasint,omitempty" json:"retire,omitempty"`
+	// At is the version that retired it.
+	At structs.Version `cbor:"3,keyasint,omitempty" json:"at,omitempty"`
 }
 
 // JobIntent is an operator's decision on one job.
--- a/core/confstate/target.go
+++ b/core/confstate/target.go
@@ -72,3 +72,30 @@
 	}
 	return nil
 }
+
+// retireServices removes the plain services on a retired host. New idempotency keys would
+// else go on having their home there, and the host would never be free. Model engines stay
+// registered: they give up their models one by one.
+func (f *fold) retireServices(host structs.HostID, atMs int64) {
+	for id, t := range f.s.Targets {
+		if t.Host != host || t.Kind != structs.KindService || t.RemovedAt != 0 {
+			continue
+		}
+		t.RemovedAt = max(1, f.s.Version)
+		t.RemovedMs = atMs
+		f.targets.own(&f.s.Targets)[id] = t
+	}
+}
+
+// returnServices registers again what retireServices removed.
+func (f *fold) returnServices(h HostIntent, atMs int64) {
+	for id, t := range f.s.Targets {
+		if t.Host != h.ID || t.Kind != structs.KindService || t.RemovedAt != max(1, h.At) {
+			continue
+		}
+		t.RemovedAt = 0
+		t.RemovedMs = 0
+		t.AddedMs = atMs
+		f.targets.own(&f.s.Targets)[id] = t
+	}
+}
--- a/core/reconcile/machine.go
+++ b/core/reconcile/machine.go
@@ -18,6 +18,8 @@
 	Steady time.Duration
 	// SurplusAfter is how long a surplus replica is kept: its host may waver.
 	SurplusAfter time.Duration
+	// DrainFor is how long an unload waits for the requests that the target still has.
+	DrainFor time.Duration
 	// MaxLoads bounds loads from the weight store at a time. The store's rate is
 	// shared, so more at once make each slower and none sooner.
 	MaxLoads int
@@ -33,6 +35,7 @@
 		Grace:        20 * time.Second,
 		Steady:       2 * time.Minute,
 		SurplusAfter: 5 * time.Minute,
+		DrainFor:     10 * time.Minute,
 		MaxLoads:     2,
 		OrderTimeout: 30 * time.Second,
 		BackoffMin:   5 * time.Second,
@@ -62,7 +65,7 @@
 	seq      uint64
 	inFlight map[structs.TargetID]flight
 	seen     map[structs.TargetID]*presence
-	surplus  map[pair]time.Time
+	since    map[pair]time.Time // when an unload was first wanted
 	failed   map[pair]backoff
 }
 
@@ -107,7 +110,7 @@
 		seq:      uint64(fence) << seqBits,
 		inFlight: make(map[structs.TargetID]flight),
 		seen:     make(map[structs.TargetID]*presence),
-		surplus:  make(map[pair]time.Time),
+		since:    make(map[pair]time.Time),
 		failed:   make(map[pair]backoff),
 	}
 }
@@ -119,7 +122,7 @@
 	m.settle(now)
 	var sends []Send
 	changes := place(s, m.spots(now, s, fleet), fleet.Waiting)
-	m.forgetSurplus(changes)
+	m.forgetSince(changes)
 	for _, c := range changes {
 		if m.ready(now, c) {
 			sends = append(sends, m.send(now, c, fleet))
@@ -266,7 +269,9 @@
 	case c.Op == platform.OpLoad:
 		return m.loads() < m.cfg.MaxLoads
 	case c.Reason == ReasonSurplus:
-		return m.surplusLasts(now, pair{c.Target, c.Model})
+		return m.lasts(now, c, m.cfg.SurplusAfter)
+	case c.Reason == ReasonRetiredHost || c.Reason == ReasonRetiredModel:
+		return c.Idle || m.lasts(now, c, m.cfg.DrainFor)
 	}
 	return true
 }
@@ -281,26 +286,28 @@
 	return n
 }
 
-func (m *Machine) surplusLasts(now time.Time, key pair) bool {
-	since, ok := m.surplus[key]
+// lasts reports whether c has been wanted for d.
+func (m *Machine) lasts(now time.Time, c Change, d time.Duration) bool {
+	key := pair{c.Target, c.Model}
+	since, ok := m.since[key]
 	if !ok {
-		m.surplus[key] = now
+		m.since[key] = now
 		return false
 	}
-	return now.Sub(since) >= m.cfg.SurplusAfter
+	return now.Sub(since) >= d
 }
 
-// forgetSurplus drops those that are no longer surplus, so that their time starts anew.
-func (m *Machine) forgetSurplus(changes []Change) {
+// forgetSince drops unloads that are no longer wanted, so that their time starts anew.
+func (m *Machine) forgetSince(changes []Change) {
 	still := make(map[pair]bool)
 	for _, c := range changes {
-		if c.Reason == ReasonSurplus {
+		if c.Op == platform.OpUnload {
 			still[pair{c.Target, c.Model}] = true
 		}
 	}
-	for key := range m.surplus {
+	for key := range m.since {
 		if !still[key] {
-			delete(m.surplus, key)
+			delete(m.since, key)
 		}
 	}
 }
--- a/core/reconcile/machine_test.go
+++ b/core/reconcile/machine_test.go
@@ -392,3 +392,24 @@
 		t.Errorf("order %+v", got)
 	}
 }
+
+// Symptom: a retirement cuts off requests.
+// Sequence: a host is retired while requests run there.
+// Cause: its models are unloaded as soon as they stand elsewhere.
+func TestRetiredHostFinishesItsRequests(t *testing.T) {
+	b := newBench(t, 4, 2, model("m", 1, 1))
+	b.run(time.Minute, nil)
+	held, _ := b.holders("m")
+	old := b.target(held[0])
+	old.Online = 3
+	b.state.Hosts[old.Host] = confstate.HostIntent{ID: old.Host, Retire: true}
+	b.run(time.Minute, nil)
+	if got, _ := b.holders("m"); len(got) != 2 {
+		t.Errorf("replicas at %v while requests run at %s", got, old.ID)
+	}
+	old.Online = 0
+	b.run(10*time.Second, nil)
+	if got, _ := b.holders("m"); len(got) != 1 || got[0] == old.ID {
+		t.Errorf("replicas at %v after the last request", got)
+	}
+}
--- a/core/reconcile/place.go
+++ b/core/reconcile/place.go
@@ -45,6 +45,8 @@
 	Reason  Reason
 	// Alone says that the model has no replica at all now.
 	Alone bool
+	// Idle says that the target has no requests now.
+	Idle bool
 	// Waiting is how many requests and items wait for the model.
 	Waiting int
 }
@@ -78,7 +80,15 @@
 }
 
 func (s *spot) change(op platform.OrderOp, m confstate.Model, r Reason) Change {
-	return Change{Target: s.ID, Host: s.Host, Op: op, Model: m.ID, Version: m.Version, Reason: r}
+	return Change{
+		Target:  s.ID,
+		Host:    s.Host,
+		Op:      op,
+		Model:   m.ID,
+		Version: m.Version,
+		Reason:  r,
+		Idle:    s.Online+s.Batch == 0,
+	}
 }
 
 // Changes returns what has to change for s to be true of fleet, seen without
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -27,7 +27,7 @@
 	c.e.rec.retrying(c, err)
 	c.tried = append(c.tried, c.target.id)
 	c.attempt++
-	s.look(c.group, now, c.req.prefixes())
+	c.look(s, now)
 	if again := c.start(s); again != nil {
 		return preferFirst(err, again)
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -14,6 +14,7 @@
 	rng      *rand.Rand
 	view     choose.View
 	targets  []*target // beside view.Candidates
+	retired  []int     // in view.Candidates
 	decision choose.Decision
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -112,7 +112,7 @@
 		timeout = a.timeout
 	}
 	c.deadline = a.start.Add(timeout)
-	s.look(c.group, a.start, req.prefixes())
+	c.look(s, a.start)
 	outstanding, capacity := s.room()
 	if err := e.admit(a, outstanding, capacity); err != nil {
 		return nil, err
--- a/internal/side/config.go
+++ b/internal/side/config.go
@@ -109,5 +109,8 @@
 	if state.Touched[touchedPolicy] != 0 {
 		s.queue.setHeadroom(state.Policy.Headroom)
 	}
-	s.keys.added(state.Targets[s.target.ID].AddedMs)
+	reg := state.Targets[s.target.ID]
+	s.keys.added(reg.AddedMs)
+	s.retired.Store(reg.RemovedAt != 0 || state.Hosts[s.o.Settings.Host.ID].Retire)
+	s.signal()
 }
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
@@ -463,3 +464,26 @@
 		}
 	})
 }
+
+// Symptom: a host that is being retired never gets free of batch items.
+// Sequence: an operator retires it; items wait at the entries.
+// Cause: its side goes on offering room.
+func TestRetiredHostOffersNoRoom(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		if room := b.puller.room(); room == 0 {
+			t.Fatal("no room before the retirement")
+		}
+		host := b.o.Settings.Host.ID
+		b.configure(&fixedConfig{}, &confstate.State{
+			Version: 1,
+			Hosts:   map[structs.HostID]confstate.HostIntent{host: {ID: host, Retire: true}},
+		}, nil)
+		if room := b.puller.room(); room != 0 {
+			t.Errorf("room for %d items on a retired host", room)
+		}
+		b.configure(&fixedConfig{}, &confstate.State{Version: 2}, nil)
+		if room := b.puller.room(); room == 0 {
+			t.Error("no room after its return")
+		}
+	})
+}
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// room is how many items the side takes now, 0 when the target is ill or memory is short.
+// room is how many items the side takes now, 0 when the target is ill or retired, or memory is short.
 func (pl *puller) room() int {
-	if pl.s.draining.Load() || pl.s.unhealthy() {
+	if pl.s.draining.Load() || pl.s.retired.Load() || pl.s.unhealthy() {
 		return 0
 	}
 	return max(0, min(pl.s.queue.batchRoom()-pl.s.items.parked(), pl.s.items.spare()))
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -69,9 +69,12 @@
 	base     context.Context // of all runs at the target
 	cut      context.CancelCauseFunc
 	draining atomic.Bool
-	serving  atomic.Bool
-	active   atomic.Int64  // streams from Open to End
-	still    chan struct{} // a token when something has ended while draining
+	// retired says that an operator takes host or target out of service: no more batch items are
+	// pulled. Online requests still come while entries know no other target for them.
+	retired atomic.Bool
+	serving atomic.Bool
+	active  atomic.Int64  // streams from Open to End
+	still   chan struct{} // a token when something has ended while draining
 
 	loadDirty chan struct{}
 	roomDirty chan struct{}
