--- /dev/null
+++ b/internal/lab/slopes/bench.go
@@ -0,0 +1,106 @@
+package slopes
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"arbutusramp/core/errs"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// minPoints is the fewest points a fit is made from.
+const minPoints = 3
+
+// Point is one measured pair.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// fit fills in a slope's line. Error: errs.Internal for too few points.
+func (s *Slope) fit() error {
+	if len(s.Points) < minPoints {
+		return errs.Newf(errs.Internal, "slope %s has %d points, not %d", s.Name, len(s.Points), minPoints)
+	}
+	xs, ys := make([]float64, 0, len(s.Points)), make([]float64, 0, len(s.Points))
+	for _, p := range s.Points {
+		xs = append(xs, p.X)
+		ys = append(ys, p.Y)
+	}
+	s.Intercept, s.Slope = stat.LinearRegression(xs, ys, nil, false)
+	s.From, s.To = slices.Min(xs), slices.Max(xs)
+	// A flat line explains all there is; the share is not defined for it.
+	s.R2 = 1
+	if slices.Min(ys) != slices.Max(ys) {
+		s.R2 = stat.RSquared(xs, ys, nil, s.Intercept, s.Slope)
+	}
+	return nil
+}
+
+// bench collects slopes.
+type bench struct {
+	window  time.Duration // of one measurement of processor time
+	repeats int
+	report  Report
+}
+
+// few returns xs, thinned to its ends and its middle for a quick run.
+func (b *bench) few(xs ...float64) []float64 {
+	if !b.report.Quick || len(xs) <= minPoints {
+		return xs
+	}
+	return []float64{xs[0], xs[len(xs)/2], xs[len(xs)-1]}
+}
+
+// sample measures at x and returns one value for each slope.
+type sample func(x float64) ([]float64, error)
+
+// measure fits slopes to the medians of what at returns over xs.
+func (b *bench) measure(ctx context.Context, xs []float64, at sample, slopes ...Slope) error {
+	for _, x := range xs {
+		ys, err := b.medians(ctx, x, at, len(slopes))
+		if err != nil {
+			return err
+		}
+		for i := range slopes {
+			slopes[i].Points = append(slopes[i].Points, Point{X: x, Y: ys[i]})
+		}
+	}
+	for _, s := range slopes {
+		s.Repeats = b.repeats
+		if err := s.fit(); err != nil {
+			return err
+		}
+		b.report.Slopes = append(b.report.Slopes, s)
+	}
+	return nil
+}
+
+func (b *bench) medians(ctx context.Context, x float64, at sample, n int) ([]float64, error) {
+	columns := make([][]float64, n)
+	for range b.repeats {
+		if err := ctx.Err(); err != nil {
+			return nil, errs.New(errs.Cancelled, "the measurement was stopped")
+		}
+		ys, err := at(x)
+		if err != nil {
+			return nil, err
+		}
+		for i := range columns {
+			columns[i] = append(columns[i], ys[i])
+		}
+	}
+	medians := make([]float64, 0, n)
+	for _, c := range columns {
+		medians = append(medians, median(c))
+	}
+	return medians, nil
+}
+
+func median(ys []float64) float64 {
+	slices.Sort(ys)
+	const half = 0.5
+	return stat.Quantile(half, stat.Empirical, ys, nil)
+}
