--- a/internal/side/sessions.go
+++ b/internal/side/sessions.go
@@ -150,7 +150,9 @@
 	p := newPeer(c)
 	s.peers.add(p)
 	s.log.Info("session opened", "entry", p.host)
-	p.send(&structs.Frame{Load: s.fullLoad()})
+	load := s.fullLoad()
+	load.Prefixes = s.prefixes.latest()
+	p.send(&structs.Frame{Load: load})
 	s.config.ask(p)
 	s.items.resend(p)
 	s.signal()
@@ -167,7 +169,7 @@
 	s.signal()
 }
 
-// stopAll marks every call before it withdraws any: a place that one gives back
+// stopAll marks every call before it stops any: a place that one gives back
 // would else be taken by the next that is to be stopped.
 func stopAll(calls []*call, err *errs.Error) {
 	for _, c := range calls {
