--- a/internal/lab/slopes/bench.go
+++ b/internal/lab/slopes/bench.go
@@ -59,13 +59,23 @@
 
 // measure fits slopes to the medians of what at returns over xs.
 func (b *bench) measure(ctx context.Context, xs []float64, at sample, slopes ...Slope) error {
+	given := func(x float64) ([]float64, error) {
+		ys, err := at(x)
+		return append([]float64{x}, ys...), err
+	}
+	return b.measureRate(ctx, xs, given, slopes...)
+}
+
+// measureRate is measure for an x that is only asked for: the first value that at
+// returns is the x that came about.
+func (b *bench) measureRate(ctx context.Context, xs []float64, at sample, slopes ...Slope) error {
 	for _, x := range xs {
-		ys, err := b.medians(ctx, x, at, len(slopes))
+		got, err := b.medians(ctx, x, at, 1+len(slopes))
 		if err != nil {
 			return err
 		}
 		for i := range slopes {
-			slopes[i].Points = append(slopes[i].Points, Point{X: x, Y: ys[i]})
+			slopes[i].Points = append(slopes[i].Points, Point{X: got[0], Y: got[1+i]})
 		}
 	}
 	for _, s := range slopes {
--- a/internal/lab/slopes/rig.go
+++ b/internal/lab/slopes/rig.go
@@ -126,12 +126,13 @@
 	})
 }
 
-// rigConfig is a workspace without limits, a model and a service.
+// rigConfig is a workspace without limits that may start jobs, a model and a service.
 func rigConfig() (*confstate.State, error) {
 	return confstate.Empty().Preview([]structs.Intent{
 		{Workspace: &structs.WorkspaceIntent{ID: "slopes", KeyHashes: []string{settings.KeySum(rigKey)}}},
 		{Model: &structs.ModelIntent{ID: modelID(0)}},
 		{Service: &structs.ServiceIntent{ID: rigService}},
+		{Grant: &structs.GrantIntent{Workspace: "slopes", MaxItems: 1e6, Models: []structs.ModelID{modelID(0)}}},
 	}, 1)
 }
 
--- a/internal/lab/slopes/shardlog.go
+++ b/internal/lab/slopes/shardlog.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// segmentItems is how many items an uploaded segment has.
-	segmentItems = jobs.MaxSegmentItems
+	// segmentItems is how many items an upload puts into a segment.
+	segmentItems = 256
 	// envelopeItems is how many results one append carries: about those of a shard in
 	// one group commit at the target size (22,000 items/s, 16 shards, 100 ms).
 	envelopeItems = 128
--- a/internal/lab/slopes/slopes.go
+++ b/internal/lab/slopes/slopes.go
@@ -99,6 +99,11 @@
 		{"requests", measureRequests},
 		{"prompts", measurePrompts},
 		{"tokens", measureTokens},
+		{"owner", measureOwner},
+		{"shards", measureShards},
+		{"takeover", measureTakeover},
+		{"probes", measureProbes},
+		{"followers", measureFollowers},
 	}
 }
 
