Work out what each role costs at a size from measured slopes

lab slopes -capacity prints rows and budgets; a missed budget stands bold with what would have to change. entry.Subset is exported for the table of subsets.

--- a/internal/command/lab_slopes.go
+++ b/internal/command/lab_slopes.go
@@ -8,43 +8,97 @@
 	"os"
 	"strings"
 
+	"arbutusramp/core/errs"
+	"arbutusramp/internal/lab/capacity"
 	"arbutusramp/internal/lab/slopes"
 	"github.com/google/subcommands"
 )
 
 type slopesCmd struct {
-	options slopes.Options
-	parts   string
-	json    bool
+	options  slopes.Options
+	parts    string
+	from     string
+	size     string
+	capacity bool
+	json     bool
 }
 
 func (*slopesCmd) Name() string     { return "slopes" }
 func (*slopesCmd) Synopsis() string { return "measure what one more unit of each kind of work costs" }
 func (*slopesCmd) Usage() string {
-	return "slopes [-quick] [-parts NAME,...] [-json]\n" +
+	return "slopes [-quick] [-parts NAME,...] [-capacity [-size target|kelpie|tuulai] [-from FILE]] [-json]\n" +
 		"  Measures what docs/CAPACITY.md is worked out from. Parts: " + strings.Join(slopes.Names(), ", ") + ".\n"
 }
 
 func (c *slopesCmd) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.options.Quick, "quick", false, "fewer points, shorter windows, no repeats")
 	f.StringVar(&c.parts, "parts", "", "parts to measure, with commas between; none is all")
+	f.BoolVar(&c.capacity, "capacity", false, "print what each role costs, worked out from the slopes")
+	f.StringVar(&c.size, "size", "target", "size for -capacity: target, kelpie or tuulai")
+	f.StringVar(&c.from, "from", "", "take the slopes from a report in JSON in place of measuring")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
 }
 
 func (c *slopesCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	report, err := c.report(ctx)
+	if err != nil {
+		return fail(err)
+	}
+	switch {
+	case c.capacity:
+		return exit(c.printCapacity(&report))
+	case c.json:
+		return exit(json.NewEncoder(os.Stdout).Encode(report))
+	}
+	printSlopes(report)
+	return subcommands.ExitSuccess
+}
+
+func (c *slopesCmd) report(ctx context.Context) (slopes.Report, error) {
+	if c.from != "" {
+		return readReport(c.from)
+	}
 	if c.parts != "" {
 		c.options.Parts = strings.Split(c.parts, ",")
 	}
 	c.options.Progress = func(part string) { fmt.Fprintln(os.Stderr, "measuring", part) }
-	report, err := slopes.Run(ctx, c.options)
+	return slopes.Run(ctx, c.options)
+}
+
+func readReport(path string) (slopes.Report, error) {
+	var r slopes.Report
+	body, err := os.ReadFile(path)
+	if err == nil {
+		err = json.Unmarshal(body, &r)
+	}
 	if err != nil {
-		return fail(err)
+		return r, errs.Newf(errs.BadRequest, "report %s: %v", path, err)
+	}
+	return r, nil
+}
+
+// spreadSeed makes the table of subsets the same in every run.
+const spreadSeed = 1
+
+func (c *slopesCmd) printCapacity(r *slopes.Report) error {
+	z, err := capacity.Named(c.size)
+	if err != nil {
+		return err
+	}
+	rows, err := capacity.Rows(r, z)
+	if err != nil {
+		return err
 	}
 	if c.json {
-		return exit(json.NewEncoder(os.Stdout).Encode(report))
+		return json.NewEncoder(os.Stdout).Encode(rows)
 	}
-	printSlopes(report)
-	return subcommands.ExitSuccess
+	if err := capacity.WriteMarkdown(os.Stdout, rows); err != nil {
+		return err
+	}
+	if z.MaxSides == 0 {
+		return nil
+	}
+	return capacity.WriteSpreads(os.Stdout, r, z, capacity.Spreads(z, spreadSeed, 20, 40, 60, 90, 120))
 }
 
 func printSlopes(r slopes.Report) {
--- a/internal/entry/subset.go
+++ b/internal/entry/subset.go
@@ -8,12 +8,19 @@
 
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/settings"
 )
 
 // minDomains is over how many failure domains a subset stands at least, so that the loss of one
 // domain does not leave the entry without sides.
 const minDomains = 2
 
+// Subset returns the sides among hosts that the entry self keeps sessions with when it
+// keeps limit of them at most, for working out what a size of subset does.
+func Subset(self settings.Identity, hosts []platform.Host, limit int) []platform.Host {
+	return subset(self.ID, self.Domain, hosts, limit)
+}
+
 // subset picks up to limit sides for one entry by rendezvous hashing, so that a host which
 // joins or leaves changes few subsets. The entry's own failure domain goes first; one
 // place in minDomains is kept for others. limit 0 takes all.
--- a/internal/lab/slopes/bench.go
+++ b/internal/lab/slopes/bench.go
@@ -66,6 +66,14 @@
 	return b.measureRate(ctx, xs, given, slopes...)
 }
 
+// measureOnce is measure for quantities that other processes don't disturb: bytes and memory.
+func (b *bench) measureOnce(ctx context.Context, xs []float64, at sample, slopes ...Slope) error {
+	repeats := b.repeats
+	defer func() { b.repeats = repeats }()
+	b.repeats = 1
+	return b.measure(ctx, xs, at, slopes...)
+}
+
 // measureRate is measure for an x that is only asked for: the first value that at
 // returns is the x that came about.
 func (b *bench) measureRate(ctx context.Context, xs []float64, at sample, slopes ...Slope) error {
--- a/internal/lab/slopes/memory.go
+++ b/internal/lab/slopes/memory.go
@@ -23,7 +23,7 @@
 		atEntry, err := sessionsAtEntry(ctx, int(x))
 		return []float64{one, atSide - one, atEntry - one}, err
 	}
-	err := b.measure(ctx, b.few(25, 50, 100, 200), sessions,
+	err := b.measureOnce(ctx, b.few(25, 50, 100, 200), sessions,
 		Slope{Name: SessionMemory, Feeds: "sessions: memory", Unit: "B/session", Base: "B", Over: "idle sessions", Model: "one end of a bare session: half of both"},
 		Slope{Name: SideSessionMem, Feeds: "side: memory of sessions", Unit: "B/session", Base: "B", Over: "idle sessions", Model: "a real side's end; the intercept is the side itself"},
 		Slope{Name: EntrySessionMem, Feeds: "entry: memory of sessions", Unit: "B/session", Base: "B", Over: "idle sessions", Model: "a real entry's end; the intercept is the entry itself"})
@@ -38,7 +38,7 @@
 		atSide, err := streamsAtSide(ctx, int(x))
 		return []float64{atEntry, atSide}, err
 	}
-	return b.measure(ctx, b.few(16, 32, 48, 64), streams,
+	return b.measureOnce(ctx, b.few(16, 32, 48, 64), streams,
 		Slope{Name: EntryStreamMem, Feeds: "entry: memory of open streams (data path)", Unit: "B/stream", Base: "B", Over: "open streams", Model: "before the first token; a short prompt"},
 		Slope{Name: SideStreamMem, Feeds: "side: memory of open streams (data path)", Unit: "B/stream", Base: "B", Over: "open streams",
 			Model: fmt.Sprintf("%d sides; what the thin engine takes is off", rigSides)})
--- a/internal/lab/slopes/names.go
+++ b/internal/lab/slopes/names.go
@@ -10,6 +10,8 @@
 	SessionCPU       = "session_cpu"
 	SessionBytes     = "session_bytes"
 	SessionMessages  = "session_messages"
+	SessionDialCPU   = "session_dial_cpu"
+	ReconcileCPU     = "reconcile_cpu"
 	LoadCPU          = "load_frame_cpu"
 	LoadBytes        = "load_frame_bytes"
 	SessionMemory    = "session_memory_one_end"
--- a/internal/lab/slopes/sessions.go
+++ b/internal/lab/slopes/sessions.go
@@ -21,13 +21,16 @@
 // the ends do with them is left out.
 func measureSessions(ctx context.Context, b *bench) error {
 	idle := func(x float64) ([]float64, error) {
-		echo, err := startSessionEcho(ctx, int(x), false)
+		var echo *sessionEcho
+		var err error
+		settle()
+		dial := cpuDuring(func() { echo, err = startSessionEcho(ctx, int(x), false) })
 		if err != nil {
 			return nil, err
 		}
 		defer echo.stop()
 		used, bytes, messages := echo.watch(beatWindow, func() { time.Sleep(beatWindow) })
-		return []float64{used / bothEnds, bytes, messages}, nil
+		return []float64{used / bothEnds, bytes, messages, dial}, nil
 	}
 	err := b.measure(ctx, b.few(25, 50, 100, 200), idle,
 		Slope{Name: SessionCPU, Feeds: "sessions: processor time of heartbeats (control)", Unit: "us/s a session", Base: "us/s", Over: "idle sessions",
@@ -35,7 +38,8 @@
 		Slope{Name: SessionBytes, Feeds: "sessions: bytes of heartbeats (control)", Unit: "B/s a session", Base: "B/s", Over: "idle sessions",
 			Model: "both ways, with WebSocket framing, without TCP and IP headers"},
 		Slope{Name: SessionMessages, Feeds: "sessions: packets of heartbeats (control)", Unit: "messages/s a session", Base: "messages/s", Over: "idle sessions",
-			Model: "writes and reads at one end"})
+			Model: "writes and reads at one end"},
+		Slope{Name: SessionDialCPU, Feeds: "sessions: processor time of a reconnect", Unit: "us/session", Base: "us", Over: "sessions opened", Model: "both ends together, with their proofs"})
 	if err != nil {
 		return err
 	}
--- a/internal/lab/slopes/slopes.go
+++ b/internal/lab/slopes/slopes.go
@@ -93,6 +93,7 @@
 		{"admit", measureAdmit},
 		{"hosts", measureHosts},
 		{"rank", measureRank},
+		{"reconcile", measureReconcile},
 		{"records", measureRecords},
 		{"memory", measureMemory},
 		{"sessions", measureSessions},
