--- a/internal/command/lab_slopes.go
+++ b/internal/command/lab_slopes.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/internal/lab/capacity"
@@ -26,7 +27,7 @@
 func (*slopesCmd) Name() string     { return "slopes" }
 func (*slopesCmd) Synopsis() string { return "measure what one more unit of each kind of work costs" }
 func (*slopesCmd) Usage() string {
-	return "slopes [-quick] [-parts NAME,...] [-capacity [-size target|kelpie|tuulai] [-from FILE]] [-json]\n" +
+	return "slopes [-quick] [-parts NAME,...] [-capacity [-size target|tuned|kelpie|tuulai] [-from FILE]] [-json]\n" +
 		"  Measures what docs/CAPACITY.md is worked out from. Parts: " + strings.Join(slopes.Names(), ", ") + ".\n"
 }
 
@@ -34,7 +35,7 @@
 	f.BoolVar(&c.options.Quick, "quick", false, "fewer points, shorter windows, no repeats")
 	f.StringVar(&c.parts, "parts", "", "parts to measure, with commas between; none is all")
 	f.BoolVar(&c.capacity, "capacity", false, "print what each role costs, worked out from the slopes")
-	f.StringVar(&c.size, "size", "target", "size for -capacity: target, kelpie or tuulai")
+	f.StringVar(&c.size, "size", "target", "size for -capacity: target, tuned, kelpie or tuulai")
 	f.StringVar(&c.from, "from", "", "take the slopes from a report in JSON in place of measuring")
 	f.BoolVar(&c.json, "json", false, "print the report as JSON")
 }
@@ -95,10 +96,36 @@
 	if err := capacity.WriteMarkdown(os.Stdout, rows); err != nil {
 		return err
 	}
-	if z.MaxSides == 0 {
+	if c.size != "target" {
 		return nil
 	}
-	return capacity.WriteSpreads(os.Stdout, r, z, capacity.Spreads(z, spreadSeed, 20, 40, 60, 90, 120))
+	return printTarget(r, z)
+}
+
+// printTarget prints what stands beside the rows at the target size.
+func printTarget(r *slopes.Report, z capacity.Size) error {
+	if err := printBudgets(r); err != nil {
+		return err
+	}
+	if err := capacity.WriteSpreads(os.Stdout, r, z, capacity.Spreads(z, spreadSeed, 20, 40, 60, 90, 120)); err != nil {
+		return err
+	}
+	every := []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 5 * time.Second, 10 * time.Second}
+	return capacity.WriteFreshness(os.Stdout, r, z, capacity.Freshen(z, spreadSeed, every...))
+}
+
+func printBudgets(r *slopes.Report) error {
+	var names []string
+	var columns [][]capacity.Row
+	for _, z := range []capacity.Size{capacity.Target(), capacity.Tuned(), capacity.Kelpie(), capacity.Tuulai()} {
+		rows, err := capacity.Rows(r, z)
+		if err != nil {
+			return err
+		}
+		names = append(names, z.Name)
+		columns = append(columns, rows)
+	}
+	return capacity.WriteBudgets(os.Stdout, names, columns)
 }
 
 func printSlopes(r slopes.Report) {
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -121,6 +121,14 @@
 	}
 }
 
+// Symptom: a small system was said to cost nothing. The line of a cost that grows faster than
+// its count starts below 0, and 15 hosts lie far left of the range.
+func TestBelowTheRangeTheSlopeCounts(t *testing.T) {
+	steep := map[string]slopes.Slope{slopes.RankCPU: {Slope: 2, Intercept: -500, From: 580, To: 2320}}
+	r := find(t, rowsOf(t, fixed(steep), Kelpie()), entryRole, "who owns which shard", msPerS)
+	wantValue(t, r, 2*15*16*6/1000.0)
+}
+
 func TestControlIsSummedByRole(t *testing.T) {
 	rows := rowsOf(t, fixed(nil), Target())
 	sum := 0.0
@@ -158,6 +166,28 @@
 	}
 }
 
+// Reports that are older leave the streams less even: what is chosen by them is no longer so.
+func TestOldReportsSpreadWorse(t *testing.T) {
+	z := Size{Entries: 10, Sides: 40, Domains: 4, RequestsPerS: 400, TokensPerS: 40_000, TokenGapS: 0.05}
+	z.MaxSides = 20
+	f := Freshen(z, 1, 50*time.Millisecond, 20*time.Second)
+	if fresh, old := f[0].Fullest, f[1].Fullest; fresh < 1 || old < 1.1*fresh {
+		t.Fatalf("fullest over mean %v with fresh reports, %v with old ones", fresh, old)
+	}
+}
+
+func TestBudgetsOfSeveralSizes(t *testing.T) {
+	r := fixed(map[string]slopes.Slope{slopes.SessionBytes: {Slope: 51, To: 200}})
+	var b strings.Builder
+	if err := WriteBudgets(&b, []string{"target", "Kelpie"}, [][]Row{rowsOf(t, r, Target()), rowsOf(t, r, Kelpie())}); err != nil {
+		t.Fatal(err)
+	}
+	// 60 sessions at the target, 12 at Kelpie.
+	if want := "| entry | heartbeats | 3,000 B/s | **3,060** | 612 |"; !strings.Contains(b.String(), want) {
+		t.Fatalf("no %q in\n%s", want, b.String())
+	}
+}
+
 func TestNumbersHaveThreeDigits(t *testing.T) {
 	for v, want := range map[float64]string{
 		0: "0", 0.0123456: "0.0123", 9.876: "9.88", 123.4: "123", 3060: "3,060", 1_234_567: "1.23 M", 356e6: "356 M",
--- a/internal/lab/capacity/control.go
+++ b/internal/lab/capacity/control.go
@@ -38,7 +38,9 @@
 
 const (
 	usPerMs = 1000
-	usPerS  = 1e6
+	// packetHeader is the bytes of Ethernet, IP and TCP headers with timestamps.
+	packetHeader = 66
+	usPerS       = 1e6
 	// heapFactor is live data to heap at the garbage collector's default.
 	heapFactor = 2
 	bothEnds   = 2
@@ -61,6 +63,12 @@
 	hostListCPU := s.whole(slopes.HostListCPU, z.hosts()) * perSecond(z.HostListEvery)
 	s.add(Row{Role: entryRole, What: "host list reads", Kind: Control, Unit: msPerS, Value: hostListCPU / usPerMs,
 		Mechanism: "each entry reads the whole list every host_list_every"})
+	if z.MaxSides > 0 && z.MaxSides < z.Sides {
+		s.add(Row{Role: entryRole, What: "subset chosen at each read", Kind: Control, Unit: msPerS,
+			Value:     s.whole(slopes.SubsetCPU, float64(z.Sides)) * perSecond(z.HostListEvery) / usPerMs,
+			Mechanism: "all sides are ranked at each read of the list",
+			Change:    "rank when the list has changed; hash each side once"})
+	}
 	s.add(Row{Role: entryRole, What: "host list reads", Kind: Control, Unit: bytesS,
 		Value:  s.whole(slopes.HostListBytes, z.hosts()) * perSecond(z.HostListEvery),
 		Budget: BytesBudget, Mechanism: "each entry reads the whole list every host_list_every",
@@ -81,6 +89,9 @@
 	s.add(Row{Role: role, What: "heartbeats", Kind: Control, Unit: bytesS, Value: s.each(slopes.SessionBytes, n),
 		Budget: BytesBudget, Mechanism: "a beat and its echo each way a second",
 		Change: "one end beats and the other echoes, and a session that carries data beats every 5 s"})
+	s.add(Row{Role: role, What: "heartbeats with TCP and IP headers", Kind: Total, Unit: bytesS,
+		Value:     s.each(slopes.SessionBytes, n) + packetHeader*s.each(slopes.SessionMessages, n),
+		Mechanism: "66 B of headers a packet, bare acknowledgements not counted"})
 	mem := slopes.SideSessionMem
 	if role == entryRole {
 		mem = slopes.EntrySessionMem
--- a/internal/lab/capacity/failures.go
+++ b/internal/lab/capacity/failures.go
@@ -42,18 +42,22 @@
 func (s *sheet) loss(what string, entries, sides float64) {
 	z := &s.size
 	left := float64(z.Entries) - entries
-	sessions := sides * z.perSide() * left / float64(z.Entries)
-	s.add(Row{Role: failureRole, What: what + " lost: sessions that an entry dials anew", Kind: Total, Unit: "sessions an entry", Value: sessions / left,
-		Mechanism: "the subset fills up with the next sides by rank"})
-	if sessions > 0 {
+	if sides > 0 {
+		sessions := sides * z.perSide() / float64(z.Entries)
+		s.add(Row{Role: failureRole, What: what + " lost: sessions that an entry dials anew", Kind: Total, Unit: "sessions an entry", Value: sessions,
+			Mechanism: "the subset fills up with the next sides by rank"})
 		s.add(Row{Role: failureRole, What: what + " lost: processor time of these", Kind: Total, Unit: "ms CPU an entry",
-			Value:     s.each(slopes.SessionDialCPU, sessions/left) / bothEnds / usPerMs,
+			Value:     s.each(slopes.SessionDialCPU, sessions) / bothEnds / usPerMs,
 			Mechanism: "dials are jittered over 0.1 to 5 s"})
+		s.add(Row{Role: failureRole, What: what + " lost: share of the others' targets that must be free", Kind: Total, Unit: "%",
+			Value: 100 * sides / (float64(z.Sides) - sides), Mechanism: "batch gives way first"})
+	}
+	if entries > 0 {
+		s.add(Row{Role: failureRole, What: what + " lost: shards taken over (mean)", Kind: Total, Unit: "shards",
+			Value: float64(z.Shards) * entries / float64(z.Entries), Mechanism: "candidates in three failure domains"})
+		s.add(Row{Role: failureRole, What: what + " lost: callers' requests moved to each other entry", Kind: Total, Unit: "requests/s",
+			Value: z.RequestsPerS / float64(z.Entries) * entries / left, Mechanism: "the platform's balancer; open streams of a lost entry break"})
 	}
-	s.add(Row{Role: failureRole, What: what + " lost: shards without owner for a takeover", Kind: Total, Unit: "shards",
-		Value: float64(z.Shards) * entries / float64(z.Entries), Mechanism: "candidates in three failure domains"})
-	s.add(Row{Role: failureRole, What: what + " lost: share of the others' capacity that must be free", Kind: Total, Unit: "%",
-		Value: 100 * sides / max(1, float64(z.Sides)-sides), Mechanism: "batch gives way first"})
 }
 
 // parting adds an hour in which a region reaches neither the others nor the log.
--- a/internal/lab/capacity/logs.go
+++ b/internal/lab/capacity/logs.go
@@ -31,13 +31,12 @@
 
 func (s *sheet) log() {
 	z := &s.size
-	results := s.whole(slopes.ResultBytes, z.ResultBytes) * z.ItemsPerS
-	uploads := s.whole(slopes.SegmentBytes, z.ItemBytes) * z.ItemsPerS
 	commits := z.commitsPerS()
 	s.add(Row{Role: logRole, What: "appends of results and uploads", Kind: Log, Unit: "appends/s", Value: commits,
 		Mechanism: "group commit: one append a shard each commit_every at most, of 1 MiB at most"})
 	s.add(Row{Role: logRole, What: "the same by one owner of all shards, as measured", Kind: Total, Unit: "appends/s",
 		Value: s.whole(slopes.OwnerAppends, z.ItemsPerS), Mechanism: "group commit of one owner"})
+	results, uploads := s.bytesOfItems()
 	perShardBytes := (results + uploads) / float64(z.Shards)
 	snapshot := s.each(slopes.SnapshotBytes, z.finishedPerShard()+z.openPerShard())
 	every := max(perShardBytes/snapshotAfter, commits/float64(z.Shards)/snapshotCount)
@@ -53,6 +52,7 @@
 	s.add(Row{Role: logRole, What: "appends together", Kind: Total, Unit: "appends/s", Value: s.sum(logRole, Log, "appends/s"), Budget: AppendBudget,
 		Mechanism: "sum", Change: "a longer commit_every"})
 	const toMiB = 1.0 / mebi
+	results, uploads = s.bytesOfItems()
 	s.add(Row{Role: logRole, What: "bytes of results", Kind: Log, Unit: "MiB/s", Value: results * toMiB, Mechanism: "each result once"})
 	s.add(Row{Role: logRole, What: "bytes of uploads", Kind: Log, Unit: "MiB/s", Value: uploads * toMiB, Mechanism: "each item's body once"})
 	s.add(Row{Role: logRole, What: "bytes of results packed again", Kind: Log, Unit: "MiB/s", Value: results * toMiB,
@@ -61,6 +61,14 @@
 	s.reads(results + uploads)
 }
 
+// bytesOfItems returns the bytes a second that results and uploads put into the log.
+func (s *sheet) bytesOfItems() (results, uploads float64) {
+	z := &s.size
+	results = s.whole(slopes.ResultBytes, z.ResultBytes) * z.ItemsPerS
+	uploads = s.whole(slopes.SegmentBytes, z.ItemBytes) * z.ItemsPerS
+	return results, uploads
+}
+
 func (s *sheet) configParts() float64 {
 	z := &s.size
 	state := s.whole(slopes.WorkspaceState, float64(z.Workspaces)) + s.whole(slopes.TargetState, float64(z.Sides))
--- a/internal/lab/capacity/row.go
+++ b/internal/lab/capacity/row.go
@@ -76,9 +76,13 @@
 // each is what x units cost, without what none cost.
 func (s *sheet) each(name string, x float64) float64 { return s.slope(name, x).Slope * x }
 
-// whole is what x units cost together with what none cost.
+// whole is what x units cost together with what none cost. Below the measured range a line
+// with an intercept under 0 says nothing; there x units cost at least their slope.
 func (s *sheet) whole(name string, x float64) float64 {
 	f := s.slope(name, x)
+	if x < f.From {
+		return max(f.At(x), f.Slope*x)
+	}
 	return max(0, f.At(x))
 }
 
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -79,6 +79,18 @@
 	return z
 }
 
+// Tuned is the target size with what settings alone can do about the budgets that are missed.
+func Tuned() Size {
+	z := Target()
+	z.Name = "target, settings tuned"
+	z.MaxSides = 64
+	z.Shards = 128
+	z.CommitEvery = time.Second
+	z.LoadEvery = 5 * time.Second
+	z.HostListEvery = time.Minute
+	return z
+}
+
 // TargetMaxSides is the subset of sides at the target size.
 const TargetMaxSides = 60
 
@@ -103,17 +115,19 @@
 	return z
 }
 
-// Named returns the size called target, kelpie or tuulai. Error: errs.BadRequest.
+// Named returns the size called target, tuned, kelpie or tuulai. Error: errs.BadRequest.
 func Named(name string) (Size, error) {
 	switch name {
 	case "target":
 		return Target(), nil
+	case "tuned":
+		return Tuned(), nil
 	case "kelpie":
 		return Kelpie(), nil
 	case "tuulai":
 		return Tuulai(), nil
 	}
-	return Size{}, errs.Newf(errs.BadRequest, "no size is called %q; there are target, kelpie and tuulai", name)
+	return Size{}, errs.Newf(errs.BadRequest, "no size is called %q; there are target, tuned, kelpie and tuulai", name)
 }
 
 // perEntry is how many sessions an entry keeps, perSide how many a side has.
--- a/internal/lab/capacity/subset.go
+++ b/internal/lab/capacity/subset.go
@@ -111,7 +111,7 @@
 		}
 		load[best]++
 	}
-	return float64(slices.Max(load)) * float64(sides) / float64(streams)
+	return fullest(load)
 }
 
 // WriteSpreads prints spreads as a table with what the sessions cost in bytes.
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -23,6 +23,39 @@
 	return err
 }
 
+// WriteBudgets prints the rows that have a budget, one column for each size.
+func WriteBudgets(w io.Writer, names []string, columns [][]Row) error {
+	var b strings.Builder
+	b.WriteString("\n### Budgets at several sizes\n\n| role | what | budget | " + strings.Join(names, " | ") + " |\n|---|---|---|" + strings.Repeat("---|", len(names)) + "\n")
+	for i := range columns[0] {
+		first := &columns[0][i]
+		if first.Budget == 0 {
+			continue
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s %s |", first.Role, first.What, number(first.Budget), first.Unit)
+		for _, rows := range columns {
+			fmt.Fprintf(&b, " %s |", cell(rows, first))
+		}
+		b.WriteByte('\n')
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// cell is the figure of the row in rows that stands for like.
+func cell(rows []Row, like *Row) string {
+	for i := range rows {
+		r := &rows[i]
+		if r.Role == like.Role && r.What == like.What && r.Unit == like.Unit {
+			if r.Missed() {
+				return "**" + number(r.Value) + "**"
+			}
+			return number(r.Value)
+		}
+	}
+	return ""
+}
+
 func figure(r *Row) string {
 	text := strings.TrimSpace(number(r.Value) + " " + r.Unit)
 	if r.Missed() {
--- a/internal/lab/slopes/decide.go
+++ b/internal/lab/slopes/decide.go
@@ -15,6 +15,8 @@
 	"arbutusramp/core/shardmap"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/hosthttp"
+	"arbutusramp/internal/entry"
+	"arbutusramp/internal/settings"
 )
 
 // Of the fleet at the target size.
@@ -22,6 +24,7 @@
 	targetEntries = 620
 	targetDomains = 20
 	targetRegions = 6
+	subsetSize    = 60 // sides that an entry keeps sessions with
 )
 
 const loopback = "127.0.0.1:0"
@@ -156,10 +159,14 @@
 		})
 		self := hosts[len(hosts)-1]
 		owns := cpuEach(func() { relay.Has(self, hosts, "side-1", relay.PushOwners) })
-		return []float64{rank, owns}, nil
+		entryID := settings.Identity{ID: hostID("entry", 0), Domain: domainID(0)}
+		subset := cpuEach(func() { entry.Subset(entryID, hosts, subsetSize) })
+		return []float64{rank, owns, subset}, nil
 	}
 	over := "hosts (27% of them entries)"
 	return b.measure(ctx, b.few(580, 1160, 2320), at,
 		Slope{Name: RankCPU, Feeds: "owner of job shards: who owns what", Unit: "us/host", Base: "us", Over: over, Model: "one ranking of one shard"},
-		Slope{Name: RelayRankCPU, Feeds: "configuration: who sends a side the records", Unit: "us/host", Base: "us", Over: over, Model: "one ranking for one side"})
+		Slope{Name: RelayRankCPU, Feeds: "configuration: who sends a side the records", Unit: "us/host", Base: "us", Over: over, Model: "one ranking for one side"},
+		Slope{Name: SubsetCPU, Feeds: "entry: which sides it keeps sessions with", Unit: "us/host", Base: "us", Over: "sides",
+			Model: fmt.Sprintf("max_sides = %d; all hosts count as sides", subsetSize)})
 }
--- a/internal/lab/slopes/names.go
+++ b/internal/lab/slopes/names.go
@@ -42,6 +42,7 @@
 	AdmitCPU         = "admit_cpu"
 	HostListBytes    = "host_list_bytes"
 	HostListCPU      = "host_list_cpu"
+	SubsetCPU        = "subset_cpu"
 	RankCPU          = "shard_rank_cpu"
 	RelayRankCPU     = "relay_rank_cpu"
 	OwnerCPU         = "owner_cpu_per_item"
