Side: load reports to many sessions are rarer; draining is told at once

With 22 sessions a side (60 an entry) reports every 50 ms came to 26 KB/s at a side and 72 KB/s at an entry, against 3 KB/s for all control (60 B a frame, lab slopes -parts sessions). Up to 8 sessions nothing changes; each further one adds 100 ms. Ruled out: the same pace for all sizes, since today's few entries want fresh reports. lab slopes -capacity simulates the spread: fullest side over mean 1.04 with 50 ms, 1.17 with 2 s, without the load that each End carries.

--- a/internal/lab/capacity/control.go
+++ b/internal/lab/capacity/control.go
@@ -100,17 +100,23 @@
 		Mechanism: "buffers of 32 KiB each way"})
 }
 
-// loads adds load reports on n sessions at their highest rate, which a side under load reaches.
+// loads adds load reports on n sessions, at the rate of a side whose load changes all the time.
 func (s *sheet) loads(role string, n float64) {
-	frames := n * perSecond(s.size.LoadEvery)
-	perSession := perSecond(s.size.LoadEvery)
+	z := &s.size
+	perSession := z.loadsPerS()
+	frames := n * perSession
+	mechanism := "on change, every load_every at most to 8 sessions, 100 ms later for each further one; every End carries the load too"
 	s.add(Row{Role: role, What: "load reports", Kind: Control, Unit: msPerS,
 		Value:     s.slope(slopes.LoadCPU, perSession).Slope / bothEnds * frames / usPerMs,
-		Mechanism: "on change, every load_every at most, to every session"})
+		Mechanism: mechanism})
 	s.add(Row{Role: role, What: "load reports", Kind: Control, Unit: bytesS,
 		Value:  s.slope(slopes.LoadBytes, perSession).Slope * frames,
-		Budget: BytesBudget, Mechanism: "on change, every load_every at most, to every session",
-		Change: "spread a budget of bytes over the sessions (load_every grows with their number), send in between only to entries with open streams, on frames that go there anyway"})
+		Budget: BytesBudget, Mechanism: mechanism,
+		Change: "a longer load_every"})
+	s.add(Row{Role: role, What: "prompt prefixes in load reports, none shared", Kind: Control, Unit: bytesS,
+		Value:  s.each(slopes.PrefixBytes, z.prefixesPerReport()) * frames,
+		Budget: BytesBudget, Mechanism: "each new hash once to every session, 64 a report at most",
+		Change: "tell a hash at its second use only, and not to the entry that sent it"})
 }
 
 // configState adds what every process pays for the configuration.
--- a/internal/lab/capacity/size.go
+++ b/internal/lab/capacity/size.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/side"
 )
 
 // Size is a system and its load.
@@ -151,6 +152,22 @@
 
 func (z *Size) itemsPerShard() float64 { return z.ItemsPerS / float64(z.Shards) }
 
+// loadsPerS is how often a side whose load changes all the time reports on each session.
+func (z *Size) loadsPerS() float64 {
+	return perSecond(side.LoadPace(z.LoadEvery, int(z.perSide())))
+}
+
+const (
+	blocksPerKiB = 4  // blocks of a prompt that are hashed
+	maxPrefixes  = 64 // in one report
+)
+
+// prefixesPerReport is how many new hashes a report carries where no two prompts are alike.
+func (z *Size) prefixesPerReport() float64 {
+	perS := z.RequestsPerS / float64(z.Sides) * z.PromptKiB * blocksPerKiB
+	return min(maxPrefixes, perS/z.loadsPerS())
+}
+
 // finishedPerShard is how many finished items a shard's owner keeps the places of.
 func (z *Size) finishedPerShard() float64 { return z.itemsPerShard() * z.ResultsFor.Seconds() }
 
--- a/internal/lab/slopes/names.go
+++ b/internal/lab/slopes/names.go
@@ -14,6 +14,7 @@
 	ReconcileCPU     = "reconcile_cpu"
 	LoadCPU          = "load_frame_cpu"
 	LoadBytes        = "load_frame_bytes"
+	PrefixBytes      = "load_prefix_bytes"
 	SessionMemory    = "session_memory_one_end"
 	SideSessionMem   = "session_memory_side"
 	EntrySessionMem  = "session_memory_entry"
--- a/internal/lab/slopes/sessions.go
+++ b/internal/lab/slopes/sessions.go
@@ -1,6 +1,7 @@
 package slopes
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -20,6 +21,11 @@
 // measureSessions measures idle sessions and load reports over them, between thin ends: what
 // the ends do with them is left out.
 func measureSessions(ctx context.Context, b *bench) error {
+	if err := b.measureOnce(ctx, b.few(0, 16, 32, 64), prefixBytes, Slope{
+		Name: PrefixBytes, Feeds: "sessions: bytes of load reports (control)", Unit: "B/hash", Base: "B/frame", Over: "prefix hashes in a report",
+	}); err != nil {
+		return err
+	}
 	idle := func(x float64) ([]float64, error) {
 		var echo *sessionEcho
 		var err error
@@ -80,9 +86,27 @@
 	defer tick.Stop()
 	for range int(rate * window.Seconds()) {
 		<-tick.C
-		t.sendAll(structs.Frame{Version: 123_456, Load: &structs.Load{
-			Target: "target-1234.domain-14", OnlineInFlight: 40, BatchInFlight: 24, OnlineQueued: 3,
-			Limit: 64, FirstTokenUs: 123_456, Models: []structs.ModelID{modelID(0)},
-		}})
+		t.sendAll(loadFrame(0))
+	}
+}
+
+// loadFrame is a side's report with so many hashes of new prompt prefixes.
+func loadFrame(prefixes int) structs.Frame {
+	l := &structs.Load{
+		Target: "target-1234.domain-14", OnlineInFlight: 40, BatchInFlight: 24, OnlineQueued: 3,
+		Limit: 64, FirstTokenUs: 123_456, Models: []structs.ModelID{modelID(0)},
+		Loaded: []structs.Loaded{{Model: modelID(0), Version: "2026-11-30"}},
+	}
+	for i := range prefixes {
+		l.Prefixes = append(l.Prefixes, ^uint64(i))
 	}
+	return structs.Frame{Version: 123_456, Load: l}
+}
+
+// prefixBytes returns the bytes of a load report with x prefix hashes.
+func prefixBytes(x float64) ([]float64, error) {
+	f := loadFrame(int(x))
+	var buf bytes.Buffer
+	err := session.Encode(&buf, []*structs.Frame{&f})
+	return []float64{float64(buf.Len())}, err
 }
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -48,7 +48,7 @@
 	return &engineReport{l.Models, loaded}
 }
 
-// reportLoads sends the load to all sessions on change, every LoadEvery at most.
+// reportLoads sends the load to all sessions on change, every LoadEvery at most and more rarely to many.
 func (s *Side) reportLoads(ctx context.Context) error {
 	var last structs.Load
 	for {
@@ -63,7 +63,7 @@
 			last = *l
 			s.broadcast(&structs.Frame{Version: s.config.version(), Load: l})
 		}
-		if pause(ctx, s.o.Settings.LoadEvery) != nil {
+		if pause(ctx, LoadPace(s.o.Settings.LoadEvery, s.peers.count())) != nil {
 			return nil
 		}
 	}
--- a/internal/side/sessions.go
+++ b/internal/side/sessions.go
@@ -111,6 +111,12 @@
 	return ps.m[conn]
 }
 
+func (ps *peers) count() int {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	return len(ps.m)
+}
+
 func (ps *peers) all() []*peer {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -209,6 +209,7 @@
 // drain waits until nothing is in flight, DrainTimeout at most.
 func (s *Side) drain() {
 	s.draining.Store(true)
+	s.tellDraining()
 	s.log.Info("draining", "streams", s.active.Load())
 	s.signal()
 	s.queue.drain()
