Side: the test of rare load reports no longer hangs on the moment of a sample

Under the race detector it saw none: both samples fell on moments at which no request ran, which is no news. Now the load differs at every moment, and the bound is closer (1 to 2 in 2.4 s). Seen to fail with the pace taken out.

--- a/internal/side/loadpace_test.go
+++ b/internal/side/loadpace_test.go
@@ -40,16 +40,17 @@
 func TestLoadReportsAreRareOverManySessions(t *testing.T) {
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
 		b.target.generate = func(ctx context.Context, _ platform.GenerateCall, _ func(platform.Token) error) error {
-			return pause(ctx, 15*time.Millisecond)
+			return hang(ctx)
 		}
 		b.manyEntries(22)
 		before := len(loads(b.entry))
-		for i := range 145 {
+		// Each takes a place at the target or in the queue, so the load is news at every moment.
+		for i := range 24 {
 			b.open(uint64(i+1), generateOpen())
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
 		}
-		if n := len(loads(b.entry)) - before; n < 1 || n > 3 {
-			t.Fatalf("%d load reports in 2.9 s, want 1 to 3", n)
+		if n := len(loads(b.entry)) - before; n < 1 || n > 2 {
+			t.Fatalf("%d load reports in 2.4 s, want 1 to 2", n)
 		}
 	})
 }
