--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -20,7 +20,7 @@
 func Ctl() int {
 	return run("arbutusctl",
 		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, jobGroup(),
-		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}, &mixCmd{}, &configCmd{}}})
+labGroup())
 }
 
 func run(name string, cmds ...subcommands.Command) int {
@@ -44,3 +44,13 @@
 	fmt.Fprintln(os.Stderr, "usage: "+text)
 	return subcommands.ExitUsageError
 }
+
+// labGroup holds the measurements and experiments.
+func labGroup() *groupCmd {
+	return &groupCmd{"lab", "measure and experiment", []subcommands.Command{
+		&overheadCmd{},
+		&mixCmd{},
+		&configCmd{},
+		&slopesCmd{},
+	}}
+}
