--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -30,6 +30,7 @@
 	check   *invariant.Checker
 	metrics meters
 	cache   *segmentCache
+	forward *forwarder
 	health  logHealth
 	peers   PeerCaller
 
@@ -78,6 +79,7 @@
 	}
 	m.probed = shardmap.NewPeers(m.tune.Lease)
 	m.cache = newSegmentCache(m.tune.CacheBytes)
+	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
 		m.peers = newHTTPPeers(set.PeerKeys)
--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -117,6 +117,7 @@
 
 	mu      sync.Mutex
 	loadErr error
+	models  []structs.ModelID // loaded; nil for "m"
 	gens    []platform.GenerateCall
 	calls   int
 }
@@ -131,9 +132,18 @@
 func (t *fakeTarget) Load(context.Context) (platform.EngineLoad, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.models != nil {
+		return platform.EngineLoad{Models: t.models}, t.loadErr
+	}
 	return platform.EngineLoad{Models: []structs.ModelID{"m"}}, t.loadErr
 }
 
+func (t *fakeTarget) setModels(ids ...structs.ModelID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.models = ids
+}
+
 func (t *fakeTarget) failLoad(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -227,7 +237,10 @@
 			synctest.Wait()
 		}()
 		b.opened(b.entry)
-		time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		if kind == structs.KindService {
+			time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		}
+		time.Sleep(time.Second)
 		f(t, b)
 	})
 }
