--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,7 +19,7 @@
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
 	return run("arbutusctl", jobGroup(),
-		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}}})
+		&groupCmd{"lab", "measure and experiment", []subcommands.Command{&overheadCmd{}, &faultsCmd{}}})
 }
 
 func run(name string, cmds ...subcommands.Command) int {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"arbutusramp/core/invariant"
+	"arbutusramp/core/jobs"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
@@ -17,8 +19,23 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Variant changes an entry for tests and labs. The zero value changes nothing.
+type Variant struct {
+	// Check counts violations of invariants over several entries; nil has each count its own.
+	Check *invariant.Checker
+	// Broken switches guards of the job shards off.
+	Broken jobs.Broken
+	// Tuning replaces times and bounds of the job shards.
+	Tuning batch.Tuning
+}
+
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
 func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
+	return NewEntryVariant(s, logger, reg, Variant{})
+}
+
+// NewEntryVariant is NewEntry with the changes of v.
+func NewEntryVariant(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*entry.Entry, error) {
 	log := loghttp.New(s.Platform.LogURL)
 	hosts := &members{HostList: hosthttp.New(s.Platform.HostListURL)}
 	config := follow.New(follow.Options{
@@ -27,6 +44,7 @@
 		Members: hosts.known,
 		Logger:  logger,
 		Metrics: reg,
+		Check:   v.Check,
 	})
 	e, err := entry.New(entry.Options{
 		Settings: s,
@@ -40,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	jobs := batch.New(batch.Options{
+	owner := batch.New(batch.Options{
 		Settings: s,
 		Log:      log,
 		Config:   config,
@@ -48,6 +66,9 @@
 		Logger:   logger,
 		Metrics:  reg,
 		PeerAddr: e.PeerAddr(),
+		Check:    v.Check,
+		Broken:   v.Broken,
+		Tuning:   v.Tuning,
 	})
 	operators := admin.New(admin.Options{
 		Self:    s,
@@ -56,20 +77,20 @@
 		Logger:  logger,
 		Metrics: reg,
 	})
-	owner := newStage(jobs.Run)
+	owning := newStage(owner.Run)
 	e.Join(entry.Parts{
-		Batch:  jobs,
-		Jobs:   serveJobs(jobs),
+		Batch:  owner,
+		Jobs:   serveJobs(owner),
 		Config: config,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
-			{batch.PeerPath, jobs.PeerHandler},
+			{batch.PeerPath, owner.PeerHandler},
 			{follow.PeerPath, config.PeerHandler},
 		}, logger),
 		Ready:       []func() bool{isClosed(config.Ready())},
 		ConfigFresh: config.Fresh,
-		Run:         []func(context.Context) error{config.Run, owner.run},
-		Drain:       []func(context.Context){owner.drain},
+		Run:         []func(context.Context) error{config.Run, owning.run},
+		Drain:       []func(context.Context){owning.drain},
 	})
 	return e, nil
 }
@@ -83,14 +104,14 @@
 }
 
 // serveJobs passes the job paths on with the workspace that asks.
-func serveJobs(jobs *batch.Manager) fasthttp.RequestHandler {
+func serveJobs(m *batch.Manager) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		caller, ok := entry.CallerOf(ctx)
 		if !ok {
 			ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 			return
 		}
-		jobs.CallerHandler(ctx, caller.Workspace)
+		m.CallerHandler(ctx, caller.Workspace)
 	}
 }
 
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -48,6 +48,10 @@
 	LoadTime   time.Duration
 
 	Seed uint64 // of random choices
+
+	// Started is told of every sequence that joins the running batch. It must not block; nil
+	// is told nothing.
+	Started func(request string)
 }
 
 const (
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -117,7 +117,12 @@
 	s.http.DropFor(s.opts.RestartTime)
 }
 
-func (s *Server) onStarted(q *sequence) { s.starts.Add(q.id) }
+func (s *Server) onStarted(q *sequence) {
+	s.starts.Add(q.id)
+	if s.opts.Started != nil {
+		s.opts.Started(q.id)
+	}
+}
 
 func (s *Server) onCacheEvent(prefix uint64, added bool) {
 	s.events.add(time.Now(), prefix, added, s.knobs.Get().EventDropShare)
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -30,6 +30,9 @@
 	RetainBytes int64         // of each stream; 64 MiB
 	MaxAppend   int           // bytes of one record; 1 MiB
 	Seed        uint64        // of random choices
+	// Appended is told of every append that takes effect, in the order of its stream's offsets. It
+	// must not block; nil is told nothing.
+	Appended func(stream string, offset structs.Offset, body []byte)
 }
 
 const (
@@ -41,6 +44,7 @@
 	maxPageEntries     = 100_000
 	maxWait            = 60 * time.Second
 	maxStreams         = 10_000
+	busyWait           = 20 * time.Millisecond // told to those that BusyShare refuses
 )
 
 func (o Options) withDefaults() Options {
@@ -66,6 +70,8 @@
 	RetainForMs int64 `json:"retain_for_ms"`
 	// RetainBytes of each stream are kept; 0 is no limit.
 	RetainBytes int64 `json:"retain_bytes"`
+	// BusyShare is the share of appends (0..1) that are refused as over the rate.
+	BusyShare float64 `json:"busy_share"`
 }
 
 // Page is the answer to a read.
@@ -185,17 +191,25 @@
 
 // reserve takes one append from the rate, or returns how long to wait for one.
 func (s *Server) reserve(now time.Time) time.Duration {
+	if s.knobs.Hit(s.knobs.Get().BusyShare) {
+		s.countRefused()
+		return busyWait
+	}
 	r := s.limiter.ReserveN(now, 1)
 	wait := r.DelayFrom(now)
 	if wait > 0 {
 		r.CancelAt(now)
-		s.mu.Lock()
-		s.stats.Refused++
-		s.mu.Unlock()
+		s.countRefused()
 	}
 	return wait
 }
 
+func (s *Server) countRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Refused++
+}
+
 func (s *Server) append(now time.Time, name string, body []byte) (structs.Offset, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,7 +219,11 @@
 	}
 	s.stats.Appends++
 	s.stats.AppendBytes += int64(len(body))
-	return st.append(now, body), true
+	offset := st.append(now, body)
+	if s.opts.Appended != nil {
+		s.opts.Appended(name, offset, body)
+	}
+	return offset, true
 }
 
 // streamLocked returns a stream, trimmed, and makes it when it is new.
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -19,6 +19,8 @@
 type Options struct {
 	Latency time.Duration // of each call
 	Seed    uint64        // of random choices
+	// Called is told of every call that takes effect. It must not block; nil is told nothing.
+	Called func(request, method string)
 }
 
 // Knobs are the faults of a service.
@@ -31,6 +33,7 @@
 // Server is one service.
 type Server struct {
 	latency time.Duration
+	called  func(request, method string)
 	http    *httpd.Server
 	knobs   *knob.FaultSet[Knobs]
 	byID    count.Counter
@@ -45,7 +48,7 @@
 
 // Start listens at addr and serves until Close. Error: errs.BadSettings.
 func Start(addr string, o Options) (*Server, error) {
-	s := &Server{latency: o.Latency, http: httpd.New()}
+	s := &Server{latency: o.Latency, called: o.Called, http: httpd.New()}
 	faults := func(k Knobs) knob.Faults { return k.Faults }
 	s.knobs = knob.NewFaultSet(knob.NewSet(Knobs{}), faults, o.Seed, s.http.Done())
 	call := s.knobs.Wrap(s.call)
@@ -94,7 +97,11 @@
 // call takes effect when it comes, then takes its time: a caller that leaves meanwhile
 // leaves a call that ran.
 func (s *Server) call(ctx *fasthttp.RequestCtx) {
-	s.byID.Add(string(ctx.Request.Header.Peek("X-Request-Id")))
+	request := string(ctx.Request.Header.Peek("X-Request-Id"))
+	s.byID.Add(request)
+	if s.called != nil {
+		s.called(request, string(ctx.Method()))
+	}
 	if key := ctx.Request.Header.Peek("Idempotency-Key"); len(key) > 0 {
 		s.byKey.Add(string(key))
 	}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -36,6 +36,8 @@
 
 	o       Options
 	closers []func() error
+	made    int        // entries so far
+	removed []*Process // entries that left for good
 
 	mu    sync.Mutex
 	hosts map[structs.HostID]platform.Host
@@ -69,13 +71,14 @@
 
 func (c *Cluster) startStandins() error {
 	var err error
-	if c.Log, err = keep(c, logsvc.Start, logsvc.Options{Seed: c.o.Seed}); err != nil {
+	if c.Log, err = keep(c, logsvc.Start, c.o.Log); err != nil {
 		return err
 	}
 	for i := range c.o.Engines {
 		o := c.o.Engine(i)
 		o.Models = []structs.ModelID{Model}
 		o.Seed = c.o.Seed + uint64(i)
+		o.Started = c.o.Started
 		e, err := keep(c, engine.Start, o)
 		if err != nil {
 			return err
@@ -83,7 +86,9 @@
 		c.Engines = append(c.Engines, e)
 	}
 	for i := range c.o.Services {
-		s, err := keep(c, service.Start, service.Options{Latency: c.o.ServiceLatency, Seed: c.o.Seed + uint64(i)})
+		s, err := keep(c, service.Start, service.Options{
+			Latency: c.o.ServiceLatency, Seed: c.o.Seed + uint64(i), Called: c.o.Called,
+		})
 		if err != nil {
 			return err
 		}
@@ -185,6 +190,7 @@
 	if c.o.EntrySettings != nil {
 		c.o.EntrySettings(&s)
 	}
+	c.made = max(c.made, i+1)
 	p := &Process{ID: s.Host.ID, Domain: s.Host.Domain, c: c, entry: s}
 	return p, p.start(loopback)
 }
@@ -250,6 +256,10 @@
 // Close stops all processes, then the stand-ins. The error is the first of a process that
 // did not end well.
 func (c *Cluster) Close() error {
+	for _, p := range c.removed {
+		p.Stop()
+		<-p.Done()
+	}
 	for _, p := range c.Processes() {
 		p.Stop()
 	}
--- a/test/cluster/configure.go
+++ b/test/cluster/configure.go
@@ -15,6 +15,7 @@
 
 const (
 	maxInFlight = 8192 // requests of the workspace at one entry
+	maxJobItems = 660_000
 	// declaredBefore puts the declaration in the past, so that sides need not wait for
 	// its propagation before they take idempotency keys.
 	declaredBefore = time.Hour
@@ -43,6 +44,7 @@
 		{Workspace: &structs.WorkspaceIntent{
 			ID: Workspace, KeyHashes: []string{settings.KeySum(WorkspaceKey)}, MaxInFlight: &inFlight,
 		}},
+		{Grant: &structs.GrantIntent{Workspace: Workspace, MaxItems: maxJobItems}},
 		{Service: &structs.ServiceIntent{ID: Service, NonIdempotent: []string{http.MethodPost}}},
 	}
 	for i := range c.o.Engines {
--- a/test/cluster/options.go
+++ b/test/cluster/options.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
 	"arbutusramp/standin/engine"
+	"arbutusramp/standin/logsvc"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -53,6 +55,13 @@
 	// EntrySettings and SideSettings change settings before the process starts; they may be nil.
 	EntrySettings func(*settings.Entry)
 	SideSettings  func(*settings.Side)
+	// Variant changes every entry.
+	Variant node.Variant
+	// Started and Called are told what begins at engines and services; they may be nil.
+	Started func(request string)
+	Called  func(request, method string)
+	// Log is the model of the log service.
+	Log logsvc.Options
 	// Network is nil for plain loopback connections; Kill can't be used then.
 	Network Network
 	Logger  hclog.Logger // nil logs nothing
@@ -62,6 +71,7 @@
 func (o Options) withDefaults() Options {
 	o.Domains = max(1, o.Domains)
 	o.Entries = max(1, o.Entries)
+	o.Log.Seed = o.Seed
 	if o.Engine == nil {
 		o.Engine = func(int) engine.Options { return FastEngine() }
 	}
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -60,7 +60,7 @@
 	logger := p.c.o.Logger.Named(string(p.ID))
 	if p.isEntry() {
 		p.entry.PeerAddr = addr
-		e, err := node.NewEntry(p.entry, logger, p.Metrics)
+		e, err := node.NewEntryVariant(p.entry, logger, p.Metrics, p.c.o.Variant)
 		if err != nil {
 			return nil, err
 		}
