--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"arbutusramp/core/invariant"
+	"arbutusramp/core/jobs"
 	"arbutusramp/core/plan"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/adapter/hosthttp"
@@ -19,9 +21,24 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Variant changes an entry for tests and labs. The zero value changes nothing.
+type Variant struct {
+	// Check counts violations of invariants over several entries; nil has each count its own.
+	Check *invariant.Checker
+	// Broken switches guards of the job shards off.
+	Broken jobs.Broken
+	// Tuning replaces times and bounds of the job shards.
+	Tuning batch.Tuning
+}
+
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
 func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
-	k := newKit(s, logger, reg)
+	return NewEntryVariant(s, logger, reg, Variant{})
+}
+
+// NewEntryVariant is NewEntry with the changes of v.
+func NewEntryVariant(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*entry.Entry, error) {
+	k := newKit(s, logger, reg, v)
 	e, err := entry.New(entry.Options{
 		Settings: s,
 		Logger:   logger,
@@ -41,6 +58,7 @@
 // kit is what the parts of one entry process have in common.
 type kit struct {
 	set     settings.Entry
+	variant Variant
 	logger  hclog.Logger
 	metrics metrics.Registry
 	log     platform.Log
@@ -50,9 +68,10 @@
 	fleet   *reconcile.Fleet
 }
 
-func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry) *kit {
+func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) *kit {
 	k := &kit{
 		set:     s,
+		variant: v,
 		logger:  logger,
 		metrics: reg,
 		log:     loghttp.New(s.Platform.LogURL),
@@ -67,6 +86,7 @@
 		Members: k.hosts.known,
 		Logger:  logger,
 		Metrics: reg,
+		Check:   v.Check,
 	})
 	k.fleet = reconcile.NewFleet(reconcile.FleetOptions{
 		Members:   k.hosts.known,
@@ -78,17 +98,17 @@
 
 // parts makes what works beside the entry itself. peerAddr is where other entries reach it.
 func (k *kit) parts(peerAddr string) entry.Parts {
-	jobs := k.jobs(peerAddr)
-	owner := newStage(jobs.Run)
+	m := k.jobs(peerAddr)
+	owner := newStage(m.Run)
 	operators := k.operators()
 	return entry.Parts{
-		Batch:  jobs,
-		Jobs:   serveJobs(jobs),
+		Batch:  m,
+		Jobs:   serveJobs(m),
 		Config: k.config,
 		Orders: k.fleet,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
-			{batch.PeerPath, jobs.PeerHandler},
+			{batch.PeerPath, m.PeerHandler},
 			{follow.PeerPath, k.config.PeerHandler},
 		}, k.logger),
 		Ready:       []func() bool{isClosed(k.config.Ready())},
@@ -111,6 +131,9 @@
 		Logger:   k.logger,
 		Metrics:  k.metrics,
 		PeerAddr: peerAddr,
+		Check:    k.variant.Check,
+		Broken:   k.variant.Broken,
+		Tuning:   k.variant.Tuning,
 	})
 }
 
@@ -139,14 +162,14 @@
 }
 
 // serveJobs passes the job paths on with the workspace that asks.
-func serveJobs(jobs *batch.Manager) fasthttp.RequestHandler {
+func serveJobs(m *batch.Manager) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		caller, ok := entry.CallerOf(ctx)
 		if !ok {
 			ctx.SetStatusCode(fasthttp.StatusUnauthorized)
 			return
 		}
-		jobs.CallerHandler(ctx, caller.Workspace)
+		m.CallerHandler(ctx, caller.Workspace)
 	}
 }
 
