--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -18,7 +18,8 @@
 
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
-	return run("arbutusctl")
+	return run("arbutusctl",
+		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, jobGroup(), labGroup())
 }
 
 func run(name string, cmds ...subcommands.Command) int {
@@ -42,3 +43,14 @@
 	fmt.Fprintln(os.Stderr, "usage: "+text)
 	return subcommands.ExitUsageError
 }
+
+// labGroup holds the measurements and experiments.
+func labGroup() *groupCmd {
+	return &groupCmd{"lab", "measure and experiment", []subcommands.Command{
+		&overheadCmd{},
+		&mixCmd{},
+		&configCmd{},
+		&slopesCmd{},
+		&faultsCmd{},
+	}}
+}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -16,11 +16,12 @@
 
 // processFlags are those that entry and side have in common.
 type processFlags struct {
-	config, addrFile string
+	config, addrFile, profile string
 }
 
 func (p *processFlags) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&p.config, "config", "", "settings file")
+	f.StringVar(&p.profile, "cpu-profile", "", "file that gets a CPU profile of the whole run")
 	f.StringVar(&p.addrFile, "addr-file", "", "file that gets the addresses once the process listens")
 }
 
@@ -42,9 +43,15 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
+	stopProfile, err := startProfile(c.profile)
+	if err != nil {
+		return err
+	}
+	defer stopProfile()
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
+	reloadOnHangup(ctx, logger, func() error { return settings.ReloadEntryKeys(c.config, s.Ring) })
 	e, err := node.NewEntry(s, logger, reg)
 	if err != nil {
 		return err
--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"arbutusramp/core/confstate"
@@ -21,8 +20,7 @@
 	pathModels      = "/v1/models"
 	pathService     = "/svc/"
 
-	prefixBlock      = 256 // bytes of prompt per prefix hash
-	maxBlocks        = 64
+	maxHashed        = 64 * structs.PrefixBlock // bytes of prompt that affinity looks at
 	bytesPerToken    = 4
 	defaultMaxTokens = 256
 )
@@ -64,7 +62,7 @@
 }
 
 // classifyGenerate reads what is needed of a model request. Errors:
-// errs.BadRequest, errs.UnknownModel.
+// errs.BadRequest, errs.BodyTooLarge, errs.UnknownModel.
 func (e *Entry) classifyGenerate(ctx *fasthttp.RequestCtx, chat bool, c *classified) *errs.Error {
 	if !ctx.IsPost() {
 		return errs.New(errs.BadRequest, "allowed is POST")
@@ -74,8 +72,10 @@
 	if chat {
 		c.path = pathChat
 	}
-	// The frames that carry the body outlive this request's buffers.
-	c.body = ctx.Request.SwapBody(nil)
+	var err *errs.Error
+	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+		return err
+	}
 	g, err := parseGenerate(c.body, chat)
 	if err != nil {
 		return err
@@ -113,26 +113,10 @@
 		PromptTokens: 1 + len(text)/bytesPerToken,
 		Chat:         chat,
 		Stream:       p.Stream,
-		Prefixes:     prefixHashes(text),
+		Prefixes:     structs.PromptPrefixes(text[:min(len(text), maxHashed)]),
 	}, nil
 }
 
-// prefixHashes returns hashes of the growing prefixes of text, one for each whole block.
-func prefixHashes(text []byte) []uint64 {
-	n := min(maxBlocks, len(text)/prefixBlock)
-	if n == 0 {
-		return nil
-	}
-	var d xxhash.Digest
-	d.Reset()
-	hashes := make([]uint64, n)
-	for i := range hashes {
-		_, _ = d.Write(text[i*prefixBlock : (i+1)*prefixBlock]) // never fails
-		hashes[i] = d.Sum64()
-	}
-	return hashes
-}
-
 func (e *Entry) knowsModel(m structs.ModelID) bool {
 	if known, ok := e.config.Current().Models[m]; ok {
 		return !known.Retired
@@ -141,7 +125,8 @@
 	return served
 }
 
-// classifyService reads a call of a plain service. Error: errs.UnknownService.
+// classifyService reads a call of a plain service. Errors: errs.UnknownService,
+// errs.BodyTooLarge.
 func (e *Entry) classifyService(ctx *fasthttp.RequestCtx, c *classified) *errs.Error {
 	name, path := splitService(string(ctx.Request.Header.RequestURI()))
 	c.service = structs.ServiceID(name)
@@ -152,7 +137,10 @@
 	c.method = string(ctx.Method())
 	c.path = path
 	c.headers = serviceHeaders(&ctx.Request.Header)
-	c.body = ctx.Request.SwapBody(nil)
+	var err *errs.Error
+	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+		return err
+	}
 	c.nonIdempotent = isNonIdempotent(svc, configured, c.method)
 	c.timeout = e.set.DefaultTimeout
 	if svc.TimeoutMs > 0 {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -14,6 +14,7 @@
 	rng      *rand.Rand
 	view     choose.View
 	targets  []*target // beside view.Candidates
+	retired  []int     // in view.Candidates
 	decision choose.Decision
 }
 
@@ -81,6 +82,7 @@
 		Tried:    c.tried,
 		TimeLeft: c.deadline.Sub(now),
 		MayProbe: !c.req.nonIdempotent && c.attempt == 0,
+		Begun:    c.progress.next > 0,
 	}
 	if c.req.generate != nil {
 		r.Model = c.req.generate.Model
@@ -123,8 +125,12 @@
 
 // report tells the target's health how an attempt ended.
 func (e *Entry) report(g *group, t *target, o choose.Outcome) {
-	var f choose.FleetView
-	if g != nil {
+	f := g.fleet()
+	if o.Bad(f) {
+		// Two targets that are judged at once would each count the other as well, and
+		// more than half could be ejected.
+		e.pool.ejecting.Lock()
+		defer e.pool.ejecting.Unlock()
 		f = g.fleet()
 	}
 	now := e.now()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,11 +11,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/telemetry"
 )
 
 const (
 	idleTimeout = 2 * time.Minute
 	readTimeout = time.Minute
+	// uploadTimeout is for callers, whose jobs may have hundreds of megabytes.
+	uploadTimeout = 15 * time.Minute
 	// stopGrace is how long a stopping entry still takes new requests: the platform's balancer
 	// needs a moment to see that it is not ready.
 	stopGrace = 2 * time.Second
@@ -26,20 +30,27 @@
 // flight up to DrainTimeout and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	e.makeServers()
-	poolCtx, stopPool := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopPool()
-	var g errgroup.Group
+	if e.parts.Peers != nil {
+		e.peerServer = e.parts.Peers(e.peers)
+	}
+	lifeCtx, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, failCtx := errgroup.WithContext(lifeCtx)
 	g.Go(func() error { return serveOn(e.callerServer, e.callers) })
 	g.Go(func() error { return serveOn(e.adminServer, e.admin) })
 	g.Go(func() error { return serveOn(e.statusServer, e.statuses) })
-	if e.parts.Peers != nil {
-		e.peerServer = e.parts.Peers(e.peers)
+	g.Go(func() error { e.pool.run(failCtx); return nil })
+	for _, run := range e.parts.Run {
+		g.Go(func() error { return run(failCtx) })
 	}
-	g.Go(func() error { e.pool.run(poolCtx); return nil })
 	g.Go(func() error {
-		<-ctx.Done()
-		e.drain(poolCtx)
-		stopPool()
+		select {
+		case <-ctx.Done():
+			e.stop(failCtx)
+		case <-failCtx.Done():
+			e.shutdown(failCtx)
+		}
+		end()
 		return nil
 	})
 	return g.Wait()
@@ -56,9 +67,12 @@
 	e.callerServer = e.newServer(e.serve)
 	e.callerServer.MaxRequestBodySize = e.set.MaxBody
 	e.callerServer.WriteTimeout = maxTimeout
+	e.callerServer.ReadTimeout = uploadTimeout
+	// The files of large jobs must not sit in memory whole.
+	e.callerServer.StreamRequestBody = true
 	e.adminServer = e.newServer(e.serveAdmin)
 	e.adminServer.MaxRequestBodySize = e.set.MaxBody
-	e.statusServer = e.newServer(e.status)
+	e.statusServer = e.newServer(telemetry.Handler(e.metrics, e.notReady))
 }
 
 func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
@@ -84,38 +98,47 @@
 	e.parts.Admin(ctx)
 }
 
-// badHTTP answers what is no HTTP request, or one with too large a body.
+// badHTTP answers what is no HTTP request, or one with too large a body for
+// the administration.
 func (e *Entry) badHTTP(ctx *fasthttp.RequestCtx, err error) {
 	typed := errs.Newf(errs.BadRequest, "not an HTTP request: %v", err)
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		typed = errs.Newf(errs.BodyTooLarge, "the body is larger than %d bytes", e.set.MaxBody)
+		typed = tooLarge(e.set.MaxBody)
 	}
 	e.rec.failed("", typed)
 	WriteError(ctx, typed)
 }
 
-// drain waits for requests in flight. ctx is cancelled to end at once.
+// stop ends the entry within DrainTimeout. Sessions and sockets stay until the last answer is
+// written.
+func (e *Entry) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
+	defer cancel()
+	e.drain(ctx)
+	e.shutdown(ctx)
+}
+
+// drain waits for requests in flight and for the other parts.
 func (e *Entry) drain(ctx context.Context) {
 	e.draining.Store(true)
 	e.log.Info("stopping", "in_flight", e.inFlight.Load())
-	ctx, cancel := context.WithTimeout(ctx, e.set.DrainTimeout)
-	defer cancel()
+	var parts sync.WaitGroup
+	for _, drain := range e.parts.Drain {
+		parts.Go(func() { drain(ctx) })
+	}
 	sleep(ctx, min(stopGrace, e.set.DrainTimeout/4))
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPoll)
 	}
+	parts.Wait()
 	if n := e.inFlight.Load(); n > 0 {
 		e.log.Warn("stopping with requests in flight", "in_flight", n)
 	}
-	e.shutdown()
 }
 
-// shutdownTimeout bounds the wait for connections to close once no request is in flight.
-const shutdownTimeout = time.Second
-
-func (e *Entry) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
+// shutdown closes the listeners and waits until ctx ends for connections that are still written
+// to, such as the results of a job.
+func (e *Entry) shutdown(ctx context.Context) {
 	for _, s := range []*fasthttp.Server{e.callerServer, e.adminServer, e.statusServer} {
 		if err := s.ShutdownWithContext(ctx); err != nil {
 			e.log.Debug("connections left open at the stop", "error", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,11 +6,8 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/enginehttp"
-	"arbutusramp/internal/adapter/hosthttp"
-	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/servicehttp"
-	"arbutusramp/internal/adapter/weightshttp"
-	"arbutusramp/internal/entry"
+	"arbutusramp/internal/follow"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/side"
 	"github.com/hashicorp/go-hclog"
@@ -19,7 +16,7 @@
 
 // NewSide returns a side that listens and does not run yet. Errors: errs.BadSettings.
 func NewSide(s settings.Side, logger hclog.Logger, reg metrics.Registry) (*side.Side, error) {
-	o := side.Options{Settings: s, Logger: logger, Metrics: reg}
+	o := side.Options{Settings: s, Logger: logger, Metrics: reg, Config: &follow.SideFold{}}
 	switch s.Target.Kind {
 	case structs.KindEngine:
 		o.Engine = newEngine(s)
@@ -36,18 +33,3 @@
 func newService(s settings.Side) platform.Service {
 	return servicehttp.New(s.TargetURL, servicehttp.Options{})
 }
-
-// NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
-func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
-	o := entry.Options{
-		Settings: s,
-		Logger:   logger,
-		Metrics:  reg,
-		Log:      loghttp.New(s.Platform.LogURL),
-		Hosts:    hosthttp.New(s.Platform.HostListURL),
-	}
-	if s.Platform.WeightsURL != "" {
-		o.Weights = weightshttp.New(s.Platform.WeightsURL)
-	}
-	return entry.New(o)
-}
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -11,7 +11,7 @@
 
 // The window of idempotency keys stands in both tables: entries and sides must agree on it.
 const (
-	defaultKeyWindow = "1h"
+	defaultKeyWindow = "10m"
 	minKeyWindow     = time.Minute
 	maxKeyWindow     = 7 * day
 )
@@ -26,7 +26,7 @@
 	return table[Entry]{
 		role:   "entry",
 		rows:   rows,
-		groups: []group[Entry]{operatorGroup(), peerKeyGroup(func(e *Entry) *[]PeerKey { return &e.PeerKeys })},
+		groups: []group[Entry]{operatorGroup(), revokedOperatorGroup(), peerKeyGroup(func(e *Entry) *[]PeerKey { return &e.PeerKeys })},
 		check:  checkEntry,
 	}
 }
@@ -40,7 +40,7 @@
 			field: addr(func(e *Entry) *string { return &e.AdminAddr }),
 			doc:   "administration API"},
 		{section: "listen", key: "peers", unit: "address", required: true,
-			field: addr(func(e *Entry) *string { return &e.PeerAddr }),
+			field: ownAddr(func(e *Entry) *string { return &e.PeerAddr }),
 			doc:   "other entries and followers of the configuration"},
 		{section: "listen", key: "status", unit: "address", required: true,
 			field: addr(func(e *Entry) *string { return &e.StatusAddr }),
@@ -71,6 +71,9 @@
 		{section: "platform", key: "weights_url", unit: "URL",
 			field: baseURL(func(e *Entry) *string { return &e.Platform.WeightsURL }),
 			doc:   "weight store; without it, plans do not show sizes of weights"},
+		{section: "platform", key: "weights_bytes_per_s", unit: "bytes/s", def: "0",
+			field: integer(0, 1<<40, func(e *Entry) *int { return &e.Platform.WeightsBytesPerS }),
+			doc:   "rate of the weight store for all loads together, for the times that plans show and loads are given; 0 is not known"},
 	}
 }
 
--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -97,10 +97,14 @@
 	return a
 }
 
+// done returns the outcomes that came; those sent again for want of an acknowledgement count once.
 func (l *fakeLink) done() []structs.ItemDone {
 	var out []structs.ItemDone
 	for _, f := range l.frames(func(f *structs.Frame) bool { return f.ItemDone != nil }) {
-		out = append(out, *f.ItemDone)
+		again := func(d structs.ItemDone) bool { return d.Ref == f.ItemDone.Ref }
+		if !slices.ContainsFunc(out, again) {
+			out = append(out, *f.ItemDone)
+		}
 	}
 	return out
 }
@@ -110,11 +114,12 @@
 	generate func(ctx context.Context, call platform.GenerateCall, sink func(platform.Token) error) error
 	call     func(ctx context.Context, c platform.ServiceCall) (platform.ServiceAnswer, error)
 	order    func(o platform.Order) error
-	loadErr  error
 
-	mu    sync.Mutex
-	gens  []platform.GenerateCall
-	calls int
+	mu      sync.Mutex
+	loadErr error
+	models  []structs.ModelID // loaded; nil for "m"
+	gens    []platform.GenerateCall
+	calls   int
 }
 
 func (t *fakeTarget) Generate(ctx context.Context, call platform.GenerateCall, sink func(platform.Token) error) error {
@@ -125,9 +130,26 @@
 }
 
 func (t *fakeTarget) Load(context.Context) (platform.EngineLoad, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.models != nil {
+		return platform.EngineLoad{Models: t.models}, t.loadErr
+	}
 	return platform.EngineLoad{Models: []structs.ModelID{"m"}}, t.loadErr
 }
 
+func (t *fakeTarget) setModels(ids ...structs.ModelID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.models = ids
+}
+
+func (t *fakeTarget) failLoad(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loadErr = err
+}
+
 func (t *fakeTarget) Order(_ context.Context, o platform.Order) error { return t.order(o) }
 
 func (t *fakeTarget) CacheEvents(context.Context, uint64) ([]platform.CacheEvent, error) {
@@ -215,7 +237,10 @@
 			synctest.Wait()
 		}()
 		b.opened(b.entry)
-		time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		if kind == structs.KindService {
+			time.Sleep(2 * o.Settings.KeyWindow) // the bubble's clock: undated keys are known from here on
+		}
+		time.Sleep(time.Second)
 		f(t, b)
 	})
 }
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -190,15 +190,19 @@
 	i.end(structs.ItemDone{Err: i.ran(err), GaveBack: true})
 }
 
-// stop ends the item. A call that must not be repeated goes on to its end: cutting it
-// off would leave its outcome unknown.
-func (i *item) stop(err *errs.Error) {
+// markStopped has the item not start any more, and end with err.
+func (i *item) markStopped(err *errs.Error) {
 	i.mu.Lock()
-	if i.stopped != nil || i.state == itemEnded {
-		i.mu.Unlock()
-		return
+	defer i.mu.Unlock()
+	if i.stopped == nil && i.state != itemEnded {
+		i.stopped = err
 	}
-	i.stopped = err
+}
+
+// withdraw stops a marked item wherever it is. A call that must not be repeated goes
+// on to its end: cutting it off would leave its outcome unknown.
+func (i *item) withdraw(err *errs.Error) {
+	i.mu.Lock()
 	state, id := i.state, i.id
 	if state == itemRunning && !i.it.NonIdempotent {
 		i.guard.cancel(err)
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/reconcile"
 	"arbutusramp/core/structs"
 )
 
@@ -23,11 +26,29 @@
 // fullLoad has the loaded models too.
 func (s *Side) fullLoad() *structs.Load {
 	l := s.load()
-	l.Models = s.models()
+	if r := s.report.Load(); r != nil {
+		l.Models, l.Loaded = r.models, r.loaded
+	} else {
+		l.Models = s.target.Models
+	}
 	return &l
 }
 
-// reportLoads sends the load to all sessions on change, every LoadEvery at most.
+// engineReport is what an engine last said it has loaded.
+type engineReport struct {
+	models []structs.ModelID
+	loaded []structs.Loaded
+}
+
+func newReport(l *platform.EngineLoad) *engineReport {
+	loaded := reconcile.LoadedOf(l.Models)
+	for i := range loaded {
+		loaded[i].Version = l.Versions[loaded[i].Model]
+	}
+	return &engineReport{l.Models, loaded}
+}
+
+// reportLoads sends the load to all sessions on change, every LoadEvery at most and more rarely to many.
 func (s *Side) reportLoads(ctx context.Context) error {
 	var last structs.Load
 	for {
@@ -37,11 +58,12 @@
 		case <-s.loadDirty:
 		}
 		l := s.fullLoad()
-		if !sameLoad(&last, l) {
+		l.Prefixes = s.prefixes.take()
+		if len(l.Prefixes) > 0 || !sameLoad(&last, l) {
 			last = *l
 			s.broadcast(&structs.Frame{Version: s.config.version(), Load: l})
 		}
-		if pause(ctx, s.o.Settings.LoadEvery) != nil {
+		if pause(ctx, LoadPace(s.o.Settings.LoadEvery, s.peers.count())) != nil {
 			return nil
 		}
 	}
@@ -63,7 +85,12 @@
 		a.Draining == b.Draining &&
 		a.Unhealthy == b.Unhealthy &&
 		near(a.FirstTokenUs, b.FirstTokenUs) &&
-		slices.Equal(a.Models, b.Models)
+		slices.Equal(a.Models, b.Models) &&
+		slices.EqualFunc(a.Loaded, b.Loaded, sameLoaded)
+}
+
+func sameLoaded(a, b structs.Loaded) bool {
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 }
 
 func near(a, b int64) bool {
@@ -84,6 +111,9 @@
 func (s *Side) watchTarget(ctx context.Context) error {
 	for {
 		s.look(ctx)
+		if ps := s.peers.all(); len(ps) > 0 {
+			s.config.catchUp(ps[0], time.Now()) // any of them: map order
+		}
 		if pause(ctx, watchEvery) != nil {
 			return nil
 		}
@@ -118,18 +148,32 @@
 		if s.log.IsDebug() {
 			s.log.Debug("engine gives no report", "target", s.target.ID, "error", err)
 		}
+		s.noReport(errs.As(err))
 		return false
 	}
-	if old := s.models(); !slices.Equal(old, l.Models) {
-		s.loaded.Store(&l.Models)
+	s.report.Store(newReport(&l))
+	s.signal()
+	return true
+}
+
+// noReport counts an engine that nothing listens for as unhealthy, before a request meets it.
+func (s *Side) noReport(err *errs.Error) {
+	if err.Type != errs.TargetFailed || err.Ran != errs.RanNo {
+		return
+	}
+	s.healthMu.Lock()
+	was := s.health.bad
+	s.health.unreachable(time.Now())
+	s.healthMu.Unlock()
+	if !was {
+		s.log.Warn("target counts as unhealthy", "target", s.target.ID, "why", err.Detail)
 		s.signal()
 	}
-	return true
 }
 
 func (s *Side) models() []structs.ModelID {
-	if m := s.loaded.Load(); m != nil {
-		return *m
+	if r := s.report.Load(); r != nil {
+		return r.models
 	}
 	return s.target.Models
 }
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -24,6 +24,7 @@
 // pullState is what one entry was told.
 type pullState struct {
 	room      int // the last Pull, less what has come since
+	models    []structs.ModelID
 	delivered time.Time
 }
 
@@ -64,9 +65,9 @@
 	}
 }
 
-// room is how many items the side takes now, 0 when the target is ill or memory is short.
+// room is how many items the side takes now, 0 when the target is ill or retired, or memory is short.
 func (pl *puller) room() int {
-	if pl.s.draining.Load() || pl.s.unhealthy() {
+	if pl.s.draining.Load() || pl.s.retired.Load() || pl.s.unhealthy() {
 		return 0
 	}
 	return max(0, min(pl.s.queue.batchRoom()-pl.s.items.parked(), pl.s.items.spare()))
@@ -85,20 +86,25 @@
 		some = some || active[i]
 	}
 	pl.turn++
+	models := pl.s.models()
 	for i, n := range shares(room, active, pl.turn) {
-		if n != ps[i].pulls.room {
-			ps[i].pulls.room = n
-			ps[i].send(&structs.Frame{Pull: pl.pull(n)})
+		told := &ps[i].pulls
+		// An engine's report lags: the models of the first offer can be wrong while the room
+		// never changes on an idle target, and then no item would ever come.
+		if n == told.room && slices.Equal(models, told.models) {
+			continue
 		}
+		told.room, told.models = n, models
+		ps[i].send(&structs.Frame{Pull: pl.pull(n, models)})
 	}
 	return some
 }
 
-func (pl *puller) pull(room int) *structs.Pull {
+func (pl *puller) pull(room int, models []structs.ModelID) *structs.Pull {
 	return &structs.Pull{
 		Target:  pl.s.target.ID,
 		Room:    room,
-		Models:  pl.s.models(),
+		Models:  models,
 		Service: pl.s.target.Service,
 	}
 }
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -63,14 +63,18 @@
 
 	healthMu sync.Mutex
 	health   health
-	loaded   atomic.Pointer[[]structs.ModelID] // by the engine's last report
+	report   atomic.Pointer[engineReport] // the engine's last one
+	prefixes prefixes
 
 	base     context.Context // of all runs at the target
 	cut      context.CancelCauseFunc
 	draining atomic.Bool
-	serving  atomic.Bool
-	active   atomic.Int64  // streams from Open to End
-	still    chan struct{} // a token when something has ended while draining
+	// retired says that an operator takes host or target out of service: no more batch items are
+	// pulled. Online requests still come while entries know no other target for them.
+	retired atomic.Bool
+	serving atomic.Bool
+	active  atomic.Int64  // streams from Open to End
+	still   chan struct{} // a token when something has ended while draining
 
 	loadDirty chan struct{}
 	roomDirty chan struct{}
@@ -199,7 +203,7 @@
 			Incarnation: time.Now().UnixMilli(),
 			Targets:     []structs.TargetInfo{s.target},
 		},
-		PeerKeys: func() []settings.PeerKey { return s.o.Settings.PeerKeys },
+		PeerKeys: s.o.Settings.ValidPeerKeys,
 		Logger:   s.log,
 		Version:  s.config.version,
 	}
@@ -208,6 +212,7 @@
 // drain waits until nothing is in flight, DrainTimeout at most.
 func (s *Side) drain() {
 	s.draining.Store(true)
+	s.tellDraining()
 	s.log.Info("draining", "streams", s.active.Load())
 	s.signal()
 	s.queue.drain()
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -30,6 +30,9 @@
 	RetainBytes int64         // of each stream; 64 MiB
 	MaxAppend   int           // bytes of one record; 1 MiB
 	Seed        uint64        // of random choices
+	// Appended is told of every append that takes effect, in the order of its stream's offsets. It
+	// must not block; nil is told nothing.
+	Appended func(stream string, offset structs.Offset, body []byte)
 }
 
 const (
@@ -41,6 +44,7 @@
 	maxPageEntries     = 100_000
 	maxWait            = 60 * time.Second
 	maxStreams         = 10_000
+	busyWait           = 20 * time.Millisecond // told to those that BusyShare refuses
 )
 
 func (o Options) withDefaults() Options {
@@ -66,6 +70,8 @@
 	RetainForMs int64 `json:"retain_for_ms"`
 	// RetainBytes of each stream are kept; 0 is no limit.
 	RetainBytes int64 `json:"retain_bytes"`
+	// BusyShare is the share of appends (0..1) that are refused as over the rate.
+	BusyShare float64 `json:"busy_share"`
 }
 
 // Page is the answer to a read.
@@ -82,6 +88,7 @@
 	Refused     int64 `json:"refused"` // over the rate
 	Reads       int64 `json:"reads"`
 	ReadBytes   int64 `json:"read_bytes"`
+	Waiting     int   `json:"waiting"` // reads that wait for an append now
 }
 
 // Server is one log service.
@@ -120,10 +127,6 @@
 		switch string(ctx.Path()) {
 		case "/knobs":
 			s.knobs.Serve(ctx)
-		case "/knobs/refuse":
-			s.http.ServeRefuse(ctx)
-		case "/knobs/drop":
-			s.http.ServeDrop(ctx)
 		case "/stats":
 			s.serveStats(ctx)
 		default:
@@ -188,17 +191,25 @@
 
 // reserve takes one append from the rate, or returns how long to wait for one.
 func (s *Server) reserve(now time.Time) time.Duration {
+	if s.knobs.Hit(s.knobs.Get().BusyShare) {
+		s.countRefused()
+		return busyWait
+	}
 	r := s.limiter.ReserveN(now, 1)
 	wait := r.DelayFrom(now)
 	if wait > 0 {
 		r.CancelAt(now)
-		s.mu.Lock()
-		s.stats.Refused++
-		s.mu.Unlock()
+		s.countRefused()
 	}
 	return wait
 }
 
+func (s *Server) countRefused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Refused++
+}
+
 func (s *Server) append(now time.Time, name string, body []byte) (structs.Offset, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,7 +219,11 @@
 	}
 	s.stats.Appends++
 	s.stats.AppendBytes += int64(len(body))
-	return st.append(now, body), true
+	offset := st.append(now, body)
+	if s.opts.Appended != nil {
+		s.opts.Appended(name, offset, body)
+	}
+	return offset, true
 }
 
 // streamLocked returns a stream, trimmed, and makes it when it is new.
@@ -279,17 +294,45 @@
 		if knobs.Outage || knobs.Hang {
 			return Page{}, false
 		}
-		select {
-		case <-grown:
-		case <-changed:
-		case <-timeout.C:
+		switch s.await(grown, changed, timeout.C) {
+		case waitTimedOut:
 			return page, true
-		case <-s.http.Done():
+		case waitClosed:
 			return Page{}, false
 		}
 	}
 }
 
+type waitResult int
+
+const (
+	waitWoken waitResult = iota
+	waitTimedOut
+	waitClosed
+)
+
+// await waits for an append, a turn of the knobs, the timeout or the service's end.
+func (s *Server) await(grown, changed <-chan struct{}, timeout <-chan time.Time) waitResult {
+	s.countWaiting(1)
+	defer s.countWaiting(-1)
+	select {
+	case <-grown:
+		return waitWoken
+	case <-changed:
+		return waitWoken
+	case <-timeout:
+		return waitTimedOut
+	case <-s.http.Done():
+		return waitClosed
+	}
+}
+
+func (s *Server) countWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Waiting += n
+}
+
 // readNow returns what there is, and a channel that is closed at the stream's next
 // append. Reading a stream that does not exist makes an empty one, to wait on.
 func (s *Server) readNow(name string, from structs.Offset, maxEntries int) (Page, <-chan struct{}) {
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"syscall"
 	"testing"
 
 	"arbutusramp/internal/command"
@@ -19,12 +20,19 @@
 }
 
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+	testscript.Run(t, scriptParams("testdata"))
+}
+
+func scriptParams(dir string) testscript.Params {
+	return testscript.Params{
+		Dir: dir,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"addrs":  addrs,
-			"render": render,
-			"term":   term,
+			"addrs":   addrs,
+			"render":  render,
+			"jobfile": jobfile,
+			"capture": capture,
+			"term":    signalCommand(syscall.SIGTERM),
+			"hangup":  signalCommand(syscall.SIGHUP),
 		},
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
@@ -32,5 +40,5 @@
 			return nil
 		},
 		RequireExplicitExec: true,
-	})
+	}
 }
