--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -17,6 +17,8 @@
 	// alone is what its first token would take without batch, in seconds, as predicted
 	// when it arrived; 0 if there was no model yet.
 	alone float64
+	// expected is the seconds from its start to its first token, as predicted then.
+	expected float64
 
 	streaming bool // its first token has come
 	stopping  bool // it was preempted or withdrawn and has not ended yet
@@ -50,6 +52,8 @@
 	lastStop time.Time
 	peak     peak
 	usual    usual
+	// bias is the smoothed ratio of the time of first tokens to what was predicted.
+	bias     float64
 	service  float64 // smoothed seconds that an online request spends at the target
 	draining bool
 	atRisk   bool // an online request would get its first token too late beside what runs
@@ -114,6 +118,7 @@
 	r.step = m.steps.first(now, r)
 	if !r.batch() {
 		took := now.Sub(r.arrived)
+		m.learnDelay(r, now.Sub(r.started))
 		m.floor.observe(took, m.alone(r, took), r.PromptTokens)
 	}
 	return m.schedule(now)
@@ -250,7 +255,7 @@
 		BatchInFlight:  m.inFlight.batch,
 		OnlineQueued:   m.online.len(),
 		Limit:          m.limit.online(),
-		FirstTokenUs:   m.firstTokenNow().Microseconds(),
+		FirstTokenUs:   m.firstTokenNow(now).Microseconds(),
 		Draining:       m.draining,
 	}
 }
--- a/core/admit/predict.go
+++ b/core/admit/predict.go
@@ -109,18 +109,49 @@
 }
 
 // firstTokenNow estimates the first token of an online request that arrives now.
-func (m *Machine) firstTokenNow() time.Duration {
-	measured := m.queueWait() + seconds(m.floor.lately/2)
+func (m *Machine) firstTokenNow(now time.Time) time.Duration {
 	if !m.model.ready() {
 		return m.queueWait() + seconds(m.floor.lately*float64(1+m.inFlight.online))
 	}
+	return m.queueWait() + seconds(m.predictArrival(int(m.floor.prompt))*m.delay(now))
+}
+
+// predictArrival is the seconds to the first token of an online request with prompt
+// tokens that starts now, by the model.
+func (m *Machine) predictArrival(prompt int) float64 {
 	streams := m.inFlight.online + m.inFlight.activeBatch() + 1
-	prompt := int(m.floor.prompt) + m.inFlight.onlinePrefill
-	first := m.model.step(streams, 0)/2 + m.model.firstToken(float64(streams), prompt)
-	// A model that is wrong for once must not draw all requests to this target.
-	return max(measured, m.queueWait()+seconds(first))
+	wait := m.model.step(streams-1, 0) / 2
+	return wait + m.model.firstToken(float64(streams), m.inFlight.onlinePrefill+prompt)
 }
 
+// delay is by what factor first tokens come later than predicted: lately, or by now for
+// those that still wait. Without it a target that is worse than its model says, because it
+// queues inside, say, would draw ever more requests.
+func (m *Machine) delay(now time.Time) float64 {
+	d := max(1, m.bias)
+	for _, r := range m.running {
+		if r.batch() || r.streaming || r.expected <= 0 {
+			continue
+		}
+		d = max(d, now.Sub(r.started).Seconds()/r.expected)
+	}
+	return min(d, maxDelay)
+}
+
+// learnDelay takes in a first token.
+func (m *Machine) learnDelay(r *request, took time.Duration) {
+	if r.expected <= 0 {
+		return
+	}
+	ratio := min(maxDelay, took.Seconds()/r.expected)
+	m.bias += (ratio - m.bias) / biasSmooth
+}
+
+const (
+	maxDelay   = 50.0
+	biasSmooth = 8.0 // first tokens over which the delay is smoothed
+)
+
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Round(s * float64(time.Second)))
 }
--- a/core/admit/schedule.go
+++ b/core/admit/schedule.go
@@ -74,6 +74,9 @@
 func (m *Machine) start(now time.Time, r *request) Action {
 	m.drop(r)
 	r.started = now
+	if !r.batch() && m.model.ready() {
+		r.expected = m.predictArrival(r.PromptTokens)
+	}
 	m.running[r.ID] = r
 	m.inFlight.entered(r)
 	return Action{Kind: Start, ID: r.ID}
