--- a/core/admit/floor.go
+++ b/core/admit/floor.go
@@ -100,3 +100,24 @@
 	keep := math.Exp(-now.Sub(u.at).Seconds() / usualOver.Seconds())
 	return u.mean*keep + float64(u.last)*(1-keep)
 }
+
+// arrivals follows the rate of online arrivals over a short time.
+type arrivals struct {
+	rate float64 // a second
+	at   time.Time
+}
+
+// rateOver is the time constant of the rate. It is short against a burst and long
+// enough that a single arrival is not taken for one.
+const rateOver = 300 * time.Millisecond
+
+// observe takes in one arrival.
+func (a *arrivals) observe(now time.Time) {
+	a.rate = a.value(now) + 1/rateOver.Seconds()
+	a.at = now
+}
+
+// value is the rate now.
+func (a *arrivals) value(now time.Time) float64 {
+	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/rateOver.Seconds())
+}
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -52,6 +52,7 @@
 	lastStop time.Time
 	peak     peak
 	usual    usual
+	arrivals arrivals
 	// bias is the smoothed ratio of the time of first tokens to what was predicted.
 	bias     float64
 	service  float64 // smoothed seconds that an online request spends at the target
@@ -78,13 +79,14 @@
 		cfg.MaxQueue = DefaultMaxQueue
 	}
 	return &Machine{
-		cfg:     cfg,
-		policy:  newPolicy(cfg.Headroom),
-		limit:   newLimiter(cfg.MaxLimit),
-		running: make(map[ID]*request),
-		queued:  make(map[ID]*request),
-		peak:    peak{at: now},
-		usual:   usual{at: now},
+		cfg:      cfg,
+		policy:   newPolicy(cfg.Headroom),
+		limit:    newLimiter(cfg.MaxLimit),
+		running:  make(map[ID]*request),
+		queued:   make(map[ID]*request),
+		peak:     peak{at: now},
+		usual:    usual{at: now},
+		arrivals: arrivals{at: now},
 	}
 }
 
@@ -95,6 +97,7 @@
 		return []Action{refuse(r.ID, errs.New(errs.Draining, "the target takes nothing new"))}
 	}
 	if r.Class == structs.ClassOnline {
+		m.arrivals.observe(now)
 		if err := m.turnAway(now, r); err != nil {
 			return []Action{refuse(r.ID, err)}
 		}
--- a/core/admit/policy.go
+++ b/core/admit/policy.go
@@ -27,13 +27,13 @@
 
 const (
 	// stretchLatency and stretchThroughput are policy.stretch at headroom 1 and 0.
-	stretchLatency    = 1.0
+	stretchLatency    = 1.2
 	stretchThroughput = 4.0
 	holdMax           = 300 * time.Millisecond
-	displaceMax       = 1.5
+	displaceMax       = 0.8
 	prefillLatency    = 256
 	lateThroughput    = 4
-	lateLatency       = 0.2
+	lateLatency       = 0.25
 	holdStartsOver    = 0.2
 	prefillThroughput = 512
 )
@@ -78,8 +78,11 @@
 // besideBurst is how many batch streams a burst of online requests leaves. A request's own
 // first token is only a part of the harm: longer steps keep online requests longer, and
 // those that come after wait for them.
+// How many online requests a burst will bring to the target shows in the rate of arrivals
+// well before it shows in their number.
 func (m *Machine) besideBurst(now time.Time) int {
-	burst := m.peak.value(now, m.policy.hold) - m.usual.value(now)
+	coming := m.arrivals.value(now) * m.service
+	burst := max(m.peak.value(now, m.policy.hold), coming) - m.usual.value(now)
 	return max(0, m.room()-int(m.policy.displace*max(0, burst)))
 }
 
