--- a/internal/batch/scenario_test.go
+++ b/internal/batch/scenario_test.go
@@ -207,12 +207,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1)
 		defer c.close()
-		c.set.MaxHeldBytes = 64 << 10
+		c.set.MaxHeldBytes = 1 << 20
 		c.startNode(0)
 		c.startSide(0, 16, 10*time.Millisecond, 0)
 		time.Sleep(3 * time.Second)
-		v := c.mustSubmit("k", jobFile(5000, plain))
-		time.Sleep(200 * time.Millisecond)
+		v := c.mustSubmit("k", jobFile(1000, func(int) string { return "long" }))
+		time.Sleep(100 * time.Millisecond)
 		c.log.SetFaults(logmem.Faults{Down: true})
 		n := c.allNodes()[0]
 		most := int64(0)
@@ -225,7 +225,7 @@
 		}
 		c.log.SetFaults(logmem.Faults{})
 		c.awaitEnd(v.ID, 2*time.Minute)
-		c.checkResults(v.ID, 5000)
+		c.checkResults(v.ID, 1000)
 		c.noViolations()
 	})
 }
@@ -493,3 +493,25 @@
 		c.noViolations()
 	})
 }
+
+// Symptom: a cancel takes as long as the items that run. Sequence: cancel while
+// long items are at the sides. Cause: the sides are not told.
+func TestCancelStopsRunningItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.close()
+		c.startNode(0)
+		c.startSide(0, 8, 4*time.Second, 0)
+		time.Sleep(3 * time.Second)
+		v := c.mustSubmit("k", jobFile(100, plain))
+		time.Sleep(time.Second)
+		begun := time.Now()
+		if _, err := c.allNodes()[0].m.Cancel(t.Context(), testWorkspace, v.ID); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took > 500*time.Millisecond {
+			t.Errorf("cancel took %s", took)
+		}
+		c.noViolations()
+	})
+}
