A cancel reaches all sides; an entry cut off from the log service gives its shards up

Now every side with a session is told, again when it connects or the owner changes, and the cancel waits for the items' lease after a lost owner. An owner that alone does not reach the log is told apart from an outage by what its peers see; it stops and is replaced. Outcomes over the bound on held bytes are refused, however wrong the estimate of their size.

--- a/core/jobs/sched_queue.go
+++ b/core/jobs/sched_queue.go
@@ -145,6 +145,13 @@
 	l.CustomID = customID
 }
 
+// Extend moves the end of the lease of key to until.
+func (s *Sched) Extend(key Key, until time.Time) {
+	if l := s.leases[key]; l != nil {
+		l.Until = until
+	}
+}
+
 // Return gives an item back to be handed out again as its next attempt. charged is how
 // often it has failed: the wait before it grows with that.
 func (s *Sched) Return(now time.Time, key Key, charged int) {
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -72,6 +72,7 @@
 	s.lastRead = now
 	if lost {
 		s.quietUntil = now.Add(s.m.tune.TakeoverWait)
+		s.unknownUntil = now.Add(s.m.set.ItemTimeout + leaseSlack)
 	}
 	return true, true
 }
--- a/internal/batch/cluster_test.go
+++ b/internal/batch/cluster_test.go
@@ -54,6 +54,7 @@
 	gate   gate
 	cancel context.CancelFunc
 	done   chan struct{}
+	cutLog atomic.Bool // the node does not reach the log
 }
 
 type gate struct {
@@ -120,6 +121,9 @@
 	if !l.n.gate.pass(ctx) {
 		return 0, errs.New(errs.LogDown, "host is gone")
 	}
+	if l.n.cutLog.Load() {
+		return 0, errs.New(errs.LogDown, "no route")
+	}
 	off, err := l.n.c.log.Append(ctx, stream, body)
 	if !l.n.gate.pass(context.WithoutCancel(ctx)) {
 		return 0, errs.New(errs.AppendUnknown, "host is gone")
@@ -131,6 +135,9 @@
 	if !l.n.gate.pass(ctx) {
 		return platform.Page{}, errs.New(errs.LogDown, "host is gone")
 	}
+	if l.n.cutLog.Load() {
+		return platform.Page{}, errs.New(errs.LogDown, "no route")
+	}
 	page, err := l.n.c.log.Read(ctx, stream, from, most, wait)
 	if !l.n.gate.pass(context.WithoutCancel(ctx)) {
 		return platform.Page{}, errs.New(errs.LogDown, "host is gone")
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -138,14 +138,15 @@
 
 // mayDispatch says whether this entry may act as owner now; s.mu is held. A
 // process that was paused wakes with an old view: until a read of the stream has
-// gone through again it can't know whether another has taken over. With the
-// log service down no other can.
+// gone through again it can't know whether another has taken over, or a job was cancelled there. The same
+// holds for one that is cut off from the log service. In an outage, which the
+// other entries see too, no other can take over.
 func (s *shard) mayDispatch(now time.Time) bool {
 	if s.epoch == 0 || s.draining || now.Before(s.quietUntil) {
 		return false
 	}
-	fresh := now.Sub(s.lastRead) < s.m.tune.ReadWait+s.m.tune.Lease
-	return fresh || s.m.health.down()
+	fresh := now.Sub(s.lastRead) < s.m.tune.ReadWait+s.m.tune.Lease/2
+	return fresh || s.m.health.down() && s.m.outage.Load()
 }
 
 // ready says whether the bodies of a segment can be had now.
--- a/internal/batch/housekeep.go
+++ b/internal/batch/housekeep.go
@@ -14,6 +14,10 @@
 func (s *shard) housekeepLoop(ctx context.Context) {
 	for pause(ctx, s.m.tune.HousekeepEvery) {
 		now := s.m.now()
+		if s.m.cutOff(now) {
+			s.giveUp()
+			return
+		}
 		s.mu.Lock()
 		if s.epoch == 0 || s.draining {
 			s.mu.Unlock()
@@ -39,6 +43,22 @@
 	}
 }
 
+// cutOff says whether this entry has been without the log service for the lease time
+// while others reach it: they take its shards over.
+func (m *Manager) cutOff(now time.Time) bool {
+	return m.health.downFor(now) >= m.tune.Lease && !m.outage.Load()
+}
+
+// giveUp ends an ownership that this entry can do nothing with. As owner it would
+// answer callers with an old state; what sides have reported to it they still hold.
+func (s *shard) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.log.Warn("cut off from the log service, shard given up", "shard", s.id, "epoch", s.epoch)
+	s.epoch = 0
+	s.ending()
+}
+
 // followIntents takes over operators' decisions on jobs; s.mu is held.
 func (s *shard) followIntents() {
 	for id, intent := range s.m.o.Config.Current().Jobs {
--- a/internal/batch/loghealth.go
+++ b/internal/batch/loghealth.go
@@ -11,6 +11,7 @@
 type logHealth struct {
 	mu        sync.Mutex
 	downSince time.Time // zero while it answers
+	lastUp    time.Time
 }
 
 // note takes in the error, or nil, of a call of the log service.
@@ -19,6 +20,7 @@
 	defer h.mu.Unlock()
 	if err == nil || errs.Is(err, errs.LogBusy) || errs.Is(err, errs.LogTrimmed) {
 		h.downSince = time.Time{}
+		h.lastUp = now
 		return
 	}
 	if errs.Is(err, errs.LogDown) && h.downSince.IsZero() {
@@ -32,6 +34,24 @@
 	return !h.downSince.IsZero()
 }
 
+// downFor returns for how long the log service has not answered.
+func (h *logHealth) downFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.downSince.IsZero() {
+		return 0
+	}
+	return now.Sub(h.downSince)
+}
+
+// up says whether the log service has answered within the last d. An entry that does not
+// call it knows nothing: then neither up nor down holds.
+func (h *logHealth) up(now time.Time, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.downSince.IsZero() && now.Sub(h.lastUp) <= d
+}
+
 const (
 	retryLeast = 2 * time.Second
 	retryMost  = time.Minute
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -41,6 +41,9 @@
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
 
+	// outage says that other entries do not reach the log service either.
+	outage atomic.Bool
+
 	// life ends when Run returns; what works beside the loops of Run stops with it.
 	life context.Context
 	end  context.CancelFunc
--- a/internal/batch/message.go
+++ b/internal/batch/message.go
@@ -64,6 +64,10 @@
 	Incarnation int64                           `cbor:"3,keyasint,omitempty"`
 	Holds       map[structs.Shard]structs.Epoch `cbor:"4,keyasint,omitempty"`
 	Leaving     bool                            `cbor:"5,keyasint,omitempty"`
+	// LogDown says that the entry does not reach the log service, LogUp that it
+	// did just now. Neither holds for one that does not call it.
+	LogDown bool `cbor:"12,keyasint,omitempty"`
+	LogUp   bool `cbor:"13,keyasint,omitempty"`
 	// Acked are the positions in PeerRequest.Done that need not be sent again.
 	Acked []int `cbor:"6,keyasint,omitempty"`
 	// Have are the hashes of the segments that are in the log; empty where one is missing.
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -42,6 +42,12 @@
 		s.acks[key] = append(s.acks[key], ack)
 		return true
 	}
+	// The bound is firm here: the estimate that stops the handing out can be
+	// wrong, and the side keeps the outcome and sends it again.
+	if s.m.held.Load()+int64(len(d.Body)) > int64(s.m.set.MaxHeldBytes) {
+		s.sched.Extend(key, s.m.now().Add(s.m.set.ItemTimeout))
+		return true
+	}
 	lease, held := s.sched.Lease(key)
 	verdict := jobs.Judge(d, j.Once(key.Index), j.Trouble(key.Index), s.m.set.ItemAttempts)
 	if s.outdated(d, verdict, lease, held) {
@@ -225,15 +231,38 @@
 	}
 }
 
-// stopCancelled tells sides to stop the items of jobs that were just cancelled; s.mu is held.
+// stopCancelled tells sides to stop the items of jobs that were just cancelled; s.mu
+// is held. All sides are told, not only those with a lease: an owner that was lost may have
+// handed out items that this one does not know of, and a side starts them again when that
+// owner wakes.
 func (s *shard) stopCancelled(eff *jobs.Effects) {
 	for _, id := range eff.Cancelled {
-		for side := range s.sched.Holders(id) {
-			s.m.sides.send(side, &structs.Frame{ItemStop: &structs.ItemStop{Job: id, All: true}})
+		s.m.sides.sendAll(stopAll(id))
+	}
+}
+
+func stopAll(id structs.JobID) *structs.Frame {
+	return &structs.Frame{ItemStop: &structs.ItemStop{Job: id, All: true}}
+}
+
+// stopRecent repeats the stop of jobs that were cancelled lately, for a side that has just
+// come, or by a new owner: the one before may have been lost before it told the sides; s.mu is held.
+func (s *shard) stopRecent(send func(*structs.Frame)) {
+	if s.epoch == 0 {
+		return
+	}
+	since := s.m.now().Add(-stopRepeat).UnixMilli()
+	for id, j := range s.state.Jobs {
+		if j.Cancelled && j.EndedMs >= since {
+			send(stopAll(id))
 		}
 	}
 }
 
+// stopRepeat is for how long a cancel is told to sides that come: longer than a side
+// keeps an item whose owner it does not hear.
+const stopRepeat = 10 * time.Minute
+
 // cancel cancels a job and returns when no item of it starts any more.
 func (s *shard) cancel(ctx context.Context, job structs.JobID, by string) error {
 	s.mu.Lock()
@@ -254,6 +283,9 @@
 		}
 		s.m.log.Info("job cancelled", "shard", s.id, "job", job, "by", by)
 	} else {
+		if j.Cancelled {
+			s.m.sides.sendAll(stopAll(job))
+		}
 		s.mu.Unlock()
 	}
 	s.awaitStopped(ctx, job)
@@ -266,6 +298,7 @@
 func (s *shard) awaitStopped(ctx context.Context, job structs.JobID) {
 	limit := time.NewTimer(2 * s.m.tune.ItemLease)
 	defer limit.Stop()
+	s.awaitUnknown(ctx)
 	for {
 		s.mu.Lock()
 		held := 0
@@ -286,3 +319,14 @@
 		}
 	}
 }
+
+// awaitUnknown waits for ItemLease where sides may hold items that a lost owner has handed out:
+// they confirm nothing to this one.
+func (s *shard) awaitUnknown(ctx context.Context) {
+	s.mu.Lock()
+	unknown := s.m.now().Before(s.unknownUntil)
+	s.mu.Unlock()
+	if unknown {
+		pause(ctx, s.m.tune.ItemLease)
+	}
+}
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,13 +36,15 @@
 	for {
 		var g errgroup.Group
 		g.SetLimit(maxProbes)
+		var views logViews
 		for _, h := range m.toProbe() {
 			g.Go(func() error {
-				m.probe(ctx, h)
+				views.add(m.probe(ctx, h))
 				return nil
 			})
 		}
 		_ = g.Wait()
+		m.outage.Store(views.outage())
 		if !pause(ctx, m.tune.ProbeEvery) {
 			return nil
 		}
@@ -59,8 +62,14 @@
 		if at == len(rank) {
 			continue
 		}
+		if m.health.down() {
+			// Is it an outage, or is this entry cut off? The others know.
+			at = len(rank)
+		}
 		for _, h := range rank[:at] {
-			want[h.ID] = h
+			if h.ID != m.self.Host {
+				want[h.ID] = h
+			}
 		}
 	}
 	for _, s := range m.following() {
@@ -93,7 +102,8 @@
 	return out
 }
 
-func (m *Manager) probe(ctx context.Context, h platform.Host) {
+// probe asks h whether it is there and returns its answer, nil if there is none.
+func (m *Manager) probe(ctx context.Context, h platform.Host) *PeerReply {
 	ctx, cancel := context.WithTimeout(ctx, m.tune.ProbeTimeout)
 	defer cancel()
 	reply, err := m.peers.Call(ctx, h, &PeerRequest{Op: OpProbe, Host: m.self.Host})
@@ -102,11 +112,49 @@
 	defer m.mu.Unlock()
 	// An entry that leaves stays owner until it has released the shard; it only is no
 	// candidate any more.
-	if err != nil || reply.Leaving && len(reply.Holds) == 0 {
+	// One that is cut off from the log service while this one is not can do nothing
+	// for its shards.
+	cutOff := err == nil && reply.LogDown && m.logUp()
+	if err != nil || cutOff || reply.Leaving && len(reply.Holds) == 0 {
 		m.probed.Failed(now, h.ID)
-		return
+	} else {
+		m.probed.Answered(now, h.ID, reply.Incarnation, reply.Holds)
+	}
+	if err != nil {
+		return nil
 	}
-	m.probed.Answered(now, h.ID, reply.Incarnation, reply.Holds)
+	return reply
+}
+
+// logUp says whether this entry has just reached the log service.
+func (m *Manager) logUp() bool {
+	return m.health.up(m.now(), m.tune.ReadWait+m.tune.Lease)
+}
+
+// logViews gathers what other entries say of the log service.
+type logViews struct {
+	mu                sync.Mutex
+	asked, answer, up int
+}
+
+func (v *logViews) add(r *PeerReply) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asked++
+	if r != nil {
+		v.answer++
+	}
+	if r != nil && r.LogUp {
+		v.up++
+	}
+}
+
+// outage says whether none that answers reaches the log service. An entry that none
+// answers is cut off, unless it is alone.
+func (v *logViews) outage() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.up == 0 && (v.answer > 0 || v.asked == 0)
 }
 
 // hint returns who was last seen to own shard, nil if nobody.
--- a/internal/batch/scenario_test.go
+++ b/internal/batch/scenario_test.go
@@ -37,11 +37,16 @@
 	c.t.Helper()
 	id := jobs.ShardFor(job, c.set.Shards)
 	for range 2000 {
+		var found *node
+		newest := structs.Epoch(0)
 		for _, n := range c.allNodes() {
-			if s := n.m.shard(id); s != nil && s.ownerEpoch() != 0 {
-				return n
+			if s := n.m.shard(id); s != nil && s.ownerEpoch() > newest {
+				found, newest = n, s.ownerEpoch()
 			}
 		}
+		if found != nil {
+			return found
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	c.t.Fatalf("shard %d has no owner", id)
@@ -515,3 +520,55 @@
 		c.noViolations()
 	})
 }
+
+// Symptom: items of a cancelled job start. Sequence: the owner is paused, another
+// takes over, the job is cancelled there, the first wakes; its sides start what they
+// still hold of it. Cause: the new owner tells only the sides that it knows to hold items.
+func TestCancelAfterTakeoverReachesAllSides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.close()
+		for range 3 {
+			c.startNode(0)
+		}
+		for i := range 3 {
+			c.startSide(i, 4, 3*time.Second, 0).park = true
+		}
+		time.Sleep(3 * time.Second)
+		v := c.mustSubmit("k", jobFile(500, plain))
+		time.Sleep(time.Second)
+		old := c.owner(v.ID)
+		old.gate.pause()
+		c.awaitOwner(v.ID, old)
+		if _, err := c.owner(v.ID).m.Cancel(t.Context(), testWorkspace, v.ID); err != nil {
+			t.Fatal(err)
+		}
+		c.seen.cancel(v.ID)
+		old.gate.resume()
+		time.Sleep(10 * time.Second)
+		c.noViolations()
+	})
+}
+
+// Symptom: the jobs of one entry stand still though the log service is up. Sequence: the
+// network between that entry and the log service breaks; it answers its peers. Cause:
+// an owner that answers probes keeps its shards whatever it can do for them.
+func TestOwnerCutOffFromLogIsReplaced(t *testing.T) {
+	bubble(t, 3, 3, func(c *cluster) {
+		v := c.mustSubmit("k", jobFile(3000, plain))
+		time.Sleep(300 * time.Millisecond)
+		old := c.owner(v.ID)
+		old.cutLog.Store(true)
+		begun := time.Now()
+		for c.owner(v.ID) == old && time.Since(begun) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(begun); took > 6*time.Second {
+			c.t.Errorf("still owner after %s", took)
+		}
+		c.awaitEnd(v.ID, time.Minute)
+		c.checkResults(v.ID, 3000)
+		old.cutLog.Store(false)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -53,7 +53,9 @@
 	for _, s := range m.owned() {
 		holds[s.id] = s.ownerEpoch()
 	}
-	return &PeerReply{Incarnation: m.self.Incarnation, Holds: holds, Leaving: m.leaving.Load()}
+	return &PeerReply{
+		Incarnation: m.self.Incarnation, Holds: holds, Leaving: m.leaving.Load(), LogDown: m.health.down(), LogUp: m.logUp(),
+	}
 }
 
 // serveOffer answers once this entry has read the offered shard and follows it:
--- a/internal/batch/shard.go
+++ b/internal/batch/shard.go
@@ -26,6 +26,7 @@
 	// draining stops new items and releasing new records during a handover.
 	draining, releasing bool
 	quietUntil          time.Time // nothing is handed out before
+	unknownUntil        time.Time // until then sides may hold items of an owner that was lost
 	seq                 uint64
 	waiting             []*proposal
 	flying              *flight
@@ -132,6 +133,7 @@
 	defer cancel()
 	s.mu.Lock()
 	s.ending = cancel
+	s.stopRecent(s.m.sides.sendAll)
 	s.mu.Unlock()
 	s.m.metrics.takeovers.Inc(1)
 	s.m.metrics.ownedShards.Update(int64(len(s.m.owned())))
--- a/internal/batch/side_test.go
+++ b/internal/batch/side_test.go
@@ -61,6 +61,7 @@
 	slots int
 	// work is how long an item runs at least, spread how much it varies.
 	work, spread time.Duration
+	park         bool          // keeps items of a silent owner until it is heard again
 	restart      time.Duration // of the target after an item has killed it
 	rng          *rand.Rand
 
@@ -220,6 +221,7 @@
 		for _, d := range s.unacked {
 			go s.deliver(d)
 		}
+		s.startMore()
 		s.mu.Unlock()
 		s.pull()
 	}
@@ -274,8 +276,12 @@
 		if r.item.Alone && len(s.active) > 0 || s.alone > 0 {
 			return
 		}
+		silent := time.Since(r.link.heard) > heardWithin
+		if silent && s.park {
+			return
+		}
 		s.queue = s.queue[1:]
-		if time.Since(r.link.heard) > heardWithin {
+		if silent {
 			s.end(r, &structs.ItemDone{GaveBack: true, Err: errs.New(errs.SessionLost, "owner silent").WithRan(errs.RanNo)})
 			continue
 		}
--- a/internal/batch/sides.go
+++ b/internal/batch/sides.go
@@ -56,6 +56,19 @@
 	return send != nil && send(f) == nil
 }
 
+// sendAll passes f to every side with a session.
+func (t *sideTable) sendAll(f *structs.Frame) {
+	t.mu.Lock()
+	sends := make([]Send, 0, len(t.sends))
+	for _, send := range t.sends {
+		sends = append(sends, send)
+	}
+	t.mu.Unlock()
+	for _, send := range sends {
+		_ = send(f)
+	}
+}
+
 func (t *sideTable) isOpen(side structs.HostID) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,7 +121,14 @@
 }
 
 // SideOpened notes that side has a session with this entry.
-func (m *Manager) SideOpened(side structs.HostID, send Send) { m.sides.open(side, send) }
+func (m *Manager) SideOpened(side structs.HostID, send Send) {
+	m.sides.open(side, send)
+	for _, s := range m.owned() {
+		s.mu.Lock()
+		s.stopRecent(func(f *structs.Frame) { _ = send(f) })
+		s.mu.Unlock()
+	}
+}
 
 // SideClosed notes that the session of side has ended: its items are handed out
 // again unless it comes back and reports.
