--- a/internal/batch/forward.go
+++ b/internal/batch/forward.go
@@ -85,7 +85,7 @@
 }
 
 func (f *forwarder) pass(id structs.Shard, batch []forwarded) {
-	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
+	ctx, cancel := context.WithTimeout(f.m.life, forwardTimeout)
 	defer cancel()
 	r := &PeerRequest{Op: OpDone}
 	for _, o := range batch {
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -41,6 +41,10 @@
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
 
+	// life ends when Run returns; what works beside the loops of Run stops with it.
+	life context.Context
+	end  context.CancelFunc
+
 	mu      sync.Mutex // guards what follows
 	shards  map[structs.Shard]*shard
 	offered map[structs.Shard]time.Time // shards that their owner is about to release to us
@@ -62,6 +66,7 @@
 		offered:    make(map[structs.Shard]time.Time),
 		hints:      make(map[structs.Shard]platform.Host),
 	}
+	m.life, m.end = context.WithCancel(context.Background())
 	if m.log == nil {
 		m.log = hclog.NewNullLogger()
 	}
@@ -95,11 +100,11 @@
 	m.log.Error("INVARIANT VIOLATED", "invariant", string(v.Name), "detail", v.Detail)
 }
 
-// Run works until ctx is cancelled, then hands its shards over and returns.
+// Run works until ctx is cancelled, then hands its shards over and returns. It runs once.
 func (m *Manager) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	stop := m.end
 	defer stop()
-	g, work := errgroup.WithContext(work)
+	g, work := errgroup.WithContext(m.life)
 	g.Go(func() error { return m.probeLoop(work) })
 	g.Go(func() error { return m.dispatchLoop(work) })
 	g.Go(func() error { return m.placeLoop(ctx, work, g) })
@@ -217,7 +222,7 @@
 func (m *Manager) handOverAll() {
 	m.leaving.Store(true)
 	limit := min(m.set.DrainTimeout, handOverTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := context.WithTimeout(m.life, limit)
 	defer cancel()
 	var g errgroup.Group
 	for _, s := range m.owned() {
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -151,9 +151,11 @@
 // which it was reported.
 func (s *shard) nameResult(epoch structs.Epoch, key jobs.Key, seg int, r structs.ItemResult) {
 	for s.ownerEpoch() == epoch {
-		item, err := s.item(context.Background(), key.Job, seg, key.Index)
+		item, err := s.item(s.m.life, key.Job, seg, key.Index)
 		if errs.Is(err, errs.LogDown) {
-			time.Sleep(readBackoff)
+			if !pause(s.m.life, readBackoff) {
+				return
+			}
 			continue
 		}
 		r.CustomID = item.CustomID
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -125,7 +125,7 @@
 
 // release hands the shard over while this entry goes on.
 func (s *shard) release(to platform.Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	ctx, cancel := context.WithTimeout(s.m.life, handOverTimeout)
 	defer cancel()
 	s.handOver(ctx, &to)
 	s.mu.Lock()
