Keep appends under the log service's bound on a record; pack results in parts

A service that bounds records at 1 MiB refused larger ones for ever, and a shard took no more records. Appends stay under 512 KiB, are halved when refused, and a result that fits no record becomes an error. What the service has trimmed already counts as retention too.

--- a/core/jobs/fold_items.go
+++ b/core/jobs/fold_items.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// applyPacked replaces the offsets that r's results came from by off.
+// applyPacked replaces the offsets that r's results came from, once all parts are there.
 func (s *State) applyPacked(off structs.Offset, r *structs.ResultsPacked) {
 	j := s.Jobs[r.Job]
 	if j == nil || r.Seg < 0 || r.Seg >= len(j.Segments) {
@@ -130,8 +130,33 @@
 	if seg.packed > r.Through {
 		return
 	}
-	seg.packed = off
-	seg.refs.dropThrough(r.Through)
+	if r.Parts <= 1 {
+		seg.replacePacked([]structs.Offset{off}, r.Through)
+		return
+	}
+	if seg.more == nil {
+		seg.more = &morePacked{}
+	}
+	m := seg.more
+	if r.Part == 0 {
+		m.Coming, m.Through = nil, r.Through
+	}
+	// A part without those before it is of a writer that was lost or superseded.
+	if r.Through != m.Through || r.Part != len(m.Coming) {
+		return
+	}
+	if m.Coming = append(m.Coming, off); len(m.Coming) == r.Parts {
+		seg.replacePacked(m.Coming, r.Through)
+	}
+}
+
+func (s *Segment) replacePacked(parts []structs.Offset, through structs.Offset) {
+	s.packed = parts[0]
+	s.more = nil
+	if len(parts) > 1 {
+		s.more = &morePacked{Rest: parts[1:]}
+	}
+	s.refs.dropThrough(through)
 }
 
 func (j *Job) endIfDone(s *State, atMs int64) {
--- a/core/jobs/fold_test.go
+++ b/core/jobs/fold_test.go
@@ -397,3 +397,41 @@
 		}
 	})
 }
+
+// Symptom: results of a segment are gone. Sequence: they are packed into several
+// appends, the owner is lost between two of them. Cause: the first part already
+// replaces what it was made from.
+func TestPackedResultsReplaceOnlyWhenWhole(t *testing.T) {
+	s, _ := newStream(Broken{})
+	s.claim(writerA)
+	s.acceptJob(t, spec, items(4))
+	s.put(s.env(writerA, s.Epoch, doneRecord(t, "x", 0, 1)))
+	s.put(s.env(writerA, s.Epoch, doneRecord(t, "x", 2, 3)))
+	before := fmt.Sprint(s.Jobs[testJob].View(0).Offsets)
+	var results []structs.ItemResult
+	for i := range 4 {
+		results = append(results, structs.ItemResult{Index: i, Body: make([]byte, maxPackedPart-100)})
+	}
+	records, err := PackedRecords(testJob, 0, s.off, results)
+	if err != nil || len(records) != 4 {
+		t.Fatalf("%d parts, %v", len(records), err)
+	}
+	s.put(s.env(writerA, s.Epoch, records[0]))
+	s.put(s.env(writerA, s.Epoch, records[2]))
+	if got := fmt.Sprint(s.Jobs[testJob].View(0).Offsets); got != before {
+		t.Fatalf("offsets %s after a part, before %s", got, before)
+	}
+	var envs []*structs.Envelope
+	for _, r := range records {
+		env := s.env(writerA, s.Epoch, r)
+		s.put(env)
+		envs = append(envs, &env)
+	}
+	v := restored(t, s.State).Jobs[testJob].View(0)
+	if len(v.Offsets) != 4 {
+		t.Fatalf("offsets %v, want those of the four parts", v.Offsets)
+	}
+	if got, err := v.Collect(envs); err != nil || len(got) != 4 {
+		t.Fatalf("%d results, %v", len(got), err)
+	}
+}
--- a/core/jobs/results.go
+++ b/core/jobs/results.go
@@ -149,12 +149,38 @@
 	return structs.JobRecord{Done: done}, nil
 }
 
-// PackedRecord returns the record that carries results of a segment again. Error: errs.Internal.
-func PackedRecord(job structs.JobID, seg int, through structs.Offset, results []structs.ItemResult) (structs.JobRecord, error) {
-	blob, err := cbor.Marshal(results)
-	if err != nil {
-		return structs.JobRecord{}, errs.Newf(errs.Internal, "results: %v", err)
+// maxPackedPart is about how many bytes of results one ResultsPacked carries.
+const maxPackedPart = 256 << 10
+
+// PackedRecords returns the records that carry results of a segment again, to be
+// appended in order. Error: errs.Internal.
+func PackedRecords(job structs.JobID, seg int, through structs.Offset, results []structs.ItemResult) ([]structs.JobRecord, error) {
+	parts := splitResults(results)
+	records := make([]structs.JobRecord, 0, len(parts))
+	for i, part := range parts {
+		blob, err := cbor.Marshal(part)
+		if err != nil {
+			return nil, errs.Newf(errs.Internal, "results: %v", err)
+		}
+		records = append(records, structs.JobRecord{Packed: &structs.ResultsPacked{
+			Job: job, Seg: seg, Through: through, Blob: blob, Part: i, Parts: len(parts),
+		}})
+	}
+	return records, nil
+}
+
+func splitResults(results []structs.ItemResult) [][]structs.ItemResult {
+	var parts [][]structs.ItemResult
+	size := 0
+	for i := range results {
+		n := len(results[i].Body)
+		if len(parts) == 0 || size+n > maxPackedPart {
+			parts = append(parts, nil)
+			size = 0
+		}
+		size += n
+		last := len(parts) - 1
+		parts[last] = append(parts[last], results[i])
 	}
-	packed := &structs.ResultsPacked{Job: job, Seg: seg, Through: through, Blob: blob}
-	return structs.JobRecord{Packed: packed}, nil
+	return parts
 }
--- a/core/jobs/snapshot.go
+++ b/core/jobs/snapshot.go
@@ -53,6 +53,7 @@
 	Packed structs.Offset `cbor:"6,keyasint,omitempty"`
 	Refs   refs           `cbor:"7,keyasint"`
 	Open   *openSegment   `cbor:"8,keyasint,omitempty"`
+	More   *morePacked    `cbor:"9,keyasint,omitempty"`
 }
 
 // Snapshot returns the state as the bodies of the appends that keep it, each a
@@ -103,7 +104,7 @@
 		g := &j.Segments[i]
 		image.Segments = append(image.Segments, segmentImage{
 			Offset: g.Offset, First: g.First, Count: g.Count, Done: g.Done, Failed: g.Failed,
-			Packed: g.packed, Refs: g.refs, Open: g.open,
+			Packed: g.packed, Refs: g.refs, Open: g.open, More: g.more,
 		})
 	}
 	return image
@@ -179,7 +180,7 @@
 	for _, g := range image.Segments {
 		j.Segments = append(j.Segments, Segment{
 			Offset: g.Offset, First: g.First, Count: g.Count, Done: g.Done, Failed: g.Failed,
-			packed: g.Packed, refs: g.Refs, open: g.Open,
+			packed: g.Packed, refs: g.Refs, open: g.Open, more: g.More,
 		})
 	}
 	return j
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -86,14 +86,26 @@
 	Done   int32
 	Failed int32
 
-	// packed is the offset of the newest ResultsPacked, which comes before refs in log order.
+	// packed is the offset of the first part of the newest ResultsPacked. Its results count
+	// before those at refs.
 	packed structs.Offset
 	refs   refs
+	// more is set for the few segments whose packed results have several parts.
+	more *morePacked
 	// open is dropped when every item has a result: a finished segment costs
 	// under a byte an item.
 	open *openSegment
 }
 
+// morePacked are the further parts of packed results.
+type morePacked struct {
+	// Rest are the offsets of the parts after the first.
+	Rest []structs.Offset `cbor:"1,keyasint,omitempty"`
+	// Coming are the offsets of the parts seen so far of newer packed results that go up to Through.
+	Coming  []structs.Offset `cbor:"2,keyasint,omitempty"`
+	Through structs.Offset   `cbor:"3,keyasint,omitempty"`
+}
+
 // openSegment is what only a segment with open items needs.
 type openSegment struct {
 	Hash    []byte `cbor:"1,keyasint,omitempty"`
@@ -229,6 +241,9 @@
 	if s.packed != 0 {
 		out = append(out, s.packed)
 	}
+	if s.more != nil {
+		out = append(out, s.more.Rest...)
+	}
 	return append(out, s.refs.list()...)
 }
 
--- a/core/structs/job_record.go
+++ b/core/structs/job_record.go
@@ -161,12 +161,16 @@
 }
 
 // ResultsPacked carries every result that a segment has up to offset Through
-// again, so that they outlive the log's retention and are read with one call.
+// again, so that they outlive the log's retention and are read with few calls. They come in
+// Parts records, for an append is bounded in size; only all of them together replace
+// what they were made from.
 type ResultsPacked struct {
 	Job     JobID  `cbor:"1,keyasint"`
 	Seg     int    `cbor:"2,keyasint,omitempty"`
 	Through Offset `cbor:"3,keyasint"`
-	Blob    []byte `cbor:"4,keyasint"` // CBOR array of ItemResult
+	Blob    []byte `cbor:"4,keyasint"`           // CBOR array of ItemResult
+	Part    int    `cbor:"5,keyasint,omitempty"` // from 0
+	Parts   int    `cbor:"6,keyasint"`
 }
 
 // JobCancel cancels a job: items without a result by then get none.
--- a/internal/adapter/logmem/logmem.go
+++ b/internal/adapter/logmem/logmem.go
@@ -31,6 +31,8 @@
 	LateBy time.Duration
 	// Busy is the share of appends refused as over the rate, 0..1.
 	Busy float64
+	// MaxBytes bounds one record; 0 is no bound. Error: errs.BodyTooLarge.
+	MaxBytes int
 	// Retention is how long records are kept; 0 is for ever.
 	Retention time.Duration
 }
@@ -101,6 +103,9 @@
 	case f.Down:
 		l.mu.Unlock()
 		return 0, errs.New(errs.LogDown, "the log service is down")
+	case f.MaxBytes > 0 && len(body) > f.MaxBytes:
+		l.mu.Unlock()
+		return 0, errs.New(errs.BodyTooLarge, "the record is too large")
 	case chance() < f.Busy:
 		l.mu.Unlock()
 		return 0, errs.New(errs.LogBusy, "over the log service's rate")
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -10,6 +10,9 @@
 	"arbutusramp/core/structs"
 )
 
+// maxLeases bounds a release. Items beyond it are handed out again at once.
+const maxLeases = 4096
+
 // askEvery is how often the holder of a wanted shard is asked to release it.
 const askEvery = time.Second
 
@@ -155,6 +158,7 @@
 		return nil, false
 	}
 	leases := s.sched.Held(s.m.now())
+	leases = leases[:min(len(leases), maxLeases)]
 	p := &proposal{
 		record: structs.JobRecord{Release: &structs.ShardRelease{Leases: leases}},
 		bytes:  len(leases) * recordOverhead,
--- a/internal/batch/housekeep.go
+++ b/internal/batch/housekeep.go
@@ -94,7 +94,10 @@
 	if c.count >= s.m.tune.SnapshotCount || c.bytes >= s.m.tune.SnapshotBytes {
 		return true
 	}
-	return now.Sub(c.at) >= s.m.set.LogRetention/8
+	if now.Sub(c.at) >= s.m.set.LogRetention/8 {
+		return true
+	}
+	return c.through < s.trimHorizon() && c.count > 0
 }
 
 // writeSnapshot appends the state to the snapshot stream. A part that fails leaves
@@ -121,6 +124,7 @@
 	s.sinceSnapshot.count -= count
 	s.sinceSnapshot.bytes = 0
 	s.sinceSnapshot.at = s.m.now()
+	s.sinceSnapshot.through = through
 }
 
 const (
@@ -158,7 +162,7 @@
 func (s *shard) findStale(now time.Time) []stale {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	horizon := s.state.WrittenBefore(now.Add(-s.m.set.LogRetention / 2))
+	horizon := max(s.state.WrittenBefore(now.Add(-s.m.set.LogRetention/2)), s.trimHorizon())
 	var out []stale
 	for _, j := range s.state.Jobs {
 		if !j.Accepted {
@@ -177,6 +181,16 @@
 	return out
 }
 
+// trimHorizon returns an offset up to which records may be trimmed next, by what the
+// log service has trimmed already; s.mu is held. A service that keeps less than the
+// settings say (less time, or only so many bytes) shows it that way.
+func (s *shard) trimHorizon() structs.Offset {
+	if s.firstKept <= 1 || s.firstKept > s.state.Through {
+		return 0
+	}
+	return s.firstKept + (s.state.Through-s.firstKept)/4
+}
+
 func (s *shard) staleSegment(j *jobs.Job, i int, horizon structs.Offset) (stale, bool) {
 	g := &j.Segments[i]
 	st := stale{at: s.state.Through}
@@ -221,12 +235,14 @@
 	if !whole {
 		return
 	}
-	r, err := jobs.PackedRecord(st.view.Job, st.view.Seg, st.at, results)
+	records, err := jobs.PackedRecords(st.view.Job, st.view.Seg, st.at, results)
 	if err != nil {
 		s.m.log.Error("can't encode results", "err", err)
 		return
 	}
-	s.rewrite(ctx, r, len(r.Packed.Blob))
+	for _, r := range records {
+		s.rewrite(ctx, r, len(r.Packed.Blob))
+	}
 }
 
 // rewrite appends a record that moves something and waits for it, so that one
--- a/internal/batch/lines.go
+++ b/internal/batch/lines.go
@@ -20,6 +20,9 @@
 	pathServices    = "/svc/"
 )
 
+// maxCustomID bounds the caller's name of an item, in bytes.
+const maxCustomID = 512
+
 // lineReader turns the lines of a job's file into items. All items of a job go
 // to one model or one service: the one that the caller names, else that of the
 // first line that can be run. A line that can't be run becomes an item with an error.
@@ -103,6 +106,8 @@
 	switch {
 	case f.CustomID == "":
 		err = errs.New(errs.BadItem, "custom_id is missing")
+	case len(f.CustomID) > maxCustomID:
+		return bad(l.line, f.CustomID[:maxCustomID], errs.Newf(errs.BadItem, "custom_id is longer than %d bytes", maxCustomID))
 	case strings.HasPrefix(f.URL, pathServices):
 		err = l.service(&item)
 	case f.URL == pathChat || f.URL == pathCompletions:
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -94,13 +94,33 @@
 		result := structs.ItemResult{
 			Index: key.Index, Status: d.Status, Body: d.Body, Err: v.Err, Attempt: d.Ref.Attempt,
 		}
-		if v.Err != nil {
-			result.Body = nil
+		if v.Err == nil && len(result.Body) > maxResult {
+			result.Err = errs.Newf(errs.BodyTooLarge, "the result has %d bytes, over the bound of %d",
+				len(result.Body), maxResult).WithRan(errs.RanYes)
+		}
+		if result.Err != nil {
+			result.Body, result.Err = nil, shortened(result.Err)
 		}
 		s.finish(key, result, lease.CustomID)
 	}
 }
 
+const (
+	// maxResult bounds the result of one item, in bytes: it must fit into an append.
+	maxResult = 512 << 10
+	// maxDetail bounds the text of an error result, in bytes.
+	maxDetail = 2 << 10
+)
+
+func shortened(e *errs.Error) *errs.Error {
+	if len(e.Detail) <= maxDetail {
+		return e
+	}
+	c := *e
+	c.Detail = c.Detail[:maxDetail]
+	return &c
+}
+
 // charge counts a failed attempt in the log and hands the item out again; s.mu is held.
 func (s *shard) charge(key jobs.Key, crash bool, ack func()) {
 	s.sched.Reported(key)
--- a/internal/batch/reader.go
+++ b/internal/batch/reader.go
@@ -42,6 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastRead = begun
+	s.firstKept = page.First
 	if len(page.Entries) > 0 {
 		s.apply(page.Entries, envs)
 	}
@@ -70,6 +71,7 @@
 			s.mu.Lock()
 			s.state = state
 			s.sinceSnapshot.at = begun
+			s.sinceSnapshot.through = state.Through
 			s.signal()
 			s.mu.Unlock()
 			s.m.log.Info("shard read", "shard", s.id, "through", state.Through,
--- a/internal/batch/scenario_test.go
+++ b/internal/batch/scenario_test.go
@@ -465,3 +465,31 @@
 		}
 	})
 }
+
+// Symptom: a shard takes no more records. Sequence: the log service refuses an append
+// for its size, the owner sends it again and again. Cause: the bound of the service is
+// below that of the owner, or the results of a segment are put into one record.
+func TestLogServiceBoundsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.close()
+		c.set.LogRetention = time.Minute
+		faults := logmem.Faults{Retention: c.set.LogRetention, MaxBytes: 400 << 10}
+		c.log.SetFaults(faults)
+		c.startNode(0)
+		c.startSide(0, 64, 100*time.Millisecond, 0)
+		time.Sleep(3 * time.Second)
+		v := c.mustSubmit("k", jobFile(300, func(int) string { return "long" }))
+		c.awaitEnd(v.ID, 5*time.Minute)
+		c.checkResults(v.ID, 300)
+		time.Sleep(5 * time.Minute)
+		c.checkResults(v.ID, 300)
+		faults.MaxBytes = 1 << 10
+		c.log.SetFaults(faults)
+		v = c.mustSubmit("small", jobFile(5, func(int) string { return "long" }))
+		if end := c.awaitEnd(v.ID, 5*time.Minute); end.Failed != 5 {
+			t.Errorf("results that fit no record: %+v", end)
+		}
+		c.noViolations()
+	})
+}
--- a/internal/batch/shard.go
+++ b/internal/batch/shard.go
@@ -29,7 +29,9 @@
 	seq                 uint64
 	waiting             []*proposal
 	flying              *flight
-	lastRead            time.Time // when the last read that went through was begun
+	lastRead            time.Time      // when the last read that went through was begun
+	firstKept           structs.Offset // the oldest offset that the log service keeps
+	limit               int            // bytes of one append, halved when the log service refuses it as too large
 	acks                map[jobs.Key][]func()
 	intents             map[structs.JobID]bool // operators' decisions already proposed
 	changed             chan struct{}          // closed and replaced at each change of state
@@ -38,6 +40,7 @@
 	sinceSnapshot struct {
 		count, bytes int
 		at           time.Time
+		through      structs.Offset // of the last snapshot
 	}
 	lastRewrite time.Time
 
@@ -49,7 +52,7 @@
 
 func newShard(m *Manager, id structs.Shard) *shard {
 	return &shard{
-		m: m, id: id, stream: jobs.StreamName(id),
+		m: m, id: id, stream: jobs.StreamName(id), limit: maxEnvelope,
 		acks:    make(map[jobs.Key][]func()),
 		intents: make(map[structs.JobID]bool),
 		changed: make(chan struct{}),
--- a/internal/batch/side_test.go
+++ b/internal/batch/side_test.go
@@ -50,6 +50,9 @@
 // astray is one in how many outcomes goes to any entry.
 const astray = 50
 
+// longResult is the size of a long result, in bytes.
+const longResult = 20 << 10
+
 // testSide runs items in a fixed number of slots. It keeps an outcome until it
 // is acknowledged.
 type testSide struct {
@@ -337,6 +340,9 @@
 	case bytes.Contains(body, []byte("kill")):
 		return &structs.ItemDone{Err: errs.New(errs.TargetFailed, "connection reset")}
 	}
+	if bytes.Contains(body, []byte("long")) {
+		return &structs.ItemDone{Status: 200, Body: fmt.Appendf(nil, `{"item":%d,"pad":"%s"}`, r.item.Ref.Index, bytes.Repeat([]byte("x"), longResult))}
+	}
 	return &structs.ItemDone{Status: 200, Body: fmt.Appendf(nil, `{"item":%d,"epoch":%d}`, r.item.Ref.Index, r.item.Ref.Epoch)}
 }
 
--- a/internal/batch/submit.go
+++ b/internal/batch/submit.go
@@ -16,7 +16,9 @@
 	// segmentItems and segmentBytes end a segment. They decide the segments' hashes, so
 	// they must be the same at every entry.
 	segmentItems = 256
-	segmentBytes = 512 << 10
+	segmentBytes = 256 << 10
+	// maxLine bounds one line: a segment holds up to segmentBytes and one line more.
+	maxLine = 512 << 10
 	// segmentsInFlight is how many segments of one upload wait for the log at a time.
 	segmentsInFlight = 4
 )
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	u.have, u.known = begin.Have, begin.Job
-	if err := u.send(ctx, newLineReader(body, m.set.MaxBody, config, &u.spec)); err != nil {
+	if err := u.send(ctx, newLineReader(body, maxLine, config, &u.spec)); err != nil {
 		return nil, err
 	}
 	return u.commit(ctx)
--- a/internal/batch/writer.go
+++ b/internal/batch/writer.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// maxEnvelope is about how many bytes one append carries.
-	maxEnvelope = 1 << 20
+	// maxEnvelope is about how many bytes one append carries. Log services bound a
+	// record, often at 1 MiB: what is over it would be refused for ever, and nothing after it
+	// gets in. The largest single record, a segment, stays under that too.
+	maxEnvelope = 512 << 10
 	// appendTimeout bounds the wait for one answer.
 	appendTimeout = 5 * time.Second
 	// recordOverhead is counted for each record besides its bodies.
@@ -168,7 +170,7 @@
 	}
 	f := &flight{seq: s.seq + 1, done: make(chan struct{})}
 	bytes := 0
-	for len(s.waiting) > 0 && (bytes == 0 || bytes+s.waiting[0].bytes <= maxEnvelope) {
+	for len(s.waiting) > 0 && (bytes == 0 || bytes+s.waiting[0].bytes <= s.limit) {
 		p := s.waiting[0]
 		s.waiting[0] = nil
 		s.waiting = s.waiting[1:]
@@ -262,6 +264,10 @@
 			}
 			return
 		}
+		if errs.Is(err, errs.BodyTooLarge) {
+			s.tooLarge(f)
+			return
+		}
 		t := time.NewTimer(wait)
 		select {
 		case <-f.done:
@@ -276,6 +282,41 @@
 	}
 }
 
+// tooLarge takes back an append that the log service refuses for its size: sent again
+// as it is, it would hold up all that comes after it for ever.
+func (s *shard) tooLarge(f *flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flying != f {
+		return
+	}
+	s.flying = nil
+	f.finish()
+	s.limit = max(minEnvelope, s.limit/2)
+	s.m.log.Warn("append refused as too large", "shard", s.id, "records", len(f.proposals), "limit", s.limit)
+	back := f.proposals
+	if len(back) == 1 {
+		back = s.shrink(back[0])
+	}
+	s.waiting = append(back, s.waiting...)
+	s.wakeWriter()
+}
+
+// minEnvelope is what an append carries at least where there is more than one record, in bytes.
+const minEnvelope = 16 << 10
+
+// shrink returns what is to be sent in place of a single record that is too large:
+// an error in place of a result, nothing for other records, which fail; s.mu is held.
+func (s *shard) shrink(p *proposal) []*proposal {
+	err := errs.New(errs.BodyTooLarge, "too large for one record of the log service")
+	if p.result == nil || p.result.Body == nil {
+		s.settle(p, err)
+		return nil
+	}
+	p.result.Body, p.result.Err = nil, err.WithRan(errs.RanYes)
+	return []*proposal{p}
+}
+
 func (s *shard) appendOnce(ctx context.Context, stream string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
