--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -41,11 +41,13 @@
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-signals:
 			case <-ctx.Done():
+				// Not signal.Stop: a hangup would then end the process in the
+				// middle of its drain.
+				signal.Ignore(syscall.SIGHUP)
 				return
 			}
 			if err := reload(); err != nil {
--- a/test/scenario/bench_test.go
+++ b/test/scenario/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"arbutusramp/core/confstate"
@@ -18,7 +19,7 @@
 	params := scriptParams("testdata/bench")
 	params.Cmds["declare"] = declare
 	params.Cmds["show"] = func(ts *testscript.TestScript, _ bool, args []string) {
-		b.Log("\n" + ts.ReadFile(args[0]))
+		fmt.Print(ts.ReadFile(args[0])) // a benchmark's own log is cut at a few lines
 	}
 	for b.Loop() {
 		testscript.RunT(benchT{b}, params)
