--- a/internal/follow/cluster_test.go
+++ b/internal/follow/cluster_test.go
@@ -33,11 +33,13 @@
 	silent    map[structs.HostID]bool // accept questions and never answer
 	logCut    map[structs.HostID]bool // can't reach the log
 	plans     int
+	retention time.Duration // that the followers are told of
 }
 
 func newCluster(t *testing.T) *cluster {
 	c := &cluster{
 		t:         t,
+		retention: time.Hour,
 		log:       logmem.New(1),
 		followers: map[structs.HostID]*Follower{},
 		cancel:    map[structs.HostID]context.CancelFunc{},
@@ -130,7 +132,7 @@
 
 func (c *cluster) start(id structs.HostID, domain structs.FailureDomain) *Follower {
 	f := New(Options{
-		Self:    settings.Entry{Host: settings.Identity{ID: id, Domain: domain}, LogRetention: time.Hour},
+		Self:    settings.Entry{Host: settings.Identity{ID: id, Domain: domain}, LogRetention: c.retention},
 		Log:     cutLog{c, id},
 		Members: c.members,
 		Logger:  hclog.NewNullLogger(),
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -256,6 +256,31 @@
 	})
 }
 
+// Symptom: after the shortest retention that settings allow, new entries know no workspace and
+// no model: every caller is refused.
+// Sequence: a change; a minute passes, in which each entry is replaced.
+// Cause: snapshots are looked after once a minute, whatever the retention.
+func TestSnapshotBridgesTheShortestRetention(t *testing.T) {
+	bubble(t, func(t *testing.T, c *cluster) {
+		c.retention = time.Minute
+		c.log.SetFaults(logmem.Faults{Retention: c.retention})
+		c.startMany(1, 3)
+		c.allReady()
+		v := c.change()
+		for range 20 {
+			time.Sleep(c.retention / 2)
+			for _, h := range c.members() {
+				c.kill(h.ID)
+			}
+			c.startMany(1, 3)
+			time.Sleep(inForceWithin)
+			if got := c.follower("e00").Current().Version; got != v {
+				t.Fatalf("version %d, want %d", got, v)
+			}
+		}
+	})
+}
+
 // change2 is change with a log that loses answers.
 func (c *cluster) change2() {
 	f := c.log.Faults()
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// snapshotCheck is how often an entry looks whether a snapshot is due.
+	// snapshotCheck is how often an entry looks whether a snapshot is due at most, and
+	// checkParts how often within the retention: a record that is not in a snapshot
+	// before it expires is lost with all that it configured.
 	snapshotCheck = time.Minute
+	checkParts    = 4 * snapshotParts
 	// snapshotParts of the retention may pass between two snapshots, so that three
 	// failed ones in a row still lose nothing.
 	snapshotParts = 4
@@ -39,7 +42,7 @@
 // rendezvous hashing does it; two that both think so do no harm.
 func (f *Follower) snapshots(ctx context.Context) {
 	for {
-		pause(ctx, snapshotCheck)
+		pause(ctx, min(snapshotCheck, f.retention()/checkParts))
 		if ctx.Err() != nil {
 			return
 		}
@@ -65,12 +68,15 @@
 }
 
 func (f *Follower) due(newest *snapshot, v structs.Version) bool {
-	retention := f.opts.Self.LogRetention
-	if retention <= 0 {
-		retention = defaultRetention
-	}
 	age := f.now().Sub(time.UnixMilli(newest.atMs))
-	return age >= retention/snapshotParts || v >= newest.state.Version+snapshotEvery
+	return age >= f.retention()/snapshotParts || v >= newest.state.Version+snapshotEvery
+}
+
+func (f *Follower) retention() time.Duration {
+	if r := f.opts.Self.LogRetention; r > 0 {
+		return r
+	}
+	return defaultRetention
 }
 
 // writeSnapshot appends s in parts. A part whose answer is lost is sent again;
