--- a/internal/lab/faults/read.go
+++ b/internal/lab/faults/read.go
@@ -14,6 +14,7 @@
 const (
 	readEvery   = 100 * time.Millisecond
 	readTimeout = 5 * time.Second
+	clock       = "15:04:05.000" // in the log's own zone
 )
 
 // reader reads results of jobs beside all else, through any entry.
@@ -34,9 +35,12 @@
 			continue
 		}
 		j := known[r.rng.IntN(len(known))]
-		_, err := r.w.read(ctx, r.rng.IntN(entries), j)
+		entry := r.rng.IntN(entries)
+		begun := time.Now()
+		_, err := r.w.read(ctx, entry, j)
 		if errs.Is(err, errs.NotFound) && r.w.hist.mayRead(j, r.w.o.Promise) {
-			r.w.hist.violation("unreadable", j.key+" was accepted and is not there")
+			r.w.hist.violation("unreadable", fmt.Sprintf("%s was accepted and is not there; read through entry %d, %s to %s: %v",
+				j.key, entry+1, begun.Format(clock), time.Now().Format(clock), err))
 		}
 	}
 }
