--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -79,7 +79,7 @@
 	if c.maybeRan && err.Ran == errs.RanNo {
 		err = err.WithRan(errs.RanUnknown)
 	}
-	if err.RetryAfterMs == 0 && helps(err) {
+	if err.RetryAfterMs == 0 && (helps(err) || err.Type == errs.DeadlineExceeded) {
 		err = err.WithRetry(retryGivenUp)
 	}
 	return err
