--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -17,6 +17,8 @@
 	// alone is what its first token would take without batch, in seconds, as predicted
 	// when it arrived; 0 if there was no model yet.
 	alone float64
+	// expected is the seconds from its start to its first token, as predicted then.
+	expected float64
 
 	streaming bool // its first token has come
 	stopping  bool // it was preempted or withdrawn and has not ended yet
@@ -49,6 +51,9 @@
 	// lastStop is when a stopped request last left: its place is free one step later.
 	lastStop time.Time
 	peak     peak
+	usual    usual
+	// bias is the smoothed ratio of the time of first tokens to what was predicted.
+	bias     float64
 	service  float64 // smoothed seconds that an online request spends at the target
 	draining bool
 	atRisk   bool // an online request would get its first token too late beside what runs
@@ -79,6 +84,7 @@
 		running: make(map[ID]*request),
 		queued:  make(map[ID]*request),
 		peak:    peak{at: now},
+		usual:   usual{at: now},
 	}
 }
 
@@ -112,6 +118,7 @@
 	r.step = m.steps.first(now, r)
 	if !r.batch() {
 		took := now.Sub(r.arrived)
+		m.learnDelay(r, now.Sub(r.started))
 		m.floor.observe(took, m.alone(r, took), r.PromptTokens)
 	}
 	return m.schedule(now)
@@ -146,9 +153,10 @@
 	m.limit.step(now, s, &m.model)
 	if m.model.idleInside(s) && m.lastStop.Before(m.steps.before.Add(-wire)) {
 		m.limit.queuedInside(now, s.streams())
-		return
 	}
-	m.limit.inside = 0
+	if s.unserved == 0 {
+		m.limit.inside = 0
+	}
 }
 
 // unserved counts the requests that the engine had when the last closed step
--- a/core/admit/schedule.go
+++ b/core/admit/schedule.go
@@ -14,7 +14,8 @@
 	}
 	out = m.startOnline(now, out)
 	m.peak.observe(now, m.inFlight.online+m.online.len(), m.policy.hold)
-	room, harmless := m.room(), m.harmless(now)
+	m.usual.observe(now, m.inFlight.online+m.online.len())
+	room, harmless := m.room(), min(m.harmless(now), m.besideBurst(now))
 	out = m.preempt(min(room, harmless+m.policy.slack(harmless)), out)
 	return m.startBatch(now, min(room, harmless), out)
 }
@@ -73,6 +74,9 @@
 func (m *Machine) start(now time.Time, r *request) Action {
 	m.drop(r)
 	r.started = now
+	if !r.batch() && m.model.ready() {
+		r.expected = m.predictArrival(r.PromptTokens)
+	}
 	m.running[r.ID] = r
 	m.inFlight.entered(r)
 	return Action{Kind: Start, ID: r.ID}
