--- a/core/admit/schedule.go
+++ b/core/admit/schedule.go
@@ -9,11 +9,14 @@
 // schedule brings the target's load to what the policy wants now.
 func (m *Machine) schedule(now time.Time) []Action {
 	out := m.expire(now)
+	if m.online.len() > 0 && m.inFlight.online >= m.limit.online() {
+		m.limit.widen(now)
+	}
 	out = m.startOnline(now, out)
 	m.peak.observe(now, m.inFlight.online+m.online.len(), m.policy.hold)
-	want := m.wantBatch(now)
-	out = m.preempt(want, out)
-	return m.startBatch(now, want, out)
+	room, harmless := m.room(), m.harmless(now)
+	out = m.preempt(min(room, harmless+m.policy.slack(harmless)), out)
+	return m.startBatch(now, min(room, harmless), out)
 }
 
 // expire refuses queued online requests whose deadline has passed. Batch items
@@ -34,7 +37,7 @@
 // startOnline gives the target queued online requests up to the limit, whatever batch
 // requests it has: those are preempted, never waited for.
 func (m *Machine) startOnline(now time.Time, out []Action) []Action {
-	for m.inFlight.online < m.limit.value() && m.online.len() > 0 {
+	for m.inFlight.online < m.limit.online() && m.online.len() > 0 {
 		out = append(out, m.start(now, m.online.peek()))
 	}
 	return out
@@ -58,6 +61,9 @@
 	if m.inFlight.alone > 0 || r.Alone {
 		return m.inFlight.batch == 0
 	}
+	if m.atRisk || m.inFlight.onlinePrefill > 0 && m.policy.holdStarts {
+		return false
+	}
 	if m.inFlight.batchPrefilling == 0 {
 		return true
 	}
@@ -114,11 +120,11 @@
 // queueWait estimates how long an online request that arrives now waits for
 // its start.
 func (m *Machine) queueWait() time.Duration {
-	ahead := m.inFlight.online + m.online.len() + 1 - m.limit.value()
+	ahead := m.inFlight.online + m.online.len() + 1 - m.limit.online()
 	if ahead <= 0 {
 		return 0
 	}
-	rate := float64(m.limit.value()) / max(m.service, minService.Seconds())
+	rate := float64(m.limit.online()) / max(m.service, minService.Seconds())
 	return time.Duration(float64(ahead) / rate * float64(time.Second))
 }
 
