--- a/core/confstate/apply.go
+++ b/core/confstate/apply.go
@@ -74,7 +74,7 @@
 	if err := f.addKeys(i, &w, in.KeyHashes); err != nil {
 		return err
 	}
-	f.workspaces.own(&f.s.Workspaces)[w.ID] = w
+	f.putWorkspace(w)
 	return nil
 }
 
@@ -107,13 +107,42 @@
 	return nil
 }
 
+// keyHolder returns the workspace that a key belongs or belonged to. Documents add
+// hundreds of keys at once, so the holders are indexed at the first question.
 func (f *fold) keyHolder(hash string) (structs.WorkspaceID, bool) {
-	for id, w := range f.s.Workspaces {
-		if slices.Contains(w.KeyHashes, hash) || slices.Contains(w.RevokedHashes, hash) {
-			return id, true
+	if f.holders == nil {
+		f.holders = make(map[string]structs.WorkspaceID, 2*len(f.s.Workspaces))
+		for _, w := range f.s.Workspaces {
+			f.hold(w)
 		}
 	}
-	return "", false
+	id, ok := f.holders[hash]
+	return id, ok
+}
+
+func (f *fold) hold(w Workspace) {
+	for _, h := range w.KeyHashes {
+		f.holders[h] = w.ID
+	}
+	for _, h := range w.RevokedHashes {
+		f.holders[h] = w.ID
+	}
+}
+
+// putWorkspace stores w and keeps the index of its keys as a new one would be.
+func (f *fold) putWorkspace(w Workspace) {
+	before := f.s.Workspaces[w.ID]
+	f.workspaces.own(&f.s.Workspaces)[w.ID] = w
+	if f.holders == nil {
+		return
+	}
+	for _, h := range before.KeyHashes {
+		delete(f.holders, h)
+	}
+	for _, h := range before.RevokedHashes {
+		delete(f.holders, h)
+	}
+	f.hold(w)
 }
 
 func (f *fold) keys(i structs.Intent, in structs.KeysIntent) *errs.Error {
@@ -134,7 +163,7 @@
 		revoked = append(revoked, h)
 	}
 	w.RevokedHashes = revoked[max(0, len(revoked)-maxRevoked):]
-	f.workspaces.own(&f.s.Workspaces)[w.ID] = w
+	f.putWorkspace(w)
 	return nil
 }
 
--- a/core/confstate/fold.go
+++ b/core/confstate/fold.go
@@ -37,6 +37,8 @@
 	jobs       owned[structs.JobID, JobIntent]
 	touched    owned[string, structs.Version]
 	outcomes   owned[string, Outcome]
+	// holders says which workspace a key hash belongs to; nil until it is needed.
+	holders map[string]structs.WorkspaceID
 }
 
 // Fold returns the State after entries, which are in log order. Entries up to
--- a/internal/lab/config/config.go
+++ b/internal/lab/config/config.go
@@ -102,6 +102,8 @@
 	CPUShareIdle     float64 `json:"control_cpu_share_idle"`
 	CPUShareAtTarget float64 `json:"control_cpu_share_at_target"`
 	LogReadsPerS     float64 `json:"log_reads_per_s"`
+	// HeapPerNode is this process's heap in use by the number of nodes, the stand-in's log with it.
+	HeapPerNode float64 `json:"heap_bytes_per_node"`
 
 	Restarts           int `json:"restarts"`
 	VersionRegressions int `json:"version_regressions"`
--- a/internal/lab/config/meter.go
+++ b/internal/lab/config/meter.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -143,3 +144,11 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// heapInUse is the heap that is reachable now, in bytes.
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/lab/config/run.go
+++ b/internal/lab/config/run.go
@@ -58,6 +58,9 @@
 	if err := b.populate(ctx); err != nil {
 		return Report{}, err
 	}
+	if err := b.level(ctx); err != nil {
+		return Report{}, err
+	}
 	pause(ctx, 2*time.Second)
 	start := b.usage()
 	pause(ctx, b.o.Idle)
@@ -234,6 +237,7 @@
 	r.BytesAtTarget = atTarget(idle.bytes, busy.bytes)
 	r.BytesWorstAtTarget = atTarget(idle.worst, busy.worst)
 	r.CPUShareAtTarget = atTarget(idle.cpu, busy.cpu)
+	r.HeapPerNode = heapInUse() / float64(b.o.Followers)
 	b.times(&r)
 	r.VersionRegressions = b.regressed
 	for _, n := range slices.Concat(b.nodes, b.gone) {
