--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -110,7 +110,7 @@
 func (p *pool) apply(ctx context.Context, hosts []platform.Host) {
 	live, leaving := splitSides(hosts)
 	wanted := make(map[structs.HostID]platform.Host)
-	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.set.MaxSides) {
+	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.maxSides()) {
 		wanted[h.ID] = h
 	}
 	now := p.now()
@@ -130,6 +130,15 @@
 	}
 }
 
+// maxSides is the bound on sessions, 0 for none. Who may have to place models for the
+// whole fleet has to see all of it: what it does not see it would take for lost.
+func (p *pool) maxSides() int {
+	if p.parts.SeeAll != nil && p.parts.SeeAll() {
+		return 0
+	}
+	return p.set.MaxSides
+}
+
 func splitSides(hosts []platform.Host) (live []platform.Host, leaving map[structs.HostID]bool) {
 	leaving = make(map[structs.HostID]bool)
 	for _, h := range hosts {
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -66,6 +66,8 @@
 	// Drain holds what a planned stop waits for besides requests in flight, up to the drain
 	// timeout: owned job shards are handed over while sessions and listeners still work.
 	Drain []func(context.Context)
+	// SeeAll says that this entry needs a session to every side, whatever max_sides says.
+	SeeAll func() bool
 	// ConfigFresh says that the configuration is at most dedup.DefaultPropagation old.
 	// While it says no, keyed non-idempotent calls are refused: their home may have
 	// moved without this entry knowing. nil counts as yes.
--- a/internal/entry/subset_test.go
+++ b/internal/entry/subset_test.go
@@ -7,6 +7,7 @@
 
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/settings"
 )
 
 func fleetOf(n, domains int) []platform.Host {
@@ -72,3 +73,17 @@
 		}
 	}
 }
+
+// Symptom: the owner of the placement loads models anew that stand where it does not look.
+// Sequence: its entry keeps sessions with a part of the sides only.
+func TestEntryThatHasToSeeAllKeepsSessionsWithAll(t *testing.T) {
+	see := false
+	p := &pool{set: settings.Entry{MaxSides: 20}, parts: &Parts{SeeAll: func() bool { return see }}}
+	if got := p.maxSides(); got != 20 {
+		t.Errorf("bound %d, want the settings'", got)
+	}
+	see = true
+	if got := p.maxSides(); got != 0 {
+		t.Errorf("bound %d, want none", got)
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,11 +101,13 @@
 	m := k.jobs(peerAddr)
 	owner := newStage(m.Run)
 	operators := k.operators()
+	placement := k.placement()
 	return entry.Parts{
 		Batch:  m,
 		Jobs:   serveJobs(m),
 		Config: k.config,
 		Orders: k.fleet,
+		SeeAll: placement.Candidate,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, m.PeerHandler},
@@ -113,7 +115,7 @@
 		}, k.logger),
 		Ready:       []func() bool{isClosed(k.config.Ready())},
 		ConfigFresh: k.config.Fresh,
-		Run:         []func(context.Context) error{k.config.Run, k.placement().Run, owner.run},
+		Run:         []func(context.Context) error{k.config.Run, placement.Run, owner.run},
 		Drain: []func(context.Context){
 			// An operator's watch is held for long; without this a stop would wait for it.
 			func(context.Context) { operators.Close() },
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -151,7 +151,7 @@
 	if err := r.owner.read(ctx, watchWait); err != nil {
 		return err
 	}
-	if r.eligible() && r.owner.candidate() && r.owner.vacant() {
+	if r.owner.candidate() && r.owner.vacant() {
 		if err := r.owner.claim(ctx); err != nil {
 			return err
 		}
@@ -164,20 +164,13 @@
 	return r.owner.renew(ctx)
 }
 
-// eligible says that this entry may have a session to every side. An owner that
-// sees only a part of the fleet would take the rest for lost.
-func (r *Reconciler) eligible() bool {
-	limit := r.opts.Self.MaxSides
-	if limit == 0 {
+// Candidate says that this entry owns the placement or may have to. It then needs a
+// session to every side: an owner that sees a part of the fleet takes the rest for lost.
+func (r *Reconciler) Candidate() bool {
+	if _, err := r.Owner(); err == nil {
 		return true
 	}
-	sides := 0
-	for _, h := range r.opts.Members() {
-		if h.Role == platform.RoleSide {
-			sides++
-		}
-	}
-	return sides <= limit
+	return r.owner.candidate()
 }
 
 // setOwner starts or ends the ownership.
--- a/internal/reconcile/reconciler_test.go
+++ b/internal/reconcile/reconciler_test.go
@@ -102,14 +102,11 @@
 	b.state.Store(s)
 }
 
-func (b *bench) start(id structs.HostID) *entryNode { return b.startLimited(id, 0) }
-
-// startLimited starts an entry that keeps sessions to maxSides sides at most.
-func (b *bench) startLimited(id structs.HostID, maxSides int) *entryNode {
+func (b *bench) start(id structs.HostID) *entryNode {
 	n := &entryNode{done: make(chan struct{})}
 	n.fleet = NewFleet(FleetOptions{Members: b.members})
 	n.Reconciler = New(Options{
-		Self:    settings.Entry{Host: settings.Identity{ID: id, Domain: "d0"}, MaxSides: maxSides},
+		Self:    settings.Entry{Host: settings.Identity{ID: id, Domain: "d0"}},
 		Log:     entryLog{b.log, &n.cut},
 		Config:  b,
 		Members: b.members,
@@ -385,12 +382,24 @@
 
 // Symptom: an owner takes most of the fleet for lost.
 // Sequence: its settings bound its sessions below the number of sides.
-func TestEntryThatCannotSeeAllSidesDoesNotOwn(t *testing.T) {
+// Cause: it does not ask for sessions to the rest before it may become the owner.
+func TestOwnerAndItsSuccessorsAskToSeeAllSides(t *testing.T) {
 	bubble(t, 6, func(t *testing.T, b *bench) {
-		n := b.startLimited("e0", 3)
+		for n := range 8 {
+			b.start(structs.HostID(fmt.Sprint("e", n)))
+		}
 		b.run(time.Minute)
-		if _, err := n.Owner(); !errs.Is(err, errs.NotOwner) {
-			t.Error("it owns the placement")
+		asking := 0
+		for _, n := range b.entries {
+			if n.Candidate() {
+				asking++
+			}
+		}
+		if owner := b.owner(); owner == nil || !owner.Candidate() {
+			t.Error("the owner does not ask to see all sides")
+		}
+		if asking < candidates || asking > candidates+1 {
+			t.Errorf("%d entries ask, want the %d candidates and the owner", asking, candidates)
 		}
 	})
 }
