--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -71,6 +71,8 @@
 	Fleet structs.Fleet
 	// ItemsLeft counts the items of jobs that are not finished, as far as known.
 	ItemsLeft map[structs.JobID]int
+	// Partial says that Fleet is only a part of the fleet.
+	Partial bool
 }
 
 // Hash returns what ID has to be.
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -188,3 +188,11 @@
 		t.Errorf("steps %v", actions(p))
 	}
 }
+
+func TestPlanOfAPartOfTheFleetSaysSo(t *testing.T) {
+	s, v := fleetOf(t, "a")
+	v.Partial = true
+	if p := makePlan(t, s, v, serve(1, 1)); !strings.Contains(p.Text(), "part of the fleet") {
+		t.Errorf("no word of it in:\n%s", p.Text())
+	}
+}
--- a/core/plan/warn.go
+++ b/core/plan/warn.go
@@ -16,6 +16,9 @@
 // warn says what the plan can't reach with the fleet as it is, and which
 // confirmed work it meets.
 func (b *builder) warn() {
+	if b.view.Partial {
+		b.warnf("made by an entry that sees a part of the fleet only (max_sides): moves and capacity are incomplete; plan at the owner of the placement")
+	}
 	places, domains := b.engines()
 	for _, id := range slices.Sorted(maps.Keys(b.after.Models)) {
 		b.warnModel(b.after.Models[id], places, domains)
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -22,6 +22,8 @@
 // Status is confirmed against actual, as this entry knows it.
 type Status struct {
 	reconcile.Status
+	// Partial says that this entry sees a part of the fleet only.
+	Partial bool `json:"partial,omitempty"`
 	// Fresh says that the configuration is a few seconds old at most.
 	Fresh bool `json:"fresh"`
 	// Tag changes with the content; /watch waits for another one.
@@ -29,9 +31,11 @@
 }
 
 func (a *Admin) status() (Status, error) {
+	view := a.opts.View()
 	st := Status{
-		Status: reconcile.Compare(a.opts.Config.Current(), a.opts.View().Fleet),
-		Fresh:  a.opts.Config.Fresh(),
+		Status:  reconcile.Compare(a.opts.Config.Current(), view.Fleet),
+		Partial: view.Partial,
+		Fresh:   a.opts.Config.Fresh(),
 	}
 	b, err := json.Marshal(st)
 	if err != nil {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -100,8 +100,8 @@
 func (k *kit) parts(peerAddr string) entry.Parts {
 	m := k.jobs(peerAddr)
 	owner := newStage(m.Run)
-	operators := k.operators()
 	placement := k.placement()
+	operators := k.operators(placement)
 	return entry.Parts{
 		Batch:  m,
 		Jobs:   serveJobs(m),
@@ -151,12 +151,20 @@
 	})
 }
 
-func (k *kit) operators() *admin.Admin {
+// view is what plans and status of this entry rest on.
+func (k *kit) view(placement *reconcile.Reconciler) plan.View {
+	return plan.View{
+		Fleet:   k.fleet.View(k.config.Current()),
+		Partial: k.set.MaxSides > 0 && !placement.Candidate(),
+	}
+}
+
+func (k *kit) operators(placement *reconcile.Reconciler) *admin.Admin {
 	return admin.New(admin.Options{
 		Self:    k.set,
 		Config:  k.config,
 		Log:     k.log,
-		View:    func() plan.View { return plan.View{Fleet: k.fleet.View(k.config.Current())} },
+		View:    func() plan.View { return k.view(placement) },
 		Weights: k.weights,
 		Logger:  k.logger,
 		Metrics: k.metrics,
