--- a/core/reconcile/machine.go
+++ b/core/reconcile/machine.go
@@ -14,6 +14,9 @@
 type Config struct {
 	// Grace is how long a host may be missing before its replicas are placed elsewhere.
 	Grace time.Duration
+	// VanishAfter is how long a model must be missing from a live target's report before it
+	// counts as lost.
+	VanishAfter time.Duration
 	// Steady is how long a host that was missing must stay before it is preferred again.
 	Steady time.Duration
 	// SurplusAfter is how long a surplus replica is kept: its host may waver.
@@ -33,6 +36,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Grace:        20 * time.Second,
+		VanishAfter:  5 * time.Second,
 		Steady:       2 * time.Minute,
 		SurplusAfter: 5 * time.Minute,
 		DrainFor:     10 * time.Minute,
@@ -96,6 +100,8 @@
 	// did are the versions that this owner's orders have loaded, for sides that
 	// report no more than the model's name.
 	did map[structs.ModelID]string
+	// vanished is when a model was first missing from the target's report.
+	vanished map[structs.ModelID]time.Time
 }
 
 // seqBits is the room for the orders of one owner. Ids start at the fencing number, so that
@@ -160,11 +166,15 @@
 func (m *Machine) observeLive(now time.Time, t structs.FleetTarget) structs.FleetTarget {
 	p := m.seen[t.ID]
 	if p == nil {
-		p = &presence{did: make(map[structs.ModelID]string)}
+		p = &presence{
+			did:      make(map[structs.ModelID]string),
+			vanished: make(map[structs.ModelID]time.Time),
+		}
 		m.seen[t.ID] = p
 	} else if now.Sub(p.lastLive) >= m.cfg.Grace {
 		p.shakyUntil = now.Add(m.cfg.Steady)
 		clear(p.did) // it may be another process by now
+		p.host.Loaded = nil
 	}
 	t.Loaded = slices.Clone(t.Loaded)
 	for i, l := range t.Loaded {
@@ -172,11 +182,40 @@
 			t.Loaded[i].Version = p.did[l.Model]
 		}
 	}
+	t.Loaded = m.keepVanished(now, p, t)
 	p.host = t
 	p.lastLive = now
 	return t
 }
 
+// keepVanished returns t's models with those that it had a moment ago and that nobody has
+// unloaded. A side that has just started reports before its engine has told it what is
+// loaded; were that taken at its word, models would be loaded anew after each restart.
+func (m *Machine) keepVanished(now time.Time, p *presence, t structs.FleetTarget) []structs.Loaded {
+	loaded := t.Loaded
+	for _, before := range p.host.Loaded {
+		if slices.ContainsFunc(t.Loaded, func(l structs.Loaded) bool { return l.Model == before.Model }) {
+			delete(p.vanished, before.Model)
+			continue
+		}
+		f, busy := m.inFlight[t.ID]
+		if busy && f.change.Op == platform.OpUnload && f.change.Model == before.Model {
+			continue
+		}
+		since, noted := p.vanished[before.Model]
+		if !noted {
+			p.vanished[before.Model] = now
+			since = now
+		}
+		if now.Sub(since) < m.cfg.VanishAfter {
+			loaded = append(loaded, before)
+		} else {
+			delete(p.vanished, before.Model)
+		}
+	}
+	return loaded
+}
+
 func (m *Machine) spots(now time.Time, s *confstate.State, fleet structs.Fleet) []*spot {
 	all := spots(s, fleet)
 	for _, sp := range all {
--- a/core/reconcile/machine_test.go
+++ b/core/reconcile/machine_test.go
@@ -413,3 +413,27 @@
 		t.Errorf("replicas at %v after the last request", got)
 	}
 }
+
+// Symptom: after each restart of a side its models are loaded anew, there or elsewhere.
+// Sequence: a side restarts; its first report comes before its engine's.
+// Cause: the report is taken for what the engine has.
+func TestRestartedSideCausesNoOrder(t *testing.T) {
+	b := newBench(t, 4, 2, model("m", 2, 2))
+	b.run(time.Minute, nil)
+	placed := len(b.sent)
+	held, _ := b.holders("m")
+	side := b.target(held[0])
+	had := side.Loaded
+	side.Loaded = nil
+	b.run(2*time.Second, nil)
+	side.Loaded = had
+	b.run(time.Minute, nil)
+	if extra := len(b.sent) - placed; extra != 0 {
+		t.Errorf("%d orders after a restart", extra)
+	}
+	side.Loaded = nil // this time the engine has really lost it
+	b.run(time.Minute, nil)
+	if got, _ := b.holders("m"); len(got) != 2 {
+		t.Errorf("replicas at %v after the engine lost one", got)
+	}
+}
--- a/internal/lab/config/bench.go
+++ b/internal/lab/config/bench.go
@@ -44,6 +44,7 @@
 	meters     []*meter
 	changes    []change
 	refused    int
+	stale      int
 	regressed  int
 	violations int
 	details    []string
--- a/internal/lab/config/config.go
+++ b/internal/lab/config/config.go
@@ -78,6 +78,7 @@
 	Domains     int     `json:"domains"`
 	Workspaces  int     `json:"workspaces"`
 	Confirmed   int     `json:"confirmed"`
+	Stale       int     `json:"stale"`   // lost to a change that came first
 	Refused     int     `json:"refused"` // by LogDown during the outage
 	ChangesPerS float64 `json:"changes_per_s"`
 
--- a/internal/lab/config/run.go
+++ b/internal/lab/config/run.go
@@ -164,6 +164,9 @@
 	case err == nil:
 		b.changes = append(b.changes, c)
 		return nil
+	case errs.Is(err, errs.StalePlan):
+		b.stale++ // it was planned at an entry that did not have the last change yet
+		return nil
 	case errs.Is(err, errs.LogDown), errs.Is(err, errs.AppendUnknown):
 		b.refused++
 		return nil
@@ -219,6 +222,7 @@
 		Workspaces:   b.o.Workspaces,
 		Confirmed:    len(b.changes),
 		Refused:      b.refused,
+		Stale:        b.stale,
 		ChangesPerS:  float64(len(b.changes)) / b.o.Duration.Seconds(),
 		BytesPerNode: busy.bytes,
 		BytesWorst:   busy.worst,
--- a/internal/reconcile/fleet.go
+++ b/internal/reconcile/fleet.go
@@ -180,10 +180,10 @@
 	return all
 }
 
-// target is live while its session is up and it works. What the host list says
+// target is live while its session is up, it has reported and works. What the host list says
 // only adds that the host is leaving: the list lags, the session does not.
 func (s *sideView) target(t structs.TargetInfo, h platform.Host, id structs.HostID) structs.FleetTarget {
-	l := s.loads[t.ID]
+	l, told := s.loads[t.ID]
 	loaded := l.Loaded
 	if loaded == nil {
 		loaded = reconcile.LoadedOf(l.Models)
@@ -192,7 +192,7 @@
 		ID:      t.ID,
 		Host:    id,
 		Domain:  h.Domain,
-		Live:    !l.Unhealthy,
+		Live:    told && !l.Unhealthy,
 		Leaving: h.State == platform.HostLeaving || l.Draining,
 		Loaded:  loaded,
 		Online:  l.OnlineInFlight + l.OnlineQueued,
