--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -100,12 +100,14 @@
 func (k *kit) parts(peerAddr string) entry.Parts {
 	m := k.jobs(peerAddr)
 	owner := newStage(m.Run)
-	operators := k.operators()
+	placement := k.placement()
+	operators := k.operators(placement)
 	return entry.Parts{
 		Batch:  m,
 		Jobs:   serveJobs(m),
 		Config: k.config,
 		Orders: k.fleet,
+		SeeAll: placement.Candidate,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, m.PeerHandler},
@@ -113,7 +115,7 @@
 		}, k.logger),
 		Ready:       []func() bool{isClosed(k.config.Ready())},
 		ConfigFresh: k.config.Fresh,
-		Run:         []func(context.Context) error{k.config.Run, k.placement().Run, owner.run},
+		Run:         []func(context.Context) error{k.config.Run, placement.Run, owner.run},
 		Drain: []func(context.Context){
 			// An operator's watch is held for long; without this a stop would wait for it.
 			func(context.Context) { operators.Close() },
@@ -149,12 +151,20 @@
 	})
 }
 
-func (k *kit) operators() *admin.Admin {
+// view is what plans and status of this entry rest on.
+func (k *kit) view(placement *reconcile.Reconciler) plan.View {
+	return plan.View{
+		Fleet:   k.fleet.View(k.config.Current()),
+		Partial: k.set.MaxSides > 0 && !placement.Candidate(),
+	}
+}
+
+func (k *kit) operators(placement *reconcile.Reconciler) *admin.Admin {
 	return admin.New(admin.Options{
 		Self:    k.set,
 		Config:  k.config,
 		Log:     k.log,
-		View:    func() plan.View { return plan.View{Fleet: k.fleet.View(k.config.Current())} },
+		View:    func() plan.View { return k.view(placement) },
 		Weights: k.weights,
 		Logger:  k.logger,
 		Metrics: k.metrics,
