Keys, certificates and log level are read again at SIGHUP; each bad peer key has its own refusal

Peer keys, operators' keys and TLS files were read once at the start, so that a rotation needed a restart of every process. internal/keyring holds them as one

A file with a fault changes nothing. Old peer keys were refused as 'unknown or old'; they are now told apart, by what the process has seen and by [peers] retired_keys.

Calls between owners of job shards were answered with a bare 401 and their replies carried no proof: whoever sat at an owner's address could have said that a job is accepted.

[route] policy chooses the policy for targets; before it was fixed in code.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/intentdoc"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
 
@@ -49,7 +50,9 @@
 
 // Options are what an Admin is made of.
 type Options struct {
-	Self   settings.Entry
+	Self settings.Entry
+	// Keys tells whose key an operator's is; nil goes by Self.
+	Keys   *keyring.Keyring
 	Config Config
 	Log    platform.Log
 	// View returns what this process knows of fleet and jobs; nil knows nothing.
@@ -86,6 +89,9 @@
 	if o.View == nil {
 		o.View = func() plan.View { return plan.View{} }
 	}
+	if o.Keys == nil {
+		o.Keys = keyring.New(keyring.Values{Operators: o.Self.OperatorKeys, RevokedOperators: o.Self.RevokedOperatorKeys})
+	}
 	return &Admin{
 		opts:     o,
 		log:      o.Logger,
--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -1,9 +1,6 @@
 package admin
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -21,24 +18,5 @@
 	if !ok || key == "" {
 		return "", errs.New(errs.Unauthenticated, "no operator's key was sent; send Authorization: Bearer KEY")
 	}
-	sum := sha256.Sum256([]byte(key))
-	if name, ok := holder(a.opts.Self.OperatorKeys, sum[:]); ok {
-		return name, nil
-	}
-	if name, ok := holder(a.opts.Self.RevokedOperatorKeys, sum[:]); ok {
-		return "", errs.Newf(errs.Unauthenticated, "the key is an old one of operator %s; use the new one", name)
-	}
-	return "", errs.New(errs.Unauthenticated, "the operator's key is not known")
-}
-
-// holder compares with every key in constant time.
-func holder(keys map[string]string, sum []byte) (string, bool) {
-	found, ok := "", false
-	for name, want := range keys {
-		raw, err := hex.DecodeString(want)
-		if err == nil && subtle.ConstantTimeCompare(raw, sum) == 1 {
-			found, ok = name, true
-		}
-	}
-	return found, ok
+	return a.opts.Keys.Operator(key)
 }
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -69,6 +69,9 @@
 	if m.now == nil {
 		m.now = time.Now
 	}
+	if m.o.PeerKeys == nil {
+		m.o.PeerKeys = func() []settings.PeerKey { return set.PeerKeys }
+	}
 	if m.addr == "" {
 		m.addr = set.PeerAddr
 	}
@@ -82,7 +85,7 @@
 	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
-		m.peers = newHTTPPeers(set.PeerKeys)
+		m.peers = newHTTPPeers(m.o.PeerKeys, m.log)
 	}
 	return m
 }
--- a/internal/batch/options.go
+++ b/internal/batch/options.go
@@ -29,6 +29,11 @@
 	Clock func() time.Time
 	// PeerAddr is the address of this entry's peer listener; empty takes that of Settings.
 	PeerAddr string
+	// PeerKeys are the keys between own processes, the first for new calls; nil takes
+	// those of Settings.
+	PeerKeys func() []settings.PeerKey
+	// RetiredKey says whether a peer key was valid once; nil knows none.
+	RetiredKey func(id string) bool
 	// Peers calls other entries; nil calls them over HTTP.
 	Peers PeerCaller
 	// Check counts violations of invariants; nil counts and logs them.
--- a/internal/batch/peerhttp.go
+++ b/internal/batch/peerhttp.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
 
@@ -27,9 +29,18 @@
 
 // proof returns the HMAC over body under secret. Calls can be repeated without
 // harm, so a replayed one does none either.
-func proof(secret, body []byte) string {
+func proof(secret, body []byte) string { return keyedSum(secret, PeerPath, "", body) }
+
+// replyProof binds a reply to the proof of its call: whoever holds no key could else answer in an
+// owner's place that a job is accepted.
+func replyProof(secret []byte, call string, body []byte) string {
+	return keyedSum(secret, PeerPath+"/reply", call, body)
+}
+
+// keyedSum separates its parts by a byte that neither path nor call holds.
+func keyedSum(secret []byte, path, call string, body []byte) string {
 	mac := hmac.New(sha256.New, secret)
-	mac.Write([]byte(PeerPath))
+	mac.Write([]byte(path + "\n" + call + "\n"))
 	mac.Write(body)
 	return hex.EncodeToString(mac.Sum(nil))
 }
@@ -37,12 +48,14 @@
 // httpPeers calls other entries over HTTP with CBOR bodies.
 type httpPeers struct {
 	client fasthttp.Client
-	keys   []settings.PeerKey
+	keys   func() []settings.PeerKey
+	log    hclog.Logger
 }
 
-func newHTTPPeers(keys []settings.PeerKey) *httpPeers {
+func newHTTPPeers(keys func() []settings.PeerKey, log hclog.Logger) *httpPeers {
 	return &httpPeers{
 		keys: keys,
+		log:  log,
 		client: fasthttp.Client{
 			MaxConnsPerHost:     256,
 			MaxResponseBodySize: maxPeerReply,
@@ -63,10 +76,13 @@
 	req.SetRequestURI("http://" + host.Addr + PeerPath)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetBodyRaw(body)
-	if len(p.keys) > 0 {
-		req.Header.Set(headerPeerKey, p.keys[0].ID)
-		req.Header.Set(headerPeerProof, proof(p.keys[0].Secret, body))
+	keys := p.keys()
+	if len(keys) == 0 {
+		return nil, errs.New(errs.SessionLost, "no peer key is set")
 	}
+	call := proof(keys[0].Secret, body)
+	req.Header.Set(headerPeerKey, keys[0].ID)
+	req.Header.Set(headerPeerProof, call)
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(callPatience)
@@ -75,7 +91,11 @@
 		return nil, errs.Newf(errs.SessionLost, "entry %s: %v", host.ID, err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, errs.Newf(errs.SessionLost, "entry %s answers with status %d", host.ID, resp.StatusCode())
+		return nil, p.refused(host, resp)
+	}
+	given := resp.Header.Peek(headerPeerProof)
+	if !hmac.Equal([]byte(replyProof(keys[0].Secret, call, resp.Body())), given) {
+		return nil, errs.Newf(errs.SessionLost, "entry %s: wrong proof of its reply under peer key %q", host.ID, keys[0].ID)
 	}
 	var reply PeerReply
 	if err := cbor.Unmarshal(resp.Body(), &reply); err != nil {
@@ -87,39 +107,63 @@
 	return &reply, nil
 }
 
+// refused turns a refusal into an error. It concerns this process and not the caller whose request it
+// works on, so it does not keep its type: an Unauthenticated would have the caller look for
+// a fault in its own key.
+func (p *httpPeers) refused(host platform.Host, resp *fasthttp.Response) error {
+	var why errs.Error
+	if err := cbor.Unmarshal(resp.Body(), &why); err != nil || why.Type == "" {
+		return errs.Newf(errs.SessionLost, "entry %s answers with status %d", host.ID, resp.StatusCode())
+	}
+	p.log.Warn("call refused by an entry", "entry", host.ID, "type", why.Type, "why", why.Detail)
+	return errs.Newf(errs.SessionLost, "entry %s refuses the call: %s", host.ID, why.Detail)
+}
+
 // PeerHandler serves PeerPath on the peer listener.
 func (m *Manager) PeerHandler(ctx *fasthttp.RequestCtx) {
 	body := ctx.PostBody()
-	if !m.authentic(ctx, body) {
-		ctx.SetStatusCode(fasthttp.StatusUnauthorized)
+	key, err := m.authentic(ctx, body)
+	if err != nil {
+		m.log.Warn("call of an entry refused", "from", ctx.RemoteAddr().String(), "error", err)
+		refusePeer(ctx, err)
 		return
 	}
 	var r PeerRequest
 	if err := cbor.Unmarshal(body, &r); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		refusePeer(ctx, errs.Newf(errs.BadRequest, "peer call: %v", err))
 		return
 	}
 	out, err := cbor.Marshal(m.Serve(ctx, &r))
 	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		refusePeer(ctx, errs.Newf(errs.Internal, "peer reply: %v", err))
 		return
 	}
+	call := string(ctx.Request.Header.Peek(headerPeerProof))
+	ctx.Response.Header.Set(headerPeerProof, replyProof(key.Secret, call, out))
 	ctx.SetContentType("application/cbor")
 	ctx.SetBody(out)
 }
 
-// authentic checks the proof of a call. Without keys in the settings every call passes, as
-// for sessions.
-func (m *Manager) authentic(ctx *fasthttp.RequestCtx, body []byte) bool {
-	if len(m.set.PeerKeys) == 0 {
-		return true
+// refusePeer answers with the error in CBOR.
+func refusePeer(ctx *fasthttp.RequestCtx, err error) {
+	e := errs.As(err)
+	ctx.SetStatusCode(errs.Lookup(e.Type).Status)
+	if body, encErr := cbor.Marshal(e); encErr == nil {
+		ctx.SetBody(body)
 	}
+}
+
+// authentic returns the key under which a call is proved. Error: errs.Unauthenticated, which says
+// whether the key is missing, old or not known, or the proof wrong.
+func (m *Manager) authentic(ctx *fasthttp.RequestCtx, body []byte) (settings.PeerKey, error) {
 	id := string(ctx.Request.Header.Peek(headerPeerKey))
+	key, err := keyring.FindPeerKey(m.o.PeerKeys(), m.o.RetiredKey, id)
+	if err != nil {
+		return key, err
+	}
 	given := ctx.Request.Header.Peek(headerPeerProof)
-	for _, k := range m.set.PeerKeys {
-		if k.ID == id {
-			return hmac.Equal([]byte(proof(k.Secret, body)), given)
-		}
+	if !hmac.Equal([]byte(proof(key.Secret, body)), given) {
+		return key, errs.Newf(errs.Unauthenticated, "wrong proof of a call under peer key %q", id)
 	}
-	return false
+	return key, nil
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -43,7 +43,7 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
-	keepOnHangup()
+	hangup := hangups()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -65,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	go reloadOn(ctx, hangup, node.NewEntryReloader(c.config, s, e, logger, reg).Reload)
 	return e.Run(ctx)
 }
 
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -31,7 +31,7 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
-	keepOnHangup()
+	hangup := hangups()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -51,5 +51,6 @@
 	if err != nil {
 		return err
 	}
+	go reloadOn(ctx, hangup, node.NewSideReloader(c.config, s, p, logger, reg).Reload)
 	return p.Run(ctx)
 }
--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -33,6 +33,23 @@
 	}
 }
 
-// keepOnHangup lets SIGHUP pass: it is reserved for reading keys again, and an operator
-// who sends it to all processes must not end those that can't do that yet.
-func keepOnHangup() { signal.Ignore(syscall.SIGHUP) }
+// hangups catches SIGHUP from now on. A process that starts must not be ended by an
+// operator who sends it to all: it is looked at once the process can read its settings again.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// reloadOn calls reload at each signal until ctx ends. A signal that comes while one waits adds
+// nothing: the file is read after both.
+func reloadOn(ctx context.Context, c <-chan os.Signal, reload func() error) {
+	for {
+		select {
+		case <-c:
+			_ = reload() // it has logged what was wrong; the process goes on as before
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/entry/dial.go
+++ b/internal/entry/dial.go
@@ -5,7 +5,6 @@
 
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/session"
-	"arbutusramp/internal/settings"
 )
 
 // sessionDialer connects to sides by internal/session.
@@ -17,9 +16,10 @@
 			Region:      e.set.Host.Region,
 			Incarnation: e.now().UnixMilli(),
 		},
-		PeerKeys: func() []settings.PeerKey { return e.set.PeerKeys },
-		Logger:   e.log,
-		Version:  func() structs.Version { return e.config.Current().Version },
+		PeerKeys:   e.secrets.PeerKeys,
+		RetiredKey: e.secrets.RetiredPeerKey,
+		Logger:     e.log,
+		Version:    func() structs.Version { return e.config.Current().Version },
 	}
 	return func(ctx context.Context, addr string, p *pool) (*sideSession, error) {
 		h := &sessionHandler{pool: p, opened: make(chan *sideSession, 1)}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 package entry
 
 import (
+	"cmp"
 	"crypto/tls"
 	"io"
 	"net"
@@ -23,6 +24,7 @@
 	"arbutusramp/core/limit"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
 
@@ -37,7 +39,10 @@
 	Config   confstate.Source
 	Clock    func() time.Time // nil for time.Now
 	Parts    Parts
-	// Policy names the policy for choosing targets; empty for choose.DefaultPolicy.
+	// Keys are the keys and certificates in force; nil takes those of Settings.
+	Keys *keyring.Keyring
+	// Policy names the policy for choosing targets; empty takes that of Settings, and
+	// without one choose.DefaultPolicy.
 	Policy string
 
 	dial dialFunc // nil for sessions over TCP
@@ -52,7 +57,8 @@
 	config  confstate.Source
 	parts   Parts
 	policy  *choose.Policy
-	keys    keyring
+	keys    workspaceKeys
+	secrets *keyring.Keyring
 	limits  *limits
 	budget  retryBudget
 	pool    *pool
@@ -78,7 +84,14 @@
 		o.Clock = time.Now
 	}
 	if o.Policy == "" {
-		o.Policy = choose.DefaultPolicy
+		o.Policy = cmp.Or(o.Settings.RoutePolicy, choose.DefaultPolicy)
+	}
+	if o.Keys == nil {
+		values, err := keyring.EntryValues(o.Settings)
+		if err != nil {
+			return nil, err
+		}
+		o.Keys = keyring.New(values)
 	}
 	policy, err := choose.New(o.Policy)
 	if err != nil {
@@ -87,7 +100,8 @@
 	e := &Entry{
 		set: o.Settings, log: o.Logger, metrics: o.Metrics, now: o.Clock,
 		config: o.Config, parts: o.Parts, policy: policy,
-		keys:     keyring{source: o.Config},
+		keys:     workspaceKeys{source: o.Config},
+		secrets:  o.Keys,
 		limits:   newLimits(),
 		budget:   retryBudget{budget: limit.Budget{Share: o.Settings.RetryShare}},
 		rec:      newRecorder(o.Metrics, o.Logger, o.Clock),
@@ -105,6 +119,9 @@
 	return e, nil
 }
 
+// Keys returns the keys and certificates in force, for replacing them without a restart.
+func (e *Entry) Keys() *keyring.Keyring { return e.secrets }
+
 // Join adds the other parts of the process; it is called before Run. The parts of Options
 // are made before the listeners are bound, those that have to know an address after.
 func (e *Entry) Join(parts Parts) { e.parts = parts }
@@ -115,10 +132,10 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callers, err = listenTLS(e.set.CallerAddr, e.set.CallerCert, e.set.CallerKey); err != nil {
+	if e.callers, err = listenTLS(e.set.CallerAddr, e.secrets.CallerTLS()); err != nil {
 		return err
 	}
-	if e.admin, err = listenTLS(e.set.AdminAddr, e.set.AdminCert, e.set.AdminKey); err != nil {
+	if e.admin, err = listenTLS(e.set.AdminAddr, e.secrets.AdminTLS()); err != nil {
 		return err
 	}
 	if e.peers, err = listen(e.set.PeerAddr); err != nil {
@@ -136,21 +153,13 @@
 	return ln, nil
 }
 
-// listenTLS serves plain TCP when no certificate is named.
-func listenTLS(addr, cert, key string) (net.Listener, error) {
+// listenTLS serves plain TCP without a config.
+func listenTLS(addr string, config *tls.Config) (net.Listener, error) {
 	ln, err := listen(addr)
-	if err != nil || cert == "" {
+	if err != nil || config == nil {
 		return ln, err
 	}
-	pair, err := tls.LoadX509KeyPair(cert, key)
-	if err != nil {
-		ln.Close()
-		return nil, errs.Newf(errs.BadSettings, "certificate %s: %v", cert, err)
-	}
-	return tls.NewListener(ln, &tls.Config{
-		Certificates: []tls.Certificate{pair},
-		MinVersion:   tls.VersionTLS12,
-	}), nil
+	return tls.NewListener(ln, config), nil
 }
 
 func (e *Entry) closeListeners() {
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -12,9 +12,9 @@
 
 type keyHash = [sha256.Size]byte
 
-// keyring finds the workspace of an API key. It is rebuilt when the
+// workspaceKeys finds the workspace of an API key. It is rebuilt when the
 // configuration has changed, so that a revoked key ends without a restart.
-type keyring struct {
+type workspaceKeys struct {
 	source confstate.Source
 	built  atomic.Pointer[keyIndex]
 }
@@ -25,7 +25,7 @@
 	revoked map[keyHash]struct{}
 }
 
-func (k *keyring) index() *keyIndex {
+func (k *workspaceKeys) index() *keyIndex {
 	state := k.source.Current()
 	if x := k.built.Load(); x != nil && x.state == state {
 		return x
--- a/internal/follow/auth.go
+++ b/internal/follow/auth.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
 
@@ -25,6 +26,8 @@
 // be changed one process after the other.
 type auth struct {
 	keys func() []settings.PeerKey
+	// retired says whether a key was valid once; nil knows none.
+	retired func(id string) bool
 }
 
 // question is what a process proves of its question.
@@ -65,7 +68,7 @@
 	if len(parts) != peerFields {
 		return question{}, errs.New(errs.Unauthenticated, "the proof under a peer key is missing")
 	}
-	key, err := a.key(parts[0])
+	key, err := keyring.FindPeerKey(a.keys(), a.retired, parts[0])
 	if err != nil {
 		return question{}, err
 	}
@@ -76,15 +79,6 @@
 	return q, nil
 }
 
-func (a *auth) key(id string) (settings.PeerKey, error) {
-	for _, k := range a.keys() {
-		if k.ID == id {
-			return k, nil
-		}
-	}
-	return settings.PeerKey{}, errs.Newf(errs.Unauthenticated, "peer key %q is not valid here: unknown or old", id)
-}
-
 // mac separates its parts by a byte that none of them but the last, which has a
 // fixed length, can hold.
 func mac(secret []byte, parts ...string) string {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,6 +61,8 @@
 	// PeerKeys are the keys between own processes, the first for new questions;
 	// nil takes those of Self.
 	PeerKeys func() []settings.PeerKey
+	// RetiredKey says whether a peer key was valid once; nil knows none.
+	RetiredKey func(id string) bool
 	// Fetcher asks other entries; nil asks over HTTP.
 	Fetcher Fetcher
 	// Check counts violations of invariants; nil counts and logs them.
@@ -130,7 +132,7 @@
 		},
 		log:     o.Logger,
 		now:     o.Clock,
-		auth:    auth{keys: o.PeerKeys},
+		auth:    auth{keys: o.PeerKeys, retired: o.RetiredKey},
 		check:   o.Check,
 		ready:   make(chan struct{}),
 		stop:    make(chan struct{}),
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -12,6 +12,7 @@
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/entry"
 	"arbutusramp/internal/follow"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/reconcile"
 	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +22,11 @@
 
 // NewEntry returns an entry that listens and does not run yet. Errors: errs.BadSettings.
 func NewEntry(s settings.Entry, logger hclog.Logger, reg metrics.Registry) (*entry.Entry, error) {
+	values, err := keyring.EntryValues(s)
+	if err != nil {
+		return nil, err
+	}
+	keys := keyring.New(values)
 	log := loghttp.New(s.Platform.LogURL)
 	hosts := &members{HostList: hosthttp.New(s.Platform.HostListURL)}
 	config := follow.New(follow.Options{
@@ -29,6 +35,9 @@
 		Members: hosts.known,
 		Logger:  logger,
 		Metrics: reg,
+
+		PeerKeys:   keys.PeerKeys,
+		RetiredKey: keys.RetiredPeerKey,
 	})
 	e, err := entry.New(entry.Options{
 		Settings: s,
@@ -38,6 +47,7 @@
 		Hosts:    hosts,
 		Weights:  weightStore(s),
 		Config:   config,
+		Keys:     keys,
 	})
 	if err != nil {
 		return nil, err
@@ -50,6 +60,9 @@
 		Logger:   logger,
 		Metrics:  reg,
 		PeerAddr: e.PeerAddr(),
+
+		PeerKeys:   keys.PeerKeys,
+		RetiredKey: keys.RetiredPeerKey,
 	})
 	weights := weightStore(s)
 	fleet := reconcile.NewFleet(reconcile.FleetOptions{
@@ -68,6 +81,7 @@
 	})
 	operators := admin.New(admin.Options{
 		Self:    s,
+		Keys:    keys,
 		Config:  config,
 		Log:     log,
 		View:    func() plan.View { return plan.View{Fleet: fleet.View(config.Current())} },
--- a/internal/session/hello.go
+++ b/internal/session/hello.go
@@ -12,6 +12,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
 
@@ -39,12 +40,8 @@
 	return mac.Sum(nil), nil
 }
 
-// verify checks the proof of h, made by a peer with role r for nonce.
-func verify(h *structs.Hello, r role, nonce []byte, keys []settings.PeerKey) error {
-	key, err := keyByID(keys, h.KeyID)
-	if err != nil {
-		return err
-	}
+// verify checks the proof of h, made under key by a peer with role r for nonce.
+func verify(h *structs.Hello, r role, nonce []byte, key settings.PeerKey) error {
 	want, err := prove(*h, r, nonce, key.Secret)
 	if err != nil {
 		return err
@@ -55,18 +52,6 @@
 	return nil
 }
 
-func keyByID(keys []settings.PeerKey, id string) (settings.PeerKey, error) {
-	if id == "" {
-		return settings.PeerKey{}, errs.New(errs.Unauthenticated, "the peer names no key")
-	}
-	for _, k := range keys {
-		if k.ID == id {
-			return k, nil
-		}
-	}
-	return settings.PeerKey{}, errs.Newf(errs.Unauthenticated, "peer key %q is not valid here: unknown or old", id)
-}
-
 func checkHello(h *structs.Hello) error {
 	if h.Protocol != structs.ProtocolVersion {
 		return errs.Newf(errs.BadFrame, "peer %s speaks protocol %d, not %d", h.Host, h.Protocol, structs.ProtocolVersion)
@@ -108,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := verify(peer, roleServer, s.self.Nonce, s.keys); err != nil {
+	if err := s.verify(peer, roleServer); err != nil {
 		return nil, s.refuse(err)
 	}
 	if err := s.sendProof(roleClient, s.keys[0].Secret, peer.Nonce); err != nil {
@@ -129,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	key, err := keyByID(s.keys, first.KeyID)
+	key, err := s.key(first.KeyID)
 	if err != nil {
 		return nil, s.refuse(err)
 	}
@@ -141,12 +126,25 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := verify(peer, roleClient, s.self.Nonce, s.keys); err != nil {
+	if err := s.verify(peer, roleClient); err != nil {
 		return nil, s.refuse(err)
 	}
 	return peer, s.send(&structs.Frame{Beat: &structs.Beat{}})
 }
 
+func (s *shaker) key(id string) (settings.PeerKey, error) {
+	return keyring.FindPeerKey(s.keys, s.o.RetiredKey, id)
+}
+
+// verify checks the proof of the peer, under the key that it names.
+func (s *shaker) verify(peer *structs.Hello, r role) error {
+	key, err := s.key(peer.KeyID)
+	if err != nil {
+		return err
+	}
+	return verify(peer, r, s.self.Nonce, key)
+}
+
 func (s *shaker) sendProof(r role, secret, peerNonce []byte) error {
 	proof, err := prove(s.self, r, peerNonce, secret)
 	if err != nil {
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -43,7 +43,10 @@
 	Hello structs.Hello
 	// PeerKeys returns the keys that are valid now; the first is used to dial.
 	PeerKeys func() []settings.PeerKey
-	Logger   hclog.Logger
+	// RetiredKey says whether a peer key was valid once, so that a peer that still uses it
+	// is told so; nil knows none.
+	RetiredKey func(id string) bool
+	Logger     hclog.Logger
 	// Heartbeat is the time between heartbeats, 0 for DefaultHeartbeat. A peer that is silent
 	// for three is given up.
 	Heartbeat time.Duration
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -1,6 +1,11 @@
 package settings
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"arbutusramp/core/choose"
+)
 
 const (
 	kib = 1 << 10
@@ -22,7 +27,9 @@
 	rows = append(rows, entryListenRows()...)
 	rows = append(rows, entryPlatformRows()...)
 	rows = append(rows, onlineRows()...)
+	rows = append(rows, routeRows()...)
 	rows = append(rows, batchRows()...)
+	rows = append(rows, retiredPeerRows(func(e *Entry) *[]string { return &e.RetiredPeerKeys })...)
 	return table[Entry]{
 		role:   "entry",
 		rows:   rows,
@@ -45,16 +52,16 @@
 		{section: "listen", key: "status", unit: "address", required: true,
 			field: addr(func(e *Entry) *string { return &e.StatusAddr }),
 			doc:   "/healthz, /readyz and /metrics"},
-		{section: "tls", key: "caller_cert", unit: "path",
+		{section: "tls", key: "caller_cert", unit: "path", live: true,
 			field: absPath(func(e *Entry) *string { return &e.CallerCert }),
 			doc:   "certificate of the callers' listener; without it, plain HTTP"},
-		{section: "tls", key: "caller_key", unit: "path",
+		{section: "tls", key: "caller_key", unit: "path", live: true,
 			field: absPath(func(e *Entry) *string { return &e.CallerKey }),
 			doc:   "private key of caller_cert"},
-		{section: "tls", key: "admin_cert", unit: "path",
+		{section: "tls", key: "admin_cert", unit: "path", live: true,
 			field: absPath(func(e *Entry) *string { return &e.AdminCert }),
 			doc:   "certificate of the administration listener; without it, plain HTTP"},
-		{section: "tls", key: "admin_key", unit: "path",
+		{section: "tls", key: "admin_key", unit: "path", live: true,
 			field: absPath(func(e *Entry) *string { return &e.AdminKey }),
 			doc:   "private key of admin_cert"},
 	}
@@ -106,6 +113,14 @@
 	}
 }
 
+func routeRows() []row[Entry] {
+	return []row[Entry]{
+		{section: "route", key: "policy", unit: "word", def: choose.DefaultPolicy,
+			field: word(func(e *Entry) *string { return &e.RoutePolicy }, choose.Policies()...),
+			doc:   "how a target is chosen for an online request"},
+	}
+}
+
 func batchRows() []row[Entry] {
 	return []row[Entry]{
 		{section: "batch", key: "shards", unit: "shards", def: "16",
@@ -140,6 +155,21 @@
 	if (e.AdminCert == "") != (e.AdminKey == "") {
 		faults = append(faults, pairFault("tls", "admin_cert", "admin_key"))
 	}
+	faults = append(faults, checkOperators(e)...)
+	return append(faults, checkPeerKeys(e.PeerKeys, e.RetiredPeerKeys)...)
+}
+
+// checkOperators finds keys that are valid and revoked at once. A key that was revoked under one
+// operator's name would else go on working under another's.
+func checkOperators(e *Entry) []Fault {
+	var faults []Fault
+	for name, sum := range e.RevokedOperatorKeys {
+		for holder, valid := range e.OperatorKeys {
+			if sum == valid {
+				faults = append(faults, Fault{Section: "revoked_operators", Key: name, Problem: fmt.Sprintf("the same key is valid for operator %q", holder), Allowed: "a key in one of the two"})
+			}
+		}
+	}
 	return faults
 }
 
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -19,6 +19,8 @@
 type field[T any] struct {
 	allowed string
 	set     func(t *T, value string) error
+	// value returns what set has stored; nil for a field that stores nothing.
+	value func(t *T) any
 }
 
 const maxNameLen = 64
@@ -32,6 +34,7 @@
 // name reads an identifier; S is one of the string types of core/structs.
 func name[T any, S ~string](get func(*T) *S) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: fmt.Sprintf("1 to %d letters, digits, or any of . _ : / -", maxNameLen),
 		set: func(t *T, value string) error {
 			if err := checkName(value); err != nil {
@@ -56,6 +59,7 @@
 // names reads names separated by commas.
 func names[T any, S ~string](get func(*T) *[]S) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: "names separated by commas",
 		set: func(t *T, value string) error {
 			var list []S
@@ -85,12 +89,22 @@
 	}
 }
 
+// word is oneOf for a key whose value is kept as it is written.
+func word[T any](get func(*T) *string, words ...string) field[T] {
+	f := oneOf(func(t *T, value string) { *get(t) = value }, words...)
+	f.value = func(t *T) any { return *get(t) }
+	return f
+}
+
 func boolean[T any](get func(*T) *bool) field[T] {
-	return oneOf(func(t *T, value string) { *get(t) = value == "true" }, "true", "false")
+	f := oneOf(func(t *T, word string) { *get(t) = word == "true" }, "true", "false")
+	f.value = func(t *T) any { return *get(t) }
+	return f
 }
 
 func integer[T any](lo, hi int, get func(*T) *int) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: fmt.Sprintf("%d to %d", lo, hi),
 		set: func(t *T, value string) error {
 			n, err := strconv.Atoi(value)
@@ -108,6 +122,7 @@
 
 func ratio[T any](get func(*T) *float64) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: "0 to 1",
 		set: func(t *T, value string) error {
 			x, err := strconv.ParseFloat(value, 64)
@@ -125,6 +140,7 @@
 
 func duration[T any](lo, hi time.Duration, get func(*T) *time.Duration) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: fmt.Sprintf("%s to %s", shortDuration(lo), shortDuration(hi)),
 		set: func(t *T, value string) error {
 			d, err := time.ParseDuration(value)
@@ -155,6 +171,7 @@
 // addr reads a listener's address. Names are refused: hosts talk by IP number.
 func addr[T any](get func(*T) *string) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: "IP:port; port 0 takes a free one",
 		set: func(t *T, value string) error {
 			if _, err := netip.ParseAddrPort(value); err != nil {
@@ -184,6 +201,7 @@
 // baseURL reads the base URL of an outside service.
 func baseURL[T any](get func(*T) *string) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: "http://IP:port, without a trailing slash",
 		set: func(t *T, value string) error {
 			if err := checkBaseURL(value); err != nil {
@@ -215,6 +233,7 @@
 
 func absPath[T any](get func(*T) *string) field[T] {
 	return field[T]{
+		value:   func(t *T) any { return *get(t) },
 		allowed: "absolute path of a PEM file",
 		set: func(t *T, value string) error {
 			if !filepath.IsAbs(value) {
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -14,6 +14,8 @@
 	b.WriteString("and a ` #` or ` ;` after a value starts a comment. An unknown section or key, a key that is set twice and a\n")
 	b.WriteString("value that is not allowed are faults. `arbutusramp check FILE` names each with file, line, section,\n")
 	b.WriteString("key and what is allowed; a process does not start with a fault. Durations are written like 250ms, 30s or 2h.\n\n")
+	b.WriteString("At SIGHUP a process reads its file again (see KEYS.md). These take effect then; every other key needs a restart.\n\n")
+	fmt.Fprintf(&b, "- entry: %s\n- side: %s\n\n", liveList(entryTable()), liveList(sideTable()))
 	writeTable(&b, "Entry", entryTable())
 	writeTable(&b, "Side", sideTable())
 	return strings.TrimRight(b.String(), "\n") + "\n"
@@ -41,3 +43,17 @@
 	}
 	b.WriteString("\n")
 }
+
+// liveList names what is read again at SIGHUP.
+func liveList[T any](tab table[T]) string {
+	var list []string
+	for _, r := range tab.rows {
+		if r.live {
+			list = append(list, fmt.Sprintf("`[%s] %s`", r.section, r.key))
+		}
+	}
+	for _, g := range tab.groups {
+		list = append(list, fmt.Sprintf("`[%s]`", g.section))
+	}
+	return strings.Join(list, ", ")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,11 @@
 	RevokedOperatorKeys map[string]string
 	// PeerKeys are the keys between the system's own processes; the first is used for new sessions.
 	PeerKeys []PeerKey
+	// RetiredPeerKeys are IDs of peer keys that were valid once.
+	RetiredPeerKeys []string
+
+	// RoutePolicy names the policy of core/choose for online requests.
+	RoutePolicy string
 
 	MaxBody        int           // bytes of one online request's body
 	DefaultTimeout time.Duration // for requests that name no deadline
@@ -82,6 +87,8 @@
 	StatusAddr  string // [listen] status
 
 	PeerKeys []PeerKey
+	// RetiredPeerKeys are IDs of peer keys that were valid once.
+	RetiredPeerKeys []string
 
 	Target       structs.TargetInfo
 	TargetURL    string        // base URL of the target, by IP number
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -196,3 +196,44 @@
 		}
 	})
 }
+
+// Symptom: an operator believes that a setting is in force after SIGHUP, and the process
+// was not told. Every key must either be read again or be named as needing a restart.
+func TestEveryKeyIsLiveOrNamedAtAChange(t *testing.T) {
+	for _, r := range entryTable().rows {
+		if !r.live && r.field.value == nil && r.key != "role" {
+			t.Errorf("a change of [%s] %s would go unnoticed", r.section, r.key)
+		}
+	}
+	for _, r := range sideTable().rows {
+		if !r.live && r.field.value == nil && r.key != "role" {
+			t.Errorf("a change of [%s] %s would go unnoticed", r.section, r.key)
+		}
+	}
+	load := func(text string) Entry {
+		e, err := LoadEntry(write(t, text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e
+	}
+	before := load(goodEntry)
+	after := load(strings.Replace(goodEntry, "id = entry-1", "id = entry-2", 1) + "[log]\nlevel = debug\n[online]\ndrain_timeout = 300s\nmax_body = 2048\n")
+	if got := strings.Join(EntryRestart(before, after), ", "); got != "[host] id, [online] max_body" {
+		t.Errorf("named %q", got)
+	}
+}
+
+func TestAKeyIsValidOrOld(t *testing.T) {
+	sum := KeySum("k")
+	text := goodEntry + "[peers]\nretired_keys = older, old\n[operators]\nann = " + sum + "\n[revoked_operators]\nben = " + sum + "\n"
+	_, err := LoadEntry(write(t, text))
+	for _, want := range []string{`[peers] retired_keys: "old" is in [peer_keys] too`, `[revoked_operators] ben: the same key is valid for operator "ann"`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("no %q in %v", want, err)
+		}
+	}
+	if _, err := LoadEntry(write(t, goodEntry+"[route]\npolicy = guess\n")); err == nil || !strings.Contains(err.Error(), "allowed: ") {
+		t.Errorf("unknown policy: %v", err)
+	}
+}
--- a/internal/settings/side_table.go
+++ b/internal/settings/side_table.go
@@ -12,6 +12,7 @@
 	rows = append(rows, sideListenRows()...)
 	rows = append(rows, targetRows()...)
 	rows = append(rows, admissionRows()...)
+	rows = append(rows, retiredPeerRows(func(s *Side) *[]string { return &s.RetiredPeerKeys })...)
 	return table[Side]{
 		role:   "side",
 		rows:   rows,
@@ -37,7 +38,7 @@
 			field: name(func(s *Side) *structs.TargetID { return &s.Target.ID }),
 			doc:   "name of the target, unique in the system"},
 		{section: "target", key: "kind", unit: "word", required: true,
-			field: oneOf(setKind, "engine", "service"),
+			field: kindField(),
 			doc:   "model engine or plain service"},
 		{section: "target", key: "url", unit: "URL", required: true,
 			field: baseURL(func(s *Side) *string { return &s.TargetURL }),
@@ -57,6 +58,12 @@
 	}
 }
 
+func kindField() field[Side] {
+	f := oneOf(setKind, "engine", "service")
+	f.value = func(s *Side) any { return s.Target.Kind }
+	return f
+}
+
 func setKind(s *Side, value string) {
 	s.Target.Kind = structs.KindEngine
 	if value == "service" {
@@ -88,6 +95,10 @@
 }
 
 func checkSide(s *Side) []Fault {
+	return append(checkTarget(s), checkPeerKeys(s.PeerKeys, s.RetiredPeerKeys)...)
+}
+
+func checkTarget(s *Side) []Fault {
 	switch {
 	case s.Target.Kind == structs.KindEngine && len(s.Target.Models) == 0:
 		return []Fault{{Section: "target", Key: "models", Problem: "missing", Allowed: "at least one for kind = engine"}}
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 	"strings"
 
 	"arbutusramp/core/structs"
@@ -17,6 +18,8 @@
 	required     bool
 	field        field[T]
 	doc          string
+	// live keys are read again at SIGHUP; all others need a restart.
+	live bool
 }
 
 // group is a section whose keys the operator names, such as [peer_keys].
@@ -63,8 +66,8 @@
 
 func logRows[T any](get func(*T) *Logs) []row[T] {
 	return []row[T]{
-		{section: "log", key: "level", unit: "word", def: "info",
-			field: oneOf(func(t *T, v string) { get(t).Level = v }, "trace", "debug", "info", "warn", "error"),
+		{section: "log", key: "level", unit: "word", def: "info", live: true,
+			field: word(func(t *T) *string { return &get(t).Level }, "trace", "debug", "info", "warn", "error"),
 			doc:   "least level that is written"},
 		{section: "log", key: "json", unit: "boolean", def: "false",
 			field: boolean(func(t *T) *bool { return &get(t).JSON }),
@@ -72,6 +75,16 @@
 	}
 }
 
+// retiredPeerRows name peer keys that were valid once, so that a process that still uses one is
+// told so also after this one was restarted.
+func retiredPeerRows[T any](get func(*T) *[]string) []row[T] {
+	return []row[T]{
+		{section: "peers", key: "retired_keys", unit: "names", live: true,
+			field: names(get),
+			doc:   "IDs of peer keys that were valid once; a process that still uses one is told that its key is an old one"},
+	}
+}
+
 func peerKeyGroup[T any](get func(*T) *[]PeerKey) group[T] {
 	return group[T]{
 		section: "peer_keys", unit: "hexadecimal", required: true,
@@ -88,6 +101,18 @@
 	}
 }
 
+// checkPeerKeys finds keys that are valid and retired at once: which of the two the operator
+// meant can't be told.
+func checkPeerKeys(keys []PeerKey, retired []string) []Fault {
+	var faults []Fault
+	for _, k := range keys {
+		if slices.Contains(retired, k.ID) {
+			faults = append(faults, Fault{Section: "peers", Key: "retired_keys", Problem: fmt.Sprintf("%q is in [peer_keys] too", k.ID), Allowed: "a key in one of the two"})
+		}
+	}
+	return faults
+}
+
 func operatorGroup() group[Entry] {
 	return group[Entry]{
 		section: "operators", unit: "hexadecimal",
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -16,6 +16,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/session"
 	"arbutusramp/internal/settings"
 )
@@ -39,6 +40,8 @@
 	Service  platform.Service
 	// Config folds configuration messages; nil leaves the settings in force.
 	Config ConfigPort
+	// Keys are the keys in force; nil takes those of Settings.
+	Keys *keyring.Keyring
 	// NoPreempt turns preemption off, as a baseline for experiments.
 	NoPreempt bool
 }
@@ -118,6 +121,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewRegistry()
 	}
+	if o.Keys == nil {
+		o.Keys = keyring.New(keyring.SideValues(o.Settings))
+	}
 	if o.Settings.TargetBudget <= 0 {
 		o.Settings.TargetBudget = defaultBudget
 	}
@@ -150,6 +156,9 @@
 	return nil
 }
 
+// Keys returns the keys in force, for replacing them without a restart.
+func (s *Side) Keys() *keyring.Keyring { return s.o.Keys }
+
 // Addr returns the session listener's address.
 func (s *Side) Addr() string { return s.ln.Addr().String() }
 
@@ -200,9 +209,10 @@
 			Incarnation: time.Now().UnixMilli(),
 			Targets:     []structs.TargetInfo{s.target},
 		},
-		PeerKeys: func() []settings.PeerKey { return s.o.Settings.PeerKeys },
-		Logger:   s.log,
-		Version:  s.config.version,
+		PeerKeys:   s.o.Keys.PeerKeys,
+		RetiredKey: s.o.Keys.RetiredPeerKey,
+		Logger:     s.log,
+		Version:    s.config.version,
 	}
 }
 
