--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -118,6 +118,9 @@
 // check finds what can't be put into force in a running process.
 func check(before *snapshot, v Values) error {
 	var found []error
+	if len(v.PeerKeys) == 0 {
+		found = append(found, errs.New(errs.BadSettings, "[peer_keys]: no key is left, and the process would be alone; allowed: at least one"))
+	}
 	for _, key := range v.PeerKeys {
 		i := slices.IndexFunc(before.PeerKeys, func(old settings.PeerKey) bool { return old.ID == key.ID })
 		// With one ID for two secrets no overlap is possible: until the last process
--- a/internal/keyring/keyring_test.go
+++ b/internal/keyring/keyring_test.go
@@ -81,8 +81,8 @@
 }
 
 func TestOperatorsKeys(t *testing.T) {
-	k := New(Values{Operators: operators("ann", "a1", "ben", "b1"), RevokedOperators: operators("ann", "a0")})
-	changed := replace(t, k, Values{Operators: operators("ann", "a2")})
+	k := New(Values{PeerKeys: peerKeys("k"), Operators: operators("ann", "a1", "ben", "b1"), RevokedOperators: operators("ann", "a0")})
+	changed := replace(t, k, Values{PeerKeys: peerKeys("k"), Operators: operators("ann", "a2")})
 	if want := "key of operator ann; operator ben removed; revoked operators"; strings.Join(changed, "; ") != want {
 		t.Errorf("changed %q", changed)
 	}
@@ -110,6 +110,9 @@
 	if !errs.Is(err, errs.BadSettings) || !strings.Contains(err.Error(), "[peer_keys] k1") || strings.Contains(err.Error(), "another secret of") {
 		t.Errorf("error %v", err)
 	}
+	if _, err := k.Replace(Values{Operators: operators("ann", "a2")}); !errs.Is(err, errs.BadSettings) {
+		t.Errorf("no peer key at all: %v", err)
+	}
 	if got := k.PeerKeys(); string(got[0].Secret) != "secret of k1" {
 		t.Error("the peer key was replaced")
 	}
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/internal/keyring"
+	"arbutusramp/internal/logging"
+	"arbutusramp/internal/settings"
+	"github.com/rcrowley/go-metrics"
+)
+
+const entryText = `[host]
+role = entry
+id = entry-1
+domain = a
+[listen]
+callers = 127.0.0.1:0
+admin = 127.0.0.1:0
+peers = 127.0.0.1:0
+status = 127.0.0.1:0
+[platform]
+log_url = http://127.0.0.1:7001
+host_list_url = http://127.0.0.1:7002
+[peer_keys]
+new = 00112233445566778899aabbccddeeff
+`
+
+const sideText = `[host]
+role = side
+id = side-1
+domain = a
+[listen]
+sessions = 127.0.0.1:0
+status = 127.0.0.1:0
+[target]
+id = t1
+kind = engine
+url = http://127.0.0.1:9000
+models = m1, m2
+[peer_keys]
+new = 00112233445566778899aabbccddeeff
+`
+
+// settingsFile is a settings file that a test changes, with what the reloader logs.
+type settingsFile struct {
+	t    *testing.T
+	path string
+	log  bytes.Buffer
+	reg  metrics.Registry
+}
+
+func newSettingsFile(t *testing.T, text string) *settingsFile {
+	f := &settingsFile{t: t, path: filepath.Join(t.TempDir(), "settings.ini"), reg: metrics.NewRegistry()}
+	f.write(text)
+	return f
+}
+
+func (f *settingsFile) write(text string) {
+	f.t.Helper()
+	if err := os.WriteFile(f.path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *settingsFile) entry() (*Reloader, *keyring.Keyring) {
+	f.t.Helper()
+	s, err := settings.LoadEntry(f.path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	logger := logging.New("entry", s.Logs, &f.log)
+	e, err := NewEntry(s, logger, f.reg)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return NewEntryReloader(f.path, s, e, logger, f.reg), e.Keys()
+}
+
+// Symptom: keys can only be changed by restarting every process.
+// Sequence: an operator changes the keys in the file, and other settings too, and tells the
+// process to read it.
+func TestKeysAreReadAgain(t *testing.T) {
+	f := newSettingsFile(t, entryText+"[operators]\nann = "+settings.KeySum("first")+"\n")
+	r, keys := f.entry()
+	rotated := strings.Replace(entryText, "new = ", "next = 0123456789abcdef0123456789abcdef\nnew = ", 1)
+	f.write(rotated + "[operators]\nann = " + settings.KeySum("second") + "\n[log]\nlevel = warn\n[online]\nmax_body = 2048\n")
+	if err := r.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	if got := keys.PeerKeys(); len(got) != 2 || got[0].ID != "next" || got[1].ID != "new" {
+		t.Errorf("peer keys %v", got)
+	}
+	if name, err := keys.Operator("second"); name != "ann" || err != nil {
+		t.Errorf("new key: %q, %v", name, err)
+	}
+	if _, err := keys.Operator("first"); !errs.Is(err, errs.Unauthenticated) || !strings.Contains(err.Error(), "old one of operator ann") {
+		t.Errorf("old key: %v", err)
+	}
+	for _, want := range []string{"settings differ that need a restart: keys=\"[online] max_body\""} {
+		if !strings.Contains(f.log.String(), want) {
+			t.Errorf("no %q in the log:\n%s", want, &f.log)
+		}
+	}
+	f.log.Reset()
+	if err := r.Reload(); err != nil || strings.Contains(f.log.String(), "audit") {
+		t.Errorf("error %v; the level warn is not in force:\n%s", err, &f.log)
+	}
+}
+
+// Symptom: a process is cut off from all others by a slip in its settings file.
+// Sequence: the file is read again while it has faults, no peer key, or a certificate that is
+// not there.
+func TestKeysOfAFaultyFileAreNotTaken(t *testing.T) {
+	f := newSettingsFile(t, sideText)
+	s, err := settings.LoadSide(f.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger := logging.New("side", s.Logs, &f.log)
+	p, err := NewSide(s, logger, f.reg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := NewSideReloader(f.path, s, p, logger, f.reg)
+	faulty := strings.Replace(sideText, "kind = engine", "kind = motor", 1)
+	faulty = strings.Replace(faulty, "new = 00", "new = 11", 1) + "[weather]\n"
+	for _, text := range []string{
+		strings.Replace(sideText, "[peer_keys]\nnew = 00112233445566778899aabbccddeeff\n", "", 1),
+		strings.Replace(sideText, "new = 00", "new = 11", 1),
+		faulty,
+	} {
+		f.write(text)
+		if err := r.Reload(); !errs.Is(err, errs.BadSettings) {
+			t.Errorf("error %v", err)
+		}
+	}
+	if got := p.Keys().PeerKeys(); len(got) != 1 || got[0].ID != "new" || got[0].Secret[0] != 0 {
+		t.Errorf("peer keys %v", got)
+	}
+	for _, want := range []string{"[target] kind: ", "[weather]: unknown section", "[peer_keys]: missing", "[peer_keys] new: another secret"} {
+		if !strings.Contains(f.log.String(), want) {
+			t.Errorf("no %q in the log:\n%s", want, &f.log)
+		}
+	}
+	if strings.Contains(f.log.String(), "112233445566") {
+		t.Error("a secret is in the log")
+	}
+	if n := metrics.GetOrRegisterCounter("settings.reload_failures", f.reg).Count(); n != 3 {
+		t.Errorf("%d failures counted", n)
+	}
+}
+
+func TestAMissingCertificateChangesNothing(t *testing.T) {
+	f := newSettingsFile(t, entryText)
+	r, keys := f.entry()
+	f.write(strings.Replace(entryText, "new = 00112233445566778899aabbccddeeff", "next = ffeeddccbbaa99887766554433221100", 1) +
+		"[tls]\ncaller_cert = /none/a.pem\ncaller_key = /none/a.key\nadmin_cert = /none/b.pem\nadmin_key = /none/b.key\n")
+	if err := r.Reload(); !errs.Is(err, errs.BadSettings) {
+		t.Fatal(err)
+	}
+	if got := keys.PeerKeys(); got[0].ID != "new" {
+		t.Errorf("peer keys %v", got)
+	}
+	for _, file := range []string{"/none/a.pem", "/none/b.pem"} {
+		if !strings.Contains(f.log.String(), file) {
+			t.Errorf("%s is not named:\n%s", file, &f.log)
+		}
+	}
+}
