--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,6 +173,7 @@
 	valid.Store(&[]settings.PeerKey{keyOld})
 	o := options("side-1")
 	o.PeerKeys = func() []settings.PeerKey { return *valid.Load() }
+	o.RetiredKey = func(id string) bool { return id == keyOld.ID }
 	s, _ := serve(t, o)
 	open, _ := dial(t, s, options("e", keyOld))
 	valid.Store(&[]settings.PeerKey{keyOld, keyNew})
@@ -180,6 +182,9 @@
 	valid.Store(&[]settings.PeerKey{keyNew})
 	_, err := Dial(context.Background(), s.Addr().String(), options("e", keyOld), newRecorder())
 	wantType(t, err, errs.Unauthenticated)
+	if !strings.Contains(err.Error(), `peer key "old" is an old one`) {
+		t.Errorf("a process that was left out is told %v", err)
+	}
 	if err := open.Send(&structs.Frame{Pull: &structs.Pull{}}); err != nil {
 		t.Fatalf("rotation closed an open session: %v", err)
 	}
