--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 
 	inFlight atomic.Int64
 	draining atomic.Bool
+	refused  atomic.Bool // a side has refused the peer key, and none has taken it since
 	ids      atomic.Uint64
 	idPrefix string
 
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -21,6 +21,7 @@
 	retries     metrics.Counter
 	retryDenied metrics.Counter
 	resumes     metrics.Counter
+	keyRefusals metrics.Counter
 	firstByte   metrics.Timer
 	total       metrics.Timer
 	errors      map[errs.Type]metrics.Counter
@@ -35,6 +36,7 @@
 		retries:     metrics.GetOrRegisterCounter("entry.retries", r),
 		retryDenied: metrics.GetOrRegisterCounter("entry.retries_denied", r),
 		resumes:     metrics.GetOrRegisterCounter("entry.resumes", r),
+		keyRefusals: metrics.GetOrRegisterCounter("entry.key_refusals", r),
 		firstByte:   metrics.GetOrRegisterTimer("entry.first_byte", r),
 		total:       metrics.GetOrRegisterTimer("entry.total", r),
 		errors:      make(map[errs.Type]metrics.Counter),
--- a/test/scenario/curl_test.go
+++ b/test/scenario/curl_test.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -30,6 +32,7 @@
 	// freshKey is a file that gets the idempotency key of each try, which is a new one;
 	// sameKey is one whose key is used again.
 	freshKey, sameKey string
+	cacert            string // file with the only certificate that is trusted
 
 	url string
 }
@@ -82,6 +85,7 @@
 	f.StringVar(&o.output, "o", "", "file for the answer")
 	f.StringVar(&o.freshKey, "fresh-key", "", "file for the fresh idempotency key of each try")
 	f.StringVar(&o.sameKey, "same-key", "", "file with the idempotency key to use again")
+	f.StringVar(&o.cacert, "cacert", "", "file with the only certificate that is trusted")
 	f.BoolVar(&o.sse, "sse", false, "print the text of an event stream")
 	f.Func("H", "header", func(h string) error {
 		o.headers = append(o.headers, h)
@@ -106,7 +110,10 @@
 	if err != nil {
 		return "", err
 	}
-	client := http.Client{Timeout: curlTimeout}
+	client, err := curlClient(o)
+	if err != nil {
+		return "", err
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return "", err
@@ -130,6 +137,23 @@
 	return b.String(), nil
 }
 
+func curlClient(o curlOptions) (*http.Client, error) {
+	client := &http.Client{Timeout: curlTimeout}
+	if o.cacert == "" {
+		return client, nil
+	}
+	data, err := os.ReadFile(o.cacert)
+	if err != nil {
+		return nil, err
+	}
+	trusted := x509.NewCertPool()
+	if !trusted.AppendCertsFromPEM(data) {
+		return nil, fmt.Errorf("%s holds no certificate", o.cacert)
+	}
+	client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: trusted}}
+	return client, nil
+}
+
 func readBody(o curlOptions, body io.Reader, to io.Writer) error {
 	if o.started != "" {
 		if _, err := io.CopyN(to, body, 1); err != nil {
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -31,8 +31,12 @@
 			"render":  render,
 			"jobfile": jobfile,
 			"capture": capture,
+			"cert":    cert,
 			"term":    signalCommand(syscall.SIGTERM),
 			"hangup":  signalCommand(syscall.SIGHUP),
+			"freeze":  signalCommand(syscall.SIGSTOP),
+			"thaw":    signalCommand(syscall.SIGCONT),
+			"slay":    signalCommand(syscall.SIGKILL),
 		},
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
