--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -15,6 +16,7 @@
 	commands := standinCommands()
 	commands["arbutusramp"] = func() { os.Exit(command.Ramp()) }
 	commands["arbutusctl"] = func() { os.Exit(command.Ctl()) }
+	commands["calls"] = func() { os.Exit(calls(os.Args[1:], os.Stdout, os.Stderr)) }
 	commands["curl"] = func() { os.Exit(curl(os.Args[1:], os.Stdout, os.Stderr)) }
 	testscript.Main(m, commands)
 }
@@ -23,6 +25,30 @@
 	testscript.Run(t, scriptParams("testdata"))
 }
 
+const commonDir = "testdata/common"
+
+// copyCommon copies the files that scripts share to dir. A script's own files stay.
+func copyCommon(dir string) error {
+	files, err := os.ReadDir(commonDir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		to := filepath.Join(dir, f.Name())
+		if _, err := os.Stat(to); err == nil {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(commonDir, f.Name()))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(to, data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func scriptParams(dir string) testscript.Params {
 	return testscript.Params{
 		Dir: dir,
@@ -32,6 +58,8 @@
 			"jobfile": jobfile,
 			"capture": capture,
 			"cert":    cert,
+			"list":    list,
+			"once":    once,
 			"term":    signalCommand(syscall.SIGTERM),
 			"hangup":  signalCommand(syscall.SIGHUP),
 			"freeze":  signalCommand(syscall.SIGSTOP),
@@ -41,7 +69,7 @@
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
 			env.Setenv("GORACE", "atexit_sleep_ms=50")
-			return nil
+			return copyCommon(env.WorkDir)
 		},
 		RequireExplicitExec: true,
 	}
