A retry sees targets that connected after the call began

Cause: a call kept the group of targets of its start. Ruled out: the retry budget (the retry was counted) and the second target's health. The log now says why no target was left. Test seen red without the change.

--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -58,6 +58,11 @@
 		"runners_up", runnersUp(s), "out", droppedOut(s))
 }
 
+// notRetried writes why no target was left for another try: the caller gets the error of the try before.
+func (r *recorder) notRetried(c *call, s *scratch, err *errs.Error) {
+	r.log.Info("no target for a retry", "request", c.in.id, "error", err, "out", droppedOut(s))
+}
+
 func runnersUp(s *scratch) string {
 	var b strings.Builder
 	for i, k := range s.decision.Kept {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -27,8 +27,14 @@
 	c.e.rec.retrying(c, err)
 	c.tried = append(c.tried, c.target.id)
 	c.attempt++
+	// Targets that have come since the call began count too: a long stream may outlive all that
+	// there were then. Without any, the old ones say why.
+	if g := c.e.group(&c.req); g != nil {
+		c.group = g
+	}
 	c.look(s, now)
 	if again := c.start(s); again != nil {
+		c.e.rec.notRetried(c, s, again)
 		return preferFirst(err, again)
 	}
 	return nil
--- a/internal/entry/stream_failure_test.go
+++ b/internal/entry/stream_failure_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// Symptom: a long stream ends with an error although a healthy target is there.
+// Sequence: the stream begins while one target is connected; a second one connects; the first is
+// lost. Cause: a retry chose among the targets that there were when the call began.
+func TestStreamIsResumedOnATargetThatCameLater(t *testing.T) {
+	e := newTestEntry(t, testState())
+	connect(e, "a", 0, func(f *fakeSide, s uint64, _ *structs.Open) {
+		f.data(s, 0, token(0))
+		connect(e, "b", time.Second, func(f *fakeSide, s uint64, o *structs.Open) { f.tokens(s, o.ResumeFrom, 5) })
+		f.kill(e.pool)
+	})
+	if _, body := do(e, chat(true)); body != wantTokens(5) {
+		t.Errorf("got\n%s", body)
+	}
+}
+
 // Symptom: a caller takes half of an answer for the whole.
 // Sequence: every target breaks the stream after a token.
 // Cause: the answer was cut without a word.
