A side that has started takes no order until it knows the newest fencing number

Weighed: the reconciler's own guard (it reads the log after a pause) is a check before the act and can be paused behind; stamping the epoch in the configuration push tells what the sender knows, and the paused sender knows the old one. Taken: the side asks, and the entries that follow the claims answer from a read that begins after the question, so that every order of an earlier process of the side has a number up to the answer. Until then, and with the log down, orders are refused as not run. Cost: one read of the log for each start of a side and candidate.

--- a/core/structs/frame.go
+++ b/core/structs/frame.go
@@ -33,6 +33,7 @@
 	Beat      *Beat      `cbor:"17,keyasint,omitempty"`
 	Order     *Order     `cbor:"18,keyasint,omitempty"`
 	OrderDone *OrderDone `cbor:"19,keyasint,omitempty"`
+	Fence     *Fence     `cbor:"20,keyasint,omitempty"`
 }
 
 // Beat is a heartbeat; sessions handle it themselves. A peer sends Echo back at
@@ -62,6 +63,16 @@
 	Err *errs.Error `cbor:"2,keyasint,omitempty"`
 }
 
+// Fence tells a side that has just started the highest fencing number that any order can have had
+// until it asked. Without it the side would take a late order of an owner whose successor it has
+// served before it was restarted.
+type Fence struct {
+	// Ask is a side's question.
+	Ask bool `cbor:"1,keyasint,omitempty"`
+	// Highest is the answer: the newest epoch in the log, read after the question came.
+	Highest Epoch `cbor:"2,keyasint,omitempty"`
+}
+
 // Hello is the first frame in both directions.
 type Hello struct {
 	Protocol int           `cbor:"1,keyasint"`
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -37,6 +37,8 @@
 type OrderPort interface {
 	// OnOrderDone is a target's answer to an Order frame.
 	OnOrderDone(side structs.HostID, d *structs.OrderDone)
+	// OnFenceAsk is the question of a side that has started for the newest fencing number.
+	OnFenceAsk(side structs.HostID, send func(*structs.Frame) error)
 	// SideOpened says that a session to side is up, with what stands behind it.
 	SideOpened(side structs.HostID, targets []structs.TargetInfo, send func(*structs.Frame) error)
 	// SideLoad is a target's newest report.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -121,6 +121,8 @@
 		parts.Batch.OnItemDone(s.host, s.conn.Send, f.ItemDone)
 	case f.Config != nil && parts.Config != nil:
 		parts.Config.OnConfig(s.host, s.conn.Send, f.Config)
+	case f.Fence != nil && parts.Orders != nil:
+		parts.Orders.OnFenceAsk(s.host, s.conn.Send)
 	case f.OrderDone != nil && parts.Orders != nil:
 		parts.Orders.OnOrderDone(s.host, f.OrderDone)
 	}
--- a/internal/reconcile/fleet.go
+++ b/internal/reconcile/fleet.go
@@ -37,6 +37,7 @@
 	changed chan struct{}
 	done    func(structs.HostID, *structs.OrderDone)
 	gone    func(structs.HostID)
+	fences  *fences
 }
 
 // sideView is one side with an open session.
@@ -133,6 +134,16 @@
 	}
 }
 
+// OnFenceAsk is the question of a side that has started for the newest fencing number.
+func (f *Fleet) OnFenceAsk(side structs.HostID, send func(*structs.Frame) error) {
+	f.mu.Lock()
+	fences := f.fences
+	f.mu.Unlock()
+	if fences != nil {
+		fences.ask(side, send)
+	}
+}
+
 func (f *Fleet) signal() {
 	select {
 	case f.changed <- struct{}{}:
--- a/internal/reconcile/owner.go
+++ b/internal/reconcile/owner.go
@@ -59,34 +59,47 @@
 
 // read folds what is new in the stream, waiting up to wait for it.
 func (o *owner) read(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
-	defer cancel()
-	page, err := o.log.Read(ctx, structs.PlacementStream, o.claims.At+1, pageSize, wait)
+	beat := o.claims.Beat
+	end, err := readClaims(ctx, o.log, &o.claims, wait)
 	if errs.Is(err, errs.LogTrimmed) {
-		o.claims.Skip(page.First)
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	beat := o.claims.Beat
-	for _, e := range page.Entries {
-		var r reconcile.ClaimRecord
-		if err := confstate.Decode(e.Body, &r); err != nil {
-			o.claims.Skip(e.Offset + 1)
-			continue
-		}
-		o.claims.Fold(e.Offset, r)
-	}
 	if o.claims.Beat != beat || o.beatAt.IsZero() {
 		o.beatAt = o.now()
 	}
-	if len(page.Entries) < pageSize {
+	if end {
 		o.confirmed = o.now()
 	}
 	return nil
 }
 
+// readClaims folds the next page of the placement stream into c, waiting up to wait for it. It
+// reports whether the stream's end is reached. Errors: errs.LogTrimmed when records that come next are
+// no longer kept, which c has then skipped; errs.LogDown.
+func readClaims(ctx context.Context, log platform.Log, c *reconcile.Claims, wait time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readGrace)
+	defer cancel()
+	page, err := log.Read(ctx, structs.PlacementStream, c.At+1, pageSize, wait)
+	if errs.Is(err, errs.LogTrimmed) {
+		c.Skip(page.First)
+	}
+	if err != nil {
+		return false, err
+	}
+	for _, e := range page.Entries {
+		var r reconcile.ClaimRecord
+		if err := confstate.Decode(e.Body, &r); err != nil {
+			c.Skip(e.Offset + 1)
+			continue
+		}
+		c.Fold(e.Offset, r)
+	}
+	return len(page.Entries) < pageSize, nil
+}
+
 // vacant says that this process should claim now: there is no owner, or it has left, or
 // it was silent for the lease. Candidates of lower rank wait longer, so that one claims.
 func (o *owner) vacant() bool {
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -57,6 +57,8 @@
 	orders, refused, takeovers metrics.Counter
 	owning                     metrics.Gauge
 
+	fences *fences
+
 	mu       sync.Mutex
 	machine  *reconcile.Machine // nil unless this process is the owner
 	since    time.Time          // when it became the owner
@@ -101,7 +103,9 @@
 		takeovers: metrics.GetOrRegisterCounter("reconcile.takeovers", o.Metrics),
 		owning:    metrics.GetOrRegisterGauge("reconcile.owner", o.Metrics),
 	}
+	r.fences = newFences(o.Log, r.log, r.follows)
 	o.Fleet.mu.Lock()
+	o.Fleet.fences = r.fences
 	o.Fleet.done = r.orderDone
 	o.Fleet.gone = r.sideGone
 	o.Fleet.mu.Unlock()
@@ -123,6 +127,10 @@
 		r.learnLoop(run)
 		return nil
 	})
+	g.Go(func() error {
+		r.fences.run(run)
+		return nil
+	})
 	err := g.Wait()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseLimit)
 	defer cancel()
@@ -164,6 +172,14 @@
 	return r.owner.renew(ctx)
 }
 
+// follows says that this process reads the placement stream, as its owner or one of the candidates.
+func (r *Reconciler) follows() bool {
+	r.mu.Lock()
+	owner := r.machine != nil
+	r.mu.Unlock()
+	return owner || r.owner.candidate()
+}
+
 // eligible says that this entry may have a session to every side. An owner that
 // sees only a part of the fleet would take the rest for lost.
 func (r *Reconciler) eligible() bool {
@@ -250,7 +266,8 @@
 
 // decide returns the orders to send now. After a pause there are none until the
 // log has confirmed the ownership: another may have claimed meanwhile. Orders
-// that slip through all the same carry the old epoch, which the sides refuse.
+// that slip through all the same carry the old epoch, which the sides refuse; one that has
+// just started takes none until it has learnt the newest epoch.
 func (r *Reconciler) decide(s *confstate.State, fleet structs.Fleet) []reconcile.Send {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/session/codec.go
+++ b/internal/session/codec.go
@@ -73,7 +73,7 @@
 		f.Head != nil, f.Data != nil, f.End != nil, f.Load != nil,
 		f.Pull != nil, f.Items != nil, f.ItemDone != nil, f.ItemStop != nil,
 		f.Config != nil, f.ItemAck != nil, f.Beat != nil, f.Order != nil,
-		f.OrderDone != nil,
+		f.OrderDone != nil, f.Fence != nil,
 	} {
 		if set {
 			n++
--- a/internal/side/fence.go
+++ b/internal/side/fence.go
@@ -16,10 +16,22 @@
 type fence struct {
 	highest structs.Epoch
 	busy    bool
+	// learnt says that an entry has told the newest number since this side started. What the side
+	// before it has passed on is not known here.
+	learnt bool
+}
+
+// learn takes the newest number that an entry has read in the log.
+func (f *fence) learn(e structs.Epoch) {
+	f.learnt = true
+	f.highest = max(f.highest, e)
 }
 
 // begin admits an order with number e, or says why not. Nothing was passed on then.
 func (f *fence) begin(e structs.Epoch) *errs.Error {
+	if !f.learnt {
+		return errs.New(errs.Overloaded, "this side has started and does not know the newest fencing number yet").WithRetry(orderRetry)
+	}
 	if e < f.highest {
 		return errs.Newf(errs.StaleFence, "order %d came after order %d", e, f.highest)
 	}
--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -215,7 +215,22 @@
 	}
 }
 
+// bubble runs f with a side that an entry has told that there was no order yet.
 func bubble(t *testing.T, kind structs.TargetKind, f func(t *testing.T, b *bench)) {
+	t.Helper()
+	started(t, kind, func(t *testing.T, b *bench) {
+		b.send(structs.Frame{Fence: &structs.Fence{}})
+		f(t, b)
+	})
+}
+
+// unlearnt is bubble for an engine's side that has just started.
+func unlearnt(t *testing.T, f func(t *testing.T, b *bench)) {
+	t.Helper()
+	started(t, structs.KindEngine, f)
+}
+
+func started(t *testing.T, kind structs.TargetKind, f func(t *testing.T, b *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		target := &fakeTarget{}
--- a/internal/side/order_test.go
+++ b/internal/side/order_test.go
@@ -49,6 +49,41 @@
 	})
 }
 
+// Symptom: a model that was just loaded is unloaded again, at a target that checks nothing.
+// Sequence: the side passes on an order of the newest owner and is replaced; the owner before, which was
+// paused, wakes, reaches the new side first and gives its late order.
+// Cause: a side that has just started knows of no fencing number and takes any.
+func TestRestartedSideTakesNoOrderOfAnEarlierOwner(t *testing.T) {
+	unlearnt(t, func(t *testing.T, b *bench) {
+		var passed []structs.Epoch
+		b.target.order = func(o platform.Order) error {
+			passed = append(passed, o.Fence)
+			return nil
+		}
+		b.send(loadOrder(1, 6))
+		if err := b.orderErr(t, 1); !errs.Is(err, errs.Overloaded) || err.Ran != errs.RanNo || err.RetryAfterMs == 0 {
+			t.Errorf("before the newest number is known: %+v", err)
+		}
+		asks := b.entry.frames(func(f *structs.Frame) bool { return f.Fence != nil && f.Fence.Ask })
+		if len(asks) != 2 {
+			t.Errorf("asked %d times, want at the start and at the order", len(asks))
+		}
+		b.send(structs.Frame{Fence: &structs.Fence{Highest: 9}})
+		b.send(structs.Frame{Fence: &structs.Fence{Highest: 8}}) // of an entry that has read earlier
+		b.send(loadOrder(2, 6))
+		b.send(loadOrder(3, 8))
+		b.send(loadOrder(4, 9))
+		for id, want := range map[uint64]errs.Type{2: errs.StaleFence, 3: errs.StaleFence} {
+			if err := b.orderErr(t, id); !errs.Is(err, want) {
+				t.Errorf("order %d: %v, want %s", id, err, want)
+			}
+		}
+		if err := b.orderErr(t, 4); err != nil || len(passed) != 1 || passed[0] != 9 {
+			t.Errorf("the owner's order: %v; passed on %v", err, passed)
+		}
+	})
+}
+
 func TestOneOrderAtATime(t *testing.T) {
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
 		b.target.order = func(platform.Order) error {
--- a/internal/side/orders.go
+++ b/internal/side/orders.go
@@ -40,11 +40,36 @@
 	if o.s.draining.Load() {
 		return drainingErr()
 	}
+	o.ask(p)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.f.begin(m.Fence)
 }
 
+// ask asks an entry for the newest fencing number, until one has told it.
+func (o *orders) ask(p *peer) {
+	o.mu.Lock()
+	learnt := o.f.learnt
+	o.mu.Unlock()
+	if !learnt && o.s.o.Engine != nil {
+		p.send(&structs.Frame{Fence: &structs.Fence{Ask: true}})
+	}
+}
+
+// learn takes an entry's answer.
+func (o *orders) learn(p *peer, m *structs.Fence) {
+	if m.Ask {
+		return
+	}
+	o.mu.Lock()
+	first := !o.f.learnt
+	o.f.learn(m.Highest)
+	o.mu.Unlock()
+	if first {
+		o.s.log.Info("newest fencing number learnt", "entry", p.host, "fence", m.Highest)
+	}
+}
+
 func (o *orders) run(p *peer, m *structs.Order) {
 	err := o.pass(p, m)
 	o.mu.Lock()
--- a/internal/side/sessions.go
+++ b/internal/side/sessions.go
@@ -160,6 +160,7 @@
 	load.Prefixes = s.prefixes.latest()
 	p.send(&structs.Frame{Load: load})
 	s.config.ask(p)
+	s.orders.ask(p)
 	s.items.resend(p)
 	s.signal()
 }
@@ -218,6 +219,8 @@
 		s.config.receive(p, f.Config)
 	case f.Order != nil:
 		s.orders.receive(p, f.Order)
+	case f.Fence != nil:
+		s.orders.learn(p, f.Fence)
 	default:
 		return errs.Newf(errs.BadFrame, "a frame from %s that a side takes none of", p.host)
 	}
