--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -5,8 +5,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-
-	"github.com/hashicorp/go-hclog"
 )
 
 // exitOnSecondSignal is the status of a process that was told twice to stop.
@@ -35,26 +33,23 @@
 	}
 }
 
-// reloadOnHangup calls reload at each SIGHUP until ctx is done: it reads keys anew. A file with
-// faults changes nothing.
-func reloadOnHangup(ctx context.Context, log hclog.Logger, reload func() error) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case <-signals:
-			case <-ctx.Done():
-				// Not signal.Stop: a hangup would then end the process in the
-				// middle of its drain.
-				signal.Ignore(syscall.SIGHUP)
-				return
-			}
-			if err := reload(); err != nil {
-				log.Error("keys not read again", "error", err)
-				continue
-			}
-			log.Info("keys read again")
+// hangups catches SIGHUP from now on. A process that starts must not be ended by an
+// operator who sends it to all: it is looked at once the process can read its settings again.
+func hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
+// reloadOn calls reload at each signal until ctx ends. A signal that comes while one waits adds
+// nothing: the file is read after both.
+func reloadOn(ctx context.Context, c <-chan os.Signal, reload func() error) {
+	for {
+		select {
+		case <-c:
+			_ = reload() // it has logged what was wrong; the process goes on as before
+		case <-ctx.Done():
+			return
 		}
-	}()
+	}
 }
