One set of prompt prefixes serves entry and side; header scheme compared by the library

The bounded set of hashes stood twice (core/choose and internal/side), and the scheme of the Authorization header was compared by hand beside bytes.EqualFold. Behaviour is the same; the side's test checks the same bound through the shared set.

--- a/core/choose/health_test.go
+++ b/core/choose/health_test.go
@@ -129,10 +129,10 @@
 	if n := s.Match([]uint64{1, 2, 9}); n != 2 {
 		t.Errorf("matched %d blocks, want 2", n)
 	}
-	for h := range uint64(maxPrefixes) {
+	for h := range uint64(MaxPrefixes) {
 		s.Add([]uint64{100 + h})
 	}
-	if n := s.Match([]uint64{1, 2, 3}); n != 0 || len(s.has) != maxPrefixes {
+	if n := s.Match([]uint64{1, 2, 3}); n != 0 || len(s.has) != MaxPrefixes {
 		t.Errorf("matched %d blocks of %d kept", n, len(s.has))
 	}
 }
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"strconv"
 	"time"
 
@@ -56,24 +57,17 @@
 	return acceptKey(ctx, a)
 }
 
+// scheme is the only kind of credentials that callers may send.
+var scheme = []byte("Bearer ")
+
 func bearer(ctx *fasthttp.RequestCtx) []byte {
-	const scheme = "Bearer "
 	auth := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
-	if len(auth) <= len(scheme) || !equalFold(auth[:len(scheme)], scheme) {
+	if len(auth) <= len(scheme) || !bytes.EqualFold(auth[:len(scheme)], scheme) {
 		return nil
 	}
 	return auth[len(scheme):]
 }
 
-func equalFold(b []byte, s string) bool {
-	for i := range b {
-		if b[i]|0x20 != s[i]|0x20 {
-			return false
-		}
-	}
-	return true
-}
-
 // requestID takes over the caller's id if it is fit for logs and headers.
 func (e *Entry) requestID(given []byte) structs.RequestID {
 	if len(given) == 0 || len(given) > maxIDLen || !printable(given) {
--- a/internal/side/prefixes_test.go
+++ b/internal/side/prefixes_test.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"testing"
+
+	"arbutusramp/core/choose"
 )
 
 func TestPrefixesAreToldOnceAndBounded(t *testing.T) {
@@ -19,14 +21,14 @@
 	if got := p.take(); len(got) != 0 {
 		t.Fatalf("told again: %v", got)
 	}
-	for h := range uint64(2 * maxPrefixesKnown) {
+	for h := range uint64(2 * choose.MaxPrefixes) {
 		p.add([]uint64{h})
 		p.take()
 	}
-	if len(p.told) != maxPrefixesKnown || len(p.ring) != maxPrefixesKnown {
-		t.Fatalf("%d told, %d in the ring", len(p.told), len(p.ring))
+	if n := len(p.told.Latest(3 * choose.MaxPrefixes)); n != choose.MaxPrefixes {
+		t.Fatalf("%d told", n)
 	}
-	if got := p.latest(); len(got) != maxPrefixNews || got[0] != 2*maxPrefixesKnown-1 {
+	if got := p.latest(); len(got) != maxPrefixNews || got[0] != 2*choose.MaxPrefixes-1 {
 		t.Fatalf("latest %v", got)
 	}
 }
