--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -10,6 +10,9 @@
 	"arbutusramp/core/structs"
 )
 
+// maxLeases bounds a release. Items beyond it are handed out again at once.
+const maxLeases = 4096
+
 // askEvery is how often the holder of a wanted shard is asked to release it.
 const askEvery = time.Second
 
@@ -69,6 +72,7 @@
 	s.lastRead = now
 	if lost {
 		s.quietUntil = now.Add(s.m.tune.TakeoverWait)
+		s.unknownUntil = now.Add(s.m.set.ItemTimeout + leaseSlack)
 	}
 	return true, true
 }
@@ -155,6 +159,7 @@
 		return nil, false
 	}
 	leases := s.sched.Held(s.m.now())
+	leases = leases[:min(len(leases), maxLeases)]
 	p := &proposal{
 		record: structs.JobRecord{Release: &structs.ShardRelease{Leases: leases}},
 		bytes:  len(leases) * recordOverhead,
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -53,7 +53,9 @@
 	for _, s := range m.owned() {
 		holds[s.id] = s.ownerEpoch()
 	}
-	return &PeerReply{Incarnation: m.self.Incarnation, Holds: holds, Leaving: m.leaving.Load()}
+	return &PeerReply{
+		Incarnation: m.self.Incarnation, Holds: holds, Leaving: m.leaving.Load(), LogDown: m.health.down(), LogUp: m.logUp(),
+	}
 }
 
 // serveOffer answers once this entry has read the offered shard and follows it:
@@ -125,7 +127,7 @@
 
 // release hands the shard over while this entry goes on.
 func (s *shard) release(to platform.Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	ctx, cancel := context.WithTimeout(s.m.life, handOverTimeout)
 	defer cancel()
 	s.handOver(ctx, &to)
 	s.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -14,6 +14,7 @@
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/entry"
 	"arbutusramp/internal/follow"
+	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/reconcile"
 	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
@@ -38,7 +39,10 @@
 
 // NewEntryVariant is NewEntry with the changes of v.
 func NewEntryVariant(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*entry.Entry, error) {
-	k := newKit(s, logger, reg, v)
+	k, err := newKit(s, logger, reg, v)
+	if err != nil {
+		return nil, err
+	}
 	e, err := entry.New(entry.Options{
 		Settings: s,
 		Logger:   logger,
@@ -47,6 +51,7 @@
 		Hosts:    k.hosts,
 		Weights:  k.weights,
 		Config:   k.config,
+		Keys:     k.keys,
 	})
 	if err != nil {
 		return nil, err
@@ -64,11 +69,16 @@
 	log     platform.Log
 	hosts   *members
 	weights platform.WeightStore // nil without a URL: plans then show no sizes
+	keys    *keyring.Keyring
 	config  *follow.Follower
 	fleet   *reconcile.Fleet
 }
 
-func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) *kit {
+func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*kit, error) {
+	values, err := keyring.EntryValues(s)
+	if err != nil {
+		return nil, err
+	}
 	k := &kit{
 		set:     s,
 		variant: v,
@@ -76,36 +86,41 @@
 		metrics: reg,
 		log:     loghttp.New(s.Platform.LogURL),
 		hosts:   &members{HostList: hosthttp.New(s.Platform.HostListURL)},
+		keys:    keyring.New(values),
 	}
 	if s.Platform.WeightsURL != "" {
 		k.weights = weightshttp.New(s.Platform.WeightsURL)
 	}
 	k.config = follow.New(follow.Options{
-		Self:    s,
-		Log:     k.log,
-		Members: k.hosts.known,
-		Logger:  logger,
-		Metrics: reg,
-		Check:   v.Check,
+		Self:       s,
+		Log:        k.log,
+		Members:    k.hosts.known,
+		Logger:     logger,
+		Metrics:    reg,
+		Check:      v.Check,
+		PeerKeys:   k.keys.PeerKeys,
+		RetiredKey: k.keys.RetiredPeerKey,
 	})
 	k.fleet = reconcile.NewFleet(reconcile.FleetOptions{
 		Members:   k.hosts.known,
 		Weights:   k.weights,
 		BytesPerS: float64(s.Platform.WeightsBytesPerS),
 	})
-	return k
+	return k, nil
 }
 
 // parts makes what works beside the entry itself. peerAddr is where other entries reach it.
 func (k *kit) parts(peerAddr string) entry.Parts {
 	m := k.jobs(peerAddr)
 	owner := newStage(m.Run)
-	operators := k.operators()
+	placement := k.placement()
+	operators := k.operators(placement)
 	return entry.Parts{
 		Batch:  m,
 		Jobs:   serveJobs(m),
 		Config: k.config,
 		Orders: k.fleet,
+		SeeAll: placement.Candidate,
 		Admin:  operators.Handler,
 		Peers: servePeers([]peerRoute{
 			{batch.PeerPath, m.PeerHandler},
@@ -113,7 +128,7 @@
 		}, k.logger),
 		Ready:       []func() bool{isClosed(k.config.Ready())},
 		ConfigFresh: k.config.Fresh,
-		Run:         []func(context.Context) error{k.config.Run, k.placement().Run, owner.run},
+		Run:         []func(context.Context) error{k.config.Run, placement.Run, owner.run},
 		Drain: []func(context.Context){
 			// An operator's watch is held for long; without this a stop would wait for it.
 			func(context.Context) { operators.Close() },
@@ -124,16 +139,18 @@
 
 func (k *kit) jobs(peerAddr string) *batch.Manager {
 	return batch.New(batch.Options{
-		Settings: k.set,
-		Log:      k.log,
-		Config:   k.config,
-		Members:  k.hosts.known,
-		Logger:   k.logger,
-		Metrics:  k.metrics,
-		PeerAddr: peerAddr,
-		Check:    k.variant.Check,
-		Broken:   k.variant.Broken,
-		Tuning:   k.variant.Tuning,
+		Settings:   k.set,
+		Log:        k.log,
+		Config:     k.config,
+		Members:    k.hosts.known,
+		Logger:     k.logger,
+		Metrics:    k.metrics,
+		PeerAddr:   peerAddr,
+		Check:      k.variant.Check,
+		Broken:     k.variant.Broken,
+		Tuning:     k.variant.Tuning,
+		PeerKeys:   k.keys.PeerKeys,
+		RetiredKey: k.keys.RetiredPeerKey,
 	})
 }
 
@@ -149,12 +166,21 @@
 	})
 }
 
-func (k *kit) operators() *admin.Admin {
+// view is what plans and status of this entry rest on.
+func (k *kit) view(placement *reconcile.Reconciler) plan.View {
+	return plan.View{
+		Fleet:   k.fleet.View(k.config.Current()),
+		Partial: k.set.MaxSides > 0 && !placement.Candidate(),
+	}
+}
+
+func (k *kit) operators(placement *reconcile.Reconciler) *admin.Admin {
 	return admin.New(admin.Options{
 		Self:    k.set,
+		Keys:    k.keys,
 		Config:  k.config,
 		Log:     k.log,
-		View:    func() plan.View { return plan.View{Fleet: k.fleet.View(k.config.Current())} },
+		View:    func() plan.View { return k.view(placement) },
 		Weights: k.weights,
 		Logger:  k.logger,
 		Metrics: k.metrics,
