Find a queue inside the target by one request that is passed over again and again

Steps that left any request unserved were counted together; on a busy machine requests that were slow on their way summed up to a limit far too low, and the next burst waited at the side. Three idle steps must now pass over the same request.

--- a/core/admit/limiter.go
+++ b/core/admit/limiter.go
@@ -14,7 +14,6 @@
 	// places is how many requests the target was found to serve at a time; 0 is not known.
 	places  float64
 	foundAt time.Time
-	inside  int     // steps in a row that showed a queue inside
 	fastest float64 // seconds of an unloaded call, forgotten slowly
 }
 
@@ -29,9 +28,10 @@
 	kneeShare = 0.97
 	// probeEvery is how often one place more than were found is tried while the limit binds.
 	probeEvery = 2 * time.Second
-	// insideInARow is how many steps must show a queue inside the target with none between
-	// that served all. One alone may be a request that was slow on its way.
-	insideInARow = 3
+	// passedOver is how many steps with time to spare leave the same request unserved before
+	// the target counts as queueing inside. Fewer may be a request that was slow on its
+	// way: a limit that is found too low holds up the next burst at the side.
+	passedOver = 3
 	// widenEvery and widenFactor let the limit rise while online requests wait at the
 	// side, in case it was found too low; what is too much then waits inside the
 	// target, in the same order.
@@ -86,10 +86,6 @@
 // queuedInside learns that the engine serves no more than served requests
 // and keeps others waiting in a queue of its own, where no priority holds.
 func (l *limiter) queuedInside(now time.Time, served int) {
-	l.inside++
-	if l.inside < insideInARow {
-		return
-	}
 	l.limit = max(minLimit, min(l.limit, float64(served)))
 	l.places = l.limit
 	l.foundAt = now
--- a/core/admit/machine.go
+++ b/core/admit/machine.go
@@ -20,6 +20,7 @@
 	// expected is the seconds from its start to its first token, as predicted then.
 	expected float64
 
+	passed    int  // idle steps of the engine that have left it unserved
 	streaming bool // its first token has come
 	stopping  bool // it was preempted or withdrawn and has not ended yet
 	tokens    int
@@ -154,30 +155,46 @@
 	m.model.observe(s)
 	m.batchCost += m.model.perStream*float64(s.batch) + m.model.perToken*float64(s.prefillBatch)
 	m.limit.step(now, s, &m.model)
-	if m.model.idleInside(s) && m.lastStop.Before(m.steps.before.Add(-wire)) {
+	idle := m.model.idleInside(s) && m.lastStop.Before(m.steps.before.Add(-wire))
+	if idle && m.passOver(now) {
 		m.limit.queuedInside(now, s.streams())
 	}
-	if s.unserved == 0 {
-		m.limit.inside = 0
+}
+
+// passOver notes an idle step for each request that it left unserved, and reports whether
+// one was passed over often enough to show a queue inside the target.
+func (m *Machine) passOver(now time.Time) bool {
+	often := false
+	for _, r := range m.running {
+		if m.isUnserved(now, r) {
+			r.passed++
+			often = often || r.passed >= passedOver
+		}
 	}
+	return often
 }
 
 // unserved counts the requests that the engine had when the last closed step
-// began and that have no token yet. Those without one for long are left out: they
-// are stuck, and a limit that fell below them would fall for ever.
+// began and that have no token yet.
 func (m *Machine) unserved(now time.Time) int {
 	n := 0
 	for _, r := range m.running {
-		if r.streaming || r.stopping || now.Sub(r.started) > stuckAfter {
-			continue
-		}
-		if r.started.Before(m.steps.before.Add(-wire)) {
+		if m.isUnserved(now, r) {
 			n++
 		}
 	}
 	return n
 }
 
+// isUnserved leaves out requests without a token for long: they are stuck, and a limit that
+// fell below them would fall for ever.
+func (m *Machine) isUnserved(now time.Time, r *request) bool {
+	if r.streaming || r.stopping || now.Sub(r.started) > stuckAfter {
+		return false
+	}
+	return r.started.Before(m.steps.before.Add(-wire))
+}
+
 // stuckAfter is when a request without a first token no longer counts as waiting for a place.
 const stuckAfter = 2 * time.Second
 
