--- a/internal/lab/mix/shape.go
+++ b/internal/lab/mix/shape.go
@@ -30,8 +30,8 @@
 // Both fleets have 9 engines. By the stand-in's step model one engine in a full batch finishes
 // about 11 (kelpie) or 10 (tuulai) online calls of these sizes a second. Bursts ask
 // for about 70 % of what the engines can do, quiet times for a tenth: idle capacity is most
-// of the time, and lasts seconds. At 90 % the floor itself was a queue: its p99 moved by a
-// factor of 5 with the luck of routing, and harm by batch could not be told from it.
+// of the time, and lasts seconds. Heavier bursts queue in the floor itself, which lowers
+// the ratio by which batch harms: docs/ADMISSION.md has it for 90 % and 110 %.
 // Prompts are case histories and released files, a few hundred to some thousand tokens.
 var shapes = map[string]shape{
 	"kelpie": {
