--- a/internal/lab/mix/fault.go
+++ b/internal/lab/mix/fault.go
@@ -92,7 +92,6 @@
 
 func (s *stage) killSide() {
 	p := s.fleet.sides[victim]
-	p.killed = true
 	s.isolate(p.host)
 	s.fleet.hosts.Remove(p.host)
 	p.stop()
@@ -100,9 +99,8 @@
 
 func (s *stage) killEntry() {
 	p := s.fleet.entries[victim]
-	p.killed = true
+	s.balancer.kill(victim) // first: a dead process answers nobody that its sessions are gone
 	s.isolate(p.host)
-	s.balancer.kill(victim)
 	p.stop()
 	s.feed.ownerLost(p.host)
 }
--- a/internal/lab/mix/fleet.go
+++ b/internal/lab/mix/fleet.go
@@ -58,7 +58,6 @@
 	stop   context.CancelFunc // starts a planned stop
 	done   chan struct{}      // closed when Run has returned
 	err    error              // of Run, valid once done is closed
-	killed bool
 }
 
 // setup is how a fleet is run.
