Do not let a limit that was found too low last

A trace showed one engine's limit set to 10 of 32 places at the start: while every step computes a part of a prompt, the step model takes that time for the base, and a busy engine looks idle. The model must now have seen steps without, or 200 in all; and probes double while they are served, so that 10 is back at 32 in seconds in place of 44 s.

--- a/core/admit/limiter.go
+++ b/core/admit/limiter.go
@@ -14,6 +14,9 @@
 	// places is how many requests the target was found to serve at a time; 0 is not known.
 	places  float64
 	foundAt time.Time
+	// stride is by how much the next probe raises places; it doubles while probes
+	// are served, so that a limit that was found too low does not last.
+	stride  float64
 	fastest float64 // seconds of an unloaded call, forgotten slowly
 }
 
@@ -28,6 +31,8 @@
 	kneeShare = 0.97
 	// probeEvery is how often one place more than were found is tried while the limit binds.
 	probeEvery = 2 * time.Second
+	// probeAgain is the time between probes while they are served.
+	probeAgain = 300 * time.Millisecond
 	// passedOver is how many steps with time to spare leave the same request unserved before
 	// the target counts as queueing inside. Fewer may be a request that was slow on its
 	// way: a limit that is found too low holds up the next burst at the side.
@@ -62,8 +67,9 @@
 		ceiling = min(ceiling, knee(m))
 	}
 	binding := float64(s.streams()) >= bindShare*l.limit
-	if l.places > 0 && binding && now.Sub(l.foundAt) > probeEvery {
-		l.places++
+	if l.places > 0 && binding && now.Sub(l.foundAt) > l.probeWait() {
+		l.places += l.stride
+		l.stride *= 2
 		l.foundAt = now
 	}
 	if l.places > 0 {
@@ -88,9 +94,18 @@
 func (l *limiter) queuedInside(now time.Time, served int) {
 	l.limit = max(minLimit, min(l.limit, float64(served)))
 	l.places = l.limit
+	l.stride = 1
 	l.foundAt = now
 }
 
+// probeWait is the time to the next probe: long after one that had to wait inside.
+func (l *limiter) probeWait() time.Duration {
+	if l.stride > 1 {
+		return probeAgain
+	}
+	return probeEvery
+}
+
 // widen raises the limit for waiting online requests.
 func (l *limiter) widen(now time.Time) {
 	if l.places == 0 || now.Sub(l.foundAt) < widenEvery {
--- a/core/admit/model.go
+++ b/core/admit/model.go
@@ -19,6 +19,7 @@
 	// seconds; 0 until a prompt was seen that took more than one step.
 	chunk   float64
 	samples int
+	clean   int // samples in which all prompts were done
 
 	xx matrix
 	xy vector
@@ -35,8 +36,13 @@
 	// tokenScale keeps the columns of the normal equations alike in size.
 	tokenScale = 100.0
 	ridge      = 1e-6
-	// idleSamples are steps before the model is trusted to tell an idle step.
-	idleSamples = 100
+	// idleSamples are steps without an unfinished prompt before the model is trusted
+	// to tell an idle step: without them the base takes in the time of prompts, and
+	// an engine that is busy with prompts looks as if it kept them waiting.
+	idleSamples = 50
+	// idleAnyhow are steps after which it is trusted without: an engine that always
+	// queues inside has no others.
+	idleAnyhow = 200
 	// idleFactor is how much longer than without prompts a step may be and
 	// still count as one that computed none.
 	idleFactor = 1.15
@@ -63,7 +69,9 @@
 		return
 	}
 	x := vector{termBase: 1, termStream: float64(s.streams()), termToken: float64(s.prefill) / tokenScale}
-	if s.unserved > 0 {
+	if s.unserved == 0 {
+		m.clean++
+	} else {
 		x[termToken], x[termChunk] = 0, 1
 	}
 	for i := range x {
@@ -81,7 +89,7 @@
 // idleInside reports whether the step left requests unserved without spending time on
 // prompts: the engine keeps them in a queue of its own.
 func (m *model) idleInside(s step) bool {
-	if m.samples < idleSamples || s.unserved == 0 || s.prefill > 0 {
+	if m.clean < idleSamples && m.samples < idleAnyhow || s.unserved == 0 || s.prefill > 0 {
 		return false
 	}
 	return s.took.Seconds() < idleFactor*m.step(s.streams(), 0)
