An owner answers reads only when its fold is at the stream's end

Cause: an entry that is cut off from the log service, or was paused, and was replaced meanwhile went on to answer from its old fold: a job that its successor had accepted was not found, and results of a job that had ended could come cut short. Each call of status, list, cancel and results now costs one read of the log (no append).

--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -83,6 +83,12 @@
 
 // serve answers a call as the owner.
 func (s *shard) serve(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
+	switch r.Op {
+	case OpStatus, OpList, OpCancel, OpResults:
+		if err := s.catchUp(ctx); err != nil {
+			return nil, err
+		}
+	}
 	switch r.Op {
 	case OpHandover:
 		return s.serveHandover(r)
--- /dev/null
+++ b/internal/batch/stale_test.go
@@ -0,0 +1,57 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/jobs"
+	"arbutusramp/core/structs"
+)
+
+// sameShard returns a key whose job falls to the shard of job.
+func (c *cluster) sameShard(job structs.JobID) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprint("other-", i)
+		id := jobs.JobIDFor(testWorkspace, key)
+		if jobs.ShardFor(id, c.set.Shards) == jobs.ShardFor(job, c.set.Shards) {
+			return key
+		}
+	}
+}
+
+// Symptom: a job that was just accepted is not found, and results of a job that has ended are cut short.
+// Sequence: the owner of a shard is cut off from the log service; another takes over and
+// accepts a job; a caller asks through an entry that still takes the first for the owner.
+// Cause: an owner that answers from its fold without a look whether the fold is at the stream's end.
+func TestReplacedOwnerDoesNotAnswerReads(t *testing.T) {
+	bubble(t, 3, 3, func(c *cluster) {
+		first := c.mustSubmit("k", jobFile(2000, plain))
+		old := c.owner(first.ID)
+		shard := jobs.ShardFor(first.ID, c.set.Shards)
+		old.cutLog.Store(true)
+		for c.owner(first.ID) == old {
+			time.Sleep(10 * time.Millisecond)
+		}
+		second, err := c.submit(c.owner(first.ID), c.sameShard(first.ID), jobFile(5, plain))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, op := range []Op{OpStatus, OpResults, OpCancel} {
+			for _, job := range []structs.JobID{first.ID, second.ID} {
+				r := old.m.Serve(context.Background(), &PeerRequest{Op: op, Shard: shard, Job: job})
+				if !errs.Is(r.Err, errs.NotOwner) {
+					t.Errorf("%s of a replaced owner: %v", op, r.Err)
+				}
+			}
+		}
+		if r := old.m.Serve(context.Background(), &PeerRequest{Op: OpList, Shard: shard}); !errs.Is(r.Err, errs.NotOwner) {
+			t.Errorf("%s of a replaced owner: %v, %d jobs", OpList, r.Err, len(r.Jobs))
+		}
+		old.cutLog.Store(false)
+		c.awaitEnd(second.ID, time.Minute)
+		c.awaitEnd(first.ID, time.Minute)
+	})
+}
--- a/internal/lab/faults/history.go
+++ b/internal/lab/faults/history.go
@@ -71,7 +71,8 @@
 	}
 }
 
-const maxDetails = 40
+// maxDetails bounds the details that are kept of each name.
+const maxDetails = 8
 
 // violation counts one violation of what name stands for.
 func (h *history) violation(name, detail string) {
@@ -82,8 +83,8 @@
 
 func (h *history) violationLocked(name, detail string) {
 	h.bad[name]++
-	if len(h.details) < maxDetails {
-		h.details = append(h.details, name+": "+detail)
+	if h.bad[name] <= maxDetails {
+		h.details = append(h.details, time.Now().Format(clock)+" "+name+": "+detail)
 	}
 }
 
