No handover of a shard to an entry that does not answer probes

Cause: after a replacement at another address the host list lags, and the entry that still probes the old address takes the host for gone: it handed the shard over when it was asked to and claimed it back at its next look, several times a second. The test was seen to fail without the change.

--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -121,6 +121,12 @@
 	if at == len(rank) || at >= shardmap.Position(rank, s.m.self.Host) {
 		return nil, errs.New(errs.Conflict, "the shard belongs here")
 	}
+	// Handed over to a host that this entry can't reach, the shard would be claimed back at
+	// once: while the host list lags behind a replaced address, the two would take it from
+	// each other several times a second, and no item would get on.
+	if s.m.gone(r.Host) {
+		return nil, errs.New(errs.Conflict, "the entry that asks does not answer").WithRetry(askEvery)
+	}
 	s.mu.Lock()
 	busy := s.draining
 	s.draining = true
@@ -131,6 +137,13 @@
 	return &PeerReply{}, nil
 }
 
+// gone says that host has not answered probes for a lease.
+func (m *Manager) gone(host structs.HostID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.probed.Gone(m.now(), host)
+}
+
 // release hands the shard over while this entry goes on.
 func (s *shard) release(to platform.Host) {
 	ctx, cancel := context.WithTimeout(s.m.life, handOverTimeout)
--- a/internal/batch/stale_test.go
+++ b/internal/batch/stale_test.go
@@ -55,3 +55,32 @@
 		c.awaitEnd(first.ID, time.Minute)
 	})
 }
+
+// Symptom: a shard changes its owner several times a second, and nothing of its jobs is done.
+// Sequence: the first candidate of a shard is replaced at another address; the host list lags, so
+// that the owner can't reach it while it reaches the owner; it asks for the shard.
+// Cause: an owner that hands over to an entry that it holds for gone, and then claims again.
+func TestNoHandoverToAnEntryThatIsNotReached(t *testing.T) {
+	bubble(t, 2, 1, func(c *cluster) {
+		v := c.mustSubmit("k", jobFile(5, plain))
+		c.awaitEnd(v.ID, time.Minute)
+		first := c.owner(v.ID)
+		shard := jobs.ShardFor(v.ID, c.set.Shards)
+		first.gate.pause()
+		second := c.awaitOther(v.ID, first)
+		ask := &PeerRequest{Op: OpHandover, Shard: shard, Host: first.host.ID}
+		if r := second.m.Serve(context.Background(), ask); !errs.Is(r.Err, errs.Conflict) {
+			t.Errorf("handover to an entry that is not reached: %v", r.Err)
+		}
+		first.gate.resume()
+		for c.owner(v.ID) != first {
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+// awaitOther waits until another node than old owns the shard of job and returns it.
+func (c *cluster) awaitOther(job structs.JobID, old *node) *node {
+	c.awaitOwner(job, old)
+	return c.owner(job)
+}
