An entry without configuration does not call a valid key unknown

Seen as unauthenticated refusals in lab faults after an entry was replaced. The test was seen to fail without the change (unauthenticated).

--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -188,3 +188,16 @@
 	}
 	return resp.Status[:3] + " " + string(body)
 }
+
+// Symptom: a caller with a valid key is told that its key is not known, and gives up.
+// Sequence: an entry has just started and has not read the configuration yet; a caller's
+// request reaches it before the balancer knows that it is not ready.
+// Cause: no configuration taken for a configuration without keys.
+func TestEntryWithoutConfigurationRefusesNobodysKey(t *testing.T) {
+	e := newTestEntry(t, &confstate.State{})
+	resp, body := do(e, request{method: "GET", uri: "/v1/models", key: testKey})
+	err := problemOf(t, body)
+	if err.Type != errs.NoTarget || err.Ran != errs.RanNo || err.RetryAfterMs == 0 {
+		t.Errorf("status %d, %+v", resp.StatusCode(), err)
+	}
+}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"sync/atomic"
+	"time"
 
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
@@ -62,8 +63,16 @@
 	return h, err == nil && n == len(h) && len(s) == 2*len(h)
 }
 
-// lookup returns the workspace of key. Error: errs.Unauthenticated.
+// configWait is when to come back to an entry without configuration.
+const configWait = time.Second
+
+// lookup returns the workspace of key. Errors: errs.Unauthenticated, errs.NoTarget while there
+// is no configuration: an entry that has just started must not tell a caller that its
+// valid key is not known.
 func (x *keyIndex) lookup(key []byte) (structs.WorkspaceID, *errs.Error) {
+	if x.state.Version == 0 && len(x.valid) == 0 {
+		return "", errs.New(errs.NoTarget, "this entry has no configuration yet").WithRetry(configWait)
+	}
 	if len(key) == 0 {
 		return "", errs.New(errs.Unauthenticated, "no key was sent; send Authorization: Bearer KEY")
 	}
