--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -62,9 +62,9 @@
 			"once":    once,
 			"term":    signalCommand(syscall.SIGTERM),
 			"hangup":  signalCommand(syscall.SIGHUP),
-			"freeze":  signalCommand(syscall.SIGSTOP),
-			"thaw":    signalCommand(syscall.SIGCONT),
-			"slay":    signalCommand(syscall.SIGKILL),
+			"sigstop": signalCommand(syscall.SIGSTOP),
+			"sigcont": signalCommand(syscall.SIGCONT),
+			"sigkill": signalCommand(syscall.SIGKILL),
 		},
 		Setup: func(env *testscript.Env) error {
 			// The race detector lets every process sleep for a second at its end.
