--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -41,6 +41,9 @@
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
 
+	// outage says that other entries do not reach the log service either.
+	outage atomic.Bool
+
 	// life ends when Run returns; what works beside the loops of Run stops with it.
 	life context.Context
 	end  context.CancelFunc
@@ -74,6 +77,9 @@
 	if m.now == nil {
 		m.now = time.Now
 	}
+	if m.o.PeerKeys == nil {
+		m.o.PeerKeys = func() []settings.PeerKey { return set.PeerKeys }
+	}
 	if m.addr == "" {
 		m.addr = set.PeerAddr
 	}
@@ -87,7 +93,7 @@
 	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
-		m.peers = newHTTPPeers(set.ValidPeerKeys)
+		m.peers = newHTTPPeers(m.o.PeerKeys, m.log)
 	}
 	return m
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -43,6 +43,7 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
+	hangup := hangups()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -51,7 +52,6 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("entry", s.Logs, os.Stderr)
-	reloadOnHangup(ctx, logger, func() error { return settings.ReloadEntryKeys(c.config, s.Ring) })
 	e, err := node.NewEntry(s, logger, reg)
 	if err != nil {
 		return err
@@ -65,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	go reloadOn(ctx, hangup, node.NewEntryReloader(c.config, s, e, logger, reg).Reload)
 	return e.Run(ctx)
 }
 
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -31,6 +31,7 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
+	hangup := hangups()
 	stopProfile, err := startProfile(c.profile)
 	if err != nil {
 		return err
@@ -39,7 +40,6 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("side", s.Logs, os.Stderr)
-	reloadOnHangup(ctx, logger, func() error { return settings.ReloadSideKeys(c.config, s.Ring) })
 	p, err := node.NewSide(s, logger, reg)
 	if err != nil {
 		return err
@@ -51,5 +51,6 @@
 	if err != nil {
 		return err
 	}
+	go reloadOn(ctx, hangup, node.NewSideReloader(c.config, s, p, logger, reg).Reload)
 	return p.Run(ctx)
 }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -37,6 +37,8 @@
 type OrderPort interface {
 	// OnOrderDone is a target's answer to an Order frame.
 	OnOrderDone(side structs.HostID, d *structs.OrderDone)
+	// OnFenceAsk is the question of a side that has started for the newest fencing number.
+	OnFenceAsk(side structs.HostID, send func(*structs.Frame) error)
 	// SideOpened says that a session to side is up, with what stands behind it.
 	SideOpened(side structs.HostID, targets []structs.TargetInfo, send func(*structs.Frame) error)
 	// SideLoad is a target's newest report.
@@ -66,6 +68,8 @@
 	// Drain holds what a planned stop waits for besides requests in flight, up to the drain
 	// timeout: owned job shards are handed over while sessions and listeners still work.
 	Drain []func(context.Context)
+	// SeeAll says that this entry needs a session to every side, whatever max_sides says.
+	SeeAll func() bool
 	// ConfigFresh says that the configuration is at most dedup.DefaultPropagation old.
 	// While it says no, keyed non-idempotent calls are refused: their home may have
 	// moved without this entry knowing. nil counts as yes.
