--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
@@ -24,6 +25,7 @@
 	Side    *side.Side
 	Metrics metrics.Registry
 
+	mu    sync.Mutex // of what Replace changes and callers read meanwhile
 	c     *Cluster
 	entry settings.Entry
 	side  settings.Side
@@ -122,6 +124,9 @@
 
 // URL is the base URL of an entry's callers' listener, as callers reach it.
 func (p *Process) URL() (string, error) {
-	addr, err := p.c.o.hop(Callers, p.ID, p.Entry.CallerAddr())
+	p.mu.Lock()
+	e := p.Entry
+	p.mu.Unlock()
+	addr, err := p.c.o.hop(Callers, p.ID, e.CallerAddr())
 	return "http://" + addr, err
 }
