--- a/core/choose/policies.go
+++ b/core/choose/policies.go
@@ -2,36 +2,61 @@
 
 import "arbutusramp/core/errs"
 
-// DefaultPolicy is the name of the policy used when settings name none.
+// DefaultPolicy is the name of the policy used when settings name none;
+// docs/ROUTING.md has the measurement that speaks for it.
 const DefaultPolicy = "two-choices"
 
 const defaultQueuePerLimit = 4
 
+// recipe is how a policy scores and picks.
+type recipe struct {
+	name    string
+	picker  Picker
+	scorers []Scorer
+}
+
+// everything is each scorer that the default policy uses.
+func everything() []Scorer {
+	return []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}, SameDomain{}}
+}
+
+// recipes are the policies, from the simplest on. Those that leave scorers out are
+// there to be compared with.
+func recipes() []recipe {
+	return []recipe{
+		{"random", Random{}, nil},
+		{"reported", TwoChoices{}, []Scorer{ReportedLoad{}}},
+		{"fresh", TwoChoices{}, []Scorer{FreshLoad{}}},
+		{"prequal", HotCold{}, []Scorer{FreshLoad{}, FirstToken{}}},
+		{"affinity", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}}},
+		{"two-choices", TwoChoices{}, everything()},
+		{"hot-cold", HotCold{}, everything()},
+		{"best", Best{}, everything()},
+	}
+}
+
 // Policies lists the names that New knows.
 func Policies() []string {
-	return []string{"random", "two-choices", "hot-cold", "best"}
+	var names []string
+	for _, r := range recipes() {
+		names = append(names, r.name)
+	}
+	return names
 }
 
 // New returns the policy of that name. Error: errs.BadSettings.
 func New(name string) (*Policy, error) {
-	var pick Picker
-	switch name {
-	case "random":
-		pick = Random{}
-	case "two-choices":
-		pick = TwoChoices{}
-	case "hot-cold":
-		pick = HotCold{}
-	case "best":
-		pick = Best{}
-	default:
-		return nil, errs.Newf(errs.BadSettings, "no policy for choosing targets is called %q", name)
+	for _, r := range recipes() {
+		if r.name != name {
+			continue
+		}
+		return &Policy{
+			Name:          name,
+			Filters:       []Filter{Serves{}, Staying{}, Untried{}, Healthy{}, Circuit{}},
+			Scorers:       r.scorers,
+			Picker:        r.picker,
+			QueuePerLimit: defaultQueuePerLimit,
+		}, nil
 	}
-	return &Policy{
-		Name:          name,
-		Filters:       []Filter{Serves{}, Staying{}, Untried{}, Healthy{}, Circuit{}},
-		Scorers:       []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}, SameDomain{}},
-		Picker:        pick,
-		QueuePerLimit: defaultQueuePerLimit,
-	}, nil
+	return nil, errs.Newf(errs.BadSettings, "no policy for choosing targets is called %q", name)
 }
--- a/core/choose/scores.go
+++ b/core/choose/scores.go
@@ -24,6 +24,14 @@
 	return loadCostUs * c.Utilisation()
 }
 
+// ReportedLoad costs a target's use by its last report alone.
+type ReportedLoad struct{}
+
+// Cost implements Scorer.
+func (ReportedLoad) Cost(_ *Request, c *Candidate, _ *View) float64 {
+	return loadCostUs * float64(c.InFlight+c.Queued) / float64(max(1, c.Limit))
+}
+
 // FirstToken costs the expected time to the first token.
 type FirstToken struct{}
 
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"arbutusramp/core/choose"
+)
 
 const (
 	kib = 1 << 10
@@ -97,6 +101,9 @@
 		{section: "online", key: "retry_share", unit: "share", def: "0.1",
 			field: ratio(func(e *Entry) *float64 { return &e.RetryShare }),
 			doc:   "retries as a share of first tries"},
+		{section: "online", key: "choice", unit: "policy", def: choose.DefaultPolicy,
+			field: oneOf(func(e *Entry, v string) { e.Choice = v }, choose.Policies()...),
+			doc:   "how targets are chosen; docs/ROUTING.md compares the policies"},
 		{section: "online", key: "max_sides", unit: "sides", def: "0",
 			field: integer(0, 10000, func(e *Entry) *int { return &e.MaxSides }),
 			doc:   "sides that this entry keeps sessions with at most; 0 is all"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 	HostListEvery  time.Duration // how often the host list is read
 	SessionWindow  int           // bytes of credit a stream starts with
 	RetryShare     float64       // retries as a share of first tries, 0..1
+	Choice         string        // policy for choosing targets; empty for choose.DefaultPolicy
 	MaxSides       int           // sides this entry keeps sessions with at most; 0 is all
 	KeyWindow      time.Duration // how long sides remember keys of non-idempotent requests; 0 is their default
 
