--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -49,6 +49,8 @@
 	return &groupCmd{"lab", "measure and experiment", []subcommands.Command{
 		&overheadCmd{},
 		&mixCmd{},
+		&chooseCmd{},
+		&onlineCmd{},
 		&configCmd{},
 		&slopesCmd{},
 		&faultsCmd{},
