One wait that a context ends serves admin, follow, entry, side and logmem

The same select over a timer and a context stood six times under three names, twice with an error that nobody read. sleep.For says whether the context still holds. Who wants the cause asks the context.

--- a/internal/adapter/logmem/logmem.go
+++ b/internal/adapter/logmem/logmem.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 // Faults is what goes wrong. The zero value is a log without faults.
@@ -93,7 +94,7 @@
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, name string, body []byte) (structs.Offset, error) {
 	f := l.Faults()
-	if err := sleep(ctx, f.Delay); err != nil {
+	if !sleep.For(ctx, f.Delay) {
 		return 0, errs.New(errs.AppendUnknown, "the caller gave up")
 	}
 	l.mu.Lock()
@@ -131,7 +132,7 @@
 }
 
 func (l *Log) unknown(ctx context.Context) (structs.Offset, error) {
-	_ = sleep(ctx, lostAnswerAfter)
+	sleep.For(ctx, lostAnswerAfter)
 	return 0, errs.New(errs.AppendUnknown, "the answer was lost")
 }
 
@@ -168,7 +169,7 @@
 
 // Read implements platform.Log.
 func (l *Log) Read(ctx context.Context, name string, from structs.Offset, most int, wait time.Duration) (platform.Page, error) {
-	if err := sleep(ctx, l.Faults().Delay); err != nil {
+	if !sleep.For(ctx, l.Faults().Delay) {
 		return platform.Page{}, errs.New(errs.LogDown, "the caller gave up")
 	}
 	timer := time.NewTimer(wait)
@@ -208,17 +209,3 @@
 	}
 	return page, s.changed, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/plan"
 	"arbutusramp/internal/admin"
 	"arbutusramp/internal/client"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -57,7 +58,7 @@
 	var err error
 	for try := range confirmTries {
 		if try > 0 {
-			wait(ctx, confirmPause)
+			sleep.For(ctx, confirmPause)
 		}
 		err = c.api.CallJSON(ctx, http.MethodPost, admin.PathConfirm, nil, p, &out)
 		if err == nil || !answerLost(err) || ctx.Err() != nil {
@@ -95,12 +96,3 @@
 	}
 	return &s, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/plan"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -96,7 +97,7 @@
 func (a *Admin) append(ctx context.Context, body []byte) (structs.Version, error) {
 	mayBeIn := false
 	for try := range appendTries {
-		if try > 0 && !pause(ctx, appendPause) {
+		if try > 0 && !sleep.For(ctx, appendPause) {
 			break
 		}
 		off, err := a.appendOnce(ctx, body)
@@ -146,18 +147,6 @@
 	return errs.New(errs.AppendUnknown, why+"; send the same confirm again, it counts once").WithRetry(comeBack)
 }
 
-// pause waits for d and reports whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // retryAfter rounds up to whole seconds.
 func retryAfter(ms int64) string {
 	return strconv.FormatInt((ms+999)/1000, 10)
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -219,7 +220,7 @@
 			continue
 		}
 		p.log.Debug("side not reached", "addr", k.addr, "error", err)
-		sleep(ctx, pause/2+rand.N(pause))
+		sleep.For(ctx, pause/2+rand.N(pause))
 		pause = min(redialMax, 2*pause)
 	}
 }
@@ -239,16 +240,7 @@
 	p.mu.Lock()
 	k.session = nil
 	p.mu.Unlock()
-	sleep(ctx, redialMin/2+rand.N(redialMin))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	sleep.For(ctx, redialMin/2+rand.N(redialMin))
 }
 
 func (p *pool) shutdown() {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/sleep"
 	"arbutusramp/internal/telemetry"
 )
 
@@ -126,9 +127,9 @@
 	for _, drain := range e.parts.Drain {
 		parts.Go(func() { drain(ctx) })
 	}
-	sleep(ctx, min(stopGrace, e.set.DrainTimeout/4))
+	sleep.For(ctx, min(stopGrace, e.set.DrainTimeout/4))
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		sleep.For(ctx, drainPoll)
 	}
 	parts.Wait()
 	if n := e.inFlight.Load(); n > 0 {
--- a/internal/follow/logread.go
+++ b/internal/follow/logread.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 // fromLog reads once from the log, waiting up to wait for something new. When
@@ -82,7 +83,7 @@
 	}
 	for ctx.Err() == nil && f.Current().Version < v {
 		if err = f.fromLog(ctx, 0); err != nil {
-			pause(ctx, backoffMin)
+			sleep.For(ctx, backoffMin)
 		}
 	}
 	if f.Current().Version >= v {
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/relay"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 // suspects are the sources that failed of late.
@@ -59,7 +60,7 @@
 		}
 		f.lost()
 		f.fromAnyone(ctx)
-		pause(ctx, backoffMin+rand.N(backoffMax-backoffMin))
+		sleep.For(ctx, backoffMin+rand.N(backoffMax-backoffMin))
 	}
 }
 
@@ -144,12 +145,3 @@
 }
 
 func msToDuration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/relay"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -42,7 +43,7 @@
 // rendezvous hashing does it; two that both think so do no harm.
 func (f *Follower) snapshots(ctx context.Context) {
 	for {
-		pause(ctx, min(snapshotCheck, f.retention()/checkParts))
+		sleep.For(ctx, min(snapshotCheck, f.retention()/checkParts))
 		if ctx.Err() != nil {
 			return
 		}
@@ -117,7 +118,7 @@
 		if !errs.Is(err, errs.AppendUnknown) && !errs.Is(err, errs.LogBusy) {
 			return err
 		}
-		pause(ctx, backoffMin)
+		sleep.For(ctx, backoffMin)
 	}
 	return err
 }
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/relay"
+	"arbutusramp/internal/sleep"
 )
 
 // askAtOnce bounds the questions that a new process has open while the log is down.
@@ -31,7 +32,7 @@
 			f.becomeReady("peers")
 			return
 		}
-		pause(ctx, backoffMin+rand.N(backoffMax-backoffMin))
+		sleep.For(ctx, backoffMin+rand.N(backoffMax-backoffMin))
 	}
 }
 
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -78,8 +79,8 @@
 		if try >= times || g.guard.cause() != nil || !resumable(failure) || !again(failure) {
 			return failure
 		}
-		if err := pause(g.guard.ctx, resumeDelay); err != nil {
-			return errs.As(err).WithRan(errs.RanUnknown)
+		if !sleep.For(g.guard.ctx, resumeDelay) {
+			return errs.As(context.Cause(g.guard.ctx)).WithRan(errs.RanUnknown)
 		}
 	}
 }
@@ -91,17 +92,6 @@
 	return broke && err.Ran != errs.RanNo
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // generate runs an online model request.
 func (c *call) generate(g *guard) {
 	gen := &generation{
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -8,6 +8,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -269,7 +270,7 @@
 
 // watch looks after parked items and outcomes that stay unacknowledged.
 func (is *items) watch(ctx context.Context) error {
-	for pause(ctx, parkedEvery) == nil {
+	for sleep.For(ctx, parkedEvery) {
 		is.retryParked(time.Now())
 		is.retryHeld(time.Now())
 	}
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/reconcile"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 // loadStep is by what share the time to the first token must change to be news.
@@ -63,7 +64,7 @@
 			last = *l
 			s.broadcast(&structs.Frame{Version: s.config.version(), Load: l})
 		}
-		if pause(ctx, LoadPace(s.o.Settings.LoadEvery, s.peers.count())) != nil {
+		if !sleep.For(ctx, LoadPace(s.o.Settings.LoadEvery, s.peers.count())) {
 			return nil
 		}
 	}
@@ -114,7 +115,7 @@
 		if ps := s.peers.all(); len(ps) > 0 {
 			s.config.catchUp(ps[0], time.Now()) // any of them: map order
 		}
-		if pause(ctx, watchEvery) != nil {
+		if !sleep.For(ctx, watchEvery) {
 			return nil
 		}
 	}
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -59,7 +60,7 @@
 		if pl.offer(time.Now(), pl.room()) {
 			wait = pullEvery
 		}
-		if pause(ctx, wait) != nil {
+		if !sleep.For(ctx, wait) {
 			return nil
 		}
 	}
--- a/internal/side/random_test.go
+++ b/internal/side/random_test.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const wholeText = "abcdefgh"
@@ -54,7 +55,7 @@
 	}
 	m.take(call)
 	for i := call.ResumeFrom; i < len(wholeText); i++ {
-		if pause(ctx, delay) != nil {
+		if !sleep.For(ctx, delay) {
 			return errs.New(errs.Cancelled, "cancelled")
 		}
 		switch {
