Defaults by cmp.Or, ranks by slices.SortFunc, details by fmt.Sprintf

Replaces hand-written twins of the standard library. errs.Newf took a stack trace for every detail and threw it away: fmt.Sprintf gives the same text.

--- a/core/dedup/machine.go
+++ b/core/dedup/machine.go
@@ -1,6 +1,7 @@
 package dedup
 
 import (
+	"cmp"
 	"container/list"
 	"time"
 
@@ -33,21 +34,11 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Window == 0 {
-		c.Window = DefaultWindow
-	}
-	if c.Skew == 0 {
-		c.Skew = DefaultSkew
-	}
-	if c.Propagation == 0 {
-		c.Propagation = DefaultPropagation
-	}
-	if c.MaxBytes == 0 {
-		c.MaxBytes = DefaultMaxBytes
-	}
-	if c.MaxKeys == 0 {
-		c.MaxKeys = DefaultMaxKeys
-	}
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.Skew = cmp.Or(c.Skew, DefaultSkew)
+	c.Propagation = cmp.Or(c.Propagation, DefaultPropagation)
+	c.MaxBytes = cmp.Or(c.MaxBytes, DefaultMaxBytes)
+	c.MaxKeys = cmp.Or(c.MaxKeys, DefaultMaxKeys)
 	return c
 }
 
--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -4,6 +4,7 @@
 package errs
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,7 +88,7 @@
 
 // Newf is New with a format.
 func Newf(t Type, format string, args ...any) *Error {
-	return New(t, errors.Errorf(format, args...).Error())
+	return New(t, fmt.Sprintf(format, args...))
 }
 
 // Error implements error.
--- a/core/shardmap/rank.go
+++ b/core/shardmap/rank.go
@@ -4,8 +4,9 @@
 package shardmap
 
 import (
+	"cmp"
 	"encoding/binary"
-	"sort"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -56,11 +57,8 @@
 			list = append(list, scored{h, weight(shard, h.ID)})
 		}
 	}
-	sort.Slice(list, func(a, b int) bool {
-		if list[a].score != list[b].score {
-			return list[a].score > list[b].score
-		}
-		return list[a].host.ID < list[b].host.ID
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
 	})
 	out := make([]platform.Host, 0, len(list))
 	for _, s := range list {
@@ -80,10 +78,8 @@
 
 // Position returns the place of id in rank, or len(rank).
 func Position(rank []platform.Host, id structs.HostID) int {
-	for i, h := range rank {
-		if h.ID == id {
-			return i
-		}
+	if i := slices.IndexFunc(rank, func(h platform.Host) bool { return h.ID == id }); i >= 0 {
+		return i
 	}
 	return len(rank)
 }
--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -3,6 +3,7 @@
 package enginehttp
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -46,9 +47,7 @@
 
 // New returns the model engine at baseURL.
 func New(baseURL string, o Options) platform.Engine {
-	if o.ControlTimeout == 0 {
-		o.ControlTimeout = defaultControlTimeout
-	}
+	o.ControlTimeout = cmp.Or(o.ControlTimeout, defaultControlTimeout)
 	return &Engine{
 		client:         httpclient.New(baseURL),
 		controlTimeout: o.ControlTimeout,
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"strings"
@@ -80,12 +81,8 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
-	}
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
+	o.Metrics = cmp.Or(o.Metrics, metrics.NewRegistry())
 	if o.View == nil {
 		o.View = func() plan.View { return plan.View{} }
 	}
@@ -153,10 +150,7 @@
 }
 
 func (a *Admin) servePlan(ctx *fasthttp.RequestCtx, by *act) error {
-	file := string(ctx.QueryArgs().Peek("file"))
-	if file == "" {
-		file = "intents"
-	}
+	file := cmp.Or(string(ctx.QueryArgs().Peek("file")), "intents")
 	intents, err := intentdoc.Parse(file, ctx.PostBody())
 	if err != nil {
 		return err
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"arbutusramp/core/dedup"
@@ -15,10 +16,7 @@
 		return "", errs.New(errs.KeyUnverifiable,
 			"this entry's configuration is old; which target knows the key is not certain").WithRetry(retryHome)
 	}
-	window := e.set.KeyWindow
-	if window == 0 {
-		window = dedup.DefaultWindow
-	}
+	window := cmp.Or(e.set.KeyWindow, dedup.DefaultWindow)
 	id, err := dedup.Home(c.in.workspace, c.in.key, c.req.service,
 		e.config.Current().Targets, now.UnixMilli(), window)
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -111,12 +112,8 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
-	}
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
+	o.Metrics = cmp.Or(o.Metrics, metrics.NewRegistry())
 	if o.PeerKeys == nil {
 		keys := o.Self.PeerKeys
 		o.PeerKeys = func() []settings.PeerKey { return keys }
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,17 +60,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Heartbeat == 0 {
-		o.Heartbeat = DefaultHeartbeat
-	}
-	if o.MaxMessage == 0 {
-		o.MaxMessage = DefaultMaxMessage
-	}
-	if o.MaxQueue == 0 {
-		o.MaxQueue = DefaultMaxQueue
-	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.MaxMessage = cmp.Or(o.MaxMessage, DefaultMaxMessage)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
 	return o
 }
--- a/internal/settings/index.go
+++ b/internal/settings/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -68,9 +69,7 @@
 
 // line returns the line of a key, else of its section, else 0.
 func (idx lineIndex) line(section, key string) int {
-	if section == "" {
-		section = ini.DefaultSection
-	}
+	section = cmp.Or(section, ini.DefaultSection)
 	if n, ok := idx.lines[lineKey{section, key}]; ok {
 		return n
 	}
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -1,6 +1,7 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -118,12 +119,8 @@
 }
 
 func check(o *Options) error {
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
-	}
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
+	o.Metrics = cmp.Or(o.Metrics, metrics.NewRegistry())
 	if o.Keys == nil {
 		o.Keys = keyring.New(keyring.SideValues(o.Settings))
 	}
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -8,6 +8,7 @@
 package logsvc
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,18 +49,10 @@
 )
 
 func (o Options) withDefaults() Options {
-	if o.AppendsPerS == 0 {
-		o.AppendsPerS = defaultAppendsPerS
-	}
-	if o.Burst == 0 {
-		o.Burst = max(1, int(o.AppendsPerS*burstShare))
-	}
-	if o.RetainBytes == 0 {
-		o.RetainBytes = defaultRetainBytes
-	}
-	if o.MaxAppend == 0 {
-		o.MaxAppend = defaultMaxAppend
-	}
+	o.AppendsPerS = cmp.Or(o.AppendsPerS, defaultAppendsPerS)
+	o.Burst = cmp.Or(o.Burst, max(1, int(o.AppendsPerS*burstShare)))
+	o.RetainBytes = cmp.Or(o.RetainBytes, defaultRetainBytes)
+	o.MaxAppend = cmp.Or(o.MaxAppend, defaultMaxAppend)
 	return o
 }
 
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -6,6 +6,7 @@
 package weights
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -65,9 +66,7 @@
 
 // Start listens at addr and serves until Close. Error: errs.BadSettings.
 func Start(addr string, o Options) (*Server, error) {
-	if o.BytesPerS == 0 {
-		o.BytesPerS = defaultBytesPerS
-	}
+	o.BytesPerS = cmp.Or(o.BytesPerS, defaultBytesPerS)
 	s := &Server{
 		http:        httpd.New(),
 		limiter:     rate.NewLimiter(rate.Limit(o.BytesPerS), chunk),
