--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,8 +8,9 @@
 	"io"
 	"net/http"
 
-	"arbutusramp/core/errs"
 	"github.com/pkg/errors"
+
+	"arbutusramp/core/errs"
 )
 
 // maxErrorBody bounds what is read of a refusal, bytes.
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,8 +4,9 @@
 import (
 	"io"
 
-	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/internal/settings"
 )
 
 // New returns a logger called name that writes to w as l says.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,8 +7,9 @@
 	"slices"
 	"strings"
 
-	"arbutusramp/core/errs"
 	"gopkg.in/ini.v1"
+
+	"arbutusramp/core/errs"
 )
 
 // LoadEntry reads the settings of an entry process. The error is an
