--- a/internal/side/completion.go
+++ b/internal/side/completion.go
@@ -1,36 +1,23 @@
 package side
 
 import (
+	"cmp"
 	"encoding/json"
 	"strings"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/completion"
 )
 
-// event is what the side reads of an engine's event: an OpenAI-shaped chunk of
-// a chat or of a text completion.
-type event struct {
-	ID      string `json:"id"`
-	Model   string `json:"model"`
-	Created int64  `json:"created"`
-	Choices []struct {
-		Text  string `json:"text"`
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
-	} `json:"choices"`
-}
-
 // progress is how far a generation has come.
 type progress struct {
-	next   int // position of the next token
-	text   strings.Builder
-	id     string
-	model  string
-	finish string
-	since  int64 // the engine's own time of creation, seconds since 1970
+	next    int // position of the next token
+	text    strings.Builder
+	id      string
+	model   string
+	finish  string
+	created int64 // by the engine's clock, seconds since 1970
 }
 
 // resume starts at a position that an earlier run has reached.
@@ -43,7 +30,7 @@
 // is passed on as it came.
 func (p *progress) add(data []byte) {
 	p.next++
-	var e event
+	var e completion.Chunk
 	if json.Unmarshal(data, &e) != nil || len(e.Choices) == 0 {
 		return
 	}
@@ -53,56 +40,33 @@
 	if c.FinishReason != "" {
 		p.finish = c.FinishReason
 	}
-	p.id, p.model, p.since = e.ID, e.Model, e.Created
+	p.id, p.model, p.created = e.ID, e.Model, e.Created
 }
 
-type message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-type choice struct {
-	Index        int      `json:"index"`
-	Text         *string  `json:"text,omitempty"`
-	Message      *message `json:"message,omitempty"`
-	FinishReason string   `json:"finish_reason"`
-}
-
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
-	TotalTokens      int `json:"total_tokens"`
-}
-
-type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   usage    `json:"usage"`
+// body returns the whole answer in the shape that callers of a completion get. Error: errs.Internal.
+func (p *progress) body(g *structs.Generate) ([]byte, *errs.Error) {
+	used, err := json.Marshal(completion.Usage{
+		PromptTokens:     g.PromptTokens,
+		CompletionTokens: p.next,
+		TotalTokens:      g.PromptTokens + p.next,
+	})
+	if err != nil {
+		return nil, errs.Newf(errs.Internal, "encode the usage: %v", err)
+	}
+	out := completion.Answer{
+		ID: p.id, Object: completion.ObjectText,
+		Created: p.created, Model: cmp.Or(p.model, string(g.Model)), Usage: used,
+	}
+	if g.Chat {
+		out.Object = completion.ObjectChat
+	}
+	out.Choices = []completion.Choice{p.choice(g)}
+	return out.Encode()
 }
 
-// body returns the whole answer in the shape that callers of a completion get.
-func (p *progress) body(g *structs.Generate) ([]byte, error) {
-	text := p.text.String()
-	c := choice{Text: &text, FinishReason: p.finish}
-	object := "text_completion"
+func (p *progress) choice(g *structs.Generate) completion.Choice {
 	if g.Chat {
-		c = choice{Message: &message{Role: "assistant", Content: text}, FinishReason: p.finish}
-		object = "chat.completion"
-	}
-	model := p.model
-	if model == "" {
-		model = string(g.Model)
-	}
-	body, err := json.Marshal(completion{
-		ID: p.id, Object: object, Created: p.since, Model: model,
-		Choices: []choice{c},
-		Usage:   usage{g.PromptTokens, p.next, g.PromptTokens + p.next},
-	})
-	if err != nil {
-		return nil, errs.Newf(errs.Internal, "encode completion: %v", err)
+		return completion.ChatChoice(0, "", p.text.String(), p.finish)
 	}
-	return body, nil
+	return completion.TextChoice(0, p.text.String(), p.finish)
 }
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -280,7 +280,7 @@
 func (i *item) finish() {
 	body, err := i.gen.done.body(i.it.Generate)
 	if err != nil {
-		i.end(structs.ItemDone{Err: errs.As(err)})
+		i.end(structs.ItemDone{Err: err})
 		return
 	}
 	i.end(structs.ItemDone{Status: 200, Body: body})
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -14,6 +14,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/completion"
 )
 
 func generateWhole(text string) func(context.Context, platform.GenerateCall, func(platform.Token) error) error {
@@ -32,11 +33,15 @@
 		if len(done) != 1 || done[0].Err != nil || done[0].Status != 200 || done[0].Ref != it.Ref {
 			t.Fatalf("done %+v", done)
 		}
-		var c completion
+		var c completion.Answer
 		if err := json.Unmarshal(done[0].Body, &c); err != nil {
 			t.Fatal(err)
 		}
-		if c.Choices[0].Message.Content != "hello" || c.Usage.CompletionTokens != 5 || c.Usage.TotalTokens != 8 || c.Object != "chat.completion" {
+		var used completion.Usage
+		if err := json.Unmarshal(c.Usage, &used); err != nil {
+			t.Fatal(err)
+		}
+		if c.Choices[0].Message.Content != "hello" || used.CompletionTokens != 5 || used.TotalTokens != 8 || c.Object != "chat.completion" {
 			t.Fatalf("completion %s", done[0].Body)
 		}
 	})
@@ -167,7 +172,7 @@
 			t.Fatalf("%d outcomes", len(done))
 		}
 		for _, d := range done {
-			var c completion
+			var c completion.Answer
 			if err := json.Unmarshal(d.Body, &c); err != nil || *c.Choices[0].Text != "abcdef" {
 				t.Fatalf("outcome %+v: %s", d, d.Body)
 			}
--- a/internal/side/random_test.go
+++ b/internal/side/random_test.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/completion"
 	"arbutusramp/internal/sleep"
 )
 
@@ -251,7 +252,7 @@
 		return
 	}
 	c.checkRan(itemRequest(ref), d.Err)
-	var whole completion
+	var whole completion.Answer
 	if d.Err == nil && (json.Unmarshal(d.Body, &whole) != nil || *whole.Choices[0].Text != wholeText) {
 		c.t.Errorf("item %+v: %s", ref, d.Body)
 	}
