--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,7 +5,6 @@
 package follow
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -13,7 +12,6 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/confstate"
@@ -21,7 +19,6 @@
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/settings"
 )
 
 // VersionNeverBack is the invariant that a process never takes a lower version
@@ -51,25 +48,6 @@
 	maxClient = 64 << 20 // bytes of one answer
 )
 
-// Options are what a Follower is made of.
-type Options struct {
-	Self    settings.Entry
-	Log     platform.Log
-	Members func() []platform.Host // the host list as last read
-	Logger  hclog.Logger
-	Metrics metrics.Registry
-	Clock   func() time.Time // nil for time.Now
-	// PeerKeys are the keys between own processes, the first for new questions;
-	// nil takes those of Self.
-	PeerKeys func() []settings.PeerKey
-	// RetiredKey says whether a peer key was valid once; nil knows none.
-	RetiredKey func(id string) bool
-	// Fetcher asks other entries; nil asks over HTTP.
-	Fetcher Fetcher
-	// Check counts violations of invariants; nil counts and logs them.
-	Check *invariant.Checker
-}
-
 // Follower holds the newest configuration of an entry. It is a confstate.Source.
 type Follower struct {
 	opts  Options
@@ -99,25 +77,9 @@
 	sides    sides
 }
 
-type stats struct {
-	version     metrics.Gauge
-	regressions metrics.Counter
-	polls       metrics.Counter
-	failures    metrics.Counter
-	staleGauge  metrics.Gauge
-}
-
 // New returns a Follower that holds the empty configuration until Run.
 func New(o Options) *Follower {
-	if o.Clock == nil {
-		o.Clock = time.Now
-	}
-	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
-	o.Metrics = cmp.Or(o.Metrics, metrics.NewRegistry())
-	if o.PeerKeys == nil {
-		keys := o.Self.PeerKeys
-		o.PeerKeys = func() []settings.PeerKey { return keys }
-	}
+	o = o.withDefaults()
 	f := &Follower{
 		opts: o,
 		self: platform.Host{
@@ -135,13 +97,7 @@
 		stop:    make(chan struct{}),
 		state:   confstate.Empty(),
 		changed: make(chan struct{}),
-		stats: stats{
-			version:     metrics.GetOrRegisterGauge("config.version", o.Metrics),
-			regressions: metrics.GetOrRegisterCounter("config.version_regressions", o.Metrics),
-			polls:       metrics.GetOrRegisterCounter("config.polls", o.Metrics),
-			failures:    metrics.GetOrRegisterCounter("config.poll_failures", o.Metrics),
-			staleGauge:  metrics.GetOrRegisterGauge("config.stale", o.Metrics),
-		},
+		stats:   newStats(o.Metrics),
 	}
 	if f.fetch = o.Fetcher; f.fetch == nil {
 		f.fetch = newHTTPFetcher(o.Self.Host.ID, &f.auth, nil)
@@ -344,5 +300,5 @@
 		gauge = 1
 		f.log.Warn("no source of configuration answers", "version", f.state.Version)
 	}
-	f.stats.staleGauge.Update(gauge)
+	f.stats.stale.Update(gauge)
 }
