Why a run failed is worked out at one place in the side

Engine streams, service calls and items each put the guard's reason before the target's and each decided what is certain of the run; guard.failure serves the three. The entry hands the path of a model request on in place of a bare bool; the session and the stand-ins' listener name what they close.

--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -61,22 +61,19 @@
 	return n, nil
 }
 
-// classifyGenerate reads what is needed of a model request. Errors:
+// classifyGenerate reads what is needed of a model request at path. Errors:
 // errs.BadRequest, errs.BodyTooLarge, errs.UnknownModel.
-func (e *Entry) classifyGenerate(ctx *fasthttp.RequestCtx, chat bool, c *classified) *errs.Error {
+func (e *Entry) classifyGenerate(ctx *fasthttp.RequestCtx, path string, c *classified) *errs.Error {
 	if !ctx.IsPost() {
 		return errs.New(errs.BadRequest, "allowed is POST")
 	}
 	c.method = fasthttp.MethodPost
-	c.path = pathCompletions
-	if chat {
-		c.path = pathChat
-	}
+	c.path = path
 	var err *errs.Error
 	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
 		return err
 	}
-	g, err := parseGenerate(c.body, chat)
+	g, err := parseGenerate(c.body, path == pathChat)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -34,9 +34,9 @@
 	path := ctx.Path()
 	switch {
 	case string(path) == pathChat:
-		return e.handleGenerate(ctx, &a, true)
+		return e.handleGenerate(ctx, &a, pathChat)
 	case string(path) == pathCompletions:
-		return e.handleGenerate(ctx, &a, false)
+		return e.handleGenerate(ctx, &a, pathCompletions)
 	case bytes.HasPrefix(path, []byte(pathService)):
 		return e.handleService(ctx, &a)
 	case string(path) == pathModels:
@@ -60,9 +60,9 @@
 	WriteError(ctx, err)
 }
 
-func (e *Entry) handleGenerate(ctx *fasthttp.RequestCtx, a *accepted, chat bool) bool {
+func (e *Entry) handleGenerate(ctx *fasthttp.RequestCtx, a *accepted, path string) bool {
 	var c classified
-	if err := e.classifyGenerate(ctx, chat, &c); err != nil {
+	if err := e.classifyGenerate(ctx, path, &c); err != nil {
 		e.refuse(ctx, a, err)
 		return false
 	}
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -73,7 +73,7 @@
 	if c.bytes+n > c.o.MaxQueue || len(c.queue) >= maxQueuedFrames {
 		c.mu.Unlock()
 		err := errs.Newf(errs.Overloaded, "session to %s: send queue is full", c.peer.Host)
-		c.shut(err, false)
+		c.shut(err, dropQueue)
 		return err
 	}
 	c.queue = append(c.queue, f)
@@ -88,7 +88,7 @@
 
 // Close sends what is queued, tells the peer err and closes the session. It
 // does not wait.
-func (c *Conn) Close(err error) { c.shut(errs.As(err), true) }
+func (c *Conn) Close(err error) { c.shut(errs.As(err), sendQueue) }
 
 func (c *Conn) signal() {
 	select {
@@ -97,7 +97,15 @@
 	}
 }
 
-func (c *Conn) shut(err *errs.Error, flush bool) {
+// ending says what becomes of the frames that are queued when a session closes.
+type ending int
+
+const (
+	sendQueue ending = iota
+	dropQueue
+)
+
+func (c *Conn) shut(err *errs.Error, queued ending) {
 	if err == nil {
 		err = errs.New(errs.SessionLost, "closed")
 	}
@@ -108,7 +116,7 @@
 	}
 	c.closed = true
 	c.err = err
-	c.flush = flush
+	c.flush = queued == sendQueue
 	close(c.done)
 }
 
@@ -117,7 +125,7 @@
 	var writer sync.WaitGroup
 	writer.Go(c.write)
 	c.h.Opened(c)
-	c.shut(errs.As(c.read()), true)
+	c.shut(errs.As(c.read()), sendQueue)
 	writer.Wait()
 	c.h.Closed(c, c.err)
 }
@@ -215,7 +223,7 @@
 			c.sendBeat()
 		case <-c.wake:
 			if err := c.writeAll(&buf, c.take(), silentBeats*c.o.Heartbeat); err != nil {
-				c.shut(errs.Newf(errs.SessionLost, "session to %s: %v", c.peer.Host, err), false)
+				c.shut(errs.Newf(errs.SessionLost, "session to %s: %v", c.peer.Host, err), dropQueue)
 				return
 			}
 		}
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -43,11 +43,7 @@
 	if err == nil {
 		return nil
 	}
-	failure := ranErr(errs.As(err), g.handed)
-	if cause := g.guard.cause(); cause != nil && failure.Ran != errs.RanNo {
-		g.handed = true
-		return cause.WithRan(errs.RanUnknown)
-	}
+	failure := g.guard.failureAfter(err, g.handed)
 	g.handed = g.handed || failure.Ran != errs.RanNo
 	return failure
 }
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -300,11 +300,7 @@
 		i.end(structs.ItemDone{Status: answer.Status, Body: answer.Body})
 		return
 	}
-	failure := errs.As(err)
-	if cause := g.cause(); cause != nil && failure.Ran != errs.RanNo {
-		failure = cause.WithRan(errs.RanUnknown)
-	}
-	i.failed(g, ranErr(failure, false))
+	i.failed(g, g.failure(err))
 }
 
 // failed ends or requeues the item after a run that did not finish.
--- a/internal/side/service.go
+++ b/internal/side/service.go
@@ -30,7 +30,8 @@
 }
 
 func (c *call) serviceFailed(g *guard, err *errs.Error) {
-	failure := c.failure(g, err)
+	failure := g.failure(err)
+	c.s.targetFailed(failure)
 	if c.keyed && failure.Ran != errs.RanNo {
 		c.s.keys.finish(c.key, dedup.Answer{Err: failure})
 	}
@@ -38,17 +39,6 @@
 	c.end(failure, 0)
 }
 
-// failure returns why the run failed: the guard's or the caller's reason if
-// there is one, else the target's error.
-func (c *call) failure(g *guard, err *errs.Error) *errs.Error {
-	if cause := g.cause(); cause != nil && err.Ran != errs.RanNo {
-		err = cause.WithRan(errs.RanUnknown)
-	}
-	err = ranErr(err, false)
-	c.s.targetFailed(err)
-	return err
-}
-
 // outcomeOf is what the policy is told of a run that failed.
 func outcomeOf(err *errs.Error) admit.Outcome {
 	switch err.Type {
--- a/standin/internal/httpd/httpd.go
+++ b/standin/internal/httpd/httpd.go
@@ -79,7 +79,7 @@
 // are refused. Requests that are being served go on.
 func (s *Server) Refuse() {
 	s.mu.Lock()
-	s.closeLocked(false)
+	s.closeLocked(idleConns)
 	s.mu.Unlock()
 	s.settle()
 }
@@ -87,7 +87,7 @@
 // RefuseFor refuses connections for d.
 func (s *Server) RefuseFor(d time.Duration) {
 	s.mu.Lock()
-	s.closeLocked(false)
+	s.closeLocked(idleConns)
 	s.acceptAfterLocked(d)
 	s.mu.Unlock()
 	s.settle()
@@ -97,24 +97,32 @@
 func (s *Server) Drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeLocked(true)
+	s.closeLocked(allConns)
 }
 
 // DropFor drops all connections and refuses new ones for d.
 func (s *Server) DropFor(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closeLocked(true)
+	s.closeLocked(allConns)
 	s.acceptAfterLocked(d)
 }
 
-func (s *Server) closeLocked(activeToo bool) {
+// reach says which connections a fault closes.
+type reach int
+
+const (
+	idleConns reach = iota // requests that are being served go on
+	allConns
+)
+
+func (s *Server) closeLocked(which reach) {
 	if s.ln != nil {
 		_ = s.ln.Close()
 		s.ln = nil
 	}
 	for c, state := range s.conns {
-		if activeToo || state != fasthttp.StateActive {
+		if which == allConns || state != fasthttp.StateActive {
 			_ = c.Close()
 		}
 	}
