guard.failure for the calls of plain services only

A generation looks at what the target says of whether it ran before it looks at the guard's reason; a call of a plain service does so after.

--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -43,7 +43,11 @@
 	if err == nil {
 		return nil
 	}
-	failure := g.guard.failureAfter(err, g.handed)
+	failure := ranErr(errs.As(err), g.handed)
+	if cause := g.guard.cause(); cause != nil && failure.Ran != errs.RanNo {
+		g.handed = true
+		return cause.WithRan(errs.RanUnknown)
+	}
 	g.handed = g.handed || failure.Ran != errs.RanNo
 	return failure
 }
--- a/internal/side/guard.go
+++ b/internal/side/guard.go
@@ -90,16 +90,14 @@
 	return errs.As(context.Cause(g.ctx))
 }
 
-// failure returns why the only run of a request failed, with what is certain of
-// whether it ran.
-func (g *guard) failure(err error) *errs.Error { return g.failureAfter(err, false) }
-
-// failureAfter is failure for a request that may have been handed to the target before. The
-// guard's or the caller's reason goes before what the target says of a run that they ended.
-func (g *guard) failureAfter(err error, handedBefore bool) *errs.Error {
-	failure := ranErr(errs.As(err), handedBefore)
+// failure returns why the only run of a request failed, with what is certain of whether it
+// ran. The guard's or the caller's reason goes before what the target says of a run that
+// they ended.
+func (g *guard) failure(err error) *errs.Error {
+	failure := errs.As(err)
 	if cause := g.cause(); cause != nil && failure.Ran != errs.RanNo {
-		return cause.WithRan(errs.RanUnknown)
+		failure = cause.WithRan(errs.RanUnknown)
 	}
-	return failure
+	const handedBefore = false
+	return ranErr(failure, handedBefore)
 }
