A call that a drain cut off is not said to be not run

An item of a plain service that was at the service when the side's drain timeout passed was given back as "not run"; its owner then reopened it, and a call that may not be repeated was made twice. giveBack takes every item without a generation for one that never ran. The outcome of a run that failed now keeps what guard.failure says. Seen red without the change: TestItemCutOffByADrainIsNotCalledNotRun got "not run", and passes with it.

--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// ran says for an item that is stopped whether the target ever had it.
+// ran says for an item that is not at the target now whether the target ever had it. A plain
+// service has an item once, to its end.
 func (i *item) ran(err *errs.Error) *errs.Error {
 	if i.gen != nil && i.gen.handed {
 		return err.WithRan(errs.RanUnknown)
@@ -315,7 +316,9 @@
 		i.s.logItem("preempt", i, err)
 		i.requeue()
 	case err.Ran == errs.RanNo, err.Type == errs.Draining:
-		i.giveBack(err)
+		// err knows better than giveBack whether the target had this run: a drain that has
+		// timed out cuts calls off, and "not run" would have their owner repeat them.
+		i.end(structs.ItemDone{Err: err, GaveBack: true})
 	default:
 		i.end(structs.ItemDone{Err: err, Neighbours: suspects})
 	}
