One ranking by rendezvous hashing serves shards, relays and subsets

core/shardmap, core/relay and internal/entry each sorted hosts by a hash of their own. The hashes differ and stay, so every choice is as it was; core/rendezvous sorts for all. The relay's ranking now hashes each host once too, not at each comparison.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -6,12 +6,12 @@
 package relay
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/rendezvous"
 	"arbutusramp/core/structs"
 )
 
@@ -51,10 +51,8 @@
 func Backups(self platform.Host, hosts []platform.Host) []platform.Host {
 	own := entriesOf(self, hosts)
 	out := slices.Clone(own[:min(Roots, len(own))])
-	others := Peers(self.ID, hosts)
-	rankBy(others, string(self.ID))
 	seen := map[structs.FailureDomain]bool{self.Domain: true}
-	for _, h := range others {
+	for _, h := range rankBy(Peers(self.ID, hosts), string(self.ID)) {
 		if !seen[h.Domain] {
 			seen[h.Domain] = true
 			out = append(out, h)
@@ -72,24 +70,19 @@
 			domain = append(domain, h)
 		}
 	}
-	rankBy(domain, string(self.Domain))
-	return domain
+	return rankBy(domain, string(self.Domain))
 }
 
 func liveEntry(h platform.Host) bool {
 	return h.Role == platform.RoleEntry && h.State == platform.HostLive
 }
 
-func rankBy(hosts []platform.Host, key string) {
-	slices.SortFunc(hosts, func(a, b platform.Host) int {
-		return cmp.Or(cmp.Compare(weight(b, key), weight(a, key)), cmp.Compare(a.ID, b.ID))
+func rankBy(hosts []platform.Host, key string) []platform.Host {
+	return rendezvous.Hosts(hosts, func(id structs.HostID) uint64 {
+		return xxhash.Sum64String(key + "\x00" + string(id))
 	})
 }
 
-func weight(h platform.Host, key string) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(h.ID))
-}
-
 // Peers returns the live entries besides self.
 func Peers(self structs.HostID, hosts []platform.Host) []platform.Host {
 	var out []platform.Host
@@ -103,7 +96,6 @@
 
 // Has reports whether self is among the first n live entries for key.
 func Has(self platform.Host, hosts []platform.Host, key string, n int) bool {
-	all := append(Peers(self.ID, hosts), self)
-	rankBy(all, key)
+	all := rankBy(append(Peers(self.ID, hosts), self), key)
 	return slices.ContainsFunc(all[:min(n, len(all))], func(h platform.Host) bool { return h.ID == self.ID })
 }
--- a/core/shardmap/rank.go
+++ b/core/shardmap/rank.go
@@ -4,13 +4,13 @@
 package shardmap
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/rendezvous"
 	"arbutusramp/core/structs"
 )
 
@@ -22,7 +22,7 @@
 // desired owner first. It uses rendezvous hashing: a host that joins or
 // leaves moves only the shards that it gets or had.
 func Rank(shard structs.Shard, hosts []platform.Host) []platform.Host {
-	all := score(shard, hosts)
+	all := liveEntries(shard, hosts)
 	var out []platform.Host
 	used := make(map[structs.FailureDomain]bool)
 	for _, h := range all {
@@ -34,7 +34,7 @@
 			used[h.Domain] = true
 		}
 	}
-	// With fewer domains than candidates the rest is filled in order of score.
+	// With fewer domains than candidates the rest is filled by weight.
 	for _, h := range all {
 		if len(out) == Candidates {
 			break
@@ -46,25 +46,15 @@
 	return out
 }
 
-func score(shard structs.Shard, hosts []platform.Host) []platform.Host {
-	type scored struct {
-		host  platform.Host
-		score uint64
-	}
-	var list []scored
+// liveEntries returns the live entries of hosts by their weight for shard.
+func liveEntries(shard structs.Shard, hosts []platform.Host) []platform.Host {
+	var live []platform.Host
 	for _, h := range hosts {
 		if h.Role == platform.RoleEntry && h.State == platform.HostLive {
-			list = append(list, scored{h, weight(shard, h.ID)})
+			live = append(live, h)
 		}
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
-	})
-	out := make([]platform.Host, 0, len(list))
-	for _, s := range list {
-		out = append(out, s.host)
-	}
-	return out
+	return rendezvous.Hosts(live, func(id structs.HostID) uint64 { return weight(shard, id) })
 }
 
 func weight(shard structs.Shard, host structs.HostID) uint64 {
--- a/internal/entry/subset.go
+++ b/internal/entry/subset.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/rendezvous"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
 )
@@ -29,7 +29,8 @@
 		return hosts
 	}
 	var own, other []platform.Host
-	for _, h := range byRendezvous(self, hosts) {
+	ranked := rendezvous.Hosts(hosts, func(side structs.HostID) uint64 { return weight(self, side) })
+	for _, h := range ranked {
 		if h.Domain == domain {
 			own = append(own, h)
 		} else {
@@ -44,27 +45,6 @@
 	return append(slices.Clone(picked), other[:min(len(other), limit-len(picked))]...)
 }
 
-// byRendezvous hashes each host once: the list is ranked anew at each read, and hashing at each
-// comparison took most of the time that a read costs with 1,700 sides.
-func byRendezvous(self structs.HostID, hosts []platform.Host) []platform.Host {
-	type ranked struct {
-		score uint64
-		host  platform.Host
-	}
-	ranks := make([]ranked, 0, len(hosts))
-	for _, h := range hosts {
-		ranks = append(ranks, ranked{rendezvous(self, h.ID), h})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
-	})
-	sorted := make([]platform.Host, 0, len(ranks))
-	for _, r := range ranks {
-		sorted = append(sorted, r.host)
-	}
-	return sorted
-}
-
-func rendezvous(a, b structs.HostID) uint64 {
-	return xxhash.Sum64String(string(a) + "\x00" + string(b))
+func weight(self, side structs.HostID) uint64 {
+	return xxhash.Sum64String(string(self) + "\x00" + string(side))
 }
