One writer of error answers serves callers, operators and the client

internal/entry and internal/admin each encoded errors and rounded Retry-After up; internal/problem does both, and the client decodes the same document.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,6 +22,7 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/intentdoc"
 	"arbutusramp/internal/keyring"
+	"arbutusramp/internal/problem"
 	"arbutusramp/internal/settings"
 )
 
@@ -119,7 +120,7 @@
 	}
 	if err != nil {
 		a.refusals.Inc(1)
-		writeError(ctx, err)
+		problem.Write(ctx, errs.As(err))
 	}
 	a.audit(ctx, by, err)
 }
@@ -203,22 +204,6 @@
 	return nil
 }
 
-// problem is an error as callers and operators get it.
-type problem struct {
-	Error *errs.Error `json:"error"`
-}
-
-func writeError(ctx *fasthttp.RequestCtx, err error) {
-	e := errs.As(err)
-	ctx.SetStatusCode(errs.Lookup(e.Type).Status)
-	if e.RetryAfterMs > 0 {
-		ctx.Response.Header.Set("Retry-After", retryAfter(e.RetryAfterMs))
-	}
-	if err := writeJSON(ctx, problem{e}); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-	}
-}
-
 // audit writes one line for each act that changes or shows what only operators
 // may see. A watch is held for long and would fill the log: only its refusal is written.
 func (a *Admin) audit(ctx *fasthttp.RequestCtx, by act, err error) {
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -23,6 +23,7 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/logmem"
 	"arbutusramp/internal/follow"
+	"arbutusramp/internal/problem"
 	"arbutusramp/internal/settings"
 )
 
@@ -125,7 +126,7 @@
 		}
 		return c, nil
 	}
-	var answer problem
+	var answer problem.Body
 	if err := json.Unmarshal(body, &answer); err != nil {
 		n.t.Fatalf("%d %s", status, body)
 	}
--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"arbutusramp/core/confstate"
@@ -146,8 +145,3 @@
 func unknown(why string) error {
 	return errs.New(errs.AppendUnknown, why+"; send the same confirm again, it counts once").WithRetry(comeBack)
 }
-
-// retryAfter rounds up to whole seconds.
-func retryAfter(ms int64) string {
-	return strconv.FormatInt((ms+999)/1000, 10)
-}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/problem"
 )
 
 // maxErrorBody bounds what is read of a refusal, bytes.
@@ -101,9 +102,7 @@
 }
 
 func apiError(status int, body []byte) error {
-	var answer struct {
-		Error *errs.Error `json:"error"`
-	}
+	var answer problem.Body
 	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Type != "" {
 		return answer.Error
 	}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -17,6 +17,7 @@
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/problem"
 	"arbutusramp/internal/settings"
 )
 
@@ -225,7 +226,7 @@
 
 func problemOf(t *testing.T, body string) *errs.Error {
 	t.Helper()
-	var p problem
+	var p problem.Body
 	if err := json.Unmarshal([]byte(body), &p); err != nil || p.Error == nil {
 		t.Fatalf("no typed error in %q (%v)", body, err)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/problem"
 )
 
 // relayEvents answers with server-sent events as they come. An error before the first event
@@ -91,7 +92,7 @@
 func (r *eventReader) fail(err *errs.Error) {
 	r.err = err
 	r.buf = append(r.buf, "event: error\n"...)
-	r.event(errorBody(err))
+	r.event(problem.Encode(err))
 	r.over = true
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/problem"
 	"arbutusramp/internal/sleep"
 	"arbutusramp/internal/telemetry"
 )
@@ -93,7 +94,7 @@
 
 func (e *Entry) serveAdmin(ctx *fasthttp.RequestCtx) {
 	if e.parts.Admin == nil {
-		WriteError(ctx, errs.New(errs.NotFound, "no administration here"))
+		problem.Write(ctx, errs.New(errs.NotFound, "no administration here"))
 		return
 	}
 	e.parts.Admin(ctx)
@@ -107,7 +108,7 @@
 		typed = tooLarge(e.set.MaxBody)
 	}
 	e.rec.failed("", typed)
-	WriteError(ctx, typed)
+	problem.Write(ctx, typed)
 }
 
 // stop ends the entry within DrainTimeout. Sessions and sockets stay until the last answer is
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/problem"
 )
 
 // serve handles one request of a caller.
@@ -57,7 +58,7 @@
 func (e *Entry) refuse(ctx *fasthttp.RequestCtx, a *accepted, err *errs.Error) {
 	e.rec.failed(a.id, err)
 	discardBody(ctx)
-	WriteError(ctx, err)
+	problem.Write(ctx, err)
 }
 
 func (e *Entry) handleGenerate(ctx *fasthttp.RequestCtx, a *accepted, path string) bool {
@@ -92,7 +93,7 @@
 		return false
 	}
 	if err = relay(ctx, c); err != nil {
-		WriteError(ctx, err)
+		problem.Write(ctx, err)
 		c.close(err)
 		return true
 	}
