--- a/internal/adapter/enginehttp/events.go
+++ b/internal/adapter/enginehttp/events.go
@@ -95,7 +95,7 @@
 			return line, err
 		}
 	}
-	return nil, errors.New("a line of an event is too long")
+	return nil, errs.Newf(errs.BadFrame, "a line of an event has more than %d bytes", maxLine)
 }
 
 func broken(detail string) error {
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -119,7 +119,7 @@
 	defer p.mu.Unlock()
 	for id, k := range p.keepers {
 		_, want := wanted[id]
-		k.note(now, want, leaving[id], isListed(live, id))
+		k.note(now, listing{wanted: want, leaving: leaving[id], live: isListed(live, id)})
 		p.mark(k)
 		if !want && k.droppable(now) {
 			k.drop()
@@ -158,11 +158,17 @@
 	return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.ID == id })
 }
 
-// note takes in what the list says of the keeper's side.
-func (k *keeper) note(now time.Time, wanted, leaving, live bool) {
-	k.leaving = leaving || (live && !wanted)
+// listing is what the host list says of one side.
+type listing struct {
+	wanted  bool // it is in this entry's subset
+	leaving bool
+	live    bool
+}
+
+func (k *keeper) note(now time.Time, l listing) {
+	k.leaving = l.leaving || (l.live && !l.wanted)
 	switch {
-	case wanted || !live:
+	case l.wanted || !l.live:
 		k.unwanted = time.Time{}
 	case k.unwanted.IsZero():
 		k.unwanted = now
