--- a/core/structs/intent.go
+++ b/core/structs/intent.go
@@ -104,6 +104,7 @@
 
 // PolicyIntent sets the policy between online latency and batch throughput.
 type PolicyIntent struct {
+	// Headroom runs from 0 (most batch throughput) to 1 (least harm to the online tail).
 	Headroom float64 `cbor:"1,keyasint" json:"headroom"`
 }
 
