--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -4,6 +4,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"strings"
@@ -21,6 +22,7 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/intentdoc"
 	"arbutusramp/internal/keyring"
+	"arbutusramp/internal/problem"
 	"arbutusramp/internal/settings"
 )
 
@@ -80,12 +82,8 @@
 	if o.Clock == nil {
 		o.Clock = time.Now
 	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
-	}
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
+	o.Metrics = cmp.Or(o.Metrics, metrics.NewRegistry())
 	if o.View == nil {
 		o.View = func() plan.View { return plan.View{} }
 	}
@@ -122,7 +120,7 @@
 	}
 	if err != nil {
 		a.refusals.Inc(1)
-		writeError(ctx, err)
+		problem.Write(ctx, errs.As(err))
 	}
 	a.audit(ctx, by, err)
 }
@@ -153,10 +151,7 @@
 }
 
 func (a *Admin) servePlan(ctx *fasthttp.RequestCtx, by *act) error {
-	file := string(ctx.QueryArgs().Peek("file"))
-	if file == "" {
-		file = "intents"
-	}
+	file := cmp.Or(string(ctx.QueryArgs().Peek("file")), "intents")
 	intents, err := intentdoc.Parse(file, ctx.PostBody())
 	if err != nil {
 		return err
@@ -209,22 +204,6 @@
 	return nil
 }
 
-// problem is an error as callers and operators get it.
-type problem struct {
-	Error *errs.Error `json:"error"`
-}
-
-func writeError(ctx *fasthttp.RequestCtx, err error) {
-	e := errs.As(err)
-	ctx.SetStatusCode(errs.Lookup(e.Type).Status)
-	if e.RetryAfterMs > 0 {
-		ctx.Response.Header.Set("Retry-After", retryAfter(e.RetryAfterMs))
-	}
-	if err := writeJSON(ctx, problem{e}); err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-	}
-}
-
 // audit writes one line for each act that changes or shows what only operators
 // may see. A watch is held for long and would fill the log: only its refusal is written.
 func (a *Admin) audit(ctx *fasthttp.RequestCtx, by act, err error) {
