--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/problem"
 )
 
 // serve handles one request of a caller.
@@ -34,9 +35,9 @@
 	path := ctx.Path()
 	switch {
 	case string(path) == pathChat:
-		return e.handleGenerate(ctx, &a, true)
+		return e.handleGenerate(ctx, &a, pathChat)
 	case string(path) == pathCompletions:
-		return e.handleGenerate(ctx, &a, false)
+		return e.handleGenerate(ctx, &a, pathCompletions)
 	case bytes.HasPrefix(path, []byte(pathService)):
 		return e.handleService(ctx, &a)
 	case string(path) == pathModels:
@@ -57,12 +58,12 @@
 func (e *Entry) refuse(ctx *fasthttp.RequestCtx, a *accepted, err *errs.Error) {
 	e.rec.failed(a.id, err)
 	discardBody(ctx)
-	WriteError(ctx, err)
+	problem.Write(ctx, err)
 }
 
-func (e *Entry) handleGenerate(ctx *fasthttp.RequestCtx, a *accepted, chat bool) bool {
+func (e *Entry) handleGenerate(ctx *fasthttp.RequestCtx, a *accepted, path string) bool {
 	var c classified
-	if err := e.classifyGenerate(ctx, chat, &c); err != nil {
+	if err := e.classifyGenerate(ctx, path, &c); err != nil {
 		e.refuse(ctx, a, err)
 		return false
 	}
@@ -92,7 +93,7 @@
 		return false
 	}
 	if err = relay(ctx, c); err != nil {
-		WriteError(ctx, err)
+		problem.Write(ctx, err)
 		c.close(err)
 		return true
 	}
--- a/internal/side/random_test.go
+++ b/internal/side/random_test.go
@@ -15,6 +15,8 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/completion"
+	"arbutusramp/internal/sleep"
 )
 
 const wholeText = "abcdefgh"
@@ -54,7 +56,7 @@
 	}
 	m.take(call)
 	for i := call.ResumeFrom; i < len(wholeText); i++ {
-		if pause(ctx, delay) != nil {
+		if !sleep.For(ctx, delay) {
 			return errs.New(errs.Cancelled, "cancelled")
 		}
 		switch {
@@ -250,7 +252,7 @@
 		return
 	}
 	c.checkRan(itemRequest(ref), d.Err)
-	var whole completion
+	var whole completion.Answer
 	if d.Err == nil && (json.Unmarshal(d.Body, &whole) != nil || *whole.Choices[0].Text != wholeText) {
 		c.t.Errorf("item %+v: %s", ref, d.Body)
 	}
