--- a/internal/lab/slopes/bench.go
+++ b/internal/lab/slopes/bench.go
@@ -42,6 +42,8 @@
 // bench collects slopes.
 type bench struct {
 	window  time.Duration // of one measurement of processor time
+	long    time.Duration // the same for what happens in intervals, such as group commits
+	warmUp  time.Duration // until rates are level
 	repeats int
 	report  Report
 }
@@ -54,6 +56,19 @@
 	return []float64{xs[0], xs[len(xs)/2], xs[len(xs)-1]}
 }
 
+// sizes is few for what takes long to set up: a quick run takes a quarter of each.
+func (b *bench) sizes(xs ...float64) []float64 {
+	const quarter = 0.25
+	if !b.report.Quick {
+		return xs
+	}
+	small := make([]float64, 0, len(xs))
+	for _, x := range xs {
+		small = append(small, quarter*x)
+	}
+	return small
+}
+
 // sample measures at x and returns one value for each slope.
 type sample func(x float64) ([]float64, error)
 
--- a/internal/lab/slopes/fold.go
+++ b/internal/lab/slopes/fold.go
@@ -65,7 +65,7 @@
 		})
 		return []float64{done, open}, err
 	}
-	err := b.measureOnce(ctx, b.few(256*kibi, 512*kibi, kibi*kibi), items,
+	err := b.measureOnce(ctx, b.sizes(256*kibi, 512*kibi, kibi*kibi), items,
 		Slope{Name: JobItemMemory, Feeds: "owner of job shards: memory", Unit: "B/item", Base: "B",
 			Over: "items with results", Model: "live heap of a fold whose items all have a result"},
 		Slope{Name: JobOpenMemory, Feeds: "owner of job shards: memory", Unit: "B/item", Base: "B",
@@ -123,7 +123,7 @@
 		})
 		return []float64{float64(bytes), taken, restored}, err
 	}
-	return b.measureOnce(ctx, b.few(256*kibi, 512*kibi, kibi*kibi), snapshot,
+	return b.measureOnce(ctx, b.sizes(256*kibi, 512*kibi, kibi*kibi), snapshot,
 		Slope{Name: SnapshotBytes, Feeds: "log: bytes of shard snapshots", Unit: "B/item", Base: "B", Over: "items with results"},
 		Slope{Name: SnapshotCPU, Feeds: "owner of job shards: processor time", Unit: "us/item", Base: "us", Over: "items with results"},
 		Slope{Name: RestoreCPU, Feeds: "takeover of a job shard", Unit: "us/item", Base: "us", Over: "items with results"})
--- a/internal/lab/slopes/sessions.go
+++ b/internal/lab/slopes/sessions.go
@@ -55,7 +55,7 @@
 	}
 	defer echo.stop()
 	loads := func(x float64) ([]float64, error) {
-		used, bytes, _ := echo.watch(beatWindow, func() { echo.side.reportLoads(x, beatWindow) })
+		used, bytes, _ := echo.watch(b.long, func() { echo.side.reportLoads(x, b.long) })
 		return []float64{used / loadSessions, bytes / loadSessions}, nil
 	}
 	return b.measure(ctx, b.few(0, 5, 10, 20), loads,
