--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/plan"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -96,7 +96,7 @@
 func (a *Admin) append(ctx context.Context, body []byte) (structs.Version, error) {
 	mayBeIn := false
 	for try := range appendTries {
-		if try > 0 && !pause(ctx, appendPause) {
+		if try > 0 && !sleep.For(ctx, appendPause) {
 			break
 		}
 		off, err := a.appendOnce(ctx, body)
@@ -145,20 +145,3 @@
 func unknown(why string) error {
 	return errs.New(errs.AppendUnknown, why+"; send the same confirm again, it counts once").WithRetry(comeBack)
 }
-
-// pause waits for d and reports whether ctx still holds.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// retryAfter rounds up to whole seconds.
-func retryAfter(ms int64) string {
-	return strconv.FormatInt((ms+999)/1000, 10)
-}
--- a/internal/settings/entry_table.go
+++ b/internal/settings/entry_table.go
@@ -117,7 +117,7 @@
 	return []row[Entry]{
 		{section: "route", key: "policy", unit: "word", def: choose.DefaultPolicy,
 			field: word(func(e *Entry) *string { return &e.RoutePolicy }, choose.Policies()...),
-			doc:   "how a target is chosen for an online request"},
+			doc:   "how a target is chosen for an online request; docs/ROUTING.md compares the policies"},
 	}
 }
 
