--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/problem"
+	"arbutusramp/internal/sleep"
 	"arbutusramp/internal/telemetry"
 )
 
@@ -92,7 +94,7 @@
 
 func (e *Entry) serveAdmin(ctx *fasthttp.RequestCtx) {
 	if e.parts.Admin == nil {
-		WriteError(ctx, errs.New(errs.NotFound, "no administration here"))
+		problem.Write(ctx, errs.New(errs.NotFound, "no administration here"))
 		return
 	}
 	e.parts.Admin(ctx)
@@ -106,7 +108,7 @@
 		typed = tooLarge(e.set.MaxBody)
 	}
 	e.rec.failed("", typed)
-	WriteError(ctx, typed)
+	problem.Write(ctx, typed)
 }
 
 // stop ends the entry within DrainTimeout. Sessions and sockets stay until the last answer is
@@ -126,9 +128,9 @@
 	for _, drain := range e.parts.Drain {
 		parts.Go(func() { drain(ctx) })
 	}
-	sleep(ctx, min(stopGrace, e.set.DrainTimeout/4))
+	sleep.For(ctx, min(stopGrace, e.set.DrainTimeout/4))
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, drainPoll)
+		sleep.For(ctx, drainPoll)
 	}
 	parts.Wait()
 	if n := e.inFlight.Load(); n > 0 {
