Owner: small offers no longer starve all shards but the first

Symptom: with one side of 4 places and jobs in three shards of one owner, after 30 s of virtual time the shards had 2,399, 17 and 0 items. Cause: every offer was filled from the first owned shard on, and that one never ran dry. Ruled out: the fair dispatch within a shard (core/jobs), which was never asked. Each offer now begins where the one before ended; the new test was red before and is green now. Fairness between owners and due times across shards are still not looked at together.

--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -56,21 +56,25 @@
 	if len(shards) == 0 {
 		return
 	}
-	for i, p := range m.sides.withRoom() {
+	for _, p := range m.sides.withRoom() {
 		if !m.mayHold(shards) {
 			return
 		}
-		m.serve1(p, shards, i)
+		m.fill(p, shards)
 	}
 	m.metrics.heldBytes.Update(m.held.Load())
 }
 
-// serve1 fills the room of one offer, a chunk from each shard in turn.
-func (m *Manager) serve1(p pull, shards []*shard, start int) {
+// fill uses up the room of one offer, a chunk from each shard in turn. Offers begin
+// where the one before ended: small offers that all began at the first shard would
+// leave the others with nothing until it has run dry.
+func (m *Manager) fill(p pull, shards []*shard) {
 	room := p.Room
+	start := m.nextShard
 	for progress := true; progress && room > 0; {
 		progress = false
 		for k := range shards {
+			m.nextShard = (start + k + 1) % len(shards)
 			s := shards[(start+k)%len(shards)]
 			n := s.take(p, min(room, takeChunk))
 			if n == 0 {
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -40,6 +40,7 @@
 	leaving                atomic.Bool
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
+	nextShard              int // among the owned ones, whose turn it is; only dispatchLoop's goroutine uses it
 
 	// outage says that other entries do not reach the log service either.
 	outage atomic.Bool
