The choice of targets that the settings name is in force

Affinity by rendezvous hashing of a prompt's beginning with bounded load is a policy to compare with.

--- a/core/choose/choose.go
+++ b/core/choose/choose.go
@@ -63,6 +63,8 @@
 	TimeLeft time.Duration      // until the caller's deadline
 	// MayProbe says that the request is safe to try on a target that is coming back.
 	MayProbe bool
+	// Prefixes are hashes of the prompt's growing prefixes; nil for plain services.
+	Prefixes []uint64
 	// Begun says that the caller has a part of the answer. It is not refused for load:
 	// what the targets have done for it would be thrown away.
 	Begun bool
@@ -73,6 +75,10 @@
 	Candidates []Candidate
 	// MeanUtilisation is over the candidates that passed the filters.
 	MeanUtilisation float64
+	// MeanOutstanding is over the same candidates.
+	MeanOutstanding float64
+	// Home is the candidate that the request's prefix belongs to, -1 for none.
+	Home int
 }
 
 // Filter drops candidates.
@@ -171,11 +177,14 @@
 }
 
 func (p *Policy) score(r *Request, v *View, d *Decision) {
-	sum := 0.0
+	sum, outstanding := 0.0, 0
 	for _, k := range d.Kept {
 		sum += v.Candidates[k.Index].Utilisation()
+		outstanding += v.Candidates[k.Index].Outstanding()
 	}
 	v.MeanUtilisation = sum / float64(len(d.Kept))
+	v.MeanOutstanding = float64(outstanding) / float64(len(d.Kept))
+	v.Home = home(r, v, d.Kept)
 	for i := range d.Kept {
 		c := &v.Candidates[d.Kept[i].Index]
 		for _, s := range p.Scorers {
--- a/core/choose/policies.go
+++ b/core/choose/policies.go
@@ -29,6 +29,8 @@
 		{"fresh", TwoChoices{}, []Scorer{FreshLoad{}}},
 		{"prequal", HotCold{}, []Scorer{FreshLoad{}, FirstToken{}}},
 		{"affinity", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}}},
+		{"home", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixHome{}}},
+		{"home-domain", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixHome{}, SameDomain{}}},
 		{"two-choices", TwoChoices{}, everything()},
 		{"hot-cold", HotCold{}, everything()},
 		{"best", Best{}, everything()},
--- a/core/choose/scores.go
+++ b/core/choose/scores.go
@@ -9,6 +9,8 @@
 	domainCostUs = 2_000
 	// blockCostUs is the prefill time saved by one cached prefix block (64 tokens).
 	blockCostUs = 1_500
+	// homeBlockCostUs is the same at the home of a prefix, where it is cached as a rule.
+	homeBlockCostUs = 3_000
 	// affinityBound is c of consistent hashing with bounded loads: a target loaded
 	// over c times the mean gets no credit for its cache.
 	affinityBound = 1.25
@@ -53,6 +55,17 @@
 	return -blockCostUs * float64(c.Matched)
 }
 
+// PrefixHome credits the home of the request's prefix with the prefill that is saved there.
+type PrefixHome struct{}
+
+// Cost implements Scorer.
+func (PrefixHome) Cost(r *Request, c *Candidate, v *View) float64 {
+	if v.Home < 0 || c != &v.Candidates[v.Home] {
+		return 0
+	}
+	return -homeBlockCostUs * float64(len(r.Prefixes))
+}
+
 // SameDomain costs leaving the entry's failure domain.
 type SameDomain struct{}
 
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -82,6 +82,7 @@
 		Tried:    c.tried,
 		TimeLeft: c.deadline.Sub(now),
 		MayProbe: !c.req.nonIdempotent && c.attempt == 0,
+		Prefixes: c.req.prefixes(),
 		Begun:    c.progress.next > 0,
 	}
 	if c.req.generate != nil {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -47,6 +47,7 @@
 		Hosts:    k.hosts,
 		Weights:  k.weights,
 		Config:   k.config,
+		Policy:   s.Choice,
 	})
 	if err != nil {
 		return nil, err
