--- a/internal/lab/faults/jobs.go
+++ b/internal/lab/faults/jobs.go
@@ -182,11 +182,20 @@
 
 // start has a caller send j and see it through.
 func (l *jobLoad) start(ctx context.Context, j *sentJob) {
-	h := l.w.hist
+	l.w.hist.sends(j)
+	l.wg.Go(func() { l.send(ctx, j) })
+}
+
+// startPlain has a caller send j until it is accepted, and do no more.
+func (l *jobLoad) startPlain(ctx context.Context, j *sentJob) {
+	l.w.hist.sends(j)
+	l.wg.Go(func() { l.submit(ctx, j) })
+}
+
+func (h *history) sends(j *sentJob) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.jobs[j.key] = j
-	h.mu.Unlock()
-	l.wg.Go(func() { l.send(ctx, j) })
 }
 
 func (l *jobLoad) send(ctx context.Context, j *sentJob) {
--- a/test/cluster/links.go
+++ b/test/cluster/links.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"io"
 	"net"
 	"sync"
 
@@ -179,7 +180,8 @@
 
 const copyBytes = 32 << 10
 
-// copy forwards until one of the connections ends, then resets both.
+// copy forwards until one of the connections ends. An end in order is passed on behind the bytes
+// before it: what a process sent before it closed arrives. Any other end resets both.
 func (l *link) copy(to, from net.Conn) {
 	buf := make([]byte, copyBytes)
 	for {
@@ -190,6 +192,11 @@
 				err = werr
 			}
 		}
+		if err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+				return
+			}
+		}
 		if err != nil {
 			l.drop(to)
 			l.drop(from)
