--- a/internal/client/jobs.go
+++ b/internal/client/jobs.go
@@ -99,13 +99,16 @@
 
 // JobLine is one result of a job.
 type JobLine struct {
-	CustomID string `json:"custom_id"`
-	Index    int    `json:"index"`
-	Response *struct {
-		Status int             `json:"status_code"`
-		Body   json.RawMessage `json:"body"`
-	} `json:"response"`
-	Error *errs.Error `json:"error"`
+	CustomID string      `json:"custom_id"`
+	Index    int         `json:"index"`
+	Response *JobAnswer  `json:"response"`
+	Error    *errs.Error `json:"error"`
+}
+
+// JobAnswer is the target's answer to an item.
+type JobAnswer struct {
+	Status int             `json:"status_code"`
+	Body   json.RawMessage `json:"body"`
 }
 
 // maxLine bounds one line of results, bytes.
--- a/internal/lab/faults/inject.go
+++ b/internal/lab/faults/inject.go
@@ -147,7 +147,13 @@
 
 // replace takes processes away and starts them anew after a time.
 func (in *injector) replace(ctx context.Context, f fault, all []*cluster.Process, kill bool) bool {
+	var ended sync.WaitGroup
 	for _, p := range all {
+		done := p.Done()
+		ended.Go(func() {
+			<-done
+			in.w.links.Ended(p.ID)
+		})
 		if kill {
 			in.w.hist.lost(p.ID, time.Now(), time.Time{})
 			p.Kill()
@@ -157,9 +163,7 @@
 		p.Stop()
 	}
 	pause(ctx, f.For)
-	for _, p := range all {
-		<-p.Done()
-	}
+	ended.Wait()
 	in.starting.Lock()
 	defer in.starting.Unlock()
 	for _, p := range all {
--- a/test/cluster/links.go
+++ b/test/cluster/links.go
@@ -69,11 +69,13 @@
 // Kill implements Network.
 func (n *Links) Kill(host structs.HostID) { n.change(func() { n.dead[host] = true }) }
 
-// Revive implements Network. The listeners that host had are gone: another program may have their
-// ports by now. They are reached again once Via is asked for them.
-func (n *Links) Revive(host structs.HostID) {
+// Revive implements Network.
+func (n *Links) Revive(host structs.HostID) { n.change(func() { delete(n.dead, host) }) }
+
+// Ended lets no connection through to the listeners that host had: another program may get their
+// ports. They are reached again once Via is asked for them.
+func (n *Links) Ended(host structs.HostID) {
 	n.change(func() {
-		delete(n.dead, host)
 		for h, l := range n.links {
 			l.gone = l.gone || h.To == host
 		}
