--- a/internal/lab/faults/world.go
+++ b/internal/lab/faults/world.go
@@ -7,7 +7,6 @@
 
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/jobs"
-	"arbutusramp/core/structs"
 	"arbutusramp/internal/batch"
 	"arbutusramp/internal/client"
 	"arbutusramp/internal/node"
@@ -127,16 +126,6 @@
 	return w.Await(ctx)
 }
 
-// entry returns the process of host, nil if there is none.
-func (w *world) entry(host structs.HostID) *cluster.Process {
-	for _, p := range w.Entries {
-		if p.ID == host {
-			return p
-		}
-	}
-	return nil
-}
-
 // pause waits for d and says whether ctx is still alive.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
