Side: a parked item's turn is ended under its own id

Cause: between the parking of an item and the end of its turn, the loop that looks after parked items could give it its next turn, and that turn was then ended in place of the first: the item was in no queue until its lease ran out. Found as a data race by the test of lab faults under the race detector. Lab faults: what is still busy at the verdict is read under its lock.

--- a/internal/lab/faults/check.go
+++ b/internal/lab/faults/check.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,9 +27,14 @@
 	final map[string]int
 	// keyCalls returns how often a call under that key took effect.
 	keyCalls func(key string) int
+
+	begun []begun // what had begun at targets by the verdict; targets may still be busy
 }
 
 func (v *verdict) judge() {
+	v.h.mu.Lock()
+	v.begun = slices.Clone(v.h.begun)
+	v.h.mu.Unlock()
 	for _, s := range v.shards {
 		v.report.CopiesPassed += s.copies
 		v.report.StalePassed += s.stale
@@ -157,7 +164,7 @@
 // runs checks what began at targets.
 func (v *verdict) runs() {
 	calls := make(map[jobs.Key]int)
-	for _, b := range v.h.begun {
+	for _, b := range v.begun {
 		id, index, ok := itemRun(b.request)
 		if !ok {
 			continue
@@ -184,8 +191,8 @@
 			v.h.violation("nonidempotent_twice", fmt.Sprintf("key %s ran %d times", key, n))
 		}
 	}
-	ran := make(map[string]bool, len(v.h.begun))
-	for _, b := range v.h.begun {
+	ran := make(map[string]bool, len(v.begun))
+	for _, b := range v.begun {
 		ran[b.request] = true
 	}
 	for _, id := range v.h.online.notRun {
@@ -196,12 +203,14 @@
 }
 
 func (v *verdict) sum() {
-	r, by := v.report, v.h.bad
+	v.h.mu.Lock()
+	defer v.h.mu.Unlock()
+	r, by := v.report, maps.Clone(v.h.bad)
 	r.Duplicated = by["duplicated"] + by["invariant_"+string(invariant.OneResult)]
 	r.RanAfterCancel = by["ran_after_cancel"]
 	r.NonIdempotentTwice = by["nonidempotent_twice"]
 	r.StaleActs = by["phantom"] + by["invariant_"+string(invariant.CurrentEpoch)] + by["invariant_"+string(invariant.OneCopy)]
-	r.ByName, r.Details = by, v.h.details
+	r.ByName, r.Details = by, slices.Clone(v.h.details)
 	for _, n := range by {
 		r.Violations += n
 	}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -73,6 +73,7 @@
 	work, stopWork := context.WithCancel(ctx)
 	load, stopLoad := context.WithCancel(ctx)
 	var wg sync.WaitGroup
+	defer r.load.wg.Wait()
 	defer wg.Wait()
 	defer stopWork()
 	defer stopLoad()
@@ -91,6 +92,7 @@
 	r.w.Log.Turn(healLog)
 	r.w.TurnLists(healList)
 	stopLoad()
+	wg.Wait() // none starts a job any more
 	r.awaitCallers(stopWork)
 	return nil
 }
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -74,9 +74,9 @@
 
 // start implements task.
 func (i *item) start() {
-	g, why := i.begin()
+	g, id, why := i.begin()
 	if g == nil {
-		i.s.queue.ended(i.id, admit.Stopped)
+		i.s.queue.ended(id, admit.Stopped)
 		i.notStarted(why)
 		return
 	}
@@ -91,27 +91,29 @@
 
 // begin is the last check before the target gets the item. A side that was paused
 // or cut off may not know that the job was cancelled meanwhile; that shows as an owner
-// that was not heard of lately, and the item waits until it is.
-func (i *item) begin() (*guard, *errs.Error) {
+// that was not heard of lately, and the item waits until it is. It returns the id of this
+// turn in the queue: a parked item can get its next turn at any moment, and ended under the
+// new id that turn would be lost, with the item in no queue until its lease runs out.
+func (i *item) begin() (*guard, admit.ID, *errs.Error) {
 	owned := fresh(i.s.peers.byHost(i.ownerHost()), time.Now())
 	stale := i.s.items.staleEpoch(i.reference())
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch {
 	case i.stopped != nil:
-		return nil, i.stopped
+		return nil, i.id, i.stopped
 	case stale:
 		i.stopped = errs.New(errs.StaleEpoch, "the shard has a newer owner").WithRan(errs.RanNo)
-		return nil, i.stopped
+		return nil, i.id, i.stopped
 	case i.preempted, !owned:
 		i.state = itemParked
 		i.parkedAt = time.Now()
 		i.preempted = false
-		return nil, nil
+		return nil, i.id, nil
 	}
 	i.state = itemRunning
 	i.guard = newGuard(i.s.base, i.s.o.Settings.TargetBudget, i.deadline())
-	return i.guard, nil
+	return i.guard, i.id, nil
 }
 
 func (i *item) deadline() time.Time {
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -487,3 +487,23 @@
 		}
 	})
 }
+
+// Symptom: an item is at a side and in no queue; it runs again elsewhere once its lease is out.
+// Sequence: an item starts while its owner is not heard of and is parked; the owner is heard
+// again, and the item gets its next turn before the end of the last one is noted.
+// Cause: the end noted under the id of the next turn.
+func TestParkedItemKeepsItsNextTurn(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		i := newItem(b.Side, "not-heard-of", batchItem("j", 0))
+		first := i.id
+		g, id, why := i.begin()
+		if g != nil || why != nil || !i.is(itemParked) {
+			t.Fatalf("guard %v, error %v", g, why)
+		}
+		i.requeue()
+		if id != first || i.id == first {
+			t.Errorf("turn %v began, %v is to be ended, %v comes next", first, id, i.id)
+		}
+		synctest.Wait()
+	})
+}
