--- a/internal/side/harness_test.go
+++ b/internal/side/harness_test.go
@@ -286,7 +286,7 @@
 	}
 }
 
-func (b *bench) items1(items ...structs.Item) {
+func (b *bench) sendItems(items ...structs.Item) {
 	b.send(structs.Frame{Items: &structs.Items{Items: items}})
 }
 
--- a/internal/side/item_test.go
+++ b/internal/side/item_test.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
@@ -28,7 +26,7 @@
 		b.target.generate = generateWhole("hello")
 		it := batchItem("j", 0)
 		it.Generate.Chat = true
-		b.items1(it)
+		b.sendItems(it)
 		done := b.entry.done()
 		if len(done) != 1 || done[0].Err != nil || done[0].Status != 200 || done[0].Ref != it.Ref {
 			t.Fatalf("done %+v", done)
@@ -55,7 +53,7 @@
 		b.target.generate = generateWhole("x")
 		b.entry.setPaused(true)
 		time.Sleep(freshFor + time.Millisecond)
-		b.items1(batchItem("cancelled", 0), batchItem("other", 0))
+		b.sendItems(batchItem("cancelled", 0), batchItem("other", 0))
 		time.Sleep(5 * time.Second)
 		synctest.Wait()
 		if n := len(b.target.generations()); n != 0 {
@@ -80,7 +78,7 @@
 		b.target.generate = generateWhole("x")
 		b.entry.setPaused(true)
 		time.Sleep(freshFor + time.Millisecond)
-		b.items1(batchItem("j", 0))
+		b.sendItems(batchItem("j", 0))
 		b.closed(b.entry, errs.New(errs.SessionLost, "cut"))
 		time.Sleep(2 * parkedFor)
 		other := &fakeLink{host: "e2"}
@@ -93,36 +91,6 @@
 	})
 }
 
-func TestItemStopCancelsWhatRuns(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		b.target.generate = func(ctx context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
-			_ = sink(token(0, "a"))
-			return hang(ctx)
-		}
-		for i := range 20 {
-			b.items1(batchItem("j", i))
-		}
-		b.send(structs.Frame{ItemStop: &structs.ItemStop{Job: "j", Index: 0}})
-		started := len(b.target.generations())
-		if d := b.entry.done(); len(d) != 1 || d[0].Ref.Index != 0 {
-			t.Fatalf("after the stop of one item: %+v", d)
-		}
-		b.send(structs.Frame{ItemStop: &structs.ItemStop{Job: "j", All: true}})
-		done := b.entry.done()
-		if len(done) != 20 || len(b.target.generations()) != started {
-			t.Fatalf("%d outcomes, %d starts, %d before", len(done), len(b.target.generations()), started)
-		}
-		for _, d := range done {
-			if !errs.Is(d.Err, errs.Cancelled) {
-				t.Fatalf("outcome %+v", d.Err)
-			}
-		}
-		if load := b.queue.load(); load.BatchInFlight != 0 {
-			t.Fatalf("load %+v", load)
-		}
-	})
-}
-
 // Symptom: online callers wait behind batch, or a preempted item starts from nothing. At
 // a burst the batch streams are cancelled, and resume later at their position.
 func TestPreemptedItemResumesWithItsProgress(t *testing.T) {
@@ -146,7 +114,7 @@
 			return tokens(sink, max(3, call.ResumeFrom), "abcdef")
 		}
 		for i := range 16 {
-			b.items1(batchItem("j", i))
+			b.sendItems(batchItem("j", i))
 		}
 		for i := uint64(1); i <= 16; i++ {
 			b.open(i, generateOpen())
@@ -191,7 +159,7 @@
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
 		b.target.generate = generateWhole("x")
 		it := batchItem("j", 0)
-		b.items1(it)
+		b.sendItems(it)
 		b.closed(b.entry, errs.New(errs.SessionLost, "cut"))
 		other := &fakeLink{host: "e2"}
 		b.opened(other)
@@ -212,49 +180,6 @@
 	})
 }
 
-// Symptom: an owner that has lost its shard goes on having items run.
-func TestOldEpochDoesNotStart(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		b.target.generate = generateWhole("x")
-		b.items1(batchItem("new", 0))
-		old := batchItem("old", 0)
-		old.Ref.Epoch = 4
-		b.items1(old)
-		done := b.entry.done()
-		if len(b.target.generations()) != 1 || len(done) != 2 || !errs.Is(done[1].Err, errs.StaleEpoch) {
-			t.Fatalf("done %+v", done)
-		}
-	})
-}
-
-// Symptom: as above; the items of the old owner were in the queue already when the new
-// owner was heard of.
-func TestQueuedItemsOfOldEpochDoNotStart(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		release := make(chan struct{})
-		b.target.generate = func(_ context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
-			<-release
-			return tokens(sink, 0, "x")
-		}
-		for i := range 20 {
-			b.items1(batchItem("old", i))
-		}
-		started := len(b.target.generations())
-		newer := batchItem("new", 0)
-		newer.Ref.Epoch++
-		b.items1(newer)
-		close(release)
-		time.Sleep(time.Second)
-		synctest.Wait()
-		if n := len(b.target.generations()); started == 20 || n != started+1 {
-			t.Fatalf("%d starts, %d before the newer epoch", n, started)
-		}
-		if d := b.entry.done(); len(d) != 21 {
-			t.Fatalf("%d outcomes", len(d))
-		}
-	})
-}
-
 // Symptom: a harmless item is blamed for a crash that its neighbour caused. All that ran
 // beside it is named, also what broke a moment earlier.
 func TestDeathOfTargetNamesNeighbours(t *testing.T) {
@@ -266,7 +191,7 @@
 			return errs.New(errs.StreamBroken, "worker died")
 		}
 		for i := range 3 {
-			b.items1(batchItem("j", i))
+			b.sendItems(batchItem("j", i))
 		}
 		if n := len(b.target.generations()); n != 3 {
 			t.Fatalf("%d items run", n)
@@ -292,39 +217,6 @@
 	})
 }
 
-// Symptom: a dead target eats a job: items are pulled, fail at once and are charged an
-// attempt each. What was never handed over is given back, and no more is pulled.
-func TestDeadTargetChargesNothingAndPullsNothing(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		b.target.failLoad(errs.New(errs.TargetFailed, "connection refused"))
-		b.target.generate = func(context.Context, platform.GenerateCall, func(platform.Token) error) error {
-			return errs.New(errs.TargetFailed, "connection refused").WithRan(errs.RanNo)
-		}
-		b.items1(batchItem("j", 0))
-		done := b.entry.done()
-		if len(done) != 1 || !done[0].GaveBack || done[0].Err.Ran != errs.RanNo {
-			t.Fatalf("done %+v", done)
-		}
-		time.Sleep(10 * time.Second)
-		if n := lastPull(b.entry); n != 0 {
-			t.Fatalf("room %d offered", n)
-		}
-		b.target.failLoad(nil)
-		time.Sleep(time.Minute)
-		if lastPull(b.entry) == 0 {
-			t.Fatal("the target is back and nothing is pulled")
-		}
-	})
-}
-
-func lastPull(l *fakeLink) int {
-	pulls := l.frames(func(f *structs.Frame) bool { return f.Pull != nil })
-	if len(pulls) == 0 {
-		return 0
-	}
-	return pulls[len(pulls)-1].Pull.Room
-}
-
 // Symptom: a suspect kills its worker again and takes others with it.
 func TestSuspectRunsAlone(t *testing.T) {
 	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
@@ -347,9 +239,9 @@
 		suspect := batchItem("suspect", 0)
 		suspect.Alone = true
 		for i := range 12 {
-			b.items1(batchItem("j", i))
+			b.sendItems(batchItem("j", i))
 			if i == 2 {
-				b.items1(suspect)
+				b.sendItems(suspect)
 			}
 		}
 		time.Sleep(time.Minute)
@@ -360,41 +252,6 @@
 	})
 }
 
-func TestDrainGivesItemsBack(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		b.target.generate = func(ctx context.Context, _ platform.GenerateCall, sink func(platform.Token) error) error {
-			_ = sink(token(0, "a"))
-			return hang(ctx)
-		}
-		for i := range 20 {
-			b.items1(batchItem("j", i))
-		}
-		drained := make(chan struct{})
-		go func() {
-			b.drain()
-			close(drained)
-		}()
-		synctest.Wait()
-		done := b.entry.done()
-		var ack structs.ItemAck
-		for _, d := range done {
-			if !d.GaveBack {
-				t.Fatalf("outcome %+v", d)
-			}
-			ack.Refs = append(ack.Refs, d.Ref)
-		}
-		if len(done) != 20 {
-			t.Fatalf("%d outcomes", len(done))
-		}
-		b.send(structs.Frame{ItemAck: &ack})
-		before := time.Now()
-		<-drained
-		if d := time.Since(before); d != 0 {
-			t.Fatalf("the drain went on for %v after the last acknowledgement", d)
-		}
-	})
-}
-
 // Symptom: a side takes up items of a job that is long done, twice at a time. The owner
 // sends an item again because it thought the session lost.
 func TestResentItemRunsOnce(t *testing.T) {
@@ -404,9 +261,9 @@
 			return tokens(sink, 0, "x")
 		}
 		it := batchItem("j", 0)
-		b.items1(it)
+		b.sendItems(it)
 		it.Ref.Attempt++
-		b.items1(it, it)
+		b.sendItems(it, it)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		if d := b.entry.done(); len(b.target.generations()) != 1 || len(d) != 1 || d[0].Ref != it.Ref {
@@ -414,81 +271,3 @@
 		}
 	})
 }
-
-func TestSharesSumToRoomAndReachEveryEntry(t *testing.T) {
-	for _, active := range [][]bool{{false}, {true}, {false, false, false}, {true, false, false}, {true, true, false, false, false}} {
-		for room := range 40 {
-			t.Run(fmt.Sprint(active, room), func(t *testing.T) {
-				got := make([]int, len(active))
-				for turn := range 256 {
-					sum := 0
-					for i, n := range shares(room, active, turn) {
-						sum += n
-						got[i] += n
-					}
-					if sum != room {
-						t.Fatalf("turn %d gives %d of %d", turn, sum, room)
-					}
-				}
-				if room > 0 && slices.Contains(got, 0) {
-					t.Fatalf("an entry got nothing: %v", got)
-				}
-			})
-		}
-	}
-	if n := shares(3, nil, 1); len(n) != 0 {
-		t.Fatalf("shares of nobody: %v", n)
-	}
-}
-
-func TestIdleRoomIsOffered(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		b.target.generate = generateWhole("x")
-		if n := lastPull(b.entry); n == 0 || n != b.queue.batchRoom() {
-			t.Fatalf("offered %d of %d", n, b.queue.batchRoom())
-		}
-		pull := b.entry.frames(func(f *structs.Frame) bool { return f.Pull != nil })[0].Pull
-		if pull.Target != "t" || len(pull.Models) != 1 {
-			t.Fatalf("pull %+v", pull)
-		}
-	})
-}
-
-// Symptom: a job is accepted and none of its items starts, on an idle fleet. Sequence: a side
-// offers its room while its engine's first report, which lags, has no models; later reports
-// have them. Cause: the offer is sent again only when the room has changed.
-func TestOfferFollowsTheModels(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		for _, models := range [][]structs.ModelID{{}, {"m"}, {"m", "n"}} {
-			b.target.setModels(models...)
-			time.Sleep(2 * time.Second)
-			pulls := b.entry.frames(func(f *structs.Frame) bool { return f.Pull != nil })
-			if got := pulls[len(pulls)-1].Pull.Models; !slices.Equal(got, models) {
-				t.Errorf("offered for %v, loaded are %v", got, models)
-			}
-		}
-	})
-}
-
-// Symptom: a host that is being retired never gets free of batch items.
-// Sequence: an operator retires it; items wait at the entries.
-// Cause: its side goes on offering room.
-func TestRetiredHostOffersNoRoom(t *testing.T) {
-	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
-		if room := b.puller.room(); room == 0 {
-			t.Fatal("no room before the retirement")
-		}
-		host := b.o.Settings.Host.ID
-		b.configure(&fixedConfig{}, &confstate.State{
-			Version: 1,
-			Hosts:   map[structs.HostID]confstate.HostIntent{host: {ID: host, Retire: true}},
-		}, nil)
-		if room := b.puller.room(); room != 0 {
-			t.Errorf("room for %d items on a retired host", room)
-		}
-		b.configure(&fixedConfig{}, &confstate.State{Version: 2}, nil)
-		if room := b.puller.room(); room == 0 {
-			t.Error("no room after its return")
-		}
-	})
-}
