--- a/internal/side/gate.go
+++ b/internal/side/gate.go
@@ -36,11 +36,10 @@
 
 // check refuses what this side must not or can't pass on.
 func (s *Side) check(o *structs.Open) *errs.Error {
+	if err := s.closedTo(o.Target); err != nil {
+		return err
+	}
 	switch {
-	case s.draining.Load():
-		return drainingErr()
-	case o.Target != "" && o.Target != s.target.ID:
-		return errs.Newf(errs.NoTarget, "target %q is not here, but %q", o.Target, s.target.ID)
 	case o.Generate != nil && s.target.Kind != structs.KindEngine:
 		return errs.Newf(errs.BadRequest, "target %q is no model engine", s.target.ID)
 	case o.Generate == nil && s.target.Kind != structs.KindService:
@@ -49,6 +48,18 @@
 	return nil
 }
 
+// closedTo refuses what is meant for t while the side stops, or if t is not here; an empty
+// t is whatever target stands here.
+func (s *Side) closedTo(t structs.TargetID) *errs.Error {
+	if s.draining.Load() {
+		return drainingErr()
+	}
+	if t != "" && t != s.target.ID {
+		return errs.Newf(errs.NoTarget, "target %q is not here, but %q", t, s.target.ID)
+	}
+	return nil
+}
+
 func drainingErr() *errs.Error { return errs.New(errs.Draining, "the side is stopping") }
 
 // passKey reports whether c is the first with its key. Otherwise it is answered.
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -79,11 +79,10 @@
 }
 
 func (s *Side) checkItem(it *structs.Item) *errs.Error {
+	if err := s.closedTo(it.Target); err != nil {
+		return err
+	}
 	switch {
-	case s.draining.Load():
-		return drainingErr()
-	case it.Target != "" && it.Target != s.target.ID:
-		return errs.Newf(errs.NoTarget, "target %q is not here, but %q", it.Target, s.target.ID)
 	case (it.Generate != nil) != (s.target.Kind == structs.KindEngine):
 		return errs.Newf(errs.BadRequest, "target %q is of another kind", s.target.ID)
 	case s.items.staleEpoch(it.Ref):
