--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -1,5 +1,7 @@
 package errs
 
+import "maps"
+
 // Info is what a Type says by default.
 type Info struct {
 	Status int    // HTTP status towards callers.
@@ -16,13 +18,7 @@
 }
 
 // Types returns every type with its defaults, for docs/API.md and its test.
-func Types() map[Type]Info {
-	c := make(map[Type]Info, len(table))
-	for t, info := range table {
-		c[t] = info
-	}
-	return c
-}
+func Types() map[Type]Info { return maps.Clone(table) }
 
 var table = map[Type]Info{
 	BadRequest:       {400, RanNo, "correct the request"},
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -57,9 +58,7 @@
 	if err != nil {
 		return nil, wrap(err, path)
 	}
-	for name, values := range header {
-		req.Header[name] = values
-	}
+	maps.Copy(req.Header, header)
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -219,7 +220,7 @@
 	}
 	if extra := len(f.tail) - keepTail; extra > 0 {
 		f.tailOf = structs.Version(f.tail[extra-1].Offset)
-		f.tail = append([]structs.LogEntry(nil), f.tail[extra:]...)
+		f.tail = slices.Clone(f.tail[extra:])
 	}
 	return f.install(next)
 }
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -1,9 +1,9 @@
 package side
 
 import (
+	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -77,7 +77,7 @@
 // offer tells each entry its share and reports whether any entry has sent items lately.
 func (pl *puller) offer(now time.Time, room int) bool {
 	ps := pl.s.peers.all()
-	slices.SortFunc(ps, func(a, b *peer) int { return strings.Compare(string(a.host), string(b.host)) })
+	slices.SortFunc(ps, func(a, b *peer) int { return cmp.Compare(a.host, b.host) })
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	active := make([]bool, len(ps))
--- a/standin/engine/history.go
+++ b/standin/engine/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,7 +77,7 @@
 		return
 	}
 	if len(l.events) >= 2*maxEvents {
-		l.events = append([]timedEvent(nil), l.events[maxEvents:]...)
+		l.events = slices.Clone(l.events[maxEvents:])
 	}
 	l.events = append(l.events, timedEvent{now, platform.CacheEvent{Seq: l.seq, Prefix: prefix, Added: added}})
 }
--- a/standin/hostlist/hostlist.go
+++ b/standin/hostlist/hostlist.go
@@ -6,6 +6,7 @@
 package hostlist
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -64,7 +65,7 @@
 	return s, nil
 }
 
-func byID(a, b platform.Host) int { return strings.Compare(string(a.ID), string(b.ID)) }
+func byID(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) }
 
 func (s *Server) route() fasthttp.RequestHandler {
 	hosts := s.knobs.Wrap(s.serveHosts)
--- a/standin/internal/count/count.go
+++ b/standin/internal/count/count.go
@@ -1,7 +1,10 @@
 // Package count counts events by name in bounded memory.
 package count
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // MaxNames bounds the names that one Counter tells apart.
 const MaxNames = 1 << 18
@@ -60,10 +63,7 @@
 	defer c.mu.Unlock()
 	s := Snapshot{Total: c.total, Uncounted: c.uncount}
 	if names {
-		s.ByName = make(map[string]int, len(c.byName))
-		for name, n := range c.byName {
-			s.ByName[name] = n
-		}
+		s.ByName = maps.Clone(c.byName)
 	}
 	return s
 }
--- a/standin/logsvc/logsvc.go
+++ b/standin/logsvc/logsvc.go
@@ -235,7 +235,7 @@
 }
 
 func fmtOffset(o structs.Offset) []byte {
-	b := append([]byte(nil), `{"offset":`...)
+	b := []byte(`{"offset":`)
 	b = strconv.AppendUint(b, uint64(o), 10)
 	return append(b, '}')
 }
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/url"
 	"strings"
 	"sync"
@@ -73,9 +74,7 @@
 		defaultSize: o.DefaultSize,
 		sizes:       map[structs.ModelID]int64{},
 	}
-	for id, n := range o.Sizes {
-		s.sizes[id] = n
-	}
+	maps.Copy(s.sizes, o.Sizes)
 	faults := func(k Knobs) knob.Faults { return k.Faults }
 	knobs := knob.NewSet(Knobs{BytesPerS: o.BytesPerS})
 	s.knobs = knob.NewFaultSet(knobs, faults, o.Seed, s.http.Done())
