Follower: names that tell refusing an older version from checking the log's head

noBack and notBack differed in one letter; PushTo and SideOpened, watch and Watch were the same twice. The ports of an entry name the function that sends a frame.

--- a/core/choose/policies.go
+++ b/core/choose/policies.go
@@ -15,8 +15,8 @@
 	scorers []Scorer
 }
 
-// everything is each scorer that the default policy uses.
-func everything() []Scorer {
+// allScorers is each scorer that the default policy uses.
+func allScorers() []Scorer {
 	return []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}, SameDomain{}}
 }
 
@@ -29,9 +29,9 @@
 		{"fresh", TwoChoices{}, []Scorer{FreshLoad{}}},
 		{"prequal", HotCold{}, []Scorer{FreshLoad{}, FirstToken{}}},
 		{"affinity", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}}},
-		{"two-choices", TwoChoices{}, everything()},
-		{"hot-cold", HotCold{}, everything()},
-		{"best", Best{}, everything()},
+		{"two-choices", TwoChoices{}, allScorers()},
+		{"hot-cold", HotCold{}, allScorers()},
+		{"best", Best{}, allScorers()},
 	}
 }
 
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -10,15 +10,20 @@
 	"arbutusramp/core/structs"
 )
 
+// SendFunc sends a frame over one session; it does not block. Error: *errs.Error, once the
+// session has closed. It is an alias, so that the parts behind the ports need not import
+// this package.
+type SendFunc = func(*structs.Frame) error
+
 // BatchPort takes the session frames that concern batch items. Its methods
 // are called from a session's reader and must not block.
 type BatchPort interface {
 	// OnPull says that a side has room.
-	OnPull(side structs.HostID, send func(*structs.Frame) error, p *structs.Pull)
+	OnPull(side structs.HostID, send SendFunc, p *structs.Pull)
 	// OnItemDone is the outcome of one item.
-	OnItemDone(side structs.HostID, send func(*structs.Frame) error, d *structs.ItemDone)
+	OnItemDone(side structs.HostID, send SendFunc, d *structs.ItemDone)
 	// SideOpened says that a session to side is up.
-	SideOpened(side structs.HostID, send func(*structs.Frame) error)
+	SideOpened(side structs.HostID, send SendFunc)
 	// SideClosed says that it is gone.
 	SideClosed(side structs.HostID)
 }
@@ -26,9 +31,9 @@
 // ConfigPort gives sides the configuration over their sessions. Its methods must not block.
 type ConfigPort interface {
 	// OnConfig is a side's question for configuration.
-	OnConfig(side structs.HostID, send func(*structs.Frame) error, m *structs.ConfigMsg)
+	OnConfig(side structs.HostID, send SendFunc, m *structs.ConfigMsg)
 	// SideOpened says that a session to side is up.
-	SideOpened(side structs.HostID, send func(*structs.Frame) error)
+	SideOpened(side structs.HostID, send SendFunc)
 	// SideClosed says that it is gone.
 	SideClosed(side structs.HostID)
 }
@@ -38,9 +43,9 @@
 	// OnOrderDone is a target's answer to an Order frame.
 	OnOrderDone(side structs.HostID, d *structs.OrderDone)
 	// OnFenceAsk is the question of a side that has started for the newest fencing number.
-	OnFenceAsk(side structs.HostID, send func(*structs.Frame) error)
+	OnFenceAsk(side structs.HostID, send SendFunc)
 	// SideOpened says that a session to side is up, with what stands behind it.
-	SideOpened(side structs.HostID, targets []structs.TargetInfo, send func(*structs.Frame) error)
+	SideOpened(side structs.HostID, targets []structs.TargetInfo, send SendFunc)
 	// SideLoad is a target's newest report.
 	SideLoad(side structs.HostID, l *structs.Load)
 	// SideClosed says that the session is gone.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -172,7 +172,7 @@
 // when ctx ends first.
 func (f *Follower) WaitFor(ctx context.Context, v structs.Version) (*confstate.State, error) {
 	for {
-		s, changed := f.watch()
+		s, changed := f.Watch()
 		if s.Version >= v {
 			return s, nil
 		}
@@ -185,9 +185,7 @@
 }
 
 // Watch returns the State and a channel that is closed when there may be a newer one.
-func (f *Follower) Watch() (*confstate.State, <-chan struct{}) { return f.watch() }
-
-func (f *Follower) watch() (*confstate.State, <-chan struct{}) {
+func (f *Follower) Watch() (*confstate.State, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state, f.changed
@@ -243,7 +241,7 @@
 // whatever the reason, counted, and logged as an error.
 func (f *Follower) install(next *confstate.State) error {
 	have := f.state.Version
-	if err := f.noBack(next.Version); err != nil {
+	if err := f.refuseOlder(next.Version); err != nil {
 		return err
 	}
 	f.state = next
@@ -254,8 +252,8 @@
 	return nil
 }
 
-// noBack reports got as a violation if it is lower than the State's version.
-func (f *Follower) noBack(got structs.Version) error {
+// refuseOlder reports got as a violation if it is lower than the State's version; f.mu is held.
+func (f *Follower) refuseOlder(got structs.Version) error {
 	have := f.state.Version
 	if got >= have {
 		return nil
@@ -290,6 +288,7 @@
 	f.setStale(true)
 }
 
+// setStale is for heard and lost; f.mu is held.
 func (f *Follower) setStale(stale bool) {
 	if f.stale == stale {
 		return
--- a/internal/follow/logread.go
+++ b/internal/follow/logread.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.notBack(page.Next); err != nil {
+	if err := f.checkHead(page.Next); err != nil {
 		return err
 	}
 	if err := f.takeRecords(have, page.Entries); err != nil {
@@ -40,14 +40,14 @@
 	return nil
 }
 
-// notBack notices a log that has lost records which this process has folded.
-func (f *Follower) notBack(next structs.Offset) error {
+// checkHead notices a log that has lost records which this process has folded.
+func (f *Follower) checkHead(next structs.Offset) error {
 	if next == 0 {
 		return nil
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.noBack(structs.Version(next - 1))
+	return f.refuseOlder(structs.Version(next - 1))
 }
 
 // readLog bounds a read: a log that accepts and never answers would hold back
--- a/internal/follow/sides.go
+++ b/internal/follow/sides.go
@@ -13,8 +13,8 @@
 // it announces a new version: by then the owners have sent the records.
 const announceAfter = time.Second
 
-// SendFunc sends a frame to a side; it does not block.
-type SendFunc func(*structs.Frame) error
+// sendFunc sends a frame to a side; it does not block.
+type sendFunc = func(*structs.Frame) error
 
 // sides are those with a session to this entry.
 type sides struct {
@@ -24,15 +24,15 @@
 
 // pushed is what a side was sent.
 type pushed struct {
-	send SendFunc
+	send sendFunc
 	// sent is the version up to which the side was sent records or an announcement.
 	sent structs.Version
 	// since is when the side was first found behind.
 	since time.Time
 }
 
-// PushTo gives side the configuration from now on, over its session.
-func (f *Follower) PushTo(side structs.HostID, send func(*structs.Frame) error) {
+// SideOpened gives side the configuration from now on, over its session.
+func (f *Follower) SideOpened(side structs.HostID, send sendFunc) {
 	f.sides.mu.Lock()
 	if f.sides.open == nil {
 		f.sides.open = make(map[structs.HostID]*pushed)
@@ -43,12 +43,7 @@
 	f.sendTo(side, send, announcement(v))
 }
 
-// SideOpened is PushTo.
-func (f *Follower) SideOpened(side structs.HostID, send func(*structs.Frame) error) {
-	f.PushTo(side, send)
-}
-
-// SideClosed ends PushTo.
+// SideClosed ends what SideOpened began.
 func (f *Follower) SideClosed(side structs.HostID) {
 	f.sides.mu.Lock()
 	defer f.sides.mu.Unlock()
@@ -56,7 +51,7 @@
 }
 
 // OnConfig answers a side that asks for what it lacks.
-func (f *Follower) OnConfig(side structs.HostID, send func(*structs.Frame) error, m *structs.ConfigMsg) {
+func (f *Follower) OnConfig(side structs.HostID, send sendFunc, m *structs.ConfigMsg) {
 	if !m.Ask {
 		return
 	}
@@ -71,7 +66,7 @@
 	}
 }
 
-func (f *Follower) sendTo(side structs.HostID, send SendFunc, m *structs.ConfigMsg) {
+func (f *Follower) sendTo(side structs.HostID, send sendFunc, m *structs.ConfigMsg) {
 	m.AgeMs = 0 // sides don't relay
 	frame := &structs.Frame{Version: m.To, Config: m}
 	if err := send(frame); err != nil {
@@ -89,7 +84,7 @@
 	tick := time.NewTicker(announceAfter)
 	defer tick.Stop()
 	for {
-		s, changed := f.watch()
+		s, changed := f.Watch()
 		f.pushAll(s.Version)
 		select {
 		case <-changed:
--- a/internal/follow/sides_test.go
+++ b/internal/follow/sides_test.go
@@ -44,7 +44,7 @@
 		}
 		return nil
 	}
-	f.PushTo(s.id, send)
+	f.SideOpened(s.id, send)
 }
 
 func TestSidesGetEachChange(t *testing.T) {
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -42,11 +42,7 @@
 // snapshots writes a snapshot when one is due. The entry that is first by
 // rendezvous hashing does it; two that both think so do no harm.
 func (f *Follower) snapshots(ctx context.Context) {
-	for {
-		sleep.For(ctx, min(snapshotCheck, f.retention()/checkParts))
-		if ctx.Err() != nil {
-			return
-		}
+	for sleep.For(ctx, min(snapshotCheck, f.retention()/checkParts)) {
 		if !f.isReady() || !relay.Has(f.self, f.opts.Members(), structs.ConfigSnapshotStream, 1) {
 			continue
 		}
