Configuration: one name for the policy's object, one for the stream

The side repeated confstate's name of the policy's change mark; it now asks State.PolicySet. confstate.StreamName was a second ConfigStream that nothing used; it is gone. The engine stand-in uses cmp.Or and maps for its defaults and models.

--- a/core/confstate/outcome.go
+++ b/core/confstate/outcome.go
@@ -108,6 +108,9 @@
 	}
 }
 
-// policyObject keeps its mark: a side tells by it whether the policy was ever
-// set, or its own setting counts.
-const policyObject = "policy"
+// policyObject keeps its mark for PolicySet.
+var policyObject = structs.Intent{Policy: &structs.PolicyIntent{}}.Object()
+
+// PolicySet says whether an operator has ever set the policy; until then a side goes by its
+// own setting.
+func (s *State) PolicySet() bool { return s.Touched[policyObject] != 0 }
--- a/core/confstate/state.go
+++ b/core/confstate/state.go
@@ -7,9 +7,6 @@
 	"arbutusramp/core/structs"
 )
 
-// StreamName is the configuration stream at the log service.
-const StreamName = "config"
-
 // Source gives the newest State that a process holds. It never returns nil and
 // never a lower version than before.
 type Source interface {
--- a/core/confstate/target.go
+++ b/core/confstate/target.go
@@ -58,10 +58,7 @@
 	if !ok || t.RemovedAt != 0 {
 		return misfit(i, "there is no such target")
 	}
-	t.RemovedAt = f.s.Version
-	if t.RemovedAt == 0 {
-		t.RemovedAt = 1 // a preview of the first record
-	}
+	t.RemovedAt = f.removedAt()
 	t.RemovedMs = atMs
 	targets := f.targets.own(&f.s.Targets)
 	targets[id] = t
@@ -73,6 +70,10 @@
 	return nil
 }
 
+// removedAt is the version that removes a target; 0 would mean that it is registered, and
+// a preview of the first record is made at version 0.
+func (f *fold) removedAt() structs.Version { return max(1, f.s.Version) }
+
 // retireServices removes the plain services on a retired host. New idempotency keys would
 // else go on having their home there, and the host would never be free. Model engines stay
 // registered: they give up their models one by one.
@@ -81,7 +82,7 @@
 		if t.Host != host || t.Kind != structs.KindService || t.RemovedAt != 0 {
 			continue
 		}
-		t.RemovedAt = max(1, f.s.Version)
+		t.RemovedAt = f.removedAt()
 		t.RemovedMs = atMs
 		f.targets.own(&f.s.Targets)[id] = t
 	}
--- a/internal/side/config.go
+++ b/internal/side/config.go
@@ -19,9 +19,6 @@
 	Apply(m *structs.ConfigMsg) (*confstate.State, error)
 }
 
-// touchedPolicy is the policy's name in State.Touched.
-const touchedPolicy = "policy"
-
 // configuration is the newest state that the side has seen.
 type configuration struct {
 	port  ConfigPort // nil: settings only
@@ -106,7 +103,7 @@
 
 // configured carries out a new state.
 func (s *Side) configured(state *confstate.State) {
-	if state.Touched[touchedPolicy] != 0 {
+	if state.PolicySet() {
 		s.queue.setHeadroom(state.Policy.Headroom)
 	}
 	reg := state.Targets[s.target.ID]
--- a/standin/engine/models.go
+++ b/standin/engine/models.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/url"
 	"slices"
 	"strings"
@@ -69,27 +70,17 @@
 }
 
 func (m *models) set(id structs.ModelID, version string) {
-	versions := m.copyVersions()
+	versions := maps.Clone(m.versions)
 	versions[id] = version
 	m.replace(versions)
 }
 
-func (m *models) copyVersions() map[structs.ModelID]string {
-	c := make(map[structs.ModelID]string, len(m.versions)+1)
-	for id, v := range m.versions {
-		c[id] = v
-	}
-	return c
-}
-
 // unload drops a model, with its adapters, or one adapter.
 func (m *models) unload(id structs.ModelID) {
-	versions := m.copyVersions()
-	for have := range versions {
-		if have == id || strings.HasPrefix(string(have), string(id)+":") {
-			delete(versions, have)
-		}
-	}
+	versions := maps.Clone(m.versions)
+	maps.DeleteFunc(versions, func(have structs.ModelID, _ string) bool {
+		return have == id || strings.HasPrefix(string(have), string(id)+":")
+	})
 	if l, ok := m.loading[id]; ok {
 		l.cancel()
 		delete(m.loading, id)
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -10,6 +10,7 @@
 package engine
 
 import (
+	"cmp"
 	"time"
 
 	"arbutusramp/core/structs"
@@ -70,27 +71,20 @@
 
 // WithDefaults returns o with its zero fields filled.
 func (o Options) WithDefaults() Options {
-	setDefault(&o.Base, defaultBase)
-	setDefault(&o.PerSeq, defaultPerSeq)
-	setDefault(&o.PerPrefillToken, defaultPerPrefillToken)
-	setDefault(&o.PrefillChunk, defaultPrefillChunk)
-	setDefault(&o.MaxRunning, defaultMaxRunning)
-	setDefault(&o.MaxTokens, defaultMaxTokens)
-	setDefault(&o.CacheBlocks, defaultCacheBlocks)
-	setDefault(&o.LoadLag, defaultLoadLag)
-	setDefault(&o.EventLag, defaultEventLag)
-	setDefault(&o.RestartTime, defaultRestartTime)
-	setDefault(&o.KVTokenTime, defaultKVTokenTime)
+	o.Base = cmp.Or(o.Base, defaultBase)
+	o.PerSeq = cmp.Or(o.PerSeq, defaultPerSeq)
+	o.PerPrefillToken = cmp.Or(o.PerPrefillToken, defaultPerPrefillToken)
+	o.PrefillChunk = cmp.Or(o.PrefillChunk, defaultPrefillChunk)
+	o.MaxRunning = cmp.Or(o.MaxRunning, defaultMaxRunning)
+	o.MaxTokens = cmp.Or(o.MaxTokens, defaultMaxTokens)
+	o.CacheBlocks = cmp.Or(o.CacheBlocks, defaultCacheBlocks)
+	o.LoadLag = cmp.Or(o.LoadLag, defaultLoadLag)
+	o.EventLag = cmp.Or(o.EventLag, defaultEventLag)
+	o.RestartTime = cmp.Or(o.RestartTime, defaultRestartTime)
+	o.KVTokenTime = cmp.Or(o.KVTokenTime, defaultKVTokenTime)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // StepTime returns how long a step takes with that many running sequences and prefill tokens.
 func (o Options) StepTime(running, prefillTokens int) time.Duration {
 	o = o.WithDefaults()
