--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -114,29 +114,26 @@
 }
 
 func operatorGroup() group[Entry] {
-	return group[Entry]{
-		section: "operators", unit: "hexadecimal",
-		allowed: operatorAllowed,
-		doc:     "who may use the administration API; without any, nobody may",
-		add: func(e *Entry, key, value string) error {
-			return addOperator(&e.OperatorKeys, key, value)
-		},
-	}
+	return operatorKeys("operators", "who may use the administration API; without any, nobody may",
+		func(e *Entry) *map[string]string { return &e.OperatorKeys })
 }
 
 func revokedOperatorGroup() group[Entry] {
+	return operatorKeys("revoked_operators", "operators' keys that were valid once; whoever sends one is told that it is an old key",
+		func(e *Entry) *map[string]string { return &e.RevokedOperatorKeys })
+}
+
+func operatorKeys(section, doc string, get func(*Entry) *map[string]string) group[Entry] {
 	return group[Entry]{
-		section: "revoked_operators", unit: "hexadecimal",
-		allowed: operatorAllowed,
-		doc:     "operators' keys that were valid once; whoever sends one is told that it is an old key",
+		section: section, unit: "hexadecimal",
+		allowed: "NAME = SHA-256 sum of the operator's key in hexadecimal (64 digits)",
+		doc:     doc,
 		add: func(e *Entry, key, value string) error {
-			return addOperator(&e.RevokedOperatorKeys, key, value)
+			return addOperator(get(e), key, value)
 		},
 	}
 }
 
-const operatorAllowed = "NAME = SHA-256 sum of the operator's key in hexadecimal (64 digits)"
-
 func addOperator(keys *map[string]string, name, sum string) error {
 	if _, err := hexBytes(sum, sha256.Size, sha256.Size); err != nil {
 		return err
--- a/internal/side/config.go
+++ b/internal/side/config.go
@@ -29,13 +29,13 @@
 	wanted  structs.Version // the highest that any entry has announced
 	asked   structs.Version // the one wanted when it was asked for last
 	askedAt time.Time
-	now     atomic.Pointer[confstate.State]
+	current atomic.Pointer[confstate.State]
 }
 
-func (c *configuration) state() *confstate.State { return c.now.Load() }
+func (c *configuration) state() *confstate.State { return c.current.Load() }
 
 func (c *configuration) version() structs.Version {
-	if s := c.now.Load(); s != nil {
+	if s := c.current.Load(); s != nil {
 		return s.Version
 	}
 	return 0
@@ -96,7 +96,7 @@
 	if state.Version == c.version() {
 		return
 	}
-	c.now.Store(state)
+	c.current.Store(state)
 	c.apply(state)
 	c.log.Info("configuration in force", "version", state.Version)
 }
