--- a/core/choose/policies.go
+++ b/core/choose/policies.go
@@ -15,8 +15,8 @@
 	scorers []Scorer
 }
 
-// everything is each scorer that the default policy uses.
-func everything() []Scorer {
+// allScorers is each scorer that the default policy uses.
+func allScorers() []Scorer {
 	return []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}, SameDomain{}}
 }
 
@@ -31,9 +31,9 @@
 		{"affinity", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixAffinity{}}},
 		{"home", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixHome{}}},
 		{"home-domain", Best{}, []Scorer{FreshLoad{}, FirstToken{}, PrefixHome{}, SameDomain{}}},
-		{"two-choices", TwoChoices{}, everything()},
-		{"hot-cold", HotCold{}, everything()},
-		{"best", Best{}, everything()},
+		{"two-choices", TwoChoices{}, allScorers()},
+		{"hot-cold", HotCold{}, allScorers()},
+		{"best", Best{}, allScorers()},
 	}
 }
 
