Test cluster: a process that is replaced is written under the lock that its readers take

Seen: 8 data races in test/online (TestRandomFaultsBreakNoPromise): callers asked for an entry's address while it was replaced; URL took the lock, the write did not.

--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -66,7 +66,10 @@
 		if err != nil {
 			return nil, err
 		}
-		p.Entry, p.addr = e, e.PeerAddr()
+		p.mu.Lock()
+		p.Entry = e // callers look where it listens while it is replaced
+		p.mu.Unlock()
+		p.addr = e.PeerAddr()
 		return e.Run, nil
 	}
 	p.side.SessionAddr = addr
