--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -6,10 +6,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 
-	"arbutusramp/core/errs"
 	"github.com/pkg/errors"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/internal/problem"
 )
 
 // maxErrorBody bounds what is read of a refusal, bytes.
@@ -55,9 +58,7 @@
 	if err != nil {
 		return nil, wrap(err, path)
 	}
-	for name, values := range header {
-		req.Header[name] = values
-	}
+	maps.Copy(req.Header, header)
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -100,9 +101,7 @@
 }
 
 func apiError(status int, body []byte) error {
-	var answer struct {
-		Error *errs.Error `json:"error"`
-	}
+	var answer problem.Body
 	if json.Unmarshal(body, &answer) == nil && answer.Error != nil && answer.Error.Type != "" {
 		return answer.Error
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,12 +7,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/confstate"
@@ -20,7 +20,6 @@
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/settings"
 )
 
 // VersionNeverBack is the invariant that a process never takes a lower version
@@ -50,25 +49,6 @@
 	maxClient = 64 << 20 // bytes of one answer
 )
 
-// Options are what a Follower is made of.
-type Options struct {
-	Self    settings.Entry
-	Log     platform.Log
-	Members func() []platform.Host // the host list as last read
-	Logger  hclog.Logger
-	Metrics metrics.Registry
-	Clock   func() time.Time // nil for time.Now
-	// PeerKeys are the keys between own processes, the first for new questions;
-	// nil takes those of Self.
-	PeerKeys func() []settings.PeerKey
-	// RetiredKey says whether a peer key was valid once; nil knows none.
-	RetiredKey func(id string) bool
-	// Fetcher asks other entries; nil asks over HTTP.
-	Fetcher Fetcher
-	// Check counts violations of invariants; nil counts and logs them.
-	Check *invariant.Checker
-}
-
 // Follower holds the newest configuration of an entry. It is a confstate.Source.
 type Follower struct {
 	opts  Options
@@ -98,29 +78,9 @@
 	sides    sides
 }
 
-type stats struct {
-	version     metrics.Gauge
-	regressions metrics.Counter
-	polls       metrics.Counter
-	failures    metrics.Counter
-	staleGauge  metrics.Gauge
-}
-
 // New returns a Follower that holds the empty configuration until Run.
 func New(o Options) *Follower {
-	if o.Clock == nil {
-		o.Clock = time.Now
-	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
-	if o.Metrics == nil {
-		o.Metrics = metrics.NewRegistry()
-	}
-	if o.PeerKeys == nil {
-		keys := o.Self.PeerKeys
-		o.PeerKeys = func() []settings.PeerKey { return keys }
-	}
+	o = o.withDefaults()
 	f := &Follower{
 		opts: o,
 		self: platform.Host{
@@ -138,13 +98,7 @@
 		stop:    make(chan struct{}),
 		state:   confstate.Empty(),
 		changed: make(chan struct{}),
-		stats: stats{
-			version:     metrics.GetOrRegisterGauge("config.version", o.Metrics),
-			regressions: metrics.GetOrRegisterCounter("config.version_regressions", o.Metrics),
-			polls:       metrics.GetOrRegisterCounter("config.polls", o.Metrics),
-			failures:    metrics.GetOrRegisterCounter("config.poll_failures", o.Metrics),
-			staleGauge:  metrics.GetOrRegisterGauge("config.stale", o.Metrics),
-		},
+		stats:   newStats(o.Metrics),
 	}
 	if f.fetch = o.Fetcher; f.fetch == nil {
 		f.fetch = newHTTPFetcher(o.Self.Host.ID, &f.auth, nil)
@@ -218,7 +172,7 @@
 // when ctx ends first.
 func (f *Follower) WaitFor(ctx context.Context, v structs.Version) (*confstate.State, error) {
 	for {
-		s, changed := f.watch()
+		s, changed := f.Watch()
 		if s.Version >= v {
 			return s, nil
 		}
@@ -231,9 +185,7 @@
 }
 
 // Watch returns the State and a channel that is closed when there may be a newer one.
-func (f *Follower) Watch() (*confstate.State, <-chan struct{}) { return f.watch() }
-
-func (f *Follower) watch() (*confstate.State, <-chan struct{}) {
+func (f *Follower) Watch() (*confstate.State, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.state, f.changed
@@ -266,7 +218,7 @@
 	}
 	if extra := len(f.tail) - keepTail; extra > 0 {
 		f.tailOf = structs.Version(f.tail[extra-1].Offset)
-		f.tail = append([]structs.LogEntry(nil), f.tail[extra:]...)
+		f.tail = slices.Clone(f.tail[extra:])
 	}
 	return f.install(next)
 }
@@ -289,7 +241,7 @@
 // whatever the reason, counted, and logged as an error.
 func (f *Follower) install(next *confstate.State) error {
 	have := f.state.Version
-	if err := f.noBack(next.Version); err != nil {
+	if err := f.refuseOlder(next.Version); err != nil {
 		return err
 	}
 	f.state = next
@@ -300,8 +252,8 @@
 	return nil
 }
 
-// noBack reports got as a violation if it is lower than the State's version.
-func (f *Follower) noBack(got structs.Version) error {
+// refuseOlder reports got as a violation if it is lower than the State's version; f.mu is held.
+func (f *Follower) refuseOlder(got structs.Version) error {
 	have := f.state.Version
 	if got >= have {
 		return nil
@@ -336,6 +288,7 @@
 	f.setStale(true)
 }
 
+// setStale is for heard and lost; f.mu is held.
 func (f *Follower) setStale(stale bool) {
 	if f.stale == stale {
 		return
@@ -347,5 +300,5 @@
 		gauge = 1
 		f.log.Warn("no source of configuration answers", "version", f.state.Version)
 	}
-	f.stats.staleGauge.Update(gauge)
+	f.stats.stale.Update(gauge)
 }
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/relay"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -41,11 +42,7 @@
 // snapshots writes a snapshot when one is due. The entry that is first by
 // rendezvous hashing does it; two that both think so do no harm.
 func (f *Follower) snapshots(ctx context.Context) {
-	for {
-		pause(ctx, min(snapshotCheck, f.retention()/checkParts))
-		if ctx.Err() != nil {
-			return
-		}
+	for sleep.For(ctx, min(snapshotCheck, f.retention()/checkParts)) {
 		if !f.isReady() || !relay.Has(f.self, f.opts.Members(), structs.ConfigSnapshotStream, 1) {
 			continue
 		}
@@ -117,7 +114,7 @@
 		if !errs.Is(err, errs.AppendUnknown) && !errs.Is(err, errs.LogBusy) {
 			return err
 		}
-		pause(ctx, backoffMin)
+		sleep.For(ctx, backoffMin)
 	}
 	return err
 }
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -8,6 +8,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -78,11 +79,10 @@
 }
 
 func (s *Side) checkItem(it *structs.Item) *errs.Error {
+	if err := s.closedTo(it.Target); err != nil {
+		return err
+	}
 	switch {
-	case s.draining.Load():
-		return drainingErr()
-	case it.Target != "" && it.Target != s.target.ID:
-		return errs.Newf(errs.NoTarget, "target %q is not here, but %q", it.Target, s.target.ID)
 	case (it.Generate != nil) != (s.target.Kind == structs.KindEngine):
 		return errs.Newf(errs.BadRequest, "target %q is of another kind", s.target.ID)
 	case s.items.staleEpoch(it.Ref):
@@ -269,7 +269,7 @@
 
 // watch looks after parked items and outcomes that stay unacknowledged.
 func (is *items) watch(ctx context.Context) error {
-	for pause(ctx, parkedEvery) == nil {
+	for sleep.For(ctx, parkedEvery) {
 		is.retryParked(time.Now())
 		is.retryHeld(time.Now())
 	}
--- a/standin/weights/weights.go
+++ b/standin/weights/weights.go
@@ -6,9 +6,11 @@
 package weights
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/url"
 	"strings"
 	"sync"
@@ -65,18 +67,14 @@
 
 // Start listens at addr and serves until Close. Error: errs.BadSettings.
 func Start(addr string, o Options) (*Server, error) {
-	if o.BytesPerS == 0 {
-		o.BytesPerS = defaultBytesPerS
-	}
+	o.BytesPerS = cmp.Or(o.BytesPerS, defaultBytesPerS)
 	s := &Server{
 		http:        httpd.New(),
 		limiter:     rate.NewLimiter(rate.Limit(o.BytesPerS), chunk),
 		defaultSize: o.DefaultSize,
 		sizes:       map[structs.ModelID]int64{},
 	}
-	for id, n := range o.Sizes {
-		s.sizes[id] = n
-	}
+	maps.Copy(s.sizes, o.Sizes)
 	faults := func(k Knobs) knob.Faults { return k.Faults }
 	knobs := knob.NewSet(Knobs{BytesPerS: o.BytesPerS})
 	s.knobs = knob.NewFaultSet(knobs, faults, o.Seed, s.http.Done())
