--- a/core/admit/limiter.go
+++ b/core/admit/limiter.go
@@ -67,7 +67,8 @@
 		ceiling = min(ceiling, knee(m))
 	}
 	binding := float64(s.streams()) >= bindShare*l.limit
-	if l.places > 0 && binding && now.Sub(l.foundAt) > l.probeWait() {
+	served := float64(s.streams()) >= l.places // else the last probe may wait inside
+	if l.places > 0 && served && now.Sub(l.foundAt) > l.probeWait() {
 		l.places += l.stride
 		l.stride *= 2
 		l.foundAt = now
