--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -40,6 +40,7 @@
 	leaving                atomic.Bool
 	dispatchCh             chan struct{}
 	placeCh                chan struct{}
+	nextShard              int // among the owned ones, whose turn it is; only dispatchLoop's goroutine uses it
 
 	// outage says that other entries do not reach the log service either.
 	outage atomic.Bool
@@ -77,6 +78,9 @@
 	if m.now == nil {
 		m.now = time.Now
 	}
+	if m.o.PeerKeys == nil {
+		m.o.PeerKeys = func() []settings.PeerKey { return set.PeerKeys }
+	}
 	if m.addr == "" {
 		m.addr = set.PeerAddr
 	}
@@ -90,7 +94,7 @@
 	m.forward = newForwarder(m)
 	m.sides.init()
 	if m.peers == nil {
-		m.peers = newHTTPPeers(set.ValidPeerKeys)
+		m.peers = newHTTPPeers(m.o.PeerKeys, m.log)
 	}
 	return m
 }
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -110,7 +111,7 @@
 func (p *pool) apply(ctx context.Context, hosts []platform.Host) {
 	live, leaving := splitSides(hosts)
 	wanted := make(map[structs.HostID]platform.Host)
-	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.set.MaxSides) {
+	for _, h := range subset(p.set.Host.ID, p.set.Host.Domain, live, p.maxSides()) {
 		wanted[h.ID] = h
 	}
 	now := p.now()
@@ -118,7 +119,7 @@
 	defer p.mu.Unlock()
 	for id, k := range p.keepers {
 		_, want := wanted[id]
-		k.note(now, want, leaving[id], isListed(live, id))
+		k.note(now, listing{wanted: want, leaving: leaving[id], live: isListed(live, id)})
 		p.mark(k)
 		if !want && k.droppable(now) {
 			k.drop()
@@ -130,6 +131,15 @@
 	}
 }
 
+// maxSides is the bound on sessions, 0 for none. Who may have to place models for the
+// whole fleet has to see all of it: what it does not see it would take for lost.
+func (p *pool) maxSides() int {
+	if p.parts.SeeAll != nil && p.parts.SeeAll() {
+		return 0
+	}
+	return p.set.MaxSides
+}
+
 func splitSides(hosts []platform.Host) (live []platform.Host, leaving map[structs.HostID]bool) {
 	leaving = make(map[structs.HostID]bool)
 	for _, h := range hosts {
@@ -148,11 +158,17 @@
 	return slices.ContainsFunc(hosts, func(h platform.Host) bool { return h.ID == id })
 }
 
-// note takes in what the list says of the keeper's side.
-func (k *keeper) note(now time.Time, wanted, leaving, live bool) {
-	k.leaving = leaving || (live && !wanted)
+// listing is what the host list says of one side.
+type listing struct {
+	wanted  bool // it is in this entry's subset
+	leaving bool
+	live    bool
+}
+
+func (k *keeper) note(now time.Time, l listing) {
+	k.leaving = l.leaving || (l.live && !l.wanted)
 	switch {
-	case wanted || !live:
+	case l.wanted || !l.live:
 		k.unwanted = time.Time{}
 	case k.unwanted.IsZero():
 		k.unwanted = now
@@ -210,7 +226,7 @@
 			continue
 		}
 		p.log.Debug("side not reached", "addr", k.addr, "error", err)
-		sleep(ctx, pause/2+rand.N(pause))
+		sleep.For(ctx, pause/2+rand.N(pause))
 		pause = min(redialMax, 2*pause)
 	}
 }
@@ -230,16 +246,7 @@
 	p.mu.Lock()
 	k.session = nil
 	p.mu.Unlock()
-	sleep(ctx, redialMin/2+rand.N(redialMin))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	sleep.For(ctx, redialMin/2+rand.N(redialMin))
 }
 
 func (p *pool) shutdown() {
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// 128 shards with an append of 512 KiB a second each carry 64 MiB/s; content of 2 KiB an item, doubled
+// in the log by a slope of 2, and results once more are over that.
+func TestGroupCommitHasRoomInBytes(t *testing.T) {
+	z := Tuned()
+	z.ItemsPerS = 10_000
+	r := find(t, rowsOf(t, fixed(nil), z), logRole, "share of group commit's bytes in use, results packed once more", "%")
+	wantValue(t, r, 100*3*(10+2*1024)*10_000/float64(64<<20))
+	if r.Missed() {
+		t.Fatal("58 MiB/s of 64 pass for too much")
+	}
+}
+
 // A missed budget must not pass for a kept one: the row is bold and says what has to change.
 func TestMissedBudgetIsBold(t *testing.T) {
 	heavy := map[string]slopes.Slope{slopes.SessionBytes: {Slope: 51, To: 200}}
--- a/internal/lab/capacity/logs.go
+++ b/internal/lab/capacity/logs.go
@@ -13,6 +13,8 @@
 	snapshotAfter = 64 << 20
 	// snapshotCount is how many appends of a shard lie between snapshots at most.
 	snapshotCount = 4096
+	// maxAppend is how many bytes of records one append carries.
+	maxAppend = 512 << 10
 	// configPart and configEvery are the same for the configuration.
 	configPart  = 256 << 10
 	configEvery = 2000
@@ -33,7 +35,8 @@
 	z := &s.size
 	commits := z.commitsPerS()
 	s.add(Row{Role: logRole, What: "appends of results and uploads", Kind: Log, Unit: "appends/s", Value: commits,
-		Mechanism: "group commit: one append a shard each commit_every at most, of 1 MiB at most"})
+		Mechanism: "group commit: one append a shard each commit_every at most, of 512 KiB at most"})
+	s.commitRoom()
 	s.add(Row{Role: logRole, What: "the same by one owner of all shards, as measured", Kind: Total, Unit: "appends/s",
 		Value: s.whole(slopes.OwnerAppends, z.ItemsPerS), Mechanism: "group commit of one owner"})
 	results, uploads := s.bytesOfItems()
@@ -61,6 +64,17 @@
 	s.reads(results + uploads)
 }
 
+// commitRoom adds how much of what group commit can carry is in use.
+func (s *sheet) commitRoom() {
+	z := &s.size
+	results, uploads := s.bytesOfItems()
+	room := float64(z.Shards) * perSecond(z.CommitEvery) * maxAppend
+	s.add(Row{Role: logRole, What: "share of group commit's bytes in use, results packed once more", Kind: Total, Unit: "%",
+		Value: 100 * (results + uploads + results) / room, Budget: 100,
+		Mechanism: "one append of 512 KiB at most a shard each commit_every",
+		Change:    "a shorter commit_every, or larger appends where the log takes them"})
+}
+
 // bytesOfItems returns the bytes a second that results and uploads put into the log.
 func (s *sheet) bytesOfItems() (results, uploads float64) {
 	z := &s.size
--- a/internal/lab/choose/choose.go
+++ b/internal/lab/choose/choose.go
@@ -116,7 +116,7 @@
 	c, err := cluster.Start(cluster.Options{
 		Domains: domains, Entries: domains, Engines: engines, Seed: o.Seed,
 		Engine:        func(int) engine.Options { return engine.Options{CacheBlocks: cacheBlocks} },
-		EntrySettings: func(s *settings.Entry) { s.Choice = policy },
+		EntrySettings: func(s *settings.Entry) { s.RoutePolicy = policy },
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/config/run.go
+++ b/internal/lab/config/run.go
@@ -58,6 +58,9 @@
 	if err := b.populate(ctx); err != nil {
 		return Report{}, err
 	}
+	if err := b.level(ctx); err != nil {
+		return Report{}, err
+	}
 	pause(ctx, 2*time.Second)
 	start := b.usage()
 	pause(ctx, b.o.Idle)
@@ -161,6 +164,9 @@
 	case err == nil:
 		b.changes = append(b.changes, c)
 		return nil
+	case errs.Is(err, errs.StalePlan):
+		b.stale++ // it was planned at an entry that did not have the last change yet
+		return nil
 	case errs.Is(err, errs.LogDown), errs.Is(err, errs.AppendUnknown):
 		b.refused++
 		return nil
@@ -216,6 +222,7 @@
 		Workspaces:   b.o.Workspaces,
 		Confirmed:    len(b.changes),
 		Refused:      b.refused,
+		Stale:        b.stale,
 		ChangesPerS:  float64(len(b.changes)) / b.o.Duration.Seconds(),
 		BytesPerNode: busy.bytes,
 		BytesWorst:   busy.worst,
@@ -234,6 +241,7 @@
 	r.BytesAtTarget = atTarget(idle.bytes, busy.bytes)
 	r.BytesWorstAtTarget = atTarget(idle.worst, busy.worst)
 	r.CPUShareAtTarget = atTarget(idle.cpu, busy.cpu)
+	r.HeapPerNode = heapInUse() / float64(b.o.Followers)
 	b.times(&r)
 	r.VersionRegressions = b.regressed
 	for _, n := range slices.Concat(b.nodes, b.gone) {
--- a/internal/node/entry_test.go
+++ b/internal/node/entry_test.go
@@ -14,7 +14,7 @@
 // Cause: the setting is read and not passed on.
 func TestTheChoiceOfTargetsIsThatOfTheSettings(t *testing.T) {
 	s := settings.DefaultEntry()
-	s.Choice = "no such policy"
+	s.RoutePolicy = "no such policy"
 	if _, err := NewEntry(s, hclog.NewNullLogger(), metrics.NewRegistry()); !errs.Is(err, errs.BadSettings) {
 		t.Errorf("an entry with an unknown policy: %v", err)
 	}
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -57,6 +57,8 @@
 	orders, refused, takeovers metrics.Counter
 	owning                     metrics.Gauge
 
+	fences *fences
+
 	mu       sync.Mutex
 	machine  *reconcile.Machine // nil unless this process is the owner
 	since    time.Time          // when it became the owner
@@ -101,7 +103,9 @@
 		takeovers: metrics.GetOrRegisterCounter("reconcile.takeovers", o.Metrics),
 		owning:    metrics.GetOrRegisterGauge("reconcile.owner", o.Metrics),
 	}
+	r.fences = newFences(o.Log, r.log, r.Candidate)
 	o.Fleet.mu.Lock()
+	o.Fleet.fences = r.fences
 	o.Fleet.done = r.orderDone
 	o.Fleet.gone = r.sideGone
 	o.Fleet.mu.Unlock()
@@ -123,6 +127,10 @@
 		r.learnLoop(run)
 		return nil
 	})
+	g.Go(func() error {
+		r.fences.run(run)
+		return nil
+	})
 	err := g.Wait()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseLimit)
 	defer cancel()
@@ -151,7 +159,7 @@
 	if err := r.owner.read(ctx, watchWait); err != nil {
 		return err
 	}
-	if r.eligible() && r.owner.candidate() && r.owner.vacant() {
+	if r.owner.candidate() && r.owner.vacant() {
 		if err := r.owner.claim(ctx); err != nil {
 			return err
 		}
@@ -164,20 +172,13 @@
 	return r.owner.renew(ctx)
 }
 
-// eligible says that this entry may have a session to every side. An owner that
-// sees only a part of the fleet would take the rest for lost.
-func (r *Reconciler) eligible() bool {
-	limit := r.opts.Self.MaxSides
-	if limit == 0 {
+// Candidate says that this entry owns the placement or may have to. It then needs a
+// session to every side: an owner that sees a part of the fleet takes the rest for lost.
+func (r *Reconciler) Candidate() bool {
+	if _, err := r.Owner(); err == nil {
 		return true
 	}
-	sides := 0
-	for _, h := range r.opts.Members() {
-		if h.Role == platform.RoleSide {
-			sides++
-		}
-	}
-	return sides <= limit
+	return r.owner.candidate()
 }
 
 // setOwner starts or ends the ownership.
@@ -250,7 +251,8 @@
 
 // decide returns the orders to send now. After a pause there are none until the
 // log has confirmed the ownership: another may have claimed meanwhile. Orders
-// that slip through all the same carry the old epoch, which the sides refuse.
+// that slip through all the same carry the old epoch, which the sides refuse; one that has
+// just started takes none until it has learnt the newest epoch.
 func (r *Reconciler) decide(s *confstate.State, fleet structs.Fleet) []reconcile.Send {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -43,7 +44,10 @@
 	Hello structs.Hello
 	// PeerKeys returns the keys that are valid now; the first is used to dial.
 	PeerKeys func() []settings.PeerKey
-	Logger   hclog.Logger
+	// RetiredKey says whether a peer key was valid once, so that a peer that still uses it
+	// is told so; nil knows none.
+	RetiredKey func(id string) bool
+	Logger     hclog.Logger
 	// Heartbeat is the time between heartbeats, 0 for DefaultHeartbeat. A peer that is silent
 	// for three is given up.
 	Heartbeat time.Duration
@@ -56,17 +60,9 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Heartbeat == 0 {
-		o.Heartbeat = DefaultHeartbeat
-	}
-	if o.MaxMessage == 0 {
-		o.MaxMessage = DefaultMaxMessage
-	}
-	if o.MaxQueue == 0 {
-		o.MaxQueue = DefaultMaxQueue
-	}
-	if o.Logger == nil {
-		o.Logger = hclog.NewNullLogger()
-	}
+	o.Heartbeat = cmp.Or(o.Heartbeat, DefaultHeartbeat)
+	o.MaxMessage = cmp.Or(o.MaxMessage, DefaultMaxMessage)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.Logger = cmp.Or(o.Logger, hclog.NewNullLogger())
 	return o
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,8 +53,11 @@
 	RevokedOperatorKeys map[string]string
 	// PeerKeys are the keys between the system's own processes; the first is used for new sessions.
 	PeerKeys []PeerKey
-	// Ring has the keys that are valid now if they can change; nil otherwise.
-	Ring *KeyRing
+	// RetiredPeerKeys are IDs of peer keys that were valid once.
+	RetiredPeerKeys []string
+
+	// RoutePolicy names the policy of core/choose for online requests.
+	RoutePolicy string
 
 	MaxBody        int           // bytes of one online request's body
 	DefaultTimeout time.Duration // for requests that name no deadline
@@ -62,7 +65,6 @@
 	HostListEvery  time.Duration // how often the host list is read
 	SessionWindow  int           // bytes of credit a stream starts with
 	RetryShare     float64       // retries as a share of first tries, 0..1
-	Choice         string        // policy for choosing targets; empty for choose.DefaultPolicy
 	MaxSides       int           // sides this entry keeps sessions with at most; 0 is all
 	KeyWindow      time.Duration // how long sides remember keys of non-idempotent requests; 0 is their default
 
@@ -85,8 +87,8 @@
 	StatusAddr  string // [listen] status
 
 	PeerKeys []PeerKey
-	// Ring has the keys that are valid now if they can change; nil otherwise.
-	Ring *KeyRing
+	// RetiredPeerKeys are IDs of peer keys that were valid once.
+	RetiredPeerKeys []string
 
 	Target       structs.TargetInfo
 	TargetURL    string        // base URL of the target, by IP number
--- a/internal/side/guard.go
+++ b/internal/side/guard.go
@@ -89,3 +89,15 @@
 	}
 	return errs.As(context.Cause(g.ctx))
 }
+
+// failure returns why the only run of a request failed, with what is certain of whether it
+// ran. The guard's or the caller's reason goes before what the target says of a run that
+// they ended.
+func (g *guard) failure(err error) *errs.Error {
+	failure := errs.As(err)
+	if cause := g.cause(); cause != nil && failure.Ran != errs.RanNo {
+		failure = cause.WithRan(errs.RanUnknown)
+	}
+	const handedBefore = false
+	return ranErr(failure, handedBefore)
+}
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -133,7 +133,8 @@
 	}
 }
 
-// ran says for an item that is stopped whether the target ever had it.
+// ran says for an item that is not at the target now whether the target ever had it. A plain
+// service has an item once, to its end.
 func (i *item) ran(err *errs.Error) *errs.Error {
 	if i.gen != nil && i.gen.handed {
 		return err.WithRan(errs.RanUnknown)
@@ -280,7 +281,7 @@
 func (i *item) finish() {
 	body, err := i.gen.done.body(i.it.Generate)
 	if err != nil {
-		i.end(structs.ItemDone{Err: errs.As(err)})
+		i.end(structs.ItemDone{Err: err})
 		return
 	}
 	i.end(structs.ItemDone{Status: 200, Body: body})
@@ -300,11 +301,7 @@
 		i.end(structs.ItemDone{Status: answer.Status, Body: answer.Body})
 		return
 	}
-	failure := errs.As(err)
-	if cause := g.cause(); cause != nil && failure.Ran != errs.RanNo {
-		failure = cause.WithRan(errs.RanUnknown)
-	}
-	i.failed(g, ranErr(failure, false))
+	i.failed(g, g.failure(err))
 }
 
 // failed ends or requeues the item after a run that did not finish.
@@ -319,7 +316,9 @@
 		i.s.logItem("preempt", i, err)
 		i.requeue()
 	case err.Ran == errs.RanNo, err.Type == errs.Draining:
-		i.giveBack(err)
+		// err knows better than giveBack whether the target had this run: a drain that has
+		// timed out cuts calls off, and "not run" would have their owner repeat them.
+		i.end(structs.ItemDone{Err: err, GaveBack: true})
 	default:
 		i.end(structs.ItemDone{Err: err, Neighbours: suspects})
 	}
