--- a/test/cluster/links.go
+++ b/test/cluster/links.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"io"
 	"net"
 	"sync"
 
@@ -68,11 +69,13 @@
 // Kill implements Network.
 func (n *Links) Kill(host structs.HostID) { n.change(func() { n.dead[host] = true }) }
 
-// Revive implements Network. The listeners that host had are gone: another program may have their
-// ports by now. They are reached again once Via is asked for them.
-func (n *Links) Revive(host structs.HostID) {
+// Revive implements Network.
+func (n *Links) Revive(host structs.HostID) { n.change(func() { delete(n.dead, host) }) }
+
+// Ended lets no connection through to the listeners that host had: another program may get their
+// ports. They are reached again once Via is asked for them.
+func (n *Links) Ended(host structs.HostID) {
 	n.change(func() {
-		delete(n.dead, host)
 		for h, l := range n.links {
 			l.gone = l.gone || h.To == host
 		}
@@ -179,7 +182,8 @@
 
 const copyBytes = 32 << 10
 
-// copy forwards until one of the connections ends, then resets both.
+// copy forwards until one of the connections ends. An end in order is passed on behind the bytes
+// before it: what a process sent before it closed arrives. Any other end resets both.
 func (l *link) copy(to, from net.Conn) {
 	buf := make([]byte, copyBytes)
 	for {
@@ -190,6 +194,11 @@
 				err = werr
 			}
 		}
+		if err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+				return
+			}
+		}
 		if err != nil {
 			l.drop(to)
 			l.drop(from)
