Engine adapter: a cancelled stream has ended only once the engine says so

Cause: the cancel was posted beside, and the stream reported as ended at once; a request still on its way could be admitted after its own cancel. The adapter now waits for the engine's answer, 250 ms at most, and asks again while no answer had begun and the engine has not found the stream.

--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/adapter/httpclient"
+	"arbutusramp/internal/sleep"
 )
 
 // Options of the adapter. Zero fields take the defaults named beside them.
@@ -110,20 +111,42 @@
 	return &httpclient.Error{Sent: e.Sent, Answered: e.Answered, Cause: errors.WithStack(cause)}
 }
 
-// cancelUnlessUnsent tells the engine that nobody reads the stream any more. The closed
-// connection says so too, but the engine notices that only at its next write,
-// which for a waiting sequence can be long off.
+const (
+	// cancelWait bounds the wait for the engine's word that a stream has ended.
+	cancelWait = 250 * time.Millisecond
+	// cancelAgain is the wait before the engine is asked again.
+	cancelAgain = 5 * time.Millisecond
+)
+
+// cancelUnlessUnsent tells the engine that nobody reads the stream any more, and waits for its
+// word. The closed connection says so too, but the engine notices that only at its next
+// write, which for a waiting sequence can be long off. A request that is still on its way can
+// come after its own cancel: it would start although its caller was told that it has ended,
+// so while no answer had begun the engine is asked again until it has found the stream.
 func (e *Engine) cancelUnlessUnsent(err error, call platform.GenerateCall, attempt string) {
 	var sent *httpclient.Error
-	if errors.As(err, &sent) && !sent.Sent {
+	known := errors.As(err, &sent)
+	if known && !sent.Sent {
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), e.controlTimeout)
-		defer cancel()
-		body := cancelRequest{ID: string(call.Request), Attempt: attempt}
-		_ = e.post(ctx, "/engine/cancel", body)
-	}()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelWait)
+	defer cancel()
+	body := cancelRequest{ID: string(call.Request), Attempt: attempt}
+	underWay := known && !sent.Answered && errors.Is(err, context.Canceled)
+	for {
+		var found cancelAnswer
+		if err := e.post(ctx, "/engine/cancel", body, &found); err != nil || found.Cancelled > 0 || !underWay {
+			return
+		}
+		if !sleep.For(ctx, cancelAgain) {
+			return
+		}
+	}
+}
+
+// cancelAnswer is the engine's answer: how many streams the cancel has found.
+type cancelAnswer struct {
+	Cancelled int `json:"cancelled"`
 }
 
 type cancelRequest struct {
@@ -169,7 +192,7 @@
 func (e *Engine) Order(ctx context.Context, o platform.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, e.controlTimeout)
 	defer cancel()
-	return e.post(ctx, "/engine/order", o)
+	return e.post(ctx, "/engine/order", o, nil)
 }
 
 func (e *Engine) get(ctx context.Context, path string, into any) error {
@@ -185,13 +208,11 @@
 	if err := refused(resp); err != nil {
 		return err
 	}
-	if err := json.Unmarshal(resp.Body(), into); err != nil {
-		return errors.WithStack(errs.Newf(errs.TargetFailed, "the engine's answer can't be read: %v", err))
-	}
-	return nil
+	return decode(resp, into)
 }
 
-func (e *Engine) post(ctx context.Context, path string, v any) error {
+// post sends v and reads the answer into into, unless that is nil.
+func (e *Engine) post(ctx context.Context, path string, v, into any) error {
 	body, err := json.Marshal(v)
 	if err != nil {
 		return errors.WithStack(errs.New(errs.Internal, err.Error()))
@@ -209,7 +230,16 @@
 		return errors.WithStack(errs.New(errs.StaleFence, answerDetail(resp)))
 	case fasthttp.StatusAccepted:
 		return nil
-	default:
-		return refused(resp)
 	}
+	if err := refused(resp); err != nil || into == nil {
+		return err
+	}
+	return decode(resp, into)
+}
+
+func decode(resp *fasthttp.Response, into any) error {
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return errors.WithStack(errs.Newf(errs.TargetFailed, "the engine's answer can't be read: %v", err))
+	}
+	return nil
 }
