--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,11 +6,10 @@
 	"fmt"
 	"os"
 
-	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
-	"arbutusramp/internal/telemetry"
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -43,30 +42,22 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, s settings.Entry) error {
-	hangup := hangups()
-	stopProfile, err := startProfile(c.profile)
-	if err != nil {
-		return err
-	}
-	defer stopProfile()
-	reg := metrics.NewRegistry()
-	telemetry.RegisterProcess(reg)
-	logger := logging.New("entry", s.Logs, os.Stderr)
-	e, err := node.NewEntry(s, logger, reg)
-	if err != nil {
-		return err
-	}
-	err = writeAddrFile(c.addrFile, []listenerAddr{
-		{"CALLERS", e.CallerAddr()},
-		{"ADMIN", e.AdminAddr()},
-		{"PEERS", e.PeerAddr()},
-		{"STATUS", e.StatusAddr()},
+	return c.serve(ctx, "entry", s.Logs, func(logger hclog.Logger, reg metrics.Registry) (*process, error) {
+		e, err := node.NewEntry(s, logger, reg)
+		if err != nil {
+			return nil, err
+		}
+		return &process{
+			run:    e.Run,
+			reload: node.NewEntryReloader(c.config, s, e, logger, reg).Reload,
+			addrs: []listenerAddr{
+				{"CALLERS", e.CallerAddr()},
+				{"ADMIN", e.AdminAddr()},
+				{"PEERS", e.PeerAddr()},
+				{"STATUS", e.StatusAddr()},
+			},
+		}, nil
 	})
-	if err != nil {
-		return err
-	}
-	go reloadOn(ctx, hangup, node.NewEntryReloader(c.config, s, e, logger, reg).Reload)
-	return e.Run(ctx)
 }
 
 // exit turns the outcome of a process into its status.
--- a/internal/command/side.go
+++ b/internal/command/side.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"flag"
-	"os"
 
-	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
-	"arbutusramp/internal/telemetry"
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -31,26 +29,18 @@
 }
 
 func (c *sideCmd) run(ctx context.Context, s settings.Side) error {
-	hangup := hangups()
-	stopProfile, err := startProfile(c.profile)
-	if err != nil {
-		return err
-	}
-	defer stopProfile()
-	reg := metrics.NewRegistry()
-	telemetry.RegisterProcess(reg)
-	logger := logging.New("side", s.Logs, os.Stderr)
-	p, err := node.NewSide(s, logger, reg)
-	if err != nil {
-		return err
-	}
-	err = writeAddrFile(c.addrFile, []listenerAddr{
-		{"SESSIONS", p.Addr()},
-		{"STATUS", p.StatusAddr()},
+	return c.serve(ctx, "side", s.Logs, func(logger hclog.Logger, reg metrics.Registry) (*process, error) {
+		p, err := node.NewSide(s, logger, reg)
+		if err != nil {
+			return nil, err
+		}
+		return &process{
+			run:    p.Run,
+			reload: node.NewSideReloader(c.config, s, p, logger, reg).Reload,
+			addrs: []listenerAddr{
+				{"SESSIONS", p.Addr()},
+				{"STATUS", p.StatusAddr()},
+			},
+		}, nil
 	})
-	if err != nil {
-		return err
-	}
-	go reloadOn(ctx, hangup, node.NewSideReloader(c.config, s, p, logger, reg).Reload)
-	return p.Run(ctx)
 }
