--- /dev/null
+++ b/core/backlog/types.go
@@ -0,0 +1,73 @@
+// Package backlog is the state of batch jobs as a fold of records in the platform's store: which
+// jobs were accepted, which items have which result at which position, who has ended what. The
+// fold is deterministic and takes every record at most once, so that each process that has read
+// the same records believes the same. It does no I/O.
+package backlog
+
+import (
+	"time"
+)
+
+// Job is one accepted batch job.
+type Job struct {
+	ID        string        `cbor:"1,keyasint"`
+	Route     string        `cbor:"2,keyasint"` // name of the route it came by
+	Host      string        `cbor:"3,keyasint"`
+	Submitted int64         `cbor:"4,keyasint"` // milliseconds since 1970, by the accepting process's clock
+	Due       time.Duration `cbor:"5,keyasint"`
+	Retain    time.Duration `cbor:"6,keyasint"`
+	Attempts  int           `cbor:"7,keyasint"` // failed runs after which an item is given up
+	Items     []Item        `cbor:"8,keyasint"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID     string              `cbor:"1,keyasint"`
+	URI    string              `cbor:"2,keyasint"`
+	Header map[string][]string `cbor:"3,keyasint"`
+	Body   []byte              `cbor:"4,keyasint"`
+	Tokens int64               `cbor:"5,keyasint"` // prompt and longest output
+}
+
+// Tokens is the sum over the job's items.
+func (j *Job) Tokens() int64 {
+	var sum int64
+	for i := range j.Items {
+		sum += j.Items[i].Tokens
+	}
+	return sum
+}
+
+// Outcome is how an item ended.
+type Outcome string
+
+const (
+	// Complete items have their whole output.
+	Complete Outcome = "complete"
+	// Errored items were given up.
+	Errored Outcome = "errored"
+)
+
+// Result is an item's end, at its position in the job's list of results.
+type Result struct {
+	Job      string  `cbor:"1,keyasint"`
+	Position int     `cbor:"2,keyasint"`
+	Item     string  `cbor:"3,keyasint"`
+	Outcome  Outcome `cbor:"4,keyasint"`
+	Text     string  `cbor:"5,keyasint"`
+}
+
+// Progress is how far an item's run had come when its worker gave it away.
+type Progress struct {
+	Job    string `cbor:"1,keyasint"`
+	Item   string `cbor:"2,keyasint"`
+	LastID string `cbor:"3,keyasint"` // of the last event in Text
+	Text   string `cbor:"4,keyasint"`
+}
+
+// Page is a part of a job's results.
+type Page struct {
+	Total   int // items of the job
+	Results []Result
+	Next    int // position after the last one
+}
--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -47,6 +47,7 @@
 	LogBusy          Type = "log_busy"
 	LogTrimmed       Type = "log_trimmed"
 	AppendUnknown    Type = "append_unknown"
+	StoreFull        Type = "store_full"
 	NotOwner         Type = "not_owner"
 	StaleEpoch       Type = "stale_epoch"
 	StalePlan        Type = "stale_plan"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -52,6 +52,7 @@
 	LogBusy:          {503, RanNo, "come back after the time given, with the same key"},
 	LogTrimmed:       {500, RanUnknown, "read from the latest snapshot"},
 	AppendUnknown:    {503, RanUnknown, "resend with the same key"},
+	StoreFull:        {503, RanNo, "come back after the time given; an operator must free space"},
 	NotOwner:         {503, RanNo, "resend; the owner has moved"},
 	StaleEpoch:       {409, RanNo, "nothing; a newer owner has taken over"},
 	StalePlan:        {409, RanNo, "plan again; a conflicting intent came first"},
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,249 @@
+// Package fleet decides which target gets the next request and how many batch items each may
+// have. It is a state machine without I/O or clock: callers lock it and pass the time in.
+//
+// Targets admit requests in the order of arrival, so a batch item in a slot keeps an online
+// request waiting. Gateways tell each other what they have at each target; with that every one
+// knows how many slots are free, batch items start only where slots are left over, and items are
+// cut off, to go on elsewhere, as soon as online requests need their slots.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
+)
+
+// Load is what one gateway has at one target.
+type Load struct {
+	Online, Batch int
+}
+
+func (l Load) total() int { return l.Online + l.Batch }
+
+// Peer names another gateway.
+type Peer string
+
+// Options are the limits of the decisions.
+type Options struct {
+	// Domain is the failure domain of this gateway.
+	Domain string
+	// Self is this gateway's name among its peers.
+	Self Peer
+	// StartSpare slots must stay free at a target after a batch item has started there.
+	StartSpare int
+	// KeepSpare slots are made free again by cutting off batch items.
+	KeepSpare int
+	// PeerTTL is how long the word of a peer that has fallen silent counts.
+	PeerTTL time.Duration
+}
+
+// Fleet is the view of one gateway.
+type Fleet struct {
+	opts  Options
+	nodes map[string]*node // by target id
+	peers map[Peer]*peer
+}
+
+// node is a target with what is known of its state.
+type node struct {
+	serving.Target
+	own    Load
+	health health
+}
+
+// peer is the last word of another gateway.
+type peer struct {
+	at    time.Time
+	loads map[string]Load // by target id
+}
+
+// New returns an empty view.
+func New(o Options) *Fleet {
+	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer)}
+}
+
+// Put adds a target or takes in its change.
+func (f *Fleet) Put(t serving.Target) {
+	n, ok := f.nodes[t.ID]
+	if !ok {
+		f.nodes[t.ID] = &node{Target: t}
+		return
+	}
+	n.Target = t
+}
+
+// Remove drops a target. Requests that it still has end on their own.
+func (f *Fleet) Remove(id string) { delete(f.nodes, id) }
+
+// Target returns a target that is in the list.
+func (f *Fleet) Target(id string) (serving.Target, bool) {
+	n, ok := f.nodes[id]
+	if !ok {
+		return serving.Target{}, false
+	}
+	return n.Target, true
+}
+
+// Targets returns all targets of the list.
+func (f *Fleet) Targets() []serving.Target {
+	list := make([]serving.Target, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		list = append(list, n.Target)
+	}
+	return list
+}
+
+// Begin counts a request that is about to be sent.
+func (f *Fleet) Begin(now time.Time, id string, c structs.Class) {
+	if n, ok := f.nodes[id]; ok {
+		n.own.add(c, 1)
+		n.health.begin(now)
+	}
+}
+
+// End counts a request as over.
+func (f *Fleet) End(id string, c structs.Class) {
+	if n, ok := f.nodes[id]; ok {
+		n.own.add(c, -1)
+	}
+}
+
+func (l *Load) add(c structs.Class, d int) {
+	if c == structs.ClassBatch {
+		l.Batch = max(0, l.Batch+d)
+		return
+	}
+	l.Online = max(0, l.Online+d)
+}
+
+// Hear takes in the loads that a peer has told; they replace what it told before.
+func (f *Fleet) Hear(now time.Time, from Peer, loads map[string]Load) {
+	f.peers[from] = &peer{at: now, loads: loads}
+}
+
+// Own returns what this gateway has at its targets, without those at which it has nothing.
+func (f *Fleet) Own() map[string]Load {
+	loads := make(map[string]Load)
+	for id, n := range f.nodes {
+		if n.own.total() > 0 {
+			loads[id] = n.own
+		}
+	}
+	return loads
+}
+
+// OwnAt returns what this gateway has at one target.
+func (f *Fleet) OwnAt(id string) Load {
+	if n, ok := f.nodes[id]; ok {
+		return n.own
+	}
+	return Load{}
+}
+
+// load is what all gateways together have at a target.
+func (f *Fleet) load(now time.Time, n *node) Load {
+	sum := n.own
+	for _, p := range f.peers {
+		if now.Sub(p.at) > f.opts.PeerTTL {
+			continue
+		}
+		l := p.loads[n.ID]
+		sum.Online += l.Online
+		sum.Batch += l.Batch
+	}
+	return sum
+}
+
+// candidate is a target under consideration.
+type candidate struct {
+	node *node
+	load Load
+	near bool
+}
+
+// room is the number of free slots; negative when requests wait.
+func (c candidate) room() int { return c.node.Slots - c.load.total() }
+
+// candidates returns the targets of a service that may get a request, in a fixed order.
+func (f *Fleet) candidates(now time.Time, service string, tried []string, usable func(*node) bool) []candidate {
+	var list []candidate
+	for _, n := range f.nodes {
+		if n.Service != service || n.Draining || slices.Contains(tried, n.ID) || !usable(n) {
+			continue
+		}
+		list = append(list, candidate{node: n, load: f.load(now, n), near: n.Domain == f.opts.Domain})
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.node.ID, b.node.ID) })
+	return list
+}
+
+// PickOnline chooses the target for an online request; ok is false when no target can be used.
+// Healthy targets go first, then those on probation, then, as a last resort, any that are listed.
+func (f *Fleet) PickOnline(now time.Time, service string, tried []string) (t serving.Target, ok bool) {
+	tiers := []func(*node) bool{
+		func(n *node) bool { return n.health.state(now) == healthy },
+		func(n *node) bool { return n.health.state(now) == probation },
+		func(n *node) bool { return true },
+	}
+	for _, usable := range tiers {
+		list := f.candidates(now, service, tried, usable)
+		if len(list) == 0 {
+			continue
+		}
+		return f.best(list).node.Target, true
+	}
+	return serving.Target{}, false
+}
+
+// best prefers a free slot, then a target whose batch items can make way, then the shortest
+// queue. Among equals the own failure domain wins: bytes between domains cost.
+func (f *Fleet) best(list []candidate) candidate {
+	return slices.MinFunc(list, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.tier(), b.tier()),
+			cmp.Compare(a.cost(), b.cost()),
+			cmp.Compare(f.spread(a), f.spread(b)),
+		)
+	})
+}
+
+// Tiers of a candidate, best first.
+const (
+	tierFree = iota
+	tierPreempt
+	tierQueue
+)
+
+func (c candidate) tier() int {
+	switch {
+	case c.room() > 0:
+		return tierFree
+	case c.load.Online < c.node.Slots:
+		return tierPreempt
+	default:
+		return tierQueue
+	}
+}
+
+// nearBonus is how many more requests a target in the own failure domain may have than one
+// elsewhere and still be preferred.
+const nearBonus = 2
+
+// cost is the load in requests. Batch items count in full where a slot is free, since they hold
+// memory and step time; where a target is full they are cut off anyway.
+func (c candidate) cost() int {
+	cost := c.load.Online
+	if c.tier() == tierFree {
+		cost = c.load.total()
+	}
+	if !c.near {
+		cost += nearBonus
+	}
+	return cost
+}
+
+// spread orders equals differently at each gateway, so that they do not all pick the same one.
+func (f *Fleet) spread(c candidate) uint64 { return mix(string(f.opts.Self), c.node.ID) }
--- /dev/null
+++ b/core/fleet/health.go
@@ -0,0 +1,95 @@
+package fleet
+
+import "time"
+
+// state is a gateway's verdict on a target.
+type state uint8
+
+const (
+	healthy state = iota
+	// suspect targets get nothing for a while.
+	suspect
+	// probation targets were suspect; the next request shows whether they are well again.
+	probation
+)
+
+// Times of the verdict.
+const (
+	// silenceLimit is how long a target that has work may send nothing at all before it is
+	// suspect. An engine sends an event about every 15 ms while it works, and a first one after
+	// 50 to 60 ms; five times slower targets still stay below it.
+	silenceLimit = 450 * time.Millisecond
+	// suspectBase and suspectMax bound how long a suspect target gets nothing; the time
+	// doubles with each failure in a row.
+	suspectBase = 500 * time.Millisecond
+	suspectMax  = 4 * time.Second
+)
+
+// health follows one target by the outcomes of requests alone: probes cost and can lie.
+type health struct {
+	failures int       // in a row
+	until    time.Time // suspect until then
+	began    time.Time // of the last request
+	heard    time.Time // of the last byte
+}
+
+func (h *health) state(now time.Time) state {
+	switch {
+	case h.failures == 0:
+		return healthy
+	case now.Before(h.until):
+		return suspect
+	default:
+		return probation
+	}
+}
+
+// admitsBatch lets one batch item at a time try a target on probation.
+func (h *health) admitsBatch(now time.Time) bool {
+	switch h.state(now) {
+	case healthy:
+		return true
+	case probation:
+		return now.Sub(h.began) > silenceLimit
+	default:
+		return false
+	}
+}
+
+func (h *health) begin(now time.Time) { h.began = now }
+
+// Heard notes that a target has sent something: it is alive.
+func (f *Fleet) Heard(now time.Time, id string) {
+	if n, ok := f.nodes[id]; ok {
+		n.health.heard = now
+		n.health.failures = 0
+	}
+}
+
+// Failed notes that a target has refused a connection, broken one off or kept silent. It reports
+// whether the target has become suspect by it. A failure within a suspicion adds nothing, since
+// requests that were sent together fail together.
+func (f *Fleet) Failed(now time.Time, id string) bool {
+	n, ok := f.nodes[id]
+	if !ok || n.health.state(now) == suspect {
+		return false
+	}
+	h := &n.health
+	h.failures++
+	h.until = now.Add(min(suspectMax, suspectBase<<min(h.failures-1, 4)))
+	return true
+}
+
+// SilentSince says whether a target has sent nothing to anybody here since a request was sent
+// to it at that time, for longer than a working target ever keeps silent.
+func (f *Fleet) SilentSince(now, sent time.Time, id string) bool {
+	n, ok := f.nodes[id]
+	if !ok {
+		return false
+	}
+	last := sent
+	if n.health.heard.After(last) {
+		last = n.health.heard
+	}
+	return now.Sub(last) > silenceLimit
+}
--- /dev/null
+++ b/core/platform/directory.go
@@ -0,0 +1,34 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"arbutusramp/core/serving"
+)
+
+// Directory is where the operator's configuration and the list of targets are read. Offsets are
+// those of the store; a process that knows nothing asks with Known 0.
+// Errors: errs.LogDown, errs.LogBusy, errs.BadRequest (an entry can't be understood).
+type Directory interface {
+	// Config waits up to wait for a change after the state that known describes. Its result
+	// may hold no configuration: nothing has changed.
+	Config(ctx context.Context, known uint64, wait time.Duration) (ConfigNews, error)
+	// Targets waits likewise for changes of the list of targets.
+	Targets(ctx context.Context, known uint64, wait time.Duration) (TargetNews, error)
+}
+
+// ConfigNews is what has changed of the configuration.
+type ConfigNews struct {
+	Known  uint64          // to ask with the next time
+	Config *serving.Config // nil: no change
+}
+
+// TargetNews is what has changed of the list of targets.
+type TargetNews struct {
+	Known uint64
+	// Whole says that Present is the whole list, so that targets not in it are gone.
+	Whole   bool
+	Present []serving.Target
+	Gone    []string // target ids
+}
--- /dev/null
+++ b/core/platform/target.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"arbutusramp/core/serving"
+)
+
+// TargetCaller sends requests to targets.
+type TargetCaller interface {
+	// Send returns a target's answer once its header has arrived. Cancelling ctx cancels the
+	// request at the target. Error: errs.TargetFailed, with RanNo when nothing was sent.
+	Send(ctx context.Context, c TargetCall) (*TargetAnswer, error)
+}
+
+// TargetCall is one request to one target.
+type TargetCall struct {
+	Target  serving.Target
+	Request *serving.Request
+	// TimeLeft is how long the target may work on it; 0 tells it no limit.
+	TimeLeft time.Duration
+	// ResumeAfter is the id of the last event that is already there; empty from the start.
+	ResumeAfter string
+	// Once says that the request must not be sent twice, not even over a connection that the
+	// target has closed meanwhile.
+	Once bool
+}
+
+// TargetAnswer is the answer of a target. Body must be closed.
+type TargetAnswer struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body in bytes, -1 when not known
+	Body   io.ReadCloser
+	// NotRun is the target's word that it has not begun with the request.
+	NotRun bool
+	// OtherInstance says that another target has taken over the address.
+	OtherInstance bool
+	// Foreign says that the answer belongs to another request: the connection is out of step.
+	Foreign bool
+}
+
+// CallerAnswer is where an answer to a caller is written.
+type CallerAnswer interface {
+	// Begin sends a status and headers of a target.
+	Begin(status int, header http.Header, length int64)
+	// Write sends a part of the body at once.
+	Write(p []byte) error
+	// Abort breaks off an answer that has begun, so that it can't be taken for a whole one.
+	Abort()
+	// Fail sends an answer of the system's own. Only before Begin.
+	Fail(err error)
+}
--- /dev/null
+++ b/core/serving/config.go
@@ -0,0 +1,146 @@
+// Package serving holds what a gateway believes of its surroundings, in types without I/O: the
+// operator's configuration with its routes, and the targets that serve them.
+package serving
+
+import (
+	"hash/fnv"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what a route's requests are and what may be repeated.
+type Kind uint8
+
+const (
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = iota
+	// KindSafe requests are idempotent.
+	KindSafe
+	// KindStream requests are answered by a series of events.
+	KindStream
+	// KindBatch takes whole jobs, whose items run later.
+	KindBatch
+)
+
+// String implements fmt.Stringer.
+func (k Kind) String() string {
+	return [...]string{"unsafe", "safe", "stream", "batch"}[k]
+}
+
+// Share is a service's weight among those that a route is split over.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route says how requests under one path of one host are served.
+type Route struct {
+	Name     string
+	Host     string
+	Prefix   string // begins and ends with a slash
+	Kind     Kind
+	Timeout  time.Duration // longest that a request is kept waiting
+	Goal     time.Duration // within which an answer is worth most
+	EventGap time.Duration // longest pause between events that still counts as prompt
+	Priority int           // 0 is the most urgent
+	Attempts int           // most targets that one request may be sent to
+	// Resumable streams may go on at another target after their last event.
+	Resumable bool
+	Shares    []Share
+	Due       time.Duration // from a job's acceptance until its items should be done
+	Retain    time.Duration // from a job's acceptance until an item may be given up
+	MaxQueued int64         // tokens of unfinished items that the route may hold; 0 is no limit
+}
+
+// Idempotent says whether a request may run again after it may have run.
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
+}
+
+// Service picks one of the route's services by weight. The same key picks the same service.
+func (r *Route) Service(key string) string {
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	n := int(hash(key) % uint64(total))
+	for _, s := range r.Shares {
+		if n < s.Weight {
+			return s.Service
+		}
+		n -= s.Weight
+	}
+	return r.Shares[0].Service
+}
+
+func hash(key string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key)) // a hash never fails to write
+	return h.Sum64()
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+}
+
+// Service is what the operator says of one service.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int // connections that one target accepts from all callers together
+}
+
+// Config is one version of the operator's configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
+
+// Router finds routes by host and path.
+type Router struct {
+	byHost map[string][]*Route // longest prefix first
+}
+
+// NewRouter indexes the routes of c.
+func NewRouter(c *Config) *Router {
+	r := &Router{byHost: make(map[string][]*Route)}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		host := hostName(route.Host)
+		r.byHost[host] = append(r.byHost[host], route)
+	}
+	for _, list := range r.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return r
+}
+
+// Match returns the route with the longest prefix of target's path, or nil. target is the path
+// with its query, as it stands in the request line.
+func (r *Router) Match(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
+	for _, route := range r.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// hostName drops the port and the case of a Host header.
+func hostName(host string) string {
+	u := url.URL{Host: host}
+	return strings.ToLower(u.Hostname())
+}
--- /dev/null
+++ b/internal/backlog/desk.go
@@ -0,0 +1,308 @@
+package backlog
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/sleep"
+)
+
+const (
+	// startGap is the pause between two starts of items by one process: within it the peers
+	// hear of the first one.
+	startGap = 6 * time.Millisecond
+	// idleLook is how often the desk looks for work without a cause.
+	idleLook = 250 * time.Millisecond
+	// endsAge is how old the state of jobs may be for an item to start: within it a job's end
+	// may have been accepted elsewhere, and nothing of an ended job may start seconds later.
+	endsAge = 1500 * time.Millisecond
+	// againPause is how long an item waits after a target has refused it.
+	againPause = 80 * time.Millisecond
+)
+
+// desk knows all items that this process has to run and starts them where there is room, those
+// that are due first.
+type desk struct {
+	k *Keeper
+
+	mu     sync.Mutex
+	shards map[*shard]bool
+	tasks  map[string]*task // by job and item
+	lease  time.Time        // shards are this process's until then
+	closed bool
+	runs   sync.WaitGroup
+}
+
+// task is an item that this process has to bring to an end.
+type task struct {
+	shard *shard
+	job   *backlog.Job
+	index int
+
+	mu       sync.Mutex
+	running  bool
+	cancel   context.CancelFunc
+	cut      bool
+	notUntil time.Time
+	lastID   string // of the last event in text
+	text     []byte
+	failures int      // runs that the target has answered with a failure
+	avoid    []string // targets that have just failed it
+}
+
+func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
+
+// due is when the task should be done.
+func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
+
+func newDesk(k *Keeper) *desk {
+	return &desk{k: k, shards: make(map[*shard]bool), tasks: make(map[string]*task)}
+}
+
+// leaseUntil notes until when the store deals nobody else this process's shards.
+func (d *desk) leaseUntil(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lease = t
+}
+
+// adopt begins to run a shard's items.
+func (d *desk) adopt(s *shard) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.shards[s] = true
+}
+
+// giveUpShard ends the runs of a shard's items. Their tasks stay until progress has read them.
+func (d *desk) giveUpShard(s *shard) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.shards, s)
+	for _, t := range d.tasks {
+		if t.shard == s {
+			t.end()
+		}
+	}
+}
+
+// progress is how far the task has come.
+func (t *task) progress() *backlog.Progress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
+}
+
+// end cancels the task's run.
+func (t *task) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cancel != nil {
+		t.cancel()
+	}
+}
+
+// stopRuns ends all runs and waits until they are over.
+func (d *desk) stopRuns(ctx context.Context) {
+	d.mu.Lock()
+	d.closed = true
+	for _, t := range d.tasks {
+		t.end()
+	}
+	d.mu.Unlock()
+	over := make(chan struct{})
+	go func() {
+		d.runs.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
+// progress returns the records of how far a shard's items have come.
+func (d *desk) progress(s *shard) []platform.KeyedRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var records []platform.KeyedRecord
+	size := 0
+	for _, t := range d.tasks {
+		p := t.progress()
+		if t.shard != s || p.LastID == "" || size > maxCallBytes/2 {
+			continue
+		}
+		encoded, err := backlog.EncodeProgress(p, t.index)
+		if err != nil {
+			d.k.log.Error("progress can't be encoded", "job", t.job.ID, "item", p.Item, "error", err)
+			continue
+		}
+		size += len(p.Text)
+		records = append(records, encoded...)
+	}
+	return records
+}
+
+// run starts items until ctx ends.
+func (d *desk) run(ctx context.Context) error {
+	tick := time.NewTicker(idleLook)
+	defer tick.Stop()
+	for {
+		news := d.sync()
+		for d.startOne(ctx) {
+			sleep.For(ctx, startGap)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-news:
+		case <-d.k.view.Freed():
+		case <-tick.C:
+		}
+	}
+}
+
+// sync takes in new jobs of the owned shards and drops what is over.
+func (d *desk) sync() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owned := make(map[int]*shard, len(d.shards))
+	for s := range d.shards {
+		owned[s.index] = s
+	}
+	return d.k.replica.with(func(st *backlog.State) {
+		st.Open(func(j *backlog.Job) {
+			if s, ok := owned[d.k.shardOf(j.ID)]; ok {
+				d.addJob(st, s, j)
+			}
+		})
+		for key, t := range d.tasks {
+			gone := !d.shards[t.shard]
+			over := st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID)
+			if gone || over {
+				t.end()
+				delete(d.tasks, key)
+			}
+		}
+	})
+}
+
+func (d *desk) addJob(st *backlog.State, s *shard, j *backlog.Job) {
+	for i := range j.Items {
+		key := j.ID + "/" + j.Items[i].ID
+		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) || s.taken(j.ID, j.Items[i].ID) {
+			continue
+		}
+		p := st.Progress(j.ID, j.Items[i].ID)
+		d.tasks[key] = &task{shard: s, job: j, index: i, lastID: p.LastID, text: []byte(p.Text)}
+	}
+}
+
+// startOne starts the item that is due first among those for which there is room. It reports
+// whether it has started one.
+func (d *desk) startOne(ctx context.Context) bool {
+	if d.k.replica.age(jobPartition) > endsAge {
+		return false
+	}
+	now := time.Now()
+	full := make(map[string]bool) // services without room
+	for _, t := range d.waiting(now) {
+		route, _, err := d.k.router.Route(t.job.Host, t.item().URI)
+		if errs.Is(err, errs.NotFound) {
+			d.unrouted(t, now)
+			continue
+		}
+		if err != nil {
+			return false
+		}
+		service := route.Service(t.item().ID)
+		if full[service] {
+			continue
+		}
+		if d.start(ctx, t, route, service) {
+			return true
+		}
+		full[service] = true
+	}
+	return false
+}
+
+// waiting returns the tasks that may start now, those due first in front.
+func (d *desk) waiting(now time.Time) []*task {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || now.After(d.lease) {
+		return nil
+	}
+	var list []*task
+	for _, t := range d.tasks {
+		if t.mayStart(now) {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.due(), b.due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
+	})
+	return list
+}
+
+func (t *task) mayStart(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.running && !now.Before(t.notUntil) && !t.shard.taken(t.job.ID, t.item().ID)
+}
+
+// unroutedGrace is how long an item's route may be missing before the item is given up: a
+// configuration may take a route away and bring it back.
+const unroutedGrace = 5 * time.Second
+
+// unrouted puts off an item without a route, and gives it up in the end.
+func (d *desk) unrouted(t *task, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notUntil = now.Add(unroutedGrace)
+	t.failures++
+	if t.failures > t.job.Attempts {
+		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+	}
+}
+
+// start runs a task if a target has room for it.
+func (d *desk) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
+	runCtx, cancel := context.WithCancel(ctx)
+	r, ok := d.k.view.StartBatch(service, t.avoided(), func() { t.cutOff(cancel) })
+	if !ok {
+		cancel()
+		return false
+	}
+	t.mu.Lock()
+	t.running, t.cut, t.cancel = true, false, cancel
+	t.mu.Unlock()
+	d.runs.Add(1)
+	go func() {
+		defer d.runs.Done()
+		defer cancel()
+		d.k.runItem(runCtx, t, r, route)
+	}()
+	return true
+}
+
+func (t *task) avoided() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.avoid
+}
+
+// cutOff ends a run whose slot online requests need.
+func (t *task) cutOff(cancel context.CancelFunc) {
+	t.mu.Lock()
+	t.cut = true
+	t.mu.Unlock()
+	cancel()
+}
--- /dev/null
+++ b/internal/backlog/guard.go
@@ -0,0 +1,55 @@
+package backlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusramp/internal/fleetview"
+)
+
+// guard ends the run of an item whose target has fallen silent: the item can go on elsewhere, and
+// its slot here may belong to a target that no longer lives.
+type guard struct {
+	run *fleetview.Run
+
+	mu   sync.Mutex
+	last time.Time // of the last event
+}
+
+func newGuard(ctx context.Context, cancel context.CancelFunc, r *fleetview.Run) *guard {
+	g := &guard{run: r, last: time.Now()}
+	go g.watch(ctx, cancel)
+	return g
+}
+
+func (g *guard) heard() {
+	g.mu.Lock()
+	g.last = time.Now()
+	g.mu.Unlock()
+	g.run.Heard()
+}
+
+func (g *guard) watch(ctx context.Context, cancel context.CancelFunc) {
+	tick := time.NewTicker(silenceLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		g.mu.Lock()
+		last := g.last
+		g.mu.Unlock()
+		if g.run.Silent(last) {
+			g.run.Failed()
+			cancel()
+			return
+		}
+		if time.Since(last) > itemSilence {
+			cancel()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/backlog/hold.go
@@ -0,0 +1,92 @@
+package backlog
+
+import (
+	"context"
+	"time"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/sleep"
+)
+
+// The group among whose members the shards are dealt. Its topic holds no records.
+const (
+	shardGroup = "backlog"
+	shardTopic = "shards"
+)
+
+const (
+	// joinsPerTTL is how often a member is heard of within the time after which it is gone.
+	joinsPerTTL = 3
+	// ttlFactor makes a member's time longer than the shortest that the store allows, so that
+	// one late call does not move all its shards.
+	ttlFactor = 1.5
+	// leaveTimeout bounds the farewell of a process that stops.
+	leaveTimeout = 700 * time.Millisecond
+)
+
+// hold keeps this process a member of the group and takes and gives back shards as the store
+// deals them.
+func (k *Keeper) hold(ctx context.Context) error {
+	ttl := time.Duration(float64(k.opts.MinTTL) * ttlFactor)
+	m := platform.Membership{Group: shardGroup, Member: k.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
+	shards := make(map[int]*shard)
+	down := false
+	for ctx.Err() == nil {
+		asked := time.Now()
+		a, err := k.store.Join(ctx, m)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil && !down {
+			k.log.Warn("dependency lost", "dependency", shardGroup, "error", err)
+		}
+		if err == nil && down {
+			k.log.Info("dependency back", "dependency", shardGroup)
+		}
+		down = err != nil
+		if err == nil {
+			m.Generation = a.Generation
+			k.deal(ctx, shards, a)
+			k.desk.leaseUntil(asked.Add(ttl))
+		}
+		sleep.For(ctx, ttl/joinsPerTTL)
+	}
+	k.leave(shards)
+	return nil
+}
+
+// deal starts shards that are new and stops those that were taken away. Stopping comes before
+// the next join, which tells the store that they are free.
+func (k *Keeper) deal(ctx context.Context, shards map[int]*shard, a platform.Assignment) {
+	held := make(map[int]bool, len(a.Held))
+	for _, p := range a.Held {
+		held[p.Index] = true
+	}
+	for i, s := range shards {
+		if !held[i] {
+			k.log.Info("shard given back", "shard", i, "epoch", s.epoch, "generation", a.Generation)
+			s.stop()
+			delete(shards, i)
+		}
+	}
+	for i := range held {
+		if s, ok := shards[i]; ok && !s.fenced() {
+			continue
+		}
+		k.log.Info("shard taken", "shard", i, "epoch", a.Generation)
+		shards[i] = k.startShard(ctx, i, a.Generation)
+	}
+}
+
+// leave hands over all shards: their items' progress is written, then the store may deal them out.
+func (k *Keeper) leave(shards map[int]*shard) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	k.desk.stopRuns(ctx)
+	for _, s := range shards {
+		s.handOver(ctx)
+	}
+	if err := k.store.Leave(ctx, shardGroup, k.opts.Member); err != nil {
+		k.log.Warn("the store was not told of the leave: shards move once the lease has run out", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/backlog/item.go
@@ -0,0 +1,165 @@
+package backlog
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/events"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+)
+
+const (
+	// itemSilence is how long an item's stream may stand still before the item goes on
+	// elsewhere. A stream may wait in its target's queue, so this is longer than for a target
+	// that sends nothing to anybody.
+	itemSilence = 1500 * time.Millisecond
+	// silenceLook is how often that is looked at.
+	silenceLook = 100 * time.Millisecond
+)
+
+// verdict is what one run of an item means for it.
+type verdict uint8
+
+const (
+	goOn     verdict = iota // it goes on later, from its last event
+	complete                // it has its whole output
+	failed                  // the target has answered with a failure
+	hopeless                // no target can do it
+)
+
+// runItem runs a task at one target, from its last event on.
+func (k *Keeper) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
+	from := t.progress().LastID
+	began := time.Now()
+	v, err := k.follow(ctx, t, r, route)
+	r.Done()
+	t.mu.Lock()
+	t.running = false
+	cut := t.cut
+	t.mu.Unlock()
+	k.log.Info("item run", "job", t.job.ID, "item", t.item().ID, "target", r.Target.ID, "from_event", from, "to_event", t.progress().LastID,
+		"ms", time.Since(began).Milliseconds(), "verdict", v.String(), "cut", cut, "error", errText(err))
+	k.settle(t, r.Target.ID, v, cut)
+}
+
+func (v verdict) String() string {
+	return [...]string{"go on", "complete", "failed", "hopeless"}[v]
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// settle decides how a task goes on after a run.
+func (k *Keeper) settle(t *task, target string, v verdict, cut bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch v {
+	case complete:
+		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Complete, text: string(t.text)})
+		return
+	case hopeless:
+		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+		return
+	case failed:
+		t.failures++
+		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
+		if t.failures >= t.job.Attempts {
+			t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+			return
+		}
+	}
+	if cut {
+		t.avoid = nil
+		return
+	}
+	t.avoid = []string{target}
+	t.notUntil = time.Now().Add(againPause)
+}
+
+// follow sends the item and reads its stream.
+func (k *Keeper) follow(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (verdict, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	guard := newGuard(ctx, cancel, r)
+	item := t.item()
+	ans, err := k.targets.Send(ctx, platform.TargetCall{
+		Target: r.Target,
+		Request: &serving.Request{
+			ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
+			Header: http.Header(item.Header), Body: item.Body,
+		},
+		ResumeAfter: t.progress().LastID,
+	})
+	if err != nil {
+		return goOn, k.itemFailed(ctx, t, r, err)
+	}
+	defer ans.Body.Close()
+	guard.heard()
+	if v, err := k.itemRefused(t, r, ans); v != complete {
+		return v, err
+	}
+	in := events.NewReader(ans.Body)
+	for {
+		e, err := in.Next()
+		if err == io.EOF {
+			return complete, nil
+		}
+		if err != nil {
+			return goOn, k.itemFailed(ctx, t, r, err)
+		}
+		guard.heard()
+		t.take(e)
+	}
+}
+
+// take adds an event to the item's text.
+func (t *task) take(e events.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.lastID != "" {
+		t.text = append(t.text, '\n')
+	}
+	t.text = append(t.text, e.Data...)
+	t.lastID = e.ID
+}
+
+// itemRefused tells answers that are no stream of the item; complete means that it is one.
+func (k *Keeper) itemRefused(t *task, r *fleetview.Run, ans *platform.TargetAnswer) (verdict, error) {
+	switch {
+	case ans.OtherInstance:
+		k.view.Drop(r.Target.ID)
+		return goOn, errs.New(errs.TargetFailed, "another target has the address")
+	case ans.NotRun:
+		return goOn, errs.Newf(errs.TargetFailed, "the target refuses the item with %d", ans.Status)
+	case ans.Foreign:
+		return goOn, errs.New(errs.TargetFailed, "the answer belongs to another request")
+	case ans.Status == http.StatusOK:
+		return complete, nil
+	case ans.Status == http.StatusUnprocessableEntity:
+		return hopeless, errs.New(errs.TargetRefused, "the item can never be done")
+	case ans.Status == http.StatusInternalServerError:
+		return failed, errs.New(errs.TargetFailed, "the target has failed the item")
+	}
+	return goOn, errs.Newf(errs.TargetFailed, "the target answers %d", ans.Status)
+}
+
+// itemFailed counts a lost connection against the target, unless the run was ended here.
+func (k *Keeper) itemFailed(ctx context.Context, t *task, r *fleetview.Run, err error) error {
+	if ctx.Err() != nil {
+		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	}
+	if r.Failed() {
+		k.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/backlog/keeper.go
@@ -0,0 +1,87 @@
+package backlog
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+)
+
+// Router finds the route of an item in the configuration in force.
+type Router interface {
+	Route(host, uri string) (*serving.Route, serving.Limits, error)
+}
+
+// Options are the settings of a keeper.
+type Options struct {
+	// Member names this start of this process; it must never be used again.
+	Member string
+	// Shards is the number of partitions that the store deals out for each topic.
+	Shards int
+	// MinTTL is the shortest time after which the store takes a silent member for gone.
+	MinTTL time.Duration
+}
+
+// Keeper keeps batch jobs.
+type Keeper struct {
+	opts    Options
+	store   platform.Store
+	targets platform.TargetCaller
+	view    *fleetview.View
+	router  Router
+	log     hclog.Logger
+	reg     metrics.Registry
+	replica *Replica
+	desk    *desk
+}
+
+// New returns a keeper that knows nothing yet.
+func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Keeper {
+	k := &Keeper{
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, reg: reg,
+		replica: NewReplica(store, log),
+	}
+	k.desk = newDesk(k)
+	return k
+}
+
+// Loaded says whether the backlog has been read, so that calls about jobs can be answered.
+func (k *Keeper) Loaded() bool {
+	_, jobs := k.replica.position(jobPartition)
+	_, results := k.replica.position(resultPartition)
+	return jobs && results
+}
+
+// Run follows the store, holds shards and runs items until ctx ends. Then it hands its items over.
+func (k *Keeper) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.replica.follow(ctx, jobPartition) })
+	g.Go(func() error { return k.replica.follow(ctx, resultPartition) })
+	g.Go(func() error { return k.hold(ctx) })
+	g.Go(func() error { return k.desk.run(ctx) })
+	return g.Wait()
+}
+
+// shardOf is the shard that a job belongs to.
+func (k *Keeper) shardOf(job string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job)) // a hash never fails to write
+	return int(h.Sum32() % uint32(k.opts.Shards))
+}
+
+// count counts the outcome of a call.
+func (k *Keeper) count(name string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = string(errs.As(err).Type)
+	}
+	metrics.GetOrRegisterCounter(name+"."+outcome, k.reg).Inc(1)
+}
--- /dev/null
+++ b/internal/backlog/read.go
@@ -0,0 +1,117 @@
+package backlog
+
+import (
+	"context"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+)
+
+const (
+	// freshEnough is how old the state may be for an answer that something is not there. Callers
+	// count on seeing what another process has shown them a second ago.
+	freshEnough = 800 * time.Millisecond
+	// checkTimeout bounds the reading that makes the state fresh.
+	checkTimeout = 700 * time.Millisecond
+	// pageBytes is how much text a page of results may hold beyond its first result.
+	pageBytes = 900 << 10
+	// unsureRetry is when to come back after an answer that could not be given.
+	unsureRetry = 300 * time.Millisecond
+)
+
+// refresh reads on in both partitions, so that all that was there when it was called is known.
+func (k *Keeper) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := k.replica.catchUp(ctx, jobPartition); err != nil {
+		return unsure(err)
+	}
+	if err := k.replica.catchUp(ctx, resultPartition); err != nil {
+		return unsure(err)
+	}
+	return nil
+}
+
+// unsure is the answer of a process that can't know.
+func unsure(err error) error {
+	return errs.Newf(errs.LogDown, "this process can't be sure: %v", err).WithRan(errs.RanNo).WithRetry(unsureRetry)
+}
+
+// mustExist makes sure that a job is known, with a fresh look into the store before it says that
+// it is not. Errors: errs.NotFound, errs.LogDown.
+func (k *Keeper) mustExist(ctx context.Context, id string) error {
+	known := func() (ok bool) {
+		k.replica.with(func(st *backlog.State) { _, ok = st.Job(id) })
+		return ok
+	}
+	if known() {
+		return nil
+	}
+	if err := k.refresh(ctx); err != nil {
+		return err
+	}
+	if known() {
+		return nil
+	}
+	return errs.Newf(errs.NotFound, "no batch job %q", id)
+}
+
+// Results returns the job's results from a position on. With none there yet it waits for one.
+// Errors: errs.NotFound, errs.LogDown (this process can't be sure that there is none).
+func (k *Keeper) Results(ctx context.Context, id string, after int, wait time.Duration) (backlog.Page, error) {
+	if err := k.mustExist(ctx, id); err != nil {
+		return backlog.Page{}, err
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		var page backlog.Page
+		news := k.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
+		if len(page.Results) > 0 || after >= page.Total {
+			return page, nil
+		}
+		select {
+		case <-news:
+			continue
+		case <-waitCtx.Done():
+		}
+		return k.noneYet(ctx, id, after)
+	}
+}
+
+// noneYet answers that no result stands at a position, if that is sure.
+func (k *Keeper) noneYet(ctx context.Context, id string, after int) (backlog.Page, error) {
+	if k.replica.age(resultPartition) > freshEnough {
+		if err := k.refresh(ctx); err != nil {
+			return backlog.Page{}, err
+		}
+	}
+	var page backlog.Page
+	k.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
+	return page, nil
+}
+
+// ItemBody returns the body of an item that has no result yet. Errors: errs.NotFound, errs.LogDown.
+func (k *Keeper) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	if err := k.mustExist(ctx, id); err != nil {
+		return nil, err
+	}
+	var body []byte
+	found := false
+	k.replica.with(func(st *backlog.State) {
+		job, ok := st.Job(id)
+		if !ok {
+			return
+		}
+		for i := range job.Items {
+			if job.Items[i].ID == item {
+				body, found = job.Items[i].Body, true
+			}
+		}
+	})
+	if !found {
+		return nil, errs.Newf(errs.NotFound, "job %q has no item %q", id, item)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/backlog/replica.go
@@ -0,0 +1,257 @@
+// Package backlog keeps batch jobs: it accepts them, deals them out among the gateways, runs their
+// items and serves their results. What is promised lies in the platform's store before the
+// promise; every process folds the store's records into the same state.
+package backlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/sleep"
+)
+
+// Topics in the store. Jobs and ends are written by any process under the condition that nobody
+// wrote in between; results and progress by the owners of shards, fenced by their epochs.
+var (
+	jobPartition    = platform.Partition{Topic: "keyed.jobs"}
+	resultPartition = platform.Partition{Topic: "keyed.results"}
+)
+
+const (
+	// readWait is how long one read waits for records. Each answer proves how far the
+	// partition went, so it also bounds how old a calm partition's state is.
+	readWait = 600 * time.Millisecond
+	// readPause lets records gather between two reads.
+	readPause = 25 * time.Millisecond
+	// readBytes bounds one read.
+	readBytes = 1 << 20
+	// retryPause is the time between reads that fail.
+	retryPause = 100 * time.Millisecond
+)
+
+// Replica is this process's copy of the backlog.
+type Replica struct {
+	store platform.Store
+	log   hclog.Logger
+
+	mu    sync.Mutex
+	state *backlog.State
+	tails map[platform.Partition]*tail
+	news  chan struct{} // closed and replaced with each change
+}
+
+// tail is how far a partition has been read.
+type tail struct {
+	loaded bool      // the newest records of all keys have been read
+	next   uint64    // offset to read on from
+	fresh  time.Time // when the store last said that there is nothing after next
+}
+
+// NewReplica returns an empty copy.
+func NewReplica(store platform.Store, log hclog.Logger) *Replica {
+	return &Replica{
+		store: store, log: log, state: backlog.NewState(), news: make(chan struct{}),
+		tails: map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
+	}
+}
+
+// follow reads the news of a partition until ctx ends.
+func (r *Replica) follow(ctx context.Context, p platform.Partition) error {
+	down := false
+	for ctx.Err() == nil {
+		err := r.step(ctx, p)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if !down {
+				r.log.Warn("dependency lost", "dependency", p.Topic, "error", err)
+			}
+			down = true
+			sleep.For(ctx, retryPause)
+			continue
+		}
+		if down {
+			r.log.Info("dependency back", "dependency", p.Topic)
+		}
+		down = false
+		sleep.For(ctx, readPause)
+	}
+	return nil
+}
+
+// step reads once.
+func (r *Replica) step(ctx context.Context, p platform.Partition) error {
+	next, loaded := r.position(p)
+	if !loaded {
+		return r.load(ctx, p)
+	}
+	page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes, Wait: readWait})
+	var expired *platform.Expired
+	if errors.As(err, &expired) {
+		r.log.Warn("records have expired before they were read", "topic", p.Topic, "next", next, "first", expired.First)
+		return r.load(ctx, p)
+	}
+	if err != nil {
+		return err
+	}
+	r.take(p, page, next)
+	return nil
+}
+
+// load reads the newest record of each key. Records that are written meanwhile are read again
+// from the first page's end on; the fold takes each once.
+func (r *Replica) load(ctx context.Context, p platform.Partition) error {
+	var end uint64
+	after := ""
+	for first := true; ; first = false {
+		asked := time.Now()
+		page, err := r.store.Newest(ctx, p, after)
+		if err != nil {
+			return err
+		}
+		if first {
+			end = page.End
+		}
+		r.apply(page.Records)
+		if !page.More || len(page.Records) == 0 {
+			r.loaded(p, end, asked)
+			return nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
+
+func (r *Replica) loaded(p platform.Partition, end uint64, asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tails[p]
+	t.loaded = true
+	t.next = max(t.next, end)
+	t.fresh = asked
+	r.log.Info("backlog loaded", "topic", p.Topic, "end", end)
+	r.announce()
+}
+
+// take folds a page that was read from an offset on. Two readers may bring the same page: the
+// state does not go back.
+func (r *Replica) take(p platform.Partition, page platform.Records, from uint64) {
+	r.apply(page.Records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tails[p]
+	t.next = max(t.next, from+uint64(len(page.Records)))
+	if t.next >= page.End {
+		t.fresh = time.Now()
+	}
+	if len(page.Records) > 0 {
+		r.announce()
+	}
+}
+
+// takeOwn folds what this process has just written at an offset, so that it knows it before it
+// reads it. Only records that follow what was read move the position.
+func (r *Replica) takeOwn(p platform.Partition, at uint64, records []platform.KeyedRecord) {
+	r.applyOwn(records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tails[p]; t.next == at {
+		t.next = at + uint64(len(records))
+	}
+}
+
+// applyOwn folds records that are known to be in the store.
+func (r *Replica) applyOwn(records []platform.KeyedRecord) {
+	var stored []platform.StoredRecord
+	for _, rec := range records {
+		stored = append(stored, platform.StoredRecord{KeyedRecord: rec})
+	}
+	r.apply(stored)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announce()
+}
+
+func (r *Replica) apply(records []platform.StoredRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range records {
+		if _, err := r.state.Apply(rec.KeyedRecord); err != nil {
+			r.log.Error("record of the backlog left out", "key", rec.Key, "offset", rec.Offset, "error", err)
+		}
+	}
+}
+
+// announce wakes all that wait for news. The caller holds the lock.
+func (r *Replica) announce() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+func (r *Replica) position(p platform.Partition) (next uint64, loaded bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tails[p].next, r.tails[p].loaded
+}
+
+// age is how old the state of a partition may be.
+func (r *Replica) age(p platform.Partition) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.tails[p].loaded {
+		return time.Since(time.Time{})
+	}
+	return time.Since(r.tails[p].fresh)
+}
+
+// with calls f with the state under the lock and returns the channel that the next news closes.
+func (r *Replica) with(f func(*backlog.State)) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.state)
+	return r.news
+}
+
+// catchUp reads until all that the partition held when the call began has been taken in.
+func (r *Replica) catchUp(ctx context.Context, p platform.Partition) error {
+	if _, loaded := r.position(p); !loaded {
+		return errs.New(errs.LogDown, "the backlog has not been read yet").WithRetry(retryPause)
+	}
+	var target uint64
+	for first := true; ; first = false {
+		next, _ := r.position(p)
+		if !first && next >= target {
+			return nil
+		}
+		page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes})
+		if err != nil {
+			return err
+		}
+		r.take(p, page, next)
+		if first {
+			target = page.End
+		}
+	}
+}
+
+// reach waits until the partition has been read up to an offset.
+func (r *Replica) reach(ctx context.Context, p platform.Partition, offset uint64) error {
+	for {
+		news := r.with(func(*backlog.State) {})
+		if next, loaded := r.position(p); loaded && next >= offset {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/backlog/shard.go
@@ -0,0 +1,264 @@
+package backlog
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/sleep"
+)
+
+// flushPause is how long a shard waits for more ends before it writes the first one.
+const flushPause = 5 * time.Millisecond
+
+// shard is a part of the jobs that this process owns: it alone gives their results positions. Each
+// write carries the epoch in which the shard was dealt to it; the store refuses those of an owner
+// that has been replaced, however late they come.
+type shard struct {
+	k     *Keeper
+	index int
+	epoch uint64
+	stop  context.CancelFunc
+
+	mu      sync.Mutex
+	ready   bool // fenced and caught up: its items may run
+	lost    bool // the store has refused a write: a newer owner exists
+	queue   []*outcome
+	next    map[string]int // position of the next result, by job
+	pending map[string]bool
+	// open is the write that has been sent and is not known to be done; it is repeated as it is.
+	open  []platform.KeyedRecord
+	openN int // ends that it holds
+	wake  chan struct{}
+	over  chan struct{} // closed once run has returned
+	seq   uint64
+}
+
+// outcome is an item's end that is not in the store yet.
+type outcome struct {
+	job     *backlog.Job
+	item    string
+	outcome backlog.Outcome
+	text    string
+}
+
+// startShard begins to own a shard.
+func (k *Keeper) startShard(ctx context.Context, index int, epoch uint64) *shard {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &shard{
+		k: k, index: index, epoch: epoch, wake: make(chan struct{}, 1), over: make(chan struct{}),
+		next: make(map[string]int), pending: make(map[string]bool),
+	}
+	s.stop = func() {
+		cancel()
+		k.desk.giveUpShard(s)
+	}
+	go s.run(ctx)
+	return s
+}
+
+func (s *shard) producer() *platform.Producer {
+	return &platform.Producer{Name: "shard-" + strconv.Itoa(s.index), Epoch: s.epoch, Seq: s.seq}
+}
+
+// fenced says whether a newer owner has shut this one out.
+func (s *shard) fenced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// run shuts the old owner out, reads what it has left and then writes results as they come.
+func (s *shard) run(ctx context.Context) {
+	defer close(s.over)
+	if !s.takeOver(ctx) {
+		return
+	}
+	s.k.desk.adopt(s)
+	for {
+		select {
+		case <-s.wake:
+		case <-ctx.Done():
+			return
+		}
+		sleep.For(ctx, flushPause)
+		for s.flush(ctx) {
+		}
+	}
+}
+
+// takeOver sets the epoch. From then on no write of an older owner is done, so what has been read
+// up to here is all that it has left.
+func (s *shard) takeOver(ctx context.Context) bool {
+	for {
+		done, err := s.k.store.Append(ctx, platform.Append{Partition: resultPartition, Producer: s.producer()})
+		if err == nil {
+			err = s.k.replica.reach(ctx, resultPartition, done.End)
+		}
+		if err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.ready = true
+			s.seq++
+			s.k.log.Info("shard owned", "shard", s.index, "epoch", s.epoch, "end", done.End)
+			return true
+		}
+		if s.refused(err) || !sleep.For(ctx, writePause) {
+			return false
+		}
+	}
+}
+
+// refused notes that a newer owner exists.
+func (s *shard) refused(err error) bool {
+	var fenced *platform.Fenced
+	if !errors.As(err, &fenced) {
+		return false
+	}
+	s.k.log.Warn("shard lost", "shard", s.index, "epoch", s.epoch)
+	s.mu.Lock()
+	s.lost = true
+	s.queue = nil
+	s.mu.Unlock()
+	s.k.desk.giveUpShard(s)
+	return true
+}
+
+// finish takes an item's end for the next write.
+func (s *shard) finish(o *outcome) {
+	s.mu.Lock()
+	key := o.job.ID + "/" + o.item
+	if s.lost || s.pending[key] {
+		s.mu.Unlock()
+		return
+	}
+	s.pending[key] = true
+	s.queue = append(s.queue, o)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// taken says whether an item's end waits to be written.
+func (s *shard) taken(job, item string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pending[job+"/"+item]
+}
+
+// flush writes the ends that wait, as many as fit into one append. It reports whether it should
+// be called again at once.
+func (s *shard) flush(ctx context.Context) bool {
+	records, n := s.batch()
+	if n == 0 {
+		return false
+	}
+	if !s.write(ctx, records) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.queue[:n] {
+		delete(s.pending, o.job.ID+"/"+o.item)
+		s.k.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
+	}
+	s.queue = s.queue[n:]
+	s.open, s.openN = nil, 0
+	return len(s.queue) > 0
+}
+
+// batch gives positions to the ends that wait and encodes them.
+func (s *shard) batch() (records []platform.KeyedRecord, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.openN > 0 {
+		return s.open, s.openN
+	}
+	size := 0
+	for _, o := range s.queue {
+		size += len(o.text)
+		if n > 0 && size > maxCallBytes/2 {
+			break
+		}
+		n++
+		encoded, err := backlog.EncodeResult(&backlog.Result{
+			Job: o.job.ID, Position: s.position(o.job.ID), Item: o.item, Outcome: o.outcome, Text: o.text,
+		})
+		if err != nil {
+			s.k.log.Error("result can't be encoded", "job", o.job.ID, "item", o.item, "error", err)
+			continue
+		}
+		s.next[o.job.ID]++
+		records = append(records, encoded...)
+	}
+	s.open, s.openN = records, n
+	return records, n
+}
+
+// position is where the job's next result goes. The caller holds the lock.
+func (s *shard) position(job string) int {
+	if _, ok := s.next[job]; !ok {
+		s.k.replica.with(func(st *backlog.State) { s.next[job] = st.Listed(job) })
+	}
+	return s.next[job]
+}
+
+// write appends records until the store has them or a newer owner exists. A lost answer is made
+// good by the same write with the same number, which the store does once.
+func (s *shard) write(ctx context.Context, records []platform.KeyedRecord) bool {
+	first := true
+	for {
+		_, err := s.k.store.Append(ctx, platform.Append{Partition: resultPartition, Records: records, Producer: s.producer()})
+		if err == nil {
+			s.seq++
+			s.k.replica.applyOwn(records)
+			return true
+		}
+		var gap *platform.OutOfSequence
+		if errors.As(err, &gap) && first && s.seq == 1 {
+			// The store may count the write that set the epoch.
+			s.seq = gap.Expected
+			continue
+		}
+		if errors.As(err, &gap) {
+			s.k.log.Error("out of sequence", "shard", s.index, "epoch", s.epoch, "seq", s.seq, "expected", gap.Expected)
+			s.refused(&platform.Fenced{Epoch: s.epoch})
+			return false
+		}
+		if errs.Is(err, errs.AppendUnknown) {
+			first = false
+		}
+		if s.refused(err) || !sleep.For(ctx, writePause) {
+			return false
+		}
+	}
+}
+
+// handOver writes the ends that wait and how far the items have come that ran here.
+func (s *shard) handOver(ctx context.Context) {
+	s.stop()
+	<-s.over
+	if s.fenced() {
+		return
+	}
+	s.mu.Lock()
+	ready := s.ready
+	s.mu.Unlock()
+	if !ready {
+		return
+	}
+	for s.flush(ctx) {
+	}
+	records := s.k.desk.progress(s)
+	if len(records) > 0 && !s.write(ctx, records) {
+		s.k.log.Warn("progress of items was not handed over", "shard", s.index, "epoch", s.epoch, "records", len(records))
+	}
+}
--- /dev/null
+++ b/internal/backlog/submit.go
@@ -0,0 +1,250 @@
+package backlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/sleep"
+)
+
+const (
+	// submitTimeout is how long a job's submission is tried before its caller is told to come
+	// again: callers wait for 4 s and give a second attempt the same time.
+	submitTimeout = 2500 * time.Millisecond
+	// endTimeout is the same for a job's end.
+	endTimeout = 3 * time.Second
+	// fullRetry is when a job should come again that does not fit into its route's limit.
+	fullRetry = time.Second
+	// writePause is the time between writes that fail.
+	writePause = 60 * time.Millisecond
+	// maxCallBytes is the most that one append may hold, less room for framing.
+	maxCallBytes = 2<<20 - 64<<10
+)
+
+// Submit accepts a job. It returns nil once the job lies in the store. A job that comes again is
+// accepted again. Errors: errs.RateLimited (it does not fit into its route's limit), errs.LogDown and
+// errs.LogBusy (it is not in the store), errs.AppendUnknown (it may be or may get there).
+//
+// All jobs go through one partition, each under the condition that its process has read all
+// before it: so the limit holds across processes, and an append whose answer was lost is either
+// found by reading on or can no longer be done.
+func (k *Keeper) Submit(ctx context.Context, route *serving.Route, job *backlog.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if len(job.ID) > backlog.MaxIDBytes {
+		return errs.Newf(errs.BadRequest, "the job's id has over %d bytes", backlog.MaxIDBytes)
+	}
+	records, err := backlog.EncodeJob(job)
+	if err != nil {
+		return err
+	}
+	s := &submission{k: k, route: route, job: job, records: records}
+	err = s.run(ctx)
+	k.log.Info("job", "request", job.ID, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
+		"queued", s.queued, "limit", route.MaxQueued, "end", s.at, "tries", s.tries, "outcome", outcomeOf(err))
+	k.count("job.submit", err)
+	return err
+}
+
+// submission is one job on its way into the store.
+type submission struct {
+	k       *Keeper
+	route   *serving.Route
+	job     *backlog.Job
+	records []platform.KeyedRecord
+	at      uint64 // where the partition must end
+	queued  int64  // tokens that the route held
+	tries   int
+	unknown bool // an append without an answer may have been done
+}
+
+func (s *submission) run(ctx context.Context) error {
+	if s.known() {
+		return nil
+	}
+	if err := s.large(ctx); err != nil {
+		return err
+	}
+	for {
+		done, err := s.try(ctx)
+		if done {
+			return err
+		}
+		if !sleep.For(ctx, pauseAfter(err)) {
+			return s.giveUp(err)
+		}
+	}
+}
+
+// pauseAfter is short when only another job came first.
+func pauseAfter(err error) time.Duration {
+	var moved *platform.EndMoved
+	if errors.As(err, &moved) {
+		return 0
+	}
+	return writePause
+}
+
+// giveUp is the failure after the last try.
+func (s *submission) giveUp(err error) error {
+	e := errs.As(err)
+	if s.unknown {
+		return errs.Newf(errs.AppendUnknown, "the job may have been accepted: %v", err).WithRan(errs.RanUnknown)
+	}
+	if e.Type != errs.LogBusy {
+		e = errs.Newf(errs.LogDown, "the job was not written: %v", err)
+	}
+	return e.WithRan(errs.RanNo).WithRetry(writePause)
+}
+
+// known says whether the job has been accepted already.
+func (s *submission) known() bool {
+	ok := false
+	s.k.replica.with(func(st *backlog.State) { _, ok = st.Job(s.job.ID) })
+	return ok
+}
+
+// try writes the job if it fits. done says that err is the answer.
+func (s *submission) try(ctx context.Context) (done bool, err error) {
+	s.tries++
+	next, loaded := s.k.replica.position(jobPartition)
+	if !loaded {
+		return false, errs.New(errs.LogDown, "the backlog has not been read yet")
+	}
+	if next > s.at {
+		s.unknown = false // all up to next has been read, so an append at s.at is in there or void
+	}
+	fits := true
+	s.k.replica.with(func(st *backlog.State) {
+		if _, known := st.Job(s.job.ID); known {
+			done = true
+			return
+		}
+		s.queued = st.Queued(s.route.Name)
+		fits = s.route.MaxQueued == 0 || s.queued+s.job.Tokens() <= s.route.MaxQueued
+	})
+	if done {
+		return true, nil
+	}
+	if !fits && !s.unknown {
+		return s.full(ctx)
+	}
+	s.at = next
+	_, err = s.k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
+	return s.judge(ctx, err)
+}
+
+// full refuses a job that does not fit, once the state is known to be fresh.
+func (s *submission) full(ctx context.Context) (bool, error) {
+	if s.k.replica.age(jobPartition) > freshEnough || s.k.replica.age(resultPartition) > freshEnough {
+		if err := s.k.refresh(ctx); err != nil {
+			return false, err
+		}
+		if s.fitsNow() {
+			return false, nil
+		}
+	}
+	return true, errs.Newf(errs.RateLimited, "the route holds %d of %d tokens", s.queued, s.route.MaxQueued).WithRetry(fullRetry)
+}
+
+func (s *submission) fitsNow() bool {
+	var queued int64
+	s.k.replica.with(func(st *backlog.State) { queued = st.Queued(s.route.Name) })
+	return queued+s.job.Tokens() <= s.route.MaxQueued
+}
+
+// judge reads what an append has done.
+func (s *submission) judge(ctx context.Context, err error) (bool, error) {
+	if err == nil {
+		s.k.replica.takeOwn(jobPartition, s.at, s.records)
+		return true, nil
+	}
+	var moved *platform.EndMoved
+	if errors.As(err, &moved) {
+		// Somebody wrote first, or this job's own append whose answer was lost. Reading on
+		// tells; after that, nothing that was sent before can still be done.
+		if readErr := s.k.replica.catchUp(ctx, jobPartition); readErr != nil {
+			return false, readErr
+		}
+		s.unknown = false
+		return false, err
+	}
+	if errs.Is(err, errs.AppendUnknown) {
+		s.unknown = true
+	}
+	return false, err
+}
+
+// large writes the first parts of a job that is too large for one append. They mean nothing
+// without the last part, which is written under the condition.
+func (s *submission) large(ctx context.Context) error {
+	for {
+		size, n := 0, 0
+		for _, r := range s.records {
+			size += len(r.Key) + len(r.Value)
+			if size > maxCallBytes {
+				break
+			}
+			n++
+		}
+		if n == len(s.records) {
+			return nil
+		}
+		_, err := s.k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records[:n]})
+		if err != nil {
+			return errs.Newf(errs.LogDown, "a large job was not written: %v", err).WithRan(errs.RanNo).WithRetry(writePause)
+		}
+		s.records = s.records[n:]
+	}
+}
+
+// End takes a job's end. It returns nil once the end lies in the store. Errors: errs.NotFound,
+// errs.LogDown, errs.AppendUnknown.
+func (k *Keeper) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	err := k.end(ctx, id)
+	k.log.Info("job end", "job", id, "outcome", outcomeOf(err))
+	k.count("job.end", err)
+	return err
+}
+
+func (k *Keeper) end(ctx context.Context, id string) error {
+	ended := false
+	k.replica.with(func(st *backlog.State) { ended = st.Ended(id) })
+	if ended {
+		return nil
+	}
+	if err := k.mustExist(ctx, id); err != nil {
+		return err
+	}
+	records, err := backlog.EncodeEnd(id)
+	if err != nil {
+		return err
+	}
+	for {
+		// An end that is written twice means the same, so a lost answer needs no care.
+		_, err := k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: records})
+		if err == nil {
+			k.replica.applyOwn(records)
+			return nil
+		}
+		if !sleep.For(ctx, writePause) {
+			return errs.Newf(errs.AppendUnknown, "the end may have been written: %v", err)
+		}
+	}
+}
+
+// outcomeOf is the word of a log line for err.
+func outcomeOf(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return err.Error()
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,7 +13,7 @@
 
 // Ramp runs arbutusramp with the process's arguments and returns its exit status.
 func Ramp() int {
-	return run("arbutusramp", &entryCmd{}, &sideCmd{}, &checkCmd{}, &devCmd{})
+	return run("arbutusramp", &entryCmd{}, &sideCmd{}, &gatewayCmd{}, &checkCmd{}, &devCmd{})
 }
 
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
--- /dev/null
+++ b/internal/command/gateway.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"arbutusramp/internal/logging"
+	"arbutusramp/internal/node"
+	"arbutusramp/internal/settings"
+	"arbutusramp/internal/telemetry"
+	"github.com/google/subcommands"
+	"github.com/rcrowley/go-metrics"
+)
+
+type gatewayCmd struct{ config, configFrom string }
+
+func (*gatewayCmd) Name() string { return "gateway" }
+func (*gatewayCmd) Synopsis() string {
+	return "run a gateway: callers' requests and batch jobs on the platform"
+}
+func (*gatewayCmd) Usage() string {
+	return "gateway -config FILE | -config-from VARIABLE\n  Runs a gateway until SIGTERM.\n"
+}
+
+func (c *gatewayCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings file")
+	f.StringVar(&c.configFrom, "config-from", "", "environment variable that holds the settings file's path")
+}
+
+func (c *gatewayCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path := c.config
+	if path == "" && c.configFrom != "" {
+		path = os.Getenv(c.configFrom)
+	}
+	if path == "" {
+		return usage("arbutusramp gateway -config FILE | -config-from VARIABLE")
+	}
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		return fail(err)
+	}
+	return exit(runGateway(ctx, s, path))
+}
+
+func runGateway(ctx context.Context, s settings.Gateway, path string) error {
+	hangup := hangups()
+	reg := metrics.NewRegistry()
+	telemetry.RegisterProcess(reg)
+	logger := logging.New("gateway", s.Logs, logging.NewAsync(os.Stdout))
+	g, err := node.NewGateway(s, logger, reg)
+	if err != nil {
+		logger.Error("not started", "error", err)
+		return err
+	}
+	go reloadOn(ctx, hangup, node.NewGatewayReloader(path, s, logger).Reload)
+	return g.Run(ctx)
+}
--- /dev/null
+++ b/internal/fleetview/view.go
@@ -0,0 +1,218 @@
+// Package fleetview keeps a gateway's view of the fleet under one lock for all who use it: the
+// online path, the batch workers, the list of targets and the peers' reports.
+package fleetview
+
+import (
+	"sync"
+	"time"
+
+	"arbutusramp/core/fleet"
+	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
+)
+
+// View is a fleet.Fleet with a lock, and the batch runs that it can cut off.
+type View struct {
+	mu    sync.Mutex
+	fleet *fleet.Fleet
+	runs  map[string][]*Run // batch runs of this process by target id, oldest first
+
+	// changed gets a token when this process's own loads have changed.
+	changed chan struct{}
+	// freed gets a token when a batch item may find room.
+	freed chan struct{}
+}
+
+// Run is one request at a target.
+type Run struct {
+	Target serving.Target
+
+	view  *View
+	class structs.Class
+	cut   func() // of batch runs
+	over  bool
+}
+
+// New returns a view of an empty fleet.
+func New(o fleet.Options) *View {
+	return &View{
+		fleet:   fleet.New(o),
+		runs:    make(map[string][]*Run),
+		changed: make(chan struct{}, 1),
+		freed:   make(chan struct{}, 1),
+	}
+}
+
+// Changed gets a token after changes of this process's own loads.
+func (v *View) Changed() <-chan struct{} { return v.changed }
+
+// Freed gets a token when there may be room for a batch item that there was not before.
+func (v *View) Freed() <-chan struct{} { return v.freed }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// StartOnline chooses a target for an online request and counts it there. It cuts off batch runs
+// of this process whose slots are needed for it.
+func (v *View) StartOnline(service string, tried []string) (*Run, bool) {
+	v.mu.Lock()
+	now := time.Now()
+	t, ok := v.fleet.PickOnline(now, service, tried)
+	if !ok {
+		v.mu.Unlock()
+		return nil, false
+	}
+	v.fleet.Begin(now, t.ID, structs.ClassOnline)
+	cuts := v.cuts(now)
+	v.mu.Unlock()
+	signal(v.changed)
+	cutAll(cuts)
+	return &Run{Target: t, view: v, class: structs.ClassOnline}, true
+}
+
+// StartBatch chooses a target for a batch item, if one has room. cut is called, once at most,
+// when the run must give up its slot; it must not block.
+func (v *View) StartBatch(service string, tried []string, cut func()) (*Run, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	t, ok := v.fleet.PickBatch(now, service, tried)
+	if !ok {
+		return nil, false
+	}
+	v.fleet.Begin(now, t.ID, structs.ClassBatch)
+	r := &Run{Target: t, view: v, class: structs.ClassBatch, cut: cut}
+	v.runs[t.ID] = append(v.runs[t.ID], r)
+	signal(v.changed)
+	return r, true
+}
+
+// Done counts the run as over. It may be called more than once.
+func (r *Run) Done() {
+	v := r.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r.over {
+		return
+	}
+	r.over = true
+	v.fleet.End(r.Target.ID, r.class)
+	v.forget(r)
+	signal(v.changed)
+	signal(v.freed)
+}
+
+// Heard notes that the run's target has sent something.
+func (r *Run) Heard() {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	r.view.fleet.Heard(time.Now(), r.Target.ID)
+}
+
+// Failed notes that the target has failed the run. It reports whether that made it suspect.
+func (r *Run) Failed() bool {
+	v := r.view
+	v.mu.Lock()
+	now := time.Now()
+	suspect := v.fleet.Failed(now, r.Target.ID)
+	cuts := v.cuts(now)
+	v.mu.Unlock()
+	cutAll(cuts)
+	return suspect
+}
+
+// Silent says whether the target has sent nothing to this process since a request was sent to it
+// at that time, for longer than a working one ever takes.
+func (r *Run) Silent(sent time.Time) bool {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.view.fleet.SilentSince(time.Now(), sent, r.Target.ID)
+}
+
+// Hear takes in a peer's loads.
+func (v *View) Hear(from fleet.Peer, loads map[string]fleet.Load) {
+	v.mu.Lock()
+	now := time.Now()
+	v.fleet.Hear(now, from, loads)
+	cuts := v.cuts(now)
+	v.mu.Unlock()
+	signal(v.freed)
+	cutAll(cuts)
+}
+
+// Own returns this process's loads by target.
+func (v *View) Own() map[string]fleet.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.Own()
+}
+
+// Put adds or changes targets and removes others.
+func (v *View) Put(present []serving.Target, gone []string) {
+	v.mu.Lock()
+	now := time.Now()
+	for _, t := range present {
+		v.fleet.Put(t)
+	}
+	for _, id := range gone {
+		v.fleet.Remove(id)
+	}
+	cuts := v.cuts(now)
+	v.mu.Unlock()
+	signal(v.freed)
+	cutAll(cuts)
+}
+
+// Targets returns the targets of the list.
+func (v *View) Targets() []serving.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.Targets()
+}
+
+// Drop marks a target as gone at once: another one answers at its address.
+func (v *View) Drop(id string) { v.Put(nil, []string{id}) }
+
+// cuts takes the runs that must be cut off out of the list: the youngest first, since the oldest
+// are nearest to their end. Each still counts until it is over.
+func (v *View) cuts(now time.Time) []*Run {
+	var list []*Run
+	for id, n := range v.fleet.Cut(now) {
+		runs := v.runs[id]
+		// Runs that were cut before and are not over yet still count in the loads.
+		ending := v.ending(id)
+		n = min(n-ending, len(runs))
+		if n <= 0 {
+			continue
+		}
+		list = append(list, runs[len(runs)-n:]...)
+		v.runs[id] = runs[:len(runs)-n]
+	}
+	return list
+}
+
+// ending is the number of batch runs at a target that were cut off and are not over yet.
+func (v *View) ending(id string) int {
+	return v.fleet.OwnAt(id).Batch - len(v.runs[id])
+}
+
+func cutAll(runs []*Run) {
+	for _, r := range runs {
+		r.cut()
+	}
+}
+
+// forget drops a run from the list of those that can be cut off.
+func (v *View) forget(r *Run) {
+	list := v.runs[r.Target.ID]
+	for i, other := range list {
+		if other == r {
+			v.runs[r.Target.ID] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/events"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+)
+
+const (
+	// maxHeld is how much of an answer that is no stream is read before its header is
+	// passed on, so that an answer that breaks off can be asked for again elsewhere.
+	maxHeld = 1 << 20
+	// watchEvery is how often an attempt looks at whether its target has fallen silent.
+	watchEvery = 60 * time.Millisecond
+	// patience is how long an attempt of a request that may go on elsewhere waits for the next
+	// part of its answer although its target answers others: an answer can get lost. Longer
+	// than queues are as a rule, so that overload does not send every request twice.
+	streamPatience = time.Second
+	// callPatience is the same for plain calls, in case their route's goal is shorter.
+	callPatience = 250 * time.Millisecond
+	// eventStream is the media type of streamed answers.
+	eventStream = "text/event-stream"
+)
+
+// attempt is a request at one target.
+type attempt struct {
+	*exchange
+	run    *fleetview.Run
+	cancel context.CancelFunc
+	// silent is set by the watcher when it cancels the attempt.
+	silent silence
+	// heard is when the last part of the answer came, or the request was sent, in
+	// nanoseconds since the request's arrival: the time of day may jump.
+	heard atomic.Int64
+}
+
+// silence says that a target kept silent for too long.
+type silence struct {
+	mu    sync.Mutex
+	found bool
+}
+
+func (s *silence) set() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.found = true
+}
+
+func (s *silence) get() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.found
+}
+
+func (a *attempt) do(ctx context.Context) error {
+	ctx, a.cancel = context.WithCancel(ctx)
+	defer a.cancel()
+	sent := time.Now()
+	a.heard.Store(int64(sent.Sub(a.req.Arrived)))
+	stop := a.watch(ctx, sent)
+	defer stop()
+	a.mayHaveRun++
+	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
+		Target: a.run.Target, Request: a.req, TimeLeft: a.until.Sub(sent),
+		ResumeAfter: a.lastID, Once: !a.route.Idempotent(),
+	})
+	if err != nil {
+		return a.failed(ctx, err)
+	}
+	defer ans.Body.Close()
+	if err := a.refused(ans); err != nil {
+		return err
+	}
+	a.heardNow()
+	if isStream(ans) {
+		return a.relayStream(ctx, ans)
+	}
+	return a.relayWhole(ctx, ans)
+}
+
+// watch cancels an attempt whose target keeps silent, if the request may go on elsewhere. The
+// target of one that may not becomes suspect, and the request waits on: its answer may be made.
+func (a *attempt) watch(ctx context.Context, sent time.Time) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		tick := time.NewTicker(watchEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			silent := a.run.Silent(sent)
+			if silent {
+				a.suspect("silent")
+			}
+			if !silent && !a.overdue() {
+				continue
+			}
+			if a.route.Idempotent() && a.mayHaveRun < a.route.Attempts {
+				a.silent.set()
+				a.cancel()
+				return
+			}
+		}
+	}()
+	return cancel
+}
+
+// overdue says that this answer alone is missing.
+func (a *attempt) overdue() bool {
+	patience := streamPatience
+	if a.route.Kind == serving.KindSafe {
+		patience = max(callPatience, a.route.Goal*3/2)
+	}
+	return time.Since(a.req.Arrived)-time.Duration(a.heard.Load()) > patience
+}
+
+// heardNow notes a part of the answer.
+func (a *attempt) heardNow() {
+	a.heard.Store(int64(time.Since(a.req.Arrived)))
+	a.run.Heard()
+}
+
+// suspect counts a failure against the target and logs when that changes what is believed of it.
+func (a *attempt) suspect(why string) {
+	if a.run.Failed() {
+		a.gw.log.Warn("target suspect", "target", a.run.Target.ID, "addr", a.run.Target.Addr, "why", why, "request", a.req.ID)
+	}
+}
+
+// failed is the failure of a request that got no answer.
+func (a *attempt) failed(ctx context.Context, err error) error {
+	if a.silent.get() {
+		return errs.New(errs.TargetFailed, "the target has sent nothing for too long")
+	}
+	if ctx.Err() != nil {
+		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	}
+	a.suspect(err.Error())
+	if errs.As(err).Ran == errs.RanNo {
+		a.mayHaveRun--
+	}
+	return err
+}
+
+// refused tells an answer by which the target says that it has not begun with the request, or one
+// that belongs to another request.
+func (a *attempt) refused(ans *platform.TargetAnswer) error {
+	switch {
+	case ans.OtherInstance:
+		a.mayHaveRun--
+		a.gw.view.Drop(a.run.Target.ID)
+		a.gw.log.Warn("target gone", "target", a.run.Target.ID, "addr", a.run.Target.Addr, "why", "another instance answers", "request", a.req.ID)
+		return errs.New(errs.TargetFailed, "another target has the address").WithRan(errs.RanNo)
+	case ans.NotRun:
+		a.mayHaveRun--
+		a.run.Heard()
+		return errs.Newf(errs.TargetFailed, "the target refuses the request with %d", ans.Status).WithRan(errs.RanNo)
+	case ans.Foreign:
+		a.cancel() // the connection is out of step: it must not be used again
+		return errs.New(errs.TargetFailed, "the answer belongs to another request")
+	}
+	return nil
+}
+
+func isStream(ans *platform.TargetAnswer) bool {
+	return ans.Status == http.StatusOK && strings.HasPrefix(ans.Header.Get("Content-Type"), eventStream)
+}
+
+// relayStream passes events on one by one, whole, so that the stream can go on after any of them.
+// The header waits for the first event: until then the request can still fail over.
+func (a *attempt) relayStream(ctx context.Context, ans *platform.TargetAnswer) error {
+	in := events.NewReader(ans.Body)
+	for {
+		e, err := in.Next()
+		if err == io.EOF {
+			return a.endStream(ans)
+		}
+		if err != nil {
+			return a.broken(ctx, err)
+		}
+		a.heardNow()
+		a.begin(ans, -1)
+		if err := a.out.Write(e.Raw); err != nil {
+			return errs.Newf(errs.Cancelled, "the caller has gone: %v", err)
+		}
+		if e.ID != "" {
+			a.lastID = e.ID
+		}
+	}
+}
+
+func (a *attempt) endStream(ans *platform.TargetAnswer) error {
+	a.begin(ans, -1)
+	return nil
+}
+
+// begin sends the header, once for all attempts: a stream that goes on keeps its first one.
+func (a *attempt) begin(ans *platform.TargetAnswer, length int64) {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	a.out.Begin(ans.Status, ans.Header, length)
+}
+
+// broken is the failure of an answer that has broken off.
+func (a *attempt) broken(ctx context.Context, err error) error {
+	if a.silent.get() {
+		return errs.New(errs.StreamBroken, "the target has sent nothing for too long")
+	}
+	if ctx.Err() != nil {
+		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	}
+	a.suspect(err.Error())
+	return errs.Newf(errs.StreamBroken, "the answer has broken off: %v", err)
+}
+
+// relayWhole passes on an answer that is no stream. It is held until it is complete, up to
+// maxHeld, so that a broken one can be asked for again.
+func (a *attempt) relayWhole(ctx context.Context, ans *platform.TargetAnswer) error {
+	body, err := io.ReadAll(io.LimitReader(ans.Body, maxHeld))
+	if err != nil {
+		return a.broken(ctx, err)
+	}
+	a.heardNow()
+	if ans.Status >= http.StatusInternalServerError && a.retryFailed() {
+		return errs.Newf(errs.TargetFailed, "the target answers %d", ans.Status)
+	}
+	if a.begun {
+		return errs.Newf(errs.StreamBroken, "the next target answers %d within a stream", ans.Status)
+	}
+	if len(body) < maxHeld {
+		a.begin(ans, int64(len(body)))
+		return a.write(body)
+	}
+	a.begin(ans, ans.Length)
+	if err := a.write(body); err != nil {
+		return err
+	}
+	return a.copyRest(ctx, ans)
+}
+
+// retryFailed says whether a target's own failure is followed by another attempt. The answer of
+// the last attempt goes to the caller as it is.
+func (a *attempt) retryFailed() bool {
+	return a.route.Kind == serving.KindSafe && a.mayHaveRun < a.route.Attempts
+}
+
+func (a *attempt) write(p []byte) error {
+	if err := a.out.Write(p); err != nil {
+		return errs.Newf(errs.Cancelled, "the caller has gone: %v", err)
+	}
+	return nil
+}
+
+func (a *attempt) copyRest(ctx context.Context, ans *platform.TargetAnswer) error {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := ans.Body.Read(buf)
+		if n > 0 {
+			if err := a.write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return a.broken(ctx, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,178 @@
+// Package gateway serves requests of callers that wait: it sends each to a target, follows the
+// answer, and decides when another target gets it and when it is given up.
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+)
+
+const (
+	// retryShare bounds the time to come back that a refusal names, as a share of the time that
+	// the caller still has: with more, callers would not wait for it.
+	retryShare = 3
+	// fullRetry is when a caller should come back whose request found every target full or
+	// none at all: about as long as an online stream holds its slot.
+	fullRetry = 600 * time.Millisecond
+)
+
+// Gateway serves online requests.
+type Gateway struct {
+	targets platform.TargetCaller
+	view    *fleetview.View
+	log     hclog.Logger
+	reg     metrics.Registry
+	// Version is the configuration's version, for logs.
+	version func() uint64
+}
+
+// New returns a gateway that sends to the targets of view.
+func New(targets platform.TargetCaller, view *fleetview.View, version func() uint64, log hclog.Logger, reg metrics.Registry) *Gateway {
+	return &Gateway{targets: targets, view: view, version: version, log: log, reg: reg}
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	gw      *Gateway
+	route   *serving.Route
+	service string
+	req     *serving.Request
+	out     platform.CallerAnswer
+	until   time.Time // the system answers by then at the latest
+
+	tried []string // targets that got it or could not be reached
+	// mayHaveRun counts the targets that may have begun with it.
+	mayHaveRun int
+	begun      bool   // the caller has the header of an answer
+	lastID     string // of the last event that the caller has
+	outcome    string // for the log line
+}
+
+// Serve answers one request. It returns once the answer is complete or given up.
+func (g *Gateway) Serve(ctx context.Context, route *serving.Route, r *serving.Request, out platform.CallerAnswer) {
+	x := &exchange{
+		gw: g, route: route, service: route.Service(r.ID), req: r, out: out,
+		until: r.Arrived.Add(route.Timeout), lastID: r.ResumeAfter,
+	}
+	if !r.Deadline.IsZero() && r.Deadline.Before(x.until) {
+		x.until = r.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.until)
+	defer cancel()
+	err := x.run(ctx)
+	x.record(err)
+	if err != nil {
+		x.finish(ctx, err)
+	}
+}
+
+// run tries one target after the other. A nil error means that the caller has a whole answer.
+func (x *exchange) run(ctx context.Context) error {
+	for {
+		err := x.attempt(ctx)
+		if err == nil || ctx.Err() != nil || !x.mayRetry(err) {
+			return err
+		}
+	}
+}
+
+// mayRetry says whether another target may get the request after this failure.
+func (x *exchange) mayRetry(err error) bool {
+	e := errs.As(err)
+	if e.Type == errs.NoTarget || e.Type == errs.Cancelled {
+		return false
+	}
+	if e.Ran == errs.RanNo {
+		return true
+	}
+	return x.route.Idempotent() && x.mayHaveRun < x.route.Attempts
+}
+
+// attempt sends the request to one target and relays its answer.
+func (x *exchange) attempt(ctx context.Context) error {
+	run, ok := x.gw.view.StartOnline(x.service, x.tried)
+	if !ok {
+		return x.noTarget()
+	}
+	defer run.Done()
+	x.tried = append(x.tried, run.Target.ID)
+	a := &attempt{exchange: x, run: run}
+	return a.do(ctx)
+}
+
+// noTarget is the failure of a request for which no target is left.
+func (x *exchange) noTarget() error {
+	e := errs.Newf(errs.NoTarget, "no target of service %s is left after %d", x.service, len(x.tried))
+	if x.mayHaveRun > 0 {
+		return e.WithRan(errs.RanUnknown)
+	}
+	return e.WithRetry(fullRetry)
+}
+
+// finish gives up: with a typed answer, or, where a part of one is out, by breaking it off.
+func (x *exchange) finish(ctx context.Context, err error) {
+	if x.begun {
+		x.out.Abort()
+		return
+	}
+	x.out.Fail(x.finalError(ctx, err))
+}
+
+// finalError is what the caller is told. That a request has not run is said only if no target
+// may have begun with it.
+func (x *exchange) finalError(ctx context.Context, err error) *errs.Error {
+	if ctx.Err() != nil {
+		err = errs.New(errs.DeadlineExceeded, "no answer in time")
+		if x.mayHaveRun == 0 {
+			err = errs.New(errs.NoTarget, "no target has taken the request in time").WithRan(errs.RanNo)
+		}
+	}
+	e := errs.As(err)
+	if x.mayHaveRun > 0 {
+		return e.WithRan(errs.RanUnknown)
+	}
+	return e.WithRan(errs.RanNo).WithRetry(x.comeBack())
+}
+
+// comeBack is when the caller should send the request again.
+func (x *exchange) comeBack() time.Duration {
+	left := x.req.Deadline.Sub(time.Now())
+	if x.req.Deadline.IsZero() {
+		return fullRetry
+	}
+	return max(time.Millisecond, min(fullRetry, left/retryShare))
+}
+
+// record writes the request's log line and counts it.
+func (x *exchange) record(err error) {
+	took := time.Since(x.req.Arrived)
+	outcome := "served"
+	if err != nil {
+		outcome = string(errs.As(err).Type)
+	}
+	metrics.GetOrRegisterCounter("online."+x.route.Kind.String()+"."+outcome, x.gw.reg).Inc(1)
+	metrics.GetOrRegisterHistogram("online."+x.route.Kind.String()+".ms", x.gw.reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).Update(took.Milliseconds())
+	args := []any{
+		"request", x.req.ID, "route", x.route.Name, "config", x.gw.version(), "service", x.service,
+		"targets", x.tried, "may_have_run", x.mayHaveRun, "outcome", outcome, "ms", took.Milliseconds(),
+	}
+	if err != nil {
+		x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID)...)
+		return
+	}
+	x.gw.log.Info("request", args...)
+}
+
+// Size and decay of the samples behind histograms, the library's usual ones.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
--- /dev/null
+++ b/internal/loadshare/loadshare.go
@@ -0,0 +1,230 @@
+// Package loadshare tells the gateways' loads among each other, over datagrams. Each gateway sends
+// all that it has at targets whenever that changes; a lost datagram is made good by the next one.
+package loadshare
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/fleet"
+	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/sleep"
+)
+
+const (
+	// minGap lets changes gather that come together.
+	minGap = 3 * time.Millisecond
+	// gapPerPeer bounds the rate in large systems: with 40 peers a gateway sends 50 times a
+	// second at most.
+	gapPerPeer = 500 * time.Microsecond
+	// refresh is the pause between reports without a change. Peers forget a gateway after
+	// PeerTTL.
+	refresh = 200 * time.Millisecond
+	// PeerTTL is how long a report counts: several refreshes, since datagrams get lost.
+	PeerTTL = 700 * time.Millisecond
+	// quietAfter is the silence after which a peer is sent to only every quietGap: it has
+	// stopped, or it is cut off and will be back.
+	quietAfter = 3 * time.Second
+	quietGap   = time.Second
+	// forgetAfter is the silence after which a peer is dropped. It is found again in the store
+	// or by its own reports.
+	forgetAfter = 60 * time.Second
+	// maxDatagram is what one report may have.
+	maxDatagram = 60 << 10
+)
+
+// report is what one gateway tells.
+type report struct {
+	From  fleet.Peer `cbor:"1,keyasint"` // new with each start of the process
+	Seq   uint64     `cbor:"2,keyasint"` // an older one that comes later is left out
+	Loads []line     `cbor:"3,keyasint"`
+}
+
+// line is the load at one target.
+type line struct {
+	_      struct{} `cbor:",toarray"`
+	Target string
+	Online int
+	Batch  int
+}
+
+// peer is another gateway's socket.
+type peer struct {
+	seq   uint64
+	name  fleet.Peer
+	heard time.Time
+	sent  time.Time
+}
+
+// Share is this process's part.
+type Share struct {
+	self fleet.Peer
+	view *fleetview.View
+	log  hclog.Logger
+	conn *net.UDPConn
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+}
+
+// New listens at addr (IP:port).
+func New(addr string, self fleet.Peer, view *fleetview.View, log hclog.Logger) (*Share, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "address for peers")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	return &Share{self: self, view: view, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
+}
+
+// Addr is where peers send to.
+func (s *Share) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Meet makes a peer known by its address (IP:port).
+func (s *Share) Meet(addr string) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		s.log.Warn("peer address can't be read", "addr", addr, "error", err)
+		return
+	}
+	if ap == s.Addr() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.peers[ap]; !ok {
+		s.peers[ap] = &peer{heard: time.Now()}
+	}
+}
+
+// Run sends and receives until ctx ends.
+func (s *Share) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.receive(ctx) })
+	g.Go(func() error { return s.send(ctx) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return s.conn.Close()
+	})
+	return g.Wait()
+}
+
+func (s *Share) send(ctx context.Context) error {
+	tick := time.NewTicker(refresh)
+	defer tick.Stop()
+	var seq uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		case <-s.view.Changed():
+		}
+		seq++
+		s.tell(seq)
+		sleep.For(ctx, max(minGap, time.Duration(s.count())*gapPerPeer))
+	}
+}
+
+func (s *Share) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers)
+}
+
+func (s *Share) tell(seq uint64) {
+	r := report{From: s.self, Seq: seq}
+	for id, l := range s.view.Own() {
+		r.Loads = append(r.Loads, line{Target: id, Online: l.Online, Batch: l.Batch})
+	}
+	data, err := cbor.Marshal(r)
+	if err != nil {
+		s.log.Error("load report can't be encoded", "error", err)
+		return
+	}
+	for _, to := range s.due(time.Now()) {
+		// A datagram that can't be sent is lost like others are; the next one follows.
+		_, _ = s.conn.WriteToUDPAddrPort(data, to)
+	}
+}
+
+// due returns the peers that get a report now.
+func (s *Share) due(now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []netip.AddrPort
+	for ap, p := range s.peers {
+		silent := now.Sub(p.heard)
+		if silent > forgetAfter {
+			delete(s.peers, ap)
+			continue
+		}
+		if silent > quietAfter && now.Sub(p.sent) < quietGap {
+			continue
+		}
+		p.sent = now
+		list = append(list, ap)
+	}
+	return list
+}
+
+func (s *Share) receive(ctx context.Context) error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			// The answer of a host without a listener comes up here: a peer has stopped.
+			sleep.For(ctx, minGap)
+			continue
+		}
+		s.take(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (s *Share) take(data []byte, from netip.AddrPort) {
+	var r report
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		s.log.Warn("load report can't be read", "from", from.String(), "error", err)
+		return
+	}
+	if !s.heard(from, r) {
+		return
+	}
+	loads := make(map[string]fleet.Load, len(r.Loads))
+	for _, l := range r.Loads {
+		loads[l.Target] = fleet.Load{Online: l.Online, Batch: l.Batch}
+	}
+	s.view.Hear(r.From, loads)
+}
+
+// heard notes a report. It reports whether the report is newer than those before it.
+func (s *Share) heard(from netip.AddrPort, r report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.peers[from]
+	if !ok || p.name != r.From {
+		s.log.Info("peer", "peer", r.From, "addr", from.String())
+		p = &peer{name: r.From}
+		s.peers[from] = p
+	}
+	p.heard = time.Now()
+	if r.Seq <= p.seq {
+		return false
+	}
+	p.seq = r.Seq
+	return true
+}
--- /dev/null
+++ b/internal/logging/async.go
@@ -0,0 +1,50 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+// queuedLines is how many lines wait for a reader that stalls; at about 300 bytes each they take
+// 1.2 MB at most.
+const queuedLines = 4096
+
+// Async is a writer that never blocks its callers: a reader of the process's output that stalls
+// must not stall requests. Lines that find the queue full are left out, and the next line that
+// gets through says how many.
+type Async struct {
+	to    io.Writer
+	lines chan []byte
+	lost  atomic.Int64
+}
+
+// NewAsync returns a writer that passes lines on to w in the background.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{to: w, lines: make(chan []byte, queuedLines)}
+	go a.run()
+	return a
+}
+
+// Write implements io.Writer. p is one line.
+func (a *Async) Write(p []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), p...):
+	default:
+		a.lost.Add(1)
+	}
+	return len(p), nil
+}
+
+// Lost is the number of lines left out since the last that was written.
+func (a *Async) Lost() int64 { return a.lost.Load() }
+
+func (a *Async) run() {
+	for line := range a.lines {
+		if n := a.lost.Swap(0); n > 0 {
+			fmt.Fprintf(a.to, "{\"@level\":\"warn\",\"@message\":\"log lines left out\",\"lines\":%d}\n", n)
+		}
+		// Output that can't be written has no other place to be reported.
+		_, _ = a.to.Write(line)
+	}
+}
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/fleet"
+	coreplatform "arbutusramp/core/platform"
+	"arbutusramp/internal/backlog"
+	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/gateway"
+	"arbutusramp/internal/loadshare"
+	"arbutusramp/internal/settings"
+	"arbutusramp/internal/sleep"
+	"arbutusramp/internal/telemetry"
+	"arbutusramp/internal/watch"
+	"arbutusramp/platform/directory"
+	"arbutusramp/platform/ingress"
+	"arbutusramp/platform/runner"
+	"arbutusramp/platform/store"
+	"arbutusramp/platform/wire"
+)
+
+const (
+	// startSpare slots stay free at a target after a batch item has started there, keepSpare
+	// are made free again by cutting items off. With one slot between the two, an item is not
+	// cut off by the next request that comes.
+	startSpare = 2
+	keepSpare  = 1
+
+	// headerTimeout bounds how long a caller may take for a request's header, idleTimeout how long
+	// a connection stays open between requests. Both are above what the operator allows
+	// callers, so that none is cut off that keeps to it.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+	// maxHeaderBytes is likewise above the operator's limit.
+	maxHeaderBytes = 64 << 10
+	// restForOthers is the share of the grace within which requests in flight must end, so
+	// that the process is gone by itself before it is killed.
+	restForOthers = 0.8
+	// quietStop is how long no request may have come before a process that stops ends early. The
+	// balancer needs up to three seconds to send callers elsewhere.
+	quietStop = 2500 * time.Millisecond
+	// closeTimeout is the time for closing idle connections at the end.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// Gateway is a process that takes callers' requests on the users' platform.
+type Gateway struct {
+	set      settings.Gateway
+	log      hclog.Logger
+	reg      metrics.Registry
+	view     *fleetview.View
+	watch    *watch.Watch
+	keeper   *backlog.Keeper
+	share    *loadshare.Share
+	peers    *peerBook
+	server   *http.Server
+	status   []*http.Server // of the readiness and metrics listeners
+	callers  net.Listener
+	statusOn []net.Listener
+
+	stopping atomic.Bool
+	active   atomic.Int64
+	lastCall atomic.Int64 // in nanoseconds since began
+	began    time.Time
+}
+
+// NewGateway takes the process's listeners and wires its parts.
+func NewGateway(s settings.Gateway, logger hclog.Logger, reg metrics.Registry) (*Gateway, error) {
+	self := fmt.Sprintf("%s-%s", s.Host.ID, uuid.NewString()[:8])
+	client := store.New(s.StoreAddr, reg)
+	targets := runner.New()
+	view := fleetview.New(fleet.Options{
+		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
+		StartSpare: startSpare, KeepSpare: keepSpare, PeerTTL: loadshare.PeerTTL,
+	})
+	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
+	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
+	g.keeper = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL},
+		client, targets, view, g.watch, logger.Named("backlog"), reg)
+	online := gateway.New(targets, view, g.watch.Version, logger.Named("online"), reg)
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	var err error
+	if g.share, err = loadshare.New(s.PeerAddr, fleet.Peer(self), view, logger.Named("peers")); err != nil {
+		return nil, err
+	}
+	g.peers = &peerBook{store: client, share: g.share, log: logger.Named("peers")}
+	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.keeper, Closing: g.stopping.Load})
+	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
+	return g, nil
+}
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		addr string
+		mux  http.Handler
+	}{
+		{g.set.ReadyAddr, http.HandlerFunc(g.serveReady)},
+		{g.set.MetricsAddr, telemetry.TextHandler(g.reg)},
+	} {
+		on, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		g.statusOn = append(g.statusOn, on)
+		g.status = append(g.status, &http.Server{Handler: l.mux, ReadHeaderTimeout: headerTimeout})
+	}
+	on, err := net.Listen("tcp", g.set.CallerAddr)
+	g.callers = on
+	return errors.Wrap(err, "listen for callers")
+}
+
+func (g *Gateway) callersServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           g.counted(h),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          g.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+// counted follows how many requests are under way.
+func (g *Gateway) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.active.Add(1)
+		defer g.active.Add(-1)
+		g.lastCall.Store(int64(time.Since(g.began)))
+		h.ServeHTTP(w, r)
+	})
+}
+
+// notReady says why callers should go elsewhere; "" when they need not.
+func (g *Gateway) notReady() string {
+	switch {
+	case g.stopping.Load():
+		return "stopping"
+	case g.watch.Version() == 0:
+		return "no configuration"
+	case !g.keeper.Loaded():
+		return "backlog not read"
+	}
+	return ""
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	why := g.notReady()
+	if r.URL.Path != wire.PathReady {
+		http.NotFound(w, r)
+		return
+	}
+	if why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// Run serves until ctx ends, then drains.
+func (g *Gateway) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	parts, work := errgroup.WithContext(work)
+	parts.Go(func() error { return g.watch.Run(work) })
+	parts.Go(func() error { return g.share.Run(work) })
+	parts.Go(func() error { return g.peers.run(work) })
+	for i := range g.status {
+		parts.Go(func() error { return served(g.status[i].Serve(g.statusOn[i])) })
+	}
+	parts.Go(func() error { return served(g.server.Serve(g.callers)) })
+	keeping := make(chan error, 1)
+	go func() { keeping <- g.keeper.Run(ctx) }()
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	g.drain(work)
+	err := <-keeping
+	stopWork()
+	g.close()
+	if partsErr := parts.Wait(); partsErr != nil {
+		err = partsErr
+	}
+	g.log.Info("stopped", "error", err)
+	return err
+}
+
+// drain goes on serving while callers still come: the balancer learns only by its next questions
+// that this process is not ready. Connections are closed with the answer that says so.
+func (g *Gateway) drain(ctx context.Context) {
+	g.stopping.Store(true)
+	began := time.Now()
+	until := began.Add(time.Duration(restForOthers * float64(g.set.Grace)))
+	g.log.Info("stopping", "in_flight", g.active.Load(), "until_ms", time.Until(until).Milliseconds())
+	for time.Now().Before(until) {
+		quiet := time.Since(g.began) - time.Duration(g.lastCall.Load())
+		if g.active.Load() == 0 && quiet > quietStop && time.Since(began) > quietStop {
+			return
+		}
+		if !sleep.For(ctx, 50*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// close ends the listeners. Requests still in flight are broken off: their targets still work.
+func (g *Gateway) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.log.Warn("requests were broken off by the stop", "in_flight", g.active.Load())
+		_ = g.server.Close()
+	}
+	for _, s := range g.status {
+		_ = s.Close()
+	}
+}
+
+// served drops the error of a server that was closed.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// GatewayReloader reads a gateway's settings file again.
+type GatewayReloader struct {
+	path  string
+	start settings.Gateway
+	log   hclog.Logger
+}
+
+// NewGatewayReloader returns the reloader of a gateway that was started with s from the file path.
+func NewGatewayReloader(path string, s settings.Gateway, logger hclog.Logger) *GatewayReloader {
+	return &GatewayReloader{path: path, start: s, log: logger}
+}
+
+// Reload puts the log level into force and names what needs a restart. Error: errs.BadSettings.
+func (r *GatewayReloader) Reload() error {
+	now, err := settings.LoadGateway(r.path)
+	if err != nil {
+		r.log.Error("settings not reloaded", "error", err)
+		return err
+	}
+	r.log.SetLevel(hclog.LevelFromString(now.Logs.Level))
+	r.log.Info("settings reloaded", "level", now.Logs.Level, "needs_restart", strings.Join(settings.GatewayRestart(r.start, now), ", "))
+	return nil
+}
+
+var _ coreplatform.Store = (*store.Client)(nil)
--- /dev/null
+++ b/internal/node/peerbook.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/loadshare"
+	"arbutusramp/internal/sleep"
+)
+
+// peerPartition is where gateways leave their addresses for each other.
+var peerPartition = platform.Partition{Topic: "keyed.gateways"}
+
+const (
+	// peerRetry is the pause after a call to the store that failed.
+	peerRetry = 300 * time.Millisecond
+	// peerLook is how often the addresses are read again. A gateway that starts sends to all
+	// it finds, so the others learn of it at once; reading again only mends what was missed.
+	peerLook = 15 * time.Second
+)
+
+// peerBook finds the other gateways.
+type peerBook struct {
+	store platform.Store
+	share *loadshare.Share
+	log   hclog.Logger
+}
+
+// run writes this process's address once and reads the others' now and then, until ctx ends.
+func (b *peerBook) run(ctx context.Context) error {
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = b.write(ctx)
+		}
+		if !written || !b.read(ctx) {
+			sleep.For(ctx, peerRetry)
+			continue
+		}
+		sleep.For(ctx, peerLook)
+	}
+	return nil
+}
+
+func (b *peerBook) write(ctx context.Context) bool {
+	addr := b.share.Addr().String()
+	_, err := b.store.Append(ctx, platform.Append{
+		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: addr, Value: []byte{1}}},
+	})
+	if err != nil {
+		b.log.Warn("own address not written", "error", err)
+	}
+	return err == nil
+}
+
+func (b *peerBook) read(ctx context.Context) bool {
+	after := ""
+	for {
+		page, err := b.store.Newest(ctx, peerPartition, after)
+		if err != nil {
+			b.log.Warn("peers' addresses not read", "error", err)
+			return false
+		}
+		for _, r := range page.Records {
+			b.share.Meet(r.Key)
+		}
+		if !page.More || len(page.Records) == 0 {
+			return true
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -25,3 +25,6 @@
 	}
 	return keys
 }
+
+// GatewayRestart is EntryRestart for a gateway.
+func GatewayRestart(a, b Gateway) []string { return restart(gatewayTable(), &a, &b) }
--- /dev/null
+++ b/internal/settings/gateway_table.go
@@ -0,0 +1,64 @@
+package settings
+
+import "time"
+
+// Gateway is the settings of one gateway process.
+type Gateway struct {
+	Host Identity
+	Logs Logs
+
+	CallerAddr  string // [listen] callers
+	ReadyAddr   string // [listen] ready: the balancer's question whether to send callers here
+	PeerAddr    string // [listen] peers: datagrams of other gateways
+	MetricsAddr string // [listen] metrics
+
+	StoreAddr string        // IP:port of the platform's store
+	Shards    int           // partitions of a topic of the store, which are the shards of the backlog
+	MinTTL    time.Duration // shortest lease that the store grants a member of a group
+	Grace     time.Duration // from the signal to stop until the platform kills the process
+}
+
+// LoadGateway reads the settings of a gateway process. Errors as for LoadEntry.
+func LoadGateway(path string) (Gateway, error) { return load(gatewayTable(), path) }
+
+func gatewayTable() table[Gateway] {
+	rows := hostRows("gateway", func(g *Gateway) *Identity { return &g.Host })
+	rows = append(rows, logRows(func(g *Gateway) *Logs { return &g.Logs })...)
+	rows = append(rows, gatewayListenRows()...)
+	rows = append(rows, gatewayStoreRows()...)
+	return table[Gateway]{role: "gateway", rows: rows, check: func(*Gateway) []Fault { return nil }}
+}
+
+func gatewayListenRows() []row[Gateway] {
+	return []row[Gateway]{
+		{section: "listen", key: "callers", unit: "address", required: true,
+			field: addr(func(g *Gateway) *string { return &g.CallerAddr }),
+			doc:   "callers' requests and batch jobs"},
+		{section: "listen", key: "ready", unit: "address", required: true,
+			field: addr(func(g *Gateway) *string { return &g.ReadyAddr }),
+			doc:   "the balancer's question whether to send callers here"},
+		{section: "listen", key: "peers", unit: "address", required: true,
+			field: ownAddr(func(g *Gateway) *string { return &g.PeerAddr }),
+			doc:   "datagrams in which gateways tell each other their loads"},
+		{section: "listen", key: "metrics", unit: "address", required: true,
+			field: addr(func(g *Gateway) *string { return &g.MetricsAddr }),
+			doc:   "metrics as text at /metrics"},
+	}
+}
+
+func gatewayStoreRows() []row[Gateway] {
+	return []row[Gateway]{
+		{section: "store", key: "address", unit: "address", required: true,
+			field: addr(func(g *Gateway) *string { return &g.StoreAddr }),
+			doc:   "the platform's store"},
+		{section: "store", key: "partitions", unit: "number", required: true,
+			field: integer(1, 1024, func(g *Gateway) *int { return &g.Shards }),
+			doc:   "partitions of a topic of the store: the batch jobs are dealt out in as many shards"},
+		{section: "store", key: "shortest_lease", unit: "duration", def: "1s",
+			field: duration(100*time.Millisecond, time.Minute, func(g *Gateway) *time.Duration { return &g.MinTTL }),
+			doc:   "shortest lease that the store grants a member of a group"},
+		{section: "stop", key: "grace", unit: "duration", def: "8s",
+			field: duration(time.Second, time.Hour, func(g *Gateway) *time.Duration { return &g.Grace }),
+			doc:   "from the signal to stop until the process is killed"},
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -19,7 +19,7 @@
 // LoadSide reads the settings of a side process. Errors as for LoadEntry.
 func LoadSide(path string) (Side, error) { return load(sideTable(), path) }
 
-// Check returns the faults of a settings file of either kind. The kind is what
+// Check returns the faults of a settings file of any kind. The kind is what
 // the file's [host] role says; without one, it is checked as an entry's.
 func Check(path string) []Fault {
 	data, err := os.ReadFile(path)
@@ -30,10 +30,14 @@
 		_, faults := parse(sideTable(), path, data)
 		return faults
 	}
+	if roleOf(data) == gatewayTable().role {
+		_, faults := parse(gatewayTable(), path, data)
+		return faults
+	}
 	_, faults := parse(entryTable(), path, data)
 	for i, f := range faults {
 		if f.Section == "host" && f.Key == "role" {
-			faults[i].Allowed = "entry, side"
+			faults[i].Allowed = "entry, side, gateway"
 		}
 	}
 	return faults
--- a/internal/settings/page.go
+++ b/internal/settings/page.go
@@ -18,6 +18,7 @@
 	fmt.Fprintf(&b, "- entry: %s\n- side: %s\n\n", liveList(entryTable()), liveList(sideTable()))
 	writeTable(&b, "Entry", entryTable())
 	writeTable(&b, "Side", sideTable())
+	writeTable(&b, "Gateway", gatewayTable())
 	return strings.TrimRight(b.String(), "\n") + "\n"
 }
 
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,170 @@
+// Package watch follows the operator's configuration and the list of targets, and keeps what this
+// process believes of both.
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/sleep"
+)
+
+const (
+	// pollWait is how long one read waits for news. An answer without news also proves that
+	// the store can still be reached.
+	pollWait = time.Second
+	// pollPause lets changes gather between two reads: each read costs, and targets write
+	// more often than anything changes.
+	pollPause = 150 * time.Millisecond
+	// retryPause is the time between reads that fail.
+	retryPause = 100 * time.Millisecond
+	// lapseGrace is how long after an outage of the store an entry of a target may still be
+	// missing although the target lives: entries lapse meanwhile and are back about two
+	// seconds after the store's return.
+	lapseGrace = 2200 * time.Millisecond
+	// noConfigRetry is when a caller should come back that came before the configuration.
+	noConfigRetry = 300 * time.Millisecond
+)
+
+// Watch is what a process believes of the configuration and the targets.
+type Watch struct {
+	dir  platform.Directory
+	view *fleetview.View
+	log  hclog.Logger
+
+	mu     sync.RWMutex
+	config *serving.Config
+	router *serving.Router
+	fresh  time.Time // when the store last said what the configuration is
+}
+
+// New returns a watch that knows nothing yet. It keeps the targets of view.
+func New(dir platform.Directory, view *fleetview.View, log hclog.Logger) *Watch {
+	return &Watch{dir: dir, view: view, log: log}
+}
+
+// Run follows both until ctx ends.
+func (w *Watch) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return w.followConfig(ctx) })
+	g.Go(func() error { return w.followTargets(ctx) })
+	return g.Wait()
+}
+
+// Route implements the callers' search for a route. Errors: errs.NoTarget while no configuration is
+// known, since a route that is not known may exist; errs.NotFound.
+func (w *Watch) Route(host, uri string) (*serving.Route, serving.Limits, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.config == nil {
+		return nil, serving.Limits{}, errs.New(errs.NoTarget, "no configuration is known yet").WithRetry(noConfigRetry)
+	}
+	route := w.router.Match(host, uri)
+	if route == nil {
+		return nil, serving.Limits{}, errs.Newf(errs.NotFound, "no route in version %d of the configuration", w.config.Version)
+	}
+	return route, w.config.Limits, nil
+}
+
+// Version is the configuration's version in force, 0 before the first.
+func (w *Watch) Version() uint64 {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.config == nil {
+		return 0
+	}
+	return w.config.Version
+}
+
+// Age is how long ago the store last said what the configuration is.
+func (w *Watch) Age() time.Duration {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return time.Since(w.fresh)
+}
+
+func (w *Watch) followConfig(ctx context.Context) error {
+	var known uint64
+	link := newLink(w.log, "configuration")
+	for ctx.Err() == nil {
+		asked := time.Now()
+		news, err := w.dir.Config(ctx, known, pollWait)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			link.lost(err)
+			sleep.For(ctx, retryPause)
+			continue
+		}
+		link.up()
+		known = news.Known
+		w.take(news.Config, asked)
+		sleep.For(ctx, pollPause)
+	}
+	return nil
+}
+
+// take puts a configuration in force. One of an older version is left out: a read may be
+// answered from what was there before, and what was once in force must not come back.
+func (w *Watch) take(c *serving.Config, asked time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fresh = asked
+	if c == nil {
+		return
+	}
+	if w.config != nil && c.Version <= w.config.Version {
+		w.log.Info("configuration left out", "version", c.Version, "in_force", w.config.Version)
+		return
+	}
+	w.config = c
+	w.router = serving.NewRouter(c)
+	w.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
+}
+
+func (w *Watch) followTargets(ctx context.Context) error {
+	var known uint64
+	list := newTargetList()
+	link := newLink(w.log, "targets")
+	for ctx.Err() == nil {
+		news, err := w.dir.Targets(ctx, known, pollWait)
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			link.lost(err)
+			sleep.For(ctx, retryPause)
+			continue
+		}
+		now := time.Now()
+		if link.up() {
+			list.storeIsBack(now)
+		}
+		known = news.Known
+		w.applyTargets(list.take(now, news))
+		sleep.For(ctx, pollPause)
+	}
+	return nil
+}
+
+func (w *Watch) applyTargets(c targetChanges) {
+	if len(c.put) == 0 && len(c.gone) == 0 {
+		return
+	}
+	w.view.Put(c.put, c.gone)
+	for _, t := range c.put {
+		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "domain", t.Domain, "draining", t.Draining)
+	}
+	for _, id := range c.gone {
+		w.log.Info("target gone", "target", id)
+	}
+}
