Batch items fill every free slot; one item has one position; kept connections close before the end

An arriving stream gets a slot within a few ms by cutting an item off, wherever that runs, and the item resumes for the price of one prefill, so the spare slots bought nothing.

--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -48,6 +48,7 @@
 
 	mu       sync.Mutex
 	running  bool
+	over     bool // its end is known, and written or about to be
 	cancel   context.CancelFunc
 	cut      bool
 	notUntil time.Time
@@ -255,7 +256,7 @@
 func (t *task) mayStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.running && !now.Before(t.notUntil) && !t.shard.taken(t.job.ID, t.item().ID)
+	return !t.running && !t.over && !now.Before(t.notUntil)
 }
 
 // unroutedGrace is how long an item's route may be missing before the item is given up: a
@@ -269,10 +270,16 @@
 	t.notUntil = now.Add(unroutedGrace)
 	t.failures++
 	if t.failures > t.job.Attempts {
-		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+		t.finish(backlog.Errored, "")
 	}
 }
 
+// finish ends the task. The caller holds its lock.
+func (t *task) finish(o backlog.Outcome, text string) {
+	t.over = true
+	t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: o, text: text})
+}
+
 // start runs a task if a target has room for it.
 func (d *desk) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/internal/backlog/harness_test.go
@@ -0,0 +1,253 @@
+package backlog
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+	"arbutusramp/standin/keyedlog"
+)
+
+const (
+	testShards = 4
+	testTTL    = time.Second
+	eventGap   = 15 * time.Millisecond
+	itemEvents = 40
+)
+
+// world is a store, some targets and the keepers of some processes.
+type world struct {
+	t       *testing.T
+	store   *keyedlog.Store
+	targets *fakeTargets
+	route   *serving.Route
+	nodes   []*node
+}
+
+// node is one process with a keeper.
+type node struct {
+	w      *world
+	name   string
+	view   *keyedlog.View
+	fleet  *fleetview.View
+	keeper *Keeper
+	cancel context.CancelFunc
+	over   chan struct{}
+}
+
+func newWorld(t *testing.T, nodes int) *world {
+	w := &world{
+		t: t, store: keyedlog.New(testShards), targets: newFakeTargets(),
+		route: &serving.Route{
+			Name: "batch", Host: "h", Prefix: "/b/", Kind: serving.KindBatch, Attempts: 3,
+			Shares: []serving.Share{{Service: "llm", Weight: 1}}, Due: 18 * time.Second, Retain: time.Minute,
+		},
+	}
+	for i := range nodes {
+		w.start(fmt.Sprintf("node-%d", i))
+	}
+	return w
+}
+
+// start begins a process under a name that was not used before.
+func (w *world) start(name string) *node {
+	n := &node{w: w, name: name, view: w.store.View(), over: make(chan struct{})}
+	n.fleet = fleetview.New(fleet.Options{Domain: "d", Self: fleet.Peer(name), StartSpare: 0, PeerTTL: time.Second})
+	for i := range 3 {
+		n.fleet.Put([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}}, nil)
+	}
+	log := hclog.NewNullLogger()
+	n.keeper = New(Options{Member: name, Shards: testShards, MinTTL: testTTL}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.over)
+		if err := n.keeper.Run(ctx); err != nil {
+			w.t.Errorf("%s: %v", name, err)
+		}
+	}()
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+// Route implements Router.
+func (n *node) Route(string, string) (*serving.Route, serving.Limits, error) {
+	return n.w.route, serving.Limits{}, nil
+}
+
+// stop ends a process as planned.
+func (n *node) stop() {
+	n.cancel()
+	<-n.over
+}
+
+// kill ends a process at once: nothing that it still does reaches the store.
+func (n *node) kill() {
+	n.view.Set(keyedlog.Faults{Refuse: true})
+	n.stop()
+}
+
+func (w *world) stopAll() {
+	for _, n := range w.nodes {
+		n.stop()
+	}
+}
+
+// job makes a job whose item ids begin with kinds; see fakeTargets.
+func (w *world) job(id string, items ...string) *backlog.Job {
+	j := &backlog.Job{ID: id, Route: w.route.Name, Host: "h", Submitted: time.Now().UnixMilli(),
+		Due: w.route.Due, Retain: w.route.Retain, Attempts: w.route.Attempts}
+	for i, kind := range items {
+		j.Items = append(j.Items, backlog.Item{ID: fmt.Sprintf("%s-%s-%d", kind, id, i), URI: "/b/1", Body: []byte(id), Tokens: 100})
+	}
+	return j
+}
+
+func repeat(kind string, n int) []string {
+	return strings.Fields(strings.Repeat(kind+" ", n))
+}
+
+// submit hands a job in at the node until it is accepted.
+func (n *node) submit(j *backlog.Job) {
+	for range 20 {
+		if err := n.keeper.Submit(context.Background(), n.w.route, j); err == nil {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	n.w.t.Fatalf("job %s was not accepted", j.ID)
+}
+
+// results reads a job at the node until it is complete or the time is over.
+func (n *node) results(j *backlog.Job, within time.Duration) []backlog.Result {
+	until := time.Now().Add(within)
+	var list []backlog.Result
+	for len(list) < len(j.Items) && time.Now().Before(until) {
+		page, err := n.keeper.Results(context.Background(), j.ID, len(list), time.Second)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		list = append(list, page.Results...)
+	}
+	return list
+}
+
+// check wants each item once and with its whole output.
+func (w *world) check(j *backlog.Job, list []backlog.Result) {
+	w.t.Helper()
+	if len(list) != len(j.Items) {
+		w.t.Errorf("job %s: %d results of %d items", j.ID, len(list), len(j.Items))
+	}
+	seen := make(map[string]int)
+	for _, r := range list {
+		seen[r.Item]++
+		if seen[r.Item] > 1 {
+			w.t.Errorf("job %s: item %s stands at two positions", j.ID, r.Item)
+		}
+		want, outcome := output(r.Item), backlog.Complete
+		if !strings.HasPrefix(r.Item, "ok") {
+			want, outcome = "", backlog.Errored
+		}
+		if r.Outcome != outcome || r.Text != want {
+			w.t.Errorf("job %s: item %s is %s with %d bytes, want %s with %d", j.ID, r.Item, r.Outcome, len(r.Text), outcome, len(want))
+		}
+	}
+}
+
+func output(item string) string {
+	var lines []string
+	for i := 1; i <= itemEvents; i++ {
+		lines = append(lines, fmt.Sprintf("%s:%d", item, i))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// fakeTargets answer items by the beginning of their ids: "ok" runs whole, "never" is refused
+// for good with 422, "fail" fails with 500.
+type fakeTargets struct {
+	mu     sync.Mutex
+	runs   map[string]int // by item
+	starts map[string][]time.Time
+}
+
+func newFakeTargets() *fakeTargets {
+	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time)}
+}
+
+// Send implements platform.TargetCaller.
+func (f *fakeTargets) Send(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
+	if ctx.Err() != nil {
+		return nil, errs.New(errs.TargetFailed, "cancelled").WithRan(errs.RanNo)
+	}
+	id := c.Request.ID
+	f.mu.Lock()
+	f.runs[id]++
+	f.starts[id] = append(f.starts[id], time.Now())
+	f.mu.Unlock()
+	ans := &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(""))}
+	switch {
+	case strings.HasPrefix(id, "never"):
+		ans.Status = http.StatusUnprocessableEntity
+	case strings.HasPrefix(id, "fail"):
+		ans.Status = http.StatusInternalServerError
+	default:
+		ans.Body = stream(ctx, id, c.ResumeAfter)
+	}
+	return ans, nil
+}
+
+func (f *fakeTargets) count(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+// lastStart is when the item was last sent here; zero when it never was.
+func (f *fakeTargets) lastStart(id string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if starts := f.starts[id]; len(starts) > 0 {
+		return starts[len(starts)-1]
+	}
+	return time.Time{}
+}
+
+// stream sends the item's events after the one called from.
+func stream(ctx context.Context, id, from string) io.ReadCloser {
+	r, wr := io.Pipe()
+	first := 1
+	if n, err := strconv.Atoi(from); err == nil {
+		first = n + 1
+	}
+	go func() {
+		for i := first; i <= itemEvents; i++ {
+			select {
+			case <-ctx.Done():
+				_ = wr.CloseWithError(ctx.Err())
+				return
+			case <-time.After(eventGap):
+			}
+			if _, err := fmt.Fprintf(wr, "id: %d\ndata: %s:%d\n\n", i, id, i); err != nil {
+				return
+			}
+		}
+		_ = wr.Close()
+	}()
+	return r
+}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -65,16 +65,16 @@
 	defer t.mu.Unlock()
 	switch v {
 	case complete:
-		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Complete, text: string(t.text)})
+		t.finish(backlog.Complete, string(t.text))
 		return
 	case hopeless:
-		t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+		t.finish(backlog.Errored, "")
 		return
 	case failed:
 		t.failures++
 		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
 		if t.failures >= t.job.Attempts {
-			t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: backlog.Errored})
+			t.finish(backlog.Errored, "")
 			return
 		}
 	}
--- /dev/null
+++ b/internal/backlog/keeper_test.go
@@ -0,0 +1,271 @@
+package backlog
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/standin/keyedlog"
+)
+
+func TestAJobRunsToItsEndAndIsReadAnywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", "ok", "ok", "never", "fail", "ok")
+		w.nodes[0].submit(j)
+		for _, n := range w.nodes {
+			w.check(j, n.results(j, 20*time.Second))
+		}
+		if n := w.targets.count(j.Items[3].ID); n != j.Attempts {
+			t.Errorf("an item that fails at each run was run %d times, want %d", n, j.Attempts)
+		}
+		if n := w.targets.count(j.Items[2].ID); n != 1 {
+			t.Errorf("an item that can never be done was run %d times", n)
+		}
+	})
+}
+
+func TestAJobThatComesAgainIsAcceptedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 5)...)
+		done := make(chan struct{})
+		for _, n := range w.nodes {
+			go func() {
+				n.submit(j)
+				done <- struct{}{}
+			}()
+		}
+		for range w.nodes {
+			<-done
+		}
+		w.check(j, w.nodes[1].results(j, 20*time.Second))
+		written := 0
+		for _, r := range w.store.Records(jobPartition) {
+			if r.Key == "j/a" {
+				written++
+			}
+		}
+		if written != 1 {
+			t.Errorf("the job was written %d times", written)
+		}
+	})
+}
+
+func TestTheLimitOfARouteHoldsAcrossProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		w.route.MaxQueued = 1000
+		accepted := make(chan int64, 30)
+		for i := range 30 {
+			go func() {
+				j := w.job(fmt.Sprintf("j%d", i), "ok", "ok")
+				err := w.nodes[i%3].keeper.Submit(context.Background(), w.route, j)
+				switch {
+				case err == nil:
+					accepted <- j.Tokens()
+				case !errs.Is(err, errs.RateLimited) || errs.As(err).Ran != errs.RanNo:
+					t.Errorf("job %d: %v", i, err)
+					fallthrough
+				default:
+					accepted <- 0
+				}
+			}()
+		}
+		var sum int64
+		for range 30 {
+			sum += <-accepted
+		}
+		if sum != 1000 {
+			t.Errorf("jobs of %d tokens were accepted at once, the limit is 1000", sum)
+		}
+	})
+}
+
+// Symptom: an item stood at two positions of its job's results.
+// Sequence: a shard's owner wrote an item's end while the store was slow; the write was
+// acknowledged; before the owner's desk took note of the new state it saw an item without an end
+// that waits and started it again; the run ended at once, since nothing was left of it to do.
+// Cause: the owner gave a position to every end that reached it.
+func TestAnItemThatEndsTwiceIsListedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", "ok")
+		n := w.nodes[0]
+		n.submit(j)
+		n.results(j, 20*time.Second)
+		s := n.keeper.desk.shardFor(t, n.keeper.shardOf(j.ID))
+		s.finish(&outcome{job: j, item: j.Items[0].ID, outcome: backlog.Complete, text: output(j.Items[0].ID)})
+		time.Sleep(time.Second)
+		for _, r := range w.store.Records(resultPartition) {
+			if r.Key == "r/a/1" {
+				t.Error("the item stands at a second position")
+			}
+		}
+	})
+}
+
+func (d *desk) shardFor(t *testing.T, index int) *shard {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for s := range d.shards {
+		if s.index == index {
+			return s
+		}
+	}
+	t.Fatalf("shard %d is not owned", index)
+	return nil
+}
+
+func TestAProcessThatStopsHandsItsItemsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 6)...)
+		w.nodes[0].submit(j)
+		time.Sleep(300 * time.Millisecond) // half of each item is done
+		w.nodes[0].stop()
+		time.Sleep(100 * time.Millisecond)
+		w.nodes[1].stop()
+		w.start("node-2")
+		w.check(j, w.nodes[2].results(j, 20*time.Second))
+		for _, item := range j.Items {
+			if n := w.targets.count(item.ID); n < 2 {
+				t.Errorf("item %s was run %d times: the processes were stopped too late", item.ID, n)
+			}
+		}
+	})
+}
+
+func TestAKilledProcessIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 8)...)
+		w.nodes[0].submit(j)
+		time.Sleep(300 * time.Millisecond)
+		w.nodes[0].kill()
+		w.nodes[1].kill()
+		w.check(j, w.nodes[2].results(j, 20*time.Second))
+	})
+}
+
+func TestAllThatWasAcceptedSurvivesTheLossOfEveryProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		var jobs []*backlog.Job
+		for i := range 12 {
+			j := w.job(fmt.Sprintf("j%d", i), repeat("ok", 4)...)
+			jobs = append(jobs, j)
+			w.nodes[i%3].submit(j)
+		}
+		before := w.nodes[0].results(jobs[0], 5*time.Second)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		w.store.Forget()
+		n := w.start("node-new")
+		for i, j := range jobs {
+			list := n.results(j, 20*time.Second)
+			w.check(j, list)
+			if i == 0 {
+				for p := range before {
+					if list[p].Item != before[p].Item {
+						t.Errorf("position %d has moved from %s to %s", p, before[p].Item, list[p].Item)
+					}
+				}
+			}
+		}
+	})
+}
+
+// A process that the store refuses can't know whether a job exists or has more results.
+func TestAProcessThatCannotReachTheStoreSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		n := w.nodes[1]
+		n.view.Set(keyedlog.Faults{Refuse: true})
+		time.Sleep(2 * time.Second)
+		j := w.job("a", "ok")
+		w.nodes[0].submit(j)
+		_, err := n.keeper.Results(context.Background(), "a", 0, 0)
+		if !errs.Is(err, errs.LogDown) || errs.As(err).RetryAfterMs == 0 {
+			t.Errorf("unknown job: %v", err)
+		}
+		_, err = n.keeper.ItemBody(context.Background(), "a", j.Items[0].ID)
+		if !errs.Is(err, errs.LogDown) {
+			t.Errorf("unknown body: %v", err)
+		}
+		err = n.keeper.Submit(context.Background(), w.route, w.job("b", "ok"))
+		if e := errs.As(err); e == nil || e.Ran != errs.RanNo || e.RetryAfterMs == 0 {
+			t.Errorf("submission: %v", err)
+		}
+		if _, err := w.nodes[0].keeper.Results(context.Background(), "b", 0, 0); !errs.Is(err, errs.NotFound) {
+			t.Errorf("a job that nobody accepted: %v", err)
+		}
+	})
+}
+
+// Symptom: a job was refused and ran all the same.
+// Sequence: a process writes a job and loses the answer; the store does the write seconds later.
+// Cause: a write without an answer was taken for one that was not done.
+func TestALostAnswerIsNeverARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		n := w.nodes[0]
+		n.view.Set(keyedlog.Faults{Late: 3 * time.Second})
+		j := w.job("a", "ok")
+		err := n.keeper.Submit(context.Background(), w.route, j)
+		if e := errs.As(err); e == nil || e.Ran == errs.RanNo {
+			t.Errorf("a submission whose write may still be done says %v", err)
+		}
+		n.view.Set(keyedlog.Faults{})
+		w.nodes[1].submit(j)
+		time.Sleep(5 * time.Second)
+		w.check(j, n.results(j, 20*time.Second))
+	})
+}
+
+func TestAnEndedJobIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 60)...)
+		w.nodes[0].submit(j)
+		time.Sleep(200 * time.Millisecond)
+		if err := w.nodes[1].keeper.End(context.Background(), "a"); err != nil {
+			t.Fatal(err)
+		}
+		ended := time.Now()
+		time.Sleep(10 * time.Second)
+		for _, item := range j.Items {
+			if last := w.targets.lastStart(item.ID); last.After(ended.Add(time.Second)) {
+				t.Errorf("item %s was started %v after the end", item.ID, last.Sub(ended))
+			}
+		}
+		if err := w.nodes[0].keeper.End(context.Background(), "a"); err != nil {
+			t.Errorf("a second end: %v", err)
+		}
+	})
+}
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -161,7 +161,7 @@
 	if n == 0 {
 		return false
 	}
-	if !s.write(ctx, records) {
+	if len(records) > 0 && !s.write(ctx, records) {
 		return false
 	}
 	s.mu.Lock()
@@ -189,6 +189,9 @@
 			break
 		}
 		n++
+		if s.listed(o) {
+			continue
+		}
 		encoded, err := backlog.EncodeResult(&backlog.Result{
 			Job: o.job.ID, Position: s.position(o.job.ID), Item: o.item, Outcome: o.outcome, Text: o.text,
 		})
@@ -203,6 +206,13 @@
 	return records, n
 }
 
+// listed says whether an item has its result already. An item that ends twice here, since a run
+// of it was begun while its first end was being written, must not get a second position.
+func (s *shard) listed(o *outcome) (done bool) {
+	s.k.replica.with(func(st *backlog.State) { done = st.Done(o.job.ID, o.item) })
+	return done
+}
+
 // position is where the job's next result goes. The caller holds the lock.
 func (s *shard) position(job string) int {
 	if _, ok := s.next[job]; !ok {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -22,7 +22,6 @@
 	"arbutusramp/internal/gateway"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/settings"
-	"arbutusramp/internal/sleep"
 	"arbutusramp/internal/telemetry"
 	"arbutusramp/internal/watch"
 	"arbutusramp/platform/directory"
@@ -36,8 +35,8 @@
 	// startSpare slots stay free at a target after a batch item has started there, keepSpare
 	// are made free again by cutting items off. With one slot between the two, an item is not
 	// cut off by the next request that comes.
-	startSpare = 2
-	keepSpare  = 1
+	startSpare = 0
+	keepSpare  = 0
 
 	// headerTimeout bounds how long a caller may take for a request's header, idleTimeout how long
 	// a connection stays open between requests. Both are above what the operator allows
@@ -46,14 +45,6 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeaderBytes is likewise above the operator's limit.
 	maxHeaderBytes = 64 << 10
-	// restForOthers is the share of the grace within which requests in flight must end, so
-	// that the process is gone by itself before it is killed.
-	restForOthers = 0.8
-	// quietStop is how long no request may have come before a process that stops ends early. The
-	// balancer needs up to three seconds to send callers elsewhere.
-	quietStop = 2500 * time.Millisecond
-	// closeTimeout is the time for closing idle connections at the end.
-	closeTimeout = 300 * time.Millisecond
 )
 
 // Gateway is a process that takes callers' requests on the users' platform.
@@ -188,10 +179,13 @@
 	case <-ctx.Done():
 	case <-work.Done():
 	}
-	g.drain(work)
+	g.stopping.Store(true)
+	drain(g.server, g, g.set.Grace, g.log)
 	err := <-keeping
 	stopWork()
-	g.close()
+	for _, s := range g.status {
+		_ = s.Close() // nobody waits for answers about readiness any more
+	}
 	if partsErr := parts.Wait(); partsErr != nil {
 		err = partsErr
 	}
@@ -199,35 +193,12 @@
 	return err
 }
 
-// drain goes on serving while callers still come: the balancer learns only by its next questions
-// that this process is not ready. Connections are closed with the answer that says so.
-func (g *Gateway) drain(ctx context.Context) {
-	g.stopping.Store(true)
-	began := time.Now()
-	until := began.Add(time.Duration(restForOthers * float64(g.set.Grace)))
-	g.log.Info("stopping", "in_flight", g.active.Load(), "until_ms", time.Until(until).Milliseconds())
-	for time.Now().Before(until) {
-		quiet := time.Since(g.began) - time.Duration(g.lastCall.Load())
-		if g.active.Load() == 0 && quiet > quietStop && time.Since(began) > quietStop {
-			return
-		}
-		if !sleep.For(ctx, 50*time.Millisecond) {
-			return
-		}
-	}
-}
+// inFlight implements activity.
+func (g *Gateway) inFlight() int64 { return g.active.Load() }
 
-// close ends the listeners. Requests still in flight are broken off: their targets still work.
-func (g *Gateway) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := g.server.Shutdown(ctx); err != nil {
-		g.log.Warn("requests were broken off by the stop", "in_flight", g.active.Load())
-		_ = g.server.Close()
-	}
-	for _, s := range g.status {
-		_ = s.Close()
-	}
+// quietFor implements activity.
+func (g *Gateway) quietFor() time.Duration {
+	return time.Since(g.began) - time.Duration(g.lastCall.Load())
 }
 
 // served drops the error of a server that was closed.
--- /dev/null
+++ b/standin/keyedlog/view.go
@@ -0,0 +1,154 @@
+package keyedlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+)
+
+// Faults are what goes wrong between one caller and the store.
+type Faults struct {
+	// Refuse answers every call that nothing was done.
+	Refuse bool
+	// Silent does nothing and never answers.
+	Silent bool
+	// LoseAnswers does writes without answering them.
+	LoseAnswers bool
+	// Late does writes only after this time, without answering them; 0 does them at once.
+	Late time.Duration
+	// Delay is what every call takes.
+	Delay time.Duration
+}
+
+// View is one caller's connection to the store. It implements platform.Store.
+type View struct {
+	store *Store
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// View returns a new caller's view.
+func (s *Store) View() *View { return &View{store: s} }
+
+// Set puts faults in place of those before.
+func (v *View) Set(f Faults) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.faults = f
+}
+
+// silence is how long a caller waits for an answer that does not come.
+const silence = 1200 * time.Millisecond
+
+// pass lets a call through to the store, or fails it.
+func (v *View) pass(ctx context.Context) (Faults, error) {
+	v.mu.Lock()
+	f := v.faults
+	v.mu.Unlock()
+	if f.Silent {
+		wait(ctx, silence)
+		return f, errs.New(errs.LogDown, "no answer")
+	}
+	if !wait(ctx, f.Delay) {
+		return f, errs.New(errs.LogDown, "no answer in time")
+	}
+	if f.Refuse {
+		return f, errs.New(errs.LogDown, "refused")
+	}
+	return f, nil
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Append implements platform.Store.
+func (v *View) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
+	f, err := v.pass(ctx)
+	if err != nil {
+		return platform.Appended{}, err
+	}
+	if f.Late > 0 {
+		time.AfterFunc(f.Late, func() { _, _ = v.store.append(a) }) // nobody waits for its outcome
+		return platform.Appended{}, lost(ctx)
+	}
+	done, err := v.store.append(a)
+	if f.LoseAnswers {
+		return platform.Appended{}, lost(ctx)
+	}
+	return done, err
+}
+
+func lost(ctx context.Context) error {
+	wait(ctx, silence)
+	return errs.New(errs.AppendUnknown, "no answer")
+}
+
+// Read implements platform.Store.
+func (v *View) Read(ctx context.Context, r platform.Read) (platform.Records, error) {
+	if _, err := v.pass(ctx); err != nil {
+		return platform.Records{}, err
+	}
+	until := time.Now().Add(r.Wait)
+	for {
+		page, moved, err := v.store.read(r)
+		left := time.Until(until)
+		if err != nil || len(page.Records) > 0 || left <= 0 {
+			return page, err
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-moved:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return platform.Records{}, errs.New(errs.LogDown, "no answer in time")
+		}
+		t.Stop()
+	}
+}
+
+// Newest implements platform.Store.
+func (v *View) Newest(ctx context.Context, p platform.Partition, after string) (platform.NewestPage, error) {
+	if _, err := v.pass(ctx); err != nil {
+		return platform.NewestPage{}, err
+	}
+	return v.store.newest(p, after), nil
+}
+
+// Join implements platform.Store.
+func (v *View) Join(ctx context.Context, m platform.Membership) (platform.Assignment, error) {
+	if _, err := v.pass(ctx); err != nil {
+		return platform.Assignment{}, err
+	}
+	return v.store.join(m), nil
+}
+
+// Leave implements platform.Store.
+func (v *View) Leave(ctx context.Context, group, name string) error {
+	if _, err := v.pass(ctx); err != nil {
+		return err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	if g, ok := v.store.groups[group]; ok {
+		g.drop(name)
+	}
+	return nil
+}
+
+var _ platform.Store = (*View)(nil)
