--- /dev/null
+++ b/internal/backlog/debug_test.go
@@ -0,0 +1,14 @@
+package backlog
+
+import (
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+func testLogger(name string) hclog.Logger {
+	if os.Getenv("BACKLOG_LOG") == "" {
+		return hclog.NewNullLogger()
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Output: os.Stderr, Level: hclog.Info})
+}
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -74,11 +74,13 @@
 	d.lease = t
 }
 
-// adopt begins to run a shard's items.
-func (d *desk) adopt(s *shard) {
+// adopt begins to run a shard's items, unless the shard was given back meanwhile, which ends ctx.
+func (d *desk) adopt(ctx context.Context, s *shard) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.shards[s] = true
+	if ctx.Err() == nil {
+		d.shards[s] = true
+	}
 }
 
 // giveUpShard ends the runs of a shard's items. Their tasks stay until progress has read them.
@@ -197,7 +199,7 @@
 func (d *desk) addJob(st *backlog.State, s *shard, j *backlog.Job) {
 	for i := range j.Items {
 		key := j.ID + "/" + j.Items[i].ID
-		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) || s.taken(j.ID, j.Items[i].ID) {
+		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
 			continue
 		}
 		p := st.Progress(j.ID, j.Items[i].ID)
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/backlog"
@@ -71,7 +70,7 @@
 	for i := range 3 {
 		n.fleet.Put([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}}, nil)
 	}
-	log := hclog.NewNullLogger()
+	log := testLogger(name)
 	n.keeper = New(Options{Member: name, Shards: testShards, MinTTL: testTTL}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -39,13 +39,9 @@
 	began := time.Now()
 	v, err := k.follow(ctx, t, r, route)
 	r.Done()
-	t.mu.Lock()
-	t.running = false
-	cut := t.cut
-	t.mu.Unlock()
-	k.log.Info("item run", "job", t.job.ID, "item", t.item().ID, "target", r.Target.ID, "from_event", from, "to_event", t.progress().LastID,
+	to, cut := t.progress().LastID, t.settle(r.Target.ID, v)
+	k.log.Info("item run", "job", t.job.ID, "item", t.item().ID, "target", r.Target.ID, "from_event", from, "to_event", to,
 		"ms", time.Since(began).Milliseconds(), "verdict", v.String(), "cut", cut, "error", errText(err))
-	k.settle(t, r.Target.ID, v, cut)
 }
 
 func (v verdict) String() string {
@@ -59,31 +55,34 @@
 	return err.Error()
 }
 
-// settle decides how a task goes on after a run.
-func (k *Keeper) settle(t *task, target string, v verdict, cut bool) {
+// settle decides how a task goes on after a run and reports whether the run was cut off. The run
+// is over only with that: a task that is not running and not over is started again.
+func (t *task) settle(target string, v verdict) (cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.running = false
 	switch v {
 	case complete:
 		t.finish(backlog.Complete, string(t.text))
-		return
+		return t.cut
 	case hopeless:
 		t.finish(backlog.Errored, "")
-		return
+		return t.cut
 	case failed:
 		t.failures++
 		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
 		if t.failures >= t.job.Attempts {
 			t.finish(backlog.Errored, "")
-			return
+			return t.cut
 		}
 	}
-	if cut {
+	if t.cut {
 		t.avoid = nil
-		return
+		return true
 	}
 	t.avoid = []string{target}
 	t.notUntil = time.Now().Add(againPause)
+	return false
 }
 
 // follow sends the item and reads its stream.
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -269,3 +269,24 @@
 		}
 	})
 }
+
+// Symptom: an item had two results in one append.
+// Sequence: a run came to its end; it was noted as not running; the desk started the item again,
+// from its last event; both runs delivered the item's whole output.
+// Cause: that the run was over and what it meant were noted one after the other.
+func TestARunIsOverOnlyWithItsVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stopAll()
+		j := w.job("a", "ok")
+		s := &shard{k: w.nodes[0].keeper, wake: make(chan struct{}, 1)}
+		tk := &task{shard: s, job: j, running: true}
+		tk.settle("target-0", complete)
+		if tk.mayStart(time.Now()) {
+			t.Error("an item that has ended may start again")
+		}
+		if len(s.queue) != 1 {
+			t.Errorf("%d ends for one item", len(s.queue))
+		}
+	})
+}
--- /dev/null
+++ b/internal/backlog/random_test.go
@@ -0,0 +1,191 @@
+package backlog
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/standin/keyedlog"
+)
+
+var (
+	randomSeed  = flag.Uint64("backlog.seed", 1, "first seed of the random runs")
+	randomSeeds = flag.Int("backlog.seeds", 12, "number of random runs")
+)
+
+const (
+	randomNodes = 4
+	randomSteps = 40
+	stepGap     = 700 * time.Millisecond
+)
+
+// Processes come and go, the store refuses some, loses answers, does writes late, forgets its
+// history and deals shards anew, while jobs are handed in, read and ended. Afterwards every
+// accepted job that was not ended has each item once, whole, and where it was read before.
+func TestRandomTroubleLosesAndDoublesNothing(t *testing.T) {
+	for seed := *randomSeed; seed < *randomSeed+uint64(*randomSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { newTrouble(t, seed).run() })
+		})
+	}
+}
+
+// trouble is one random run.
+type trouble struct {
+	*world
+	rng      *rand.Rand
+	accepted []*backlog.Job
+	refused  map[string]bool // jobs that were told that they do not run
+	ended    map[string]bool
+	read     map[string][]backlog.Result // the longest list read so far, by job
+	started  int
+}
+
+func newTrouble(t *testing.T, seed uint64) *trouble {
+	return &trouble{
+		world: newWorld(t, randomNodes), rng: rand.New(rand.NewPCG(seed, 1)),
+		refused: make(map[string]bool), ended: make(map[string]bool), read: make(map[string][]backlog.Result),
+	}
+}
+
+func (w *trouble) run() {
+	time.Sleep(2 * time.Second)
+	for i := range randomSteps {
+		w.step(i)
+		time.Sleep(stepGap)
+	}
+	for _, n := range w.nodes {
+		n.view.Set(keyedlog.Faults{})
+	}
+	time.Sleep(3 * time.Second)
+	last := w.start("last")
+	time.Sleep(3 * time.Second)
+	for _, j := range w.accepted {
+		if w.ended[j.ID] {
+			w.compare(j, last)
+			continue
+		}
+		list := last.results(j, 30*time.Second)
+		w.check(j, list)
+		w.compare(j, last)
+	}
+	for id := range w.refused {
+		if _, err := last.keeper.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
+			w.t.Errorf("job %s was refused at its only attempt and is there: %v", id, err)
+		}
+	}
+	w.stopAll()
+}
+
+func (w *trouble) any() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
+
+func (w *trouble) step(i int) {
+	switch w.rng.IntN(10) {
+	case 0, 1, 2, 3:
+		w.handIn(i)
+	case 4:
+		w.replace(w.rng.IntN(len(w.nodes)), w.rng.IntN(2) == 0)
+	case 5:
+		w.any().view.Set(w.faults())
+	case 6:
+		for _, n := range w.nodes {
+			n.view.Set(keyedlog.Faults{})
+		}
+	case 7:
+		w.store.Rebalance()
+	case 8:
+		w.store.Forget()
+	case 9:
+		w.end()
+	}
+	w.look()
+}
+
+func (w *trouble) faults() keyedlog.Faults {
+	return []keyedlog.Faults{
+		{Refuse: true}, {Silent: true}, {LoseAnswers: true},
+		{Late: time.Duration(1+w.rng.IntN(5)) * time.Second}, {Delay: 250 * time.Millisecond},
+	}[w.rng.IntN(5)]
+}
+
+func (w *trouble) handIn(i int) {
+	kinds := []string{"ok", "ok", "ok", "ok", "never", "fail"}
+	var items []string
+	for range 1 + w.rng.IntN(8) {
+		items = append(items, kinds[w.rng.IntN(len(kinds))])
+	}
+	j := w.job(fmt.Sprintf("j%d", i), items...)
+	err := w.any().keeper.Submit(context.Background(), w.route, j)
+	switch {
+	case err == nil:
+		w.accepted = append(w.accepted, j)
+	case errs.As(err).Ran == errs.RanNo:
+		w.refused[j.ID] = true
+	}
+}
+
+// replace ends a process, planned or at once, and starts another.
+func (w *trouble) replace(i int, planned bool) {
+	n := w.nodes[i]
+	if planned {
+		n.stop()
+	} else {
+		n.kill()
+	}
+	w.nodes = append(w.nodes[:i], w.nodes[i+1:]...)
+	w.started++
+	w.start(fmt.Sprintf("again-%d", w.started))
+}
+
+func (w *trouble) end() {
+	if len(w.accepted) == 0 {
+		return
+	}
+	j := w.accepted[w.rng.IntN(len(w.accepted))]
+	w.ended[j.ID] = true // also without an answer the end may have been taken
+	err := w.any().keeper.End(context.Background(), j.ID)
+	if err != nil && errs.Is(err, errs.NotFound) {
+		w.t.Errorf("job %s, accepted, can't be ended: %v", j.ID, err)
+	}
+}
+
+// look reads a job at some process.
+func (w *trouble) look() {
+	if len(w.accepted) == 0 {
+		return
+	}
+	w.compare(w.accepted[w.rng.IntN(len(w.accepted))], w.any())
+}
+
+// compare reads a job from its start and wants what was read before.
+func (w *trouble) compare(j *backlog.Job, n *node) {
+	page, err := n.keeper.Results(context.Background(), j.ID, 0, 0)
+	if errs.Is(err, errs.LogDown) {
+		return
+	}
+	if err != nil {
+		w.t.Errorf("job %s, accepted, at %s: %v", j.ID, n.name, err)
+		return
+	}
+	before := w.read[j.ID]
+	for i := range min(len(before), len(page.Results)) {
+		if before[i].Item != page.Results[i].Item || before[i].Outcome != page.Results[i].Outcome {
+			w.t.Errorf("job %s: position %d was %s and is %s", j.ID, i, before[i].Item, page.Results[i].Item)
+		}
+	}
+	if len(page.Results) > len(before) {
+		w.read[j.ID] = page.Results
+	}
+	for _, r := range page.Results {
+		if r.Outcome == backlog.Complete && !strings.HasPrefix(r.Item, "ok") {
+			w.t.Errorf("job %s: item %s is complete", j.ID, r.Item)
+		}
+	}
+}
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -26,12 +26,13 @@
 	epoch uint64
 	stop  context.CancelFunc
 
-	mu      sync.Mutex
-	ready   bool // fenced and caught up: its items may run
-	lost    bool // the store has refused a write: a newer owner exists
-	queue   []*outcome
-	next    map[string]int // position of the next result, by job
-	pending map[string]bool
+	// mu is taken before the replica's lock where both are needed.
+	mu    sync.Mutex
+	ready bool // fenced and caught up: its items may run
+	lost  bool // the store has refused a write: a newer owner exists
+	queue []*outcome
+	next  map[string]int  // position of the next result, by job
+	given map[string]bool // items that have got a position here, by job and item
 	// open is the write that has been sent and is not known to be done; it is repeated as it is.
 	open  []platform.KeyedRecord
 	openN int // ends that it holds
@@ -48,12 +49,14 @@
 	text    string
 }
 
+func (o *outcome) key() string { return o.job.ID + "/" + o.item }
+
 // startShard begins to own a shard.
 func (k *Keeper) startShard(ctx context.Context, index int, epoch uint64) *shard {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &shard{
 		k: k, index: index, epoch: epoch, wake: make(chan struct{}, 1), over: make(chan struct{}),
-		next: make(map[string]int), pending: make(map[string]bool),
+		next: make(map[string]int), given: make(map[string]bool),
 	}
 	s.stop = func() {
 		cancel()
@@ -80,7 +83,7 @@
 	if !s.takeOver(ctx) {
 		return
 	}
-	s.k.desk.adopt(s)
+	s.k.desk.adopt(ctx, s)
 	for {
 		select {
 		case <-s.wake:
@@ -133,13 +136,9 @@
 // finish takes an item's end for the next write.
 func (s *shard) finish(o *outcome) {
 	s.mu.Lock()
-	key := o.job.ID + "/" + o.item
-	if s.lost || s.pending[key] {
-		s.mu.Unlock()
-		return
+	if !s.lost {
+		s.queue = append(s.queue, o)
 	}
-	s.pending[key] = true
-	s.queue = append(s.queue, o)
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -147,13 +146,6 @@
 	}
 }
 
-// taken says whether an item's end waits to be written.
-func (s *shard) taken(job, item string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.pending[job+"/"+item]
-}
-
 // flush writes the ends that wait, as many as fit into one append. It reports whether it should
 // be called again at once.
 func (s *shard) flush(ctx context.Context) bool {
@@ -167,7 +159,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.queue[:n] {
-		delete(s.pending, o.job.ID+"/"+o.item)
 		s.k.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
 	}
 	s.queue = s.queue[n:]
@@ -192,6 +183,7 @@
 		if s.listed(o) {
 			continue
 		}
+		s.given[o.key()] = true
 		encoded, err := backlog.EncodeResult(&backlog.Result{
 			Job: o.job.ID, Position: s.position(o.job.ID), Item: o.item, Outcome: o.outcome, Text: o.text,
 		})
@@ -209,6 +201,9 @@
 // listed says whether an item has its result already. An item that ends twice here, since a run
 // of it was begun while its first end was being written, must not get a second position.
 func (s *shard) listed(o *outcome) (done bool) {
+	if s.given[o.key()] {
+		return true
+	}
 	s.k.replica.with(func(st *backlog.State) { done = st.Done(o.job.ID, o.item) })
 	return done
 }
