--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
+)
+
+var start = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const testSlots = 4
+
+func testFleet(self Peer, targets int) *Fleet {
+	f := New(Options{Domain: "d0", Self: self, PeerTTL: time.Second})
+	for i := range targets {
+		f.Put(target(i))
+	}
+	return f
+}
+
+func target(i int) serving.Target {
+	return serving.Target{ID: fmt.Sprintf("t%d", i), Service: "llm", Domain: fmt.Sprintf("d%d", i), Slots: testSlots}
+}
+
+func begin(f *Fleet, id string, c structs.Class, n int) {
+	for range n {
+		f.Begin(start, id, c)
+	}
+}
+
+func TestPickOnline(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(f *Fleet)
+		tried []string
+		want  string // "" for none
+	}{
+		{name: "the own failure domain among equals", want: "t0"},
+		{name: "a free slot elsewhere before a full target", setup: func(f *Fleet) {
+			begin(f, "t0", structs.ClassOnline, testSlots)
+			begin(f, "t1", structs.ClassOnline, 1)
+		}, want: "t2"},
+		{name: "a full target whose batch items can make way before a queue", setup: func(f *Fleet) {
+			begin(f, "t0", structs.ClassOnline, testSlots)
+			begin(f, "t1", structs.ClassOnline, testSlots)
+			begin(f, "t2", structs.ClassBatch, testSlots)
+		}, want: "t2"},
+		{name: "what peers have counts", setup: func(f *Fleet) {
+			f.Hear(start, "peer", map[string]Load{"t0": {Online: testSlots}, "t1": {Online: testSlots}})
+		}, want: "t2"},
+		{name: "a peer that has fallen silent does not count", setup: func(f *Fleet) {
+			f.Hear(start.Add(-2*time.Second), "peer", map[string]Load{"t0": {Online: testSlots}})
+		}, want: "t0"},
+		{name: "not a draining target", setup: func(f *Fleet) {
+			d := target(0)
+			d.Draining = true
+			f.Put(d)
+			begin(f, "t1", structs.ClassOnline, 1)
+		}, want: "t2"},
+		{name: "not one that was tried", tried: []string{"t0", "t1"}, want: "t2"},
+		{name: "not a suspect one", setup: func(f *Fleet) { f.Failed(start, "t0"); f.Failed(start, "t1") }, want: "t2"},
+		{name: "a suspect one when no other is left", setup: func(f *Fleet) { f.Failed(start, "t2") },
+			tried: []string{"t0", "t1"}, want: "t2"},
+		{name: "none", tried: []string{"t0", "t1", "t2"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := testFleet("self", 3)
+			if c.setup != nil {
+				c.setup(f)
+			}
+			got, ok := f.PickOnline(start, "llm", c.tried)
+			if ok != (c.want != "") || got.ID != c.want {
+				t.Errorf("got %q, want %q", got.ID, c.want)
+			}
+		})
+	}
+	if _, ok := testFleet("self", 1).PickOnline(start, "other", nil); ok {
+		t.Error("a target of another service was picked")
+	}
+}
+
+func TestPickBatchFillsFreeSlotsOnly(t *testing.T) {
+	f := testFleet("self", 2)
+	for range 2 * testSlots {
+		got, ok := f.PickBatch(start, "llm", nil)
+		if !ok {
+			t.Fatal("no room though slots are free")
+		}
+		f.Begin(start, got.ID, structs.ClassBatch)
+	}
+	if got, ok := f.PickBatch(start, "llm", nil); ok {
+		t.Errorf("room at %s though all slots are taken", got.ID)
+	}
+	if n := f.OwnAt("t0").Batch; n != testSlots {
+		t.Errorf("%d items at the first of two equal targets, want %d", n, testSlots)
+	}
+}
+
+// Symptom: a burst of online requests waited behind batch items.
+// Cause to guard against: gateways that each cut off all the excess, or each none, since none knows
+// who else does.
+func TestGatewaysTogetherCutWhatIsNeeded(t *testing.T) {
+	names := []Peer{"a", "b", "c"}
+	items := map[Peer]int{"a": 2, "b": 1, "c": 0}
+	for online := 0; online <= testSlots; online++ {
+		cut := 0
+		for _, self := range names {
+			f := testFleet(self, 1)
+			begin(f, "t0", structs.ClassBatch, items[self])
+			for _, peer := range names {
+				if peer == self {
+					continue
+				}
+				l := Load{Batch: items[peer]}
+				if peer == "c" {
+					l.Online = online
+				}
+				f.Hear(start, peer, map[string]Load{"t0": l})
+			}
+			if self == "c" {
+				begin(f, "t0", structs.ClassOnline, online)
+			}
+			n := f.Cut(start)["t0"]
+			if n > items[self] {
+				t.Errorf("%s cuts %d of its %d items", self, n, items[self])
+			}
+			cut += n
+		}
+		want := max(0, online+3-testSlots)
+		if cut != min(want, 3) {
+			t.Errorf("with %d online requests %d items were cut, want %d", online, cut, want)
+		}
+	}
+}
+
+func TestItemsLeaveATargetThatDrainsOrFails(t *testing.T) {
+	f := testFleet("self", 2)
+	begin(f, "t0", structs.ClassBatch, 2)
+	begin(f, "t1", structs.ClassBatch, 1)
+	if cuts := f.Cut(start); len(cuts) != 0 {
+		t.Errorf("cuts %v without a cause", cuts)
+	}
+	d := target(0)
+	d.Draining = true
+	f.Put(d)
+	f.Failed(start, "t1")
+	cuts := f.Cut(start)
+	if cuts["t0"] != 2 || cuts["t1"] != 1 {
+		t.Errorf("cuts %v", cuts)
+	}
+}
+
+func TestSuspicionEndsWithASignOfLife(t *testing.T) {
+	f := testFleet("self", 1)
+	if !f.Failed(start, "t0") || f.Failed(start, "t0") {
+		t.Error("the first failure makes suspect, the next in the same time adds nothing")
+	}
+	if _, ok := f.PickBatch(start, "llm", nil); ok {
+		t.Error("an item for a suspect target")
+	}
+	later := start.Add(suspectBase)
+	if _, ok := f.PickBatch(later, "llm", nil); !ok {
+		t.Error("no item tries a target on probation")
+	}
+	f.Begin(later, "t0", structs.ClassBatch)
+	if _, ok := f.PickBatch(later, "llm", nil); ok {
+		t.Error("a second item while the first still tries")
+	}
+	if !f.Failed(later, "t0") {
+		t.Error("a failure on probation does not make suspect")
+	}
+	if _, ok := f.PickBatch(later.Add(suspectBase), "llm", nil); ok {
+		t.Error("the second suspicion is not longer than the first")
+	}
+	f.Heard(later, "t0")
+	if _, ok := f.PickBatch(later, "llm", nil); !ok {
+		t.Error("no item for a target that has just answered")
+	}
+}
+
+func TestSilence(t *testing.T) {
+	f := testFleet("self", 1)
+	if f.SilentSince(start.Add(silenceLimit), start, "t0") {
+		t.Error("silent before the limit")
+	}
+	late := start.Add(silenceLimit + time.Millisecond)
+	if !f.SilentSince(late, start, "t0") {
+		t.Error("not silent after the limit")
+	}
+	f.Heard(late, "t0")
+	if f.SilentSince(late.Add(silenceLimit), start, "t0") {
+		t.Error("silent though it has answered somebody")
+	}
+}
+
+// Loads that are counted down more often than up would let a target look free that is not.
+func TestLoadsStayInBounds(t *testing.T) {
+	f := testFleet("self", 1)
+	f.End("t0", structs.ClassOnline)
+	f.Begin(start, "t0", structs.ClassOnline)
+	if got := f.OwnAt("t0"); got != (Load{Online: 1}) {
+		t.Errorf("load %+v", got)
+	}
+	f.Remove("t0")
+	f.End("t0", structs.ClassOnline)
+	if got := f.Own(); len(got) != 0 {
+		t.Errorf("loads %v of targets that are gone", got)
+	}
+}
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -64,6 +64,9 @@
 	since    time.Time          // when it became the owner
 	lastStep time.Time
 	mustRead bool // the ownership has to be confirmed before the next order
+	// doubts counts the causes for mustRead, so that a read that was begun before the last
+	// one does not count as having looked after it.
+	doubts uint64
 }
 
 // New returns a Reconciler.
@@ -156,6 +159,7 @@
 }
 
 func (r *Reconciler) watchOnce(ctx context.Context) error {
+	doubts := r.currentDoubts()
 	if err := r.owner.read(ctx, watchWait); err != nil {
 		return err
 	}
@@ -168,7 +172,7 @@
 	if !r.owner.owns() {
 		return nil
 	}
-	r.confirmedOwner()
+	r.confirmedOwner(doubts)
 	return r.owner.renew(ctx)
 }
 
@@ -202,11 +206,28 @@
 	}
 }
 
-// confirmedOwner notes that the log has just said that this process is the owner.
-func (r *Reconciler) confirmedOwner() {
+// currentDoubts counts the causes so far for having to confirm the ownership.
+func (r *Reconciler) currentDoubts() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.mustRead = false
+	return r.doubts
+}
+
+// confirmedOwner notes that the log has said that this process is the owner, in a read that was
+// begun when there had been that many doubts. A process that stood still can find the answer to a
+// read from before: another may have claimed since, and the answer would confirm what is no longer so.
+func (r *Reconciler) confirmedOwner(doubts uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if doubts == r.doubts {
+		r.mustRead = false
+	}
+}
+
+// doubt makes the ownership have to be confirmed. The caller holds the lock.
+func (r *Reconciler) doubt() {
+	r.mustRead = true
+	r.doubts++
 }
 
 func (r *Reconciler) stepLoop(ctx context.Context) {
@@ -261,7 +282,7 @@
 		return nil
 	}
 	if now.Sub(r.lastStep) > pauseLimit {
-		r.mustRead = true
+		r.doubt()
 	}
 	r.lastStep = now
 	if r.mustRead || now.Sub(r.since) < r.opts.Settle {
@@ -286,7 +307,7 @@
 		if r.machine.Done(r.now(), t, *d) {
 			// A newer owner has given orders to this side. Until the log says who
 			// it is, this process gives none.
-			r.mustRead = true
+			r.doubt()
 		}
 	}
 }
--- a/internal/reconcile/reconciler_test.go
+++ b/internal/reconcile/reconciler_test.go
@@ -360,6 +360,26 @@
 	})
 }
 
+// Symptom: an owner that was paused acts although another has claimed meanwhile.
+// Sequence: it waits in a read; the process stands still; after it goes on, the read's answer from
+// before the pause is taken in.
+// Cause: that answer counted as a look after the pause.
+func TestAReadFromBeforeAPauseConfirmsNothing(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, b *bench) {
+		n := b.start("e0")
+		b.run(time.Minute)
+		n.mu.Lock()
+		n.lastStep = time.Now().Add(-time.Minute) // it stood still
+		n.mu.Unlock()
+		before := n.currentDoubts()
+		n.decide(b.Current(), n.fleet.View(b.Current()))
+		n.confirmedOwner(before)
+		if orders := n.decide(b.Current(), n.fleet.View(b.Current())); len(orders) != 0 || !n.mustRead {
+			t.Errorf("a read from before the pause confirms the ownership; orders %+v", orders)
+		}
+	})
+}
+
 // Symptom: after each takeover models are loaded everywhere.
 // Sequence: a new owner's sessions come up one by one.
 // Cause: it takes the sides that it does not see yet for lost.
