--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,9 +67,10 @@
 	defer a.cancel()
 	sent := time.Now()
 	a.heard.Store(int64(sent.Sub(a.req.Arrived)))
-	stop := a.watch(ctx, sent)
-	defer stop()
 	a.mayHaveRun++
+	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
+	stop := a.watch(ctx, sent, mayMove)
+	defer stop()
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
 		Target: a.run.Target, Request: a.req, TimeLeft: a.until.Sub(sent),
 		ResumeAfter: a.lastID, Once: !a.route.Idempotent(),
@@ -88,9 +89,9 @@
 	return a.relayWhole(ctx, ans)
 }
 
-// watch cancels an attempt whose target keeps silent, if the request may go on elsewhere. The
+// watch cancels an attempt whose target keeps silent, if the request may move to another. The
 // target of one that may not becomes suspect, and the request waits on: its answer may be made.
-func (a *attempt) watch(ctx context.Context, sent time.Time) (stop func()) {
+func (a *attempt) watch(ctx context.Context, sent time.Time, mayMove bool) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		tick := time.NewTicker(watchEvery)
@@ -108,7 +109,7 @@
 			if !silent && !a.overdue() {
 				continue
 			}
-			if a.route.Idempotent() && a.mayHaveRun < a.route.Attempts {
+			if mayMove {
 				a.silent.set()
 				a.cancel()
 				return
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -193,6 +193,15 @@
 	return err
 }
 
+// CallerAddr is where callers reach the process.
+func (g *Gateway) CallerAddr() string { return g.callers.Addr().String() }
+
+// ReadyAddr is where the balancer asks whether the process is ready.
+func (g *Gateway) ReadyAddr() string { return g.statusOn[0].Addr().String() }
+
+// MetricsAddr is where the metrics are.
+func (g *Gateway) MetricsAddr() string { return g.statusOn[1].Addr().String() }
+
 // inFlight implements activity.
 func (g *Gateway) inFlight() int64 { return g.active.Load() }
 
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,201 @@
+package watch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/fleetview"
+)
+
+// fakeDirectory answers what it is told to, once for each change.
+type fakeDirectory struct {
+	mu      sync.Mutex
+	down    bool
+	configs []*serving.Config
+	targets []platform.TargetNews
+}
+
+func (d *fakeDirectory) set(f func(d *fakeDirectory)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(d)
+}
+
+func (d *fakeDirectory) Config(ctx context.Context, known uint64, wait time.Duration) (platform.ConfigNews, error) {
+	var news platform.ConfigNews
+	err := d.answer(ctx, wait, func() bool {
+		if len(d.configs) == 0 {
+			return false
+		}
+		news = platform.ConfigNews{Known: known + 1, Config: d.configs[0]}
+		d.configs = d.configs[1:]
+		return true
+	})
+	return news, err
+}
+
+func (d *fakeDirectory) Targets(ctx context.Context, known uint64, wait time.Duration) (platform.TargetNews, error) {
+	var news platform.TargetNews
+	err := d.answer(ctx, wait, func() bool {
+		if len(d.targets) == 0 {
+			return false
+		}
+		news = d.targets[0]
+		d.targets = d.targets[1:]
+		return true
+	})
+	return news, err
+}
+
+// answer waits like the store does.
+func (d *fakeDirectory) answer(ctx context.Context, wait time.Duration, take func() bool) error {
+	for until := time.Now().Add(wait); ; {
+		d.mu.Lock()
+		down, took := d.down, !d.down && take()
+		d.mu.Unlock()
+		switch {
+		case down:
+			return errs.New(errs.LogDown, "down")
+		case took || ctx.Err() != nil || !time.Now().Before(until):
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func config(version uint64, prefixes ...string) *serving.Config {
+	c := &serving.Config{Version: version}
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, serving.Route{Name: p, Host: "h", Prefix: p})
+	}
+	return c
+}
+
+func target(id string) serving.Target { return serving.Target{ID: id, Service: "s", Slots: 4} }
+
+func run(t *testing.T, f func(d *fakeDirectory, w *Watch, v *fleetview.View)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d, v := &fakeDirectory{}, fleetview.New(fleet.Options{PeerTTL: time.Second})
+		w := New(d, v, hclog.NewNullLogger())
+		over := make(chan error)
+		go func() { over <- w.Run(ctx) }()
+		f(d, w, v)
+		cancel()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A process that has just started knows no routes: that a route is missing is not known either.
+func TestWithoutAConfigurationNothingIsMissing(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, _ *fleetview.View) {
+		time.Sleep(time.Second)
+		if _, _, err := w.Route("h", "/a/"); !errs.Is(err, errs.NoTarget) || errs.As(err).RetryAfterMs == 0 {
+			t.Errorf("before the first configuration: %v", err)
+		}
+		d.set(func(d *fakeDirectory) { d.configs = append(d.configs, config(3, "/a/")) })
+		time.Sleep(time.Second)
+		if _, _, err := w.Route("h", "/a/x"); err != nil {
+			t.Error(err)
+		}
+		if _, _, err := w.Route("h", "/b/x"); !errs.Is(err, errs.NotFound) {
+			t.Errorf("a route that is not there: %v", err)
+		}
+	})
+}
+
+// Symptom: a process serves a route that was taken away a while ago.
+// Sequence: the store's history is lost; a read is answered from before the last change.
+// Cause: the answer was put in force although an newer version was.
+func TestAVersionNeverGoesBack(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, _ *fleetview.View) {
+		d.set(func(d *fakeDirectory) { d.configs = append(d.configs, config(8, "/new/"), config(5, "/old/")) })
+		time.Sleep(2 * time.Second)
+		if w.Version() != 8 {
+			t.Errorf("version %d is in force", w.Version())
+		}
+		if _, _, err := w.Route("h", "/old/"); !errs.Is(err, errs.NotFound) {
+			t.Errorf("a route of an older version: %v", err)
+		}
+	})
+}
+
+func TestTheConfigurationOutlivesTheStore(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, _ *fleetview.View) {
+		d.set(func(d *fakeDirectory) { d.configs = append(d.configs, config(1, "/a/")) })
+		time.Sleep(time.Second)
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(time.Minute)
+		if _, _, err := w.Route("h", "/a/"); err != nil {
+			t.Error(err)
+		}
+		if w.Age() < 50*time.Second {
+			t.Errorf("the configuration is said to be %v old", w.Age())
+		}
+		d.set(func(d *fakeDirectory) { d.down = false; d.configs = append(d.configs, config(2, "/b/")) })
+		time.Sleep(2 * time.Second)
+		if w.Version() != 2 || w.Age() > 2*time.Second {
+			t.Errorf("version %d, %v old", w.Version(), w.Age())
+		}
+	})
+}
+
+// Symptom: after an outage of the store every request was refused for seconds.
+// Sequence: the entries of targets lapse while the store is away; the store returns without them;
+// the targets write them again within two seconds.
+// Cause: a missing entry was taken for a target that is gone.
+func TestEntriesThatLapsedInAnOutageMayComeBack(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		all := []serving.Target{target("lives"), target("gone")}
+		d.set(func(d *fakeDirectory) { d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: all}) })
+		time.Sleep(time.Second)
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(5 * time.Second)
+		d.set(func(d *fakeDirectory) {
+			d.down = false
+			d.targets = append(d.targets, platform.TargetNews{Known: 2, Whole: true})
+		})
+		time.Sleep(time.Second)
+		if n := len(v.Targets()); n != 2 {
+			t.Errorf("%d targets right after the outage, want both", n)
+		}
+		d.set(func(d *fakeDirectory) { d.targets = append(d.targets, platform.TargetNews{Known: 3, Present: all[:1]}) })
+		time.Sleep(4 * time.Second)
+		if left := v.Targets(); len(left) != 1 || left[0].ID != "lives" {
+			t.Errorf("targets later on: %v", left)
+		}
+	})
+}
+
+func TestATargetThatLeavesIsGoneAtOnce(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{target("a"), target("b")}})
+		})
+		time.Sleep(time.Second)
+		drains := target("b")
+		drains.Draining = true
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 2, Present: []serving.Target{drains}, Gone: []string{"a"}})
+		})
+		time.Sleep(time.Second)
+		left := v.Targets()
+		if len(left) != 1 || !left[0].Draining {
+			t.Errorf("targets %v", left)
+		}
+		if _, ok := v.StartOnline("s", nil); ok {
+			t.Error("a draining target got a request")
+		}
+	})
+}
