Gateways take turns at free slots, earliest due first

Loads of peers are kept as sums, so that a report costs its own targets and not all targets times all peers.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -9,11 +9,18 @@
 	"arbutusramp/core/serving"
 )
 
-// PickBatch chooses the target for a batch item: the one with the most free slots, if as many as
-// Options.StartSpare stay free after it.
+// turnGap is how long a gateway leaves free slots to one that goes before it: by then it has heard
+// of what that one started.
+const turnGap = 12 * time.Millisecond
+
+// PickBatch chooses the target for a batch item: one with free slots beyond Options.StartSpare. The
+// gateways take turns, those whose items are due first in front; the n-th takes the n-th free slot
+// of a target at once, and one of those before it only after it has been left for a while. Without
+// turns all would start an item in the same slot and all but one cut it off again.
 func (f *Fleet) PickBatch(now time.Time, service string, tried []string) (t serving.Target, ok bool) {
 	list := f.candidates(now, service, tried, func(n *node) bool { return n.health.admitsBatch(now) })
-	list = slices.DeleteFunc(list, func(c candidate) bool { return c.room() <= f.opts.StartSpare })
+	turn := f.turn()
+	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.mayStart(now, c, turn) })
 	if len(list) == 0 {
 		return serving.Target{}, false
 	}
@@ -26,9 +33,31 @@
 	return c.node.Target, true
 }
 
+// mayStart says whether a slot of a target is free for the gateway with this turn.
+func (f *Fleet) mayStart(now time.Time, c candidate, turn int) bool {
+	room := c.room() - f.opts.StartSpare
+	if room <= 0 {
+		return false
+	}
+	before := turn - (room - 1) // gateways that have no slot of their own here and go first
+	return before <= 0 || now.Sub(c.node.roomSince) >= time.Duration(before)*turnGap
+}
+
+// turn is how many gateways go before this one.
+func (f *Fleet) turn() int {
+	turn := 0
+	for name, p := range f.peers {
+		if p.Want.Items > 0 && cmp.Or(cmp.Compare(p.Want.Due, f.want.Due), cmp.Compare(name, f.opts.Self)) < 0 {
+			turn++
+		}
+	}
+	return turn
+}
+
 // Cut returns how many of its own batch items this gateway must cut off now, by target. Each
 // gateway works out the same division of the excess, so that together they cut as many as needed.
 func (f *Fleet) Cut(now time.Time) map[string]int {
+	f.expire(now)
 	cuts := make(map[string]int)
 	for id, n := range f.nodes {
 		if n.own.Batch == 0 {
@@ -38,8 +67,8 @@
 			cuts[id] = n.own.Batch
 			continue
 		}
-		excess := f.load(now, n).total() + f.opts.KeepSpare - n.Slots
-		if k := f.ownShare(now, n, excess); k > 0 {
+		excess := f.opts.KeepSpare - n.room()
+		if k := f.ownShare(n, excess); k > 0 {
 			cuts[id] = k
 		}
 	}
@@ -54,11 +83,11 @@
 
 // ownShare is this gateway's part of excess batch items at n. Holders give one each in turn,
 // those with the most first.
-func (f *Fleet) ownShare(now time.Time, n *node, excess int) int {
+func (f *Fleet) ownShare(n *node, excess int) int {
 	if excess <= 0 {
 		return 0
 	}
-	holders := f.holders(now, n)
+	holders := f.holders(n)
 	share := 0
 	for excess > 0 {
 		slices.SortFunc(holders, func(a, b holder) int {
@@ -76,11 +105,11 @@
 	return share
 }
 
-func (f *Fleet) holders(now time.Time, n *node) []holder {
+func (f *Fleet) holders(n *node) []holder {
 	list := []holder{{f.opts.Self, n.own.Batch}}
 	for name, p := range f.peers {
-		if now.Sub(p.at) <= f.opts.PeerTTL && p.loads[n.ID].Batch > 0 {
-			list = append(list, holder{name, p.loads[n.ID].Batch})
+		if p.Loads[n.ID].Batch > 0 {
+			list = append(list, holder{name, p.Loads[n.ID].Batch})
 		}
 	}
 	return list
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -45,19 +45,43 @@
 	opts  Options
 	nodes map[string]*node // by target id
 	peers map[Peer]*peer
+	want  Want
 }
 
 // node is a target with what is known of its state.
 type node struct {
 	serving.Target
 	own    Load
+	peers  Load // sum over the peers that count
 	health health
+	// roomSince is when it last came to have free slots.
+	roomSince time.Time
+}
+
+// load is what all gateways together have at a target.
+func (n *node) load() Load {
+	return Load{Online: n.own.Online + n.peers.Online, Batch: n.own.Batch + n.peers.Batch}
+}
+
+// room is the number of free slots; negative when requests wait.
+func (n *node) room() int { return n.Slots - n.load().total() }
+
+// Want is what a gateway would like to start.
+type Want struct {
+	Items int   // batch items that wait for room
+	Due   int64 // when the first of them is due, in milliseconds since 1970
+}
+
+// Report is what a gateway tells its peers.
+type Report struct {
+	Loads map[string]Load // by target id
+	Want  Want
 }
 
 // peer is the last word of another gateway.
 type peer struct {
-	at    time.Time
-	loads map[string]Load // by target id
+	at time.Time
+	Report
 }
 
 // New returns an empty view.
@@ -68,11 +92,15 @@
 // Put adds a target or takes in its change.
 func (f *Fleet) Put(t serving.Target) {
 	n, ok := f.nodes[t.ID]
-	if !ok {
-		f.nodes[t.ID] = &node{Target: t}
+	if ok {
+		n.Target = t
 		return
 	}
-	n.Target = t
+	n = &node{Target: t}
+	for _, p := range f.peers {
+		n.peers.plus(p.Loads[t.ID])
+	}
+	f.nodes[t.ID] = n
 }
 
 // Remove drops a target. Requests that it still has end on their own.
@@ -105,12 +133,31 @@
 }
 
 // End counts a request as over.
-func (f *Fleet) End(id string, c structs.Class) {
+func (f *Fleet) End(now time.Time, id string, c structs.Class) {
 	if n, ok := f.nodes[id]; ok {
-		n.own.add(c, -1)
+		n.change(now, func() { n.own.add(c, -1) })
+	}
+}
+
+// change makes a change to the loads and notes when slots come free by it.
+func (n *node) change(now time.Time, f func()) {
+	before := n.room()
+	f()
+	if before <= 0 && n.room() > 0 {
+		n.roomSince = now
 	}
 }
 
+func (l *Load) plus(o Load) {
+	l.Online += o.Online
+	l.Batch += o.Batch
+}
+
+func (l *Load) minus(o Load) {
+	l.Online -= o.Online
+	l.Batch -= o.Batch
+}
+
 func (l *Load) add(c structs.Class, d int) {
 	if c == structs.ClassBatch {
 		l.Batch = max(0, l.Batch+d)
@@ -119,11 +166,54 @@
 	l.Online = max(0, l.Online+d)
 }
 
-// Hear takes in the loads that a peer has told; they replace what it told before.
-func (f *Fleet) Hear(now time.Time, from Peer, loads map[string]Load) {
-	f.peers[from] = &peer{at: now, loads: loads}
+// Hear takes in a peer's report; it replaces what the peer told before.
+func (f *Fleet) Hear(now time.Time, from Peer, r Report) {
+	f.expire(now)
+	f.replace(now, f.peers[from], &r)
+	f.peers[from] = &peer{at: now, Report: r}
 }
 
+// replace takes a peer's old loads out of the sums and puts its new ones in.
+func (f *Fleet) replace(now time.Time, old *peer, r *Report) {
+	touched := make(map[string]bool, len(r.Loads))
+	for id := range r.Loads {
+		touched[id] = true
+	}
+	if old != nil {
+		for id := range old.Loads {
+			touched[id] = true
+		}
+	}
+	for id := range touched {
+		n, ok := f.nodes[id]
+		if !ok {
+			continue
+		}
+		n.change(now, func() {
+			n.peers.plus(r.Loads[id])
+			if old != nil {
+				n.peers.minus(old.Loads[id])
+			}
+		})
+	}
+}
+
+// expire drops peers that have fallen silent: they have stopped, or what they say is too old.
+func (f *Fleet) expire(now time.Time) {
+	for name, p := range f.peers {
+		if now.Sub(p.at) > f.opts.PeerTTL {
+			f.replace(now, p, &Report{})
+			delete(f.peers, name)
+		}
+	}
+}
+
+// SetWant notes what this gateway would like to start.
+func (f *Fleet) SetWant(w Want) { f.want = w }
+
+// Report returns what this gateway has and wants.
+func (f *Fleet) Report() Report { return Report{Loads: f.Own(), Want: f.want} }
+
 // Own returns what this gateway has at its targets, without those at which it has nothing.
 func (f *Fleet) Own() map[string]Load {
 	loads := make(map[string]Load)
@@ -143,20 +233,6 @@
 	return Load{}
 }
 
-// load is what all gateways together have at a target.
-func (f *Fleet) load(now time.Time, n *node) Load {
-	sum := n.own
-	for _, p := range f.peers {
-		if now.Sub(p.at) > f.opts.PeerTTL {
-			continue
-		}
-		l := p.loads[n.ID]
-		sum.Online += l.Online
-		sum.Batch += l.Batch
-	}
-	return sum
-}
-
 // candidate is a target under consideration.
 type candidate struct {
 	node *node
@@ -164,17 +240,17 @@
 	near bool
 }
 
-// room is the number of free slots; negative when requests wait.
-func (c candidate) room() int { return c.node.Slots - c.load.total() }
+func (c candidate) room() int { return c.node.room() }
 
 // candidates returns the targets of a service that may get a request, in a fixed order.
 func (f *Fleet) candidates(now time.Time, service string, tried []string, usable func(*node) bool) []candidate {
+	f.expire(now)
 	var list []candidate
 	for _, n := range f.nodes {
 		if n.Service != service || n.Draining || slices.Contains(tried, n.ID) || !usable(n) {
 			continue
 		}
-		list = append(list, candidate{node: n, load: f.load(now, n), near: n.Domain == f.opts.Domain})
+		list = append(list, candidate{node: n, load: n.load(), near: n.Domain == f.opts.Domain})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.node.ID, b.node.ID) })
 	return list
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -49,10 +49,10 @@
 			begin(f, "t2", structs.ClassBatch, testSlots)
 		}, want: "t2"},
 		{name: "what peers have counts", setup: func(f *Fleet) {
-			f.Hear(start, "peer", map[string]Load{"t0": {Online: testSlots}, "t1": {Online: testSlots}})
+			f.Hear(start, "peer", Report{Loads: map[string]Load{"t0": {Online: testSlots}, "t1": {Online: testSlots}}})
 		}, want: "t2"},
 		{name: "a peer that has fallen silent does not count", setup: func(f *Fleet) {
-			f.Hear(start.Add(-2*time.Second), "peer", map[string]Load{"t0": {Online: testSlots}})
+			f.Hear(start.Add(-2*time.Second), "peer", Report{Loads: map[string]Load{"t0": {Online: testSlots}}})
 		}, want: "t0"},
 		{name: "not a draining target", setup: func(f *Fleet) {
 			d := target(0)
@@ -119,7 +119,7 @@
 				if peer == "c" {
 					l.Online = online
 				}
-				f.Hear(start, peer, map[string]Load{"t0": l})
+				f.Hear(start, peer, Report{Loads: map[string]Load{"t0": l}})
 			}
 			if self == "c" {
 				begin(f, "t0", structs.ClassOnline, online)
@@ -200,14 +200,73 @@
 // Loads that are counted down more often than up would let a target look free that is not.
 func TestLoadsStayInBounds(t *testing.T) {
 	f := testFleet("self", 1)
-	f.End("t0", structs.ClassOnline)
+	f.End(start, "t0", structs.ClassOnline)
 	f.Begin(start, "t0", structs.ClassOnline)
 	if got := f.OwnAt("t0"); got != (Load{Online: 1}) {
 		t.Errorf("load %+v", got)
 	}
 	f.Remove("t0")
-	f.End("t0", structs.ClassOnline)
+	f.End(start, "t0", structs.ClassOnline)
 	if got := f.Own(); len(got) != 0 {
 		t.Errorf("loads %v of targets that are gone", got)
 	}
 }
+
+// Symptom: items were started and cut off again within milliseconds, ten times each.
+// Sequence: a slot comes free; all gateways with waiting items see it and start one.
+// Cause: none of them knew who else would.
+func TestGatewaysTakeTurnsAtAFreeSlot(t *testing.T) {
+	wants := map[Peer]Want{"a": {Items: 3, Due: 200}, "b": {Items: 1, Due: 100}, "c": {}}
+	pick := func(self Peer, room int, after time.Duration) bool {
+		f := testFleet(self, 1)
+		f.SetWant(wants[self])
+		begin(f, "t0", structs.ClassOnline, testSlots)
+		for peer, w := range wants {
+			if peer != self {
+				f.Hear(start, peer, Report{Want: w})
+			}
+		}
+		for range room {
+			f.End(start, "t0", structs.ClassOnline)
+		}
+		_, ok := f.PickBatch(start.Add(after), "llm", nil)
+		return ok
+	}
+	cases := []struct {
+		self  Peer
+		room  int
+		after time.Duration
+		want  bool
+	}{
+		{"b", 1, 0, true}, // its item is due first
+		{"a", 1, 0, false},
+		{"a", 2, 0, true}, // the second slot is its own
+		{"a", 1, turnGap, true},
+		{"a", 0, turnGap, false},
+	}
+	for _, c := range cases {
+		if got := pick(c.self, c.room, c.after); got != c.want {
+			t.Errorf("%s with %d free slots after %v: %v", c.self, c.room, c.after, got)
+		}
+	}
+}
+
+// The sums over peers must be those of the last reports, whatever came before and whatever order
+// targets and peers come in.
+func TestSumsFollowTheLastReports(t *testing.T) {
+	f := testFleet("self", 1)
+	f.Hear(start, "a", Report{Loads: map[string]Load{"t0": {Online: 1, Batch: 2}, "t1": {Online: 3}}})
+	f.Hear(start, "b", Report{Loads: map[string]Load{"t0": {Online: 1}}})
+	f.Hear(start, "a", Report{Loads: map[string]Load{"t0": {Batch: 1}, "t1": {Online: 2}}})
+	f.Put(target(1))
+	if got := f.nodes["t0"].load(); got != (Load{Online: 1, Batch: 1}) {
+		t.Errorf("t0 has %+v", got)
+	}
+	if got := f.nodes["t1"].load(); got != (Load{Online: 2}) {
+		t.Errorf("t1, which came later, has %+v", got)
+	}
+	f.Hear(start.Add(2*time.Second), "b", Report{})
+	if got := f.nodes["t1"].load(); got != (Load{}) {
+		t.Errorf("after a fell silent t1 has %+v", got)
+	}
+}
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/sleep"
@@ -18,6 +19,9 @@
 	// startGap is the pause between two starts of items by one process: within it the peers
 	// hear of the first one.
 	startGap = 6 * time.Millisecond
+	// hungryLook is how often the desk looks for room while items wait: slots that were left
+	// to other gateways may still be free.
+	hungryLook = 15 * time.Millisecond
 	// idleLook is how often the desk looks for work without a cause.
 	idleLook = 250 * time.Millisecond
 	// endsAge is how old the state of jobs may be for an item to start: within it a job's end
@@ -161,6 +165,11 @@
 		for d.startOne(ctx) {
 			sleep.For(ctx, startGap)
 		}
+		if d.want() > 0 {
+			tick.Reset(hungryLook)
+		} else {
+			tick.Reset(idleLook)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -171,6 +180,17 @@
 	}
 }
 
+// want tells the peers how many items wait here and when the first is due.
+func (d *desk) want() int {
+	list := d.waiting(time.Now())
+	w := fleet.Want{Items: len(list)}
+	if len(list) > 0 {
+		w.Due = list[0].due()
+	}
+	d.k.view.SetWant(w)
+	return w.Items
+}
+
 // sync takes in new jobs of the owned shards and drops what is over.
 func (d *desk) sync() <-chan struct{} {
 	d.mu.Lock()
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -100,7 +100,7 @@
 		return
 	}
 	r.over = true
-	v.fleet.End(r.Target.ID, r.class)
+	v.fleet.End(time.Now(), r.Target.ID, r.class)
 	v.forget(r)
 	signal(v.changed)
 	signal(v.freed)
@@ -133,22 +133,29 @@
 	return r.view.fleet.SilentSince(time.Now(), sent, r.Target.ID)
 }
 
-// Hear takes in a peer's loads.
-func (v *View) Hear(from fleet.Peer, loads map[string]fleet.Load) {
+// Hear takes in a peer's report.
+func (v *View) Hear(from fleet.Peer, report fleet.Report) {
 	v.mu.Lock()
 	now := time.Now()
-	v.fleet.Hear(now, from, loads)
+	v.fleet.Hear(now, from, report)
 	cuts := v.cuts(now)
 	v.mu.Unlock()
 	signal(v.freed)
 	cutAll(cuts)
 }
 
-// Own returns this process's loads by target.
-func (v *View) Own() map[string]fleet.Load {
+// Report returns what this process has at targets and wants to start.
+func (v *View) Report() fleet.Report {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.Own()
+	return v.fleet.Report()
+}
+
+// SetWant notes which batch items this process would like to start.
+func (v *View) SetWant(w fleet.Want) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet.SetWant(w)
 }
 
 // Put adds or changes targets and removes others.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -305,7 +305,7 @@
 		for _, s := range []script{whole(200, "ok", nil), refusal, lostAnswer, dark, foreign, stream(first3, io.ErrUnexpectedEOF)} {
 			b := newBench(3, s)
 			b.serve(context.Background(), route(serving.KindStream, 2, true), &caller{})
-			if left := b.view.Own(); len(left) != 0 {
+			if left := b.view.Report().Loads; len(left) != 0 {
 				t.Errorf("loads left: %v", left)
 			}
 		}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -46,6 +46,8 @@
 	From  fleet.Peer `cbor:"1,keyasint"` // new with each start of the process
 	Seq   uint64     `cbor:"2,keyasint"` // an older one that comes later is left out
 	Loads []line     `cbor:"3,keyasint"`
+	Items int        `cbor:"4,keyasint"` // see fleet.Want
+	Due   int64      `cbor:"5,keyasint"`
 }
 
 // line is the load at one target.
@@ -144,8 +146,9 @@
 }
 
 func (s *Share) tell(seq uint64) {
-	r := report{From: s.self, Seq: seq}
-	for id, l := range s.view.Own() {
+	own := s.view.Report()
+	r := report{From: s.self, Seq: seq, Items: own.Want.Items, Due: own.Want.Due}
+	for id, l := range own.Loads {
 		r.Loads = append(r.Loads, line{Target: id, Online: l.Online, Batch: l.Batch})
 	}
 	data, err := cbor.Marshal(r)
@@ -208,7 +211,7 @@
 	for _, l := range r.Loads {
 		loads[l.Target] = fleet.Load{Online: l.Online, Batch: l.Batch}
 	}
-	s.view.Hear(r.From, loads)
+	s.view.Hear(r.From, fleet.Report{Loads: loads, Want: fleet.Want{Items: r.Items, Due: r.Due}})
 }
 
 // heard notes a report. It reports whether the report is newer than those before it.
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -158,7 +158,9 @@
 func TestEntriesThatLapsedInAnOutageMayComeBack(t *testing.T) {
 	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
 		all := []serving.Target{target("lives"), target("gone")}
-		d.set(func(d *fakeDirectory) { d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: all}) })
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: all})
+		})
 		time.Sleep(time.Second)
 		d.set(func(d *fakeDirectory) { d.down = true })
 		time.Sleep(5 * time.Second)
