Items start while the store is down for all; how far items have come outlives a shard's owner

Gateways now tell each other when the store last answered them; progress is written without a fence when a shard is given up or lost.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -46,6 +46,8 @@
 	nodes map[string]*node // by target id
 	peers map[Peer]*peer
 	want  Want
+	// contact is when the store last answered here.
+	contact time.Time
 }
 
 // node is a target with what is known of its state.
@@ -76,6 +78,8 @@
 type Report struct {
 	Loads map[string]Load // by target id
 	Want  Want
+	// Contact is when the platform's store last answered the gateway.
+	Contact time.Time
 }
 
 // peer is the last word of another gateway.
@@ -211,8 +215,30 @@
 // SetWant notes what this gateway would like to start.
 func (f *Fleet) SetWant(w Want) { f.want = w }
 
+// SetContact notes that the store has answered.
+func (f *Fleet) SetContact(now time.Time) { f.contact = now }
+
+// contactSlack is how much later than this gateway's a peer's contact with the store must be to
+// count as later: reports take their time, and each process asks at its own moments.
+const contactSlack = 1200 * time.Millisecond
+
+// StoreDownForAll says that no live peer has reached the store since this gateway last did. Then
+// nothing can have been agreed on meanwhile that this gateway does not know. Without any live peer
+// it can't be told: this gateway may be the one that is cut off.
+func (f *Fleet) StoreDownForAll(now time.Time) bool {
+	f.expire(now)
+	for _, p := range f.peers {
+		if p.Contact.After(f.contact.Add(contactSlack)) {
+			return false
+		}
+	}
+	return len(f.peers) > 0
+}
+
 // Report returns what this gateway has and wants.
-func (f *Fleet) Report() Report { return Report{Loads: f.Own(), Want: f.want} }
+func (f *Fleet) Report() Report {
+	return Report{Loads: f.Own(), Want: f.want, Contact: f.contact}
+}
 
 // Own returns what this gateway has at its targets, without those at which it has nothing.
 func (f *Fleet) Own() map[string]Load {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -270,3 +270,21 @@
 		t.Errorf("after a fell silent t1 has %+v", got)
 	}
 }
+
+// Items may start without the store only while nobody else can have agreed on anything there.
+func TestStoreDownForAll(t *testing.T) {
+	f := testFleet("self", 1)
+	f.SetContact(start)
+	now := start.Add(5 * time.Second)
+	if f.StoreDownForAll(now) {
+		t.Error("without a live peer this gateway may be the one that is cut off")
+	}
+	f.Hear(now, "a", Report{Contact: start.Add(100 * time.Millisecond)})
+	if !f.StoreDownForAll(now) {
+		t.Error("no peer has reached the store for longer")
+	}
+	f.Hear(now, "b", Report{Contact: now.Add(-time.Second)})
+	if f.StoreDownForAll(now) {
+		t.Error("a peer has just reached the store")
+	}
+}
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -10,7 +10,6 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
-	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/sleep"
 )
@@ -87,16 +86,22 @@
 	}
 }
 
-// giveUpShard ends the runs of a shard's items. Their tasks stay until progress has read them.
+// giveUpShard ends the runs of a shard's items and forgets them. What they have come to is written
+// for the next owner, who goes on from there: events are the same from every target. No fence is
+// needed for it; the fold takes the longest and none of items that have ended.
 func (d *desk) giveUpShard(s *shard) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	delete(d.shards, s)
-	for _, t := range d.tasks {
+	var left []*task
+	for key, t := range d.tasks {
 		if t.shard == s {
 			t.end()
+			left = append(left, t)
+			delete(d.tasks, key)
 		}
 	}
+	d.mu.Unlock()
+	d.k.park(left)
 }
 
 // progress is how far the task has come.
@@ -106,6 +111,15 @@
 	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
 }
 
+// adopt takes over progress that another process has written, if it is further and no run is on.
+func (t *task) adopt(p backlog.Progress) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.running && !t.over && len(p.Text) > len(t.text) {
+		t.lastID, t.text = p.LastID, []byte(p.Text)
+	}
+}
+
 // end cancels the task's run.
 func (t *task) end() {
 	t.mu.Lock()
@@ -134,28 +148,6 @@
 	}
 }
 
-// progress returns the records of how far a shard's items have come.
-func (d *desk) progress(s *shard) []platform.KeyedRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var records []platform.KeyedRecord
-	size := 0
-	for _, t := range d.tasks {
-		p := t.progress()
-		if t.shard != s || p.LastID == "" || size > maxCallBytes/2 {
-			continue
-		}
-		encoded, err := backlog.EncodeProgress(p, t.index)
-		if err != nil {
-			d.k.log.Error("progress can't be encoded", "job", t.job.ID, "item", p.Item, "error", err)
-			continue
-		}
-		size += len(p.Text)
-		records = append(records, encoded...)
-	}
-	return records
-}
-
 // run starts items until ctx ends.
 func (d *desk) run(ctx context.Context) error {
 	tick := time.NewTicker(idleLook)
@@ -206,12 +198,12 @@
 			}
 		})
 		for key, t := range d.tasks {
-			gone := !d.shards[t.shard]
-			over := st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID)
-			if gone || over {
+			if st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID) {
 				t.end()
 				delete(d.tasks, key)
+				continue
 			}
+			t.adopt(st.Progress(t.job.ID, t.item().ID))
 		}
 	})
 }
@@ -230,9 +222,6 @@
 // startOne starts the item that is due first among those for which there is room. It reports
 // whether it has started one.
 func (d *desk) startOne(ctx context.Context) bool {
-	if d.k.replica.age(jobPartition) > endsAge {
-		return false
-	}
 	now := time.Now()
 	full := make(map[string]bool) // services without room
 	for _, t := range d.waiting(now) {
@@ -258,11 +247,11 @@
 
 // waiting returns the tasks that may start now, those due first in front.
 func (d *desk) waiting(now time.Time) []*task {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed || now.After(d.lease) {
+	if !d.mayRun(now) {
 		return nil
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var list []*task
 	for _, t := range d.tasks {
 		if t.mayStart(now) {
@@ -275,6 +264,20 @@
 	return list
 }
 
+// mayRun says whether items may start. They may while this process knows of the jobs' ends and holds
+// its shards; and also when the store can't be reached by anybody, since then no end is accepted and
+// no shard dealt to another: without that, each outage of the store would stop all batch work.
+func (d *desk) mayRun(now time.Time) bool {
+	d.mu.Lock()
+	closed, lease := d.closed, d.lease
+	d.mu.Unlock()
+	if closed {
+		return false
+	}
+	sure := d.k.replica.age(jobPartition) <= endsAge && now.Before(lease)
+	return sure || d.k.view.StoreDownForAll()
+}
+
 func (t *task) mayStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -183,10 +183,11 @@
 	mu     sync.Mutex
 	runs   map[string]int // by item
 	starts map[string][]time.Time
+	from   map[string]string // the event after which the last run of an item began
 }
 
 func newFakeTargets() *fakeTargets {
-	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time)}
+	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time), from: make(map[string]string)}
 }
 
 // Send implements platform.TargetCaller.
@@ -198,6 +199,7 @@
 	f.mu.Lock()
 	f.runs[id]++
 	f.starts[id] = append(f.starts[id], time.Now())
+	f.from[id] = c.ResumeAfter
 	f.mu.Unlock()
 	ans := &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(""))}
 	switch {
@@ -227,6 +229,24 @@
 	return time.Time{}
 }
 
+// lastStartOf is when the last of a job's items was sent here.
+func (f *fakeTargets) lastStartOf(j *backlog.Job) time.Time {
+	var last time.Time
+	for _, item := range j.Items {
+		if at := f.lastStart(item.ID); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// lastFrom is the event after which the item's last run began.
+func (f *fakeTargets) lastFrom(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.from[id]
+}
+
 // stream sends the item's events after the one called from.
 func stream(ctx context.Context, id, from string) io.ReadCloser {
 	r, wr := io.Pipe()
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -86,6 +86,7 @@
 	for _, s := range shards {
 		s.handOver(ctx)
 	}
+	k.parked(ctx)
 	if err := k.store.Leave(ctx, shardGroup, k.opts.Member); err != nil {
 		k.log.Warn("the store was not told of the leave: shards move once the lease has run out", "error", err)
 	}
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -41,15 +42,20 @@
 	reg     metrics.Registry
 	replica *Replica
 	desk    *desk
+	// parking are the writes of progress that are under way; parkCtx ends them at the stop.
+	parking     sync.WaitGroup
+	parkCtx     context.Context
+	stopParking context.CancelFunc
 }
 
 // New returns a keeper that knows nothing yet.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Keeper {
 	k := &Keeper{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, reg: reg,
-		replica: NewReplica(store, log),
+		replica: NewReplica(store, view.SetContact, log),
 	}
 	k.desk = newDesk(k)
+	k.parkCtx, k.stopParking = context.WithCancel(context.Background())
 	return k
 }
 
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -290,3 +291,81 @@
 		}
 	})
 }
+
+// Symptom: an outage of the store of some seconds stops all batch work.
+// Sequence: no process reaches the store; their state of the jobs' ends grows old and their leases run out.
+// Cause: a process that is cut off alone and an outage for all were not told apart.
+func TestItemsStartWhileTheStoreIsDownForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 200)...)
+		w.nodes[0].submit(j)
+		for _, n := range w.nodes {
+			n.view.Set(keyedlog.Faults{Refuse: true})
+		}
+		down := time.Now()
+		w.gossip(func() bool { return time.Since(down) < 6*time.Second })
+		if last := w.targets.lastStartOf(j); last.Before(down.Add(4 * time.Second)) {
+			t.Errorf("the last item started %v after the outage began", last.Sub(down))
+		}
+	})
+}
+
+// The same when only this process is refused: another may have taken over its items.
+func TestNoItemsStartWhereOthersReachTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 200)...)
+		w.nodes[0].submit(j)
+		w.nodes[0].view.Set(keyedlog.Faults{Refuse: true})
+		w.nodes[1].kill() // nobody runs items but the one that is refused
+		down := time.Now()
+		w.gossip(func() bool {
+			w.nodes[1].fleet.SetContact()
+			return time.Since(down) < 6*time.Second
+		})
+		if last := w.targets.lastStartOf(j); last.After(down.Add(endsAge + testTTL*3/2)) {
+			t.Errorf("the last item started %v after the store refused its process", last.Sub(down))
+		}
+	})
+}
+
+// gossip passes reports between the nodes for as long as on holds.
+func (w *world) gossip(on func() bool) {
+	for on() {
+		for _, a := range w.nodes {
+			for _, b := range w.nodes {
+				if a != b {
+					a.fleet.Hear(fleet.Peer(b.name), b.fleet.Report())
+				}
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Symptom: after each outage of the store items were run again from their start.
+// Sequence: leases lapse with the store; all shards are dealt anew; their old owners had results and
+// half done items that they could no longer write under their epochs.
+// Cause: what was done went with the shard.
+func TestAnItemGoesOnWhereItsLastOwnerLeftIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("ok", 4)...)
+		w.nodes[0].submit(j)
+		time.Sleep(400 * time.Millisecond)
+		w.store.Rebalance()
+		w.check(j, w.nodes[0].results(j, 20*time.Second))
+		for _, item := range j.Items {
+			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) > 1 && from == "" {
+				t.Errorf("item %s was run again from its start", item.ID)
+			}
+		}
+	})
+}
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -40,6 +40,8 @@
 type Replica struct {
 	store platform.Store
 	log   hclog.Logger
+	// contact is called when the store has answered a read of the jobs.
+	contact func()
 
 	mu    sync.Mutex
 	state *backlog.State
@@ -55,9 +57,9 @@
 }
 
 // NewReplica returns an empty copy.
-func NewReplica(store platform.Store, log hclog.Logger) *Replica {
+func NewReplica(store platform.Store, contact func(), log hclog.Logger) *Replica {
 	return &Replica{
-		store: store, log: log, state: backlog.NewState(), news: make(chan struct{}),
+		store: store, log: log, contact: contact, state: backlog.NewState(), news: make(chan struct{}),
 		tails: map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
 	}
 }
@@ -144,6 +146,9 @@
 // state does not go back.
 func (r *Replica) take(p platform.Partition, page platform.Records, from uint64) {
 	r.apply(page.Records)
+	if p == jobPartition {
+		r.contact()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tails[p]
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -247,23 +247,13 @@
 	}
 }
 
-// handOver writes the ends that wait and how far the items have come that ran here.
+// handOver writes the ends that wait and gives the shard up.
 func (s *shard) handOver(ctx context.Context) {
 	s.stop()
 	<-s.over
-	if s.fenced() {
-		return
-	}
 	s.mu.Lock()
-	ready := s.ready
+	mayWrite := s.ready && !s.lost
 	s.mu.Unlock()
-	if !ready {
-		return
-	}
-	for s.flush(ctx) {
-	}
-	records := s.k.desk.progress(s)
-	if len(records) > 0 && !s.write(ctx, records) {
-		s.k.log.Warn("progress of items was not handed over", "shard", s.index, "epoch", s.epoch, "records", len(records))
+	for mayWrite && s.flush(ctx) {
 	}
 }
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -185,14 +185,7 @@
 // without the last part, which is written under the condition.
 func (s *submission) large(ctx context.Context) error {
 	for {
-		size, n := 0, 0
-		for _, r := range s.records {
-			size += len(r.Key) + len(r.Value)
-			if size > maxCallBytes {
-				break
-			}
-			n++
-		}
+		n := callSize(s.records)
 		if n == len(s.records) {
 			return nil
 		}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -158,6 +158,20 @@
 	v.fleet.SetWant(w)
 }
 
+// SetContact notes that the store has answered this process now.
+func (v *View) SetContact() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.fleet.SetContact(time.Now())
+}
+
+// StoreDownForAll says that no live peer has reached the store since this process last did.
+func (v *View) StoreDownForAll() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.StoreDownForAll(time.Now())
+}
+
 // Put adds or changes targets and removes others.
 func (v *View) Put(present []serving.Target, gone []string) {
 	v.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,8 @@
 
 // watch cancels an attempt whose target keeps silent, if the request may move to another. The
 // target of one that may not becomes suspect, and the request waits on: its answer may be made.
+// Only a target of streams is judged by its silence: it sends something all the time while it
+// works. One plain call that takes long says nothing of its target.
 func (a *attempt) watch(ctx context.Context, sent time.Time, mayMove bool) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
@@ -102,7 +104,7 @@
 				return
 			case <-tick.C:
 			}
-			silent := a.run.Silent(sent)
+			silent := a.route.Kind == serving.KindStream && a.run.Silent(sent)
 			if silent {
 				a.suspect("silent")
 			}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -48,6 +48,9 @@
 	Loads []line     `cbor:"3,keyasint"`
 	Items int        `cbor:"4,keyasint"` // see fleet.Want
 	Due   int64      `cbor:"5,keyasint"`
+	// ContactAge is how long ago the store last answered, in milliseconds: clocks differ
+	// between hosts, ages do not.
+	ContactAge int64 `cbor:"6,keyasint"`
 }
 
 // line is the load at one target.
@@ -147,7 +150,7 @@
 
 func (s *Share) tell(seq uint64) {
 	own := s.view.Report()
-	r := report{From: s.self, Seq: seq, Items: own.Want.Items, Due: own.Want.Due}
+	r := report{From: s.self, Seq: seq, Items: own.Want.Items, Due: own.Want.Due, ContactAge: time.Since(own.Contact).Milliseconds()}
 	for id, l := range own.Loads {
 		r.Loads = append(r.Loads, line{Target: id, Online: l.Online, Batch: l.Batch})
 	}
@@ -211,7 +214,10 @@
 	for _, l := range r.Loads {
 		loads[l.Target] = fleet.Load{Online: l.Online, Batch: l.Batch}
 	}
-	s.view.Hear(r.From, fleet.Report{Loads: loads, Want: fleet.Want{Items: r.Items, Due: r.Due}})
+	s.view.Hear(r.From, fleet.Report{
+		Loads: loads, Want: fleet.Want{Items: r.Items, Due: r.Due},
+		Contact: time.Now().Add(-time.Duration(r.ContactAge) * time.Millisecond),
+	})
 }
 
 // heard notes a report. It reports whether the report is newer than those before it.
