A loaded state is as old as its first page; ready without the results

The state counted as fresh as the last page. The test writes a result between two pages: red before.

--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -59,11 +59,11 @@
 	return k
 }
 
-// Loaded says whether the backlog has been read, so that calls about jobs can be answered.
+// Loaded says whether the jobs have been read, so that new ones can be taken. The results are many
+// times as large; until they are there, their readers are told to come back.
 func (k *Keeper) Loaded() bool {
-	_, jobs := k.replica.position(jobPartition)
-	_, results := k.replica.position(resultPartition)
-	return jobs && results
+	_, loaded := k.replica.position(jobPartition)
+	return loaded
 }
 
 // Run follows the store, holds shards and runs items until ctx ends. Then it hands its items over.
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/platform"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -66,12 +67,13 @@
 		w := newWorld(t, 3)
 		defer w.stopAll()
 		time.Sleep(2 * time.Second)
-		w.route.MaxQueued = 1000
+		route := *w.route
+		route.MaxQueued = 1000
 		accepted := make(chan int64, 30)
 		for i := range 30 {
 			go func() {
 				j := w.job(fmt.Sprintf("j%d", i), "ok", "ok")
-				err := w.nodes[i%3].keeper.Submit(context.Background(), w.route, j)
+				err := w.nodes[i%3].keeper.Submit(context.Background(), &route, j)
 				switch {
 				case err == nil:
 					accepted <- j.Tokens()
@@ -369,3 +371,51 @@
 		}
 	})
 }
+
+// slowPages takes its time for the first page of the newest records; meanwhile something is written.
+type slowPages struct {
+	platform.Store
+	between func()
+}
+
+func (s *slowPages) Newest(ctx context.Context, p platform.Partition, after string) (platform.NewestPage, error) {
+	page, err := s.Store.Newest(ctx, p, after)
+	if after == "" {
+		time.Sleep(time.Second)
+		s.between()
+	}
+	return page, err
+}
+
+// Symptom: a process that had just started said that a job has no results, though others had shown
+// them seconds before.
+// Sequence: it reads the newest records for seconds; a result is written meanwhile, under a key whose
+// page it has read already; right after the last page it is asked for that result.
+// Cause: the state was taken to be as fresh as the last page; only the first page bounds it.
+func TestAStateIsAsOldAsTheFirstPageOfItsLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := keyedlog.New(1)
+		v := store.View()
+		write := func(i int) {
+			records, err := backlog.EncodeResult(&backlog.Result{Job: "j", Position: i, Item: fmt.Sprint(i), Outcome: backlog.Complete})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := v.Append(context.Background(), platform.Append{Partition: resultPartition, Records: records}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := 1; i < 10; i++ {
+			write(i)
+		}
+		r := NewReplica(&slowPages{v, func() { write(0) }}, func() {}, testLogger("replica"))
+		if err := r.load(context.Background(), resultPartition); err != nil {
+			t.Fatal(err)
+		}
+		listed := 0
+		r.with(func(s *backlog.State) { listed = s.Listed("j") })
+		if listed == 0 && r.age(resultPartition) < freshEnough {
+			t.Errorf("a state without the result counts as %v old", r.age(resultPartition))
+		}
+	})
+}
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -113,8 +113,8 @@
 func (r *Replica) load(ctx context.Context, p platform.Partition) error {
 	var end uint64
 	after := ""
+	asked := time.Now() // what was written later is not known to be in the pages
 	for first := true; ; first = false {
-		asked := time.Now()
 		page, err := r.store.Newest(ctx, p, after)
 		if err != nil {
 			return err
