--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -16,7 +17,7 @@
 	kindJob      = "j" // j/JOB: an accepted job
 	kindEnd      = "e" // e/JOB: its caller wants no more of it
 	kindResult   = "r" // r/JOB/POSITION
-	kindProgress = "p" // p/JOB/INDEX OF THE ITEM
+	kindProgress = "p" // p/SHARD/JOB/INDEX OF THE ITEM, so that a shard's stand together
 )
 
 const (
@@ -42,10 +43,23 @@
 }
 
 // EncodeProgress returns the records of the progress of the job's item with that index.
-func EncodeProgress(p *Progress, index int) ([]platform.KeyedRecord, error) {
-	return encode(join(kindProgress, p.Job, strconv.Itoa(index)), p)
+func EncodeProgress(p *Progress, shard, index int) ([]platform.KeyedRecord, error) {
+	return encode(ProgressPrefix(shard)+join(p.Job, strconv.Itoa(index)), p)
 }
 
+// DropProgress returns records that drop what EncodeProgress has written.
+func DropProgress(written []platform.KeyedRecord) []platform.KeyedRecord {
+	var records []platform.KeyedRecord
+	for _, r := range written {
+		records = append(records, platform.KeyedRecord{Key: r.Key})
+	}
+	return records
+}
+
+// ProgressPrefix begins the keys of a shard's progress, and of nothing else. Numbers have a fixed
+// length: the newest records are read in the order of keys.
+func ProgressPrefix(shard int) string { return fmt.Sprintf("%s/%06d/", kindProgress, shard) }
+
 func join(parts ...string) string { return strings.Join(parts, "/") }
 
 // encode splits a value into records that the store takes.
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/sleep"
 )
@@ -37,8 +38,9 @@
 
 	mu     sync.Mutex
 	shards map[*shard]bool
-	tasks  map[string]*task // by job and item
-	lease  time.Time        // shards are this process's until then
+	tasks  map[string]*task       // by job and item
+	drops  []platform.KeyedRecord // drop checkpoints of items that have ended
+	lease  time.Time              // shards are this process's until then
 	closed bool
 	runs   sync.WaitGroup
 }
@@ -57,8 +59,10 @@
 	notUntil time.Time
 	lastID   string // of the last event in text
 	text     []byte
-	failures int      // runs that the target has answered with a failure
-	avoid    []string // targets that have just failed it
+	unsaved  int                    // events since the last checkpoint
+	saved    []platform.KeyedRecord // the last checkpoint; empty without one
+	failures int                    // runs that the target has answered with a failure
+	avoid    []string               // targets that have just failed it
 }
 
 func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
@@ -111,13 +115,57 @@
 	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
 }
 
-// adopt takes over progress that another process has written, if it is further and no run is on.
-func (t *task) adopt(p backlog.Progress) {
+// adoptProgress takes over what another process has written of a task, if that is further.
+func (d *desk) adoptProgress(t *task, p backlog.Progress) {
+	if t.adopt(p) {
+		t.noteCheckpoint(d.k.progressOf(t))
+	}
+}
+
+// adopt reports whether the task goes on from p. It does not while a run is on.
+func (t *task) adopt(p backlog.Progress) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.running && !t.over && len(p.Text) > len(t.text) {
-		t.lastID, t.text = p.LastID, []byte(p.Text)
+	if t.running || t.over || len(p.Text) <= len(t.text) {
+		return false
 	}
+	t.lastID, t.text = p.LastID, []byte(p.Text)
+	return true
+}
+
+// checkpoint returns the records of items that have come far since their last checkpoint.
+func (d *desk) checkpoint() []platform.KeyedRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	records := d.drops
+	d.drops = nil
+	for _, t := range d.tasks {
+		if !t.dueForCheckpoint() {
+			continue
+		}
+		saved := d.k.progressOf(t)
+		t.noteCheckpoint(saved)
+		records = append(records, saved...)
+	}
+	return records
+}
+
+func (t *task) dueForCheckpoint() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.over && t.unsaved >= checkpointEvents
+}
+
+func (t *task) noteCheckpoint(saved []platform.KeyedRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsaved, t.saved = 0, saved
+}
+
+func (t *task) checkpointed() []platform.KeyedRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.saved
 }
 
 // end cancels the task's run.
@@ -201,9 +249,10 @@
 			if st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID) {
 				t.end()
 				delete(d.tasks, key)
+				d.drops = append(d.drops, backlog.DropProgress(t.checkpointed())...)
 				continue
 			}
-			t.adopt(st.Progress(t.job.ID, t.item().ID))
+			d.adoptProgress(t, st.Progress(t.job.ID, t.item().ID))
 		}
 	})
 }
@@ -214,8 +263,9 @@
 		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
 			continue
 		}
-		p := st.Progress(j.ID, j.Items[i].ID)
-		d.tasks[key] = &task{shard: s, job: j, index: i, lastID: p.LastID, text: []byte(p.Text)}
+		t := &task{shard: s, job: j, index: i}
+		d.adoptProgress(t, st.Progress(j.ID, j.Items[i].ID))
+		d.tasks[key] = t
 	}
 }
 
@@ -313,10 +363,14 @@
 		cancel()
 		return false
 	}
+	if !d.enter() {
+		r.Done()
+		cancel()
+		return false
+	}
 	t.mu.Lock()
 	t.running, t.cut, t.cancel = true, false, cancel
 	t.mu.Unlock()
-	d.runs.Add(1)
 	go func() {
 		defer d.runs.Done()
 		defer cancel()
@@ -325,6 +379,18 @@
 	return true
 }
 
+// enter counts a run that begins, unless the process stops: who waits for the runs to end must not
+// miss one.
+func (d *desk) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.runs.Add(1)
+	return true
+}
+
 func (t *task) avoided() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -27,6 +27,7 @@
 	testTTL    = time.Second
 	eventGap   = 15 * time.Millisecond
 	itemEvents = 40
+	longEvents = 200 // of items whose ids begin with "okay"
 )
 
 // world is a store, some targets and the keepers of some processes.
@@ -171,12 +172,19 @@
 
 func output(item string) string {
 	var lines []string
-	for i := 1; i <= itemEvents; i++ {
+	for i := 1; i <= eventsOf(item); i++ {
 		lines = append(lines, fmt.Sprintf("%s:%d", item, i))
 	}
 	return strings.Join(lines, "\n")
 }
 
+func eventsOf(item string) int {
+	if strings.HasPrefix(item, "okay") {
+		return longEvents
+	}
+	return itemEvents
+}
+
 // fakeTargets answer items by the beginning of their ids: "ok" runs whole, "never" is refused
 // for good with 422, "fail" fails with 500.
 type fakeTargets struct {
@@ -255,7 +263,7 @@
 		first = n + 1
 	}
 	go func() {
-		for i := first; i <= itemEvents; i++ {
+		for i := first; i <= eventsOf(id); i++ {
 			select {
 			case <-ctx.Done():
 				_ = wr.CloseWithError(ctx.Err())
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -130,6 +130,7 @@
 	}
 	t.text = append(t.text, e.Data...)
 	t.lastID = e.ID
+	t.unsaved++
 }
 
 // itemRefused tells answers that are no stream of the item; complete means that it is one.
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -73,6 +73,7 @@
 	g.Go(func() error { return k.replica.follow(ctx, resultPartition) })
 	g.Go(func() error { return k.hold(ctx) })
 	g.Go(func() error { return k.desk.run(ctx) })
+	g.Go(func() error { return k.checkpoints(ctx) })
 	return g.Wait()
 }
 
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -351,21 +351,21 @@
 }
 
 // Symptom: after each outage of the store items were run again from their start.
-// Sequence: leases lapse with the store; all shards are dealt anew; their old owners had results and
-// half done items that they could no longer write under their epochs.
+// Sequence: leases lapse with the store; all shards are dealt anew; their old owners had half done
+// items that they could no longer write under their epochs.
 // Cause: what was done went with the shard.
 func TestAnItemGoesOnWhereItsLastOwnerLeftIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 2)
 		defer w.stopAll()
 		time.Sleep(2 * time.Second)
-		j := w.job("a", repeat("ok", 4)...)
+		j := w.job("a", repeat("okay", 4)...)
 		w.nodes[0].submit(j)
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(checkpointEvents*eventGap + 2*checkpointEvery)
 		w.store.Rebalance()
 		w.check(j, w.nodes[0].results(j, 20*time.Second))
 		for _, item := range j.Items {
-			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) > 1 && from == "" {
+			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) < 2 || from == "" {
 				t.Errorf("item %s was run again from its start", item.ID)
 			}
 		}
@@ -419,3 +419,29 @@
 		}
 	})
 }
+
+// The same where the owner is gone at once and hands nothing over.
+func TestAKilledOwnersItemsGoOnFromTheirCheckpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		j := w.job("a", repeat("okay", 4)...)
+		w.nodes[0].submit(j)
+		time.Sleep(checkpointEvents*eventGap + 2*checkpointEvery)
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		last := w.start("last")
+		w.check(j, last.results(j, 20*time.Second))
+		for _, item := range j.Items {
+			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) < 2 || from == "" {
+				t.Errorf("item %s was run again from its start", item.ID)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		if page, err := last.view.Newest(context.Background(), progressPartition, ""); err != nil || len(page.Records) != 0 {
+			t.Errorf("%d checkpoints are left of items that have ended, %v", len(page.Records), err)
+		}
+	})
+}
--- a/internal/backlog/park.go
+++ b/internal/backlog/park.go
@@ -13,6 +13,15 @@
 // and later the next owner has done the work again.
 const parkTimeout = 8 * time.Second
 
+const (
+	// checkpointEvery is how often running items are looked at.
+	checkpointEvery = 500 * time.Millisecond
+	// checkpointEvents is how many events an item makes between two checkpoints: at 15 ms an
+	// event 1.5 s of its run. Each writes the item's whole text so far, once and to nobody but
+	// the next owner.
+	checkpointEvents = 100
+)
+
 // park writes how far tasks have come, so that another process can go on with them. It returns at
 // once.
 func (k *Keeper) park(tasks []*task) {
@@ -32,6 +41,15 @@
 	}()
 }
 
+// checkpoints writes every now and then how far the running items have come, so that the loss of this
+// process costs no more than checkpointEvents of each, and drops what is no longer needed.
+func (k *Keeper) checkpoints(ctx context.Context) error {
+	for sleep.For(ctx, checkpointEvery) {
+		k.writeProgress(ctx, k.desk.checkpoint())
+	}
+	return nil
+}
+
 // parked waits until all progress is written or ctx ends. Nothing is written after it.
 func (k *Keeper) parked(ctx context.Context) {
 	defer k.stopParking()
@@ -53,7 +71,7 @@
 	if p.LastID == "" {
 		return nil
 	}
-	records, err := backlog.EncodeProgress(p, t.index)
+	records, err := backlog.EncodeProgress(p, t.shard.index, t.index)
 	if err != nil {
 		k.log.Error("progress can't be encoded", "job", p.Job, "item", p.Item, "error", err)
 		return nil
@@ -66,7 +84,7 @@
 func (k *Keeper) writeProgress(ctx context.Context, records []platform.KeyedRecord) {
 	for len(records) > 0 {
 		n := callSize(records)
-		_, err := k.store.Append(ctx, platform.Append{Partition: resultPartition, Records: records[:n]})
+		_, err := k.store.Append(ctx, platform.Append{Partition: progressPartition, Records: records[:n]})
 		if err == nil {
 			records = records[n:]
 			continue
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,11 +18,14 @@
 	"arbutusramp/internal/sleep"
 )
 
-// Topics in the store. Jobs and ends are written by any process under the condition that nobody
-// wrote in between; results and progress by the owners of shards, fenced by their epochs.
+// Topics in the store. Jobs and ends are written by any process, jobs under the condition that nobody
+// wrote in between; results by the owners of shards, fenced by their epochs; progress by whoever
+// has run an item.
 var (
 	jobPartition    = platform.Partition{Topic: "keyed.jobs"}
 	resultPartition = platform.Partition{Topic: "keyed.results"}
+	// progressPartition is read only by processes that take a shard over.
+	progressPartition = platform.Partition{Topic: "keyed.progress"}
 )
 
 const (
@@ -131,6 +135,29 @@
 	}
 }
 
+// loadProgress reads how far the items of a shard have come.
+func (r *Replica) loadProgress(ctx context.Context, shard int) error {
+	prefix := backlog.ProgressPrefix(shard)
+	for after := prefix; ; {
+		page, err := r.store.Newest(ctx, progressPartition, after)
+		if err != nil {
+			return err
+		}
+		own := page.Records
+		for i, rec := range own {
+			if !strings.HasPrefix(rec.Key, prefix) {
+				own = own[:i]
+				break
+			}
+		}
+		r.apply(own)
+		if len(own) < len(page.Records) || !page.More || len(own) == 0 {
+			return nil
+		}
+		after = own[len(own)-1].Key
+	}
+}
+
 func (r *Replica) loaded(p platform.Partition, end uint64, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -17,6 +17,10 @@
 // flushPause is how long a shard waits for more ends before it writes the first one.
 const flushPause = 5 * time.Millisecond
 
+// progressAgain is how long after a takeover the progress is read once more: a former owner that did
+// not know that it was replaced writes what it has when it learns of it, within a third of its lease.
+const progressAgain = 800 * time.Millisecond
+
 // shard is a part of the jobs that this process owns: it alone gives their results positions. Each
 // write carries the epoch in which the shard was dealt to it; the store refuses those of an owner
 // that has been replaced, however late they come.
@@ -84,9 +88,13 @@
 		return
 	}
 	s.k.desk.adopt(ctx, s)
+	again := time.NewTimer(progressAgain)
+	defer again.Stop()
 	for {
 		select {
 		case <-s.wake:
+		case <-again.C:
+			s.readProgress(ctx)
 		case <-ctx.Done():
 			return
 		}
@@ -105,6 +113,7 @@
 			err = s.k.replica.reach(ctx, resultPartition, done.End)
 		}
 		if err == nil {
+			s.readProgress(ctx)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.ready = true
@@ -118,6 +127,14 @@
 	}
 }
 
+// readProgress takes over how far the shard's items have come. Without it they start anew, so a
+// failure is only logged.
+func (s *shard) readProgress(ctx context.Context) {
+	if err := s.k.replica.loadProgress(ctx, s.index); err != nil {
+		s.k.log.Warn("progress not read", "shard", s.index, "epoch", s.epoch, "error", err)
+	}
+}
+
 // refused notes that a newer owner exists.
 func (s *shard) refused(err error) bool {
 	var fenced *platform.Fenced
