--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"time"
-
-	"arbutusramp/core/serving"
 )
 
 // turnGap is how long a gateway leaves free slots to one that goes before it: by then it has heard
@@ -17,20 +16,20 @@
 // gateways take turns, those whose items are due first in front; the n-th takes the n-th free slot
 // of a target at once, and one of those before it only after it has been left for a while. Without
 // turns all would start an item in the same slot and all but one cut it off again.
-func (f *Fleet) PickBatch(now time.Time, service string, tried []string) (t serving.Target, ok bool) {
+func (f *Fleet) PickBatch(now time.Time, service string, tried []string) (c Choice, ok bool) {
 	list := f.candidates(now, service, tried, func(n *node) bool { return n.health.admitsBatch(now) })
 	turn := f.turn()
 	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.mayStart(now, c, turn) })
 	if len(list) == 0 {
-		return serving.Target{}, false
+		return Choice{}, false
 	}
-	c := slices.MinFunc(list, func(a, b candidate) int {
+	best := slices.MinFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(b.room(), a.room()),
 			cmp.Compare(f.spread(a), f.spread(b)),
 		)
 	})
-	return c.node.Target, true
+	return f.choice(best, fmt.Sprintf("turn %d", turn)), true
 }
 
 // mayStart says whether a slot of a target is free for the gateway with this turn.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -282,22 +283,43 @@
 	return list
 }
 
+// Choice is a target with what spoke for it.
+type Choice struct {
+	Target serving.Target
+	Load   Load // of all gateways, before the request
+	Peers  int  // live peers whose loads are in it
+	Why    string
+}
+
+// String is the choice as it stands in log lines.
+func (c Choice) String() string {
+	return fmt.Sprintf("%s %s online=%d batch=%d slots=%d peers=%d", c.Target.ID, c.Why, c.Load.Online, c.Load.Batch, c.Target.Slots, c.Peers)
+}
+
+func (f *Fleet) choice(c candidate, why string) Choice {
+	return Choice{Target: c.node.Target, Load: c.load, Peers: len(f.peers), Why: why}
+}
+
 // PickOnline chooses the target for an online request; ok is false when no target can be used.
 // Healthy targets go first, then those on probation, then, as a last resort, any that are listed.
-func (f *Fleet) PickOnline(now time.Time, service string, tried []string) (t serving.Target, ok bool) {
-	tiers := []func(*node) bool{
-		func(n *node) bool { return n.health.state(now) == healthy },
-		func(n *node) bool { return n.health.state(now) == probation },
-		func(n *node) bool { return true },
+func (f *Fleet) PickOnline(now time.Time, service string, tried []string) (c Choice, ok bool) {
+	stages := []struct {
+		usable func(*node) bool
+		note   string
+	}{
+		{func(n *node) bool { return n.health.state(now) == healthy }, ""},
+		{func(n *node) bool { return n.health.state(now) == probation }, " on probation"},
+		{func(n *node) bool { return true }, " though suspect"},
 	}
-	for _, usable := range tiers {
-		list := f.candidates(now, service, tried, usable)
+	for _, stage := range stages {
+		list := f.candidates(now, service, tried, stage.usable)
 		if len(list) == 0 {
 			continue
 		}
-		return f.best(list).node.Target, true
+		best := f.best(list)
+		return f.choice(best, tierNames[best.tier()]+stage.note), true
 	}
-	return serving.Target{}, false
+	return Choice{}, false
 }
 
 // best prefers a free slot, then a target whose batch items can make way, then the shortest
@@ -319,6 +341,9 @@
 	tierQueue
 )
 
+// tierNames say in log lines why a target was chosen.
+var tierNames = [...]string{tierFree: "free slot", tierPreempt: "batch makes way", tierQueue: "shortest queue"}
+
 func (c candidate) tier() int {
 	switch {
 	case c.room() > 0:
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -73,8 +73,8 @@
 				c.setup(f)
 			}
 			got, ok := f.PickOnline(start, "llm", c.tried)
-			if ok != (c.want != "") || got.ID != c.want {
-				t.Errorf("got %q, want %q", got.ID, c.want)
+			if ok != (c.want != "") || got.Target.ID != c.want {
+				t.Errorf("got %q, want %q", got.Target.ID, c.want)
 			}
 		})
 	}
@@ -90,10 +90,10 @@
 		if !ok {
 			t.Fatal("no room though slots are free")
 		}
-		f.Begin(start, got.ID, structs.ClassBatch)
+		f.Begin(start, got.Target.ID, structs.ClassBatch)
 	}
 	if got, ok := f.PickBatch(start, "llm", nil); ok {
-		t.Errorf("room at %s though all slots are taken", got.ID)
+		t.Errorf("room at %s though all slots are taken", got)
 	}
 	if n := f.OwnAt("t0").Batch; n != testSlots {
 		t.Errorf("%d items at the first of two equal targets, want %d", n, testSlots)
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -177,6 +177,24 @@
 	}
 }
 
+func (d *desk) counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := Counts{Items: len(d.tasks), Shards: len(d.shards)}
+	for _, t := range d.tasks {
+		if t.isRunning() {
+			c.Running++
+		}
+	}
+	return c
+}
+
+func (t *task) isRunning() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
 // stopRuns ends all runs and waits until they are over.
 func (d *desk) stopRuns(ctx context.Context) {
 	d.mu.Lock()
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -40,8 +40,8 @@
 	v, err := k.follow(ctx, t, r, route)
 	r.Done()
 	to, cut := t.progress().LastID, t.settle(r.Target.ID, v)
-	k.log.Info("item run", "job", t.job.ID, "item", t.item().ID, "target", r.Target.ID, "from_event", from, "to_event", to,
-		"ms", time.Since(began).Milliseconds(), "verdict", v.String(), "cut", cut, "error", errText(err))
+	k.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
+		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", time.Since(began).Milliseconds(), "verdict", v.String(), "cut", cut, "error", errText(err))
 }
 
 func (v verdict) String() string {
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -14,6 +14,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/logging"
 )
 
 // Router finds the route of an item in the configuration in force.
@@ -39,6 +40,7 @@
 	view    *fleetview.View
 	router  Router
 	log     hclog.Logger
+	runs    *logging.Routine // a line for each run of an item
 	reg     metrics.Registry
 	replica *Replica
 	desk    *desk
@@ -51,7 +53,7 @@
 // New returns a keeper that knows nothing yet.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Keeper {
 	k := &Keeper{
-		opts: o, store: store, targets: targets, view: view, router: router, log: log, reg: reg,
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg,
 		replica: NewReplica(store, view.SetContact, log),
 	}
 	k.desk = newDesk(k)
@@ -66,6 +68,21 @@
 	return loaded
 }
 
+// Counts is what a keeper has at a moment.
+type Counts struct {
+	Items   int // unfinished items of its shards
+	Running int
+	Shards  int
+	JobsAge time.Duration // of its state of jobs and ends
+}
+
+// Counts returns what the keeper has now.
+func (k *Keeper) Counts() Counts {
+	c := k.desk.counts()
+	c.JobsAge = k.replica.age(jobPartition)
+	return c
+}
+
 // Run follows the store, holds shards and runs items until ctx ends. Then it hands its items over.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -26,6 +26,8 @@
 // Run is one request at a target.
 type Run struct {
 	Target serving.Target
+	// Choice is what spoke for the target.
+	Choice fleet.Choice
 
 	view  *View
 	class structs.Class
@@ -61,17 +63,17 @@
 func (v *View) StartOnline(service string, tried []string) (*Run, bool) {
 	v.mu.Lock()
 	now := time.Now()
-	t, ok := v.fleet.PickOnline(now, service, tried)
+	c, ok := v.fleet.PickOnline(now, service, tried)
 	if !ok {
 		v.mu.Unlock()
 		return nil, false
 	}
-	v.fleet.Begin(now, t.ID, structs.ClassOnline)
+	v.fleet.Begin(now, c.Target.ID, structs.ClassOnline)
 	cuts := v.cuts(now)
 	v.mu.Unlock()
 	signal(v.changed)
 	cutAll(cuts)
-	return &Run{Target: t, view: v, class: structs.ClassOnline}, true
+	return &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassOnline}, true
 }
 
 // StartBatch chooses a target for a batch item, if one has room. cut is called, once at most,
@@ -80,13 +82,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	t, ok := v.fleet.PickBatch(now, service, tried)
+	c, ok := v.fleet.PickBatch(now, service, tried)
 	if !ok {
 		return nil, false
 	}
-	v.fleet.Begin(now, t.ID, structs.ClassBatch)
-	r := &Run{Target: t, view: v, class: structs.ClassBatch, cut: cut}
-	v.runs[t.ID] = append(v.runs[t.ID], r)
+	v.fleet.Begin(now, c.Target.ID, structs.ClassBatch)
+	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, cut: cut}
+	v.runs[c.Target.ID] = append(v.runs[c.Target.ID], r)
 	signal(v.changed)
 	return r, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/logging"
 )
 
 const (
@@ -28,15 +29,23 @@
 type Gateway struct {
 	targets platform.TargetCaller
 	view    *fleetview.View
+	beliefs Beliefs
 	log     hclog.Logger
+	served  *logging.Routine
 	reg     metrics.Registry
-	// Version is the configuration's version, for logs.
-	version func() uint64
+}
+
+// Beliefs are what the process believes of the configuration, for logs.
+type Beliefs interface {
+	// Version is the configuration's version in force.
+	Version() uint64
+	// Age is how long ago the store last said what the configuration is.
+	Age() time.Duration
 }
 
 // New returns a gateway that sends to the targets of view.
-func New(targets platform.TargetCaller, view *fleetview.View, version func() uint64, log hclog.Logger, reg metrics.Registry) *Gateway {
-	return &Gateway{targets: targets, view: view, version: version, log: log, reg: reg}
+func New(targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
+	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), reg: reg}
 }
 
 // exchange is one request on its way.
@@ -51,9 +60,9 @@
 	tried []string // targets that got it or could not be reached
 	// mayHaveRun counts the targets that may have begun with it.
 	mayHaveRun int
-	begun      bool   // the caller has the header of an answer
-	lastID     string // of the last event that the caller has
-	outcome    string // for the log line
+	begun      bool     // the caller has the header of an answer
+	lastID     string   // of the last event that the caller has
+	choices    []string // targets with what spoke for each, for the log line
 }
 
 // Serve answers one request. It returns once the answer is complete or given up.
@@ -104,6 +113,7 @@
 	}
 	defer run.Done()
 	x.tried = append(x.tried, run.Target.ID)
+	x.choices = append(x.choices, run.Choice.String())
 	a := &attempt{exchange: x, run: run}
 	return a.do(ctx)
 }
@@ -161,14 +171,15 @@
 	metrics.GetOrRegisterCounter("online."+x.route.Kind.String()+"."+outcome, x.gw.reg).Inc(1)
 	metrics.GetOrRegisterHistogram("online."+x.route.Kind.String()+".ms", x.gw.reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).Update(took.Milliseconds())
 	args := []any{
-		"request", x.req.ID, "route", x.route.Name, "config", x.gw.version(), "service", x.service,
-		"targets", x.tried, "may_have_run", x.mayHaveRun, "outcome", outcome, "ms", took.Milliseconds(),
+		"request", x.req.ID, "route", x.route.Name, "config", x.gw.beliefs.Version(),
+		"config_age_ms", x.gw.beliefs.Age().Milliseconds(), "service", x.service, "targets", x.choices,
+		"may_have_run", x.mayHaveRun, "outcome", outcome, "ms", took.Milliseconds(),
 	}
-	if err != nil {
-		x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID)...)
+	if err == nil {
+		x.gw.served.Info(time.Now(), "request", args...)
 		return
 	}
-	x.gw.log.Info("request", args...)
+	x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID)...)
 }
 
 // Size and decay of the samples behind histograms, the library's usual ones.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -45,10 +45,16 @@
 	for i := range targets {
 		b.view.Put([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	b.gw = New(b, b.view, func() uint64 { return 1 }, hclog.NewNullLogger(), metrics.NewRegistry())
+	b.gw = New(b, b.view, b, hclog.NewNullLogger(), metrics.NewRegistry())
 	return b
 }
 
+// Version implements Beliefs.
+func (b *bench) Version() uint64 { return 1 }
+
+// Age implements Beliefs.
+func (b *bench) Age() time.Duration { return 0 }
+
 // caller takes one answer.
 type caller struct {
 	status  int
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -138,11 +138,12 @@
 		}
 		seq++
 		s.tell(seq)
-		sleep.For(ctx, max(minGap, time.Duration(s.count())*gapPerPeer))
+		sleep.For(ctx, max(minGap, time.Duration(s.Peers())*gapPerPeer))
 	}
 }
 
-func (s *Share) count() int {
+// Peers is the number of gateways that are known.
+func (s *Share) Peers() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.peers)
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -113,7 +113,7 @@
 	if len(s.due(quiet)) != 1 || len(s.due(quiet.Add(quietGap/2))) != 0 || len(s.due(quiet.Add(2*quietGap))) != 1 {
 		t.Error("a silent peer is not sent to once in quietGap")
 	}
-	if len(s.due(now.Add(2*forgetAfter))) != 0 || s.count() != 0 {
+	if len(s.due(now.Add(2*forgetAfter))) != 0 || s.Peers() != 0 {
 		t.Error("a peer that is silent for good is not forgotten")
 	}
 }
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -4,11 +4,18 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
 )
 
-// queuedLines is how many lines wait for a reader that stalls; at about 300 bytes each they take
-// 1.2 MB at most.
-const queuedLines = 4096
+const (
+	// queuedLines is how many lines wait for a reader that stalls; at about 400 bytes each they
+	// take 1.6 MB at most.
+	queuedLines = 4096
+	// routineShare of the queue is open to lines below warn: a reader that stalls must not cost
+	// the lines of failures for those of requests that went well.
+	routineShare = 0.5
+)
 
 // Async is a writer that never blocks its callers: a reader of the process's output that stalls
 // must not stall requests. Lines that find the queue full are left out, and the next line that
@@ -27,7 +34,14 @@
 }
 
 // Write implements io.Writer. p is one line.
-func (a *Async) Write(p []byte) (int, error) {
+func (a *Async) Write(p []byte) (int, error) { return a.LevelWrite(hclog.Warn, p) }
+
+// LevelWrite implements hclog.LevelWriter.
+func (a *Async) LevelWrite(level hclog.Level, p []byte) (int, error) {
+	if level < hclog.Warn && float64(len(a.lines)) >= routineShare*queuedLines {
+		a.lost.Add(1)
+		return len(p), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), p...):
 	default:
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -81,7 +81,7 @@
 	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
 	g.keeper = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL},
 		client, targets, view, g.watch, logger.Named("backlog"), reg)
-	online := gateway.New(targets, view, g.watch.Version, logger.Named("online"), reg)
+	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -90,6 +90,7 @@
 		return nil, err
 	}
 	g.peers = &peerBook{store: client, share: g.share, log: logger.Named("peers")}
+	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.keeper, Closing: g.stopping.Load})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
 	return g, nil
--- /dev/null
+++ b/internal/node/gauges.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the metrics that say what the process believes and has.
+const (
+	configVersionMetric = "config.version"
+	configAgeMetric     = "config.age_ms"
+	targetsMetric       = "targets"
+	peersMetric         = "peers"
+	inFlightMetric      = "callers.in_flight"
+	itemsMetric         = "backlog.items"
+	itemsRunningMetric  = "backlog.items_running"
+	shardsMetric        = "backlog.shards"
+	jobsAgeMetric       = "backlog.jobs_age_ms"
+)
+
+// registerGauges adds what the process believes and has to its metrics.
+func (g *Gateway) registerGauges() {
+	for name, read := range map[string]func() int64{
+		configVersionMetric: func() int64 { return int64(g.watch.Version()) },
+		configAgeMetric:     func() int64 { return g.watch.Age().Milliseconds() },
+		targetsMetric:       func() int64 { return int64(len(g.view.Targets())) },
+		peersMetric:         func() int64 { return int64(g.share.Peers()) },
+		inFlightMetric:      g.inFlight,
+		itemsMetric:         func() int64 { return int64(g.keeper.Counts().Items) },
+		itemsRunningMetric:  func() int64 { return int64(g.keeper.Counts().Running) },
+		shardsMetric:        func() int64 { return int64(g.keeper.Counts().Shards) },
+		jobsAgeMetric:       func() int64 { return g.keeper.Counts().JobsAge.Milliseconds() },
+	} {
+		g.reg.GetOrRegister(name, metrics.NewFunctionalGauge(read))
+	}
+}
