--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -47,8 +47,8 @@
 	return encode(ProgressPrefix(shard)+join(p.Job, strconv.Itoa(index)), p)
 }
 
-// DropProgress returns records that drop what EncodeProgress has written.
-func DropProgress(written []platform.KeyedRecord) []platform.KeyedRecord {
+// Drop returns records that drop those that were written.
+func Drop(written []platform.KeyedRecord) []platform.KeyedRecord {
 	var records []platform.KeyedRecord
 	for _, r := range written {
 		records = append(records, platform.KeyedRecord{Key: r.Key})
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -206,3 +206,42 @@
 		}
 	}
 }
+
+// Expired calls visit for each job that was handed in before a time, in milliseconds since 1970, and
+// has nothing left to do.
+func (s *State) Expired(before int64, visit func(*Job)) {
+	for _, st := range s.jobs {
+		if st.job == nil || st.job.Submitted >= before {
+			continue
+		}
+		if st.ended || len(st.done) == len(st.job.Items) {
+			visit(st.job)
+		}
+	}
+}
+
+// Forget returns the records that drop a job and all that belongs to it.
+func (s *State) Forget(id string) (jobs, results []platform.KeyedRecord, err error) {
+	st, ok := s.jobs[id]
+	if !ok || st.job == nil {
+		return nil, nil, nil
+	}
+	jobs, err = EncodeJob(st.job)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, r := range st.results {
+		if r == nil {
+			continue
+		}
+		records, err := EncodeResult(r)
+		if err != nil {
+			return nil, nil, err
+		}
+		results = append(results, Drop(records)...)
+	}
+	if st.ended {
+		jobs = append(jobs, platform.KeyedRecord{Key: join(kindEnd, id)})
+	}
+	return Drop(jobs), results, nil
+}
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -267,7 +267,7 @@
 			if st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID) {
 				t.end()
 				delete(d.tasks, key)
-				d.drops = append(d.drops, backlog.DropProgress(t.checkpointed())...)
+				d.drops = append(d.drops, backlog.Drop(t.checkpointed())...)
 				continue
 			}
 			d.adoptProgress(t, st.Progress(t.job.ID, t.item().ID))
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -25,6 +25,7 @@
 const (
 	testShards = 4
 	testTTL    = time.Second
+	testKeep   = 2 * time.Minute
 	eventGap   = 15 * time.Millisecond
 	itemEvents = 40
 	longEvents = 200 // of items whose ids begin with "okay"
@@ -72,7 +73,7 @@
 		n.fleet.Put([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}}, nil)
 	}
 	log := testLogger(name)
-	n.keeper = New(Options{Member: name, Shards: testShards, MinTTL: testTTL}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	n.keeper = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: testKeep}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/sleep"
 )
 
@@ -30,21 +31,17 @@
 	ttl := time.Duration(float64(k.opts.MinTTL) * ttlFactor)
 	m := platform.Membership{Group: shardGroup, Member: k.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
 	shards := make(map[int]*shard)
-	down := false
+	link := dependency.NewLink(k.log, shardGroup)
 	for ctx.Err() == nil {
 		asked := time.Now()
 		a, err := k.store.Join(ctx, m)
 		if ctx.Err() != nil {
 			break
 		}
-		if err != nil && !down {
-			k.log.Warn("dependency lost", "dependency", shardGroup, "error", err)
-		}
-		if err == nil && down {
-			k.log.Info("dependency back", "dependency", shardGroup)
-		}
-		down = err != nil
-		if err == nil {
+		if err != nil {
+			link.Lost(err)
+		} else {
+			link.Up()
 			m.Generation = a.Generation
 			k.deal(ctx, shards, a)
 			k.desk.leaseUntil(asked.Add(ttl))
--- /dev/null
+++ b/internal/backlog/housekeep.go
@@ -0,0 +1,85 @@
+package backlog
+
+import (
+	"context"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/platform"
+	"arbutusramp/internal/sleep"
+)
+
+const (
+	// houseEvery is how often old jobs are looked for.
+	houseEvery = 10 * time.Second
+	// keepSlack is how much longer a job is kept than promised: the time that counts is that of
+	// the process that accepted it, and the time of day differs between hosts.
+	keepSlack = time.Minute
+)
+
+// housekeep drops jobs of this process's shards that have lived their time. The newest record of each
+// key is kept for ever, so that without it the store would fill up and refuse new jobs.
+func (k *Keeper) housekeep(ctx context.Context) error {
+	for sleep.For(ctx, houseEvery) {
+		for _, id := range k.expired(time.Now()) {
+			if err := k.forget(ctx, id); err != nil {
+				k.log.Warn("old job not dropped", "job", id, "error", err)
+				break
+			}
+			k.log.Info("old job dropped", "job", id)
+		}
+	}
+	return nil
+}
+
+// expired returns the jobs of this process's shards that nobody needs any more.
+func (k *Keeper) expired(now time.Time) []string {
+	before := now.Add(-k.opts.Keep - keepSlack).UnixMilli()
+	var ids []string
+	k.replica.with(func(st *backlog.State) {
+		st.Expired(before, func(j *backlog.Job) {
+			ids = append(ids, j.ID)
+		})
+	})
+	own := ids[:0]
+	for _, id := range ids {
+		if k.desk.owns(k.shardOf(id)) {
+			own = append(own, id)
+		}
+	}
+	return own
+}
+
+// forget drops a job's results first: a job whose record is gone is not looked at again.
+func (k *Keeper) forget(ctx context.Context, id string) error {
+	var jobs, results []platform.KeyedRecord
+	var err error
+	k.replica.with(func(st *backlog.State) { jobs, results, err = st.Forget(id) })
+	if err != nil {
+		return err
+	}
+	for _, a := range []platform.Append{
+		{Partition: resultPartition, Records: results},
+		{Partition: jobPartition, Records: jobs},
+	} {
+		if len(a.Records) == 0 {
+			continue
+		}
+		if _, err := k.store.Append(ctx, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// owns says whether this process runs a shard.
+func (d *desk) owns(index int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for s := range d.shards {
+		if s.index == index {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -30,6 +30,8 @@
 	Shards int
 	// MinTTL is the shortest time after which the store takes a silent member for gone.
 	MinTTL time.Duration
+	// Keep is how long a job stays readable after it was handed in, at the least.
+	Keep time.Duration
 }
 
 // Keeper keeps batch jobs.
@@ -91,6 +93,7 @@
 	g.Go(func() error { return k.hold(ctx) })
 	g.Go(func() error { return k.desk.run(ctx) })
 	g.Go(func() error { return k.checkpoints(ctx) })
+	g.Go(func() error { return k.housekeep(ctx) })
 	return g.Wait()
 }
 
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -445,3 +445,33 @@
 		}
 	})
 }
+
+// The newest record of each key is kept for ever: what nobody drops fills the store.
+func TestOldJobsAreDroppedAndOpenOnesKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		done, ended := w.job("done", "ok", "never"), w.job("ended", repeat("okay", 90)...)
+		w.nodes[0].submit(done)
+		w.nodes[1].submit(ended)
+		w.check(done, w.nodes[0].results(done, 10*time.Second))
+		if err := w.nodes[0].keeper.End(context.Background(), "ended"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(testKeep - 15*time.Second)
+		w.check(done, w.nodes[1].results(done, time.Second))
+		time.Sleep(keepSlack + 2*houseEvery + 15*time.Second)
+		for _, id := range []string{"done", "ended"} {
+			if _, err := w.nodes[0].keeper.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
+				t.Errorf("job %s, long over: %v", id, err)
+			}
+		}
+		for _, p := range []platform.Partition{jobPartition, resultPartition, progressPartition} {
+			page, err := w.nodes[0].view.Newest(context.Background(), p, "")
+			if err != nil || len(page.Records) != 0 {
+				t.Errorf("%s still holds %d records, %v", p.Topic, len(page.Records), err)
+			}
+		}
+	})
+}
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/sleep"
 )
 
@@ -70,24 +71,18 @@
 
 // follow reads the news of a partition until ctx ends.
 func (r *Replica) follow(ctx context.Context, p platform.Partition) error {
-	down := false
+	link := dependency.NewLink(r.log, p.Topic)
 	for ctx.Err() == nil {
 		err := r.step(ctx, p)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			if !down {
-				r.log.Warn("dependency lost", "dependency", p.Topic, "error", err)
-			}
-			down = true
+			link.Lost(err)
 			sleep.For(ctx, retryPause)
 			continue
 		}
-		if down {
-			r.log.Info("dependency back", "dependency", p.Topic)
-		}
-		down = false
+		link.Up()
 		sleep.For(ctx, readPause)
 	}
 	return nil
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/backlog"
@@ -46,7 +47,7 @@
 	}
 	s := &submission{k: k, route: route, job: job, records: records}
 	err = s.run(ctx)
-	k.log.Info("job", "request", job.ID, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
+	k.log.Log(levelOf(err), "job", "request", job.ID, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
 		"queued", s.queued, "limit", route.MaxQueued, "end", s.at, "tries", s.tries, "outcome", outcomeOf(err))
 	k.count("job.submit", err)
 	return err
@@ -203,7 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	err := k.end(ctx, id)
-	k.log.Info("job end", "job", id, "outcome", outcomeOf(err))
+	k.log.Log(levelOf(err), "job end", "job", id, "outcome", outcomeOf(err))
 	k.count("job.end", err)
 	return err
 }
@@ -234,6 +235,14 @@
 	}
 }
 
+// levelOf is the level of a log line about a call that ended with err.
+func levelOf(err error) hclog.Level {
+	if err != nil {
+		return hclog.Warn
+	}
+	return hclog.Info
+}
+
 // outcomeOf is the word of a log line for err.
 func outcomeOf(err error) string {
 	if err == nil {
--- /dev/null
+++ b/internal/dependency/link.go
@@ -0,0 +1,51 @@
+// Package dependency logs once when something that a process depends on is lost, and once when it
+// is back: a line for each failed call would bury all others in an outage.
+package dependency
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Link is the state of one dependency.
+type Link struct {
+	log  hclog.Logger
+	name string
+
+	mu   sync.Mutex
+	down time.Time // since when; zero while it is up
+	ever bool      // it has answered before
+}
+
+// NewLink returns a link that has not answered yet.
+func NewLink(log hclog.Logger, name string) *Link { return &Link{log: log, name: name} }
+
+// Lost notes a call that failed.
+func (l *Link) Lost(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.down.IsZero() {
+		return
+	}
+	l.down = time.Now()
+	l.log.Warn("dependency lost", "dependency", l.name, "error", err)
+}
+
+// Up notes an answer. It reports whether the dependency had answered before, was lost and is back.
+func (l *Link) Up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wasDown := !l.down.IsZero()
+	if wasDown {
+		l.log.Info("dependency back", "dependency", l.name, "away_ms", time.Since(l.down).Milliseconds())
+	}
+	if !l.ever && !wasDown {
+		l.log.Info("dependency reached", "dependency", l.name)
+	}
+	back := wasDown && l.ever
+	l.down = time.Time{}
+	l.ever = true
+	return back
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -53,7 +53,9 @@
 			continue
 		}
 		l := Line{Source: source}
-		if json.Unmarshal([]byte("{"+text), &l.Fields) != nil {
+		dec := json.NewDecoder(strings.NewReader("{" + text))
+		dec.UseNumber() // offsets and limits stay as they are written
+		if dec.Decode(&l.Fields) != nil {
 			continue
 		}
 		stamp, _ := l.Fields[keyTime].(string)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/fleet"
 	coreplatform "arbutusramp/core/platform"
 	"arbutusramp/internal/backlog"
+	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/gateway"
 	"arbutusramp/internal/loadshare"
@@ -79,7 +80,7 @@
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
-	g.keeper = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL},
+	g.keeper = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
 		client, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
@@ -89,7 +90,7 @@
 	if g.share, err = loadshare.New(s.PeerAddr, fleet.Peer(self), view, logger.Named("peers")); err != nil {
 		return nil, err
 	}
-	g.peers = &peerBook{store: client, share: g.share, log: logger.Named("peers")}
+	g.peers = &peerBook{store: client, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
 	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.keeper, Closing: g.stopping.Load})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
--- a/internal/node/peerbook.go
+++ b/internal/node/peerbook.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/sleep"
 )
@@ -26,7 +25,7 @@
 type peerBook struct {
 	store platform.Store
 	share *loadshare.Share
-	log   hclog.Logger
+	link  *dependency.Link
 }
 
 // run writes this process's address once and reads the others' now and then, until ctx ends.
@@ -51,7 +50,7 @@
 		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: addr, Value: []byte{1}}},
 	})
 	if err != nil {
-		b.log.Warn("own address not written", "error", err)
+		b.link.Lost(err)
 	}
 	return err == nil
 }
@@ -61,13 +60,14 @@
 	for {
 		page, err := b.store.Newest(ctx, peerPartition, after)
 		if err != nil {
-			b.log.Warn("peers' addresses not read", "error", err)
+			b.link.Lost(err)
 			return false
 		}
 		for _, r := range page.Records {
 			b.share.Meet(r.Key)
 		}
 		if !page.More || len(page.Records) == 0 {
+			b.link.Up()
 			return true
 		}
 		after = page.Records[len(page.Records)-1].Key
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -15,6 +15,7 @@
 	StoreAddr string        // IP:port of the platform's store
 	Shards    int           // partitions of a topic of the store, which are the shards of the backlog
 	MinTTL    time.Duration // shortest lease that the store grants a member of a group
+	Keep      time.Duration // how long a job stays readable after it was handed in
 	Grace     time.Duration // from the signal to stop until the platform kills the process
 }
 
@@ -57,6 +58,9 @@
 		{section: "store", key: "shortest_lease", unit: "duration", def: "1s",
 			field: duration(100*time.Millisecond, time.Minute, func(g *Gateway) *time.Duration { return &g.MinTTL }),
 			doc:   "shortest lease that the store grants a member of a group"},
+		{section: "backlog", key: "keep", unit: "duration", def: "2m",
+			field: duration(time.Second, 30*day, func(g *Gateway) *time.Duration { return &g.Keep }),
+			doc:   "how long a batch job stays readable after it was handed in, at the least; while it has unfinished items it stays longer"},
 		{section: "stop", key: "grace", unit: "duration", def: "8s",
 			field: duration(time.Second, time.Hour, func(g *Gateway) *time.Duration { return &g.Grace }),
 			doc:   "from the signal to stop until the process is killed"},
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/sleep"
 )
@@ -93,7 +94,7 @@
 
 func (w *Watch) followConfig(ctx context.Context) error {
 	var known uint64
-	link := newLink(w.log, "configuration")
+	link := dependency.NewLink(w.log, "configuration")
 	for ctx.Err() == nil {
 		asked := time.Now()
 		news, err := w.dir.Config(ctx, known, pollWait)
@@ -101,11 +102,11 @@
 			break
 		}
 		if err != nil {
-			link.lost(err)
+			link.Lost(err)
 			sleep.For(ctx, retryPause)
 			continue
 		}
-		link.up()
+		link.Up()
 		known = news.Known
 		w.take(news.Config, asked)
 		sleep.For(ctx, pollPause)
@@ -134,19 +135,19 @@
 func (w *Watch) followTargets(ctx context.Context) error {
 	var known uint64
 	list := newTargetList()
-	link := newLink(w.log, "targets")
+	link := dependency.NewLink(w.log, "targets")
 	for ctx.Err() == nil {
 		news, err := w.dir.Targets(ctx, known, pollWait)
 		if ctx.Err() != nil {
 			break
 		}
 		if err != nil {
-			link.lost(err)
+			link.Lost(err)
 			sleep.For(ctx, retryPause)
 			continue
 		}
 		now := time.Now()
-		if link.up() {
+		if link.Up() {
 			list.storeIsBack(now)
 		}
 		known = news.Known
