--- a/internal/dependency/link_test.go
+++ b/internal/dependency/link_test.go
@@ -13,8 +13,10 @@
 	var out bytes.Buffer
 	l := NewLink(hclog.New(&hclog.LoggerOptions{Output: &out}), "store")
 	fail := errors.New("refused")
-	if l.Up() || l.Up() {
-		t.Error("back without having been lost")
+	for range 2 {
+		if l.Up() {
+			t.Error("back without having been lost")
+		}
 	}
 	for range 5 {
 		l.Lost(fail)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,7 @@
 
 // comeBack is when the caller should send the request again.
 func (x *exchange) comeBack() time.Duration {
-	left := x.req.Deadline.Sub(time.Now())
+	left := time.Until(x.req.Deadline)
 	if x.req.Deadline.IsZero() {
 		return fullRetry
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -142,8 +142,8 @@
 	switch {
 	case g.stopping.Load():
 		return "stopping"
-	case g.watch.Version() == 0:
-		return "no configuration"
+	case !g.watch.Ready():
+		return "no configuration or no targets read"
 	case !g.keeper.Loaded():
 		return "backlog not read"
 	}
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -7,7 +7,7 @@
 	"arbutusramp/internal/telemetry"
 )
 
-// meters are the side's counters; the names are in docs/OPERATING.md.
+// meters are the side's counters; the names are in docs/OPERATIONS.md.
 type meters struct {
 	registry       metrics.Registry
 	started        metrics.Counter
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -45,6 +45,7 @@
 	config *serving.Config
 	router *serving.Router
 	fresh  time.Time // when the store last said what the configuration is
+	listed bool      // the list of targets has been read
 }
 
 // New returns a watch that knows nothing yet. It keeps the targets of view.
@@ -85,6 +86,14 @@
 	return w.config.Version
 }
 
+// Ready says whether the configuration and the targets are known. A process that knows no targets yet
+// refuses all requests, while others would serve them.
+func (w *Watch) Ready() bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.config != nil && w.listed
+}
+
 // Age is how long ago the store last said what the configuration is.
 func (w *Watch) Age() time.Duration {
 	w.mu.RLock()
@@ -152,6 +161,9 @@
 		}
 		known = news.Known
 		w.applyTargets(list.take(now, news))
+		w.mu.Lock()
+		w.listed = true
+		w.mu.Unlock()
 		sleep.For(ctx, pollPause)
 	}
 	return nil
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -115,6 +115,34 @@
 	})
 }
 
+// Symptom: requests were refused right after a start, as no target was left.
+// Sequence: the configuration is read; the process is ready; a request comes; the targets are read.
+// Cause: readiness asked for the configuration alone.
+func TestReadyNeedsTheTargets(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, _ *fleetview.View) {
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(2 * time.Second)
+		if w.Ready() {
+			t.Error("ready without anything")
+		}
+		d.set(func(d *fakeDirectory) {
+			d.down = false
+			d.configs = append(d.configs, config(1, "/a/"))
+		})
+		time.Sleep(100 * time.Millisecond) // the configuration is there at once, the list takes a second
+		if w.Version() != 1 || w.Ready() {
+			t.Errorf("version %d, ready %v before the targets are read", w.Version(), w.Ready())
+		}
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{target("a")}})
+		})
+		time.Sleep(time.Second)
+		if !w.Ready() {
+			t.Error("not ready with both")
+		}
+	})
+}
+
 // Symptom: a process serves a route that was taken away a while ago.
 // Sequence: the store's history is lost; a read is answered from before the last change.
 // Cause: the answer was put in force although an newer version was.
