--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -162,7 +162,7 @@
 		known = news.Known
 		w.applyTargets(list.take(now, news))
 		w.mu.Lock()
-		w.listed = true
+		w.listed = w.listed || news.Whole
 		w.mu.Unlock()
 		sleep.For(ctx, pollPause)
 	}
