An owner that can't read the log does not say that a job is not there

Cause: an owner that was paused past its lease goes on in an outage that all entries see; catchUp then took its fold for all that there is. Now such an owner shows what it knows and answers log_down with a time to come back to what it does not. The test was red with not_found for status, results and cancel, and an empty list.

--- a/internal/batch/catchup.go
+++ b/internal/batch/catchup.go
@@ -10,10 +10,10 @@
 // catchUp waits until all that was in the stream at its call is folded. An owner that was
 // replaced without knowing it, because it was paused or cut off from the log service, would else
 // say that a job is not there which its successor has accepted, or show results of an
-// ended job as if they were all. In an outage that the other entries see too, nothing is appended
-// anywhere, and what is folded is what there is. Error: errs.NotOwner when this entry is not the
-// owner any more, or can't know.
-func (s *shard) catchUp(ctx context.Context) error {
+// ended job as if they were all. In an outage that the other entries see too, what is folded can be
+// shown, but sure is false: a successor may have accepted jobs before the outage began. Error:
+// errs.NotOwner when this entry is not the owner any more, or can't know.
+func (s *shard) catchUp(ctx context.Context) (sure bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	s.mu.Lock()
@@ -23,11 +23,17 @@
 	s.m.health.note(s.m.now(), err)
 	if err != nil {
 		if s.m.health.down() && s.m.outage.Load() {
-			return nil
+			return false, nil
 		}
-		return notOwner()
+		return false, notOwner()
 	}
-	return s.awaitFolded(ctx, page.Next)
+	return true, s.awaitFolded(ctx, page.Next)
+}
+
+// unsure is the answer of an owner that can't read the log to a question that only the whole log
+// answers: which jobs there are not.
+func unsure() *errs.Error {
+	return errs.New(errs.LogDown, "the log can't be read, so what is not known here may exist").WithRetry(retryMoved)
 }
 
 // awaitFolded waits until every offset before next is folded. Error: errs.NotOwner.
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -85,11 +85,7 @@
 func (s *shard) serve(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
 	switch r.Op {
 	case OpStatus, OpList, OpCancel, OpResults:
-		if err := s.catchUp(ctx); err != nil {
-			return nil, err
-		}
-	}
-	switch r.Op {
+		return s.serveRead(ctx, r)
 	case OpHandover:
 		return s.serveHandover(r)
 	case OpDone:
@@ -100,16 +96,37 @@
 		return s.serveSegment(ctx, r)
 	case OpCommit:
 		return s.serveCommit(ctx, r)
+	}
+	return nil, errs.Newf(errs.BadFrame, "unknown call %q", r.Op)
+}
+
+// serveRead answers a question about jobs that were accepted.
+func (s *shard) serveRead(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
+	sure, err := s.catchUp(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !sure && r.Op == OpList {
+		return nil, unsure()
+	}
+	reply, err := s.answerRead(ctx, r)
+	if !sure && errs.Is(err, errs.NotFound) {
+		return nil, unsure()
+	}
+	return reply, err
+}
+
+func (s *shard) answerRead(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
+	switch r.Op {
 	case OpStatus:
 		return s.serveStatus(r)
 	case OpList:
 		return s.serveList(r)
 	case OpCancel:
 		return s.serveCancel(ctx, r)
-	case OpResults:
+	default:
 		return s.serveResults(ctx, r)
 	}
-	return nil, errs.Newf(errs.BadFrame, "unknown call %q", r.Op)
 }
 
 // serveHandover releases the shard if the asker comes before this entry by this
--- a/internal/batch/stale_test.go
+++ b/internal/batch/stale_test.go
@@ -56,6 +56,51 @@
 	})
 }
 
+// Symptom: a job that was accepted is not found while the log service is down.
+// Sequence: an owner is paused past its lease; another takes over and accepts a job; then nobody reaches
+// the log service; the first goes on and holds itself for the owner still; a caller asks through it.
+// Cause: in an outage that all see, the fold was taken for all that there is, also by an owner whose
+// fold had stopped before the outage.
+func TestAnOutageDoesNotMakeAStaleOwnerSure(t *testing.T) {
+	bubble(t, 3, 3, func(c *cluster) {
+		first := c.mustSubmit("k", jobFile(5, plain))
+		c.awaitEnd(first.ID, time.Minute)
+		old := c.owner(first.ID)
+		shard := jobs.ShardFor(first.ID, c.set.Shards)
+		old.gate.pause()
+		owner := c.awaitOther(first.ID, old)
+		key := c.sameShard(first.ID)
+		second, err := c.submit(owner, key, jobFile(5, plain))
+		for tries := 0; err != nil && tries < 100; tries++ {
+			time.Sleep(100 * time.Millisecond) // it may still ask the paused one
+			second, err = c.submit(owner, key, jobFile(5, plain))
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range c.allNodes() {
+			n.cutLog.Store(true)
+		}
+		old.gate.resume()
+		for !old.m.outage.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, op := range []Op{OpStatus, OpResults, OpCancel, OpList} {
+			r := old.m.Serve(context.Background(), &PeerRequest{Op: op, Shard: shard, Job: second.ID})
+			if r.Err == nil || r.Err.RetryAfterMs == 0 || errs.Lookup(r.Err.Type).Status != 503 {
+				t.Errorf("%s of a stale owner in an outage: %v", op, r.Err)
+			}
+		}
+		if r := old.m.Serve(context.Background(), &PeerRequest{Op: OpStatus, Shard: shard, Job: first.ID}); r.Err != nil {
+			t.Errorf("status of a job that it knows: %v", r.Err)
+		}
+		for _, n := range c.allNodes() {
+			n.cutLog.Store(false)
+		}
+		c.awaitEnd(second.ID, time.Minute)
+	})
+}
+
 // Symptom: a shard changes its owner several times a second, and nothing of its jobs is done.
 // Sequence: the first candidate of a shard is replaced at another address; the host list lags, so
 // that the owner can't reach it while it reaches the owner; it asks for the shard.
