--- a/internal/backlog/guard.go
+++ b/internal/backlog/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/sleep"
 )
 
 // guard ends the run of an item whose target has fallen silent: the item can go on elsewhere, and
@@ -31,14 +32,7 @@
 }
 
 func (g *guard) watch(ctx context.Context, cancel context.CancelFunc) {
-	tick := time.NewTicker(silenceLook)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for sleep.For(ctx, silenceLook) {
 		g.mu.Lock()
 		last := g.last
 		g.mu.Unlock()
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -65,6 +66,16 @@
 	return w
 }
 
+// bubble runs f in virtual time with some processes that have dealt out the shards.
+func bubble(t *testing.T, nodes int, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, nodes)
+		defer w.stopAll()
+		time.Sleep(2 * time.Second)
+		f(t, w)
+	})
+}
+
 // start begins a process under a name that was not used before.
 func (w *world) start(name string) *node {
 	n := &node{w: w, name: name, view: w.store.View(), over: make(chan struct{})}
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -15,10 +15,7 @@
 )
 
 func TestAJobRunsToItsEndAndIsReadAnywhere(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 3, func(t *testing.T, w *world) {
 		j := w.job("a", "ok", "ok", "never", "fail", "ok")
 		w.nodes[0].submit(j)
 		for _, n := range w.nodes {
@@ -34,10 +31,7 @@
 }
 
 func TestAJobThatComesAgainIsAcceptedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 3, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 5)...)
 		done := make(chan struct{})
 		for _, n := range w.nodes {
@@ -63,10 +57,7 @@
 }
 
 func TestTheLimitOfARouteHoldsAcrossProcesses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 3, func(t *testing.T, w *world) {
 		route := *w.route
 		route.MaxQueued = 1000
 		accepted := make(chan int64, 30)
@@ -101,10 +92,7 @@
 // that waits and started it again; the run ended at once, since nothing was left of it to do.
 // Cause: the owner gave a position to every end that reached it.
 func TestAnItemThatEndsTwiceIsListedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 1, func(t *testing.T, w *world) {
 		j := w.job("a", "ok")
 		n := w.nodes[0]
 		n.submit(j)
@@ -133,10 +121,7 @@
 }
 
 func TestAProcessThatStopsHandsItsItemsOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 6)...)
 		w.nodes[0].submit(j)
 		time.Sleep(300 * time.Millisecond) // half of each item is done
@@ -154,10 +139,7 @@
 }
 
 func TestAKilledProcessIsTakenOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 3, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 8)...)
 		w.nodes[0].submit(j)
 		time.Sleep(300 * time.Millisecond)
@@ -168,10 +150,7 @@
 }
 
 func TestAllThatWasAcceptedSurvivesTheLossOfEveryProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 3)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 3, func(t *testing.T, w *world) {
 		var jobs []*backlog.Job
 		for i := range 12 {
 			j := w.job(fmt.Sprintf("j%d", i), repeat("ok", 4)...)
@@ -200,10 +179,7 @@
 
 // A process that the store refuses can't know whether a job exists or has more results.
 func TestAProcessThatCannotReachTheStoreSaysSo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		n := w.nodes[1]
 		n.view.Set(keyedlog.Faults{Refuse: true})
 		time.Sleep(2 * time.Second)
@@ -231,10 +207,7 @@
 // Sequence: a process writes a job and loses the answer; the store does the write seconds later.
 // Cause: a write without an answer was taken for one that was not done.
 func TestALostAnswerIsNeverARefusal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		n := w.nodes[0]
 		n.view.Set(keyedlog.Faults{Late: 3 * time.Second})
 		j := w.job("a", "ok")
@@ -250,10 +223,7 @@
 }
 
 func TestAnEndedJobIsNotRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 60)...)
 		w.nodes[0].submit(j)
 		time.Sleep(200 * time.Millisecond)
@@ -298,10 +268,7 @@
 // Sequence: no process reaches the store; their state of the jobs' ends grows old and their leases run out.
 // Cause: a process that is cut off alone and an outage for all were not told apart.
 func TestItemsStartWhileTheStoreIsDownForAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 200)...)
 		w.nodes[0].submit(j)
 		for _, n := range w.nodes {
@@ -317,10 +284,7 @@
 
 // The same when only this process is refused: another may have taken over its items.
 func TestNoItemsStartWhereOthersReachTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("ok", 200)...)
 		w.nodes[0].submit(j)
 		w.nodes[0].view.Set(keyedlog.Faults{Refuse: true})
@@ -355,10 +319,7 @@
 // items that they could no longer write under their epochs.
 // Cause: what was done went with the shard.
 func TestAnItemGoesOnWhereItsLastOwnerLeftIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("okay", 4)...)
 		w.nodes[0].submit(j)
 		time.Sleep(checkpointEvents*eventGap + 2*checkpointEvery)
@@ -422,10 +383,7 @@
 
 // The same where the owner is gone at once and hands nothing over.
 func TestAKilledOwnersItemsGoOnFromTheirCheckpoints(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("okay", 4)...)
 		w.nodes[0].submit(j)
 		time.Sleep(checkpointEvents*eventGap + 2*checkpointEvery)
@@ -448,10 +406,7 @@
 
 // The newest record of each key is kept for ever: what nobody drops fills the store.
 func TestOldJobsAreDroppedAndOpenOnesKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 2)
-		defer w.stopAll()
-		time.Sleep(2 * time.Second)
+	bubble(t, 2, func(t *testing.T, w *world) {
 		done, ended := w.job("done", "ok", "never"), w.job("ended", repeat("okay", 90)...)
 		w.nodes[0].submit(done)
 		w.nodes[1].submit(ended)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -38,30 +38,12 @@
 	run    *fleetview.Run
 	cancel context.CancelFunc
 	// silent is set by the watcher when it cancels the attempt.
-	silent silence
+	silent atomic.Bool
 	// heard is when the last part of the answer came, or the request was sent, in
 	// nanoseconds since the request's arrival: the time of day may jump.
 	heard atomic.Int64
 }
 
-// silence says that a target kept silent for too long.
-type silence struct {
-	mu    sync.Mutex
-	found bool
-}
-
-func (s *silence) set() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.found = true
-}
-
-func (s *silence) get() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.found
-}
-
 func (a *attempt) do(ctx context.Context) error {
 	ctx, a.cancel = context.WithCancel(ctx)
 	defer a.cancel()
@@ -96,14 +78,7 @@
 func (a *attempt) watch(ctx context.Context, sent time.Time, mayMove bool) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		tick := time.NewTicker(watchEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-			}
+		for sleep.For(ctx, watchEvery) {
 			silent := a.route.Kind == serving.KindStream && a.run.Silent(sent)
 			if silent {
 				a.suspect("silent")
@@ -112,7 +87,7 @@
 				continue
 			}
 			if mayMove {
-				a.silent.set()
+				a.silent.Store(true)
 				a.cancel()
 				return
 			}
@@ -145,7 +120,7 @@
 
 // failed is the failure of a request that got no answer.
 func (a *attempt) failed(ctx context.Context, err error) error {
-	if a.silent.get() {
+	if a.silent.Load() {
 		return errs.New(errs.TargetFailed, "the target has sent nothing for too long")
 	}
 	if ctx.Err() != nil {
@@ -221,7 +196,7 @@
 
 // broken is the failure of an answer that has broken off.
 func (a *attempt) broken(ctx context.Context, err error) error {
-	if a.silent.get() {
+	if a.silent.Load() {
 		return errs.New(errs.StreamBroken, "the target has sent nothing for too long")
 	}
 	if ctx.Err() != nil {
