--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 
+	"arbutusramp/internal/hangup"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
@@ -44,7 +45,6 @@
 }
 
 func runGateway(ctx context.Context, s settings.Gateway, path string) error {
-	hangup := hangups()
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	logger := logging.New("gateway", s.Logs, logging.NewAsync(os.Stdout))
@@ -53,6 +53,6 @@
 		logger.Error("not started", "error", err)
 		return err
 	}
-	go reloadOn(ctx, hangup, node.NewGatewayReloader(path, s, logger).Reload)
+	go reloadOn(ctx, hangup.Signals(), node.NewGatewayReloader(path, s, logger).Reload)
 	return g.Run(ctx)
 }
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 
+	"arbutusramp/internal/hangup"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/telemetry"
@@ -21,7 +22,6 @@
 // serve starts the process called name and runs it until ctx ends.
 func (f *processFlags) serve(ctx context.Context, name string, logs settings.Logs,
 	start func(hclog.Logger, metrics.Registry) (*process, error)) error {
-	hangup := hangups()
 	stopProfile, err := startProfile(f.profile)
 	if err != nil {
 		return err
@@ -36,6 +36,6 @@
 	if err := writeAddrFile(f.addrFile, p.addrs); err != nil {
 		return err
 	}
-	go reloadOn(ctx, hangup, p.reload)
+	go reloadOn(ctx, hangup.Signals(), p.reload)
 	return p.run(ctx)
 }
--- a/internal/command/signal.go
+++ b/internal/command/signal.go
@@ -33,14 +33,6 @@
 	}
 }
 
-// hangups catches SIGHUP from now on. A process that starts must not be ended by an
-// operator who sends it to all: it is looked at once the process can read its settings again.
-func hangups() <-chan os.Signal {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	return c
-}
-
 // reloadOn calls reload at each signal until ctx ends. A signal that comes while one waits adds
 // nothing: the file is read after both.
 func reloadOn(ctx context.Context, c <-chan os.Signal, reload func() error) {
