--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -288,3 +288,20 @@
 		t.Error("a peer has just reached the store")
 	}
 }
+
+// Symptom: in an overload targets that were well became suspect, one after the other.
+// Sequence: twice as many requests as slots are at each target; a gateway of many has one there, which
+// waits in the queue for most of a second and hears nothing.
+// Cause: the wait was taken for silence, though the loads told of the queue.
+func TestAQueueIsNotSilence(t *testing.T) {
+	f := testFleet("self", 1)
+	f.Hear(start, "peer", Report{Loads: map[string]Load{"t0": {Online: 2*testSlots - 1}}})
+	f.Begin(start, "t0", structs.ClassOnline)
+	late := start.Add(silenceLimit + queueWait/2)
+	if f.SilentSince(late, start, "t0") {
+		t.Error("a target with a full queue counts as silent before its queue has passed")
+	}
+	if !f.SilentSince(start.Add(silenceLimit+queueWait+time.Millisecond), start, "t0") {
+		t.Error("a target that sends nothing at all is never silent")
+	}
+}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -80,8 +80,24 @@
 	return true
 }
 
+// queueWait is how long a request may wait in a target's queue for each full set of slots that is
+// before it: a stream holds its slot for half a second to a second.
+const queueWait = time.Second
+
+// QueueWait is how long a request at a target may have to wait for a slot before it gets its first
+// byte, by the loads that are known.
+func (f *Fleet) QueueWait(id string) time.Duration {
+	n, ok := f.nodes[id]
+	if !ok {
+		return 0
+	}
+	waiting := max(0, -n.room())
+	return queueWait * time.Duration(waiting) / time.Duration(n.Slots)
+}
+
 // SilentSince says whether a target has sent nothing to anybody here since a request was sent
-// to it at that time, for longer than a working target ever keeps silent.
+// to it at that time, for longer than a working target ever keeps silent. In a large system a gateway
+// has few requests at each target, so that a queue there looks like silence.
 func (f *Fleet) SilentSince(now, sent time.Time, id string) bool {
 	n, ok := f.nodes[id]
 	if !ok {
@@ -91,5 +107,5 @@
 	if n.health.heard.After(last) {
 		last = n.health.heard
 	}
-	return now.Sub(last) > silenceLimit
+	return now.Sub(last) > silenceLimit+f.QueueWait(id)
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -135,6 +135,13 @@
 	return r.view.fleet.SilentSince(time.Now(), sent, r.Target.ID)
 }
 
+// QueueWait is how long the run may have to wait for a slot at its target.
+func (r *Run) QueueWait() time.Duration {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.view.fleet.QueueWait(r.Target.ID)
+}
+
 // Hear takes in a peer's report.
 func (v *View) Hear(from fleet.Peer, report fleet.Report) {
 	v.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -102,7 +102,7 @@
 	if a.route.Kind == serving.KindSafe {
 		patience = max(callPatience, a.route.Goal*3/2)
 	}
-	return time.Since(a.req.Arrived)-time.Duration(a.heard.Load()) > patience
+	return time.Since(a.req.Arrived)-time.Duration(a.heard.Load()) > patience+a.run.QueueWait()
 }
 
 // heardNow notes a part of the answer.
