--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -45,31 +45,6 @@
 	runs   sync.WaitGroup
 }
 
-// task is an item that this process has to bring to an end.
-type task struct {
-	shard *shard
-	job   *backlog.Job
-	index int
-
-	mu       sync.Mutex
-	running  bool
-	over     bool // its end is known, and written or about to be
-	cancel   context.CancelFunc
-	cut      bool
-	notUntil time.Time
-	lastID   string // of the last event in text
-	text     []byte
-	unsaved  int                    // events since the last checkpoint
-	saved    []platform.KeyedRecord // the last checkpoint; empty without one
-	failures int                    // runs that the target has answered with a failure
-	avoid    []string               // targets that have just failed it
-}
-
-func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
-
-// due is when the task should be done.
-func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
-
 func newDesk(k *Keeper) *desk {
 	return &desk{k: k, shards: make(map[*shard]bool), tasks: make(map[string]*task)}
 }
@@ -108,13 +83,6 @@
 	d.k.park(left)
 }
 
-// progress is how far the task has come.
-func (t *task) progress() *backlog.Progress {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
-}
-
 // adoptProgress takes over what another process has written of a task, if that is further.
 func (d *desk) adoptProgress(t *task, p backlog.Progress) {
 	if t.adopt(p) {
@@ -122,17 +90,6 @@
 	}
 }
 
-// adopt reports whether the task goes on from p. It does not while a run is on.
-func (t *task) adopt(p backlog.Progress) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.running || t.over || len(p.Text) <= len(t.text) {
-		return false
-	}
-	t.lastID, t.text = p.LastID, []byte(p.Text)
-	return true
-}
-
 // checkpoint returns the records of items that have come far since their last checkpoint.
 func (d *desk) checkpoint() []platform.KeyedRecord {
 	d.mu.Lock()
@@ -150,33 +107,6 @@
 	return records
 }
 
-func (t *task) dueForCheckpoint() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.over && t.unsaved >= checkpointEvents
-}
-
-func (t *task) noteCheckpoint(saved []platform.KeyedRecord) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unsaved, t.saved = 0, saved
-}
-
-func (t *task) checkpointed() []platform.KeyedRecord {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.saved
-}
-
-// end cancels the task's run.
-func (t *task) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.cancel != nil {
-		t.cancel()
-	}
-}
-
 func (d *desk) counts() Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -189,12 +119,6 @@
 	return c
 }
 
-func (t *task) isRunning() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.running
-}
-
 // stopRuns ends all runs and waits until they are over.
 func (d *desk) stopRuns(ctx context.Context) {
 	d.mu.Lock()
@@ -346,12 +270,6 @@
 	return sure || d.k.view.StoreDownForAll()
 }
 
-func (t *task) mayStart(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.running && !t.over && !now.Before(t.notUntil)
-}
-
 // unroutedGrace is how long an item's route may be missing before the item is given up: a
 // configuration may take a route away and bring it back.
 const unroutedGrace = 5 * time.Second
@@ -367,12 +285,6 @@
 	}
 }
 
-// finish ends the task. The caller holds its lock.
-func (t *task) finish(o backlog.Outcome, text string) {
-	t.over = true
-	t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: o, text: text})
-}
-
 // start runs a task if a target has room for it.
 func (d *desk) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
@@ -408,17 +320,3 @@
 	d.runs.Add(1)
 	return true
 }
-
-func (t *task) avoided() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.avoid
-}
-
-// cutOff ends a run whose slot online requests need.
-func (t *task) cutOff(cancel context.CancelFunc) {
-	t.mu.Lock()
-	t.cut = true
-	t.mu.Unlock()
-	cancel()
-}
--- /dev/null
+++ b/internal/backlog/task.go
@@ -0,0 +1,112 @@
+package backlog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/platform"
+)
+
+// task is an item that this process has to bring to an end.
+type task struct {
+	shard *shard
+	job   *backlog.Job
+	index int
+
+	mu       sync.Mutex
+	running  bool
+	over     bool // its end is known, and written or about to be
+	cancel   context.CancelFunc
+	cut      bool
+	notUntil time.Time
+	lastID   string // of the last event in text
+	text     []byte
+	unsaved  int                    // events since the last checkpoint
+	saved    []platform.KeyedRecord // the last checkpoint; empty without one
+	failures int                    // runs that the target has answered with a failure
+	avoid    []string               // targets that have just failed it
+}
+
+func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
+
+// due is when the task should be done.
+func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
+
+// progress is how far the task has come.
+func (t *task) progress() *backlog.Progress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
+}
+
+// adopt reports whether the task goes on from p. It does not while a run is on.
+func (t *task) adopt(p backlog.Progress) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running || t.over || len(p.Text) <= len(t.text) {
+		return false
+	}
+	t.lastID, t.text = p.LastID, []byte(p.Text)
+	return true
+}
+
+func (t *task) dueForCheckpoint() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.over && t.unsaved >= checkpointEvents
+}
+
+func (t *task) noteCheckpoint(saved []platform.KeyedRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unsaved, t.saved = 0, saved
+}
+
+func (t *task) checkpointed() []platform.KeyedRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.saved
+}
+
+// end cancels the task's run.
+func (t *task) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cancel != nil {
+		t.cancel()
+	}
+}
+
+func (t *task) isRunning() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
+func (t *task) mayStart(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.running && !t.over && !now.Before(t.notUntil)
+}
+
+// finish ends the task. The caller holds its lock.
+func (t *task) finish(o backlog.Outcome, text string) {
+	t.over = true
+	t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: o, text: text})
+}
+
+func (t *task) avoided() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.avoid
+}
+
+// cutOff ends a run whose slot online requests need.
+func (t *task) cutOff(cancel context.CancelFunc) {
+	t.mu.Lock()
+	t.cut = true
+	t.mu.Unlock()
+	cancel()
+}
