--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -43,8 +43,6 @@
 	Kind     Kind
 	Timeout  time.Duration // longest that a request is kept waiting
 	Goal     time.Duration // within which an answer is worth most
-	EventGap time.Duration // longest pause between events that still counts as prompt
-	Priority int           // 0 is the most urgent
 	Attempts int           // most targets that one request may be sent to
 	// Resumable streams may go on at another target after their last event.
 	Resumable bool
@@ -89,23 +87,14 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-}
-
-// Service is what the operator says of one service.
-type Service struct {
-	Name       string
-	HealthPath string
-	MaxConns   int // connections that one target accepts from all callers together
+	MaxBodyBytes int64 // 0 is no limit
 }
 
 // Config is one version of the operator's configuration.
 type Config struct {
-	Version  uint64
-	Routes   []Route
-	Services map[string]Service
-	Limits   Limits
+	Version uint64
+	Routes  []Route
+	Limits  Limits
 }
 
 // Router finds routes by host and path.
