--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -74,7 +74,7 @@
 	var left []*task
 	for key, t := range d.tasks {
 		if t.shard == s {
-			t.end()
+			t.stop()
 			left = append(left, t)
 			delete(d.tasks, key)
 		}
@@ -124,7 +124,7 @@
 	d.mu.Lock()
 	d.closed = true
 	for _, t := range d.tasks {
-		t.end()
+		t.stop()
 	}
 	d.mu.Unlock()
 	over := make(chan struct{})
@@ -189,7 +189,7 @@
 		})
 		for key, t := range d.tasks {
 			if st.Done(t.job.ID, t.item().ID) || st.Ended(t.job.ID) {
-				t.end()
+				t.stop()
 				delete(d.tasks, key)
 				d.drops = append(d.drops, backlog.Drop(t.checkpointed())...)
 				continue
@@ -276,12 +276,8 @@
 
 // unrouted puts off an item without a route, and gives it up in the end.
 func (d *desk) unrouted(t *task, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.notUntil = now.Add(unroutedGrace)
-	t.failures++
-	if t.failures > t.job.Attempts {
-		t.finish(backlog.Errored, "")
+	if end := t.noRoute(now); end != nil {
+		t.shard.finish(end)
 	}
 }
 
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -58,31 +58,37 @@
 // settle decides how a task goes on after a run and reports whether the run was cut off. The run
 // is over only with that: a task that is not running and not over is started again.
 func (t *task) settle(target string, v verdict) (cut bool) {
+	end, cut := t.conclude(target, v)
+	if end != nil {
+		t.shard.finish(end)
+	}
+	return cut
+}
+
+// conclude is settle without telling the shard, which must not happen under the task's lock.
+func (t *task) conclude(target string, v verdict) (end *outcome, cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running = false
 	switch v {
 	case complete:
-		t.finish(backlog.Complete, string(t.text))
-		return t.cut
+		return t.end(backlog.Complete, string(t.text)), t.cut
 	case hopeless:
-		t.finish(backlog.Errored, "")
-		return t.cut
+		return t.end(backlog.Errored, ""), t.cut
 	case failed:
 		t.failures++
 		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
 		if t.failures >= t.job.Attempts {
-			t.finish(backlog.Errored, "")
-			return t.cut
+			return t.end(backlog.Errored, ""), t.cut
 		}
 	}
 	if t.cut {
 		t.avoid = nil
-		return true
+		return nil, true
 	}
 	t.avoid = []string{target}
 	t.notUntil = time.Now().Add(againPause)
-	return false
+	return nil, false
 }
 
 // follow sends the item and reads its stream.
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/keeper.go
@@ -34,7 +34,8 @@
 	Keep time.Duration
 }
 
-// Keeper keeps batch jobs.
+// Keeper keeps batch jobs. Locks are taken in this order, and none of those before one of them is
+// taken while it is held: desk or shard, replica, task, fleet view.
 type Keeper struct {
 	opts    Options
 	store   platform.Store
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -430,3 +431,46 @@
 		}
 	})
 }
+
+// Symptom: a process went on serving streams but answered no question about jobs, was not ready, and
+// never stopped.
+// Sequence: a run ends and tells its shard, holding the task's lock; the shard gives out positions and
+// asks the replica; the desk holds the replica's state and looks at the task.
+// Cause: three locks were taken in a circle.
+func TestATaskIsFreeWhileItsShardIsBusy(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		s := &shard{k: w.nodes[0].keeper, wake: make(chan struct{}, 1)}
+		for name, end := range map[string]func(*task){
+			"a run that ends":      func(tk *task) { tk.settle("target-0", complete) },
+			"a route that is gone": func(tk *task) { w.nodes[0].keeper.desk.unrouted(tk, time.Now()) },
+		} {
+			tk := &task{shard: s, job: w.job("a", "ok"), running: true, failures: 3}
+			s.mu.Lock()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				end(tk)
+			}()
+			if !overSoon(tk) {
+				t.Errorf("%s: the task is locked while its shard is waited for", name)
+			}
+			s.mu.Unlock()
+			<-done
+		}
+	})
+}
+
+// overSoon says whether a task can be looked at and is over, within many tries.
+func overSoon(tk *task) bool {
+	for range 100_000 {
+		if tk.mu.TryLock() {
+			over := tk.over
+			tk.mu.Unlock()
+			if over {
+				return true
+			}
+		}
+		runtime.Gosched()
+	}
+	return false
+}
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -70,8 +70,8 @@
 	return t.saved
 }
 
-// end cancels the task's run.
-func (t *task) end() {
+// stop cancels the task's run.
+func (t *task) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.cancel != nil {
@@ -91,10 +91,10 @@
 	return !t.running && !t.over && !now.Before(t.notUntil)
 }
 
-// finish ends the task. The caller holds its lock.
-func (t *task) finish(o backlog.Outcome, text string) {
+// end makes the task's end, to be told to its shard. The caller holds the task's lock.
+func (t *task) end(o backlog.Outcome, text string) *outcome {
 	t.over = true
-	t.shard.finish(&outcome{job: t.job, item: t.item().ID, outcome: o, text: text})
+	return &outcome{job: t.job, item: t.item().ID, outcome: o, text: text}
 }
 
 func (t *task) avoided() []string {
@@ -110,3 +110,15 @@
 	t.mu.Unlock()
 	cancel()
 }
+
+// noRoute notes that the task has no route. It returns the task's end once that has been so for long.
+func (t *task) noRoute(now time.Time) *outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notUntil = now.Add(unroutedGrace)
+	t.failures++
+	if t.failures <= t.job.Attempts {
+		return nil
+	}
+	return t.end(backlog.Errored, "")
+}
