--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -129,7 +129,9 @@
 			d.down = false
 			d.configs = append(d.configs, config(1, "/a/"))
 		})
-		time.Sleep(100 * time.Millisecond) // the configuration is there at once, the list takes a second
+		// A read that fails is tried again after retryPause; this is well after it, and the list is
+		// not there as long as nothing is said about it.
+		time.Sleep(5 * retryPause)
 		if w.Version() != 1 || w.Ready() {
 			t.Errorf("version %d, ready %v before the targets are read", w.Version(), w.Ready())
 		}
