--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -67,8 +67,13 @@
 		}
 	}
 	for i := range held {
-		if s, ok := shards[i]; ok && !s.fenced() {
-			continue
+		if s, ok := shards[i]; ok {
+			// Begun anew in the same epoch, the shard would use sequence numbers again, and the
+			// store would answer its writes as repeats without doing them.
+			if !s.fenced() || a.Generation <= s.epoch {
+				continue
+			}
+			s.stop()
 		}
 		k.log.Info("shard taken", "shard", i, "epoch", a.Generation)
 		shards[i] = k.startShard(ctx, i, a.Generation)
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -474,3 +474,26 @@
 	}
 	return false
 }
+
+// A shard that was lost begins anew only in a later epoch: within the same one the store takes its first
+// writes for repeats of those before, answers them and drops them.
+func TestALostShardWaitsForALaterEpoch(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		k := w.nodes[0].keeper
+		lost := &shard{k: k, epoch: 5, lost: true, stop: func() {}}
+		shards := map[int]*shard{0: lost}
+		held := []platform.Partition{{Topic: shardTopic, Index: 0}}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		k.deal(ctx, shards, platform.Assignment{Generation: 5, Held: held})
+		if shards[0] != lost {
+			t.Error("the shard began anew in its epoch")
+		}
+		k.deal(ctx, shards, platform.Assignment{Generation: 6, Held: held})
+		if shards[0] == lost || shards[0].epoch != 6 {
+			t.Error("the shard did not begin anew in a later epoch")
+		}
+		shards[0].stop()
+		<-shards[0].over
+	})
+}
