--- /dev/null
+++ b/core/backlog/state_test.go
@@ -0,0 +1,163 @@
+package backlog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+)
+
+func testJob() *Job {
+	j := &Job{ID: "job", Route: "r", Attempts: 3}
+	for i := range 3 {
+		j.Items = append(j.Items, Item{ID: fmt.Sprint("i", i), Tokens: 10, Body: []byte{byte(i)}})
+	}
+	return j
+}
+
+// story is all records of a job whose first two items have ended, with one result that is larger
+// than a record may be.
+func story(t *testing.T) []platform.KeyedRecord {
+	t.Helper()
+	var all []platform.KeyedRecord
+	add := func(records []platform.KeyedRecord, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, records...)
+	}
+	add(EncodeJob(testJob()))
+	add(EncodeResult(&Result{Job: "job", Position: 0, Item: "i1", Outcome: Complete, Text: strings.Repeat("x", 3*chunkBytes)}))
+	add(EncodeResult(&Result{Job: "job", Position: 1, Item: "i0", Outcome: Errored}))
+	add(EncodeProgress(&Progress{Job: "job", Item: "i2", LastID: "2", Text: "a\nb"}, 7, 2))
+	add(EncodeProgress(&Progress{Job: "job", Item: "i2", LastID: "1", Text: "a"}, 7, 2))
+	return all
+}
+
+// The fold must come to the same whatever order the records are read in and however often: newest
+// records come in the order of their keys, and a read after them brings some again.
+func TestTheFoldDoesNotDependOnOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		records := append(story(t), story(t)...)
+		rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		s := NewState()
+		for _, r := range records {
+			if _, err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		page := s.Page("job", 0, 1<<30)
+		if page.Total != 3 || page.Next != 2 || page.Results[0].Item != "i1" || len(page.Results[0].Text) != 3*chunkBytes || page.Results[1].Outcome != Errored {
+			t.Fatalf("page %d to %d of %d", len(page.Results), page.Next, page.Total)
+		}
+		if p := s.Progress("job", "i2"); p.LastID != "2" || p.Text != "a\nb" {
+			t.Fatalf("progress %+v", p)
+		}
+		if q := s.Queued("r"); q != 10 || s.Queued("other") != 0 {
+			t.Fatalf("%d tokens are queued", q)
+		}
+	}
+}
+
+func TestAnEndedJobWantsNothing(t *testing.T) {
+	s := NewState()
+	records, err := EncodeEnd("job")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range append(records, story(t)...) { // the end is read before the job
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Open(func(j *Job) { t.Errorf("job %s is open", j.ID) })
+	if !s.Ended("job") || s.Queued("r") != 0 || s.Listed("job") != 2 {
+		t.Errorf("ended %v, queued %d, listed %d", s.Ended("job"), s.Queued("r"), s.Listed("job"))
+	}
+}
+
+// A gap in the positions hides what is behind it: positions must not move once they are shown.
+func TestResultsAreListedWithoutGaps(t *testing.T) {
+	s := NewState()
+	for _, p := range []int{2, 0} {
+		records, err := EncodeResult(&Result{Job: "job", Position: p, Item: fmt.Sprint("i", p), Outcome: Complete})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Apply(records[0]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.Listed("job") != 1 {
+		t.Errorf("%d results are listed", s.Listed("job"))
+	}
+}
+
+func TestPagesHoldOneResultAtTheLeast(t *testing.T) {
+	s := NewState()
+	for _, r := range story(t) {
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p := s.Page("job", 0, 10); len(p.Results) != 1 || p.Next != 1 {
+		t.Errorf("%d results up to %d", len(p.Results), p.Next)
+	}
+	if p := s.Page("job", 2, 10); len(p.Results) != 0 || p.Next != 2 || p.Total != 3 {
+		t.Errorf("at the end: %+v", p)
+	}
+}
+
+func TestForgetDropsEveryKey(t *testing.T) {
+	s := NewState()
+	keys := make(map[string]bool)
+	end, err := EncodeEnd("job")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range append(story(t), end...) {
+		if !strings.HasPrefix(r.Key, kindProgress) { // dropped by whoever wrote it
+			keys[r.Key] = true
+		}
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	jobs, results, err := s.Forget("job")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range append(results, jobs...) {
+		delete(keys, r.Key)
+		if len(r.Value) != 0 {
+			t.Errorf("key %s is written, not dropped", r.Key)
+		}
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(keys) != 0 {
+		t.Errorf("keys are left: %v", keys)
+	}
+	if _, ok := s.Job("job"); ok {
+		t.Error("the job is still there")
+	}
+}
+
+func TestBrokenRecordsAreRefused(t *testing.T) {
+	s := NewState()
+	for _, r := range []platform.KeyedRecord{
+		{Key: "j/x", Value: []byte{0}},
+		{Key: "j/x", Value: []byte{0, 0, 0, 1, 0xff}},
+		{Key: "j/x", Value: []byte{0, 5, 0, 2, 1}},
+		{Key: "z/x", Value: []byte{0, 0, 0, 1, 0xa0}},
+	} {
+		if _, err := s.Apply(r); !errs.Is(err, errs.BadFrame) {
+			t.Errorf("%s %v: %v", r.Key, r.Value, err)
+		}
+	}
+}
