--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -60,6 +60,19 @@
 // length: the newest records are read in the order of keys.
 func ProgressPrefix(shard int) string { return fmt.Sprintf("%s/%06d/", kindProgress, shard) }
 
+// progressKey reads the job and the item's index out of a key of progress.
+func progressKey(key string) (job string, index int, ok bool) {
+	key, _, _ = strings.Cut(key, "#")
+	kind, rest, _ := strings.Cut(key, "/")
+	_, rest, shard := strings.Cut(rest, "/")
+	at := strings.LastIndexByte(rest, '/') // a job's id may hold slashes
+	if kind != kindProgress || !shard || at < 0 {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(rest[at+1:])
+	return rest[:at], index, err == nil && index >= 0
+}
+
 func join(parts ...string) string { return strings.Join(parts, "/") }
 
 // encode splits a value into records that the store takes.
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -182,6 +182,20 @@
 	return p
 }
 
+// Unneeded says whether a record of progress is of an item that has ended, or of a job that is
+// ended or gone: nobody will go on from it.
+func (s *State) Unneeded(key string) bool {
+	job, index, ok := progressKey(key)
+	if !ok {
+		return false
+	}
+	st, known := s.jobs[job]
+	if !known || st.job == nil || st.ended {
+		return true
+	}
+	return index >= len(st.job.Items) || st.done[st.job.Items[index].ID]
+}
+
 // Queued is the number of tokens of unfinished items of jobs that came by a route.
 func (s *State) Queued(route string) int64 {
 	var sum int64
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -161,3 +161,27 @@
 		}
 	}
 }
+
+func TestProgressThatNobodyNeeds(t *testing.T) {
+	s := NewState()
+	for _, r := range story(t) {
+		if _, err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for key, want := range map[string]bool{
+		"p/000007/job/0":    true, // the item has ended
+		"p/000007/job/0#1":  true,
+		"p/000007/job/2":    false,
+		"p/000007/job/9":    true, // no such item
+		"p/000007/gone/0":   true,
+		"p/000007/a/b/0":    true,  // a job's id may hold slashes
+		"p/000007/job":      false, // no key of progress
+		"j/job":             false,
+		"p/000007/job/nine": false,
+	} {
+		if s.Unneeded(key) != want {
+			t.Errorf("%s: %v", key, !want)
+		}
+	}
+}
--- a/internal/backlog/desk.go
+++ b/internal/backlog/desk.go
@@ -83,11 +83,23 @@
 	d.k.park(left)
 }
 
-// adoptProgress takes over what another process has written of a task, if that is further.
+// adoptProgress takes over what another process has written of a task, if that is further. In any case
+// it is the last checkpoint, to be dropped once the task has ended.
 func (d *desk) adoptProgress(t *task, p backlog.Progress) {
-	if t.adopt(p) {
-		t.noteCheckpoint(d.k.progressOf(t))
+	if p.LastID == "" {
+		return
 	}
+	t.adopt(p)
+	if len(t.checkpointed()) == 0 {
+		t.noteCheckpoint(d.k.encodeProgress(t, &p))
+	}
+}
+
+// drop takes records that drop progress for the next checkpoint.
+func (d *desk) drop(records []platform.KeyedRecord) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drops = append(d.drops, records...)
 }
 
 // checkpoint returns the records of items that have come far since their last checkpoint.
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/keeper_test.go
@@ -497,3 +497,29 @@
 		<-shards[0].over
 	})
 }
+
+// Symptom: the store fills up with progress of items that ended long ago.
+// Sequence: a former owner, which has not been told yet, writes what it has after the item has ended at
+// the next one.
+// Cause: only who wrote or took over progress dropped it.
+func TestProgressThatComesTooLateIsDropped(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, w *world) {
+		j := w.job("a", "ok", "ok")
+		w.nodes[0].submit(j)
+		w.check(j, w.nodes[0].results(j, 10*time.Second))
+		shard := w.nodes[0].keeper.shardOf(j.ID)
+		records, err := backlog.EncodeProgress(&backlog.Progress{Job: j.ID, Item: j.Items[0].ID, LastID: "3", Text: "x"}, shard, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v := w.store.View()
+		if _, err := v.Append(context.Background(), platform.Append{Partition: progressPartition, Records: records}); err != nil {
+			t.Fatal(err)
+		}
+		w.store.Rebalance()
+		time.Sleep(10 * time.Second)
+		if page, err := v.Newest(context.Background(), progressPartition, ""); err != nil || len(page.Records) != 0 {
+			t.Errorf("%d records of progress are left, %v", len(page.Records), err)
+		}
+	})
+}
--- a/internal/backlog/park.go
+++ b/internal/backlog/park.go
@@ -71,6 +71,10 @@
 	if p.LastID == "" {
 		return nil
 	}
+	return k.encodeProgress(t, p)
+}
+
+func (k *Keeper) encodeProgress(t *task, p *backlog.Progress) []platform.KeyedRecord {
 	records, err := backlog.EncodeProgress(p, t.shard.index, t.index)
 	if err != nil {
 		k.log.Error("progress can't be encoded", "job", p.Job, "item", p.Item, "error", err)
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -130,13 +130,14 @@
 	}
 }
 
-// loadProgress reads how far the items of a shard have come.
-func (r *Replica) loadProgress(ctx context.Context, shard int) error {
+// loadProgress reads how far the items of a shard have come. It returns records that drop what nobody
+// needs any more: a former owner may have written it after the item had ended elsewhere.
+func (r *Replica) loadProgress(ctx context.Context, shard int) (drops []platform.KeyedRecord, err error) {
 	prefix := backlog.ProgressPrefix(shard)
 	for after := prefix; ; {
 		page, err := r.store.Newest(ctx, progressPartition, after)
 		if err != nil {
-			return err
+			return drops, err
 		}
 		own := page.Records
 		for i, rec := range own {
@@ -146,13 +147,27 @@
 			}
 		}
 		r.apply(own)
+		drops = append(drops, r.unneeded(own)...)
 		if len(own) < len(page.Records) || !page.More || len(own) == 0 {
-			return nil
+			return drops, nil
 		}
 		after = own[len(own)-1].Key
 	}
 }
 
+// unneeded returns records that drop those of progress that nobody will go on from.
+func (r *Replica) unneeded(progress []platform.StoredRecord) []platform.KeyedRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var drops []platform.KeyedRecord
+	for _, rec := range progress {
+		if r.state.Unneeded(rec.Key) {
+			drops = append(drops, platform.KeyedRecord{Key: rec.Key})
+		}
+	}
+	return drops
+}
+
 func (r *Replica) loaded(p platform.Partition, end uint64, asked time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -130,7 +130,9 @@
 // readProgress takes over how far the shard's items have come. Without it they start anew, so a
 // failure is only logged.
 func (s *shard) readProgress(ctx context.Context) {
-	if err := s.k.replica.loadProgress(ctx, s.index); err != nil {
+	drops, err := s.k.replica.loadProgress(ctx, s.index)
+	s.k.desk.drop(drops)
+	if err != nil {
 		s.k.log.Warn("progress not read", "shard", s.index, "epoch", s.epoch, "error", err)
 	}
 }
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -41,15 +41,14 @@
 	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
 }
 
-// adopt reports whether the task goes on from p. It does not while a run is on.
-func (t *task) adopt(p backlog.Progress) bool {
+// adopt goes on from p if that is further and no run is on.
+func (t *task) adopt(p backlog.Progress) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.running || t.over || len(p.Text) <= len(t.text) {
-		return false
+		return
 	}
 	t.lastID, t.text = p.LastID, []byte(p.Text)
-	return true
 }
 
 func (t *task) dueForCheckpoint() bool {
