--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -53,9 +53,9 @@
 	return turn
 }
 
-// Cut returns how many of its own batch items this gateway must cut off now, by target. Each
+// Preempt returns how many of its own batch items this gateway must cut off now, by target. Each
 // gateway works out the same division of the excess, so that together they cut as many as needed.
-func (f *Fleet) Cut(now time.Time) map[string]int {
+func (f *Fleet) Preempt(now time.Time) map[string]int {
 	f.expire(now)
 	cuts := make(map[string]int)
 	for id, n := range f.nodes {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -124,7 +124,7 @@
 			if self == "c" {
 				begin(f, "t0", structs.ClassOnline, online)
 			}
-			n := f.Cut(start)["t0"]
+			n := f.Preempt(start)["t0"]
 			if n > items[self] {
 				t.Errorf("%s cuts %d of its %d items", self, n, items[self])
 			}
@@ -141,14 +141,14 @@
 	f := testFleet("self", 2)
 	begin(f, "t0", structs.ClassBatch, 2)
 	begin(f, "t1", structs.ClassBatch, 1)
-	if cuts := f.Cut(start); len(cuts) != 0 {
+	if cuts := f.Preempt(start); len(cuts) != 0 {
 		t.Errorf("cuts %v without a cause", cuts)
 	}
 	d := target(0)
 	d.Draining = true
 	f.Put(d)
 	f.Failed(start, "t1")
-	cuts := f.Cut(start)
+	cuts := f.Preempt(start)
 	if cuts["t0"] != 2 || cuts["t1"] != 1 {
 		t.Errorf("cuts %v", cuts)
 	}
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -32,7 +32,7 @@
 	longEvents = 200 // of items whose ids begin with "okay"
 )
 
-// world is a store, some targets and the keepers of some processes.
+// world is a store, some targets and the managers of some processes.
 type world struct {
 	t       *testing.T
 	store   *keyedlog.Store
@@ -41,15 +41,15 @@
 	nodes   []*node
 }
 
-// node is one process with a keeper.
+// node is one process with a manager.
 type node struct {
-	w      *world
-	name   string
-	view   *keyedlog.View
-	fleet  *fleetview.View
-	keeper *Keeper
-	cancel context.CancelFunc
-	over   chan struct{}
+	w       *world
+	name    string
+	view    *keyedlog.View
+	fleet   *fleetview.View
+	manager *Manager
+	cancel  context.CancelFunc
+	over    chan struct{}
 }
 
 func newWorld(t *testing.T, nodes int) *world {
@@ -84,12 +84,12 @@
 		n.fleet.Put([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}}, nil)
 	}
 	log := testLogger(name)
-	n.keeper = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: testKeep}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: testKeep}, n.view, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
 		defer close(n.over)
-		if err := n.keeper.Run(ctx); err != nil {
+		if err := n.manager.Run(ctx); err != nil {
 			w.t.Errorf("%s: %v", name, err)
 		}
 	}()
@@ -137,7 +137,7 @@
 // submit hands a job in at the node until it is accepted.
 func (n *node) submit(j *backlog.Job) {
 	for range 20 {
-		if err := n.keeper.Submit(context.Background(), n.w.route, j); err == nil {
+		if err := n.manager.Submit(context.Background(), n.w.route, j); err == nil {
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -150,7 +150,7 @@
 	until := time.Now().Add(within)
 	var list []backlog.Result
 	for len(list) < len(j.Items) && time.Now().Before(until) {
-		page, err := n.keeper.Results(context.Background(), j.ID, len(list), time.Second)
+		page, err := n.manager.Results(context.Background(), j.ID, len(list), time.Second)
 		if err != nil {
 			time.Sleep(200 * time.Millisecond)
 			continue
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -27,14 +27,14 @@
 
 // hold keeps this process a member of the group and takes and gives back shards as the store
 // deals them.
-func (k *Keeper) hold(ctx context.Context) error {
-	ttl := time.Duration(float64(k.opts.MinTTL) * ttlFactor)
-	m := platform.Membership{Group: shardGroup, Member: k.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
+func (m *Manager) hold(ctx context.Context) error {
+	ttl := time.Duration(float64(m.opts.MinTTL) * ttlFactor)
+	membership := platform.Membership{Group: shardGroup, Member: m.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
 	shards := make(map[int]*shard)
-	link := dependency.NewLink(k.log, shardGroup)
+	link := dependency.NewLink(m.log, shardGroup)
 	for ctx.Err() == nil {
 		asked := time.Now()
-		a, err := k.store.Join(ctx, m)
+		a, err := m.store.Join(ctx, membership)
 		if ctx.Err() != nil {
 			break
 		}
@@ -42,26 +42,26 @@
 			link.Lost(err)
 		} else {
 			link.Up()
-			m.Generation = a.Generation
-			k.deal(ctx, shards, a)
-			k.desk.leaseUntil(asked.Add(ttl))
+			membership.Generation = a.Generation
+			m.deal(ctx, shards, a)
+			m.scheduler.leaseUntil(asked.Add(ttl))
 		}
 		sleep.For(ctx, ttl/joinsPerTTL)
 	}
-	k.leave(shards)
+	m.leave(shards)
 	return nil
 }
 
 // deal starts shards that are new and stops those that were taken away. Stopping comes before
 // the next join, which tells the store that they are free.
-func (k *Keeper) deal(ctx context.Context, shards map[int]*shard, a platform.Assignment) {
+func (m *Manager) deal(ctx context.Context, shards map[int]*shard, a platform.Assignment) {
 	held := make(map[int]bool, len(a.Held))
 	for _, p := range a.Held {
 		held[p.Index] = true
 	}
 	for i, s := range shards {
 		if !held[i] {
-			k.log.Info("shard given back", "shard", i, "epoch", s.epoch, "generation", a.Generation)
+			m.log.Info("shard given back", "shard", i, "epoch", s.epoch, "generation", a.Generation)
 			s.stop()
 			delete(shards, i)
 		}
@@ -75,21 +75,21 @@
 			}
 			s.stop()
 		}
-		k.log.Info("shard taken", "shard", i, "epoch", a.Generation)
-		shards[i] = k.startShard(ctx, i, a.Generation)
+		m.log.Info("shard taken", "shard", i, "epoch", a.Generation)
+		shards[i] = m.startShard(ctx, i, a.Generation)
 	}
 }
 
 // leave hands over all shards: their items' progress is written, then the store may deal them out.
-func (k *Keeper) leave(shards map[int]*shard) {
+func (m *Manager) leave(shards map[int]*shard) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	k.desk.stopRuns(ctx)
+	m.scheduler.stopRuns(ctx)
 	for _, s := range shards {
 		s.handOver(ctx)
 	}
-	k.parked(ctx)
-	if err := k.store.Leave(ctx, shardGroup, k.opts.Member); err != nil {
-		k.log.Warn("the store was not told of the leave: shards move once the lease has run out", "error", err)
+	m.awaitSaves(ctx)
+	if err := m.store.Leave(ctx, shardGroup, m.opts.Member); err != nil {
+		m.log.Warn("the store was not told of the leave: shards move once the lease has run out", "error", err)
 	}
 }
--- a/internal/backlog/housekeep.go
+++ b/internal/backlog/housekeep.go
@@ -19,31 +19,31 @@
 
 // housekeep drops jobs of this process's shards that have lived their time. The newest record of each
 // key is kept for ever, so that without it the store would fill up and refuse new jobs.
-func (k *Keeper) housekeep(ctx context.Context) error {
+func (m *Manager) housekeep(ctx context.Context) error {
 	for sleep.For(ctx, houseEvery) {
-		for _, id := range k.expired(time.Now()) {
-			if err := k.forget(ctx, id); err != nil {
-				k.log.Warn("old job not dropped", "job", id, "error", err)
+		for _, id := range m.expired(time.Now()) {
+			if err := m.forget(ctx, id); err != nil {
+				m.log.Warn("old job not dropped", "job", id, "error", err)
 				break
 			}
-			k.log.Info("old job dropped", "job", id)
+			m.log.Info("old job dropped", "job", id)
 		}
 	}
 	return nil
 }
 
 // expired returns the jobs of this process's shards that nobody needs any more.
-func (k *Keeper) expired(now time.Time) []string {
-	before := now.Add(-k.opts.Keep - keepSlack).UnixMilli()
+func (m *Manager) expired(now time.Time) []string {
+	before := now.Add(-m.opts.Keep - keepSlack).UnixMilli()
 	var ids []string
-	k.replica.with(func(st *backlog.State) {
+	m.replica.with(func(st *backlog.State) {
 		st.Expired(before, func(j *backlog.Job) {
 			ids = append(ids, j.ID)
 		})
 	})
 	own := ids[:0]
 	for _, id := range ids {
-		if k.desk.owns(k.shardOf(id)) {
+		if m.scheduler.owns(m.shardOf(id)) {
 			own = append(own, id)
 		}
 	}
@@ -51,10 +51,10 @@
 }
 
 // forget drops a job's results first: a job whose record is gone is not looked at again.
-func (k *Keeper) forget(ctx context.Context, id string) error {
+func (m *Manager) forget(ctx context.Context, id string) error {
 	var jobs, results []platform.KeyedRecord
 	var err error
-	k.replica.with(func(st *backlog.State) { jobs, results, err = st.Forget(id) })
+	m.replica.with(func(st *backlog.State) { jobs, results, err = st.Forget(id) })
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 		if len(a.Records) == 0 {
 			continue
 		}
-		if _, err := k.store.Append(ctx, a); err != nil {
+		if _, err := m.store.Append(ctx, a); err != nil {
 			return err
 		}
 	}
@@ -73,7 +73,7 @@
 }
 
 // owns says whether this process runs a shard.
-func (d *desk) owns(index int) bool {
+func (d *scheduler) owns(index int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for s := range d.shards {
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -34,14 +34,14 @@
 )
 
 // runItem runs a task at one target, from its last event on.
-func (k *Keeper) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
+func (m *Manager) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
 	from := t.progress().LastID
 	began := time.Now()
-	v, err := k.follow(ctx, t, r, route)
+	v, err := m.follow(ctx, t, r, route)
 	r.Done()
-	to, cut := t.progress().LastID, t.settle(r.Target.ID, v)
-	k.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
-		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", time.Since(began).Milliseconds(), "verdict", v.String(), "cut", cut, "error", errText(err))
+	to, preempted := t.progress().LastID, t.settle(r.Target.ID, v)
+	m.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
+		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", time.Since(began).Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
 }
 
 func (v verdict) String() string {
@@ -55,34 +55,34 @@
 	return err.Error()
 }
 
-// settle decides how a task goes on after a run and reports whether the run was cut off. The run
+// settle decides how a task goes on after a run and reports whether the run was preempted. The run
 // is over only with that: a task that is not running and not over is started again.
-func (t *task) settle(target string, v verdict) (cut bool) {
-	end, cut := t.conclude(target, v)
+func (t *task) settle(target string, v verdict) (preempted bool) {
+	end, preempted := t.conclude(target, v)
 	if end != nil {
 		t.shard.finish(end)
 	}
-	return cut
+	return preempted
 }
 
 // conclude is settle without telling the shard, which must not happen under the task's lock.
-func (t *task) conclude(target string, v verdict) (end *outcome, cut bool) {
+func (t *task) conclude(target string, v verdict) (end *outcome, preempted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running = false
 	switch v {
 	case complete:
-		return t.end(backlog.Complete, string(t.text)), t.cut
+		return t.end(backlog.Complete, string(t.text)), t.preempted
 	case hopeless:
-		return t.end(backlog.Errored, ""), t.cut
+		return t.end(backlog.Errored, ""), t.preempted
 	case failed:
 		t.failures++
 		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
 		if t.failures >= t.job.Attempts {
-			return t.end(backlog.Errored, ""), t.cut
+			return t.end(backlog.Errored, ""), t.preempted
 		}
 	}
-	if t.cut {
+	if t.preempted {
 		t.avoid = nil
 		return nil, true
 	}
@@ -92,12 +92,12 @@
 }
 
 // follow sends the item and reads its stream.
-func (k *Keeper) follow(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (verdict, error) {
+func (m *Manager) follow(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (verdict, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	guard := newGuard(ctx, cancel, r)
 	item := t.item()
-	ans, err := k.targets.Send(ctx, platform.TargetCall{
+	ans, err := m.targets.Send(ctx, platform.TargetCall{
 		Target: r.Target,
 		Request: &serving.Request{
 			ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
@@ -106,11 +106,11 @@
 		ResumeAfter: t.progress().LastID,
 	})
 	if err != nil {
-		return goOn, k.itemFailed(ctx, t, r, err)
+		return goOn, m.itemFailed(ctx, t, r, err)
 	}
 	defer ans.Body.Close()
 	guard.heard()
-	if v, err := k.itemRefused(t, r, ans); v != complete {
+	if v, err := m.itemRefused(t, r, ans); v != complete {
 		return v, err
 	}
 	in := events.NewReader(ans.Body)
@@ -120,7 +120,7 @@
 			return complete, nil
 		}
 		if err != nil {
-			return goOn, k.itemFailed(ctx, t, r, err)
+			return goOn, m.itemFailed(ctx, t, r, err)
 		}
 		guard.heard()
 		t.take(e)
@@ -140,10 +140,10 @@
 }
 
 // itemRefused tells answers that are no stream of the item; complete means that it is one.
-func (k *Keeper) itemRefused(t *task, r *fleetview.Run, ans *platform.TargetAnswer) (verdict, error) {
+func (m *Manager) itemRefused(t *task, r *fleetview.Run, ans *platform.TargetAnswer) (verdict, error) {
 	switch {
 	case ans.OtherInstance:
-		k.view.Drop(r.Target.ID)
+		m.view.Drop(r.Target.ID)
 		return goOn, errs.New(errs.TargetFailed, "another target has the address")
 	case ans.NotRun:
 		return goOn, errs.Newf(errs.TargetFailed, "the target refuses the item with %d", ans.Status)
@@ -160,12 +160,12 @@
 }
 
 // itemFailed counts a lost connection against the target, unless the run was ended here.
-func (k *Keeper) itemFailed(ctx context.Context, t *task, r *fleetview.Run, err error) error {
+func (m *Manager) itemFailed(ctx context.Context, t *task, r *fleetview.Run, err error) error {
 	if ctx.Err() != nil {
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
 	}
 	if r.Failed() {
-		k.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
+		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
 	return err
 }
--- a/internal/backlog/keeper.go
+++ b/internal/backlog/manager.go
@@ -22,7 +22,7 @@
 	Route(host, uri string) (*serving.Route, serving.Limits, error)
 }
 
-// Options are the settings of a keeper.
+// Options are the settings of a manager.
 type Options struct {
 	// Member names this start of this process; it must never be used again.
 	Member string
@@ -34,44 +34,44 @@
 	Keep time.Duration
 }
 
-// Keeper keeps batch jobs. Locks are taken in this order, and none of those before one of them is
-// taken while it is held: desk or shard, replica, task, fleet view.
-type Keeper struct {
-	opts    Options
-	store   platform.Store
-	targets platform.TargetCaller
-	view    *fleetview.View
-	router  Router
-	log     hclog.Logger
-	runs    *logging.Routine // a line for each run of an item
-	reg     metrics.Registry
-	replica *Replica
-	desk    *desk
-	// parking are the writes of progress that are under way; parkCtx ends them at the stop.
-	parking     sync.WaitGroup
-	parkCtx     context.Context
-	stopParking context.CancelFunc
+// Manager keeps batch jobs. Locks are taken in this order, and none of those before one of them is
+// taken while it is held: scheduler or shard, replica, task, fleet view.
+type Manager struct {
+	opts      Options
+	store     platform.Store
+	targets   platform.TargetCaller
+	view      *fleetview.View
+	router    Router
+	log       hclog.Logger
+	runs      *logging.Routine // a line for each run of an item
+	reg       metrics.Registry
+	replica   *Replica
+	scheduler *scheduler
+	// saving are the writes of progress that are under way; saveCtx ends them at the stop.
+	saving     sync.WaitGroup
+	saveCtx    context.Context
+	stopSaving context.CancelFunc
 }
 
-// New returns a keeper that knows nothing yet.
-func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Keeper {
-	k := &Keeper{
+// New returns a manager that knows nothing yet.
+func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
+	m := &Manager{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg,
 		replica: NewReplica(store, view.SetContact, log),
 	}
-	k.desk = newDesk(k)
-	k.parkCtx, k.stopParking = context.WithCancel(context.Background())
-	return k
+	m.scheduler = newScheduler(m)
+	m.saveCtx, m.stopSaving = context.WithCancel(context.Background())
+	return m
 }
 
 // Loaded says whether the jobs have been read, so that new ones can be taken. The results are many
 // times as large; until they are there, their readers are told to come back.
-func (k *Keeper) Loaded() bool {
-	_, loaded := k.replica.position(jobPartition)
+func (m *Manager) Loaded() bool {
+	_, loaded := m.replica.position(jobPartition)
 	return loaded
 }
 
-// Counts is what a keeper has at a moment.
+// Counts is what a manager has at a moment.
 type Counts struct {
 	Items   int // unfinished items of its shards
 	Running int
@@ -79,37 +79,37 @@
 	JobsAge time.Duration // of its state of jobs and ends
 }
 
-// Counts returns what the keeper has now.
-func (k *Keeper) Counts() Counts {
-	c := k.desk.counts()
-	c.JobsAge = k.replica.age(jobPartition)
+// Counts returns what the manager has now.
+func (m *Manager) Counts() Counts {
+	c := m.scheduler.counts()
+	c.JobsAge = m.replica.age(jobPartition)
 	return c
 }
 
 // Run follows the store, holds shards and runs items until ctx ends. Then it hands its items over.
-func (k *Keeper) Run(ctx context.Context) error {
+func (m *Manager) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return k.replica.follow(ctx, jobPartition) })
-	g.Go(func() error { return k.replica.follow(ctx, resultPartition) })
-	g.Go(func() error { return k.hold(ctx) })
-	g.Go(func() error { return k.desk.run(ctx) })
-	g.Go(func() error { return k.checkpoints(ctx) })
-	g.Go(func() error { return k.housekeep(ctx) })
+	g.Go(func() error { return m.replica.follow(ctx, jobPartition) })
+	g.Go(func() error { return m.replica.follow(ctx, resultPartition) })
+	g.Go(func() error { return m.hold(ctx) })
+	g.Go(func() error { return m.scheduler.run(ctx) })
+	g.Go(func() error { return m.checkpoints(ctx) })
+	g.Go(func() error { return m.housekeep(ctx) })
 	return g.Wait()
 }
 
 // shardOf is the shard that a job belongs to.
-func (k *Keeper) shardOf(job string) int {
+func (m *Manager) shardOf(job string) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(job)) // a hash never fails to write
-	return int(h.Sum32() % uint32(k.opts.Shards))
+	return int(h.Sum32() % uint32(m.opts.Shards))
 }
 
 // count counts the outcome of a call.
-func (k *Keeper) count(name string, err error) {
+func (m *Manager) count(name string, err error) {
 	outcome := "done"
 	if err != nil {
 		outcome = string(errs.As(err).Type)
 	}
-	metrics.GetOrRegisterCounter(name+"."+outcome, k.reg).Inc(1)
+	metrics.GetOrRegisterCounter(name+"."+outcome, m.reg).Inc(1)
 }
--- a/internal/backlog/keeper_test.go
+++ b/internal/backlog/manager_test.go
@@ -65,7 +65,7 @@
 		for i := range 30 {
 			go func() {
 				j := w.job(fmt.Sprintf("j%d", i), "ok", "ok")
-				err := w.nodes[i%3].keeper.Submit(context.Background(), &route, j)
+				err := w.nodes[i%3].manager.Submit(context.Background(), &route, j)
 				switch {
 				case err == nil:
 					accepted <- j.Tokens()
@@ -89,7 +89,7 @@
 
 // Symptom: an item stood at two positions of its job's results.
 // Sequence: a shard's owner wrote an item's end while the store was slow; the write was
-// acknowledged; before the owner's desk took note of the new state it saw an item without an end
+// acknowledged; before the owner's scheduler took note of the new state it saw an item without an end
 // that waits and started it again; the run ended at once, since nothing was left of it to do.
 // Cause: the owner gave a position to every end that reached it.
 func TestAnItemThatEndsTwiceIsListedOnce(t *testing.T) {
@@ -98,7 +98,7 @@
 		n := w.nodes[0]
 		n.submit(j)
 		n.results(j, 20*time.Second)
-		s := n.keeper.desk.shardFor(t, n.keeper.shardOf(j.ID))
+		s := n.manager.scheduler.shardFor(t, n.manager.shardOf(j.ID))
 		s.finish(&outcome{job: j, item: j.Items[0].ID, outcome: backlog.Complete, text: output(j.Items[0].ID)})
 		time.Sleep(time.Second)
 		for _, r := range w.store.Records(resultPartition) {
@@ -109,7 +109,7 @@
 	})
 }
 
-func (d *desk) shardFor(t *testing.T, index int) *shard {
+func (d *scheduler) shardFor(t *testing.T, index int) *shard {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for s := range d.shards {
@@ -186,19 +186,19 @@
 		time.Sleep(2 * time.Second)
 		j := w.job("a", "ok")
 		w.nodes[0].submit(j)
-		_, err := n.keeper.Results(context.Background(), "a", 0, 0)
+		_, err := n.manager.Results(context.Background(), "a", 0, 0)
 		if !errs.Is(err, errs.LogDown) || errs.As(err).RetryAfterMs == 0 {
 			t.Errorf("unknown job: %v", err)
 		}
-		_, err = n.keeper.ItemBody(context.Background(), "a", j.Items[0].ID)
+		_, err = n.manager.ItemBody(context.Background(), "a", j.Items[0].ID)
 		if !errs.Is(err, errs.LogDown) {
 			t.Errorf("unknown body: %v", err)
 		}
-		err = n.keeper.Submit(context.Background(), w.route, w.job("b", "ok"))
+		err = n.manager.Submit(context.Background(), w.route, w.job("b", "ok"))
 		if e := errs.As(err); e == nil || e.Ran != errs.RanNo || e.RetryAfterMs == 0 {
 			t.Errorf("submission: %v", err)
 		}
-		if _, err := w.nodes[0].keeper.Results(context.Background(), "b", 0, 0); !errs.Is(err, errs.NotFound) {
+		if _, err := w.nodes[0].manager.Results(context.Background(), "b", 0, 0); !errs.Is(err, errs.NotFound) {
 			t.Errorf("a job that nobody accepted: %v", err)
 		}
 	})
@@ -212,7 +212,7 @@
 		n := w.nodes[0]
 		n.view.Set(keyedlog.Faults{Late: 3 * time.Second})
 		j := w.job("a", "ok")
-		err := n.keeper.Submit(context.Background(), w.route, j)
+		err := n.manager.Submit(context.Background(), w.route, j)
 		if e := errs.As(err); e == nil || e.Ran == errs.RanNo {
 			t.Errorf("a submission whose write may still be done says %v", err)
 		}
@@ -228,7 +228,7 @@
 		j := w.job("a", repeat("ok", 60)...)
 		w.nodes[0].submit(j)
 		time.Sleep(200 * time.Millisecond)
-		if err := w.nodes[1].keeper.End(context.Background(), "a"); err != nil {
+		if err := w.nodes[1].manager.End(context.Background(), "a"); err != nil {
 			t.Fatal(err)
 		}
 		ended := time.Now()
@@ -238,14 +238,14 @@
 				t.Errorf("item %s was started %v after the end", item.ID, last.Sub(ended))
 			}
 		}
-		if err := w.nodes[0].keeper.End(context.Background(), "a"); err != nil {
+		if err := w.nodes[0].manager.End(context.Background(), "a"); err != nil {
 			t.Errorf("a second end: %v", err)
 		}
 	})
 }
 
 // Symptom: an item had two results in one append.
-// Sequence: a run came to its end; it was noted as not running; the desk started the item again,
+// Sequence: a run came to its end; it was noted as not running; the scheduler started the item again,
 // from its last event; both runs delivered the item's whole output.
 // Cause: that the run was over and what it meant were noted one after the other.
 func TestARunIsOverOnlyWithItsVerdict(t *testing.T) {
@@ -253,7 +253,7 @@
 		w := newWorld(t, 1)
 		defer w.stopAll()
 		j := w.job("a", "ok")
-		s := &shard{k: w.nodes[0].keeper, wake: make(chan struct{}, 1)}
+		s := &shard{m: w.nodes[0].manager, wake: make(chan struct{}, 1)}
 		tk := &task{shard: s, job: j, running: true}
 		tk.settle("target-0", complete)
 		if tk.mayStart(time.Now()) {
@@ -412,14 +412,14 @@
 		w.nodes[0].submit(done)
 		w.nodes[1].submit(ended)
 		w.check(done, w.nodes[0].results(done, 10*time.Second))
-		if err := w.nodes[0].keeper.End(context.Background(), "ended"); err != nil {
+		if err := w.nodes[0].manager.End(context.Background(), "ended"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(testKeep - 15*time.Second)
 		w.check(done, w.nodes[1].results(done, time.Second))
 		time.Sleep(keepSlack + 2*houseEvery + 15*time.Second)
 		for _, id := range []string{"done", "ended"} {
-			if _, err := w.nodes[0].keeper.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
+			if _, err := w.nodes[0].manager.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
 				t.Errorf("job %s, long over: %v", id, err)
 			}
 		}
@@ -435,14 +435,14 @@
 // Symptom: a process went on serving streams but answered no question about jobs, was not ready, and
 // never stopped.
 // Sequence: a run ends and tells its shard, holding the task's lock; the shard gives out positions and
-// asks the replica; the desk holds the replica's state and looks at the task.
+// asks the replica; the scheduler holds the replica's state and looks at the task.
 // Cause: three locks were taken in a circle.
 func TestATaskIsFreeWhileItsShardIsBusy(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
-		s := &shard{k: w.nodes[0].keeper, wake: make(chan struct{}, 1)}
+		s := &shard{m: w.nodes[0].manager, wake: make(chan struct{}, 1)}
 		for name, end := range map[string]func(*task){
 			"a run that ends":      func(tk *task) { tk.settle("target-0", complete) },
-			"a route that is gone": func(tk *task) { w.nodes[0].keeper.desk.unrouted(tk, time.Now()) },
+			"a route that is gone": func(tk *task) { w.nodes[0].manager.scheduler.unrouted(tk, time.Now()) },
 		} {
 			tk := &task{shard: s, job: w.job("a", "ok"), running: true, failures: 3}
 			s.mu.Lock()
@@ -479,17 +479,17 @@
 // writes for repeats of those before, answers them and drops them.
 func TestALostShardWaitsForALaterEpoch(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
-		k := w.nodes[0].keeper
-		lost := &shard{k: k, epoch: 5, lost: true, stop: func() {}}
+		m := w.nodes[0].manager
+		lost := &shard{m: m, epoch: 5, lost: true, stop: func() {}}
 		shards := map[int]*shard{0: lost}
 		held := []platform.Partition{{Topic: shardTopic, Index: 0}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		k.deal(ctx, shards, platform.Assignment{Generation: 5, Held: held})
+		m.deal(ctx, shards, platform.Assignment{Generation: 5, Held: held})
 		if shards[0] != lost {
 			t.Error("the shard began anew in its epoch")
 		}
-		k.deal(ctx, shards, platform.Assignment{Generation: 6, Held: held})
+		m.deal(ctx, shards, platform.Assignment{Generation: 6, Held: held})
 		if shards[0] == lost || shards[0].epoch != 6 {
 			t.Error("the shard did not begin anew in a later epoch")
 		}
@@ -507,7 +507,7 @@
 		j := w.job("a", "ok", "ok")
 		w.nodes[0].submit(j)
 		w.check(j, w.nodes[0].results(j, 10*time.Second))
-		shard := w.nodes[0].keeper.shardOf(j.ID)
+		shard := w.nodes[0].manager.shardOf(j.ID)
 		records, err := backlog.EncodeProgress(&backlog.Progress{Job: j.ID, Item: j.Items[0].ID, LastID: "3", Text: "x"}, shard, 0)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/backlog/park.go
+++ b/internal/backlog/progress.go
@@ -9,9 +9,9 @@
 	"arbutusramp/internal/sleep"
 )
 
-// parkTimeout is how long progress is tried to be written: an outage of the store lasts some seconds,
+// saveTimeout is how long progress is tried to be written: an outage of the store lasts some seconds,
 // and later the next owner has done the work again.
-const parkTimeout = 8 * time.Second
+const saveTimeout = 8 * time.Second
 
 const (
 	// checkpointEvery is how often running items are looked at.
@@ -22,62 +22,62 @@
 	checkpointEvents = 100
 )
 
-// park writes how far tasks have come, so that another process can go on with them. It returns at
+// saveProgress writes how far tasks have come, so that another process can go on with them. It returns at
 // once.
-func (k *Keeper) park(tasks []*task) {
+func (m *Manager) saveProgress(tasks []*task) {
 	var records []platform.KeyedRecord
 	for _, t := range tasks {
-		records = append(records, k.progressOf(t)...)
+		records = append(records, m.progressOf(t)...)
 	}
 	if len(records) == 0 {
 		return
 	}
-	k.parking.Add(1)
+	m.saving.Add(1)
 	go func() {
-		defer k.parking.Done()
-		ctx, cancel := context.WithTimeout(k.parkCtx, parkTimeout)
+		defer m.saving.Done()
+		ctx, cancel := context.WithTimeout(m.saveCtx, saveTimeout)
 		defer cancel()
-		k.writeProgress(ctx, records)
+		m.writeProgress(ctx, records)
 	}()
 }
 
 // checkpoints writes every now and then how far the running items have come, so that the loss of this
 // process costs no more than checkpointEvents of each, and drops what is no longer needed.
-func (k *Keeper) checkpoints(ctx context.Context) error {
+func (m *Manager) checkpoints(ctx context.Context) error {
 	for sleep.For(ctx, checkpointEvery) {
-		k.writeProgress(ctx, k.desk.checkpoint())
+		m.writeProgress(ctx, m.scheduler.checkpoint())
 	}
 	return nil
 }
 
-// parked waits until all progress is written or ctx ends. Nothing is written after it.
-func (k *Keeper) parked(ctx context.Context) {
-	defer k.stopParking()
+// awaitSaves waits until all progress is written or ctx ends. Nothing is written after it.
+func (m *Manager) awaitSaves(ctx context.Context) {
+	defer m.stopSaving()
 	over := make(chan struct{})
 	go func() {
-		k.parking.Wait()
+		m.saving.Wait()
 		close(over)
 	}()
 	select {
 	case <-over:
 	case <-ctx.Done():
-		k.log.Warn("progress of items was not handed over in time")
+		m.log.Warn("progress of items was not handed over in time")
 	}
 }
 
 // progressOf encodes a task's progress; there is none before its first event.
-func (k *Keeper) progressOf(t *task) []platform.KeyedRecord {
+func (m *Manager) progressOf(t *task) []platform.KeyedRecord {
 	p := t.progress()
 	if p.LastID == "" {
 		return nil
 	}
-	return k.encodeProgress(t, p)
+	return m.encodeProgress(t, p)
 }
 
-func (k *Keeper) encodeProgress(t *task, p *backlog.Progress) []platform.KeyedRecord {
+func (m *Manager) encodeProgress(t *task, p *backlog.Progress) []platform.KeyedRecord {
 	records, err := backlog.EncodeProgress(p, t.shard.index, t.index)
 	if err != nil {
-		k.log.Error("progress can't be encoded", "job", p.Job, "item", p.Item, "error", err)
+		m.log.Error("progress can't be encoded", "job", p.Job, "item", p.Item, "error", err)
 		return nil
 	}
 	return records
@@ -85,16 +85,16 @@
 
 // writeProgress appends records in as few calls as they fit in. A write that is done twice means
 // the same, so a lost answer needs no care.
-func (k *Keeper) writeProgress(ctx context.Context, records []platform.KeyedRecord) {
+func (m *Manager) writeProgress(ctx context.Context, records []platform.KeyedRecord) {
 	for len(records) > 0 {
 		n := callSize(records)
-		_, err := k.store.Append(ctx, platform.Append{Partition: progressPartition, Records: records[:n]})
+		_, err := m.store.Append(ctx, platform.Append{Partition: progressPartition, Records: records[:n]})
 		if err == nil {
 			records = records[n:]
 			continue
 		}
 		if !sleep.For(ctx, writePause) {
-			k.log.Warn("progress of items was not written", "records", len(records), "error", err)
+			m.log.Warn("progress of items was not written", "records", len(records), "error", err)
 			return
 		}
 	}
--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -77,7 +77,7 @@
 		w.compare(j, last)
 	}
 	for id := range w.refused {
-		if _, err := last.keeper.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
+		if _, err := last.manager.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
 			w.t.Errorf("job %s was refused at its only attempt and is there: %v", id, err)
 		}
 	}
@@ -122,7 +122,7 @@
 		items = append(items, kinds[w.rng.IntN(len(kinds))])
 	}
 	j := w.job(fmt.Sprintf("j%d", i), items...)
-	err := w.any().keeper.Submit(context.Background(), w.route, j)
+	err := w.any().manager.Submit(context.Background(), w.route, j)
 	switch {
 	case err == nil:
 		w.accepted = append(w.accepted, j)
@@ -150,7 +150,7 @@
 	}
 	j := w.accepted[w.rng.IntN(len(w.accepted))]
 	w.ended[j.ID] = true // also without an answer the end may have been taken
-	err := w.any().keeper.End(context.Background(), j.ID)
+	err := w.any().manager.End(context.Background(), j.ID)
 	if err != nil && errs.Is(err, errs.NotFound) {
 		w.t.Errorf("job %s, accepted, can't be ended: %v", j.ID, err)
 	}
@@ -166,7 +166,7 @@
 
 // compare reads a job from its start and wants what was read before.
 func (w *trouble) compare(j *backlog.Job, n *node) {
-	page, err := n.keeper.Results(context.Background(), j.ID, 0, 0)
+	page, err := n.manager.Results(context.Background(), j.ID, 0, 0)
 	if errs.Is(err, errs.LogDown) {
 		return
 	}
--- a/internal/backlog/read.go
+++ b/internal/backlog/read.go
@@ -21,13 +21,13 @@
 )
 
 // refresh reads on in both partitions, so that all that was there when it was called is known.
-func (k *Keeper) refresh(ctx context.Context) error {
+func (m *Manager) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if err := k.replica.catchUp(ctx, jobPartition); err != nil {
+	if err := m.replica.catchUp(ctx, jobPartition); err != nil {
 		return unsure(err)
 	}
-	if err := k.replica.catchUp(ctx, resultPartition); err != nil {
+	if err := m.replica.catchUp(ctx, resultPartition); err != nil {
 		return unsure(err)
 	}
 	return nil
@@ -40,15 +40,15 @@
 
 // mustExist makes sure that a job is known, with a fresh look into the store before it says that
 // it is not. Errors: errs.NotFound, errs.LogDown.
-func (k *Keeper) mustExist(ctx context.Context, id string) error {
+func (m *Manager) mustExist(ctx context.Context, id string) error {
 	known := func() (ok bool) {
-		k.replica.with(func(st *backlog.State) { _, ok = st.Job(id) })
+		m.replica.with(func(st *backlog.State) { _, ok = st.Job(id) })
 		return ok
 	}
 	if known() {
 		return nil
 	}
-	if err := k.refresh(ctx); err != nil {
+	if err := m.refresh(ctx); err != nil {
 		return err
 	}
 	if known() {
@@ -59,15 +59,15 @@
 
 // Results returns the job's results from a position on. With none there yet it waits for one.
 // Errors: errs.NotFound, errs.LogDown (this process can't be sure that there is none).
-func (k *Keeper) Results(ctx context.Context, id string, after int, wait time.Duration) (backlog.Page, error) {
-	if err := k.mustExist(ctx, id); err != nil {
+func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) (backlog.Page, error) {
+	if err := m.mustExist(ctx, id); err != nil {
 		return backlog.Page{}, err
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		var page backlog.Page
-		news := k.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
+		news := m.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
 		if len(page.Results) > 0 || after >= page.Total {
 			return page, nil
 		}
@@ -76,30 +76,30 @@
 			continue
 		case <-waitCtx.Done():
 		}
-		return k.noneYet(ctx, id, after)
+		return m.noneYet(ctx, id, after)
 	}
 }
 
 // noneYet answers that no result stands at a position, if that is sure.
-func (k *Keeper) noneYet(ctx context.Context, id string, after int) (backlog.Page, error) {
-	if k.replica.age(resultPartition) > freshEnough {
-		if err := k.refresh(ctx); err != nil {
+func (m *Manager) noneYet(ctx context.Context, id string, after int) (backlog.Page, error) {
+	if m.replica.age(resultPartition) > freshEnough {
+		if err := m.refresh(ctx); err != nil {
 			return backlog.Page{}, err
 		}
 	}
 	var page backlog.Page
-	k.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
+	m.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
 	return page, nil
 }
 
 // ItemBody returns the body of an item that has no result yet. Errors: errs.NotFound, errs.LogDown.
-func (k *Keeper) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
-	if err := k.mustExist(ctx, id); err != nil {
+func (m *Manager) ItemBody(ctx context.Context, id, item string) ([]byte, error) {
+	if err := m.mustExist(ctx, id); err != nil {
 		return nil, err
 	}
 	var body []byte
 	found := false
-	k.replica.with(func(st *backlog.State) {
+	m.replica.with(func(st *backlog.State) {
 		job, ok := st.Job(id)
 		if !ok {
 			return
--- a/internal/backlog/desk.go
+++ b/internal/backlog/scheduler.go
@@ -19,10 +19,10 @@
 	// startGap is the pause between two starts of items by one process: within it the peers
 	// hear of the first one.
 	startGap = 6 * time.Millisecond
-	// hungryLook is how often the desk looks for room while items wait: slots that were left
+	// hungryLook is how often the scheduler looks for room while items wait: slots that were left
 	// to other gateways may still be free.
 	hungryLook = 15 * time.Millisecond
-	// idleLook is how often the desk looks for work without a cause.
+	// idleLook is how often the scheduler looks for work without a cause.
 	idleLook = 250 * time.Millisecond
 	// endsAge is how old the state of jobs may be for an item to start: within it a job's end
 	// may have been accepted elsewhere, and nothing of an ended job may start seconds later.
@@ -31,10 +31,10 @@
 	againPause = 80 * time.Millisecond
 )
 
-// desk knows all items that this process has to run and starts them where there is room, those
+// scheduler knows all items that this process has to run and starts them where there is room, those
 // that are due first.
-type desk struct {
-	k *Keeper
+type scheduler struct {
+	m *Manager
 
 	mu     sync.Mutex
 	shards map[*shard]bool
@@ -45,19 +45,19 @@
 	runs   sync.WaitGroup
 }
 
-func newDesk(k *Keeper) *desk {
-	return &desk{k: k, shards: make(map[*shard]bool), tasks: make(map[string]*task)}
+func newScheduler(m *Manager) *scheduler {
+	return &scheduler{m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task)}
 }
 
 // leaseUntil notes until when the store deals nobody else this process's shards.
-func (d *desk) leaseUntil(t time.Time) {
+func (d *scheduler) leaseUntil(t time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lease = t
 }
 
 // adopt begins to run a shard's items, unless the shard was given back meanwhile, which ends ctx.
-func (d *desk) adopt(ctx context.Context, s *shard) {
+func (d *scheduler) adopt(ctx context.Context, s *shard) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if ctx.Err() == nil {
@@ -68,7 +68,7 @@
 // giveUpShard ends the runs of a shard's items and forgets them. What they have come to is written
 // for the next owner, who goes on from there: events are the same from every target. No fence is
 // needed for it; the fold takes the longest and none of items that have ended.
-func (d *desk) giveUpShard(s *shard) {
+func (d *scheduler) giveUpShard(s *shard) {
 	d.mu.Lock()
 	delete(d.shards, s)
 	var left []*task
@@ -80,30 +80,30 @@
 		}
 	}
 	d.mu.Unlock()
-	d.k.park(left)
+	d.m.saveProgress(left)
 }
 
 // adoptProgress takes over what another process has written of a task, if that is further. In any case
 // it is the last checkpoint, to be dropped once the task has ended.
-func (d *desk) adoptProgress(t *task, p backlog.Progress) {
+func (d *scheduler) adoptProgress(t *task, p backlog.Progress) {
 	if p.LastID == "" {
 		return
 	}
 	t.adopt(p)
 	if len(t.checkpointed()) == 0 {
-		t.noteCheckpoint(d.k.encodeProgress(t, &p))
+		t.noteCheckpoint(d.m.encodeProgress(t, &p))
 	}
 }
 
 // drop takes records that drop progress for the next checkpoint.
-func (d *desk) drop(records []platform.KeyedRecord) {
+func (d *scheduler) drop(records []platform.KeyedRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.drops = append(d.drops, records...)
 }
 
 // checkpoint returns the records of items that have come far since their last checkpoint.
-func (d *desk) checkpoint() []platform.KeyedRecord {
+func (d *scheduler) checkpoint() []platform.KeyedRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	records := d.drops
@@ -112,14 +112,14 @@
 		if !t.dueForCheckpoint() {
 			continue
 		}
-		saved := d.k.progressOf(t)
+		saved := d.m.progressOf(t)
 		t.noteCheckpoint(saved)
 		records = append(records, saved...)
 	}
 	return records
 }
 
-func (d *desk) counts() Counts {
+func (d *scheduler) counts() Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := Counts{Items: len(d.tasks), Shards: len(d.shards)}
@@ -132,7 +132,7 @@
 }
 
 // stopRuns ends all runs and waits until they are over.
-func (d *desk) stopRuns(ctx context.Context) {
+func (d *scheduler) stopRuns(ctx context.Context) {
 	d.mu.Lock()
 	d.closed = true
 	for _, t := range d.tasks {
@@ -151,7 +151,7 @@
 }
 
 // run starts items until ctx ends.
-func (d *desk) run(ctx context.Context) error {
+func (d *scheduler) run(ctx context.Context) error {
 	tick := time.NewTicker(idleLook)
 	defer tick.Stop()
 	for {
@@ -168,34 +168,34 @@
 		case <-ctx.Done():
 			return nil
 		case <-news:
-		case <-d.k.view.Freed():
+		case <-d.m.view.Freed():
 		case <-tick.C:
 		}
 	}
 }
 
 // want tells the peers how many items wait here and when the first is due.
-func (d *desk) want() int {
+func (d *scheduler) want() int {
 	list := d.waiting(time.Now())
 	w := fleet.Want{Items: len(list)}
 	if len(list) > 0 {
 		w.Due = list[0].due()
 	}
-	d.k.view.SetWant(w)
+	d.m.view.SetWant(w)
 	return w.Items
 }
 
 // sync takes in new jobs of the owned shards and drops what is over.
-func (d *desk) sync() <-chan struct{} {
+func (d *scheduler) sync() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	owned := make(map[int]*shard, len(d.shards))
 	for s := range d.shards {
 		owned[s.index] = s
 	}
-	return d.k.replica.with(func(st *backlog.State) {
+	return d.m.replica.with(func(st *backlog.State) {
 		st.Open(func(j *backlog.Job) {
-			if s, ok := owned[d.k.shardOf(j.ID)]; ok {
+			if s, ok := owned[d.m.shardOf(j.ID)]; ok {
 				d.addJob(st, s, j)
 			}
 		})
@@ -211,7 +211,7 @@
 	})
 }
 
-func (d *desk) addJob(st *backlog.State, s *shard, j *backlog.Job) {
+func (d *scheduler) addJob(st *backlog.State, s *shard, j *backlog.Job) {
 	for i := range j.Items {
 		key := j.ID + "/" + j.Items[i].ID
 		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
@@ -225,11 +225,11 @@
 
 // startOne starts the item that is due first among those for which there is room. It reports
 // whether it has started one.
-func (d *desk) startOne(ctx context.Context) bool {
+func (d *scheduler) startOne(ctx context.Context) bool {
 	now := time.Now()
 	full := make(map[string]bool) // services without room
 	for _, t := range d.waiting(now) {
-		route, _, err := d.k.router.Route(t.job.Host, t.item().URI)
+		route, _, err := d.m.router.Route(t.job.Host, t.item().URI)
 		if errs.Is(err, errs.NotFound) {
 			d.unrouted(t, now)
 			continue
@@ -250,7 +250,7 @@
 }
 
 // waiting returns the tasks that may start now, those due first in front.
-func (d *desk) waiting(now time.Time) []*task {
+func (d *scheduler) waiting(now time.Time) []*task {
 	if !d.mayRun(now) {
 		return nil
 	}
@@ -271,15 +271,15 @@
 // mayRun says whether items may start. They may while this process knows of the jobs' ends and holds
 // its shards; and also when the store can't be reached by anybody, since then no end is accepted and
 // no shard dealt to another: without that, each outage of the store would stop all batch work.
-func (d *desk) mayRun(now time.Time) bool {
+func (d *scheduler) mayRun(now time.Time) bool {
 	d.mu.Lock()
 	closed, lease := d.closed, d.lease
 	d.mu.Unlock()
 	if closed {
 		return false
 	}
-	sure := d.k.replica.age(jobPartition) <= endsAge && now.Before(lease)
-	return sure || d.k.view.StoreDownForAll()
+	sure := d.m.replica.age(jobPartition) <= endsAge && now.Before(lease)
+	return sure || d.m.view.StoreDownForAll()
 }
 
 // unroutedGrace is how long an item's route may be missing before the item is given up: a
@@ -287,16 +287,16 @@
 const unroutedGrace = 5 * time.Second
 
 // unrouted puts off an item without a route, and gives it up in the end.
-func (d *desk) unrouted(t *task, now time.Time) {
+func (d *scheduler) unrouted(t *task, now time.Time) {
 	if end := t.noRoute(now); end != nil {
 		t.shard.finish(end)
 	}
 }
 
 // start runs a task if a target has room for it.
-func (d *desk) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
+func (d *scheduler) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
-	r, ok := d.k.view.StartBatch(service, t.avoided(), func() { t.cutOff(cancel) })
+	r, ok := d.m.view.StartBatch(service, t.avoided(), func() { t.preempt(cancel) })
 	if !ok {
 		cancel()
 		return false
@@ -307,19 +307,19 @@
 		return false
 	}
 	t.mu.Lock()
-	t.running, t.cut, t.cancel = true, false, cancel
+	t.running, t.preempted, t.cancel = true, false, cancel
 	t.mu.Unlock()
 	go func() {
 		defer d.runs.Done()
 		defer cancel()
-		d.k.runItem(runCtx, t, r, route)
+		d.m.runItem(runCtx, t, r, route)
 	}()
 	return true
 }
 
 // enter counts a run that begins, unless the process stops: who waits for the runs to end must not
 // miss one.
-func (d *desk) enter() bool {
+func (d *scheduler) enter() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -25,7 +25,7 @@
 // write carries the epoch in which the shard was dealt to it; the store refuses those of an owner
 // that has been replaced, however late they come.
 type shard struct {
-	k     *Keeper
+	m     *Manager
 	index int
 	epoch uint64
 	stop  context.CancelFunc
@@ -56,15 +56,15 @@
 func (o *outcome) key() string { return o.job.ID + "/" + o.item }
 
 // startShard begins to own a shard.
-func (k *Keeper) startShard(ctx context.Context, index int, epoch uint64) *shard {
+func (m *Manager) startShard(ctx context.Context, index int, epoch uint64) *shard {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &shard{
-		k: k, index: index, epoch: epoch, wake: make(chan struct{}, 1), over: make(chan struct{}),
+		m: m, index: index, epoch: epoch, wake: make(chan struct{}, 1), over: make(chan struct{}),
 		next: make(map[string]int), given: make(map[string]bool),
 	}
 	s.stop = func() {
 		cancel()
-		k.desk.giveUpShard(s)
+		m.scheduler.giveUpShard(s)
 	}
 	go s.run(ctx)
 	return s
@@ -87,7 +87,7 @@
 	if !s.takeOver(ctx) {
 		return
 	}
-	s.k.desk.adopt(ctx, s)
+	s.m.scheduler.adopt(ctx, s)
 	again := time.NewTimer(progressAgain)
 	defer again.Stop()
 	for {
@@ -108,9 +108,9 @@
 // up to here is all that it has left.
 func (s *shard) takeOver(ctx context.Context) bool {
 	for {
-		done, err := s.k.store.Append(ctx, platform.Append{Partition: resultPartition, Producer: s.producer()})
+		done, err := s.m.store.Append(ctx, platform.Append{Partition: resultPartition, Producer: s.producer()})
 		if err == nil {
-			err = s.k.replica.reach(ctx, resultPartition, done.End)
+			err = s.m.replica.reach(ctx, resultPartition, done.End)
 		}
 		if err == nil {
 			s.readProgress(ctx)
@@ -118,7 +118,7 @@
 			defer s.mu.Unlock()
 			s.ready = true
 			s.seq++
-			s.k.log.Info("shard owned", "shard", s.index, "epoch", s.epoch, "end", done.End)
+			s.m.log.Info("shard owned", "shard", s.index, "epoch", s.epoch, "end", done.End)
 			return true
 		}
 		if s.refused(err) || !sleep.For(ctx, writePause) {
@@ -130,10 +130,10 @@
 // readProgress takes over how far the shard's items have come. Without it they start anew, so a
 // failure is only logged.
 func (s *shard) readProgress(ctx context.Context) {
-	drops, err := s.k.replica.loadProgress(ctx, s.index)
-	s.k.desk.drop(drops)
+	drops, err := s.m.replica.loadProgress(ctx, s.index)
+	s.m.scheduler.drop(drops)
 	if err != nil {
-		s.k.log.Warn("progress not read", "shard", s.index, "epoch", s.epoch, "error", err)
+		s.m.log.Warn("progress not read", "shard", s.index, "epoch", s.epoch, "error", err)
 	}
 }
 
@@ -143,12 +143,12 @@
 	if !errors.As(err, &fenced) {
 		return false
 	}
-	s.k.log.Warn("shard lost", "shard", s.index, "epoch", s.epoch)
+	s.m.log.Warn("shard lost", "shard", s.index, "epoch", s.epoch)
 	s.mu.Lock()
 	s.lost = true
 	s.queue = nil
 	s.mu.Unlock()
-	s.k.desk.giveUpShard(s)
+	s.m.scheduler.giveUpShard(s)
 	return true
 }
 
@@ -178,7 +178,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.queue[:n] {
-		s.k.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
+		s.m.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
 	}
 	s.queue = s.queue[n:]
 	s.open, s.openN = nil, 0
@@ -207,7 +207,7 @@
 			Job: o.job.ID, Position: s.position(o.job.ID), Item: o.item, Outcome: o.outcome, Text: o.text,
 		})
 		if err != nil {
-			s.k.log.Error("result can't be encoded", "job", o.job.ID, "item", o.item, "error", err)
+			s.m.log.Error("result can't be encoded", "job", o.job.ID, "item", o.item, "error", err)
 			continue
 		}
 		s.next[o.job.ID]++
@@ -223,14 +223,14 @@
 	if s.given[o.key()] {
 		return true
 	}
-	s.k.replica.with(func(st *backlog.State) { done = st.Done(o.job.ID, o.item) })
+	s.m.replica.with(func(st *backlog.State) { done = st.Done(o.job.ID, o.item) })
 	return done
 }
 
 // position is where the job's next result goes. The caller holds the lock.
 func (s *shard) position(job string) int {
 	if _, ok := s.next[job]; !ok {
-		s.k.replica.with(func(st *backlog.State) { s.next[job] = st.Listed(job) })
+		s.m.replica.with(func(st *backlog.State) { s.next[job] = st.Listed(job) })
 	}
 	return s.next[job]
 }
@@ -240,10 +240,10 @@
 func (s *shard) write(ctx context.Context, records []platform.KeyedRecord) bool {
 	first := true
 	for {
-		_, err := s.k.store.Append(ctx, platform.Append{Partition: resultPartition, Records: records, Producer: s.producer()})
+		_, err := s.m.store.Append(ctx, platform.Append{Partition: resultPartition, Records: records, Producer: s.producer()})
 		if err == nil {
 			s.seq++
-			s.k.replica.applyOwn(records)
+			s.m.replica.applyOwn(records)
 			return true
 		}
 		var gap *platform.OutOfSequence
@@ -253,7 +253,7 @@
 			continue
 		}
 		if errors.As(err, &gap) {
-			s.k.log.Error("out of sequence", "shard", s.index, "epoch", s.epoch, "seq", s.seq, "expected", gap.Expected)
+			s.m.log.Error("out of sequence", "shard", s.index, "epoch", s.epoch, "seq", s.seq, "expected", gap.Expected)
 			s.refused(&platform.Fenced{Epoch: s.epoch})
 			return false
 		}
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -35,7 +35,7 @@
 // All jobs go through one partition, each under the condition that its process has read all
 // before it: so the limit holds across processes, and an append whose answer was lost is either
 // found by reading on or can no longer be done.
-func (k *Keeper) Submit(ctx context.Context, route *serving.Route, job *backlog.Job) error {
+func (m *Manager) Submit(ctx context.Context, route *serving.Route, job *backlog.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	if len(job.ID) > backlog.MaxIDBytes {
@@ -45,17 +45,17 @@
 	if err != nil {
 		return err
 	}
-	s := &submission{k: k, route: route, job: job, records: records}
+	s := &submission{m: m, route: route, job: job, records: records}
 	err = s.run(ctx)
-	k.log.Log(levelOf(err), "job", "request", job.ID, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
+	m.log.Log(levelOf(err), "job", "request", job.ID, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
 		"queued", s.queued, "limit", route.MaxQueued, "end", s.at, "tries", s.tries, "outcome", outcomeOf(err))
-	k.count("job.submit", err)
+	m.count("job.submit", err)
 	return err
 }
 
 // submission is one job on its way into the store.
 type submission struct {
-	k       *Keeper
+	m       *Manager
 	route   *serving.Route
 	job     *backlog.Job
 	records []platform.KeyedRecord
@@ -107,14 +107,14 @@
 // known says whether the job has been accepted already.
 func (s *submission) known() bool {
 	ok := false
-	s.k.replica.with(func(st *backlog.State) { _, ok = st.Job(s.job.ID) })
+	s.m.replica.with(func(st *backlog.State) { _, ok = st.Job(s.job.ID) })
 	return ok
 }
 
 // try writes the job if it fits. done says that err is the answer.
 func (s *submission) try(ctx context.Context) (done bool, err error) {
 	s.tries++
-	next, loaded := s.k.replica.position(jobPartition)
+	next, loaded := s.m.replica.position(jobPartition)
 	if !loaded {
 		return false, errs.New(errs.LogDown, "the backlog has not been read yet")
 	}
@@ -122,7 +122,7 @@
 		s.unknown = false // all up to next has been read, so an append at s.at is in there or void
 	}
 	fits := true
-	s.k.replica.with(func(st *backlog.State) {
+	s.m.replica.with(func(st *backlog.State) {
 		if _, known := st.Job(s.job.ID); known {
 			done = true
 			return
@@ -137,14 +137,14 @@
 		return s.full(ctx)
 	}
 	s.at = next
-	_, err = s.k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
+	_, err = s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
 	return s.judge(ctx, err)
 }
 
 // full refuses a job that does not fit, once the state is known to be fresh.
 func (s *submission) full(ctx context.Context) (bool, error) {
-	if s.k.replica.age(jobPartition) > freshEnough || s.k.replica.age(resultPartition) > freshEnough {
-		if err := s.k.refresh(ctx); err != nil {
+	if s.m.replica.age(jobPartition) > freshEnough || s.m.replica.age(resultPartition) > freshEnough {
+		if err := s.m.refresh(ctx); err != nil {
 			return false, err
 		}
 		if s.fitsNow() {
@@ -156,21 +156,21 @@
 
 func (s *submission) fitsNow() bool {
 	var queued int64
-	s.k.replica.with(func(st *backlog.State) { queued = st.Queued(s.route.Name) })
+	s.m.replica.with(func(st *backlog.State) { queued = st.Queued(s.route.Name) })
 	return queued+s.job.Tokens() <= s.route.MaxQueued
 }
 
 // judge reads what an append has done.
 func (s *submission) judge(ctx context.Context, err error) (bool, error) {
 	if err == nil {
-		s.k.replica.takeOwn(jobPartition, s.at, s.records)
+		s.m.replica.takeOwn(jobPartition, s.at, s.records)
 		return true, nil
 	}
 	var moved *platform.EndMoved
 	if errors.As(err, &moved) {
 		// Somebody wrote first, or this job's own append whose answer was lost. Reading on
 		// tells; after that, nothing that was sent before can still be done.
-		if readErr := s.k.replica.catchUp(ctx, jobPartition); readErr != nil {
+		if readErr := s.m.replica.catchUp(ctx, jobPartition); readErr != nil {
 			return false, readErr
 		}
 		s.unknown = false
@@ -190,7 +190,7 @@
 		if n == len(s.records) {
 			return nil
 		}
-		_, err := s.k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records[:n]})
+		_, err := s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records[:n]})
 		if err != nil {
 			return errs.Newf(errs.LogDown, "a large job was not written: %v", err).WithRan(errs.RanNo).WithRetry(writePause)
 		}
@@ -200,22 +200,22 @@
 
 // End takes a job's end. It returns nil once the end lies in the store. Errors: errs.NotFound,
 // errs.LogDown, errs.AppendUnknown.
-func (k *Keeper) End(ctx context.Context, id string) error {
+func (m *Manager) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	err := k.end(ctx, id)
-	k.log.Log(levelOf(err), "job end", "job", id, "outcome", outcomeOf(err))
-	k.count("job.end", err)
+	err := m.end(ctx, id)
+	m.log.Log(levelOf(err), "job end", "job", id, "outcome", outcomeOf(err))
+	m.count("job.end", err)
 	return err
 }
 
-func (k *Keeper) end(ctx context.Context, id string) error {
+func (m *Manager) end(ctx context.Context, id string) error {
 	ended := false
-	k.replica.with(func(st *backlog.State) { ended = st.Ended(id) })
+	m.replica.with(func(st *backlog.State) { ended = st.Ended(id) })
 	if ended {
 		return nil
 	}
-	if err := k.mustExist(ctx, id); err != nil {
+	if err := m.mustExist(ctx, id); err != nil {
 		return err
 	}
 	records, err := backlog.EncodeEnd(id)
@@ -224,9 +224,9 @@
 	}
 	for {
 		// An end that is written twice means the same, so a lost answer needs no care.
-		_, err := k.store.Append(ctx, platform.Append{Partition: jobPartition, Records: records})
+		_, err := m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: records})
 		if err == nil {
-			k.replica.applyOwn(records)
+			m.replica.applyOwn(records)
 			return nil
 		}
 		if !sleep.For(ctx, writePause) {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -15,18 +15,18 @@
 	job   *backlog.Job
 	index int
 
-	mu       sync.Mutex
-	running  bool
-	over     bool // its end is known, and written or about to be
-	cancel   context.CancelFunc
-	cut      bool
-	notUntil time.Time
-	lastID   string // of the last event in text
-	text     []byte
-	unsaved  int                    // events since the last checkpoint
-	saved    []platform.KeyedRecord // the last checkpoint; empty without one
-	failures int                    // runs that the target has answered with a failure
-	avoid    []string               // targets that have just failed it
+	mu        sync.Mutex
+	running   bool
+	over      bool // its end is known, and written or about to be
+	cancel    context.CancelFunc
+	preempted bool
+	notUntil  time.Time
+	lastID    string // of the last event in text
+	text      []byte
+	unsaved   int                    // events since the last checkpoint
+	saved     []platform.KeyedRecord // the last checkpoint; empty without one
+	failures  int                    // runs that the target has answered with a failure
+	avoid     []string               // targets that have just failed it
 }
 
 func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
@@ -102,10 +102,10 @@
 	return t.avoid
 }
 
-// cutOff ends a run whose slot online requests need.
-func (t *task) cutOff(cancel context.CancelFunc) {
+// preempt ends a run whose slot online requests need.
+func (t *task) preempt(cancel context.CancelFunc) {
 	t.mu.Lock()
-	t.cut = true
+	t.preempted = true
 	t.mu.Unlock()
 	cancel()
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -11,7 +11,7 @@
 	"arbutusramp/core/structs"
 )
 
-// View is a fleet.Fleet with a lock, and the batch runs that it can cut off.
+// View is a fleet.Fleet with a lock, and the batch runs that it can preempted.
 type View struct {
 	mu    sync.Mutex
 	fleet *fleet.Fleet
@@ -29,10 +29,10 @@
 	// Choice is what spoke for the target.
 	Choice fleet.Choice
 
-	view  *View
-	class structs.Class
-	cut   func() // of batch runs
-	over  bool
+	view    *View
+	class   structs.Class
+	preempt func() // of batch runs
+	over    bool
 }
 
 // New returns a view of an empty fleet.
@@ -69,16 +69,16 @@
 		return nil, false
 	}
 	v.fleet.Begin(now, c.Target.ID, structs.ClassOnline)
-	cuts := v.cuts(now)
+	victims := v.victims(now)
 	v.mu.Unlock()
 	signal(v.changed)
-	cutAll(cuts)
+	preemptAll(victims)
 	return &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassOnline}, true
 }
 
-// StartBatch chooses a target for a batch item, if one has room. cut is called, once at most,
+// StartBatch chooses a target for a batch item, if one has room. preempt is called, once at most,
 // when the run must give up its slot; it must not block.
-func (v *View) StartBatch(service string, tried []string, cut func()) (*Run, bool) {
+func (v *View) StartBatch(service string, tried []string, preempt func()) (*Run, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
@@ -87,7 +87,7 @@
 		return nil, false
 	}
 	v.fleet.Begin(now, c.Target.ID, structs.ClassBatch)
-	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, cut: cut}
+	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, preempt: preempt}
 	v.runs[c.Target.ID] = append(v.runs[c.Target.ID], r)
 	signal(v.changed)
 	return r, true
@@ -121,9 +121,9 @@
 	v.mu.Lock()
 	now := time.Now()
 	suspect := v.fleet.Failed(now, r.Target.ID)
-	cuts := v.cuts(now)
+	victims := v.victims(now)
 	v.mu.Unlock()
-	cutAll(cuts)
+	preemptAll(victims)
 	return suspect
 }
 
@@ -147,10 +147,10 @@
 	v.mu.Lock()
 	now := time.Now()
 	v.fleet.Hear(now, from, report)
-	cuts := v.cuts(now)
+	victims := v.victims(now)
 	v.mu.Unlock()
 	signal(v.freed)
-	cutAll(cuts)
+	preemptAll(victims)
 }
 
 // Report returns what this process has at targets and wants to start.
@@ -191,10 +191,10 @@
 	for _, id := range gone {
 		v.fleet.Remove(id)
 	}
-	cuts := v.cuts(now)
+	victims := v.victims(now)
 	v.mu.Unlock()
 	signal(v.freed)
-	cutAll(cuts)
+	preemptAll(victims)
 }
 
 // Targets returns the targets of the list.
@@ -207,13 +207,13 @@
 // Drop marks a target as gone at once: another one answers at its address.
 func (v *View) Drop(id string) { v.Put(nil, []string{id}) }
 
-// cuts takes the runs that must be cut off out of the list: the youngest first, since the oldest
+// victims takes the runs that must be preempted out of the list: the youngest first, since the oldest
 // are nearest to their end. Each still counts until it is over.
-func (v *View) cuts(now time.Time) []*Run {
+func (v *View) victims(now time.Time) []*Run {
 	var list []*Run
-	for id, n := range v.fleet.Cut(now) {
+	for id, n := range v.fleet.Preempt(now) {
 		runs := v.runs[id]
-		// Runs that were cut before and are not over yet still count in the loads.
+		// Runs that were preempted before and are not over yet still count in the loads.
 		ending := v.ending(id)
 		n = min(n-ending, len(runs))
 		if n <= 0 {
@@ -225,18 +225,18 @@
 	return list
 }
 
-// ending is the number of batch runs at a target that were cut off and are not over yet.
+// ending is the number of batch runs at a target that were preempted and are not over yet.
 func (v *View) ending(id string) int {
 	return v.fleet.OwnAt(id).Batch - len(v.runs[id])
 }
 
-func cutAll(runs []*Run) {
+func preemptAll(runs []*Run) {
 	for _, r := range runs {
-		r.cut()
+		r.preempt()
 	}
 }
 
-// forget drops a run from the list of those that can be cut off.
+// forget drops a run from the list of those that can be preempted.
 func (v *View) forget(r *Run) {
 	list := v.runs[r.Target.ID]
 	for i, other := range list {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -55,9 +55,9 @@
 	reg      metrics.Registry
 	view     *fleetview.View
 	watch    *watch.Watch
-	keeper   *backlog.Keeper
+	jobs     *backlog.Manager
 	share    *loadshare.Share
-	peers    *peerBook
+	peers    *peerDirectory
 	server   *http.Server
 	status   []*http.Server // of the readiness and metrics listeners
 	callers  net.Listener
@@ -80,7 +80,7 @@
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
-	g.keeper = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
+	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
 		client, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
@@ -90,9 +90,9 @@
 	if g.share, err = loadshare.New(s.PeerAddr, fleet.Peer(self), view, logger.Named("peers")); err != nil {
 		return nil, err
 	}
-	g.peers = &peerBook{store: client, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
+	g.peers = &peerDirectory{store: client, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
 	g.registerGauges()
-	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.keeper, Closing: g.stopping.Load})
+	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
 	return g, nil
 }
@@ -144,7 +144,7 @@
 		return "stopping"
 	case !g.watch.Ready():
 		return "no configuration or no targets read"
-	case !g.keeper.Loaded():
+	case !g.jobs.Loaded():
 		return "backlog not read"
 	}
 	return ""
@@ -175,15 +175,15 @@
 		parts.Go(func() error { return served(g.status[i].Serve(g.statusOn[i])) })
 	}
 	parts.Go(func() error { return served(g.server.Serve(g.callers)) })
-	keeping := make(chan error, 1)
-	go func() { keeping <- g.keeper.Run(ctx) }()
+	jobsOver := make(chan error, 1)
+	go func() { jobsOver <- g.jobs.Run(ctx) }()
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
 	}
 	g.stopping.Store(true)
 	drain(g.server, g, g.set.Grace, g.log)
-	err := <-keeping
+	err := <-jobsOver
 	stopWork()
 	for _, s := range g.status {
 		_ = s.Close() // nobody waits for answers about readiness any more
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -25,10 +25,10 @@
 		targetsMetric:       func() int64 { return int64(len(g.view.Targets())) },
 		peersMetric:         func() int64 { return int64(g.share.Peers()) },
 		inFlightMetric:      g.inFlight,
-		itemsMetric:         func() int64 { return int64(g.keeper.Counts().Items) },
-		itemsRunningMetric:  func() int64 { return int64(g.keeper.Counts().Running) },
-		shardsMetric:        func() int64 { return int64(g.keeper.Counts().Shards) },
-		jobsAgeMetric:       func() int64 { return g.keeper.Counts().JobsAge.Milliseconds() },
+		itemsMetric:         func() int64 { return int64(g.jobs.Counts().Items) },
+		itemsRunningMetric:  func() int64 { return int64(g.jobs.Counts().Running) },
+		shardsMetric:        func() int64 { return int64(g.jobs.Counts().Shards) },
+		jobsAgeMetric:       func() int64 { return g.jobs.Counts().JobsAge.Milliseconds() },
 	} {
 		g.reg.GetOrRegister(name, metrics.NewFunctionalGauge(read))
 	}
--- a/internal/node/peerbook.go
+++ b/internal/node/peerdirectory.go
@@ -21,21 +21,21 @@
 	peerLook = 15 * time.Second
 )
 
-// peerBook finds the other gateways.
-type peerBook struct {
+// peerDirectory finds the other gateways.
+type peerDirectory struct {
 	store platform.Store
 	share *loadshare.Share
 	link  *dependency.Link
 }
 
 // run writes this process's address once and reads the others' now and then, until ctx ends.
-func (b *peerBook) run(ctx context.Context) error {
+func (d *peerDirectory) run(ctx context.Context) error {
 	written := false
 	for ctx.Err() == nil {
 		if !written {
-			written = b.write(ctx)
+			written = d.write(ctx)
 		}
-		if !written || !b.read(ctx) {
+		if !written || !d.read(ctx) {
 			sleep.For(ctx, peerRetry)
 			continue
 		}
@@ -44,30 +44,30 @@
 	return nil
 }
 
-func (b *peerBook) write(ctx context.Context) bool {
-	addr := b.share.Addr().String()
-	_, err := b.store.Append(ctx, platform.Append{
+func (d *peerDirectory) write(ctx context.Context) bool {
+	addr := d.share.Addr().String()
+	_, err := d.store.Append(ctx, platform.Append{
 		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: addr, Value: []byte{1}}},
 	})
 	if err != nil {
-		b.link.Lost(err)
+		d.link.Lost(err)
 	}
 	return err == nil
 }
 
-func (b *peerBook) read(ctx context.Context) bool {
+func (d *peerDirectory) read(ctx context.Context) bool {
 	after := ""
 	for {
-		page, err := b.store.Newest(ctx, peerPartition, after)
+		page, err := d.store.Newest(ctx, peerPartition, after)
 		if err != nil {
-			b.link.Lost(err)
+			d.link.Lost(err)
 			return false
 		}
 		for _, r := range page.Records {
-			b.share.Meet(r.Key)
+			d.share.Meet(r.Key)
 		}
 		if !page.More || len(page.Records) == 0 {
-			b.link.Up()
+			d.link.Up()
 			return true
 		}
 		after = page.Records[len(page.Records)-1].Key
