A connection is busy from the first byte of a request

The process now keeps its own account: a connection is busy from the first byte, and bytes that come in while one is closed as idle are not read.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -26,50 +26,50 @@
 	drainLook = 50 * time.Millisecond
 )
 
-// callerServer is what draining needs of the callers' HTTP server.
-type callerServer interface {
-	SetKeepAlivesEnabled(bool)
-	Shutdown(context.Context) error
-	Close() error
-}
-
-// activity says what callers are doing.
-type activity interface {
-	// inFlight is the number of requests under way.
-	inFlight() int64
+// callerSide is what draining needs of the callers' connections.
+type callerSide interface {
+	// closeIdle closes connections that have no request.
+	closeIdle()
+	// closeListener takes no further connection.
+	closeListener()
+	// busy is the number of connections with a request, from its first byte on.
+	busy() int
 	// quietFor is the time since the last request came.
 	quietFor() time.Duration
+	// breakOff closes all connections.
+	breakOff()
 }
 
 // drain goes on serving while callers still come, and ends between requests. The balancer learns
 // only by its next questions that this process is not ready.
-func drain(server callerServer, callers activity, grace time.Duration, log hclog.Logger) {
+func drain(callers callerSide, grace time.Duration, log hclog.Logger) {
 	began := time.Now()
 	at := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
-	log.Info("stopping", "in_flight", callers.inFlight(), "grace", grace.String())
-	ctx := context.Background()
-	if !quietUntil(ctx, callers, began, at(closeIdleAt)) {
-		server.SetKeepAlivesEnabled(false) // closes those without a request, too
-		quietUntil(ctx, callers, began, at(closeListenerAt))
+	log.Info("stopping", "busy", callers.busy(), "grace", grace.String())
+	if !quietUntil(callers, began, at(closeIdleAt)) {
+		callers.closeIdle()
+		quietUntil(callers, began, at(closeListenerAt))
 	}
-	last, cancel := context.WithDeadline(ctx, at(breakOffAt))
-	defer cancel()
-	if err := server.Shutdown(last); err != nil {
-		log.Warn("requests were broken off by the stop", "in_flight", callers.inFlight(), "error", err)
-		if err := server.Close(); err != nil {
-			log.Warn("connections not closed", "error", err)
+	callers.closeListener()
+	for time.Now().Before(at(breakOffAt)) {
+		callers.closeIdle()
+		if callers.busy() == 0 {
+			return
 		}
+		sleep.For(context.Background(), drainLook)
 	}
+	log.Warn("requests were broken off by the stop", "busy", callers.busy())
+	callers.breakOff()
 }
 
 // quietUntil waits until a time, or reports true as soon as callers have stayed away for long.
-func quietUntil(ctx context.Context, callers activity, began, until time.Time) bool {
+func quietUntil(callers callerSide, began, until time.Time) bool {
 	for time.Now().Before(until) {
 		calm := min(callers.quietFor(), time.Since(began))
-		if callers.inFlight() == 0 && calm > quietStop {
+		if callers.busy() == 0 && calm > quietStop {
 			return true
 		}
-		sleep.For(ctx, drainLook)
+		sleep.For(context.Background(), drainLook)
 	}
 	return false
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -60,7 +60,7 @@
 	peers    *peerDirectory
 	server   *http.Server
 	status   []*http.Server // of the readiness and metrics listeners
-	callers  net.Listener
+	callers  *conns
 	statusOn []net.Listener
 
 	stopping atomic.Bool
@@ -113,8 +113,11 @@
 		g.status = append(g.status, &http.Server{Handler: l.mux, ReadHeaderTimeout: headerTimeout})
 	}
 	on, err := net.Listen("tcp", g.set.CallerAddr)
-	g.callers = on
-	return errors.Wrap(err, "listen for callers")
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	g.callers = trackConns(on)
+	return nil
 }
 
 func (g *Gateway) callersServer(h http.Handler) *http.Server {
@@ -123,6 +126,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         g.callers.state,
 		ErrorLog:          g.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
@@ -182,7 +186,8 @@
 	case <-work.Done():
 	}
 	g.stopping.Store(true)
-	drain(g.server, g, g.set.Grace, g.log)
+	drain(g, g.set.Grace, g.log)
+	g.breakOff() // nothing is under way; this ends the server's loop
 	err := <-jobsOver
 	stopWork()
 	for _, s := range g.status {
@@ -204,17 +209,37 @@
 // MetricsAddr is where the metrics are.
 func (g *Gateway) MetricsAddr() string { return g.statusOn[1].Addr().String() }
 
-// inFlight implements activity.
+// inFlight is the number of requests under way.
 func (g *Gateway) inFlight() int64 { return g.active.Load() }
 
-// quietFor implements activity.
+// quietFor implements callerSide.
 func (g *Gateway) quietFor() time.Duration {
 	return time.Since(g.began) - time.Duration(g.lastCall.Load())
 }
 
-// served drops the error of a server that was closed.
+// busy implements callerSide.
+func (g *Gateway) busy() int { return g.callers.busy() }
+
+// closeIdle implements callerSide.
+func (g *Gateway) closeIdle() { g.callers.closeIdle() }
+
+// closeListener implements callerSide.
+func (g *Gateway) closeListener() {
+	if err := g.callers.Close(); err != nil {
+		g.log.Warn("listener not closed", "error", err)
+	}
+}
+
+// breakOff implements callerSide.
+func (g *Gateway) breakOff() {
+	if err := g.server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		g.log.Warn("connections not closed", "error", err)
+	}
+}
+
+// served drops the error of a server that was closed, or whose listener was.
 func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
