--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
@@ -237,3 +238,53 @@
 		t.Errorf("unknown policy: %v", err)
 	}
 }
+
+const gatewayFile = `[host]
+role = gateway
+id = front-1
+domain = d1
+[listen]
+callers = 127.0.0.1:8001
+ready = 127.0.0.1:8002
+peers = 127.0.0.1:8003
+metrics = 127.0.0.1:8004
+[store]
+address = 127.0.0.1:9000
+partitions = 8
+shortest_lease = 1000ms
+[backlog]
+keep = 120s
+`
+
+func TestLoadGateway(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gateway.ini")
+	load := func(text string) (Gateway, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadGateway(path)
+	}
+	g, err := load(gatewayFile)
+	if err != nil || g.Shards != 8 || g.Keep != 2*time.Minute || g.Grace != 8*time.Second || g.MinTTL != time.Second {
+		t.Errorf("%+v, %v", g, err)
+	}
+	if faults := Check(path); len(faults) != 0 {
+		t.Errorf("check: %v", faults)
+	}
+	for text, key := range map[string]string{
+		strings.Replace(gatewayFile, "partitions = 8", "partitions = 0", 1):                 "partitions",
+		strings.Replace(gatewayFile, "peers = 127.0.0.1:8003", "peers = 0.0.0.0:8003", 1):   "peers",
+		strings.Replace(gatewayFile, "keep = 120s", "keep = 120", 1):                        "keep",
+		strings.Replace(gatewayFile, "address = 127.0.0.1:9000", "address = store:9000", 1): "address",
+		strings.Replace(gatewayFile, "ready = 127.0.0.1:8002\n", "", 1):                     "ready",
+		gatewayFile + "[stop]\ngrce = 8s\n":                                                 "grce",
+	} {
+		_, err := load(text)
+		if !errs.Is(err, errs.BadSettings) || !strings.Contains(err.Error(), key) || !strings.Contains(err.Error(), path) {
+			t.Errorf("a fault of %s: %v", key, err)
+		}
+		if len(Check(path)) != 1 {
+			t.Errorf("check of a fault of %s: %v", key, Check(path))
+		}
+	}
+}
