--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -108,15 +108,6 @@
 // Remove drops a target. Requests that it still has end on their own.
 func (f *Fleet) Remove(id string) { delete(f.nodes, id) }
 
-// Target returns a target that is in the list.
-func (f *Fleet) Target(id string) (serving.Target, bool) {
-	n, ok := f.nodes[id]
-	if !ok {
-		return serving.Target{}, false
-	}
-	return n.Target, true
-}
-
 // Targets returns all targets of the list.
 func (f *Fleet) Targets() []serving.Target {
 	list := make([]serving.Target, 0, len(f.nodes))
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"arbutusramp/core/backlog"
@@ -53,15 +54,23 @@
 // awaitSaves waits until all progress is written or ctx ends. Nothing is written after it.
 func (m *Manager) awaitSaves(ctx context.Context) {
 	defer m.stopSaving()
+	if !waitFor(ctx, &m.saving) {
+		m.log.Warn("progress of items was not handed over in time")
+	}
+}
+
+// waitFor waits for a group, and reports false if ctx ends first.
+func waitFor(ctx context.Context, g *sync.WaitGroup) bool {
 	over := make(chan struct{})
 	go func() {
-		m.saving.Wait()
+		g.Wait()
 		close(over)
 	}()
 	select {
 	case <-over:
+		return true
 	case <-ctx.Done():
-		m.log.Warn("progress of items was not handed over in time")
+		return false
 	}
 }
 
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -110,49 +111,33 @@
 // load reads the newest record of each key. Records that are written meanwhile are read again
 // from the first page's end on; the fold takes each once.
 func (r *Replica) load(ctx context.Context, p platform.Partition) error {
-	var end uint64
-	after := ""
 	asked := time.Now() // what was written later is not known to be in the pages
-	for first := true; ; first = false {
-		page, err := r.store.Newest(ctx, p, after)
-		if err != nil {
-			return err
-		}
-		if first {
-			end = page.End
-		}
-		r.apply(page.Records)
-		if !page.More || len(page.Records) == 0 {
-			r.loaded(p, end, asked)
-			return nil
-		}
-		after = page.Records[len(page.Records)-1].Key
+	end, err := platform.EachNewest(ctx, r.store, p, "", func(records []platform.StoredRecord) bool {
+		r.apply(records)
+		return true
+	})
+	if err != nil {
+		return err
 	}
+	r.loaded(p, end, asked)
+	return nil
 }
 
 // loadProgress reads how far the items of a shard have come. It returns records that drop what nobody
 // needs any more: a former owner may have written it after the item had ended elsewhere.
 func (r *Replica) loadProgress(ctx context.Context, shard int) (drops []platform.KeyedRecord, err error) {
 	prefix := backlog.ProgressPrefix(shard)
-	for after := prefix; ; {
-		page, err := r.store.Newest(ctx, progressPartition, after)
-		if err != nil {
-			return drops, err
-		}
-		own := page.Records
-		for i, rec := range own {
-			if !strings.HasPrefix(rec.Key, prefix) {
-				own = own[:i]
-				break
-			}
+	_, err = platform.EachNewest(ctx, r.store, progressPartition, prefix, func(records []platform.StoredRecord) bool {
+		own := records
+		other := slices.IndexFunc(records, func(rec platform.StoredRecord) bool { return !strings.HasPrefix(rec.Key, prefix) })
+		if other >= 0 {
+			own = records[:other]
 		}
 		r.apply(own)
 		drops = append(drops, r.unneeded(own)...)
-		if len(own) < len(page.Records) || !page.More || len(own) == 0 {
-			return drops, nil
-		}
-		after = own[len(own)-1].Key
-	}
+		return other < 0
+	})
+	return drops, err
 }
 
 // unneeded returns records that drop those of progress that nobody will go on from.
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -139,14 +139,8 @@
 		t.stop()
 	}
 	d.mu.Unlock()
-	over := make(chan struct{})
-	go func() {
-		d.runs.Wait()
-		close(over)
-	}()
-	select {
-	case <-over:
-	case <-ctx.Done():
+	if !waitFor(ctx, &d.runs) {
+		d.m.log.Warn("runs of items have not ended in time")
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,8 @@
 	for {
 		e, err := in.Next()
 		if err == io.EOF {
-			return a.endStream(ans)
+			a.begin(ans, -1) // a stream without events has a header, too
+			return nil
 		}
 		if err != nil {
 			return a.broken(ctx, err)
@@ -180,11 +181,6 @@
 	}
 }
 
-func (a *attempt) endStream(ans *platform.TargetAnswer) error {
-	a.begin(ans, -1)
-	return nil
-}
-
 // begin sends the header, once for all attempts: a stream that goes on keeps its first one.
 func (a *attempt) begin(ans *platform.TargetAnswer, length int64) {
 	if a.begun {
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -50,9 +50,6 @@
 	return len(p), nil
 }
 
-// Lost is the number of lines left out since the last that was written.
-func (a *Async) Lost() int64 { return a.lost.Load() }
-
 func (a *Async) run() {
 	for line := range a.lines {
 		if n := a.lost.Swap(0); n > 0 {
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -56,20 +56,16 @@
 }
 
 func (d *peerDirectory) read(ctx context.Context) bool {
-	after := ""
-	for {
-		page, err := d.store.Newest(ctx, peerPartition, after)
-		if err != nil {
-			d.link.Lost(err)
-			return false
-		}
-		for _, r := range page.Records {
+	_, err := platform.EachNewest(ctx, d.store, peerPartition, "", func(records []platform.StoredRecord) bool {
+		for _, r := range records {
 			d.share.Meet(r.Key)
 		}
-		if !page.More || len(page.Records) == 0 {
-			d.link.Up()
-			return true
-		}
-		after = page.Records[len(page.Records)-1].Key
+		return true
+	})
+	if err != nil {
+		d.link.Lost(err)
+		return false
 	}
+	d.link.Up()
+	return true
 }
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -183,10 +183,7 @@
 	held       map[platform.Partition]string // by whom, until it has let go
 }
 
-type member struct {
-	until      time.Time
-	generation uint64 // the last that it has been told
-}
+type member struct{ until time.Time }
 
 // join deals partitions evenly. One that moves is free once its holder has joined with the
 // generation in which it was taken away.
@@ -224,7 +221,6 @@
 			a.Held = append(a.Held, p)
 		}
 	}
-	me.generation = g.generation
 	return a
 }
 
