One loop follows a dependency: configuration, targets and both parts of the backlog

Three copies of read, log once when lost, pause and go on stood beside the link that logs it; the loop is the link's now. Pauses and order of steps are as before.

--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -17,7 +17,6 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/internal/dependency"
-	"arbutusramp/internal/sleep"
 )
 
 // Topics in the store. Jobs and ends are written by any process, jobs under the condition that nobody
@@ -72,20 +71,9 @@
 
 // follow reads the news of a partition until ctx ends.
 func (r *Replica) follow(ctx context.Context, p platform.Partition) error {
-	link := dependency.NewLink(r.log, p.Topic)
-	for ctx.Err() == nil {
-		err := r.step(ctx, p)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			link.Lost(err)
-			sleep.For(ctx, retryPause)
-			continue
-		}
-		link.Up()
-		sleep.For(ctx, readPause)
-	}
+	pauses := dependency.Pauses{Answered: readPause, Failed: retryPause}
+	read := func() error { return r.step(ctx, p) }
+	dependency.NewLink(r.log, p.Topic).Follow(ctx, pauses, read, func(bool) {})
 	return nil
 }
 
--- a/internal/dependency/link.go
+++ b/internal/dependency/link.go
@@ -3,10 +3,13 @@
 package dependency
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/internal/sleep"
 )
 
 // Link is the state of one dependency.
@@ -49,3 +52,27 @@
 	l.ever = true
 	return back
 }
+
+// Pauses are the times between two reads of a dependency.
+type Pauses struct {
+	Answered time.Duration // after an answer, so that news gather
+	Failed   time.Duration
+}
+
+// Follow reads again and again until ctx ends. take is called after each answer and told whether the
+// dependency is back from a loss by it.
+func (l *Link) Follow(ctx context.Context, p Pauses, read func() error, take func(back bool)) {
+	for ctx.Err() == nil {
+		err := read()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			l.Lost(err)
+			sleep.For(ctx, p.Failed)
+			continue
+		}
+		take(l.Up())
+		sleep.For(ctx, p.Answered)
+	}
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -15,7 +15,6 @@
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/fleetview"
-	"arbutusramp/internal/sleep"
 )
 
 const (
@@ -101,25 +100,21 @@
 	return time.Since(w.fresh)
 }
 
+// pauses are those between two reads.
+var pauses = dependency.Pauses{Answered: pollPause, Failed: retryPause}
+
 func (w *Watch) followConfig(ctx context.Context) error {
-	var known uint64
-	link := dependency.NewLink(w.log, "configuration")
-	for ctx.Err() == nil {
-		asked := time.Now()
-		news, err := w.dir.Config(ctx, known, pollWait)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			link.Lost(err)
-			sleep.For(ctx, retryPause)
-			continue
+	var news platform.ConfigNews
+	var asked time.Time
+	read := func() error {
+		asked = time.Now()
+		got, err := w.dir.Config(ctx, news.Known, pollWait)
+		if err == nil {
+			news = got
 		}
-		link.Up()
-		known = news.Known
-		w.take(news.Config, asked)
-		sleep.For(ctx, pollPause)
+		return err
 	}
+	dependency.NewLink(w.log, "configuration").Follow(ctx, pauses, read, func(bool) { w.take(news.Config, asked) })
 	return nil
 }
 
@@ -142,33 +137,33 @@
 }
 
 func (w *Watch) followTargets(ctx context.Context) error {
-	var known uint64
+	var news platform.TargetNews
 	list := newTargetList()
-	link := dependency.NewLink(w.log, "targets")
-	for ctx.Err() == nil {
-		news, err := w.dir.Targets(ctx, known, pollWait)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			link.Lost(err)
-			sleep.For(ctx, retryPause)
-			continue
+	read := func() error {
+		got, err := w.dir.Targets(ctx, news.Known, pollWait)
+		if err == nil {
+			news = got
 		}
+		return err
+	}
+	dependency.NewLink(w.log, "targets").Follow(ctx, pauses, read, func(back bool) {
 		now := time.Now()
-		if link.Up() {
+		if back {
 			list.storeIsBack(now)
 		}
-		known = news.Known
 		w.applyTargets(list.take(now, news))
-		w.mu.Lock()
-		w.listed = w.listed || news.Whole
-		w.mu.Unlock()
-		sleep.For(ctx, pollPause)
-	}
+		w.noteListed(news.Whole)
+	})
 	return nil
 }
 
+// noteListed notes that the list of targets has been read, once it was read whole.
+func (w *Watch) noteListed(whole bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = w.listed || whole
+}
+
 func (w *Watch) applyTargets(c targetChanges) {
 	if len(c.put) == 0 && len(c.gone) == 0 {
 		return
