Attempts of an item are bounded over takeovers; a missing route is no failed attempt

Cause: how often an item had failed was known to its owner alone, so each new owner allowed all attempts anew; and the looks that found no route were counted as failures, so that an item whose route had been away for some seconds was given up after one answer of 500. Ruled out: that the text of runs before a failure must be dropped. Events are the same from every target, and the checkpoint brought the text back anyway. TestATaskIsFreeWhileItsShardIsBusy sets the field that now counts looks without a route.

--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -112,8 +112,10 @@
 
 func (s *State) applyProgress(p *Progress) string {
 	st := s.of(p.Job)
-	if !st.done[p.Item] && !st.ended && len(p.Text) >= len(st.progress[p.Item].Text) {
-		st.progress[p.Item] = *p
+	if !st.done[p.Item] && !st.ended {
+		known := st.progress[p.Item]
+		known.Merge(*p)
+		st.progress[p.Item] = known
 	}
 	return p.Job
 }
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -63,6 +63,21 @@
 	Item   string `cbor:"2,keyasint"`
 	LastID string `cbor:"3,keyasint"` // of the last event in Text
 	Text   string `cbor:"4,keyasint"`
+	// Failures is how many runs a target has answered with a failure. Without it each new owner would
+	// allow all attempts anew, and an item that always fails would end only where owners stay.
+	Failures int `cbor:"5,keyasint,omitempty"`
+}
+
+// Begun says whether there is anything to go on from.
+func (p Progress) Begun() bool { return p.LastID != "" || p.Failures > 0 }
+
+// Merge takes in what another record says of the same item: the longest text, since events are the same
+// from every target, and the most failures.
+func (p *Progress) Merge(o Progress) {
+	if len(o.Text) > len(p.Text) {
+		p.LastID, p.Text = o.LastID, o.Text
+	}
+	p.Failures = max(p.Failures, o.Failures)
 }
 
 // Page is a part of a job's results.
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,6 +39,7 @@
 	store   *keyedlog.Store
 	targets *fakeTargets
 	route   *serving.Route
+	noRoute atomic.Bool // the configuration in force does not have it
 	nodes   []*node
 }
 
@@ -99,6 +101,9 @@
 
 // Route implements Router.
 func (n *node) Route(string, string) (*serving.Route, serving.Limits, error) {
+	if n.w.noRoute.Load() {
+		return nil, serving.Limits{}, errs.New(errs.NotFound, "no route")
+	}
 	return n.w.route, serving.Limits{}, nil
 }
 
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -40,6 +40,9 @@
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
 	to, preempted := t.progress().LastID, t.settle(r.Target.ID, v)
+	if v == failed {
+		m.saveFailure(t)
+	}
 	m.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
 		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", time.Since(began).Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
 }
@@ -77,7 +80,6 @@
 		return t.end(backlog.Errored, ""), t.preempted
 	case failed:
 		t.failures++
-		t.lastID, t.text = "", nil // a failed run's output is not known to be a part of the next one's
 		if t.failures >= t.job.Attempts {
 			return t.end(backlog.Errored, ""), t.preempted
 		}
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -444,7 +444,7 @@
 			"a run that ends":      func(tk *task) { tk.settle("target-0", complete) },
 			"a route that is gone": func(tk *task) { w.nodes[0].manager.scheduler.unrouted(tk, time.Now()) },
 		} {
-			tk := &task{shard: s, job: w.job("a", "ok"), running: true, failures: 3}
+			tk := &task{shard: s, job: w.job("a", "ok"), running: true, unrouted: unroutedLooks - 1}
 			s.mu.Lock()
 			done := make(chan struct{})
 			go func() {
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -42,6 +42,16 @@
 	}()
 }
 
+// saveFailure writes that a run of a task has failed, so that the next owner counts it. A write that is
+// lost costs one attempt more.
+func (m *Manager) saveFailure(t *task) {
+	if t.ended() {
+		return
+	}
+	t.noteCheckpoint(m.progressOf(t))
+	m.saveProgress([]*task{t})
+}
+
 // checkpoints writes every now and then how far the running items have come, so that the loss of this
 // process costs no more than checkpointEvents of each, and drops what is no longer needed.
 func (m *Manager) checkpoints(ctx context.Context) error {
@@ -74,10 +84,10 @@
 	}
 }
 
-// progressOf encodes a task's progress; there is none before its first event.
+// progressOf encodes a task's progress; there is none before its first event or failure.
 func (m *Manager) progressOf(t *task) []platform.KeyedRecord {
 	p := t.progress()
-	if p.LastID == "" {
+	if !p.Begun() {
 		return nil
 	}
 	return m.encodeProgress(t, p)
--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -76,6 +76,9 @@
 		w.check(j, list)
 		w.compare(j, last)
 	}
+	for _, j := range w.accepted {
+		w.checkAttempts(j)
+	}
 	for id := range w.refused {
 		if _, err := last.manager.Results(context.Background(), id, 0, 0); !errs.Is(err, errs.NotFound) {
 			w.t.Errorf("job %s was refused at its only attempt and is there: %v", id, err)
@@ -84,6 +87,21 @@
 	w.stopAll()
 }
 
+// checkAttempts wants no item that fails to have run more often than its attempts and one for each of
+// the few owners that were gone before they could write that it had failed.
+func (w *trouble) checkAttempts(j *backlog.Job) {
+	const lost = 3
+	for _, item := range j.Items {
+		runs := w.targets.count(item.ID)
+		if strings.HasPrefix(item.ID, "fail") && runs > j.Attempts+lost {
+			w.t.Errorf("job %s: item %s, which always fails, was run %d times", j.ID, item.ID, runs)
+		}
+		if strings.HasPrefix(item.ID, "never") && runs > 1+lost {
+			w.t.Errorf("job %s: item %s, which can't be done, was run %d times", j.ID, item.ID, runs)
+		}
+	}
+}
+
 func (w *trouble) any() *node { return w.nodes[w.rng.IntN(len(w.nodes))] }
 
 func (w *trouble) step(i int) {
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -86,7 +86,7 @@
 // adoptProgress takes over what another process has written of a task, if that is further. In any case
 // it is the last checkpoint, to be dropped once the task has ended.
 func (d *scheduler) adoptProgress(t *task, p backlog.Progress) {
-	if p.LastID == "" {
+	if !p.Begun() {
 		return
 	}
 	t.adopt(p)
@@ -276,9 +276,12 @@
 	return sure || d.m.view.StoreDownForAll()
 }
 
-// unroutedGrace is how long an item's route may be missing before the item is given up: a
-// configuration may take a route away and bring it back.
-const unroutedGrace = 5 * time.Second
+// An item is given up once unroutedLooks looks in a row, each unroutedPause after the one before,
+// found no route for it: a configuration may take a route away and bring it back.
+const (
+	unroutedLooks = 4
+	unroutedPause = 5 * time.Second
+)
 
 // unrouted puts off an item without a route, and gives it up in the end.
 func (d *scheduler) unrouted(t *task, now time.Time) {
@@ -300,9 +303,7 @@
 		cancel()
 		return false
 	}
-	t.mu.Lock()
-	t.running, t.preempted, t.cancel = true, false, cancel
-	t.mu.Unlock()
+	t.begin(cancel)
 	go func() {
 		defer d.runs.Done()
 		defer cancel()
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -25,7 +25,8 @@
 	text      []byte
 	unsaved   int                    // events since the last checkpoint
 	saved     []platform.KeyedRecord // the last checkpoint; empty without one
-	failures  int                    // runs that the target has answered with a failure
+	failures  int                    // runs that a target has answered with a failure, at former owners too
+	unrouted  int                    // looks in a row that found no route
 	avoid     []string               // targets that have just failed it
 }
 
@@ -38,13 +39,14 @@
 func (t *task) progress() *backlog.Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text)}
+	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text), Failures: t.failures}
 }
 
 // adopt goes on from p if that is further and no run is on.
 func (t *task) adopt(p backlog.Progress) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.failures = max(t.failures, p.Failures)
 	if t.running || t.over || len(p.Text) <= len(t.text) {
 		return
 	}
@@ -78,6 +80,13 @@
 	}
 }
 
+// ended says whether the task's end is known.
+func (t *task) ended() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.over
+}
+
 func (t *task) isRunning() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,10 +123,18 @@
 func (t *task) noRoute(now time.Time) *outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.notUntil = now.Add(unroutedGrace)
-	t.failures++
-	if t.failures <= t.job.Attempts {
+	t.notUntil = now.Add(unroutedPause)
+	t.unrouted++
+	if t.unrouted < unroutedLooks {
 		return nil
 	}
 	return t.end(backlog.Errored, "")
 }
+
+// begin notes that a run of the task begins, which cancel ends.
+func (t *task) begin(cancel context.CancelFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running, t.preempted, t.cancel = true, false, cancel
+	t.unrouted = 0
+}
