A target whose entry is gone after a cut gets no requests two seconds later

Cause: a gateway that had been cut off alone took the removal, a second after its return, for an entry that lapsed in an outage. The time for that was looked at only when the store answered, and there was no news: the target stayed for up to 1.15 s more. Besides, 2.2 s were more than a removal allows. Ruled out: a read that missed the record (the later log line shows that it was taken). Now a read waits no longer than until the next entry expires; the grace is 1.5 s; a lost store is asked without patience, so that its return is noticed up to 1 s earlier. Both tests were red before: gone 3.46 s after the return; 60 patient questions.

--- a/internal/dependency/link.go
+++ b/internal/dependency/link.go
@@ -53,6 +53,18 @@
 	return back
 }
 
+// Patience is how long a question to the dependency may wait for news: not at all while it is lost. A
+// question that the network drops would otherwise be given up only after the whole wait, and what has
+// changed meanwhile be learned that much later.
+func (l *Link) Patience(wait time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.down.IsZero() {
+		return 0
+	}
+	return wait
+}
+
 // Pauses are the times between two reads of a dependency.
 type Pauses struct {
 	Answered time.Duration // after an answer, so that news gather
--- a/internal/watch/targets.go
+++ b/internal/watch/targets.go
@@ -74,6 +74,16 @@
 	l.remove(id, c)
 }
 
+// untilExpiry is how long the list can stay as it is without news: a target whose time is up while a
+// read waits for news would otherwise get requests until the next news come.
+func (l *targetList) untilExpiry(now time.Time) time.Duration {
+	next := pollWait
+	for _, until := range l.lapsed {
+		next = min(next, until.Sub(now))
+	}
+	return max(next, 0)
+}
+
 func (l *targetList) expire(now time.Time, c *targetChanges) {
 	for id, until := range l.lapsed {
 		if !now.Before(until) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -27,9 +27,11 @@
 	// retryPause is the time between reads that fail.
 	retryPause = 100 * time.Millisecond
 	// lapseGrace is how long after an outage of the store an entry of a target may still be
-	// missing although the target lives: entries lapse meanwhile and are back about two
-	// seconds after the store's return.
-	lapseGrace = 2200 * time.Millisecond
+	// missing although the target lives: entries lapse meanwhile and are back within two seconds
+	// of the store's return. A process can't tell a lapsed entry from one that was removed, and
+	// after a removal requests must end within two seconds; it is shorter than that by what a
+	// process may notice the return later.
+	lapseGrace = 1500 * time.Millisecond
 	// noConfigRetry is when a caller should come back that came before the configuration.
 	noConfigRetry = 300 * time.Millisecond
 )
@@ -106,15 +108,16 @@
 func (w *Watch) followConfig(ctx context.Context) error {
 	var news platform.ConfigNews
 	var asked time.Time
+	link := dependency.NewLink(w.log, "configuration")
 	read := func() error {
 		asked = time.Now()
-		got, err := w.dir.Config(ctx, news.Known, pollWait)
+		got, err := w.dir.Config(ctx, news.Known, link.Patience(pollWait))
 		if err == nil {
 			news = got
 		}
 		return err
 	}
-	dependency.NewLink(w.log, "configuration").Follow(ctx, pauses, read, func(bool) { w.take(news.Config, asked) })
+	link.Follow(ctx, pauses, read, func(bool) { w.take(news.Config, asked) })
 	return nil
 }
 
@@ -139,14 +142,16 @@
 func (w *Watch) followTargets(ctx context.Context) error {
 	var news platform.TargetNews
 	list := newTargetList()
+	link := dependency.NewLink(w.log, "targets")
 	read := func() error {
-		got, err := w.dir.Targets(ctx, news.Known, pollWait)
+		wait := link.Patience(min(pollWait, list.untilExpiry(time.Now())))
+		got, err := w.dir.Targets(ctx, news.Known, wait)
 		if err == nil {
 			news = got
 		}
 		return err
 	}
-	dependency.NewLink(w.log, "targets").Follow(ctx, pauses, read, func(back bool) {
+	link.Follow(ctx, pauses, read, func(back bool) {
 		now := time.Now()
 		if back {
 			list.storeIsBack(now)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -22,6 +22,8 @@
 	down    bool
 	configs []*serving.Config
 	targets []platform.TargetNews
+	waited  time.Duration // by a test
+	patient int           // questions while down that would wait for news
 }
 
 func (d *fakeDirectory) set(f func(d *fakeDirectory)) {
@@ -61,6 +63,9 @@
 	for until := time.Now().Add(wait); ; {
 		d.mu.Lock()
 		down, took := d.down, !d.down && take()
+		if down && wait > 0 {
+			d.patient++
+		}
 		d.mu.Unlock()
 		switch {
 		case down:
@@ -210,6 +215,49 @@
 	})
 }
 
+// Symptom: requests reached a target three seconds after the store had taken its entry away.
+// Sequence: a process was cut off from the store for some seconds; a second after its return a target
+// leaves and its entry is removed; the process takes it for one that lapsed in the outage and may come
+// back; the time for that ends while it waits for the next news, of which there is none.
+// Cause: how long an entry may be missing was looked at only when the store had answered.
+func TestALapsedTargetIsGoneInTimeWithoutNews(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{target("a")}})
+		})
+		time.Sleep(time.Second)
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(5 * time.Second)
+		d.set(func(d *fakeDirectory) { d.down = false })
+		time.Sleep(1100 * time.Millisecond)
+		d.set(func(d *fakeDirectory) { d.targets = append(d.targets, platform.TargetNews{Known: 2, Gone: []string{"a"}}) })
+		for time.Sleep(100 * time.Millisecond); len(v.Targets()) > 0; time.Sleep(10 * time.Millisecond) {
+			d.set(func(d *fakeDirectory) { d.waited += 10 * time.Millisecond })
+		}
+		if left := 1200*time.Millisecond + d.waited; left > lapseGrace+pollPause {
+			t.Errorf("gone %s after the store's return, want within %s", left, lapseGrace+pollPause)
+		}
+	})
+}
+
+// Symptom: a process learned only seconds after the end of a cut what had changed meanwhile.
+// Sequence: it asks for news and is willing to wait; the network drops the question; the cut ends; the
+// question is given up after the wait and the time for an answer.
+// Cause: questions that test whether the store is back were as patient as those that wait for news.
+func TestALostStoreIsAskedWithoutPatience(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		time.Sleep(2 * time.Second)
+		d.set(func(d *fakeDirectory) { d.down, d.patient = true, 0 })
+		time.Sleep(3 * time.Second)
+		d.set(func(d *fakeDirectory) {
+			// Each of the two readers asks once before it knows.
+			if d.patient > 2 {
+				t.Errorf("%d questions to the lost store would have waited for news", d.patient)
+			}
+		})
+	})
+}
+
 func TestATargetThatLeavesIsGoneAtOnce(t *testing.T) {
 	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
 		d.set(func(d *fakeDirectory) {
