Items are not run again after an outage of the store: ends are handed over, former owners awaited

Now progress carries an end that could not be written, which the next owner lists without a run; after an outage the items of newly dealt shards begin 1.5 s after its end; a failed join is repeated after 150 ms. Both tests were red before (items run once and three times).

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -66,18 +66,24 @@
 	// Failures is how many runs a target has answered with a failure. Without it each new owner would
 	// allow all attempts anew, and an item that always fails would end only where owners stay.
 	Failures int `cbor:"5,keyasint,omitempty"`
+	// Outcome is the item's end, if its owner could not write it any more; empty while something is
+	// left to do. Without it the next owner would have a target resume an output that is whole.
+	Outcome Outcome `cbor:"6,keyasint,omitempty"`
 }
 
 // Begun says whether there is anything to go on from.
-func (p Progress) Begun() bool { return p.LastID != "" || p.Failures > 0 }
+func (p Progress) Begun() bool { return p.LastID != "" || p.Failures > 0 || p.Outcome != "" }
 
 // Merge takes in what another record says of the same item: the longest text, since events are the same
-// from every target, and the most failures.
+// from every target, the most failures, and an end if there is one.
 func (p *Progress) Merge(o Progress) {
 	if len(o.Text) > len(p.Text) {
 		p.LastID, p.Text = o.LastID, o.Text
 	}
 	p.Failures = max(p.Failures, o.Failures)
+	if p.Outcome == "" {
+		p.Outcome = o.Outcome
+	}
 }
 
 // Page is a part of a job's results.
--- a/internal/backlog/attempts_test.go
+++ b/internal/backlog/attempts_test.go
@@ -1,8 +1,13 @@
 package backlog
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/platform"
+	"arbutusramp/standin/keyedlog"
 )
 
 // Symptom: an item that fails at each run reached targets without an end.
@@ -49,6 +54,72 @@
 	})
 }
 
+// Symptom: after outages of the store items whose output was whole were sent to targets once more, and
+// their results were listed that much later.
+// Sequence: items end while no process reaches the store; leases lapse and the shards are dealt anew
+// before the ends are written; the next owner finds the items' whole output as their progress and has a
+// target resume it after its last event.
+// Cause: progress did not say that nothing is left to do.
+func TestAnItemThatEndedIsNotRunAgain(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, w *world) {
+		w.noRoute.Store(true) // nothing runs here; what there is comes from former owners
+		j := w.job("a", "ok", "never", "ok")
+		w.nodes[0].submit(j)
+		shard := w.nodes[0].manager.shardOf(j.ID)
+		for i, p := range []backlog.Progress{{Outcome: backlog.Complete, LastID: "40", Text: output(j.Items[0].ID)}, {Outcome: backlog.Errored}} {
+			p.Job, p.Item = j.ID, j.Items[i].ID
+			records, err := backlog.EncodeProgress(&p, shard, i)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := w.store.View().Append(context.Background(), platform.Append{Partition: progressPartition, Records: records}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.store.Rebalance()
+		time.Sleep(2 * time.Second)
+		w.noRoute.Store(false)
+		w.check(j, w.nodes[1].results(j, 20*time.Second))
+		for i, want := range []int{0, 0, 1} {
+			if n := w.targets.count(j.Items[i].ID); n != want {
+				t.Errorf("item %s was run %d times, want %d", j.Items[i].ID, n, want)
+			}
+		}
+	})
+}
+
+// Symptom: after each outage of the store a part of the items was run again from the middle.
+// Sequence: all leases lapse in the outage; the first process that is back is dealt every shard and begins
+// with the items; the others, back a few hundred milliseconds later, write what they had.
+// Cause: the first one took the others for gone.
+func TestAfterAnOutageFormerOwnersAreWaitedFor(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, w *world) {
+		var jobs []*backlog.Job
+		for i := range 10 {
+			j := w.job(string(rune('a'+i)), "ok", "ok")
+			w.nodes[0].submit(j)
+			jobs = append(jobs, j)
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, n := range w.nodes {
+			n.view.Set(keyedlog.Faults{Silent: true})
+		}
+		down := time.Now()
+		w.gossip(func() bool { return time.Since(down) < 5*time.Second })
+		w.nodes[0].view.Set(keyedlog.Faults{})
+		time.Sleep(300 * time.Millisecond)
+		w.nodes[1].view.Set(keyedlog.Faults{})
+		for _, j := range jobs {
+			w.check(j, w.nodes[1].results(j, 20*time.Second))
+			for _, item := range j.Items {
+				if n := w.targets.count(item.ID); n != 1 {
+					t.Errorf("item %s was run %d times", item.ID, n)
+				}
+			}
+		}
+	})
+}
+
 // An item whose route does not come back is given up, so that its job ends.
 func TestAnItemWhoseRouteIsGoneIsGivenUp(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -21,6 +21,12 @@
 	// ttlFactor makes a member's time longer than the shortest that the store allows, so that
 	// one late call does not move all its shards.
 	ttlFactor = 1.5
+	// joinAgain is the pause after a call of the store that failed: the sooner all members are back
+	// after an outage, the sooner the shards stay where they are.
+	joinAgain = 150 * time.Millisecond
+	// returnSpan is how long after the end of an outage the last members are back: a call that the
+	// store did not answer is given up after 1.2 s, and made again joinAgain later.
+	returnSpan = 1500 * time.Millisecond
 	// leaveTimeout bounds the farewell of a process that stops.
 	leaveTimeout = 700 * time.Millisecond
 )
@@ -31,6 +37,7 @@
 	ttl := time.Duration(float64(m.opts.MinTTL) * ttlFactor)
 	membership := platform.Membership{Group: shardGroup, Member: m.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
 	shards := make(map[int]*shard)
+	var settled time.Time // when former owners have written what they had, after an outage
 	link := dependency.NewLink(m.log, shardGroup)
 	for ctx.Err() == nil {
 		asked := time.Now()
@@ -40,12 +47,15 @@
 		}
 		if err != nil {
 			link.Lost(err)
-		} else {
-			link.Up()
-			membership.Generation = a.Generation
-			m.deal(ctx, shards, a)
-			m.scheduler.leaseUntil(asked.Add(ttl))
+			sleep.For(ctx, joinAgain)
+			continue
 		}
+		if link.Up() {
+			settled = time.Now().Add(returnSpan)
+		}
+		membership.Generation = a.Generation
+		m.deal(ctx, shards, a, settled)
+		m.scheduler.leaseUntil(asked.Add(ttl))
 		sleep.For(ctx, ttl/joinsPerTTL)
 	}
 	m.leave(shards)
@@ -53,8 +63,9 @@
 }
 
 // deal starts shards that are new and stops those that were taken away. Stopping comes before
-// the next join, which tells the store that they are free.
-func (m *Manager) deal(ctx context.Context, shards map[int]*shard, a platform.Assignment) {
+// the next join, which tells the store that they are free. The items of new shards begin once settled
+// has passed.
+func (m *Manager) deal(ctx context.Context, shards map[int]*shard, a platform.Assignment, settled time.Time) {
 	held := make(map[int]bool, len(a.Held))
 	for _, p := range a.Held {
 		held[p.Index] = true
@@ -76,7 +87,7 @@
 			s.stop()
 		}
 		m.log.Info("shard taken", "shard", i, "epoch", a.Generation)
-		shards[i] = m.startShard(ctx, i, a.Generation)
+		shards[i] = m.startShard(ctx, i, a.Generation, settled)
 	}
 }
 
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -464,7 +464,7 @@
 func overSoon(tk *task) bool {
 	for range 100_000 {
 		if tk.mu.TryLock() {
-			over := tk.over
+			over := tk.ending != ""
 			tk.mu.Unlock()
 			if over {
 				return true
@@ -485,11 +485,11 @@
 		held := []platform.Partition{{Topic: shardTopic, Index: 0}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		m.deal(ctx, shards, platform.Assignment{Generation: 5, Held: held})
+		m.deal(ctx, shards, platform.Assignment{Generation: 5, Held: held}, time.Time{})
 		if shards[0] != lost {
 			t.Error("the shard began anew in its epoch")
 		}
-		m.deal(ctx, shards, platform.Assignment{Generation: 6, Held: held})
+		m.deal(ctx, shards, platform.Assignment{Generation: 6, Held: held}, time.Time{})
 		if shards[0] == lost || shards[0].epoch != 6 {
 			t.Error("the shard did not begin anew in a later epoch")
 		}
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -84,15 +84,17 @@
 }
 
 // adoptProgress takes over what another process has written of a task, if that is further. In any case
-// it is the last checkpoint, to be dropped once the task has ended.
-func (d *scheduler) adoptProgress(t *task, p backlog.Progress) {
+// it is the last checkpoint, to be dropped once the task has ended. It returns the task's end, if
+// that is what was written.
+func (d *scheduler) adoptProgress(t *task, p backlog.Progress) *outcome {
 	if !p.Begun() {
-		return
+		return nil
 	}
-	t.adopt(p)
+	end := t.adopt(p)
 	if len(t.checkpointed()) == 0 {
 		t.noteCheckpoint(d.m.encodeProgress(t, &p))
 	}
+	return end
 }
 
 // drop takes records that drop progress for the next checkpoint.
@@ -179,15 +181,31 @@
 	return w.Items
 }
 
-// sync takes in new jobs of the owned shards and drops what is over.
+// ended is an end that a former owner could not write, and the shard that now writes it.
+type ended struct {
+	shard *shard
+	end   *outcome
+}
+
+// sync takes in new jobs of the owned shards, drops what is over and passes on the ends that former
+// owners have left.
 func (d *scheduler) sync() <-chan struct{} {
+	news, ends := d.update()
+	for _, e := range ends {
+		e.shard.finish(e.end)
+	}
+	return news
+}
+
+// update is sync without telling the shards, which must not happen under the scheduler's lock.
+func (d *scheduler) update() (news <-chan struct{}, ends []ended) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	owned := make(map[int]*shard, len(d.shards))
 	for s := range d.shards {
 		owned[s.index] = s
 	}
-	return d.m.replica.with(func(st *backlog.State) {
+	news = d.m.replica.with(func(st *backlog.State) {
 		st.Open(func(j *backlog.Job) {
 			if s, ok := owned[d.m.shardOf(j.ID)]; ok {
 				d.addJob(st, s, j)
@@ -200,9 +218,12 @@
 				d.drops = append(d.drops, backlog.Drop(t.checkpointed())...)
 				continue
 			}
-			d.adoptProgress(t, st.Progress(t.job.ID, t.item().ID))
+			if end := d.adoptProgress(t, st.Progress(t.job.ID, t.item().ID)); end != nil {
+				ends = append(ends, ended{t.shard, end})
+			}
 		}
 	})
+	return news, ends
 }
 
 func (d *scheduler) addJob(st *backlog.State, s *shard, j *backlog.Job) {
@@ -211,9 +232,7 @@
 		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
 			continue
 		}
-		t := &task{shard: s, job: j, index: i}
-		d.adoptProgress(t, st.Progress(j.ID, j.Items[i].ID))
-		d.tasks[key] = t
+		d.tasks[key] = &task{shard: s, job: j, index: i}
 	}
 }
 
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -29,6 +29,8 @@
 	index int
 	epoch uint64
 	stop  context.CancelFunc
+	// settled is when former owners that live have written what they had.
+	settled time.Time
 
 	// mu is taken before the replica's lock where both are needed.
 	mu    sync.Mutex
@@ -56,10 +58,10 @@
 func (o *outcome) key() string { return o.job.ID + "/" + o.item }
 
 // startShard begins to own a shard.
-func (m *Manager) startShard(ctx context.Context, index int, epoch uint64) *shard {
+func (m *Manager) startShard(ctx context.Context, index int, epoch uint64, settled time.Time) *shard {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &shard{
-		m: m, index: index, epoch: epoch, wake: make(chan struct{}, 1), over: make(chan struct{}),
+		m: m, index: index, epoch: epoch, settled: settled, wake: make(chan struct{}, 1), over: make(chan struct{}),
 		next: make(map[string]int), given: make(map[string]bool),
 	}
 	s.stop = func() {
@@ -84,7 +86,7 @@
 // run shuts the old owner out, reads what it has left and then writes results as they come.
 func (s *shard) run(ctx context.Context) {
 	defer close(s.over)
-	if !s.takeOver(ctx) {
+	if !s.takeOver(ctx) || !s.awaitFormerOwner(ctx) {
 		return
 	}
 	s.m.scheduler.adopt(ctx, s)
@@ -127,6 +129,22 @@
 	}
 }
 
+// awaitFormerOwner waits, right after an outage, until the former owner has had time to write how far the
+// items have come. In an outage all leases lapse, and the first process that is back is dealt shards
+// whose owners live: it would run their items anew from their last checkpoints, which shows as items with
+// two whole runs.
+func (s *shard) awaitFormerOwner(ctx context.Context) bool {
+	left := time.Until(s.settled)
+	if left <= 0 {
+		return true
+	}
+	if !sleep.For(ctx, left) {
+		return false
+	}
+	s.readProgress(ctx)
+	return true
+}
+
 // readProgress takes over how far the shard's items have come. Without it they start anew, so a
 // failure is only logged.
 func (s *shard) readProgress(ctx context.Context) {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -17,7 +17,7 @@
 
 	mu        sync.Mutex
 	running   bool
-	over      bool // its end is known, and written or about to be
+	ending    backlog.Outcome // how it has ended, written or about to be; empty until that is known
 	cancel    context.CancelFunc
 	preempted bool
 	notUntil  time.Time
@@ -39,24 +39,37 @@
 func (t *task) progress() *backlog.Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text), Failures: t.failures}
+	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastID: t.lastID, Text: string(t.text), Failures: t.failures, Outcome: t.ending}
 }
 
-// adopt goes on from p if that is further and no run is on.
-func (t *task) adopt(p backlog.Progress) {
+// adopt goes on from p if that is further and no run is on. A run of an item that has ended elsewhere
+// is cancelled, so that a later call can take the end over. It returns the task's end, if p brings it.
+func (t *task) adopt(p backlog.Progress) *outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.failures = max(t.failures, p.Failures)
-	if t.running || t.over || len(p.Text) <= len(t.text) {
-		return
+	if t.running && p.Outcome != "" {
+		t.cancel()
+	}
+	if t.running || t.ending != "" {
+		return nil
+	}
+	if len(p.Text) > len(t.text) {
+		t.lastID, t.text = p.LastID, []byte(p.Text)
+	}
+	switch p.Outcome {
+	case backlog.Complete:
+		return t.end(backlog.Complete, string(t.text))
+	case backlog.Errored:
+		return t.end(backlog.Errored, "")
 	}
-	t.lastID, t.text = p.LastID, []byte(p.Text)
+	return nil
 }
 
 func (t *task) dueForCheckpoint() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.over && t.unsaved >= checkpointEvents
+	return t.ending == "" && t.unsaved >= checkpointEvents
 }
 
 func (t *task) noteCheckpoint(saved []platform.KeyedRecord) {
@@ -84,7 +97,7 @@
 func (t *task) ended() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.over
+	return t.ending != ""
 }
 
 func (t *task) isRunning() bool {
@@ -96,12 +109,12 @@
 func (t *task) mayStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.running && !t.over && !now.Before(t.notUntil)
+	return !t.running && t.ending == "" && !now.Before(t.notUntil)
 }
 
 // end makes the task's end, to be told to its shard. The caller holds the task's lock.
 func (t *task) end(o backlog.Outcome, text string) *outcome {
-	t.over = true
+	t.ending = o
 	return &outcome{job: t.job, item: t.item().ID, outcome: o, text: text}
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -230,7 +230,9 @@
 		time.Sleep(5 * time.Second)
 		d.set(func(d *fakeDirectory) { d.down = false })
 		time.Sleep(1100 * time.Millisecond)
-		d.set(func(d *fakeDirectory) { d.targets = append(d.targets, platform.TargetNews{Known: 2, Gone: []string{"a"}}) })
+		d.set(func(d *fakeDirectory) {
+			d.targets = append(d.targets, platform.TargetNews{Known: 2, Gone: []string{"a"}})
+		})
 		for time.Sleep(100 * time.Millisecond); len(v.Targets()) > 0; time.Sleep(10 * time.Millisecond) {
 			d.set(func(d *fakeDirectory) { d.waited += 10 * time.Millisecond })
 		}
