The log says why a request was given up: whose time was over, or that its caller has gone

Callers were told 504 all along. Now the line and the counter say deadline_exceeded with the limit in ms and whose it is, or cancelled.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/errs"
@@ -56,6 +57,7 @@
 	req     *serving.Request
 	out     platform.CallerAnswer
 	until   time.Time // the system answers by then at the latest
+	limitOf string    // whose limit that is, for the log
 
 	tried []string // targets that got it or could not be reached
 	// mayHaveRun counts the targets that may have begun with it.
@@ -69,20 +71,34 @@
 func (g *Gateway) Serve(ctx context.Context, route *serving.Route, r *serving.Request, out platform.CallerAnswer) {
 	x := &exchange{
 		gw: g, route: route, service: route.Service(r.ID), req: r, out: out,
-		until: r.Arrived.Add(route.Timeout), lastID: r.ResumeAfter,
+		until: r.Arrived.Add(route.Timeout), limitOf: "route", lastID: r.ResumeAfter,
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.until) {
-		x.until = r.Deadline
+		x.until, x.limitOf = r.Deadline, "caller"
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
-	err := x.run(ctx)
+	err := x.cause(ctx, x.run(ctx))
 	x.record(err)
 	if err != nil {
 		x.finish(ctx, err)
 	}
 }
 
+// cause is why the request was given up. An attempt only knows that its context has ended: that the time was
+// over and that the caller has gone have different causes and are told apart here.
+func (x *exchange) cause(ctx context.Context, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errs.Newf(errs.DeadlineExceeded, "no whole answer in time: %v", err)
+	case ctx.Err() != nil:
+		return errs.New(errs.Cancelled, "the caller has gone")
+	}
+	return err
+}
+
 // run tries one target after the other. A nil error means that the caller has a whole answer.
 func (x *exchange) run(ctx context.Context) error {
 	for {
@@ -141,9 +157,9 @@
 func (x *exchange) finalError(ctx context.Context, err error) *errs.Error {
 	if ctx.Err() != nil {
 		err = errs.New(errs.DeadlineExceeded, "no answer in time")
-		if x.mayHaveRun == 0 {
-			err = errs.New(errs.NoTarget, "no target has taken the request in time").WithRan(errs.RanNo)
-		}
+	}
+	if ctx.Err() != nil && x.mayHaveRun == 0 {
+		err = errs.New(errs.NoTarget, "no target has taken the request in time").WithRan(errs.RanNo)
 	}
 	e := errs.As(err)
 	if x.mayHaveRun > 0 {
@@ -179,7 +195,8 @@
 		x.gw.served.Info(time.Now(), "request", args...)
 		return
 	}
-	x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID)...)
+	x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
+		"limit_ms", x.until.Sub(x.req.Arrived).Milliseconds(), "limit_of", x.limitOf)...)
 }
 
 // Size and decay of the samples behind histograms, the library's usual ones.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,11 +26,12 @@
 
 // bench is a gateway over targets that follow scripts.
 type bench struct {
-	gw      *Gateway
-	view    *fleetview.View
-	scripts []script
-	sent    []string // target ids, in the order of sends
-	resumed []string // what each send resumed after
+	deadline time.Duration // of callers
+	gw       *Gateway
+	view     *fleetview.View
+	scripts  []script
+	sent     []string // target ids, in the order of sends
+	resumed  []string // what each send resumed after
 }
 
 // Send implements platform.TargetCaller: the n-th send follows the n-th script.
@@ -41,7 +43,7 @@
 }
 
 func newBench(targets int, scripts ...script) *bench {
-	b := &bench{scripts: scripts, view: fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second})}
+	b := &bench{scripts: scripts, deadline: 5 * time.Second, view: fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second})}
 	for i := range targets {
 		b.view.Put([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
@@ -89,7 +91,7 @@
 
 func (b *bench) serve(ctx context.Context, r *serving.Route, out *caller) {
 	began := time.Now()
-	b.gw.Serve(ctx, r, &serving.Request{ID: "id", Arrived: began, Deadline: began.Add(5 * time.Second)}, out)
+	b.gw.Serve(ctx, r, &serving.Request{ID: "id", Arrived: began, Deadline: began.Add(b.deadline)}, out)
 	out.at = time.Since(began)
 }
 
@@ -248,6 +250,40 @@
 	})
 }
 
+// Symptom: the log says that requests were cancelled, and whoever reads it looks for callers that left.
+// Sequence: a target is silent; the route's or the caller's time is over; the request is answered with 504.
+// Cause: the log had the error of the attempt, which only knows that its context has ended.
+func TestTheLogSaysWhoseTimeWasOver(t *testing.T) {
+	for limit, deadline := range map[string]time.Duration{"route": time.Minute, "caller": 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			var lines bytes.Buffer
+			b := newBench(2, dark)
+			b.gw.log = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+			b.deadline = deadline
+			b.serve(context.Background(), route(serving.KindUnsafe, 2, false), &caller{})
+			for _, want := range []string{`"outcome":"deadline_exceeded"`, `"limit_of":"` + limit + `"`} {
+				if !strings.Contains(lines.String(), want) {
+					t.Errorf("no %s in %s", want, lines.String())
+				}
+			}
+		})
+	}
+}
+
+func TestTheLogSaysThatTheCallerHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		b := newBench(2, dark)
+		b.gw.log = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(time.Second, leave)
+		b.serve(ctx, route(serving.KindUnsafe, 2, false), &caller{})
+		if !strings.Contains(lines.String(), `"outcome":"cancelled"`) {
+			t.Errorf("lines %s", lines.String())
+		}
+	})
+}
+
 // Symptom: a target works on for a caller that has gone.
 func TestACallerThatLeavesEndsTheRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
