--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,6 +50,7 @@
 	sent := time.Now()
 	a.heard.Store(int64(sent.Sub(a.req.Arrived)))
 	a.mayHaveRun++
+	a.logSent(sent)
 	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
 	stop := a.watch(ctx, sent, mayMove)
 	defer stop()
@@ -111,6 +112,13 @@
 	a.run.Heard()
 }
 
+// logSent writes where the request goes before it does. The line at its end is missing when this process
+// is killed under it: then this is all that says where it was.
+func (a *attempt) logSent(now time.Time) {
+	a.gw.sent.Info(now, "sent", "request", a.req.ID, "route", a.route.Name, "attempt", len(a.tried), "target", a.run.Choice.String(),
+		"after_event", a.lastID, "left_ms", a.until.Sub(now).Milliseconds())
+}
+
 // suspect counts a failure against the target and logs when that changes what is believed of it.
 func (a *attempt) suspect(why string) {
 	if a.run.Failed() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	beliefs Beliefs
 	log     hclog.Logger
 	served  *logging.Routine
+	sent    *logging.Routine
 	reg     metrics.Registry
 }
 
@@ -46,7 +47,7 @@
 
 // New returns a gateway that sends to the targets of view.
 func New(targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
-	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), reg: reg}
+	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log), reg: reg}
 }
 
 // exchange is one request on its way.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -270,6 +270,23 @@
 	}
 }
 
+// Symptom: nothing in any log names a request that its caller asks about.
+// Sequence: a request is at a target; the process that took it is killed.
+// Cause: the only line of a request was written at its end.
+func TestARequestIsInTheLogBeforeItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines bytes.Buffer
+		b := newBench(2, func(context.Context, platform.TargetCall) (*platform.TargetAnswer, error) {
+			if !strings.Contains(lines.String(), `"request":"id"`) || !strings.Contains(lines.String(), `"@message":"sent"`) {
+				t.Errorf("at the target, with the lines %q", lines.String())
+			}
+			return whole(200, "ok", nil)(nil, platform.TargetCall{})
+		})
+		b.gw = New(b, b.view, b, hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true}), metrics.NewRegistry())
+		b.serve(context.Background(), route(serving.KindSafe, 2, false), &caller{})
+	})
+}
+
 func TestTheLogSaysThatTheCallerHasGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var lines bytes.Buffer
