--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -135,7 +135,7 @@
 
 func (w *trouble) step(i int) {
 	if w.lateWrites && w.rng.IntN(3) == 0 {
-		w.delayOwner()
+		w.delayOwner(i)
 	}
 	switch w.rng.IntN(10) {
 	case 0, 1, 2, 3:
@@ -158,8 +158,14 @@
 	w.look()
 }
 
+// lateJobs are handed in before a process's writes are delayed: their items end while they are.
+const lateJobs = 4
+
 // delayOwner has a process's writes done late, after its shards were dealt anew.
-func (w *trouble) delayOwner() {
+func (w *trouble) delayOwner(step int) {
+	for i := range lateJobs {
+		w.handIn(randomSteps*(1+step) + i)
+	}
 	w.any().view.Set(keyedlog.Faults{Late: 2 * time.Second})
 	time.Sleep(stepGap)
 	w.store.Rebalance()
