--- a/internal/lab/mix/fault.go
+++ b/internal/lab/mix/fault.go
@@ -87,7 +87,7 @@
 
 // isolate breaks every connection of a host, as its death does.
 func (s *stage) isolate(host structs.HostID) {
-	s.fleet.links.each(func(p pair) bool { return p.from == host || p.to == host }, (*link).kill)
+	s.fleet.links.each(func(p pair) bool { return p.from == host || p.to == host }, kill)
 }
 
 func (s *stage) killSide() {
@@ -123,10 +123,10 @@
 	e, host := s.fleet.engines[victim], s.fleet.sides[victim].host
 	of := func(p pair) bool { return p.from == host || p.to == host }
 	e.Turn(func(k *engine.Knobs) { k.Pause = true })
-	s.fleet.links.each(of, (*link).pause)
+	s.fleet.links.each(of, pause)
 	time.AfterFunc(pauseFor, func() {
 		e.Turn(func(k *engine.Knobs) { k.Pause = false })
-		s.fleet.links.each(of, (*link).resume)
+		s.fleet.links.each(of, resume)
 	})
 }
 
@@ -140,8 +140,8 @@
 		to, known := domain[p.to]
 		return known && (domain[p.from] == cut) != (to == cut)
 	}
-	s.fleet.links.each(across, (*link).pause)
-	time.AfterFunc(faultFor, func() { s.fleet.links.each(across, (*link).resume) })
+	s.fleet.links.each(across, pause)
+	time.AfterFunc(faultFor, func() { s.fleet.links.each(across, resume) })
 }
 
 func (s *stage) stopSide() {
--- a/internal/lab/mix/mix_test.go
+++ b/internal/lab/mix/mix_test.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := net.Dial("tcp", l.ln.Addr().String())
+	c, err := net.Dial("tcp", l.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,18 +110,18 @@
 	if _, err := io.ReadFull(c, buf); err != nil || buf[0] != 1 {
 		t.Fatalf("read %v, %v", buf, err)
 	}
-	l.pause()
+	pause(l)
 	say(2)
-	select {
-	case <-l.open:
-		t.Error("the link is open while paused")
-	default:
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // it is open
+	if _, err := io.ReadFull(c, buf); err == nil {
+		t.Error("a byte passed while the link was paused")
 	}
-	l.resume()
+	_ = c.SetReadDeadline(time.Time{})
+	resume(l)
 	if _, err := io.ReadFull(c, buf); err != nil || buf[0] != 2 {
 		t.Fatalf("read %v, %v after the pause", buf, err)
 	}
-	l.kill()
+	kill(l)
 	if _, err := c.Read(buf); err == nil {
 		t.Error("the connection lives on after the kill")
 	}
--- a/test/cluster/links.go
+++ b/test/cluster/links.go
@@ -1,12 +1,11 @@
 package cluster
 
 import (
-	"io"
-	"net"
 	"sync"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/standin/relay"
 )
 
 // Hop is a way from one host to a listener of another.
@@ -53,17 +52,16 @@
 	h := Hop{from, to, addr}
 	l, ok := n.links[h]
 	if !ok {
-		ln, err := net.Listen("tcp", loopback)
+		r, err := relay.New(addr)
 		if err != nil {
-			return "", errs.Newf(errs.BadSettings, "relay: %v", err)
+			return "", errs.Newf(errs.BadSettings, "%v", err)
 		}
-		l = &link{ln: ln, to: addr, conns: make(map[net.Conn]struct{})}
+		l = &link{Relay: r}
 		n.links[h] = l
-		go l.accept()
 	}
 	l.gone = false
 	n.turnLocked(h, l)
-	return l.ln.Addr().String(), nil
+	return l.Addr(), nil
 }
 
 // Kill implements Network.
@@ -109,8 +107,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range n.links {
-		l.ln.Close()
-		l.turn(true, false)
+		l.Close()
 	}
 }
 
@@ -126,7 +123,8 @@
 
 func (n *Links) turnLocked(h Hop, l *link) {
 	dead := l.gone || n.dead[h.From] || n.dead[h.To] || picked(n.cuts, h)
-	l.turn(dead, picked(n.frozen, h))
+	frozen := picked(n.frozen, h)
+	l.Turn(func(s *relay.State) { s.Dead, s.Frozen = dead, frozen })
 }
 
 func picked(picks map[int]func(Hop) bool, h Hop) bool {
@@ -138,124 +136,8 @@
 	return false
 }
 
-// link forwards the connections of one hop.
+// link is the relay of one hop.
 type link struct {
-	ln   net.Listener
-	to   string
+	*relay.Relay
 	gone bool // the listener that it leads to has gone with its process; Links.mu guards it
-
-	mu     sync.Mutex
-	dead   bool
-	frozen chan struct{} // nil, or closed when it thaws
-	conns  map[net.Conn]struct{}
-}
-
-func (l *link) accept() {
-	for {
-		in, err := l.ln.Accept()
-		if err != nil {
-			return
-		}
-		go l.serve(in)
-	}
-}
-
-func (l *link) serve(in net.Conn) {
-	defer l.drop(in)
-	if !l.keep(in) {
-		return
-	}
-	l.wait()
-	out, err := net.Dial("tcp", l.to)
-	if err != nil {
-		return
-	}
-	defer l.drop(out)
-	if !l.keep(out) {
-		return
-	}
-	var both sync.WaitGroup
-	both.Go(func() { l.copy(out, in) })
-	both.Go(func() { l.copy(in, out) })
-	both.Wait()
-}
-
-const copyBytes = 32 << 10
-
-// copy forwards until one of the connections ends. An end in order is passed on behind the bytes
-// before it: what a process sent before it closed arrives. Any other end resets both.
-func (l *link) copy(to, from net.Conn) {
-	buf := make([]byte, copyBytes)
-	for {
-		n, err := from.Read(buf)
-		l.wait()
-		if n > 0 {
-			if _, werr := to.Write(buf[:n]); werr != nil {
-				err = werr
-			}
-		}
-		if err == io.EOF {
-			if tcp, ok := to.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-				return
-			}
-		}
-		if err != nil {
-			l.drop(to)
-			l.drop(from)
-			return
-		}
-	}
-}
-
-func (l *link) wait() {
-	l.mu.Lock()
-	frozen := l.frozen
-	l.mu.Unlock()
-	if frozen != nil {
-		<-frozen
-	}
-}
-
-// keep notes c and says whether the link takes it.
-func (l *link) keep(c net.Conn) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.dead {
-		return false
-	}
-	l.conns[c] = struct{}{}
-	return true
-}
-
-func (l *link) drop(c net.Conn) {
-	l.mu.Lock()
-	delete(l.conns, c)
-	l.mu.Unlock()
-	reset(c)
-}
-
-// reset closes c as the loss of its host does: unread bytes are thrown away.
-func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-func (l *link) turn(dead, frozen bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dead = dead
-	if dead {
-		for c := range l.conns {
-			reset(c)
-		}
-	}
-	switch {
-	case frozen && l.frozen == nil:
-		l.frozen = make(chan struct{})
-	case !frozen && l.frozen != nil:
-		close(l.frozen)
-		l.frozen = nil
-	}
 }
