sleep is in core, settings files of tests stand once; random runs keep their jobs to the end

Traced: the run lasts over three minutes, in which jobs that are complete are dropped ('old job dropped', 3:10): allowed. Random runs keep jobs for an hour; nothing else of them changed.

--- a/internal/adapter/enginehttp/engine.go
+++ b/internal/adapter/enginehttp/engine.go
@@ -17,8 +17,8 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/adapter/httpclient"
-	"arbutusramp/internal/sleep"
 )
 
 // Options of the adapter. Zero fields take the defaults named beside them.
--- a/internal/adapter/logmem/logmem.go
+++ b/internal/adapter/logmem/logmem.go
@@ -12,8 +12,8 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 // Faults is what goes wrong. The zero value is a log without faults.
--- a/internal/admin/client/client.go
+++ b/internal/admin/client/client.go
@@ -13,9 +13,9 @@
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/plan"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/admin"
 	"arbutusramp/internal/client"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -7,8 +7,8 @@
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/plan"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/backlog/guard.go
+++ b/internal/backlog/guard.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
-	"arbutusramp/internal/sleep"
 )
 
 // guard ends the run of an item whose target has fallen silent: the item can go on elsewhere, and
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -41,6 +41,7 @@
 	route   *serving.Route
 	noRoute atomic.Bool // the configuration in force does not have it
 	nodes   []*node
+	keep    time.Duration // how long jobs stay readable
 	// build wraps the store of each process; nil for the product as it is.
 	build func(platform.Store) platform.Store
 	// wrong is told what must not be.
@@ -60,7 +61,7 @@
 
 func newWorld(t *testing.T, nodes int) *world {
 	w := &world{
-		t: t, store: keyedlog.New(testShards), targets: newFakeTargets(), wrong: t.Errorf,
+		t: t, store: keyedlog.New(testShards), targets: newFakeTargets(), wrong: t.Errorf, keep: testKeep,
 		route: &serving.Route{
 			Name: "batch", Host: "h", Prefix: "/b/", Kind: serving.KindBatch, Attempts: 3,
 			Shares: []serving.Share{{Service: "llm", Weight: 1}}, Due: 18 * time.Second, Retain: time.Minute,
@@ -98,7 +99,7 @@
 	if w.build != nil {
 		store = w.build(store)
 	}
-	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: testKeep}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
-	"arbutusramp/internal/sleep"
 )
 
 // The group among whose members the shards are dealt. Its topic holds no records.
--- a/internal/backlog/housekeep.go
+++ b/internal/backlog/housekeep.go
@@ -6,7 +6,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 const (
--- a/internal/backlog/listing.go
+++ b/internal/backlog/listing.go
@@ -8,7 +8,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // listing is one write of a shard's results. Their texts are written before them, so that whoever reads a
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -7,7 +7,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // saveTimeout is how long progress is tried to be written: an outage of the store lasts some seconds,
--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -64,11 +64,16 @@
 	lateWrites bool
 }
 
+// randomKeep is longer than a random run, which looks for its first jobs at its end.
+const randomKeep = time.Hour
+
 func newTrouble(t *testing.T, seed uint64) *trouble {
-	return &trouble{
+	w := &trouble{
 		world: newWorld(t, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		refused: make(map[string]bool), ended: make(map[string]bool), endAcked: make(map[string]time.Time), read: make(map[string][]backlog.Result),
 	}
+	w.keep = randomKeep
+	return w
 }
 
 func (w *trouble) run() {
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -12,7 +12,7 @@
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 const (
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -10,7 +10,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // flushPause is how long a shard waits for more ends before it writes the first one.
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -11,7 +11,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 const (
--- a/internal/backlog/texts.go
+++ b/internal/backlog/texts.go
@@ -11,7 +11,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 const (
--- a/internal/dependency/link.go
+++ b/internal/dependency/link.go
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // Link is the state of one dependency.
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -11,9 +11,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/problem"
-	"arbutusramp/internal/sleep"
 	"arbutusramp/internal/telemetry"
 )
 
--- a/internal/follow/logread.go
+++ b/internal/follow/logread.go
@@ -8,8 +8,8 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 // fromLog reads once from the log, waiting up to wait for something new. When
--- a/internal/follow/loop.go
+++ b/internal/follow/loop.go
@@ -9,8 +9,8 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/relay"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 // suspects are the sources that failed of late.
--- a/internal/follow/snapshot.go
+++ b/internal/follow/snapshot.go
@@ -9,8 +9,8 @@
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/relay"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -10,7 +10,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/relay"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // askAtOnce bounds the questions that a new process has open while the log is down.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,8 +12,8 @@
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -15,8 +15,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 // Shares of the grace at which a process that stops goes a step further. With a grace of 8 s, the
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/loadshare"
-	"arbutusramp/internal/sleep"
 )
 
 // peerPartition is where gateways leave their addresses for each other.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -11,41 +11,10 @@
 	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/settings/settingstest"
 	"github.com/rcrowley/go-metrics"
 )
 
-const entryText = `[host]
-role = entry
-id = entry-1
-domain = a
-[listen]
-callers = 127.0.0.1:0
-admin = 127.0.0.1:0
-peers = 127.0.0.1:0
-status = 127.0.0.1:0
-[platform]
-log_url = http://127.0.0.1:7001
-host_list_url = http://127.0.0.1:7002
-[peer_keys]
-new = 00112233445566778899aabbccddeeff
-`
-
-const sideText = `[host]
-role = side
-id = side-1
-domain = a
-[listen]
-sessions = 127.0.0.1:0
-status = 127.0.0.1:0
-[target]
-id = t1
-kind = engine
-url = http://127.0.0.1:9000
-models = m1, m2
-[peer_keys]
-new = 00112233445566778899aabbccddeeff
-`
-
 // settingsFile is a settings file that a test changes, with what the reloader logs.
 type settingsFile struct {
 	t    *testing.T
@@ -85,9 +54,9 @@
 // Sequence: an operator changes the keys in the file, and other settings too, and tells the
 // process to read it.
 func TestKeysAreReadAgain(t *testing.T) {
-	f := newSettingsFile(t, entryText+"[operators]\nann = "+settings.KeySum("first")+"\n")
+	f := newSettingsFile(t, settingstest.Entry+"[operators]\nann = "+settings.KeySum("first")+"\n")
 	r, keys := f.entry()
-	rotated := strings.Replace(entryText, "new = ", "next = 0123456789abcdef0123456789abcdef\nnew = ", 1)
+	rotated := strings.Replace(settingstest.Entry, "new = ", "next = 0123456789abcdef0123456789abcdef\nnew = ", 1)
 	f.write(rotated + "[operators]\nann = " + settings.KeySum("second") + "\n[log]\nlevel = warn\n[online]\nmax_body = 2048\n")
 	if err := r.Reload(); err != nil {
 		t.Fatal(err)
@@ -116,7 +85,7 @@
 // Sequence: the file is read again while it has faults, no peer key, or a certificate that is
 // not there.
 func TestKeysOfAFaultyFileAreNotTaken(t *testing.T) {
-	f := newSettingsFile(t, sideText)
+	f := newSettingsFile(t, settingstest.Side)
 	s, err := settings.LoadSide(f.path)
 	if err != nil {
 		t.Fatal(err)
@@ -127,11 +96,11 @@
 		t.Fatal(err)
 	}
 	r := NewSideReloader(f.path, s, p, logger, f.reg)
-	faulty := strings.Replace(sideText, "kind = engine", "kind = motor", 1)
+	faulty := strings.Replace(settingstest.Side, "kind = engine", "kind = motor", 1)
 	faulty = strings.Replace(faulty, "new = 00", "new = 11", 1) + "[weather]\n"
 	for _, text := range []string{
-		strings.Replace(sideText, "[peer_keys]\nnew = 00112233445566778899aabbccddeeff\n", "", 1),
-		strings.Replace(sideText, "new = 00", "new = 11", 1),
+		strings.Replace(settingstest.Side, "[peer_keys]\nnew = 00112233445566778899aabbccddeeff\n", "", 1),
+		strings.Replace(settingstest.Side, "new = 00", "new = 11", 1),
 		faulty,
 	} {
 		f.write(text)
@@ -156,9 +125,9 @@
 }
 
 func TestAMissingCertificateChangesNothing(t *testing.T) {
-	f := newSettingsFile(t, entryText)
+	f := newSettingsFile(t, settingstest.Entry)
 	r, keys := f.entry()
-	f.write(strings.Replace(entryText, "new = 00112233445566778899aabbccddeeff", "next = ffeeddccbbaa99887766554433221100", 1) +
+	f.write(strings.Replace(settingstest.Entry, "new = 00112233445566778899aabbccddeeff", "next = ffeeddccbbaa99887766554433221100", 1) +
 		"[tls]\ncaller_cert = /none/a.pem\ncaller_key = /none/a.key\nadmin_cert = /none/b.pem\nadmin_key = /none/b.key\n")
 	if err := r.Reload(); !errs.Is(err, errs.BadSettings) {
 		t.Fatal(err)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -11,42 +11,15 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/settings/settingstest"
 )
 
 var update = flag.Bool("update", false, "write docs/SETTINGS.md")
 
-const goodEntry = `[host]
-role = entry
-id = entry-1
-domain = a
-[listen]
-callers = 127.0.0.1:0
-admin = 127.0.0.1:0
-peers = 127.0.0.1:0
-status = 127.0.0.1:0
-[platform]
-log_url = http://127.0.0.1:7001
-host_list_url = http://127.0.0.1:7002
-[peer_keys]
-new = 00112233445566778899aabbccddeeff
-old = ffeeddccbbaa99887766554433221100
-`
-
-const goodSide = `[host]
-role = side
-id = side-1
-domain = a
-[listen]
-sessions = 127.0.0.1:0
-status = 127.0.0.1:0
-[target]
-id = t1
-kind = engine
-url = http://127.0.0.1:9000
-models = m1, m2
-[peer_keys]
-new = 00112233445566778899aabbccddeeff
-`
+const (
+	goodEntry = settingstest.Entry + "old = ffeeddccbbaa99887766554433221100\n" // of [peer_keys], the last section
+	goodSide  = settingstest.Side
+)
 
 func write(t *testing.T, text string) string {
 	t.Helper()
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -9,7 +9,7 @@
 	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
-	"arbutusramp/internal/sleep"
+	"arbutusramp/core/sleep"
 )
 
 const (
--- a/internal/side/items.go
+++ b/internal/side/items.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/side/load.go
+++ b/internal/side/load.go
@@ -8,8 +8,8 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/reconcile"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 // loadStep is by what share the time to the first token must change to be news.
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
-	"arbutusramp/internal/sleep"
 )
 
 const (
--- a/internal/side/random_test.go
+++ b/internal/side/random_test.go
@@ -14,9 +14,9 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/completion"
-	"arbutusramp/internal/sleep"
 )
 
 const wholeText = "abcdefgh"
--- a/standin/keyedlog/view.go
+++ b/standin/keyedlog/view.go
@@ -7,6 +7,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 )
 
 // Faults are what goes wrong between one caller and the store.
@@ -50,10 +51,10 @@
 	f := v.faults
 	v.mu.Unlock()
 	if f.Silent {
-		wait(ctx, silence)
+		sleep.For(ctx, silence)
 		return f, errs.New(errs.LogDown, "no answer")
 	}
-	if !wait(ctx, f.Delay) {
+	if !sleep.For(ctx, f.Delay) {
 		return f, errs.New(errs.LogDown, "no answer in time")
 	}
 	if f.Refuse {
@@ -62,20 +63,6 @@
 	return f, nil
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Append implements platform.Store.
 func (v *View) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
 	f, err := v.pass(ctx)
@@ -94,7 +81,7 @@
 }
 
 func lost(ctx context.Context) error {
-	wait(ctx, silence)
+	sleep.For(ctx, silence)
 	return errs.New(errs.AppendUnknown, "no answer")
 }
 
