The test of a slow target uses steps that are long against a busy machine's waits

Cause: the test's engines took steps of 4 ms, and a busy machine keeps a process waiting for longer: all were as slow as the one slowed on purpose. Ruled out: the new relay.

--- a/test/online/gray_test.go
+++ b/test/online/gray_test.go
@@ -12,9 +12,23 @@
 
 // startGray starts a cluster of two failure domains whose sides give up a silent target soon.
 func startGray(t *testing.T) *world {
+	t.Helper()
+	return startGrayWith(t, cluster.FastEngine)
+}
+
+// steadyEngine takes steps that are long against the time for which a busy machine keeps a process
+// waiting: with shorter ones all engines there are as slow as one that is slow on purpose.
+func steadyEngine() engine.Options {
+	o := cluster.FastEngine()
+	o.Base = 20 * time.Millisecond
+	return o
+}
+
+func startGrayWith(t *testing.T, e func() engine.Options) *world {
 	t.Helper()
 	return startWorld(t, cluster.Options{
 		Domains: 2, Entries: 2, Engines: 4,
+		Engine:        func(int) engine.Options { return e() },
 		EntrySettings: func(s *settings.Entry) { s.RetryShare = 1 },
 		SideSettings:  func(s *settings.Side) { s.TargetBudget = 500 * time.Millisecond },
 	})
@@ -58,8 +72,8 @@
 // Cause: choices that count requests and not how long they take.
 func TestASlowTargetGetsLess(t *testing.T) {
 	t.Parallel()
-	w := startGray(t)
-	tr := w.startTraffic("slow", 40, w.anyEntry)
+	w := startGrayWith(t, steadyEngine)
+	tr := w.startTraffic("slow", 10, w.anyEntry)
 	tr.awaitMore(t, trafficCallers)
 	w.Engines[0].Turn(func(k *engine.Knobs) { k.Slow = 10 })
 	tr.awaitMore(t, 4*trafficCallers)
