--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"os"
+	"time"
 
 	"arbutusramp/internal/hangup"
 	"arbutusramp/internal/logging"
@@ -44,10 +45,16 @@
 	return exit(runGateway(ctx, s, path))
 }
 
+// lastLines is how long a process that ends waits for its output to be read. The grace of a stop has half a
+// second left by then.
+const lastLines = 300 * time.Millisecond
+
 func runGateway(ctx context.Context, s settings.Gateway, path string) error {
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
-	logger := logging.New("gateway", s.Logs, logging.NewAsync(os.Stdout))
+	out := logging.NewAsync(os.Stdout)
+	defer out.Flush(lastLines) // a reader that stalls loses them, as it does others
+	logger := logging.New("gateway", s.Logs, out)
 	g, err := node.NewGateway(s, logger, reg)
 	if err != nil {
 		logger.Error("not started", "error", err)
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -33,6 +33,23 @@
 	return s.got.String()
 }
 
+// Symptom: a process that has stopped as planned has no last line.
+// Sequence: it writes the line and ends; the line still waits for the writer in the background.
+// Cause: nothing waited for the lines that were on their way.
+func TestTheLastLineIsWritten(t *testing.T) {
+	s := &stalled{goOn: make(chan struct{})}
+	out := NewAsync(s)
+	log := New("p", settings.Logs{Level: "info", JSON: true}, out)
+	log.Info("stopped")
+	if out.Flush(10 * time.Millisecond) {
+		t.Error("all is written, though the reader stalls")
+	}
+	close(s.goOn)
+	if !out.Flush(time.Minute) || !strings.Contains(s.text(), "stopped") {
+		t.Errorf("after the flush there is %q", s.text())
+	}
+}
+
 // Symptom: requests stand still while nobody reads the process's output.
 // Sequence: the pipe is full; a write of a log line blocks; it is made by the request itself.
 // The lines of failures must still be there when the reader goes on.
