--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -17,7 +17,6 @@
 	kindJob      = "j" // j/JOB: an accepted job
 	kindEnd      = "e" // e/JOB: its caller wants no more of it
 	kindResult   = "r" // r/JOB/POSITION
-	kindText     = "t" // t/JOB/INDEX OF THE ITEM: the text of a result
 	kindProgress = "p" // p/SHARD/JOB/INDEX OF THE ITEM, so that a shard's stand together
 )
 
@@ -30,8 +29,6 @@
 	// chunkHeader is the number of this chunk and of all, two bytes each.
 	chunkHeader = 4
 	maxChunks   = 1 << 16
-	// maxTextHeader is the most that the codec puts in front of a text.
-	maxTextHeader = 9
 )
 
 // EncodeJob returns the records of a job.
@@ -45,47 +42,6 @@
 	return encode(join(kindResult, r.Job, strconv.Itoa(r.Position)), r)
 }
 
-// TextPrefix begins the keys of a job's texts.
-func TextPrefix(job string) string { return join(kindText, job) + "/" }
-
-// TextKey is the key of the text of the job's item with that index. It does not depend on who runs the item
-// or where it is listed: every owner writes the same text under it.
-func TextKey(job string, index int) string { return TextPrefix(job) + strconv.Itoa(index) }
-
-// EncodeText returns the records of a text.
-func EncodeText(t Text) ([]platform.KeyedRecord, error) {
-	return encode(TextKey(t.Job, t.Index), t.Text)
-}
-
-// dropText returns records that drop a text of so many bytes.
-func dropText(job string, index, size int) []platform.KeyedRecord {
-	var records []platform.KeyedRecord
-	for i := range (size+maxTextHeader)/chunkBytes + 1 {
-		records = append(records, platform.KeyedRecord{Key: chunkKey(TextKey(job, index), i)})
-	}
-	return records
-}
-
-// TextReader puts texts together from their records.
-type TextReader struct{ chunks assembler }
-
-// NewTextReader returns a reader that has seen nothing.
-func NewTextReader() *TextReader {
-	return &TextReader{assembler{open: make(map[string][][]byte)}}
-}
-
-// Put takes in a record. whole says that key's text is there. Error: errs.BadFrame.
-func (t *TextReader) Put(r platform.KeyedRecord) (key, text string, whole bool, err error) {
-	key, value, err := t.chunks.put(r)
-	if err != nil || value == nil {
-		return "", "", false, err
-	}
-	if err := cbor.Unmarshal(value, &text); err != nil {
-		return "", "", false, errs.Newf(errs.BadFrame, "text %s: %v", key, err)
-	}
-	return key, text, true, nil
-}
-
 // EncodeProgress returns the records of the progress of the job's item with that index.
 func EncodeProgress(p *Progress, shard, index int) ([]platform.KeyedRecord, error) {
 	return encode(ProgressPrefix(shard)+join(p.Job, strconv.Itoa(index)), p)
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -163,7 +163,7 @@
 	page := Page{Total: len(st.job.Items), Next: from}
 	size := 0
 	for i := from; i < s.Listed(id); i++ {
-		size += len(st.results[i].Text) + st.results[i].Size
+		size += len(st.results[i].Text)
 		if i > from && size > maxBytes {
 			break
 		}
@@ -237,14 +237,14 @@
 }
 
 // Forget returns the records that drop a job and all that belongs to it.
-func (s *State) Forget(id string) (jobs, results, texts []platform.KeyedRecord, err error) {
+func (s *State) Forget(id string) (jobs, results []platform.KeyedRecord, err error) {
 	st, ok := s.jobs[id]
 	if !ok || st.job == nil {
-		return nil, nil, nil, nil
+		return nil, nil, nil
 	}
 	jobs, err = EncodeJob(st.job)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	for _, r := range st.results {
 		if r == nil {
@@ -252,15 +252,12 @@
 		}
 		records, err := EncodeResult(r)
 		if err != nil {
-			return nil, nil, nil, err
+			return nil, nil, err
 		}
 		results = append(results, Drop(records)...)
-		if r.Apart() {
-			texts = append(texts, dropText(id, r.Index, r.Size)...)
-		}
 	}
 	if st.ended {
 		jobs = append(jobs, platform.KeyedRecord{Key: join(kindEnd, id)})
 	}
-	return Drop(jobs), results, texts, nil
+	return Drop(jobs), results, nil
 }
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -119,19 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := Text{Job: "job", Index: 2, Text: strings.Repeat("x", 3*chunkBytes)}
-	texts, err := EncodeText(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, r := range texts { // they lie in a topic of their own
-		keys[r.Key] = true
-	}
-	listed, err := EncodeResult(&Result{Job: "job", Position: 2, Item: "i2", Index: 2, Outcome: Complete, Size: len(text.Text)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, r := range append(append(story(t), end...), listed...) {
+	for _, r := range append(story(t), end...) {
 		if !strings.HasPrefix(r.Key, kindProgress) { // dropped by whoever wrote it
 			keys[r.Key] = true
 		}
@@ -139,18 +127,15 @@
 			t.Fatal(err)
 		}
 	}
-	jobs, results, dropped, err := s.Forget("job")
+	jobs, results, err := s.Forget("job")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, r := range append(append(dropped, results...), jobs...) {
+	for _, r := range append(results, jobs...) {
 		delete(keys, r.Key)
 		if len(r.Value) != 0 {
 			t.Errorf("key %s is written, not dropped", r.Key)
 		}
-		if strings.HasPrefix(r.Key, kindText) {
-			continue
-		}
 		if _, err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
@@ -163,29 +148,6 @@
 	}
 }
 
-// The last chunk of a text brings it, in whatever order its records are read.
-func TestATextIsPutTogether(t *testing.T) {
-	want := Text{Job: "a/b", Index: 3, Text: strings.Repeat("some text ", chunkBytes/4)}
-	records, err := EncodeText(want)
-	if err != nil || len(records) < 3 {
-		t.Fatalf("%d records, %v", len(records), err)
-	}
-	records[0], records[1] = records[1], records[0]
-	in := NewTextReader()
-	for i, r := range records {
-		key, text, whole, err := in.Put(r)
-		if err != nil || whole != (i == len(records)-1) {
-			t.Fatalf("record %d of %d: whole %v, %v", i, len(records), whole, err)
-		}
-		if whole && (key != TextKey(want.Job, want.Index) || text != want.Text) {
-			t.Errorf("key %s, %d bytes", key, len(text))
-		}
-	}
-	if _, _, _, err := in.Put(platform.KeyedRecord{Key: "t/a/0", Value: []byte{0, 0, 0, 1, 0xa0}}); !errs.Is(err, errs.BadFrame) {
-		t.Errorf("a record that is no text: %v", err)
-	}
-}
-
 func TestBrokenRecordsAreRefused(t *testing.T) {
 	s := NewState()
 	for _, r := range []platform.KeyedRecord{
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -54,22 +54,7 @@
 	Position int     `cbor:"2,keyasint"`
 	Item     string  `cbor:"3,keyasint"`
 	Outcome  Outcome `cbor:"4,keyasint"`
-	Text     string  `cbor:"5,keyasint,omitempty"` // in the record only if it is short
-	// Index is the item's place in its job, by which its text is found.
-	Index int `cbor:"6,keyasint,omitempty"`
-	// Size is the length in bytes of a text that has a record of its own, and TextAt that record's offset.
-	Size   int    `cbor:"7,keyasint,omitempty"`
-	TextAt uint64 `cbor:"8,keyasint,omitempty"`
-}
-
-// Apart says whether the result's text has a record of its own.
-func (r *Result) Apart() bool { return r.Size > 0 }
-
-// Text is the output of the item with an index of a job.
-type Text struct {
-	Job   string
-	Index int
-	Text  string
+	Text     string  `cbor:"5,keyasint"`
 }
 
 // Progress is how far an item's run had come when its worker gave it away.
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -30,9 +30,6 @@
 	Shards int
 	// MinTTL is the shortest time after which the store takes a silent member for gone.
 	MinTTL time.Duration
-	// SpreadBytes is how many bytes all processes together may read of a text that stands in the record of
-	// its result. Longer ones lie apart and are read where a caller asks for them.
-	SpreadBytes int
 	// Keep is how long a job stays readable after it was handed in, at the least.
 	Keep time.Duration
 }
@@ -49,7 +46,6 @@
 	runs      *logging.Routine // a line for each run of an item
 	reg       metrics.Registry
 	replica   *Replica
-	texts     *texts
 	scheduler *scheduler
 	// saving are the writes of progress that are under way; saveCtx ends them at the stop.
 	saving     sync.WaitGroup
@@ -61,7 +57,7 @@
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg,
-		replica: NewReplica(store, view.SetContact, log), texts: newTexts(store, log),
+		replica: NewReplica(store, view.SetContact, log),
 	}
 	m.scheduler = newScheduler(m)
 	m.saveCtx, m.stopSaving = context.WithCancel(context.Background())
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -99,7 +99,7 @@
 		n.submit(j)
 		n.results(j, 20*time.Second)
 		s := n.manager.scheduler.shardFor(t, n.manager.shardOf(j.ID))
-		s.finish(&outcome{job: j, index: 0, outcome: backlog.Complete, text: output(j.Items[0].ID)})
+		s.finish(&outcome{job: j, item: j.Items[0].ID, outcome: backlog.Complete, text: output(j.Items[0].ID)})
 		time.Sleep(time.Second)
 		for _, r := range w.store.Records(resultPartition) {
 			if r.Key == "r/a/1" {
@@ -423,7 +423,7 @@
 				t.Errorf("job %s, long over: %v", id, err)
 			}
 		}
-		for _, p := range []platform.Partition{jobPartition, resultPartition, textPartition, progressPartition} {
+		for _, p := range []platform.Partition{jobPartition, resultPartition, progressPartition} {
 			page, err := w.nodes[0].view.Newest(context.Background(), p, "")
 			if err != nil || len(page.Records) != 0 {
 				t.Errorf("%s still holds %d records, %v", p.Topic, len(page.Records), err)
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -25,8 +25,6 @@
 var (
 	jobPartition    = platform.Partition{Topic: "keyed.jobs"}
 	resultPartition = platform.Partition{Topic: "keyed.results"}
-	// textPartition is read where a caller wants a text.
-	textPartition = platform.Partition{Topic: "keyed.texts"}
 	// progressPartition is read only by processes that take a shard over.
 	progressPartition = platform.Partition{Topic: "keyed.progress"}
 )
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -39,12 +39,6 @@
 	startSpare = 0
 	keepSpare  = 0
 
-	// spreadBytes is how many bytes of a text in the record of its result all gateways together may read. A text that
-	// lies apart costs a call of 4 ms at each gateway that is asked for it. With 8 gateways and 25 KB
-	// the texts in their results cost fewer calls and no bytes that could be measured; with 40 and 20 KB the
-	// texts apart halve the memory and take a quarter of the store's bytes.
-	spreadBytes = 512 << 10
-
 	// headerTimeout bounds how long a caller may take for a request's header, idleTimeout how long
 	// a connection stays open between requests. Both are above what the operator allows
 	// callers, so that none is cut off that keeps to it.
@@ -86,7 +80,7 @@
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
-	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes},
+	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
 		client, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
