Backlog and gateway: what the change had twice stands once

The group and the peers' addresses are followed by the loop that the other dependencies have. Progress of a failed item is encoded once, not twice; the last event of an item is read without a copy of its text (three of up to 30 KB for each run); waiting items are sorted where one is chosen, not also where they are counted. Whether a job fits is worked out in one place; a refusal after a fresh look names what that look found. The fold's Apply returned a job's id that nobody used. An attempt ended here is told apart in one place. Behaviour is as it was but for that text.

--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -31,15 +31,15 @@
 	return &State{chunks: assembler{open: make(map[string][][]byte)}, jobs: make(map[string]*jobState)}
 }
 
-// Apply takes in one record and returns the id of the job that it is about. A record that was
-// taken in before changes nothing. Errors: errs.BadFrame.
-func (s *State) Apply(r platform.KeyedRecord) (string, error) {
+// Apply takes in one record. A record that was taken in before changes nothing. Errors: errs.BadFrame.
+func (s *State) Apply(r platform.KeyedRecord) error {
 	if len(r.Value) == 0 {
-		return s.drop(r.Key), nil
+		s.drop(r.Key)
+		return nil
 	}
 	key, value, err := s.chunks.put(r)
 	if err != nil || value == nil {
-		return "", err
+		return err
 	}
 	kind, _, _ := strings.Cut(key, "/")
 	switch kind {
@@ -52,25 +52,24 @@
 	case kindProgress:
 		return apply(value, s.applyProgress)
 	}
-	return "", errs.Newf(errs.BadFrame, "record %q is of no known kind", key)
+	return errs.Newf(errs.BadFrame, "record %q is of no known kind", key)
 }
 
-func apply[T any](value []byte, take func(*T) string) (string, error) {
+func apply[T any](value []byte, take func(*T)) error {
 	v := new(T)
 	if err := cbor.Unmarshal(value, v); err != nil {
-		return "", errs.Newf(errs.BadFrame, "a record of the backlog: %v", err)
+		return errs.Newf(errs.BadFrame, "a record of the backlog: %v", err)
 	}
-	return take(v), nil
+	take(v)
+	return nil
 }
 
 // drop takes in that a key was dropped. Only whole jobs and progress are dropped.
-func (s *State) drop(key string) string {
+func (s *State) drop(key string) {
 	kind, id, _ := strings.Cut(key, "/")
 	if kind == kindJob && !strings.Contains(id, "#") {
 		delete(s.jobs, id)
-		return id
 	}
-	return ""
 }
 
 func (s *State) of(id string) *jobState {
@@ -82,22 +81,20 @@
 	return j
 }
 
-func (s *State) applyJob(j *Job) string {
+func (s *State) applyJob(j *Job) {
 	st := s.of(j.ID)
 	if st.job == nil {
 		st.job = j
 	}
-	return j.ID
 }
 
-func (s *State) applyEnd(id *string) string {
+func (s *State) applyEnd(id *string) {
 	st := s.of(*id)
 	st.ended = true
 	clear(st.progress)
-	return *id
 }
 
-func (s *State) applyResult(r *Result) string {
+func (s *State) applyResult(r *Result) {
 	st := s.of(r.Job)
 	for len(st.results) <= r.Position {
 		st.results = append(st.results, nil)
@@ -107,17 +104,15 @@
 		st.done[r.Item] = true
 		delete(st.progress, r.Item)
 	}
-	return r.Job
 }
 
-func (s *State) applyProgress(p *Progress) string {
+func (s *State) applyProgress(p *Progress) {
 	st := s.of(p.Job)
 	if !st.done[p.Item] && !st.ended {
 		known := st.progress[p.Item]
 		known.Merge(*p)
 		st.progress[p.Item] = known
 	}
-	return p.Job
 }
 
 // Job returns an accepted job.
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -46,7 +46,7 @@
 		rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 		s := NewState()
 		for _, r := range records {
-			if _, err := s.Apply(r); err != nil {
+			if err := s.Apply(r); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -70,7 +70,7 @@
 		t.Fatal(err)
 	}
 	for _, r := range append(records, story(t)...) { // the end is read before the job
-		if _, err := s.Apply(r); err != nil {
+		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -88,7 +88,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := s.Apply(records[0]); err != nil {
+		if err := s.Apply(records[0]); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -100,7 +100,7 @@
 func TestPagesHoldOneResultAtTheLeast(t *testing.T) {
 	s := NewState()
 	for _, r := range story(t) {
-		if _, err := s.Apply(r); err != nil {
+		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -123,7 +123,7 @@
 		if !strings.HasPrefix(r.Key, kindProgress) { // dropped by whoever wrote it
 			keys[r.Key] = true
 		}
-		if _, err := s.Apply(r); err != nil {
+		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -136,7 +136,7 @@
 		if len(r.Value) != 0 {
 			t.Errorf("key %s is written, not dropped", r.Key)
 		}
-		if _, err := s.Apply(r); err != nil {
+		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -156,7 +156,7 @@
 		{Key: "j/x", Value: []byte{0, 5, 0, 2, 1}},
 		{Key: "z/x", Value: []byte{0, 0, 0, 1, 0xa0}},
 	} {
-		if _, err := s.Apply(r); !errs.Is(err, errs.BadFrame) {
+		if err := s.Apply(r); !errs.Is(err, errs.BadFrame) {
 			t.Errorf("%s %v: %v", r.Key, r.Value, err)
 		}
 	}
@@ -165,7 +165,7 @@
 func TestProgressThatNobodyNeeds(t *testing.T) {
 	s := NewState()
 	for _, r := range story(t) {
-		if _, err := s.Apply(r); err != nil {
+		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutusramp/core/platform"
-	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
 )
 
@@ -38,26 +37,22 @@
 	membership := platform.Membership{Group: shardGroup, Member: m.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
 	shards := make(map[int]*shard)
 	var settled time.Time // when former owners have written what they had, after an outage
-	link := dependency.NewLink(m.log, shardGroup)
-	for ctx.Err() == nil {
-		asked := time.Now()
-		a, err := m.store.Join(ctx, membership)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			link.Lost(err)
-			sleep.For(ctx, joinAgain)
-			continue
-		}
-		if link.Up() {
+	var asked time.Time
+	var a platform.Assignment
+	join := func() (err error) {
+		asked = time.Now()
+		a, err = m.store.Join(ctx, membership)
+		return err
+	}
+	pauses := dependency.Pauses{Answered: ttl / joinsPerTTL, Failed: joinAgain}
+	dependency.NewLink(m.log, shardGroup).Follow(ctx, pauses, join, func(back bool) {
+		if back {
 			settled = time.Now().Add(returnSpan)
 		}
 		membership.Generation = a.Generation
 		m.deal(ctx, shards, a, settled)
 		m.scheduler.leaseUntil(asked.Add(ttl))
-		sleep.For(ctx, ttl/joinsPerTTL)
-	}
+	})
 	m.leave(shards)
 	return nil
 }
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -35,11 +35,11 @@
 
 // runItem runs a task at one target, from its last event on.
 func (m *Manager) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
-	from := t.progress().LastID
+	from := t.lastEvent()
 	began := time.Now()
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
-	to, preempted := t.progress().LastID, t.settle(r.Target.ID, v)
+	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
 	if v == failed {
 		m.saveFailure(t)
 	}
@@ -105,7 +105,7 @@
 			ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
 			Header: http.Header(item.Header), Body: item.Body,
 		},
-		ResumeAfter: t.progress().LastID,
+		ResumeAfter: t.lastEvent(),
 	})
 	if err != nil {
 		return goOn, m.itemFailed(ctx, t, r, err)
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -30,6 +30,11 @@
 	for _, t := range tasks {
 		records = append(records, m.progressOf(t)...)
 	}
+	m.save(records)
+}
+
+// save writes records of progress in the background, until it has worked or saveTimeout is over.
+func (m *Manager) save(records []platform.KeyedRecord) {
 	if len(records) == 0 {
 		return
 	}
@@ -48,8 +53,9 @@
 	if t.ended() {
 		return
 	}
-	t.noteCheckpoint(m.progressOf(t))
-	m.saveProgress([]*task{t})
+	saved := m.progressOf(t)
+	t.noteCheckpoint(saved)
+	m.save(saved)
 }
 
 // checkpoints writes every now and then how far the running items have come, so that the loss of this
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -198,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rec := range records {
-		if _, err := r.state.Apply(rec.KeyedRecord); err != nil {
+		if err := r.state.Apply(rec.KeyedRecord); err != nil {
 			r.log.Error("record of the backlog left out", "key", rec.Key, "offset", rec.Offset, "error", err)
 		}
 	}
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -172,10 +172,12 @@
 
 // want tells the peers how many items wait here and when the first is due.
 func (d *scheduler) want() int {
-	list := d.waiting(time.Now())
-	w := fleet.Want{Items: len(list)}
-	if len(list) > 0 {
-		w.Due = list[0].due()
+	var w fleet.Want
+	for _, t := range d.waiting(time.Now()) {
+		if w.Items == 0 || t.due() < w.Due {
+			w.Due = t.due()
+		}
+		w.Items++
 	}
 	d.m.view.SetWant(w)
 	return w.Items
@@ -241,7 +243,9 @@
 func (d *scheduler) startOne(ctx context.Context) bool {
 	now := time.Now()
 	full := make(map[string]bool) // services without room
-	for _, t := range d.waiting(now) {
+	list := d.waiting(now)
+	slices.SortFunc(list, dueFirst)
+	for _, t := range list {
 		route, _, err := d.m.router.Route(t.job.Host, t.item().URI)
 		if errs.Is(err, errs.NotFound) {
 			d.unrouted(t, now)
@@ -262,7 +266,12 @@
 	return false
 }
 
-// waiting returns the tasks that may start now, those due first in front.
+// dueFirst orders tasks, those of one job as they stand there.
+func dueFirst(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.due(), b.due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
+}
+
+// waiting returns the tasks that may start now, in no order.
 func (d *scheduler) waiting(now time.Time) []*task {
 	if !d.mayRun(now) {
 		return nil
@@ -275,9 +284,6 @@
 			list = append(list, t)
 		}
 	}
-	slices.SortFunc(list, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.due(), b.due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
-	})
 	return list
 }
 
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -127,8 +127,7 @@
 			done = true
 			return
 		}
-		s.queued = st.Queued(s.route.Name)
-		fits = s.route.MaxQueued == 0 || s.queued+s.job.Tokens() <= s.route.MaxQueued
+		fits = s.fits(st)
 	})
 	if done {
 		return true, nil
@@ -147,17 +146,19 @@
 		if err := s.m.refresh(ctx); err != nil {
 			return false, err
 		}
-		if s.fitsNow() {
+		fits := false
+		s.m.replica.with(func(st *backlog.State) { fits = s.fits(st) })
+		if fits {
 			return false, nil
 		}
 	}
 	return true, errs.Newf(errs.RateLimited, "the route holds %d of %d tokens", s.queued, s.route.MaxQueued).WithRetry(fullRetry)
 }
 
-func (s *submission) fitsNow() bool {
-	var queued int64
-	s.m.replica.with(func(st *backlog.State) { queued = st.Queued(s.route.Name) })
-	return queued+s.job.Tokens() <= s.route.MaxQueued
+// fits notes what the route holds and says whether the job fits beside it.
+func (s *submission) fits(st *backlog.State) bool {
+	s.queued = st.Queued(s.route.Name)
+	return s.route.MaxQueued == 0 || s.queued+s.job.Tokens() <= s.route.MaxQueued
 }
 
 // judge reads what an append has done.
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -35,6 +35,13 @@
 // due is when the task should be done.
 func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
 
+// lastEvent is the id of the last event that the task has; empty without one.
+func (t *task) lastEvent() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastID
+}
+
 // progress is how far the task has come.
 func (t *task) progress() *backlog.Progress {
 	t.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -126,14 +126,23 @@
 	}
 }
 
-// failed is the failure of a request that got no answer.
-func (a *attempt) failed(ctx context.Context, err error) error {
+// endedHere is the failure of an attempt that was not ended by its target: of the given type if the target
+// was silent for too long. It is nil if the target has ended it.
+func (a *attempt) endedHere(ctx context.Context, silent errs.Type) error {
 	if a.silent.Load() {
-		return errs.New(errs.TargetFailed, "the target has sent nothing for too long")
+		return errs.New(silent, "the target has sent nothing for too long")
 	}
 	if ctx.Err() != nil {
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
 	}
+	return nil
+}
+
+// failed is the failure of a request that got no answer.
+func (a *attempt) failed(ctx context.Context, err error) error {
+	if ended := a.endedHere(ctx, errs.TargetFailed); ended != nil {
+		return ended
+	}
 	a.suspect(err.Error())
 	if errs.As(err).Ran == errs.RanNo {
 		a.mayHaveRun--
@@ -180,8 +189,8 @@
 		}
 		a.heardNow()
 		a.begin(ans, -1)
-		if err := a.out.Write(e.Raw); err != nil {
-			return errs.Newf(errs.Cancelled, "the caller has gone: %v", err)
+		if err := a.write(e.Raw); err != nil {
+			return err
 		}
 		if e.ID != "" {
 			a.lastID = e.ID
@@ -200,11 +209,8 @@
 
 // broken is the failure of an answer that has broken off.
 func (a *attempt) broken(ctx context.Context, err error) error {
-	if a.silent.Load() {
-		return errs.New(errs.StreamBroken, "the target has sent nothing for too long")
-	}
-	if ctx.Err() != nil {
-		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	if ended := a.endedHere(ctx, errs.StreamBroken); ended != nil {
+		return ended
 	}
 	a.suspect(err.Error())
 	return errs.Newf(errs.StreamBroken, "the answer has broken off: %v", err)
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"arbutusramp/core/platform"
-	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/loadshare"
 )
@@ -31,41 +30,33 @@
 // run writes this process's address once and reads the others' now and then, until ctx ends.
 func (d *peerDirectory) run(ctx context.Context) error {
 	written := false
-	for ctx.Err() == nil {
+	meet := func() error {
 		if !written {
-			written = d.write(ctx)
+			if err := d.write(ctx); err != nil {
+				return err
+			}
+			written = true
 		}
-		if !written || !d.read(ctx) {
-			sleep.For(ctx, peerRetry)
-			continue
-		}
-		sleep.For(ctx, peerLook)
+		return d.read(ctx)
 	}
+	d.link.Follow(ctx, dependency.Pauses{Answered: peerLook, Failed: peerRetry}, meet, func(bool) {})
 	return nil
 }
 
-func (d *peerDirectory) write(ctx context.Context) bool {
+func (d *peerDirectory) write(ctx context.Context) error {
 	addr := d.share.Addr().String()
 	_, err := d.store.Append(ctx, platform.Append{
 		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: addr, Value: []byte{1}}},
 	})
-	if err != nil {
-		d.link.Lost(err)
-	}
-	return err == nil
+	return err
 }
 
-func (d *peerDirectory) read(ctx context.Context) bool {
+func (d *peerDirectory) read(ctx context.Context) error {
 	_, err := platform.EachNewest(ctx, d.store, peerPartition, "", func(records []platform.StoredRecord) bool {
 		for _, r := range records {
 			d.share.Meet(r.Key)
 		}
 		return true
 	})
-	if err != nil {
-		d.link.Lost(err)
-		return false
-	}
-	d.link.Up()
-	return true
+	return err
 }
