--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/google/subcommands"
@@ -44,6 +46,18 @@
 	return subcommands.ExitUsageError
 }
 
+// report is the outcome of an experiment.
+type report interface{ Print(io.Writer) }
+
+// printReport prints r for people, or as one JSON object.
+func printReport(r report, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	r.Print(os.Stdout)
+	return nil
+}
+
 // labGroup holds the measurements and experiments.
 func labGroup() *groupCmd {
 	return &groupCmd{"lab", "measure and experiment", []subcommands.Command{
--- a/internal/command/lab_choose.go
+++ b/internal/command/lab_choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"os"
 	"strings"
@@ -42,9 +41,5 @@
 	if err != nil {
 		return fail(err)
 	}
-	if c.json {
-		return exit(json.NewEncoder(os.Stdout).Encode(report))
-	}
-	report.Print(os.Stdout)
-	return subcommands.ExitSuccess
+	return exit(printReport(report, c.json))
 }
--- a/internal/command/lab_online.go
+++ b/internal/command/lab_online.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"os"
 
@@ -36,9 +35,5 @@
 	if err != nil {
 		return fail(err)
 	}
-	if c.json {
-		return exit(json.NewEncoder(os.Stdout).Encode(report))
-	}
-	report.Print(os.Stdout)
-	return subcommands.ExitSuccess
+	return exit(printReport(report, c.json))
 }
--- a/internal/dev/gateways.go
+++ b/internal/dev/gateways.go
@@ -153,7 +153,7 @@
 	for i, n := range g.Nodes {
 		fmt.Fprintf(out, "gateway-%d  callers http://%s  metrics http://%s/metrics\n", i+1, n.CallerAddr(), n.MetricsAddr())
 	}
-	for _, line := range g.caller.Tries(g.Nodes[0].CallerAddr(), g.Nodes[1].CallerAddr()) {
+	for _, line := range wiretest.Tries(g.Nodes[0].CallerAddr(), g.Nodes[1].CallerAddr()) {
 		fmt.Fprintln(out, line)
 	}
 	fmt.Fprintln(out, "SIGINT stops it")
--- a/internal/dev/gateways_once.go
+++ b/internal/dev/gateways_once.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/platform/wiretest"
@@ -22,10 +21,10 @@
 	resultWait      = 500 * time.Millisecond
 )
 
-// gatewayStep is one part of a run through what gateways do.
-type gatewayStep struct {
-	name string
-	run  func(context.Context, io.Writer) error
+// gatewaysOnce is one run through what gateways do.
+type gatewaysOnce struct {
+	*Gateways
+	out io.Writer
 }
 
 // RunGatewaysOnce starts gateways, runs a stream, a call, a job and an outage of the store, says on out what happened,
@@ -35,63 +34,53 @@
 	if err != nil {
 		return err
 	}
-	err = g.once(ctx, out)
+	o := &gatewaysOnce{g, out}
+	err = runSteps(ctx, out, []step{{"stream", o.streamStep}, {"call", o.callStep}, {"job", o.jobStep}, {"outage", o.outageStep}})
 	if stopErr := g.Stop(); err == nil {
 		err = stopErr
 	}
 	return err
 }
 
-func (g *Gateways) once(ctx context.Context, out io.Writer) error {
-	steps := []gatewayStep{{"stream", g.streamStep}, {"call", g.callStep}, {"job", g.jobStep}, {"outage", g.outageStep}}
-	for _, s := range steps {
-		if err := s.run(ctx, out); err != nil {
-			return errors.Wrap(err, s.name)
-		}
-	}
-	fmt.Fprintln(out, "everything as it should be")
-	return nil
-}
-
 func (g *Gateways) addr(i int) string { return g.Nodes[i].CallerAddr() }
 
-func (g *Gateways) streamStep(_ context.Context, out io.Writer) error {
+func (o *gatewaysOnce) streamStep(context.Context) error {
 	const id = "dev-stream"
 	start := time.Now()
-	status, text := g.caller.Send(g.addr(0), http.MethodPost, "/stream/x", id, "")
+	status, text := o.caller.Send(o.addr(0), http.MethodPost, "/stream/x", id, "")
 	if status != http.StatusOK || text != wiretest.Stream(id, targetEvents) {
 		return errs.Newf(errs.StreamBroken, "status %d, %d bytes", status, len(text))
 	}
-	fmt.Fprintf(out, "stream: %d events in %s, whole and in order\n", targetEvents, time.Since(start).Round(time.Millisecond))
+	fmt.Fprintf(o.out, "stream: %d events in %s, whole and in order\n", targetEvents, time.Since(start).Round(time.Millisecond))
 	return nil
 }
 
-func (g *Gateways) callStep(_ context.Context, out io.Writer) error {
+func (o *gatewaysOnce) callStep(context.Context) error {
 	const id, body = "dev-call", "slot 14:30"
-	status, text := g.caller.Send(g.addr(1), http.MethodPost, "/call/x", id, body)
+	status, text := o.caller.Send(o.addr(1), http.MethodPost, "/call/x", id, body)
 	if status != http.StatusOK || text != wiretest.AnswerTo(id, body) {
 		return errs.Newf(errs.Internal, "status %d, answer %q", status, text)
 	}
-	fmt.Fprintf(out, "call: %s\n", text)
+	fmt.Fprintf(o.out, "call: %s\n", text)
 	return nil
 }
 
 // jobStep hands a job in twice, at both gateways, reads it at the second one and ends it.
-func (g *Gateways) jobStep(ctx context.Context, out io.Writer) error {
+func (o *gatewaysOnce) jobStep(ctx context.Context) error {
 	start := time.Now()
-	for i := range g.Nodes {
-		if err := g.submit(i, gatewayJob); err != nil {
+	for i := range o.Nodes {
+		if err := o.submit(i, gatewayJob); err != nil {
 			return err
 		}
 	}
 	accepted := time.Since(start)
-	if err := g.readJob(ctx, 1, gatewayJob); err != nil {
+	if err := o.readJob(ctx, 1, gatewayJob); err != nil {
 		return err
 	}
-	if status, text := g.caller.End(g.addr(1), gatewayJob); status != http.StatusOK {
+	if status, text := o.caller.End(o.addr(1), gatewayJob); status != http.StatusOK {
 		return errs.Newf(errs.Internal, "the end was answered %d: %s", status, text)
 	}
-	fmt.Fprintf(out, "job: %d items, handed in at both gateways in %s, accepted once, read at the other one after %s\n",
+	fmt.Fprintf(o.out, "job: %d items, handed in at both gateways in %s, accepted once, read at the other one after %s\n",
 		gatewayJobItems, accepted.Round(time.Millisecond), time.Since(start).Round(time.Millisecond))
 	return nil
 }
@@ -123,23 +112,23 @@
 
 // outageStep takes the store away from one gateway: what it has promised it can't keep alone, so it refuses jobs,
 // with the word that they do not run; streams go on.
-func (g *Gateways) outageStep(ctx context.Context, out io.Writer) error {
+func (o *gatewaysOnce) outageStep(ctx context.Context) error {
 	const id, job = "dev-outage", "dev-outage-job"
-	g.views[0].Set(keyedlog.Faults{Refuse: true})
-	status, _ := g.caller.Submit(g.addr(0), job, []wiretest.Item{{ID: "refused", Path: "/batch/x", Tokens: itemTokenCount}})
+	o.views[0].Set(keyedlog.Faults{Refuse: true})
+	status, _ := o.caller.Submit(o.addr(0), job, []wiretest.Item{{ID: "refused", Path: "/batch/x", Tokens: itemTokenCount}})
 	if status != http.StatusServiceUnavailable {
 		return errs.Newf(errs.Internal, "without the store a job was answered %d, want %d", status, http.StatusServiceUnavailable)
 	}
-	if status, text := g.caller.Send(g.addr(0), http.MethodPost, "/stream/x", id, ""); status != http.StatusOK || text != wiretest.Stream(id, targetEvents) {
+	if status, text := o.caller.Send(o.addr(0), http.MethodPost, "/stream/x", id, ""); status != http.StatusOK || text != wiretest.Stream(id, targetEvents) {
 		return errs.Newf(errs.StreamBroken, "without the store a stream got status %d, %d bytes", status, len(text))
 	}
-	g.views[0].Set(keyedlog.Faults{})
-	if err := poll(ctx, readyTimeout, readyPoll, func() bool { return g.submit(0, job) == nil }); err != nil {
+	o.views[0].Set(keyedlog.Faults{})
+	if err := poll(ctx, readyTimeout, readyPoll, func() bool { return o.submit(0, job) == nil }); err != nil {
 		return err
 	}
-	if err := g.readJob(ctx, 1, job); err != nil {
+	if err := o.readJob(ctx, 1, job); err != nil {
 		return err
 	}
-	fmt.Fprintln(out, "outage of the store at one gateway: a job refused, a stream served; afterwards the job accepted and done")
+	fmt.Fprintln(o.out, "outage of the store at one gateway: a job refused, a stream served; afterwards the job accepted and done")
 	return nil
 }
--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -35,12 +35,17 @@
 		{"plan", o.planStep},
 		{"service call", o.serviceStep},
 	}
+	return runSteps(ctx, out, steps)
+}
+
+// runSteps runs one step after the other up to the first that fails.
+func runSteps(ctx context.Context, out io.Writer, steps []step) error {
 	for _, s := range steps {
 		if err := s.run(ctx); err != nil {
 			return errors.Wrap(err, s.name)
 		}
 	}
-	o.say("everything as it should be")
+	fmt.Fprintln(out, "everything as it should be")
 	return nil
 }
 
--- a/internal/lab/choose/choose.go
+++ b/internal/lab/choose/choose.go
@@ -113,7 +113,7 @@
 }
 
 func (o *Options) runOne(ctx context.Context, policy string, domains int) (*Result, error) {
-	c, err := cluster.Start(cluster.Options{
+	c, err := cluster.StartServing(ctx, awaitServe, cluster.Options{
 		Domains: domains, Entries: domains, Engines: engines, Seed: o.Seed,
 		Engine:        func(int) engine.Options { return engine.Options{CacheBlocks: cacheBlocks} },
 		EntrySettings: func(s *settings.Entry) { s.RoutePolicy = policy },
@@ -122,11 +122,6 @@
 		return nil, err
 	}
 	defer c.Close()
-	serveCtx, cancel := context.WithTimeout(ctx, awaitServe)
-	defer cancel()
-	if err := c.Await(serveCtx); err != nil {
-		return nil, err
-	}
 	c.Engines[0].Turn(func(k *engine.Knobs) { k.Slow = o.Slow })
 	sender, err := openloop.NewSender(c, o.load())
 	if err != nil {
--- a/internal/lab/faults/drill.go
+++ b/internal/lab/faults/drill.go
@@ -6,6 +6,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/standin/logsvc"
 	"arbutusramp/test/cluster"
@@ -124,7 +125,7 @@
 		if cond(w.hist.fold()) {
 			return true
 		}
-		if !pause(ctx, drillPoll) {
+		if !sleep.For(ctx, drillPoll) {
 			return false
 		}
 	}
--- a/internal/lab/faults/faults.go
+++ b/internal/lab/faults/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/test/cluster"
 )
 
@@ -118,7 +119,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.settleLimit())
 	defer cancel()
 	for open := r.openJobs(); open > 0; open = r.openJobs() {
-		if !pause(ctx, settlePoll) {
+		if !sleep.For(ctx, settlePoll) {
 			r.w.hist.violation("unsettled", fmt.Sprintf("%d jobs have not ended", open))
 			break
 		}
@@ -189,7 +190,7 @@
 				final[j.key] = n
 				break
 			}
-			if errs.Is(err, errs.NotFound) || !pause(ctx, retryPause) {
+			if errs.Is(err, errs.NotFound) || !sleep.For(ctx, retryPause) {
 				break
 			}
 		}
@@ -226,7 +227,7 @@
 	if r.o.Progress == nil {
 		return
 	}
-	for pause(ctx, progressEvery) {
+	for sleep.For(ctx, progressEvery) {
 		open := r.openJobs()
 		r.in.mu.Lock()
 		faults := 0
--- a/internal/lab/faults/inject.go
+++ b/internal/lab/faults/inject.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/standin/hostlist"
 	"arbutusramp/standin/logsvc"
@@ -35,7 +36,7 @@
 func (in *injector) run(ctx context.Context, faults []fault) error {
 	begun := time.Now()
 	for _, f := range faults {
-		if !pause(ctx, time.Until(begun.Add(f.At))) {
+		if !sleep.For(ctx, time.Until(begun.Add(f.At))) {
 			break
 		}
 		in.wg.Go(func() { in.inject(ctx, f) })
@@ -162,7 +163,7 @@
 		_ = in.w.Leaving(p) // the list is told again when the process is replaced
 		p.Stop()
 	}
-	pause(ctx, f.For)
+	sleep.For(ctx, f.For)
 	ended.Wait()
 	in.starting.Lock()
 	defer in.starting.Unlock()
@@ -214,7 +215,7 @@
 		sides := in.sides()
 		undo = in.w.links.Cut(cluster.Between(host, sides[f.Pick>>8%uint64(len(sides))].ID))
 	}
-	pause(ctx, f.For)
+	sleep.For(ctx, f.For)
 	undo()
 	if f.Kind == PauseEntry {
 		in.w.hist.lost(host, begun, time.Now())
@@ -244,9 +245,9 @@
 	defer in.free(cluster.LogHost)
 	begun := time.Now()
 	in.w.Log.Turn(func(k *logsvc.Knobs) { turnLog(k, f) })
-	pause(ctx, f.For)
+	sleep.For(ctx, f.For)
 	in.w.Log.Turn(healLog)
-	pause(ctx, logQuiet)
+	sleep.For(ctx, logQuiet)
 	in.w.hist.logWasBad(begun, time.Now())
 	return true
 }
@@ -283,7 +284,7 @@
 		}
 		k.Outage = f.Kind == ListOutage
 	})
-	pause(ctx, f.For)
+	sleep.For(ctx, f.For)
 	in.w.TurnLists(healList)
 	return true
 }
--- a/internal/lab/faults/jobs.go
+++ b/internal/lab/faults/jobs.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/client"
 	"arbutusramp/standin/engine"
@@ -58,7 +59,7 @@
 func (l *jobLoad) run(ctx, work context.Context) {
 	for {
 		l.start(work, l.randomJob())
-		if !pause(ctx, l.between(submitLeast, submitMost)) {
+		if !sleep.For(ctx, l.between(submitLeast, submitMost)) {
 			return
 		}
 	}
@@ -216,7 +217,7 @@
 	if l.chance(shareOther) {
 		l.sendOther(ctx, j)
 	}
-	if l.chance(shareCancel) && pause(ctx, l.between(0, cancelMost)) {
+	if l.chance(shareCancel) && sleep.For(ctx, l.between(0, cancelMost)) {
 		l.cancel(ctx, j)
 	}
 }
@@ -227,7 +228,7 @@
 		if l.submitOnce(ctx, j, j.file) == nil {
 			return true
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 	return false
 }
@@ -260,7 +261,7 @@
 			l.w.hist.violation("key_reused", j.key+" was accepted with other content")
 			return
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 }
 
@@ -280,7 +281,7 @@
 			h.mu.Unlock()
 			return
 		}
-		pause(ctx, retryPause)
+		sleep.For(ctx, retryPause)
 	}
 }
 
--- a/internal/lab/faults/online.go
+++ b/internal/lab/faults/online.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/standin/engine"
 	"arbutusramp/test/cluster"
 )
@@ -52,7 +53,7 @@
 	for i := range onlineCallers {
 		rng := rand.New(rand.NewPCG(seed, uint64(100+i)))
 		wg.Go(func() {
-			for n := 0; pause(ctx, onlineEvery); n++ {
+			for n := 0; sleep.For(ctx, onlineEvery); n++ {
 				id := fmt.Sprintf("online-%d-%d", i, n)
 				if rng.IntN(3) == 0 {
 					l.keyed(ctx, rng, id)
--- a/internal/lab/faults/read.go
+++ b/internal/lab/faults/read.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/client"
 )
 
@@ -24,7 +25,7 @@
 }
 
 func (r *reader) run(ctx context.Context) {
-	for pause(ctx, readEvery) {
+	for sleep.For(ctx, readEvery) {
 		var known []*sentJob
 		for _, j := range r.w.hist.sent() {
 			if r.w.hist.mayRead(j, r.w.o.Promise) {
--- a/internal/lab/faults/world.go
+++ b/internal/lab/faults/world.go
@@ -125,15 +125,3 @@
 	defer cancel()
 	return w.Await(ctx)
 }
-
-// pause waits for d and says whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/online/online.go
+++ b/internal/lab/online/online.go
@@ -102,7 +102,7 @@
 }
 
 func (o *Options) run(ctx context.Context, share float64) (*Phase, error) {
-	c, err := cluster.Start(cluster.Options{
+	c, err := cluster.StartServing(ctx, awaitServe, cluster.Options{
 		Domains: domains, Entries: domains, Engines: engines, Engine: engineModel, Seed: o.Seed,
 		EntrySettings: func(s *settings.Entry) { s.RetryShare = share },
 	})
@@ -110,11 +110,6 @@
 		return nil, err
 	}
 	defer c.Close()
-	serveCtx, cancel := context.WithTimeout(ctx, awaitServe)
-	defer cancel()
-	if err := c.Await(serveCtx); err != nil {
-		return nil, err
-	}
 	load := openloop.Load{
 		PerS: o.Overload * capacity(), For: time.Duration(o.Seconds) * time.Second,
 		Tokens: tokens, Documents: 1 << 16, PrefixTokens: promptSize / 2, TailTokens: promptSize / 2,
--- a/standin/engine/kv.go
+++ b/standin/engine/kv.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 )
 
 // kvCache stands for the KV cache of one sequence.
@@ -64,7 +65,7 @@
 
 // transfer takes the time of moving a KV cache.
 func (s *Server) transfer(kv kvCache) {
-	sleep(context.Background(), time.Duration(kv.Tokens)*s.opts.KVTokenTime)
+	sleep.For(context.Background(), time.Duration(kv.Tokens)*s.opts.KVTokenTime)
 }
 
 func (s *sequence) kv() kvCache {
--- a/standin/engine/models.go
+++ b/standin/engine/models.go
@@ -14,6 +14,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -180,14 +181,14 @@
 // fetch gets the weights, or waits for LoadTime without a weight store. It returns false when ctx ended.
 func (s *Server) fetch(ctx context.Context, name structs.ModelID, version string) bool {
 	if s.opts.WeightsURL == "" {
-		return sleep(ctx, s.opts.LoadTime)
+		return sleep.For(ctx, s.opts.LoadTime)
 	}
 	target := s.opts.WeightsURL + "/models/" + url.PathEscape(string(name)) + "?version=" + url.QueryEscape(version)
 	for ctx.Err() == nil {
 		if download(ctx, target) {
 			return true
 		}
-		sleep(ctx, loadRetryPause)
+		sleep.For(ctx, loadRetryPause)
 	}
 	return false
 }
@@ -213,15 +214,3 @@
 	}
 	return false
 }
-
-// sleep waits for d and returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/test/cluster/configure.go
+++ b/test/cluster/configure.go
@@ -63,6 +63,21 @@
 	}})
 }
 
+// StartServing starts a cluster and waits until it serves, for some time at the most. Errors: of Start and Await.
+func StartServing(ctx context.Context, within time.Duration, o Options) (*Cluster, error) {
+	c, err := Start(o)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	if err := c.Await(ctx); err != nil {
+		_ = c.Close() // that it does not serve is what matters
+		return nil, err
+	}
+	return c, nil
+}
+
 // Await waits until every entry is ready and has a session with every side. Error:
 // errs.DeadlineExceeded when ctx ends before.
 func (c *Cluster) Await(ctx context.Context) error {
