--- a/core/sleep/sleep.go
+++ b/core/sleep/sleep.go
@@ -7,15 +7,20 @@
 )
 
 // For waits for d and reports whether ctx still holds.
-func For(ctx context.Context, d time.Duration) bool {
+func For(ctx context.Context, d time.Duration) bool { return Or(ctx, d, nil) }
+
+// Or waits as For does; a value on wake ends the wait too.
+func Or(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
+	t := NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
 		return true
+	case <-wake:
+		return true
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/adapter/logmem/logmem.go
+++ b/internal/adapter/logmem/logmem.go
@@ -115,7 +115,7 @@
 		return l.unknown(ctx)
 	case chance() < f.Late:
 		l.mu.Unlock()
-		time.AfterFunc(f.LateBy, func() {
+		sleep.AfterFunc(f.LateBy, func() {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			l.put(name, body)
@@ -172,7 +172,7 @@
 	if !sleep.For(ctx, l.Faults().Delay) {
 		return platform.Page{}, errs.New(errs.LogDown, "the caller gave up")
 	}
-	timer := time.NewTimer(wait)
+	timer := sleep.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		page, changed, err := l.read(name, from, most)
--- a/internal/admin/race_test.go
+++ b/internal/admin/race_test.go
@@ -10,6 +10,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/plan"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/logmem"
 )
@@ -136,10 +137,12 @@
 			LateBy:      time.Duration(rng.IntN(20)) * time.Second,
 			Busy:        rng.Float64() / 3,
 		})
+		again := sleep.NewTimer(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
 		select {
 		case <-stop:
+			again.Stop()
 			return
-		case <-time.After(time.Duration(200+rng.IntN(1500)) * time.Millisecond):
+		case <-again.C:
 		}
 	}
 }
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -10,6 +10,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/reconcile"
+	"arbutusramp/core/sleep"
 )
 
 const (
@@ -69,10 +70,10 @@
 }
 
 func (a *Admin) watch(ctx *fasthttp.RequestCtx, after string, wait time.Duration) error {
-	end := time.NewTimer(wait)
+	end := sleep.NewTimer(wait)
 	defer end.Stop()
-	tick := time.NewTicker(watchEvery)
-	defer tick.Stop()
+	look := sleep.NewTimer(watchEvery)
+	defer look.Stop()
 	for over := false; ; {
 		_, changed := a.opts.Config.Watch()
 		st, err := a.status()
@@ -84,7 +85,8 @@
 		}
 		select {
 		case <-changed:
-		case <-tick.C:
+		case <-look.C:
+			look.Reset(watchEvery)
 		case <-end.C:
 			over = true
 		case <-a.stop:
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -20,6 +20,7 @@
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/standin/keyedlog"
 )
@@ -294,11 +295,9 @@
 	}
 	go func() {
 		for i := first; i <= eventsOf(id); i++ {
-			select {
-			case <-ctx.Done():
+			if !sleep.For(ctx, eventGap) {
 				_ = wr.CloseWithError(ctx.Err())
 				return
-			case <-time.After(eventGap):
 			}
 			if _, err := fmt.Fprintf(wr, "id: %d\ndata: %s:%d\n\n", i, id, i); err != nil {
 				return
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -148,24 +148,24 @@
 
 // run starts items until ctx ends.
 func (d *scheduler) run(ctx context.Context) error {
-	tick := time.NewTicker(idleLook)
-	defer tick.Stop()
+	look := sleep.NewTimer(idleLook)
+	defer look.Stop()
 	for {
 		news := d.sync()
 		for d.startOne(ctx) {
 			sleep.For(ctx, startGap)
 		}
 		if d.want() > 0 {
-			tick.Reset(hungryLook)
+			look.Reset(hungryLook)
 		} else {
-			tick.Reset(idleLook)
+			look.Reset(idleLook)
 		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-news:
 		case <-d.m.view.Freed():
-		case <-tick.C:
+		case <-look.C:
 		}
 	}
 }
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -90,7 +90,7 @@
 		return
 	}
 	s.m.scheduler.adopt(ctx, s)
-	again := time.NewTimer(progressAgain)
+	again := sleep.NewTimer(progressAgain)
 	defer again.Stop()
 	for {
 		select {
--- a/internal/batch/claim.go
+++ b/internal/batch/claim.go
@@ -7,6 +7,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -43,7 +44,7 @@
 			s.m.log.Info("claim decided", "shard", s.id, "won", won, "prev_epoch", prev, "from", from)
 			return won
 		}
-		if err != nil && !pause(ctx, resendLeast) {
+		if err != nil && !sleep.For(ctx, resendLeast) {
 			return false
 		}
 		if !s.stillWanted() {
--- a/internal/batch/cluster_test.go
+++ b/internal/batch/cluster_test.go
@@ -19,6 +19,7 @@
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/logmem"
 	"arbutusramp/internal/settings"
@@ -232,7 +233,7 @@
 
 // listAfter changes the host list after lag.
 func (c *cluster) listAfter(lag time.Duration, change func([]platform.Host) []platform.Host) {
-	time.AfterFunc(lag, func() {
+	sleep.AfterFunc(lag, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.list = change(append([]platform.Host(nil), c.list...))
--- a/internal/batch/dispatch.go
+++ b/internal/batch/dispatch.go
@@ -8,6 +8,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -37,12 +38,13 @@
 
 // dispatchLoop gives items to the targets that have room.
 func (m *Manager) dispatchLoop(ctx context.Context) error {
-	t := time.NewTicker(dispatchEvery)
+	t := sleep.NewTimer(dispatchEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-m.dispatchCh:
 		case <-t.C:
+			t.Reset(dispatchEvery)
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/batch/housekeep.go
+++ b/internal/batch/housekeep.go
@@ -6,13 +6,14 @@
 
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
 // housekeepLoop does what time calls for: leases that ran out, decisions of
 // operators, snapshots, records that near the end of retention.
 func (s *shard) housekeepLoop(ctx context.Context) {
-	for pause(ctx, s.m.tune.HousekeepEvery) {
+	for sleep.For(ctx, s.m.tune.HousekeepEvery) {
 		now := s.m.now()
 		if s.m.cutOff(now) {
 			s.giveUp()
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/shardmap"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
 )
@@ -142,7 +143,7 @@
 				return nil
 			})
 		}
-		if !pauseOr(ctx, m.tune.HousekeepEvery, m.placeCh) {
+		if !sleep.Or(ctx, m.tune.HousekeepEvery, m.placeCh) {
 			return nil
 		}
 	}
@@ -263,20 +264,3 @@
 	}
 	return nil
 }
-
-// pause waits for d and says whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool { return pauseOr(ctx, d, nil) }
-
-// pauseOr is pause that a message on wake ends early.
-func pauseOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-wake:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -6,6 +6,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -179,7 +180,7 @@
 	for s.ownerEpoch() == epoch {
 		item, err := s.item(s.m.life, key.Job, seg, key.Index)
 		if errs.Is(err, errs.LogDown) {
-			if !pause(s.m.life, readBackoff) {
+			if !sleep.For(s.m.life, readBackoff) {
 				return
 			}
 			continue
@@ -296,7 +297,7 @@
 // ended them, or can't start them any more: a side starts an item only if it has heard
 // from its owner's session within ItemLease.
 func (s *shard) awaitStopped(ctx context.Context, job structs.JobID) {
-	limit := time.NewTimer(2 * s.m.tune.ItemLease)
+	limit := sleep.NewTimer(2 * s.m.tune.ItemLease)
 	defer limit.Stop()
 	s.awaitUnknown(ctx)
 	for {
@@ -327,6 +328,6 @@
 	unknown := s.m.now().Before(s.unknownUntil)
 	s.mu.Unlock()
 	if unknown {
-		pause(ctx, s.m.tune.ItemLease)
+		sleep.For(ctx, s.m.tune.ItemLease)
 	}
 }
--- a/internal/batch/peers.go
+++ b/internal/batch/peers.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/shardmap"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -45,7 +46,7 @@
 		}
 		_ = g.Wait()
 		m.outage.Store(views.outage())
-		if !pause(ctx, m.tune.ProbeEvery) {
+		if !sleep.For(ctx, m.tune.ProbeEvery) {
 			return nil
 		}
 	}
@@ -204,7 +205,7 @@
 				continue
 			}
 		}
-		if m.now().Sub(begun) > callPatience || !pause(ctx, callWait) {
+		if m.now().Sub(begun) > callPatience || !sleep.For(ctx, callWait) {
 			break
 		}
 	}
--- a/internal/batch/random_test.go
+++ b/internal/batch/random_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/logmem"
 )
@@ -83,10 +84,10 @@
 		}
 	case 5, 6:
 		node.gate.pause()
-		time.AfterFunc(time.Duration(c.rng.IntN(8000))*time.Millisecond, node.gate.resume)
+		sleep.AfterFunc(time.Duration(c.rng.IntN(8000))*time.Millisecond, node.gate.resume)
 	case 7:
 		c.log.SetFaults(logmem.Faults{Down: true})
-		time.AfterFunc(time.Duration(c.rng.IntN(20000))*time.Millisecond, func() { c.log.SetFaults(logmem.Faults{}) })
+		sleep.AfterFunc(time.Duration(c.rng.IntN(20000))*time.Millisecond, func() { c.log.SetFaults(logmem.Faults{}) })
 	case 8, 9:
 		c.log.SetFaults(logmem.Faults{
 			LoseAnswer: c.rng.Float64() / 2, LoseRequest: c.rng.Float64() / 4,
@@ -115,7 +116,7 @@
 	}
 	s := sides[c.rng.IntN(len(sides))]
 	s.disconnect(n)
-	time.AfterFunc(time.Duration(c.rng.IntN(3000))*time.Millisecond, func() {
+	sleep.AfterFunc(time.Duration(c.rng.IntN(3000))*time.Millisecond, func() {
 		if c.node(n.host.ID) == n {
 			s.connect(n)
 		}
--- a/internal/batch/reader.go
+++ b/internal/batch/reader.go
@@ -7,6 +7,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/invariant"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -36,7 +37,7 @@
 		return false
 	}
 	if err != nil {
-		return pause(ctx, readBackoff)
+		return sleep.For(ctx, readBackoff)
 	}
 	envs := decodeAll(page.Entries)
 	s.mu.Lock()
@@ -78,7 +79,7 @@
 				"jobs", len(state.Jobs), "took", s.m.now().Sub(begun))
 			return true
 		}
-		if !pause(ctx, readBackoff) {
+		if !sleep.For(ctx, readBackoff) {
 			return false
 		}
 	}
--- a/internal/batch/serve.go
+++ b/internal/batch/serve.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/shardmap"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -72,7 +73,7 @@
 		if s := m.shard(r.Shard); s != nil && s.isRead() {
 			return &PeerReply{}
 		}
-		if !pause(ctx, offerPoll) {
+		if !sleep.For(ctx, offerPoll) {
 			return &PeerReply{Err: errs.New(errs.Overloaded, "the shard is not read yet")}
 		}
 	}
--- a/internal/batch/side_test.go
+++ b/internal/batch/side_test.go
@@ -10,6 +10,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -201,11 +202,12 @@
 
 // tick resends outcomes that were not acknowledged, and pulls.
 func (s *testSide) tick() {
-	t := time.NewTicker(time.Second)
+	t := sleep.NewTimer(time.Second)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
+			t.Reset(time.Second)
 		case <-s.dead:
 			return
 		}
@@ -303,8 +305,8 @@
 	if bytes.Contains(body, []byte("hang")) {
 		d = 10 * s.c.set.ItemTimeout
 	}
-	t := time.NewTimer(d)
-	limit := time.NewTimer(time.Duration(r.item.TimeoutMs) * time.Millisecond)
+	t := sleep.NewTimer(d)
+	limit := sleep.NewTimer(time.Duration(r.item.TimeoutMs) * time.Millisecond)
 	defer t.Stop()
 	defer limit.Stop()
 	out := &structs.ItemDone{}
@@ -370,7 +372,7 @@
 		s.end(r, d)
 	}
 	s.down = true
-	time.AfterFunc(s.restart, func() {
+	sleep.AfterFunc(s.restart, func() {
 		s.mu.Lock()
 		s.down = false
 		s.startMore()
--- a/internal/batch/writer.go
+++ b/internal/batch/writer.go
@@ -6,6 +6,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/jobs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -146,7 +147,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if left := s.m.set.CommitEvery - s.m.now().Sub(last); left > 0 && !pause(ctx, left) {
+		if left := s.m.set.CommitEvery - s.m.now().Sub(last); left > 0 && !sleep.For(ctx, left) {
 			return
 		}
 		last = s.m.now()
@@ -268,7 +269,7 @@
 			s.tooLarge(f)
 			return
 		}
-		t := time.NewTimer(wait)
+		t := sleep.NewTimer(wait)
 		select {
 		case <-f.done:
 			t.Stop()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -5,6 +5,7 @@
 
 	"arbutusramp/core/choose"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -23,7 +24,7 @@
 	in       accepted
 	req      classified
 	deadline time.Time
-	timer    *time.Timer
+	timer    *sleep.Timer
 
 	// Of the attempt that runs now.
 	target *target
@@ -51,7 +52,7 @@
 // begin sends the first attempt.
 func (c *call) begin(s *scratch) *errs.Error {
 	c.e.budget.try(c.in.start)
-	c.timer = time.NewTimer(c.deadline.Sub(c.in.start))
+	c.timer = sleep.NewTimer(c.deadline.Sub(c.in.start))
 	return c.start(s)
 }
 
@@ -180,9 +181,9 @@
 }
 
 func (c *call) wait(missing bool) *errs.Error {
-	var late <-chan time.Time
+	var late <-chan struct{}
 	if missing {
-		grace := time.NewTimer(missingGrace)
+		grace := sleep.NewTimer(missingGrace)
 		defer grace.Stop()
 		late = grace.C
 	}
--- a/internal/entry/http_test.go
+++ b/internal/entry/http_test.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -112,7 +113,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			e := newTestEntry(t, testState())
 			e.inFlight.Add(1)
-			time.AfterFunc(takes, func() { e.inFlight.Add(-1) })
+			sleep.AfterFunc(takes, func() { e.inFlight.Add(-1) })
 			ctx, cancel := context.WithTimeout(t.Context(), e.set.DrainTimeout)
 			defer cancel()
 			begin := time.Now()
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -73,9 +73,9 @@
 
 // run follows the host list until ctx ends, then closes every session.
 func (p *pool) run(ctx context.Context) {
-	lists := time.NewTicker(p.set.HostListEvery)
+	lists := sleep.NewTimer(p.set.HostListEvery)
 	defer lists.Stop()
-	surveys := time.NewTicker(surveyEvery)
+	surveys := sleep.NewTimer(surveyEvery)
 	defer surveys.Stop()
 	p.follow(ctx)
 	for {
@@ -84,8 +84,10 @@
 			p.shutdown()
 			return
 		case <-lists.C:
+			lists.Reset(p.set.HostListEvery)
 			p.follow(ctx)
 		case <-surveys.C:
+			surveys.Reset(surveyEvery)
 			p.index.Load().survey()
 			p.forget()
 		}
--- a/internal/follow/answer.go
+++ b/internal/follow/answer.go
@@ -5,6 +5,7 @@
 
 	"arbutusramp/core/confstate"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -23,9 +24,9 @@
 	if from > f.Current().Version {
 		wait = min(wait, catchUp)
 	}
-	var timeout <-chan time.Time
+	var timeout <-chan struct{}
 	if wait > 0 {
-		timer := time.NewTimer(wait)
+		timer := sleep.NewTimer(wait)
 		defer timer.Stop()
 		timeout = timer.C
 	}
--- a/internal/follow/sides.go
+++ b/internal/follow/sides.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/core/relay"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -81,14 +82,15 @@
 
 // push sends each side what is new. A side that misses it asks.
 func (f *Follower) push(ctx context.Context) {
-	tick := time.NewTicker(announceAfter)
-	defer tick.Stop()
+	again := sleep.NewTimer(announceAfter)
+	defer again.Stop()
 	for {
 		s, changed := f.Watch()
 		f.pushAll(s.Version)
 		select {
 		case <-changed:
-		case <-tick.C:
+		case <-again.C:
+			again.Reset(announceAfter)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
 )
 
@@ -293,7 +294,7 @@
 		b := newBench(2, dark)
 		b.gw.log = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
 		ctx, leave := context.WithCancel(context.Background())
-		time.AfterFunc(time.Second, leave)
+		sleep.AfterFunc(time.Second, leave)
 		b.serve(ctx, route(serving.KindUnsafe, 2, false), &caller{})
 		if !strings.Contains(lines.String(), `"outcome":"cancelled"`) {
 			t.Errorf("lines %s", lines.String())
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -126,18 +126,19 @@
 }
 
 func (s *Share) send(ctx context.Context) error {
-	tick := time.NewTicker(refresh)
-	defer tick.Stop()
+	again := sleep.NewTimer(refresh)
+	defer again.Stop()
 	var seq uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case <-again.C:
 		case <-s.view.Changed():
 		}
 		seq++
 		s.tell(seq)
+		again.Reset(refresh)
 		sleep.For(ctx, max(minGap, time.Duration(s.Peers())*gapPerPeer))
 	}
 }
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"arbutusramp/core/sleep"
 )
 
 const (
@@ -60,7 +62,7 @@
 // Flush waits until all lines so far are written, up to a time: a process that ends at once would lose its
 // last ones, and one whose reader stalls must end all the same. It reports whether they are.
 func (a *Async) Flush(within time.Duration) bool {
-	until := time.NewTimer(within)
+	until := sleep.NewTimer(within)
 	defer until.Stop()
 	mark := queued{reached: make(chan struct{})}
 	select {
--- a/internal/reconcile/fences.go
+++ b/internal/reconcile/fences.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/reconcile"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -82,7 +83,7 @@
 		end, err := readClaims(ctx, f.log, &f.claims, 0)
 		if err != nil && !errs.Is(err, errs.LogTrimmed) {
 			f.logger.Debug("placement stream", "error", err)
-			pause(ctx, errorPause)
+			sleep.For(ctx, errorPause)
 		}
 		if end {
 			return true
--- a/internal/reconcile/reconciler.go
+++ b/internal/reconcile/reconciler.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/reconcile"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
 )
@@ -148,12 +149,12 @@
 func (r *Reconciler) watchOwner(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.owner.owns() && !r.owner.candidate() {
-			pause(ctx, watchWait)
+			sleep.For(ctx, watchWait)
 			continue
 		}
 		if err := r.watchOnce(ctx); err != nil {
 			r.log.Debug("placement stream", "error", err)
-			pause(ctx, errorPause)
+			sleep.For(ctx, errorPause)
 		}
 	}
 }
@@ -231,11 +232,12 @@
 }
 
 func (r *Reconciler) stepLoop(ctx context.Context) {
-	tick := time.NewTicker(stepEvery)
-	defer tick.Stop()
+	next := sleep.NewTimer(stepEvery)
+	defer next.Stop()
 	for {
 		select {
-		case <-tick.C:
+		case <-next.C:
+			next.Reset(stepEvery)
 		case <-r.opts.Fleet.changed:
 		case <-ctx.Done():
 			return
@@ -266,7 +268,7 @@
 func (r *Reconciler) learnLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.opts.Fleet.LearnSizes(ctx, r.opts.Config.Current())
-		pause(ctx, learnEvery)
+		sleep.For(ctx, learnEvery)
 	}
 }
 
@@ -344,12 +346,3 @@
 	}
 	return r.machine.Fence(), nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -210,8 +211,8 @@
 // write sends queued frames, as many as are there in one message, until the session closes.
 func (c *Conn) write() {
 	defer c.ws.Close()
-	tick := time.NewTicker(c.o.Heartbeat)
-	defer tick.Stop()
+	beat := sleep.NewTimer(c.o.Heartbeat)
+	defer beat.Stop()
 	var buf bytes.Buffer
 	c.sendBeat()
 	for {
@@ -219,7 +220,8 @@
 		case <-c.done:
 			c.lastWords(&buf)
 			return
-		case <-tick.C:
+		case <-beat.C:
+			beat.Reset(c.o.Heartbeat)
 			c.sendBeat()
 		case <-c.wake:
 			if err := c.writeAll(&buf, c.take(), silentBeats*c.o.Heartbeat); err != nil {
--- a/internal/side/guard.go
+++ b/internal/side/guard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 )
 
 // stallLimit bounds how long a caller may leave a finished or paused answer unread.
@@ -29,7 +30,7 @@
 func newGuard(base context.Context, budget time.Duration, deadline time.Time) *guard {
 	g := &guard{budget: budget, deadline: deadline, last: time.Now()}
 	g.ctx, g.cancel = context.WithCancelCause(base)
-	g.timer = time.AfterFunc(g.wait(budget), g.fire)
+	g.timer = sleep.AfterFunc(g.wait(budget), g.fire)
 	return g
 }
 
@@ -66,7 +67,7 @@
 	defer g.mu.Unlock()
 	g.stalled = stalled
 	g.last = time.Now()
-	g.timer.Reset(g.wait(d))
+	sleep.Reset(g.timer, g.wait(d))
 }
 
 // lastByte is when the target last gave something, or the start.
--- a/internal/side/pull.go
+++ b/internal/side/pull.go
@@ -50,11 +50,8 @@
 
 func (pl *puller) run(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
+		if !sleep.Or(ctx, idlePullEvery, pl.s.roomDirty) {
 			return nil
-		case <-pl.s.roomDirty:
-		case <-time.After(idlePullEvery):
 		}
 		wait := idlePullEvery
 		if pl.offer(time.Now(), pl.room()) {
--- a/internal/side/queue.go
+++ b/internal/side/queue.go
@@ -7,6 +7,7 @@
 
 	"arbutusramp/core/admit"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -122,10 +123,10 @@
 	q.due = next
 	wait := max(0, next.Sub(now))
 	if q.timer == nil {
-		q.timer = time.AfterFunc(wait, q.tick)
+		q.timer = sleep.AfterFunc(wait, q.tick)
 		return
 	}
-	q.timer.Reset(wait)
+	sleep.Reset(q.timer, wait)
 }
 
 func (q *queue) tick() {
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -16,6 +16,7 @@
 	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/session"
@@ -234,7 +235,7 @@
 }
 
 func (s *Side) awaitIdle(d time.Duration) bool {
-	timer := time.NewTimer(d)
+	timer := sleep.NewTimer(d)
 	defer timer.Stop()
 	for !s.idle() {
 		select {
--- a/standin/keyedlog/view.go
+++ b/standin/keyedlog/view.go
@@ -70,7 +70,7 @@
 		return platform.Appended{}, err
 	}
 	if f.Late > 0 {
-		time.AfterFunc(f.Late, func() { _, _ = v.store.append(a) }) // nobody waits for its outcome
+		sleep.AfterFunc(f.Late, func() { _, _ = v.store.append(a) }) // nobody waits for its outcome
 		return platform.Appended{}, lost(ctx)
 	}
 	done, err := v.store.append(a)
@@ -97,7 +97,7 @@
 		if err != nil || len(page.Records) > 0 || left <= 0 {
 			return page, err
 		}
-		t := time.NewTimer(left)
+		t := sleep.NewTimer(left)
 		select {
 		case <-moved:
 		case <-t.C:
