Histograms of the stages of requests, batch items and store calls

The metrics had one histogram, of whole requests: on call could not tell a target that queues from a slow caller. Now online requests have choose, first and relay, items wait, run and list, store calls their time.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -12,6 +12,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/telemetry"
 )
 
 const (
@@ -23,6 +24,13 @@
 	silenceLook = 100 * time.Millisecond
 )
 
+// Names of the histograms of an item's stages at this process, in milliseconds.
+const (
+	waitMetric = "item.wait_ms" // from when it was taken on until its first run
+	runMetric  = "item.run_ms"  // one run at a target
+	listMetric = "item.list_ms" // from its end until that lies in the store
+)
+
 // verdict is what one run of an item means for it.
 type verdict uint8
 
@@ -39,6 +47,7 @@
 	began := time.Now()
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
+	telemetry.Observe(m.reg, runMetric, time.Since(began))
 	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
 	if v == failed {
 		m.saveFailure(t)
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -234,7 +234,7 @@
 		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
 			continue
 		}
-		d.tasks[key] = &task{shard: s, job: j, index: i}
+		d.tasks[key] = &task{shard: s, job: j, index: i, taken: time.Now()}
 	}
 }
 
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -12,6 +12,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/sleep"
+	"arbutusramp/internal/telemetry"
 )
 
 // flushPause is how long a shard waits for more ends before it writes the first one.
@@ -53,6 +54,7 @@
 	item    string
 	outcome backlog.Outcome
 	text    string
+	known   time.Time // when it came to the shard
 }
 
 func (o *outcome) key() string { return o.job.ID + "/" + o.item }
@@ -173,6 +175,7 @@
 // finish takes an item's end for the next write.
 func (s *shard) finish(o *outcome) {
 	s.mu.Lock()
+	o.known = time.Now()
 	if !s.lost {
 		s.queue = append(s.queue, o)
 	}
@@ -196,6 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, o := range s.queue[:n] {
+		telemetry.Observe(s.m.reg, listMetric, time.Since(o.known))
 		s.m.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
 	}
 	s.queue = s.queue[n:]
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -7,6 +7,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/telemetry"
 )
 
 // task is an item that this process has to bring to an end.
@@ -15,7 +16,10 @@
 	job   *backlog.Job
 	index int
 
+	taken time.Time // when this process took it on
+
 	mu        sync.Mutex
+	begun     bool // a run has begun here
 	running   bool
 	ending    backlog.Outcome // how it has ended, written or about to be; empty until that is known
 	cancel    context.CancelFunc
@@ -155,6 +159,10 @@
 func (t *task) begin(cancel context.CancelFunc) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.begun {
+		telemetry.Observe(t.shard.m.reg, waitMetric, time.Since(t.taken))
+	}
+	t.begun = true
 	t.running, t.preempted, t.cancel = true, false, cancel
 	t.unrouted = 0
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,6 +50,7 @@
 	sent := time.Now()
 	a.heard.Store(int64(sent.Sub(a.req.Arrived)))
 	a.mayHaveRun++
+	a.stages.noteSent(sent)
 	a.logSent(sent)
 	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
 	stop := a.watch(ctx, sent, mayMove)
@@ -204,6 +205,7 @@
 		return
 	}
 	a.begun = true
+	a.stages.noteFirst(time.Now())
 	a.out.Begin(ans.Status, ans.Header, length)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	begun      bool     // the caller has the header of an answer
 	lastID     string   // of the last event that the caller has
 	choices    []string // targets with what spoke for each, for the log line
+	stages     stages
 }
 
 // Serve answers one request. It returns once the answer is complete or given up.
@@ -180,28 +181,23 @@
 
 // record writes the request's log line and counts it.
 func (x *exchange) record(err error) {
-	took := time.Since(x.req.Arrived)
+	now := time.Now()
+	took := now.Sub(x.req.Arrived)
+	x.observe(now)
 	outcome := "served"
 	if err != nil {
 		outcome = string(errs.As(err).Type)
 	}
 	metrics.GetOrRegisterCounter("online."+x.route.Kind.String()+"."+outcome, x.gw.reg).Inc(1)
-	metrics.GetOrRegisterHistogram("online."+x.route.Kind.String()+".ms", x.gw.reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha)).Update(took.Milliseconds())
 	args := []any{
 		"request", x.req.ID, "route", x.route.Name, "config", x.gw.beliefs.Version(),
 		"config_age_ms", x.gw.beliefs.Age().Milliseconds(), "service", x.service, "targets", x.choices,
 		"may_have_run", x.mayHaveRun, "outcome", outcome, "ms", took.Milliseconds(),
 	}
 	if err == nil {
-		x.gw.served.Info(time.Now(), "request", args...)
+		x.gw.served.Info(now, "request", args...)
 		return
 	}
 	x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
 		"limit_ms", x.until.Sub(x.req.Arrived).Milliseconds(), "limit_of", x.limitOf)...)
 }
-
-// Size and decay of the samples behind histograms, the library's usual ones.
-const (
-	sampleSize  = 1028
-	sampleAlpha = 0.015
-)
