A gateway that has lost the store reaches it through a peer

A gateway that lost the store refused jobs, lost its shards and stopped its items, and learned no configuration, while its peers reached the store.

Ruled out: slower runs (targets were calm), lost results (all were listed, late).

Change: internal/storepath. Calls go by the own way; through a peer while that is lost, and 0.4 s after they were due. A conditional append goes one way until its outcome is known. Load datagrams tell who reaches the store by itself.

--- a/internal/dev/gateways_once.go
+++ b/internal/dev/gateways_once.go
@@ -27,7 +27,7 @@
 	out io.Writer
 }
 
-// RunGatewaysOnce starts gateways, runs a stream, a call, a job and an outage of the store, says on out what happened,
+// RunGatewaysOnce starts gateways, runs a stream, a call, a job and two losses of the store, of one gateway and of all, says on out what happened,
 // and stops them. The error is the first thing that was wrong.
 func RunGatewaysOnce(ctx context.Context, logger hclog.Logger, out io.Writer) error {
 	g, err := StartGateways(ctx, logger)
@@ -35,7 +35,7 @@
 		return err
 	}
 	o := &gatewaysOnce{g, out}
-	err = runSteps(ctx, out, []step{{"stream", o.streamStep}, {"call", o.callStep}, {"job", o.jobStep}, {"outage", o.outageStep}})
+	err = runSteps(ctx, out, []step{{"stream", o.streamStep}, {"call", o.callStep}, {"job", o.jobStep}, {"detour", o.detourStep}, {"outage", o.outageStep}})
 	if stopErr := g.Stop(); err == nil {
 		err = stopErr
 	}
@@ -110,11 +110,27 @@
 	})
 }
 
-// outageStep takes the store away from one gateway: what it has promised it can't keep alone, so it refuses jobs,
-// with the word that they do not run; streams go on.
+// detourStep takes the store away from one gateway: it reaches the store through the other one, and a job
+// that it is handed is accepted, run and read.
+func (o *gatewaysOnce) detourStep(ctx context.Context) error {
+	const job = "dev-detour-job"
+	o.views[0].Set(keyedlog.Faults{Refuse: true})
+	defer o.views[0].Set(keyedlog.Faults{})
+	if err := o.submit(0, job); err != nil {
+		return err
+	}
+	if err := o.readJob(ctx, 0, job); err != nil {
+		return err
+	}
+	fmt.Fprintln(o.out, "detour: a job handed in at the gateway that the store turns away, accepted and read there through the other one")
+	return nil
+}
+
+// outageStep takes the store away from all gateways: they can't keep what they would promise, so they refuse jobs,
+// with the word that those do not run; streams go on.
 func (o *gatewaysOnce) outageStep(ctx context.Context) error {
 	const id, job = "dev-outage", "dev-outage-job"
-	o.views[0].Set(keyedlog.Faults{Refuse: true})
+	o.setFaults(keyedlog.Faults{Refuse: true})
 	status, _ := o.caller.Submit(o.addr(0), job, []wiretest.Item{{ID: "refused", Path: "/batch/x", Tokens: itemTokenCount}})
 	if status != http.StatusServiceUnavailable {
 		return errs.Newf(errs.Internal, "without the store a job was answered %d, want %d", status, http.StatusServiceUnavailable)
@@ -122,13 +138,20 @@
 	if status, text := o.caller.Send(o.addr(0), http.MethodPost, "/stream/x", id, ""); status != http.StatusOK || text != wiretest.Stream(id, targetEvents) {
 		return errs.Newf(errs.StreamBroken, "without the store a stream got status %d, %d bytes", status, len(text))
 	}
-	o.views[0].Set(keyedlog.Faults{})
+	o.setFaults(keyedlog.Faults{})
 	if err := poll(ctx, readyTimeout, readyPoll, func() bool { return o.submit(0, job) == nil }); err != nil {
 		return err
 	}
 	if err := o.readJob(ctx, 1, job); err != nil {
 		return err
 	}
-	fmt.Fprintln(o.out, "outage of the store at one gateway: a job refused, a stream served; afterwards the job accepted and done")
+	fmt.Fprintln(o.out, "outage of the store: a job refused, a stream served; afterwards the job accepted and done")
 	return nil
 }
+
+// setFaults gives every gateway the same faults of the store.
+func (o *gatewaysOnce) setFaults(f keyedlog.Faults) {
+	for _, v := range o.views {
+		v.Set(f)
+	}
+}
--- a/internal/dev/gateways_test.go
+++ b/internal/dev/gateways_test.go
@@ -17,7 +17,7 @@
 	if err := RunGatewaysOnce(t.Context(), hclog.NewNullLogger(), &out); err != nil {
 		t.Fatalf("%v\n%s", err, out.String())
 	}
-	for _, word := range []string{"stream:", "call:", "job:", "outage", "as it should be"} {
+	for _, word := range []string{"stream:", "call:", "job:", "detour:", "outage", "as it should be"} {
 		if !strings.Contains(out.String(), word) {
 			t.Errorf("no word of %q in\n%s", word, out.String())
 		}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -3,12 +3,15 @@
 package loadshare
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -37,6 +40,9 @@
 	// forgetAfter is the silence after which a peer is dropped. It is found again in the store
 	// or by its own reports.
 	forgetAfter = 60 * time.Second
+	// reachedWithin is how long ago a peer may have reached the store to count as one that does. In calm
+	// times the store answers each gateway at least every 0.6 s.
+	reachedWithin = time.Second
 	// maxDatagram is what one report may have.
 	maxDatagram = 60 << 10
 )
@@ -51,6 +57,9 @@
 	// ContactAge is how long ago the store last answered, in milliseconds: clocks differ
 	// between hosts, ages do not.
 	ContactAge int64 `cbor:"6,keyasint"`
+	// Detours says that the sender's own way to the store is lost: it has reached the store through a
+	// peer, if at all, and is of no use as one.
+	Detours bool `cbor:"7,keyasint,omitempty"`
 }
 
 // line is the load at one target.
@@ -67,21 +76,26 @@
 	name  fleet.Peer
 	heard time.Time
 	sent  time.Time
+	// contact is when the store last answered it by its own way; zero while that is lost.
+	contact time.Time
 }
 
 // Share is this process's part.
 type Share struct {
 	self fleet.Peer
 	view *fleetview.View
-	log  hclog.Logger
-	conn *net.UDPConn
+	// detours says whether this process's own way to the store is lost.
+	detours func() bool
+	log     hclog.Logger
+	conn    *net.UDPConn
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 }
 
-// New listens at addr (IP:port).
-func New(addr string, self fleet.Peer, view *fleetview.View, log hclog.Logger) (*Share, error) {
+// New listens at addr (IP:port). detours is asked, once Run is called, whether this process's own way to the
+// store is lost.
+func New(addr string, self fleet.Peer, view *fleetview.View, detours func() bool, log hclog.Logger) (*Share, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "address for peers")
@@ -90,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	return &Share{self: self, view: view, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
+	return &Share{self: self, view: view, detours: detours, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
 }
 
 // Addr is where peers send to.
@@ -152,7 +166,7 @@
 
 func (s *Share) tell(seq uint64) {
 	own := s.view.Report()
-	r := report{From: s.self, Seq: seq, Items: own.Want.Items, Due: own.Want.Due, ContactAge: time.Since(own.Contact).Milliseconds()}
+	r := report{From: s.self, Seq: seq, Items: own.Want.Items, Due: own.Want.Due, ContactAge: time.Since(own.Contact).Milliseconds(), Detours: s.detours()}
 	for id, l := range own.Loads {
 		r.Loads = append(r.Loads, line{Target: id, Online: l.Online, Batch: l.Batch})
 	}
@@ -237,5 +251,27 @@
 		return false
 	}
 	p.seq = r.Seq
+	p.contact = time.Time{}
+	if !r.Detours {
+		p.contact = p.heard.Add(-time.Duration(r.ContactAge) * time.Millisecond)
+	}
 	return true
 }
+
+// Reaching returns the addresses of live peers that have reached the store by their own way within
+// reachedWithin. Each process has an order of its own, so that not all turn to the same peer.
+func (s *Share) Reaching() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var list []string
+	for ap, p := range s.peers {
+		if now.Sub(p.heard) < PeerTTL && now.Sub(p.contact) < reachedWithin {
+			list = append(list, ap.String())
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(s.rank(a), s.rank(b)) })
+	return list
+}
+
+func (s *Share) rank(addr string) uint64 { return xxhash.Sum64String(string(s.self) + " " + addr) }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -23,6 +23,7 @@
 	"arbutusramp/internal/gateway"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/settings"
+	"arbutusramp/internal/storepath"
 	"arbutusramp/internal/telemetry"
 	"arbutusramp/internal/watch"
 	"arbutusramp/platform/directory"
@@ -48,20 +49,28 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// The listeners beside that of callers, in the order in which they are taken.
+const (
+	_ = iota // the relay of peers
+	readyOn
+	metricsOn
+)
+
 // Gateway is a process that takes callers' requests on the users' platform.
 type Gateway struct {
-	set      settings.Gateway
-	log      hclog.Logger
-	reg      metrics.Registry
-	view     *fleetview.View
-	watch    *watch.Watch
-	jobs     *backlog.Manager
-	share    *loadshare.Share
-	peers    *peerDirectory
-	server   *http.Server
-	status   []*http.Server // of the readiness and metrics listeners
-	callers  *conns
-	statusOn []net.Listener
+	set     settings.Gateway
+	log     hclog.Logger
+	reg     metrics.Registry
+	view    *fleetview.View
+	watch   *watch.Watch
+	jobs    *backlog.Manager
+	share   *loadshare.Share
+	paths   *storepath.Paths
+	peers   *peerDirectory
+	server  *http.Server
+	callers *conns
+	sides   []*http.Server // of the other listeners: see readyOn
+	sideOn  []net.Listener
 
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -79,24 +88,46 @@
 		StartSpare: startSpare, KeepSpare: keepSpare, PeerTTL: loadshare.PeerTTL,
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
-	g.watch = watch.New(directory.New(client), view, logger.Named("watch"))
+	if err := g.reachStore(client, fleet.Peer(self)); err != nil {
+		return nil, err
+	}
+	g.watch = watch.New(directory.New(g.paths), view, logger.Named("watch"))
 	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
-		client, targets, view, g.watch, logger.Named("backlog"), reg)
+		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	var err error
-	if g.share, err = loadshare.New(s.PeerAddr, fleet.Peer(self), view, logger.Named("peers")); err != nil {
-		return nil, err
-	}
-	g.peers = &peerDirectory{store: client, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
+	g.peers = &peerDirectory{store: g.paths, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
 	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
 	return g, nil
 }
 
+// reachStore opens the ways to the store: the process's own and those through peers, which it serves in turn
+// at the address where it hears of their loads.
+func (g *Gateway) reachStore(client *store.Client, self fleet.Peer) (err error) {
+	log := g.log.Named("peers")
+	detours := func() bool { return g.paths.Lost() }
+	if g.share, err = loadshare.New(g.set.PeerAddr, self, g.view, detours, log); err != nil {
+		return err
+	}
+	g.paths = storepath.New(client, g.share, g.log.Named("store"), g.reg)
+	return g.serve(g.share.Addr().String(), storepath.NewRelay(client, log))
+}
+
+// serve takes an address for one of the process's listeners beside that of callers. Run serves it.
+func (g *Gateway) serve(addr string, h http.Handler) error {
+	on, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	g.sideOn = append(g.sideOn, on)
+	g.sides = append(g.sides, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout})
+	return nil
+}
+
 func (g *Gateway) listen() error {
 	for _, l := range []struct {
 		addr string
@@ -105,12 +136,9 @@
 		{g.set.ReadyAddr, http.HandlerFunc(g.serveReady)},
 		{g.set.MetricsAddr, telemetry.TextHandler(g.reg)},
 	} {
-		on, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return errors.Wrap(err, "listen")
+		if err := g.serve(l.addr, l.mux); err != nil {
+			return err
 		}
-		g.statusOn = append(g.statusOn, on)
-		g.status = append(g.status, &http.Server{Handler: l.mux, ReadHeaderTimeout: headerTimeout})
 	}
 	on, err := net.Listen("tcp", g.set.CallerAddr)
 	if err != nil {
@@ -175,8 +203,8 @@
 	parts.Go(func() error { return g.watch.Run(work) })
 	parts.Go(func() error { return g.share.Run(work) })
 	parts.Go(func() error { return g.peers.run(work) })
-	for i := range g.status {
-		parts.Go(func() error { return served(g.status[i].Serve(g.statusOn[i])) })
+	for i := range g.sides {
+		parts.Go(func() error { return served(g.sides[i].Serve(g.sideOn[i])) })
 	}
 	parts.Go(func() error { return served(g.server.Serve(g.callers)) })
 	jobsOver := make(chan error, 1)
@@ -190,8 +218,8 @@
 	g.breakOff() // nothing is under way; this ends the server's loop
 	err := <-jobsOver
 	stopWork()
-	for _, s := range g.status {
-		_ = s.Close() // nobody waits for answers about readiness any more
+	for _, s := range g.sides {
+		_ = s.Close() // nobody waits for their answers any more
 	}
 	if partsErr := parts.Wait(); partsErr != nil {
 		err = partsErr
@@ -204,10 +232,10 @@
 func (g *Gateway) CallerAddr() string { return g.callers.Addr().String() }
 
 // ReadyAddr is where the balancer asks whether the process is ready.
-func (g *Gateway) ReadyAddr() string { return g.statusOn[0].Addr().String() }
+func (g *Gateway) ReadyAddr() string { return g.sideOn[readyOn].Addr().String() }
 
 // MetricsAddr is where the metrics are.
-func (g *Gateway) MetricsAddr() string { return g.statusOn[1].Addr().String() }
+func (g *Gateway) MetricsAddr() string { return g.sideOn[metricsOn].Addr().String() }
 
 // inFlight is the number of requests under way.
 func (g *Gateway) inFlight() int64 { return g.active.Load() }
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -40,7 +40,7 @@
 			doc:   "the balancer's question whether to send callers here"},
 		{section: "listen", key: "peers", unit: "address", required: true,
 			field: ownAddr(func(g *Gateway) *string { return &g.PeerAddr }),
-			doc:   "datagrams in which gateways tell each other their loads"},
+			doc:   "datagrams in which gateways tell each other their loads, and TCP for calls of the store that a gateway passes on for others"},
 		{section: "listen", key: "metrics", unit: "address", required: true,
 			field: addr(func(g *Gateway) *string { return &g.MetricsAddr }),
 			doc:   "metrics as text at /metrics"},
--- /dev/null
+++ b/internal/storepath/paths_test.go
@@ -0,0 +1,214 @@
+package storepath
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
+	"arbutusramp/standin/keyedlog"
+)
+
+var part = platform.Partition{Topic: "keyed.t"}
+
+// host is one process's ways to a store, with one peer.
+type host struct {
+	store  *keyedlog.Store
+	direct *keyedlog.View
+	peer   *keyedlog.View
+	paths  *Paths
+	found  []string // the peers that are known
+}
+
+// Reaching implements Peers.
+func (h *host) Reaching() []string { return append([]string(nil), h.found...) }
+
+func newHost() *host {
+	h := &host{store: keyedlog.New(2), found: []string{"peer"}}
+	h.direct, h.peer = h.store.View(), h.store.View()
+	h.paths = New(h.direct, h, hclog.NewNullLogger(), metrics.NewRegistry())
+	h.paths.dial = func(string) platform.Store { return h.peer }
+	return h
+}
+
+func write(key string) platform.Append {
+	return platform.Append{Partition: part, Records: []platform.KeyedRecord{{Key: key, Value: []byte{1}}}}
+}
+
+// Symptom: batch work of some gateways stood still, and jobs handed in there were refused, while others went on.
+// Sequence: the store turns one host away, or a link to it falls silent; every call of its gateway fails or hangs until
+// the time limit. Cause: a gateway knew only its own way to the store.
+func TestAStoreThatIsLostToOneHostIsReachedThroughAPeer(t *testing.T) {
+	const soon = hedgeAfter + 10*time.Millisecond
+	cases := []struct {
+		name   string
+		faults keyedlog.Faults
+		within time.Duration // for the first call; later ones are at once
+	}{
+		{"refused", keyedlog.Faults{Refuse: true}, 0},
+		{"silent", keyedlog.Faults{Silent: true}, soon},
+		{"writes late and unanswered", keyedlog.Faults{Late: 3 * time.Second}, soon},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHost()
+				h.direct.Set(c.faults)
+				for i, within := range []time.Duration{c.within, 0} {
+					start := time.Now()
+					if _, err := h.paths.Append(t.Context(), write("k")); err != nil || time.Since(start) > within {
+						t.Errorf("write %d: %v after %v", i, err, time.Since(start))
+					}
+				}
+				if !h.paths.Lost() {
+					t.Error("the own way counts as good")
+				}
+			})
+		})
+	}
+}
+
+func TestTheOwnWayIsTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Refuse: true})
+		if _, err := h.paths.Append(t.Context(), write("a")); err != nil {
+			t.Fatal(err)
+		}
+		h.direct.Set(keyedlog.Faults{})
+		h.peer.Set(keyedlog.Faults{Refuse: true})
+		time.Sleep(directAgain)
+		if _, err := h.paths.Append(t.Context(), write("b")); err != nil || h.paths.Lost() {
+			t.Errorf("%v, lost %v", err, h.paths.Lost())
+		}
+	})
+}
+
+// A write under a condition must not be sent a second way while the first may still be done: the second would be
+// refused since the first has moved the end, and its caller would take its own write for somebody else's.
+func TestAConditionalWriteGoesOneWayUntilItsOutcomeIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{LoseAnswers: true})
+		at := uint64(0)
+		a := write("k")
+		a.At = &at
+		if _, err := h.paths.Append(t.Context(), a); !errs.Is(err, errs.AppendUnknown) {
+			t.Errorf("a write whose answer is lost: %v", err)
+		}
+		var moved *platform.EndMoved
+		if _, err := h.paths.Append(t.Context(), a); !errors.As(err, &moved) || moved.End != 1 {
+			t.Errorf("the same write through the peer: %v", err)
+		}
+		if n := len(h.store.Records(part)); n != 1 {
+			t.Errorf("%d records", n)
+		}
+	})
+}
+
+// Nothing was done where the store refuses, so a conditional write may go another way at once.
+func TestARefusedConditionalWriteGoesThroughThePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Refuse: true})
+		at := uint64(0)
+		a := write("k")
+		a.At = &at
+		if done, err := h.paths.Append(t.Context(), a); err != nil || done.End != 1 {
+			t.Errorf("%+v, %v", done, err)
+		}
+	})
+}
+
+// With the store down for all there is no other way: calls fail as they would without peers.
+func TestAnOutageForAllFailsAsBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Refuse: true})
+		h.peer.Set(keyedlog.Faults{Refuse: true})
+		for range 3 {
+			if _, err := h.paths.Read(t.Context(), platform.Read{Partition: part}); !errs.Is(err, errs.LogDown) {
+				t.Errorf("%v", err)
+			}
+		}
+		h.found = nil
+		h.direct.Set(keyedlog.Faults{Silent: true})
+		if _, err := h.paths.Join(t.Context(), platform.Membership{Group: "g", Member: "m", TTL: time.Second}); !errs.Is(err, errs.LogDown) {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// A read that waits for news takes its whole wait, and then some, before a peer is asked.
+func TestAWaitingReadIsNotHedgedForItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		start := time.Now()
+		const wait = time.Second
+		if page, err := h.paths.Read(t.Context(), platform.Read{Partition: part, Wait: wait}); err != nil || len(page.Records) > 0 {
+			t.Errorf("%+v %v", page, err)
+		}
+		if h.paths.Lost() || time.Since(start) != wait {
+			t.Errorf("lost %v after %v", h.paths.Lost(), time.Since(start))
+		}
+	})
+}
+
+// A caller that gives up early must not make the way count as lost.
+func TestACallerThatGivesUpSaysNothingOfTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.found = nil
+		h.direct.Set(keyedlog.Faults{Delay: time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := h.paths.Read(ctx, platform.Read{Partition: part}); err == nil {
+			t.Error("no error")
+		}
+		if h.paths.Lost() {
+			t.Error("the own way counts as lost")
+		}
+	})
+}
+
+// Symptom: a member's shards move although its host reaches the store through a peer. Sequence: the host's link falls
+// silent; the next join hangs; the lease runs out before a peer is asked. Cause: the own way was given up only after its time limit.
+func TestALeaseIsRenewedThroughAPeerInTime(t *testing.T) {
+	const ttl = 1500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		m := platform.Membership{Group: "g", Member: "m", Topics: []string{"s"}, TTL: ttl}
+		other := m
+		other.Member = "other"
+		generation := uint64(0)
+		for i := range 20 {
+			if i == 3 {
+				h.direct.Set(keyedlog.Faults{Silent: true})
+			}
+			m.Generation = generation
+			a, err := h.paths.Join(t.Context(), m)
+			if err != nil {
+				t.Fatalf("join %d: %v", i, err)
+			}
+			other.Generation = generation
+			if _, err := h.peer.Join(t.Context(), other); err != nil {
+				t.Fatal(err)
+			}
+			if i > 2 && a.Generation != generation {
+				t.Errorf("join %d: generation %d after %d", i, a.Generation, generation)
+			}
+			generation = a.Generation
+			if i < 2 {
+				generation = 0
+			}
+			sleep.For(t.Context(), ttl/3)
+		}
+	})
+}
--- a/standin/keyedlog/view.go
+++ b/standin/keyedlog/view.go
@@ -35,6 +35,9 @@
 // View returns a new caller's view.
 func (s *Store) View() *View { return &View{store: s} }
 
+// Sibling returns another caller's view of the same store, without faults.
+func (v *View) Sibling() *View { return v.store.View() }
+
 // Set puts faults in place of those before.
 func (v *View) Set(f Faults) {
 	v.mu.Lock()
