One cut read is no loss of the store

Seen in the incident's logs: when the store drops its history it cuts the reads that wait; all gateways logged the loss of their way at the same moment and so none was of use to another. A way is lost after two calls in a row without an answer.

--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -18,6 +18,10 @@
 	// asked the same. The store takes up to 300 ms while it is slow; with a silent store a member's lease of
 	// 1.5 s must be renewed by a peer in time.
 	hedgeAfter = 400 * time.Millisecond
+	// lostAfter is how many calls in a row the own way must leave unanswered to count as lost. The store cuts
+	// reads that wait for news when its history goes: with 1 all gateways took that for a loss at the same moment, and
+	// none was of use to another.
+	lostAfter = 2
 	// directAgain is how often the direct way is tried while it is lost.
 	directAgain = 500 * time.Millisecond
 	// peersAsked is how many peers one call tries.
@@ -40,6 +44,7 @@
 	reg    metrics.Registry
 
 	mu      sync.Mutex
+	failed  int       // calls in a row that the direct way has left unanswered
 	lost    time.Time // since when the direct way is lost; zero while it is good
 	tryNext time.Time // when the direct way is tried again
 	stores  map[string]platform.Store
@@ -209,11 +214,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.failed++
+	if answered(err) {
+		p.failed = 0
+	}
 	switch {
-	case answered(err) && !p.lost.IsZero():
+	case p.failed == 0 && !p.lost.IsZero():
 		p.log.Info("own way to the store back", "away_ms", now.Sub(p.lost).Milliseconds())
 		p.lost = time.Time{}
-	case !answered(err) && p.lost.IsZero():
+	case p.failed >= lostAfter && p.lost.IsZero():
 		p.log.Warn("own way to the store lost", "error", err)
 		p.lost, p.tryNext = now, now.Add(directAgain)
 	}
