Callers who would be late in an overload are told at once to come back

Ruled out: recovery of gateways (ready 0.2 s after the start), uneven choice (busiest over mean 1.04 to 1.07), batch in the way (it gives way; runs cut the same).

Change: core/shed. A request whose expected wait for a slot (loads known by all gateways, mean time that requests hold a slot) is over 0.75 of its goal is refused before anything is sent, with 1 s or the wait as the time to come back; never a caller with less time than callers have at first, so nobody is sent away twice.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -44,6 +44,7 @@
 	nodes map[string]*node // by target id
 	peers map[Peer]*peer
 	want  Want
+	holds map[string]time.Duration // how long online requests hold a slot, by service; see Held
 	// contact is when the store last answered here.
 	contact time.Time
 }
@@ -88,7 +89,7 @@
 
 // New returns an empty view.
 func New(o Options) *Fleet {
-	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer)}
+	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer), holds: make(map[string]time.Duration)}
 }
 
 // Put adds a target or takes in its change.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -30,6 +30,7 @@
 	Choice fleet.Choice
 
 	view    *View
+	began   time.Time
 	class   structs.Class
 	preempt func() // of batch runs
 	over    bool
@@ -73,7 +74,7 @@
 	v.mu.Unlock()
 	signal(v.changed)
 	preemptAll(victims)
-	return &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassOnline}, true
+	return &Run{Target: c.Target, Choice: c, view: v, began: now, class: structs.ClassOnline}, true
 }
 
 // StartBatch chooses a target for a batch item, if one has room. preempt is called, once at most,
@@ -142,6 +143,23 @@
 	return r.view.fleet.QueueWait(r.Target.ID)
 }
 
+// Held notes that the run has had its whole answer, for what is known of how long requests hold a slot.
+func (r *Run) Held() {
+	if r.Choice.Waits() {
+		return
+	}
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	r.view.fleet.Held(r.Target.Service, time.Since(r.began))
+}
+
+// ExpectedWait is how long an online request of a service that comes now would wait for a slot.
+func (v *View) ExpectedWait(service string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.ExpectedWait(time.Now(), service)
+}
+
 // Hear takes in a peer's report.
 func (v *View) Hear(from fleet.Peer, report fleet.Report) {
 	v.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/shed"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/logging"
 )
@@ -35,6 +36,8 @@
 	served  *logging.Routine
 	sent    *logging.Routine
 	reg     metrics.Registry
+	// patience is how long the callers of each route wait.
+	patience *shed.Patience
 }
 
 // Beliefs are what the process believes of the configuration, for logs.
@@ -47,7 +50,7 @@
 
 // New returns a gateway that sends to the targets of view.
 func New(targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
-	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log), reg: reg}
+	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log), reg: reg, patience: shed.NewPatience()}
 }
 
 // exchange is one request on its way.
@@ -80,13 +83,40 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
-	err := x.cause(ctx, x.run(ctx))
+	err := x.admit()
+	if err == nil {
+		err = x.cause(ctx, x.run(ctx))
+	}
 	x.record(err)
 	if err != nil {
 		x.finish(ctx, err)
 	}
 }
 
+// admit tells a caller who would be answered late, since more requests wait than the targets can serve in time, to come
+// back. Nothing of the request has been sent anywhere by then.
+func (x *exchange) admit() error {
+	left := x.callerLeft()
+	r := shed.Request{
+		Wait: x.gw.view.ExpectedWait(x.service), Goal: x.route.Goal,
+		Left: left, Full: x.gw.patience.Note(x.route.Name, left),
+	}
+	after := shed.ComeBack(r)
+	if after == 0 {
+		return nil
+	}
+	return errs.Newf(errs.Overloaded, "a slot is expected to be free after %d ms, an answer is wanted within %d ms",
+		r.Wait.Milliseconds(), r.Goal.Milliseconds()).WithRetry(after)
+}
+
+// callerLeft is what the caller still waited when the request came; 0 if it did not say.
+func (x *exchange) callerLeft() time.Duration {
+	if x.req.Deadline.IsZero() {
+		return 0
+	}
+	return x.req.Deadline.Sub(x.req.Arrived)
+}
+
 // cause is why the request was given up. An attempt only knows that its context has ended: that the time was
 // over and that the caller has gone have different causes and are told apart here.
 func (x *exchange) cause(ctx context.Context, err error) error {
@@ -133,7 +163,11 @@
 	x.tried = append(x.tried, run.Target.ID)
 	x.choices = append(x.choices, run.Choice.String())
 	a := &attempt{exchange: x, run: run}
-	return a.do(ctx)
+	err := a.do(ctx)
+	if err == nil {
+		run.Held()
+	}
+	return err
 }
 
 // noTarget is the failure of a request for which no target is left.
@@ -167,16 +201,19 @@
 	if x.mayHaveRun > 0 {
 		return e.WithRan(errs.RanUnknown)
 	}
-	return e.WithRan(errs.RanNo).WithRetry(x.comeBack())
+	return e.WithRan(errs.RanNo).WithRetry(x.comeBack(time.Duration(e.RetryAfterMs) * time.Millisecond))
 }
 
-// comeBack is when the caller should send the request again.
-func (x *exchange) comeBack() time.Duration {
-	left := time.Until(x.req.Deadline)
+// comeBack is when the caller should send the request again: after the time that the failure names, or a usual
+// one, but in time.
+func (x *exchange) comeBack(named time.Duration) time.Duration {
+	if named == 0 {
+		named = fullRetry
+	}
 	if x.req.Deadline.IsZero() {
-		return fullRetry
+		return named
 	}
-	return max(time.Millisecond, min(fullRetry, left/retryShare))
+	return max(time.Millisecond, min(named, time.Until(x.req.Deadline)/retryShare))
 }
 
 // record writes the request's log line and counts it.
