Reads of the store are not hedged; one that waits leaves a way that is lost

Small calls are hedged as before. To know of a silent cut in time, reads that wait are made anew through a peer as soon as the way counts as lost. Tests red without it.

--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// hedgeAfter is how long the direct way may take beyond the wait that the store was asked for, before a peer is
-	// asked the same. The store takes up to 300 ms while it is slow; with a silent store a member's lease of
-	// 1.5 s must be renewed by a peer in time.
+	// hedgeAfter is how long a small call may take on a way that counts as good, before a peer is asked the same. The store takes up
+	// to 300 ms while it is slow; with a silent store a member's lease of 1.5 s must be renewed by a peer in
+	// time. Reads are not hedged: a page of 1 MB takes that long on a link of 30 Mbit/s, and a second copy of it makes both slower.
 	hedgeAfter = 400 * time.Millisecond
 	// lostAfter is how many calls in a row the own way must leave unanswered to count as lost. The store cuts
 	// reads that wait for news when its history goes: with 1 all gateways took that for a loss at the same moment, and
@@ -24,6 +24,10 @@
 	lostAfter = 2
 	// directAgain is how often the direct way is tried while it is lost.
 	directAgain = 500 * time.Millisecond
+	// peerReadBytes bounds a read through a peer: its records cross two links.
+	peerReadBytes = 256 << 10
+	// never is longer than any call lasts.
+	never = time.Hour
 	// peersAsked is how many peers one call tries.
 	peersAsked = 2
 )
@@ -44,9 +48,10 @@
 	reg    metrics.Registry
 
 	mu      sync.Mutex
-	failed  int       // calls in a row that the direct way has left unanswered
-	lost    time.Time // since when the direct way is lost; zero while it is good
-	tryNext time.Time // when the direct way is tried again
+	failed  int           // calls in a row that the direct way has left unanswered
+	lost    time.Time     // since when the direct way is lost; zero while it is good
+	tryNext time.Time     // when the direct way is tried again
+	down    chan struct{} // closed when the direct way is lost, replaced when it is back
 	stores  map[string]platform.Store
 	last    string // the peer that has served last; it is asked first
 }
@@ -54,7 +59,7 @@
 // New returns the paths to a store that direct reaches by this process's own way.
 func New(direct platform.Store, peers Peers, log hclog.Logger, reg metrics.Registry) *Paths {
 	return &Paths{
-		direct: direct, peers: peers, log: log, reg: reg, stores: make(map[string]platform.Store),
+		direct: direct, peers: peers, log: log, reg: reg, stores: make(map[string]platform.Store), down: make(chan struct{}),
 		dial: func(addr string) platform.Store { return newPeerStore(addr) },
 	}
 }
@@ -76,14 +81,19 @@
 
 // Read implements platform.Store.
 func (p *Paths) Read(ctx context.Context, r platform.Read) (platform.Records, error) {
-	return run(ctx, p, kind{repeatable: true, trial: r.Wait == 0, wait: r.Wait}, func(ctx context.Context, s platform.Store) (platform.Records, error) {
-		return s.Read(ctx, r)
+	return run(ctx, p, kind{repeatable: true, bulk: true, trial: r.Wait == 0}, func(ctx context.Context, s platform.Store) (platform.Records, error) {
+		if s == p.direct {
+			return s.Read(ctx, r)
+		}
+		short := r
+		short.MaxBytes = min(r.MaxBytes, peerReadBytes)
+		return s.Read(ctx, short)
 	})
 }
 
 // Newest implements platform.Store.
 func (p *Paths) Newest(ctx context.Context, part platform.Partition, after string) (platform.NewestPage, error) {
-	return run(ctx, p, kind{repeatable: true, trial: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
+	return run(ctx, p, kind{repeatable: true, bulk: true, trial: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
 		return s.Newest(ctx, part, after)
 	})
 }
@@ -105,9 +115,9 @@
 
 // kind is what decides the way of a call.
 type kind struct {
-	repeatable bool          // a second copy of it does no harm
-	trial      bool          // it may be the one that tries a lost direct way again
-	wait       time.Duration // what the store was asked to wait
+	repeatable bool // a second copy of it does no harm
+	bulk       bool // its answer may be large, or wait for news: it is not hedged
+	trial      bool // it may be the one that tries a lost direct way again
 }
 
 // call makes one call of a store.
@@ -141,7 +151,7 @@
 	return r.value, r.err
 }
 
-// hedged makes a call directly, and through peers as well if that takes long or fails.
+// hedged makes a call directly, and through peers as well if that takes long, fails, or if the direct way is lost meanwhile.
 func hedged[T any](ctx context.Context, p *Paths, k kind, c call[T]) result[T] {
 	directCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -153,7 +163,7 @@
 		}
 		direct <- result[T]{v, err}
 	}()
-	late := sleep.NewTimer(k.wait + hedgeAfter)
+	late := k.late()
 	defer late.Stop()
 	select {
 	case r := <-direct:
@@ -165,6 +175,7 @@
 		}
 		return r
 	case <-late.C:
+	case <-p.whenLost():
 	}
 	if !k.repeatable {
 		return <-direct
@@ -176,6 +187,21 @@
 	return <-direct
 }
 
+// late fires when a call on the direct way is made through a peer as well.
+func (k kind) late() *sleep.Timer {
+	if k.bulk {
+		return sleep.NewTimer(never)
+	}
+	return sleep.NewTimer(hedgeAfter)
+}
+
+// whenLost returns a channel that is closed once the direct way is lost.
+func (p *Paths) whenLost() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 // throughPeers makes a call through the peers that reach the store. ok is false if none of them could
 // pass it on, so that the call has not been made.
 func throughPeers[T any](ctx context.Context, p *Paths, k kind, c call[T]) (r result[T], ok bool) {
@@ -222,9 +248,11 @@
 	case p.failed == 0 && !p.lost.IsZero():
 		p.log.Info("own way to the store back", "away_ms", now.Sub(p.lost).Milliseconds())
 		p.lost = time.Time{}
+		p.down = make(chan struct{})
 	case p.failed >= lostAfter && p.lost.IsZero():
 		p.log.Warn("own way to the store lost", "error", err)
 		p.lost, p.tryNext = now, now.Add(directAgain)
+		close(p.down)
 	}
 }
 
--- a/internal/storepath/paths_test.go
+++ b/internal/storepath/paths_test.go
@@ -171,7 +171,46 @@
 	})
 }
 
-// A read that waits for news takes its whole wait, and then some, before a peer is asked.
+// Symptom: in a large system gateways took twice as long to read the state after a start, and the store gave out twice the bytes.
+// Sequence: a page of 1 MB comes over a slow link; it takes longer than a small call ever does; a peer is asked for the same page.
+// Cause: reads were hedged like small calls.
+func TestAReadIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Delay: time.Second})
+		if _, err := h.paths.Newest(t.Context(), part, ""); err != nil || h.paths.failed != 0 {
+			t.Errorf("%v, %d failures", err, h.paths.failed)
+		}
+	})
+}
+
+// Symptom: a gateway that was cut off silently knew of no new configuration for two seconds. Sequence: the link falls silent; a small
+// call is answered by a peer, so the way counts as lost; a read that waits for news stays on the lost way until its time
+// limit. Cause: only new calls took the other way.
+func TestAReadThatWaitsLeavesALostWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Silent: true})
+		start := time.Now()
+		took := make(chan time.Duration)
+		go func() {
+			_, err := h.paths.Read(t.Context(), platform.Read{Partition: part})
+			if err != nil {
+				t.Error(err)
+			}
+			took <- time.Since(start)
+		}()
+		for range lostAfter {
+			if _, err := h.paths.Append(t.Context(), write("k")); err != nil {
+				t.Error(err)
+			}
+		}
+		if got := <-took; got > lostAfter*hedgeAfter+10*time.Millisecond {
+			t.Errorf("the read took %v", got)
+		}
+	})
+}
+
 func TestAWaitingReadIsNotHedgedForItsWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
--- a/internal/storepath/peer.go
+++ b/internal/storepath/peer.go
@@ -13,9 +13,14 @@
 	"arbutusramp/internal/adapter/httpclient"
 )
 
-// peerTimeout is how long a peer may take beyond the wait that the store was asked for. The store answers
-// within 4 ms as a rule and within 300 ms while it is slow; a peer whose own call hangs is of no use.
-const peerTimeout = 600 * time.Millisecond
+const (
+	// peerTimeout is how long a peer may take. The store answers within 4 ms as a rule and within 300 ms while
+	// it is slow; a peer whose own call hangs is of no use.
+	peerTimeout = 600 * time.Millisecond
+	// peerReadTimeout is the same for reads, beyond the wait that the store was asked for: a page of 1 MB takes 0.3 s on each
+	// of two links of 30 Mbit/s.
+	peerReadTimeout = 1500 * time.Millisecond
+)
 
 // peerStore is the store as reached through one peer. It implements platform.Store.
 type peerStore struct{ client *httpclient.Client }
@@ -23,12 +28,12 @@
 func newPeerStore(addr string) *peerStore { return &peerStore{httpclient.New("http://" + addr)} }
 
 // call sends one request. writes says that without an answer it may have been done.
-func (p *peerStore) call(ctx context.Context, r request, wait time.Duration, writes bool) (answer, error) {
+func (p *peerStore) call(ctx context.Context, r request, timeout time.Duration, writes bool) (answer, error) {
 	data, err := cbor.Marshal(r)
 	if err != nil {
 		return answer{}, errs.Newf(errs.Internal, "call of the store: %v", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := p.client.Request(fasthttp.MethodPost, relayPath)
 	defer fasthttp.ReleaseRequest(req)
@@ -60,30 +65,30 @@
 
 // Append implements platform.Store.
 func (p *peerStore) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
-	ans, err := p.call(ctx, request{Append: &a}, 0, true)
+	ans, err := p.call(ctx, request{Append: &a}, peerTimeout, true)
 	return ans.Appended, err
 }
 
 // Read implements platform.Store.
 func (p *peerStore) Read(ctx context.Context, r platform.Read) (platform.Records, error) {
-	ans, err := p.call(ctx, request{Read: &r}, r.Wait, false)
+	ans, err := p.call(ctx, request{Read: &r}, r.Wait+peerReadTimeout, false)
 	return ans.Records, err
 }
 
 // Newest implements platform.Store.
 func (p *peerStore) Newest(ctx context.Context, part platform.Partition, after string) (platform.NewestPage, error) {
-	ans, err := p.call(ctx, request{Newest: &newestRequest{Partition: part, After: after}}, 0, false)
+	ans, err := p.call(ctx, request{Newest: &newestRequest{Partition: part, After: after}}, peerReadTimeout, false)
 	return ans.Page, err
 }
 
 // Join implements platform.Store.
 func (p *peerStore) Join(ctx context.Context, m platform.Membership) (platform.Assignment, error) {
-	ans, err := p.call(ctx, request{Join: &m}, 0, false)
+	ans, err := p.call(ctx, request{Join: &m}, peerTimeout, false)
 	return ans.Assignment, err
 }
 
 // Leave implements platform.Store.
 func (p *peerStore) Leave(ctx context.Context, group, member string) error {
-	_, err := p.call(ctx, request{Leave: &leaveRequest{Group: group, Member: member}}, 0, false)
+	_, err := p.call(ctx, request{Leave: &leaveRequest{Group: group, Member: member}}, peerTimeout, false)
 	return err
 }
--- a/internal/storepath/relay_test.go
+++ b/internal/storepath/relay_test.go
@@ -129,7 +129,7 @@
 	}
 	// An empty call is readable, and no call of the store.
 	s := newPeerStore(strings.TrimPrefix(server.URL, "http://"))
-	if _, err := s.call(t.Context(), request{}, 0, false); !errs.Is(err, errs.BadFrame) {
+	if _, err := s.call(t.Context(), request{}, time.Second, false); !errs.Is(err, errs.BadFrame) {
 		t.Errorf("an empty call: %v", err)
 	}
 }
