Batch items that can still be in time start first; the lab gets the gateways' shape

A simulated fleet (internal/lab/fleet, new) shows why: items start in the order of due times, at each gateway and among the gateways by turns, so in an overload the engines work on items that are late anyway until the next ones are late as well.

Ruled out: the gap between turns (3 to 20 ms: no difference), slack in the estimate (1 and 2 s: worse).

Change: each gateway learns a pace (time of an event, events of an item for its tokens); the order of starts and of turns puts those that can't be in time behind the others.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -43,17 +43,22 @@
 
 // runItem runs a task at one target, from its last event on.
 func (m *Manager) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
-	from := t.lastEvent()
+	from, made := t.lastEvent(), t.made()
 	began := time.Now()
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
-	telemetry.Observe(m.reg, runMetric, time.Since(began))
+	took := time.Since(began)
+	telemetry.Observe(m.reg, runMetric, took)
+	m.pace.Ran(t.job.Route, t.made()-made, took)
+	if v == complete {
+		m.pace.Done(t.job.Route, t.made(), t.item().Tokens)
+	}
 	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
 	if v == failed {
 		m.saveFailure(t)
 	}
 	m.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
-		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", time.Since(began).Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
+		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", took.Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
 }
 
 func (v verdict) String() string {
@@ -147,6 +152,7 @@
 	}
 	t.text = append(t.text, e.Data...)
 	t.lastID = e.ID
+	t.events++
 	t.unsaved++
 }
 
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
@@ -47,6 +48,7 @@
 	reg       metrics.Registry
 	replica   *Replica
 	scheduler *scheduler
+	pace      *backlog.Pace
 	// saving are the writes of progress that are under way; saveCtx ends them at the stop.
 	saving     sync.WaitGroup
 	saveCtx    context.Context
@@ -56,7 +58,7 @@
 // New returns a manager that knows nothing yet.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
-		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg,
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
 		replica: NewReplica(store, view.SetContact, log),
 	}
 	m.scheduler = newScheduler(m)
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -1,9 +1,7 @@
 package backlog
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +29,8 @@
 	againPause = 80 * time.Millisecond
 )
 
-// scheduler knows all items that this process has to run and starts them where there is room, those
-// that are due first.
+// scheduler knows all items that this process has to run and starts them where there is room, in the order
+// of rank.
 type scheduler struct {
 	m *Manager
 
@@ -173,9 +171,10 @@
 // want tells the peers how many items wait here and when the first is due.
 func (d *scheduler) want() int {
 	var w fleet.Want
-	for _, t := range d.waiting(time.Now()) {
-		if w.Items == 0 || t.due() < w.Due {
-			w.Due = t.due()
+	now := time.Now()
+	for _, t := range d.waiting(now) {
+		if key := d.key(t, now); w.Items == 0 || key < w.Due {
+			w.Due = key
 		}
 		w.Items++
 	}
@@ -238,14 +237,13 @@
 	}
 }
 
-// startOne starts the item that is due first among those for which there is room. It reports
+// startOne starts the item that is first in order among those for which there is room. It reports
 // whether it has started one.
 func (d *scheduler) startOne(ctx context.Context) bool {
 	now := time.Now()
 	full := make(map[string]bool) // services without room
-	list := d.waiting(now)
-	slices.SortFunc(list, dueFirst)
-	for _, t := range list {
+	for _, ranked := range d.rank(d.waiting(now), now) {
+		t := ranked.task
 		route, _, err := d.m.router.Route(t.job.Host, t.item().URI)
 		if errs.Is(err, errs.NotFound) {
 			d.unrouted(t, now)
@@ -266,11 +264,6 @@
 	return false
 }
 
-// dueFirst orders tasks, those of one job as they stand there.
-func dueFirst(a, b *task) int {
-	return cmp.Or(cmp.Compare(a.due(), b.due()), cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.index, b.index))
-}
-
 // waiting returns the tasks that may start now, in no order.
 func (d *scheduler) waiting(now time.Time) []*task {
 	if !d.mayRun(now) {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	notUntil  time.Time
 	lastID    string // of the last event in text
 	text      []byte
+	events    int                    // in text
 	unsaved   int                    // events since the last checkpoint
 	saved     []platform.KeyedRecord // the last checkpoint; empty without one
 	failures  int                    // runs that a target has answered with a failure, at former owners too
@@ -67,6 +69,7 @@
 	}
 	if len(p.Text) > len(t.text) {
 		t.lastID, t.text = p.LastID, []byte(p.Text)
+		t.events = strings.Count(p.Text, "\n") + 1
 	}
 	switch p.Outcome {
 	case backlog.Complete:
@@ -111,6 +114,13 @@
 	return t.ending != ""
 }
 
+// made is how many events the task has.
+func (t *task) made() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.events
+}
+
 func (t *task) isRunning() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -64,6 +64,7 @@
 		&overheadCmd{},
 		&mixCmd{},
 		&chooseCmd{},
+		&fleetCmd{},
 		&onlineCmd{},
 		&configCmd{},
 		&slopesCmd{},
--- /dev/null
+++ b/internal/lab/fleet/options.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"time"
+
+	"arbutusramp/core/errs"
+)
+
+// Policy is one way of sharing the engines between streams and batch items.
+type Policy struct {
+	Name string
+	// Spare slots stay free at each engine after an item has started there.
+	Spare int
+	// Turns has the gateways start items in turns. Without them all start one in the same free slot.
+	Turns bool
+	// ComeBack sends callers away who would be late.
+	ComeBack bool
+	// InTimeFirst puts items that can't be in time behind those that can; without it the one that is due first starts first.
+	InTimeFirst bool
+}
+
+// Policies returns those that are compared: the product's and what was tried before it.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "two spare slots", Spare: 2, Turns: true},
+		{Name: "no turns"},
+		{Name: "all admitted", Turns: true},
+		{Name: "due first", Turns: true, ComeBack: true},
+		{Name: "product", Turns: true, ComeBack: true, InTimeFirst: true},
+	}
+}
+
+// Options of a comparison. Times and sizes are those of a small deployment: see docs/PLATFORM.md, where credit goes.
+type Options struct {
+	Gateways, Engines, Slots int
+	Lost                     int           // engines that are gone from the start
+	Seconds                  int           // of arrivals
+	Streams                  float64       // a second, on average over a burst and the time after it
+	Jobs                     float64       // a second
+	JobItems                 int           // of each job
+	Prompt                   time.Duration // until the first event
+	Event                    time.Duration // between events
+	StreamEvents, ItemEvents int           // on average
+	Goal                     time.Duration // of a stream's first event
+	Patience                 time.Duration // what a caller waits
+	Due                      time.Duration // of an item, from its job's arrival
+	Lag                      time.Duration // until a peer hears of a load
+	Seed                     uint64
+}
+
+// DefaultOptions is the small deployment of docs/PLATFORM.md.
+func DefaultOptions() Options {
+	const ms = time.Millisecond
+	return Options{
+		Gateways: 8, Engines: 9, Slots: 8, Seconds: 60, Streams: 42, Jobs: 0.5, JobItems: 10,
+		Prompt: 57 * ms, Event: 15400 * time.Microsecond, StreamEvents: 42, ItemEvents: 290,
+		Goal: 300 * ms, Patience: 5 * time.Second, Due: 18 * time.Second, Lag: 5 * ms, Seed: 1,
+	}
+}
+
+// Bursts: arrivals of streams are burstFactor times the mean for burstFor, then calmFactor times it for the rest of burstEvery.
+const (
+	burstEvery  = 6600 * time.Millisecond
+	burstFor    = 2800 * time.Millisecond
+	burstFactor = 1.84
+	calmFactor  = 0.38
+)
+
+// check refuses options that no simulation can be made of. Error: errs.BadSettings.
+func (o *Options) check() error {
+	switch {
+	case o.Gateways < 1 || o.Slots < 1 || o.Seconds < 1 || o.JobItems < 1:
+		return errs.New(errs.BadSettings, "gateways, slots, seconds and items of a job must be at least 1")
+	case o.Lost < 0 || o.Engines <= o.Lost:
+		return errs.Newf(errs.BadSettings, "%d of %d engines can't be lost", o.Lost, o.Engines)
+	case o.Streams <= 0 || o.Jobs < 0:
+		return errs.New(errs.BadSettings, "streams must come, and jobs can't come less often than never")
+	}
+	return nil
+}
