--- a/internal/lab/mix/plot.go
+++ b/internal/lab/mix/plot.go
@@ -4,15 +4,10 @@
 	"image/color"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/lab/figure"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-)
-
-const (
-	plotWidth  = 14 * vg.Centimeter
-	plotHeight = 10 * vg.Centimeter
 )
 
 // plotReport draws harm against batch share: the product, its curve and the
@@ -32,13 +27,10 @@
 		points = append(points, plotter.XY{X: f.ShareOfIdle, Y: f.HarmP99})
 		names = append(names, name)
 	}
-	if err := addPoints(p, points, names); err != nil {
+	if err := figure.AddPoints(p, points, names); err != nil {
 		return err
 	}
-	if err := p.Save(plotWidth, plotHeight, file); err != nil {
-		return errs.Newf(errs.BadSettings, "plot: %v", err)
-	}
-	return nil
+	return figure.Save(p, file)
 }
 
 func addCurve(p *plot.Plot, r *Report) error {
@@ -58,16 +50,3 @@
 	p.Legend.Add("product, headroom 0 to 1", line, points)
 	return nil
 }
-
-func addPoints(p *plot.Plot, points plotter.XYs, names []string) error {
-	scatter, err := plotter.NewScatter(points)
-	if err != nil {
-		return errs.Newf(errs.Internal, "plot: %v", err)
-	}
-	labels, err := plotter.NewLabels(plotter.XYLabels{XYs: points, Labels: names})
-	if err != nil {
-		return errs.Newf(errs.Internal, "plot: %v", err)
-	}
-	p.Add(scatter, labels)
-	return nil
-}
--- a/internal/storepath/paths_test.go
+++ b/internal/storepath/paths_test.go
@@ -42,6 +42,13 @@
 	return platform.Append{Partition: part, Records: []platform.KeyedRecord{{Key: key, Value: []byte{1}}}}
 }
 
+// conditional is a write at the start of the partition.
+func conditional(key string) platform.Append {
+	a := write(key)
+	a.At = new(uint64)
+	return a
+}
+
 // Symptom: batch work of some gateways stood still, and jobs handed in there were refused, while others went on.
 // Sequence: the store turns one host away, or a link to it falls silent; every call of its gateway fails or hangs until
 // the time limit. Cause: a gateway knew only its own way to the store.
@@ -102,9 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
 		h.direct.Set(keyedlog.Faults{LoseAnswers: true})
-		at := uint64(0)
-		a := write("k")
-		a.At = &at
+		a := conditional("k")
 		if _, err := h.paths.Append(t.Context(), a); !errs.Is(err, errs.AppendUnknown) {
 			t.Errorf("a write whose answer is lost: %v", err)
 		}
@@ -127,9 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
 		h.direct.Set(keyedlog.Faults{Refuse: true})
-		at := uint64(0)
-		a := write("k")
-		a.At = &at
+		a := conditional("k")
 		if done, err := h.paths.Append(t.Context(), a); err != nil || done.End != 1 {
 			t.Errorf("%+v, %v", done, err)
 		}
