--- a/internal/adapter/logmem/logmem.go
+++ b/internal/adapter/logmem/logmem.go
@@ -176,7 +176,8 @@
 	defer timer.Stop()
 	for {
 		page, changed, err := l.read(name, from, most)
-		if err != nil || len(page.Entries) > 0 {
+		// Without a wait the answer comes at once: a timer takes a moment, even one of no length.
+		if err != nil || len(page.Entries) > 0 || wait <= 0 {
 			return page, err
 		}
 		select {
--- a/internal/adapter/logmem/logmem_test.go
+++ b/internal/adapter/logmem/logmem_test.go
@@ -31,6 +31,22 @@
 	})
 }
 
+// Symptom: in tests with virtual time a side that asked for a fencing number got no answer until the clock moved on. Sequence: a
+// read that asks for no wait sets a timer of no length; nothing fires it while others run. Cause: the read waited for
+// that timer in place of answering.
+func TestAReadWithoutAWaitTakesNoTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(1)
+		start := time.Now()
+		if page, err := l.Read(t.Context(), "s", 1, 10, 0); err != nil || len(page.Entries) != 0 {
+			t.Errorf("page %+v, err %v", page, err)
+		}
+		if took := time.Since(start); took != 0 {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
 func TestFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := New(1)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -24,7 +24,6 @@
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/storepath"
-	"arbutusramp/internal/telemetry"
 	"arbutusramp/internal/watch"
 	"arbutusramp/platform/directory"
 	"arbutusramp/platform/ingress"
@@ -49,13 +48,6 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// The listeners beside that of callers, in the order in which they are taken.
-const (
-	_ = iota // the relay of peers
-	readyOn
-	metricsOn
-)
-
 // Gateway is a process that takes callers' requests on the users' platform.
 type Gateway struct {
 	set     settings.Gateway
@@ -105,49 +97,6 @@
 	return g, nil
 }
 
-// reachStore opens the ways to the store: the process's own and those through peers, which it serves in turn
-// at the address where it hears of their loads.
-func (g *Gateway) reachStore(client *store.Client, self fleet.Peer) (err error) {
-	log := g.log.Named("peers")
-	detours := func() bool { return g.paths.Lost() }
-	if g.share, err = loadshare.New(g.set.PeerAddr, self, g.view, detours, log); err != nil {
-		return err
-	}
-	g.paths = storepath.New(client, g.share, g.log.Named("store"), g.reg)
-	return g.serve(g.share.Addr().String(), storepath.NewRelay(client, log))
-}
-
-// serve takes an address for one of the process's listeners beside that of callers. Run serves it.
-func (g *Gateway) serve(addr string, h http.Handler) error {
-	on, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	g.sideOn = append(g.sideOn, on)
-	g.sides = append(g.sides, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout})
-	return nil
-}
-
-func (g *Gateway) listen() error {
-	for _, l := range []struct {
-		addr string
-		mux  http.Handler
-	}{
-		{g.set.ReadyAddr, http.HandlerFunc(g.serveReady)},
-		{g.set.MetricsAddr, telemetry.TextHandler(g.reg)},
-	} {
-		if err := g.serve(l.addr, l.mux); err != nil {
-			return err
-		}
-	}
-	on, err := net.Listen("tcp", g.set.CallerAddr)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	g.callers = trackConns(on)
-	return nil
-}
-
 func (g *Gateway) callersServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           g.counted(h),
