--- a/internal/node/detour_test.go
+++ b/internal/node/detour_test.go
@@ -26,9 +26,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	own.Set(keyedlog.Faults{Refuse: true})
-	added := strings.Replace(wiretest.Routes, `"version":1,"routes":[`, `"version":2,"routes":[
- {"name":"new","host":"h.example","path_prefix":"/new/","kind":"safe","timeout_ms":1500,"goal_ms":300,"service":"llm","attempts":2},`, 1)
-	s.must(wiretest.Configure(t.Context(), s.store, added))
+	s.must(wiretest.Configure(t.Context(), s.store, wiretest.MoreRoutes()))
 	addr := turnedAway.CallerAddr()
 	for {
 		if status, _ := s.caller.Send(addr, http.MethodPost, "/new/x", "r1", "echo"); status == http.StatusOK {
