The call that tries a lost way again is not hedged at once

Found by reading: once the way was lost its channel was closed, so a trial went through a peer at the same moment; a peer that answered first ended the trial, and a slow own way was never taken again. Test red before. Trials are small calls only.

--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -26,6 +26,8 @@
 	directAgain = 500 * time.Millisecond
 	// peerReadBytes bounds a read through a peer: its records cross two links.
 	peerReadBytes = 256 << 10
+	// maxStores bounds the clients of peers that are kept. Gateways come and go; with more, all are made anew.
+	maxStores = 256
 	// never is longer than any call lasts.
 	never = time.Hour
 	// peersAsked is how many peers one call tries.
@@ -81,7 +83,7 @@
 
 // Read implements platform.Store.
 func (p *Paths) Read(ctx context.Context, r platform.Read) (platform.Records, error) {
-	return run(ctx, p, kind{repeatable: true, bulk: true, trial: r.Wait == 0}, func(ctx context.Context, s platform.Store) (platform.Records, error) {
+	return run(ctx, p, kind{repeatable: true, bulk: true}, func(ctx context.Context, s platform.Store) (platform.Records, error) {
 		if s == p.direct {
 			return s.Read(ctx, r)
 		}
@@ -93,7 +95,7 @@
 
 // Newest implements platform.Store.
 func (p *Paths) Newest(ctx context.Context, part platform.Partition, after string) (platform.NewestPage, error) {
-	return run(ctx, p, kind{repeatable: true, bulk: true, trial: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
+	return run(ctx, p, kind{repeatable: true, bulk: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
 		return s.Newest(ctx, part, after)
 	})
 }
@@ -117,9 +119,18 @@
 type kind struct {
 	repeatable bool // a second copy of it does no harm
 	bulk       bool // its answer may be large, or wait for news: it is not hedged
-	trial      bool // it may be the one that tries a lost direct way again
+	trial      bool // it may be the one that tries a lost direct way again; it must be small
 }
 
+// way is how a call goes.
+type way uint8
+
+const (
+	wayGood  way = iota // directly, as long as the direct way is good
+	wayTrial            // directly, to see whether the direct way is back
+	wayLost             // through peers first
+)
+
 // call makes one call of a store.
 type call[T any] func(context.Context, platform.Store) (T, error)
 
@@ -142,17 +153,18 @@
 
 // run makes one call by the way that is believed to be good, and by the other one if that does not answer.
 func run[T any](ctx context.Context, p *Paths, k kind, c call[T]) (T, error) {
-	if !p.directFirst(k, time.Now()) {
+	w := p.choose(k, time.Now())
+	if w == wayLost {
 		if r, ok := throughPeers(ctx, p, k, c); ok {
 			return r.value, r.err
 		}
 	}
-	r := hedged(ctx, p, k, c)
+	r := hedged(ctx, p, k, w, c)
 	return r.value, r.err
 }
 
-// hedged makes a call directly, and through peers as well if that takes long, fails, or if the direct way is lost meanwhile.
-func hedged[T any](ctx context.Context, p *Paths, k kind, c call[T]) result[T] {
+// hedged makes a call directly, and through peers as well if that takes long, fails, or if a good direct way is lost meanwhile.
+func hedged[T any](ctx context.Context, p *Paths, k kind, w way, c call[T]) result[T] {
 	directCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	direct := make(chan result[T], 1)
@@ -165,6 +177,10 @@
 	}()
 	late := k.late()
 	defer late.Stop()
+	var lost <-chan struct{}
+	if w == wayGood {
+		lost = p.whenLost()
+	}
 	select {
 	case r := <-direct:
 		if k.final(r.err) || ctx.Err() != nil {
@@ -175,7 +191,7 @@
 		}
 		return r
 	case <-late.C:
-	case <-p.whenLost():
+	case <-lost:
 	}
 	if !k.repeatable {
 		return <-direct
@@ -221,18 +237,18 @@
 	return r, false
 }
 
-// directFirst says whether a call begins with the direct way: that is good, or the call is the one that tries it again.
-func (p *Paths) directFirst(k kind, now time.Time) bool {
+// choose returns the way of a call that begins now.
+func (p *Paths) choose(k kind, now time.Time) way {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lost.IsZero() {
-		return true
+		return wayGood
 	}
 	if !k.trial || now.Before(p.tryNext) {
-		return false
+		return wayLost
 	}
 	p.tryNext = now.Add(directAgain)
-	return true
+	return wayTrial
 }
 
 // note keeps what a direct call tells of the direct way, and logs a change.
@@ -284,6 +300,9 @@
 	defer p.mu.Unlock()
 	s, ok := p.stores[addr]
 	if !ok {
+		if len(p.stores) >= maxStores {
+			clear(p.stores)
+		}
 		s = p.dial(addr)
 		p.stores[addr] = s
 	}
--- a/internal/storepath/paths_test.go
+++ b/internal/storepath/paths_test.go
@@ -103,6 +103,26 @@
 	})
 }
 
+// Symptom: a gateway went on through its peers long after its own way was back. Sequence: the own way is slower than that through a
+// peer; both are asked, the peer answers first, and the direct call is given up. Cause: the call that tries the own way
+// again was hedged at once.
+func TestASlowWayIsTakenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHost()
+		h.direct.Set(keyedlog.Faults{Refuse: true})
+		for range lostAfter {
+			if _, err := h.paths.Append(t.Context(), write("a")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.direct.Set(keyedlog.Faults{Delay: hedgeAfter / 2})
+		time.Sleep(directAgain)
+		if _, err := h.paths.Append(t.Context(), write("b")); err != nil || h.paths.Lost() || h.paths.failed != 0 {
+			t.Errorf("%v, lost %v, %d failures", err, h.paths.Lost(), h.paths.failed)
+		}
+	})
+}
+
 // A write under a condition must not be sent a second way while the first may still be done: the second would be
 // refused since the first has moved the end, and its caller would take its own write for somebody else's.
 func TestAConditionalWriteGoesOneWayUntilItsOutcomeIsKnown(t *testing.T) {
