--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -117,3 +117,24 @@
 		t.Error("a peer that is silent for good is not forgotten")
 	}
 }
+
+// A peer is of use for reaching the store only if it is live, has reached the store itself a moment ago, and has not
+// lost its own way since.
+func TestReachingNamesPeersThatReachTheStoreThemselves(t *testing.T) {
+	s, _ := newShare(t, "self")
+	defer s.conn.Close()
+	reports := map[string]report{
+		"127.0.0.1:1": {From: "fresh", Seq: 1, ContactAge: 10},
+		"127.0.0.1:2": {From: "stale", Seq: 1, ContactAge: reachedWithin.Milliseconds() + 10},
+		"127.0.0.1:3": {From: "detours", Seq: 1, ContactAge: 10, Detours: true},
+		"127.0.0.1:4": {From: "silent", Seq: 1, ContactAge: 10},
+	}
+	for addr, r := range reports {
+		s.heard(netip.MustParseAddrPort(addr), r)
+	}
+	s.Meet("127.0.0.1:5") // known by its address alone
+	s.peers[netip.MustParseAddrPort("127.0.0.1:4")].heard = time.Now().Add(-2 * PeerTTL)
+	if got := s.Reaching(); len(got) != 1 || got[0] != "127.0.0.1:1" {
+		t.Errorf("reaching %v", got)
+	}
+}
