--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -49,32 +49,41 @@
 	dirty bool // loads have changed since told
 }
 
-// serve takes a stream: it is sent away, or sent to an engine.
+// serve takes a stream: its caller is sent away, or it is sent to an engine.
 func (g *gateway) serve(s *stream) {
-	now := g.sim.clock.now
-	o := &g.sim.options
-	left := o.Patience - now.Sub(s.came)
-	if g.sim.policy.ComeBack {
-		after := shed.ComeBack(shed.Request{Wait: g.view.ExpectedWait(now, service), Goal: o.Goal, Left: left, Full: o.Patience})
-		if after > 0 {
-			g.sim.report.SentAway++
-			g.sim.clock.after(after, func() { g.sim.anyGateway().serve(s) })
-			return
-		}
+	if !g.sendAway(s) {
+		g.send(s)
 	}
-	c, ok := g.view.PickOnline(now, service, nil)
-	if !ok {
-		return
+}
+
+// sendAway has the caller of a stream that would be late come back, to any gateway.
+func (g *gateway) sendAway(s *stream) bool {
+	if !g.sim.policy.ComeBack {
+		return false
+	}
+	now, o := g.sim.clock.now, &g.sim.options
+	after := shed.ComeBack(shed.Request{
+		Wait: g.view.ExpectedWait(now, service), Goal: o.Goal, Left: o.Patience - now.Sub(s.came), Full: o.Patience,
+	})
+	if after == 0 {
+		return false
 	}
+	g.sim.report.SentAway++
+	g.sim.clock.after(after, func() { g.sim.anyGateway().serve(s) })
+	return true
+}
+
+func (g *gateway) send(s *stream) {
+	now, o := g.sim.clock.now, &g.sim.options
+	c, _ := g.view.PickOnline(now, service, nil) // there is one: engines that are there never fail
 	id := c.Target.ID
 	g.view.Begin(now, id, structs.ClassOnline)
 	g.preempt()
 	g.changed()
-	waits := c.Waits()
 	g.sim.engines[id].take(&work{prompt: o.Prompt, event: o.Event, events: s.events,
 		first: func() { g.sim.report.first(g.sim.clock.now.Sub(s.came), o.Goal) },
 		over: func() {
-			if !waits {
+			if !c.Waits() {
 				g.view.Held(service, g.sim.clock.now.Sub(now))
 			}
 			g.view.End(g.sim.clock.now, id, structs.ClassOnline)
