Read once more: one rule for the order of starts, one constant for what callers honour

core/backlog.StartKey serves the scheduler and the simulated fleet, which had a copy of it. shed.LeftShare stands for the gateway's twin of it. Calls that go one way set no timer of an hour. A peer's contact is worked out in one place; tests that lose the own way share their beginning.

--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -14,8 +14,8 @@
 	// waitShare is how much of its goal a request may wait for a slot: the rest is for reading its prompt, 50 to
 	// 70 ms of 300.
 	waitShare = 0.75
-	// leftShare is the longest time to come back, as a share of what the caller still waits. Callers do not honour more.
-	leftShare = 3
+	// LeftShare bounds the time to come back: callers honour one of up to what they still wait, divided by this.
+	LeftShare = 3
 	// soonest is the shortest time to come back: about as long as a stream holds its slot; sooner the targets are as full as
 	// before. The longer it is, the more requests are in time and the later are the others: see docs/PLATFORM.md.
 	soonest = time.Second
@@ -40,7 +40,7 @@
 		return 0
 	}
 	after := max(r.Wait, soonest)
-	if after > r.Left/leftShare {
+	if after > r.Left/LeftShare {
 		return 0
 	}
 	return after
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// retryShare bounds the time to come back that a refusal names, as a share of the time that
-	// the caller still has: with more, callers would not wait for it.
-	retryShare = 3
 	// fullRetry is when a caller should come back whose request found every target full or
 	// none at all: about as long as an online stream holds its slot.
 	fullRetry = 600 * time.Millisecond
@@ -213,7 +210,7 @@
 	if x.req.Deadline.IsZero() {
 		return named
 	}
-	return max(time.Millisecond, min(named, time.Until(x.req.Deadline)/retryShare))
+	return max(time.Millisecond, min(named, time.Until(x.req.Deadline)/shed.LeftShare))
 }
 
 // record writes the request's log line and counts it.
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -8,6 +8,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/shed"
 )
 
 // Symptom: in an overload of a few seconds every stream got its first event after one to two seconds; none was in time.
@@ -43,7 +44,7 @@
 				continue
 			}
 			away++
-			if out.err.Type != errs.Overloaded || out.err.Ran != errs.RanNo || out.err.RetryAfterMs < 1000 || out.err.RetryAfterMs > limit.Milliseconds()/retryShare {
+			if out.err.Type != errs.Overloaded || out.err.Ran != errs.RanNo || out.err.RetryAfterMs < 1000 || out.err.RetryAfterMs > limit.Milliseconds()/shed.LeftShare {
 				t.Errorf("%+v", out.err)
 			}
 		}
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"arbutusramp/core/backlog"
 	corefleet "arbutusramp/core/fleet"
 	"arbutusramp/core/shed"
 	"arbutusramp/core/structs"
@@ -15,8 +17,6 @@
 	tellGap = 3 * time.Millisecond   // between two reports of changed loads
 	refresh = 200 * time.Millisecond // between two reports without a change
 	looks   = 15 * time.Millisecond  // between two looks for room, beside those when a slot comes free
-	// lateSpan puts items that can't be in time behind all others.
-	lateSpan = 24 * time.Hour
 )
 
 // stream is one caller's request, over its attempts.
@@ -156,17 +156,18 @@
 	g.sort()
 }
 
-// key is when an item is due; later than all others if it can't be in time any more.
-func (g *gateway) key(it *item) time.Time {
-	need := g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
-	if g.sim.policy.InTimeFirst && g.sim.clock.now.Add(need).After(it.due) {
-		return it.due.Add(lateSpan)
+// key is an item's place in the order of starts.
+func (g *gateway) key(it *item) int64 {
+	due := it.due.UnixMilli()
+	if !g.sim.policy.InTimeFirst {
+		return due
 	}
-	return it.due
+	left := g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
+	return backlog.StartKey(g.sim.clock.now, due, left)
 }
 
 func (g *gateway) sort() {
-	slices.SortStableFunc(g.items, func(a, b *item) int { return g.key(a).Compare(g.key(b)) })
+	slices.SortStableFunc(g.items, func(a, b *item) int { return cmp.Compare(g.key(a), g.key(b)) })
 }
 
 // changed has the peers hear of this gateway's loads, at most every tellGap.
@@ -201,7 +202,7 @@
 	if len(g.items) == 0 {
 		return corefleet.Want{}
 	}
-	return corefleet.Want{Items: len(g.items), Due: g.key(g.items[0]).UnixMilli()}
+	return corefleet.Want{Items: len(g.items), Due: g.key(g.items[0])}
 }
 
 // live has the gateway tell and look now and then without a cause.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -62,6 +62,11 @@
 	Detours bool `cbor:"7,keyasint,omitempty"`
 }
 
+// contact is when the store last answered the sender, by this process's clock.
+func (r report) contact(now time.Time) time.Time {
+	return now.Add(-time.Duration(r.ContactAge) * time.Millisecond)
+}
+
 // line is the load at one target.
 type line struct {
 	_      struct{} `cbor:",toarray"`
@@ -232,7 +237,7 @@
 	}
 	s.view.Hear(r.From, fleet.Report{
 		Loads: loads, Want: fleet.Want{Items: r.Items, Due: r.Due},
-		Contact: time.Now().Add(-time.Duration(r.ContactAge) * time.Millisecond),
+		Contact: r.contact(time.Now()),
 	})
 }
 
@@ -253,7 +258,7 @@
 	p.seq = r.Seq
 	p.contact = time.Time{}
 	if !r.Detours {
-		p.contact = p.heard.Add(-time.Duration(r.ContactAge) * time.Millisecond)
+		p.contact = r.contact(p.heard)
 	}
 	return true
 }
--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -28,8 +28,6 @@
 	peerReadBytes = 256 << 10
 	// maxStores bounds the clients of peers that are kept. Gateways come and go; with more, all are made anew.
 	maxStores = 256
-	// never is longer than any call lasts.
-	never = time.Hour
 	// peersAsked is how many peers one call tries.
 	peersAsked = 2
 )
@@ -175,9 +173,12 @@
 		}
 		direct <- result[T]{v, err}
 	}()
-	late := k.late()
-	defer late.Stop()
-	var lost <-chan struct{}
+	var late, lost <-chan struct{} // nil for a call that does not go by two ways
+	if !k.bulk {
+		timer := sleep.NewTimer(hedgeAfter)
+		defer timer.Stop()
+		late = timer.C
+	}
 	if w == wayGood {
 		lost = p.whenLost()
 	}
@@ -190,7 +191,7 @@
 			return other
 		}
 		return r
-	case <-late.C:
+	case <-late:
 	case <-lost:
 	}
 	if !k.repeatable {
@@ -203,14 +204,6 @@
 	return <-direct
 }
 
-// late fires when a call on the direct way is made through a peer as well.
-func (k kind) late() *sleep.Timer {
-	if k.bulk {
-		return sleep.NewTimer(never)
-	}
-	return sleep.NewTimer(hedgeAfter)
-}
-
 // whenLost returns a channel that is closed once the direct way is lost.
 func (p *Paths) whenLost() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/storepath/paths_test.go
+++ b/internal/storepath/paths_test.go
@@ -38,6 +38,20 @@
 	return h
 }
 
+// lose has the store refuse the host until its own way counts as lost.
+func (h *host) lose(t *testing.T) {
+	t.Helper()
+	h.direct.Set(keyedlog.Faults{Refuse: true})
+	for range lostAfter {
+		if _, err := h.paths.Append(t.Context(), write("a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !h.paths.Lost() {
+		t.Error("the own way counts as good")
+	}
+}
+
 func write(key string) platform.Append {
 	return platform.Append{Partition: part, Records: []platform.KeyedRecord{{Key: key, Value: []byte{1}}}}
 }
@@ -85,15 +99,7 @@
 func TestTheOwnWayIsTakenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
-		h.direct.Set(keyedlog.Faults{Refuse: true})
-		for range lostAfter {
-			if _, err := h.paths.Append(t.Context(), write("a")); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if !h.paths.Lost() {
-			t.Error("the own way counts as good")
-		}
+		h.lose(t)
 		h.direct.Set(keyedlog.Faults{})
 		h.peer.Set(keyedlog.Faults{Refuse: true})
 		time.Sleep(directAgain)
@@ -109,12 +115,7 @@
 func TestASlowWayIsTakenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
-		h.direct.Set(keyedlog.Faults{Refuse: true})
-		for range lostAfter {
-			if _, err := h.paths.Append(t.Context(), write("a")); err != nil {
-				t.Fatal(err)
-			}
-		}
+		h.lose(t)
 		h.direct.Set(keyedlog.Faults{Delay: hedgeAfter / 2})
 		time.Sleep(directAgain)
 		if _, err := h.paths.Append(t.Context(), write("b")); err != nil || h.paths.Lost() || h.paths.failed != 0 {
