--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -19,19 +19,23 @@
 const stopReserve = 5 * time.Second
 
 type devCmd struct {
-	once    bool
-	level   string
-	profile string
+	once     bool
+	gateways bool
+	level    string
+	profile  string
 }
 
 func (*devCmd) Name() string     { return "dev" }
 func (*devCmd) Synopsis() string { return "run everything in one process, with stand-ins" }
 func (*devCmd) Usage() string {
-	return "dev [-once]\n  Runs 2 entries and 4 sides in 2 failure domains on loopback ports, with stand-ins of all else.\n"
+	return "dev [-once] [-gateways]\n" +
+		"  Runs 2 entries and 4 sides in 2 failure domains on loopback ports, with stand-ins of all else.\n" +
+		"  With -gateways it runs 2 gateways instead, as on the users' platform, on a stand-in of its store.\n"
 }
 
 func (c *devCmd) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.once, "once", false, "run one of everything, say what happened and end")
+	f.BoolVar(&c.gateways, "gateways", false, "run gateways on a stand-in of the users' platform")
 	f.StringVar(&c.profile, "cpu-profile", "", "file that gets a CPU profile of the whole run")
 	f.StringVar(&c.level, "log", "error", "log level")
 }
@@ -43,8 +47,12 @@
 	}
 	defer stopProfile()
 	logger := logging.New("dev", settings.Logs{Level: c.level}, os.Stderr)
+	serve, once := dev.Serve, dev.RunOnce
+	if c.gateways {
+		serve, once = dev.ServeGateways, dev.RunGatewaysOnce
+	}
 	if !c.once {
-		return exit(dev.Serve(ctx, logger, os.Stdout))
+		return exit(serve(ctx, logger, os.Stdout))
 	}
 	// A step that hangs must not keep the stop from being seen: the process ends
 	// with a failure in any case.
@@ -52,5 +60,5 @@
 	defer hung.Stop()
 	ctx, cancel := context.WithTimeout(ctx, onceTimeout-stopReserve)
 	defer cancel()
-	return exit(dev.RunOnce(ctx, logger, os.Stdout))
+	return exit(once(ctx, logger, os.Stdout))
 }
