Targets: one entry that is none spoils no other, a new start is a new target, ranks of routes

Cause: one entry that could not be decoded made the whole read of the targets fail, and reading began again at the same place, so the list stood still for good; the same for the operator's key. Seen red on the code before (two short tests against it failed with bad_request). Entries are now decoded field by field; one that names no target takes its target off the list, also right after an outage, and is logged once for each change.

A target that starts again under its name is a new target: id = name and time of start. An older start's entry changes nothing.

Ranks of routes reach core/serving: among batch items those that can be in time go by rank, then by due time; the least urgent run gives way first. Equal ranks change nothing.

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -18,6 +18,7 @@
 	Retain    time.Duration `cbor:"6,keyasint"`
 	Attempts  int           `cbor:"7,keyasint"` // failed runs after which an item is given up
 	Items     []Item        `cbor:"8,keyasint"`
+	Rank      int           `cbor:"9,keyasint,omitempty"` // of its route, see serving.Route
 }
 
 // Item is one request of a job.
--- a/core/platform/directory.go
+++ b/core/platform/directory.go
@@ -9,7 +9,8 @@
 
 // Directory is where the operator's configuration and the list of targets are read. Offsets are
 // those of the store; a process that knows nothing asks with Known 0.
-// Errors: errs.LogDown, errs.LogBusy, errs.BadRequest (an entry can't be understood).
+// What can't be understood is no error: it is told beside the rest, and reading goes on behind it.
+// Errors: errs.LogDown, errs.LogBusy.
 type Directory interface {
 	// Config waits up to wait for a change after the state that known describes. Its result
 	// may hold no configuration: nothing has changed.
@@ -22,6 +23,8 @@
 type ConfigNews struct {
 	Known  uint64          // to ask with the next time
 	Config *serving.Config // nil: no change
+	// Unusable is why the newest of the texts that can't be understood can't; nil if there was none.
+	Unusable error
 }
 
 // TargetNews is what has changed of the list of targets.
@@ -30,5 +33,13 @@
 	// Whole says that Present is the whole list, so that targets not in it are gone.
 	Whole   bool
 	Present []serving.Target
-	Gone    []string // target ids
+	Gone    []string // names
+	// Unusable are the entries that name no target to use, whatever stood under their names before.
+	Unusable []UnusableEntry
+}
+
+// UnusableEntry is an entry of the list that is no target.
+type UnusableEntry struct {
+	Name string
+	Err  error // errs.BadRequest
 }
--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -35,15 +35,20 @@
 	Weight  int
 }
 
+// MaxRank bounds ranks: whatever is less urgent counts as this.
+const MaxRank = 100
+
 // Route says how requests under one path of one host are served.
 type Route struct {
-	Name     string
-	Host     string
-	Prefix   string // begins and ends with a slash
-	Kind     Kind
-	Timeout  time.Duration // longest that a request is kept waiting
-	Goal     time.Duration // within which an answer is worth most
-	Attempts int           // most targets that one request may be sent to
+	Name    string
+	Host    string
+	Prefix  string // begins and ends with a slash
+	Kind    Kind
+	Timeout time.Duration // longest that a request is kept waiting
+	Goal    time.Duration // within which an answer is worth most
+	// Rank says how urgent the route's requests are among those of the same kind, 0 the most.
+	Rank     int
+	Attempts int // most targets that one request may be sent to
 	// Resumable streams may go on at another target after their last event.
 	Resumable bool
 	Shares    []Share
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -112,6 +112,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	guard := newGuard(ctx, cancel, r)
+	r.WhenEnded(cancel)
 	item := t.item()
 	ans, err := m.targets.Send(ctx, platform.TargetCall{
 		Target: r.Target,
--- a/internal/backlog/order.go
+++ b/internal/backlog/order.go
@@ -27,5 +27,5 @@
 }
 
 func (d *scheduler) key(t *task, now time.Time) int64 {
-	return backlog.StartKey(now, t.due(), d.m.pace.Left(t.job.Route, t.item().Tokens, t.made()))
+	return backlog.StartKey(now, t.due(), d.m.pace.Left(t.job.Route, t.item().Tokens, t.made()), t.job.Rank)
 }
--- a/internal/backlog/order_test.go
+++ b/internal/backlog/order_test.go
@@ -54,3 +54,27 @@
 		}
 	}
 }
+
+// Symptom: overnight work of an urgent route ends behind that of a less urgent one that is due sooner.
+// Cause: items started by due times alone. Work that is late anyway gains nothing by its rank.
+func TestMoreUrgentRoutesGoFirst(t *testing.T) {
+	m := &Manager{pace: backlog.NewPace()}
+	now := time.UnixMilli(100_000)
+	waiting := func(id string, dueIn time.Duration, rank int) *task {
+		return &task{job: &backlog.Job{ID: id, Submitted: now.UnixMilli(), Due: dueIn, Rank: rank, Items: []backlog.Item{{Tokens: 1000}}}}
+	}
+	tasks := []*task{
+		waiting("late", -time.Second, 0),
+		waiting("soon-2", time.Second, 2),
+		waiting("day-1", 24*time.Hour, 1),
+		waiting("soon-100", time.Second, 100),
+		waiting("soon-1", time.Second, 1),
+	}
+	var got []string
+	for _, r := range (&scheduler{m: m}).rank(tasks, now) {
+		got = append(got, r.task.job.ID)
+	}
+	if want := []string{"soon-1", "day-1", "soon-2", "soon-100", "late"}; !slices.Equal(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -153,7 +153,7 @@
 		for d.startOne(ctx) {
 			sleep.For(ctx, startGap)
 		}
-		if d.want() > 0 {
+		if d.want() > 0 || d.pausing() {
 			look.Reset(hungryLook)
 		} else {
 			look.Reset(idleLook)
@@ -182,6 +182,19 @@
 	return w.Items
 }
 
+// pausing says whether an item waits for the end of a short pause: nothing else wakes the scheduler then.
+func (d *scheduler) pausing() bool {
+	soon := time.Now().Add(idleLook)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.tasks {
+		if t.mayStart(soon) {
+			return true
+		}
+	}
+	return false
+}
+
 // ended is an end that a former owner could not write, and the shard that now writes it.
 type ended struct {
 	shard *shard
@@ -311,7 +324,7 @@
 // start runs a task if a target has room for it.
 func (d *scheduler) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
-	r, ok := d.m.view.StartBatch(service, t.avoided(), func() { t.preempt(cancel) })
+	r, ok := d.m.view.StartBatch(service, t.job.Rank, t.avoided(), func() { t.preempt(cancel) })
 	if !ok {
 		cancel()
 		return false
--- a/internal/dev/gateways.go
+++ b/internal/dev/gateways.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	return wiretest.List(ctx, view, id, addr, numbered("domain", i%domains), targetSlots)
+	return wiretest.List(ctx, view, wiretest.Listing{Name: id, Addr: addr, Domain: numbered("domain", i%domains), Slots: targetSlots})
 }
 
 func (g *Gateways) startGateway(i int, logger hclog.Logger) error {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -3,6 +3,8 @@
 package fleetview
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,8 @@
 	mu    sync.Mutex
 	fleet *fleet.Fleet
 	runs  map[string][]*Run // batch runs of this process by target id, oldest first
+	// live are all runs of this process by target id, also those that were preempted and are not over yet.
+	live map[string]map[*Run]struct{}
 
 	// changed gets a token when this process's own loads have changed.
 	changed chan struct{}
@@ -32,8 +36,12 @@
 	view    *View
 	began   time.Time
 	class   structs.Class
+	rank    int    // of batch runs
 	preempt func() // of batch runs
 	over    bool
+	// whenEnded is called when the target's start is known to be over; see WhenEnded.
+	whenEnded func()
+	ended     bool
 }
 
 // New returns a view of an empty fleet.
@@ -41,6 +49,7 @@
 	return &View{
 		fleet:   fleet.New(o),
 		runs:    make(map[string][]*Run),
+		live:    make(map[string]map[*Run]struct{}),
 		changed: make(chan struct{}, 1),
 		freed:   make(chan struct{}, 1),
 	}
@@ -69,17 +78,19 @@
 		v.mu.Unlock()
 		return nil, false
 	}
-	v.fleet.Begin(now, c.Target.ID, structs.ClassOnline)
+	r := &Run{Target: c.Target, Choice: c, view: v, began: now, class: structs.ClassOnline}
+	v.begin(now, r)
 	victims := v.victims(now)
 	v.mu.Unlock()
 	signal(v.changed)
 	preemptAll(victims)
-	return &Run{Target: c.Target, Choice: c, view: v, began: now, class: structs.ClassOnline}, true
+	return r, true
 }
 
 // StartBatch chooses a target for a batch item, if one has room. preempt is called, once at most,
-// when the run must give up its slot; it must not block.
-func (v *View) StartBatch(service string, tried []string, preempt func()) (*Run, bool) {
+// when the run must give up its slot; it must not block. Of those at one target the runs of the highest rank
+// give theirs up first; see serving.Route.
+func (v *View) StartBatch(service string, rank int, tried []string, preempt func()) (*Run, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
@@ -87,13 +98,64 @@
 	if !ok {
 		return nil, false
 	}
-	v.fleet.Begin(now, c.Target.ID, structs.ClassBatch)
-	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, preempt: preempt}
+	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	v.begin(now, r)
 	v.runs[c.Target.ID] = append(v.runs[c.Target.ID], r)
 	signal(v.changed)
 	return r, true
 }
 
+// begin counts a run at its target. The caller holds the lock.
+func (v *View) begin(now time.Time, r *Run) {
+	v.fleet.Begin(now, r.Target.ID, r.class)
+	if v.live[r.Target.ID] == nil {
+		v.live[r.Target.ID] = make(map[*Run]struct{})
+	}
+	v.live[r.Target.ID][r] = struct{}{}
+}
+
+// end drops a run from those that are live. The caller holds the lock.
+func (v *View) end(r *Run) {
+	delete(v.live[r.Target.ID], r)
+	if len(v.live[r.Target.ID]) == 0 {
+		delete(v.live, r.Target.ID)
+	}
+}
+
+// WhenEnded sets what is called, once at most, when the start of the target that has the run is known to be over: no
+// answer will come. It must not block.
+func (r *Run) WhenEnded(f func()) {
+	r.view.mu.Lock()
+	r.whenEnded = f
+	ended := r.ended
+	r.view.mu.Unlock()
+	if ended {
+		f()
+	}
+}
+
+// Ended tells the runs at targets whose starts are over.
+//
+// What goes wrong without it: a target crashes and starts again under its name, behind a cut or without closing its
+// connections. It is noticed as streams that stand still until the target's silence has lasted too long for
+// its new start, which works for others meanwhile.
+func (v *View) Ended(ids []string) {
+	var calls []func()
+	v.mu.Lock()
+	for _, id := range ids {
+		for r := range v.live[id] {
+			if !r.ended && r.whenEnded != nil {
+				calls = append(calls, r.whenEnded)
+			}
+			r.ended = true
+		}
+	}
+	v.mu.Unlock()
+	for _, f := range calls {
+		f()
+	}
+}
+
 // Done counts the run as over. It may be called more than once.
 func (r *Run) Done() {
 	v := r.view
@@ -104,6 +166,7 @@
 	}
 	r.over = true
 	v.fleet.End(time.Now(), r.Target.ID, r.class)
+	v.end(r)
 	v.forget(r)
 	signal(v.changed)
 	signal(v.freed)
@@ -225,8 +288,8 @@
 // Drop marks a target as gone at once: another one answers at its address.
 func (v *View) Drop(id string) { v.Put(nil, []string{id}) }
 
-// victims takes the runs that must be preempted out of the list: the youngest first, since the oldest
-// are nearest to their end. Each still counts until it is over.
+// victims takes the runs that must be preempted out of the list: the least urgent first, of these the youngest, since the
+// oldest are nearest to their end. Each still counts until it is over.
 func (v *View) victims(now time.Time) []*Run {
 	var list []*Run
 	for id, n := range v.fleet.Preempt(now) {
@@ -237,6 +300,7 @@
 		if n <= 0 {
 			continue
 		}
+		slices.SortStableFunc(runs, func(a, b *Run) int { return cmp.Compare(a.rank, b.rank) })
 		list = append(list, runs[len(runs)-n:]...)
 		v.runs[id] = runs[:len(runs)-n]
 	}
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -1,6 +1,7 @@
 package fleetview
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,13 +22,13 @@
 	var cut []int
 	var runs []*Run
 	for i := range 2 {
-		r, ok := v.StartBatch("s", nil, func() { cut = append(cut, i) })
+		r, ok := v.StartBatch("s", 0, nil, func() { cut = append(cut, i) })
 		if !ok {
 			t.Fatal("no room")
 		}
 		runs = append(runs, r)
 	}
-	if _, ok := v.StartBatch("s", nil, func() {}); ok {
+	if _, ok := v.StartBatch("s", 0, nil, func() {}); ok {
 		t.Error("a third item in two slots")
 	}
 	online, ok := v.StartOnline("s", nil)
@@ -55,7 +56,7 @@
 	v := newView(4)
 	cut := 0
 	for range 3 {
-		if _, ok := v.StartBatch("s", nil, func() { cut++ }); !ok {
+		if _, ok := v.StartBatch("s", 0, nil, func() { cut++ }); !ok {
 			t.Fatal("no room")
 		}
 	}
@@ -74,3 +75,23 @@
 	<-v.Changed()
 	<-v.Freed()
 }
+
+// Symptom: items of an urgent route were cut off while those of a less urgent one ran on.
+// Cause: the youngest run gave way, whatever it was.
+func TestTheLeastUrgentRunGivesWayFirst(t *testing.T) {
+	v := newView(3)
+	var cut []int
+	for i, rank := range []int{1, 2, 1} {
+		if _, ok := v.StartBatch("s", rank, nil, func() { cut = append(cut, i) }); !ok {
+			t.Fatal("no room")
+		}
+	}
+	for range 3 {
+		if _, ok := v.StartOnline("s", nil); !ok {
+			t.Fatal("no target")
+		}
+	}
+	if !slices.Equal(cut, []int{1, 2, 0}) {
+		t.Errorf("cut %v", cut)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,8 +37,8 @@
 	*exchange
 	run    *fleetview.Run
 	cancel context.CancelFunc
-	// silent is set by the watcher when it cancels the attempt.
-	silent atomic.Bool
+	// silent is set by the watcher when it cancels the attempt, gone when the target's start is over.
+	silent, gone atomic.Bool
 	// heard is when the last part of the answer came, or the request was sent, in
 	// nanoseconds since the request's arrival: the time of day may jump.
 	heard atomic.Int64
@@ -55,6 +55,10 @@
 	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
 	stop := a.watch(ctx, sent, mayMove)
 	defer stop()
+	a.run.WhenEnded(func() {
+		a.gone.Store(true)
+		a.cancel()
+	})
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
 		Target: a.run.Target, Request: a.req, TimeLeft: a.until.Sub(sent),
 		ResumeAfter: a.lastID, Once: !a.route.Idempotent(),
@@ -130,6 +134,9 @@
 // endedHere is the failure of an attempt that was not ended by its target: of the given type if the target
 // was silent for too long. It is nil if the target has ended it.
 func (a *attempt) endedHere(ctx context.Context, silent errs.Type) error {
+	if a.gone.Load() {
+		return errs.New(errs.StreamBroken, "the target has started again").WithRan(errs.RanUnknown)
+	}
 	if a.silent.Load() {
 		return errs.New(silent, "the target has sent nothing for too long")
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -53,7 +53,7 @@
 func await(t *testing.T, v *fleetview.View, room bool) {
 	t.Helper()
 	for {
-		r, ok := v.StartBatch("s", nil, func() {})
+		r, ok := v.StartBatch("s", 0, nil, func() {})
 		if ok {
 			r.Done()
 		}
@@ -76,7 +76,7 @@
 		s.take(data, from)
 	}
 	room := func() bool {
-		r, ok := v.StartBatch("s", nil, func() {})
+		r, ok := v.StartBatch("s", 0, nil, func() {})
 		if ok {
 			r.Done()
 		}
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -47,7 +47,7 @@
 		id := fmt.Sprintf("i-%d", i)
 		target := httptest.NewServer(&wiretest.Target{ID: id, Events: itemEvents})
 		t.Cleanup(target.Close)
-		s.must(wiretest.List(t.Context(), s.store, id, target.Listener.Addr().String(), "d", targetSlots))
+		s.must(wiretest.List(t.Context(), s.store, wiretest.Listing{Name: id, Addr: target.Listener.Addr().String(), Domain: "d", Slots: targetSlots}))
 	}
 	for i := range gateways {
 		s.start(fmt.Sprintf("g%d", i), strings.TrimPrefix(storeServer.URL, "http://"))
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,7 +118,12 @@
 		}
 		return err
 	}
-	link.Follow(ctx, pauses, read, func(bool) { w.take(news.Config, asked) })
+	link.Follow(ctx, pauses, read, func(bool) {
+		if news.Unusable != nil {
+			w.log.Error("configuration can't be read: what is in force stays", "in_force", w.Version(), "error", news.Unusable)
+		}
+		w.take(news.Config, asked)
+	})
 	return nil
 }
 
@@ -170,14 +176,21 @@
 }
 
 func (w *Watch) applyTargets(c targetChanges) {
+	for _, e := range c.unusable {
+		w.log.Warn("entry names no target to use", "name", e.Name, "error", e.Err)
+	}
+	for _, t := range c.older {
+		w.log.Info("entry of an older start left out", "target", t.ID)
+	}
 	if len(c.put) == 0 && len(c.gone) == 0 {
 		return
 	}
 	w.view.Put(c.put, c.gone)
+	w.view.Ended(c.ended)
 	for _, t := range c.put {
 		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "domain", t.Domain, "draining", t.Draining)
 	}
 	for _, id := range c.gone {
-		w.log.Info("target gone", "target", id)
+		w.log.Info("target gone", "target", id, "restarted", slices.Contains(c.ended, id))
 	}
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -1,7 +1,11 @@
 package watch
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,7 +89,9 @@
 	return c
 }
 
-func target(id string) serving.Target { return serving.Target{ID: id, Service: "s", Slots: 4} }
+func target(id string) serving.Target {
+	return serving.Target{ID: id, Name: id, Service: "s", Slots: 4}
+}
 
 func run(t *testing.T, f func(d *fakeDirectory, w *Watch, v *fleetview.View)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -281,3 +287,133 @@
 		}
 	})
 }
+
+// startOf is the n-th start of a target.
+func startOf(name string, n int64) serving.Target {
+	t := target(name)
+	t.ID, t.Started = fmt.Sprintf("%s/%d", name, n), n
+	return t
+}
+
+// ids of the targets that may be used.
+func ids(v *fleetview.View) string {
+	var list []string
+	for _, t := range v.Targets() {
+		list = append(list, t.ID)
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
+
+// Symptom: a stream stands still for a second though its target is long up again.
+// Sequence: a target crashes and starts again under its name before its entry has lapsed; the entry changes in its
+// time of start alone.
+// Cause: the new start was taken for the old one, with its loads and whatever was thought to run there.
+func TestANewStartEndsTheOneBefore(t *testing.T) {
+	run(t, func(d *fakeDirectory, _ *Watch, v *fleetview.View) {
+		say := func(news platform.TargetNews) {
+			d.set(func(d *fakeDirectory) { d.targets = append(d.targets, news) })
+			time.Sleep(time.Second)
+		}
+		say(platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{startOf("a", 1), startOf("b", 1)}})
+		ended := make(map[string]int)
+		for range 2 {
+			r, ok := v.StartOnline("s", nil)
+			if !ok {
+				t.Fatal("no target")
+			}
+			r.WhenEnded(func() { ended[r.Target.ID]++ })
+			defer r.Done()
+		}
+		say(platform.TargetNews{Known: 2, Present: []serving.Target{startOf("a", 2)}})
+		if got := ids(v); got != "a/2 b/1" {
+			t.Errorf("targets %s", got)
+		}
+		if ended["a/1"] != 1 || ended["b/1"] != 0 {
+			t.Errorf("runs that were told that their target's start is over: %v", ended)
+		}
+		if _, ok := v.Report().Loads["a/2"]; ok {
+			t.Error("the new start has the load of the one before")
+		}
+		say(platform.TargetNews{Known: 3, Present: []serving.Target{startOf("a", 1)}})
+		if got := ids(v); got != "a/2 b/1" {
+			t.Errorf("targets after an older start's entry: %s", got)
+		}
+		say(platform.TargetNews{Known: 4, Gone: []string{"a"}})
+		say(platform.TargetNews{Known: 5, Present: []serving.Target{startOf("a", 1)}})
+		if got := ids(v); got != "b/1" {
+			t.Errorf("an older start's entry after the last start has gone: %s", got)
+		}
+		say(platform.TargetNews{Known: 6, Whole: true, Present: []serving.Target{startOf("a", 2), startOf("b", 1)}})
+		if got := ids(v); got != "a/2 b/1" {
+			t.Errorf("targets after the same start's entry is back: %s", got)
+		}
+	})
+}
+
+// Symptom: requests go to a target whose entry has been overwritten by another writer's.
+// Cause: an entry that can't be used was passed over as if nothing had been written.
+func TestAnUnusableEntryTakesItsTargetOff(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		lines := &lockedBuffer{}
+		w.log = hclog.New(&hclog.LoggerOptions{Output: lines})
+		say := func(news platform.TargetNews) {
+			d.set(func(d *fakeDirectory) { d.targets = append(d.targets, news) })
+			time.Sleep(time.Second)
+		}
+		bad := []platform.UnusableEntry{{Name: "a", Err: errs.New(errs.BadRequest, "no text")}}
+		say(platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{target("a"), target("b")}})
+		d.set(func(d *fakeDirectory) { d.down = true })
+		time.Sleep(time.Second)
+		d.set(func(d *fakeDirectory) { d.down = false })
+		// Right after an outage a missing entry may have lapsed; one that is there and unusable has not.
+		say(platform.TargetNews{Known: 2, Unusable: bad})
+		if got := ids(v); got != "b" {
+			t.Errorf("targets %s", got)
+		}
+		say(platform.TargetNews{Known: 3, Whole: true, Present: []serving.Target{target("b")}, Unusable: bad})
+		say(platform.TargetNews{Known: 4, Unusable: bad})
+		if n := strings.Count(lines.String(), "names no target"); n != 1 {
+			t.Errorf("%d lines for one change", n)
+		}
+		say(platform.TargetNews{Known: 5, Present: []serving.Target{target("a")}})
+		if got := ids(v); got != "a b" {
+			t.Errorf("targets after a good entry: %s", got)
+		}
+		say(platform.TargetNews{Known: 6, Unusable: bad})
+		if n := strings.Count(lines.String(), "names no target"); n != 2 {
+			t.Errorf("%d lines for two changes", n)
+		}
+	})
+}
+
+// Names that have gone must not fill the memory of a process that runs for years.
+func TestRememberedStartsAreBounded(t *testing.T) {
+	l := newTargetList()
+	for i := range 3 * maxRemembered {
+		name := fmt.Sprint(i)
+		l.take(time.Time{}, platform.TargetNews{Present: []serving.Target{startOf(name, 1)}})
+		l.take(time.Time{}, platform.TargetNews{Gone: []string{name}})
+	}
+	if len(l.started) > maxRemembered {
+		t.Errorf("%d starts are remembered", len(l.started))
+	}
+}
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
