Loads of the backlog go on where they stopped, and wait for what the store can send

A page of 1 MB then takes 1.5 s; each was given up after 1.2 s and asked for again, from the first page on, after 100 ms. The logs show it: jobs loaded by all within three seconds, results by nobody in 50 s, 6,300 times 'own way to the store lost'. Ruled out: lost records (they were read whole before the loss), slow links of single gateways (all failed alike).

Now a load keeps its place, waits longer for a page that did not come, pauses at random after a failure and reads the news behind it; a page that is late or refused says nothing of the way to the store. Test: 88 replicas at a stand-in store with limited reads; as before none has loaded within twice the time that the store needs (seen red), now all after 17.0 s of 15.4 s needed.

--- a/core/platform/newest.go
+++ b/core/platform/newest.go
@@ -1,13 +1,20 @@
 package platform
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+// pagePatience is how long one page of EachNewest may take: the lists that are read with it are small, and a connection may
+// fall silent without being closed.
+const pagePatience = 1200 * time.Millisecond
 
 // EachNewest calls visit with each page of the newest records whose keys come after a key, until there
-// are no more or visit says that it has enough. It returns the first page's End: what is written while
+// are no more or visit says that it has enough. It is for lists of a page or two. It returns the first page's End: what is written while
 // the pages are read is found by reading the log from there on. Errors are those of Store.Newest.
 func EachNewest(ctx context.Context, s Store, p Partition, after string, visit func([]StoredRecord) (more bool)) (end uint64, err error) {
 	for first := true; ; first = false {
-		page, err := s.Newest(ctx, p, after)
+		page, err := newestPage(ctx, s, p, after)
 		if err != nil {
 			return end, err
 		}
@@ -20,3 +27,9 @@
 		after = page.Records[len(page.Records)-1].Key
 	}
 }
+
+func newestPage(ctx context.Context, s Store, p Partition, after string) (NewestPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, pagePatience)
+	defer cancel()
+	return s.Newest(ctx, p, after)
+}
--- /dev/null
+++ b/internal/backlog/load_test.go
@@ -0,0 +1,166 @@
+package backlog
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/standin/keyedlog"
+)
+
+const (
+	herdSize = 88 // processes that start at once
+	// The state is 1.4 MB at a store that sends 8 MB a second: together the processes need 15 s of it, and a page takes 1.5 s while
+	// all ask for one.
+	herdResults   = 70
+	herdTextBytes = 20_000
+	herdRate      = 8e6
+	herdNeeds     = time.Duration(herdSize * herdResults * herdTextBytes / herdRate * float64(time.Second))
+	// herdHistory is how long the store keeps what was written.
+	herdHistory = 20 * time.Second
+)
+
+// fill writes results until the partition holds the state of a day.
+func fill(t *testing.T, v *keyedlog.View, from, n int) {
+	t.Helper()
+	for i := from; i < from+n; i++ {
+		records, err := backlog.EncodeResult(&backlog.Result{
+			Job: "j", Position: i, Item: fmt.Sprint(i), Outcome: backlog.Complete, Text: strings.Repeat("x", herdTextBytes),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := v.Append(context.Background(), platform.Append{Partition: resultPartition, Records: records}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Symptom: half a minute after all processes of a large deployment had lost power together, every question for the results of
+// a job was still answered with 503, and would have been for ever.
+// Sequence: 88 processes start; each reads all results, 8 MB; the store sends 80 MB a second to all of them together, so a page
+// of 1 MB takes 1.5 s; each gives its page up after 1.2 s, and begins with the first one again.
+// Cause: a load had one time limit whatever the store was asked by others, and kept nothing of what it had read.
+func TestProcessesThatStartTogetherAllLoadTheBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := keyedlog.New(1)
+		fill(t, store.View(), 0, herdResults)
+		store.LimitReads(herdRate)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		began := time.Now()
+		loaded := make(chan time.Duration, herdSize)
+		for i := range herdSize {
+			r := NewReplica(fmt.Sprintf("replica-%d", i), store.View(), func() {}, testLogger("replica"))
+			go func() {
+				for ctx.Err() == nil {
+					if r.load(ctx, resultPartition) == nil {
+						loaded <- time.Since(began)
+						return
+					}
+				}
+			}()
+		}
+		var last time.Duration
+		for i := range herdSize {
+			select {
+			case last = <-loaded:
+			case <-time.After(2*herdNeeds - time.Since(began)):
+				t.Fatalf("%d of %d processes have loaded the backlog after %v; it can be sent to all within %v", i, herdSize, 2*herdNeeds, herdNeeds)
+			}
+		}
+		t.Logf("loaded by all after %v; the store needs %v", last, herdNeeds)
+	})
+}
+
+// cutPages lets one page pass, then fails the next, and so on.
+type cutPages struct {
+	platform.Store
+	calls int
+	after []string // of the pages that were asked for
+}
+
+func (c *cutPages) Newest(ctx context.Context, p platform.Partition, after string) (platform.NewestPage, error) {
+	c.calls++
+	c.after = append(c.after, after)
+	if c.calls%2 == 0 {
+		return platform.NewestPage{}, errs.New(errs.LogDown, "refused")
+	}
+	return c.Store.Newest(ctx, p, after)
+}
+
+func TestALoadGoesOnAfterItsLastPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := keyedlog.New(1)
+		fill(t, store.View(), 0, 20) // three pages
+		pages := &cutPages{Store: store.View()}
+		r := NewReplica("replica", pages, func() {}, testLogger("replica"))
+		failures := 0
+		for r.load(context.Background(), resultPartition) != nil {
+			failures++
+		}
+		if failures != 2 || pages.calls != 5 || pages.after[2] == "" || pages.after[3] <= pages.after[2] {
+			t.Errorf("%d failures, pages after %q", failures, pages.after)
+		}
+		r.with(func(s *backlog.State) {
+			if n := s.Listed("j"); n != 20 {
+				t.Errorf("%d results", n)
+			}
+		})
+	})
+}
+
+// What is written while a load goes on for longer than the store keeps its history must not be missed.
+func TestALoadFollowsTheNewsBehindIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := keyedlog.New(1)
+		const old, added = 70, 30
+		fill(t, store.View(), 0, old)
+		store.LimitReads(old * herdTextBytes / (2 * herdHistory.Seconds()))
+		go func() {
+			// Of a job whose key comes before those that are being read.
+			for i := range added {
+				time.Sleep(herdHistory / added)
+				records, err := backlog.EncodeResult(&backlog.Result{Job: "a", Position: i, Item: fmt.Sprint(i), Outcome: backlog.Complete})
+				if err != nil {
+					t.Error(err)
+				}
+				if _, err := store.View().Append(context.Background(), platform.Append{Partition: resultPartition, Records: records}); err != nil {
+					t.Error(err)
+				}
+			}
+			time.Sleep(herdHistory / 2)
+			store.Forget()
+		}()
+		r := NewReplica("replica", store.View(), func() {}, testLogger("replica"))
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			for ctx.Err() == nil {
+				_ = r.step(ctx, resultPartition) // tried again
+			}
+		}()
+		began := time.Now()
+		for {
+			if _, loaded := r.position(resultPartition); loaded {
+				break
+			}
+			if time.Since(began) > 4*herdHistory {
+				t.Fatal("not loaded")
+			}
+			time.Sleep(time.Second)
+		}
+		r.with(func(s *backlog.State) {
+			if j, a := s.Listed("j"), s.Listed("a"); j != old || a != added {
+				t.Errorf("%d of %d old results, %d of %d that came meanwhile", j, old, a, added)
+			}
+		})
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -59,7 +59,7 @@
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
-		replica: NewReplica(store, view.SetContact, log),
+		replica: NewReplica(o.Member, store, view.SetContact, log),
 	}
 	m.scheduler = newScheduler(m)
 	m.saveCtx, m.stopSaving = context.WithCancel(context.Background())
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -43,6 +43,7 @@
 
 // Replica is this process's copy of the backlog.
 type Replica struct {
+	name  string // of this start of this process
 	store platform.Store
 	log   hclog.Logger
 	// contact is called when the store has answered a read of the jobs.
@@ -59,12 +60,14 @@
 	loaded bool      // the newest records of all keys have been read
 	next   uint64    // offset to read on from
 	fresh  time.Time // when the store last said that there is nothing after next
+	// loading is the load that is under way; nil while none is.
+	loading *loading
 }
 
-// NewReplica returns an empty copy.
-func NewReplica(store platform.Store, contact func(), log hclog.Logger) *Replica {
+// NewReplica returns an empty copy for the process of that name.
+func NewReplica(name string, store platform.Store, contact func(), log hclog.Logger) *Replica {
 	return &Replica{
-		store: store, log: log, contact: contact, state: backlog.NewState(), news: make(chan struct{}),
+		name: name, store: store, log: log, contact: contact, state: backlog.NewState(), news: make(chan struct{}),
 		tails: map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
 	}
 }
@@ -96,21 +99,6 @@
 	return nil
 }
 
-// load reads the newest record of each key. Records that are written meanwhile are read again
-// from the first page's end on; the fold takes each once.
-func (r *Replica) load(ctx context.Context, p platform.Partition) error {
-	asked := time.Now() // what was written later is not known to be in the pages
-	end, err := platform.EachNewest(ctx, r.store, p, "", func(records []platform.StoredRecord) bool {
-		r.apply(records)
-		return true
-	})
-	if err != nil {
-		return err
-	}
-	r.loaded(p, end, asked)
-	return nil
-}
-
 // loadProgress reads how far the items of a shard have come. It returns records that drop what nobody
 // needs any more: a former owner may have written it after the item had ended elsewhere.
 func (r *Replica) loadProgress(ctx context.Context, shard int) (drops []platform.KeyedRecord, err error) {
@@ -145,7 +133,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.tails[p]
-	t.loaded = true
+	t.loaded, t.loading = true, nil
 	t.next = max(t.next, end)
 	t.fresh = asked
 	r.log.Info("backlog loaded", "topic", p.Topic, "end", end)
--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -93,7 +93,7 @@
 
 // Newest implements platform.Store.
 func (p *Paths) Newest(ctx context.Context, part platform.Partition, after string) (platform.NewestPage, error) {
-	return run(ctx, p, kind{repeatable: true, bulk: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
+	return run(ctx, p, kind{repeatable: true, bulk: true, page: true}, func(ctx context.Context, s platform.Store) (platform.NewestPage, error) {
 		return s.Newest(ctx, part, after)
 	})
 }
@@ -117,7 +117,10 @@
 type kind struct {
 	repeatable bool // a second copy of it does no harm
 	bulk       bool // its answer may be large, or wait for news: it is not hedged
-	trial      bool // it may be the one that tries a lost direct way again; it must be small
+	// page is a read of 1 MB, which the store may refuse or be long about while others read as much. That says nothing of the way:
+	// through a peer it would be refused as well, and cross two links more.
+	page  bool
+	trial bool // it may be the one that tries a lost direct way again; it must be small
 }
 
 // way is how a call goes.
@@ -168,7 +171,7 @@
 	direct := make(chan result[T], 1)
 	go func() {
 		v, err := c(directCtx, p.direct)
-		if directCtx.Err() == nil {
+		if directCtx.Err() == nil && (answered(err) || !k.page) {
 			p.note(err)
 		}
 		direct <- result[T]{v, err}
@@ -184,7 +187,7 @@
 	}
 	select {
 	case r := <-direct:
-		if k.final(r.err) || ctx.Err() != nil {
+		if k.final(r.err) || ctx.Err() != nil || k.page && w == wayGood {
 			return r
 		}
 		if other, ok := throughPeers(ctx, p, k, c); ok {
--- a/internal/storepath/peer.go
+++ b/internal/storepath/peer.go
@@ -20,6 +20,8 @@
 	// peerReadTimeout is the same for reads, beyond the wait that the store was asked for: a page of 1 MB takes 0.3 s on each
 	// of two links of 30 Mbit/s.
 	peerReadTimeout = 1500 * time.Millisecond
+	// peerPageTimeout is the most that a page of the newest records may take; callers say how long they wait.
+	peerPageTimeout = 10 * time.Second
 )
 
 // peerStore is the store as reached through one peer. It implements platform.Store.
@@ -77,7 +79,7 @@
 
 // Newest implements platform.Store.
 func (p *peerStore) Newest(ctx context.Context, part platform.Partition, after string) (platform.NewestPage, error) {
-	ans, err := p.call(ctx, request{Newest: &newestRequest{Partition: part, After: after}}, peerReadTimeout, false)
+	ans, err := p.call(ctx, request{Newest: &newestRequest{Partition: part, After: after}}, peerPageTimeout, false)
 	return ans.Page, err
 }
 
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -22,6 +22,9 @@
 	logs   map[platform.Partition]*partition
 	groups map[string]*group
 	moved  chan struct{} // closed and replaced with each append
+
+	readRate float64   // bytes that all reads together get in a second; 0 is no limit
+	readFree time.Time // when the reads that have been asked for are over
 }
 
 // partition is one log.
@@ -47,6 +50,38 @@
 	}
 }
 
+// LimitReads lets all reads together have that many bytes a second; 0 is no limit.
+func (s *Store) LimitReads(bytesPerSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readRate = bytesPerSecond
+}
+
+// maxReadQueue is how much time's worth of reads may wait; more are refused.
+const maxReadQueue = 2 * time.Second
+
+// reserve takes a place in the queue of reads. It returns how long the answer with these records takes, or false if
+// too much waits already.
+func (s *Store) reserve(now time.Time, records []platform.StoredRecord) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readRate == 0 {
+		return 0, true
+	}
+	if s.readFree.Before(now) {
+		s.readFree = now
+	}
+	if s.readFree.Sub(now) > maxReadQueue {
+		return 0, false
+	}
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	s.readFree = s.readFree.Add(time.Duration(float64(size) / s.readRate * float64(time.Second)))
+	return s.readFree.Sub(now), true
+}
+
 func (s *Store) log(p platform.Partition) *partition {
 	l, ok := s.logs[p]
 	if !ok {
--- a/standin/keyedlog/view.go
+++ b/standin/keyedlog/view.go
@@ -97,9 +97,12 @@
 	for {
 		page, moved, err := v.store.read(r)
 		left := time.Until(until)
-		if err != nil || len(page.Records) > 0 || left <= 0 {
+		if err != nil {
 			return page, err
 		}
+		if len(page.Records) > 0 || left <= 0 {
+			return page, v.send(ctx, page.Records)
+		}
 		t := sleep.NewTimer(left)
 		select {
 		case <-moved:
@@ -117,7 +120,21 @@
 	if _, err := v.pass(ctx); err != nil {
 		return platform.NewestPage{}, err
 	}
-	return v.store.newest(p, after), nil
+	page := v.store.newest(p, after)
+	return page, v.send(ctx, page.Records)
+}
+
+// send takes the time that the store needs to send records. A caller that gives up has used up its share all
+// the same: the store goes on sending.
+func (v *View) send(ctx context.Context, records []platform.StoredRecord) error {
+	wait, ok := v.store.reserve(time.Now(), records)
+	if !ok {
+		return errs.New(errs.LogDown, "too many reads wait")
+	}
+	if !sleep.For(ctx, wait) {
+		return errs.New(errs.LogDown, "no answer in time")
+	}
+	return nil
 }
 
 // Join implements platform.Store.
