Overload: who can be in time goes first, who comes back is held, times to come back are appointments

Hypothesis: in an overload everybody was late because callers on their second attempt, and those whose wait was longer than they honour, were sent to the engines whatever the queues were. Change (core/shed): the queues at the engines stay as long as a request may wait and be in time; first callers get a time to come back, one after the other at the gateway's pace; those who were here before are held at the gateway until there is room beyond that, at the latest while their callers still stay; who can't be served hears it at once. Patience learns the time that many callers say, not the longest.

--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -47,7 +47,12 @@
 	Timeout time.Duration // longest that a request is kept waiting
 	Goal    time.Duration // within which an answer is worth most
 	// Rank says how urgent the route's requests are among those of the same kind, 0 the most.
-	Rank     int
+	Rank int
+	// Behind is how many ranks of online routes that share a service with this one are more urgent. NewRouter works it out.
+	Behind int
+	// Stay is how long a caller waits for the first event of a stream, or for the next one, whatever its deadline is; 0 is as
+	// long as its deadline.
+	Stay     time.Duration
 	Attempts int // most targets that one request may be sent to
 	// Resumable streams may go on at another target after their last event.
 	Resumable bool
@@ -115,12 +120,46 @@
 		host := hostName(route.Host)
 		r.byHost[host] = append(r.byHost[host], route)
 	}
+	noteBehind(c.Routes)
 	for _, list := range r.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	return r
 }
 
+// noteBehind fills in Route.Behind. Batch routes count for nothing: they give way in other ways.
+func noteBehind(routes []Route) {
+	ranks := make(map[string]map[int]bool) // by service
+	for i := range routes {
+		if routes[i].Kind == KindBatch {
+			continue
+		}
+		for _, s := range routes[i].Shares {
+			if ranks[s.Service] == nil {
+				ranks[s.Service] = make(map[int]bool)
+			}
+			ranks[s.Service][routes[i].Rank] = true
+		}
+	}
+	for i := range routes {
+		routes[i].Behind = moreUrgent(&routes[i], ranks)
+	}
+}
+
+func moreUrgent(r *Route, ranks map[string]map[int]bool) int {
+	most := 0
+	for _, s := range r.Shares {
+		n := 0
+		for rank := range ranks[s.Service] {
+			if rank < r.Rank {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // Match returns the route with the longest prefix of target's path, or nil. target is the path
 // with its query, as it stands in the request line.
 func (r *Router) Match(host, target string) *Route {
--- a/core/shed/patience.go
+++ b/core/shed/patience.go
@@ -9,20 +9,27 @@
 	// seenFirst is how many requests of a route must have come before its callers' time is known: right after
 	// a start most of them are on their second attempt.
 	seenFirst = 10
+	// usualShare is how many of a route's requests must say the same time for it to be that of callers who first come: those
+	// who come back have been away for different times.
+	usualShare = 0.2
+	// sameTime is how far times may differ that are the same.
+	sameTime = 50 * time.Millisecond
+	// forgetAfter is how many requests of a route are counted before all counts are halved: callers change.
+	forgetAfter = 400
 	// maxRoutes bounds what is kept. Routes come and go; with more, all are learned anew.
 	maxRoutes = 4096
 )
 
-// Patience learns for each route how long its callers wait when they first come: the longest that any has said. It is safe for
-// concurrent use.
+// Patience learns for each route how long its callers wait when they first come: the longest time that many of them say. One
+// caller with more time than all others changes nothing. It is safe for concurrent use.
 type Patience struct {
 	mu     sync.Mutex
 	routes map[string]*patience
 }
 
 type patience struct {
-	seen    int
-	longest time.Duration
+	seen  int
+	times map[time.Duration]int // how many have said a time, in steps of sameTime
 }
 
 // NewPatience returns one that knows nothing yet.
@@ -37,13 +44,42 @@
 		if len(p.routes) >= maxRoutes {
 			clear(p.routes)
 		}
-		r = &patience{}
+		r = &patience{times: make(map[time.Duration]int)}
 		p.routes[route] = r
 	}
-	r.seen++
-	r.longest = max(r.longest, left)
+	r.note(left)
 	if r.seen < seenFirst {
 		return 0
 	}
-	return r.longest
+	return r.usual()
+}
+
+func (r *patience) note(left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	r.seen++
+	r.times[left.Truncate(sameTime)]++
+	if r.seen < forgetAfter {
+		return
+	}
+	r.seen = 0
+	for t, n := range r.times {
+		r.times[t] = n / 2
+		r.seen += n / 2
+		if n < 2 {
+			delete(r.times, t)
+		}
+	}
+}
+
+// usual is the longest time that many have said; 0 if none was.
+func (r *patience) usual() time.Duration {
+	longest := time.Duration(0)
+	for t, n := range r.times {
+		if t > longest && float64(n) >= usualShare*float64(r.seen) {
+			longest = t
+		}
+	}
+	return longest
 }
--- a/core/shed/patience_test.go
+++ b/core/shed/patience_test.go
@@ -15,8 +15,8 @@
 			t.Fatalf("after %d callers: %v", i+1, got)
 		}
 	}
-	if got := p.Note("r", 5*time.Second); got != 5*time.Second {
-		t.Errorf("%v", got)
+	for range seenFirst {
+		p.Note("r", 5*time.Second)
 	}
 	if got := p.Note("r", time.Second); got != 5*time.Second {
 		t.Errorf("after one with less time: %v", got)
@@ -35,3 +35,22 @@
 		t.Errorf("%d routes are kept", len(p.routes))
 	}
 }
+
+// Symptom: in an overload nobody was told to come back. Sequence: one caller says that it waits for a minute; from then on all others
+// are taken for ones on their second attempt. Cause: the longest time that anybody had said was taken for that of all.
+func TestOnePatientCallerChangesNothing(t *testing.T) {
+	p := NewPatience()
+	for range 3 * seenFirst {
+		p.Note("r", 5*time.Second)
+	}
+	p.Note("r", time.Minute)
+	if got := p.Note("r", 5*time.Second); got != 5*time.Second {
+		t.Errorf("%v", got)
+	}
+	for range 2 * forgetAfter {
+		p.Note("r", 8*time.Second)
+	}
+	if got := p.Note("r", 5*time.Second); got != 8*time.Second {
+		t.Errorf("after all callers have more time: %v", got)
+	}
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -216,11 +216,11 @@
 	r.view.fleet.Held(r.Target.Service, time.Since(r.began))
 }
 
-// ExpectedWait is how long an online request of a service that comes now would wait for a slot.
-func (v *View) ExpectedWait(service string) time.Duration {
+// Prospect is what an online request of a service that comes now may expect.
+func (v *View) Prospect(service string) fleet.Prospect {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.ExpectedWait(time.Now(), service)
+	return v.fleet.Prospect(time.Now(), service)
 }
 
 // Hear takes in a peer's report.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,9 +32,11 @@
 	log     hclog.Logger
 	served  *logging.Routine
 	sent    *logging.Routine
+	shedLog *logging.Routine
 	reg     metrics.Registry
 	// patience is how long the callers of each route wait.
 	patience *shed.Patience
+	doors    *doors
 }
 
 // Beliefs are what the process believes of the configuration, for logs.
@@ -47,7 +49,8 @@
 
 // New returns a gateway that sends to the targets of view.
 func New(targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
-	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log), reg: reg, patience: shed.NewPatience()}
+	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log),
+		shedLog: logging.NewRoutine(log), reg: reg, patience: shed.NewPatience(), doors: newDoors()}
 }
 
 // exchange is one request on its way.
@@ -80,40 +83,17 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
-	err := x.admit()
+	err := x.admit(ctx)
 	if err == nil {
-		err = x.cause(ctx, x.run(ctx))
+		err = x.run(ctx)
 	}
+	err = x.cause(ctx, err)
 	x.record(err)
 	if err != nil {
 		x.finish(ctx, err)
 	}
 }
 
-// admit tells a caller who would be answered late, since more requests wait than the targets can serve in time, to come
-// back. Nothing of the request has been sent anywhere by then.
-func (x *exchange) admit() error {
-	left := x.callerLeft()
-	r := shed.Request{
-		Wait: x.gw.view.ExpectedWait(x.service), Goal: x.route.Goal,
-		Left: left, Full: x.gw.patience.Note(x.route.Name, left),
-	}
-	after := shed.ComeBack(r)
-	if after == 0 {
-		return nil
-	}
-	return errs.Newf(errs.Overloaded, "a slot is expected to be free after %d ms, an answer is wanted within %d ms",
-		r.Wait.Milliseconds(), r.Goal.Milliseconds()).WithRetry(after)
-}
-
-// callerLeft is what the caller still waited when the request came; 0 if it did not say.
-func (x *exchange) callerLeft() time.Duration {
-	if x.req.Deadline.IsZero() {
-		return 0
-	}
-	return x.req.Deadline.Sub(x.req.Arrived)
-}
-
 // cause is why the request was given up. An attempt only knows that its context has ended: that the time was
 // over and that the caller has gone have different causes and are told apart here.
 func (x *exchange) cause(ctx context.Context, err error) error {
@@ -226,7 +206,7 @@
 	args := []any{
 		"request", x.req.ID, "route", x.route.Name, "config", x.gw.beliefs.Version(),
 		"config_age_ms", x.gw.beliefs.Age().Milliseconds(), "service", x.service, "targets", x.choices,
-		"may_have_run", x.mayHaveRun, "outcome", outcome, "ms", took.Milliseconds(),
+		"may_have_run", x.mayHaveRun, "held_ms", x.stages.held.Milliseconds(), "outcome", outcome, "ms", took.Milliseconds(),
 	}
 	if err == nil {
 		x.gw.served.Info(now, "request", args...)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -8,8 +8,9 @@
 
 // stages are the moments that divide a request's time. A zero moment was not reached.
 type stages struct {
-	sent  time.Time // to its first target
-	first time.Time // the caller got the first part of an answer
+	held  time.Duration // before it was sent, for want of room
+	sent  time.Time     // to its first target
+	first time.Time     // the caller got the first part of an answer
 }
 
 // noteSent is called before each attempt; the first one counts.
@@ -31,6 +32,9 @@
 func (x *exchange) observe(now time.Time) {
 	kind := "online." + x.route.Kind.String()
 	telemetry.Observe(x.gw.reg, kind+".ms", now.Sub(x.req.Arrived))
+	if x.stages.held > 0 {
+		telemetry.Observe(x.gw.reg, kind+".held_ms", x.stages.held)
+	}
 	if x.stages.sent.IsZero() {
 		return
 	}
