What one gateway has learned of a failing target the others know by its next report; jobs are tried again sooner

Hypothesis: after a target falls dark each gateway finds it out by itself, 0.45 s later, and sends it requests until then. Change: reports name the targets that have failed their sender; whoever has not heard of such a target for 150 ms suspects it too, and waits half as long for what it has there.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,6 +8,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"arbutusramp/core/serving"
@@ -79,6 +80,8 @@
 	Want  Want
 	// Contact is when the platform's store last answered the gateway.
 	Contact time.Time
+	// Suspects are the targets that have failed the gateway a moment ago, by id.
+	Suspects []string
 }
 
 // peer is the last word of another gateway.
@@ -163,7 +166,13 @@
 // Hear takes in a peer's report; it replaces what the peer told before.
 func (f *Fleet) Hear(now time.Time, from Peer, r Report) {
 	f.expire(now)
-	f.replace(now, f.peers[from], &r)
+	old := f.peers[from]
+	f.replace(now, old, &r)
+	for _, id := range r.Suspects {
+		if old == nil || !slices.Contains(old.Suspects, id) {
+			f.warned(now, id)
+		}
+	}
 	f.peers[from] = &peer{at: now, Report: r}
 }
 
@@ -226,8 +235,8 @@
 }
 
 // Report returns what this gateway has and wants.
-func (f *Fleet) Report() Report {
-	return Report{Loads: f.Own(), Want: f.want, Contact: f.contact}
+func (f *Fleet) Report(now time.Time) Report {
+	return Report{Loads: f.Own(), Want: f.want, Contact: f.contact, Suspects: f.suspects(now)}
 }
 
 // Own returns what this gateway has at its targets, without those at which it has nothing.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -323,3 +323,42 @@
 		}
 	}
 }
+
+// Symptom: after a target fell dark, each of nine gateways sent it requests for half a second.
+// Sequence: the target falls dark; one gateway notices by the silence of a request; all others begin to wait for theirs.
+// Cause: what one had learned the others did not know.
+func TestAPeersSuspicionIsHeeded(t *testing.T) {
+	word := Report{Suspects: []string{"t0"}}
+	pick := func(f *Fleet, now time.Time) string {
+		c, _ := f.PickOnline(now, "llm", nil)
+		return c.Target.ID
+	}
+	f := testFleet("self", 2)
+	f.Heard(start.Add(-hearsayAfter), "t0")
+	f.Hear(start, "peer", word)
+	if got := pick(f, start); got != "t1" {
+		t.Errorf("the next request goes to %s", got)
+	}
+	if got := f.Report(start).Suspects; len(got) != 0 {
+		t.Errorf("hearsay is passed on: %v", got)
+	}
+	if !f.SilentSince(start.Add(silenceLimit/2+time.Millisecond), start, "t0") {
+		t.Error("a request there waits as long as without the peer's word")
+	}
+	later := start.Add(suspectBase)
+	f.Hear(later, "peer", word)
+	f.Heard(later, "t0")
+	if got := pick(f, later); got != "t0" {
+		t.Errorf("after a sign of life the next request goes to %s", got)
+	}
+	f = testFleet("self", 2)
+	f.Heard(start.Add(-hearsayAfter/2), "t0")
+	f.Hear(start, "peer", word)
+	if got := pick(f, start); got != "t0" {
+		t.Errorf("a target that has just answered here: the next request goes to %s", got)
+	}
+	f.Failed(start, "t0")
+	if got := f.Report(start).Suspects; len(got) != 1 || got[0] != "t0" {
+		t.Errorf("own suspects %v", got)
+	}
+}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // state is a gateway's verdict on a target.
 type state uint8
@@ -31,6 +34,8 @@
 	until    time.Time // suspect until then
 	began    time.Time // of the last request
 	heard    time.Time // of the last byte
+	// hearsay says that a peer's word alone has made it suspect.
+	hearsay bool
 }
 
 func (h *health) state(now time.Time) state {
@@ -63,6 +68,7 @@
 	if n, ok := f.nodes[id]; ok {
 		n.health.heard = now
 		n.health.failures = 0
+		n.health.hearsay = false
 	}
 }
 
@@ -76,10 +82,41 @@
 	}
 	h := &n.health
 	h.failures++
+	h.hearsay = false
 	h.until = now.Add(min(suspectMax, suspectBase<<min(h.failures-1, 4)))
 	return true
 }
 
+// hearsayAfter is how long a target must have been silent here for a peer's word to make it suspect. A target that works
+// sends something every 20 ms to each gateway that has a request there; one that is cut off from the peer alone is heard here.
+const hearsayAfter = 150 * time.Millisecond
+
+// warned takes in that a target has failed a peer.
+//
+// What goes wrong without it: each gateway finds out by itself that a target has fallen dark, after silenceLimit, and sends it
+// requests until then. It is noticed as streams that are late by half a second at all gateways after the loss of one target.
+func (f *Fleet) warned(now time.Time, id string) {
+	n, ok := f.nodes[id]
+	if !ok || n.health.state(now) != healthy || now.Sub(n.health.heard) < hearsayAfter {
+		return
+	}
+	n.health.failures, n.health.hearsay = 1, true
+	n.health.until = now.Add(suspectBase)
+}
+
+// suspects are the targets that have failed this gateway. What it only has by a peer's word it does not tell: words would go
+// round for ever.
+func (f *Fleet) suspects(now time.Time) []string {
+	var ids []string
+	for id, n := range f.nodes {
+		if n.health.state(now) == suspect && !n.health.hearsay {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // queueWait is how long a request may wait in a target's queue for each full set of slots that is
 // before it: a stream holds its slot for half a second to a second.
 const queueWait = time.Second
@@ -107,5 +144,9 @@
 	if n.health.heard.After(last) {
 		last = n.health.heard
 	}
-	return now.Sub(last) > silenceLimit+f.QueueWait(id)
+	limit := silenceLimit
+	if n.health.hearsay {
+		limit /= 2 // two have noticed it
+	}
+	return now.Sub(last) > limit+f.QueueWait(id)
 }
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -18,7 +18,10 @@
 	// submitTimeout is how long a job's submission is tried before its caller is told to come
 	// again: callers wait for 4 s and give a second attempt the same time.
 	submitTimeout = 2500 * time.Millisecond
-	// endTimeout is the same for a job's end.
+	// tryTimeout is how long one append of a job may take. The store answers within 300 ms even while it is slow; a call that it
+	// has not answered by then may be lost, and the same append, under the same condition, does no harm.
+	tryTimeout = 600 * time.Millisecond
+	// endTimeout is the same as submitTimeout for a job's end.
 	endTimeout = 3 * time.Second
 	// fullRetry is when a job should come again that does not fit into its route's limit.
 	fullRetry = time.Second
@@ -136,8 +139,15 @@
 		return s.full(ctx)
 	}
 	s.at = next
-	_, err = s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
-	return s.judge(ctx, err)
+	return s.judge(ctx, s.append(ctx))
+}
+
+// append sends the job's append once.
+func (s *submission) append(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err := s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
+	return err
 }
 
 // full refuses a job that does not fit, once the state is known to be fresh.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -187,6 +187,9 @@
 	suspect := v.fleet.Failed(now, r.Target.ID)
 	victims := v.victims(now)
 	v.mu.Unlock()
+	if suspect {
+		signal(v.changed)
+	}
 	preemptAll(victims)
 	return suspect
 }
@@ -238,7 +241,7 @@
 func (v *View) Report() fleet.Report {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.Report()
+	return v.fleet.Report(time.Now())
 }
 
 // SetWant notes which batch items this process would like to start.
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -205,7 +205,7 @@
 	if g.sim.policy.Turns {
 		g.view.SetWant(g.want())
 	}
-	report := g.view.Report()
+	report := g.view.Report(g.sim.clock.now)
 	for _, peer := range g.sim.gateways {
 		if peer == g {
 			continue
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -152,7 +152,7 @@
 	now := time.Now()
 	r := report{
 		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Want.Items, Due: own.Want.Due,
-		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain,
+		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects),
 	}
 	direct, err := cbor.Marshal(r)
 	if err != nil {
@@ -225,8 +225,9 @@
 	if r.PassOn {
 		s.passOn(r, from)
 	}
+	ids := s.targetNames()
 	s.view.Hear(r.From, fleet.Report{
-		Loads: loadsOf(r.Loads, s.targetNames()), Want: fleet.Want{Items: r.Items, Due: r.Due},
+		Loads: loadsOf(r.Loads, ids), Suspects: idsOf(r.Suspects, ids), Want: fleet.Want{Items: r.Items, Due: r.Due},
 		Contact: r.contact(time.Now()),
 	})
 }
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -29,6 +29,8 @@
 	PassOn bool `cbor:"9,keyasint,omitempty"`
 	// Origin is where the sender listens, in a report that was passed on; the datagram's own sender is another then.
 	Origin netip.AddrPort `cbor:"10,keyasint,omitzero"`
+	// Suspects are the targets that have failed the sender a moment ago.
+	Suspects []digest `cbor:"11,keyasint,omitempty"`
 }
 
 // digest stands for a name in reports: they are sent many times a second, and bytes between domains cost. Two of some
@@ -59,6 +61,25 @@
 	return list
 }
 
+func digestsOf(ids []string) []digest {
+	var list []digest
+	for _, id := range ids {
+		list = append(list, digestOf(id))
+	}
+	return list
+}
+
+// idsOf reads digests. Those of targets that this process does not know are left out.
+func idsOf(list []digest, ids map[digest]string) []string {
+	var known []string
+	for _, d := range list {
+		if id, ok := ids[d]; ok {
+			known = append(known, id)
+		}
+	}
+	return known
+}
+
 // names are the targets' ids by their digests, as of a moment. Reports come hundreds of times a second, and the list of targets
 // changes once in a while.
 type names struct {
