Silence is learned for each service from how it answers; queues from how long requests hold a slot

Hypothesis: half a second without an event means another thing for engines with steps of 2 ms than for ones of 80 ms; the first were found dark late, the second would always be suspect (tests for both, without a network).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -46,6 +46,7 @@
 	peers map[Peer]*peer
 	want  Want
 	holds map[string]time.Duration // how long online requests hold a slot, by service; see Held
+	paces map[string]pace          // by service; see Silence
 	// contact is when the store last answered here.
 	contact time.Time
 }
@@ -92,7 +93,7 @@
 
 // New returns an empty view.
 func New(o Options) *Fleet {
-	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer), holds: make(map[string]time.Duration)}
+	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer), holds: make(map[string]time.Duration), paces: make(map[string]pace)}
 }
 
 // Put adds a target or takes in its change.
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -19,13 +19,14 @@
 // Times of the verdict.
 const (
 	// silenceLimit is how long a target that has work may send nothing at all before it is
-	// suspect. An engine sends an event about every 15 ms while it works, and a first one after
-	// 50 to 60 ms; five times slower targets still stay below it.
+	// suspect, while it is not known how its service answers; see silence.
 	silenceLimit = 450 * time.Millisecond
 	// suspectBase and suspectMax bound how long a suspect target gets nothing; the time
 	// doubles with each failure in a row.
 	suspectBase = 500 * time.Millisecond
 	suspectMax  = 4 * time.Second
+	// probationGap is the pause between two batch items that try a target on probation.
+	probationGap = 450 * time.Millisecond
 )
 
 // health follows one target by the outcomes of requests alone: probes cost and can lie.
@@ -55,7 +56,7 @@
 	case healthy:
 		return true
 	case probation:
-		return now.Sub(h.began) > silenceLimit
+		return now.Sub(h.began) > probationGap
 	default:
 		return false
 	}
@@ -118,9 +119,12 @@
 }
 
 // queueWait is how long a request may wait in a target's queue for each full set of slots that is
-// before it: a stream holds its slot for half a second to a second.
+// before it, while it is not known how long requests hold one.
 const queueWait = time.Second
 
+// queueSlack is how much longer requests may hold their slots than they do on average.
+const queueSlack = 1.4
+
 // QueueWait is how long a request at a target may have to wait for a slot before it gets its first
 // byte, by the loads that are known.
 func (f *Fleet) QueueWait(id string) time.Duration {
@@ -128,8 +132,12 @@
 	if !ok {
 		return 0
 	}
+	each := queueWait
+	if hold := f.holds[n.Service]; hold > 0 {
+		each = time.Duration(queueSlack * float64(hold))
+	}
 	waiting := max(0, -n.room())
-	return queueWait * time.Duration(waiting) / time.Duration(n.Slots)
+	return each * time.Duration(waiting) / time.Duration(n.Slots)
 }
 
 // SilentSince says whether a target has sent nothing to anybody here since a request was sent
@@ -144,7 +152,7 @@
 	if n.health.heard.After(last) {
 		last = n.health.heard
 	}
-	limit := silenceLimit
+	limit := f.Silence(n.Service)
 	if n.health.hearsay {
 		limit /= 2 // two have noticed it
 	}
--- /dev/null
+++ b/core/fleet/pace_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// Symptom: all targets of a service with slow engines were suspect most of the time.
+// Cause: half a second without an event counted as silence, whatever a service's usual pause was.
+func TestSilenceIsLearned(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name       string
+		first, gap time.Duration
+		want       time.Duration
+	}{
+		{"not known yet", 0, 0, silenceLimit},
+		{"fast engines", 25 * ms, 20 * ms, leastSilence},
+		{"events every 50 ms", 60 * ms, 50 * ms, 600 * ms},
+		{"long prompts", 400 * ms, 20 * ms, 1600 * ms},
+		{"steps of 80 ms and seven tokens an event", 600 * ms, 560 * ms, mostSilence},
+	}
+	for _, c := range cases {
+		f := testFleet("self", 1)
+		if c.gap > 0 {
+			for range 100 {
+				f.FirstEvent("llm", c.first)
+				f.NextEvent("llm", c.gap)
+			}
+		}
+		if got := f.Silence("llm"); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+		if f.SilentSince(start.Add(c.want), start, "t0") || !f.SilentSince(start.Add(c.want+ms), start, "t0") {
+			t.Errorf("%s: silent at another time than after %v", c.name, c.want)
+		}
+	}
+}
+
+// One odd stream must not change what counts as silence for all.
+func TestOnePauseChangesLittle(t *testing.T) {
+	f := testFleet("self", 1)
+	for range 100 {
+		f.FirstEvent("llm", 25*time.Millisecond)
+		f.NextEvent("llm", 20*time.Millisecond)
+	}
+	f.NextEvent("llm", 200*time.Millisecond)
+	if got := f.Silence("llm"); got > 400*time.Millisecond {
+		t.Errorf("after one pause of 200 ms: %v", got)
+	}
+}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -140,6 +140,7 @@
 			return goOn, m.itemFailed(ctx, t, r, err)
 		}
 		guard.heard()
+		r.Event()
 		t.take(e)
 	}
 }
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -323,12 +323,14 @@
 	bubble(t, 2, func(t *testing.T, w *world) {
 		j := w.job("a", repeat("okay", 4)...)
 		w.nodes[0].submit(j)
-		time.Sleep(checkpointEvents*eventGap + 2*checkpointEvery)
+		// The first checkpoints are written by now, and the owner learns of the new deal before its items end: it asks every half
+		// second, and they take three.
+		time.Sleep(checkpointEvents*eventGap + 3*checkpointEvery/2)
 		w.store.Rebalance()
 		w.check(j, w.nodes[0].results(j, 20*time.Second))
 		for _, item := range j.Items {
 			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) < 2 || from == "" {
-				t.Errorf("item %s was run again from its start", item.ID)
+				t.Errorf("item %s was run again from its start (%d runs, from %q)", item.ID, w.targets.count(item.ID), from)
 			}
 		}
 	})
@@ -395,7 +397,7 @@
 		w.check(j, last.results(j, 20*time.Second))
 		for _, item := range j.Items {
 			if from := w.targets.lastFrom(item.ID); w.targets.count(item.ID) < 2 || from == "" {
-				t.Errorf("item %s was run again from its start", item.ID)
+				t.Errorf("item %s was run again from its start (%d runs, from %q)", item.ID, w.targets.count(item.ID), from)
 			}
 		}
 		time.Sleep(2 * time.Second)
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -35,6 +35,7 @@
 
 	view    *View
 	began   time.Time
+	event   time.Time // of the last event; zero before the first
 	class   structs.Class
 	rank    int    // of batch runs
 	preempt func() // of batch runs
@@ -98,7 +99,7 @@
 	if !ok {
 		return nil, false
 	}
-	r := &Run{Target: c.Target, Choice: c, view: v, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	r := &Run{Target: c.Target, Choice: c, view: v, began: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
 	v.begin(now, r)
 	v.runs[c.Target.ID] = append(v.runs[c.Target.ID], r)
 	signal(v.changed)
@@ -179,6 +180,29 @@
 	r.view.fleet.Heard(time.Now(), r.Target.ID)
 }
 
+// Event notes an event of the run's stream, for what is known of how its service answers.
+func (r *Run) Event() {
+	v := r.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	v.fleet.Heard(now, r.Target.ID)
+	switch {
+	case !r.event.IsZero():
+		v.fleet.NextEvent(r.Target.Service, now.Sub(r.event))
+	case !r.Choice.Waits():
+		v.fleet.FirstEvent(r.Target.Service, now.Sub(r.began))
+	}
+	r.event = now
+}
+
+// Silence is how long a working target of the run's service may send nothing.
+func (r *Run) Silence() time.Duration {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.view.fleet.Silence(r.Target.Service)
+}
+
 // Failed notes that the target has failed the run. It reports whether that made it suspect.
 func (r *Run) Failed() bool {
 	v := r.view
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,9 +22,10 @@
 	maxHeld = 1 << 20
 	// watchEvery is how often an attempt looks at whether its target has fallen silent.
 	watchEvery = 60 * time.Millisecond
-	// patience is how long an attempt of a request that may go on elsewhere waits for the next
+	// streamPatience is how long an attempt of a request that may go on elsewhere waits for the next
 	// part of its answer although its target answers others: an answer can get lost. Longer
-	// than queues are as a rule, so that overload does not send every request twice.
+	// than queues are as a rule, so that overload does not send every request twice; and at least twice as long as
+	// targets that work may be silent.
 	streamPatience = time.Second
 	// callPatience is the same for plain calls, in case their route's goal is shorter.
 	callPatience = 250 * time.Millisecond
@@ -104,7 +105,7 @@
 
 // overdue says that this answer alone is missing.
 func (a *attempt) overdue() bool {
-	patience := streamPatience
+	patience := max(streamPatience, 2*a.run.Silence())
 	if a.route.Kind == serving.KindSafe {
 		patience = max(callPatience, a.route.Goal*3/2)
 	}
@@ -196,6 +197,7 @@
 			return a.broken(ctx, err)
 		}
 		a.heardNow()
+		a.run.Event()
 		a.begin(ans, -1)
 		if err := a.write(e.Raw); err != nil {
 			return err
