Each mechanism of deciding can be switched off by name, to measure what it is worth

core/policy names them; [policies] off in a gateway's settings is checked, logged at start, and empty by default.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -6,6 +6,8 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"arbutusramp/core/policy"
 )
 
 // turnGap is how long a gateway leaves free slots to one that goes before it: by then it has heard
@@ -57,6 +59,9 @@
 // turn is how many gateways go before this one.
 func (f *Fleet) turn() int {
 	turn := 0
+	if !f.opts.Off.Has(policy.Turns) {
+		return turn
+	}
 	for name, p := range f.peers {
 		if p.Want.Items > 0 && cmp.Or(cmp.Compare(p.Want.Due, f.want.Due), cmp.Compare(name, f.opts.Self)) < 0 {
 			turn++
@@ -78,6 +83,9 @@
 			cuts[id] = n.own.Batch
 			continue
 		}
+		if !f.opts.Off.Has(policy.GiveWay) {
+			continue
+		}
 		excess := f.opts.KeepSpare - n.room()
 		if k := f.ownShare(n, excess); k > 0 {
 			cuts[id] = k
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/structs"
 )
@@ -37,6 +38,8 @@
 	KeepSpare int
 	// PeerTTL is how long the word of a peer that has fallen silent counts.
 	PeerTTL time.Duration
+	// Off are the mechanisms that are switched off.
+	Off policy.Off
 }
 
 // Fleet is the view of one gateway.
@@ -167,6 +170,9 @@
 // Hear takes in a peer's report; it replaces what the peer told before.
 func (f *Fleet) Hear(now time.Time, from Peer, r Report) {
 	f.expire(now)
+	if !f.opts.Off.Has(policy.PeerLoads) {
+		r.Loads = nil
+	}
 	old := f.peers[from]
 	f.replace(now, old, &r)
 	for _, id := range r.Suspects {
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"arbutusramp/core/policy"
 )
 
 // state is a gateway's verdict on a target.
@@ -98,6 +100,9 @@
 // requests until then. It is noticed as streams that are late by half a second at all gateways after the loss of one target.
 func (f *Fleet) warned(now time.Time, id string) {
 	n, ok := f.nodes[id]
+	if !f.opts.Off.Has(policy.PeerWord) {
+		return
+	}
 	if !ok || n.health.state(now) != healthy || now.Sub(n.health.heard) < hearsayAfter {
 		return
 	}
@@ -152,6 +157,9 @@
 	if n.health.heard.After(last) {
 		last = n.health.heard
 	}
+	if !f.opts.Off.Has(policy.Silence) {
+		return false
+	}
 	limit := f.Silence(n.Service)
 	if n.health.hearsay {
 		limit /= 2 // two have noticed it
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"arbutusramp/core/policy"
+)
 
 const (
 	// paceWeight is the weight of a new observation in the means of how a service answers: they follow a change within some
@@ -51,7 +55,7 @@
 // suspect all the time; where events come every 20 ms a dark target gets requests for longer than need be.
 func (f *Fleet) Silence(service string) time.Duration {
 	p := f.paces[service]
-	if p.first == 0 || p.gap == 0 {
+	if p.first == 0 || p.gap == 0 || !f.opts.Off.Has(policy.LearnedSilence) {
 		return silenceLimit
 	}
 	return min(mostSilence, max(leastSilence, silentGaps*p.gap, silentFirsts*p.first))
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -9,7 +9,11 @@
 // at once, too.
 package shed
 
-import "time"
+import (
+	"time"
+
+	"arbutusramp/core/policy"
+)
 
 const (
 	// waitShare is how much of its goal a request may wait for a slot: the rest is for reading its prompt, 50 to
@@ -91,6 +95,9 @@
 
 // Door decides on the requests of one service at one gateway. It does no I/O and is not safe for concurrent use.
 type Door struct {
+	// Off are the mechanisms that are switched off.
+	Off policy.Off
+
 	appointed time.Time     // the last time to come back that was given
 	given     uint64        // times to come back that were given
 	held      []*Ticket     // in the order of arrival
@@ -103,8 +110,10 @@
 	switch {
 	case r.Goal == 0 || r.Wait <= r.inTime():
 		return Decision{Verdict: Send}
-	case r.first():
+	case r.first() && d.Off.Has(policy.ComeBack):
 		return Decision{Verdict: ComeBack, After: d.appoint(now, r)}
+	case r.first() || !d.Off.Has(policy.Hold):
+		return Decision{Verdict: Send}
 	case len(d.held) >= d.limit(now, r):
 		return Decision{Verdict: Refuse}
 	}
@@ -121,6 +130,9 @@
 func (d *Door) appoint(now time.Time, r Request) time.Duration {
 	latest := r.Left / LeftShare
 	soonest := min(latest, max(r.Wait, time.Duration(awayHolds*float64(r.Hold))))
+	if !d.Off.Has(policy.Appointments) {
+		return soonest
+	}
 	at := now.Add(soonest)
 	if r.Pace > 0 {
 		if next := d.appointed.Add(time.Duration(float64(time.Second) / r.Pace)); next.After(at) {
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -54,6 +54,7 @@
 		m.pace.Done(t.job.Route, t.made(), t.item().Tokens)
 	}
 	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
+	m.scheduler.noteSettled()
 	if v == failed {
 		m.saveFailure(t)
 	}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/logging"
@@ -33,6 +34,8 @@
 	MinTTL time.Duration
 	// Keep is how long a job stays readable after it was handed in, at the least.
 	Keep time.Duration
+	// Off are the mechanisms that are switched off.
+	Off policy.Off
 }
 
 // Manager keeps batch jobs. Locks are taken in this order, and none of those before one of them is
--- a/internal/backlog/order.go
+++ b/internal/backlog/order.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/core/backlog"
+	"arbutusramp/core/policy"
 )
 
 // ranked is a task with its place in the order of starts.
@@ -27,5 +28,8 @@
 }
 
 func (d *scheduler) key(t *task, now time.Time) int64 {
+	if !d.m.opts.Off.Has(policy.InTimeFirst) {
+		return backlog.StartKey(time.UnixMilli(0), t.due(), 0, t.job.Rank)
+	}
 	return backlog.StartKey(now, t.due(), d.m.pace.Left(t.job.Route, t.item().Tokens, t.made()), t.job.Rank)
 }
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
 )
@@ -41,10 +42,12 @@
 	lease  time.Time              // shards are this process's until then
 	closed bool
 	runs   sync.WaitGroup
+	// settled gets a token when a run is over and what it means for its item is known.
+	settled chan struct{}
 }
 
 func newScheduler(m *Manager) *scheduler {
-	return &scheduler{m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task)}
+	return &scheduler{m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task), settled: make(chan struct{}, 1)}
 }
 
 // leaseUntil notes until when the store deals nobody else this process's shards.
@@ -109,7 +112,7 @@
 	records := d.drops
 	d.drops = nil
 	for _, t := range d.tasks {
-		if !t.dueForCheckpoint() {
+		if !d.m.opts.Off.Has(policy.Checkpoints) || !t.dueForCheckpoint() {
 			continue
 		}
 		saved := d.m.progressOf(t)
@@ -163,6 +166,7 @@
 			return nil
 		case <-news:
 		case <-d.m.view.Freed():
+		case <-d.settled:
 		case <-look.C:
 		}
 	}
@@ -182,6 +186,14 @@
 	return w.Items
 }
 
+// noteSettled wakes the scheduler after a run. The slot that has come free wakes it, too, but maybe before the item can go on.
+func (d *scheduler) noteSettled() {
+	select {
+	case d.settled <- struct{}{}:
+	default:
+	}
+}
+
 // pausing says whether an item waits for the end of a short pause: nothing else wakes the scheduler then.
 func (d *scheduler) pausing() bool {
 	soon := time.Now().Add(idleLook)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -7,6 +7,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/shed"
 	"arbutusramp/core/sleep"
 )
@@ -26,11 +27,12 @@
 
 // doors are those of all services.
 type doors struct {
+	off       policy.Off
 	mu        sync.Mutex
 	byService map[string]*door
 }
 
-func newDoors() *doors { return &doors{byService: make(map[string]*door)} }
+func newDoors(off policy.Off) *doors { return &doors{off: off, byService: make(map[string]*door)} }
 
 func (d *doors) of(service string) *door {
 	d.mu.Lock()
@@ -40,7 +42,7 @@
 		if len(d.byService) >= maxDoors {
 			clear(d.byService)
 		}
-		got = &door{}
+		got = &door{Door: shed.Door{Off: d.off}}
 		d.byService[service] = got
 	}
 	return got
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/shed"
 	"arbutusramp/internal/fleetview"
@@ -47,10 +48,10 @@
 	Age() time.Duration
 }
 
-// New returns a gateway that sends to the targets of view.
-func New(targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
+// New returns a gateway that sends to the targets of view, with some mechanisms switched off.
+func New(off policy.Off, targets platform.TargetCaller, view *fleetview.View, beliefs Beliefs, log hclog.Logger, reg metrics.Registry) *Gateway {
 	return &Gateway{targets: targets, view: view, beliefs: beliefs, log: log, served: logging.NewRoutine(log), sent: logging.NewRoutine(log),
-		shedLog: logging.NewRoutine(log), reg: reg, patience: shed.NewPatience(), doors: newDoors()}
+		shedLog: logging.NewRoutine(log), reg: reg, patience: shed.NewPatience(), doors: newDoors(off)}
 }
 
 // exchange is one request on its way.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -48,7 +48,7 @@
 	for i := range targets {
 		b.view.Put([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	b.gw = New(b, b.view, b, hclog.NewNullLogger(), metrics.NewRegistry())
+	b.gw = New(nil, b, b.view, b, hclog.NewNullLogger(), metrics.NewRegistry())
 	return b
 }
 
@@ -283,7 +283,7 @@
 			}
 			return whole(200, "ok", nil)(nil, platform.TargetCall{})
 		})
-		b.gw = New(b, b.view, b, hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true}), metrics.NewRegistry())
+		b.gw = New(nil, b, b.view, b, hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true}), metrics.NewRegistry())
 		b.serve(context.Background(), route(serving.KindSafe, 2, false), &caller{})
 	})
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
 )
@@ -63,6 +64,7 @@
 type Share struct {
 	self   fleet.Peer
 	domain digest
+	relays bool // reports are passed on in other domains; see receivers
 	view   *fleetview.View
 	// detours says whether this process's own way to the store is lost.
 	detours func() bool
@@ -77,7 +79,7 @@
 
 // New listens at addr (IP:port) for a process of that name in that failure domain. detours is asked, once Run is called, whether this process's own way to the
 // store is lost.
-func New(addr string, self fleet.Peer, domain string, view *fleetview.View, detours func() bool, log hclog.Logger) (*Share, error) {
+func New(addr string, self fleet.Peer, domain string, off policy.Off, view *fleetview.View, detours func() bool, log hclog.Logger) (*Share, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "address for peers")
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	return &Share{self: self, domain: digestOf(domain), view: view, detours: detours, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
+	return &Share{self: self, domain: digestOf(domain), relays: off.Has(policy.Relays), view: view, detours: detours, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
 }
 
 // Addr is where peers send to.
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -18,7 +18,7 @@
 	t.Helper()
 	v := fleetview.New(fleet.Options{Self: self, PeerTTL: PeerTTL})
 	v.Put([]serving.Target{{ID: "t", Service: "s", Slots: 1}}, nil)
-	s, err := New("127.0.0.1:0", self, "d", v, func() bool { return false }, hclog.NewNullLogger())
+	s, err := New("127.0.0.1:0", self, "d", nil, v, func() bool { return false }, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loadshare/receivers.go
+++ b/internal/loadshare/receivers.go
@@ -31,7 +31,7 @@
 		case silent > forgetAfter:
 			delete(s.peers, ap)
 		case silent > quietAfter && now.Sub(p.sent) < quietGap:
-		case p.name != "" && p.domain != s.domain && silent < PeerTTL:
+		case s.relays && p.name != "" && p.domain != s.domain && silent < PeerTTL:
 			others[p.domain] = append(others[p.domain], ap)
 		default:
 			p.sent = now
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -77,23 +77,23 @@
 	targets := runner.New()
 	view := fleetview.New(fleet.Options{
 		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
-		StartSpare: startSpare, KeepSpare: keepSpare, PeerTTL: loadshare.PeerTTL,
+		StartSpare: startSpare, KeepSpare: keepSpare, PeerTTL: loadshare.PeerTTL, Off: s.Off,
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
 	if err := g.reachStore(client, fleet.Peer(self)); err != nil {
 		return nil, err
 	}
 	g.watch = watch.New(directory.New(g.paths), view, logger.Named("watch"))
-	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep},
+	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, Off: s.Off},
 		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
-	online := gateway.New(targets, view, g.watch, logger.Named("online"), reg)
+	online := gateway.New(s.Off, targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
 	g.peers = &peerDirectory{store: g.paths, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
 	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load})
-	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards)
+	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
 
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/policy"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/storepath"
 	"arbutusramp/internal/telemetry"
@@ -29,7 +30,11 @@
 	if err != nil {
 		return err
 	}
-	g.paths = storepath.New(client, g.share, g.log.Named("store"), g.reg)
+	var others storepath.Peers = g.share
+	if !g.set.Off.Has(policy.StorePeers) {
+		others = storepath.NoPeers{}
+	}
+	g.paths = storepath.New(client, others, g.log.Named("store"), g.reg)
 	g.serve(on, storepath.NewRelay(client, log))
 	return nil
 }
@@ -50,7 +55,7 @@
 		if on, err = net.Listen("tcp", g.set.PeerAddr); err != nil {
 			return nil, errors.Wrap(err, "listen for peers")
 		}
-		if g.share, err = loadshare.New(on.Addr().String(), self, string(g.set.Host.Domain), g.view, detours, log); err == nil {
+		if g.share, err = loadshare.New(on.Addr().String(), self, string(g.set.Host.Domain), g.set.Off, g.view, detours, log); err == nil {
 			return on, nil
 		}
 		if closeErr := on.Close(); closeErr != nil {
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -1,6 +1,11 @@
 package settings
 
-import "time"
+import (
+	"strings"
+	"time"
+
+	"arbutusramp/core/policy"
+)
 
 // Gateway is the settings of one gateway process.
 type Gateway struct {
@@ -16,6 +21,7 @@
 	Shards    int           // partitions of a topic of the store, which are the shards of the backlog
 	MinTTL    time.Duration // shortest lease that the store grants a member of a group
 	Keep      time.Duration // how long a job stays readable after it was handed in
+	Off       policy.Off    // mechanisms of deciding that are switched off
 	Grace     time.Duration // from the signal to stop until the platform kills the process
 }
 
@@ -61,8 +67,31 @@
 		{section: "backlog", key: "keep", unit: "duration", def: "2m",
 			field: duration(time.Second, 30*day, func(g *Gateway) *time.Duration { return &g.Keep }),
 			doc:   "how long a batch job stays readable after it was handed in, at the least; while it has unfinished items it stays longer"},
+		{section: "policies", key: "off", unit: "names", def: "",
+			field: policies(func(g *Gateway) *policy.Off { return &g.Off }),
+			doc:   "mechanisms of deciding that are switched off, to measure what they are worth; none in production"},
 		{section: "stop", key: "grace", unit: "duration", def: "8s",
 			field: duration(time.Second, time.Hour, func(g *Gateway) *time.Duration { return &g.Grace }),
 			doc:   "from the signal to stop until the process is killed"},
 	}
 }
+
+// policies reads names of mechanisms separated by commas.
+func policies[T any](get func(*T) *policy.Off) field[T] {
+	return field[T]{
+		value:   func(t *T) any { return *get(t) },
+		allowed: policy.Names(),
+		set: func(t *T, value string) error {
+			var names []string
+			for part := range strings.SplitSeq(value, ",") {
+				names = append(names, strings.TrimSpace(part))
+			}
+			off, err := policy.Parse(names)
+			if err != nil {
+				return err
+			}
+			*get(t) = off
+			return nil
+		},
+	}
+}
--- a/internal/storepath/paths.go
+++ b/internal/storepath/paths.go
@@ -39,6 +39,12 @@
 	Reaching() []string
 }
 
+// NoPeers finds none: a process that has lost the store waits until it is back.
+type NoPeers struct{}
+
+// Reaching implements Peers.
+func (NoPeers) Reaching() []string { return nil }
+
 // Paths is the store as reached directly or through peers. It implements platform.Store.
 type Paths struct {
 	direct platform.Store
