--- a/internal/command/ctl_explain.go
+++ b/internal/command/ctl_explain.go
@@ -11,41 +11,64 @@
 	"github.com/google/subcommands"
 )
 
-type explainCmd struct{}
+type explainCmd struct{ summary bool }
 
 func (*explainCmd) Name() string     { return "explain" }
 func (*explainCmd) Synopsis() string { return "tell the story of a request, job or item from logs" }
 func (*explainCmd) Usage() string {
-	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them.\n"
+	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them.\n" +
+		"explain -summary FILE...\n  Counts what became of all requests, jobs and items of the logs.\n"
+}
+func (c *explainCmd) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.summary, "summary", false, "count what became of all requests, jobs and items")
 }
-func (*explainCmd) SetFlags(*flag.FlagSet) {}
 
 func (c *explainCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.summary && f.NArg() > 0 {
+		return exit(explainAll(f.Args()))
+	}
 	if f.NArg() < 2 {
-		return usage("arbutusctl explain ID FILE...")
+		return usage("arbutusctl explain ID FILE... or explain -summary FILE...")
 	}
 	return exit(explainID(f.Arg(0), f.Args()[1:]))
 }
 
+func explainAll(paths []string) error {
+	lines, err := readLogs(paths)
+	if err != nil {
+		return err
+	}
+	return explain.Summarize(lines).PrintSummary(os.Stdout)
+}
+
 func explainID(id string, paths []string) error {
+	lines, err := readLogs(paths)
+	if err != nil {
+		return err
+	}
+	story := explain.Story(id, lines)
+	if len(story) == 0 {
+		return errs.New(errs.NotFound, fmt.Sprintf("no line about %q in %d lines", id, len(lines)))
+	}
+	return explain.Print(os.Stdout, story)
+}
+
+// readLogs reads the lines of all files. Errors: errs.NotFound, those of reading.
+func readLogs(paths []string) ([]explain.Line, error) {
 	var lines []explain.Line
 	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
-			return errs.Newf(errs.NotFound, "log: %v", err)
+			return nil, errs.Newf(errs.NotFound, "log: %v", err)
 		}
 		read, err := explain.Read(path, file)
 		if closeErr := file.Close(); err == nil {
 			err = closeErr
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
-	story := explain.Story(id, lines)
-	if len(story) == 0 {
-		return errs.New(errs.NotFound, fmt.Sprintf("no line about %q in %d lines", id, len(lines)))
-	}
-	return explain.Print(os.Stdout, story)
+	return lines, nil
 }
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -8,6 +8,7 @@
 
 	"arbutusramp/core/backlog"
 	corefleet "arbutusramp/core/fleet"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/shed"
 	"arbutusramp/core/structs"
 )
@@ -52,10 +53,6 @@
 
 // serve takes a stream: it is sent to an engine, its caller is sent away, or it is held.
 func (g *gateway) serve(s *stream) {
-	if !g.sim.policy.ComeBack {
-		g.send(s)
-		return
-	}
 	d := g.door.Arrive(g.sim.clock.now, g.outlook(s))
 	switch d.Verdict {
 	case shed.Send:
@@ -179,7 +176,7 @@
 // key is an item's place in the order of starts.
 func (g *gateway) key(it *item) int64 {
 	due := it.due.UnixMilli()
-	if !g.sim.policy.InTimeFirst {
+	if !g.sim.policy.Off.Has(policy.InTimeFirst) {
 		return due
 	}
 	left := g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
@@ -202,9 +199,7 @@
 func (g *gateway) tell() {
 	g.dirty = false
 	g.told = g.sim.clock.now
-	if g.sim.policy.Turns {
-		g.view.SetWant(g.want())
-	}
+	g.view.SetWant(g.want())
 	report := g.view.Report(g.sim.clock.now)
 	for _, peer := range g.sim.gateways {
 		if peer == g {
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/policy"
 )
 
 // Policy is one way of sharing the engines between streams and batch items.
@@ -11,22 +12,19 @@
 	Name string
 	// Spare slots stay free at each engine after an item has started there.
 	Spare int
-	// Turns has the gateways start items in turns. Without them all start one in the same free slot.
-	Turns bool
-	// ComeBack sends callers away who would be late.
-	ComeBack bool
-	// InTimeFirst puts items that can't be in time behind those that can; without it the one that is due first starts first.
-	InTimeFirst bool
+	// Off are the product's mechanisms that are switched off.
+	Off policy.Off
 }
 
 // Policies returns those that are compared: the product's and what was tried before it.
 func Policies() []Policy {
+	admitAll := policy.Off{policy.ComeBack: true, policy.Hold: true, policy.InTimeFirst: true}
 	return []Policy{
-		{Name: "two spare slots", Spare: 2, Turns: true},
-		{Name: "no turns"},
-		{Name: "all admitted", Turns: true},
-		{Name: "due first", Turns: true, ComeBack: true},
-		{Name: "product", Turns: true, ComeBack: true, InTimeFirst: true},
+		{Name: "two spare slots", Spare: 2, Off: admitAll},
+		{Name: "no turns", Off: policy.Off{policy.ComeBack: true, policy.Hold: true, policy.InTimeFirst: true, policy.Turns: true}},
+		{Name: "all admitted", Off: admitAll},
+		{Name: "due first", Off: policy.Off{policy.InTimeFirst: true}},
+		{Name: "product"},
 	}
 }
 
@@ -36,6 +34,7 @@
 	Lost                     int           // engines that are gone from the start
 	Seconds                  int           // of arrivals
 	Streams                  float64       // a second, on average over a burst and the time after it
+	Burst                    float64       // times the usual traffic, for a tenth of the time from its middle on; 0 is none
 	Jobs                     float64       // a second
 	JobItems                 int           // of each job
 	Prompt                   time.Duration // until the first event
--- a/internal/lab/fleet/sim.go
+++ b/internal/lab/fleet/sim.go
@@ -8,6 +8,7 @@
 
 	corefleet "arbutusramp/core/fleet"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/shed"
 )
 
 // service is that of all engines.
@@ -46,8 +47,8 @@
 	}
 	for i := range o.Gateways {
 		name := corefleet.Peer(fmt.Sprintf("g%d", i))
-		view := corefleet.New(corefleet.Options{Self: name, StartSpare: p.Spare, KeepSpare: p.Spare, PeerTTL: peerTTL})
-		s.gateways = append(s.gateways, &gateway{sim: s, name: name, view: view})
+		view := corefleet.New(corefleet.Options{Self: name, StartSpare: p.Spare, KeepSpare: p.Spare, PeerTTL: peerTTL, Off: p.Off})
+		s.gateways = append(s.gateways, &gateway{sim: s, name: name, view: view, door: shed.Door{Off: p.Off}})
 	}
 	for i := range o.Engines - o.Lost {
 		id := fmt.Sprintf("e%d", i)
@@ -97,6 +98,10 @@
 	if at%burstEvery < burstFor {
 		rate = s.options.Streams * burstFactor
 	}
+	all := time.Duration(s.options.Seconds) * time.Second
+	if s.options.Burst > 0 && at >= all/2 && at < all/2+all/10 {
+		rate *= s.options.Burst
+	}
 	return s.exp(rate)
 }
 
