--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -18,8 +18,6 @@
 	ComeBack Name = "come-back"
 	// Hold keeps those who were sent away before until there is room; off, they are sent on.
 	Hold Name = "hold"
-	// Appointments spreads the times to come back; off, all are told the soonest.
-	Appointments Name = "appointments"
 	// GiveWay cuts off batch items whose slots online requests need; off, these wait.
 	GiveWay Name = "give-way"
 	// Turns has gateways start batch items in turns; off, all start one in the same free slot.
@@ -47,7 +45,7 @@
 // All returns the names of all mechanisms.
 func All() []Name {
 	return []Name{
-		ComeBack, Hold, Appointments, GiveWay, Turns, InTimeFirst, OwnDomain, PeerLoads, PeerWord, Silence, LearnedSilence,
+		ComeBack, Hold, GiveWay, Turns, InTimeFirst, OwnDomain, PeerLoads, PeerWord, Silence, LearnedSilence,
 		Checkpoints, StorePeers, Relays,
 	}
 }
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -66,6 +66,12 @@
 	return time.Duration(stayShare * float64(stay))
 }
 
+// away is when its caller should come back: once a slot is expected to be free, not sooner than engines have become free, and no
+// later than callers honour. Times of callers who came one after the other are as far apart as these were.
+func (r Request) away() time.Duration {
+	return min(r.Left/LeftShare, max(r.Wait, time.Duration(awayHolds*float64(r.Hold))))
+}
+
 // Verdict is what becomes of a request.
 type Verdict uint8
 
@@ -98,11 +104,9 @@
 	// Off are the mechanisms that are switched off.
 	Off policy.Off
 
-	appointed time.Time     // the last time to come back that was given
-	given     uint64        // times to come back that were given
-	held      []*Ticket     // in the order of arrival
-	gap       time.Duration // mean time between two held requests that go on; 0 is not known
-	wentOn    time.Time     // when the last one went on, or the first of those that are held came
+	held   []*Ticket     // in the order of arrival
+	gap    time.Duration // mean time between two held requests that go on; 0 is not known
+	wentOn time.Time     // when the last one went on, or the first of those that are held came
 }
 
 // Arrive decides on a request that has just come.
@@ -111,7 +115,7 @@
 	case r.Goal == 0 || r.Wait <= r.inTime():
 		return Decision{Verdict: Send}
 	case r.first() && d.Off.Has(policy.ComeBack):
-		return Decision{Verdict: ComeBack, After: d.appoint(now, r)}
+		return Decision{Verdict: ComeBack, After: r.away()}
 	case r.first() || !d.Off.Has(policy.Hold):
 		return Decision{Verdict: Send}
 	case len(d.held) >= d.limit(now, r):
@@ -125,37 +129,6 @@
 	return Decision{Verdict: Hold, Ticket: t}
 }
 
-// appoint gives the caller of r a time to come back: one after the other at this gateway's pace, so that those
-// who return do not meet again, and as long after as callers honour at the most.
-func (d *Door) appoint(now time.Time, r Request) time.Duration {
-	latest := r.Left / LeftShare
-	soonest := min(latest, max(r.Wait, time.Duration(awayHolds*float64(r.Hold))))
-	if !d.Off.Has(policy.Appointments) {
-		return soonest
-	}
-	at := now.Add(soonest)
-	if r.Pace > 0 {
-		if next := d.appointed.Add(time.Duration(float64(time.Second) / r.Pace)); next.After(at) {
-			at = next
-		}
-	}
-	d.given++
-	if at.Sub(now) > latest {
-		// No time is left that nobody has: they are spread over all that callers honour.
-		return soonest + time.Duration(spread(d.given)*float64(latest-soonest))
-	}
-	d.appointed = at
-	return at.Sub(now)
-}
-
-// golden spreads numbers evenly over [0, 1), however many there are.
-const golden = 0.6180339887498949
-
-func spread(n uint64) float64 {
-	x := float64(n) * golden
-	return x - float64(uint64(x))
-}
-
 // limit is how many requests may be held: as many as are expected to go on while their callers stay.
 func (d *Door) limit(now time.Time, r Request) int {
 	return max(1, int(d.rate(now, r.Pace)*r.stays().Seconds()))
--- a/internal/lab/fleet/ablate.go
+++ b/internal/lab/fleet/ablate.go
@@ -22,7 +22,7 @@
 // Simulated returns the mechanisms that make a difference in the model: it has no failures, no store and no domains.
 func Simulated() []policy.Name {
 	return []policy.Name{
-		policy.ComeBack, policy.Hold, policy.Appointments, policy.GiveWay, policy.Turns, policy.InTimeFirst, policy.PeerLoads,
+		policy.ComeBack, policy.Hold, policy.GiveWay, policy.Turns, policy.InTimeFirst, policy.PeerLoads,
 	}
 }
 
