--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -77,8 +77,11 @@
 // is over only with that: a task that is not running and not over is started again.
 func (t *task) settle(target string, v verdict) (preempted bool) {
 	end, preempted := t.conclude(target, v)
-	if end != nil {
-		t.shard.finish(end)
+	if end != nil && !t.shard.finish(end) {
+		// A process that was frozen reads what its targets have sent meanwhile after it has given its shards up. Dropped, the end
+		// would have the next owner run the whole item again.
+		t.shard.m.log.Info("end handed over", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch, "outcome", end.outcome)
+		t.shard.m.saveProgress([]*task{t})
 	}
 	return preempted
 }
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -37,9 +37,11 @@
 	mu    sync.Mutex
 	ready bool // fenced and caught up: its items may run
 	lost  bool // the store has refused a write: a newer owner exists
-	queue []*outcome
-	next  map[string]int  // position of the next result, by job
-	given map[string]bool // items that have got a position here, by job and item
+	// closed shards take no more ends: nobody here would write them.
+	closed bool
+	queue  []*outcome
+	next   map[string]int  // position of the next result, by job
+	given  map[string]bool // items that have got a position here, by job and item
 	// open is the write that has been sent and is not known to be done; it is repeated as it is.
 	open  []platform.KeyedRecord
 	openN int // ends that it holds
@@ -68,6 +70,7 @@
 	}
 	s.stop = func() {
 		cancel()
+		s.close()
 		m.scheduler.giveUpShard(s)
 	}
 	go s.run(ctx)
@@ -165,25 +168,36 @@
 	}
 	s.m.log.Warn("shard lost", "shard", s.index, "epoch", s.epoch)
 	s.mu.Lock()
-	s.lost = true
+	s.lost, s.closed = true, true
 	s.queue = nil
 	s.mu.Unlock()
 	s.m.scheduler.giveUpShard(s)
 	return true
 }
 
-// finish takes an item's end for the next write.
-func (s *shard) finish(o *outcome) {
+// close has the shard take no more ends.
+func (s *shard) close() {
 	s.mu.Lock()
-	o.known = time.Now()
-	if !s.lost {
-		s.queue = append(s.queue, o)
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// finish takes an item's end for the next write. It reports whether it has: the end of an item whose shard is given up must go to
+// the next owner.
+func (s *shard) finish(o *outcome) bool {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return false
 	}
+	o.known = time.Now()
+	s.queue = append(s.queue, o)
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // flush writes the ends that wait, as many as fit into one append. It reports whether it should
