--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -21,7 +21,7 @@
 // Times of the verdict.
 const (
 	// silenceLimit is how long a target that has work may send nothing at all before it is
-	// suspect, while it is not known how its service answers; see silence.
+	// suspect, while it is not known how its service answers; see Silence.
 	silenceLimit = 450 * time.Millisecond
 	// suspectBase and suspectMax bound how long a suspect target gets nothing; the time
 	// doubles with each failure in a row.
@@ -100,10 +100,10 @@
 // requests until then. It is noticed as streams that are late by half a second at all gateways after the loss of one target.
 func (f *Fleet) warned(now time.Time, id string) {
 	n, ok := f.nodes[id]
-	if !f.opts.Off.Has(policy.PeerWord) {
+	if !f.opts.Off.Has(policy.PeerWord) || !ok {
 		return
 	}
-	if !ok || n.health.state(now) != healthy || now.Sub(n.health.heard) < hearsayAfter {
+	if n.health.state(now) != healthy || now.Sub(n.health.heard) < hearsayAfter {
 		return
 	}
 	n.health.failures, n.health.hearsay = 1, true
--- a/internal/backlog/guard.go
+++ b/internal/backlog/guard.go
@@ -41,7 +41,7 @@
 			cancel()
 			return
 		}
-		if time.Since(last) > itemSilence+g.run.QueueWait() {
+		if time.Since(last) > max(itemSilence, 2*g.run.Silence())+g.run.QueueWait() {
 			cancel()
 			return
 		}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -18,7 +18,7 @@
 const (
 	// itemSilence is how long an item's stream may stand still before the item goes on
 	// elsewhere. A stream may wait in its target's queue, so this is longer than for a target
-	// that sends nothing to anybody.
+	// that sends nothing to anybody, and at least twice as long as targets that work may be silent.
 	itemSilence = 1500 * time.Millisecond
 	// silenceLook is how often that is looked at.
 	silenceLook = 100 * time.Millisecond
