--- a/internal/backlog/load_test.go
+++ b/internal/backlog/load_test.go
@@ -11,6 +11,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -68,10 +69,12 @@
 			}()
 		}
 		var last time.Duration
+		timeout := sleep.NewTimer(2 * herdNeeds)
+		defer timeout.Stop()
 		for i := range herdSize {
 			select {
 			case last = <-loaded:
-			case <-time.After(2*herdNeeds - time.Since(began)):
+			case <-timeout.C:
 				t.Fatalf("%d of %d processes have loaded the backlog after %v; it can be sent to all within %v", i, herdSize, 2*herdNeeds, herdNeeds)
 			}
 		}
