--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -142,11 +142,13 @@
 	return s.judge(ctx, s.append(ctx))
 }
 
-// append sends the job's append once.
+// append sends the job's append once. The condition is a copy: a call that is given up may still be under way when the next one
+// is made, and must not be done under the next one's condition.
 func (s *submission) append(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	_, err := s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &s.at})
+	at := s.at
+	_, err := s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records, At: &at})
 	return err
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,18 +32,28 @@
 	gw       *Gateway
 	view     *fleetview.View
 	scripts  []script
+	mu       sync.Mutex
 	sent     []string // target ids, in the order of sends
 	resumed  []string // what each send resumed after
 }
 
 // Send implements platform.TargetCaller: the n-th send follows the n-th script.
 func (b *bench) Send(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
+	b.mu.Lock()
 	n := len(b.sent)
 	b.sent = append(b.sent, c.Target.ID)
 	b.resumed = append(b.resumed, c.ResumeAfter)
+	b.mu.Unlock()
 	return b.scripts[min(n, len(b.scripts)-1)](ctx, c)
 }
 
+// sentFirst is the target that got the first send.
+func (b *bench) sentFirst() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sent[0]
+}
+
 func newBench(targets int, scripts ...script) *bench {
 	b := &bench{scripts: scripts, deadline: 5 * time.Second, view: fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second})}
 	for i := range targets {
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -55,7 +55,7 @@
 				b := newBench(2, c.scripts...)
 				go func() {
 					time.Sleep(known)
-					b.view.Ended([]string{b.sent[0]})
+					b.view.Ended([]string{b.sentFirst()})
 				}()
 				out := &caller{}
 				b.serve(context.Background(), c.route, out)
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -316,22 +316,29 @@
 			time.Sleep(time.Second)
 		}
 		say(platform.TargetNews{Known: 1, Whole: true, Present: []serving.Target{startOf("a", 1), startOf("b", 1)}})
+		var mu sync.Mutex
 		ended := make(map[string]int)
 		for range 2 {
 			r, ok := v.StartOnline("s", nil)
 			if !ok {
 				t.Fatal("no target")
 			}
-			r.WhenEnded(func() { ended[r.Target.ID]++ })
+			r.WhenEnded(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				ended[r.Target.ID]++
+			})
 			defer r.Done()
 		}
 		say(platform.TargetNews{Known: 2, Present: []serving.Target{startOf("a", 2)}})
 		if got := ids(v); got != "a/2 b/1" {
 			t.Errorf("targets %s", got)
 		}
+		mu.Lock()
 		if ended["a/1"] != 1 || ended["b/1"] != 0 {
 			t.Errorf("runs that were told that their target's start is over: %v", ended)
 		}
+		mu.Unlock()
 		if _, ok := v.Report().Loads["a/2"]; ok {
 			t.Error("the new start has the load of the one before")
 		}
