--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -94,10 +94,15 @@
 }
 
 func run(t *testing.T, f func(d *fakeDirectory, w *Watch, v *fleetview.View)) {
+	runLogging(t, hclog.NewNullLogger(), f)
+}
+
+// runLogging is run with a logger.
+func runLogging(t *testing.T, log hclog.Logger, f func(d *fakeDirectory, w *Watch, v *fleetview.View)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		d, v := &fakeDirectory{}, fleetview.New(fleet.Options{PeerTTL: time.Second})
-		w := New(d, v, hclog.NewNullLogger())
+		w := New(d, v, log)
 		over := make(chan error)
 		go func() { over <- w.Run(ctx) }()
 		f(d, w, v)
@@ -361,9 +366,8 @@
 // Symptom: requests go to a target whose entry has been overwritten by another writer's.
 // Cause: an entry that can't be used was passed over as if nothing had been written.
 func TestAnUnusableEntryTakesItsTargetOff(t *testing.T) {
-	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
-		lines := &lockedBuffer{}
-		w.log = hclog.New(&hclog.LoggerOptions{Output: lines})
+	lines := &lockedBuffer{}
+	runLogging(t, hclog.New(&hclog.LoggerOptions{Output: lines}), func(d *fakeDirectory, _ *Watch, v *fleetview.View) {
 		say := func(news platform.TargetNews) {
 			d.set(func(d *fakeDirectory) { d.targets = append(d.targets, news) })
 			time.Sleep(time.Second)
