Read once more: one mean for what a service shows, one encoding of reports, no method that only tests call

Held kept a mean of its own with the weight and the rule that learn has; reports were encoded with the same three lines in three places; shed.Door.Held was called by tests alone, which look at the list now; a method with one caller is gone. Behaviour as before.

--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// paceWeight is the weight of a new observation in the means of how a service answers: they follow a change within some
-	// dozen events.
+	// paceWeight is the weight of a new observation in the means of how a service answers and how long its requests hold a
+	// slot: they follow a change within some dozen events or requests.
 	paceWeight = 0.05
 	// silentGaps and silentFirsts are how many times longer than usual the next event, or the first one, may take before a
 	// target that sends nothing else either counts as silent. Engines that work on long prompts or many requests pause for
@@ -27,6 +27,7 @@
 	gap   time.Duration // between two events; 0 is not known
 }
 
+// learn takes an observation into a mean; 0 is a mean without any.
 func learn(mean *time.Duration, d time.Duration) {
 	if *mean == 0 {
 		*mean = d
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -2,19 +2,12 @@
 
 import "time"
 
-// holdWeight is the weight of a new request in the mean of how long requests hold a slot: the mean
-// follows a change within some dozen requests.
-const holdWeight = 0.05
-
 // Held notes how long an online request of a service has held its slot. Only those that did not have to wait for one
 // tell it: of the others nobody here knows when they began to run.
 func (f *Fleet) Held(service string, d time.Duration) {
-	mean, ok := f.holds[service]
-	if !ok {
-		f.holds[service] = d
-		return
-	}
-	f.holds[service] = mean + time.Duration(holdWeight*float64(d-mean))
+	mean := f.holds[service]
+	learn(&mean, d)
+	f.holds[service] = mean
 }
 
 // Prospect is what an online request that comes now may expect of a service.
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -186,6 +186,3 @@
 	}
 	d.gap += time.Duration(rateWeight * float64(gap-d.gap))
 }
-
-// Held is how many requests are held.
-func (d *Door) Held() int { return len(d.held) }
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -142,7 +142,7 @@
 	first := d.Arrive(start, back)
 	second := d.Arrive(start, back)
 	d.Leave(start.Add(ms), first.Ticket, false)
-	if d.Held() != 1 || !d.First(second.Ticket) {
-		t.Errorf("%d are held", d.Held())
+	if len(d.held) != 1 || !d.First(second.Ticket) {
+		t.Errorf("%d are held", len(d.held))
 	}
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"arbutusramp/core/errs"
-	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/shed"
 	"arbutusramp/core/sleep"
@@ -72,15 +71,13 @@
 
 // outlook is what the request may expect now.
 func (x *exchange) outlook(full time.Duration) shed.Request {
-	p := x.prospect()
+	p := x.gw.view.Prospect(x.service)
 	return shed.Request{
 		Wait: p.Wait, Hold: p.Hold, Pace: p.Pace, Goal: x.route.Goal,
 		Left: x.callerLeft(), Full: full, Stay: x.route.Stay, Behind: x.route.Behind,
 	}
 }
 
-func (x *exchange) prospect() fleet.Prospect { return x.gw.view.Prospect(x.service) }
-
 // hold keeps the request until there is room for it.
 func (x *exchange) hold(ctx context.Context, d *door, t *shed.Ticket, full time.Duration) error {
 	began := time.Now()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -156,15 +156,10 @@
 		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Want.Items, Due: own.Want.Due,
 		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects),
 	}
-	direct, err := cbor.Marshal(r)
-	if err != nil {
-		s.log.Error("load report can't be encoded", "error", err)
-		return 0
-	}
+	direct := s.encode(r)
 	r.PassOn = true
-	passed, err := cbor.Marshal(r)
-	if err != nil {
-		s.log.Error("load report can't be encoded", "error", err)
+	passed := s.encode(r)
+	if direct == nil || passed == nil {
 		return 0
 	}
 	list := s.receivers(now, seq)
@@ -178,6 +173,16 @@
 	return len(list)
 }
 
+// encode returns a report as it is sent; nil, with a line in the log, if it can't be encoded.
+func (s *Share) encode(r report) []byte {
+	data, err := cbor.Marshal(r)
+	if err != nil {
+		s.log.Error("load report can't be encoded", "from", r.From, "origin", r.Origin.String(), "error", err)
+		return nil
+	}
+	return data
+}
+
 // sendTo sends one datagram. One that can't be sent is lost like others are; the next report follows.
 func (s *Share) sendTo(data []byte, to netip.AddrPort) {
 	_, _ = s.conn.WriteToUDPAddrPort(data, to)
@@ -186,9 +191,8 @@
 // passOn sends another gateway's report to those of the own domain.
 func (s *Share) passOn(r report, origin netip.AddrPort) {
 	r.PassOn, r.Origin = false, origin
-	data, err := cbor.Marshal(r)
-	if err != nil {
-		s.log.Error("load report can't be passed on", "from", origin.String(), "error", err)
+	data := s.encode(r)
+	if data == nil {
 		return
 	}
 	for _, to := range s.domainPeers(time.Now(), origin) {
