Tests that need a port for both kinds, or back after closing it, use one that nobody is handed

Cause, shown by a test: a port that is free for datagrams may be the port of somebody's outgoing connection, and can't be listened at then. Ruled out: a listener left open by hearPeers (the check after it fails on the port of a connection that it never saw).

The same assumption stood in the whole-system tests (a process replaced at its old address) and in four adapters' tests (an address that stays refused): they use the same addresses. The product's own search of a free pair (port 0) takes the connections' port first, and tries ten pairs: no change. Stand-ins of dev and of the lab never come back at an address: no change.

--- a/internal/adapter/hosthttp/hosts_test.go
+++ b/internal/adapter/hosthttp/hosts_test.go
@@ -9,10 +9,11 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/standin/hostlist"
+	"arbutusramp/standin/ownaddr"
 )
 
 func TestChangesShowAfterTheLag(t *testing.T) {
-	s, err := hostlist.Start("127.0.0.1:0", hostlist.Options{
+	s, err := hostlist.Start(ownaddr.New(), hostlist.Options{
 		Hosts: []platform.Host{{ID: "b", State: platform.HostLive}},
 		Lag:   time.Hour,
 	})
--- a/internal/adapter/loghttp/log_test.go
+++ b/internal/adapter/loghttp/log_test.go
@@ -11,11 +11,12 @@
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/standin/logsvc"
+	"arbutusramp/standin/ownaddr"
 )
 
 func start(t *testing.T, o logsvc.Options) (*logsvc.Server, platform.Log) {
 	t.Helper()
-	s, err := logsvc.Start("127.0.0.1:0", o)
+	s, err := logsvc.Start(ownaddr.New(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/adapter/servicehttp/service_test.go
+++ b/internal/adapter/servicehttp/service_test.go
@@ -13,12 +13,13 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/servicehttp"
+	"arbutusramp/standin/ownaddr"
 	"arbutusramp/standin/service"
 )
 
 func start(t testing.TB, o service.Options) (*service.Server, platform.Service) {
 	t.Helper()
-	s, err := service.Start("127.0.0.1:0", o)
+	s, err := service.Start(ownaddr.New(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/adapter/weightshttp/weights_test.go
+++ b/internal/adapter/weightshttp/weights_test.go
@@ -7,11 +7,12 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/weightshttp"
+	"arbutusramp/standin/ownaddr"
 	"arbutusramp/standin/weights"
 )
 
 func TestSize(t *testing.T) {
-	s, err := weights.Start("127.0.0.1:0", weights.Options{Sizes: map[structs.ModelID]int64{"org/m:a": 70}})
+	s, err := weights.Start(ownaddr.New(), weights.Options{Sizes: map[structs.ModelID]int64{"org/m:a": 70}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -14,11 +13,11 @@
 	"arbutusramp/standin/engine"
 	"arbutusramp/standin/hostlist"
 	"arbutusramp/standin/logsvc"
+	"arbutusramp/standin/ownaddr"
 	"arbutusramp/standin/service"
 )
 
 const (
-	loopback      = "127.0.0.1:0"
 	drainTimeout  = 20 * time.Second
 	hostListEvery = 100 * time.Millisecond
 	commitEvery   = 20 * time.Millisecond
@@ -98,33 +97,16 @@
 	return nil
 }
 
-// keep starts a stand-in and notes how it is closed.
+// keep starts a stand-in and notes how it is closed. Its address is its own: one that is down for a while finds its port free
+// when it comes back.
 func keep[O any, S interface{ Close() error }](c *Cluster, start func(string, O) (S, error), o O) (S, error) {
-	s, err := start(standinAddr(), o)
-	for range standinTries {
-		if err == nil {
-			break
-		}
-		s, err = start(standinAddr(), o)
-	}
+	s, err := start(ownaddr.New(), o)
 	if err == nil {
 		c.closers = append(c.closers, s.Close)
 	}
 	return s, err
 }
 
-// Stand-ins listen outside of the range from which systems give out free ports: one that is down
-// for a while would else find its port taken when it comes back.
-const (
-	standinPortLeast, standinPortMost = 20_000, 32_000
-
-	standinTries = 20
-)
-
-func standinAddr() string {
-	return fmt.Sprintf("127.0.0.1:%d", standinPortLeast+rand.IntN(standinPortMost-standinPortLeast))
-}
-
 // domain spreads hosts over the failure domains in turn.
 func (c *Cluster) domain(i int) structs.FailureDomain {
 	return structs.FailureDomain(numbered("domain", i%c.o.Domains))
@@ -172,7 +154,7 @@
 		c.o.SideSettings(&s)
 	}
 	p := &Process{ID: s.Host.ID, Domain: s.Host.Domain, Target: info.ID, c: c, side: s}
-	return p, p.start(loopback)
+	return p, p.start(ownaddr.New())
 }
 
 func (c *Cluster) startEntries() error {
@@ -211,7 +193,7 @@
 	}
 	c.made = max(c.made, i+1)
 	p := &Process{ID: s.Host.ID, Domain: s.Host.Domain, c: c, entry: s}
-	return p, p.start(loopback)
+	return p, p.start(ownaddr.New())
 }
 
 func (c *Cluster) platformURL(from, to structs.HostID, url string) (string, error) {
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -11,6 +11,7 @@
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/side"
+	"arbutusramp/standin/ownaddr"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -118,7 +119,7 @@
 	if p.c.o.Network != nil {
 		p.c.o.Network.Revive(p.ID)
 	}
-	addr := loopback
+	addr := ownaddr.New()
 	if sameAddr {
 		addr = p.addr
 	}
