explain -slots: where the slot-seconds of targets went, from the logs of all gateways

An operator could see how many requests and runs came to what, but not whether slots were lost to starts, to runs made twice or to idling while items waited.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -45,9 +45,12 @@
 func (m *Manager) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
 	from, made := t.lastEvent(), t.made()
 	began := time.Now()
+	m.sent.Info(began, "item sent", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
+		"route", route.Name, "target", r.Choice.String(), "from_event", from)
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
 	took := time.Since(began)
+	first, sinceLast := r.Times()
 	telemetry.Observe(m.reg, runMetric, took)
 	m.pace.Ran(t.job.Route, t.made()-made, took)
 	if v == complete {
@@ -59,7 +62,8 @@
 		m.saveFailure(t)
 	}
 	m.runs.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
-		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", took.Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
+		"route", route.Name, "target", r.Choice.String(), "from_event", from, "to_event", to, "ms", took.Milliseconds(),
+		"first_ms", first.Milliseconds(), "idle_ms", sinceLast.Milliseconds(), "verdict", v.String(), "preempted", preempted, "error", errText(err))
 }
 
 func (v verdict) String() string {
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -47,6 +47,7 @@
 	view      *fleetview.View
 	router    Router
 	log       hclog.Logger
+	sent      *logging.Routine // a line for each run of an item that begins
 	runs      *logging.Routine // a line for each run of an item
 	reg       metrics.Registry
 	replica   *Replica
@@ -61,7 +62,7 @@
 // New returns a manager that knows nothing yet.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
-		opts: o, store: store, targets: targets, view: view, router: router, log: log, runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
 		replica: NewReplica(o.Member, store, view.SetContact, log),
 	}
 	m.scheduler = newScheduler(m)
--- a/internal/command/ctl_explain.go
+++ b/internal/command/ctl_explain.go
@@ -5,30 +5,42 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/internal/explain"
 	"github.com/google/subcommands"
 )
 
-type explainCmd struct{ summary bool }
+type explainCmd struct {
+	summary bool
+	slots   time.Duration
+}
 
 func (*explainCmd) Name() string     { return "explain" }
 func (*explainCmd) Synopsis() string { return "tell the story of a request, job or item from logs" }
 func (*explainCmd) Usage() string {
 	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them.\n" +
-		"explain -summary FILE...\n  Counts what became of all requests, jobs and items of the logs.\n"
+		"explain -summary FILE...\n  Counts what became of all requests, jobs and items of the logs.\n" +
+		"explain -slots 5s FILE...\n  Tells where the slot-seconds of targets with batch work went, in windows of that length.\n"
 }
 func (c *explainCmd) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.summary, "summary", false, "count what became of all requests, jobs and items")
+	f.DurationVar(&c.slots, "slots", 0, "tell where slot-seconds went, in windows of this length")
 }
 
 func (c *explainCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.summary && f.NArg() > 0 {
+	switch {
+	case c.summary && c.slots != 0:
+		return usage("arbutusctl explain: -summary and -slots exclude each other")
+	case c.slots != 0 && c.slots < leastWindow:
+		return usage(fmt.Sprintf("arbutusctl explain: -slots is %v, at least %v are wanted", c.slots, leastWindow))
+	case c.summary && f.NArg() > 0:
 		return exit(explainAll(f.Args()))
-	}
-	if f.NArg() < 2 {
-		return usage("arbutusctl explain ID FILE... or explain -summary FILE...")
+	case c.slots != 0 && f.NArg() > 0:
+		return exit(explainSlots(f.Args(), c.slots))
+	case c.summary || c.slots != 0 || f.NArg() < 2:
+		return usage("arbutusctl explain ID FILE..., explain -summary FILE... or explain -slots 5s FILE...")
 	}
 	return exit(explainID(f.Arg(0), f.Args()[1:]))
 }
@@ -41,6 +53,21 @@
 	return explain.Summarize(lines).PrintSummary(os.Stdout)
 }
 
+// leastWindow is the shortest window of an account of slots: runs last seconds.
+const leastWindow = 100 * time.Millisecond
+
+func explainSlots(paths []string, window time.Duration) error {
+	lines, err := readLogs(paths)
+	if err != nil {
+		return err
+	}
+	account, err := explain.AccountSlots(lines, window)
+	if err != nil {
+		return err
+	}
+	return account.Print(os.Stdout)
+}
+
 func explainID(id string, paths []string) error {
 	lines, err := readLogs(paths)
 	if err != nil {
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -18,7 +18,8 @@
 
 	view    *View
 	began   time.Time
-	event   time.Time // of the last event; zero before the first
+	first   time.Time // of the first event; zero before it
+	event   time.Time // of the last event
 	class   structs.Class
 	rank    int    // of batch runs
 	preempt func() // of batch runs
@@ -110,14 +111,29 @@
 	now := time.Now()
 	v.fleet.Heard(now, r.Target.ID)
 	switch {
-	case !r.event.IsZero():
+	case !r.first.IsZero():
 		v.fleet.NextEvent(r.Target.Service, now.Sub(r.event))
 	case !r.Choice.Waits():
 		v.fleet.FirstEvent(r.Target.Service, now.Sub(r.began))
 	}
+	if r.first.IsZero() {
+		r.first = now
+	}
 	r.event = now
 }
 
+// Times says, of a run that is over, how long it took until its first event and how long ago its last one was; both are the whole run
+// if it has made none.
+func (r *Run) Times() (first, sinceLast time.Duration) {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	if r.first.IsZero() {
+		whole := time.Since(r.began)
+		return whole, whole
+	}
+	return r.first.Sub(r.began), time.Since(r.event)
+}
+
 // Silence is how long a working target of the run's service may send nothing.
 func (r *Run) Silence() time.Duration {
 	r.view.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 	args := []any{
 		"request", x.req.ID, "route", x.route.Name, "config", x.gw.beliefs.Version(),
 		"config_age_ms", x.gw.beliefs.Age().Milliseconds(), "service", x.service, "targets", x.choices,
-		"may_have_run", x.mayHaveRun, "held_ms", x.stages.held.Milliseconds(), "outcome", outcome, "ms", took.Milliseconds(),
+		"may_have_run", x.mayHaveRun, "held_ms", x.stages.held.Milliseconds(), "first_ms", x.stages.firstAfter().Milliseconds(), "outcome", outcome, "ms", took.Milliseconds(),
 	}
 	if err == nil {
 		x.gw.served.Info(now, "request", args...)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -10,6 +10,7 @@
 type stages struct {
 	held  time.Duration // before it was sent, for want of room
 	sent  time.Time     // to its first target
+	last  time.Time     // to the target that has answered
 	first time.Time     // the caller got the first part of an answer
 }
 
@@ -18,6 +19,9 @@
 	if s.sent.IsZero() {
 		s.sent = now
 	}
+	if s.first.IsZero() {
+		s.last = now
+	}
 }
 
 // noteFirst is called as an answer begins.
@@ -27,6 +31,14 @@
 	}
 }
 
+// firstAfter is how long the first part of an answer took from when the request was last sent; 0 without one.
+func (s *stages) firstAfter() time.Duration {
+	if s.first.IsZero() {
+		return 0
+	}
+	return s.first.Sub(s.last)
+}
+
 // observe adds the request's times to the histograms of its kind, in the registry: the whole, and those of the stages that it
 // has reached. A target that queues shows in first_ms, a slow caller or pauses of the target in relay_ms.
 func (x *exchange) observe(now time.Time) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -188,7 +188,7 @@
 	w.view.Put(c.put, c.gone)
 	w.view.Ended(c.ended)
 	for _, t := range c.put {
-		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "domain", t.Domain, "draining", t.Draining)
+		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.Draining)
 	}
 	for _, id := range c.gone {
 		w.log.Info("target gone", "target", id, "restarted", slices.Contains(c.ended, id))
