--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -68,7 +68,6 @@
 		&ablateCmd{},
 		&onlineCmd{},
 		&configCmd{},
-		&slopesCmd{},
 		&faultsCmd{},
 	}}
 }
