Texts of results lie apart, under keys that carry their sum

Found on the large deployment: 88 gateways read each result with its text: half of the store's bandwidth in calm times, and after the loss of all they want 15 MB each of a store that sends 80 MB a second, so that for some 16 s no shard runs and no result is shown.

Cause, as a test that is red with the old key: a text is written before its result, without a fence, by whoever ran the item, and its key named the item alone. The key now has the text's sum, which stands in the result's record. Ruled out by reading: two owners in one epoch, a position listed twice.

With few gateways texts stand in their results as before.

--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -158,7 +158,7 @@
 	page := Page{Total: len(st.job.Items), Next: from}
 	size := 0
 	for i := from; i < s.Listed(id); i++ {
-		size += len(st.results[i].Text)
+		size += len(st.results[i].Text) + st.results[i].Size
 		if i > from && size > maxBytes {
 			break
 		}
@@ -231,28 +231,33 @@
 	}
 }
 
+// Forgotten are the records that drop a job and all that belongs to it, by the partitions that hold them.
+type Forgotten struct{ Jobs, Results, Texts []platform.KeyedRecord }
+
 // Forget returns the records that drop a job and all that belongs to it.
-func (s *State) Forget(id string) (jobs, results []platform.KeyedRecord, err error) {
+func (s *State) Forget(id string) (Forgotten, error) {
 	st, ok := s.jobs[id]
 	if !ok || st.job == nil {
-		return nil, nil, nil
+		return Forgotten{}, nil
 	}
-	jobs, err = EncodeJob(st.job)
+	jobs, err := EncodeJob(st.job)
 	if err != nil {
-		return nil, nil, err
+		return Forgotten{}, err
 	}
+	f := Forgotten{Jobs: Drop(jobs)}
 	for _, r := range st.results {
 		if r == nil {
 			continue
 		}
 		records, err := EncodeResult(r)
 		if err != nil {
-			return nil, nil, err
+			return Forgotten{}, err
 		}
-		results = append(results, Drop(records)...)
+		f.Results = append(f.Results, Drop(records)...)
+		f.Texts = append(f.Texts, r.dropText()...)
 	}
 	if st.ended {
-		jobs = append(jobs, platform.KeyedRecord{Key: join(kindEnd, id)})
+		f.Jobs = append(f.Jobs, platform.KeyedRecord{Key: join(kindEnd, id)})
 	}
-	return Drop(jobs), results, nil
+	return f, nil
 }
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -119,7 +119,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, r := range append(story(t), end...) {
+	text := Text{Job: "job", Index: 2, Text: strings.Repeat("x", 3*chunkBytes)}
+	texts, err := EncodeText(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range texts { // they lie in a partition of their own
+		keys[r.Key] = true
+	}
+	listed, err := EncodeResult(&Result{Job: "job", Position: 2, Item: "i2", Index: 2, Outcome: Complete, Size: len(text.Text), Sum: Sum(text.Text)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range append(append(story(t), end...), listed...) {
 		if !strings.HasPrefix(r.Key, kindProgress) { // dropped by whoever wrote it
 			keys[r.Key] = true
 		}
@@ -127,15 +139,18 @@
 			t.Fatal(err)
 		}
 	}
-	jobs, results, err := s.Forget("job")
+	f, err := s.Forget("job")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, r := range append(results, jobs...) {
+	for _, r := range append(append(f.Texts, f.Results...), f.Jobs...) {
 		delete(keys, r.Key)
 		if len(r.Value) != 0 {
 			t.Errorf("key %s is written, not dropped", r.Key)
 		}
+		if strings.HasPrefix(r.Key, kindText) {
+			continue
+		}
 		if err := s.Apply(r); err != nil {
 			t.Fatal(err)
 		}
@@ -148,6 +163,45 @@
 	}
 }
 
+// The last chunk of a text brings it, in whatever order its records are read.
+func TestATextIsPutTogether(t *testing.T) {
+	want := Text{Job: "a/b", Index: 3, Text: strings.Repeat("some text ", chunkBytes/4)}
+	records, err := EncodeText(want)
+	if err != nil || len(records) < 3 {
+		t.Fatalf("%d records, %v", len(records), err)
+	}
+	if r := (&Result{Size: len(want.Text)}); r.TextRecords() != len(records) {
+		t.Errorf("%d records are expected, %d are there", r.TextRecords(), len(records))
+	}
+	records[0], records[1] = records[1], records[0]
+	in := NewTextReader()
+	for i, r := range records {
+		key, text, whole, err := in.Put(r)
+		if err != nil || whole != (i == len(records)-1) {
+			t.Fatalf("record %d of %d: whole %v, %v", i, len(records), whole, err)
+		}
+		if whole && (key != TextKey(want.Job, want.Index, Sum(want.Text)) || text != want.Text) {
+			t.Errorf("key %s, %d bytes", key, len(text))
+		}
+	}
+	if _, _, _, err := in.Put(platform.KeyedRecord{Key: "t/a/0/0", Value: []byte{0, 0, 0, 1, 0xa0}}); !errs.Is(err, errs.BadFrame) {
+		t.Errorf("a record that is no text: %v", err)
+	}
+}
+
+// The number of records that is expected of a text is that of those that are written, whatever its length.
+func TestTextsHaveAsManyRecordsAsAreExpected(t *testing.T) {
+	for size := chunkBytes - 20; size < chunkBytes+20; size++ {
+		records, err := EncodeText(Text{Job: "j", Text: strings.Repeat("x", size)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := (&Result{Size: size}); r.TextRecords() < len(records) {
+			t.Errorf("a text of %d bytes has %d records, %d are expected", size, len(records), r.TextRecords())
+		}
+	}
+}
+
 func TestBrokenRecordsAreRefused(t *testing.T) {
 	s := NewState()
 	for _, r := range []platform.KeyedRecord{
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -55,7 +55,14 @@
 	Position int     `cbor:"2,keyasint"`
 	Item     string  `cbor:"3,keyasint"`
 	Outcome  Outcome `cbor:"4,keyasint"`
-	Text     string  `cbor:"5,keyasint"`
+	Text     string  `cbor:"5,keyasint,omitempty"` // empty if it lies apart
+	// Index is the item's place in its job; with Sum it names a text that lies apart.
+	Index int `cbor:"6,keyasint,omitempty"`
+	// Size is the length in bytes of a text that lies apart; 0 for one that does not.
+	Size int    `cbor:"7,keyasint,omitempty"`
+	Sum  uint64 `cbor:"8,keyasint,omitempty"`
+	// TextAt is the offset at which the text was written: it is found there without a search while the store keeps its history.
+	TextAt uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Progress is how far an item's run had come when its worker gave it away.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -241,6 +241,12 @@
 	return len(f.peers) > 0
 }
 
+// Peers is how many other gateways live.
+func (f *Fleet) Peers(now time.Time) int {
+	f.expire(now)
+	return len(f.peers)
+}
+
 // Report returns what this gateway has and wants.
 func (f *Fleet) Report(now time.Time) Report {
 	return Report{Loads: f.Own(), Want: f.want, Contact: f.contact, Suspects: f.suspects(now)}
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -43,6 +43,7 @@
 	noRoute atomic.Bool // the configuration in force does not have it
 	nodes   []*node
 	keep    time.Duration // how long jobs stay readable
+	spread  int           // see Options.SpreadBytes; 0 has all texts apart
 	// build wraps the store of each process; nil for the product as it is.
 	build func(platform.Store) platform.Store
 	// wrong is told what must not be.
@@ -100,7 +101,7 @@
 	if w.build != nil {
 		store = w.build(store)
 	}
-	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
--- a/internal/backlog/housekeep.go
+++ b/internal/backlog/housekeep.go
@@ -50,17 +50,18 @@
 	return own
 }
 
-// forget drops a job's results first: a job whose record is gone is not looked at again.
+// forget drops a job's texts and results first: a job whose record is gone is not looked at again.
 func (m *Manager) forget(ctx context.Context, id string) error {
-	var jobs, results []platform.KeyedRecord
+	var f backlog.Forgotten
 	var err error
-	m.replica.with(func(st *backlog.State) { jobs, results, err = st.Forget(id) })
+	m.replica.with(func(st *backlog.State) { f, err = st.Forget(id) })
 	if err != nil {
 		return err
 	}
 	for _, a := range []platform.Append{
-		{Partition: resultPartition, Records: results},
-		{Partition: jobPartition, Records: jobs},
+		{Partition: textPartition, Records: f.Texts},
+		{Partition: resultPartition, Records: f.Results},
+		{Partition: jobPartition, Records: f.Jobs},
 	} {
 		if len(a.Records) == 0 {
 			continue
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -32,6 +32,9 @@
 	Shards int
 	// MinTTL is the shortest time after which the store takes a silent member for gone.
 	MinTTL time.Duration
+	// SpreadBytes is how many bytes all processes together may read of a text that stands in the record of its result. Longer
+	// ones lie apart.
+	SpreadBytes int
 	// Keep is how long a job stays readable after it was handed in, at the least.
 	Keep time.Duration
 	// Off are the mechanisms that are switched off.
@@ -51,6 +54,7 @@
 	runs      *logging.Routine // a line for each run of an item
 	reg       metrics.Registry
 	replica   *Replica
+	texts     *texts
 	scheduler *scheduler
 	pace      *backlog.Pace
 	// saving are the writes of progress that are under way; saveCtx ends them at the stop.
@@ -65,6 +69,7 @@
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
 		replica: NewReplica(o.Member, store, view.SetContact, log),
 	}
+	m.texts = &texts{store: store, log: log}
 	m.scheduler = newScheduler(m)
 	m.saveCtx, m.stopSaving = context.WithCancel(context.Background())
 	return m
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -99,7 +99,7 @@
 		n.submit(j)
 		n.results(j, 20*time.Second)
 		s := n.manager.scheduler.shardFor(t, n.manager.shardOf(j.ID))
-		s.finish(&outcome{job: j, item: j.Items[0].ID, outcome: backlog.Complete, text: output(j.Items[0].ID)})
+		s.finish(&outcome{job: j, index: 0, outcome: backlog.Complete, text: output(j.Items[0].ID)})
 		time.Sleep(time.Second)
 		for _, r := range w.store.Records(resultPartition) {
 			if r.Key == "r/a/1" {
--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -67,12 +67,18 @@
 // randomKeep is longer than a random run, which looks for its first jobs at its end.
 const randomKeep = time.Hour
 
+// allInline has all texts in the records of their results, in every second run.
+const allInline = 1 << 30
+
 func newTrouble(t *testing.T, seed uint64) *trouble {
 	w := &trouble{
 		world: newWorld(t, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		refused: make(map[string]bool), ended: make(map[string]bool), endAcked: make(map[string]time.Time), read: make(map[string][]backlog.Result),
 	}
 	w.keep = randomKeep
+	if seed%2 == 0 {
+		w.spread = allInline
+	}
 	return w
 }
 
--- a/internal/backlog/read.go
+++ b/internal/backlog/read.go
@@ -69,7 +69,7 @@
 		var page backlog.Page
 		news := m.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
 		if len(page.Results) > 0 || after >= page.Total {
-			return page, nil
+			return m.withTexts(ctx, page)
 		}
 		select {
 		case <-news:
@@ -89,6 +89,16 @@
 	}
 	var page backlog.Page
 	m.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
+	return m.withTexts(ctx, page)
+}
+
+// withTexts puts the texts that lie apart into a page. Error: errs.LogDown.
+func (m *Manager) withTexts(ctx context.Context, page backlog.Page) (backlog.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := m.texts.fill(ctx, &page); err != nil {
+		return backlog.Page{}, unsure(err)
+	}
 	return page, nil
 }
 
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -25,6 +25,8 @@
 var (
 	jobPartition    = platform.Partition{Topic: "keyed.jobs"}
 	resultPartition = platform.Partition{Topic: "keyed.results"}
+	// textPartition holds the texts that lie apart from their results; it is read where a caller wants one.
+	textPartition = platform.Partition{Topic: "keyed.texts"}
 	// progressPartition is read only by processes that take a shard over.
 	progressPartition = platform.Partition{Topic: "keyed.progress"}
 )
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -9,10 +9,8 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/backlog"
-	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/sleep"
-	"arbutusramp/internal/telemetry"
 )
 
 // flushPause is how long a shard waits for more ends before it writes the first one.
@@ -42,24 +40,24 @@
 	queue  []*outcome
 	next   map[string]int  // position of the next result, by job
 	given  map[string]bool // items that have got a position here, by job and item
-	// open is the write that has been sent and is not known to be done; it is repeated as it is.
-	open  []platform.KeyedRecord
-	openN int // ends that it holds
-	wake  chan struct{}
-	over  chan struct{} // closed once run has returned
-	seq   uint64
+	open   *listing        // the write that is not known to be done; it is repeated as it is
+	wake   chan struct{}
+	over   chan struct{} // closed once run has returned
+	seq    uint64
 }
 
 // outcome is an item's end that is not in the store yet.
 type outcome struct {
 	job     *backlog.Job
-	item    string
+	index   int // of the item in its job
 	outcome backlog.Outcome
 	text    string
 	known   time.Time // when it came to the shard
 }
 
-func (o *outcome) key() string { return o.job.ID + "/" + o.item }
+func (o *outcome) item() string { return o.job.Items[o.index].ID }
+
+func (o *outcome) key() string { return o.job.ID + "/" + o.item() }
 
 // startShard begins to own a shard.
 func (m *Manager) startShard(ctx context.Context, index int, epoch uint64, settled time.Time) *shard {
@@ -200,111 +198,6 @@
 	return true
 }
 
-// flush writes the ends that wait, as many as fit into one append. It reports whether it should
-// be called again at once.
-func (s *shard) flush(ctx context.Context) bool {
-	records, n := s.batch()
-	if n == 0 {
-		return false
-	}
-	if len(records) > 0 && !s.write(ctx, records) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, o := range s.queue[:n] {
-		telemetry.Observe(s.m.reg, listMetric, time.Since(o.known))
-		s.m.log.Info("item", "job", o.job.ID, "item", o.item, "outcome", o.outcome, "shard", s.index, "epoch", s.epoch)
-	}
-	s.queue = s.queue[n:]
-	s.open, s.openN = nil, 0
-	return len(s.queue) > 0
-}
-
-// batch gives positions to the ends that wait and encodes them.
-func (s *shard) batch() (records []platform.KeyedRecord, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.openN > 0 {
-		return s.open, s.openN
-	}
-	size := 0
-	for _, o := range s.queue {
-		size += len(o.text)
-		if n > 0 && size > maxCallBytes/2 {
-			break
-		}
-		n++
-		if s.listed(o) {
-			continue
-		}
-		s.given[o.key()] = true
-		encoded, err := backlog.EncodeResult(&backlog.Result{
-			Job: o.job.ID, Position: s.position(o.job.ID), Item: o.item, Outcome: o.outcome, Text: o.text,
-		})
-		if err != nil {
-			s.m.log.Error("result can't be encoded", "job", o.job.ID, "item", o.item, "error", err)
-			continue
-		}
-		s.next[o.job.ID]++
-		records = append(records, encoded...)
-	}
-	s.open, s.openN = records, n
-	return records, n
-}
-
-// listed says whether an item has its result already. An item that ends twice here, since a run
-// of it was begun while its first end was being written, must not get a second position.
-func (s *shard) listed(o *outcome) (done bool) {
-	if s.given[o.key()] {
-		return true
-	}
-	s.m.replica.with(func(st *backlog.State) { done = st.Done(o.job.ID, o.item) })
-	return done
-}
-
-// position is where the job's next result goes. The caller holds the lock.
-func (s *shard) position(job string) int {
-	if _, ok := s.next[job]; !ok {
-		s.m.replica.with(func(st *backlog.State) { s.next[job] = st.Listed(job) })
-	}
-	return s.next[job]
-}
-
-// write appends records until the store has them or a newer owner exists. A lost answer is made
-// good by the same write with the same number, which the store does once.
-func (s *shard) write(ctx context.Context, records []platform.KeyedRecord) bool {
-	first := true
-	for tries := 0; ; tries++ {
-		_, err := s.m.store.Append(ctx, platform.Append{Partition: resultPartition, Records: records, Producer: s.producer()})
-		if err == nil {
-			s.seq++
-			s.m.replica.applyOwn(records)
-			return true
-		}
-		var gap *platform.OutOfSequence
-		if errors.As(err, &gap) && first && s.seq == 1 {
-			// The store may count the write that set the epoch.
-			s.seq = gap.Expected
-			continue
-		}
-		if errors.As(err, &gap) {
-			s.m.log.Error("out of sequence", "shard", s.index, "epoch", s.epoch, "seq", s.seq, "expected", gap.Expected)
-			s.refused(&platform.Fenced{Epoch: s.epoch})
-			return false
-		}
-		if errs.Is(err, errs.AppendUnknown) {
-			first = false
-		}
-		if tries == 0 {
-			s.m.log.Warn("results not written yet", "shard", s.index, "epoch", s.epoch, "seq", s.seq, "records", len(records), "error", err)
-		}
-		if s.refused(err) || !sleep.For(ctx, writePause) {
-			return false
-		}
-	}
-}
-
 // handOver writes the ends that wait and gives the shard up.
 func (s *shard) handOver(ctx context.Context) {
 	s.stop()
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -136,7 +136,7 @@
 // end makes the task's end, to be told to its shard. The caller holds the task's lock.
 func (t *task) end(o backlog.Outcome, text string) *outcome {
 	t.ending = o
-	return &outcome{job: t.job, item: t.item().ID, outcome: o, text: text}
+	return &outcome{job: t.job, index: t.index, outcome: o, text: text}
 }
 
 func (t *task) avoided() []string {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -125,6 +125,13 @@
 	v.fleet.SetContact(time.Now())
 }
 
+// Peers is how many other gateways live.
+func (v *View) Peers() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.Peers(time.Now())
+}
+
 // StoreDownForAll says that no live peer has reached the store since this process last did.
 func (v *View) StoreDownForAll() bool {
 	v.mu.Lock()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -39,6 +39,10 @@
 	startSpare = 0
 	keepSpare  = 0
 
+	// spreadBytes is how many bytes of a text in the record of its result all gateways together may read. A text that lies apart costs
+	// its reader a call, and its owner one; 512 KiB take the store's link as long as such calls take.
+	spreadBytes = 512 << 10
+
 	// headerTimeout bounds how long a caller may take for a request's header, idleTimeout how long
 	// a connection stays open between requests. Both are above what the operator allows
 	// callers, so that none is cut off that keeps to it.
@@ -84,7 +88,7 @@
 		return nil, err
 	}
 	g.watch = watch.New(directory.New(g.paths), view, logger.Named("watch"))
-	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, Off: s.Off},
+	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off},
 		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(s.Off, targets, view, g.watch, logger.Named("online"), reg)
 	if err := g.listen(); err != nil {
