--- a/internal/backlog/load_test.go
+++ b/internal/backlog/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +59,7 @@
 		began := time.Now()
 		loaded := make(chan time.Duration, herdSize)
 		for i := range herdSize {
-			r := NewReplica(fmt.Sprintf("replica-%d", i), store.View(), func() {}, testLogger("replica"))
+			r := NewReplica(fmt.Sprintf("replica-%d", i), store.View(), func() {}, alone, testLogger("replica"))
 			go func() {
 				for ctx.Err() == nil {
 					if r.load(ctx, resultPartition) == nil {
@@ -103,7 +104,7 @@
 		store := keyedlog.New(1)
 		fill(t, store.View(), 0, 20) // three pages
 		pages := &cutPages{Store: store.View()}
-		r := NewReplica("replica", pages, func() {}, testLogger("replica"))
+		r := NewReplica("replica", pages, func() {}, alone, testLogger("replica"))
 		failures := 0
 		for r.load(context.Background(), resultPartition) != nil {
 			failures++
@@ -141,7 +142,7 @@
 			time.Sleep(herdHistory / 2)
 			store.Forget()
 		}()
-		r := NewReplica("replica", store.View(), func() {}, testLogger("replica"))
+		r := NewReplica("replica", store.View(), func() {}, alone, testLogger("replica"))
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() {
 			for ctx.Err() == nil {
@@ -167,3 +168,60 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// alone is a process without peers.
+func alone() int { return 0 }
+
+// countedReads counts the calls of a process that follows a partition.
+type countedReads struct {
+	platform.Store
+	calls atomic.Int64
+}
+
+func (c *countedReads) Read(ctx context.Context, r platform.Read) (platform.Records, error) {
+	c.calls.Add(1)
+	return c.Store.Read(ctx, r)
+}
+
+// Symptom: the calls that a deployment made to the store in calm times, each of which costs, grew with the number of its processes.
+// Sequence: results are listed 26 times a second; each process reads as soon as there is one and its pause is over. Cause: the pause was the
+// same however many others read. The aim: eleven times as many processes make at most six times as many calls.
+func TestProcessesThatAreManyReadLessOftenEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		few, many := readsOfAFollower(t, 8), readsOfAFollower(t, 88)
+		if 88*many > 6*8*few {
+			t.Errorf("8 processes make %d calls each, 88 make %d", few, many)
+		}
+	})
+}
+
+// readsOfAFollower is how many calls one of so many processes makes in ten seconds in which results are listed.
+func readsOfAFollower(t *testing.T, processes int) int64 {
+	t.Helper()
+	const (
+		listEvery = time.Second / 26
+		listed    = 260
+	)
+	store := keyedlog.New(1)
+	reads := &countedReads{Store: store.View()}
+	r := NewReplica("replica", reads, func() {}, func() int { return processes - 1 }, testLogger("replica"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		if err := r.follow(ctx, resultPartition); err != nil {
+			t.Error(err)
+		}
+	}()
+	for i := range listed {
+		fill(t, store.View(), i, 1)
+		time.Sleep(listEvery)
+	}
+	time.Sleep(maxSpread + resultPause)
+	synctest.Wait()
+	listedHere := 0
+	r.with(func(st *backlog.State) { listedHere = st.Listed("j") })
+	if listedHere != listed {
+		t.Errorf("%d of %d results are known %v after the last was listed", listedHere, listed, maxSpread+resultPause)
+	}
+	return reads.calls.Load()
+}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -67,7 +67,7 @@
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
-		replica: NewReplica(o.Member, store, view.SetContact, log),
+		replica: NewReplica(o.Member, store, view.SetContact, view.Peers, log),
 	}
 	m.texts = &texts{store: store, log: log}
 	m.scheduler = newScheduler(m)
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -372,7 +372,7 @@
 		for i := 1; i < 10; i++ {
 			write(i)
 		}
-		r := NewReplica("replica", &slowPages{v, func() { write(0) }}, func() {}, testLogger("replica"))
+		r := NewReplica("replica", &slowPages{v, func() { write(0) }}, func() {}, alone, testLogger("replica"))
 		if err := r.load(context.Background(), resultPartition); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -39,6 +39,11 @@
 	// their writer has read all before them, so that old news cost it a second try; results are only read by callers, twice a second.
 	jobPause    = 25 * time.Millisecond
 	resultPause = 100 * time.Millisecond
+	// pausePerPeer comes to these for each other process, up to maxSpread: with n of them that read on their own the store answers n
+	// times as often. With 88 it halves the calls of calm times. Callers read results twice a second, and count on seeing
+	// what another process has shown them a second ago.
+	pausePerPeer = 2 * time.Millisecond
+	maxSpread    = 300 * time.Millisecond
 	// readBytes bounds one read.
 	readBytes = 1 << 20
 	// retryPause is the time between reads that fail.
@@ -52,6 +57,8 @@
 	log   hclog.Logger
 	// contact is called when the store has answered a read of the jobs.
 	contact func()
+	// peers is how many other processes live.
+	peers func() int
 
 	mu    sync.Mutex
 	state *backlog.State
@@ -69,16 +76,16 @@
 }
 
 // NewReplica returns an empty copy for the process of that name.
-func NewReplica(name string, store platform.Store, contact func(), log hclog.Logger) *Replica {
+func NewReplica(name string, store platform.Store, contact func(), peers func() int, log hclog.Logger) *Replica {
 	return &Replica{
-		name: name, store: store, log: log, contact: contact, state: backlog.NewState(), news: make(chan struct{}),
+		name: name, store: store, log: log, contact: contact, peers: peers, state: backlog.NewState(), news: make(chan struct{}),
 		tails: map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
 	}
 }
 
 // follow reads the news of a partition until ctx ends.
 func (r *Replica) follow(ctx context.Context, p platform.Partition) error {
-	pauses := dependency.Pauses{Answered: jobPause, Failed: retryPause}
+	pauses := dependency.Pauses{Answered: jobPause, Failed: retryPause, More: r.spread}
 	if p == resultPartition {
 		pauses.Answered = resultPause
 	}
@@ -87,6 +94,11 @@
 	return nil
 }
 
+// spread is how much longer this process pauses between two reads because others read, too.
+func (r *Replica) spread() time.Duration {
+	return min(maxSpread, time.Duration(r.peers())*pausePerPeer)
+}
+
 // step reads once.
 func (r *Replica) step(ctx context.Context, p platform.Partition) error {
 	next, loaded := r.position(p)
--- a/internal/dependency/link.go
+++ b/internal/dependency/link.go
@@ -69,6 +69,16 @@
 type Pauses struct {
 	Answered time.Duration // after an answer, so that news gather
 	Failed   time.Duration
+	// More is what comes to Answered; nil is nothing.
+	More func() time.Duration
+}
+
+// answered is the pause after an answer.
+func (p Pauses) answered() time.Duration {
+	if p.More == nil {
+		return p.Answered
+	}
+	return p.Answered + p.More()
 }
 
 // Follow reads again and again until ctx ends. take is called after each answer and told whether the
@@ -85,6 +95,6 @@
 			continue
 		}
 		take(l.Up())
-		sleep.For(ctx, p.Answered)
+		sleep.For(ctx, p.answered())
 	}
 }
