--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -71,7 +71,8 @@
 	log     hclog.Logger
 	conn    *net.UDPConn
 
-	names names // of the goroutine that receives
+	names   names // of the goroutine that receives
+	traffic Traffic
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -169,6 +170,7 @@
 			data = passed
 		}
 		s.sendTo(data, to.addr)
+		s.traffic.Own.add(len(data))
 	}
 	return len(list)
 }
@@ -197,6 +199,7 @@
 	}
 	for _, to := range s.domainPeers(time.Now(), origin) {
 		s.sendTo(data, to)
+		s.traffic.PassedOn.add(len(data))
 	}
 }
 
@@ -212,6 +215,7 @@
 			sleep.For(ctx, minGap)
 			continue
 		}
+		s.traffic.Heard.add(n)
 		s.take(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -227,3 +227,22 @@
 		t.Errorf("the other one passes on to %v", got)
 	}
 }
+
+// What one gateway sends another hears, and both count it.
+func TestTrafficIsCounted(t *testing.T) {
+	a, _ := newShare(t, "a")
+	b, _ := newShare(t, "b")
+	a.Meet(b.Addr().String())
+	if n := a.tell(1); n != 1 {
+		t.Fatalf("told %d gateways", n)
+	}
+	buf := make([]byte, maxDatagram)
+	n, _, err := b.conn.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := &a.Traffic().Own
+	if own.Datagrams() != 1 || own.Bytes() != int64(n) {
+		t.Errorf("%d datagrams of %d bytes are counted, one of %d was sent", own.Datagrams(), own.Bytes(), n)
+	}
+}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -9,6 +9,12 @@
 	configVersionMetric = "config.version"
 	configAgeMetric     = "config.age_ms"
 	targetsMetric       = "targets"
+	reportsSentMetric   = "reports.sent"
+	reportsBytesMetric  = "reports.sent_bytes"
+	passedOnMetric      = "reports.passed_on"
+	passedOnBytesMetric = "reports.passed_on_bytes"
+	heardMetric         = "reports.heard"
+	heardBytesMetric    = "reports.heard_bytes"
 	peersMetric         = "peers"
 	inFlightMetric      = "callers.in_flight"
 	itemsMetric         = "backlog.items"
@@ -24,6 +30,12 @@
 		configAgeMetric:     func() int64 { return g.watch.Age().Milliseconds() },
 		targetsMetric:       func() int64 { return int64(len(g.view.Targets())) },
 		peersMetric:         func() int64 { return int64(g.share.Peers()) },
+		reportsSentMetric:   g.share.Traffic().Own.Datagrams,
+		reportsBytesMetric:  g.share.Traffic().Own.Bytes,
+		passedOnMetric:      g.share.Traffic().PassedOn.Datagrams,
+		passedOnBytesMetric: g.share.Traffic().PassedOn.Bytes,
+		heardMetric:         g.share.Traffic().Heard.Datagrams,
+		heardBytesMetric:    g.share.Traffic().Heard.Bytes,
 		inFlightMetric:      g.inFlight,
 		itemsMetric:         func() int64 { return int64(g.jobs.Counts().Items) },
 		itemsRunningMetric:  func() int64 { return int64(g.jobs.Counts().Running) },
