--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -59,7 +59,7 @@
 // turn is how many gateways go before this one.
 func (f *Fleet) turn() int {
 	turn := 0
-	if !f.opts.Off.Has(policy.Turns) {
+	if !f.opts.Off.Allows(policy.Turns) {
 		return turn
 	}
 	for name, p := range f.peers {
@@ -83,7 +83,7 @@
 			cuts[id] = n.own.Batch
 			continue
 		}
-		if !f.opts.Off.Has(policy.GiveWay) {
+		if !f.opts.Off.Allows(policy.GiveWay) {
 			continue
 		}
 		excess := f.opts.KeepSpare - n.room()
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -176,7 +176,7 @@
 // Hear takes in a peer's report; it replaces what the peer told before.
 func (f *Fleet) Hear(now time.Time, from Peer, r Report) {
 	f.expire(now)
-	if !f.opts.Off.Has(policy.PeerLoads) {
+	if !f.opts.Off.Allows(policy.PeerLoads) {
 		r.Loads = nil
 	}
 	old := f.peers[from]
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -100,7 +100,7 @@
 // requests until then. It is noticed as streams that are late by half a second at all gateways after the loss of one target.
 func (f *Fleet) warned(now time.Time, id string) {
 	n, ok := f.nodes[id]
-	if !f.opts.Off.Has(policy.PeerWord) || !ok {
+	if !f.opts.Off.Allows(policy.PeerWord) || !ok {
 		return
 	}
 	if n.health.state(now) != healthy || now.Sub(n.health.heard) < hearsayAfter {
@@ -157,7 +157,7 @@
 	if n.health.heard.After(last) {
 		last = n.health.heard
 	}
-	if !f.opts.Off.Has(policy.Silence) {
+	if !f.opts.Off.Allows(policy.Silence) {
 		return false
 	}
 	limit := f.Silence(n.Service)
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -56,7 +56,7 @@
 // suspect all the time; where events come every 20 ms a dark target gets requests for longer than need be.
 func (f *Fleet) Silence(service string) time.Duration {
 	p := f.paces[service]
-	if p.first == 0 || p.gap == 0 || !f.opts.Off.Has(policy.LearnedSilence) {
+	if p.first == 0 || p.gap == 0 || !f.opts.Off.Allows(policy.LearnedSilence) {
 		return silenceLimit
 	}
 	return min(mostSilence, max(leastSilence, silentGaps*p.gap, silentFirsts*p.first))
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -27,7 +27,7 @@
 		if n.Service != service || n.Draining || slices.Contains(tried, n.ID) || !usable(n) {
 			continue
 		}
-		list = append(list, candidate{node: n, load: n.load(), near: n.Domain == f.opts.Domain && f.opts.Off.Has(policy.OwnDomain)})
+		list = append(list, candidate{node: n, load: n.load(), near: n.Domain == f.opts.Domain && f.opts.Off.Allows(policy.OwnDomain)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.node.ID, b.node.ID) })
 	return list
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -74,5 +74,5 @@
 	return strings.Join(list, ", ")
 }
 
-// Has says whether a mechanism is on.
-func (o Off) Has(n Name) bool { return !o[n] }
+// Allows says whether a mechanism is on.
+func (o Off) Allows(n Name) bool { return !o[n] }
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -8,14 +8,14 @@
 
 func TestParse(t *testing.T) {
 	off, err := Parse([]string{"hold", "turns"})
-	if err != nil || off.Has(Hold) || off.Has(Turns) || !off.Has(ComeBack) {
+	if err != nil || off.Allows(Hold) || off.Allows(Turns) || !off.Allows(ComeBack) {
 		t.Errorf("%v, %v", off, err)
 	}
 	if _, err := Parse([]string{"hold", "holt"}); !errs.Is(err, errs.BadSettings) {
 		t.Errorf("an unknown name: %v", err)
 	}
 	for _, n := range All() {
-		if !Off(nil).Has(n) {
+		if !Off(nil).Allows(n) {
 			t.Errorf("%s is off by default", n)
 		}
 	}
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -114,9 +114,9 @@
 	switch {
 	case r.Goal == 0 || r.Wait <= r.inTime():
 		return Decision{Verdict: Send}
-	case r.first() && d.Off.Has(policy.ComeBack):
+	case r.first() && d.Off.Allows(policy.ComeBack):
 		return Decision{Verdict: ComeBack, After: r.away()}
-	case r.first() || !d.Off.Has(policy.Hold):
+	case r.first() || !d.Off.Allows(policy.Hold):
 		return Decision{Verdict: Send}
 	case len(d.held) >= d.limit(now, r):
 		return Decision{Verdict: Refuse}
--- a/internal/backlog/order.go
+++ b/internal/backlog/order.go
@@ -28,7 +28,7 @@
 }
 
 func (d *scheduler) key(t *task, now time.Time) int64 {
-	if !d.m.opts.Off.Has(policy.InTimeFirst) {
+	if !d.m.opts.Off.Allows(policy.InTimeFirst) {
 		return backlog.StartKey(time.UnixMilli(0), t.due(), 0, t.job.Rank)
 	}
 	return backlog.StartKey(now, t.due(), d.m.pace.Left(t.job.Route, t.item().Tokens, t.made()), t.job.Rank)
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -79,7 +79,7 @@
 	records := d.drops
 	d.drops = nil
 	for _, t := range d.tasks {
-		if !d.m.opts.Off.Has(policy.Checkpoints) || !t.dueForCheckpoint() {
+		if !d.m.opts.Off.Allows(policy.Checkpoints) || !t.dueForCheckpoint() {
 			continue
 		}
 		saved := d.m.progressOf(t)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
-	return &Share{self: self, domain: digestOf(domain), relays: off.Has(policy.Relays), view: view, detours: detours, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
+	return &Share{self: self, domain: digestOf(domain), relays: off.Allows(policy.Relays), view: view, detours: detours, log: log, conn: conn, peers: make(map[netip.AddrPort]*peer)}, nil
 }
 
 // Addr is where peers send to.
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	var others storepath.Peers = g.share
-	if !g.set.Off.Has(policy.StorePeers) {
+	if !g.set.Off.Allows(policy.StorePeers) {
 		others = storepath.NoPeers{}
 	}
 	g.paths = storepath.New(client, others, g.log.Named("store"), g.reg)
