--- a/internal/explain/occupancy.go
+++ b/internal/explain/occupancy.go
@@ -18,13 +18,13 @@
 	msgJobEnd   = "job end"
 )
 
-// stay is one attempt of a request, or one run of an item, at a target.
-type stay struct {
+// run is one attempt of a request, or one run of an item, at a target.
+type run struct {
 	target     string
 	batch      bool
 	begin, end time.Time
 	// start is how long it took until its first event, which an engine needs to read the prompt. Without an event it is the
-	// whole stay.
+	// whole run.
 	start time.Duration
 	// tail is what came to nothing at its end: the part of an event that was under way.
 	tail time.Duration
@@ -47,11 +47,11 @@
 	by int
 }
 
-// occupancy is what logs say of the places at targets.
+// occupancy is what logs say of the slots of targets and who had them.
 type occupancy struct {
 	begin, end time.Time
 	targets    map[string]*targetSpan
-	stays      []stay
+	runs       []run
 	waiting    []change // batch items that could run and do not
 }
 
@@ -59,7 +59,7 @@
 func readOccupancy(lines []Line) *occupancy {
 	r := &occupancyReader{
 		occ:  &occupancy{targets: make(map[string]*targetSpan)},
-		open: make(map[stayKey]*stay), running: make(map[string]int), reached: make(map[string]int64), items: make(map[string]bool), jobs: make(map[string]*jobItems),
+		open: make(map[runKey]*run), running: make(map[string]int), reached: make(map[string]int64), items: make(map[string]bool), jobs: make(map[string]int),
 	}
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
@@ -70,19 +70,17 @@
 	return r.occ
 }
 
-// stayKey names the request or item that one process has under way.
-type stayKey struct{ source, id string }
-
-// jobItems is what is open of a job.
-type jobItems struct{ open int }
+// runKey names the request or item that one process has under way.
+type runKey struct{ source, id string }
 
+// occupancyReader makes an occupancy of the lines of all processes.
 type occupancyReader struct {
 	occ     *occupancy
-	open    map[stayKey]*stay
+	open    map[runKey]*run
 	running map[string]int   // processes that have an item under way
 	reached map[string]int64 // the last event that any run of an item has made
 	items   map[string]bool  // that are done or whose end is on its way
-	jobs    map[string]*jobItems
+	jobs    map[string]int   // items of a job that are open
 }
 
 func (r *occupancyReader) take(l Line) {
@@ -135,18 +133,18 @@
 	}
 }
 
-// unseen closes a stay whose end nobody has seen. Its length is set in finish.
-func (r *occupancyReader) unseen(key stayKey, s *stay, at time.Time) {
+// unseen closes a run whose end nobody has seen. Its length is set in finish.
+func (r *occupancyReader) unseen(key runKey, s *run, at time.Time) {
 	s.unseen = true
 	delete(r.open, key)
-	r.occ.stays = append(r.occ.stays, *s)
+	r.occ.runs = append(r.occ.runs, *s)
 	if s.batch {
-		r.runs(key.id, at, -1)
+		r.countRun(key.id, at, -1)
 	}
 }
 
-// runs counts the processes that have an item under way: with none it waits.
-func (r *occupancyReader) runs(item string, at time.Time, by int) {
+// countRun counts the processes that have an item under way: with none it waits.
+func (r *occupancyReader) countRun(item string, at time.Time, by int) {
 	before := r.running[item]
 	r.running[item] = max(0, before+by)
 	switch {
@@ -158,15 +156,15 @@
 }
 
 func (r *occupancyReader) sent(l Line) {
-	key := stayKey{l.Source, l.text("request")}
+	key := runKey{l.Source, l.text("request")}
 	if s, ok := r.open[key]; ok { // the attempt before
 		r.close(key, s, l.Time, true)
 	}
-	r.open[key] = &stay{target: targetOf(l), begin: l.Time}
+	r.open[key] = &run{target: targetOf(l), begin: l.Time}
 }
 
 func (r *occupancyReader) request(l Line) {
-	key := stayKey{l.Source, l.text("request")}
+	key := runKey{l.Source, l.text("request")}
 	s, ok := r.open[key]
 	if !ok {
 		return
@@ -175,27 +173,27 @@
 	r.close(key, s, l.Time, l.text("outcome") != "served")
 }
 
-// close ends a stay.
-func (r *occupancyReader) close(key stayKey, s *stay, end time.Time, lost bool) {
+// close ends a run.
+func (r *occupancyReader) close(key runKey, s *run, end time.Time, lost bool) {
 	s.end, s.lost = end, lost
 	if took := end.Sub(s.begin); s.start <= 0 || s.start > took {
 		s.start = took
 	}
 	delete(r.open, key)
-	r.occ.stays = append(r.occ.stays, *s)
+	r.occ.runs = append(r.occ.runs, *s)
 }
 
 func (r *occupancyReader) itemSent(l Line) {
-	key := stayKey{l.Source, l.text("item")}
+	key := runKey{l.Source, l.text("item")}
 	if s, ok := r.open[key]; ok {
 		r.unseen(key, s, l.Time) // the line of its end was left out
 	}
-	r.open[key] = &stay{target: targetOf(l), batch: true, begin: l.Time}
-	r.runs(l.text("item"), l.Time, 1)
+	r.open[key] = &run{target: targetOf(l), batch: true, begin: l.Time}
+	r.countRun(l.text("item"), l.Time, 1)
 }
 
 func (r *occupancyReader) itemRun(l Line) {
-	key := stayKey{l.Source, l.text("item")}
+	key := runKey{l.Source, l.text("item")}
 	s, ok := r.open[key]
 	if !ok {
 		return
@@ -208,7 +206,7 @@
 	s.again = again(l.Time.Sub(s.begin)-s.start-s.tail, from, to, r.reached[key.id])
 	r.reached[key.id] = max(r.reached[key.id], to)
 	r.close(key, s, l.Time, to == from)
-	r.runs(key.id, l.Time, -1)
+	r.countRun(key.id, l.Time, -1)
 	if v := l.text("verdict"); v == "complete" || v == "hopeless" {
 		r.itemDone(l.text("job"), key.id, l.Time)
 	}
@@ -230,28 +228,27 @@
 		return
 	}
 	n := int(l.number("items"))
-	r.jobs[id] = &jobItems{open: n}
+	r.jobs[id] = n
 	r.wait(l.Time, n)
 }
 
 // jobEnd drops the items of a job whose caller wants no more of it.
 func (r *occupancyReader) jobEnd(l Line) {
-	j, ok := r.jobs[l.text("job")]
-	if !ok || l.text("outcome") != "done" {
+	id := l.text("job")
+	if l.text("outcome") != "done" {
 		return
 	}
-	r.wait(l.Time, -j.open)
-	j.open = 0
+	r.wait(l.Time, -r.jobs[id])
+	r.jobs[id] = 0
 }
 
 // itemDone counts an item's end once: it is known at its last run and again when it lies in the store.
 func (r *occupancyReader) itemDone(job, item string, at time.Time) {
-	j, ok := r.jobs[job]
-	if !ok || j.open == 0 || r.items[item] {
+	if r.jobs[job] == 0 || r.items[item] {
 		return
 	}
 	r.items[item] = true
-	j.open--
+	r.jobs[job]--
 	r.wait(at, -1)
 }
 
@@ -259,15 +256,15 @@
 	r.occ.waiting = append(r.occ.waiting, change{at, by})
 }
 
-// finish closes what is open at the end of the logs, and gives stays that nobody saw the end of the length that others have: a target
+// finish closes what is open at the end of the logs, and gives runs that nobody saw the end of the length that others have: a target
 // works on until it notices, at the longest until the work is done.
 func (r *occupancyReader) finish() {
 	for key, s := range r.open {
 		r.unseen(key, s, r.occ.end)
 	}
 	usual := map[bool]time.Duration{false: r.usual(false), true: r.usual(true)}
-	for i := range r.occ.stays {
-		if s := &r.occ.stays[i]; s.unseen {
+	for i := range r.occ.runs {
+		if s := &r.occ.runs[i]; s.unseen {
 			s.end = s.begin.Add(usual[s.batch])
 		}
 	}
@@ -277,14 +274,14 @@
 		}
 	}
 	slices.SortStableFunc(r.occ.waiting, func(a, b change) int { return a.at.Compare(b.at) })
-	slices.SortStableFunc(r.occ.stays, func(a, b stay) int { return cmp.Or(a.begin.Compare(b.begin), cmp.Compare(a.target, b.target)) })
+	slices.SortStableFunc(r.occ.runs, func(a, b run) int { return cmp.Or(a.begin.Compare(b.begin), cmp.Compare(a.target, b.target)) })
 }
 
-// usual is the mean length of stays that ended.
+// usual is the mean length of runs that ended.
 func (r *occupancyReader) usual(batch bool) time.Duration {
 	var sum time.Duration
 	n := 0
-	for _, s := range r.occ.stays {
+	for _, s := range r.occ.runs {
 		if s.batch == batch && !s.unseen {
 			sum += s.end.Sub(s.begin)
 			n++
--- a/internal/explain/slots.go
+++ b/internal/explain/slots.go
@@ -86,7 +86,7 @@
 		a.Windows[i].From = time.Duration(i) * window
 	}
 	services := occ.batchServices()
-	a.spreadStays(occ, services)
+	a.spreadRuns(occ, services)
 	a.sweep(occ, services)
 	return a, nil
 }
@@ -94,7 +94,7 @@
 // batchServices are those whose targets ran batch items.
 func (o *occupancy) batchServices() map[string]bool {
 	services := make(map[string]bool)
-	for _, s := range o.stays {
+	for _, s := range o.runs {
 		if t, ok := o.targets[s.target]; ok && s.batch {
 			services[t.service] = true
 		}
@@ -102,14 +102,14 @@
 	return services
 }
 
-func (o *occupancy) counts(s stay, services map[string]bool) bool {
+func (o *occupancy) counts(s run, services map[string]bool) bool {
 	t, ok := o.targets[s.target]
 	return ok && services[t.service]
 }
 
-// spreadStays adds the parts of each stay to the windows in which they were.
-func (a *SlotAccount) spreadStays(occ *occupancy, services map[string]bool) {
-	for _, s := range occ.stays {
+// spreadRuns adds the parts of each run to the windows in which they were.
+func (a *SlotAccount) spreadRuns(occ *occupancy, services map[string]bool) {
+	for _, s := range occ.runs {
 		if !occ.counts(s, services) {
 			continue
 		}
@@ -164,7 +164,7 @@
 	}
 }
 
-// move is a stay that begins or ends.
+// move is a run that begins or ends.
 type move struct {
 	at     time.Time
 	target string
@@ -173,7 +173,7 @@
 
 func (o *occupancy) moves(services map[string]bool) []move {
 	var list []move
-	for _, s := range o.stays {
+	for _, s := range o.runs {
 		if o.counts(s, services) {
 			list = append(list, move{s.begin, s.target, 1}, move{s.end, s.target, -1})
 		}
