--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -28,7 +28,8 @@
 	best := slices.MinFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(b.room()+b.batchBonus(), a.room()+a.batchBonus()),
-			cmp.Compare(f.spread(a), f.spread(b)),
+			cmp.Compare(a.node.spread, b.node.spread),
+			cmp.Compare(a.node.ID, b.node.ID),
 		)
 	})
 	return f.choice(best, fmt.Sprintf("turn %d", turn)), true
@@ -75,10 +76,7 @@
 func (f *Fleet) Preempt(now time.Time) map[string]int {
 	f.expire(now)
 	cuts := make(map[string]int)
-	for id, n := range f.nodes {
-		if n.own.Batch == 0 {
-			continue
-		}
+	for id, n := range f.holding {
 		if n.Draining || n.health.state(now) == suspect {
 			cuts[id] = n.own.Batch
 			continue
--- /dev/null
+++ b/core/fleet/bench_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
+)
+
+// fleetSizes are numbers of targets: those of a deployment of some hundred hosts, and those of one in two years.
+var fleetSizes = []int{44, 3000}
+
+func benchFleet(targets int) *Fleet {
+	f := New(Options{Self: "self", Domain: "d1", PeerTTL: time.Hour})
+	for i := range targets {
+		f.Put(serving.Target{ID: fmt.Sprintf("i-%08x", i), Service: "llm", Domain: fmt.Sprintf("d%d", i%5), Slots: 7})
+	}
+	return f
+}
+
+// BenchmarkPickOnline is what the choice of a target costs each request.
+func BenchmarkPickOnline(b *testing.B) {
+	for _, targets := range fleetSizes {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			f, now := benchFleet(targets), time.Now()
+			for b.Loop() {
+				if _, ok := f.PickOnline(now, "llm", nil); !ok {
+					b.Fatal("no target")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkHear is what a report of a peer costs a gateway that runs a few batch items.
+func BenchmarkHear(b *testing.B) {
+	const items = 3
+	for _, targets := range fleetSizes {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			f, now := benchFleet(targets), time.Now()
+			for i := range items {
+				f.Begin(now, fmt.Sprintf("i-%08x", i), structs.ClassBatch)
+			}
+			for b.Loop() {
+				f.Hear(now, "peer", Report{Loads: map[string]Load{"i-00000001": {Online: 2}}})
+				f.Preempt(now)
+			}
+		})
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -46,7 +46,9 @@
 type Fleet struct {
 	opts  Options
 	nodes map[string]*node // by target id
-	peers map[Peer]*peer
+	// holding are the targets at which this gateway has batch items, of all that may be many hundred.
+	holding map[string]*node
+	peers   map[Peer]*peer
 	// nextExpiry is before the first peer can fall silent for too long; zero while that has not been worked out.
 	nextExpiry time.Time
 	want       Want
@@ -67,6 +69,8 @@
 	batchOf map[Peer]int
 	// roomSince is when it last came to have free slots.
 	roomSince time.Time
+	// spread orders targets that are as good as each other, differently at each gateway, so that they do not all pick the same one.
+	spread uint64
 }
 
 // load is what all gateways together have at a target.
@@ -101,7 +105,7 @@
 
 // New returns an empty view.
 func New(o Options) *Fleet {
-	return &Fleet{opts: o, nodes: make(map[string]*node), peers: make(map[Peer]*peer), holds: make(map[string]time.Duration), paces: make(map[string]pace)}
+	return &Fleet{opts: o, nodes: make(map[string]*node), holding: make(map[string]*node), peers: make(map[Peer]*peer), holds: make(map[string]time.Duration), paces: make(map[string]pace)}
 }
 
 // Put adds a target or takes in its change.
@@ -111,7 +115,7 @@
 		n.Target = t
 		return
 	}
-	n = &node{Target: t, batchOf: make(map[Peer]int)}
+	n = &node{Target: t, batchOf: make(map[Peer]int), spread: mix(string(f.opts.Self), t.ID)}
 	for name, p := range f.peers {
 		n.peers.plus(p.Loads[t.ID])
 		n.noteBatch(name, p.Loads[t.ID].Batch)
@@ -120,7 +124,10 @@
 }
 
 // Remove drops a target. Requests that it still has end on their own.
-func (f *Fleet) Remove(id string) { delete(f.nodes, id) }
+func (f *Fleet) Remove(id string) {
+	delete(f.nodes, id)
+	delete(f.holding, id)
+}
 
 // Targets returns all targets of the list.
 func (f *Fleet) Targets() []serving.Target {
@@ -136,6 +143,7 @@
 	if n, ok := f.nodes[id]; ok {
 		n.own.add(c, 1)
 		n.health.begin(now)
+		f.noteHolding(id, n)
 	}
 }
 
@@ -143,7 +151,17 @@
 func (f *Fleet) End(now time.Time, id string, c structs.Class) {
 	if n, ok := f.nodes[id]; ok {
 		n.change(now, func() { n.own.add(c, -1) })
+		f.noteHolding(id, n)
+	}
+}
+
+// noteHolding keeps f.holding as the loads say.
+func (f *Fleet) noteHolding(id string, n *node) {
+	if n.own.Batch == 0 {
+		delete(f.holding, id)
+		return
 	}
+	f.holding[id] = n
 }
 
 // change makes a change to the loads and notes when slots come free by it.
--- a/core/fleet/peers_test.go
+++ b/core/fleet/peers_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
 )
 
 // What is kept of the peers beside their last words, so that a report costs little among many, is always what the words themselves
-// say: who has batch items where, the sums of loads, and nobody who has been silent for longer than a word counts.
+// say: who has batch items where, the sums of loads, and nobody who has been silent for longer than a word counts. So are the targets at
+// which this gateway has items.
 func TestWhatIsKeptOfPeersAgreesWithTheirWords(t *testing.T) {
 	const peers, targets, steps = 9, 5, 4000
 	rng := rand.New(rand.NewPCG(1, 2))
@@ -19,13 +21,17 @@
 	target := func(i int) serving.Target { return serving.Target{ID: fmt.Sprint(i), Slots: 4} }
 	for step := range steps {
 		now = now.Add(time.Duration(rng.IntN(200)) * time.Millisecond)
-		switch rng.IntN(6) {
+		switch rng.IntN(8) {
 		case 0:
 			f.Put(target(rng.IntN(targets)))
 		case 1:
 			f.Remove(fmt.Sprint(rng.IntN(targets)))
 		case 2:
 			f.Preempt(now)
+		case 3:
+			f.Begin(now, fmt.Sprint(rng.IntN(targets)), structs.Class(rng.IntN(2)))
+		case 4:
+			f.End(now, fmt.Sprint(rng.IntN(targets)), structs.Class(rng.IntN(2)))
 		default:
 			loads := make(map[string]Load)
 			for range rng.IntN(targets) {
@@ -45,7 +51,15 @@
 			t.Fatalf("step %d: peer %s counts, silent for %v", step, name, now.Sub(p.at))
 		}
 	}
+	for id := range f.holding {
+		if f.nodes[id] == nil {
+			t.Fatalf("step %d: target %s, which is gone, is said to have items of this gateway", step, id)
+		}
+	}
 	for id, n := range f.nodes {
+		if got, want := f.holding[id] == n, n.own.Batch > 0; got != want {
+			t.Fatalf("step %d: target %s has %d items of this gateway, kept: %v", step, id, n.own.Batch, got)
+		}
 		var sum Load
 		holders := 0
 		for name, p := range f.peers {
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -19,7 +19,7 @@
 
 func (c candidate) room() int { return c.node.room() }
 
-// candidates returns the targets of a service that may get a request, in a fixed order.
+// candidates returns the targets of a service that may get a request, in no order.
 func (f *Fleet) candidates(now time.Time, service string, tried []string, usable func(*node) bool) []candidate {
 	f.expire(now)
 	var list []candidate
@@ -29,7 +29,6 @@
 		}
 		list = append(list, candidate{node: n, load: n.load(), near: n.Domain == f.opts.Domain && f.opts.Off.Allows(policy.OwnDomain)})
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.node.ID, b.node.ID) })
 	return list
 }
 
@@ -66,7 +65,7 @@
 		if len(list) == 0 {
 			continue
 		}
-		best := f.best(list)
+		best := best(list)
 		return f.choice(best, tierNames[best.tier()]+stage.note), true
 	}
 	return Choice{}, false
@@ -74,12 +73,13 @@
 
 // best prefers a free slot, then a target whose batch items can make way, then the shortest
 // queue. Among equals the own failure domain wins: bytes between domains cost.
-func (f *Fleet) best(list []candidate) candidate {
+func best(list []candidate) candidate {
 	return slices.MinFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.tier(), b.tier()),
 			cmp.Compare(a.cost(), b.cost()),
-			cmp.Compare(f.spread(a), f.spread(b)),
+			cmp.Compare(a.node.spread, b.node.spread),
+			cmp.Compare(a.node.ID, b.node.ID),
 		)
 	})
 }
@@ -121,6 +121,3 @@
 	}
 	return cost
 }
-
-// spread orders equals differently at each gateway, so that they do not all pick the same one.
-func (f *Fleet) spread(c candidate) uint64 { return mix(string(f.opts.Self), c.node.ID) }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -18,6 +18,8 @@
 	runs  map[string][]*Run // batch runs of this process by target id, oldest first
 	// live are all runs of this process by target id, also those that were preempted and are not over yet.
 	live map[string]map[*Run]struct{}
+	// listed counts the changes of the list of targets.
+	listed uint64
 
 	// changed gets a token when this process's own loads have changed.
 	changed chan struct{}
@@ -143,6 +145,7 @@
 func (v *View) Put(present []serving.Target, gone []string) {
 	v.mu.Lock()
 	now := time.Now()
+	v.listed++
 	for _, t := range present {
 		v.fleet.Put(t)
 	}
@@ -155,6 +158,13 @@
 	preemptAll(victims)
 }
 
+// Listed is another number after each change of the list of targets.
+func (v *View) Listed() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed
+}
+
 // Targets returns the targets of the list.
 func (v *View) Targets() []serving.Target {
 	v.mu.Lock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -244,8 +244,8 @@
 
 // targetNames returns the targets' ids by their digests. Only the goroutine that receives calls it.
 func (s *Share) targetNames() map[digest]string {
-	if now := time.Now(); now.Sub(s.names.at) > namesFor {
-		s.names = namesOf(now, s.view.Targets())
+	if listed := s.view.Listed(); s.names.ids == nil || listed != s.names.listed {
+		s.names = namesOf(listed, s.view.Targets())
 	}
 	return s.names.ids
 }
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -80,18 +80,15 @@
 	return known
 }
 
-// names are the targets' ids by their digests, as of a moment. Reports come hundreds of times a second, and the list of targets
+// names are the targets' ids by their digests, as of a state of the list. Reports come hundreds of times a second, and the list of targets
 // changes once in a while.
 type names struct {
-	at  time.Time
-	ids map[digest]string
+	listed uint64 // see fleetview.View.Listed
+	ids    map[digest]string
 }
 
-// namesFor is how long names count.
-const namesFor = 100 * time.Millisecond
-
-func namesOf(now time.Time, known []serving.Target) names {
-	n := names{at: now, ids: make(map[digest]string, len(known))}
+func namesOf(listed uint64, known []serving.Target) names {
+	n := names{listed: listed, ids: make(map[digest]string, len(known))}
 	for _, t := range known {
 		n.ids[digestOf(t.ID)] = t.ID
 	}
