Parts after the end of a stream: as long as its session counts as alive; a test read counters that sessions still wrote

On a busy machine a process is off the processor for longer, and its caller lost an answer that was computed. It is awaited now as long as its session counts as alive (3 s), tested with a passed-in clock (red before).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -7,12 +7,14 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/session"
 )
 
 const (
 	maxAttempts = 4
-	// missingGrace is how long a part may come after the end of its stream.
-	missingGrace = 100 * time.Millisecond
+	// missingGrace is how long a part may come after the end of its stream. Until its session counts as
+	// lost a side may just be off the processor: given up sooner, an answer that was computed breaks.
+	missingGrace = session.SilentFor
 	// retryGivenUp is when to come back after an error that says nothing better.
 	retryGivenUp = time.Second
 )
--- a/internal/entry/stream_failure_test.go
+++ b/internal/entry/stream_failure_test.go
@@ -65,6 +65,27 @@
 	})
 }
 
+// Symptom: a caller is told that its stream broke although its target has computed the whole answer.
+// Sequence: the end of the stream comes, then one of the two processes is off the processor for two seconds, then the last part
+// comes; there is no other target.
+// Cause: the part was given up after a tenth of a second, while the session still counted as alive.
+func TestAPartThatComesAfterTheEndMakesTheAnswerWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(t, testState())
+		a := connect(e, "a", 0, func(f *fakeSide, s uint64, _ *structs.Open) {
+			f.data(s, 0, token(0))
+			f.end(s, 2, nil)
+			time.AfterFunc(2*time.Second, func() { f.data(s, 1, token(1)) })
+		})
+		if _, body := do(e, chat(true)); body != wantTokens(2) {
+			t.Errorf("got\n%s", body)
+		}
+		if len(a.opens) != 1 {
+			t.Errorf("the target got %d requests, want 1", len(a.opens))
+		}
+	})
+}
+
 // Symptom: a caller gets half of an answer when a host dies.
 // Sequence: the side is killed after it sent some tokens.
 // Cause: the stream was not resumed at its position on another target.
--- a/internal/session/options.go
+++ b/internal/session/options.go
@@ -13,6 +13,8 @@
 const (
 	// DefaultHeartbeat is the time between two heartbeats of a peer.
 	DefaultHeartbeat = time.Second
+	// SilentFor is how long a peer may be silent, at DefaultHeartbeat, before its session counts as lost.
+	SilentFor = silentBeats * DefaultHeartbeat
 	// DefaultMaxMessage bounds one WebSocket message, in bytes.
 	DefaultMaxMessage = 32 << 20
 	// DefaultMaxQueue bounds what waits to be sent, in bytes of payload.
--- a/test/online/scramble_test.go
+++ b/test/online/scramble_test.go
@@ -78,6 +78,13 @@
 	f(&s.counts)
 }
 
+// disorder returns the counts up to now: sessions go on counting after the callers have their answers.
+func (s *scrambled) disorder() scrambleCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
 func sessionOptions(hello structs.Hello) session.Options {
 	keys := settings.DefaultSide().PeerKeys
 	return session.Options{Hello: hello, PeerKeys: func() []settings.PeerKey { return keys }}
