--- a/internal/entry/stream_failure_test.go
+++ b/internal/entry/stream_failure_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 )
 
@@ -75,7 +76,7 @@
 		a := connect(e, "a", 0, func(f *fakeSide, s uint64, _ *structs.Open) {
 			f.data(s, 0, token(0))
 			f.end(s, 2, nil)
-			time.AfterFunc(2*time.Second, func() { f.data(s, 1, token(1)) })
+			sleep.AfterFunc(2*time.Second, func() { f.data(s, 1, token(1)) })
 		})
 		if _, body := do(e, chat(true)); body != wantTokens(2) {
 			t.Errorf("got\n%s", body)
