Session: a writer whose peer is being refused leaves the reason to the reader

Twelve copies of the package's tests beside each other: TestTooLargeMessageIsRefused failed once in 24 (session_lost 'close sent' in place of bad_frame). Cause: the library sends the closing frame before the reader has closed the session; a write in between closed it as lost. The writer waits for the reader now; test with a fixed order of events, red before.

--- a/internal/session/conn.go
+++ b/internal/session/conn.go
@@ -225,13 +225,26 @@
 			c.sendBeat()
 		case <-c.wake:
 			if err := c.writeAll(&buf, c.take(), silentBeats*c.o.Heartbeat); err != nil {
-				c.shut(errs.Newf(errs.SessionLost, "session to %s: %v", c.peer.Host, err), dropQueue)
+				c.writeFailed(err)
 				return
 			}
 		}
 	}
 }
 
+// writeFailed closes the session after a write that was not done.
+//
+// What goes wrong without the wait: the reader refuses a message, and the library tells the peer so with its last frame before the
+// reader has said why; a write at that moment fails, and the session is closed as lost. It is noticed as sessions that end with
+// "close sent" where a bad frame came. The last frame is sent by the reader alone, which ends with the true reason.
+func (c *Conn) writeFailed(err error) {
+	if errors.Is(err, websocket.ErrCloseSent) {
+		<-c.done
+		return
+	}
+	c.shut(errs.Newf(errs.SessionLost, "session to %s: %v", c.peer.Host, err), dropQueue)
+}
+
 func (c *Conn) sendBeat() {
 	f := &structs.Frame{Beat: &structs.Beat{Sent: max(1, int64(time.Since(c.start)))}}
 	if c.o.Version != nil {
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -6,9 +6,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fasthttp/websocket"
+	"github.com/pkg/errors"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
@@ -161,6 +163,20 @@
 	}
 }
 
+// Symptom: a session that a bad frame has ended is said to be lost. Sequence: the reader has the library answer the bad frame with the
+// last frame of the session; the writer's next message fails; only then does the reader say why. Cause: the first of both to speak
+// gave the reason.
+func TestTheReadersReasonGoesBeforeTheWriters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConn(nil, Options{}.withDefaults(), nil, structs.Hello{Host: "e"}, time.Now())
+		go c.writeFailed(errors.Wrap(websocket.ErrCloseSent, "write"))
+		synctest.Wait()
+		c.shut(errs.New(errs.BadFrame, "too large"), dropQueue)
+		synctest.Wait()
+		wantType(t, c.err, errs.BadFrame)
+	})
+}
+
 // Symptom: requests hang on a peer whose host is gone without a word (power,
 // cable): nothing is refused and nothing arrives.
 func TestSilentPeerIsGivenUp(t *testing.T) {
