Start of many gateways: the list of targets is used page by page, and its read goes on after the last page it has

Cause, traced with a trial deployment of 294 gateways and 2,989 targets, all killed at once: no gateway used a target before it had read the whole list, six pages, which the store sends to all of them together in 1.8 to 2.3 s; 679 requests of 220 logged gateways were refused with no_target meanwhile. By reading, with larger lists a page would take over 1.2 s and each read would begin anew for ever, as the backlog's once did. Ruled out: configuration and backlog (read after 0.2 s), peers.

--- a/core/platform/directory.go
+++ b/core/platform/directory.go
@@ -31,7 +31,9 @@
 type TargetNews struct {
 	Known uint64
 	// Whole says that Present is the whole list, so that targets not in it are gone.
-	Whole   bool
+	Whole bool
+	// More says that Present is a part of a list that is being read, and that the next part can be asked for at once, with Known 0.
+	More    bool
 	Present []serving.Target
 	Gone    []string // names
 	// Unusable are the entries that name no target to use, whatever stood under their names before.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -87,7 +87,7 @@
 	if err := g.reachStore(client, fleet.Peer(self)); err != nil {
 		return nil, err
 	}
-	g.watch = watch.New(directory.New(g.paths), view, logger.Named("watch"))
+	g.watch = watch.New(directory.New(g.paths, self), view, logger.Named("watch"))
 	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off},
 		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(s.Off, targets, view, g.watch, logger.Named("online"), reg)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -47,7 +47,7 @@
 	config *serving.Config
 	router *serving.Router
 	fresh  time.Time // when the store last said what the configuration is
-	listed bool      // the list of targets has been read
+	listed bool      // the list of targets has been read, or some of its targets
 }
 
 // New returns a watch that knows nothing yet. It keeps the targets of view.
@@ -157,22 +157,28 @@
 		}
 		return err
 	}
-	link.Follow(ctx, pauses, read, func(back bool) {
+	pace := dependency.Pauses{Failed: pauses.Failed, More: func() time.Duration {
+		if news.More {
+			return 0 // a list of many targets comes in parts
+		}
+		return pauses.Answered
+	}}
+	link.Follow(ctx, pace, read, func(back bool) {
 		now := time.Now()
 		if back {
 			list.storeIsBack(now)
 		}
 		w.applyTargets(list.take(now, news))
-		w.noteListed(news.Whole)
+		w.noteListed(news.Whole || len(news.Present) > 0)
 	})
 	return nil
 }
 
-// noteListed notes that the list of targets has been read, once it was read whole.
-func (w *Watch) noteListed(whole bool) {
+// noteListed notes that the list of targets has been read, or so much of it that requests can be served.
+func (w *Watch) noteListed(usable bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.listed = w.listed || whole
+	w.listed = w.listed || usable
 }
 
 func (w *Watch) applyTargets(c targetChanges) {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -161,6 +161,32 @@
 	})
 }
 
+// Symptom: processes of a large fleet that start together refuse requests for seconds. Sequence: the list of targets comes in three parts,
+// the second a while after the first. Cause: no target was used, and the process was not ready, before the last part was there.
+func TestAPartOfTheListIsUsedAtOnce(t *testing.T) {
+	run(t, func(d *fakeDirectory, w *Watch, v *fleetview.View) {
+		part := func(id string) platform.TargetNews {
+			return platform.TargetNews{More: true, Present: []serving.Target{target(id)}}
+		}
+		d.set(func(d *fakeDirectory) {
+			d.configs = append(d.configs, config(1, "/a/"))
+			d.targets = append(d.targets, part("a"))
+		})
+		time.Sleep(20 * time.Millisecond)
+		if r, ok := v.StartOnline("s", nil); !ok || r.Target.ID != "a" || !w.Ready() {
+			t.Errorf("with the first part: a target %v, ready %v", ok, w.Ready())
+		}
+		d.set(func(d *fakeDirectory) {
+			whole := platform.TargetNews{Known: 9, Whole: true, Present: []serving.Target{target("b"), target("c")}}
+			d.targets = append(d.targets, part("b"), whole)
+		})
+		time.Sleep(20 * time.Millisecond)
+		if listed := v.Targets(); len(listed) != 2 {
+			t.Errorf("of a, b and c the whole list has b and c: %v", listed)
+		}
+	})
+}
+
 // Symptom: a process serves a route that was taken away a while ago.
 // Sequence: the store's history is lost; a read is answered from before the last change.
 // Cause: the answer was put in force although an newer version was.
