--- a/core/paging/paging.go
+++ b/core/paging/paging.go
@@ -46,8 +46,7 @@
 	limits    Limits
 	rng       *rand.Rand
 
-	begun    bool
-	asked    time.Time
+	asked    time.Time // for the first page that came; zero before it
 	end      uint64
 	after    string
 	patience time.Duration
@@ -112,8 +111,8 @@
 
 // got takes in a page.
 func (r *Reader) got(page platform.NewestPage, asked time.Time, took time.Duration) {
-	if !r.begun {
-		r.begun, r.asked, r.end = true, asked, page.End
+	if r.asked.IsZero() {
+		r.asked, r.end = asked, page.End
 	}
 	r.backoff = min(firstBackoff, r.limits.Backoff)
 	if n := len(page.Records); n > 0 {
--- a/internal/backlog/load_test.go
+++ b/internal/backlog/load_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"arbutusramp/core/backlog"
-	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/sleep"
 	"arbutusramp/standin/keyedlog"
@@ -83,34 +82,18 @@
 	})
 }
 
-// cutPages lets one page pass, then fails the next, and so on.
-type cutPages struct {
-	platform.Store
-	calls int
-	after []string // of the pages that were asked for
-}
-
-func (c *cutPages) Newest(ctx context.Context, p platform.Partition, after string) (platform.NewestPage, error) {
-	c.calls++
-	c.after = append(c.after, after)
-	if c.calls%2 == 0 {
-		return platform.NewestPage{}, errs.New(errs.LogDown, "refused")
-	}
-	return c.Store.Newest(ctx, p, after)
-}
-
 func TestALoadGoesOnAfterItsLastPage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := keyedlog.New(1)
 		fill(t, store.View(), 0, 20) // three pages
-		pages := &cutPages{Store: store.View()}
+		pages := &keyedlog.CutPages{Store: store.View()}
 		r := NewReplica("replica", pages, func() {}, alone, testLogger("replica"))
 		failures := 0
 		for r.load(context.Background(), resultPartition) != nil {
 			failures++
 		}
-		if failures != 2 || pages.calls != 5 || pages.after[2] == "" || pages.after[3] <= pages.after[2] {
-			t.Errorf("%d failures, pages after %q", failures, pages.after)
+		if failures != 2 || len(pages.After) != 5 || pages.After[2] == "" || pages.After[3] <= pages.After[2] {
+			t.Errorf("%d failures, pages after %q", failures, pages.After)
 		}
 		r.with(func(s *backlog.State) {
 			if n := s.Listed("j"); n != 20 {
