Logs and counters of requests that targets break off, with the content's fingerprint

The incident's logs could not tell whether the requests under which targets end are one content: repeats come under new ids. A line for each break names the content, the target and from and to which event it ran; lines of failed requests name the content. Counters online.broken_off and item.broken_off. No decision changes.

--- /dev/null
+++ b/core/quarantine/fingerprint_test.go
@@ -0,0 +1,38 @@
+package quarantine
+
+import (
+	"net/http"
+	"testing"
+
+	"arbutusramp/core/serving"
+)
+
+// A repeat with another id must be recognised, and another request must not be taken for one.
+func TestFingerprintsOfRepeatsAndOthers(t *testing.T) {
+	request := func(change func(*serving.Request)) Fingerprint {
+		r := &serving.Request{
+			ID: "1", Method: "POST", Host: "h", URI: "/a/b", Header: http.Header{"X": {"1"}}, Body: []byte("body"),
+			Caller: serving.Caller{Workspace: "w"},
+		}
+		change(r)
+		return FingerprintOf(r)
+	}
+	first := request(func(*serving.Request) {})
+	repeat := request(func(r *serving.Request) { r.ID, r.Header, r.ResumeAfter = "2", nil, "7" })
+	if first != repeat {
+		t.Errorf("a repeat has fingerprint %s, the request had %s", repeat, first)
+	}
+	others := map[string]func(*serving.Request){
+		"workspace": func(r *serving.Request) { r.Caller.Workspace = "v" },
+		"method":    func(r *serving.Request) { r.Method = "GET" },
+		"host":      func(r *serving.Request) { r.Host = "g" },
+		"path":      func(r *serving.Request) { r.URI = "/a/c" },
+		"body":      func(r *serving.Request) { r.Body = []byte("other") },
+		"parts":     func(r *serving.Request) { r.Host, r.URI = "h/a", "/b" },
+	}
+	for name, change := range others {
+		if request(change) == first {
+			t.Errorf("another %s has the same fingerprint", name)
+		}
+	}
+}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -6,10 +6,13 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/telemetry"
@@ -31,6 +34,9 @@
 	listMetric = "item.list_ms" // from its end until that lies in the store
 )
 
+// brokenOffMetric counts runs of items that targets have broken off after they may have begun with them.
+const brokenOffMetric = "item.broken_off"
+
 // verdict is what one run of an item means for it.
 type verdict uint8
 
@@ -121,15 +127,7 @@
 	defer cancel()
 	guard := newGuard(ctx, cancel, r)
 	r.WhenEnded(cancel)
-	item := t.item()
-	ans, err := m.targets.Send(ctx, platform.TargetCall{
-		Target: r.Target,
-		Request: &serving.Request{
-			ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
-			Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: t.job.Workspace},
-		},
-		ResumeAfter: t.lastEvent(),
-	})
+	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request(), ResumeAfter: t.lastEvent()})
 	if err != nil {
 		return goOn, m.itemFailed(ctx, t, r, err)
 	}
@@ -153,6 +151,15 @@
 	}
 }
 
+// request is the item as it is sent to targets.
+func (t *task) request() *serving.Request {
+	item := t.item()
+	return &serving.Request{
+		ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
+		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: t.job.Workspace},
+	}
+}
+
 // take adds an event to the item's text.
 func (t *task) take(e events.Event) {
 	t.mu.Lock()
@@ -194,5 +201,10 @@
 	if r.Failed() {
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
+	if errs.As(err).Ran != errs.RanNo {
+		metrics.GetOrRegisterCounter(brokenOffMetric, m.reg).Inc(1)
+		m.log.Warn("broken off by target", "job", t.job.ID, "item", t.item().ID, "content", quarantine.FingerprintOf(t.request()).String(),
+			"target", r.Target.ID, "to_event", t.lastEvent(), "error", err.Error())
+	}
 	return err
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,9 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
@@ -31,6 +34,8 @@
 	callPatience = 250 * time.Millisecond
 	// eventStream is the media type of streamed answers.
 	eventStream = "text/event-stream"
+	// brokenOffMetric counts requests that targets have broken off after they may have begun with them.
+	brokenOffMetric = "online.broken_off"
 )
 
 // attempt is a request at one target.
@@ -38,6 +43,8 @@
 	*exchange
 	run    *fleetview.Run
 	cancel context.CancelFunc
+	// from is the id of the event after which the target was asked to go on; empty from the start.
+	from string
 	// silent is set by the watcher when it cancels the attempt, gone when the target's start is over.
 	silent, gone atomic.Bool
 	// heard is when the last part of the answer came, or the request was sent, in
@@ -51,6 +58,7 @@
 	sent := time.Now()
 	a.heard.Store(int64(sent.Sub(a.req.Arrived)))
 	a.mayHaveRun++
+	a.from = a.lastID
 	a.stages.noteSent(sent)
 	a.logSent(sent)
 	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
@@ -62,7 +70,7 @@
 	})
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
 		Target: a.run.Target, Request: a.req, TimeLeft: a.until.Sub(sent),
-		ResumeAfter: a.lastID, Once: !a.route.Idempotent(),
+		ResumeAfter: a.from, Once: !a.route.Idempotent(),
 	})
 	if err != nil {
 		return a.failed(ctx, err)
@@ -155,7 +163,9 @@
 	a.suspect(err.Error())
 	if errs.As(err).Ran == errs.RanNo {
 		a.mayHaveRun--
+		return err
 	}
+	a.brokenOff(err)
 	return err
 }
 
@@ -224,9 +234,17 @@
 		return ended
 	}
 	a.suspect(err.Error())
+	a.brokenOff(err)
 	return errs.Newf(errs.StreamBroken, "the answer has broken off: %v", err)
 }
 
+// brokenOff notes that the target has broken off the request, or its answer.
+func (a *attempt) brokenOff(err error) {
+	metrics.GetOrRegisterCounter(brokenOffMetric, a.gw.reg).Inc(1)
+	a.gw.log.Warn("broken off by target", "request", a.req.ID, "content", quarantine.FingerprintOf(a.req).String(), "route", a.route.Name,
+		"target", a.run.Target.ID, "attempt", len(a.tried), "from_event", a.from, "to_event", a.lastID, "error", err.Error())
+}
+
 // relayWhole passes on an answer that is no stream. It is held until it is complete, up to
 // maxHeld, so that a broken one can be asked for again.
 func (a *attempt) relayWhole(ctx context.Context, ans *platform.TargetAnswer) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/shed"
@@ -260,6 +261,6 @@
 		x.gw.served.Info(now, "request", args...)
 		return
 	}
-	x.gw.log.Warn("request", append(args, "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
+	x.gw.log.Warn("request", append(args, "content", quarantine.FingerprintOf(x.req).String(), "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
 		"limit_ms", x.until.Sub(x.req.Arrived).Milliseconds(), "limit_of", x.limitOf)...)
 }
