--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -30,12 +30,13 @@
 
 // system is two gateways on a store and two targets, over real sockets.
 type system struct {
-	t        *testing.T
-	store    platform.Store
-	caller   *wiretest.Caller
-	gateways []*Gateway
-	stop     []context.CancelFunc
-	over     []chan error
+	t         *testing.T
+	store     platform.Store
+	storeAddr string
+	caller    *wiretest.Caller
+	gateways  []*Gateway
+	stop      []context.CancelFunc
+	over      []chan error
 }
 
 func newSystem(t *testing.T, gateways int) *system {
@@ -44,22 +45,39 @@
 
 // newSystemWith is newSystem with a configuration and what targets are to tell.
 func newSystemWith(t *testing.T, gateways int, config string, ranFor func(request, workspace string, hasKey bool)) *system {
-	s := &system{t: t, store: keyedlog.New(4).View(), caller: wiretest.NewCaller(callTimeout, keptConns)}
-	storeServer := httptest.NewServer(wiretest.StoreHandler(s.store))
-	t.Cleanup(storeServer.Close)
-	s.must(wiretest.Configure(t.Context(), s.store, config))
+	s := newSystemWithoutTargets(t, config)
 	for i := range 2 {
 		id := fmt.Sprintf("i-%d", i)
 		target := httptest.NewServer(&wiretest.Target{ID: id, Events: itemEvents, RanFor: ranFor})
 		t.Cleanup(target.Close)
-		s.must(wiretest.List(t.Context(), s.store, wiretest.Listing{Name: id, Addr: target.Listener.Addr().String(), Domain: "d", Slots: targetSlots}))
-	}
-	for i := range gateways {
-		s.start(fmt.Sprintf("g%d", i), strings.TrimPrefix(storeServer.URL, "http://"))
+		s.list(id, target)
 	}
+	s.startGateways(gateways)
 	return s
 }
 
+// newSystemWithoutTargets is a store with a configuration.
+func newSystemWithoutTargets(t *testing.T, config string) *system {
+	s := &system{t: t, store: keyedlog.New(4).View(), caller: wiretest.NewCaller(callTimeout, keptConns)}
+	server := httptest.NewServer(wiretest.StoreHandler(s.store))
+	t.Cleanup(server.Close)
+	s.storeAddr = strings.TrimPrefix(server.URL, "http://")
+	s.must(wiretest.Configure(t.Context(), s.store, config))
+	return s
+}
+
+// list puts a target on the list.
+func (s *system) list(id string, target *httptest.Server) {
+	s.must(wiretest.List(s.t.Context(), s.store, wiretest.Listing{Name: id, Addr: target.Listener.Addr().String(), Domain: "d", Slots: targetSlots}))
+}
+
+// startGateways starts more gateways that reach the store by its own address.
+func (s *system) startGateways(n int) {
+	for range n {
+		s.start(fmt.Sprintf("g%d", len(s.gateways)), s.storeAddr)
+	}
+}
+
 func (s *system) must(err error) {
 	s.t.Helper()
 	if err != nil {
--- /dev/null
+++ b/internal/node/quarantine_test.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"arbutusramp/platform/wiretest"
+	"arbutusramp/standin/keyedlog"
+)
+
+const (
+	// crashBody is the body of requests and items under which the targets of a crashFleet end.
+	crashBody = "crash"
+	// maxCrashes is what the platform's rule allows: three ends, and three retries after the third.
+	maxCrashes = 6
+	// callerPause is the time between two repeats of a request.
+	callerPause = 40 * time.Millisecond
+	// entryLapse is how long the entry of a target that has ended stays on the list.
+	entryLapse = 600 * time.Millisecond
+)
+
+// crashFleet are targets that end, as processes do, when they begin with a request whose body is crashBody. Another target under
+// another name takes the place of each.
+type crashFleet struct {
+	s *system
+
+	mu      sync.Mutex
+	started int
+	crashes int
+	pending sync.WaitGroup // replacements that are under way
+}
+
+func newCrashFleet(s *system, targets int) *crashFleet {
+	f := &crashFleet{s: s}
+	for range targets {
+		f.start()
+	}
+	return f
+}
+
+// start lists one more target.
+func (f *crashFleet) start() {
+	f.mu.Lock()
+	id := fmt.Sprintf("c-%d", f.started)
+	f.started++
+	f.mu.Unlock()
+	target := &wiretest.Target{ID: id, Events: itemEvents}
+	var server *httptest.Server
+	server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || string(body) != crashBody {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			target.ServeHTTP(w, r)
+			return
+		}
+		f.crash(id, server)
+		panic(http.ErrAbortHandler)
+	}))
+	server.Start()
+	f.s.t.Cleanup(server.Close)
+	f.s.list(id, server)
+}
+
+// crash ends a target.
+func (f *crashFleet) crash(id string, server *httptest.Server) {
+	f.mu.Lock()
+	f.crashes++
+	f.mu.Unlock()
+	_ = server.Listener.Close() // a second request may have ended it already
+	server.CloseClientConnections()
+	f.pending.Go(func() {
+		f.start()
+		time.Sleep(entryLapse)
+		if err := wiretest.Unlist(f.s.t.Context(), f.s.store, id); err != nil {
+			f.s.t.Logf("entry of %s stays: %v", id, err)
+		}
+	})
+}
+
+// count is how often a target has ended.
+func (f *crashFleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
+}
+
+// repeat sends the request that ends targets to the gateways in turn, each time under another id.
+func (f *crashFleet) repeat(path string, times int, gateways ...*Gateway) {
+	for i := range times {
+		g := gateways[i%len(gateways)]
+		f.s.caller.Send(g.CallerAddr(), http.MethodPost, path, fmt.Sprintf("repeat-%d-%s", i, g.CallerAddr()), crashBody)
+		time.Sleep(callerPause)
+	}
+}
+
+// expectServed wants that another request of the same path is served.
+func (f *crashFleet) expectServed(path string, g *Gateway) {
+	f.s.t.Helper()
+	var status int
+	var text string
+	for range 20 {
+		if status, text = f.s.caller.Send(g.CallerAddr(), http.MethodPost, path, "other", "other"); status == http.StatusOK {
+			return
+		}
+		time.Sleep(callerPause)
+	}
+	f.s.t.Errorf("another request of %s is answered %d %s", path, status, text)
+}
+
+// Guards against sending a request to one target after the other although targets crash under it, whoever repeats it: its
+// caller under other ids, at other gateways, or a gateway that resumes its stream.
+func TestARequestThatCrashesTargetsIsSentNoMore(t *testing.T) {
+	for _, path := range []string{"/once/x", "/call/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			s := newSystemWithoutTargets(t, wiretest.Routes)
+			f := newCrashFleet(s, 4)
+			s.startGateways(3)
+			defer s.stopAll()
+			defer f.pending.Wait()
+			f.repeat(path, 24, s.gateways...)
+			if n := f.count(); n < 3 || n > maxCrashes {
+				t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+			}
+			for _, g := range s.gateways {
+				f.expectServed(path, g)
+			}
+		})
+	}
+}
+
+// Guards against a backlog that runs an item again and again although targets crash under it, also as an item of another job.
+func TestAnItemThatCrashesTargetsIsSentNoMore(t *testing.T) {
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	f := newCrashFleet(s, 4)
+	s.startGateways(2)
+	defer s.stopAll()
+	defer f.pending.Wait()
+	for i, g := range s.gateways {
+		job := fmt.Sprintf("job-%d", i)
+		items := []wiretest.Item{{ID: job + "-bad", Path: "/batch/1", Body: []byte(crashBody), Tokens: 10}, {ID: job + "-ok", Path: "/batch/1", Body: []byte("ok"), Tokens: 10}}
+		if status, text := s.caller.Submit(g.CallerAddr(), job, items); status != http.StatusAccepted {
+			t.Fatalf("job: %d %s", status, text)
+		}
+	}
+	time.Sleep(2 * time.Second) // a run of the item takes a few milliseconds, and as long a pause follows it
+	if n := f.count(); n < 3 || n > maxCrashes {
+		t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+	}
+	for i, g := range s.gateways {
+		status, page := s.caller.Results(g.CallerAddr(), fmt.Sprintf("job-%d", i), 0, time.Second)
+		if status != http.StatusOK || len(page.Results) != 1 || page.Results[0].State != "complete" {
+			t.Errorf("results %d %+v, want the item that does no harm and none of the other yet", status, page)
+		}
+	}
+}
+
+// Guards against processes that start and know nothing of the requests under which targets have crashed.
+func TestAGatewayThatStartsKnowsWhichRequestsCrashTargets(t *testing.T) {
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	f := newCrashFleet(s, 4)
+	s.startGateways(2)
+	defer f.pending.Wait()
+	f.repeat("/once/x", 12, s.gateways...)
+	before := f.count()
+	s.stopAll()
+	s.gateways, s.stop, s.over = nil, nil, nil
+	s.startGateways(2)
+	defer s.stopAll()
+	f.repeat("/once/x", 6, s.gateways...)
+	if n := f.count(); n > before {
+		t.Errorf("%d more targets have ended after the restart", n-before)
+	}
+	f.expectServed("/once/x", s.gateways[0])
+}
+
+// Guards against gateways that can tell each other through the store alone which requests crash targets, while it is away.
+func TestARequestThatCrashesTargetsIsSentNoMoreWhileTheStoreIsAway(t *testing.T) {
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	f := newCrashFleet(s, maxCrashes+2) // more can't be listed without the store
+	s.startGateways(3)
+	defer s.stopAll()
+	store := s.store.(*keyedlog.View)
+	f.s.store = store.Sibling() // for the list of targets
+	defer f.pending.Wait()
+	store.Set(keyedlog.Faults{Refuse: true})
+	f.repeat("/once/x", 24, s.gateways...)
+	if n := f.count(); n < 3 || n > maxCrashes {
+		t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+	}
+	store.Set(keyedlog.Faults{})
+	s.startGateways(1)
+	before := f.count()
+	f.repeat("/once/x", 6, s.gateways[len(s.gateways)-1])
+	if n := f.count(); n > before {
+		t.Errorf("%d more targets have ended at a gateway that started after the outage", n-before)
+	}
+}
