--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -42,6 +42,7 @@
 	TargetTimeout    Type = "target_timeout"
 	TargetRefused    Type = "target_refused"
 	StreamBroken     Type = "stream_broken"
+	Quarantined      Type = "quarantined"
 	SessionLost      Type = "session_lost"
 	Cancelled        Type = "cancelled"
 	LogDown          Type = "log_down"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -47,6 +47,7 @@
 	TargetTimeout:    {504, RanUnknown, "resend if idempotent"},
 	TargetRefused:    {502, RanYes, "correct the request; the target refused it"},
 	StreamBroken:     {502, RanUnknown, "resend if idempotent"},
+	Quarantined:      {502, RanNo, "don't resend it: targets crash under this request; report it"},
 	SessionLost:      {502, RanUnknown, "resend if idempotent"},
 	Cancelled:        {409, RanUnknown, "nothing; it was cancelled"},
 	LogDown:          {503, RanNo, "come back after the time given, with the same key"},
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -90,6 +90,18 @@
 	return true
 }
 
+// IsInService says whether a target is on the list and not leaving.
+func (f *Fleet) IsInService(id string) bool {
+	n, ok := f.nodes[id]
+	return ok && !n.Draining
+}
+
+// HeardSince says whether a target has sent something after a time.
+func (f *Fleet) HeardSince(id string, t time.Time) bool {
+	n, ok := f.nodes[id]
+	return ok && n.health.heard.After(t)
+}
+
 // hearsayAfter is how long a target must have been silent here for a peer's word to make it suspect. A target that works
 // sends something every 20 ms to each gateway that has a request there; one that is cut off from the peer alone is heard here.
 const hearsayAfter = 150 * time.Millisecond
--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -16,6 +16,24 @@
 	Send(ctx context.Context, c TargetCall) (*TargetAnswer, error)
 }
 
+// TargetProber tells whether the process of a target is there.
+type TargetProber interface {
+	// Probe connects to a target and sends nothing.
+	Probe(ctx context.Context, t serving.Target) ProbeResult
+}
+
+// ProbeResult is what a probe shows.
+type ProbeResult uint8
+
+const (
+	// ProbeUnknown shows nothing: the target may be cut off.
+	ProbeUnknown ProbeResult = iota
+	// ProbeAccepted shows that some process listens at the target's address.
+	ProbeAccepted
+	// ProbeRefused shows that none does: the target has ended.
+	ProbeRefused
+)
+
 // TargetCall is one request to one target.
 type TargetCall struct {
 	Target  serving.Target
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -40,13 +40,15 @@
 	StorePeers Name = "store-peers"
 	// Relays has one gateway of each domain pass reports on; off, each tells each other one.
 	Relays Name = "relays"
+	// Quarantine sends requests under which targets have ended to no more targets; off, they are sent on.
+	Quarantine Name = "quarantine"
 )
 
 // All returns the names of all mechanisms.
 func All() []Name {
 	return []Name{
 		ComeBack, Hold, GiveWay, Turns, InTimeFirst, OwnDomain, PeerLoads, PeerWord, Silence, LearnedSilence,
-		Checkpoints, StorePeers, Relays,
+		Checkpoints, StorePeers, Relays, Quarantine,
 	}
 }
 
--- /dev/null
+++ b/core/quarantine/broken.go
@@ -0,0 +1,19 @@
+package quarantine
+
+import "arbutusramp/core/serving"
+
+// Broken is a run of a request that a target has broken off, or that was under way when its target was found to have ended.
+type Broken struct {
+	Request *serving.Request
+	Target  serving.Target
+	// From is the id of the event after which the run began, To that of the last event that is there; empty for none.
+	From, To string
+	// HasEnded says that the target is known to have ended.
+	HasEnded bool
+	// Err is how it shows.
+	Err error
+}
+
+// Counts says whether an end of the target counts against the request. It does not if the run went on from an earlier one and took
+// the request further: each run of a request that is to blame ends at the same event at the latest.
+func (b Broken) Counts() bool { return b.From == "" || b.From == b.To }
--- /dev/null
+++ b/core/quarantine/message.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"arbutusramp/core/errs"
+)
+
+// Message is a record as gateways send it to each other and keep it in the store. Times are in milliseconds since 1970.
+type Message struct {
+	Content []byte       `cbor:"1,keyasint"`
+	Ends    []EndMessage `cbor:"2,keyasint,omitempty"`
+	Cleared int64        `cbor:"3,keyasint,omitempty"` // 0: never
+	Seen    int64        `cbor:"4,keyasint,omitempty"` // 0: never
+}
+
+// EndMessage is an End.
+type EndMessage struct {
+	_      struct{} `cbor:",toarray"`
+	Target uint64
+	At     int64
+}
+
+// Message returns r as it is sent.
+func (r Record) Message() Message {
+	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen)}
+	for _, e := range r.Ends {
+		m.Ends = append(m.Ends, EndMessage{Target: e.Target, At: millis(e.At)})
+	}
+	return m
+}
+
+// Record returns the record that was sent. Error: errs.BadFrame.
+func (m Message) Record() (Record, error) {
+	var r Record
+	if len(m.Content) != len(r.Content) {
+		return r, errs.Newf(errs.BadFrame, "a fingerprint of %d bytes, want %d", len(m.Content), len(r.Content))
+	}
+	copy(r.Content[:], m.Content)
+	r.Cleared, r.Seen = moment(m.Cleared), moment(m.Seen)
+	for _, e := range m.Ends {
+		r.addEnd(End{Target: e.Target, At: moment(e.At)})
+	}
+	return r, nil
+}
+
+// Encode returns r as it is kept in the store. Error: errs.Internal.
+func (r Record) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(r.Message())
+	if err != nil {
+		return nil, errs.Newf(errs.Internal, "record can't be encoded: %v", err)
+	}
+	return data, nil
+}
+
+// Decode reads what Encode has made. Error: errs.BadFrame.
+func Decode(data []byte) (Record, error) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return Record{}, errs.Newf(errs.BadFrame, "record can't be decoded: %v", err)
+	}
+	return m.Record()
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func moment(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- /dev/null
+++ b/core/quarantine/registry.go
@@ -0,0 +1,278 @@
+package quarantine
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultThreshold is how many targets may end under a content before it is quarantined. With two, more requests that only ran
+	// beside the one to blame would be.
+	DefaultThreshold = 3
+	// DefaultHold is how long a content stays quarantined after it was last seen.
+	DefaultHold = time.Hour
+	// maxRecords bounds the contents that are known, at about 500 bytes each.
+	maxRecords = 1024
+	// renewShare is the share of the hold after which a sighting is told to others again.
+	renewShare = 0.25
+	// suspicionHold is how long a content that is not quarantined stays known after the last end under it.
+	suspicionHold = 10 * time.Minute
+	// A record is told to peers at once, and then with pauses that grow from the first to the last of these.
+	firstTellPause = 150 * time.Millisecond
+	lastTellPause  = time.Minute
+	tellGrowth     = 3
+)
+
+// Options are the settings of a Registry.
+type Options struct {
+	Threshold int           // ends of targets after which a content is quarantined; at most MaxEnds
+	Hold      time.Duration // from the last sighting of a quarantined content until it is forgotten
+}
+
+// Registry knows the contents under which targets have ended. It is not safe for concurrent use.
+type Registry struct {
+	opts    Options
+	entries map[Fingerprint]*entry
+}
+
+// entry is one content.
+type entry struct {
+	Record
+	// stored is what the store is known to hold of the content.
+	stored Record
+	// writeAt is when the store should get what it lacks; zero if that is nothing.
+	writeAt time.Time
+	// tellAt is when peers should be told next, tellPause the pause after that.
+	tellAt    time.Time
+	tellPause time.Duration
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(o Options) *Registry {
+	return &Registry{opts: o, entries: make(map[Fingerprint]*entry)}
+}
+
+// Len is the number of contents that are known.
+func (g *Registry) Len() int { return len(g.entries) }
+
+// Quarantined is the number of contents that are quarantined.
+func (g *Registry) Quarantined() int {
+	n := 0
+	for _, e := range g.entries {
+		if g.isQuarantined(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Registry) isQuarantined(e *entry) bool { return len(e.Ends) >= g.opts.Threshold }
+
+// Ends is the number of targets that are known to have ended under a content.
+func (g *Registry) Ends(f Fingerprint) int {
+	if e, ok := g.entries[f]; ok {
+		return len(e.Ends)
+	}
+	return 0
+}
+
+// Check says whether a request with the content must not be sent, and notes that it was seen.
+func (g *Registry) Check(now time.Time, f Fingerprint) (isQuarantined bool) {
+	e, ok := g.entries[f]
+	if !ok || !g.isQuarantined(e) {
+		return false
+	}
+	if now.Sub(e.Seen) > g.opts.Hold {
+		return false // it is dropped by the next Expire
+	}
+	e.Seen = later(e.Seen, now)
+	if e.Seen.Sub(e.stored.Seen) > g.renewAfter() {
+		g.announce(now, e, now)
+	}
+	return true
+}
+
+// renewAfter is how much later than others know a content may have been seen.
+func (g *Registry) renewAfter() time.Duration {
+	return time.Duration(renewShare * float64(g.opts.Hold))
+}
+
+// NoteEnd notes that the target of that id has ended under a content. It reports whether that was not known yet.
+func (g *Registry) NoteEnd(now time.Time, f Fingerprint, target string) (isNew bool) {
+	now = now.Truncate(time.Millisecond)
+	e := g.entry(f)
+	before := len(e.Ends)
+	e.merge(Record{Content: f, Seen: now, Ends: []End{{Target: xxhash.Sum64String(target), At: now}}})
+	if len(e.Ends) == before {
+		return false
+	}
+	g.announce(now, e, now)
+	return true
+}
+
+// NoteServed notes that a target has served a request with the content. It reports whether that clears the content of anything.
+func (g *Registry) NoteServed(now time.Time, f Fingerprint) (hasCleared bool) {
+	e, ok := g.entries[f]
+	if !ok || len(e.Ends) == 0 {
+		return false
+	}
+	now = now.Truncate(time.Millisecond) // as it is sent, so that others know the same time
+	e.merge(Record{Content: f, Cleared: now})
+	g.announce(now, e, now)
+	return true
+}
+
+// ApplyPeer takes in a peer's record. The peer writes it to the store; this gateway does at storeBy unless it has been read from
+// there by then. It reports whether the record says something new.
+func (g *Registry) ApplyPeer(now time.Time, r Record, storeBy time.Time) (isNew bool) {
+	r = r.clamped(now)
+	if g.isExpired(now, r) {
+		return false
+	}
+	e := g.entry(r.Content)
+	if e.covers(r, g.renewAfter()) {
+		return false
+	}
+	e.merge(r)
+	g.scheduleWrite(e, storeBy)
+	// The peer tells all others; this is for those that miss it.
+	e.tellAt, e.tellPause = now.Add(lastTellPause), lastTellPause
+	return true
+}
+
+// ApplyStored takes in the store's newest record of a content. What it lacks is written at storeBy. It reports whether the record
+// says something new.
+func (g *Registry) ApplyStored(now time.Time, r Record, storeBy time.Time) (isNew bool) {
+	r = r.clamped(now)
+	if g.isExpired(now, r) {
+		return false
+	}
+	e := g.entry(r.Content)
+	e.stored = r.clone()
+	isNew = !e.covers(r, 0)
+	e.merge(r)
+	e.writeAt = time.Time{}
+	g.scheduleWrite(e, storeBy)
+	if isNew && e.tellAt.IsZero() {
+		e.tellAt, e.tellPause = now.Add(lastTellPause), lastTellPause
+	}
+	return isNew
+}
+
+// DropStored takes in that the store has no record of a content any more. Unless it has expired here, too, it is written again
+// at storeBy.
+func (g *Registry) DropStored(f Fingerprint, storeBy time.Time) {
+	if e, ok := g.entries[f]; ok {
+		e.stored = Record{Content: f}
+		g.scheduleWrite(e, storeBy)
+	}
+}
+
+// entry returns the entry of a content, a new one if there is none.
+func (g *Registry) entry(f Fingerprint) *entry {
+	if e, ok := g.entries[f]; ok {
+		return e
+	}
+	if len(g.entries) >= maxRecords {
+		g.evict()
+	}
+	e := &entry{Record: Record{Content: f}, stored: Record{Content: f}}
+	g.entries[f] = e
+	return e
+}
+
+// evict drops the content with the fewest ends, of several the one that was not seen for longest.
+func (g *Registry) evict() {
+	var least *entry
+	for _, e := range g.entries {
+		if least == nil || cmp.Or(cmp.Compare(len(e.Ends), len(least.Ends)), e.Seen.Compare(least.Seen)) < 0 {
+			least = e
+		}
+	}
+	delete(g.entries, least.Content)
+}
+
+// announce has an entry told to peers at once and written to the store by a time.
+func (g *Registry) announce(now time.Time, e *entry, storeBy time.Time) {
+	e.tellAt, e.tellPause = now, firstTellPause
+	g.scheduleWrite(e, storeBy)
+}
+
+func (g *Registry) scheduleWrite(e *entry, at time.Time) {
+	if e.stored.covers(e.Record, g.renewAfter()) {
+		e.writeAt = time.Time{}
+		return
+	}
+	if e.writeAt.IsZero() || at.Before(e.writeAt) {
+		e.writeAt = at
+	}
+}
+
+// ToTell returns up to n records that peers should be told now, those of quarantined contents first.
+func (g *Registry) ToTell(now time.Time, n int) []Record {
+	var list []Record
+	for _, quarantined := range []bool{true, false} {
+		for _, e := range g.entries {
+			if len(list) == n {
+				return list
+			}
+			if g.isQuarantined(e) != quarantined || e.tellAt.IsZero() || now.Before(e.tellAt) {
+				continue
+			}
+			e.tellAt = now.Add(e.tellPause)
+			e.tellPause = min(lastTellPause, tellGrowth*e.tellPause)
+			list = append(list, e.Record.clone())
+		}
+	}
+	return list
+}
+
+// ToStore returns up to n records that the store should get now, and when the next one is due; zero if none is.
+func (g *Registry) ToStore(now time.Time, n int) (due []Record, next time.Time) {
+	for _, e := range g.entries {
+		switch {
+		case e.writeAt.IsZero():
+		case !now.Before(e.writeAt) && len(due) < n:
+			due = append(due, e.Record.clone())
+		case next.IsZero() || e.writeAt.Before(next):
+			next = e.writeAt
+		}
+	}
+	return due, next
+}
+
+// NoteStored notes that the store holds a record that ToStore has returned.
+func (g *Registry) NoteStored(r Record) {
+	e, ok := g.entries[r.Content]
+	if !ok {
+		return
+	}
+	at := e.writeAt
+	e.stored, e.writeAt = r.clone(), time.Time{}
+	g.scheduleWrite(e, at)
+}
+
+// Expire forgets contents that were not seen for long. It returns those that the store still holds.
+func (g *Registry) Expire(now time.Time) (stored []Fingerprint) {
+	for f, e := range g.entries {
+		if !g.isExpired(now, e.Record) {
+			continue
+		}
+		if !e.stored.Seen.IsZero() {
+			stored = append(stored, f)
+		}
+		delete(g.entries, f)
+	}
+	return stored
+}
+
+// isExpired says whether a record counts no more. Other gateways may have seen the content later than is known here.
+func (g *Registry) isExpired(now time.Time, r Record) bool {
+	hold := suspicionHold
+	if len(r.Ends) >= g.opts.Threshold {
+		hold = g.opts.Hold + g.renewAfter()
+	}
+	return now.Sub(later(r.Seen, r.Cleared)) > hold
+}
--- /dev/null
+++ b/core/quarantine/registry_test.go
@@ -0,0 +1,213 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func newTestRegistry() *Registry {
+	return NewRegistry(Options{Threshold: DefaultThreshold, Hold: DefaultHold})
+}
+
+func content(i int) Fingerprint { return Fingerprint{byte(i), byte(i >> 8)} }
+
+func noteEnds(g *Registry, f Fingerprint, n int) {
+	for i := range n {
+		g.NoteEnd(start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+	}
+}
+
+// A content is quarantined at the third target that ends under it, and each target counts once.
+func TestAContentIsQuarantinedAtTheThreshold(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	noteEnds(g, f, 2)
+	if g.NoteEnd(start.Add(5*time.Second), f, "t0") {
+		t.Error("the end of a target that has ended is new")
+	}
+	if g.Check(start.Add(6*time.Second), f) || g.Quarantined() != 0 {
+		t.Error("quarantined after two targets")
+	}
+	if !g.NoteEnd(start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
+		t.Error("not quarantined after three targets")
+	}
+	if g.Check(start, content(2)) {
+		t.Error("another content is quarantined")
+	}
+}
+
+// Guards against quarantining a content that many callers send and that is under way wherever something crashes.
+func TestAContentThatIsServedIsNotQuarantined(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	for i := range 9 {
+		now := start.Add(time.Duration(i) * time.Second)
+		g.NoteEnd(now, f, fmt.Sprintf("t%d", i))
+		if i%2 == 1 && !g.NoteServed(now.Add(time.Millisecond), f) {
+			t.Error("nothing to clear")
+		}
+		if g.Check(now, f) {
+			t.Fatalf("quarantined at end %d", i)
+		}
+	}
+}
+
+// Gateways that see one end each come to the same verdict in whatever order they hear of each other, and a clearance goes before
+// the ends that it follows.
+func TestRecordsMergeInAnyOrder(t *testing.T) {
+	f := content(1)
+	var records []Record
+	for i := range DefaultThreshold {
+		g := newTestRegistry()
+		g.NoteEnd(start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+		records = append(records, g.ToTell(start.Add(time.Minute), 1)...)
+	}
+	for first := range records {
+		g := newTestRegistry()
+		now := start.Add(time.Minute)
+		for i := range records {
+			g.ApplyPeer(now, records[(first+i)%len(records)], now)
+		}
+		if !g.Check(now, f) {
+			t.Errorf("not quarantined with %d first", first)
+		}
+		if g.ApplyPeer(now, records[first], now) {
+			t.Error("a record that is known says something new")
+		}
+		cleared := Record{Content: f, Cleared: now}
+		if !g.ApplyPeer(now, cleared, now) || g.Check(now, f) || g.ApplyPeer(now, records[0], now) && g.Ends(f) > 0 {
+			t.Error("not cleared for good")
+		}
+	}
+}
+
+// Guards against a host whose clock is far ahead: its clearance would hide all ends to come.
+func TestTimesAheadOfTheClockAreClamped(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	g.ApplyPeer(start, Record{Content: f, Cleared: start.Add(time.Hour), Seen: start.Add(time.Hour)}, start)
+	for i := range DefaultThreshold {
+		g.NoteEnd(start.Add(time.Duration(i+1)*time.Second), f, fmt.Sprintf("t%d", i))
+	}
+	if !g.Check(start.Add(time.Minute), f) {
+		t.Error("a clearance from the future counts")
+	}
+}
+
+// A quarantine lasts as long as the content comes again, and a hold beyond that.
+func TestAQuarantineLastsAsLongAsItsContentIsSeen(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	noteEnds(g, f, DefaultThreshold)
+	now := start
+	for range 5 {
+		now = now.Add(DefaultHold - time.Minute)
+		if !g.Check(now, f) {
+			t.Fatalf("forgotten %v after it was last seen", DefaultHold-time.Minute)
+		}
+	}
+	if now = now.Add(DefaultHold + time.Second); g.Check(now, f) {
+		t.Error("not forgotten after the hold")
+	}
+	g.Expire(now.Add(DefaultHold))
+	if g.Len() != 0 {
+		t.Error("an expired record takes memory")
+	}
+}
+
+// Guards against unbounded memory, and against a flood of contents under which one target ended that drops those quarantined.
+func TestRecordsAreBounded(t *testing.T) {
+	g, bad := newTestRegistry(), content(0)
+	noteEnds(g, bad, DefaultThreshold)
+	for i := range 3 * maxRecords {
+		g.NoteEnd(start.Add(time.Duration(i)*time.Millisecond), content(i+1), "t")
+	}
+	if g.Len() > maxRecords || !g.Check(start.Add(time.Minute), bad) {
+		t.Errorf("%d records, quarantined %v", g.Len(), g.Check(start.Add(time.Minute), bad))
+	}
+}
+
+// Peers are told at once and then ever less often.
+func TestRecordsAreToldWithGrowingPauses(t *testing.T) {
+	g := newTestRegistry()
+	g.NoteEnd(start, content(1), "t")
+	told := 0
+	for at := time.Duration(0); at < 10*time.Minute; at += 100 * time.Millisecond {
+		told += len(g.ToTell(start.Add(at), 8))
+	}
+	if first := g.ToTell(start, 8); told < 10 || told > 20 || len(first) != 0 {
+		t.Errorf("told %d times in 10 minutes", told)
+	}
+}
+
+// What the store lacks is written, by this gateway at once if it has seen it, later if peers have told it, and not at all once
+// the store has it.
+func TestWhatTheStoreLacksIsWritten(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	g.NoteEnd(start, f, "t0")
+	due, _ := g.ToStore(start, 8)
+	if len(due) != 1 {
+		t.Fatalf("%d records to store", len(due))
+	}
+	g.NoteStored(due[0])
+	if due, next := g.ToStore(start, 8); len(due) != 0 || !next.IsZero() {
+		t.Error("stored twice")
+	}
+	peer := Record{Content: f, Seen: start, Ends: []End{{Target: 7, At: start}}}
+	storeBy := start.Add(5 * time.Second)
+	g.ApplyPeer(start, peer, storeBy)
+	if due, next := g.ToStore(start, 8); len(due) != 0 || !next.Equal(storeBy) {
+		t.Errorf("%d records due now, next at %v", len(due), next)
+	}
+	peer.Ends = append(peer.Ends, due[0].Ends...)
+	g.ApplyStored(start, peer, start)
+	if due, next := g.ToStore(storeBy, 8); len(due) != 0 || !next.IsZero() {
+		t.Error("written although the store has it")
+	}
+	g.DropStored(f, start)
+	if due, _ := g.ToStore(start, 8); len(due) != 1 || len(due[0].Ends) != 2 {
+		t.Error("a record that another has dropped too early is not written again")
+	}
+	if stored := g.Expire(start.Add(2 * suspicionHold)); len(stored) != 0 {
+		t.Errorf("%d records to drop that the store does not hold", len(stored))
+	}
+}
+
+// Guards against a clearance that is written again each time it is read, since less of its time is sent than is known.
+func TestAClearanceIsStoredOnce(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	now := start.Add(123456 * time.Nanosecond)
+	g.NoteEnd(now, f, "t")
+	g.NoteServed(now.Add(time.Second), f)
+	due, _ := g.ToStore(now.Add(time.Second), 1)
+	data, err := due[0].Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stored, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.ApplyStored(now.Add(time.Second), stored, now)
+	if due, next := g.ToStore(now.Add(time.Minute), 1); len(due) != 0 || !next.IsZero() {
+		t.Error("written again")
+	}
+}
+
+func TestRecordsAreEncodedWhole(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	noteEnds(g, f, 2)
+	r := g.ToTell(start.Add(time.Minute), 1)[0]
+	data, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil || !got.covers(r, 0) || !r.covers(got, 0) || got.Content != f {
+		t.Errorf("%+v, want %+v: %v", got, r, err)
+	}
+	for _, bad := range [][]byte{nil, {0xa0}, []byte("text")} {
+		if _, err := Decode(bad); err == nil {
+			t.Errorf("%q is a record", bad)
+		}
+	}
+}
--- a/internal/dev/gateways.go
+++ b/internal/dev/gateways.go
@@ -13,6 +13,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
@@ -96,6 +97,7 @@
 		Host:       settings.Identity{ID: structs.HostID(numbered("gateway", i)), Domain: structs.FailureDomain(numbered("domain", i))},
 		CallerAddr: loopback, ReadyAddr: loopback, PeerAddr: loopback, MetricsAddr: loopback,
 		StoreAddr: store, Shards: shards, MinTTL: shortLease, Keep: keepJobs, Grace: drainTimeout,
+		QuarantineAfter: quarantine.DefaultThreshold, QuarantineHold: quarantine.DefaultHold,
 	}
 	n, err := node.NewGateway(s, logger.Named(string(s.Host.ID)), metrics.NewRegistry())
 	if err != nil {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -172,5 +172,22 @@
 	return v.fleet.Targets()
 }
 
+// IsInService says whether a target is on the list and not leaving.
+func (v *View) IsInService(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.IsInService(id)
+}
+
+// HeardSince says whether a target has sent something to this process after a time.
+func (v *View) HeardSince(id string, t time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.HeardSince(id, t)
+}
+
+// ReportSoon has peers told of news without waiting for the next report.
+func (v *View) ReportSoon() { signal(v.changed) }
+
 // Drop marks a target as gone at once: another one answers at its address.
 func (v *View) Drop(id string) { v.Put(nil, []string{id}) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
@@ -34,8 +32,6 @@
 	callPatience = 250 * time.Millisecond
 	// eventStream is the media type of streamed answers.
 	eventStream = "text/event-stream"
-	// brokenOffMetric counts requests that targets have broken off after they may have begun with them.
-	brokenOffMetric = "online.broken_off"
 )
 
 // attempt is a request at one target.
@@ -144,7 +140,9 @@
 // was silent for too long. It is nil if the target has ended it.
 func (a *attempt) endedHere(ctx context.Context, silent errs.Type) error {
 	if a.gone.Load() {
-		return errs.New(errs.StreamBroken, "the target has started again").WithRan(errs.RanUnknown)
+		err := errs.New(errs.StreamBroken, "the target has started again").WithRan(errs.RanUnknown)
+		a.brokenOff(err)
+		return err
 	}
 	if a.silent.Load() {
 		return errs.New(silent, "the target has sent nothing for too long")
@@ -238,11 +236,11 @@
 	return errs.Newf(errs.StreamBroken, "the answer has broken off: %v", err)
 }
 
-// brokenOff notes that the target has broken off the request, or its answer.
+// brokenOff notes that the target has broken off the request, or its answer, or has ended under it.
 func (a *attempt) brokenOff(err error) {
-	metrics.GetOrRegisterCounter(brokenOffMetric, a.gw.reg).Inc(1)
-	a.gw.log.Warn("broken off by target", "request", a.req.ID, "content", quarantine.FingerprintOf(a.req).String(), "route", a.route.Name,
-		"target", a.run.Target.ID, "attempt", len(a.tried), "from_event", a.from, "to_event", a.lastID, "error", err.Error())
+	a.gw.quarantine.BrokenOff(quarantine.Broken{
+		Request: a.req, Target: a.run.Target, From: a.from, To: a.lastID, HasEnded: a.gone.Load(), Err: err,
+	})
 }
 
 // relayWhole passes on an answer that is no stream. It is held until it is complete, up to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	controllers *controllers
 	access      Access
 	quotas      Quotas
+	quarantine  Quarantine
 }
 
 // Access says whom a request comes from.
@@ -59,6 +60,16 @@
 	Refund(workspace string)
 }
 
+// Quarantine keeps requests under which targets have ended from targets.
+type Quarantine interface {
+	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
+	Check(r *serving.Request) error
+	// BrokenOff notes a run that a target has broken off.
+	BrokenOff(b quarantine.Broken)
+	// Served notes that a target has served a request whole.
+	Served(r *serving.Request)
+}
+
 // Beliefs are what the process believes of the configuration, for logs.
 type Beliefs interface {
 	// Version is the configuration's version in force.
@@ -74,6 +85,9 @@
 	Beliefs Beliefs
 	Access  Access
 	Quotas  Quotas
+	// Quarantine is asked before each send.
+	Quarantine Quarantine
+
 	Off     policy.Off // mechanisms that are switched off
 	Log     hclog.Logger
 	Metrics metrics.Registry
@@ -81,7 +95,7 @@
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{targets: o.Targets, view: o.View, beliefs: o.Beliefs, access: o.Access, quotas: o.Quotas, log: o.Log,
+	return &Gateway{targets: o.Targets, view: o.View, beliefs: o.Beliefs, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, log: o.Log,
 		served: logging.NewRoutine(o.Log), sent: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Off)}
 }
@@ -120,7 +134,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
-	err := x.takeQuota()
+	err := x.gw.quarantine.Check(r)
+	if err == nil {
+		err = x.takeQuota()
+	}
 	if err == nil {
 		err = x.admit(ctx)
 	}
@@ -164,7 +181,8 @@
 // mayRetry says whether another target may get the request after this failure.
 func (x *exchange) mayRetry(err error) bool {
 	e := errs.As(err)
-	if e.Type == errs.NoTarget || e.Type == errs.Cancelled || e.Type == errs.Unauthenticated || e.Type == errs.ConfigStale {
+	switch e.Type {
+	case errs.NoTarget, errs.Cancelled, errs.Unauthenticated, errs.ConfigStale, errs.Quarantined:
 		return false
 	}
 	if e.Ran == errs.RanNo {
@@ -178,6 +196,9 @@
 	if err := x.recheckKey(); err != nil {
 		return err
 	}
+	if err := x.gw.quarantine.Check(x.req); err != nil {
+		return err
+	}
 	run, ok := x.gw.view.StartOnline(x.service, x.tried)
 	if !ok {
 		return x.noTarget()
@@ -189,6 +210,7 @@
 	err := a.do(ctx)
 	if err == nil {
 		run.Held()
+		x.gw.quarantine.Served(x.req)
 	}
 	return err
 }
@@ -224,7 +246,7 @@
 	if x.mayHaveRun > 0 {
 		return e.WithRan(errs.RanUnknown)
 	}
-	if e.Type == errs.Unauthenticated {
+	if e.Type == errs.Unauthenticated || e.Type == errs.Quarantined {
 		return e // coming back does not help
 	}
 	return e.WithRan(errs.RanNo).WithRetry(x.comeBack(time.Duration(e.RetryAfterMs) * time.Millisecond))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
@@ -42,6 +43,11 @@
 	authErr            error  // when keys are checked again
 	overQuota          bool
 	admitted, refunded int
+
+	quarantined error // what Check returns
+	checks      int
+	brokenOff   []quarantine.Broken
+	served      int
 }
 
 // Send implements platform.TargetCaller: the n-th send follows the n-th script.
@@ -66,7 +72,7 @@
 	for i := range targets {
 		b.view.Put([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	b.gw = New(Options{Targets: b, View: b.view, Beliefs: b, Access: b, Quotas: b, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	b.gw = New(Options{Targets: b, View: b.view, Beliefs: b, Access: b, Quotas: b, Quarantine: b, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 	return b
 }
 
@@ -84,6 +90,18 @@
 // Refund implements Quotas.
 func (b *bench) Refund(string) { b.refunded++ }
 
+// Check implements Quarantine.
+func (b *bench) Check(*serving.Request) error {
+	b.checks++
+	return b.quarantined
+}
+
+// BrokenOff implements Quarantine.
+func (b *bench) BrokenOff(run quarantine.Broken) { b.brokenOff = append(b.brokenOff, run) }
+
+// Served implements Quarantine.
+func (b *bench) Served(*serving.Request) { b.served++ }
+
 // Version implements Beliefs.
 func (b *bench) Version() uint64 { return 1 }
 
@@ -314,7 +332,7 @@
 			}
 			return whole(200, "ok", nil)(nil, platform.TargetCall{})
 		})
-		b.gw = New(Options{Targets: b, View: b.view, Beliefs: b, Access: b, Quotas: b, Metrics: metrics.NewRegistry(),
+		b.gw = New(Options{Targets: b, View: b.view, Beliefs: b, Access: b, Quotas: b, Quarantine: b, Metrics: metrics.NewRegistry(),
 			Log: hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})})
 		b.serve(context.Background(), route(serving.KindSafe, 2, false), &caller{})
 	})
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -20,6 +20,7 @@
 
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
@@ -71,8 +72,10 @@
 	// detours says whether this process's own way to the store is lost.
 	detours func() bool
 	quotas  Quotas
-	log     hclog.Logger
-	conn    *net.UDPConn
+	// quarantine has news of requests that targets end under.
+	quarantine Quarantine
+	log        hclog.Logger
+	conn       *net.UDPConn
 
 	names   names // of the goroutine that receives
 	traffic Traffic
@@ -93,6 +96,14 @@
 	Forget(addr string)
 }
 
+// Quarantine is what gateways tell each other about requests that targets end under.
+type Quarantine interface {
+	// ToTell returns the records that peers should be told now.
+	ToTell() []quarantine.Record
+	// Apply takes in what a peer tells.
+	Apply(records []quarantine.Record)
+}
+
 // Options are what a Share needs to know.
 type Options struct {
 	Addr   string // IP:port to listen at
@@ -101,6 +112,8 @@
 	Off    policy.Off
 	View   *fleetview.View
 	Quotas Quotas
+	// Quarantine has what is told beside the loads.
+	Quarantine Quarantine
 	// Detours says, once Run is called, whether this process's own way to the store is lost.
 	Detours func() bool
 	Log     hclog.Logger
@@ -117,7 +130,7 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	return &Share{
-		self: o.Self, domain: digestOf(o.Domain), relays: o.Off.Allows(policy.Relays), view: o.View, detours: o.Detours, quotas: o.Quotas,
+		self: o.Self, domain: digestOf(o.Domain), relays: o.Off.Allows(policy.Relays), view: o.View, detours: o.Detours, quotas: o.Quotas, quarantine: o.Quarantine,
 		log: o.Log, conn: conn, peers: make(map[netip.AddrPort]*peer),
 	}, nil
 }
@@ -189,7 +202,7 @@
 	r := report{
 		IsFirst: admitted.IsFirst, Admitted: countsOf(admitted.Counts),
 		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Want.Items, Due: own.Want.Due,
-		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects),
+		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects), Quarantine: messagesOf(s.quarantine.ToTell()),
 	}
 	direct := s.encode(r)
 	r.PassOn = true
@@ -274,9 +287,24 @@
 		Loads: loadsOf(r.Loads, ids), Suspects: idsOf(r.Suspects, ids), Want: fleet.Want{Items: r.Items, Due: r.Due},
 		Contact: r.contact(time.Now()),
 	})
+	s.quarantine.Apply(s.recordsOf(r.Quarantine, from))
 	s.quotas.Apply(from.String(), quota.Report{Start: string(r.From), IsFirst: r.IsFirst, Counts: r.counts()})
 }
 
+// recordsOf reads what a peer tells of requests that targets end under. What can't be read is left out.
+func (s *Share) recordsOf(messages []quarantine.Message, from netip.AddrPort) []quarantine.Record {
+	var list []quarantine.Record
+	for _, m := range messages {
+		r, err := m.Record()
+		if err != nil {
+			s.log.Warn("record of the quarantine can't be read", "from", from.String(), "error", err)
+			continue
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
 // targetNames returns the targets' ids by their digests. Only the goroutine that receives calls it.
 func (s *Share) targetNames() map[digest]string {
 	if listed := s.view.Listed(); s.names.ids == nil || listed != s.names.listed {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
@@ -21,7 +23,44 @@
 func testOptions(self fleet.Peer, v *fleetview.View) Options {
 	return Options{
 		Addr: "127.0.0.1:0", Self: self, Domain: "d", View: v, Quotas: quotas.New(string(self), quota.Options{ClaimTTL: time.Minute}, metrics.NewRegistry()),
-		Detours: func() bool { return false }, Log: hclog.NewNullLogger(),
+		Quarantine: &fakeQuarantine{},
+		Detours:    func() bool { return false }, Log: hclog.NewNullLogger(),
+	}
+}
+
+// fakeQuarantine tells what it has once, and keeps what it is told.
+type fakeQuarantine struct {
+	tells []quarantine.Record
+	told  []quarantine.Record
+}
+
+func (q *fakeQuarantine) ToTell() []quarantine.Record {
+	tells := q.tells
+	q.tells = nil
+	return tells
+}
+
+func (q *fakeQuarantine) Apply(records []quarantine.Record) { q.told = append(q.told, records...) }
+
+// Guards against gateways that do not hear of the requests under which targets have ended elsewhere.
+func TestRecordsOfTheQuarantineReachPeers(t *testing.T) {
+	a, _ := newShare(t, "a")
+	b, _ := newShare(t, "b")
+	defer a.conn.Close()
+	defer b.conn.Close()
+	a.AddPeer(b.Addr().String())
+	record := quarantine.Record{Content: quarantine.Fingerprint{1}, Seen: time.UnixMilli(5), Ends: []quarantine.End{{Target: 7, At: time.UnixMilli(4)}}}
+	heard := &fakeQuarantine{}
+	a.quarantine, b.quarantine = &fakeQuarantine{tells: []quarantine.Record{record}}, heard
+	a.broadcast(1)
+	buf := make([]byte, maxDatagram)
+	n, from, err := b.conn.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.take(buf[:n], from)
+	if !reflect.DeepEqual(heard.told, []quarantine.Record{record}) {
+		t.Errorf("heard %+v, want %+v", heard.told, record)
 	}
 }
 
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/serving"
 )
@@ -35,6 +36,16 @@
 	// IsFirst and Admitted are a quota.Report.
 	IsFirst  bool    `cbor:"12,keyasint,omitempty"`
 	Admitted []count `cbor:"13,keyasint,omitempty"`
+	// Quarantine are records that are news to some peers.
+	Quarantine []quarantine.Message `cbor:"14,keyasint,omitempty"`
+}
+
+func messagesOf(records []quarantine.Record) []quarantine.Message {
+	var list []quarantine.Message
+	for _, r := range records {
+		list = append(list, r.Message())
+	}
+	return list
 }
 
 // count is how many requests of a workspace the sender has admitted since its start.
--- a/internal/loadshare/quota_test.go
+++ b/internal/loadshare/quota_test.go
@@ -28,7 +28,7 @@
 func shareWith(t *testing.T, self fleet.Peer, q *quotas.Quotas) *Share {
 	t.Helper()
 	s, err := New(Options{
-		Addr: "127.0.0.1:0", Self: self, Domain: "d", View: fleetview.New(fleet.Options{Self: self, PeerTTL: PeerTTL}), Quotas: q,
+		Addr: "127.0.0.1:0", Self: self, Domain: "d", View: fleetview.New(fleet.Options{Self: self, PeerTTL: PeerTTL}), Quotas: q, Quarantine: &fakeQuarantine{},
 		Detours: func() bool { return false }, Log: hclog.NewNullLogger(),
 	})
 	if err != nil {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -26,6 +26,7 @@
 	"arbutusramp/internal/gateway"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/logging"
+	"arbutusramp/internal/quarantine"
 	"arbutusramp/internal/quotas"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/storepath"
@@ -59,20 +60,22 @@
 
 // Gateway is a process that takes callers' requests on the users' platform.
 type Gateway struct {
-	set     settings.Gateway
-	log     hclog.Logger
-	reg     metrics.Registry
-	view    *fleetview.View
-	watch   *watch.Watch
-	jobs    *backlog.Manager
-	share   *loadshare.Share
-	quotas  *quotas.Quotas
-	paths   *storepath.Paths
-	peers   *peerDirectory
-	server  *http.Server
-	callers *conns
-	sides   []*http.Server // of the other listeners: see readyOn
-	sideOn  []net.Listener
+	set    settings.Gateway
+	log    hclog.Logger
+	reg    metrics.Registry
+	view   *fleetview.View
+	watch  *watch.Watch
+	jobs   *backlog.Manager
+	share  *loadshare.Share
+	quotas *quotas.Quotas
+	// quarantine keeps requests under which targets have ended from reaching more.
+	quarantine *quarantine.Quarantine
+	paths      *storepath.Paths
+	peers      *peerDirectory
+	server     *http.Server
+	callers    *conns
+	sides      []*http.Server // of the other listeners: see readyOn
+	sideOn     []net.Listener
 
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -91,17 +94,20 @@
 	})
 	g := &Gateway{set: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.quotas = quotas.New(self, quota.Options{Window: s.QuotaWindow, Excess: s.QuotaExcess, Slack: float64(s.QuotaSlack), ClaimTTL: claimTTL(s)}, reg)
+	g.quarantine = quarantine.New(quarantine.Options{
+		Threshold: s.QuarantineAfter, Hold: s.QuarantineHold, Off: s.Off, Prober: targets, Fleet: view, Log: logger.Named("quarantine"), Metrics: reg,
+	})
 	if err := g.reachStore(client, fleet.Peer(self)); err != nil {
 		return nil, err
 	}
 	g.watch = watch.New(watch.Options{
-		Directory: directory.New(g.paths, self), View: view, Quotas: g.quotas, RevokeWithin: s.RevokeWithin,
+		Directory: directory.New(g.paths, self), View: view, Quotas: g.quotas, Ends: g.quarantine, RevokeWithin: s.RevokeWithin,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off},
 		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
-		Targets: targets, View: view, Beliefs: g.watch, Access: g.watch, Quotas: g.quotas, Off: s.Off,
+		Targets: targets, View: view, Beliefs: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Off: s.Off,
 		Log: logger.Named("online"), Metrics: reg,
 	})
 	if err := g.listen(); err != nil {
@@ -170,6 +176,8 @@
 		return "configuration not confirmed for too long"
 	case !g.jobs.Loaded():
 		return "backlog not read"
+	case !g.quarantine.Loaded():
+		return "quarantine not read"
 	}
 	return ""
 }
@@ -195,6 +203,7 @@
 	parts.Go(func() error { return g.watch.Run(work) })
 	parts.Go(func() error { return g.share.Run(work) })
 	parts.Go(func() error { return g.peers.run(work) })
+	parts.Go(func() error { return g.quarantine.Run(work, g.paths) })
 	for i := range g.sides {
 		parts.Go(func() error { return served(g.sides[i].Serve(g.sideOn[i])) })
 	}
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/settings"
 	"arbutusramp/platform/wiretest"
@@ -92,6 +93,7 @@
 		CallerAddr: anyPort, ReadyAddr: anyPort, PeerAddr: anyPort, MetricsAddr: anyPort,
 		StoreAddr: store, Shards: 4, MinTTL: 300 * time.Millisecond, Grace: 4 * time.Second,
 		RevokeWithin: 5 * time.Second, QuotaWindow: 5 * time.Second,
+		QuarantineAfter: quarantine.DefaultThreshold, QuarantineHold: quarantine.DefaultHold,
 	}
 	set.Host.ID, set.Host.Domain = structs.HostID(id), "d"
 	g, err := NewGateway(set, hclog.NewNullLogger(), metrics.NewRegistry())
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,233 @@
+// Package quarantine keeps requests under which targets have ended from reaching more targets. It finds out whether a target that
+// has broken off requests has ended, tells the other gateways, and keeps what is known in the platform's store, so that processes
+// that start know it.
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
+	"arbutusramp/core/policy"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/dependency"
+	"arbutusramp/internal/logging"
+)
+
+// Names of the metrics.
+const (
+	brokenMetric      = "quarantine.broken_off"  // runs that targets have broken off after they may have begun
+	endsMetric        = "quarantine.ends"        // ends of targets counted against contents by this gateway
+	rejectedMetric    = "quarantine.rejected"    // sends that were not made
+	clearedMetric     = "quarantine.cleared"     // contents that were served after targets had ended under them
+	recordsMetric     = "quarantine.records"     // contents that are known
+	quarantinedMetric = "quarantine.quarantined" // of these those that are quarantined
+	suspectsMetric    = "quarantine.suspects"    // broken requests of which it is not known yet whether their target has ended
+	overflowMetric    = "quarantine.overflow"    // broken requests that were not followed, since too many were
+)
+
+// Fleet is what is known of targets.
+type Fleet interface {
+	// IsInService says whether a target is on the list and not leaving.
+	IsInService(id string) bool
+	// HeardSince says whether a target has sent something to this process after a time.
+	HeardSince(id string, t time.Time) bool
+	// ReportSoon has peers told of news without waiting for the next report.
+	ReportSoon()
+}
+
+// Options are what a Quarantine needs to know.
+type Options struct {
+	Threshold int           // ends of targets after which a content is quarantined
+	Hold      time.Duration // from the last sighting of a quarantined content until it is forgotten
+	Off       policy.Off
+	Prober    platform.TargetProber
+	Fleet     Fleet
+	Log       hclog.Logger
+	Metrics   metrics.Registry
+}
+
+// Quarantine is a quarantine.Registry with a lock, and what feeds it. It is safe for concurrent use.
+type Quarantine struct {
+	isOn     bool
+	prober   platform.TargetProber
+	fleet    Fleet
+	log      hclog.Logger
+	lines    *logging.Routine
+	broken   metrics.Counter
+	ends     metrics.Counter
+	rejected metrics.Counter
+	cleared  metrics.Counter
+	overflow metrics.Counter
+
+	// known is the number of contents in the registry: while there are none, no request needs a fingerprint.
+	known  atomic.Int64
+	loaded atomic.Bool // what the store holds has been read
+	// changed gets a token when the store may lack something.
+	changed chan struct{}
+
+	mu       sync.Mutex
+	registry *quarantine.Registry
+	suspects suspects
+}
+
+// New returns a quarantine that knows of nothing yet.
+func New(o Options) *Quarantine {
+	q := &Quarantine{
+		isOn: o.Off.Allows(policy.Quarantine), prober: o.Prober, fleet: o.Fleet, log: o.Log, lines: logging.NewRoutine(o.Log),
+		broken:   metrics.GetOrRegisterCounter(brokenMetric, o.Metrics),
+		ends:     metrics.GetOrRegisterCounter(endsMetric, o.Metrics),
+		rejected: metrics.GetOrRegisterCounter(rejectedMetric, o.Metrics),
+		cleared:  metrics.GetOrRegisterCounter(clearedMetric, o.Metrics),
+		overflow: metrics.GetOrRegisterCounter(overflowMetric, o.Metrics),
+		changed:  make(chan struct{}, 1),
+		registry: quarantine.NewRegistry(quarantine.Options{Threshold: o.Threshold, Hold: o.Hold}),
+		suspects: newSuspects(),
+	}
+	for name, read := range map[string]func() int64{
+		recordsMetric:     func() int64 { return int64(q.registry.Len()) },
+		quarantinedMetric: func() int64 { return int64(q.registry.Quarantined()) },
+		suspectsMetric:    func() int64 { return int64(q.suspects.len()) },
+	} {
+		o.Metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 {
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			return read()
+		}))
+	}
+	return q
+}
+
+// Run follows the store until ctx ends.
+func (q *Quarantine) Run(ctx context.Context, store platform.Store) error {
+	if !q.isOn {
+		return nil
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	s := &storeSync{q: q, store: store, link: dependency.NewLink(q.log, partition.Topic)}
+	g.Go(func() error { return s.read(ctx) })
+	g.Go(func() error { return s.write(ctx) })
+	g.Go(func() error { return q.expire(ctx, s) })
+	return g.Wait()
+}
+
+// Loaded says whether what the store holds has been read.
+func (q *Quarantine) Loaded() bool { return !q.isOn || q.loaded.Load() }
+
+// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
+func (q *Quarantine) Check(r *serving.Request) error {
+	if q.known.Load() == 0 {
+		return nil
+	}
+	return q.check(r.ID, quarantine.FingerprintOf(r))
+}
+
+// check is Check with the fingerprint.
+func (q *Quarantine) check(id string, f quarantine.Fingerprint) error {
+	q.mu.Lock()
+	isQuarantined, ends := q.registry.Check(time.Now(), f), q.registry.Ends(f)
+	q.mu.Unlock()
+	if !isQuarantined {
+		return nil
+	}
+	q.rejected.Inc(1)
+	q.lines.Info(time.Now(), "quarantined", "request", id, "content", f.String(), "ends", ends)
+	return errs.Newf(errs.Quarantined, "%d targets have ended under this request", ends)
+}
+
+// Served notes that a target has served a request whole.
+func (q *Quarantine) Served(r *serving.Request) {
+	if q.known.Load() == 0 {
+		return
+	}
+	f := quarantine.FingerprintOf(r)
+	q.mu.Lock()
+	ends := q.registry.Ends(f)
+	hasCleared := q.registry.NoteServed(time.Now(), f)
+	q.mu.Unlock()
+	if hasCleared {
+		q.cleared.Inc(1)
+		q.log.Info("cleared", "request", r.ID, "content", f.String(), "ends", ends)
+		q.announce()
+	}
+}
+
+// noteEnd counts the end of a target against a request.
+func (q *Quarantine) noteEnd(s suspect, target, evidence string) {
+	q.mu.Lock()
+	now := time.Now()
+	isNew := q.registry.NoteEnd(now, s.content, target)
+	ends, isQuarantined := q.registry.Ends(s.content), q.registry.Check(now, s.content)
+	q.known.Store(int64(q.registry.Len()))
+	q.mu.Unlock()
+	if !isNew {
+		return
+	}
+	q.ends.Inc(1)
+	q.log.Warn("target ended under request", "request", s.request, "content", s.content.String(), "target", target, "evidence", evidence,
+		"after_ms", now.Sub(s.broken).Milliseconds(), "ends", ends, "quarantined", isQuarantined)
+	q.announce()
+}
+
+// announce has peers and the store told.
+func (q *Quarantine) announce() {
+	q.fleet.ReportSoon()
+	q.wakeWriter()
+}
+
+func (q *Quarantine) wakeWriter() {
+	select {
+	case q.changed <- struct{}{}:
+	default:
+	}
+}
+
+// maxTold is how many records one report to peers carries: some hundred bytes.
+const maxTold = 8
+
+// ToTell returns the records that peers should be told now.
+func (q *Quarantine) ToTell() []quarantine.Record {
+	if q.known.Load() == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.registry.ToTell(time.Now(), maxTold)
+}
+
+// peerWritesWithin is how long a peer that tells of an end may take to write it to the store.
+const peerWritesWithin = 5 * time.Second
+
+// Apply takes in what a peer tells.
+func (q *Quarantine) Apply(records []quarantine.Record) {
+	if !q.isOn || len(records) == 0 {
+		return
+	}
+	q.take(records, "peer", func(now time.Time, r quarantine.Record) bool {
+		return q.registry.ApplyPeer(now, r, now.Add(peerWritesWithin))
+	})
+	q.wakeWriter()
+}
+
+// take has apply take records in, under the lock, and logs those that say something new.
+func (q *Quarantine) take(records []quarantine.Record, source string, apply func(now time.Time, r quarantine.Record) bool) {
+	for _, r := range records {
+		q.mu.Lock()
+		now := time.Now()
+		isNew := apply(now, r)
+		ends := q.registry.Ends(r.Content)
+		q.known.Store(int64(q.registry.Len()))
+		q.mu.Unlock()
+		if isNew {
+			q.lines.Info(now, "record learned", "content", r.Content.String(), "from", source, "ends", ends, "seen_ms_ago", now.Sub(r.Seen).Milliseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/quarantine/suspects.go
@@ -0,0 +1,191 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
+)
+
+const (
+	// suspicionTTL is how long after a target has broken off requests its end may become known. An entry of a target that has
+	// crashed lapses within three seconds, and is read within half a second.
+	suspicionTTL = 5 * time.Second
+	// maxSuspects bounds the broken requests that are followed.
+	maxSuspects = 4096
+	// probeTimeout is how long a probe may take.
+	probeTimeout = 400 * time.Millisecond
+)
+
+// probeDelays are the pauses before each probe of a target that has broken off a request. A process that ends may close its
+// connections a moment before its listener.
+var probeDelays = []time.Duration{10 * time.Millisecond, 200 * time.Millisecond}
+
+// bufferedFor is how long after its end something that a target has sent may still be read.
+const bufferedFor = 50 * time.Millisecond
+
+// suspect is a request that a target has broken off.
+type suspect struct {
+	request string // id
+	content quarantine.Fingerprint
+	broken  time.Time
+}
+
+// brokenTarget is a target that has broken off requests.
+type brokenTarget struct {
+	suspects  []suspect
+	last      time.Time // when it has last broken one off
+	evidence  string    // that it has ended; empty while there is none
+	isProbing bool
+}
+
+// suspects are the requests that targets have broken off lately.
+type suspects struct {
+	byTarget map[string]*brokenTarget
+	n        int
+}
+
+func newSuspects() suspects { return suspects{byTarget: make(map[string]*brokenTarget)} }
+
+func (s *suspects) len() int { return s.n }
+
+// prune forgets targets that have broken off nothing for suspicionTTL.
+func (s *suspects) prune(now time.Time) {
+	for id, t := range s.byTarget {
+		if now.Sub(t.last) > suspicionTTL {
+			s.n -= len(t.suspects)
+			delete(s.byTarget, id)
+		}
+	}
+}
+
+// take removes and returns the suspects of a target that is known to have ended.
+func (s *suspects) take(id, evidence string) []suspect {
+	t, ok := s.byTarget[id]
+	if !ok {
+		return nil
+	}
+	list := t.suspects
+	s.n -= len(list)
+	t.suspects, t.evidence = nil, evidence
+	return list
+}
+
+// dismiss drops the suspects of a target that takes connections, and ends its probe.
+func (s *suspects) dismiss(id string) {
+	if t, ok := s.byTarget[id]; ok {
+		s.n -= len(t.suspects)
+		t.suspects, t.isProbing = nil, false
+	}
+}
+
+// BrokenOff notes a broken run. Whether the target has ended, or only the connection, shows within suspicionTTL.
+func (q *Quarantine) BrokenOff(b quarantine.Broken) {
+	now := time.Now()
+	s := suspect{request: b.Request.ID, content: quarantine.FingerprintOf(b.Request), broken: now}
+	q.broken.Inc(1)
+	q.log.Warn("broken off by target", "request", s.request, "content", s.content.String(), "target", b.Target.ID, "from_event", b.From,
+		"to_event", b.To, "error", b.Err.Error())
+	if !q.isOn || !b.Counts() || !b.HasEnded && !q.isExpected(b.Target.ID) {
+		return
+	}
+	if b.HasEnded {
+		q.noteEnd(s, b.Target.ID, "started again")
+		return
+	}
+	evidence, needsProbe := q.suspect(s, b.Target.ID)
+	if evidence != "" {
+		q.noteEnd(s, b.Target.ID, evidence)
+		return
+	}
+	if needsProbe {
+		go q.probe(b.Target, now)
+	}
+}
+
+// isExpected says whether a target was expected to be there when it broke off a request. One that is leaving may end under any
+// request, so that its end counts against none. Of several requests that it breaks off, the last may come after it is off the list.
+func (q *Quarantine) isExpected(target string) bool {
+	return q.fleet.IsInService(target) || q.isBroken(target)
+}
+
+// isBroken says whether a target has broken off requests while it was in service, a moment ago.
+func (q *Quarantine) isBroken(target string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, ok := q.suspects.byTarget[target]
+	return ok
+}
+
+// suspect adds a suspect. It returns the evidence that its target has ended, if there is some already, and whether the target has to
+// be probed.
+func (q *Quarantine) suspect(s suspect, target string) (evidence string, needsProbe bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.suspects.prune(s.broken)
+	t, ok := q.suspects.byTarget[target]
+	if !ok {
+		t = &brokenTarget{}
+		q.suspects.byTarget[target] = t
+	}
+	t.last = s.broken
+	if t.evidence != "" {
+		return t.evidence, false
+	}
+	if q.suspects.n >= maxSuspects {
+		q.overflow.Inc(1)
+		return "", false
+	}
+	t.suspects = append(t.suspects, s)
+	q.suspects.n++
+	needsProbe = !t.isProbing
+	t.isProbing = true
+	return "", needsProbe
+}
+
+// probe finds out whether a target that has broken off a request takes connections. If that can't be told, its entry on the list
+// decides.
+func (q *Quarantine) probe(t serving.Target, broken time.Time) {
+	result := platform.ProbeUnknown
+	for i, delay := range probeDelays {
+		sleep.For(context.Background(), delay)
+		if i > 0 && q.fleet.HeardSince(t.ID, broken.Add(bufferedFor)) {
+			break
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		result = q.prober.Probe(ctx, t)
+		cancel()
+		if result == platform.ProbeRefused {
+			q.confirm(t.ID, "connection refused")
+			return
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if result == platform.ProbeAccepted {
+		q.suspects.dismiss(t.ID)
+	} else if known, ok := q.suspects.byTarget[t.ID]; ok {
+		known.isProbing = false
+	}
+}
+
+// TargetsGone notes targets that are no longer on the list.
+func (q *Quarantine) TargetsGone(ids []string) {
+	for _, id := range ids {
+		q.confirm(id, "gone from the list")
+	}
+}
+
+// confirm counts the end of a target against the requests that it has broken off.
+func (q *Quarantine) confirm(target, evidence string) {
+	q.mu.Lock()
+	q.suspects.prune(time.Now())
+	list := q.suspects.take(target, evidence)
+	q.mu.Unlock()
+	for _, s := range list {
+		q.noteEnd(s, target, evidence)
+	}
+}
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
 	"arbutusramp/core/policy"
+	"arbutusramp/core/quarantine"
 )
 
 // Gateway is the settings of one gateway process.
@@ -27,7 +29,11 @@
 	QuotaWindow  time.Duration // over which an excess of a quota is tolerated
 	QuotaExcess  float64       // tolerated excess, as a share of the quota
 	QuotaSlack   int           // tolerated excess in addition, in requests
-	Grace        time.Duration // from the signal to stop until the platform kills the process
+	// QuarantineAfter is how many targets may end under requests with the same content before no target gets one any more.
+	QuarantineAfter int
+	// QuarantineHold is how long that lasts after the last of these requests.
+	QuarantineHold time.Duration
+	Grace          time.Duration // from the signal to stop until the platform kills the process
 }
 
 // LoadGateway reads the settings of a gateway process. Errors as for LoadEntry.
@@ -39,6 +45,7 @@
 	rows = append(rows, gatewayListenRows()...)
 	rows = append(rows, gatewayStoreRows()...)
 	rows = append(rows, gatewayWorkspaceRows()...)
+	rows = append(rows, gatewayQuarantineRows()...)
 	return table[Gateway]{role: "gateway", rows: rows, check: checkGateway}
 }
 
@@ -112,6 +119,17 @@
 	}
 }
 
+func gatewayQuarantineRows() []row[Gateway] {
+	return []row[Gateway]{
+		{section: "quarantine", key: "after", unit: "targets", def: strconv.Itoa(quarantine.DefaultThreshold),
+			field: integer(1, quarantine.MaxEnds, func(g *Gateway) *int { return &g.QuarantineAfter }),
+			doc:   "how many targets may end under requests with the same content before no target gets one any more"},
+		{section: "quarantine", key: "hold", unit: "duration", def: "1h",
+			field: duration(time.Minute, 30*24*time.Hour, func(g *Gateway) *time.Duration { return &g.QuarantineHold }),
+			doc:   "how long after the last of these requests that lasts"},
+	}
+}
+
 // policies reads names of mechanisms separated by commas.
 func policies[T any](get func(*T) *policy.Off) field[T] {
 	return field[T]{
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -49,6 +49,7 @@
 
 	clock  bootclock.Clock
 	quotas Quotas
+	ends   Ends
 	// revokeWithin is Options.RevokeWithin.
 	revokeWithin time.Duration
 
@@ -65,11 +66,18 @@
 	SetWorkspaces(list []workspace.Workspace)
 }
 
+// Ends is told of targets that have ended or left.
+type Ends interface {
+	// TargetsGone notes targets that are no longer on the list, by id.
+	TargetsGone(ids []string)
+}
+
 // Options are what a Watch needs to know.
 type Options struct {
 	Directory platform.Directory
 	View      *fleetview.View // gets the targets
 	Quotas    Quotas
+	Ends      Ends
 	// RevokeWithin is how long after a key was taken away a request may still run by it, also at a process that is cut off; 0 is
 	// no bound.
 	RevokeWithin time.Duration
@@ -79,7 +87,7 @@
 
 // New returns a watch that knows nothing yet.
 func New(o Options) *Watch {
-	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, clock: o.Clock, log: o.Log, revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
+	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, ends: o.Ends, clock: o.Clock, log: o.Log, revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
 }
 
 // Run follows both until ctx ends.
@@ -248,6 +256,7 @@
 	}
 	w.view.Put(c.put, c.gone)
 	w.view.Ended(c.ended)
+	w.ends.TargetsGone(c.gone)
 	for _, t := range c.put {
 		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.Draining)
 	}
