Batch items under which targets end are quarantined, too

What callers saw: a job whose item crashes targets has them crash until the job is ended by its caller; its other items, and those of other jobs, do not end either.

Cause: the same as for online requests, on the other way on which work is sent again.

Change: a broken run of an item is told to the quarantine like one of a request; an item whose content is quarantined is not started, and given up once its job allows that (a minute later, since hosts' clocks differ). A run that went on from an earlier one and got further does not count: long items are interrupted by each crash of others.

--- a/internal/backlog/compact.go
+++ b/internal/backlog/compact.go
@@ -12,9 +12,9 @@
 const (
 	// compactionInterval is how often old jobs are looked for.
 	compactionInterval = 10 * time.Second
-	// keepSlack is how much longer a job is kept than promised: the time that counts is that of
-	// the process that accepted it, and the time of day differs between hosts.
-	keepSlack = time.Minute
+	// clockSlack is how much longer a job is kept than promised, and an item before it is given up: the time that counts is that of
+	// the process that accepted the job, and the time of day differs between hosts.
+	clockSlack = time.Minute
 )
 
 // compact drops jobs of this process's shards that have lived their time. The newest record of each
@@ -34,7 +34,7 @@
 
 // expired returns the jobs of this process's shards that nobody needs any more.
 func (m *Manager) expired(now time.Time) []string {
-	before := now.Add(-m.opts.Keep - keepSlack).UnixMilli()
+	before := now.Add(-m.opts.Keep - clockSlack).UnixMilli()
 	var ids []string
 	m.replica.with(func(st *backlog.State) {
 		st.Expired(before, func(j *backlog.Job) {
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -19,9 +19,11 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
+	corequarantine "arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/quarantine"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -57,8 +59,10 @@
 	view    *keyedlog.View
 	fleet   *fleetview.View
 	manager *Manager
-	cancel  context.CancelFunc
-	over    chan struct{}
+	// quarantine learns nothing from the store: what it knows is what the process itself has seen.
+	quarantine *quarantine.Quarantine
+	cancel     context.CancelFunc
+	over       chan struct{}
 }
 
 func newWorld(t *testing.T, nodes int) *world {
@@ -101,7 +105,10 @@
 	if w.build != nil {
 		store = w.build(store)
 	}
-	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	n.quarantine = quarantine.New(quarantine.Options{
+		Threshold: corequarantine.DefaultThreshold, Hold: corequarantine.DefaultHold, Prober: w.targets, Fleet: n.fleet, Log: log, Metrics: metrics.NewRegistry(),
+	})
+	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread, Quarantine: n.quarantine}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
@@ -218,16 +225,18 @@
 }
 
 // fakeTargets answer items by the beginning of their ids: "ok" runs whole, "never" is refused
-// for good with 422, "fail" fails with 500.
+// for good with 422, "fail" fails with 500; under "crash" the target ends.
 type fakeTargets struct {
 	mu     sync.Mutex
 	runs   map[string]int // by item
 	starts map[string][]time.Time
 	from   map[string]string // the event after which the last run of an item began
+	// crashed are the targets that have ended. Another takes the place of each at once, under the same id.
+	crashed map[string]bool
 }
 
 func newFakeTargets() *fakeTargets {
-	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time), from: make(map[string]string)}
+	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time), from: make(map[string]string), crashed: make(map[string]bool)}
 }
 
 // Send implements platform.TargetCaller.
@@ -247,12 +256,27 @@
 		ans.Status = http.StatusUnprocessableEntity
 	case strings.HasPrefix(id, "fail"):
 		ans.Status = http.StatusInternalServerError
+	case strings.HasPrefix(id, "crash"):
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.crashed[c.Target.ID] = true
+		return nil, errs.New(errs.TargetFailed, "EOF").WithRan(errs.RanUnknown)
 	default:
 		ans.Body = stream(ctx, id, c.ResumeAfter)
 	}
 	return ans, nil
 }
 
+// Probe implements platform.TargetProber.
+func (f *fakeTargets) Probe(_ context.Context, t serving.Target) platform.ProbeResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.crashed[t.ID] {
+		return platform.ProbeRefused
+	}
+	return platform.ProbeAccepted
+}
+
 func (f *fakeTargets) count(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
@@ -34,9 +32,6 @@
 	listMetric = "item.list_ms" // from its end until that lies in the store
 )
 
-// brokenOffMetric counts runs of items that targets have broken off after they may have begun with them.
-const brokenOffMetric = "item.broken_off"
-
 // verdict is what one run of an item means for it.
 type verdict uint8
 
@@ -60,6 +55,7 @@
 	telemetry.Observe(m.reg, runMetric, took)
 	m.pace.Ran(t.job.Route, t.made()-made, took)
 	if v == complete {
+		m.opts.Quarantine.Served(t.request())
 		m.pace.Done(t.job.Route, t.made(), t.item().Tokens)
 	}
 	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
@@ -127,9 +123,10 @@
 	defer cancel()
 	guard := newGuard(ctx, cancel, r)
 	r.WhenEnded(cancel)
-	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request(), ResumeAfter: t.lastEvent()})
+	from := t.lastEvent()
+	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request(), ResumeAfter: from})
 	if err != nil {
-		return goOn, m.itemFailed(ctx, t, r, err)
+		return goOn, m.itemFailed(ctx, t, r, from, err)
 	}
 	defer ans.Body.Close()
 	guard.heard()
@@ -143,7 +140,7 @@
 			return complete, nil
 		}
 		if err != nil {
-			return goOn, m.itemFailed(ctx, t, r, err)
+			return goOn, m.itemFailed(ctx, t, r, from, err)
 		}
 		guard.heard()
 		r.Event()
@@ -193,8 +190,20 @@
 	return goOn, errs.Newf(errs.TargetFailed, "the target answers %d", ans.Status)
 }
 
+// brokenOff notes that the target has broken off a run that began after the event from.
+func (m *Manager) brokenOff(t *task, r *fleetview.Run, from string, err error) {
+	m.opts.Quarantine.BrokenOff(quarantine.Broken{
+		Request: t.request(), Target: r.Target, From: from, To: t.lastEvent(), HasEnded: r.HasEnded(), Err: err,
+	})
+}
+
 // itemFailed counts a lost connection against the target, unless the run was ended here.
-func (m *Manager) itemFailed(ctx context.Context, t *task, r *fleetview.Run, err error) error {
+func (m *Manager) itemFailed(ctx context.Context, t *task, r *fleetview.Run, from string, err error) error {
+	if r.HasEnded() && errs.As(err).Ran != errs.RanNo {
+		err = errs.New(errs.StreamBroken, "the target has started again")
+		m.brokenOff(t, r, from, err)
+		return err
+	}
 	if ctx.Err() != nil {
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
 	}
@@ -202,9 +211,7 @@
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
 	if errs.As(err).Ran != errs.RanNo {
-		metrics.GetOrRegisterCounter(brokenOffMetric, m.reg).Inc(1)
-		m.log.Warn("broken off by target", "job", t.job.ID, "item", t.item().ID, "content", quarantine.FingerprintOf(t.request()).String(),
-			"target", r.Target.ID, "to_event", t.lastEvent(), "error", err.Error())
+		m.brokenOff(t, r, from, err)
 	}
 	return err
 }
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -14,6 +14,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/logging"
@@ -24,6 +25,18 @@
 	Route(host, uri string) (*serving.Route, serving.Limits, error)
 }
 
+// Quarantine keeps items under which targets have ended from targets.
+type Quarantine interface {
+	// IsEmpty says that no target has ended under anything, so that CheckContent need not be called.
+	IsEmpty() bool
+	// CheckContent returns an error of type errs.Quarantined if the item of that id must not be sent to a target.
+	CheckContent(id string, content quarantine.Fingerprint) error
+	// BrokenOff notes a run that a target has broken off.
+	BrokenOff(b quarantine.Broken)
+	// Served notes that a target has served a request whole.
+	Served(r *serving.Request)
+}
+
 // Options are the settings of a manager.
 type Options struct {
 	// Member names this start of this process; it must never be used again.
@@ -39,6 +52,8 @@
 	Keep time.Duration
 	// Off are the mechanisms that are switched off.
 	Off policy.Off
+	// Quarantine is asked before each run of an item.
+	Quarantine Quarantine
 }
 
 // Manager keeps batch jobs. Locks are taken in this order, and none of those before one of them is
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -420,7 +420,7 @@
 		}
 		time.Sleep(testKeep - 15*time.Second)
 		w.check(done, w.nodes[1].results(done, time.Second))
-		time.Sleep(keepSlack + 2*compactionInterval + 15*time.Second)
+		time.Sleep(clockSlack + 2*compactionInterval + 15*time.Second)
 		for _, id := range []string{"done", "ended"} {
 			if _, err := w.nodes[0].manager.Results(context.Background(), serving.Caller{}, id, 0, 0); !errs.Is(err, errs.NotFound) {
 				t.Errorf("job %s, long over: %v", id, err)
--- /dev/null
+++ b/internal/backlog/quarantine_test.go
@@ -0,0 +1,75 @@
+package backlog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+)
+
+// Guards against running an item again and again although a target ends under each run, and against giving it up before its job allows
+// that.
+func TestAnItemUnderWhichTargetsEndIsPutOffAndGivenUp(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		j := w.job("j", "crash", "ok")
+		j.Items[0].Body = []byte("another content")
+		n.submit(j)
+		time.Sleep(w.route.Retain)
+		if runs := w.targets.count(j.Items[0].ID); runs < 3 || runs > 6 {
+			t.Errorf("%d runs, want 3 to 6", runs)
+		}
+		if list := n.results(j, time.Second); len(list) != 1 || list[0].Outcome != backlog.Complete {
+			t.Errorf("results %+v, want that of the other item", list)
+		}
+		time.Sleep(clockSlack)
+		w.check(j, n.results(j, 10*time.Second))
+	})
+}
+
+// Guards against holding an item back for good whose content is served after all.
+func TestAnItemGoesOnWhenItsContentIsCleared(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		j := w.job("j", "ok")
+		request := (&task{job: j}).request()
+		for i := range 3 {
+			n.quarantine.BrokenOff(brokenAt(request, fmt.Sprintf("gone-%d", i)))
+		}
+		n.submit(j)
+		time.Sleep(5 * time.Second)
+		if runs := w.targets.count(j.Items[0].ID); runs != 0 {
+			t.Errorf("%d runs of a quarantined item", runs)
+		}
+		n.quarantine.Served(request)
+		w.check(j, n.results(j, 10*time.Second))
+	})
+}
+
+// Guards against blaming an item that runs beside the one to blame: its runs are broken off at each end of a target.
+func TestAnItemThatOthersInterruptIsRunToItsEnd(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		j := w.job("j", "okay")
+		n.submit(j)
+		request := (&task{job: j}).request()
+		for i := range 10 {
+			run := brokenAt(request, fmt.Sprintf("gone-%d", i))
+			if i > 0 {
+				run.From, run.To = fmt.Sprint(i), fmt.Sprint(i+1)
+			}
+			n.quarantine.BrokenOff(run)
+		}
+		w.check(j, n.results(j, 20*time.Second))
+	})
+}
+
+// brokenAt is a run from the start that the restart of a target has broken off.
+func brokenAt(r *serving.Request, target string) quarantine.Broken {
+	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, HasEnded: true, Err: errors.New("started again")}
+}
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -190,7 +190,7 @@
 			return false
 		}
 		service := route.Service(t.item().ID)
-		if full[service] {
+		if full[service] || d.isQuarantined(t, now) {
 			continue
 		}
 		if d.start(ctx, t, route, service) {
@@ -245,6 +245,21 @@
 	}
 }
 
+// quarantineRecheck is how long a quarantined item waits until it is looked at again: another request with its content may be served.
+const quarantineRecheck = time.Second
+
+// isQuarantined puts off an item under which targets have ended, and gives it up once its job allows that.
+func (d *scheduler) isQuarantined(t *task, now time.Time) bool {
+	q := d.m.opts.Quarantine
+	if q.IsEmpty() || q.CheckContent(t.item().ID, t.fingerprint()) == nil {
+		return false
+	}
+	if end := t.putOff(now); end != nil {
+		t.shard.finish(end)
+	}
+	return true
+}
+
 // start runs a task if a target has room for it.
 func (d *scheduler) start(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -8,6 +8,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/internal/telemetry"
 )
 
@@ -34,10 +35,22 @@
 	failures  int                    // runs that a target has answered with a failure, at former owners too
 	unrouted  int                    // looks in a row that found no route
 	avoid     []string               // targets that have just failed it
+	// content is the fingerprint of the item, once it was asked for.
+	content quarantine.Fingerprint
 }
 
 func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
 
+// fingerprint is that of the item as it is sent to targets.
+func (t *task) fingerprint() quarantine.Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.content == (quarantine.Fingerprint{}) {
+		t.content = quarantine.FingerprintOf(t.request())
+	}
+	return t.content
+}
+
 // due is when the task should be done.
 func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
 
@@ -165,6 +178,18 @@
 	return t.end(backlog.Errored, "")
 }
 
+// putOff notes that the task is quarantined. It returns the task's end once its job allows to give it up: before, its content may be
+// cleared.
+func (t *task) putOff(now time.Time) *outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.UnixMilli() >= t.job.Submitted+(t.job.Retain+clockSlack).Milliseconds() {
+		return t.end(backlog.Errored, "")
+	}
+	t.notUntil = now.Add(quarantineRecheck)
+	return nil
+}
+
 // begin notes that a run of the task begins, which cancel ends.
 func (t *task) begin(cancel context.CancelFunc) {
 	t.mu.Lock()
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// HasEnded says whether the start of the target that has the run is known to be over.
+func (r *Run) HasEnded() bool {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.ended
+}
+
 // Ended tells the runs at targets whose starts are over. A crash behind a cut closes no connection, and the next start of the
 // target breaks the silence by which the runs would notice.
 func (v *View) Ended(ids []string) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,8 +41,8 @@
 	cancel context.CancelFunc
 	// from is the id of the event after which the target was asked to go on; empty from the start.
 	from string
-	// silent is set by the watcher when it cancels the attempt, gone when the target's start is over.
-	silent, gone atomic.Bool
+	// isSilent is set by the watcher when it cancels the attempt.
+	isSilent atomic.Bool
 	// heard is when the last part of the answer came, or the request was sent, in
 	// nanoseconds since the request's arrival: the time of day may jump.
 	heard atomic.Int64
@@ -60,10 +60,7 @@
 	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
 	stop := a.watch(ctx, sent, mayMove)
 	defer stop()
-	a.run.WhenEnded(func() {
-		a.gone.Store(true)
-		a.cancel()
-	})
+	a.run.WhenEnded(a.cancel)
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
 		Target: a.run.Target, Request: a.req, TimeLeft: a.until.Sub(sent),
 		ResumeAfter: a.from, Once: !a.route.Idempotent(),
@@ -98,7 +95,7 @@
 				continue
 			}
 			if mayMove {
-				a.silent.Store(true)
+				a.isSilent.Store(true)
 				a.cancel()
 				return
 			}
@@ -139,12 +136,12 @@
 // endedHere is the failure of an attempt that was not ended by its target: of the given type if the target
 // was silent for too long. It is nil if the target has ended it.
 func (a *attempt) endedHere(ctx context.Context, silent errs.Type) error {
-	if a.gone.Load() {
+	if a.run.HasEnded() {
 		err := errs.New(errs.StreamBroken, "the target has started again").WithRan(errs.RanUnknown)
 		a.brokenOff(err)
 		return err
 	}
-	if a.silent.Load() {
+	if a.isSilent.Load() {
 		return errs.New(silent, "the target has sent nothing for too long")
 	}
 	if ctx.Err() != nil {
@@ -239,7 +236,7 @@
 // brokenOff notes that the target has broken off the request, or its answer, or has ended under it.
 func (a *attempt) brokenOff(err error) {
 	a.gw.quarantine.BrokenOff(quarantine.Broken{
-		Request: a.req, Target: a.run.Target, From: a.from, To: a.lastID, HasEnded: a.gone.Load(), Err: err,
+		Request: a.req, Target: a.run.Target, From: a.from, To: a.lastID, HasEnded: a.run.HasEnded(), Err: err,
 	})
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -122,16 +122,19 @@
 // Loaded says whether what the store holds has been read.
 func (q *Quarantine) Loaded() bool { return !q.isOn || q.loaded.Load() }
 
+// IsEmpty says that no target has ended under anything lately, so that no request need be checked.
+func (q *Quarantine) IsEmpty() bool { return q.known.Load() == 0 }
+
 // Check returns an error of type errs.Quarantined if a request must not be sent to a target.
 func (q *Quarantine) Check(r *serving.Request) error {
-	if q.known.Load() == 0 {
+	if q.IsEmpty() {
 		return nil
 	}
-	return q.check(r.ID, quarantine.FingerprintOf(r))
+	return q.CheckContent(r.ID, quarantine.FingerprintOf(r))
 }
 
-// check is Check with the fingerprint.
-func (q *Quarantine) check(id string, f quarantine.Fingerprint) error {
+// CheckContent is Check for a request of that id whose fingerprint is known.
+func (q *Quarantine) CheckContent(id string, f quarantine.Fingerprint) error {
 	q.mu.Lock()
 	isQuarantined, ends := q.registry.Check(time.Now(), f), q.registry.Ends(f)
 	q.mu.Unlock()
@@ -145,7 +148,7 @@
 
 // Served notes that a target has served a request whole.
 func (q *Quarantine) Served(r *serving.Request) {
-	if q.known.Load() == 0 {
+	if q.IsEmpty() {
 		return
 	}
 	f := quarantine.FingerprintOf(r)
@@ -195,7 +198,7 @@
 
 // ToTell returns the records that peers should be told now.
 func (q *Quarantine) ToTell() []quarantine.Record {
-	if q.known.Load() == 0 {
+	if q.IsEmpty() {
 		return nil
 	}
 	q.mu.Lock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -157,7 +157,7 @@
 		run := func(i int, from, to string) {
 			q.BrokenOff(quarantine.Broken{Request: request("long"), Target: serving.Target{ID: fmt.Sprint("t", i)}, From: from, To: to, Err: errors.New("EOF")})
 			time.Sleep(time.Second)
-	synctest.Wait()
+			synctest.Wait()
 		}
 		run(0, "", "10")
 		for i := range 10 {
