--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -45,7 +45,6 @@
 	admitted, refunded int
 
 	quarantined error // what Check returns
-	checks      int
 	brokenOff   []quarantine.Broken
 	served      int
 }
@@ -92,15 +91,24 @@
 
 // Check implements Quarantine.
 func (b *bench) Check(*serving.Request) error {
-	b.checks++
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.quarantined
 }
 
 // BrokenOff implements Quarantine.
-func (b *bench) BrokenOff(run quarantine.Broken) { b.brokenOff = append(b.brokenOff, run) }
+func (b *bench) BrokenOff(run quarantine.Broken) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.brokenOff = append(b.brokenOff, run)
+}
 
 // Served implements Quarantine.
-func (b *bench) Served(*serving.Request) { b.served++ }
+func (b *bench) Served(*serving.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.served++
+}
 
 // Version implements Beliefs.
 func (b *bench) Version() uint64 { return 1 }
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -44,9 +44,10 @@
 
 // quarantiningAfter has the bench quarantine all requests from the send of s on.
 func quarantiningAfter(b *bench, s script) script {
-	b.quarantined = nil
 	return func(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
+		b.mu.Lock()
 		b.quarantined = errs.New(errs.Quarantined, "targets have ended under it")
+		b.mu.Unlock()
 		return s(ctx, c)
 	}
 }
