Quarantine: a content whose ends came together is tried

Change: until three ends have followed on each other, each under a run that began after the end before, a request is sent as a try; whoever tries tells the others. A content that ends each target gets two tries at most. An end carries when its run began and when it broke off. A target that ends again under its id, well after its last end, counts again. A process that starts is told at once by its peers.

--- a/core/quarantine/broken.go
+++ b/core/quarantine/broken.go
@@ -1,11 +1,17 @@
 package quarantine
 
-import "arbutusramp/core/serving"
+import (
+	"time"
+
+	"arbutusramp/core/serving"
+)
 
 // Broken is a run of a request that a target has broken off, or that was under way when its target was found to have ended.
 type Broken struct {
 	Request *serving.Request
 	Target  serving.Target
+	// Began is when the request was sent to the target.
+	Began time.Time
 	// From is the id of the event after which the run began, To that of the last event that is there; empty for none.
 	From, To string
 	// HasEnded says that the target is known to have ended.
--- a/core/quarantine/message.go
+++ b/core/quarantine/message.go
@@ -14,20 +14,22 @@
 	Ends    []EndMessage `cbor:"2,keyasint,omitempty"`
 	Cleared int64        `cbor:"3,keyasint,omitempty"` // 0: never
 	Seen    int64        `cbor:"4,keyasint,omitempty"` // 0: never
+	Tried   int64        `cbor:"5,keyasint,omitempty"` // 0: never
 }
 
 // EndMessage is an End.
 type EndMessage struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint64
+	Began  int64
 	At     int64
 }
 
 // Message returns r as it is sent.
 func (r Record) Message() Message {
-	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen)}
+	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen), Tried: millis(r.Tried)}
 	for _, e := range r.Ends {
-		m.Ends = append(m.Ends, EndMessage{Target: e.Target, At: millis(e.At)})
+		m.Ends = append(m.Ends, EndMessage{Target: e.Target, Began: millis(e.Began), At: millis(e.At)})
 	}
 	return m
 }
@@ -39,9 +41,9 @@
 		return r, errs.Newf(errs.BadFrame, "a fingerprint of %d bytes, want %d", len(m.Content), len(r.Content))
 	}
 	copy(r.Content[:], m.Content)
-	r.Cleared, r.Seen = moment(m.Cleared), moment(m.Seen)
+	r.Cleared, r.Seen, r.Tried = moment(m.Cleared), moment(m.Seen), moment(m.Tried)
 	for _, e := range m.Ends {
-		r.addEnd(End{Target: e.Target, At: moment(e.At)})
+		r.addEnd(End{Target: e.Target, Began: moment(e.Began), At: moment(e.At)})
 	}
 	return r, nil
 }
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -13,22 +13,29 @@
 // happened now.
 const maxClockSkew = 10 * time.Second
 
+// minRestart is how long after the end of a target a run begins that shows that it has started again under its id. It is above what
+// the clocks of hosts usually differ by.
+const minRestart = 2500 * time.Millisecond
+
 // Record is what is known of one content. Records of different gateways can be merged in any order.
 type Record struct {
 	Content Fingerprint
-	// Ends are the ends of targets under the content since Cleared, each target once, the newest first.
+	// Ends are the ends of targets under the content since Cleared, each once, the newest first.
 	Ends []End
 	// Cleared is when a target last served the content; zero if none has. Ends before it don't count: a content that is served does
 	// not end each target.
 	Cleared time.Time
 	// Seen is when a target last ended under the content, or a request with it was last rejected.
 	Seen time.Time
+	// Tried is when a request with the content was last sent although it is quarantined; zero if none was.
+	Tried time.Time
 }
 
 // End is the end of a target under a content.
 type End struct {
-	Target uint64 // digest of the target's id, which names one start
-	At     time.Time
+	Target uint64    // digest of the target's id, which names one start
+	Began  time.Time // when the run began that the target ended under
+	At     time.Time // when the target broke the run off
 }
 
 // clone returns a copy that shares nothing with r.
@@ -47,7 +54,7 @@
 		return t
 	}
 	r = r.clone()
-	r.Cleared, r.Seen = clamp(r.Cleared), clamp(r.Seen)
+	r.Cleared, r.Seen, r.Tried = clamp(r.Cleared), clamp(r.Seen), clamp(r.Tried)
 	for i := range r.Ends {
 		r.Ends[i].At = clamp(r.Ends[i].At)
 	}
@@ -56,7 +63,7 @@
 
 // merge takes in what o says of the same content.
 func (r *Record) merge(o Record) {
-	r.Cleared, r.Seen = later(r.Cleared, o.Cleared), later(r.Seen, o.Seen)
+	r.Cleared, r.Seen, r.Tried = later(r.Cleared, o.Cleared), later(r.Seen, o.Seen), later(r.Tried, o.Tried)
 	for _, e := range o.Ends {
 		r.addEnd(e)
 	}
@@ -67,27 +74,43 @@
 	r.Ends = r.Ends[:min(len(r.Ends), MaxEnds)]
 }
 
-// addEnd adds an end. Several gateways may have seen the same one: the first that is known counts.
+// addEnd adds an end. Several gateways may have seen the same one: of their times the first ones count.
 func (r *Record) addEnd(e End) {
 	for i := range r.Ends {
-		if r.Ends[i].Target == e.Target {
-			if e.At.Before(r.Ends[i].At) {
-				r.Ends[i].At = e.At
-			}
+		if known := &r.Ends[i]; known.isSame(e) {
+			known.At, known.Began = earlier(known.At, e.At), earlier(known.Began, e.Began)
 			return
 		}
 	}
 	r.Ends = append(r.Ends, e)
 }
 
+// isSame says whether two ends are one. A target under whose id a run begins well after its end has started again.
+func (e End) isSame(o End) bool {
+	return e.Target == o.Target && o.Began.Sub(e.At) < minRestart && e.Began.Sub(o.At) < minRestart
+}
+
+// inSequence is how many of the ends follow on each other, each under a run that began after the one before. Targets that are lost
+// together end under whatever many callers send just then.
+func (r Record) inSequence() int {
+	n := 0
+	var last time.Time
+	for _, e := range slices.Backward(r.Ends) {
+		if e.Began.After(last) {
+			n++
+			last = e.At
+		}
+	}
+	return n
+}
+
 // covers says whether o tells nothing that r does not, but for sightings up to slack later.
 func (r Record) covers(o Record, slack time.Duration) bool {
-	if o.Cleared.After(r.Cleared) || o.Seen.After(r.Seen.Add(slack)) {
+	if o.Cleared.After(r.Cleared) || o.Tried.After(r.Tried) || o.Seen.After(r.Seen.Add(slack)) {
 		return false
 	}
 	for _, e := range o.Ends {
-		known := func(have End) bool { return have.Target == e.Target }
-		if e.At.After(r.Cleared) && len(r.Ends) < MaxEnds && !slices.ContainsFunc(r.Ends, known) {
+		if e.At.After(r.Cleared) && len(r.Ends) < MaxEnds && !slices.ContainsFunc(r.Ends, e.isSame) {
 			return false
 		}
 	}
@@ -100,3 +123,10 @@
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -23,12 +23,18 @@
 	firstTellPause = 150 * time.Millisecond
 	lastTellPause  = time.Minute
 	tellGrowth     = 3
+	// tryPause is how long after the last end a request with a quarantined content may be tried, if its ends are no proof.
+	tryPause = 300 * time.Millisecond
+	// tryTimeout is how long what comes of a try may take to show.
+	tryTimeout = 3 * time.Second
 )
 
 // Options are the settings of a Registry.
 type Options struct {
 	Threshold int           // ends of targets after which a content is quarantined; at most MaxEnds
 	Hold      time.Duration // from the last sighting of a quarantined content until it is forgotten
+	// Jitter returns what comes to each pause before a try, so that not all gateways try a content at once; nil is nothing.
+	Jitter func() time.Duration
 }
 
 // Registry knows the contents under which targets have ended. It is not safe for concurrent use.
@@ -47,6 +53,10 @@
 	// tellAt is when peers should be told next, tellPause the pause after that.
 	tellAt    time.Time
 	tellPause time.Duration
+	// announced is what was last told of when the content was seen.
+	announced time.Time
+	// tryAt is when this gateway may try a request with the content; see canTry.
+	tryAt time.Time
 }
 
 // NewRegistry returns an empty registry.
@@ -88,10 +98,48 @@
 		return false // it is dropped by the next Expire
 	}
 	e.Seen = later(e.Seen, now)
-	if e.Seen.Sub(e.stored.Seen) > g.renewAfter() {
+	if e.Seen.Sub(e.announced) > g.renewAfter() {
 		g.announce(now, e, now)
 	}
-	return true
+	return !g.canTry(now, e)
+}
+
+// Admit is Check for a request that is sent now, unless it must not be. It reports whether the request is sent as a try.
+func (g *Registry) Admit(now time.Time, f Fingerprint) (isQuarantined, isTry bool) {
+	if g.Check(now, f) {
+		return true, false
+	}
+	e, ok := g.entries[f]
+	if !ok || !g.isQuarantined(e) || now.Sub(e.Seen) > g.opts.Hold {
+		return false, false
+	}
+	e.Tried = now.Truncate(time.Millisecond)
+	g.planTry(e)
+	g.announce(now, e, now)
+	return false, true
+}
+
+// canTry says whether a request with a quarantined content may be sent to find out whether the content is to blame. It may until as many
+// ends as quarantine it have followed on each other: the others may have come together for a reason of their own. A target that
+// serves it clears the content.
+func (g *Registry) canTry(now time.Time, e *entry) bool {
+	return e.inSequence() < g.opts.Threshold && len(e.Ends) < MaxEnds && !now.Before(e.tryAt)
+}
+
+// planTry sets when this gateway may try a request with the content. Whoever tries first tells the others.
+func (g *Registry) planTry(e *entry) {
+	pause := tryPause
+	var lastEnd time.Time
+	if len(e.Ends) > 0 {
+		lastEnd = e.Ends[0].At
+	}
+	if e.Tried.After(lastEnd) {
+		pause = tryTimeout
+	}
+	if g.opts.Jitter != nil {
+		pause += g.opts.Jitter()
+	}
+	e.tryAt = later(lastEnd, e.Tried).Add(pause)
 }
 
 // renewAfter is how much later than others know a content may have been seen.
@@ -99,15 +147,16 @@
 	return time.Duration(renewShare * float64(g.opts.Hold))
 }
 
-// NoteEnd notes that the target of that id has ended under a content. It reports whether that was not known yet.
-func (g *Registry) NoteEnd(now time.Time, f Fingerprint, target string) (isNew bool) {
-	now = now.Truncate(time.Millisecond)
+// NoteEnd notes that a target has ended under a run with a content. It reports whether that was not known yet.
+func (g *Registry) NoteEnd(now time.Time, f Fingerprint, target string, began, broken time.Time) (isNew bool) {
+	end := End{Target: xxhash.Sum64String(target), Began: began.Truncate(time.Millisecond), At: broken.Truncate(time.Millisecond)}
 	e := g.entry(f)
 	before := len(e.Ends)
-	e.merge(Record{Content: f, Seen: now, Ends: []End{{Target: xxhash.Sum64String(target), At: now}}})
+	e.merge(Record{Content: f, Seen: now.Truncate(time.Millisecond), Ends: []End{end}})
 	if len(e.Ends) == before {
 		return false
 	}
+	g.planTry(e)
 	g.announce(now, e, now)
 	return true
 }
@@ -136,6 +185,8 @@
 		return false
 	}
 	e.merge(r)
+	e.announced = later(e.announced, r.Seen)
+	g.planTry(e)
 	g.scheduleWrite(e, storeBy)
 	// The peer tells all others; this is for those that miss it.
 	e.tellAt, e.tellPause = now.Add(lastTellPause), lastTellPause
@@ -153,6 +204,10 @@
 	e.stored = r.clone()
 	isNew = !e.covers(r, 0)
 	e.merge(r)
+	e.announced = later(e.announced, r.Seen)
+	if isNew {
+		g.planTry(e)
+	}
 	e.writeAt = time.Time{}
 	g.scheduleWrite(e, storeBy)
 	if isNew && e.tellAt.IsZero() {
@@ -196,7 +251,7 @@
 
 // announce has an entry told to peers at once and written to the store by a time.
 func (g *Registry) announce(now time.Time, e *entry, storeBy time.Time) {
-	e.tellAt, e.tellPause = now, firstTellPause
+	e.tellAt, e.tellPause, e.announced = now, firstTellPause, e.Seen
 	g.scheduleWrite(e, storeBy)
 }
 
@@ -229,6 +284,15 @@
 	return list
 }
 
+// TellAgain has the records of quarantined contents told again: a peer has started.
+func (g *Registry) TellAgain(now time.Time) {
+	for _, e := range g.entries {
+		if g.isQuarantined(e) {
+			e.tellAt, e.tellPause = now, firstTellPause
+		}
+	}
+}
+
 // ToStore returns up to n records that the store should get now, and when the next one is due; zero if none is.
 func (g *Registry) ToStore(now time.Time, n int) (due []Record, next time.Time) {
 	for _, e := range g.entries {
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -14,9 +14,17 @@
 
 func content(i int) Fingerprint { return Fingerprint{byte(i), byte(i >> 8)} }
 
+// runTime is how long a run takes until its target ends.
+const runTime = 100 * time.Millisecond
+
+// noteEnd notes an end under a run that is as long as usual.
+func noteEnd(g *Registry, at time.Time, f Fingerprint, target string) bool {
+	return g.NoteEnd(at, f, target, at.Add(-runTime), at)
+}
+
 func noteEnds(g *Registry, f Fingerprint, n int) {
 	for i := range n {
-		g.NoteEnd(start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteEnd(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
 	}
 }
 
@@ -24,13 +32,13 @@
 func TestAContentIsQuarantinedAtTheThreshold(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	noteEnds(g, f, 2)
-	if g.NoteEnd(start.Add(5*time.Second), f, "t0") {
+	if noteEnd(g, start.Add(50*time.Millisecond), f, "t0") {
 		t.Error("the end of a target that has ended is new")
 	}
 	if g.Check(start.Add(6*time.Second), f) || g.Quarantined() != 0 {
 		t.Error("quarantined after two targets")
 	}
-	if !g.NoteEnd(start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
+	if !noteEnd(g, start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
 		t.Error("not quarantined after three targets")
 	}
 	if g.Check(start, content(2)) {
@@ -43,7 +51,7 @@
 	g, f := newTestRegistry(), content(1)
 	for i := range 9 {
 		now := start.Add(time.Duration(i) * time.Second)
-		g.NoteEnd(now, f, fmt.Sprintf("t%d", i))
+		noteEnd(g, now, f, fmt.Sprintf("t%d", i))
 		if i%2 == 1 && !g.NoteServed(now.Add(time.Millisecond), f) {
 			t.Error("nothing to clear")
 		}
@@ -60,7 +68,7 @@
 	var records []Record
 	for i := range DefaultThreshold {
 		g := newTestRegistry()
-		g.NoteEnd(start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteEnd(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
 		records = append(records, g.ToTell(start.Add(time.Minute), 1)...)
 	}
 	for first := range records {
@@ -82,12 +90,57 @@
 	}
 }
 
+// Guards against rejecting for good what many callers send, once several targets that are lost together end under it: a request is
+// tried, and its service clears the content.
+func TestAContentWhoseEndsCameTogetherIsTried(t *testing.T) {
+	together := func(g *Registry, f Fingerprint, at time.Time, n int) {
+		for i := range n {
+			g.NoteEnd(at, f, fmt.Sprint(at, i), at.Add(-runTime), at)
+		}
+	}
+	g, f := newTestRegistry(), content(1)
+	together(g, f, start, DefaultThreshold)
+	if !g.Check(start.Add(tryPause/2), f) {
+		t.Error("not quarantined")
+	}
+	now := start.Add(tryPause)
+	if isQuarantined, isTry := g.Admit(now, f); isQuarantined || !isTry {
+		t.Error("not tried")
+	}
+	if isQuarantined, _ := g.Admit(now.Add(time.Millisecond), f); !isQuarantined || !g.Check(now.Add(tryTimeout/2), f) {
+		t.Error("tried twice")
+	}
+	peer := newTestRegistry()
+	for _, r := range g.ToTell(now, 1) {
+		peer.ApplyPeer(now, r, now)
+	}
+	if !peer.Check(now.Add(tryPause), f) {
+		t.Error("a peer that was told of the try tries, too")
+	}
+	g.NoteServed(now.Add(time.Second), f)
+	if isQuarantined, isTry := g.Admit(now.Add(time.Second), f); isQuarantined || isTry {
+		t.Error("not cleared")
+	}
+	bad := content(2)
+	together(g, bad, start, 5)
+	tries := 0
+	for at := start; at.Before(start.Add(10 * time.Minute)); at = at.Add(100 * time.Millisecond) {
+		if _, isTry := g.Admit(at, bad); isTry {
+			tries++
+			g.NoteEnd(at.Add(runTime), bad, fmt.Sprint("try", tries), at, at.Add(runTime))
+		}
+	}
+	if tries != DefaultThreshold-1 {
+		t.Errorf("a content under which each target ends is tried %d times, want %d", tries, DefaultThreshold-1)
+	}
+}
+
 // Guards against a host whose clock is far ahead: its clearance would hide all ends to come.
 func TestTimesAheadOfTheClockAreClamped(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	g.ApplyPeer(start, Record{Content: f, Cleared: start.Add(time.Hour), Seen: start.Add(time.Hour)}, start)
 	for i := range DefaultThreshold {
-		g.NoteEnd(start.Add(time.Duration(i+1)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteEnd(g, start.Add(time.Duration(i+1)*time.Second), f, fmt.Sprintf("t%d", i))
 	}
 	if !g.Check(start.Add(time.Minute), f) {
 		t.Error("a clearance from the future counts")
@@ -119,7 +172,7 @@
 	g, bad := newTestRegistry(), content(0)
 	noteEnds(g, bad, DefaultThreshold)
 	for i := range 3 * maxRecords {
-		g.NoteEnd(start.Add(time.Duration(i)*time.Millisecond), content(i+1), "t")
+		noteEnd(g, start.Add(time.Duration(i)*time.Millisecond), content(i+1), "t")
 	}
 	if g.Len() > maxRecords || !g.Check(start.Add(time.Minute), bad) {
 		t.Errorf("%d records, quarantined %v", g.Len(), g.Check(start.Add(time.Minute), bad))
@@ -129,7 +182,7 @@
 // Peers are told at once and then ever less often.
 func TestRecordsAreToldWithGrowingPauses(t *testing.T) {
 	g := newTestRegistry()
-	g.NoteEnd(start, content(1), "t")
+	noteEnd(g, start, content(1), "t")
 	told := 0
 	for at := time.Duration(0); at < 10*time.Minute; at += 100 * time.Millisecond {
 		told += len(g.ToTell(start.Add(at), 8))
@@ -139,11 +192,50 @@
 	}
 }
 
+// Guards against ends that are not counted, and tries without end, where targets start again under their ids.
+func TestATargetThatStartsAgainUnderItsIDCountsAgain(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	for i := range DefaultThreshold {
+		noteEnd(g, start.Add(time.Duration(i)*(minRestart+runTime)), f, "t")
+	}
+	if g.Ends(f) != DefaultThreshold || !g.Check(start.Add(time.Minute), f) {
+		t.Errorf("%d ends", g.Ends(f))
+	}
+}
+
+// Guards against a process that starts while the store is away and hears of a quarantined content only when its turn comes.
+func TestANewPeerIsToldAtOnce(t *testing.T) {
+	g := newTestRegistry()
+	noteEnds(g, content(1), DefaultThreshold)
+	noteEnds(g, content(2), 1)
+	now := start.Add(time.Hour - time.Minute)
+	g.ToTell(now, 8)
+	g.TellAgain(now)
+	if told := g.ToTell(now, 8); len(told) != 1 || told[0].Content != content(1) {
+		t.Errorf("told %+v, want what is quarantined", told)
+	}
+}
+
+// Guards against telling peers of a quarantined content with each request that is rejected.
+func TestRejectionsAreNotTold(t *testing.T) {
+	g, f := newTestRegistry(), content(1)
+	noteEnds(g, f, DefaultThreshold)
+	told := 0
+	for at := time.Minute; at < 2*time.Minute; at += 10 * time.Millisecond {
+		now := start.Add(at)
+		g.Check(now, f)
+		told += len(g.ToTell(now, 8))
+	}
+	if told > 10 {
+		t.Errorf("told %d times in a minute", told)
+	}
+}
+
 // What the store lacks is written, by this gateway at once if it has seen it, later if peers have told it, and not at all once
 // the store has it.
 func TestWhatTheStoreLacksIsWritten(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	g.NoteEnd(start, f, "t0")
+	noteEnd(g, start, f, "t0")
 	due, _ := g.ToStore(start, 8)
 	if len(due) != 1 {
 		t.Fatalf("%d records to store", len(due))
@@ -176,7 +268,7 @@
 func TestAClearanceIsStoredOnce(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	now := start.Add(123456 * time.Nanosecond)
-	g.NoteEnd(now, f, "t")
+	noteEnd(g, now, f, "t")
 	g.NoteServed(now.Add(time.Second), f)
 	due, _ := g.ToStore(now.Add(time.Second), 1)
 	data, err := due[0].Encode()
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -31,6 +31,8 @@
 	IsEmpty() bool
 	// CheckContent returns an error of type errs.Quarantined if the item of that id must not be sent to a target.
 	CheckContent(id string, content quarantine.Fingerprint) error
+	// AdmitRequest returns such an error for a request that is about to be sent.
+	AdmitRequest(r *serving.Request) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -40,6 +40,7 @@
 		request := (&task{job: j}).request()
 		for i := range 3 {
 			n.quarantine.BrokenOff(brokenAt(request, fmt.Sprintf("gone-%d", i)))
+			time.Sleep(time.Second)
 		}
 		n.submit(j)
 		time.Sleep(5 * time.Second)
@@ -51,6 +52,20 @@
 	})
 }
 
+// Guards against holding an item back for good that many jobs have, after targets were lost together under it.
+func TestAnItemWhoseEndsCameTogetherIsTried(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		j := w.job("j", "ok", "ok", "ok")
+		request := (&task{job: j}).request()
+		for i := range 3 {
+			n.quarantine.BrokenOff(brokenAt(request, fmt.Sprintf("gone-%d", i)))
+		}
+		n.submit(j)
+		w.check(j, n.results(j, 10*time.Second))
+	})
+}
+
 // Guards against blaming an item that runs beside the one to blame: its runs are broken off at each end of a target.
 func TestAnItemThatOthersInterruptIsRunToItsEnd(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
@@ -71,5 +86,5 @@
 
 // brokenAt is a run from the start that the restart of a target has broken off.
 func brokenAt(r *serving.Request, target string) quarantine.Broken {
-	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, HasEnded: true, Err: errors.New("started again")}
+	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: time.Now().Add(-100 * time.Millisecond), HasEnded: true, Err: errors.New("started again")}
 }
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -254,10 +254,15 @@
 	if q.IsEmpty() || q.CheckContent(t.item().ID, t.fingerprint()) == nil {
 		return false
 	}
+	d.putOff(t, now)
+	return true
+}
+
+// putOff has a quarantined task wait, or gives it up.
+func (d *scheduler) putOff(t *task, now time.Time) {
 	if end := t.putOff(now); end != nil {
 		t.shard.finish(end)
 	}
-	return true
 }
 
 // start runs a task if a target has room for it.
@@ -273,6 +278,13 @@
 		cancel()
 		return false
 	}
+	if d.m.opts.Quarantine.AdmitRequest(t.request()) != nil {
+		d.putOff(t, time.Now())
+		d.runs.Done()
+		r.Done()
+		cancel()
+		return false
+	}
 	t.begin(cancel)
 	go func() {
 		defer d.runs.Done()
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// Began is when the run began.
+func (r *Run) Began() time.Time { return r.began }
+
 // HasEnded says whether the start of the target that has the run is known to be over.
 func (r *Run) HasEnded() bool {
 	r.view.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
 	Check(r *serving.Request) error
+	// AdmitRequest is Check for a request that is about to be sent.
+	AdmitRequest(r *serving.Request) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
@@ -196,14 +198,14 @@
 	if err := x.recheckKey(); err != nil {
 		return err
 	}
-	if err := x.gw.quarantine.Check(x.req); err != nil {
-		return err
-	}
 	run, ok := x.gw.view.StartOnline(x.service, x.tried)
 	if !ok {
 		return x.noTarget()
 	}
 	defer run.Done()
+	if err := x.gw.quarantine.AdmitRequest(x.req); err != nil {
+		return err
+	}
 	x.tried = append(x.tried, run.Target.ID)
 	x.choices = append(x.choices, run.Choice.String())
 	a := &attempt{exchange: x, run: run}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -96,6 +96,9 @@
 	return b.quarantined
 }
 
+// AdmitRequest implements Quarantine.
+func (b *bench) AdmitRequest(r *serving.Request) error { return b.Check(r) }
+
 // BrokenOff implements Quarantine.
 func (b *bench) BrokenOff(run quarantine.Broken) {
 	b.mu.Lock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -102,6 +102,8 @@
 	ToTell() []quarantine.Record
 	// Apply takes in what a peer tells.
 	Apply(records []quarantine.Record)
+	// PeerStarted notes that a peer is heard for the first time.
+	PeerStarted()
 }
 
 // Options are what a Share needs to know.
@@ -319,6 +321,7 @@
 	defer s.mu.Unlock()
 	p, ok := s.peers[from]
 	if !ok || p.name != r.From {
+		s.quarantine.PeerStarted()
 		s.log.Info("peer", "peer", r.From, "addr", from.String())
 		p = &peer{name: r.From}
 		s.peers[from] = p
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -30,10 +30,13 @@
 
 // fakeQuarantine tells what it has once, and keeps what it is told.
 type fakeQuarantine struct {
-	tells []quarantine.Record
-	told  []quarantine.Record
+	tells   []quarantine.Record
+	told    []quarantine.Record
+	started int // peers
 }
 
+func (q *fakeQuarantine) PeerStarted() { q.started++ }
+
 func (q *fakeQuarantine) ToTell() []quarantine.Record {
 	tells := q.tells
 	q.tells = nil
@@ -59,8 +62,8 @@
 		t.Fatal(err)
 	}
 	b.take(buf[:n], from)
-	if !reflect.DeepEqual(heard.told, []quarantine.Record{record}) {
-		t.Errorf("heard %+v, want %+v", heard.told, record)
+	if !reflect.DeepEqual(heard.told, []quarantine.Record{record}) || heard.started != 1 {
+		t.Errorf("heard %+v of %d peers, want %+v of one", heard.told, heard.started, record)
 	}
 }
 
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -195,8 +195,11 @@
 	}
 	store.Set(keyedlog.Faults{})
 	s.startGateways(1)
-	before := f.count()
-	f.repeat("/once/x", 6, s.gateways[len(s.gateways)-1])
+	started, before := s.gateways[len(s.gateways)-1], f.count()
+	for started.quarantine.IsEmpty() { // its peers tell it, or the store; the test's own time limit ends this
+		time.Sleep(callerPause)
+	}
+	f.repeat("/once/x", 6, started)
 	if n := f.count(); n > before {
 		t.Errorf("%d more targets have ended at a gateway that started after the outage", n-before)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,7 @@
 	brokenMetric      = "quarantine.broken_off"  // runs that targets have broken off after they may have begun
 	endsMetric        = "quarantine.ends"        // ends of targets counted against contents by this gateway
 	rejectedMetric    = "quarantine.rejected"    // sends that were not made
+	triedMetric       = "quarantine.tried"       // sends of quarantined contents that were made to find out whether they are to blame
 	clearedMetric     = "quarantine.cleared"     // contents that were served after targets had ended under them
 	recordsMetric     = "quarantine.records"     // contents that are known
 	quarantinedMetric = "quarantine.quarantined" // of these those that are quarantined
@@ -65,6 +67,7 @@
 	broken   metrics.Counter
 	ends     metrics.Counter
 	rejected metrics.Counter
+	tried    metrics.Counter
 	cleared  metrics.Counter
 	overflow metrics.Counter
 
@@ -79,6 +82,10 @@
 	suspects suspects
 }
 
+// maxTryJitter spreads the moments from which gateways may try a quarantined content: what one of them does reaches the others within
+// some tens of milliseconds.
+const maxTryJitter = 500 * time.Millisecond
+
 // New returns a quarantine that knows of nothing yet.
 func New(o Options) *Quarantine {
 	q := &Quarantine{
@@ -86,10 +93,11 @@
 		broken:   metrics.GetOrRegisterCounter(brokenMetric, o.Metrics),
 		ends:     metrics.GetOrRegisterCounter(endsMetric, o.Metrics),
 		rejected: metrics.GetOrRegisterCounter(rejectedMetric, o.Metrics),
+		tried:    metrics.GetOrRegisterCounter(triedMetric, o.Metrics),
 		cleared:  metrics.GetOrRegisterCounter(clearedMetric, o.Metrics),
 		overflow: metrics.GetOrRegisterCounter(overflowMetric, o.Metrics),
 		changed:  make(chan struct{}, 1),
-		registry: quarantine.NewRegistry(quarantine.Options{Threshold: o.Threshold, Hold: o.Hold}),
+		registry: quarantine.NewRegistry(quarantine.Options{Threshold: o.Threshold, Hold: o.Hold, Jitter: func() time.Duration { return rand.N(maxTryJitter) }}),
 		suspects: newSuspects(),
 	}
 	for name, read := range map[string]func() int64{
@@ -135,12 +143,42 @@
 
 // CheckContent is Check for a request of that id whose fingerprint is known.
 func (q *Quarantine) CheckContent(id string, f quarantine.Fingerprint) error {
+	if q.IsEmpty() {
+		return nil
+	}
 	q.mu.Lock()
 	isQuarantined, ends := q.registry.Check(time.Now(), f), q.registry.Ends(f)
 	q.mu.Unlock()
 	if !isQuarantined {
 		return nil
 	}
+	return q.reject(id, f, ends)
+}
+
+// AdmitRequest is called right before a request is sent to a target. It returns an error of type errs.Quarantined if it must not be. One
+// that is quarantined may be sent now and then to find out whether it is to blame.
+func (q *Quarantine) AdmitRequest(r *serving.Request) error {
+	if q.IsEmpty() {
+		return nil
+	}
+	f := quarantine.FingerprintOf(r)
+	q.mu.Lock()
+	isQuarantined, isTry := q.registry.Admit(time.Now(), f)
+	ends := q.registry.Ends(f)
+	q.mu.Unlock()
+	switch {
+	case isQuarantined:
+		return q.reject(r.ID, f, ends)
+	case isTry:
+		q.tried.Inc(1)
+		q.log.Info("tried", "request", r.ID, "content", f.String(), "ends", ends)
+		q.announce()
+	}
+	return nil
+}
+
+// reject counts and logs a request that is not sent.
+func (q *Quarantine) reject(id string, f quarantine.Fingerprint, ends int) error {
 	q.rejected.Inc(1)
 	q.lines.Info(time.Now(), "quarantined", "request", id, "content", f.String(), "ends", ends)
 	return errs.Newf(errs.Quarantined, "%d targets have ended under this request", ends)
@@ -167,7 +205,7 @@
 func (q *Quarantine) noteEnd(s suspect, target, evidence string) {
 	q.mu.Lock()
 	now := time.Now()
-	isNew := q.registry.NoteEnd(now, s.content, target)
+	isNew := q.registry.NoteEnd(now, s.content, target, s.began, s.broken)
 	ends, isQuarantined := q.registry.Ends(s.content), q.registry.Check(now, s.content)
 	q.known.Store(int64(q.registry.Len()))
 	q.mu.Unlock()
@@ -206,6 +244,17 @@
 	return q.registry.ToTell(time.Now(), maxTold)
 }
 
+// PeerStarted notes that a peer is heard for the first time.
+func (q *Quarantine) PeerStarted() {
+	if q.IsEmpty() {
+		return
+	}
+	q.mu.Lock()
+	q.registry.TellAgain(time.Now())
+	q.mu.Unlock()
+	q.fleet.ReportSoon()
+}
+
 // peerWritesWithin is how long a peer that tells of an end may take to write it to the store.
 const peerWritesWithin = 5 * time.Second
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -75,9 +75,14 @@
 	return &serving.Request{ID: "id", Method: "POST", Host: "h", URI: "/a", Body: []byte(body)}
 }
 
+// runTime is how long a run takes until its target ends.
+const runTime = 100 * time.Millisecond
+
 // breakOff has a target break off a request and waits until it is known what that means.
 func breakOff(q *Quarantine, body, target string) {
-	q.BrokenOff(quarantine.Broken{Request: request(body), Target: serving.Target{ID: target}, Err: errors.New("EOF")})
+	began := time.Now()
+	time.Sleep(runTime)
+	q.BrokenOff(quarantine.Broken{Request: request(body), Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
 	time.Sleep(time.Second)
 	synctest.Wait()
 }
@@ -132,6 +137,30 @@
 	}
 }
 
+// What many callers send is under way at targets that are lost together. It is tried once, by one request, and served on.
+func TestAContentWhoseEndsCameTogetherIsTriedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuarantine(&fleet{result: platform.ProbeRefused})
+		began := time.Now()
+		time.Sleep(runTime)
+		for i := range quarantine.DefaultThreshold {
+			q.BrokenOff(quarantine.Broken{Request: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: began, Err: errors.New("EOF")})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if !isQuarantined(q, "body") {
+			t.Error("not quarantined")
+		}
+		time.Sleep(time.Second)
+		if isQuarantined(q, "body") || q.AdmitRequest(request("body")) != nil || q.AdmitRequest(request("body")) == nil {
+			t.Error("not tried just once")
+		}
+		q.Served(request("body"))
+		if isQuarantined(q, "body") || q.AdmitRequest(request("body")) != nil {
+			t.Error("not cleared")
+		}
+	})
+}
+
 // Guards against missing the end of a target that has broken off an answer a moment before it ended.
 func TestATargetThatBreaksOffAnAnswerAndThenEndsIsProbedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -155,7 +184,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuarantine(&fleet{result: platform.ProbeRefused})
 		run := func(i int, from, to string) {
-			q.BrokenOff(quarantine.Broken{Request: request("long"), Target: serving.Target{ID: fmt.Sprint("t", i)}, From: from, To: to, Err: errors.New("EOF")})
+			began := time.Now()
+			time.Sleep(runTime)
+			q.BrokenOff(quarantine.Broken{Request: request("long"), Target: serving.Target{ID: fmt.Sprint("t", i)}, Began: began, From: from, To: to, Err: errors.New("EOF")})
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}
@@ -227,7 +258,7 @@
 		}
 		time.Sleep(time.Second)
 		for i, q := range all {
-			q.BrokenOff(quarantine.Broken{Request: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Err: errors.New("EOF")})
+			breakOff(q, "body", fmt.Sprint(i))
 		}
 		time.Sleep(3 * time.Second)
 		late, _, _ := g.start()
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -31,6 +31,7 @@
 type suspect struct {
 	request string // id
 	content quarantine.Fingerprint
+	began   time.Time
 	broken  time.Time
 }
 
@@ -85,7 +86,7 @@
 // BrokenOff notes a broken run. Whether the target has ended, or only the connection, shows within suspicionTTL.
 func (q *Quarantine) BrokenOff(b quarantine.Broken) {
 	now := time.Now()
-	s := suspect{request: b.Request.ID, content: quarantine.FingerprintOf(b.Request), broken: now}
+	s := suspect{request: b.Request.ID, content: quarantine.FingerprintOf(b.Request), began: b.Began, broken: now}
 	q.broken.Inc(1)
 	q.log.Warn("broken off by target", "request", s.request, "content", s.content.String(), "target", b.Target.ID, "from_event", b.From,
 		"to_event", b.To, "error", b.Err.Error())
