Entries quarantine requests under which targets end, as gateways do

What callers saw: a request that crashes its engine, repeated at two entries, crashed engines 63 times in 24 repeats, and other requests found no target. Each repeat had up to four attempts, and each side resumed it up to twice at the engine that had just come back.

Change: a side that sees a request break off asks whether its target is there (an engine for its load, a plain service by a connection) and says target_ended if not; it resumes nothing at a target that has ended under it. Entries count that in the registry that gateways have, ask it before each attempt, and share records through a stream of the log service.

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -40,6 +40,7 @@
 	Preempted        Type = "preempted"
 	TargetFailed     Type = "target_failed"
 	TargetTimeout    Type = "target_timeout"
+	TargetEnded      Type = "target_ended"
 	TargetRefused    Type = "target_refused"
 	StreamBroken     Type = "stream_broken"
 	Quarantined      Type = "quarantined"
--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -18,7 +18,7 @@
 
 // TargetProber tells whether the process of a target is there.
 type TargetProber interface {
-	// Probe connects to a target and sends nothing.
+	// Probe connects to a target and sends nothing. It returns within half a second.
 	Probe(ctx context.Context, t serving.Target) ProbeResult
 }
 
--- a/core/structs/intent.go
+++ b/core/structs/intent.go
@@ -8,6 +8,9 @@
 // ConfigSnapshotStream holds snapshots of the configuration.
 const ConfigSnapshotStream = "config-snapshots"
 
+// QuarantineStream holds what entries tell each other of requests under which targets have ended.
+const QuarantineStream = "quarantine"
+
 // PlacementStream holds the claims of the reconciler's owner.
 const PlacementStream = "placement"
 
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -34,6 +34,7 @@
 	stream    *stream
 	group     *group
 	sentAt    time.Time
+	from      int // parts that were there when it began
 	firstByte time.Duration
 
 	attempt  int
@@ -53,6 +54,9 @@
 
 // begin sends the first attempt.
 func (c *call) begin(s *scratch) *errs.Error {
+	if err := c.e.quarantine.Check(c.content()); err != nil {
+		return errs.As(err)
+	}
 	c.e.budget.try(c.in.start)
 	c.timer = sleep.NewTimer(c.deadline.Sub(c.in.start))
 	return c.start(s)
@@ -69,8 +73,12 @@
 		return err
 	}
 	c.target, c.claimed = t, got
+	if err := c.e.quarantine.AdmitRequest(c.content()); err != nil {
+		t.release(c.reports)
+		return errs.As(err)
+	}
 	c.stream = newStream(c.progress.next, c.e.set.SessionWindow)
-	c.sentAt, c.firstByte = c.e.now(), 0
+	c.sentAt, c.firstByte, c.from = c.e.now(), 0, c.progress.next
 	c.owed = 0
 	c.head = nil
 	if err = c.session.start(c.stream, c.e.config.Current().Version, c.open(t)); err == nil {
@@ -214,6 +222,7 @@
 	c.session.forget(c.stream)
 	c.target.release(c.reports)
 	c.e.report(c.group, c.target, choose.Outcome{FirstByte: c.firstByte})
+	c.e.quarantine.Served(c.content())
 	c.stream = nil
 }
 
@@ -236,7 +245,7 @@
 
 func (c *call) speaksAgainstTarget(err *errs.Error) bool {
 	switch err.Type {
-	case errs.TargetFailed, errs.TargetTimeout, errs.StreamBroken, errs.SessionLost, errs.BadFrame:
+	case errs.TargetFailed, errs.TargetTimeout, errs.TargetEnded, errs.StreamBroken, errs.SessionLost, errs.BadFrame:
 		return true
 	case errs.DeadlineExceeded:
 		return c.firstByte == 0 && c.e.now().Sub(c.sentAt) >= hangAfter
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	Parts    Parts
 	// Keys are the keys and certificates in force; nil takes those of Settings.
 	Keys *keyring.Keyring
+	// Quarantine is asked before each attempt; nil sends every request on.
+	Quarantine Quarantine
 	// Policy names the policy for choosing targets; empty takes that of Settings, and
 	// without one choose.DefaultPolicy.
 	Policy string
@@ -63,6 +65,8 @@
 	budget  retryBudget
 	pool    *pool
 	rec     *recorder
+	// quarantine is asked before each attempt.
+	quarantine Quarantine
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -94,6 +98,9 @@
 		}
 		o.Keys = keyring.New(values)
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = noQuarantine{}
+	}
 	policy, err := choose.New(o.Policy)
 	if err != nil {
 		return nil, err
@@ -101,12 +108,13 @@
 	e := &Entry{
 		set: o.Settings, log: o.Logger, metrics: o.Metrics, now: o.Clock,
 		config: o.Config, parts: o.Parts, policy: policy,
-		keys:     workspaceKeys{source: o.Config},
-		secrets:  o.Keys,
-		limits:   newLimits(),
-		budget:   retryBudget{budget: limit.Budget{Share: o.Settings.RetryShare}},
-		rec:      newRecorder(o.Metrics, o.Logger, o.Clock),
-		idPrefix: string(o.Settings.Host.ID) + "-" + strconv.FormatInt(o.Clock().UnixNano(), 36) + "-",
+		keys:       workspaceKeys{source: o.Config},
+		secrets:    o.Keys,
+		limits:     newLimits(),
+		budget:     retryBudget{budget: limit.Budget{Share: o.Settings.RetryShare}},
+		rec:        newRecorder(o.Metrics, o.Logger, o.Clock),
+		quarantine: o.Quarantine,
+		idPrefix:   string(o.Settings.Host.ID) + "-" + strconv.FormatInt(o.Clock().UnixNano(), 36) + "-",
 	}
 	dial := o.dial
 	if dial == nil {
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"strconv"
+
+	"arbutusramp/core/errs"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+)
+
+// Quarantine keeps requests under which targets have ended from targets.
+type Quarantine interface {
+	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
+	Check(r *serving.Request) error
+	// AdmitRequest is Check for a request that is about to be sent.
+	AdmitRequest(r *serving.Request) error
+	// BrokenOff notes a run that a target has broken off.
+	BrokenOff(b quarantine.Broken)
+	// Served notes that a target has served a request whole.
+	Served(r *serving.Request)
+}
+
+// noQuarantine sends every request on.
+type noQuarantine struct{}
+
+func (noQuarantine) Check(*serving.Request) error        { return nil }
+func (noQuarantine) AdmitRequest(*serving.Request) error { return nil }
+func (noQuarantine) BrokenOff(quarantine.Broken)         {}
+func (noQuarantine) Served(*serving.Request)             {}
+
+// content is what the request and its repeats have in common.
+func (c *call) content() *serving.Request {
+	return &serving.Request{
+		ID: string(c.in.id), Caller: serving.Caller{Workspace: string(c.in.workspace)}, Method: c.req.method, URI: c.req.path, Body: c.req.body,
+	}
+}
+
+// noteEnded counts the end of the attempt's target against the request.
+func (c *call) noteEnded(err *errs.Error) {
+	if err.Type != errs.TargetEnded {
+		return
+	}
+	c.e.quarantine.BrokenOff(quarantine.Broken{
+		Request: c.content(), Target: serving.Target{ID: string(c.target.id)}, Began: c.sentAt,
+		From: position(c.from), To: position(c.progress.next), HasEnded: true, Err: err,
+	})
+}
+
+// position is the place in an answer after which a run goes on; empty for its start.
+func position(tokens int) string {
+	if tokens == 0 {
+		return ""
+	}
+	return strconv.Itoa(tokens)
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -7,6 +7,7 @@
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/plan"
 	"arbutusramp/core/platform"
+	corequarantine "arbutusramp/core/quarantine"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/weightshttp"
@@ -15,6 +16,7 @@
 	"arbutusramp/internal/entry"
 	"arbutusramp/internal/follow"
 	"arbutusramp/internal/keyring"
+	"arbutusramp/internal/quarantine"
 	"arbutusramp/internal/reconcile"
 	"arbutusramp/internal/settings"
 	"github.com/hashicorp/go-hclog"
@@ -52,6 +54,8 @@
 		Weights:  k.weights,
 		Config:   k.config,
 		Keys:     k.keys,
+
+		Quarantine: k.quarantine,
 	})
 	if err != nil {
 		return nil, err
@@ -72,6 +76,8 @@
 	keys    *keyring.Keyring
 	config  *follow.Follower
 	fleet   *reconcile.Fleet
+	// quarantine keeps requests under which targets have ended from targets.
+	quarantine *quarantine.Quarantine
 }
 
 func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*kit, error) {
@@ -101,6 +107,10 @@
 		PeerKeys:   k.keys.PeerKeys,
 		RetiredKey: k.keys.RetiredPeerKey,
 	})
+	k.quarantine = quarantine.New(quarantine.Options{
+		Threshold: corequarantine.DefaultThreshold, Hold: corequarantine.DefaultHold, Prober: quarantine.NoFleet{}, Fleet: quarantine.NoFleet{},
+		Log: logger.Named("quarantine"), Metrics: reg,
+	})
 	k.fleet = reconcile.NewFleet(reconcile.FleetOptions{
 		Members:   k.hosts.known,
 		Weights:   k.weights,
@@ -128,7 +138,9 @@
 		}, k.logger),
 		Ready:       []func() bool{isClosed(k.config.Ready())},
 		ConfigFresh: k.config.Fresh,
-		Run:         []func(context.Context) error{k.config.Run, placement.Run, owner.run},
+		Run: []func(context.Context) error{k.config.Run, placement.Run, owner.run, func(ctx context.Context) error {
+			return k.quarantine.Run(ctx, quarantine.NewLogStore(k.log))
+		}},
 		Drain: []func(context.Context){
 			// An operator's watch is held for long; without this a stop would wait for it.
 			func(context.Context) { operators.Close() },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,10 @@
 package node
 
 import (
+	"context"
+	"net/url"
+
+	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/adapter/enginehttp"
@@ -10,6 +14,7 @@
 	"arbutusramp/internal/follow"
 	"arbutusramp/internal/settings"
 	"arbutusramp/internal/side"
+	"arbutusramp/internal/tcpprobe"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 )
@@ -20,8 +25,10 @@
 	switch s.Target.Kind {
 	case structs.KindEngine:
 		o.Engine = newEngine(s)
+		o.Probe = func(ctx context.Context) platform.ProbeResult { return probeEngine(ctx, o.Engine) }
 	case structs.KindService:
 		o.Service = newService(s)
+		o.Probe = func(ctx context.Context) platform.ProbeResult { return probeService(ctx, s.TargetURL) }
 	}
 	return side.New(o)
 }
@@ -33,3 +40,24 @@
 func newService(s settings.Side) platform.Service {
 	return servicehttp.New(s.TargetURL, servicehttp.Options{})
 }
+
+// probeEngine asks an engine for its load: one that has ended does not answer, whatever accepts connections in its place.
+func probeEngine(ctx context.Context, e platform.Engine) platform.ProbeResult {
+	_, err := e.Load(ctx)
+	switch {
+	case err == nil:
+		return platform.ProbeAccepted
+	case errs.Is(err, errs.TargetFailed):
+		return platform.ProbeRefused
+	}
+	return platform.ProbeUnknown
+}
+
+// probeService connects to a plain service, which has nothing to ask for.
+func probeService(ctx context.Context, baseURL string) platform.ProbeResult {
+	u, err := url.Parse(baseURL)
+	if err != nil {
+		return platform.ProbeUnknown // the check of the settings refuses such a URL
+	}
+	return tcpprobe.Probe(ctx, u.Host)
+}
--- /dev/null
+++ b/internal/quarantine/logstore_test.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+	"arbutusramp/core/structs"
+	"arbutusramp/internal/adapter/logmem"
+)
+
+// Entries have no store with keys: they agree through a stream of the log, some of whose entries may have expired or be spoilt.
+func TestEntriesAgreeThroughTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logmem.New(1)
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		start := func() *Quarantine {
+			q := New(Options{Threshold: quarantine.DefaultThreshold, Hold: quarantine.DefaultHold, Prober: NoFleet{}, Fleet: NoFleet{},
+				Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+			wg.Go(func() { _ = q.Run(ctx, NewLogStore(log)) })
+			time.Sleep(time.Second)
+			return q
+		}
+		first, second := start(), start()
+		if _, err := log.Append(ctx, structs.QuarantineStream, []byte("spoilt")); err != nil {
+			t.Fatal(err)
+		}
+		for i := range quarantine.DefaultThreshold {
+			q := []*Quarantine{first, second}[i%2]
+			q.BrokenOff(quarantine.Broken{
+				Request: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: time.Now().Add(-runTime), HasEnded: true, Err: fmt.Errorf("ended"),
+			})
+			time.Sleep(time.Second)
+		}
+		late := start()
+		for i, q := range []*Quarantine{first, second, late} {
+			if !isQuarantined(q, "body") {
+				t.Errorf("entry %d does not know", i)
+			}
+		}
+		log.SetFaults(logmem.Faults{Retention: time.Millisecond})
+		time.Sleep(time.Minute)
+		if !start().Loaded() {
+			t.Error("a log whose entries have expired can't be read")
+		}
+		stop()
+		wg.Wait()
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -46,6 +46,23 @@
 	ReportSoon()
 }
 
+// NoFleet is for processes that are told of the ends of targets, and that tell each other of them through the store alone.
+type NoFleet struct{}
+
+// IsInService implements Fleet.
+func (NoFleet) IsInService(string) bool { return true }
+
+// HeardSince implements Fleet.
+func (NoFleet) HeardSince(string, time.Time) bool { return false }
+
+// ReportSoon implements Fleet.
+func (NoFleet) ReportSoon() {}
+
+// Probe implements platform.TargetProber.
+func (NoFleet) Probe(context.Context, serving.Target) platform.ProbeResult {
+	return platform.ProbeUnknown
+}
+
 // Options are what a Quarantine needs to know.
 type Options struct {
 	Threshold int           // ends of targets after which a content is quarantined
@@ -115,7 +132,7 @@
 }
 
 // Run follows the store until ctx ends.
-func (q *Quarantine) Run(ctx context.Context, store platform.Store) error {
+func (q *Quarantine) Run(ctx context.Context, store Store) error {
 	if !q.isOn {
 		return nil
 	}
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -42,10 +42,17 @@
 	expireInterval = 30 * time.Second
 )
 
+// Store is what keeps the records. Its calls are those of platform.Store.
+type Store interface {
+	platform.NewestReader
+	Append(ctx context.Context, a platform.Append) (platform.Appended, error)
+	Read(ctx context.Context, r platform.Read) (platform.Records, error)
+}
+
 // storeSync keeps a Quarantine and the store's records the same.
 type storeSync struct {
 	q     *Quarantine
-	store platform.Store
+	store Store
 	link  *dependency.Link
 	// next is the offset to read on from, once the newest records have been read.
 	next uint64
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -16,8 +16,6 @@
 	suspicionTTL = 5 * time.Second
 	// maxSuspects bounds the broken requests that are followed.
 	maxSuspects = 4096
-	// probeTimeout is how long a probe may take.
-	probeTimeout = 400 * time.Millisecond
 )
 
 // probeDelays are the pauses before each probe of a target that has broken off a request. A process that ends may close its
@@ -156,9 +154,7 @@
 		if i > 0 && q.fleet.HeardSince(t.ID, broken.Add(bufferedFor)) {
 			break
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		result = q.prober.Probe(ctx, t)
-		cancel()
+		result = q.prober.Probe(context.Background(), t)
 		if result == platform.ProbeRefused {
 			q.confirm(t.ID, "connection refused")
 			return
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -106,6 +106,9 @@
 	gen.done.resume(c.open.ResumeFrom, c.open.PriorText)
 	gen.emit = c.emitter(g, &gen.done)
 	again := func(err *errs.Error) bool {
+		if c.s.named(err).Type == errs.TargetEnded {
+			return false // the request may be why; its entry counts that before it is sent again
+		}
 		c.s.logResume(c, gen.done.next, err)
 		return !c.open.NonIdempotent
 	}
@@ -147,7 +150,7 @@
 		c.end(nil, gen.done.next)
 		return
 	}
-	failure := errs.As(err)
+	failure := c.s.named(errs.As(err))
 	c.s.targetFailed(failure)
 	if c.keyed && failure.Ran != errs.RanNo {
 		c.s.keys.finish(c.key, unkept())
--- a/internal/side/service.go
+++ b/internal/side/service.go
@@ -30,7 +30,7 @@
 }
 
 func (c *call) serviceFailed(g *guard, err *errs.Error) {
-	failure := g.failure(err)
+	failure := c.s.named(g.failure(err))
 	c.s.targetFailed(failure)
 	if c.keyed && failure.Ran != errs.RanNo {
 		c.s.keys.finish(c.key, dedup.Answer{Err: failure})
@@ -42,7 +42,7 @@
 // outcomeOf is what the policy is told of a run that failed.
 func outcomeOf(err *errs.Error) admit.Outcome {
 	switch err.Type {
-	case errs.TargetFailed, errs.TargetTimeout, errs.StreamBroken:
+	case errs.TargetFailed, errs.TargetTimeout, errs.TargetEnded, errs.StreamBroken:
 		return admit.Failed
 	case errs.TargetRefused:
 		return admit.Finished
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -44,6 +44,8 @@
 	Config ConfigPort
 	// Keys are the keys in force; nil takes those of Settings.
 	Keys *keyring.Keyring
+	// Probe tells whether the target's process is there; nil can't tell.
+	Probe func(ctx context.Context) platform.ProbeResult
 	// NoPreempt turns preemption off, as a baseline for experiments.
 	NoPreempt bool
 }
@@ -286,9 +288,29 @@
 	}
 }
 
+// probeTimeout bounds the question whether the target's process is there. It is on the same host.
+const probeTimeout = 300 * time.Millisecond
+
+// named gives a failure that broke a request off the type errs.TargetEnded if the target's process has ended: entries count such
+// ends against the request.
+func (s *Side) named(failure *errs.Error) *errs.Error {
+	broke := failure.Type == errs.StreamBroken || failure.Type == errs.TargetFailed
+	if s.o.Probe == nil || !broke || failure.Ran == errs.RanNo {
+		return failure
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if s.o.Probe(ctx) != platform.ProbeRefused {
+		return failure
+	}
+	ended := *failure
+	ended.Type = errs.TargetEnded
+	return &ended
+}
+
 // targetFailed counts the target as unhealthy when it hung or could not be reached.
 func (s *Side) targetFailed(err *errs.Error) {
-	if err.Type != errs.TargetTimeout && err.Type != errs.TargetFailed {
+	if err.Type != errs.TargetTimeout && err.Type != errs.TargetFailed && err.Type != errs.TargetEnded {
 		return
 	}
 	s.healthMu.Lock()
