Quarantine: ends around a probe

Found by reading. A target that breaks off an answer, is probed, and ends before the probe is over had the second break dismissed with the first: what it breaks off after a probe began is probed again. A target whose id stays the same over a restart had each break at its next start taken for its last end, within five seconds: evidence counts for runs that began before it.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -179,6 +179,37 @@
 	})
 }
 
+// Guards against missing an end that comes while a probe after an earlier break finds the target still there, and against taking a
+// break at a target's next start for its last end.
+func TestEndsAroundAProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{result: platform.ProbeAccepted}
+		q := newQuarantine(f)
+		breaks := func(body string, began time.Time) {
+			q.BrokenOff(quarantine.Broken{Request: request(body), Target: serving.Target{ID: "t"}, Began: began, Err: errors.New("EOF")})
+		}
+		breaks("first", time.Now())
+		last := probeDelays[0] + probeDelays[1]
+		time.Sleep(last) // the last probe of the first break is under way or over
+		synctest.Wait()
+		f.set(func() { f.result = platform.ProbeRefused })
+		breaks("second", time.Now().Add(-runTime))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		ends := func(body string) int { return q.registry.Ends(quarantine.FingerprintOf(request(body))) }
+		if ends("first") != 0 || ends("second") != 1 {
+			t.Errorf("%d ends under the first, %d under the second", ends("first"), ends("second"))
+		}
+		f.set(func() { f.result = platform.ProbeAccepted })
+		breaks("third", time.Now())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if ends("third") != 0 {
+			t.Error("a break at the next start counts as an end")
+		}
+	})
+}
+
 // Guards against blaming long work that goes on from where it was each time it is interrupted by the crashes of others.
 func TestAnEndUnderWorkThatAdvancesDoesNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"arbutusramp/core/platform"
@@ -37,8 +38,10 @@
 type brokenTarget struct {
 	suspects  []suspect
 	last      time.Time // when it has last broken one off
-	evidence  string    // that it has ended; empty while there is none
 	isProbing bool
+	// evidence shows that it has ended; empty while there is none. endedAt is when that was found.
+	evidence string
+	endedAt  time.Time
 }
 
 // suspects are the requests that targets have broken off lately.
@@ -62,23 +65,28 @@
 }
 
 // take removes and returns the suspects of a target that is known to have ended.
-func (s *suspects) take(id, evidence string) []suspect {
+func (s *suspects) take(now time.Time, id, evidence string) []suspect {
 	t, ok := s.byTarget[id]
 	if !ok {
 		return nil
 	}
 	list := t.suspects
 	s.n -= len(list)
-	t.suspects, t.evidence = nil, evidence
+	t.suspects, t.evidence, t.endedAt = nil, evidence, now
 	return list
 }
 
-// dismiss drops the suspects of a target that takes connections, and ends its probe.
-func (s *suspects) dismiss(id string) {
-	if t, ok := s.byTarget[id]; ok {
-		s.n -= len(t.suspects)
-		t.suspects, t.isProbing = nil, false
+// dismiss drops the suspects that a target has broken off before it was seen to take connections. It reports whether there are
+// others.
+func (s *suspects) dismiss(id string, seen time.Time) (hasOthers bool) {
+	t, ok := s.byTarget[id]
+	if !ok {
+		return false
 	}
+	s.n -= len(t.suspects)
+	t.suspects = slices.DeleteFunc(t.suspects, func(b suspect) bool { return b.broken.Before(seen) })
+	s.n += len(t.suspects)
+	return len(t.suspects) > 0
 }
 
 // BrokenOff notes a broken run. Whether the target has ended, or only the connection, shows within suspicionTTL.
@@ -92,7 +100,7 @@
 		return
 	}
 	if b.HasEnded {
-		q.noteEnd(s, b.Target.ID, "started again")
+		q.noteEnd(s, b.Target.ID, "known to have ended")
 		return
 	}
 	evidence, needsProbe := q.suspect(s, b.Target.ID)
@@ -131,9 +139,10 @@
 		q.suspects.byTarget[target] = t
 	}
 	t.last = s.broken
-	if t.evidence != "" {
+	if t.evidence != "" && s.began.Before(t.endedAt) {
 		return t.evidence, false
 	}
+	t.evidence = "" // of an earlier start under its id
 	if q.suspects.n >= maxSuspects {
 		q.overflow.Inc(1)
 		return "", false
@@ -145,28 +154,44 @@
 	return "", needsProbe
 }
 
-// probe finds out whether a target that has broken off a request takes connections. If that can't be told, its entry on the list
+// probe finds out whether a target that has broken off requests takes connections. If that can't be told, its entry on the list
 // decides.
 func (q *Quarantine) probe(t serving.Target, broken time.Time) {
-	result := platform.ProbeUnknown
+	for needsProbe := true; needsProbe; broken = time.Now() {
+		result, asked := q.ask(t, broken)
+		if result == platform.ProbeRefused {
+			q.confirm(t.ID, "connection refused")
+		}
+		needsProbe = q.endProbe(t.ID, result, asked)
+	}
+}
+
+// ask probes a target that has broken off a request at a time. It returns when the last probe began.
+func (q *Quarantine) ask(t serving.Target, broken time.Time) (result platform.ProbeResult, asked time.Time) {
 	for i, delay := range probeDelays {
 		sleep.For(context.Background(), delay)
 		if i > 0 && q.fleet.HeardSince(t.ID, broken.Add(bufferedFor)) {
 			break
 		}
-		result = q.prober.Probe(context.Background(), t)
-		if result == platform.ProbeRefused {
-			q.confirm(t.ID, "connection refused")
-			return
+		asked = time.Now()
+		if result = q.prober.Probe(context.Background(), t); result == platform.ProbeRefused {
+			break
 		}
 	}
+	return result, asked
+}
+
+// endProbe notes what a probe has shown. It reports whether the target has to be probed again, for what it has broken off meanwhile.
+func (q *Quarantine) endProbe(target string, result platform.ProbeResult, asked time.Time) (needsProbe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if result == platform.ProbeAccepted {
-		q.suspects.dismiss(t.ID)
-	} else if known, ok := q.suspects.byTarget[t.ID]; ok {
-		known.isProbing = false
+	if result == platform.ProbeAccepted && q.suspects.dismiss(target, asked) {
+		return true
+	}
+	if t, ok := q.suspects.byTarget[target]; ok {
+		t.isProbing = false
 	}
+	return false
 }
 
 // TargetsGone notes targets that are no longer on the list.
@@ -178,9 +203,10 @@
 
 // confirm counts the end of a target against the requests that it has broken off.
 func (q *Quarantine) confirm(target, evidence string) {
+	now := time.Now()
 	q.mu.Lock()
-	q.suspects.prune(time.Now())
-	list := q.suspects.take(target, evidence)
+	q.suspects.prune(now)
+	list := q.suspects.take(now, target, evidence)
 	q.mu.Unlock()
 	for _, s := range list {
 		q.noteEnd(s, target, evidence)
