--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -13,7 +13,7 @@
 	DefaultThreshold = 3
 	// DefaultHold is how long a content stays quarantined after it was last seen.
 	DefaultHold = time.Hour
-	// maxRecords bounds the contents that are known, at about 500 bytes each.
+	// maxRecords bounds the contents that are known, at 1.5 kB each at most.
 	maxRecords = 1024
 	// renewShare is the share of the hold after which a sighting is told to others again.
 	renewShare = 0.25
