--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -64,7 +64,7 @@
 		return turn
 	}
 	for name, p := range f.peers {
-		if p.Want.Items > 0 && cmp.Or(cmp.Compare(p.Want.Due, f.want.Due), cmp.Compare(name, f.opts.Self)) < 0 {
+		if p.Demand.Items > 0 && cmp.Or(cmp.Compare(p.Demand.Due, f.demand.Due), cmp.Compare(name, f.opts.Self)) < 0 {
 			turn++
 		}
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -51,9 +51,9 @@
 	peers   map[Peer]*peer
 	// nextExpiry is before the first peer can fall silent for too long; zero while that has not been worked out.
 	nextExpiry time.Time
-	want       Want
+	demand     Demand
 	holds      map[string]time.Duration // how long online requests hold a slot, by service; see Held
-	paces      map[string]pace          // by service; see Silence
+	paces      map[string]pace          // by service; see IdleLimit
 	// contact is when the store last answered here.
 	contact time.Time
 }
@@ -81,16 +81,16 @@
 // room is the number of free slots; negative when requests wait.
 func (n *node) room() int { return n.Slots - n.load().total() }
 
-// Want is what a gateway would like to start.
-type Want struct {
+// Demand is what a gateway would like to start.
+type Demand struct {
 	Items int   // batch items that wait for room
 	Due   int64 // when the first of them is due, in milliseconds since 1970
 }
 
 // Report is what a gateway tells its peers.
 type Report struct {
-	Loads map[string]Load // by target id
-	Want  Want
+	Loads  map[string]Load // by target id
+	Demand Demand
 	// Contact is when the platform's store last answered the gateway.
 	Contact time.Time
 	// Suspects are the targets that have failed the gateway a moment ago, by id.
@@ -262,8 +262,8 @@
 	f.nextExpiry = oldest.Add(f.opts.PeerTTL)
 }
 
-// SetWant notes what this gateway would like to start.
-func (f *Fleet) SetWant(w Want) { f.want = w }
+// SetDemand notes what this gateway would like to start.
+func (f *Fleet) SetDemand(w Demand) { f.demand = w }
 
 // SetContact notes that the store has answered.
 func (f *Fleet) SetContact(now time.Time) { f.contact = now }
@@ -293,7 +293,7 @@
 
 // Report returns what this gateway has and wants.
 func (f *Fleet) Report(now time.Time) Report {
-	return Report{Loads: f.Own(), Want: f.want, Contact: f.contact, Suspects: f.suspects(now)}
+	return Report{Loads: f.Own(), Demand: f.demand, Contact: f.contact, Suspects: f.suspects(now)}
 }
 
 // Own returns what this gateway has at its targets, without those at which it has nothing.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -174,7 +174,7 @@
 	if _, ok := f.PickBatch(later.Add(suspectBase), "llm", nil); ok {
 		t.Error("the second suspicion is not longer than the first")
 	}
-	f.Heard(later, "t0")
+	f.NoteActivity(later, "t0")
 	if _, ok := f.PickBatch(later, "llm", nil); !ok {
 		t.Error("no item for a target that has just answered")
 	}
@@ -182,15 +182,15 @@
 
 func TestSilence(t *testing.T) {
 	f := testFleet("self", 1)
-	if f.SilentSince(start.Add(silenceLimit), start, "t0") {
+	if f.IsIdleSince(start.Add(silenceLimit), start, "t0") {
 		t.Error("silent before the limit")
 	}
 	late := start.Add(silenceLimit + time.Millisecond)
-	if !f.SilentSince(late, start, "t0") {
+	if !f.IsIdleSince(late, start, "t0") {
 		t.Error("not silent after the limit")
 	}
-	f.Heard(late, "t0")
-	if f.SilentSince(late.Add(silenceLimit), start, "t0") {
+	f.NoteActivity(late, "t0")
+	if f.IsIdleSince(late.Add(silenceLimit), start, "t0") {
 		t.Error("silent though it has answered somebody")
 	}
 }
@@ -212,14 +212,14 @@
 
 // Wasted starts: all gateways start an item in the same free slot, and all but one preempt it again.
 func TestGatewaysTakeTurnsAtAFreeSlot(t *testing.T) {
-	wants := map[Peer]Want{"a": {Items: 3, Due: 200}, "b": {Items: 1, Due: 100}, "c": {}}
+	wants := map[Peer]Demand{"a": {Items: 3, Due: 200}, "b": {Items: 1, Due: 100}, "c": {}}
 	pick := func(self Peer, room int, after time.Duration) bool {
 		f := testFleet(self, 1)
-		f.SetWant(wants[self])
+		f.SetDemand(wants[self])
 		begin(f, "t0", structs.ClassOnline, testSlots)
 		for peer, w := range wants {
 			if peer != self {
-				f.ApplyReport(start, peer, Report{Want: w})
+				f.ApplyReport(start, peer, Report{Demand: w})
 			}
 		}
 		for range room {
@@ -291,10 +291,10 @@
 	f.ApplyReport(start, "peer", Report{Loads: map[string]Load{"t0": {Online: 2*testSlots - 1}}})
 	f.Begin(start, "t0", structs.ClassOnline)
 	late := start.Add(silenceLimit + queueWait/2)
-	if f.SilentSince(late, start, "t0") {
+	if f.IsIdleSince(late, start, "t0") {
 		t.Error("a target with a full queue counts as silent before its queue has passed")
 	}
-	if !f.SilentSince(start.Add(silenceLimit+queueWait+time.Millisecond), start, "t0") {
+	if !f.IsIdleSince(start.Add(silenceLimit+queueWait+time.Millisecond), start, "t0") {
 		t.Error("a target that sends nothing at all is never silent")
 	}
 }
@@ -325,7 +325,7 @@
 		return c.Target.ID
 	}
 	f := testFleet("self", 2)
-	f.Heard(start.Add(-hearsayAfter), "t0")
+	f.NoteActivity(start.Add(-hearsayAfter), "t0")
 	f.ApplyReport(start, "peer", word)
 	if got := pick(f, start); got != "t1" {
 		t.Errorf("the next request goes to %s", got)
@@ -333,17 +333,17 @@
 	if got := f.Report(start).Suspects; len(got) != 0 {
 		t.Errorf("hearsay is passed on: %v", got)
 	}
-	if !f.SilentSince(start.Add(silenceLimit/2+time.Millisecond), start, "t0") {
+	if !f.IsIdleSince(start.Add(silenceLimit/2+time.Millisecond), start, "t0") {
 		t.Error("a request there waits as long as without the peer's word")
 	}
 	later := start.Add(suspectBase)
 	f.ApplyReport(later, "peer", word)
-	f.Heard(later, "t0")
+	f.NoteActivity(later, "t0")
 	if got := pick(f, later); got != "t0" {
 		t.Errorf("after a sign of life the next request goes to %s", got)
 	}
 	f = testFleet("self", 2)
-	f.Heard(start.Add(-hearsayAfter/2), "t0")
+	f.NoteActivity(start.Add(-hearsayAfter/2), "t0")
 	f.ApplyReport(start, "peer", word)
 	if got := pick(f, start); got != "t0" {
 		t.Errorf("a target that has just answered here: the next request goes to %s", got)
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -21,7 +21,7 @@
 // Times of the verdict.
 const (
 	// silenceLimit is how long a target that has work may send nothing at all before it is
-	// suspect, while it is not known how its service answers; see Silence.
+	// suspect, while it is not known how its service answers; see IdleLimit.
 	silenceLimit = 450 * time.Millisecond
 	// suspectBase and suspectMax bound how long a suspect target gets nothing; the time
 	// doubles with each failure in a row.
@@ -66,8 +66,8 @@
 
 func (h *health) begin(now time.Time) { h.began = now }
 
-// Heard notes that a target has sent something: it is alive.
-func (f *Fleet) Heard(now time.Time, id string) {
+// NoteActivity notes that a target has sent something: it is alive.
+func (f *Fleet) NoteActivity(now time.Time, id string) {
 	if n, ok := f.nodes[id]; ok {
 		n.health.heard = now
 		n.health.failures = 0
@@ -154,10 +154,10 @@
 	return each * time.Duration(waiting) / time.Duration(n.Slots)
 }
 
-// SilentSince says whether a target has sent nothing to anybody here since a request was sent
+// IsIdleSince says whether a target has sent nothing to anybody here since a request was sent
 // to it at that time, for longer than a working target ever keeps silent. In a large system a gateway
 // has few requests at each target, so that a queue there looks like silence.
-func (f *Fleet) SilentSince(now, sent time.Time, id string) bool {
+func (f *Fleet) IsIdleSince(now, sent time.Time, id string) bool {
 	n, ok := f.nodes[id]
 	if !ok {
 		return false
@@ -169,7 +169,7 @@
 	if !f.opts.Off.Allows(policy.Silence) {
 		return false
 	}
-	limit := f.Silence(n.Service)
+	limit := f.IdleLimit(n.Service)
 	if n.health.hearsay {
 		limit /= 2 // two have noticed it
 	}
--- a/core/fleet/pace.go
+++ b/core/fleet/pace.go
@@ -50,11 +50,11 @@
 	f.paces[service] = p
 }
 
-// Silence is how long a target of a service that has work may send nothing at all before it is suspect.
+// IdleLimit is how long a target of a service that has work may send nothing at all before it is suspect.
 //
 // What goes wrong with one time for all: engines with steps of 80 ms send an event every half a second and would be
 // suspect all the time; where events come every 20 ms a dark target gets requests for longer than need be.
-func (f *Fleet) Silence(service string) time.Duration {
+func (f *Fleet) IdleLimit(service string) time.Duration {
 	p := f.paces[service]
 	if p.first == 0 || p.gap == 0 || !f.opts.Off.Allows(policy.LearnedSilence) {
 		return silenceLimit
--- a/core/fleet/pace_test.go
+++ b/core/fleet/pace_test.go
@@ -27,10 +27,10 @@
 				f.NextEvent("llm", c.gap)
 			}
 		}
-		if got := f.Silence("llm"); got != c.want {
+		if got := f.IdleLimit("llm"); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
-		if f.SilentSince(start.Add(c.want), start, "t0") || !f.SilentSince(start.Add(c.want+ms), start, "t0") {
+		if f.IsIdleSince(start.Add(c.want), start, "t0") || !f.IsIdleSince(start.Add(c.want+ms), start, "t0") {
 			t.Errorf("%s: silent at another time than after %v", c.name, c.want)
 		}
 	}
@@ -44,7 +44,7 @@
 		f.NextEvent("llm", 20*time.Millisecond)
 	}
 	f.NextEvent("llm", 200*time.Millisecond)
-	if got := f.Silence("llm"); got > 400*time.Millisecond {
+	if got := f.IdleLimit("llm"); got > 400*time.Millisecond {
 		t.Errorf("after one pause of 200 ms: %v", got)
 	}
 }
--- a/internal/backlog/guard.go
+++ b/internal/backlog/guard.go
@@ -24,11 +24,11 @@
 	return g
 }
 
-func (g *guard) heard() {
+func (g *guard) noteEvent() {
 	g.mu.Lock()
 	g.last = time.Now()
 	g.mu.Unlock()
-	g.run.Heard()
+	g.run.NoteActivity()
 }
 
 func (g *guard) watch(ctx context.Context, cancel context.CancelFunc) {
@@ -36,12 +36,12 @@
 		g.mu.Lock()
 		last := g.last
 		g.mu.Unlock()
-		if g.run.Silent(last) {
+		if g.run.IsIdle(last) {
 			g.run.Failed()
 			cancel()
 			return
 		}
-		if time.Since(last) > max(itemIdleTimeout, 2*g.run.Silence())+g.run.QueueWait() {
+		if time.Since(last) > max(itemIdleTimeout, 2*g.run.IdleLimit())+g.run.QueueWait() {
 			cancel()
 			return
 		}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -129,7 +129,7 @@
 		return goOn, m.itemFailed(ctx, t, r, from, err)
 	}
 	defer ans.Body.Close()
-	guard.heard()
+	guard.noteEvent()
 	if v, err := m.itemRefused(t, r, ans); v != complete {
 		return v, err
 	}
@@ -142,7 +142,7 @@
 		if err != nil {
 			return goOn, m.itemFailed(ctx, t, r, from, err)
 		}
-		guard.heard()
+		guard.noteEvent()
 		r.Event()
 		t.take(e)
 	}
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -257,7 +257,7 @@
 		s := &shard{m: w.nodes[0].manager, wake: make(chan struct{}, 1)}
 		tk := &task{shard: s, job: j, running: true}
 		tk.settle("target-0", complete)
-		if tk.mayStart(time.Now()) {
+		if tk.canStart(time.Now()) {
 			t.Error("an item that has ended may start again")
 		}
 		if len(s.queue) != 1 {
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -141,7 +141,7 @@
 
 // want tells the peers how many items wait here and when the first is due.
 func (d *scheduler) want() int {
-	var w fleet.Want
+	var w fleet.Demand
 	now := time.Now()
 	for _, t := range d.waiting(now) {
 		if key := d.key(t, now); w.Items == 0 || key < w.Due {
@@ -149,7 +149,7 @@
 		}
 		w.Items++
 	}
-	d.m.view.SetWant(w)
+	d.m.view.SetDemand(w)
 	return w.Items
 }
 
@@ -167,7 +167,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, t := range d.tasks {
-		if t.mayStart(soon) {
+		if t.canStart(soon) {
 			return true
 		}
 	}
@@ -203,24 +203,24 @@
 
 // waiting returns the tasks that may start now, in no order.
 func (d *scheduler) waiting(now time.Time) []*task {
-	if !d.mayRun(now) {
+	if !d.canRun(now) {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []*task
 	for _, t := range d.tasks {
-		if t.mayStart(now) {
+		if t.canStart(now) {
 			list = append(list, t)
 		}
 	}
 	return list
 }
 
-// mayRun says whether items may start. They may while this process knows of the jobs' ends and holds
+// canRun says whether items may start. They may while this process knows of the jobs' ends and holds
 // its shards; and also when the store can't be reached by anybody, since then no end is accepted and
 // no shard dealt to another: without that, each outage of the store would stop all batch work.
-func (d *scheduler) mayRun(now time.Time) bool {
+func (d *scheduler) canRun(now time.Time) bool {
 	d.mu.Lock()
 	closed, lease := d.closed, d.lease
 	d.mu.Unlock()
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -140,7 +140,7 @@
 	return t.running
 }
 
-func (t *task) mayStart(now time.Time) bool {
+func (t *task) canStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.running && t.ending == "" && !now.Before(t.notUntil)
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -103,11 +103,11 @@
 	signal(v.freed)
 }
 
-// Heard notes that the run's target has sent something.
-func (r *Run) Heard() {
+// NoteActivity notes that the run's target has sent something.
+func (r *Run) NoteActivity() {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	r.view.fleet.Heard(time.Now(), r.Target.ID)
+	r.view.fleet.NoteActivity(time.Now(), r.Target.ID)
 }
 
 // Event notes an event of the run's stream, for what is known of how its service answers.
@@ -116,7 +116,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	v.fleet.Heard(now, r.Target.ID)
+	v.fleet.NoteActivity(now, r.Target.ID)
 	switch {
 	case !r.first.IsZero():
 		v.fleet.NextEvent(r.Target.Service, now.Sub(r.event))
@@ -141,11 +141,11 @@
 	return r.first.Sub(r.began), time.Since(r.event)
 }
 
-// Silence is how long a working target of the run's service may send nothing.
-func (r *Run) Silence() time.Duration {
+// IdleLimit is how long a working target of the run's service may send nothing.
+func (r *Run) IdleLimit() time.Duration {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.view.fleet.Silence(r.Target.Service)
+	return r.view.fleet.IdleLimit(r.Target.Service)
 }
 
 // Failed notes that the target has failed the run. It reports whether that made it suspect.
@@ -163,12 +163,12 @@
 	return suspect
 }
 
-// Silent says whether the target has sent nothing to this process since a request was sent to it
+// IsIdle says whether the target has sent nothing to this process since a request was sent to it
 // at that time, for longer than a working one ever takes.
-func (r *Run) Silent(sent time.Time) bool {
+func (r *Run) IsIdle(sent time.Time) bool {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.view.fleet.SilentSince(time.Now(), sent, r.Target.ID)
+	return r.view.fleet.IsIdleSince(time.Now(), sent, r.Target.ID)
 }
 
 // QueueWait is how long the run may have to wait for a slot at its target.
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -113,11 +113,11 @@
 	return v.fleet.Report(time.Now())
 }
 
-// SetWant notes which batch items this process would like to start.
-func (v *View) SetWant(w fleet.Want) {
+// SetDemand notes which batch items this process would like to start.
+func (v *View) SetDemand(w fleet.Demand) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.fleet.SetWant(w)
+	v.fleet.SetDemand(w)
 }
 
 // SetContact notes that the store has answered this process now.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,8 +57,8 @@
 	a.from = a.lastID
 	a.stages.noteSent(sent)
 	a.logSent(sent)
-	mayMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
-	stop := a.watch(ctx, sent, mayMove)
+	canMove := a.route.Idempotent() && a.mayHaveRun < a.route.Attempts
+	stop := a.watch(ctx, sent, canMove)
 	defer stop()
 	a.run.WhenEnded(a.cancel)
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
@@ -72,7 +72,7 @@
 	if err := a.refused(ans); err != nil {
 		return err
 	}
-	a.heardNow()
+	a.noteActivity()
 	if isStream(ans) {
 		return a.relayStream(ctx, ans)
 	}
@@ -83,18 +83,18 @@
 // target of one that may not becomes suspect, and the request waits on: its answer may be made.
 // Only a target of streams is judged by its silence: it sends something all the time while it
 // works. One plain call that takes long says nothing of its target.
-func (a *attempt) watch(ctx context.Context, sent time.Time, mayMove bool) (stop func()) {
+func (a *attempt) watch(ctx context.Context, sent time.Time, canMove bool) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		for sleep.For(ctx, watchEvery) {
-			silent := a.route.Kind == serving.KindStream && a.run.Silent(sent)
+			silent := a.route.Kind == serving.KindStream && a.run.IsIdle(sent)
 			if silent {
 				a.suspect("silent")
 			}
-			if !silent && !a.overdue() {
+			if !silent && !a.isOverdue() {
 				continue
 			}
-			if mayMove {
+			if canMove {
 				a.isSilent.Store(true)
 				a.cancel()
 				return
@@ -104,19 +104,19 @@
 	return cancel
 }
 
-// overdue says that this answer alone is missing.
-func (a *attempt) overdue() bool {
-	patience := max(streamPatience, 2*a.run.Silence())
+// isOverdue says that this answer alone is missing.
+func (a *attempt) isOverdue() bool {
+	patience := max(streamPatience, 2*a.run.IdleLimit())
 	if a.route.Kind == serving.KindSafe {
 		patience = max(callPatience, a.route.Goal*3/2)
 	}
 	return time.Since(a.req.Arrived)-time.Duration(a.heard.Load()) > patience+a.run.QueueWait()
 }
 
-// heardNow notes a part of the answer.
-func (a *attempt) heardNow() {
+// noteActivity notes a part of the answer.
+func (a *attempt) noteActivity() {
 	a.heard.Store(int64(time.Since(a.req.Arrived)))
-	a.run.Heard()
+	a.run.NoteActivity()
 }
 
 // logSent writes where the request goes before it does. The line at its end is missing when this process
@@ -175,7 +175,7 @@
 		return errs.New(errs.TargetFailed, "another target has the address").WithRan(errs.RanNo)
 	case ans.NotRun:
 		a.mayHaveRun--
-		a.run.Heard()
+		a.run.NoteActivity()
 		return errs.Newf(errs.TargetFailed, "the target refuses the request with %d", ans.Status).WithRan(errs.RanNo)
 	case ans.Foreign:
 		a.cancel() // the connection is out of step: it must not be used again
@@ -201,7 +201,7 @@
 		if err != nil {
 			return a.broken(ctx, err)
 		}
-		a.heardNow()
+		a.noteActivity()
 		a.run.Event()
 		a.begin(ans, -1)
 		if err := a.write(e.Raw); err != nil {
@@ -247,7 +247,7 @@
 	if err != nil {
 		return a.broken(ctx, err)
 	}
-	a.heardNow()
+	a.noteActivity()
 	if ans.Status >= http.StatusInternalServerError && a.retryFailed() {
 		return errs.Newf(errs.TargetFailed, "the target answers %d", ans.Status)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -174,14 +174,14 @@
 func (x *exchange) run(ctx context.Context) error {
 	for {
 		err := x.attempt(ctx)
-		if err == nil || ctx.Err() != nil || !x.mayRetry(err) {
+		if err == nil || ctx.Err() != nil || !x.canRetry(err) {
 			return err
 		}
 	}
 }
 
-// mayRetry says whether another target may get the request after this failure.
-func (x *exchange) mayRetry(err error) bool {
+// canRetry says whether another target may get the request after this failure.
+func (x *exchange) canRetry(err error) bool {
 	e := errs.As(err)
 	switch e.Type {
 	case errs.NoTarget, errs.Cancelled, errs.Unauthenticated, errs.ConfigStale, errs.Quarantined:
@@ -251,12 +251,12 @@
 	if e.Type == errs.Unauthenticated || e.Type == errs.Quarantined {
 		return e // coming back does not help
 	}
-	return e.WithRan(errs.RanNo).WithRetry(x.comeBack(time.Duration(e.RetryAfterMs) * time.Millisecond))
+	return e.WithRan(errs.RanNo).WithRetry(x.retryAfter(time.Duration(e.RetryAfterMs) * time.Millisecond))
 }
 
-// comeBack is when the caller should send the request again: after the time that the failure names, or a usual
+// retryAfter is when the caller should send the request again: after the time that the failure names, or a usual
 // one, but in time.
-func (x *exchange) comeBack(named time.Duration) time.Duration {
+func (x *exchange) retryAfter(named time.Duration) time.Duration {
 	if named == 0 {
 		named = fullRetry
 	}
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -199,7 +199,7 @@
 func (g *gateway) tell() {
 	g.dirty = false
 	g.told = g.sim.clock.now
-	g.view.SetWant(g.want())
+	g.view.SetDemand(g.want())
 	report := g.view.Report(g.sim.clock.now)
 	for _, peer := range g.sim.gateways {
 		if peer == g {
@@ -213,11 +213,11 @@
 	}
 }
 
-func (g *gateway) want() corefleet.Want {
+func (g *gateway) want() corefleet.Demand {
 	if len(g.items) == 0 {
-		return corefleet.Want{}
+		return corefleet.Demand{}
 	}
-	return corefleet.Want{Items: len(g.items), Due: g.key(g.items[0])}
+	return corefleet.Demand{Items: len(g.items), Due: g.key(g.items[0])}
 }
 
 // live has the gateway tell and look now and then without a cause.
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -203,7 +203,7 @@
 	admitted := s.quotas.Report()
 	r := report{
 		IsFirst: admitted.IsFirst, Admitted: countsOf(admitted.Counts),
-		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Want.Items, Due: own.Want.Due,
+		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Demand.Items, Due: own.Demand.Due,
 		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects), Quarantine: messagesOf(s.quarantine.ToTell()),
 	}
 	direct := s.encode(r)
@@ -286,7 +286,7 @@
 	}
 	ids := s.targetNames()
 	s.view.ApplyReport(r.From, fleet.Report{
-		Loads: loadsOf(r.Loads, ids), Suspects: idsOf(r.Suspects, ids), Want: fleet.Want{Items: r.Items, Due: r.Due},
+		Loads: loadsOf(r.Loads, ids), Suspects: idsOf(r.Suspects, ids), Demand: fleet.Demand{Items: r.Items, Due: r.Due},
 		Contact: r.contact(time.Now()),
 	})
 	s.quarantine.Apply(s.recordsOf(r.Quarantine, from))
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -17,7 +17,7 @@
 	From  fleet.Peer `cbor:"1,keyasint"` // new with each start of the process
 	Seq   uint64     `cbor:"2,keyasint"` // an older one that comes later is left out
 	Loads []line     `cbor:"3,keyasint"`
-	Items int        `cbor:"4,keyasint"` // see fleet.Want
+	Items int        `cbor:"4,keyasint"` // see fleet.Demand
 	Due   int64      `cbor:"5,keyasint"`
 	// ContactAge is how long ago the store last answered, in milliseconds: clocks differ
 	// between hosts, ages do not.
