--- /dev/null
+++ b/internal/quarantine/many_test.go
@@ -0,0 +1,132 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
+)
+
+const (
+	manyGateways = 88
+	// reportGap is the time between two reports of a gateway to its peers.
+	reportGap = 50 * time.Millisecond
+	// repeatGap is the time between two repeats of the request under which targets end.
+	repeatGap = 70 * time.Millisecond
+	// stableAfter and maxLate are the platform's rule: three retries at most later than this after the third end.
+	stableAfter = 3 * time.Second
+	maxLate     = 3
+)
+
+// countedStore counts the writes of all gateways.
+type countedStore struct {
+	Store
+	appends *atomic.Int64
+}
+
+func (s countedStore) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
+	s.appends.Add(1)
+	return s.Store.Append(ctx, a)
+}
+
+// Guards against a fleet of gateways in which each has to see three ends by itself, and against a storm of writes of what all of them
+// have just heard. One in ten reports is lost; the request under which targets end comes once or several times at once.
+func TestManyGatewaysAgreeWithFewWrites(t *testing.T) {
+	for _, copies := range []int{1, 4} {
+		t.Run(fmt.Sprint(copies), func(t *testing.T) {
+			withGateways(t, func(g *gateways) { repeatAtMany(t, g, copies) })
+		})
+	}
+}
+
+func repeatAtMany(t *testing.T, g *gateways, copies int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var appends atomic.Int64
+	var all []*Quarantine
+	for range manyGateways {
+		q, view := newQuarantine(&fleet{result: platform.ProbeRefused}), g.store.View()
+		all = append(all, q)
+		g.wg.Go(func() { _ = q.Run(g.ctx, countedStore{view, &appends}) })
+	}
+	time.Sleep(time.Second)
+	bad := &badRequest{}
+	for at := time.Duration(0); at < time.Minute; at += 10 * time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+		for range copies {
+			if at%repeatGap == 0 {
+				bad.send(all[rng.IntN(len(all))])
+			}
+		}
+		if at%reportGap == 0 {
+			exchange(all, rng)
+		}
+	}
+	sent, late := bad.counts()
+	if sent < quarantine.DefaultThreshold || late > maxLate {
+		t.Errorf("%d targets have ended, %d of them under requests sent %v after the third end", sent, late, stableAfter)
+	}
+	if n := appends.Load(); n > manyGateways {
+		t.Errorf("%d writes", n)
+	}
+	t.Logf("%d ends, %d of them late, %d writes", sent, late, appends.Load())
+}
+
+// badRequest ends each target that it is sent to.
+type badRequest struct {
+	mu    sync.Mutex
+	sends []time.Time
+	ends  []time.Time
+}
+
+// send sends the request from a gateway, unless it is quarantined there.
+func (b *badRequest) send(q *Quarantine) {
+	r := &serving.Request{ID: "bad", Method: "POST", URI: "/a", Body: []byte("bad")}
+	if q.AdmitRequest(r) != nil {
+		return
+	}
+	began := time.Now()
+	b.mu.Lock()
+	b.sends = append(b.sends, began)
+	target := fmt.Sprint("t", len(b.sends))
+	b.mu.Unlock()
+	go func() {
+		time.Sleep(runTime)
+		b.mu.Lock()
+		b.ends = append(b.ends, time.Now())
+		b.mu.Unlock()
+		q.BrokenOff(quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
+	}()
+}
+
+// counts returns how often the request was sent, and how often later than stableAfter after the third end.
+func (b *badRequest) counts() (sent, late int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, at := range b.sends {
+		if len(b.ends) >= 3 && at.After(b.ends[2].Add(stableAfter)) {
+			late++
+		}
+	}
+	return len(b.sends), late
+}
+
+// exchange has each gateway report to all others.
+func exchange(all []*Quarantine, rng *rand.Rand) {
+	for i, from := range all {
+		records := from.ToTell()
+		for k, to := range all {
+			if len(records) > 0 && k != i && rng.IntN(10) > 0 {
+				to.Apply(records)
+			}
+		}
+	}
+}
