--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -40,7 +40,7 @@
 	Preempted        Type = "preempted"
 	TargetFailed     Type = "target_failed"
 	TargetTimeout    Type = "target_timeout"
-	TargetEnded      Type = "target_ended"
+	TargetCrashed    Type = "target_crashed"
 	TargetRefused    Type = "target_refused"
 	StreamBroken     Type = "stream_broken"
 	Quarantined      Type = "quarantined"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -44,7 +44,7 @@
 	Draining:         {503, RanNo, "resend; another target takes it"},
 	Preempted:        {503, RanUnknown, "resend if idempotent"},
 	TargetFailed:     {502, RanUnknown, "resend if idempotent"},
-	TargetEnded:      {502, RanUnknown, "resend if idempotent"},
+	TargetCrashed:    {502, RanUnknown, "resend if idempotent"},
 	TargetTimeout:    {504, RanUnknown, "resend if idempotent"},
 	TargetRefused:    {502, RanYes, "correct the request; the target refused it"},
 	StreamBroken:     {502, RanUnknown, "resend if idempotent"},
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -40,7 +40,7 @@
 	StorePeers Name = "store-peers"
 	// Relays has one gateway of each domain pass reports on; off, each tells each other one.
 	Relays Name = "relays"
-	// Quarantine sends requests under which targets have ended to no more targets; off, they are sent on.
+	// Quarantine sends requests under which targets have crashed to no more targets; off, they are sent on.
 	Quarantine Name = "quarantine"
 )
 
--- a/core/quarantine/broken.go
+++ b/core/quarantine/broken.go
@@ -6,7 +6,7 @@
 	"arbutusramp/core/serving"
 )
 
-// Broken is a run of a request that a target has broken off, or that was under way when its target was found to have ended.
+// Broken is a run of a request that a target has broken off, or that was under way when its target was found to have crashed.
 type Broken struct {
 	Request *serving.Request
 	Target  serving.Target
@@ -14,12 +14,12 @@
 	Began time.Time
 	// From is the id of the event after which the run began, To that of the last event that is there; empty for none.
 	From, To string
-	// HasEnded says that the target is known to have ended.
-	HasEnded bool
+	// HasCrashed says that the target is known to have crashed.
+	HasCrashed bool
 	// Err is how it shows.
 	Err error
 }
 
-// Counts says whether an end of the target counts against the request. It does not if the run went on from an earlier one and took
-// the request further: each run of a request that is to blame ends at the same event at the latest.
+// Counts says whether a crash of the target counts against the request. It does not if the run went on from an earlier one and took
+// the request further: each run of a request that is to blame crashes at the same event at the latest.
 func (b Broken) Counts() bool { return b.From == "" || b.From == b.To }
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -1,4 +1,4 @@
-// Package quarantine decides which requests are sent to no target any more, because targets have ended under them. Without it a
+// Package quarantine decides which requests are sent to no target any more, because targets have crashed under them. Without it a
 // request that crashes its target is sent to one target after the other, by its caller's retries, by other gateways or by the
 // backlog, until none is left. It does no I/O.
 package quarantine
--- a/core/quarantine/message.go
+++ b/core/quarantine/message.go
@@ -10,15 +10,15 @@
 
 // Message is a record as gateways send it to each other and keep it in the store. Times are in milliseconds since 1970.
 type Message struct {
-	Content []byte       `cbor:"1,keyasint"`
-	Ends    []EndMessage `cbor:"2,keyasint,omitempty"`
-	Cleared int64        `cbor:"3,keyasint,omitempty"` // 0: never
-	Seen    int64        `cbor:"4,keyasint,omitempty"` // 0: never
-	Tried   int64        `cbor:"5,keyasint,omitempty"` // 0: never
+	Content []byte         `cbor:"1,keyasint"`
+	Crashes []CrashMessage `cbor:"2,keyasint,omitempty"`
+	Cleared int64          `cbor:"3,keyasint,omitempty"` // 0: never
+	Seen    int64          `cbor:"4,keyasint,omitempty"` // 0: never
+	Tried   int64          `cbor:"5,keyasint,omitempty"` // 0: never
 }
 
-// EndMessage is an End.
-type EndMessage struct {
+// CrashMessage is an Crash.
+type CrashMessage struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint64
 	Began  int64
@@ -28,8 +28,8 @@
 // Message returns r as it is sent.
 func (r Record) Message() Message {
 	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen), Tried: millis(r.Tried)}
-	for _, e := range r.Ends {
-		m.Ends = append(m.Ends, EndMessage{Target: e.Target, Began: millis(e.Began), At: millis(e.At)})
+	for _, e := range r.Crashes {
+		m.Crashes = append(m.Crashes, CrashMessage{Target: e.Target, Began: millis(e.Began), At: millis(e.At)})
 	}
 	return m
 }
@@ -42,8 +42,8 @@
 	}
 	copy(r.Content[:], m.Content)
 	r.Cleared, r.Seen, r.Tried = moment(m.Cleared), moment(m.Seen), moment(m.Tried)
-	for _, e := range m.Ends {
-		r.addEnd(End{Target: e.Target, Began: moment(e.Began), At: moment(e.At)})
+	for _, e := range m.Crashes {
+		r.addCrash(Crash{Target: e.Target, Began: moment(e.Began), At: moment(e.At)})
 	}
 	return r, nil
 }
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -6,41 +6,41 @@
 	"time"
 )
 
-// MaxEnds is how many ends a record keeps, the newest ones, and the highest threshold.
-const MaxEnds = 10
+// MaxCrashes is how many crashes a record keeps, the newest ones, and the highest threshold.
+const MaxCrashes = 10
 
 // maxClockSkew is how far the clock of another host may be ahead. What is said to have happened later than that is taken to have
 // happened now.
 const maxClockSkew = 10 * time.Second
 
-// minRestart is how long after the end of a target a run begins that shows that it has started again under its id. It is above what
+// minRestart is how long after the crash of a target a run begins that shows that it has started again under its id. It is above what
 // the clocks of hosts usually differ by.
 const minRestart = 2500 * time.Millisecond
 
 // Record is what is known of one content. Records of different gateways can be merged in any order.
 type Record struct {
 	Content Fingerprint
-	// Ends are the ends of targets under the content since Cleared, each once, the newest first.
-	Ends []End
-	// Cleared is when a target last served the content; zero if none has. Ends before it don't count: a content that is served does
-	// not end each target.
+	// Crashes are the crashes of targets under the content since Cleared, each once, the newest first.
+	Crashes []Crash
+	// Cleared is when a target last served the content; zero if none has. Crashes before it don't count: a content that is served does
+	// not crash each target.
 	Cleared time.Time
-	// Seen is when a target last ended under the content, or a request with it was last rejected.
+	// Seen is when a target last crashed under the content, or a request with it was last rejected.
 	Seen time.Time
 	// Tried is when a request with the content was last sent although it is quarantined; zero if none was.
 	Tried time.Time
 }
 
-// End is the end of a target under a content.
-type End struct {
+// Crash is that of a target while it had a request with the content.
+type Crash struct {
 	Target uint64    // digest of the target's id, which names one start
-	Began  time.Time // when the run began that the target ended under
+	Began  time.Time // when the run began that the target crashed under
 	At     time.Time // when the target broke the run off
 }
 
 // clone returns a copy that shares nothing with r.
 func (r Record) clone() Record {
-	r.Ends = slices.Clone(r.Ends)
+	r.Crashes = slices.Clone(r.Crashes)
 	return r
 }
 
@@ -55,8 +55,8 @@
 	}
 	r = r.clone()
 	r.Cleared, r.Seen, r.Tried = clamp(r.Cleared), clamp(r.Seen), clamp(r.Tried)
-	for i := range r.Ends {
-		r.Ends[i].At = clamp(r.Ends[i].At)
+	for i := range r.Crashes {
+		r.Crashes[i].At = clamp(r.Crashes[i].At)
 	}
 	return r
 }
@@ -64,38 +64,38 @@
 // merge takes in what o says of the same content.
 func (r *Record) merge(o Record) {
 	r.Cleared, r.Seen, r.Tried = later(r.Cleared, o.Cleared), later(r.Seen, o.Seen), later(r.Tried, o.Tried)
-	for _, e := range o.Ends {
-		r.addEnd(e)
+	for _, e := range o.Crashes {
+		r.addCrash(e)
 	}
-	r.Ends = slices.DeleteFunc(r.Ends, func(e End) bool { return !e.At.After(r.Cleared) })
-	slices.SortFunc(r.Ends, func(a, b End) int {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(e Crash) bool { return !e.At.After(r.Cleared) })
+	slices.SortFunc(r.Crashes, func(a, b Crash) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Target, b.Target))
 	})
-	r.Ends = r.Ends[:min(len(r.Ends), MaxEnds)]
+	r.Crashes = r.Crashes[:min(len(r.Crashes), MaxCrashes)]
 }
 
-// addEnd adds an end. Several gateways may have seen the same one: of their times the first ones count.
-func (r *Record) addEnd(e End) {
-	for i := range r.Ends {
-		if known := &r.Ends[i]; known.isSame(e) {
+// addCrash adds a crash. Several gateways may have seen the same one: of their times the first ones count.
+func (r *Record) addCrash(e Crash) {
+	for i := range r.Crashes {
+		if known := &r.Crashes[i]; known.isSame(e) {
 			known.At, known.Began = earlier(known.At, e.At), earlier(known.Began, e.Began)
 			return
 		}
 	}
-	r.Ends = append(r.Ends, e)
+	r.Crashes = append(r.Crashes, e)
 }
 
-// isSame says whether two ends are one. A target under whose id a run begins well after its end has started again.
-func (e End) isSame(o End) bool {
+// isSame says whether two crashes are one. A target under whose id a run begins well after its crash has started again.
+func (e Crash) isSame(o Crash) bool {
 	return e.Target == o.Target && o.Began.Sub(e.At) < minRestart && e.Began.Sub(o.At) < minRestart
 }
 
-// inSequence is how many of the ends follow on each other, each under a run that began after the one before. Targets that are lost
-// together end under whatever many callers send just then.
+// inSequence is how many of the crashes follow on each other, each under a run that began after the one before. Targets that are lost
+// together crash under whatever many callers send just then.
 func (r Record) inSequence() int {
 	n := 0
 	var last time.Time
-	for _, e := range slices.Backward(r.Ends) {
+	for _, e := range slices.Backward(r.Crashes) {
 		if e.Began.After(last) {
 			n++
 			last = e.At
@@ -109,8 +109,8 @@
 	if o.Cleared.After(r.Cleared) || o.Tried.After(r.Tried) || o.Seen.After(r.Seen.Add(slack)) {
 		return false
 	}
-	for _, e := range o.Ends {
-		if e.At.After(r.Cleared) && len(r.Ends) < MaxEnds && !slices.ContainsFunc(r.Ends, e.isSame) {
+	for _, e := range o.Crashes {
+		if e.At.After(r.Cleared) && len(r.Crashes) < MaxCrashes && !slices.ContainsFunc(r.Crashes, e.isSame) {
 			return false
 		}
 	}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// DefaultThreshold is how many targets may end under a content before it is quarantined. With two, more requests that only ran
+	// DefaultThreshold is how many targets may crash under a content before it is quarantined. With two, more requests that only ran
 	// beside the one to blame would be.
 	DefaultThreshold = 3
 	// DefaultHold is how long a content stays quarantined after it was last seen.
@@ -17,13 +17,13 @@
 	maxRecords = 1024
 	// renewShare is the share of the hold after which a sighting is told to others again.
 	renewShare = 0.25
-	// suspicionHold is how long a content that is not quarantined stays known after the last end under it.
+	// suspicionHold is how long a content that is not quarantined stays known after the last crash under it.
 	suspicionHold = 10 * time.Minute
 	// A record is told to peers at once, and then with pauses that grow from the first to the last of these.
 	firstTellPause = 150 * time.Millisecond
 	lastTellPause  = time.Minute
 	tellGrowth     = 3
-	// tryPause is how long after the last end a request with a quarantined content may be tried, if its ends are no proof.
+	// tryPause is how long after the last crash a request with a quarantined content may be tried, if its crashes are no proof.
 	tryPause = 300 * time.Millisecond
 	// tryTimeout is how long what comes of a try may take to show.
 	tryTimeout = 3 * time.Second
@@ -31,13 +31,13 @@
 
 // Options are the settings of a Registry.
 type Options struct {
-	Threshold int           // ends of targets after which a content is quarantined; at most MaxEnds
+	Threshold int           // crashes of targets after which a content is quarantined; at most MaxCrashes
 	Hold      time.Duration // from the last sighting of a quarantined content until it is forgotten
 	// Jitter returns what comes to each pause before a try, so that not all gateways try a content at once; nil is nothing.
 	Jitter func() time.Duration
 }
 
-// Registry knows the contents under which targets have ended. It is not safe for concurrent use.
+// Registry knows the contents under which targets have crashed. It is not safe for concurrent use.
 type Registry struct {
 	opts    Options
 	entries map[Fingerprint]*entry
@@ -78,12 +78,12 @@
 	return n
 }
 
-func (g *Registry) isQuarantined(e *entry) bool { return len(e.Ends) >= g.opts.Threshold }
+func (g *Registry) isQuarantined(e *entry) bool { return len(e.Crashes) >= g.opts.Threshold }
 
-// Ends is the number of targets that are known to have ended under a content.
-func (g *Registry) Ends(f Fingerprint) int {
+// Crashes is the number of targets that are known to have crashed under a content.
+func (g *Registry) Crashes(f Fingerprint) int {
 	if e, ok := g.entries[f]; ok {
-		return len(e.Ends)
+		return len(e.Crashes)
 	}
 	return 0
 }
@@ -120,18 +120,18 @@
 }
 
 // canTry says whether a request with a quarantined content may be sent to find out whether the content is to blame. It may until as many
-// ends as quarantine it have followed on each other: the others may have come together for a reason of their own. A target that
+// crashes as quarantine it have followed on each other: the others may have come together for a reason of their own. A target that
 // serves it clears the content.
 func (g *Registry) canTry(now time.Time, e *entry) bool {
-	return e.inSequence() < g.opts.Threshold && len(e.Ends) < MaxEnds && !now.Before(e.tryAt)
+	return e.inSequence() < g.opts.Threshold && len(e.Crashes) < MaxCrashes && !now.Before(e.tryAt)
 }
 
 // planTry sets when this gateway may try a request with the content. Whoever tries first tells the others.
 func (g *Registry) planTry(e *entry) {
 	pause := tryPause
 	var lastEnd time.Time
-	if len(e.Ends) > 0 {
-		lastEnd = e.Ends[0].At
+	if len(e.Crashes) > 0 {
+		lastEnd = e.Crashes[0].At
 	}
 	if e.Tried.After(lastEnd) {
 		pause = tryTimeout
@@ -147,13 +147,13 @@
 	return time.Duration(renewShare * float64(g.opts.Hold))
 }
 
-// NoteEnd notes that a target has ended under a run with a content. It reports whether that was not known yet.
-func (g *Registry) NoteEnd(now time.Time, f Fingerprint, target string, began, broken time.Time) (isNew bool) {
-	end := End{Target: xxhash.Sum64String(target), Began: began.Truncate(time.Millisecond), At: broken.Truncate(time.Millisecond)}
+// NoteCrash notes that a target has crashed under a run with a content. It reports whether that was not known yet.
+func (g *Registry) NoteCrash(now time.Time, f Fingerprint, target string, began, broken time.Time) (isNew bool) {
+	crash := Crash{Target: xxhash.Sum64String(target), Began: began.Truncate(time.Millisecond), At: broken.Truncate(time.Millisecond)}
 	e := g.entry(f)
-	before := len(e.Ends)
-	e.merge(Record{Content: f, Seen: now.Truncate(time.Millisecond), Ends: []End{end}})
-	if len(e.Ends) == before {
+	before := len(e.Crashes)
+	e.merge(Record{Content: f, Seen: now.Truncate(time.Millisecond), Crashes: []Crash{crash}})
+	if len(e.Crashes) == before {
 		return false
 	}
 	g.planTry(e)
@@ -164,7 +164,7 @@
 // NoteServed notes that a target has served a request with the content. It reports whether that clears the content of anything.
 func (g *Registry) NoteServed(now time.Time, f Fingerprint) (hasCleared bool) {
 	e, ok := g.entries[f]
-	if !ok || len(e.Ends) == 0 {
+	if !ok || len(e.Crashes) == 0 {
 		return false
 	}
 	now = now.Truncate(time.Millisecond) // as it is sent, so that others know the same time
@@ -238,11 +238,11 @@
 	return e
 }
 
-// evict drops the content with the fewest ends, of several the one that was not seen for longest.
+// evict drops the content with the fewest crashes, of several the one that was not seen for longest.
 func (g *Registry) evict() {
 	var least *entry
 	for _, e := range g.entries {
-		if least == nil || cmp.Or(cmp.Compare(len(e.Ends), len(least.Ends)), e.Seen.Compare(least.Seen)) < 0 {
+		if least == nil || cmp.Or(cmp.Compare(len(e.Crashes), len(least.Crashes)), e.Seen.Compare(least.Seen)) < 0 {
 			least = e
 		}
 	}
@@ -335,7 +335,7 @@
 // isExpired says whether a record counts no more. Other gateways may have seen the content later than is known here.
 func (g *Registry) isExpired(now time.Time, r Record) bool {
 	hold := suspicionHold
-	if len(r.Ends) >= g.opts.Threshold {
+	if len(r.Crashes) >= g.opts.Threshold {
 		hold = g.opts.Hold + g.renewAfter()
 	}
 	return now.Sub(later(r.Seen, r.Cleared)) > hold
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -14,31 +14,31 @@
 
 func content(i int) Fingerprint { return Fingerprint{byte(i), byte(i >> 8)} }
 
-// runTime is how long a run takes until its target ends.
+// runTime is how long a run takes until its target crashes.
 const runTime = 100 * time.Millisecond
 
-// noteEnd notes an end under a run that is as long as usual.
-func noteEnd(g *Registry, at time.Time, f Fingerprint, target string) bool {
-	return g.NoteEnd(at, f, target, at.Add(-runTime), at)
+// noteCrash notes a crash under a run that is as long as usual.
+func noteCrash(g *Registry, at time.Time, f Fingerprint, target string) bool {
+	return g.NoteCrash(at, f, target, at.Add(-runTime), at)
 }
 
-func noteEnds(g *Registry, f Fingerprint, n int) {
+func noteCrashes(g *Registry, f Fingerprint, n int) {
 	for i := range n {
-		noteEnd(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteCrash(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
 	}
 }
 
-// A content is quarantined at the third target that ends under it, and each target counts once.
+// A content is quarantined at the third target that crashes under it, and each target counts once.
 func TestAContentIsQuarantinedAtTheThreshold(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	noteEnds(g, f, 2)
-	if noteEnd(g, start.Add(50*time.Millisecond), f, "t0") {
-		t.Error("the end of a target that has ended is new")
+	noteCrashes(g, f, 2)
+	if noteCrash(g, start.Add(50*time.Millisecond), f, "t0") {
+		t.Error("the crash of a target that has crashed is new")
 	}
 	if g.Check(start.Add(6*time.Second), f) || g.Quarantined() != 0 {
 		t.Error("quarantined after two targets")
 	}
-	if !noteEnd(g, start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
+	if !noteCrash(g, start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
 		t.Error("not quarantined after three targets")
 	}
 	if g.Check(start, content(2)) {
@@ -51,24 +51,24 @@
 	g, f := newTestRegistry(), content(1)
 	for i := range 9 {
 		now := start.Add(time.Duration(i) * time.Second)
-		noteEnd(g, now, f, fmt.Sprintf("t%d", i))
+		noteCrash(g, now, f, fmt.Sprintf("t%d", i))
 		if i%2 == 1 && !g.NoteServed(now.Add(time.Millisecond), f) {
 			t.Error("nothing to clear")
 		}
 		if g.Check(now, f) {
-			t.Fatalf("quarantined at end %d", i)
+			t.Fatalf("quarantined at crash %d", i)
 		}
 	}
 }
 
-// Gateways that see one end each come to the same verdict in whatever order they hear of each other, and a clearance goes before
-// the ends that it follows.
+// Gateways that see one crash each come to the same verdict in whatever order they hear of each other, and a clearance goes before
+// the crashes that it follows.
 func TestRecordsMergeInAnyOrder(t *testing.T) {
 	f := content(1)
 	var records []Record
 	for i := range DefaultThreshold {
 		g := newTestRegistry()
-		noteEnd(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteCrash(g, start.Add(time.Duration(i)*time.Second), f, fmt.Sprintf("t%d", i))
 		records = append(records, g.ToTell(start.Add(time.Minute), 1)...)
 	}
 	for first := range records {
@@ -84,18 +84,18 @@
 			t.Error("a record that is known says something new")
 		}
 		cleared := Record{Content: f, Cleared: now}
-		if !g.ApplyPeer(now, cleared, now) || g.Check(now, f) || g.ApplyPeer(now, records[0], now) && g.Ends(f) > 0 {
+		if !g.ApplyPeer(now, cleared, now) || g.Check(now, f) || g.ApplyPeer(now, records[0], now) && g.Crashes(f) > 0 {
 			t.Error("not cleared for good")
 		}
 	}
 }
 
-// Guards against rejecting for good what many callers send, once several targets that are lost together end under it: a request is
+// Guards against rejecting for good what many callers send, once several targets that are lost together crash under it: a request is
 // tried, and its service clears the content.
-func TestAContentWhoseEndsCameTogetherIsTried(t *testing.T) {
+func TestAContentWhoseCrashesCameTogetherIsTried(t *testing.T) {
 	together := func(g *Registry, f Fingerprint, at time.Time, n int) {
 		for i := range n {
-			g.NoteEnd(at, f, fmt.Sprint(at, i), at.Add(-runTime), at)
+			g.NoteCrash(at, f, fmt.Sprint(at, i), at.Add(-runTime), at)
 		}
 	}
 	g, f := newTestRegistry(), content(1)
@@ -127,20 +127,20 @@
 	for at := start; at.Before(start.Add(10 * time.Minute)); at = at.Add(100 * time.Millisecond) {
 		if _, isTry := g.Admit(at, bad); isTry {
 			tries++
-			g.NoteEnd(at.Add(runTime), bad, fmt.Sprint("try", tries), at, at.Add(runTime))
+			g.NoteCrash(at.Add(runTime), bad, fmt.Sprint("try", tries), at, at.Add(runTime))
 		}
 	}
 	if tries != DefaultThreshold-1 {
-		t.Errorf("a content under which each target ends is tried %d times, want %d", tries, DefaultThreshold-1)
+		t.Errorf("a content under which each target crashes is tried %d times, want %d", tries, DefaultThreshold-1)
 	}
 }
 
-// Guards against a host whose clock is far ahead: its clearance would hide all ends to come.
+// Guards against a host whose clock is far ahead: its clearance would hide all crashes to come.
 func TestTimesAheadOfTheClockAreClamped(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	g.ApplyPeer(start, Record{Content: f, Cleared: start.Add(time.Hour), Seen: start.Add(time.Hour)}, start)
 	for i := range DefaultThreshold {
-		noteEnd(g, start.Add(time.Duration(i+1)*time.Second), f, fmt.Sprintf("t%d", i))
+		noteCrash(g, start.Add(time.Duration(i+1)*time.Second), f, fmt.Sprintf("t%d", i))
 	}
 	if !g.Check(start.Add(time.Minute), f) {
 		t.Error("a clearance from the future counts")
@@ -150,7 +150,7 @@
 // A quarantine lasts as long as the content comes again, and a hold beyond that.
 func TestAQuarantineLastsAsLongAsItsContentIsSeen(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	noteEnds(g, f, DefaultThreshold)
+	noteCrashes(g, f, DefaultThreshold)
 	now := start
 	for range 5 {
 		now = now.Add(DefaultHold - time.Minute)
@@ -167,12 +167,12 @@
 	}
 }
 
-// Guards against unbounded memory, and against a flood of contents under which one target ended that drops those quarantined.
+// Guards against unbounded memory, and against a flood of contents under which one target crashed that drops those quarantined.
 func TestRecordsAreBounded(t *testing.T) {
 	g, bad := newTestRegistry(), content(0)
-	noteEnds(g, bad, DefaultThreshold)
+	noteCrashes(g, bad, DefaultThreshold)
 	for i := range 3 * maxRecords {
-		noteEnd(g, start.Add(time.Duration(i)*time.Millisecond), content(i+1), "t")
+		noteCrash(g, start.Add(time.Duration(i)*time.Millisecond), content(i+1), "t")
 	}
 	if g.Len() > maxRecords || !g.Check(start.Add(time.Minute), bad) {
 		t.Errorf("%d records, quarantined %v", g.Len(), g.Check(start.Add(time.Minute), bad))
@@ -182,7 +182,7 @@
 // Peers are told at once and then ever less often.
 func TestRecordsAreToldWithGrowingPauses(t *testing.T) {
 	g := newTestRegistry()
-	noteEnd(g, start, content(1), "t")
+	noteCrash(g, start, content(1), "t")
 	told := 0
 	for at := time.Duration(0); at < 10*time.Minute; at += 100 * time.Millisecond {
 		told += len(g.ToTell(start.Add(at), 8))
@@ -192,22 +192,22 @@
 	}
 }
 
-// Guards against ends that are not counted, and tries without end, where targets start again under their ids.
+// Guards against crashes that are not counted, and tries without end, where targets start again under their ids.
 func TestATargetThatStartsAgainUnderItsIDCountsAgain(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	for i := range DefaultThreshold {
-		noteEnd(g, start.Add(time.Duration(i)*(minRestart+runTime)), f, "t")
+		noteCrash(g, start.Add(time.Duration(i)*(minRestart+runTime)), f, "t")
 	}
-	if g.Ends(f) != DefaultThreshold || !g.Check(start.Add(time.Minute), f) {
-		t.Errorf("%d ends", g.Ends(f))
+	if g.Crashes(f) != DefaultThreshold || !g.Check(start.Add(time.Minute), f) {
+		t.Errorf("%d crashes", g.Crashes(f))
 	}
 }
 
 // Guards against a process that starts while the store is away and hears of a quarantined content only when its turn comes.
 func TestANewPeerIsToldAtOnce(t *testing.T) {
 	g := newTestRegistry()
-	noteEnds(g, content(1), DefaultThreshold)
-	noteEnds(g, content(2), 1)
+	noteCrashes(g, content(1), DefaultThreshold)
+	noteCrashes(g, content(2), 1)
 	now := start.Add(time.Hour - time.Minute)
 	g.ToTell(now, 8)
 	g.TellAgain(now)
@@ -219,7 +219,7 @@
 // Guards against telling peers of a quarantined content with each request that is rejected.
 func TestRejectionsAreNotTold(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	noteEnds(g, f, DefaultThreshold)
+	noteCrashes(g, f, DefaultThreshold)
 	told := 0
 	for at := time.Minute; at < 2*time.Minute; at += 10 * time.Millisecond {
 		now := start.Add(at)
@@ -235,7 +235,7 @@
 // the store has it.
 func TestWhatTheStoreLacksIsWritten(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	noteEnd(g, start, f, "t0")
+	noteCrash(g, start, f, "t0")
 	due, _ := g.ToStore(start, 8)
 	if len(due) != 1 {
 		t.Fatalf("%d records to store", len(due))
@@ -244,19 +244,19 @@
 	if due, next := g.ToStore(start, 8); len(due) != 0 || !next.IsZero() {
 		t.Error("stored twice")
 	}
-	peer := Record{Content: f, Seen: start, Ends: []End{{Target: 7, At: start}}}
+	peer := Record{Content: f, Seen: start, Crashes: []Crash{{Target: 7, At: start}}}
 	storeBy := start.Add(5 * time.Second)
 	g.ApplyPeer(start, peer, storeBy)
 	if due, next := g.ToStore(start, 8); len(due) != 0 || !next.Equal(storeBy) {
 		t.Errorf("%d records due now, next at %v", len(due), next)
 	}
-	peer.Ends = append(peer.Ends, due[0].Ends...)
+	peer.Crashes = append(peer.Crashes, due[0].Crashes...)
 	g.ApplyStored(start, peer, start)
 	if due, next := g.ToStore(storeBy, 8); len(due) != 0 || !next.IsZero() {
 		t.Error("written although the store has it")
 	}
 	g.DropStored(f, start)
-	if due, _ := g.ToStore(start, 8); len(due) != 1 || len(due[0].Ends) != 2 {
+	if due, _ := g.ToStore(start, 8); len(due) != 1 || len(due[0].Crashes) != 2 {
 		t.Error("a record that another has dropped too early is not written again")
 	}
 	if stored := g.Expire(start.Add(2 * suspicionHold)); len(stored) != 0 {
@@ -268,7 +268,7 @@
 func TestAClearanceIsStoredOnce(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
 	now := start.Add(123456 * time.Nanosecond)
-	noteEnd(g, now, f, "t")
+	noteCrash(g, now, f, "t")
 	g.NoteServed(now.Add(time.Second), f)
 	due, _ := g.ToStore(now.Add(time.Second), 1)
 	data, err := due[0].Encode()
@@ -287,7 +287,7 @@
 
 func TestRecordsAreEncodedWhole(t *testing.T) {
 	g, f := newTestRegistry(), content(1)
-	noteEnds(g, f, 2)
+	noteCrashes(g, f, 2)
 	r := g.ToTell(start.Add(time.Minute), 1)[0]
 	data, err := r.Encode()
 	if err != nil {
--- a/core/quarantine/sim_test.go
+++ b/core/quarantine/sim_test.go
@@ -14,14 +14,14 @@
 // simOptions are the ways of attribution that the simulation compares.
 type simOptions struct {
 	threshold int
-	// hasClearance has contents cleared that are served, hasProgress has ends not count under work that advances, and hasTries has
-	// contents tried whose ends may have come together.
+	// hasClearance has contents cleared that are served, hasProgress has crashes not count under work that advances, and hasTries has
+	// contents tried whose crashes may have come together.
 	hasClearance, hasProgress, hasTries bool
 }
 
-// simTrouble is what ends targets.
+// simTrouble is what crashes targets.
 type simTrouble struct {
-	hasBad  bool          // a content under which each target ends
+	hasBad  bool          // a content under which each target crashes
 	lossGap time.Duration // between two losses of a third of the targets at once
 }
 
@@ -31,7 +31,7 @@
 	simLength     = 60 * time.Second
 	simTargets    = 9
 	simSlots      = 8
-	simDown       = 3 * time.Second // a target that has ended is back after
+	simDown       = 3 * time.Second // a target that has crashed is back after
 	simCrash      = 150 * time.Millisecond
 	simFirstEvent = 70 * time.Millisecond
 	simStreamHold = 700 * time.Millisecond
@@ -76,13 +76,13 @@
 	now      time.Time
 	started  int
 
-	badEnds, broken, rejected, served, heldItems int
+	badCrashes, broken, rejected, served, heldItems int
 	// popularRejected is since when the popular content is rejected, longestRejected how long it was at most.
 	popularRejected time.Time
 	longestRejected time.Duration
 }
 
-// popular is the content that many callers send, bad the one that ends targets.
+// popular is the content that many callers send, bad the one that crashes targets.
 var popular, bad = Fingerprint{2}, Fingerprint{3}
 
 func (f *simFleet) newContent() Fingerprint {
@@ -130,7 +130,7 @@
 	return true
 }
 
-// end ends a target: what it runs is broken off.
+// end crashes a target: what it runs is broken off.
 func (f *simFleet) end(t *simTarget) {
 	for _, r := range t.runs {
 		f.noteBroken(t, r)
@@ -143,7 +143,7 @@
 	ran := max(0, f.now.Sub(r.began)-simFirstEvent)
 	wentOn := r.item != nil && r.item.done > 0 && ran > 0
 	if !f.opts.hasProgress || !wentOn {
-		f.registry.NoteEnd(f.now, r.content, t.id, r.began, f.now)
+		f.registry.NoteCrash(f.now, r.content, t.id, r.began, f.now)
 	}
 	switch {
 	case r.isBad:
@@ -212,7 +212,7 @@
 		}
 		t.runs = running
 		if hasCrashed {
-			f.badEnds++
+			f.badCrashes++
 			f.end(t)
 		}
 	}
@@ -239,7 +239,7 @@
 	}
 }
 
-// run plays a minute with one content that ends targets, and with losses for other reasons.
+// run plays a minute with one content that crashes targets, and with losses for other reasons.
 func (f *simFleet) run() {
 	for at := time.Duration(0); at < simLength; at += simStep {
 		f.now = start.Add(at)
@@ -261,9 +261,9 @@
 // maxRejected is how long a content that is not to blame may be rejected after it was under way at targets that were lost together.
 const maxRejected = 2 * time.Second
 
-// Guards against an attribution that lets a bad content end more targets than the platform's rule allows, or that rejects work that is
+// Guards against an attribution that lets a bad content crash more targets than the platform's rule allows, or that rejects work that is
 // not to blame for long. The sums are logged for the ways that were weighed.
-func TestAttributionOfEnds(t *testing.T) {
+func TestAttributionOfCrashes(t *testing.T) {
 	kept := simOptions{threshold: DefaultThreshold, hasClearance: true, hasProgress: true, hasTries: true}
 	ways := []struct {
 		name string
@@ -276,7 +276,7 @@
 		{"no tries", simOptions{DefaultThreshold, true, true, false}},
 		{"no clearance", simOptions{DefaultThreshold, false, true, true}},
 		{"no progress", simOptions{DefaultThreshold, true, false, true}},
-		{"none", simOptions{MaxEnds + 1, true, true, true}},
+		{"none", simOptions{MaxCrashes + 1, true, true, true}},
 	}
 	for name, trouble := range map[string]simTrouble{
 		"a bad content, losses each 10 s": {true, 10 * time.Second},
@@ -292,20 +292,20 @@
 				f := newSimFleet(way.simOptions, trouble, seed)
 				f.run()
 				sum.add(f)
-				if way.simOptions == kept && (f.badEnds > 2*DefaultThreshold || f.longestRejected > maxRejected || f.heldItems > 0) {
-					t.Errorf("%s, seed %d: %d ends, the popular content rejected for %v, %d items held", name, seed, f.badEnds, f.longestRejected, f.heldItems)
+				if way.simOptions == kept && (f.badCrashes > 2*DefaultThreshold || f.longestRejected > maxRejected || f.heldItems > 0) {
+					t.Errorf("%s, seed %d: %d crashes, the popular content rejected for %v, %d items held", name, seed, f.badCrashes, f.longestRejected, f.heldItems)
 				}
 			}
 			mean := func(n int) float64 { return float64(n) / float64(*simSeeds) }
-			t.Logf("%s: %-12s ends %5.1f, streams broken %6.1f, rejected %6.1f, items held %5.1f, served %7.1f",
-				name, way.name, mean(sum.badEnds), mean(sum.broken), mean(sum.rejected), mean(sum.heldItems), mean(sum.served))
+			t.Logf("%s: %-12s crashes %5.1f, streams broken %6.1f, rejected %6.1f, items held %5.1f, served %7.1f",
+				name, way.name, mean(sum.badCrashes), mean(sum.broken), mean(sum.rejected), mean(sum.heldItems), mean(sum.served))
 		}
 	}
 }
 
 // add adds the counts of another fleet.
 func (f *simFleet) add(o *simFleet) {
-	f.badEnds += o.badEnds
+	f.badCrashes += o.badCrashes
 	f.broken += o.broken
 	f.rejected += o.rejected
 	f.heldItems += o.heldItems
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -193,7 +193,7 @@
 // brokenOff notes that the target has broken off a run that began after the event from.
 func (m *Manager) brokenOff(t *task, r *fleetview.Run, from string, err error) {
 	m.opts.Quarantine.BrokenOff(quarantine.Broken{
-		Request: t.request(), Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasEnded: r.HasEnded(), Err: err,
+		Request: t.request(), Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
 	})
 }
 
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -25,9 +25,9 @@
 	Route(host, uri string) (*serving.Route, serving.Limits, error)
 }
 
-// Quarantine keeps items under which targets have ended from targets.
+// Quarantine keeps items under which targets have crashed from targets.
 type Quarantine interface {
-	// IsEmpty says that no target has ended under anything, so that CheckContent need not be called.
+	// IsEmpty says that no target has crashed under anything, so that CheckContent need not be called.
 	IsEmpty() bool
 	// CheckContent returns an error of type errs.Quarantined if the item of that id must not be sent to a target.
 	CheckContent(id string, content quarantine.Fingerprint) error
--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -411,17 +411,17 @@
 // The newest record of each key is kept for ever: what nobody drops fills the store.
 func TestOldJobsAreDroppedAndOpenOnesKept(t *testing.T) {
 	bubble(t, 2, func(t *testing.T, w *world) {
-		done, ended := w.job("done", "ok", "never"), w.job("ended", repeat("okay", 90)...)
+		done, ended := w.job("done", "ok", "never"), w.job("crashed", repeat("okay", 90)...)
 		w.nodes[0].submit(done)
 		w.nodes[1].submit(ended)
 		w.check(done, w.nodes[0].results(done, 10*time.Second))
-		if err := w.nodes[0].manager.End(context.Background(), serving.Caller{}, "ended"); err != nil {
+		if err := w.nodes[0].manager.End(context.Background(), serving.Caller{}, "crashed"); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(testKeep - 15*time.Second)
 		w.check(done, w.nodes[1].results(done, time.Second))
 		time.Sleep(clockSlack + 2*compactionInterval + 15*time.Second)
-		for _, id := range []string{"done", "ended"} {
+		for _, id := range []string{"done", "crashed"} {
 			if _, err := w.nodes[0].manager.Results(context.Background(), serving.Caller{}, id, 0, 0); !errs.Is(err, errs.NotFound) {
 				t.Errorf("job %s, long over: %v", id, err)
 			}
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -86,5 +86,5 @@
 
 // brokenAt is a run from the start that the restart of a target has broken off.
 func brokenAt(r *serving.Request, target string) quarantine.Broken {
-	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: time.Now().Add(-100 * time.Millisecond), HasEnded: true, Err: errors.New("started again")}
+	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: time.Now().Add(-100 * time.Millisecond), HasCrashed: true, Err: errors.New("started again")}
 }
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -248,7 +248,7 @@
 // quarantineRecheck is how long a quarantined item waits until it is looked at again: another request with its content may be served.
 const quarantineRecheck = time.Second
 
-// isQuarantined puts off an item under which targets have ended, and gives it up once its job allows that.
+// isQuarantined puts off an item under which targets have crashed, and gives it up once its job allows that.
 func (d *scheduler) isQuarantined(t *task, now time.Time) bool {
 	q := d.m.opts.Quarantine
 	if q.IsEmpty() || q.CheckContent(t.item().ID, t.fingerprint()) == nil {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -245,7 +245,7 @@
 
 func (c *call) speaksAgainstTarget(err *errs.Error) bool {
 	switch err.Type {
-	case errs.TargetFailed, errs.TargetTimeout, errs.TargetEnded, errs.StreamBroken, errs.SessionLost, errs.BadFrame:
+	case errs.TargetFailed, errs.TargetTimeout, errs.TargetCrashed, errs.StreamBroken, errs.SessionLost, errs.BadFrame:
 		return true
 	case errs.DeadlineExceeded:
 		return c.firstByte == 0 && c.e.now().Sub(c.sentAt) >= hangAfter
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -8,7 +8,7 @@
 	"arbutusramp/core/serving"
 )
 
-// Quarantine keeps requests under which targets have ended from targets.
+// Quarantine keeps requests under which targets have crashed from targets.
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
 	Check(r *serving.Request) error
@@ -35,14 +35,14 @@
 	}
 }
 
-// noteEnded counts the end of the attempt's target against the request.
-func (c *call) noteEnded(err *errs.Error) {
-	if err.Type != errs.TargetEnded {
+// noteCrash counts the crash of the attempt's target against the request.
+func (c *call) noteCrash(err *errs.Error) {
+	if err.Type != errs.TargetCrashed {
 		return
 	}
 	c.e.quarantine.BrokenOff(quarantine.Broken{
 		Request: c.content(), Target: serving.Target{ID: string(c.target.id)}, Began: c.sentAt,
-		From: position(c.from), To: position(c.progress.next), HasEnded: true, Err: err,
+		From: position(c.from), To: position(c.progress.next), HasCrashed: true, Err: err,
 	})
 }
 
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -9,7 +9,7 @@
 func (c *call) recover(err *errs.Error) *errs.Error {
 	s := scratches.Get().(*scratch)
 	defer scratches.Put(s)
-	c.noteEnded(err)
+	c.noteCrash(err)
 	c.abandon(err)
 	return c.retry(s, err)
 }
@@ -74,7 +74,7 @@
 func helps(err *errs.Error) bool {
 	switch err.Type {
 	case errs.Overloaded, errs.DeadlineUnmet, errs.NoTarget, errs.Draining, errs.Preempted,
-		errs.TargetFailed, errs.TargetTimeout, errs.TargetEnded, errs.StreamBroken, errs.SessionLost,
+		errs.TargetFailed, errs.TargetTimeout, errs.TargetCrashed, errs.StreamBroken, errs.SessionLost,
 		errs.BadFrame, errs.Internal, errs.UnknownModel:
 		return true
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	Refund(workspace string)
 }
 
-// Quarantine keeps requests under which targets have ended from targets.
+// Quarantine keeps requests under which targets have crashed from targets.
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
 	Check(r *serving.Request) error
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(2, whole(200, "ok", nil))
 		b.workspace = "w"
-		b.quarantined = errs.New(errs.Quarantined, "targets have ended under it")
+		b.quarantined = errs.New(errs.Quarantined, "targets have crashed under it")
 		out := &caller{}
 		b.serve(context.Background(), route(serving.KindSafe, 2, false), out)
 		if len(b.sent) != 0 || b.admitted != 0 || out.at != 0 {
@@ -46,7 +46,7 @@
 func quarantiningAfter(b *bench, s script) script {
 	return func(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
 		b.mu.Lock()
-		b.quarantined = errs.New(errs.Quarantined, "targets have ended under it")
+		b.quarantined = errs.New(errs.Quarantined, "targets have crashed under it")
 		b.mu.Unlock()
 		return s(ctx, c)
 	}
@@ -88,7 +88,7 @@
 				synctest.Wait()
 				var got []run
 				for _, r := range b.brokenOff {
-					got = append(got, run{r.From, r.To, r.HasEnded})
+					got = append(got, run{r.From, r.To, r.HasCrashed})
 				}
 				if len(got) != len(c.want) || b.served != c.served {
 					t.Fatalf("%+v and %d served, want %+v and %d", got, b.served, c.want, c.served)
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -72,7 +72,7 @@
 	// detours says whether this process's own way to the store is lost.
 	detours func() bool
 	quotas  Quotas
-	// quarantine has news of requests that targets end under.
+	// quarantine has news of requests that targets crash under.
 	quarantine Quarantine
 	log        hclog.Logger
 	conn       *net.UDPConn
@@ -96,7 +96,7 @@
 	Forget(addr string)
 }
 
-// Quarantine is what gateways tell each other about requests that targets end under.
+// Quarantine is what gateways tell each other about requests that targets crash under.
 type Quarantine interface {
 	// ToTell returns the records that peers should be told now.
 	ToTell() []quarantine.Record
@@ -293,7 +293,7 @@
 	s.quotas.Apply(from.String(), quota.Report{Start: string(r.From), IsFirst: r.IsFirst, Counts: r.counts()})
 }
 
-// recordsOf reads what a peer tells of requests that targets end under. What can't be read is left out.
+// recordsOf reads what a peer tells of requests that targets crash under. What can't be read is left out.
 func (s *Share) recordsOf(messages []quarantine.Message, from netip.AddrPort) []quarantine.Record {
 	var list []quarantine.Record
 	for _, m := range messages {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -45,14 +45,14 @@
 
 func (q *fakeQuarantine) Apply(records []quarantine.Record) { q.told = append(q.told, records...) }
 
-// Guards against gateways that do not hear of the requests under which targets have ended elsewhere.
+// Guards against gateways that do not hear of the requests under which targets have crashed elsewhere.
 func TestRecordsOfTheQuarantineReachPeers(t *testing.T) {
 	a, _ := newShare(t, "a")
 	b, _ := newShare(t, "b")
 	defer a.conn.Close()
 	defer b.conn.Close()
 	a.AddPeer(b.Addr().String())
-	record := quarantine.Record{Content: quarantine.Fingerprint{1}, Seen: time.UnixMilli(5), Ends: []quarantine.End{{Target: 7, At: time.UnixMilli(4)}}}
+	record := quarantine.Record{Content: quarantine.Fingerprint{1}, Seen: time.UnixMilli(5), Crashes: []quarantine.Crash{{Target: 7, At: time.UnixMilli(4)}}}
 	heard := &fakeQuarantine{}
 	a.quarantine, b.quarantine = &fakeQuarantine{tells: []quarantine.Record{record}}, heard
 	a.broadcast(1)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,7 +76,7 @@
 	keys    *keyring.Keyring
 	config  *follow.Follower
 	fleet   *reconcile.Fleet
-	// quarantine keeps requests under which targets have ended from targets.
+	// quarantine keeps requests under which targets have crashed from targets.
 	quarantine *quarantine.Quarantine
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,7 +68,7 @@
 	jobs   *backlog.Manager
 	share  *loadshare.Share
 	quotas *quotas.Quotas
-	// quarantine keeps requests under which targets have ended from reaching more.
+	// quarantine keeps requests under which targets have crashed from reaching more.
 	quarantine *quarantine.Quarantine
 	paths      *storepath.Paths
 	peers      *peerDirectory
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	g.watch = watch.New(watch.Options{
-		Directory: directory.New(g.paths, self), View: view, Quotas: g.quotas, Ends: g.quarantine, RevokeWithin: s.RevokeWithin,
+		Directory: directory.New(g.paths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off, Quarantine: g.quarantine},
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -15,17 +15,17 @@
 )
 
 const (
-	// crashBody is the body of requests and items under which the targets of a crashFleet end.
+	// crashBody is the body of requests and items under which the targets of a crashFleet crash.
 	crashBody = "crash"
-	// maxCrashes is what the platform's rule allows: three ends, and three retries after the third.
+	// maxCrashes is what the platform's rule allows: three crashes, and three retries after the third.
 	maxCrashes = 6
 	// callerPause is the time between two repeats of a request.
 	callerPause = 40 * time.Millisecond
-	// entryLapse is how long the entry of a target that has ended stays on the list.
+	// entryLapse is how long the entry of a target that has crashed stays on the list.
 	entryLapse = 600 * time.Millisecond
 )
 
-// crashFleet are targets that end, as processes do, when they begin with a request whose body is crashBody. Another target under
+// crashFleet are targets that crash when they begin with a request whose body is crashBody. Another target under
 // another name takes the place of each.
 type crashFleet struct {
 	s *system
@@ -67,12 +67,12 @@
 	f.s.list(id, server)
 }
 
-// crash ends a target.
+// crash closes all that a target has open.
 func (f *crashFleet) crash(id string, server *httptest.Server) {
 	f.mu.Lock()
 	f.crashes++
 	f.mu.Unlock()
-	_ = server.Listener.Close() // a second request may have ended it already
+	_ = server.Listener.Close() // a second request may have crashed it already
 	server.CloseClientConnections()
 	f.pending.Go(func() {
 		f.start()
@@ -83,14 +83,14 @@
 	})
 }
 
-// count is how often a target has ended.
+// count is how often a target has crashed.
 func (f *crashFleet) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.crashes
 }
 
-// repeat sends the request that ends targets to the gateways in turn, each time under another id.
+// repeat sends the request that crashes targets to the gateways in turn, each time under another id.
 func (f *crashFleet) repeat(path string, times int, gateways ...*Gateway) {
 	for i := range times {
 		g := gateways[i%len(gateways)]
@@ -125,7 +125,7 @@
 			defer f.pending.Wait()
 			f.repeat(path, 24, s.gateways...)
 			if n := f.count(); n < 3 || n > maxCrashes {
-				t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+				t.Errorf("%d targets have crashed, want 3 to %d", n, maxCrashes)
 			}
 			for _, g := range s.gateways {
 				f.expectServed(path, g)
@@ -150,7 +150,7 @@
 	}
 	time.Sleep(2 * time.Second) // a run of the item takes a few milliseconds, and as long a pause follows it
 	if n := f.count(); n < 3 || n > maxCrashes {
-		t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+		t.Errorf("%d targets have crashed, want 3 to %d", n, maxCrashes)
 	}
 	for i, g := range s.gateways {
 		status, page := s.caller.Results(g.CallerAddr(), fmt.Sprintf("job-%d", i), 0, time.Second)
@@ -174,7 +174,7 @@
 	defer s.stopAll()
 	f.repeat("/once/x", 6, s.gateways...)
 	if n := f.count(); n > before {
-		t.Errorf("%d more targets have ended after the restart", n-before)
+		t.Errorf("%d more targets have crashed after the restart", n-before)
 	}
 	f.expectServed("/once/x", s.gateways[0])
 }
@@ -191,7 +191,7 @@
 	store.Set(keyedlog.Faults{Refuse: true})
 	f.repeat("/once/x", 24, s.gateways...)
 	if n := f.count(); n < 3 || n > maxCrashes {
-		t.Errorf("%d targets have ended, want 3 to %d", n, maxCrashes)
+		t.Errorf("%d targets have crashed, want 3 to %d", n, maxCrashes)
 	}
 	store.Set(keyedlog.Faults{})
 	s.startGateways(1)
@@ -201,6 +201,6 @@
 	}
 	f.repeat("/once/x", 6, started)
 	if n := f.count(); n > before {
-		t.Errorf("%d more targets have ended at a gateway that started after the outage", n-before)
+		t.Errorf("%d more targets have crashed at a gateway that started after the outage", n-before)
 	}
 }
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -13,7 +13,7 @@
 )
 
 // BenchmarkRequest is what a request that is served costs: it is checked as it comes and before it is sent, and noted as served. While no
-// target has ended under anything, nothing is hashed.
+// target has crashed under anything, nothing is hashed.
 func BenchmarkRequest(b *testing.B) {
 	for _, size := range []int{1500, 15000} {
 		for _, contents := range []int{0, 1000} {
@@ -21,7 +21,7 @@
 				q := newQuarantine(&fleet{result: platform.ProbeRefused})
 				for i := range contents {
 					q.BrokenOff(quarantine.Broken{
-						Request: request(fmt.Sprint(i)), Target: serving.Target{ID: "t"}, Began: time.Now(), HasEnded: true, Err: errors.New("EOF"),
+						Request: request(fmt.Sprint(i)), Target: serving.Target{ID: "t"}, Began: time.Now(), HasCrashed: true, Err: errors.New("EOF"),
 					})
 				}
 				r := request(string(make([]byte, size)))
--- a/internal/quarantine/many_test.go
+++ b/internal/quarantine/many_test.go
@@ -20,9 +20,9 @@
 	manyGateways = 88
 	// reportGap is the time between two reports of a gateway to its peers.
 	reportGap = 50 * time.Millisecond
-	// repeatGap is the time between two repeats of the request under which targets end.
+	// repeatGap is the time between two repeats of the request under which targets crash.
 	repeatGap = 70 * time.Millisecond
-	// stableAfter and maxLate are the platform's rule: three retries at most later than this after the third end.
+	// stableAfter and maxLate are the platform's rule: three retries at most later than this after the third crash.
 	stableAfter = 3 * time.Second
 	maxLate     = 3
 )
@@ -38,8 +38,8 @@
 	return s.Store.Append(ctx, a)
 }
 
-// Guards against a fleet of gateways in which each has to see three ends by itself, and against a storm of writes of what all of them
-// have just heard. One in ten reports is lost; the request under which targets end comes once or several times at once.
+// Guards against a fleet of gateways in which each has to see three crashes by itself, and against a storm of writes of what all of them
+// have just heard. One in ten reports is lost; the request under which targets crash comes once or several times at once.
 func TestManyGatewaysAgreeWithFewWrites(t *testing.T) {
 	for _, copies := range []int{1, 4} {
 		t.Run(fmt.Sprint(copies), func(t *testing.T) {
@@ -72,19 +72,19 @@
 	}
 	sent, late := bad.counts()
 	if sent < quarantine.DefaultThreshold || late > maxLate {
-		t.Errorf("%d targets have ended, %d of them under requests sent %v after the third end", sent, late, stableAfter)
+		t.Errorf("%d targets have crashed, %d of them under requests sent %v after the third crash", sent, late, stableAfter)
 	}
 	if n := appends.Load(); n > manyGateways {
 		t.Errorf("%d writes", n)
 	}
-	t.Logf("%d ends, %d of them late, %d writes", sent, late, appends.Load())
+	t.Logf("%d crashes, %d of them late, %d writes", sent, late, appends.Load())
 }
 
-// badRequest ends each target that it is sent to.
+// badRequest crashes each target that it is sent to.
 type badRequest struct {
-	mu    sync.Mutex
-	sends []time.Time
-	ends  []time.Time
+	mu      sync.Mutex
+	sends   []time.Time
+	crashes []time.Time
 }
 
 // send sends the request from a gateway, unless it is quarantined there.
@@ -101,18 +101,18 @@
 	go func() {
 		time.Sleep(runTime)
 		b.mu.Lock()
-		b.ends = append(b.ends, time.Now())
+		b.crashes = append(b.crashes, time.Now())
 		b.mu.Unlock()
 		q.BrokenOff(quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
 	}()
 }
 
-// counts returns how often the request was sent, and how often later than stableAfter after the third end.
+// counts returns how often the request was sent, and how often later than stableAfter after the third crash.
 func (b *badRequest) counts() (sent, late int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, at := range b.sends {
-		if len(b.ends) >= 3 && at.After(b.ends[2].Add(stableAfter)) {
+		if len(b.crashes) >= 3 && at.After(b.crashes[2].Add(stableAfter)) {
 			late++
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine keeps requests under which targets have ended from reaching more targets. It finds out whether a target that
-// has broken off requests has ended, tells the other gateways, and keeps what is known in the platform's store, so that processes
+// Package quarantine keeps requests under which targets have crashed from reaching more targets. It finds out whether a target that
+// has broken off requests has crashed, tells the other gateways, and keeps what is known in the platform's store, so that processes
 // that start know it.
 package quarantine
 
@@ -26,13 +26,13 @@
 // Names of the metrics.
 const (
 	brokenMetric      = "quarantine.broken_off"  // runs that targets have broken off after they may have begun
-	endsMetric        = "quarantine.ends"        // ends of targets counted against contents by this gateway
+	crashesMetric     = "quarantine.crashes"     // crashes of targets counted against contents by this gateway
 	rejectedMetric    = "quarantine.rejected"    // sends that were not made
 	triedMetric       = "quarantine.tried"       // sends of quarantined contents that were made to find out whether they are to blame
-	clearedMetric     = "quarantine.cleared"     // contents that were served after targets had ended under them
+	clearedMetric     = "quarantine.cleared"     // contents that were served after targets had crashed under them
 	recordsMetric     = "quarantine.records"     // contents that are known
 	quarantinedMetric = "quarantine.quarantined" // of these those that are quarantined
-	suspectsMetric    = "quarantine.suspects"    // broken requests of which it is not known yet whether their target has ended
+	suspectsMetric    = "quarantine.suspects"    // broken requests of which it is not known yet whether their target has crashed
 	overflowMetric    = "quarantine.overflow"    // broken requests that were not followed, since too many were
 )
 
@@ -46,7 +46,7 @@
 	ReportSoon()
 }
 
-// NoFleet is for processes that are told of the ends of targets, and that tell each other of them through the store alone.
+// NoFleet is for processes that are told of the crashes of targets, and that tell each other of them through the store alone.
 type NoFleet struct{}
 
 // IsInService implements Fleet.
@@ -65,7 +65,7 @@
 
 // Options are what a Quarantine needs to know.
 type Options struct {
-	Threshold int           // ends of targets after which a content is quarantined
+	Threshold int           // crashes of targets after which a content is quarantined
 	Hold      time.Duration // from the last sighting of a quarantined content until it is forgotten
 	Off       policy.Off
 	Prober    platform.TargetProber
@@ -82,7 +82,7 @@
 	log      hclog.Logger
 	lines    *logging.Routine
 	broken   metrics.Counter
-	ends     metrics.Counter
+	crashes  metrics.Counter
 	rejected metrics.Counter
 	tried    metrics.Counter
 	cleared  metrics.Counter
@@ -108,7 +108,7 @@
 	q := &Quarantine{
 		isOn: o.Off.Allows(policy.Quarantine), prober: o.Prober, fleet: o.Fleet, log: o.Log, lines: logging.NewRoutine(o.Log),
 		broken:   metrics.GetOrRegisterCounter(brokenMetric, o.Metrics),
-		ends:     metrics.GetOrRegisterCounter(endsMetric, o.Metrics),
+		crashes:  metrics.GetOrRegisterCounter(crashesMetric, o.Metrics),
 		rejected: metrics.GetOrRegisterCounter(rejectedMetric, o.Metrics),
 		tried:    metrics.GetOrRegisterCounter(triedMetric, o.Metrics),
 		cleared:  metrics.GetOrRegisterCounter(clearedMetric, o.Metrics),
@@ -131,7 +131,7 @@
 	return q
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store until ctx crashes.
 func (q *Quarantine) Run(ctx context.Context, store Store) error {
 	if !q.isOn {
 		return nil
@@ -147,7 +147,7 @@
 // Loaded says whether what the store holds has been read.
 func (q *Quarantine) Loaded() bool { return !q.isOn || q.loaded.Load() }
 
-// IsEmpty says that no target has ended under anything lately, so that no request need be checked.
+// IsEmpty says that no target has crashed under anything lately, so that no request need be checked.
 func (q *Quarantine) IsEmpty() bool { return q.known.Load() == 0 }
 
 // Check returns an error of type errs.Quarantined if a request must not be sent to a target.
@@ -164,12 +164,12 @@
 		return nil
 	}
 	q.mu.Lock()
-	isQuarantined, ends := q.registry.Check(time.Now(), f), q.registry.Ends(f)
+	isQuarantined, crashes := q.registry.Check(time.Now(), f), q.registry.Crashes(f)
 	q.mu.Unlock()
 	if !isQuarantined {
 		return nil
 	}
-	return q.reject(id, f, ends)
+	return q.reject(id, f, crashes)
 }
 
 // AdmitRequest is called right before a request is sent to a target. It returns an error of type errs.Quarantined if it must not be. One
@@ -181,24 +181,24 @@
 	f := quarantine.FingerprintOf(r)
 	q.mu.Lock()
 	isQuarantined, isTry := q.registry.Admit(time.Now(), f)
-	ends := q.registry.Ends(f)
+	crashes := q.registry.Crashes(f)
 	q.mu.Unlock()
 	switch {
 	case isQuarantined:
-		return q.reject(r.ID, f, ends)
+		return q.reject(r.ID, f, crashes)
 	case isTry:
 		q.tried.Inc(1)
-		q.log.Info("tried", "request", r.ID, "content", f.String(), "ends", ends)
+		q.log.Info("tried", "request", r.ID, "content", f.String(), "crashes", crashes)
 		q.announce()
 	}
 	return nil
 }
 
 // reject counts and logs a request that is not sent.
-func (q *Quarantine) reject(id string, f quarantine.Fingerprint, ends int) error {
+func (q *Quarantine) reject(id string, f quarantine.Fingerprint, crashes int) error {
 	q.rejected.Inc(1)
-	q.lines.Info(time.Now(), "quarantined", "request", id, "content", f.String(), "ends", ends)
-	return errs.Newf(errs.Quarantined, "%d targets have ended under this request", ends)
+	q.lines.Info(time.Now(), "quarantined", "request", id, "content", f.String(), "crashes", crashes)
+	return errs.Newf(errs.Quarantined, "%d targets have crashed under this request", crashes)
 }
 
 // Served notes that a target has served a request whole.
@@ -208,30 +208,30 @@
 	}
 	f := quarantine.FingerprintOf(r)
 	q.mu.Lock()
-	ends := q.registry.Ends(f)
+	crashes := q.registry.Crashes(f)
 	hasCleared := q.registry.NoteServed(time.Now(), f)
 	q.mu.Unlock()
 	if hasCleared {
 		q.cleared.Inc(1)
-		q.log.Info("cleared", "request", r.ID, "content", f.String(), "ends", ends)
+		q.log.Info("cleared", "request", r.ID, "content", f.String(), "crashes", crashes)
 		q.announce()
 	}
 }
 
-// noteEnd counts the end of a target against a request.
-func (q *Quarantine) noteEnd(s suspect, target, evidence string) {
+// noteCrash counts the crash of a target against a request.
+func (q *Quarantine) noteCrash(s suspect, target, evidence string) {
 	q.mu.Lock()
 	now := time.Now()
-	isNew := q.registry.NoteEnd(now, s.content, target, s.began, s.broken)
-	ends, isQuarantined := q.registry.Ends(s.content), q.registry.Check(now, s.content)
+	isNew := q.registry.NoteCrash(now, s.content, target, s.began, s.broken)
+	crashes, isQuarantined := q.registry.Crashes(s.content), q.registry.Check(now, s.content)
 	q.known.Store(int64(q.registry.Len()))
 	q.mu.Unlock()
 	if !isNew {
 		return
 	}
-	q.ends.Inc(1)
-	q.log.Warn("target ended under request", "request", s.request, "content", s.content.String(), "target", target, "evidence", evidence,
-		"after_ms", now.Sub(s.broken).Milliseconds(), "ends", ends, "quarantined", isQuarantined)
+	q.crashes.Inc(1)
+	q.log.Warn("target crashed under request", "request", s.request, "content", s.content.String(), "target", target, "evidence", evidence,
+		"after_ms", now.Sub(s.broken).Milliseconds(), "crashes", crashes, "quarantined", isQuarantined)
 	q.announce()
 }
 
@@ -272,7 +272,7 @@
 	q.fleet.ReportSoon()
 }
 
-// peerWritesWithin is how long a peer that tells of an end may take to write it to the store.
+// peerWritesWithin is how long a peer that tells of a crash may take to write it to the store.
 const peerWritesWithin = 5 * time.Second
 
 // Apply takes in what a peer tells.
@@ -292,11 +292,11 @@
 		q.mu.Lock()
 		now := time.Now()
 		isNew := apply(now, r)
-		ends := q.registry.Ends(r.Content)
+		crashes := q.registry.Crashes(r.Content)
 		q.known.Store(int64(q.registry.Len()))
 		q.mu.Unlock()
 		if isNew {
-			q.lines.Info(now, "record learned", "content", r.Content.String(), "from", source, "ends", ends, "seen_ms_ago", now.Sub(r.Seen).Milliseconds())
+			q.lines.Info(now, "record learned", "content", r.Content.String(), "from", source, "crashes", crashes, "seen_ms_ago", now.Sub(r.Seen).Milliseconds())
 		}
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -20,7 +20,7 @@
 	"arbutusramp/standin/keyedlog"
 )
 
-// fleet is targets of which some have ended.
+// fleet is targets of which some have crashed.
 type fleet struct {
 	mu      sync.Mutex
 	probes  int
@@ -75,7 +75,7 @@
 	return &serving.Request{ID: "id", Method: "POST", Host: "h", URI: "/a", Body: []byte(body)}
 }
 
-// runTime is how long a run takes until its target ends.
+// runTime is how long a run takes until its target crashes.
 const runTime = 100 * time.Millisecond
 
 // breakOff has a target break off a request and waits until it is known what that means.
@@ -91,8 +91,8 @@
 	return errs.Is(q.Check(request(body)), errs.Quarantined)
 }
 
-// Three breaks for each thing that may be behind them: only ends of targets that were expected to stay count.
-func TestWhatCountsAsTheEndOfATarget(t *testing.T) {
+// Three breaks for each thing that may be behind them: only crashes of targets that were expected to stay count.
+func TestWhatCountsAsTheCrashOfATarget(t *testing.T) {
 	cases := []struct {
 		name   string
 		fleet  *fleet
@@ -138,7 +138,7 @@
 }
 
 // What many callers send is under way at targets that are lost together. It is tried once, by one request, and served on.
-func TestAContentWhoseEndsCameTogetherIsTriedOnce(t *testing.T) {
+func TestAContentWhoseCrashesCameTogetherIsTriedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuarantine(&fleet{result: platform.ProbeRefused})
 		began := time.Now()
@@ -161,7 +161,7 @@
 	})
 }
 
-// Guards against missing the end of a target that has broken off an answer a moment before it ended.
+// Guards against missing the crash of a target that has broken off an answer a moment before.
 func TestATargetThatBreaksOffAnAnswerAndThenEndsIsProbedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{}
@@ -174,14 +174,14 @@
 			breakOff(q, "body", target)
 		}
 		if !isQuarantined(q, "body") || isQuarantined(q, "harmless") {
-			t.Errorf("the one that ends targets is quarantined: %v, the other one: %v", isQuarantined(q, "body"), isQuarantined(q, "harmless"))
+			t.Errorf("the one that crashes targets is quarantined: %v, the other one: %v", isQuarantined(q, "body"), isQuarantined(q, "harmless"))
 		}
 	})
 }
 
-// Guards against missing an end that comes while a probe after an earlier break finds the target still there, and against taking a
-// break at a target's next start for its last end.
-func TestEndsAroundAProbe(t *testing.T) {
+// Guards against missing a crash that comes while a probe after an earlier break finds the target still there, and against taking a
+// break at a target's next start for its last crash.
+func TestCrashesAroundAProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fleet{result: platform.ProbeAccepted}
 		q := newQuarantine(f)
@@ -196,22 +196,22 @@
 		breaks("second", time.Now().Add(-runTime))
 		time.Sleep(time.Second)
 		synctest.Wait()
-		ends := func(body string) int { return q.registry.Ends(quarantine.FingerprintOf(request(body))) }
-		if ends("first") != 0 || ends("second") != 1 {
-			t.Errorf("%d ends under the first, %d under the second", ends("first"), ends("second"))
+		crashes := func(body string) int { return q.registry.Crashes(quarantine.FingerprintOf(request(body))) }
+		if crashes("first") != 0 || crashes("second") != 1 {
+			t.Errorf("%d crashes under the first, %d under the second", crashes("first"), crashes("second"))
 		}
 		f.set(func() { f.result = platform.ProbeAccepted })
 		breaks("third", time.Now())
 		time.Sleep(time.Second)
 		synctest.Wait()
-		if ends("third") != 0 {
-			t.Error("a break at the next start counts as an end")
+		if crashes("third") != 0 {
+			t.Error("a break at the next start counts as a crash")
 		}
 	})
 }
 
 // Guards against blaming long work that goes on from where it was each time it is interrupted by the crashes of others.
-func TestAnEndUnderWorkThatAdvancesDoesNotCount(t *testing.T) {
+func TestACrashUnderWorkThatAdvancesDoesNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuarantine(&fleet{result: platform.ProbeRefused})
 		run := func(i int, from, to string) {
@@ -231,7 +231,7 @@
 		run(20, "110", "110")
 		run(21, "110", "110")
 		if !isQuarantined(q, "long") {
-			t.Error("not quarantined although it ends targets at the same event")
+			t.Error("not quarantined although it crashes targets at the same event")
 		}
 	})
 }
@@ -279,7 +279,7 @@
 	})
 }
 
-// Each of three gateways sees one end; they hear of each other through the store alone, and so does one that starts later.
+// Each of three gateways sees one crash; they hear of each other through the store alone, and so does one that starts later.
 func TestGatewaysAgreeThroughTheStore(t *testing.T) {
 	withGateways(t, func(g *gateways) {
 		var all []*Quarantine
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -16,7 +16,7 @@
 )
 
 // partition holds the newest record of each content under its fingerprint. Any gateway writes it: a record that lacks what another
-// gateway knows is written again by that one, so that all end with the same.
+// gateway knows is written again by that one, so that all come to the same.
 var partition = platform.Partition{Topic: "keyed.quarantine"}
 
 const (
@@ -29,7 +29,7 @@
 	// readRetry and writeRetry are the pauses after calls that fail.
 	readRetry  = 300 * time.Millisecond
 	writeRetry = 300 * time.Millisecond
-	// writePause lets the ends of one target gather.
+	// writePause lets the crashes of one target gather.
 	writePause = 20 * time.Millisecond
 	// writeTimeout bounds one write.
 	writeTimeout = 2 * time.Second
@@ -58,7 +58,7 @@
 	next uint64
 }
 
-// read follows the store's records until ctx ends.
+// read follows the store's records until ctx crashes.
 func (s *storeSync) read(ctx context.Context) error {
 	pauses := dependency.Pauses{Answered: readPause, Failed: readRetry}
 	s.link.Follow(ctx, pauses, func() error { return s.step(ctx) }, func(bool) {})
@@ -131,7 +131,7 @@
 	s.q.registry.DropStored(f, time.Now().Add(rand.N(mergeSpread)))
 }
 
-// write writes what the store lacks until ctx ends.
+// write writes what the store lacks until ctx crashes.
 func (s *storeSync) write(ctx context.Context) error {
 	wake := sleep.NewTimer(expireInterval)
 	defer wake.Stop()
@@ -197,7 +197,7 @@
 	return err
 }
 
-// expire forgets records, also in the store, until ctx ends.
+// expire forgets records, also in the store, until ctx crashes.
 func (q *Quarantine) expire(ctx context.Context, s *storeSync) error {
 	for sleep.For(ctx, expireInterval) {
 		now := time.Now()
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -12,18 +12,18 @@
 )
 
 const (
-	// suspicionTTL is how long after a target has broken off requests its end may become known. An entry of a target that has
+	// suspicionTTL is how long after a target has broken off requests its crash may become known. An entry of a target that has
 	// crashed lapses within three seconds, and is read within half a second.
 	suspicionTTL = 5 * time.Second
 	// maxSuspects bounds the broken requests that are followed.
 	maxSuspects = 4096
 )
 
-// probeDelays are the pauses before each probe of a target that has broken off a request. A process that ends may close its
+// probeDelays are the pauses before each probe of a target that has broken off a request. A process that crashes may close its
 // connections a moment before its listener.
 var probeDelays = []time.Duration{10 * time.Millisecond, 200 * time.Millisecond}
 
-// bufferedFor is how long after its end something that a target has sent may still be read.
+// bufferedFor is how long after its crash something that a target has sent may still be read.
 const bufferedFor = 50 * time.Millisecond
 
 // suspect is a request that a target has broken off.
@@ -39,9 +39,9 @@
 	suspects  []suspect
 	last      time.Time // when it has last broken one off
 	isProbing bool
-	// evidence shows that it has ended; empty while there is none. endedAt is when that was found.
-	evidence string
-	endedAt  time.Time
+	// evidence shows that it has crashed; empty while there is none. crashedAt is when that was found.
+	evidence  string
+	crashedAt time.Time
 }
 
 // suspects are the requests that targets have broken off lately.
@@ -64,7 +64,7 @@
 	}
 }
 
-// take removes and returns the suspects of a target that is known to have ended.
+// take removes and returns the suspects of a target that is known to have crashed.
 func (s *suspects) take(now time.Time, id, evidence string) []suspect {
 	t, ok := s.byTarget[id]
 	if !ok {
@@ -72,7 +72,7 @@
 	}
 	list := t.suspects
 	s.n -= len(list)
-	t.suspects, t.evidence, t.endedAt = nil, evidence, now
+	t.suspects, t.evidence, t.crashedAt = nil, evidence, now
 	return list
 }
 
@@ -89,23 +89,23 @@
 	return len(t.suspects) > 0
 }
 
-// BrokenOff notes a broken run. Whether the target has ended, or only the connection, shows within suspicionTTL.
+// BrokenOff notes a broken run. Whether the target has crashed, or only the connection, shows within suspicionTTL.
 func (q *Quarantine) BrokenOff(b quarantine.Broken) {
 	now := time.Now()
 	s := suspect{request: b.Request.ID, content: quarantine.FingerprintOf(b.Request), began: b.Began, broken: now}
 	q.broken.Inc(1)
 	q.log.Warn("broken off by target", "request", s.request, "content", s.content.String(), "target", b.Target.ID, "from_event", b.From,
 		"to_event", b.To, "error", b.Err.Error())
-	if !q.isOn || !b.Counts() || !b.HasEnded && !q.isExpected(b.Target.ID) {
+	if !q.isOn || !b.Counts() || !b.HasCrashed && !q.isExpected(b.Target.ID) {
 		return
 	}
-	if b.HasEnded {
-		q.noteEnd(s, b.Target.ID, "known to have ended")
+	if b.HasCrashed {
+		q.noteCrash(s, b.Target.ID, "known to have crashed")
 		return
 	}
 	evidence, needsProbe := q.suspect(s, b.Target.ID)
 	if evidence != "" {
-		q.noteEnd(s, b.Target.ID, evidence)
+		q.noteCrash(s, b.Target.ID, evidence)
 		return
 	}
 	if needsProbe {
@@ -113,8 +113,8 @@
 	}
 }
 
-// isExpected says whether a target was expected to be there when it broke off a request. One that is leaving may end under any
-// request, so that its end counts against none. Of several requests that it breaks off, the last may come after it is off the list.
+// isExpected says whether a target was expected to be there when it broke off a request. One that is leaving may stop under any
+// request, so that it counts against none. Of several requests that it breaks off, the last may come after it is off the list.
 func (q *Quarantine) isExpected(target string) bool {
 	return q.fleet.IsInService(target) || q.isBroken(target)
 }
@@ -127,7 +127,7 @@
 	return ok
 }
 
-// suspect adds a suspect. It returns the evidence that its target has ended, if there is some already, and whether the target has to
+// suspect adds a suspect. It returns the evidence that its target has crashed, if there is some already, and whether the target has to
 // be probed.
 func (q *Quarantine) suspect(s suspect, target string) (evidence string, needsProbe bool) {
 	q.mu.Lock()
@@ -139,7 +139,7 @@
 		q.suspects.byTarget[target] = t
 	}
 	t.last = s.broken
-	if t.evidence != "" && s.began.Before(t.endedAt) {
+	if t.evidence != "" && s.began.Before(t.crashedAt) {
 		return t.evidence, false
 	}
 	t.evidence = "" // of an earlier start under its id
@@ -201,7 +201,7 @@
 	}
 }
 
-// confirm counts the end of a target against the requests that it has broken off.
+// confirm counts the crash of a target against the requests that it has broken off.
 func (q *Quarantine) confirm(target, evidence string) {
 	now := time.Now()
 	q.mu.Lock()
@@ -209,6 +209,6 @@
 	list := q.suspects.take(now, target, evidence)
 	q.mu.Unlock()
 	for _, s := range list {
-		q.noteEnd(s, target, evidence)
+		q.noteCrash(s, target, evidence)
 	}
 }
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -29,7 +29,7 @@
 	QuotaWindow  time.Duration // over which an excess of a quota is tolerated
 	QuotaExcess  float64       // tolerated excess, as a share of the quota
 	QuotaSlack   int           // tolerated excess in addition, in requests
-	// QuarantineAfter is how many targets may end under requests with the same content before no target gets one any more.
+	// QuarantineAfter is how many targets may crash under requests with the same content before no target gets one any more.
 	QuarantineAfter int
 	// QuarantineHold is how long that lasts after the last of these requests.
 	QuarantineHold time.Duration
@@ -122,8 +122,8 @@
 func gatewayQuarantineRows() []row[Gateway] {
 	return []row[Gateway]{
 		{section: "quarantine", key: "after", unit: "targets", def: strconv.Itoa(quarantine.DefaultThreshold),
-			field: integer(1, quarantine.MaxEnds, func(g *Gateway) *int { return &g.QuarantineAfter }),
-			doc:   "how many targets may end under requests with the same content before no target gets one any more"},
+			field: integer(1, quarantine.MaxCrashes, func(g *Gateway) *int { return &g.QuarantineAfter }),
+			doc:   "how many targets may crash under requests with the same content before no target gets one any more"},
 		{section: "quarantine", key: "hold", unit: "duration", def: "1h",
 			field: duration(time.Minute, 30*24*time.Hour, func(g *Gateway) *time.Duration { return &g.QuarantineHold }),
 			doc:   "how long after the last of these requests that lasts"},
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -106,7 +106,7 @@
 	gen.done.resume(c.open.ResumeFrom, c.open.PriorText)
 	gen.emit = c.emitter(g, &gen.done)
 	again := func(err *errs.Error) bool {
-		if c.s.named(err).Type == errs.TargetEnded {
+		if c.s.named(err).Type == errs.TargetCrashed {
 			return false // the request may be why; its entry counts that before it is sent again
 		}
 		c.s.logResume(c, gen.done.next, err)
--- a/internal/side/service.go
+++ b/internal/side/service.go
@@ -42,7 +42,7 @@
 // outcomeOf is what the policy is told of a run that failed.
 func outcomeOf(err *errs.Error) admit.Outcome {
 	switch err.Type {
-	case errs.TargetFailed, errs.TargetTimeout, errs.TargetEnded, errs.StreamBroken:
+	case errs.TargetFailed, errs.TargetTimeout, errs.TargetCrashed, errs.StreamBroken:
 		return admit.Failed
 	case errs.TargetRefused:
 		return admit.Finished
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -291,8 +291,8 @@
 // probeTimeout bounds the question whether the target's process is there. It is on the same host.
 const probeTimeout = 300 * time.Millisecond
 
-// named gives a failure that broke a request off the type errs.TargetEnded if the target's process has ended: entries count such
-// ends against the request.
+// named gives a failure that broke a request off the type errs.TargetCrashed if the target's process is gone: entries count such
+// crashes against the request.
 func (s *Side) named(failure *errs.Error) *errs.Error {
 	broke := failure.Type == errs.StreamBroken || failure.Type == errs.TargetFailed
 	if s.o.Probe == nil || !broke || failure.Ran == errs.RanNo {
@@ -303,14 +303,14 @@
 	if s.o.Probe(ctx) != platform.ProbeRefused {
 		return failure
 	}
-	ended := *failure
-	ended.Type = errs.TargetEnded
-	return &ended
+	crashed := *failure
+	crashed.Type = errs.TargetCrashed
+	return &crashed
 }
 
 // targetFailed counts the target as unhealthy when it hung or could not be reached.
 func (s *Side) targetFailed(err *errs.Error) {
-	if err.Type != errs.TargetTimeout && err.Type != errs.TargetFailed && err.Type != errs.TargetEnded {
+	if err.Type != errs.TargetTimeout && err.Type != errs.TargetFailed && err.Type != errs.TargetCrashed {
 		return
 	}
 	s.healthMu.Lock()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -47,9 +47,9 @@
 	view *fleetview.View
 	log  hclog.Logger
 
-	clock  bootclock.Clock
-	quotas Quotas
-	ends   Ends
+	clock    bootclock.Clock
+	quotas   Quotas
+	observer TargetObserver
 	// revokeWithin is Options.RevokeWithin.
 	revokeWithin time.Duration
 
@@ -66,8 +66,8 @@
 	SetWorkspaces(list []workspace.Workspace)
 }
 
-// Ends is told of targets that have ended or left.
-type Ends interface {
+// TargetObserver is told of changes of the list of targets.
+type TargetObserver interface {
 	// TargetsGone notes targets that are no longer on the list, by id.
 	TargetsGone(ids []string)
 }
@@ -77,7 +77,7 @@
 	Directory platform.Directory
 	View      *fleetview.View // gets the targets
 	Quotas    Quotas
-	Ends      Ends
+	Observer  TargetObserver
 	// RevokeWithin is how long after a key was taken away a request may still run by it, also at a process that is cut off; 0 is
 	// no bound.
 	RevokeWithin time.Duration
@@ -87,7 +87,7 @@
 
 // New returns a watch that knows nothing yet.
 func New(o Options) *Watch {
-	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, ends: o.Ends, clock: o.Clock, log: o.Log, revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
+	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
 }
 
 // Run follows both until ctx ends.
@@ -256,7 +256,7 @@
 	}
 	w.view.Put(c.put, c.gone)
 	w.view.Ended(c.ended)
-	w.ends.TargetsGone(c.gone)
+	w.observer.TargetsGone(c.gone)
 	for _, t := range c.put {
 		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.Draining)
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -35,10 +35,10 @@
 	revokeWithin time.Duration
 	suspended    atomic.Int64
 	quotas       fakeQuotas
-	gone         []string // targets of which Ends was told
+	gone         []string // targets of which the observer was told
 }
 
-// TargetsGone implements Ends.
+// TargetsGone implements TargetObserver.
 func (d *fakeDirectory) TargetsGone(ids []string) {
 	d.set(func(d *fakeDirectory) { d.gone = append(d.gone, ids...) })
 }
@@ -128,7 +128,7 @@
 		v := fleetview.New(fleet.Options{PeerTTL: time.Second})
 		began := time.Now()
 		w := New(Options{
-			Directory: d, View: v, Quotas: &d.quotas, Ends: d, RevokeWithin: d.revokeWithin, Log: log,
+			Directory: d, View: v, Quotas: &d.quotas, Observer: d, RevokeWithin: d.revokeWithin, Log: log,
 			Clock: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		})
 		over := make(chan error)
