Quarantine: what a gateway hears it does not tell on

Records are told by who has found them, and by all to peers that start; a report looks at records only when one is due. Test red before: told on after a minute.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -41,6 +41,8 @@
 type Registry struct {
 	opts    Options
 	entries map[Fingerprint]*entry
+	// nextTell is before the first entry has to be told: reports are made many times a second.
+	nextTell time.Time
 }
 
 // entry is one content.
@@ -188,8 +190,7 @@
 	e.announced = later(e.announced, r.Seen)
 	g.planTry(e)
 	g.scheduleWrite(e, storeBy)
-	// The peer tells all others; this is for those that miss it.
-	e.tellAt, e.tellPause = now.Add(lastTellPause), lastTellPause
+	e.tellAt = time.Time{} // the peer tells all others; told on by each of them, records would take the square of the gateways
 	return true
 }
 
@@ -210,9 +211,6 @@
 	}
 	e.writeAt = time.Time{}
 	g.scheduleWrite(e, storeBy)
-	if isNew && e.tellAt.IsZero() {
-		e.tellAt, e.tellPause = now.Add(lastTellPause), lastTellPause
-	}
 	return isNew
 }
 
@@ -252,6 +250,7 @@
 // announce has an entry told to peers at once and written to the store by a time.
 func (g *Registry) announce(now time.Time, e *entry, storeBy time.Time) {
 	e.tellAt, e.tellPause, e.announced = now, firstTellPause, e.Seen
+	g.nextTell = time.Time{}
 	g.scheduleWrite(e, storeBy)
 }
 
@@ -267,6 +266,9 @@
 
 // ToTell returns up to n records that peers should be told now, those of quarantined contents first.
 func (g *Registry) ToTell(now time.Time, n int) []Record {
+	if now.Before(g.nextTell) {
+		return nil
+	}
 	var list []Record
 	for _, quarantined := range []bool{true, false} {
 		for _, e := range g.entries {
@@ -281,9 +283,21 @@
 			list = append(list, e.Record.clone())
 		}
 	}
+	g.nextTell = g.firstTell(now)
 	return list
 }
 
+// firstTell is when the first entry has to be told after now.
+func (g *Registry) firstTell(now time.Time) time.Time {
+	first := now.Add(lastTellPause)
+	for _, e := range g.entries {
+		if !e.tellAt.IsZero() && e.tellAt.Before(first) {
+			first = e.tellAt
+		}
+	}
+	return first
+}
+
 // TellAgain has the records of quarantined contents told again: a peer has started.
 func (g *Registry) TellAgain(now time.Time) {
 	for _, e := range g.entries {
@@ -291,6 +305,7 @@
 			e.tellAt, e.tellPause = now, firstTellPause
 		}
 	}
+	g.nextTell = time.Time{}
 }
 
 // ToStore returns up to n records that the store should get now, and when the next one is due; zero if none is.
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+// Guards against records that each gateway tells on to all others: their number would grow with the square of the gateways.
+func TestWhatIsHeardIsNotToldOn(t *testing.T) {
+	origin, peer := newTestRegistry(), newTestRegistry()
+	noteCrashes(origin, content(1), DefaultThreshold)
+	for _, r := range origin.ToTell(start.Add(time.Minute), 8) {
+		peer.ApplyPeer(start.Add(time.Minute), r, start.Add(time.Hour))
+	}
+	for at := time.Duration(0); at < 10*time.Minute; at += time.Second {
+		if told := peer.ToTell(start.Add(time.Minute+at), 8); len(told) > 0 {
+			t.Fatalf("told on after %v", at)
+		}
+	}
+	peer.TellAgain(start.Add(11 * time.Minute))
+	if len(peer.ToTell(start.Add(11*time.Minute), 8)) != 1 {
+		t.Error("a peer that starts is not told")
+	}
+}
+
 // What the store lacks is written, by this gateway at once if it has seen it, later if peers have told it, and not at all once
 // the store has it.
 func TestWhatTheStoreLacksIsWritten(t *testing.T) {
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -21,7 +21,7 @@
 
 const (
 	// readWait is how long one read waits for records.
-	readWait = 5 * time.Second
+	readWait = 20 * time.Second
 	// readBytes bounds one read.
 	readBytes = 256 << 10
 	// readPause lets records gather between two reads.
