--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -30,7 +30,7 @@
 	ProbeUnknown ProbeResult = iota
 	// ProbeAccepted shows that some process listens at the target's address.
 	ProbeAccepted
-	// ProbeRefused shows that none does: the target has ended.
+	// ProbeRefused shows that none does: the target has crashed.
 	ProbeRefused
 )
 
--- a/core/quarantine/message.go
+++ b/core/quarantine/message.go
@@ -17,7 +17,7 @@
 	Tried   int64          `cbor:"5,keyasint,omitempty"` // 0: never
 }
 
-// CrashMessage is an Crash.
+// CrashMessage is a Crash.
 type CrashMessage struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint64
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -131,17 +131,17 @@
 // planTry sets when this gateway may try a request with the content. Whoever tries first tells the others.
 func (g *Registry) planTry(e *entry) {
 	pause := tryPause
-	var lastEnd time.Time
+	var lastCrash time.Time
 	if len(e.Crashes) > 0 {
-		lastEnd = e.Crashes[0].At
+		lastCrash = e.Crashes[0].At
 	}
-	if e.Tried.After(lastEnd) {
+	if e.Tried.After(lastCrash) {
 		pause = tryTimeout
 	}
 	if g.opts.Jitter != nil {
 		pause += g.opts.Jitter()
 	}
-	e.tryAt = later(lastEnd, e.Tried).Add(pause)
+	e.tryAt = later(lastCrash, e.Tried).Add(pause)
 }
 
 // renewAfter is how much later than others know a content may have been seen.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -131,7 +131,7 @@
 	return q
 }
 
-// Run follows the store until ctx crashes.
+// Run follows the store until ctx ends.
 func (q *Quarantine) Run(ctx context.Context, store Store) error {
 	if !q.isOn {
 		return nil
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -58,7 +58,7 @@
 	next uint64
 }
 
-// read follows the store's records until ctx crashes.
+// read follows the store's records until ctx ends.
 func (s *storeSync) read(ctx context.Context) error {
 	pauses := dependency.Pauses{Answered: readPause, Failed: readRetry}
 	s.link.Follow(ctx, pauses, func() error { return s.step(ctx) }, func(bool) {})
@@ -131,7 +131,7 @@
 	s.q.registry.DropStored(f, time.Now().Add(rand.N(mergeSpread)))
 }
 
-// write writes what the store lacks until ctx crashes.
+// write writes what the store lacks until ctx ends.
 func (s *storeSync) write(ctx context.Context) error {
 	wake := sleep.NewTimer(expireInterval)
 	defer wake.Stop()
@@ -197,7 +197,7 @@
 	return err
 }
 
-// expire forgets records, also in the store, until ctx crashes.
+// expire forgets records, also in the store, until ctx ends.
 func (q *Quarantine) expire(ctx context.Context, s *storeSync) error {
 	for sleep.For(ctx, expireInterval) {
 		now := time.Now()
