Quarantine: what a gateway hears does not stop it from telling what it has found

A gateway that had found a crash and, before its next report, heard of another one under the same content took the record for told: its own crash reached the others through the store alone. An entry that comes from a peer has no time at which it is told; nothing needs to be reset. The test is red before.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -175,8 +175,9 @@
 	return true
 }
 
-// ApplyPeer takes in a peer's record. The peer writes it to the store; this gateway does at storeBy unless it has been read from
-// there by then. It reports whether the record says something new.
+// ApplyPeer takes in a peer's record. The peer tells all others: told on by each of them, records would take the square of the gateways.
+// It also writes it to the store; this gateway does at storeBy unless it has been read from there by then. It reports whether the
+// record says something new.
 func (g *Registry) ApplyPeer(now time.Time, r Record, storeBy time.Time) (isNew bool) {
 	r = r.clamped(now)
 	if g.isExpired(now, r) {
@@ -190,7 +191,6 @@
 	e.announced = later(e.announced, r.Seen)
 	g.planTry(e)
 	g.scheduleWrite(e, storeBy)
-	e.tellAt = time.Time{} // the peer tells all others; told on by each of them, records would take the square of the gateways
 	return true
 }
 
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -231,6 +231,19 @@
 	}
 }
 
+// Guards against a crash that peers never hear of, since its finder heard of another one before it had told its own.
+func TestWhatIsHeardDoesNotSilenceWhatWasFound(t *testing.T) {
+	g, peer := newTestRegistry(), newTestRegistry()
+	noteCrash(g, start, content(1), "own")
+	noteCrash(peer, start, content(1), "other")
+	for _, r := range peer.ToTell(start, 8) {
+		g.ApplyPeer(start, r, start)
+	}
+	if told := g.ToTell(start, 8); len(told) != 1 || len(told[0].Crashes) != 2 {
+		t.Errorf("told %+v, want both crashes", told)
+	}
+}
+
 // Guards against records that each gateway tells on to all others: their number would grow with the square of the gateways.
 func TestWhatIsHeardIsNotToldOn(t *testing.T) {
 	origin, peer := newTestRegistry(), newTestRegistry()
