Quarantine: one look-up of what is in force, no time that is always now

Check and Admit each tested whether a content is quarantined and within its hold; announce was told at each call to write now. Behaviour as before. A test says unusable for an entry that can't be read, as the rest does.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -90,18 +90,25 @@
 	return 0
 }
 
+// inForce returns the entry of a content that is quarantined; nil if it is not. One that was not seen for the hold is dropped by the
+// next Expire.
+func (g *Registry) inForce(now time.Time, f Fingerprint) *entry {
+	e, ok := g.entries[f]
+	if !ok || !g.isQuarantined(e) || now.Sub(e.Seen) > g.opts.Hold {
+		return nil
+	}
+	return e
+}
+
 // Check says whether a request with the content must not be sent, and notes that it was seen.
 func (g *Registry) Check(now time.Time, f Fingerprint) (isQuarantined bool) {
-	e, ok := g.entries[f]
-	if !ok || !g.isQuarantined(e) {
+	e := g.inForce(now, f)
+	if e == nil {
 		return false
 	}
-	if now.Sub(e.Seen) > g.opts.Hold {
-		return false // it is dropped by the next Expire
-	}
 	e.Seen = later(e.Seen, now)
 	if e.Seen.Sub(e.announced) > g.renewAfter() {
-		g.announce(now, e, now)
+		g.announce(now, e)
 	}
 	return !g.canTry(now, e)
 }
@@ -111,13 +118,13 @@
 	if g.Check(now, f) {
 		return true, false
 	}
-	e, ok := g.entries[f]
-	if !ok || !g.isQuarantined(e) || now.Sub(e.Seen) > g.opts.Hold {
+	e := g.inForce(now, f)
+	if e == nil {
 		return false, false
 	}
 	e.Tried = now.Truncate(time.Millisecond)
 	g.planTry(e)
-	g.announce(now, e, now)
+	g.announce(now, e)
 	return false, true
 }
 
@@ -159,7 +166,7 @@
 		return false
 	}
 	g.planTry(e)
-	g.announce(now, e, now)
+	g.announce(now, e)
 	return true
 }
 
@@ -171,7 +178,7 @@
 	}
 	now = now.Truncate(time.Millisecond) // as it is sent, so that others know the same time
 	e.merge(Record{Content: f, Cleared: now})
-	g.announce(now, e, now)
+	g.announce(now, e)
 	return true
 }
 
@@ -247,11 +254,11 @@
 	delete(g.entries, least.Content)
 }
 
-// announce has an entry told to peers at once and written to the store by a time.
-func (g *Registry) announce(now time.Time, e *entry, storeBy time.Time) {
+// announce has an entry told to peers and written to the store at once.
+func (g *Registry) announce(now time.Time, e *entry) {
 	e.tellAt, e.tellPause, e.announced = now, firstTellPause, e.Seen
 	g.nextTell = time.Time{}
-	g.scheduleWrite(e, storeBy)
+	g.scheduleWrite(e, now)
 }
 
 func (g *Registry) scheduleWrite(e *entry, at time.Time) {
--- a/internal/quarantine/logstore_test.go
+++ b/internal/quarantine/logstore_test.go
@@ -17,7 +17,7 @@
 	"arbutusramp/internal/adapter/logmem"
 )
 
-// Entries have no store with keys: they agree through a stream of the log, some of whose entries may have expired or be spoilt.
+// Entries have no store with keys: they agree through a stream of the log, some of whose entries may have expired or be unusable.
 func TestEntriesAgreeThroughTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logmem.New(1)
@@ -31,7 +31,7 @@
 			return q
 		}
 		first, second := start(), start()
-		if _, err := log.Append(ctx, structs.QuarantineStream, []byte("spoilt")); err != nil {
+		if _, err := log.Append(ctx, structs.QuarantineStream, []byte("unusable")); err != nil {
 			t.Fatal(err)
 		}
 		for i := range quarantine.DefaultThreshold {
