Quarantine: a content is hashed once for each request

Each of the three checks of a request, and each look at a waiting item, built and hashed the same content, and the backlog kept a fingerprint beside two forms of the same check. A quarantine.Content holds the request and works its fingerprint out once, when it is first asked for; gateways, entries and the backlog ask the same three questions with it. Decisions as before.

--- a/core/quarantine/broken.go
+++ b/core/quarantine/broken.go
@@ -8,7 +8,7 @@
 
 // Broken is a run of a request that a target has broken off, or that was under way when its target was found to have crashed.
 type Broken struct {
-	Request *serving.Request
+	Content *Content
 	Target  serving.Target
 	// Began is when the request was sent to the target.
 	Began time.Time
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"sync"
 
 	"arbutusramp/core/serving"
 )
@@ -32,5 +33,23 @@
 	return f
 }
 
+// Content is what a request and its repeats have in common. It is safe for concurrent use.
+type Content struct {
+	// Request is the request, or one of its repeats.
+	Request *serving.Request
+
+	once        sync.Once
+	fingerprint Fingerprint
+}
+
+// NewContent returns the content of r, which must not change.
+func NewContent(r *serving.Request) *Content { return &Content{Request: r} }
+
+// Fingerprint returns the content's fingerprint. It is worked out once, when it is first asked for.
+func (c *Content) Fingerprint() Fingerprint {
+	c.once.Do(func() { c.fingerprint = FingerprintOf(c.Request) })
+	return c.fingerprint
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -55,7 +55,7 @@
 	telemetry.Observe(m.reg, runMetric, took)
 	m.pace.Ran(t.job.Route, t.made()-made, took)
 	if v == complete {
-		m.opts.Quarantine.Served(t.request())
+		m.opts.Quarantine.Served(t.content)
 		m.pace.Done(t.job.Route, t.made(), t.item().Tokens)
 	}
 	to, preempted := t.lastEvent(), t.settle(r.Target.ID, v)
@@ -124,7 +124,7 @@
 	guard := newGuard(ctx, cancel, r)
 	r.WhenEnded(cancel)
 	from := t.lastEvent()
-	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request(), ResumeAfter: from})
+	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.content.Request, ResumeAfter: from})
 	if err != nil {
 		return goOn, m.itemFailed(ctx, t, r, from, err)
 	}
@@ -148,15 +148,6 @@
 	}
 }
 
-// request is the item as it is sent to targets.
-func (t *task) request() *serving.Request {
-	item := t.item()
-	return &serving.Request{
-		ID: item.ID, Host: t.job.Host, Method: http.MethodPost, URI: item.URI,
-		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: t.job.Workspace},
-	}
-}
-
 // take adds an event to the item's text.
 func (t *task) take(e events.Event) {
 	t.mu.Lock()
@@ -193,7 +184,7 @@
 // brokenOff notes that the target has broken off a run that began after the event from.
 func (m *Manager) brokenOff(t *task, r *fleetview.Run, from string, err error) {
 	m.opts.Quarantine.BrokenOff(quarantine.Broken{
-		Request: t.request(), Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
+		Content: t.content, Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
 	})
 }
 
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -27,16 +27,14 @@
 
 // Quarantine keeps items under which targets have crashed from targets.
 type Quarantine interface {
-	// IsEmpty says that no target has crashed under anything, so that CheckContent need not be called.
-	IsEmpty() bool
-	// CheckContent returns an error of type errs.Quarantined if the item of that id must not be sent to a target.
-	CheckContent(id string, content quarantine.Fingerprint) error
-	// AdmitRequest returns such an error for a request that is about to be sent.
-	AdmitRequest(r *serving.Request) error
+	// Check returns an error of type errs.Quarantined if an item must not be sent to a target.
+	Check(c *quarantine.Content) error
+	// AdmitRequest is Check for an item that is about to be sent.
+	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
-	Served(r *serving.Request)
+	Served(c *quarantine.Content)
 }
 
 // Options are the settings of a manager.
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -37,9 +37,9 @@
 	bubble(t, 1, func(t *testing.T, w *world) {
 		n := w.nodes[0]
 		j := w.job("j", "ok")
-		request := (&task{job: j}).request()
+		content := contentOf(j, 0)
 		for i := range 3 {
-			n.quarantine.BrokenOff(brokenAt(request, fmt.Sprintf("gone-%d", i)))
+			n.quarantine.BrokenOff(brokenAt(content, fmt.Sprintf("gone-%d", i)))
 			time.Sleep(time.Second)
 		}
 		n.submit(j)
@@ -47,7 +47,7 @@
 		if runs := w.targets.count(j.Items[0].ID); runs != 0 {
 			t.Errorf("%d runs of a quarantined item", runs)
 		}
-		n.quarantine.Served(request)
+		n.quarantine.Served(content)
 		w.check(j, n.results(j, 10*time.Second))
 	})
 }
@@ -57,9 +57,9 @@
 	bubble(t, 1, func(t *testing.T, w *world) {
 		n := w.nodes[0]
 		j := w.job("j", "ok", "ok", "ok")
-		request := (&task{job: j}).request()
+		content := contentOf(j, 0)
 		for i := range 3 {
-			n.quarantine.BrokenOff(brokenAt(request, fmt.Sprintf("gone-%d", i)))
+			n.quarantine.BrokenOff(brokenAt(content, fmt.Sprintf("gone-%d", i)))
 		}
 		n.submit(j)
 		w.check(j, n.results(j, 10*time.Second))
@@ -72,9 +72,9 @@
 		n := w.nodes[0]
 		j := w.job("j", "okay")
 		n.submit(j)
-		request := (&task{job: j}).request()
+		content := contentOf(j, 0)
 		for i := range 10 {
-			run := brokenAt(request, fmt.Sprintf("gone-%d", i))
+			run := brokenAt(content, fmt.Sprintf("gone-%d", i))
 			if i > 0 {
 				run.From, run.To = fmt.Sprint(i), fmt.Sprint(i+1)
 			}
@@ -85,6 +85,6 @@
 }
 
 // brokenAt is a run from the start that the restart of a target has broken off.
-func brokenAt(r *serving.Request, target string) quarantine.Broken {
-	return quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: time.Now().Add(-100 * time.Millisecond), HasCrashed: true, Err: errors.New("started again")}
+func brokenAt(c *quarantine.Content, target string) quarantine.Broken {
+	return quarantine.Broken{Content: c, Target: serving.Target{ID: target}, Began: time.Now().Add(-100 * time.Millisecond), HasCrashed: true, Err: errors.New("started again")}
 }
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -250,8 +250,7 @@
 
 // isQuarantined puts off an item under which targets have crashed, and gives it up once its job allows that.
 func (d *scheduler) isQuarantined(t *task, now time.Time) bool {
-	q := d.m.opts.Quarantine
-	if q.IsEmpty() || q.CheckContent(t.item().ID, t.fingerprint()) == nil {
+	if d.m.opts.Quarantine.Check(t.content) == nil {
 		return false
 	}
 	d.putOff(t, now)
@@ -278,7 +277,7 @@
 		cancel()
 		return false
 	}
-	if d.m.opts.Quarantine.AdmitRequest(t.request()) != nil {
+	if d.m.opts.Quarantine.AdmitRequest(t.content) != nil {
 		d.putOff(t, time.Now())
 		d.runs.Done()
 		r.Done()
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
 	"arbutusramp/internal/telemetry"
 )
 
@@ -18,6 +20,8 @@
 	job   *backlog.Job
 	index int
 
+	content *quarantine.Content // the item as it is sent to targets
+
 	taken time.Time // when this process took it on
 
 	mu        sync.Mutex
@@ -35,22 +39,24 @@
 	failures  int                    // runs that a target has answered with a failure, at former owners too
 	unrouted  int                    // looks in a row that found no route
 	avoid     []string               // targets that have just failed it
-	// content is the fingerprint of the item, once it was asked for.
-	content quarantine.Fingerprint
 }
 
-func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
+// newTask returns the task of a job's item that a shard takes on now.
+func newTask(s *shard, j *backlog.Job, index int) *task {
+	return &task{shard: s, job: j, index: index, content: contentOf(j, index), taken: time.Now()}
+}
 
-// fingerprint is that of the item as it is sent to targets.
-func (t *task) fingerprint() quarantine.Fingerprint {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.content == (quarantine.Fingerprint{}) {
-		t.content = quarantine.FingerprintOf(t.request())
-	}
-	return t.content
+// contentOf is a job's item as it is sent to targets.
+func contentOf(j *backlog.Job, index int) *quarantine.Content {
+	item := &j.Items[index]
+	return quarantine.NewContent(&serving.Request{
+		ID: item.ID, Host: j.Host, Method: http.MethodPost, URI: item.URI,
+		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: j.Workspace},
+	})
 }
 
+func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
+
 // due is when the task should be done.
 func (t *task) due() int64 { return t.job.Submitted + t.job.Due.Milliseconds() }
 
--- a/internal/backlog/tasks.go
+++ b/internal/backlog/tasks.go
@@ -1,10 +1,6 @@
 package backlog
 
-import (
-	"time"
-
-	"arbutusramp/core/backlog"
-)
+import "arbutusramp/core/backlog"
 
 // giveUpShard ends the runs of a shard's items and forgets them. What they have come to is written
 // for the next owner, who goes on from there: events are the same from every target. No fence is
@@ -89,6 +85,6 @@
 		if _, ok := d.tasks[key]; ok || st.Done(j.ID, j.Items[i].ID) {
 			continue
 		}
-		d.tasks[key] = &task{shard: s, job: j, index: i, taken: time.Now()}
+		d.tasks[key] = newTask(s, j, i)
 	}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -5,6 +5,7 @@
 
 	"arbutusramp/core/choose"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/quarantine"
 	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/session"
@@ -25,6 +26,7 @@
 	e        *Entry
 	in       accepted
 	req      classified
+	content  *quarantine.Content
 	deadline time.Time
 	timer    *sleep.Timer
 
@@ -54,7 +56,7 @@
 
 // begin sends the first attempt.
 func (c *call) begin(s *scratch) *errs.Error {
-	if err := c.e.quarantine.Check(c.content()); err != nil {
+	if err := c.e.quarantine.Check(c.content); err != nil {
 		return errs.As(err)
 	}
 	c.e.budget.try(c.in.start)
@@ -73,7 +75,7 @@
 		return err
 	}
 	c.target, c.claimed = t, got
-	if err := c.e.quarantine.AdmitRequest(c.content()); err != nil {
+	if err := c.e.quarantine.AdmitRequest(c.content); err != nil {
 		t.release(c.reports)
 		return errs.As(err)
 	}
@@ -222,7 +224,7 @@
 	c.session.forget(c.stream)
 	c.target.release(c.reports)
 	c.e.report(c.group, c.target, choose.Outcome{FirstByte: c.firstByte})
-	c.e.quarantine.Served(c.content())
+	c.e.quarantine.Served(c.content)
 	c.stream = nil
 }
 
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -11,28 +11,28 @@
 // Quarantine keeps requests under which targets have crashed from targets.
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
-	Check(r *serving.Request) error
+	Check(c *quarantine.Content) error
 	// AdmitRequest is Check for a request that is about to be sent.
-	AdmitRequest(r *serving.Request) error
+	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
-	Served(r *serving.Request)
+	Served(c *quarantine.Content)
 }
 
 // noQuarantine sends every request on.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(*serving.Request) error        { return nil }
-func (noQuarantine) AdmitRequest(*serving.Request) error { return nil }
-func (noQuarantine) BrokenOff(quarantine.Broken)         {}
-func (noQuarantine) Served(*serving.Request)             {}
+func (noQuarantine) Check(*quarantine.Content) error        { return nil }
+func (noQuarantine) AdmitRequest(*quarantine.Content) error { return nil }
+func (noQuarantine) BrokenOff(quarantine.Broken)            {}
+func (noQuarantine) Served(*quarantine.Content)             {}
 
-// content is what the request and its repeats have in common.
-func (c *call) content() *serving.Request {
-	return &serving.Request{
-		ID: string(c.in.id), Caller: serving.Caller{Workspace: string(c.in.workspace)}, Method: c.req.method, URI: c.req.path, Body: c.req.body,
-	}
+// contentOf is what the request and its repeats have in common.
+func contentOf(a *accepted, req *classified) *quarantine.Content {
+	return quarantine.NewContent(&serving.Request{
+		ID: string(a.id), Caller: serving.Caller{Workspace: string(a.workspace)}, Method: req.method, URI: req.path, Body: req.body,
+	})
 }
 
 // noteCrash counts the crash of the attempt's target against the request.
@@ -41,7 +41,7 @@
 		return
 	}
 	c.e.quarantine.BrokenOff(quarantine.Broken{
-		Request: c.content(), Target: serving.Target{ID: string(c.target.id)}, Began: c.sentAt,
+		Content: c.content, Target: serving.Target{ID: string(c.target.id)}, Began: c.sentAt,
 		From: position(c.from), To: position(c.progress.next), HasCrashed: true, Err: err,
 	})
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -107,7 +107,7 @@
 func (e *Entry) newCall(a *accepted, req *classified) (*call, *errs.Error) {
 	s := scratches.Get().(*scratch)
 	defer scratches.Put(s)
-	c := &call{e: e, in: *a, req: *req, group: e.group(req)}
+	c := &call{e: e, in: *a, req: *req, content: contentOf(a, req), group: e.group(req)}
 	timeout := req.timeout
 	if a.timeout > 0 {
 		timeout = a.timeout
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -236,7 +236,7 @@
 // brokenOff notes that the target has broken off the request, or its answer, or has ended under it.
 func (a *attempt) brokenOff(err error) {
 	a.gw.quarantine.BrokenOff(quarantine.Broken{
-		Request: a.req, Target: a.run.Target, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
+		Content: a.content, Target: a.run.Target, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,13 +63,13 @@
 // Quarantine keeps requests under which targets have crashed from targets.
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if a request must not be sent to a target.
-	Check(r *serving.Request) error
+	Check(c *quarantine.Content) error
 	// AdmitRequest is Check for a request that is about to be sent.
-	AdmitRequest(r *serving.Request) error
+	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
-	Served(r *serving.Request)
+	Served(c *quarantine.Content)
 }
 
 // Beliefs are what the process believes of the configuration, for logs.
@@ -108,6 +108,7 @@
 	route   *serving.Route
 	service string
 	req     *serving.Request
+	content *quarantine.Content
 	out     platform.CallerAnswer
 	until   time.Time // the system answers by then at the latest
 	limitOf string    // whose limit that is, for the log
@@ -128,7 +129,7 @@
 // Serve answers one request. It returns once the answer is complete or given up.
 func (g *Gateway) Serve(ctx context.Context, route *serving.Route, r *serving.Request, out platform.CallerAnswer) {
 	x := &exchange{
-		gw: g, route: route, service: route.Service(r.ID), req: r, out: out,
+		gw: g, route: route, service: route.Service(r.ID), req: r, content: quarantine.NewContent(r), out: out,
 		until: r.Arrived.Add(route.Timeout), limitOf: "route", lastID: r.ResumeAfter,
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.until) {
@@ -136,7 +137,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.until)
 	defer cancel()
-	err := x.gw.quarantine.Check(r)
+	err := x.gw.quarantine.Check(x.content)
 	if err == nil {
 		err = x.takeQuota()
 	}
@@ -203,7 +204,7 @@
 		return x.noTarget()
 	}
 	defer run.Done()
-	if err := x.gw.quarantine.AdmitRequest(x.req); err != nil {
+	if err := x.gw.quarantine.AdmitRequest(x.content); err != nil {
 		return err
 	}
 	x.tried = append(x.tried, run.Target.ID)
@@ -212,7 +213,7 @@
 	err := a.do(ctx)
 	if err == nil {
 		run.Held()
-		x.gw.quarantine.Served(x.req)
+		x.gw.quarantine.Served(x.content)
 	}
 	return err
 }
@@ -285,6 +286,6 @@
 		x.gw.served.Info(now, "request", args...)
 		return
 	}
-	x.gw.log.Warn("request", append(args, "content", quarantine.FingerprintOf(x.req).String(), "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
+	x.gw.log.Warn("request", append(args, "content", x.content.Fingerprint().String(), "error", err.Error(), "begun", x.begun, "last_event", x.lastID,
 		"limit_ms", x.until.Sub(x.req.Arrived).Milliseconds(), "limit_of", x.limitOf)...)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -90,14 +90,14 @@
 func (b *bench) Refund(string) { b.refunded++ }
 
 // Check implements Quarantine.
-func (b *bench) Check(*serving.Request) error {
+func (b *bench) Check(*quarantine.Content) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.quarantined
 }
 
 // AdmitRequest implements Quarantine.
-func (b *bench) AdmitRequest(r *serving.Request) error { return b.Check(r) }
+func (b *bench) AdmitRequest(c *quarantine.Content) error { return b.Check(c) }
 
 // BrokenOff implements Quarantine.
 func (b *bench) BrokenOff(run quarantine.Broken) {
@@ -107,7 +107,7 @@
 }
 
 // Served implements Quarantine.
-func (b *bench) Served(*serving.Request) {
+func (b *bench) Served(*quarantine.Content) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.served++
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -21,16 +21,17 @@
 				q := newQuarantine(&fleet{result: platform.ProbeRefused})
 				for i := range contents {
 					q.BrokenOff(quarantine.Broken{
-						Request: request(fmt.Sprint(i)), Target: serving.Target{ID: "t"}, Began: time.Now(), HasCrashed: true, Err: errors.New("EOF"),
+						Content: request(fmt.Sprint(i)), Target: serving.Target{ID: "t"}, Began: time.Now(), HasCrashed: true, Err: errors.New("EOF"),
 					})
 				}
-				r := request(string(make([]byte, size)))
+				r := request(string(make([]byte, size))).Request
 				b.ReportAllocs()
 				for b.Loop() {
-					if q.Check(r) != nil || q.AdmitRequest(r) != nil {
+					c := quarantine.NewContent(r)
+					if q.Check(c) != nil || q.AdmitRequest(c) != nil {
 						b.Fatal("quarantined")
 					}
-					q.Served(r)
+					q.Served(c)
 				}
 			})
 		}
--- a/internal/quarantine/logstore_test.go
+++ b/internal/quarantine/logstore_test.go
@@ -37,7 +37,7 @@
 		for i := range quarantine.DefaultThreshold {
 			q := []*Quarantine{first, second}[i%2]
 			q.BrokenOff(quarantine.Broken{
-				Request: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: time.Now().Add(-runTime), HasCrashed: true, Err: fmt.Errorf("crashed"),
+				Content: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: time.Now().Add(-runTime), HasCrashed: true, Err: fmt.Errorf("crashed"),
 			})
 			time.Sleep(time.Second)
 		}
--- a/internal/quarantine/many_test.go
+++ b/internal/quarantine/many_test.go
@@ -89,8 +89,8 @@
 
 // send sends the request from a gateway, unless it is quarantined there.
 func (b *badRequest) send(q *Quarantine) {
-	r := &serving.Request{ID: "bad", Method: "POST", URI: "/a", Body: []byte("bad")}
-	if q.AdmitRequest(r) != nil {
+	c := quarantine.NewContent(&serving.Request{ID: "bad", Method: "POST", URI: "/a", Body: []byte("bad")})
+	if q.AdmitRequest(c) != nil {
 		return
 	}
 	began := time.Now()
@@ -103,7 +103,7 @@
 		b.mu.Lock()
 		b.crashes = append(b.crashes, time.Now())
 		b.mu.Unlock()
-		q.BrokenOff(quarantine.Broken{Request: r, Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
+		q.BrokenOff(quarantine.Broken{Content: c, Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
 	}()
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -151,69 +151,62 @@
 func (q *Quarantine) IsEmpty() bool { return q.known.Load() == 0 }
 
 // Check returns an error of type errs.Quarantined if a request must not be sent to a target.
-func (q *Quarantine) Check(r *serving.Request) error {
-	if q.IsEmpty() {
-		return nil
-	}
-	return q.CheckContent(r.ID, quarantine.FingerprintOf(r))
-}
-
-// CheckContent is Check for a request of that id whose fingerprint is known.
-func (q *Quarantine) CheckContent(id string, f quarantine.Fingerprint) error {
+func (q *Quarantine) Check(c *quarantine.Content) error {
 	if q.IsEmpty() {
 		return nil
 	}
+	f := c.Fingerprint()
 	q.mu.Lock()
 	isQuarantined, crashes := q.registry.Check(time.Now(), f), q.registry.Crashes(f)
 	q.mu.Unlock()
 	if !isQuarantined {
 		return nil
 	}
-	return q.reject(id, f, crashes)
+	return q.reject(c, crashes)
 }
 
 // AdmitRequest is called right before a request is sent to a target. It returns an error of type errs.Quarantined if it must not be. One
 // that is quarantined may be sent now and then to find out whether it is to blame.
-func (q *Quarantine) AdmitRequest(r *serving.Request) error {
+func (q *Quarantine) AdmitRequest(c *quarantine.Content) error {
 	if q.IsEmpty() {
 		return nil
 	}
-	f := quarantine.FingerprintOf(r)
+	f := c.Fingerprint()
 	q.mu.Lock()
 	isQuarantined, isTry := q.registry.Admit(time.Now(), f)
 	crashes := q.registry.Crashes(f)
 	q.mu.Unlock()
 	switch {
 	case isQuarantined:
-		return q.reject(r.ID, f, crashes)
+		return q.reject(c, crashes)
 	case isTry:
 		q.tried.Inc(1)
-		q.log.Info("tried", "request", r.ID, "content", f.String(), "crashes", crashes)
+		q.log.Info("tried", "request", c.Request.ID, "content", f.String(), "crashes", crashes)
 		q.announce()
 	}
 	return nil
 }
 
 // reject counts and logs a request that is not sent.
-func (q *Quarantine) reject(id string, f quarantine.Fingerprint, crashes int) error {
+func (q *Quarantine) reject(c *quarantine.Content, crashes int) error {
 	q.rejected.Inc(1)
-	q.lines.Info(time.Now(), "quarantined", "request", id, "content", f.String(), "crashes", crashes)
+	q.lines.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", c.Fingerprint().String(), "crashes", crashes)
 	return errs.Newf(errs.Quarantined, "%d targets have crashed under this request", crashes)
 }
 
 // Served notes that a target has served a request whole.
-func (q *Quarantine) Served(r *serving.Request) {
+func (q *Quarantine) Served(c *quarantine.Content) {
 	if q.IsEmpty() {
 		return
 	}
-	f := quarantine.FingerprintOf(r)
+	f := c.Fingerprint()
 	q.mu.Lock()
 	crashes := q.registry.Crashes(f)
 	hasCleared := q.registry.NoteServed(time.Now(), f)
 	q.mu.Unlock()
 	if hasCleared {
 		q.cleared.Inc(1)
-		q.log.Info("cleared", "request", r.ID, "content", f.String(), "crashes", crashes)
+		q.log.Info("cleared", "request", c.Request.ID, "content", f.String(), "crashes", crashes)
 		q.announce()
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -71,8 +71,8 @@
 		Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 }
 
-func request(body string) *serving.Request {
-	return &serving.Request{ID: "id", Method: "POST", Host: "h", URI: "/a", Body: []byte(body)}
+func request(body string) *quarantine.Content {
+	return quarantine.NewContent(&serving.Request{ID: "id", Method: "POST", Host: "h", URI: "/a", Body: []byte(body)})
 }
 
 // runTime is how long a run takes until its target crashes.
@@ -82,7 +82,7 @@
 func breakOff(q *Quarantine, body, target string) {
 	began := time.Now()
 	time.Sleep(runTime)
-	q.BrokenOff(quarantine.Broken{Request: request(body), Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
+	q.BrokenOff(quarantine.Broken{Content: request(body), Target: serving.Target{ID: target}, Began: began, Err: errors.New("EOF")})
 	time.Sleep(time.Second)
 	synctest.Wait()
 }
@@ -144,7 +144,7 @@
 		began := time.Now()
 		time.Sleep(runTime)
 		for i := range quarantine.DefaultThreshold {
-			q.BrokenOff(quarantine.Broken{Request: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: began, Err: errors.New("EOF")})
+			q.BrokenOff(quarantine.Broken{Content: request("body"), Target: serving.Target{ID: fmt.Sprint(i)}, Began: began, Err: errors.New("EOF")})
 		}
 		time.Sleep(100 * time.Millisecond)
 		if !isQuarantined(q, "body") {
@@ -186,7 +186,7 @@
 		f := &fleet{result: platform.ProbeAccepted}
 		q := newQuarantine(f)
 		breaks := func(body string, began time.Time) {
-			q.BrokenOff(quarantine.Broken{Request: request(body), Target: serving.Target{ID: "t"}, Began: began, Err: errors.New("EOF")})
+			q.BrokenOff(quarantine.Broken{Content: request(body), Target: serving.Target{ID: "t"}, Began: began, Err: errors.New("EOF")})
 		}
 		breaks("first", time.Now())
 		last := probeDelays[0] + probeDelays[1]
@@ -196,7 +196,7 @@
 		breaks("second", time.Now().Add(-runTime))
 		time.Sleep(time.Second)
 		synctest.Wait()
-		crashes := func(body string) int { return q.registry.Crashes(quarantine.FingerprintOf(request(body))) }
+		crashes := func(body string) int { return q.registry.Crashes(request(body).Fingerprint()) }
 		if crashes("first") != 0 || crashes("second") != 1 {
 			t.Errorf("%d crashes under the first, %d under the second", crashes("first"), crashes("second"))
 		}
@@ -217,7 +217,7 @@
 		run := func(i int, from, to string) {
 			began := time.Now()
 			time.Sleep(runTime)
-			q.BrokenOff(quarantine.Broken{Request: request("long"), Target: serving.Target{ID: fmt.Sprint("t", i)}, Began: began, From: from, To: to, Err: errors.New("EOF")})
+			q.BrokenOff(quarantine.Broken{Content: request("long"), Target: serving.Target{ID: fmt.Sprint("t", i)}, Began: began, From: from, To: to, Err: errors.New("EOF")})
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}
@@ -241,7 +241,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuarantine(&fleet{})
 		for i := range 2 * maxSuspects {
-			q.BrokenOff(quarantine.Broken{Request: request(fmt.Sprint(i)), Target: serving.Target{ID: fmt.Sprint(i % 7)}, Err: errors.New("EOF")})
+			q.BrokenOff(quarantine.Broken{Content: request(fmt.Sprint(i)), Target: serving.Target{ID: fmt.Sprint(i % 7)}, Err: errors.New("EOF")})
 		}
 		if q.suspects.len() > maxSuspects {
 			t.Errorf("%d suspects", q.suspects.len())
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -92,7 +92,7 @@
 // BrokenOff notes a broken run. Whether the target has crashed, or only the connection, shows within suspicionTTL.
 func (q *Quarantine) BrokenOff(b quarantine.Broken) {
 	now := time.Now()
-	s := suspect{request: b.Request.ID, content: quarantine.FingerprintOf(b.Request), began: b.Began, broken: now}
+	s := suspect{request: b.Content.Request.ID, content: b.Content.Fingerprint(), began: b.Began, broken: now}
 	q.broken.Inc(1)
 	q.log.Warn("broken off by target", "request", s.request, "content", s.content.String(), "target", b.Target.ID, "from_event", b.From,
 		"to_event", b.To, "error", b.Err.Error())
