Crashes: evidence names the start of the target that had the run

Cause, the same at two places: "is something there now" was taken for "is the start there that had the run". - Side: it asked its engine for a load after a break. An engine that was back by then answered, was taken for alive, and the stream was resumed there: one more crash for each of two resumes, none of them counted. - Gateway: an accepted connection cleared the suspicion. A supervisor, socket activation or a proxy accepts without the target, and a target that is back within milliseconds accepts as another start.

Change: a probe answers for a start. An engine tells how long it has run, and a start later than the run is another one; while it can't be asked, nothing is resumed there.

Tests of the probe (platform/runner), of resumes (internal/side) and of an engine that is back (internal/node) have no counterpart in the old interfaces. Expected counts of probes in internal/quarantine change with the schedule; what counts as a crash there does not.

Innocent requests stay so: connections that are reset while the start lives are answered by that start and count against nothing (table in internal/quarantine).

--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -75,6 +75,8 @@
 	// Versions are the versions of the loaded models; adapters stand as MODEL:ADAPTER.
 	Versions map[structs.ModelID]string `json:"versions,omitempty"`
 	Role     string                     `json:"role,omitempty"`
+	// UptimeMs is how long the engine's process has run, in milliseconds. It does not lag. 0 is not known.
+	UptimeMs int64 `json:"uptime_ms,omitempty"`
 }
 
 // GenerateCall is one request to a model engine.
--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -16,22 +16,22 @@
 	Send(ctx context.Context, c TargetCall) (*TargetAnswer, error)
 }
 
-// TargetProber tells whether the process of a target is there.
+// TargetProber tells whether the start of a target's process that is on the list still runs.
 type TargetProber interface {
-	// Probe connects to a target and sends nothing. It returns within half a second.
+	// Probe asks a target for its start. It returns within half a second.
 	Probe(ctx context.Context, t serving.Target) ProbeResult
 }
 
-// ProbeResult is what a probe shows.
+// ProbeResult is what a probe shows of one start of a process.
 type ProbeResult uint8
 
 const (
-	// ProbeUnknown shows nothing: the target may be cut off.
+	// ProbeUnknown shows nothing: the process may be cut off, or something else accepts connections in its place.
 	ProbeUnknown ProbeResult = iota
-	// ProbeAccepted shows that some process listens at the target's address.
-	ProbeAccepted
-	// ProbeRefused shows that none does: the target has crashed.
-	ProbeRefused
+	// ProbeAlive shows that the start still runs.
+	ProbeAlive
+	// ProbeGone shows that it does not: nothing listens at its address, or another start answers there.
+	ProbeGone
 )
 
 // TargetCall is one request to one target.
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -272,9 +272,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.crashed[t.ID] {
-		return platform.ProbeRefused
+		return platform.ProbeGone
 	}
-	return platform.ProbeAccepted
+	return platform.ProbeAlive
 }
 
 func (f *fakeTargets) count(id string) int {
--- a/internal/loadshare/probe.go
+++ b/internal/loadshare/probe.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"arbutusramp/core/sleep"
+	"arbutusramp/internal/tcpprobe"
 )
 
 const (
@@ -29,7 +26,7 @@
 func (s *Share) probePeers(ctx context.Context) error {
 	for sleep.For(ctx, probeInterval) {
 		for _, addr := range s.silentPeers(time.Now()) {
-			if isRefused(ctx, addr) {
+			if hasStopped(ctx, addr) {
 				s.log.Info("peer has stopped", "addr", addr.String())
 				s.quotas.Forget(addr.String())
 			}
@@ -54,13 +51,9 @@
 	return list
 }
 
-// isRefused reports whether the host at an address lives and no process listens there.
-func isRefused(ctx context.Context, addr netip.AddrPort) bool {
-	d := net.Dialer{Timeout: probeTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", addr.String())
-	if err == nil {
-		_ = conn.Close() // nothing was sent on it
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+// hasStopped reports whether the host of a peer lives and no process listens there.
+func hasStopped(ctx context.Context, addr netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return tcpprobe.IsRefused(ctx, addr.String())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/url"
+	"time"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
@@ -25,10 +26,12 @@
 	switch s.Target.Kind {
 	case structs.KindEngine:
 		o.Engine = newEngine(s)
-		o.Probe = func(ctx context.Context) platform.ProbeResult { return probeEngine(ctx, o.Engine) }
+		o.Probe = func(ctx context.Context, since time.Time) platform.ProbeResult {
+			return probeEngine(ctx, o.Engine, since)
+		}
 	case structs.KindService:
 		o.Service = newService(s)
-		o.Probe = func(ctx context.Context) platform.ProbeResult { return probeService(ctx, s.TargetURL) }
+		o.Probe = func(ctx context.Context, _ time.Time) platform.ProbeResult { return probeService(ctx, s.TargetURL) }
 	}
 	return side.New(o)
 }
@@ -41,23 +44,27 @@
 	return servicehttp.New(s.TargetURL, servicehttp.Options{})
 }
 
-// probeEngine asks an engine for its load: one that has ended does not answer, whatever accepts connections in its place.
-func probeEngine(ctx context.Context, e platform.Engine) platform.ProbeResult {
-	_, err := e.Load(ctx)
+// probeEngine asks an engine for its load. A start that has ended does not answer, whatever accepts connections in its place, and a later
+// one has run for less time.
+func probeEngine(ctx context.Context, e platform.Engine, since time.Time) platform.ProbeResult {
+	asked := time.Now()
+	load, err := e.Load(ctx)
 	switch {
+	case err == nil && load.UptimeMs > 0 && asked.Add(-time.Duration(load.UptimeMs)*time.Millisecond).After(since):
+		return platform.ProbeGone
 	case err == nil:
-		return platform.ProbeAccepted
+		return platform.ProbeAlive
 	case errs.Is(err, errs.TargetFailed):
-		return platform.ProbeRefused
+		return platform.ProbeGone
 	}
 	return platform.ProbeUnknown
 }
 
-// probeService connects to a plain service, which has nothing to ask for.
+// probeService connects to a plain service, which has nothing to ask for: only a refused connection tells something.
 func probeService(ctx context.Context, baseURL string) platform.ProbeResult {
 	u, err := url.Parse(baseURL)
-	if err != nil {
+	if err != nil || !tcpprobe.IsRefused(ctx, u.Host) {
 		return platform.ProbeUnknown // the check of the settings refuses such a URL
 	}
-	return tcpprobe.Probe(ctx, u.Host)
+	return platform.ProbeGone
 }
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -4,12 +4,17 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
 	"arbutusramp/platform/wiretest"
 	"arbutusramp/standin/keyedlog"
 )
@@ -29,6 +34,9 @@
 // another name takes the place of each.
 type crashFleet struct {
 	s *system
+	// acceptsFor is how long the address of a target that has crashed accepts connections, breaks them off, and is then that of the
+	// next target; 0 has it refuse them.
+	acceptsFor time.Duration
 
 	mu      sync.Mutex
 	started int
@@ -37,45 +45,99 @@
 }
 
 func newCrashFleet(s *system, targets int) *crashFleet {
-	f := &crashFleet{s: s}
+	return newSupervisedFleet(s, targets, 0)
+}
+
+// newSupervisedFleet is newCrashFleet with addresses that go on accepting connections.
+func newSupervisedFleet(s *system, targets int, acceptsFor time.Duration) *crashFleet {
+	f := &crashFleet{s: s, acceptsFor: acceptsFor}
 	for range targets {
 		f.start()
 	}
 	return f
 }
 
-// start lists one more target.
-func (f *crashFleet) start() {
+// supervisor listens in a target's place, and breaks connections off while the target is down.
+type supervisor struct {
+	net.Listener
+	isDown atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (s *supervisor) Accept() (net.Conn, error) {
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil || !s.isDown.Load() {
+			return conn, err
+		}
+		_ = conn.Close()
+	}
+}
+
+// crashTarget is the target at one address.
+type crashTarget struct {
+	server     *httptest.Server
+	supervisor *supervisor
+
+	mu      sync.Mutex
+	current *wiretest.Target
+}
+
+func (t *crashTarget) now() *wiretest.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// next begins a start under a new name.
+func (f *crashFleet) next(t *crashTarget) {
 	f.mu.Lock()
 	id := fmt.Sprintf("c-%d", f.started)
 	f.started++
 	f.mu.Unlock()
-	target := &wiretest.Target{ID: id, Events: itemEvents}
-	var server *httptest.Server
-	server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	t.current = &wiretest.Target{ID: id, Events: itemEvents}
+	t.mu.Unlock()
+}
+
+// start lists one more target.
+func (f *crashFleet) start() {
+	t := &crashTarget{}
+	f.next(t)
+	t.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		target := t.now()
 		body, err := io.ReadAll(r.Body)
 		if err != nil || string(body) != crashBody {
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			target.ServeHTTP(w, r)
 			return
 		}
-		f.crash(id, server)
+		f.crash(target.ID, t)
 		panic(http.ErrAbortHandler)
 	}))
-	server.Start()
-	f.s.t.Cleanup(server.Close)
-	f.s.list(id, server)
+	t.supervisor = &supervisor{Listener: t.server.Listener}
+	t.server.Listener = t.supervisor
+	t.server.Start()
+	f.s.t.Cleanup(t.server.Close)
+	f.s.list(t.now().ID, t.server)
 }
 
 // crash closes all that a target has open.
-func (f *crashFleet) crash(id string, server *httptest.Server) {
+func (f *crashFleet) crash(id string, t *crashTarget) {
 	f.mu.Lock()
 	f.crashes++
 	f.mu.Unlock()
-	_ = server.Listener.Close() // a second request may have crashed it already
-	server.CloseClientConnections()
+	if f.acceptsFor > 0 {
+		t.supervisor.isDown.Store(true)
+	} else {
+		_ = t.server.Listener.Close() // a second request may have crashed it already
+	}
+	t.server.CloseClientConnections()
 	f.pending.Go(func() {
-		f.start()
+		f.replace(t)
+		if f.acceptsFor > 0 {
+			return // the entry stays: what the address answers has to show it
+		}
 		time.Sleep(entryLapse)
 		if err := wiretest.Unlist(f.s.t.Context(), f.s.store, id); err != nil {
 			f.s.t.Logf("entry of %s stays: %v", id, err)
@@ -83,6 +145,18 @@
 	})
 }
 
+// replace puts another target in the place of one that has crashed.
+func (f *crashFleet) replace(t *crashTarget) {
+	if f.acceptsFor == 0 {
+		f.start()
+		return
+	}
+	time.Sleep(f.acceptsFor)
+	f.next(t)
+	t.supervisor.isDown.Store(false)
+	f.s.list(t.now().ID, t.server)
+}
+
 // count is how often a target has crashed.
 func (f *crashFleet) count() int {
 	f.mu.Lock()
@@ -134,6 +208,34 @@
 	}
 }
 
+// Guards against taking whatever accepts connections at the address of a target that has crashed for that target.
+func TestARequestThatCrashesTargetsBehindASupervisorIsSentNoMore(t *testing.T) {
+	const acceptsFor, maxRepeats = 300 * time.Millisecond, 150
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	f := newSupervisedFleet(s, 6, acceptsFor)
+	s.startGateways(3)
+	defer s.stopAll()
+	defer f.pending.Wait()
+	content := quarantine.NewContent(&serving.Request{Method: http.MethodPost, Host: wiretest.Host, URI: "/once/x", Body: []byte(crashBody)})
+	isKnown := func() bool {
+		return !slices.ContainsFunc(s.gateways, func(g *Gateway) bool { return g.quarantine.Check(content) == nil })
+	}
+	for n := 0; !isKnown(); n++ {
+		if n == maxRepeats {
+			t.Fatalf("not known at all gateways after %d repeats and %d crashes", n, f.count())
+		}
+		f.repeat("/once/x", 1, s.gateways[n%len(s.gateways)])
+	}
+	before := f.count()
+	f.repeat("/once/x", 24, s.gateways...)
+	if n := f.count() - before; n > 2 { // two tries at most, while the crashes may have come together
+		t.Errorf("%d more targets have crashed", n)
+	}
+	for _, g := range s.gateways {
+		f.expectServed("/once/x", g)
+	}
+}
+
 // Guards against a backlog that runs an item again and again although targets crash under it, also as an item of another job.
 func TestAnItemThatCrashesTargetsIsSentNoMore(t *testing.T) {
 	s := newSystemWithoutTargets(t, wiretest.Routes)
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -18,7 +18,7 @@
 	for _, size := range []int{1500, 15000} {
 		for _, contents := range []int{0, 1000} {
 			b.Run(fmt.Sprintf("%d bytes, %d contents known", size, contents), func(b *testing.B) {
-				q := newQuarantine(&fleet{result: platform.ProbeRefused})
+				q := newQuarantine(&fleet{result: platform.ProbeGone})
 				for i := range contents {
 					q.BrokenOff(quarantine.Broken{
 						Content: request(fmt.Sprint(i)), Target: serving.Target{ID: "t"}, Began: time.Now(), HasCrashed: true, Err: errors.New("EOF"),
--- a/internal/quarantine/many_test.go
+++ b/internal/quarantine/many_test.go
@@ -41,19 +41,27 @@
 // Guards against a fleet of gateways in which each has to see three crashes by itself, and against a storm of writes of what all of them
 // have just heard. One in ten reports is lost; the request under which targets crash comes once or several times at once.
 func TestManyGatewaysAgreeWithFewWrites(t *testing.T) {
+	refused := func() *fleet { return &fleet{result: platform.ProbeGone} }
 	for _, copies := range []int{1, 4} {
 		t.Run(fmt.Sprint(copies), func(t *testing.T) {
-			withGateways(t, func(g *gateways) { repeatAtMany(t, g, copies) })
+			withGateways(t, func(g *gateways) { repeatAtMany(t, g, copies, refused) })
 		})
 	}
 }
 
-func repeatAtMany(t *testing.T, g *gateways, copies int) {
+// Guards against a fleet of gateways that take whatever accepts connections in the place of a target that has crashed for that target.
+func TestManyGatewaysAgreeOnTargetsBehindSupervisors(t *testing.T) {
+	const acceptsFor = 700 * time.Millisecond
+	supervised := func() *fleet { return &fleet{answer: backAfter(acceptsFor)} }
+	withGateways(t, func(g *gateways) { repeatAtMany(t, g, 1, supervised) })
+}
+
+func repeatAtMany(t *testing.T, g *gateways, copies int, newFleet func() *fleet) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	var appends atomic.Int64
 	var all []*Quarantine
 	for range manyGateways {
-		q, view := newQuarantine(&fleet{result: platform.ProbeRefused}), g.store.View()
+		q, view := newQuarantine(newFleet()), g.store.View()
 		all = append(all, q)
 		g.wg.Go(func() { _ = q.Run(g.ctx, countedStore{view, &appends}) })
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -28,6 +28,8 @@
 	leaving bool
 	heard   time.Time
 	reports int
+	// answer, if not nil, is what a probe of a target shows in place of result.
+	answer func(target string) platform.ProbeResult
 }
 
 func (f *fleet) set(change func()) {
@@ -37,10 +39,13 @@
 }
 
 // Probe implements platform.TargetProber.
-func (f *fleet) Probe(context.Context, serving.Target) platform.ProbeResult {
+func (f *fleet) Probe(_ context.Context, t serving.Target) platform.ProbeResult {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.probes++
+	if f.answer != nil {
+		return f.answer(t.ID)
+	}
 	return f.result
 }
 
@@ -65,6 +70,21 @@
 	f.reports++
 }
 
+// backAfter answers for targets in whose place something accepts connections until another start answers that long after the first
+// probe.
+func backAfter(d time.Duration) func(target string) platform.ProbeResult {
+	probed := make(map[string]time.Time)
+	return func(target string) platform.ProbeResult {
+		if _, ok := probed[target]; !ok {
+			probed[target] = time.Now()
+		}
+		if time.Since(probed[target]) < d {
+			return platform.ProbeUnknown
+		}
+		return platform.ProbeGone
+	}
+}
+
 func newQuarantine(f *fleet, off ...string) *Quarantine {
 	o, _ := policy.Parse(off) // names of the tests' own
 	return New(Options{Threshold: quarantine.DefaultThreshold, Hold: quarantine.DefaultHold, Off: o, Prober: f, Fleet: f,
@@ -100,20 +120,21 @@
 		want   bool
 		probes int
 	}{
-		{name: "connections are refused", fleet: &fleet{result: platform.ProbeRefused}, want: true, probes: 3},
-		{name: "only the connection was lost", fleet: &fleet{result: platform.ProbeAccepted}, probes: 6},
-		{name: "the target answers others", fleet: &fleet{result: platform.ProbeAccepted, heard: time.Now().Add(100 * 365 * 24 * time.Hour)}, probes: 3},
-		{name: "cut off, and gone from the list", fleet: &fleet{}, want: true, probes: 6,
+		{name: "connections are refused", fleet: &fleet{result: platform.ProbeGone}, want: true, probes: 3},
+		{name: "only the connection was lost", fleet: &fleet{result: platform.ProbeAlive}, probes: 3},
+		{name: "the target answers others", fleet: &fleet{heard: time.Now().Add(100 * 365 * 24 * time.Hour)}, probes: 3},
+		{name: "cut off, and gone from the list", fleet: &fleet{}, want: true, probes: 12,
 			after: func(q *Quarantine, target string) { q.TargetsGone([]string{target}) }},
-		{name: "cut off, and still on the list", fleet: &fleet{}, probes: 6},
-		{name: "gone from the list long after", fleet: &fleet{}, probes: 6,
+		{name: "cut off, and still on the list", fleet: &fleet{}, probes: 18},
+		{name: "gone from the list long after", fleet: &fleet{}, probes: 18,
 			after: func(q *Quarantine, target string) {
 				time.Sleep(suspicionTTL)
 				q.TargetsGone([]string{target})
 			}},
-		{name: "alive, and gone from the list soon after", fleet: &fleet{result: platform.ProbeAccepted}, probes: 6,
+		{name: "alive, and gone from the list soon after", fleet: &fleet{result: platform.ProbeAlive}, probes: 3,
 			after: func(q *Quarantine, target string) { q.TargetsGone([]string{target}) }},
-		{name: "leaving", fleet: &fleet{result: platform.ProbeRefused, leaving: true}},
+		{name: "something accepts connections until the next start answers", fleet: &fleet{answer: backAfter(700 * time.Millisecond)}, want: true, probes: 12},
+		{name: "leaving", fleet: &fleet{result: platform.ProbeGone, leaving: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -126,6 +147,7 @@
 						c.after(q, target)
 					}
 				}
+				time.Sleep(suspicionTTL)
 				if isQuarantined(q, "body") != c.want || c.fleet.probes != c.probes {
 					t.Errorf("quarantined %v after %d probes, want %v after %d", !c.want, c.fleet.probes, c.want, c.probes)
 				}
@@ -140,7 +162,7 @@
 // What many callers send is under way at targets that are lost together. It is tried once, by one request, and served on.
 func TestAContentWhoseCrashesCameTogetherIsTriedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuarantine(&fleet{result: platform.ProbeRefused})
+		q := newQuarantine(&fleet{result: platform.ProbeGone})
 		began := time.Now()
 		time.Sleep(runTime)
 		for i := range quarantine.DefaultThreshold {
@@ -168,9 +190,9 @@
 		q := newQuarantine(f)
 		for i := range quarantine.DefaultThreshold {
 			target := fmt.Sprintf("t%d", i)
-			f.set(func() { f.result = platform.ProbeAccepted })
+			f.set(func() { f.result = platform.ProbeAlive })
 			breakOff(q, "harmless", target)
-			f.set(func() { f.result = platform.ProbeRefused })
+			f.set(func() { f.result = platform.ProbeGone })
 			breakOff(q, "body", target)
 		}
 		if !isQuarantined(q, "body") || isQuarantined(q, "harmless") {
@@ -183,7 +205,7 @@
 // break at a target's next start for its last crash.
 func TestCrashesAroundAProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{result: platform.ProbeAccepted}
+		f := &fleet{result: platform.ProbeAlive}
 		q := newQuarantine(f)
 		breaks := func(body string, began time.Time) {
 			q.BrokenOff(quarantine.Broken{Content: request(body), Target: serving.Target{ID: "t"}, Began: began, Err: errors.New("EOF")})
@@ -192,7 +214,7 @@
 		last := probeDelays[0] + probeDelays[1]
 		time.Sleep(last) // the last probe of the first break is under way or over
 		synctest.Wait()
-		f.set(func() { f.result = platform.ProbeRefused })
+		f.set(func() { f.result = platform.ProbeGone })
 		breaks("second", time.Now().Add(-runTime))
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -200,7 +222,7 @@
 		if crashes("first") != 0 || crashes("second") != 1 {
 			t.Errorf("%d crashes under the first, %d under the second", crashes("first"), crashes("second"))
 		}
-		f.set(func() { f.result = platform.ProbeAccepted })
+		f.set(func() { f.result = platform.ProbeAlive })
 		breaks("third", time.Now())
 		time.Sleep(time.Second)
 		synctest.Wait()
@@ -213,7 +235,7 @@
 // Guards against blaming long work that goes on from where it was each time it is interrupted by the crashes of others.
 func TestACrashUnderWorkThatAdvancesDoesNotCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuarantine(&fleet{result: platform.ProbeRefused})
+		q := newQuarantine(&fleet{result: platform.ProbeGone})
 		run := func(i int, from, to string) {
 			began := time.Now()
 			time.Sleep(runTime)
@@ -251,6 +273,7 @@
 		if n := q.suspects.len(); n != 1 {
 			t.Errorf("%d suspects after all but one are too old", n)
 		}
+		time.Sleep(suspicionTTL) // until the last probe is over
 	})
 }
 
@@ -263,7 +286,7 @@
 }
 
 func (g *gateways) start() (*Quarantine, *keyedlog.View, *fleet) {
-	f := &fleet{result: platform.ProbeRefused}
+	f := &fleet{result: platform.ProbeGone}
 	q, view := newQuarantine(f), g.store.View()
 	g.wg.Go(func() { _ = q.Run(g.ctx, view) })
 	return q, view, f
@@ -369,7 +392,7 @@
 // Switched off, nothing is rejected or written.
 func TestTheQuarantineCanBeSwitchedOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuarantine(&fleet{result: platform.ProbeRefused}, string(policy.Quarantine))
+		q := newQuarantine(&fleet{result: platform.ProbeGone}, string(policy.Quarantine))
 		for i := range quarantine.DefaultThreshold {
 			breakOff(q, "body", fmt.Sprint(i))
 		}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -19,9 +19,11 @@
 	maxSuspects = 4096
 )
 
-// probeDelays are the pauses before each probe of a target that has broken off a request. A process that crashes may close its
-// connections a moment before its listener.
-var probeDelays = []time.Duration{10 * time.Millisecond, 200 * time.Millisecond}
+// probeDelays are the pauses before each probe of a target that has broken off a request, until one shows something. A process that
+// crashes may close its connections a moment before its listener, and a supervisor may accept connections until the next start answers.
+var probeDelays = []time.Duration{
+	10 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond,
+}
 
 // bufferedFor is how long after its crash something that a target has sent may still be read.
 const bufferedFor = 50 * time.Millisecond
@@ -76,7 +78,7 @@
 	return list
 }
 
-// dismiss drops the suspects that a target has broken off before it was seen to take connections. It reports whether there are
+// dismiss drops the suspects that a target has broken off before it was seen to run. It reports whether there are
 // others.
 func (s *suspects) dismiss(id string, seen time.Time) (hasOthers bool) {
 	t, ok := s.byTarget[id]
@@ -127,6 +129,14 @@
 	return ok
 }
 
+// hasSuspects says whether a target has broken off requests of which it is not known yet whether it has crashed.
+func (q *Quarantine) hasSuspects(target string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t, ok := q.suspects.byTarget[target]
+	return ok && len(t.suspects) > 0
+}
+
 // suspect adds a suspect. It returns the evidence that its target has crashed, if there is some already, and whether the target has to
 // be probed.
 func (q *Quarantine) suspect(s suspect, target string) (evidence string, needsProbe bool) {
@@ -154,27 +164,30 @@
 	return "", needsProbe
 }
 
-// probe finds out whether a target that has broken off requests takes connections. If that can't be told, its entry on the list
+// probe finds out whether a target that has broken off requests still runs. If that can't be told, its entry on the list
 // decides.
 func (q *Quarantine) probe(t serving.Target, broken time.Time) {
 	for needsProbe := true; needsProbe; broken = time.Now() {
 		result, asked := q.ask(t, broken)
-		if result == platform.ProbeRefused {
-			q.confirm(t.ID, "connection refused")
+		if result == platform.ProbeGone {
+			q.confirm(t.ID, "refused or another start answered")
 		}
 		needsProbe = q.endProbe(t.ID, result, asked)
 	}
 }
 
-// ask probes a target that has broken off a request at a time. It returns when the last probe began.
+// ask probes a target that has broken off a request at a time until that shows something. It returns when the last probe began.
 func (q *Quarantine) ask(t serving.Target, broken time.Time) (result platform.ProbeResult, asked time.Time) {
 	for i, delay := range probeDelays {
 		sleep.For(context.Background(), delay)
-		if i > 0 && q.fleet.HeardSince(t.ID, broken.Add(bufferedFor)) {
+		if after := broken.Add(bufferedFor); i > 0 && q.fleet.HeardSince(t.ID, after) {
+			return platform.ProbeAlive, after
+		}
+		if !q.hasSuspects(t.ID) {
 			break
 		}
 		asked = time.Now()
-		if result = q.prober.Probe(context.Background(), t); result == platform.ProbeRefused {
+		if result = q.prober.Probe(context.Background(), t); result != platform.ProbeUnknown {
 			break
 		}
 	}
@@ -185,7 +198,7 @@
 func (q *Quarantine) endProbe(target string, result platform.ProbeResult, asked time.Time) (needsProbe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if result == platform.ProbeAccepted && q.suspects.dismiss(target, asked) {
+	if result == platform.ProbeAlive && q.suspects.dismiss(target, asked) {
 		return true
 	}
 	if t, ok := q.suspects.byTarget[target]; ok {
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -82,6 +82,39 @@
 	})
 }
 
+// Guards against resuming a stream at an engine that has crashed under it, or that may have: the request may be why.
+func TestAStreamIsResumedOnlyWhileItsEngineIsAlive(t *testing.T) {
+	for result, want := range map[platform.ProbeResult]struct {
+		runs int
+		end  errs.Type
+	}{
+		platform.ProbeAlive:   {1 + maxResumes, errs.StreamBroken},
+		platform.ProbeUnknown: {1, errs.StreamBroken},
+		platform.ProbeGone:    {1, errs.TargetCrashed},
+	} {
+		bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+			began := time.Now()
+			b.o.Probe = func(_ context.Context, since time.Time) platform.ProbeResult {
+				if since.Before(began) || since.After(time.Now()) {
+					t.Errorf("asked for the start at %v, the run began at %v", since, began)
+				}
+				return result
+			}
+			b.target.generate = func(_ context.Context, call platform.GenerateCall, sink func(platform.Token) error) error {
+				_ = sink(token(call.ResumeFrom, "x"))
+				return errs.New(errs.StreamBroken, "cut")
+			}
+			b.open(1, generateOpen())
+			time.Sleep(time.Second)
+			synctest.Wait()
+			wantEnd(t, b.entry.answer(1), want.end, errs.RanUnknown)
+			if n := len(b.target.generations()); n != want.runs {
+				t.Errorf("probe %v: %d runs, want %d", result, n, want.runs)
+			}
+		})
+	}
+}
+
 // Symptom: one caller on a slow line holds up the others of its session. Its stream
 // has no credit left; another stream must get its whole answer meanwhile.
 func TestSlowReaderHoldsUpNobody(t *testing.T) {
--- a/internal/side/engine.go
+++ b/internal/side/engine.go
@@ -23,14 +23,20 @@
 type generation struct {
 	engine platform.Engine
 	call   platform.GenerateCall
-	done   progress
-	guard  *guard
+	// began is when the engine was last given the request.
+	began time.Time
+	done  progress
+	guard *guard
 	// handed says that the engine was given the request at least once.
 	handed bool
 	// fresh says that no token of the present run has come.
 	fresh bool
 	// emit takes each new token once and in order. It may block for the caller's credit.
 	emit func(t platform.Token) error
+	// diagnose names a failure, and says whether a broken stream is worth a resume here.
+	diagnose func(err *errs.Error) (failure *errs.Error, canResume bool)
+	// resuming is called before each resume.
+	resuming func(err *errs.Error)
 }
 
 // attempt hands the request to the engine from the position that is reached. Late
@@ -39,6 +45,7 @@
 func (g *generation) attempt() error {
 	g.call.ResumeFrom = g.done.next
 	g.call.PriorText = g.done.text.String()
+	g.began = time.Now()
 	err := g.engine.Generate(g.guard.ctx, g.call, g.take)
 	if err == nil {
 		return nil
@@ -68,17 +75,18 @@
 	return g.emit(t)
 }
 
-// run attempts until the stream is whole, resuming at most times while again says so.
-func (g *generation) run(times int, again func(err *errs.Error) bool) error {
+// run attempts until the stream is whole, with as many resumes as times at most. Error: *errs.Error.
+func (g *generation) run(times int) error {
 	for try := 0; ; try++ {
 		err := g.attempt()
 		if err == nil {
 			return nil
 		}
-		failure := errs.As(err)
-		if try >= times || g.guard.cause() != nil || !resumable(failure) || !again(failure) {
+		failure, canResume := g.diagnose(errs.As(err))
+		if try >= times || g.guard.cause() != nil || !resumable(failure) || !canResume {
 			return failure
 		}
+		g.resuming(failure)
 		if !sleep.For(g.guard.ctx, resumeDelay) {
 			return errs.As(context.Cause(g.guard.ctx)).WithRan(errs.RanUnknown)
 		}
@@ -105,15 +113,13 @@
 	}
 	gen.done.resume(c.open.ResumeFrom, c.open.PriorText)
 	gen.emit = c.emitter(g, &gen.done)
-	again := func(err *errs.Error) bool {
-		if c.s.named(err).Type == errs.TargetCrashed {
-			return false // the request may be why; its entry counts that before it is sent again
-		}
-		c.s.logResume(c, gen.done.next, err)
-		return !c.open.NonIdempotent
+	gen.diagnose = func(err *errs.Error) (*errs.Error, bool) {
+		failure, process := c.s.diagnose(err, gen.began)
+		// The request may be why a process has gone; its entry counts that before the request is sent again.
+		return failure, process == platform.ProbeAlive && !c.open.NonIdempotent
 	}
-	err := gen.run(maxResumes, again)
-	c.generated(gen, err)
+	gen.resuming = func(err *errs.Error) { c.s.logResume(c, gen.done.next, err) }
+	c.generated(gen, gen.run(maxResumes))
 }
 
 // emitter relays tokens; the engine's stream is read no further while the caller has no credit.
@@ -150,7 +156,7 @@
 		c.end(nil, gen.done.next)
 		return
 	}
-	failure := c.s.named(errs.As(err))
+	failure := errs.As(err)
 	c.s.targetFailed(failure)
 	if c.keyed && failure.Ran != errs.RanNo {
 		c.s.keys.finish(c.key, unkept())
--- a/internal/side/item.go
+++ b/internal/side/item.go
@@ -53,6 +53,8 @@
 			},
 		}
 		i.gen.emit = i.emit
+		i.gen.diagnose = i.diagnose
+		i.gen.resuming = func(*errs.Error) {}
 	}
 	return i
 }
@@ -264,7 +266,7 @@
 func (i *item) generate(g *guard) {
 	i.gen.guard = g
 	i.gen.fresh = true
-	err := i.gen.run(itemResumes, i.resumes)
+	err := i.gen.run(itemResumes)
 	if err == nil {
 		i.s.queue.ended(i.id, admit.Finished)
 		i.finish()
@@ -273,11 +275,15 @@
 	i.failed(g, errs.As(err))
 }
 
-// resumes says whether a broken stream is worth a resume here: not when the
+// diagnose says whether a broken stream is worth a resume here: not when the
 // engine itself is gone, for what ran on it is then suspect.
-func (i *item) resumes(*errs.Error) bool {
+func (i *item) diagnose(err *errs.Error) (failure *errs.Error, canResume bool) {
+	if !resumable(err) {
+		return err, false
+	}
 	i.s.items.broke(i)
-	return !i.it.NonIdempotent && i.s.askEngine(i.gen.guard.ctx)
+	_, process := i.s.diagnose(err, i.gen.began)
+	return err, process == platform.ProbeAlive && !i.it.NonIdempotent && i.s.askEngine(i.gen.guard.ctx)
 }
 
 func (i *item) finish() {
--- a/internal/side/service.go
+++ b/internal/side/service.go
@@ -1,6 +1,8 @@
 package side
 
 import (
+	"time"
+
 	"arbutusramp/core/admit"
 	"arbutusramp/core/dedup"
 	"arbutusramp/core/errs"
@@ -10,6 +12,7 @@
 // callService runs a call of a plain service. The place at the target is given
 // back before the answer is relayed, so a slow caller holds none.
 func (c *call) callService(g *guard) {
+	began := time.Now()
 	answer, err := c.s.o.Service.Call(g.ctx, platform.ServiceCall{
 		Request: c.open.Request,
 		Method:  c.open.Method,
@@ -18,7 +21,7 @@
 		Body:    c.open.Body,
 	})
 	if err != nil {
-		c.serviceFailed(g, errs.As(err))
+		c.serviceFailed(g, errs.As(err), began)
 		return
 	}
 	c.s.targetAnswered()
@@ -29,8 +32,8 @@
 	c.relay(g, &answer)
 }
 
-func (c *call) serviceFailed(g *guard, err *errs.Error) {
-	failure := c.s.named(g.failure(err))
+func (c *call) serviceFailed(g *guard, err *errs.Error, began time.Time) {
+	failure, _ := c.s.diagnose(g.failure(err), began)
 	c.s.targetFailed(failure)
 	if c.keyed && failure.Ran != errs.RanNo {
 		c.s.keys.finish(c.key, dedup.Answer{Err: failure})
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -44,8 +44,8 @@
 	Config ConfigPort
 	// Keys are the keys in force; nil takes those of Settings.
 	Keys *keyring.Keyring
-	// Probe tells whether the target's process is there; nil can't tell.
-	Probe func(ctx context.Context) platform.ProbeResult
+	// Probe tells whether the start of the target's process that ran at a time still runs; nil can't tell.
+	Probe func(ctx context.Context, since time.Time) platform.ProbeResult
 	// NoPreempt turns preemption off, as a baseline for experiments.
 	NoPreempt bool
 }
@@ -291,21 +291,23 @@
 // probeTimeout bounds the question whether the target's process is there. It is on the same host.
 const probeTimeout = 300 * time.Millisecond
 
-// named gives a failure that broke a request off the type errs.TargetCrashed if the target's process is gone: entries count such
-// crashes against the request.
-func (s *Side) named(failure *errs.Error) *errs.Error {
+// diagnose finds out whether the target's process that had a run from a time on still runs after the run failed. The failure gets the
+// type errs.TargetCrashed if it does not: entries count such crashes against the request. Without a probe the process is
+// taken to be alive.
+func (s *Side) diagnose(failure *errs.Error, began time.Time) (*errs.Error, platform.ProbeResult) {
 	broke := failure.Type == errs.StreamBroken || failure.Type == errs.TargetFailed
 	if s.o.Probe == nil || !broke || failure.Ran == errs.RanNo {
-		return failure
+		return failure, platform.ProbeAlive
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	if s.o.Probe(ctx) != platform.ProbeRefused {
-		return failure
+	result := s.o.Probe(ctx, began)
+	if result != platform.ProbeGone {
+		return failure, result
 	}
 	crashed := *failure
 	crashed.Type = errs.TargetCrashed
-	return &crashed
+	return &crashed, result
 }
 
 // targetFailed counts the target as unhealthy when it hung or could not be reached.
--- a/internal/tcpprobe/probe.go
+++ b/internal/tcpprobe/probe.go
@@ -1,5 +1,4 @@
-// Package tcpprobe tells whether a process listens at an address. It tells a process that has ended from one whose connection was
-// lost.
+// Package tcpprobe tells whether a host refuses connections to an address. It tells a process that has ended from one that is cut off.
 package tcpprobe
 
 import (
@@ -8,20 +7,15 @@
 	"syscall"
 
 	"github.com/pkg/errors"
-
-	"arbutusramp/core/platform"
 )
 
-// Probe connects to an address (IP:port) and sends nothing.
-func Probe(ctx context.Context, addr string) platform.ProbeResult {
+// IsRefused connects to an address (IP:port), sends nothing, and reports whether its host lives and no process listens there.
+func IsRefused(ctx context.Context, addr string) bool {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", addr)
-	switch {
-	case err == nil:
+	if err == nil {
 		_ = conn.Close() // nothing was sent on it
-		return platform.ProbeAccepted
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return platform.ProbeRefused
+		return false
 	}
-	return platform.ProbeUnknown
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/internal/tcpprobe/probe_test.go
+++ b/internal/tcpprobe/probe_test.go
@@ -4,28 +4,26 @@
 	"context"
 	"net"
 	"testing"
-
-	"arbutusramp/core/platform"
 )
 
-func TestProbe(t *testing.T) {
+func TestIsRefused(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	addr := l.Addr().String()
-	if got := Probe(t.Context(), addr); got != platform.ProbeAccepted {
-		t.Errorf("%v while a process listens", got)
+	if IsRefused(t.Context(), addr) {
+		t.Error("refused while a process listens")
 	}
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if got := Probe(t.Context(), addr); got != platform.ProbeRefused {
-		t.Errorf("%v after it has ended", got)
+	if !IsRefused(t.Context(), addr) {
+		t.Error("not refused after it has ended")
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	if got := Probe(ended, addr); got != platform.ProbeUnknown {
-		t.Errorf("%v without time to find out", got)
+	if IsRefused(ended, addr) {
+		t.Error("refused without time to find out")
 	}
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -53,6 +53,8 @@
 	// downUntil is when a crashed engine is back. A request that was read just before
 	// the crash must not start in the batch after it.
 	downUntil time.Time
+	// startedAt is when the engine's present process started.
+	startedAt time.Time
 }
 
 const forever = 100 * 365 * 24 * time.Hour
@@ -71,6 +73,7 @@
 			EventDropShare: o.EventDropShare,
 		}),
 	}
+	s.startedAt = time.Now()
 	s.batch = newBatch(o, s.onStarted, s.onCacheEvent)
 	s.models.reset(o.Models)
 	s.reportLocked(time.Now())
@@ -110,6 +113,7 @@
 func (s *Server) Crash() {
 	s.mu.Lock()
 	s.downUntil = time.Now().Add(s.opts.RestartTime)
+	s.startedAt = s.downUntil
 	s.batch.crash()
 	s.models.reset(s.opts.Models)
 	s.reportLocked(time.Now())
@@ -182,9 +186,14 @@
 	}
 }
 
-// Load returns the lagging load report.
+// Load returns the lagging load report with the process's present uptime.
 func (s *Server) Load() platform.EngineLoad {
-	return s.loads.at(time.Now().Add(-s.knobs.Get().loadLag()))
+	now := time.Now()
+	load := s.loads.at(now.Add(-s.knobs.Get().loadLag()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load.UptimeMs = max(1, now.Sub(s.startedAt).Milliseconds())
+	return load
 }
 
 func (s *Server) serveEvents(ctx *fasthttp.RequestCtx) {
