Backlog: the scheduler looks through the jobs when they change, not at each report

Cause: each report of a peer woke the scheduler of every gateway, which then looked through all jobs that the fleet keeps. Reports and jobs both grow with the fleet, so that the cost of one gateway grew with its square, also at gateways that own no shard (540 of 556).

Change: a look follows a change of the backlog or a new shard, and every 250 ms without one; a gateway without items leaves the reports alone. Progress that a new owner reads announces itself now, since it was found by chance before.

The counter backlog.scans shows them.

--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -132,6 +132,9 @@
 		drops = append(drops, r.unneeded(own)...)
 		return other < 0
 	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.announce()
 	return drops, err
 }
 
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
@@ -43,10 +45,19 @@
 	runs   sync.WaitGroup
 	// settled gets a token when a run is over and what it means for its item is known.
 	settled chan struct{}
+	// adopted gets a token when a shard's items may run.
+	adopted chan struct{}
+	scans   metrics.Counter // of the backlog for items to run
 }
 
+// scansMetric counts how often the scheduler has looked through all jobs.
+const scansMetric = "backlog.scans"
+
 func newScheduler(m *Manager) *scheduler {
-	return &scheduler{m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task), settled: make(chan struct{}, 1)}
+	return &scheduler{
+		m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task), settled: make(chan struct{}, 1), adopted: make(chan struct{}, 1),
+		scans: metrics.GetOrRegisterCounter(scansMetric, m.reg),
+	}
 }
 
 // leaseUntil notes until when the store deals nobody else this process's shards.
@@ -62,6 +73,7 @@
 	defer d.mu.Unlock()
 	if ctx.Err() == nil {
 		d.shards[s] = true
+		signal(d.adopted)
 	}
 }
 
@@ -114,12 +126,19 @@
 	}
 }
 
-// run starts items until ctx ends.
+// run starts items until ctx ends. Peers' reports wake it many times a second in a large fleet: it looks through the backlog only when
+// that has changed, and leaves the reports alone while it has nothing to run.
 func (d *scheduler) run(ctx context.Context) error {
 	look := sleep.NewTimer(idlePollInterval)
 	defer look.Stop()
+	var news <-chan struct{}
+	var synced time.Time // zero: the tasks may lack something
 	for {
-		news := d.sync()
+		if time.Since(synced) >= idlePollInterval {
+			synced = time.Now()
+			d.scans.Inc(1)
+			news = d.sync()
+		}
 		for d.startOne(ctx) {
 			sleep.For(ctx, startGap)
 		}
@@ -132,13 +151,26 @@
 		case <-ctx.Done():
 			return nil
 		case <-news:
-		case <-d.m.view.Freed():
+			synced = time.Time{}
+		case <-d.adopted:
+			synced = time.Time{}
+		case <-d.freed():
 		case <-d.settled:
 		case <-look.C:
 		}
 	}
 }
 
+// freed gets a token when there may be room for an item that there was not before; nil without items.
+func (d *scheduler) freed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.tasks) == 0 {
+		return nil
+	}
+	return d.m.view.Freed()
+}
+
 // want tells the peers how many items wait here and when the first is due.
 func (d *scheduler) want() int {
 	var w fleet.Demand
@@ -154,9 +186,12 @@
 }
 
 // noteSettled wakes the scheduler after a run. The slot that has come free wakes it, too, but maybe before the item can go on.
-func (d *scheduler) noteSettled() {
+func (d *scheduler) noteSettled() { signal(d.settled) }
+
+// signal leaves a token in a channel that has room for one.
+func signal(c chan struct{}) {
 	select {
-	case d.settled <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -191,10 +191,7 @@
 	o.known = time.Now()
 	s.queue = append(s.queue, o)
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	signal(s.wake)
 	return true
 }
 
