Load reports of large fleets go over hubs, so that a gateway hears as much as in a small one

At 556 that are 2,770 datagrams a second sent and as many heard by each gateway, 5 a second for each other one, whatever it does. Its pause between two reports grew with the domain, too.

Change: beyond 40 receivers, where the pause of a gateway that tells all by itself is longer than the way over two hubs, a gateway tells two hubs of its domain, chosen by rendezvous over the live ones. A hub tells what has come within 10 ms to its domain along a tree and to a hub of each other domain; every 200 ms it repeats signs of life and the reports that are not idle, so that a lost datagram or hub costs that long. Names go with introductions, reports with short ids; gateways that lack some ask for them. The list of gateways in the store names their domains. Below 40 receivers nothing changes.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -207,6 +207,40 @@
 	f.peers[from] = &peer{at: now, Report: r}
 }
 
+// Sign is a sign of life of a peer that another gateway passes on.
+type Sign struct {
+	Heard   time.Time // when that one last heard of the peer
+	Contact time.Time // when the platform's store last answered the peer
+	// IsIdle says that the peer has nothing at targets and wants to start nothing.
+	IsIdle bool
+}
+
+// NoteSign takes in a sign of life of a peer. What the peer has told before holds on, unless it is idle.
+func (f *Fleet) NoteSign(now time.Time, from Peer, s Sign) {
+	f.expire(now)
+	if now.Sub(s.Heard) > f.opts.PeerTTL {
+		return
+	}
+	p, ok := f.peers[from]
+	if !ok {
+		p = &peer{}
+		f.peers[from] = p
+	}
+	if s.IsIdle && p.hasNews() {
+		f.replace(now, from, p, &Report{})
+		p.Report = Report{}
+	}
+	if s.Heard.After(p.at) {
+		p.at, p.Contact = s.Heard, s.Contact
+	}
+	if expiry := p.at.Add(f.opts.PeerTTL); expiry.Before(f.nextExpiry) {
+		f.nextExpiry = expiry
+	}
+}
+
+// hasNews says whether the peer has told anything that an idle one does not.
+func (p *peer) hasNews() bool { return len(p.Loads) > 0 || p.Demand.Items > 0 || len(p.Suspects) > 0 }
+
 // noteBatch notes how many batch items a peer has at the target.
 func (n *node) noteBatch(name Peer, items int) {
 	if items == 0 {
--- a/core/fleet/peers_test.go
+++ b/core/fleet/peers_test.go
@@ -75,3 +75,43 @@
 		}
 	}
 }
+
+// Guards against peers that count as gone although others still hear them, and against loads of peers that are known to be idle.
+func TestSignsOfLifeThatOthersPassOn(t *testing.T) {
+	const ttl = time.Second
+	f := New(Options{Self: "self", PeerTTL: ttl})
+	f.Put(serving.Target{ID: "t", Service: "s", Slots: 1})
+	now := time.UnixMilli(0)
+	hasRoom := func() bool {
+		_, ok := f.PickBatch(now, "s", nil)
+		return ok
+	}
+	f.ApplyReport(now, "peer", Report{Loads: map[string]Load{"t": {Online: 1}}})
+	now = now.Add(800 * time.Millisecond)
+	f.NoteSign(now, "peer", Sign{Heard: now.Add(-100 * time.Millisecond)})
+	now = now.Add(800 * time.Millisecond)
+	if hasRoom() || f.Peers(now) != 1 {
+		t.Error("a peer that others hear counts as gone")
+	}
+	now = now.Add(200 * time.Millisecond)
+	if !hasRoom() || f.Peers(now) != 0 {
+		t.Error("a peer counts for longer than since it was heard")
+	}
+	f.ApplyReport(now, "peer", Report{Loads: map[string]Load{"t": {Online: 1}}})
+	f.NoteSign(now, "peer", Sign{Heard: now, IsIdle: true})
+	if !hasRoom() || f.Peers(now) != 1 {
+		t.Error("the loads of a peer that is idle count")
+	}
+	f.NoteSign(now, "new", Sign{Heard: now.Add(-ttl / 2), Contact: now})
+	f.NoteSign(now, "old", Sign{Heard: now.Add(-2 * ttl)})
+	if n := f.Peers(now); n != 2 {
+		t.Errorf("%d peers, want the known one and the new one", n)
+	}
+	now = now.Add(ttl/2 + time.Millisecond)
+	if n := f.Peers(now); n != 1 {
+		t.Errorf("%d peers once the new one has been silent for too long", n)
+	}
+	if !f.StoreDownForAll(now) {
+		t.Error("a peer that is gone counts as one that reaches the store")
+	}
+}
--- a/core/quota/peers.go
+++ b/core/quota/peers.go
@@ -17,6 +17,8 @@
 	// IsFirst says that this is among the first reports of that start, so that its counts began under the eyes of its peers.
 	IsFirst bool
 	Counts  []Count
+	// Delay is how much longer than usual the next word of the peer may take, since others pass it on.
+	Delay time.Duration
 }
 
 // peer is what is known of another gateway.
@@ -26,8 +28,12 @@
 	isNew   bool // heard from its start on
 	totals  map[string]int64
 	isKnown bool // it has reported; otherwise only its address is known
+	delay   time.Duration
 }
 
+// isSilent says whether the word of the peer is missing.
+func (p *peer) isSilent(now time.Time) bool { return now.Sub(p.heard) > silentAfter+p.delay }
+
 // AddPeer makes the address of a peer known that has not reported yet.
 func (l *Ledger) AddPeer(now time.Time, name Peer) {
 	if _, ok := l.peers[name]; !ok {
@@ -62,10 +68,10 @@
 		l.peers[name] = p
 		l.nextExpiry = now
 	}
-	if now.Sub(p.heard) > silentAfter {
+	if p.isSilent(now) {
 		l.isBack(now, p)
 	}
-	p.heard = now
+	p.heard, p.delay = now, r.Delay
 	for _, c := range r.Counts {
 		l.debit(now, c.Workspace, p.admitted(c))
 	}
@@ -137,16 +143,15 @@
 	heard, known := 1, 1
 	next := now.Add(silentAfter)
 	for name, p := range l.peers {
-		silent := now.Sub(p.heard)
-		if silent > l.opts.ClaimTTL {
+		if now.Sub(p.heard) > l.opts.ClaimTTL {
 			delete(l.peers, name)
 			l.dropReserves()
 			continue
 		}
 		known++
-		if p.isKnown && silent <= silentAfter {
+		if p.isKnown && !p.isSilent(now) {
 			heard++
-			if at := p.heard.Add(silentAfter); at.Before(next) {
+			if at := p.heard.Add(silentAfter + p.delay); at.Before(next) {
 				next = at
 			}
 		}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -229,3 +229,21 @@
 		t.Errorf("%d of %d told", len(told), len(list))
 	}
 }
+
+// Guards against gateways that give up a part of the quotas whenever the word of a peer comes over others, which takes longer.
+func TestTheWordOfAPeerMayComeOverOthers(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := New(now, Options{ClaimTTL: time.Minute})
+	l.Apply(now, "direct", Report{Start: "a"})
+	l.Apply(now, "passed on", Report{Start: "b", Delay: 200 * time.Millisecond})
+	now = now.Add(silentAfter + 100*time.Millisecond)
+	l.Apply(now, "direct", Report{Start: "a"})
+	if share := l.Share(now); share != 1 {
+		t.Errorf("share %v while both are heard", share)
+	}
+	now = now.Add(silentAfter)
+	l.Apply(now, "direct", Report{Start: "a"})
+	if share := l.Share(now); share > 0.7 {
+		t.Errorf("share %v while one of two is silent", share)
+	}
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -106,6 +106,31 @@
 	preemptAll(victims)
 }
 
+// PeerNews is what another gateway passes on of a peer.
+type PeerNews struct {
+	From fleet.Peer
+	// Report is the peer's newest report; nil if it has none to tell.
+	Report *fleet.Report
+	Sign   fleet.Sign
+}
+
+// ApplyNews takes in what another gateway passes on of peers.
+func (v *View) ApplyNews(list []PeerNews) {
+	v.mu.Lock()
+	now := time.Now()
+	for _, n := range list {
+		if n.Report != nil {
+			v.fleet.ApplyReport(now, n.From, *n.Report)
+			continue
+		}
+		v.fleet.NoteSign(now, n.From, n.Sign)
+	}
+	victims := v.victims(now)
+	v.mu.Unlock()
+	signal(v.freed)
+	preemptAll(victims)
+}
+
 // Report returns what this process has at targets and wants to start.
 func (v *View) Report() fleet.Report {
 	v.mu.Lock()
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -1,11 +1,13 @@
 // Package loadshare tells the gateways' loads among each other, over datagrams. Each gateway sends
 // all that it has at targets whenever that changes; a lost datagram is made good by the next one. Within a failure
-// domain all hear it from the sender; in each other domain one gateway does, and passes it on.
+// domain all hear it from the sender; in each other domain one gateway does, and passes it on. In large domains
+// hubs gather the reports and tell them on; see core/fanout.
 package loadshare
 
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -18,12 +20,14 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"arbutusramp/core/fanout"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/logging"
 )
 
 const (
@@ -53,14 +57,30 @@
 
 // peer is another gateway's socket.
 type peer struct {
+	addr   netip.AddrPort
 	seq    uint64
 	name   fleet.Peer // empty before its first report
-	domain digest
+	id     fanout.ID  // stands for the name
+	domain digest     // 0 is not known
 	heard  time.Time
+	direct time.Time // when it was last heard of without a hub in between
 	sent   time.Time
 	probed time.Time
-	// contact is when the store last answered it by its own way; zero while that is lost.
-	contact time.Time
+	// contact is when the store last answered it, and hasDetour says that its own way there is lost.
+	contact   time.Time
+	hasDetour bool
+}
+
+// reachesStore says whether the store has answered the peer a moment ago, by its own way.
+func (p *peer) reachesStore(now time.Time) bool {
+	return now.Sub(p.heard) < PeerTTL && !p.hasDetour && now.Sub(p.contact) < reachedWithin
+}
+
+// origin is what a hub knows of the peer.
+func (p *peer) origin(n news, heard time.Time) fanout.Origin[news] {
+	return fanout.Origin[news]{
+		ID: p.id, Domain: fanout.Domain(p.domain), Seq: n.Seq, Heard: heard, Contact: p.contact, HasDetour: p.hasDetour, IsIdle: n.isIdle(), Report: n,
+	}
 }
 
 // Share is this process's part.
@@ -75,13 +95,21 @@
 	// quarantine has news of requests that targets crash under.
 	quarantine Quarantine
 	log        hclog.Logger
+	lines      *logging.Routine // a line for each peer, of which many start at once
 	conn       *net.UDPConn
 
 	names   names // of the goroutine that receives
 	traffic Traffic
+	hub     hub
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
+	byID  map[fanout.ID]*peer // those with a name
+	// unknown are gateways that hubs have told of and that are not known here.
+	unknown map[fanout.ID]struct{}
+	// hasListed says that AddPeer was called for all that are listed.
+	hasListed bool
+	began     time.Time
 }
 
 // Quotas is what gateways tell each other about the requests of workspaces.
@@ -133,15 +161,15 @@
 	}
 	return &Share{
 		self: o.Self, domain: digestOf(o.Domain), relays: o.Off.Allows(policy.Relays), view: o.View, detours: o.Detours, quotas: o.Quotas, quarantine: o.Quarantine,
-		log: o.Log, conn: conn, peers: make(map[netip.AddrPort]*peer),
+		log: o.Log, lines: logging.NewRoutine(o.Log), conn: conn, hub: newHub(), peers: make(map[netip.AddrPort]*peer), byID: make(map[fanout.ID]*peer), unknown: make(map[fanout.ID]struct{}), began: time.Now(),
 	}, nil
 }
 
 // Addr is where peers send to.
 func (s *Share) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// AddPeer makes a peer known by its address (IP:port).
-func (s *Share) AddPeer(addr string) {
+// AddPeer makes a peer known by its address (IP:port) and its failure domain, which is empty where it is not known.
+func (s *Share) AddPeer(addr, domain string) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		s.log.Warn("peer address can't be read", "addr", addr, "error", err)
@@ -153,16 +181,69 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.peers[ap]; !ok {
-		s.peers[ap] = &peer{heard: time.Now()}
+		p := &peer{addr: ap, heard: time.Now()}
+		if domain != "" {
+			p.domain = digestOf(domain)
+		}
+		s.peers[ap] = p
 		s.quotas.AddPeer(ap.String())
 	}
 }
 
+// NoteListed notes that AddPeer was called for all that are listed.
+func (s *Share) NoteListed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hasListed = true
+}
+
+// listedWithin is how long after the start the list of gateways is awaited.
+const listedWithin = time.Second
+
+// Rank is how many of the gateways that may live go before this one when some of all have a duty. It is not known right after the start.
+func (s *Share) Rank() (rank int, isKnown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	others := make([]netip.AddrPort, 0, len(s.peers))
+	for addr, p := range s.peers {
+		if now.Sub(p.heard) <= quietAfter {
+			others = append(others, addr)
+		}
+	}
+	return fanout.Rank(s.Addr(), others), s.hasListed || now.Sub(s.began) > listedWithin
+}
+
+// named returns the peer at an address, which is new if it had another name there. The caller holds the lock.
+func (s *Share) named(addr netip.AddrPort, name fleet.Peer) *peer {
+	if p, ok := s.peers[addr]; ok && p.name == name {
+		return p
+	}
+	s.quarantine.PeerStarted()
+	s.lines.Info(time.Now(), "peer", "peer", name, "addr", addr.String())
+	s.forget(addr)
+	p := &peer{addr: addr, name: name, id: idOf(name), heard: time.Now()}
+	s.peers[addr], s.byID[p.id] = p, p
+	return p
+}
+
+// forget drops the peer at an address. The caller holds the lock.
+func (s *Share) forget(addr netip.AddrPort) {
+	if p, ok := s.peers[addr]; ok && s.byID[p.id] == p {
+		delete(s.byID, p.id)
+	}
+	delete(s.peers, addr)
+}
+
+// idOf is what stands for a gateway's name in what hubs tell.
+func idOf(name fleet.Peer) fanout.ID { return fanout.ID(digestOf(string(name))) }
+
 // Run sends and receives until ctx ends.
 func (s *Share) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.receive(ctx) })
 	g.Go(func() error { return s.send(ctx) })
+	g.Go(func() error { return s.runHub(ctx) })
 	g.Go(func() error { return s.probePeers(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
@@ -205,25 +286,44 @@
 		IsFirst: admitted.IsFirst, Admitted: countsOf(admitted.Counts),
 		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Demand.Items, Due: own.Demand.Due,
 		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects), Quarantine: messagesOf(s.quarantine.ToTell()),
-	}
-	direct := s.encode(r)
-	r.PassOn = true
-	passed := s.encode(r)
-	if direct == nil || passed == nil {
-		return 0
+		Unknown: s.takeUnknown(),
 	}
 	list := s.receivers(now, seq)
+	encoded := make(map[purpose][]byte)
 	for _, to := range list {
-		data := direct
-		if to.passOn {
-			data = passed
+		if to.addr == s.Addr() {
+			s.gatherOwn(now, r, to.role)
+			continue
+		}
+		data, ok := encoded[to.purpose]
+		if !ok {
+			r.PassOn, r.Role = to.passOn, to.role
+			data = s.encode(r)
+			encoded[to.purpose] = data
+		}
+		if data != nil {
+			s.sendTo(data, to.addr)
+			s.traffic.Own.add(len(data))
 		}
-		s.sendTo(data, to.addr)
-		s.traffic.Own.add(len(data))
 	}
 	return len(list)
 }
 
+// gatherOwn takes this gateway's own report into what it tells as a hub.
+func (s *Share) gatherOwn(now time.Time, r report, role hubRole) {
+	self := peer{id: idOf(s.self), domain: s.domain, contact: r.contact(now), hasDetour: r.Detours}
+	s.hub.gather(self.origin(newsOf(self.id, r), now), role == rolePassOn)
+}
+
+// takeUnknown returns gateways that hubs have told of since the last call and that are not known here.
+func (s *Share) takeUnknown() []fanout.ID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := slices.Collect(maps.Keys(s.unknown))
+	clear(s.unknown)
+	return list
+}
+
 // encode returns a report as it is sent; nil, with a line in the log, if it can't be encoded.
 func (s *Share) encode(r report) []byte {
 	data, err := cbor.Marshal(r)
@@ -270,6 +370,10 @@
 }
 
 func (s *Share) take(data []byte, from netip.AddrPort) {
+	if isBatch(data) {
+		s.takeBatch(data, from)
+		return
+	}
 	var r report
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		s.log.Warn("load report can't be read", "from", from.String(), "error", err)
@@ -284,13 +388,16 @@
 	if r.PassOn {
 		s.forward(r, from)
 	}
+	if len(r.Unknown) > 0 {
+		s.introduceTo(from, r.Unknown)
+	}
 	ids := s.targetNames()
 	s.view.ApplyReport(r.From, fleet.Report{
 		Loads: loadsOf(r.Loads, ids), Suspects: idsOf(r.Suspects, ids), Demand: fleet.Demand{Items: r.Items, Due: r.Due},
 		Contact: r.contact(time.Now()),
 	})
 	s.quarantine.Apply(s.recordsOf(r.Quarantine, from))
-	s.quotas.Apply(from.String(), quota.Report{Start: string(r.From), IsFirst: r.IsFirst, Counts: r.counts()})
+	s.quotas.Apply(from.String(), quota.Report{Start: string(r.From), IsFirst: r.IsFirst, Counts: countsFrom(r.Admitted)})
 }
 
 // recordsOf reads what a peer tells of requests that targets crash under. What can't be read is left out.
@@ -319,23 +426,18 @@
 func (s *Share) heard(from netip.AddrPort, r report) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.peers[from]
-	if !ok || p.name != r.From {
-		s.quarantine.PeerStarted()
-		s.log.Info("peer", "peer", r.From, "addr", from.String())
-		p = &peer{name: r.From}
-		s.peers[from] = p
-	}
+	p := s.named(from, r.From)
 	p.heard, p.domain = time.Now(), r.Domain
-	if r.Seq <= p.seq {
-		return false
+	p.direct = p.heard
+	isNew := r.Seq > p.seq
+	if isNew {
+		p.seq = r.Seq
+		p.contact, p.hasDetour = r.contact(p.heard), r.Detours
 	}
-	p.seq = r.Seq
-	p.contact = time.Time{}
-	if !r.Detours {
-		p.contact = r.contact(p.heard)
+	if r.Role != roleNone {
+		s.hub.gather(p.origin(newsOf(p.id, r), p.heard), r.Role == rolePassOn)
 	}
-	return true
+	return isNew
 }
 
 // PeersWithStore returns the addresses of live peers that have reached the store by their own way within
@@ -346,7 +448,7 @@
 	now := time.Now()
 	var list []string
 	for ap, p := range s.peers {
-		if now.Sub(p.heard) < PeerTTL && now.Sub(p.contact) < reachedWithin {
+		if p.reachesStore(now) {
 			list = append(list, ap.String())
 		}
 	}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"arbutusramp/core/fanout"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/quota"
@@ -38,6 +39,10 @@
 	Admitted []count `cbor:"13,keyasint,omitempty"`
 	// Quarantine are records that are news to some peers.
 	Quarantine []quarantine.Message `cbor:"14,keyasint,omitempty"`
+	// Role is what the receiver is to do with the report for others.
+	Role hubRole `cbor:"15,keyasint,omitempty"`
+	// Unknown are gateways that hubs have told of and that the sender does not know: the receiver, as a hub, is to introduce them.
+	Unknown []fanout.ID `cbor:"16,keyasint,omitempty"`
 }
 
 func messagesOf(records []quarantine.Record) []quarantine.Message {
@@ -63,9 +68,9 @@
 	return list
 }
 
-func (r report) counts() []quota.Count {
+func countsFrom(counts []count) []quota.Count {
 	var list []quota.Count
-	for _, c := range r.Admitted {
+	for _, c := range counts {
 		list = append(list, quota.Count{Workspace: c.Workspace, Total: c.Total})
 	}
 	return list
--- a/internal/loadshare/probe.go
+++ b/internal/loadshare/probe.go
@@ -29,19 +29,30 @@
 			if hasStopped(ctx, addr) {
 				s.log.Info("peer has stopped", "addr", addr.String())
 				s.quotas.Forget(addr.String())
+				s.noteStopped(addr)
 			}
 		}
 	}
 	return nil
 }
 
+// noteStopped has others know, by this gateway as a hub, that the process of a peer has stopped.
+func (s *Share) noteStopped(addr netip.AddrPort) {
+	s.mu.Lock()
+	p, ok := s.peers[addr]
+	s.mu.Unlock()
+	if ok {
+		s.hub.stop(p.id)
+	}
+}
+
 // silentPeers returns the peers that are due to be probed.
 func (s *Share) silentPeers(now time.Time) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []netip.AddrPort
 	for ap, p := range s.peers {
-		silent := now.Sub(p.heard)
+		silent := now.Sub(p.direct)
 		if p.name == "" || silent < probeAfter || silent > quietAfter || now.Sub(p.probed) < probeGap || len(list) == maxProbes {
 			continue
 		}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -113,7 +113,8 @@
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
-	g.peers = &peerDirectory{store: g.paths, share: g.share, link: dependency.NewLink(logger.Named("peers"), "peers' addresses")}
+	peersLog := logger.Named("peers")
+	g.peers = &peerDirectory{store: g.paths, share: g.share, domain: s.Host.Domain, link: dependency.NewLink(peersLog, "peers' addresses"), log: peersLog}
 	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load, Rejected: g.noteRejected()})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -4,7 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
 	"arbutusramp/core/platform"
+	"arbutusramp/core/structs"
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/loadshare"
 )
@@ -22,9 +27,16 @@
 
 // peerDirectory finds the other gateways.
 type peerDirectory struct {
-	store platform.Store
-	share *loadshare.Share
-	link  *dependency.Link
+	store  platform.Store
+	share  *loadshare.Share
+	domain structs.FailureDomain
+	link   *dependency.Link
+	log    hclog.Logger
+}
+
+// peerListing is what a gateway leaves under its address.
+type peerListing struct {
+	Domain structs.FailureDomain `cbor:"1,keyasint"`
 }
 
 // run writes this process's address once and reads the others' now and then, until ctx ends.
@@ -44,9 +56,12 @@
 }
 
 func (d *peerDirectory) write(ctx context.Context) error {
-	addr := d.share.Addr().String()
-	_, err := d.store.Append(ctx, platform.Append{
-		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: addr, Value: []byte{1}}},
+	value, err := cbor.Marshal(peerListing{Domain: d.domain})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = d.store.Append(ctx, platform.Append{
+		Partition: peerPartition, Records: []platform.KeyedRecord{{Key: d.share.Addr().String(), Value: value}},
 	})
 	return err
 }
@@ -54,9 +69,16 @@
 func (d *peerDirectory) read(ctx context.Context) error {
 	_, err := platform.EachNewest(ctx, d.store, peerPartition, "", func(records []platform.StoredRecord) bool {
 		for _, r := range records {
-			d.share.AddPeer(r.Key)
+			var l peerListing
+			if err := cbor.Unmarshal(r.Value, &l); err != nil {
+				d.log.Info("peer's domain can't be read: it tells it itself", "addr", r.Key, "error", err)
+			}
+			d.share.AddPeer(r.Key, string(l.Domain))
 		}
 		return true
 	})
+	if err == nil {
+		d.share.NoteListed()
+	}
 	return err
 }
