Backlog: members of the shards' group are owners and spares, others read when asked

Change: with more than two gateways for each shard only those of the lowest ranks (by rendezvous over listed and live ones) are members. Others read jobs and results every 4 s, and at once when a caller asks, waits or hands a job in. A member that owns nothing leaves beyond three for each shard. Reads of configuration and targets prove contact with the store, too.

--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -48,6 +48,8 @@
 	spread  int           // see Options.SpreadBytes; 0 has all texts apart
 	// build wraps the store of each process; nil for the product as it is.
 	build func(platform.Store) platform.Store
+	// rank says how many processes go before that with an index in owning shards; nil has all own some.
+	rank func(index int) (rank int, isKnown bool)
 	// wrong is told what must not be.
 	wrong func(format string, args ...any)
 }
@@ -108,7 +110,11 @@
 	n.quarantine = quarantine.New(quarantine.Options{
 		Threshold: corequarantine.DefaultThreshold, Hold: corequarantine.DefaultHold, Prober: w.targets, Fleet: n.fleet, Log: log, Metrics: metrics.NewRegistry(),
 	})
-	n.manager = New(Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread, Quarantine: n.quarantine}, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
+	o := Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread, Quarantine: n.quarantine}
+	if index := len(w.nodes); w.rank != nil {
+		o.Rank = func() (int, bool) { return w.rank(index) }
+	}
+	n.manager = New(o, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	go func() {
--- a/internal/backlog/hold.go
+++ b/internal/backlog/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
 )
 
@@ -30,9 +31,53 @@
 	leaveTimeout = 700 * time.Millisecond
 )
 
-// hold keeps this process a member of the group and takes and gives back shards as the store
-// deals them.
+// Members of the group call the store several times a second. Of many processes only those of the lowest ranks are members: as many as there
+// are shards own one, and as many more take over at once.
+const (
+	joinRanksPerShard = 2
+	// leaveRanksPerShard keeps members that own nothing from leaving and joining as others come and go.
+	leaveRanksPerShard = 3
+	// rankInterval is how often a process that is no member looks whether it should be.
+	rankInterval = 250 * time.Millisecond
+)
+
+// shouldJoin says whether this process should be a member.
+func (m *Manager) shouldJoin() bool {
+	if m.opts.Rank == nil {
+		return true
+	}
+	rank, isKnown := m.opts.Rank()
+	return isKnown && rank < joinRanksPerShard*m.opts.Shards
+}
+
+// canLeave says whether a member is not needed any more.
+func (m *Manager) canLeave(shards int) bool {
+	if m.opts.Rank == nil || shards > 0 {
+		return false
+	}
+	rank, _ := m.opts.Rank()
+	return rank >= leaveRanksPerShard*m.opts.Shards
+}
+
+// hold keeps this process a member of the group while it should be one.
 func (m *Manager) hold(ctx context.Context) error {
+	defer m.stopSaving() // nothing is written after the process has left
+	for ctx.Err() == nil {
+		if m.shouldJoin() {
+			m.holdAsMember(ctx)
+			continue
+		}
+		sleep.For(ctx, rankInterval)
+	}
+	return nil
+}
+
+// holdAsMember takes and gives back shards as the store deals them, until ctx ends or the process is no longer needed as a member.
+func (m *Manager) holdAsMember(process context.Context) {
+	ctx, leave := context.WithCancel(process)
+	defer leave()
+	m.isMember.Store(true)
+	m.replica.wake()
 	ttl := time.Duration(float64(m.opts.MinTTL) * ttlFactor)
 	membership := platform.Membership{Group: shardGroup, Member: m.opts.Member, Topics: []string{shardTopic}, TTL: ttl}
 	shards := make(map[int]*shard)
@@ -52,9 +97,13 @@
 		membership.Generation = a.Generation
 		m.deal(ctx, shards, a, settled)
 		m.scheduler.leaseUntil(asked.Add(ttl))
+		if m.canLeave(len(shards)) {
+			m.log.Info("not needed as an owner of shards", "generation", a.Generation)
+			leave()
+		}
 	})
-	m.leave(shards)
-	return nil
+	m.isMember.Store(false)
+	m.leave(shards, process.Err() != nil)
 }
 
 // deal starts shards that are new and stops those that were taken away. Stopping comes before
@@ -87,14 +136,16 @@
 }
 
 // leave hands over all shards: their items' progress is written, then the store may deal them out.
-func (m *Manager) leave(shards map[int]*shard) {
+func (m *Manager) leave(shards map[int]*shard, isStopping bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	m.scheduler.stopRuns(ctx)
+	if isStopping {
+		m.scheduler.stopRuns(ctx)
+	}
 	for _, s := range shards {
 		s.handOver(ctx)
 	}
-	m.awaitSaves(ctx)
+	m.awaitSaved(ctx)
 	if err := m.store.Leave(ctx, shardGroup, m.opts.Member); err != nil {
 		m.log.Warn("the store was not told of the leave: shards move once the lease has run out", "error", err)
 	}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -54,6 +55,8 @@
 	Off policy.Off
 	// Quarantine is asked before each run of an item.
 	Quarantine Quarantine
+	// Rank is how many other processes go before this one in owning shards, if that is known; nil is none.
+	Rank func() (rank int, isKnown bool)
 }
 
 // Manager keeps batch jobs. Locks are taken in this order, and none of those before one of them is
@@ -72,6 +75,8 @@
 	texts     *texts
 	scheduler *scheduler
 	pace      *backlog.Pace
+	// isMember says that this process may be dealt shards.
+	isMember atomic.Bool
 	// saving are the writes of progress that are under way; saveCtx ends them at the stop.
 	saving     sync.WaitGroup
 	saveCtx    context.Context
@@ -84,6 +89,7 @@
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
 		replica: NewReplica(o.Member, store, view.SetContact, view.Peers, log),
 	}
+	m.replica.isFollowing = m.isMember.Load
 	m.texts = &texts{store: store, log: log}
 	m.scheduler = newScheduler(m)
 	m.saveCtx, m.stopSaving = context.WithCancel(context.Background())
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -67,9 +67,8 @@
 	return nil
 }
 
-// awaitSaves waits until all progress is written or ctx ends. Nothing is written after it.
-func (m *Manager) awaitSaves(ctx context.Context) {
-	defer m.stopSaving()
+// awaitSaved waits until all progress is written or ctx ends.
+func (m *Manager) awaitSaved(ctx context.Context) {
 	if !waitFor(ctx, &m.saving) {
 		m.log.Warn("progress of items was not handed over in time")
 	}
--- a/internal/backlog/read.go
+++ b/internal/backlog/read.go
@@ -6,6 +6,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/workspace"
 )
@@ -71,6 +72,8 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	m.catchUpLazy(ctx, resultPartition)
+	defer m.replica.want(resultPartition)()
 	for {
 		var page backlog.Page
 		news := m.replica.with(func(st *backlog.State) { page = st.Page(id, after, pageBytes) })
@@ -86,6 +89,19 @@
 	}
 }
 
+// catchUpLazy reads the news of a partition that this process does not follow. What is known already holds without them, so that a failure
+// is only logged.
+func (m *Manager) catchUpLazy(ctx context.Context, p platform.Partition) {
+	if m.isMember.Load() || m.replica.age(p) <= freshEnough {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := m.replica.catchUp(ctx, p); err != nil {
+		m.log.Info("news not read before an answer", "topic", p.Topic, "age_ms", m.replica.age(p).Milliseconds(), "error", err)
+	}
+}
+
 // noneYet answers that no result stands at a position, if that is sure.
 func (m *Manager) noneYet(ctx context.Context, id string, after int) (backlog.Page, error) {
 	if m.replica.age(resultPartition) > freshEnough {
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -16,6 +16,7 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/dependency"
 )
 
@@ -59,6 +60,10 @@
 	contact func()
 	// peers is how many other processes live.
 	peers func() int
+	// isFollowing says whether this process has to know all news at once.
+	isFollowing func() bool
+	// wanted gets a token for each partition whose news are wanted at once.
+	wanted map[platform.Partition]chan struct{}
 
 	mu    sync.Mutex
 	state *backlog.State
@@ -73,13 +78,17 @@
 	fresh  time.Time // when the store last said that there is nothing after next
 	// loading is the load that is under way; nil while none is.
 	loading *loading
+	// waiting is how many callers wait for news.
+	waiting int
 }
 
 // NewReplica returns an empty copy for the process of that name.
 func NewReplica(name string, store platform.Store, contact func(), peers func() int, log hclog.Logger) *Replica {
 	return &Replica{
 		name: name, store: store, log: log, contact: contact, peers: peers, state: backlog.NewState(), news: make(chan struct{}),
-		tails: map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
+		tails:       map[platform.Partition]*tail{jobPartition: {}, resultPartition: {}},
+		isFollowing: func() bool { return true },
+		wanted:      map[platform.Partition]chan struct{}{jobPartition: make(chan struct{}, 1), resultPartition: make(chan struct{}, 1)},
 	}
 }
 
@@ -89,11 +98,60 @@
 	if p == resultPartition {
 		pauses.Answered = resultPause
 	}
-	read := func() error { return r.step(ctx, p) }
+	read := func() error {
+		r.awaitNeed(ctx, p)
+		return r.step(ctx, p)
+	}
 	dependency.NewLink(r.log, p.Topic).Follow(ctx, pauses, read, func(bool) {})
 	return nil
 }
 
+// lazyInterval is the time between two reads of news that nobody here wants now. The store keeps its history for some 20 s; what is older
+// has to be read whole.
+const lazyInterval = 4 * time.Second
+
+// awaitNeed waits until the news of a partition are wanted here, or due to be read in any case.
+func (r *Replica) awaitNeed(ctx context.Context, p platform.Partition) {
+	due := sleep.NewTimer(lazyInterval)
+	defer due.Stop()
+	for !r.isNeeded(p) {
+		select {
+		case <-r.wanted[p]:
+		case <-due.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// isNeeded says whether the news of a partition are wanted here as they come.
+func (r *Replica) isNeeded(p platform.Partition) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.tails[p]
+	return !t.loaded || t.waiting > 0 || r.isFollowing()
+}
+
+// wake has the news of all partitions read at once if they are needed.
+func (r *Replica) wake() {
+	for _, c := range r.wanted {
+		signal(c)
+	}
+}
+
+// want has the news of a partition read as they come until the returned function is called.
+func (r *Replica) want(p platform.Partition) (done func()) {
+	add := func(n int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.tails[p].waiting += n
+	}
+	add(1)
+	signal(r.wanted[p])
+	return func() { add(-1) }
+}
+
 // spread is how much longer this process pauses between two reads because others read, too.
 func (r *Replica) spread() time.Duration {
 	return min(maxSpread, time.Duration(r.peers())*pausePerPeer)
@@ -105,7 +163,7 @@
 	if !loaded {
 		return r.load(ctx, p)
 	}
-	page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes, Wait: readWait})
+	page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes, Wait: r.readWait(p)})
 	var expired *platform.Expired
 	if errors.As(err, &expired) {
 		r.log.Warn("records have expired before they were read", "topic", p.Topic, "next", next, "first", expired.First)
@@ -118,6 +176,14 @@
 	return nil
 }
 
+// readWait is how long a read waits for news.
+func (r *Replica) readWait(p platform.Partition) time.Duration {
+	if !r.isNeeded(p) {
+		return 0
+	}
+	return readWait
+}
+
 // loadProgress reads how far the items of a shard have come. It returns records that drop what nobody
 // needs any more: a former owner may have written it after the item had ended elsewhere.
 func (r *Replica) loadProgress(ctx context.Context, shard int) (drops []platform.KeyedRecord, err error) {
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -72,6 +72,7 @@
 }
 
 func (s *submission) run(ctx context.Context) error {
+	s.m.catchUpLazy(ctx, jobPartition)
 	if s.known() {
 		return nil
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -104,7 +104,7 @@
 		Directory: directory.New(g.paths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
-	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off, Quarantine: g.quarantine},
+	g.jobs = backlog.New(backlog.Options{Member: self, Shards: s.Shards, MinTTL: s.MinTTL, Keep: s.Keep, SpreadBytes: spreadBytes, Off: s.Off, Quarantine: g.quarantine, Rank: g.share.Rank},
 		g.paths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
 		Targets: targets, View: view, Beliefs: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Off: s.Off,
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -20,6 +20,7 @@
 	"arbutusramp/internal/bootclock"
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/logging"
 )
 
 const (
@@ -46,6 +47,8 @@
 	dir  platform.Directory
 	view *fleetview.View
 	log  hclog.Logger
+	// lines are about targets, of which many are listed at once.
+	lines *logging.Routine
 
 	clock    bootclock.Clock
 	quotas   Quotas
@@ -87,7 +90,7 @@
 
 // New returns a watch that knows nothing yet.
 func New(o Options) *Watch {
-	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
+	return &Watch{dir: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, lines: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
 }
 
 // Run follows both until ctx ends.
@@ -151,6 +154,7 @@
 		got, err := w.dir.Config(ctx, news.Known, link.Patience(w.configWait()))
 		if err == nil {
 			news = got
+			w.view.SetContact()
 		}
 		return err
 	}
@@ -217,6 +221,7 @@
 		got, err := w.dir.Targets(ctx, news.Known, wait)
 		if err == nil {
 			news = got
+			w.view.SetContact()
 		}
 		return err
 	}
@@ -258,7 +263,7 @@
 	w.view.Ended(c.ended)
 	w.observer.TargetsGone(c.gone)
 	for _, t := range c.put {
-		w.log.Info("target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.Draining)
+		w.lines.Info(time.Now(), "target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.Draining)
 	}
 	for _, id := range c.gone {
 		w.log.Info("target gone", "target", id, "restarted", slices.Contains(c.ended, id))
