Gateway: a caller that reads slowly does not make its target suspect

What users would see: a stream whose caller pauses for half a second moved to another target, and its own target got no requests for 0.5 to 4 s at this gateway and, by its word, at others.

Cause: while a part of an answer is written to the caller, the target is not read, and the watcher took that for silence of the target. A target that cuts off an answer which stays unread was blamed for it, too, and its content counted as broken off.

Change: writing is no silence; an answer that breaks off after the caller took a second or more for a part is asked for again without blame.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,6 +30,9 @@
 	streamPatience = time.Second
 	// callPatience is the same for plain calls, in case their route's goal is shorter.
 	callPatience = 250 * time.Millisecond
+	// slowWrite is how long the caller of a stream takes for one part when it reads too slowly: what the target makes meanwhile is unread, and
+	// targets cut off answers that stay unread.
+	slowWrite = time.Second
 	// eventStream is the media type of streamed answers.
 	eventStream = "text/event-stream"
 )
@@ -46,6 +49,10 @@
 	// heard is when the last part of the answer came, or the request was sent, in
 	// nanoseconds since the request's arrival: the time of day may jump.
 	heard atomic.Int64
+	// isWriting says that the caller is being written to: the target is not read meanwhile.
+	isWriting atomic.Bool
+	// readLate says that the target was last read only after the caller had taken slowWrite for a part.
+	readLate bool
 }
 
 func (a *attempt) do(ctx context.Context) error {
@@ -87,6 +94,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		for sleep.For(ctx, watchEvery) {
+			if a.isWriting.Load() {
+				continue
+			}
 			silent := a.route.Kind == serving.KindStream && a.run.IsIdle(sent)
 			if silent {
 				a.suspect("silent")
@@ -228,6 +238,9 @@
 	if ended := a.endedHere(ctx, errs.StreamBroken); ended != nil {
 		return ended
 	}
+	if a.readLate {
+		return errs.Newf(errs.StreamBroken, "the answer was cut off while its caller read too slowly: %v", err)
+	}
 	a.suspect(err.Error())
 	a.brokenOff(err)
 	return errs.Newf(errs.StreamBroken, "the answer has broken off: %v", err)
@@ -271,8 +284,18 @@
 	return a.route.Kind == serving.KindSafe && a.mayHaveRun < a.route.Attempts
 }
 
+// write passes a part on to the caller, and takes as long as that does.
 func (a *attempt) write(p []byte) error {
-	if err := a.out.Write(p); err != nil {
+	began := time.Now()
+	a.isWriting.Store(true)
+	err := a.out.Write(p)
+	took := time.Since(began)
+	a.readLate = took >= slowWrite
+	if took >= watchEvery {
+		a.noteActivity() // that it was not read is no silence of the target
+	}
+	a.isWriting.Store(false)
+	if err != nil {
 		return errs.Newf(errs.Cancelled, "the caller has gone: %v", err)
 	}
 	return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -315,6 +315,37 @@
 	})
 }
 
+// Guards against blaming a target for a caller that reads slowly: it would get no requests, and the request would move.
+func TestACallerThatReadsSlowlyDoesNotMakeItsTargetSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		end   error
+		sends int
+	}{
+		"slow":                    {2500 * time.Millisecond, nil, 1},
+		"slow, then cut off":      {2500 * time.Millisecond, io.ErrUnexpectedEOF, 2},
+		"as usual, then cut off":  {0, io.ErrUnexpectedEOF, 2},
+		"a pause, then as before": {500 * time.Millisecond, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(2, stream(first3, c.end), stream(last2, nil))
+				b.deadline = time.Minute
+				var lines bytes.Buffer
+				b.gw.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
+				out := &caller{leaves: func() { time.Sleep(c.pause) }}
+				r := route(serving.KindStream, 2, true)
+				r.Timeout = time.Minute
+				b.serve(context.Background(), r, out)
+				isBlamed := len(b.brokenOff) > 0 || strings.Contains(lines.String(), "target suspect")
+				if wantBlame := c.pause == 0; isBlamed != wantBlame || len(b.sent) != c.sends || out.err != nil || out.aborted {
+					t.Errorf("blamed %v, sent to %v, error %v", isBlamed, b.sent, out.err)
+				}
+			})
+		})
+	}
+}
+
 // A misleading log: a request whose time was over is logged as cancelled.
 func TestTheLogSaysWhoseTimeWasOver(t *testing.T) {
 	for limit, deadline := range map[string]time.Duration{"route": time.Minute, "caller": 2 * time.Second} {
