Hubs and owners are the gateways with the most processor time; batches each 5 ms

Cause: 306 of 556 hosts have 0.144 of a core. By hash alone they were hubs and owners of shards as often as hosts with 0.8.

Change: a gateway knows its processor time from the sheet ([host] cpu_share and cores, filled in by the platform), lists it and tells it; of those with the most, the hash decides. An introduction of a start that another has followed is left out.

--- a/core/fanout/fanout_test.go
+++ b/core/fanout/fanout_test.go
@@ -39,6 +39,36 @@
 	}
 }
 
+// Guards against duties for all at the gateways with the least processor time.
+func TestGatewaysWithMoreProcessorTimeGoFirst(t *testing.T) {
+	all := membersOf(60, func(int) bool { return true })
+	for i := range all {
+		all[i].Capacity = CapacityOf(0.144)
+		if i%3 == 0 {
+			all[i].Capacity = CapacityOf(0.8)
+		}
+	}
+	hubs, _ := Hubs(all)
+	ranks := make(map[int]bool)
+	for i, m := range all {
+		others := append(append([]Member(nil), all[:i]...), all[i+1:]...)
+		rank := Rank(m, others)
+		ranks[rank] = true
+		if isLarge := i%3 == 0; isLarge != (rank < 20) {
+			t.Errorf("a gateway with %d tenths of a core has rank %d", m.Capacity, rank)
+		}
+		if m.Addr == hubs[0] && i%3 != 0 {
+			t.Error("a small gateway is the first hub")
+		}
+	}
+	if len(ranks) != len(all) {
+		t.Errorf("%d ranks for %d gateways", len(ranks), len(all))
+	}
+	if CapacityOf(1000) != 255 || CapacityOf(-1) != 0 {
+		t.Error("capacities are not bounded")
+	}
+}
+
 // Each receiver is told once, and nobody tells more than the square root of all.
 func TestBranchesReachAllOnce(t *testing.T) {
 	for _, n := range []int{0, 1, flatReceivers, flatReceivers + 1, 110, 400} {
--- a/core/fanout/overlay.go
+++ b/core/fanout/overlay.go
@@ -25,10 +25,19 @@
 // Domain names a failure domain.
 type Domain uint32
 
+// Capacity is the processor time of a gateway, in tenths of a core.
+type Capacity uint8
+
+// CapacityOf is the capacity of a process that may use some cores.
+func CapacityOf(cores float64) Capacity {
+	return Capacity(max(0, min(math.MaxUint8, math.Round(10*cores))))
+}
+
 // Member is a gateway as another one knows it.
 type Member struct {
-	Addr   netip.AddrPort
-	Domain Domain
+	Addr     netip.AddrPort
+	Domain   Domain
+	Capacity Capacity
 	// IsHeard says that it has been heard of a moment ago, by itself or through a hub. Others are listed, and may be gone.
 	IsHeard bool
 }
@@ -43,7 +52,7 @@
 	return xxhash.Sum64(key[:])
 }
 
-// Hubs returns the hubs among the members of one domain, best first, and listed members that would be hubs if they were heard: they may
+// Hubs returns the hubs among the members of one domain, those with the most processor time first, and listed members that would be hubs if they were heard: they may
 // be, without knowing the gateway that asks.
 func Hubs(members []Member) (hubs, listed []netip.AddrPort) {
 	type weighed struct {
@@ -54,7 +63,9 @@
 	for _, m := range members {
 		list = append(list, weighed{m, weight(m.Addr, 0)})
 	}
-	slices.SortFunc(list, func(a, b weighed) int { return cmp.Or(cmp.Compare(b.weight, a.weight), a.Addr.Compare(b.Addr)) })
+	slices.SortFunc(list, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(b.weight, a.weight), a.Addr.Compare(b.Addr))
+	})
 	for _, m := range list {
 		switch {
 		case len(hubs) == hubsPerDomain:
@@ -68,13 +79,13 @@
 	return hubs, listed
 }
 
-// Rank is how many of the others go before a gateway when some of all have a duty.
-func Rank(self netip.AddrPort, others []netip.AddrPort) int {
+// Rank is how many of the others go before a gateway when some of all have a duty: those with more processor time do.
+func Rank(self Member, others []Member) int {
 	const salt = 2 // other gateways than the hubs
-	own := weight(self, salt)
+	own := weight(self.Addr, salt)
 	rank := 0
-	for _, addr := range others {
-		if w := weight(addr, salt); w > own || w == own && addr.Compare(self) < 0 {
+	for _, m := range others {
+		if cmp.Or(cmp.Compare(m.Capacity, self.Capacity), cmp.Compare(weight(m.Addr, salt), own), self.Addr.Compare(m.Addr)) > 0 {
 			rank++
 		}
 	}
--- a/core/fanout/sim_test.go
+++ b/core/fanout/sim_test.go
@@ -15,7 +15,7 @@
 // Times of the model, as in the product.
 const (
 	simRefresh   = 200 * time.Millisecond // between two reports without a change, and two of a hub's
-	simHubGap    = 10 * time.Millisecond  // between two batches of a hub
+	simHubGap    = 5 * time.Millisecond   // between two batches of a hub
 	simTTL       = 700 * time.Millisecond
 	simPerPeer   = 500 * time.Microsecond // pause of a gateway that tells all by itself, for each receiver
 	simInDomain  = 100 * time.Microsecond // one way
@@ -80,6 +80,7 @@
 	hubDue      bool
 	sent, heard int
 	isListener  bool
+	hubSent     time.Duration   // when the last batch was sent
 	known       []uint64        // newest seq of each gateway
 	knownMade   []time.Duration // and its last change that is known
 	last        []time.Duration // when each was last heard of
@@ -267,8 +268,9 @@
 		return
 	}
 	g.hubDue = true
-	g.f.after(simHubGap, func() {
+	g.f.after(max(0, g.hubSent+simHubGap-g.f.now), func() {
 		g.hubDue = false
+		g.hubSent = g.f.now
 		if !g.isDead {
 			g.spread(g.table.Changes(), g.table.Vouched())
 		}
@@ -406,7 +408,8 @@
 	if *simSizes {
 		sizes = []int{28, 88, 294, 556, 1112}
 	}
-	var small simResult
+	// So many are below the size from which on the product has hubs.
+	small := simulate(88, false)
 	for _, n := range sizes {
 		direct, hubs := simResult{}, simulate(n, true)
 		if n <= 600 && *simSizes {
@@ -415,9 +418,6 @@
 		t.Logf("%5d gateways: hubs: sent %5.0f, most %5.0f, heard %5.0f, most %5.0f, missed %.5f, age %v, late %v; all by themselves: sent %5.0f, heard %5.0f, age %v, late %v",
 			n, hubs.sent, hubs.mostSent, hubs.heard, hubs.mostHeard, hubs.missed, hubs.mean.Round(100*time.Microsecond), hubs.late.Round(100*time.Microsecond),
 			direct.sent, direct.heard, direct.mean.Round(100*time.Microsecond), direct.late.Round(100*time.Microsecond))
-		if n == 88 {
-			small = hubs
-		}
 		if hubs.missed > 0.0001 {
 			t.Errorf("%d gateways: %.5f of them count as gone", n, hubs.missed)
 		}
--- a/internal/loadshare/batch.go
+++ b/internal/loadshare/batch.go
@@ -35,6 +35,8 @@
 	Name   fleet.Peer
 	Addr   netip.AddrPort
 	Domain digest
+	// Capacity is its processor time.
+	Capacity fanout.Capacity
 }
 
 // news is a gateway's newest report.
--- a/internal/loadshare/batch_test.go
+++ b/internal/loadshare/batch_test.go
@@ -164,3 +164,14 @@
 	f.Cleanup(func() { _ = v.conn.Close() })
 	f.Fuzz(func(_ *testing.T, data []byte) { v.take(data, addrOf(1)) })
 }
+
+// Guards against a hub that has not heard of a restart yet: its introduction must not bring the start before back.
+func TestAnOldIntroductionDoesNotReplaceAStart(t *testing.T) {
+	s, _ := newShare(t, "self")
+	defer s.conn.Close()
+	s.heard(addrOf(2), report{From: "new", Seq: 1, Domain: 1})
+	s.introduce([]intro{{Name: "old", Addr: addrOf(2), Domain: 1}, {Name: "other", Addr: addrOf(3), Domain: 1}, {Name: "me", Addr: s.Addr(), Domain: 1}})
+	if s.peers[addrOf(2)].name != "new" || s.peers[addrOf(3)].name != "other" || s.Peers() != 2 {
+		t.Errorf("%d peers, %q and %q", s.Peers(), s.peers[addrOf(2)].name, s.peers[addrOf(3)].name)
+	}
+}
--- a/internal/loadshare/hub.go
+++ b/internal/loadshare/hub.go
@@ -10,18 +10,16 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"arbutusramp/core/fanout"
-	"arbutusramp/core/fleet"
-	"arbutusramp/core/quota"
 	"arbutusramp/core/sleep"
-	"arbutusramp/internal/fleetview"
 )
 
 const (
 	// hubGap is the shortest time between two batches of a hub.
-	hubGap = 10 * time.Millisecond
-	// maxDirect is how many receivers a gateway tells by itself. With more of them the pauses between its reports are longer than the way
-	// over two hubs.
-	maxDirect = int(2 * hubGap / gapPerPeer)
+	hubGap = 5 * time.Millisecond
+	// maxPause is the longest pause between two reports that a gateway tells by itself, and maxDirect is to how many receivers it does.
+	// With more of them the way over hubs is shorter than the pause.
+	maxPause  = 20 * time.Millisecond
+	maxDirect = int(maxPause / gapPerPeer)
 	// hubDelay is how much later than by itself the word of a peer may come over hubs.
 	hubDelay = refresh + 3*hubGap
 	// introsPerRefresh is how many gateways a hub introduces again with each refresh, for those that have missed it.
@@ -49,6 +47,7 @@
 	table   *fanout.Table[news]
 	intros  []fanout.ID // gateways that were not introduced to others yet
 	rotated int         // of the gateways that are introduced again
+	origins int         // gateways of the own domain that report to this one
 }
 
 func newHub() hub {
@@ -98,6 +97,7 @@
 		return t
 	}
 	own := h.table.Refresh(now, domain)
+	h.origins = len(own)
 	t.signs = append(t.signs, own...)
 	for i := range min(introsPerRefresh, len(own)) {
 		t.intros = append(t.intros, own[(h.rotated+i)%len(own)].ID)
@@ -133,7 +133,11 @@
 // spread tells the gateways of the own domain what the table holds, and the hubs of the other domains what came from the own one.
 func (s *Share) spread(isRefresh bool) {
 	now := time.Now()
+	before := s.HubFor()
 	all := s.hub.take(now, isRefresh, fanout.Domain(s.domain))
+	if n := s.HubFor(); (n > 0) != (before > 0) {
+		s.log.Info("hub for load reports", "gateways", n, "before", before)
+	}
 	if len(all.changes) == 0 && len(all.signs) == 0 && len(all.intros) == 0 {
 		return
 	}
@@ -148,6 +152,13 @@
 	}
 }
 
+// HubFor is the number of gateways whose reports this one passes on.
+func (s *Share) HubFor() int {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	return s.hub.origins
+}
+
 // introduceTo tells a gateway of those that it does not know.
 func (s *Share) introduceTo(addr netip.AddrPort, unknown []fanout.ID) {
 	for _, data := range s.encodeContents(time.Now(), s.introsOf(unknown), told{}) {
@@ -206,96 +217,6 @@
 	}
 }
 
-// takeBatch takes in what a hub tells, and passes it on to those that the hub names.
-func (s *Share) takeBatch(data []byte, from netip.AddrPort) {
-	b, c, signs, err := decodeBatch(data)
-	if err != nil {
-		s.log.Warn("batch of load reports can't be read", "from", from.String(), "error", err)
-		return
-	}
-	if len(b.Forward) > 0 {
-		s.sendBatch(batch{Content: b.Content}, b.Forward...)
-	}
-	s.introduce(c.Intros)
-	s.noteHub(c.Hub)
-	list := s.newsFrom(c, signs)
-	if len(list) > 0 {
-		s.view.ApplyNews(list)
-	}
-}
-
-// introduce makes gateways known by what a hub tells of them.
-func (s *Share) introduce(intros []intro) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, i := range intros {
-		if i.Addr != s.Addr() && i.Name != "" {
-			s.named(i.Addr, i.Name).domain = i.Domain
-		}
-	}
-}
-
-// noteHub notes that a hub lives.
-func (s *Share) noteHub(addr netip.AddrPort) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p, ok := s.peers[addr]; ok {
-		p.heard, p.direct = time.Now(), time.Now()
-	}
-}
-
-// newsFrom notes what a hub tells of peers, and returns what of it the view of the fleet takes in. A hub of another domain tells what this
-// gateway, as a hub, has to pass on.
-func (s *Share) newsFrom(c content, signs []sign) []fleetview.PeerNews {
-	now := time.Now()
-	ids := s.targetNames()
-	var list []fleetview.PeerNews
-	s.mu.Lock()
-	hub, isKnown := s.peers[c.Hub]
-	isAcross := isKnown && hub.domain != s.domain
-	var reports []heardReport
-	for _, n := range c.News {
-		p := s.peerOf(n.ID)
-		if p == nil || n.Seq <= p.seq {
-			continue
-		}
-		p.seq = n.Seq
-		p.heard = now
-		reports = append(reports, heardReport{p.addr, p.name, n})
-		list = append(list, fleetview.PeerNews{From: p.name, Report: &fleet.Report{
-			Loads: loadsOf(n.Loads, ids), Suspects: idsOf(n.Suspects, ids), Demand: fleet.Demand{Items: n.Items, Due: n.Due}, Contact: p.contact,
-		}})
-		if isAcross {
-			s.hub.gather(p.origin(n, now), true)
-		}
-	}
-	var alive []heardReport
-	for _, g := range signs {
-		p := s.peerOf(g.id)
-		if p == nil {
-			continue
-		}
-		list = append(list, s.noteSign(now, p, g, isAcross))
-		if g.hasStopped {
-			s.quotas.Forget(p.addr.String())
-		} else {
-			alive = append(alive, heardReport{addr: p.addr, name: p.name})
-		}
-	}
-	s.mu.Unlock()
-	s.applyReports(append(reports, alive...))
-	return list
-}
-
-// peerOf returns the peer for which an id stands; nil if it is not known. The caller holds the lock.
-func (s *Share) peerOf(id fanout.ID) *peer {
-	p, ok := s.byID[id]
-	if !ok && id != idOf(s.self) && len(s.unknown) < maxUnknown {
-		s.unknown[id] = struct{}{}
-	}
-	return p
-}
-
 // introsOf introduces gateways.
 func (s *Share) introsOf(ids []fanout.ID) []intro {
 	s.mu.Lock()
@@ -312,44 +233,12 @@
 	return list
 }
 
-func (p *peer) intro() intro { return intro{Name: p.name, Addr: p.addr, Domain: p.domain} }
-
-func (s *Share) ownIntro() intro { return intro{Name: s.self, Addr: s.Addr(), Domain: s.domain} }
-
-// heardReport is a report that a hub has passed on.
-type heardReport struct {
-	addr netip.AddrPort
-	name fleet.Peer
-	news
+func (p *peer) intro() intro {
+	return intro{Name: p.name, Addr: p.addr, Domain: p.domain, Capacity: p.capacity}
 }
 
-// applyReports hands on what reports hold beside loads.
-func (s *Share) applyReports(list []heardReport) {
-	for _, r := range list {
-		s.quarantine.Apply(s.recordsOf(r.Quarantine, r.addr))
-		s.quotas.Apply(r.addr.String(), quota.Report{Start: string(r.name), IsFirst: r.IsFirst, Counts: countsFrom(r.Admitted), Delay: hubDelay})
-	}
-}
-
-// noteSign takes in a sign of life. The caller holds the lock.
-func (s *Share) noteSign(now time.Time, p *peer, g sign, isAcross bool) fleetview.PeerNews {
-	heard := now.Add(-g.age)
-	if heard.After(p.heard) {
-		p.heard = heard
-		p.contact, p.hasDetour = now.Add(-g.contact), g.hasDetour
-	}
-	// A sign of an older report, which another hub has overtaken, says nothing of the loads.
-	newer := int16(g.seq - uint16(p.seq))
-	isIdle := g.isIdle && newer >= 0
-	if isIdle {
-		p.seq += uint64(newer)
-	}
-	if isAcross {
-		o := p.origin(news{ID: p.id, Seq: p.seq}, heard)
-		o.IsIdle, o.HasStopped = isIdle, g.hasStopped
-		s.hub.vouch(o)
-	}
-	return fleetview.PeerNews{From: p.name, Sign: fleet.Sign{Heard: heard, Contact: now.Add(-g.contact), IsIdle: isIdle}}
+func (s *Share) ownIntro() intro {
+	return intro{Name: s.self, Addr: s.Addr(), Domain: s.domain, Capacity: s.capacity}
 }
 
 // vouch takes in that a hub of another domain has heard of a gateway.
--- a/internal/loadshare/hub_test.go
+++ b/internal/loadshare/hub_test.go
@@ -46,7 +46,7 @@
 		f.t.Fatal(err)
 	}
 	for i, other := range f.shares {
-		s.AddPeer(other.Addr().String(), fmt.Sprintf("d%d", i%2))
+		s.AddPeer(other.Addr().String(), fmt.Sprintf("d%d", i%2), 0)
 	}
 	f.shares, f.views = append(f.shares, s), append(f.views, view)
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -62,10 +62,12 @@
 	name   fleet.Peer // empty before its first report
 	id     fanout.ID  // stands for the name
 	domain digest     // 0 is not known
-	heard  time.Time
-	direct time.Time // when it was last heard of without a hub in between
-	sent   time.Time
-	probed time.Time
+	// capacity is its processor time; 0 is not known.
+	capacity fanout.Capacity
+	heard    time.Time
+	direct   time.Time // when it was last heard of without a hub in between
+	sent     time.Time
+	probed   time.Time
 	// contact is when the store last answered it, and hasDetour says that its own way there is lost.
 	contact   time.Time
 	hasDetour bool
@@ -85,10 +87,11 @@
 
 // Share is this process's part.
 type Share struct {
-	self   fleet.Peer
-	domain digest
-	relays bool // reports are passed on in other domains; see receivers
-	view   *fleetview.View
+	self     fleet.Peer
+	domain   digest
+	capacity fanout.Capacity
+	relays   bool // reports are passed on in other domains; see receivers
+	view     *fleetview.View
 	// detours says whether this process's own way to the store is lost.
 	detours func() bool
 	quotas  Quotas
@@ -139,9 +142,11 @@
 	Addr   string // IP:port to listen at
 	Self   fleet.Peer
 	Domain string // failure domain of this process
-	Off    policy.Off
-	View   *fleetview.View
-	Quotas Quotas
+	// Capacity is the processor time of this process.
+	Capacity fanout.Capacity
+	Off      policy.Off
+	View     *fleetview.View
+	Quotas   Quotas
 	// Quarantine has what is told beside the loads.
 	Quarantine Quarantine
 	// Detours says, once Run is called, whether this process's own way to the store is lost.
@@ -160,7 +165,7 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	return &Share{
-		self: o.Self, domain: digestOf(o.Domain), relays: o.Off.Allows(policy.Relays), view: o.View, detours: o.Detours, quotas: o.Quotas, quarantine: o.Quarantine,
+		self: o.Self, domain: digestOf(o.Domain), capacity: o.Capacity, relays: o.Off.Allows(policy.Relays), view: o.View, detours: o.Detours, quotas: o.Quotas, quarantine: o.Quarantine,
 		log: o.Log, lines: logging.NewRoutine(o.Log), conn: conn, hub: newHub(), peers: make(map[netip.AddrPort]*peer), byID: make(map[fanout.ID]*peer), unknown: make(map[fanout.ID]struct{}), began: time.Now(),
 	}, nil
 }
@@ -168,8 +173,9 @@
 // Addr is where peers send to.
 func (s *Share) Addr() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
-// AddPeer makes a peer known by its address (IP:port) and its failure domain, which is empty where it is not known.
-func (s *Share) AddPeer(addr, domain string) {
+// AddPeer makes a peer known by its address (IP:port), its failure domain and its processor time, which are empty where they are not
+// known.
+func (s *Share) AddPeer(addr, domain string, capacity fanout.Capacity) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		s.log.Warn("peer address can't be read", "addr", addr, "error", err)
@@ -181,7 +187,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.peers[ap]; !ok {
-		p := &peer{addr: ap, heard: time.Now()}
+		p := &peer{addr: ap, capacity: capacity, heard: time.Now()}
 		if domain != "" {
 			p.domain = digestOf(domain)
 		}
@@ -205,13 +211,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	others := make([]netip.AddrPort, 0, len(s.peers))
+	others := make([]fanout.Member, 0, len(s.peers))
 	for addr, p := range s.peers {
 		if now.Sub(p.heard) <= quietAfter {
-			others = append(others, addr)
+			others = append(others, fanout.Member{Addr: addr, Capacity: p.capacity})
 		}
 	}
-	return fanout.Rank(s.Addr(), others), s.hasListed || now.Sub(s.began) > listedWithin
+	return fanout.Rank(s.selfMember(), others), s.hasListed || now.Sub(s.began) > listedWithin
 }
 
 // named returns the peer at an address, which is new if it had another name there. The caller holds the lock.
@@ -286,7 +292,7 @@
 		IsFirst: admitted.IsFirst, Admitted: countsOf(admitted.Counts),
 		From: s.self, Seq: seq, Loads: linesOf(own.Loads), Items: own.Demand.Items, Due: own.Demand.Due,
 		ContactAge: now.Sub(own.Contact).Milliseconds(), Detours: s.detours(), Domain: s.domain, Suspects: digestsOf(own.Suspects), Quarantine: messagesOf(s.quarantine.ToTell()),
-		Unknown: s.takeUnknown(),
+		Unknown: s.takeUnknown(), Capacity: s.capacity,
 	}
 	list := s.receivers(now, seq)
 	encoded := make(map[purpose][]byte)
@@ -427,7 +433,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.named(from, r.From)
-	p.heard, p.domain = time.Now(), r.Domain
+	p.heard, p.domain, p.capacity = time.Now(), r.Domain, r.Capacity
 	p.direct = p.heard
 	isNew := r.Seq > p.seq
 	if isNew {
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -51,7 +51,7 @@
 	b, _ := newShare(t, "b")
 	defer a.conn.Close()
 	defer b.conn.Close()
-	a.AddPeer(b.Addr().String(), "")
+	a.AddPeer(b.Addr().String(), "", 0)
 	record := quarantine.Record{Content: quarantine.Fingerprint{1}, Seen: time.UnixMilli(5), Crashes: []quarantine.Crash{{Target: 7, At: time.UnixMilli(4)}}}
 	heard := &fakeQuarantine{}
 	a.quarantine, b.quarantine = &fakeQuarantine{tells: []quarantine.Record{record}}, heard
@@ -82,7 +82,7 @@
 func TestGatewaysHearOfEachOthersLoads(t *testing.T) {
 	a, viewA := newShare(t, "a")
 	b, viewB := newShare(t, "b")
-	b.AddPeer(a.Addr().String(), "") // a learns of b by its reports
+	b.AddPeer(a.Addr().String(), "", 0) // a learns of b by its reports
 	ctx, cancel := context.WithCancel(context.Background())
 	over := make(chan error, 2)
 	go func() { over <- a.Run(ctx) }()
@@ -155,9 +155,9 @@
 func TestSilentPeersAreSentToRarelyAndThenNotAtAll(t *testing.T) {
 	s, _ := newShare(t, "a")
 	defer s.conn.Close()
-	s.AddPeer("127.0.0.1:9", "")
-	s.AddPeer(s.Addr().String(), "")
-	s.AddPeer("nonsense", "")
+	s.AddPeer("127.0.0.1:9", "", 0)
+	s.AddPeer(s.Addr().String(), "", 0)
+	s.AddPeer("nonsense", "", 0)
 	now := time.Now()
 	if n := len(s.receivers(now, 0)); n != 1 {
 		t.Errorf("%d peers are due, want the other one", n)
@@ -185,7 +185,7 @@
 	for addr, r := range reports {
 		s.heard(netip.MustParseAddrPort(addr), r)
 	}
-	s.AddPeer("127.0.0.1:5", "") // known by its address alone
+	s.AddPeer("127.0.0.1:5", "", 0) // known by its address alone
 	s.peers[netip.MustParseAddrPort("127.0.0.1:4")].heard = time.Now().Add(-2 * PeerTTL)
 	if got := s.PeersWithStore(); len(got) != 1 || got[0] != "127.0.0.1:1" {
 		t.Errorf("reaching %v", got)
@@ -284,7 +284,7 @@
 func TestTrafficIsCounted(t *testing.T) {
 	a, _ := newShare(t, "a")
 	b, _ := newShare(t, "b")
-	a.AddPeer(b.Addr().String(), "")
+	a.AddPeer(b.Addr().String(), "", 0)
 	if n := a.broadcast(1); n != 1 {
 		t.Fatalf("told %d gateways", n)
 	}
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -43,6 +43,8 @@
 	Role hubRole `cbor:"15,keyasint,omitempty"`
 	// Unknown are gateways that hubs have told of and that the sender does not know: the receiver, as a hub, is to introduce them.
 	Unknown []fanout.ID `cbor:"16,keyasint,omitempty"`
+	// Capacity is the sender's processor time.
+	Capacity fanout.Capacity `cbor:"17,keyasint,omitempty"`
 }
 
 func messagesOf(records []quarantine.Record) []quarantine.Message {
--- a/internal/loadshare/quota_test.go
+++ b/internal/loadshare/quota_test.go
@@ -41,8 +41,8 @@
 func TestGatewaysHearOfEachOthersAdmissions(t *testing.T) {
 	near, far := newQuotas("a"), newQuotas("b")
 	a, b := shareWith(t, "a", near), shareWith(t, "b", far)
-	b.AddPeer(a.Addr().String(), "")
-	a.AddPeer(b.Addr().String(), "")
+	b.AddPeer(a.Addr().String(), "", 0)
+	a.AddPeer(b.Addr().String(), "", 0)
 	ctx, cancel := context.WithCancel(context.Background())
 	over := make(chan error, 2)
 	go func() { over <- a.Run(ctx) }()
--- a/internal/loadshare/receivers.go
+++ b/internal/loadshare/receivers.go
@@ -60,16 +60,21 @@
 func (s *Share) members(now time.Time, domain digest) []fanout.Member {
 	var list []fanout.Member
 	if domain == s.domain {
-		list = append(list, fanout.Member{Addr: s.Addr(), Domain: fanout.Domain(domain), IsHeard: true})
+		list = append(list, s.selfMember())
 	}
 	for ap, p := range s.peers {
 		if silent := now.Sub(p.heard); p.domain == domain && silent <= quietAfter {
-			list = append(list, fanout.Member{Addr: ap, Domain: fanout.Domain(domain), IsHeard: p.name != "" && silent < PeerTTL})
+			list = append(list, fanout.Member{Addr: ap, Domain: fanout.Domain(domain), Capacity: p.capacity, IsHeard: p.name != "" && silent < PeerTTL})
 		}
 	}
 	return list
 }
 
+// selfMember is this gateway among the members of its domain.
+func (s *Share) selfMember() fanout.Member {
+	return fanout.Member{Addr: s.Addr(), Domain: fanout.Domain(s.domain), Capacity: s.capacity, IsHeard: true}
+}
+
 // toHubs has the hubs of the own domain tell the n-th report on. Each passes half of the reports on at once. Gateways that are listed before
 // the hubs may be hubs that do not know this one, and those whose domain is not known have to hear of it by itself. The caller holds the lock.
 func (s *Share) toHubs(now time.Time, n uint64) []receiver {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fanout"
 	"arbutusramp/core/fleet"
 	coreplatform "arbutusramp/core/platform"
 	"arbutusramp/core/quota"
@@ -114,13 +115,18 @@
 		return nil, err
 	}
 	peersLog := logger.Named("peers")
-	g.peers = &peerDirectory{store: g.paths, share: g.share, domain: s.Host.Domain, link: dependency.NewLink(peersLog, "peers' addresses"), log: peersLog}
+	g.peers = &peerDirectory{store: g.paths, share: g.share, self: peerListing{Domain: s.Host.Domain, Capacity: capacityOf(s)}, link: dependency.NewLink(peersLog, "peers' addresses"), log: peersLog}
 	g.registerGauges()
 	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load, Rejected: g.noteRejected()})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
 
+// capacityOf is the processor time that a gateway may use.
+func capacityOf(s settings.Gateway) fanout.Capacity {
+	return fanout.CapacityOf(s.CPUShare * float64(s.Cores))
+}
+
 // defaultClaimTTL is how long a silent peer keeps its part of the quotas where keys may be relied upon for ever. It is longer than
 // a restart takes.
 const defaultClaimTTL = 6 * time.Second
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -56,7 +56,7 @@
 			return nil, errors.Wrap(err, "listen for peers")
 		}
 		if g.share, err = loadshare.New(loadshare.Options{
-			Addr: on.Addr().String(), Self: self, Domain: string(g.set.Host.Domain), Off: g.set.Off,
+			Addr: on.Addr().String(), Self: self, Domain: string(g.set.Host.Domain), Capacity: capacityOf(g.set), Off: g.set.Off,
 			View: g.view, Quotas: g.quotas, Quarantine: g.quarantine, Detours: detours, Log: log,
 		}); err == nil {
 			return on, nil
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -9,6 +9,7 @@
 	configVersionMetric        = "config.version"
 	configAgeMetric            = "config.age_ms"
 	targetsMetric              = "targets"
+	reportsHubMetric           = "reports.hub_for"
 	reportsSentMetric          = "reports.sent"
 	reportsSentBytesMetric     = "reports.sent_bytes"
 	reportsPassedOnMetric      = "reports.passed_on"
@@ -30,6 +31,7 @@
 		configAgeMetric:            func() int64 { return g.watch.Age().Milliseconds() },
 		targetsMetric:              func() int64 { return int64(len(g.view.Targets())) },
 		peersMetric:                func() int64 { return int64(g.share.Peers()) },
+		reportsHubMetric:           func() int64 { return int64(g.share.HubFor()) },
 		reportsSentMetric:          g.share.Traffic().Own.Datagrams,
 		reportsSentBytesMetric:     g.share.Traffic().Own.Bytes,
 		reportsPassedOnMetric:      g.share.Traffic().PassedOn.Datagrams,
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"arbutusramp/core/fanout"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
 	"arbutusramp/internal/dependency"
@@ -27,16 +28,17 @@
 
 // peerDirectory finds the other gateways.
 type peerDirectory struct {
-	store  platform.Store
-	share  *loadshare.Share
-	domain structs.FailureDomain
-	link   *dependency.Link
-	log    hclog.Logger
+	store platform.Store
+	share *loadshare.Share
+	self  peerListing
+	link  *dependency.Link
+	log   hclog.Logger
 }
 
 // peerListing is what a gateway leaves under its address.
 type peerListing struct {
-	Domain structs.FailureDomain `cbor:"1,keyasint"`
+	Domain   structs.FailureDomain `cbor:"1,keyasint"`
+	Capacity fanout.Capacity       `cbor:"2,keyasint,omitempty"`
 }
 
 // run writes this process's address once and reads the others' now and then, until ctx ends.
@@ -56,7 +58,7 @@
 }
 
 func (d *peerDirectory) write(ctx context.Context) error {
-	value, err := cbor.Marshal(peerListing{Domain: d.domain})
+	value, err := cbor.Marshal(d.self)
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -73,7 +75,7 @@
 			if err := cbor.Unmarshal(r.Value, &l); err != nil {
 				d.log.Info("peer's domain can't be read: it tells it itself", "addr", r.Key, "error", err)
 			}
-			d.share.AddPeer(r.Key, string(l.Domain))
+			d.share.AddPeer(r.Key, string(l.Domain), l.Capacity)
 		}
 		return true
 	})
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -19,6 +19,9 @@
 	PeerAddr    string // [listen] peers: datagrams of other gateways
 	MetricsAddr string // [listen] metrics
 
+	CPUShare float64 // of each of Cores that the process may use, 0 to 1
+	Cores    int
+
 	StoreAddr string        // IP:port of the platform's store
 	Shards    int           // partitions of a topic of the store, which are the shards of the backlog
 	MinTTL    time.Duration // shortest lease that the store grants a member of a group
@@ -42,6 +45,7 @@
 func gatewayTable() table[Gateway] {
 	rows := hostRows("gateway", func(g *Gateway) *Identity { return &g.Host })
 	rows = append(rows, logRows(func(g *Gateway) *Logs { return &g.Logs })...)
+	rows = append(rows, gatewayCapacityRows()...)
 	rows = append(rows, gatewayListenRows()...)
 	rows = append(rows, gatewayStoreRows()...)
 	rows = append(rows, gatewayWorkspaceRows()...)
@@ -62,6 +66,17 @@
 	}}
 }
 
+func gatewayCapacityRows() []row[Gateway] {
+	return []row[Gateway]{
+		{section: "host", key: "cpu_share", unit: "share", def: "1",
+			field: ratio(func(g *Gateway) *float64 { return &g.CPUShare }),
+			doc:   "share of each of the host's cores that the process may use; gateways with more processor time do more for the others"},
+		{section: "host", key: "cores", unit: "number", def: "1",
+			field: integer(1, 1024, func(g *Gateway) *int { return &g.Cores }),
+			doc:   "cores of the host"},
+	}
+}
+
 func gatewayListenRows() []row[Gateway] {
 	return []row[Gateway]{
 		{section: "listen", key: "callers", unit: "address", required: true,
