Backlog: random trouble with processes that follow the backlog only when asked

A first version of the test ranked processes by indices that moved when one was replaced, so that none was a member and items waited: a fault of the test.

--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -43,13 +43,14 @@
 	targets *fakeTargets
 	route   *serving.Route
 	noRoute atomic.Bool // the configuration in force does not have it
+	nodesMu sync.Mutex  // guards changes of nodes for what reads them beside the test
 	nodes   []*node
 	keep    time.Duration // how long jobs stay readable
 	spread  int           // see Options.SpreadBytes; 0 has all texts apart
 	// build wraps the store of each process; nil for the product as it is.
 	build func(platform.Store) platform.Store
-	// rank says how many processes go before that with an index in owning shards; nil has all own some.
-	rank func(index int) (rank int, isKnown bool)
+	// rank says how many processes go before one in owning shards; nil has all own some.
+	rank func(n *node) (rank int, isKnown bool)
 	// wrong is told what must not be.
 	wrong func(format string, args ...any)
 }
@@ -111,8 +112,8 @@
 		Threshold: corequarantine.DefaultThreshold, Hold: corequarantine.DefaultHold, Prober: w.targets, Fleet: n.fleet, Log: log, Metrics: metrics.NewRegistry(),
 	})
 	o := Options{Member: name, Shards: testShards, MinTTL: testTTL, Keep: w.keep, SpreadBytes: w.spread, Quarantine: n.quarantine}
-	if index := len(w.nodes); w.rank != nil {
-		o.Rank = func() (int, bool) { return w.rank(index) }
+	if w.rank != nil {
+		o.Rank = func() (int, bool) { return w.rank(n) }
 	}
 	n.manager = New(o, store, w.targets, n.fleet, n, log, metrics.NewRegistry())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,6 +124,8 @@
 			w.wrong("%s: %v", name, err)
 		}
 	}()
+	w.nodesMu.Lock()
+	defer w.nodesMu.Unlock()
 	w.nodes = append(w.nodes, n)
 	return n
 }
--- a/internal/backlog/members_test.go
+++ b/internal/backlog/members_test.go
@@ -73,11 +73,15 @@
 	})
 }
 
-func (m *manyNodes) rank(index int) (int, bool) {
+func (m *manyNodes) rank(n *node) (rank int, isKnown bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rank := 0
-	for i := range index {
+	m.nodesMu.Lock()
+	defer m.nodesMu.Unlock()
+	for i, other := range m.nodes {
+		if other == n {
+			break
+		}
 		if !m.dead[i] {
 			rank++
 		}
--- a/internal/backlog/random_test.go
+++ b/internal/backlog/random_test.go
@@ -51,6 +51,32 @@
 	}
 }
 
+// The same with processes that follow the backlog only when they are asked: two of those that live may own shards.
+func TestRandomTroubleWithFewMembers(t *testing.T) {
+	for seed := *randomSeed; seed < *randomSeed+uint64(*randomSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTrouble(t, seed)
+				w.rank = w.rankAmongLiving
+				w.run()
+			})
+		})
+	}
+}
+
+// rankAmongLiving ranks a process behind those that started before it and live, with two of them below the ranks that join.
+func (w *trouble) rankAmongLiving(n *node) (rank int, isKnown bool) {
+	w.nodesMu.Lock()
+	defer w.nodesMu.Unlock()
+	for _, other := range w.nodes {
+		if other == n {
+			break
+		}
+		rank += joinRanksPerShard * testShards / 2
+	}
+	return rank, true
+}
+
 // trouble is one random run.
 type trouble struct {
 	*world
@@ -214,7 +240,9 @@
 	} else {
 		n.kill()
 	}
+	w.nodesMu.Lock()
 	w.nodes = append(w.nodes[:i], w.nodes[i+1:]...)
+	w.nodesMu.Unlock()
 	w.started++
 	w.start(fmt.Sprintf("again-%d", w.started))
 }
