--- a/core/fanout/sim_test.go
+++ b/core/fanout/sim_test.go
@@ -426,3 +426,45 @@
 		}
 	}
 }
+
+// Guards against gateways that are missed for long, or live on for long, after the first hub of each domain is lost at once.
+func TestTheLossOfHubsIsMadeGood(t *testing.T) {
+	const gateways, lostAt = 294, simWarmUp
+	f := newSimFleet(gateways, true, 3)
+	f.run(lostAt)
+	lost := make(map[ID]bool)
+	for d := range Domain(simDomains) {
+		hubs, _ := Hubs(f.all[0].members(d))
+		g := f.byAddr[hubs[0]]
+		g.isDead = true
+		lost[g.id] = true
+	}
+	view := func() (missed, living int) {
+		for _, g := range f.all {
+			if !g.isListener || g.isDead {
+				continue
+			}
+			for _, other := range f.all {
+				switch {
+				case other == g:
+				case lost[other.id] && !g.isGone(other):
+					living++
+				case !lost[other.id] && g.isGone(other):
+					missed++
+				}
+			}
+		}
+		return missed, living
+	}
+	var mostMissed int
+	for after := simLook; after < 2*simTTL; after += simLook {
+		f.run(lostAt + after)
+		missed, _ := view()
+		mostMissed = max(mostMissed, missed)
+	}
+	missed, living := view()
+	t.Logf("%d of %d views of others were missing at the most", mostMissed, simListeners*gateways)
+	if missed > 0 || living > 0 {
+		t.Errorf("%v after the loss %d gateways that live are missed, %d that are lost count as living", 2*simTTL, missed, living)
+	}
+}
