Stop: what might be cut off by the end is rejected, not taken

Cause: a process that stops went on taking requests on new connections until 6 s, on the ground that answers take 1.5 s as a rule.

Change: from three eighths of the grace on (3 s of 8 s) the listener is closed and a request that still comes on a connection that is busy is rejected with 503, not run, to come back at once elsewhere. Requests that came before have 4.6 s left.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,11 +12,9 @@
 // Shares of the grace at which a process that stops goes a step further. With a grace of 8 s, the
 // balancer has sent callers elsewhere after 2 to 3 s; a streamed answer takes about 1 s.
 const (
-	// closeIdleAt is when kept connections without a request are closed. A caller that sent
-	// its next request on one much later would have its answer cut off by the end.
-	closeIdleAt = 0.5
-	// closeListenerAt is when nothing new is taken: what came just before can still be answered.
-	closeListenerAt = 0.75
+	// stopTakingAt is when nothing new is taken: connections without a request are closed, and a request on another one is rejected.
+	// Requests that came before have over half of the grace left; those that come later might be cut off by the end.
+	stopTakingAt = 0.375
 	// breakOffAt is when requests still in flight are broken off, so that the process is gone
 	// by itself before it is killed.
 	breakOffAt = 0.95
@@ -30,8 +28,8 @@
 type callerSide interface {
 	// closeIdle closes connections that have no request.
 	closeIdle()
-	// closeListener takes no further connection.
-	closeListener()
+	// stopTaking takes no further connection or request.
+	stopTaking()
 	// busy is the number of connections with a request, from its first byte on.
 	busy() int
 	// quietFor is the time since the last request came.
@@ -46,11 +44,8 @@
 	began := time.Now()
 	at := func(share float64) time.Time { return began.Add(time.Duration(share * float64(grace))) }
 	log.Info("stopping", "busy", callers.busy(), "grace", grace.String())
-	if !quietUntil(callers, began, at(closeIdleAt)) {
-		callers.closeIdle()
-		quietUntil(callers, began, at(closeListenerAt))
-	}
-	callers.closeListener()
+	quietUntil(callers, began, at(stopTakingAt))
+	callers.stopTaking()
 	for time.Now().Before(at(breakOffAt)) {
 		callers.closeIdle()
 		if callers.busy() == 0 {
@@ -62,14 +57,13 @@
 	callers.breakOff()
 }
 
-// quietUntil waits until a time, or reports true as soon as callers have stayed away for long.
-func quietUntil(callers callerSide, began, until time.Time) bool {
+// quietUntil waits until a time, or until callers have stayed away for long.
+func quietUntil(callers callerSide, began, until time.Time) {
 	for time.Now().Before(until) {
 		calm := min(callers.quietFor(), time.Since(began))
 		if callers.busy() == 0 && calm > quietStop {
-			return true
+			return
 		}
 		sleep.For(context.Background(), drainPollInterval)
 	}
-	return false
 }
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -26,8 +26,8 @@
 	}
 }
 
-func (f *fakeCallers) closeListener() { f.shut = f.since() }
-func (f *fakeCallers) breakOff()      { f.broken = f.since() }
+func (f *fakeCallers) stopTaking() { f.shut = f.since() }
+func (f *fakeCallers) breakOff()   { f.broken = f.since() }
 
 func (f *fakeCallers) busy() int {
 	if f.since() < f.busyFor {
@@ -68,6 +68,17 @@
 	})
 }
 
+// Guards against taking a request so late that an answer which takes long is cut off by the end.
+func TestARequestThatIsTakenHasHalfOfTheGraceLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeCallers{busyFor: 20 * time.Second, last: 20 * time.Second}
+		drainWith(f)
+		if f.shut+testGrace/2 > f.broken || f.idleClosed+testGrace/2 > f.broken {
+			t.Errorf("nothing is taken after %v, idle connections are closed after %v, requests broken off after %v", f.shut, f.idleClosed, f.broken)
+		}
+	})
+}
+
 func TestAQuietProcessStopsEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeCallers{busyFor: 800 * time.Millisecond, last: 500 * time.Millisecond}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -79,9 +79,11 @@
 	sideOn     []net.Listener
 
 	stopping atomic.Bool
-	active   atomic.Int64
-	lastCall atomic.Int64 // in nanoseconds since began
-	began    time.Time
+	// rejecting says that requests that come now are rejected: the process ends soon.
+	rejecting atomic.Bool
+	active    atomic.Int64
+	lastCall  atomic.Int64 // in nanoseconds since began
+	began     time.Time
 }
 
 // NewGateway takes the process's listeners and wires its parts.
@@ -117,7 +119,7 @@
 	peersLog := logger.Named("peers")
 	g.peers = &peerDirectory{store: g.paths, share: g.share, self: peerListing{Domain: s.Host.Domain, Capacity: capacityOf(s)}, link: dependency.NewLink(peersLog, "peers' addresses"), log: peersLog}
 	g.registerGauges()
-	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load, Rejected: g.noteRejected()})
+	g.server = g.callersServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, Closing: g.stopping.Load, Rejecting: g.rejecting.Load, Rejected: g.noteRejected()})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
@@ -259,8 +261,9 @@
 // closeIdle implements callerSide.
 func (g *Gateway) closeIdle() { g.callers.closeIdle() }
 
-// closeListener implements callerSide.
-func (g *Gateway) closeListener() {
+// stopTaking implements callerSide.
+func (g *Gateway) stopTaking() {
+	g.rejecting.Store(true)
 	if err := g.callers.Close(); err != nil {
 		g.log.Warn("listener not closed", "error", err)
 	}
