Backlog: a state is as old as the question whose answer shows it

Cause: an answer of the store counted as fresh from when it came, whatever it had been on its way. "There is none" is answered from a state under 0.8 s old, and a result counts as known to all after a second: an answer that took 0.3 s uses that up. Processes that read only when asked are more often near that bound.

Change: the age is counted from the question, or from the end of the time for which the store has waited for news in vain.

--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -75,7 +75,7 @@
 type tail struct {
 	loaded bool      // the newest records of all keys have been read
 	next   uint64    // offset to read on from
-	fresh  time.Time // when the store last said that there is nothing after next
+	fresh  time.Time // a time at which the store had nothing after next
 	// loading is the load that is under way; nil while none is.
 	loading *loading
 	// waiting is how many callers wait for news.
@@ -163,7 +163,8 @@
 	if !loaded {
 		return r.load(ctx, p)
 	}
-	page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes, Wait: r.readWait(p)})
+	asked, wait := time.Now(), r.readWait(p)
+	page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes, Wait: wait})
 	var expired *platform.Expired
 	if errors.As(err, &expired) {
 		r.log.Warn("records have expired before they were read", "topic", p.Topic, "next", next, "first", expired.First)
@@ -172,10 +173,22 @@
 	if err != nil {
 		return err
 	}
-	r.take(p, page, next)
+	r.take(p, page, next, provenAt(asked, wait, page))
 	return nil
 }
 
+// provenAt is a time at which the store held no more than an answer shows. An answer may be long on its way: only the question's time is
+// sure, and that the store has waited for news in vain.
+func provenAt(asked time.Time, wait time.Duration, page platform.Records) time.Time {
+	if len(page.Records) > 0 {
+		return asked
+	}
+	if now := time.Now(); now.Sub(asked) < wait {
+		return now
+	}
+	return asked.Add(wait)
+}
+
 // readWait is how long a read waits for news.
 func (r *Replica) readWait(p platform.Partition) time.Duration {
 	if !r.isNeeded(p) {
@@ -228,9 +241,9 @@
 	r.announce()
 }
 
-// take folds a page that was read from an offset on. Two readers may bring the same page: the
-// state does not go back.
-func (r *Replica) take(p platform.Partition, page platform.Records, from uint64) {
+// take folds a page that was read from an offset on, and that shows what the store held at a time. Two readers may bring the same page:
+// the state does not go back.
+func (r *Replica) take(p platform.Partition, page platform.Records, from uint64, proven time.Time) {
 	r.apply(page.Records)
 	if p == jobPartition {
 		r.contact()
@@ -239,8 +252,8 @@
 	defer r.mu.Unlock()
 	t := r.tails[p]
 	t.next = max(t.next, from+uint64(len(page.Records)))
-	if t.next >= page.End {
-		t.fresh = time.Now()
+	if t.next >= page.End && proven.After(t.fresh) {
+		t.fresh = proven
 	}
 	if len(page.Records) > 0 {
 		r.announce()
@@ -321,11 +334,12 @@
 		if !first && next >= target {
 			return nil
 		}
+		asked := time.Now()
 		page, err := r.store.Read(ctx, platform.Read{Partition: p, From: next, MaxBytes: readBytes})
 		if err != nil {
 			return err
 		}
-		r.take(p, page, next)
+		r.take(p, page, next, asked)
 		if first {
 			target = page.End
 		}
