--- a/internal/backlog/members_test.go
+++ b/internal/backlog/members_test.go
@@ -157,3 +157,29 @@
 		}
 	})
 }
+
+// Guards against taking a state for fresh whose answer was long on its way, or waited for this process to get the processor.
+func TestAStateIsAsOldAsItsQuestion(t *testing.T) {
+	const late = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			wait, took time.Duration
+			records    int
+			want       time.Duration // after the question
+		}{
+			"an answer at once":             {0, 0, 0, 0},
+			"late":                          {0, late, 0, 0},
+			"no news for as long as waited": {600 * time.Millisecond, 600 * time.Millisecond, 0, 600 * time.Millisecond},
+			"no news, late":                 {600 * time.Millisecond, late, 0, 600 * time.Millisecond},
+			"no news, sooner":               {600 * time.Millisecond, 100 * time.Millisecond, 0, 100 * time.Millisecond},
+			"news, late":                    {600 * time.Millisecond, late, 1, 0},
+		} {
+			asked := time.Now()
+			time.Sleep(c.took)
+			got := provenAt(asked, c.wait, platform.Records{Records: make([]platform.StoredRecord, c.records)})
+			if got.Sub(asked) != c.want {
+				t.Errorf("%s: proven %v after the question, want %v", name, got.Sub(asked), c.want)
+			}
+		}
+	})
+}
