--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -148,8 +148,11 @@
 					}
 				}
 				time.Sleep(suspicionTTL)
-				if isQuarantined(q, "body") != c.want || c.fleet.probes != c.probes {
-					t.Errorf("quarantined %v after %d probes, want %v after %d", !c.want, c.fleet.probes, c.want, c.probes)
+				synctest.Wait()
+				probes := 0
+				c.fleet.set(func() { probes = c.fleet.probes })
+				if isQuarantined(q, "body") != c.want || probes != c.probes {
+					t.Errorf("quarantined %v after %d probes, want %v after %d", !c.want, probes, c.want, c.probes)
 				}
 				if isQuarantined(q, "other") {
 					t.Error("another request is quarantined")
