Fan-out: a hub hashes each receiver once when it divides them

Found by reading the change once more: the order of receivers hashed both sides of each comparison, with every batch of a hub, up to 200 times a second. Same order, same branches: 67 us became 27 us with 110 receivers (BenchmarkBranches, this machine).

--- a/core/fanout/overlay.go
+++ b/core/fanout/overlay.go
@@ -110,11 +110,23 @@
 		return branches
 	}
 	salt := weight(hub, 1)
-	ordered := slices.Clone(receivers)
-	slices.SortFunc(ordered, func(a, b netip.AddrPort) int { return cmp.Compare(weight(a, salt), weight(b, salt)) })
+	// Each is hashed once: hubs divide their receivers with every batch.
+	type weighed struct {
+		addr   netip.AddrPort
+		weight uint64
+	}
+	ordered := make([]weighed, 0, n)
+	for _, r := range receivers {
+		ordered = append(ordered, weighed{r, weight(r, salt)})
+	}
+	slices.SortFunc(ordered, func(a, b weighed) int { return cmp.Compare(a.weight, b.weight) })
+	addrs := make([]netip.AddrPort, 0, n)
+	for _, w := range ordered {
+		addrs = append(addrs, w.addr)
+	}
 	size := int(math.Ceil(math.Sqrt(float64(n))))
 	var branches []Branch
-	for part := range slices.Chunk(ordered, size) {
+	for part := range slices.Chunk(addrs, size) {
 		branches = append(branches, Branch{First: part[0], Rest: part[1:]})
 	}
 	return branches
