Crashes: a run that is preempted as its target breaks off others counts too

Cause: the first stream that a crashed target breaks off makes the target suspect, and a suspect target's batch runs are preempted at once. The run that had crashed it is thereby ended by its own gateway a moment before it breaks off, and is taken for one that was cancelled: nothing is counted, and the item goes on to the next target.

Change: a run that this process ends is as suspect as those that its target breaks off within 50 ms of that, before or after; a probe or the list decides as for the others. Runs without such a break cost a slot in a bounded list.

The harness of the backlog crashes targets with all that they run, and lists another start in the place of each.

--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -50,7 +50,8 @@
 	// build wraps the store of each process; nil for the product as it is.
 	build func(platform.Store) platform.Store
 	// rank says how many processes go before one in owning shards; nil has all own some.
-	rank func(n *node) (rank int, isKnown bool)
+	rank     func(n *node) (rank int, isKnown bool)
+	restarts sync.WaitGroup // of targets
 	// wrong is told what must not be.
 	wrong func(format string, args ...any)
 }
@@ -76,10 +77,33 @@
 			Shares: []serving.Share{{Service: "llm", Weight: 1}}, Due: 18 * time.Second, Retain: time.Minute,
 		},
 	}
+	w.targets.replace = w.replaceTarget
 	w.startNodes(nodes)
 	return w
 }
 
+// restartTime is how long a target that has crashed under an item is away.
+const restartTime = time.Second
+
+// replaceTarget takes a target off the list, and lists another start in its place after restartTime.
+func (w *world) replaceTarget(target string, crashes int) {
+	start := serving.Target{ID: fmt.Sprintf("restart-%d", crashes), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}
+	w.restarts.Go(func() {
+		time.Sleep(restartTime / 2)
+		w.eachNode(func(n *node) { n.fleet.Put(nil, []string{target}) })
+		time.Sleep(restartTime / 2)
+		w.eachNode(func(n *node) { n.fleet.Put([]serving.Target{start}, nil) })
+	})
+}
+
+func (w *world) eachNode(f func(n *node)) {
+	w.nodesMu.Lock()
+	defer w.nodesMu.Unlock()
+	for _, n := range w.nodes {
+		f(n)
+	}
+}
+
 func (w *world) startNodes(nodes int) {
 	for i := range nodes {
 		w.start(fmt.Sprintf("node-%d", i))
@@ -154,6 +178,7 @@
 	for _, n := range w.nodes {
 		n.stop()
 	}
+	w.restarts.Wait()
 }
 
 // job makes a job whose item ids begin with kinds; see fakeTargets.
@@ -233,8 +258,11 @@
 	return itemEvents
 }
 
+// doomDelay is how long a target works on an item before that crashes it.
+const doomDelay = 50 * time.Millisecond
+
 // fakeTargets answer items by the beginning of their ids: "ok" runs whole, "never" is refused
-// for good with 422, "fail" fails with 500; under "crash" the target ends.
+// for good with 422, "fail" fails with 500; under "crash" the target ends, under "doom" after doomDelay, with all other runs that it has.
 type fakeTargets struct {
 	mu     sync.Mutex
 	runs   map[string]int // by item
@@ -242,10 +270,39 @@
 	from   map[string]string // the event after which the last run of an item began
 	// crashed are the targets that have ended. Another takes the place of each at once, under the same id.
 	crashed map[string]bool
+	// crashes is how often targets have ended, and streams are what they answer with just now, by target.
+	crashes int
+	streams map[string][]*io.PipeWriter
+	// replace puts another start in the place of a target that has ended.
+	replace func(target string, crashes int)
 }
 
 func newFakeTargets() *fakeTargets {
-	return &fakeTargets{runs: make(map[string]int), starts: make(map[string][]time.Time), from: make(map[string]string), crashed: make(map[string]bool)}
+	return &fakeTargets{
+		runs: make(map[string]int), starts: make(map[string][]time.Time), from: make(map[string]string), crashed: make(map[string]bool),
+		streams: make(map[string][]*io.PipeWriter),
+	}
+}
+
+// crash ends a target. All that it runs breaks off, one after the other.
+func (f *fakeTargets) crash(target string) {
+	f.mu.Lock()
+	f.crashed[target] = true
+	f.crashes++
+	crashes, streams := f.crashes, f.streams[target]
+	delete(f.streams, target)
+	f.mu.Unlock()
+	for _, s := range streams {
+		_ = s.CloseWithError(io.ErrUnexpectedEOF)
+	}
+	f.replace(target, crashes)
+}
+
+// crashCount is how often targets have ended.
+func (f *fakeTargets) crashCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes
 }
 
 // Send implements platform.TargetCaller.
@@ -270,12 +327,25 @@
 		defer f.mu.Unlock()
 		f.crashed[c.Target.ID] = true
 		return nil, errs.New(errs.TargetFailed, "EOF").WithRan(errs.RanUnknown)
+	case strings.HasPrefix(id, "doom"):
+		return nil, f.doom(ctx, c.Target.ID)
 	default:
-		ans.Body = stream(ctx, id, c.ResumeAfter)
+		ans.Body = f.stream(ctx, c)
 	}
 	return ans, nil
 }
 
+// doom crashes a target under a request, unless that is given up before. The other runs break off a moment earlier.
+func (f *fakeTargets) doom(ctx context.Context, target string) error {
+	if sleep.For(ctx, doomDelay) {
+		f.crash(target)
+	}
+	if !sleep.For(ctx, time.Millisecond) {
+		return errs.New(errs.Cancelled, ctx.Err().Error()).WithRan(errs.RanUnknown)
+	}
+	return errs.New(errs.TargetFailed, "EOF").WithRan(errs.RanUnknown)
+}
+
 // Probe implements platform.TargetProber.
 func (f *fakeTargets) Probe(_ context.Context, t serving.Target) platform.ProbeResult {
 	f.mu.Lock()
@@ -320,9 +390,13 @@
 	return f.from[id]
 }
 
-// stream sends the item's events after the one called from.
-func stream(ctx context.Context, id, from string) io.ReadCloser {
+// stream sends the item's events after the one that the call resumes after.
+func (f *fakeTargets) stream(ctx context.Context, c platform.TargetCall) io.ReadCloser {
+	id, from := c.Request.ID, c.ResumeAfter
 	r, wr := io.Pipe()
+	f.mu.Lock()
+	f.streams[c.Target.ID] = append(f.streams[c.Target.ID], wr)
+	f.mu.Unlock()
 	first := 1
 	if n, err := strconv.Atoi(from); err == nil {
 		first = n + 1
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -181,28 +181,27 @@
 	return goOn, errs.Newf(errs.TargetFailed, "the target answers %d", ans.Status)
 }
 
-// brokenOff notes that the target has broken off a run that began after the event from.
-func (m *Manager) brokenOff(t *task, r *fleetview.Run, from string, err error) {
-	m.opts.Quarantine.BrokenOff(quarantine.Broken{
-		Content: t.content, Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
-	})
+// brokenRun is a run that began after the event from and was broken off, as the quarantine is told of it.
+func brokenRun(t *task, r *fleetview.Run, from string, err error) quarantine.Broken {
+	return quarantine.Broken{Content: t.content, Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err}
 }
 
 // itemFailed counts a lost connection against the target, unless the run was ended here.
 func (m *Manager) itemFailed(ctx context.Context, t *task, r *fleetview.Run, from string, err error) error {
 	if r.HasEnded() && errs.As(err).Ran != errs.RanNo {
 		err = errs.New(errs.StreamBroken, "the target has started again")
-		m.brokenOff(t, r, from, err)
+		m.opts.Quarantine.BrokenOff(brokenRun(t, r, from, err))
 		return err
 	}
 	if ctx.Err() != nil {
+		m.opts.Quarantine.Interrupted(brokenRun(t, r, from, err))
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
 	}
 	if r.Failed() {
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
 	if errs.As(err).Ran != errs.RanNo {
-		m.brokenOff(t, r, from, err)
+		m.opts.Quarantine.BrokenOff(brokenRun(t, r, from, err))
 	}
 	return err
 }
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -34,6 +34,8 @@
 	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
+	// Interrupted notes a run that this process has ended: its target may have crashed under it all the same.
+	Interrupted(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
 }
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -32,6 +32,22 @@
 	})
 }
 
+// Guards against not counting the crash of a target under an item whose run is preempted because the target has broken off others.
+func TestACrashCountsAgainstAnItemThatWasPreemptedInIt(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		others := w.job("others", repeat("okay", 20)...)
+		n.submit(others)
+		time.Sleep(500 * time.Millisecond)
+		j := w.job("j", "doom")
+		n.submit(j)
+		w.check(others, n.results(others, 30*time.Second))
+		if crashes := w.targets.crashCount(); crashes < 3 || crashes > 6 {
+			t.Errorf("%d crashes, want 3 to 6", crashes)
+		}
+	})
+}
+
 // Guards against holding an item back for good whose content is served after all.
 func TestAnItemGoesOnWhenItsContentIsCleared(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -97,6 +97,8 @@
 	mu       sync.Mutex
 	registry *quarantine.Registry
 	suspects suspects
+	// interrupted are runs that this process has ended lately.
+	interrupted interruptions
 }
 
 // maxTryJitter spreads the moments from which gateways may try a quarantined content: what one of them does reaches the others within
@@ -213,17 +215,18 @@
 
 // noteCrash counts the crash of a target against a request.
 func (q *Quarantine) noteCrash(s suspect, target, evidence string) {
+	f := s.content.Fingerprint()
 	q.mu.Lock()
 	now := time.Now()
-	isNew := q.registry.NoteCrash(now, s.content, target, s.began, s.broken)
-	crashes, isQuarantined := q.registry.Crashes(s.content), q.registry.Check(now, s.content)
+	isNew := q.registry.NoteCrash(now, f, target, s.began, s.broken)
+	crashes, isQuarantined := q.registry.Crashes(f), q.registry.Check(now, f)
 	q.known.Store(int64(q.registry.Len()))
 	q.mu.Unlock()
 	if !isNew {
 		return
 	}
 	q.crashes.Inc(1)
-	q.log.Warn("target crashed under request", "request", s.request, "content", s.content.String(), "target", target, "evidence", evidence,
+	q.log.Warn("target crashed under request", "request", s.content.Request.ID, "content", f.String(), "target", target, "evidence", evidence,
 		"after_ms", now.Sub(s.broken).Milliseconds(), "crashes", crashes, "quarantined", isQuarantined)
 	q.announce()
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -28,14 +28,17 @@
 // bufferedFor is how long after its crash something that a target has sent may still be read.
 const bufferedFor = 50 * time.Millisecond
 
-// suspect is a request that a target has broken off.
+// suspect is a request that a target has broken off, or that this process has ended while the target broke off others.
 type suspect struct {
-	request string // id
-	content quarantine.Fingerprint
+	content *quarantine.Content
 	began   time.Time
 	broken  time.Time
 }
 
+func suspectOf(b quarantine.Broken, broken time.Time) suspect {
+	return suspect{content: b.Content, began: b.Began, broken: broken}
+}
+
 // brokenTarget is a target that has broken off requests.
 type brokenTarget struct {
 	suspects  []suspect
@@ -91,27 +94,64 @@
 	return len(t.suspects) > 0
 }
 
+// target returns what is known of a target that has broken off a request.
+func (s *suspects) target(id string) *brokenTarget {
+	t, ok := s.byTarget[id]
+	if !ok {
+		t = &brokenTarget{}
+		s.byTarget[id] = t
+	}
+	return t
+}
+
+// hasBroken says whether a target has broken off a request at or after a time.
+func (s *suspects) hasBroken(id string, since time.Time) bool {
+	t, ok := s.byTarget[id]
+	return ok && !t.last.Before(since)
+}
+
 // BrokenOff notes a broken run. Whether the target has crashed, or only the connection, shows within suspicionTTL.
 func (q *Quarantine) BrokenOff(b quarantine.Broken) {
 	now := time.Now()
-	s := suspect{request: b.Content.Request.ID, content: b.Content.Fingerprint(), began: b.Began, broken: now}
+	s := suspectOf(b, now)
 	q.broken.Inc(1)
-	q.log.Warn("broken off by target", "request", s.request, "content", s.content.String(), "target", b.Target.ID, "from_event", b.From,
-		"to_event", b.To, "error", b.Err.Error())
-	if !q.isOn || !b.Counts() || !b.HasCrashed && !q.isExpected(b.Target.ID) {
+	q.log.Warn("broken off by target", "request", b.Content.Request.ID, "content", b.Content.Fingerprint().String(), "target", b.Target.ID,
+		"from_event", b.From, "to_event", b.To, "error", b.Err.Error())
+	if !q.isOn || !b.HasCrashed && !q.isExpected(b.Target.ID) {
 		return
 	}
-	if b.HasCrashed {
+	interrupted := q.noteBroken(now, b.Target.ID)
+	switch {
+	case b.Counts() && b.HasCrashed:
 		q.noteCrash(s, b.Target.ID, "known to have crashed")
-		return
+	case b.Counts():
+		q.follow(interruption{suspect: s, target: b.Target})
 	}
-	evidence, needsProbe := q.suspect(s, b.Target.ID)
+	for _, i := range interrupted {
+		q.follow(i)
+	}
+}
+
+// noteBroken notes that a target has broken off a request. It returns the runs there that this process has ended shortly before.
+func (q *Quarantine) noteBroken(now time.Time, target string) interruptions {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.suspects.prune(now)
+	q.suspects.target(target).last = now
+	rest, taken := q.interrupted.take(now, target)
+	q.interrupted = rest
+	return taken
+}
+
+// follow finds out whether the target has crashed under a run.
+func (q *Quarantine) follow(i interruption) {
+	evidence, needsProbe := q.suspect(i.suspect, i.target.ID)
 	if evidence != "" {
-		q.noteCrash(s, b.Target.ID, evidence)
+		q.noteCrash(i.suspect, i.target.ID, evidence)
 		return
 	}
 	if needsProbe {
-		go q.probe(b.Target, now)
+		go q.probe(i.target, i.broken)
 	}
 }
 
@@ -142,13 +182,7 @@
 func (q *Quarantine) suspect(s suspect, target string) (evidence string, needsProbe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.suspects.prune(s.broken)
-	t, ok := q.suspects.byTarget[target]
-	if !ok {
-		t = &brokenTarget{}
-		q.suspects.byTarget[target] = t
-	}
-	t.last = s.broken
+	t := q.suspects.target(target)
 	if t.evidence != "" && s.began.Before(t.crashedAt) {
 		return t.evidence, false
 	}
