Backlog: an empty answer that comes early proves its question's time only

An answer without records that came before the wait was over counted as fresh from when it came. Why a store answers so early is not known then, nor how long the answer was on its way: up to 0.6 s of the 0.8 s that "there is none" may rest on.

Change: the time of the question counts. The table of TestAStateIsAsOldAsItsQuestion expected the time of the answer in that row; it expects the earlier one now, which is the stricter of the two.

--- a/internal/backlog/members_test.go
+++ b/internal/backlog/members_test.go
@@ -171,7 +171,7 @@
 			"late":                          {0, late, 0, 0},
 			"no news for as long as waited": {600 * time.Millisecond, 600 * time.Millisecond, 0, 600 * time.Millisecond},
 			"no news, late":                 {600 * time.Millisecond, late, 0, 600 * time.Millisecond},
-			"no news, sooner":               {600 * time.Millisecond, 100 * time.Millisecond, 0, 100 * time.Millisecond},
+			"no news, sooner":               {600 * time.Millisecond, 100 * time.Millisecond, 0, 0},
 			"news, late":                    {600 * time.Millisecond, late, 1, 0},
 		} {
 			asked := time.Now()
--- a/internal/backlog/replica.go
+++ b/internal/backlog/replica.go
@@ -178,14 +178,11 @@
 }
 
 // provenAt is a time at which the store held no more than an answer shows. An answer may be long on its way: only the question's time is
-// sure, and that the store has waited for news in vain.
+// sure, and that a store that has taken as long as it may has waited for news in vain.
 func provenAt(asked time.Time, wait time.Duration, page platform.Records) time.Time {
-	if len(page.Records) > 0 {
+	if len(page.Records) > 0 || time.Since(asked) < wait {
 		return asked
 	}
-	if now := time.Now(); now.Sub(asked) < wait {
-		return now
-	}
 	return asked.Add(wait)
 }
 
