Quarantine: contents that crash targets are contained by what they share

What callers saw: items under one URI with a body each, a fifth of a job's, crash three targets each; one caller that changes a byte with each repeat takes a route from all others.

Change: the registry keeps the same kind of record for what contents have in common, within their workspace: resource (method, host, URI), batch job, route. Three crashes that follow on each other, under runs of at least two contents that had got nowhere, quarantine the scope; the first event of a content that is new clears it; contents that targets have answered lately pass. Records merge in any order, go to peers and the store as those of contents do.

Clocks: a crash names the start of its target, so that two gateways whose clocks differ tell the same crash from another one; what follows on what is also told by how many crashes were known when a run began. Records from older gateways count by time.

TestForgottenRecordsLeaveTheStore counts one record more: that of the resource which its two contents share.

--- a/core/quarantine/broken.go
+++ b/core/quarantine/broken.go
@@ -10,6 +10,8 @@
 type Broken struct {
 	Content *Content
 	Target  serving.Target
+	// Start names the start of the target that had the run; empty if that is not known.
+	Start string
 	// Began is when the request was sent to the target.
 	Began time.Time
 	// From is the id of the event after which the run began, To that of the last event that is there; empty for none.
@@ -20,6 +22,9 @@
 	Err error
 }
 
+// IsEarly says whether the run has got nowhere.
+func (b Broken) IsEarly() bool { return b.From == b.To }
+
 // Counts says whether a crash of the target counts against the request. It does not if the run went on from an earlier one and took
 // the request further: each run of a request that is to blame crashes at the same event at the latest.
-func (b Broken) Counts() bool { return b.From == "" || b.From == b.To }
+func (b Broken) Counts() bool { return b.From == "" || b.IsEarly() }
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -10,6 +10,8 @@
 	"io"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"arbutusramp/core/serving"
 )
 
@@ -20,14 +22,19 @@
 // FingerprintOf returns the fingerprint of r. Its hash is collision-resistant: a caller that could make a request with the
 // fingerprint of another could have that one quarantined.
 func FingerprintOf(r *serving.Request) Fingerprint {
+	return fingerprint(r.Body, r.Caller.Workspace, r.Method, r.Host, r.URI)
+}
+
+// fingerprint hashes parts and a body.
+func fingerprint(body []byte, parts ...string) Fingerprint {
 	h := sha256.New()
 	var size [8]byte
-	for _, part := range []string{r.Caller.Workspace, r.Method, r.Host, r.URI} {
+	for _, part := range parts {
 		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
 		_, _ = h.Write(size[:]) // a hash never fails to write
 		_, _ = io.WriteString(h, part)
 	}
-	_, _ = h.Write(r.Body)
+	_, _ = h.Write(body)
 	var f Fingerprint
 	copy(f[:], h.Sum(nil))
 	return f
@@ -37,18 +44,61 @@
 type Content struct {
 	// Request is the request, or one of its repeats.
 	Request *serving.Request
+	// route is the name of the request's route, job the id of its batch job; empty for none.
+	route, job string
 
-	once        sync.Once
-	fingerprint Fingerprint
+	once    sync.Once
+	subject Subject
 }
 
 // NewContent returns the content of r, which must not change.
 func NewContent(r *serving.Request) *Content { return &Content{Request: r} }
 
-// Fingerprint returns the content's fingerprint. It is worked out once, when it is first asked for.
-func (c *Content) Fingerprint() Fingerprint {
-	c.once.Do(func() { c.fingerprint = FingerprintOf(c.Request) })
-	return c.fingerprint
+// In notes the route of a request, and the batch job if it has one. It returns c.
+func (c *Content) In(route, job string) *Content {
+	c.route, c.job = route, job
+	return c
+}
+
+// Fingerprint returns the content's fingerprint.
+func (c *Content) Fingerprint() Fingerprint { return c.Subject().Content }
+
+// Digest identifies the content as well as its fingerprint does, except against callers who want two contents to look alike. It costs a
+// twentieth.
+func (c *Content) Digest() uint64 {
+	r := c.Request
+	d := xxhash.New()
+	for _, part := range []string{r.Caller.Workspace, r.Method, r.Host, r.URI} {
+		_, _ = d.WriteString(part) // a hash never fails to write
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+// Names of the kinds of scopes in their fingerprints. They are no workspaces, with which those of contents begin.
+const (
+	resourceScope = "\x00resource"
+	jobScope      = "\x00job"
+	routeScope    = "\x00route"
+)
+
+// Subject returns what the request is known by: its content, its resource, its job and its route, each within its workspace. They are
+// worked out once, when they are first asked for.
+func (c *Content) Subject() Subject {
+	c.once.Do(func() {
+		r := c.Request
+		workspace := r.Caller.Workspace
+		c.subject.Content = FingerprintOf(r)
+		c.subject.Scopes = append(c.subject.Scopes, fingerprint(nil, resourceScope, workspace, r.Method, r.Host, r.URI))
+		if c.job != "" {
+			c.subject.Scopes = append(c.subject.Scopes, fingerprint(nil, jobScope, workspace, c.job))
+		}
+		if c.route != "" {
+			c.subject.Scopes = append(c.subject.Scopes, fingerprint(nil, routeScope, workspace, c.route))
+		}
+	})
+	return c.subject
 }
 
 // String returns the fingerprint in hexadecimal.
--- a/core/quarantine/message.go
+++ b/core/quarantine/message.go
@@ -15,6 +15,9 @@
 	Cleared int64          `cbor:"3,keyasint,omitempty"` // 0: never
 	Seen    int64          `cbor:"4,keyasint,omitempty"` // 0: never
 	Tried   int64          `cbor:"5,keyasint,omitempty"` // 0: never
+	IsScope bool           `cbor:"6,keyasint,omitempty"`
+	// Details are more of the crashes, in the order of Crashes; empty from a gateway that knows no more.
+	Details []CrashDetails `cbor:"7,keyasint,omitempty"`
 }
 
 // CrashMessage is a Crash.
@@ -25,11 +28,20 @@
 	At     int64
 }
 
+// CrashDetails are those parts of a Crash that CrashMessage lacks.
+type CrashDetails struct {
+	_         struct{} `cbor:",toarray"`
+	Start     uint64
+	Preceding int
+	By        uint64
+}
+
 // Message returns r as it is sent.
 func (r Record) Message() Message {
-	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen), Tried: millis(r.Tried)}
+	m := Message{Content: r.Content[:], Cleared: millis(r.Cleared), Seen: millis(r.Seen), Tried: millis(r.Tried), IsScope: r.IsScope}
 	for _, e := range r.Crashes {
 		m.Crashes = append(m.Crashes, CrashMessage{Target: e.Target, Began: millis(e.Began), At: millis(e.At)})
+		m.Details = append(m.Details, CrashDetails{Start: e.Start, Preceding: e.Preceding, By: e.By})
 	}
 	return m
 }
@@ -41,9 +53,18 @@
 		return r, errs.Newf(errs.BadFrame, "a fingerprint of %d bytes, want %d", len(m.Content), len(r.Content))
 	}
 	copy(r.Content[:], m.Content)
+	if len(m.Details) > 0 && len(m.Details) != len(m.Crashes) {
+		return r, errs.Newf(errs.BadFrame, "details of %d crashes, want %d", len(m.Details), len(m.Crashes))
+	}
+	r.IsScope = m.IsScope
 	r.Cleared, r.Seen, r.Tried = moment(m.Cleared), moment(m.Seen), moment(m.Tried)
-	for _, e := range m.Crashes {
-		r.addCrash(Crash{Target: e.Target, Began: moment(e.Began), At: moment(e.At)})
+	for i, e := range m.Crashes {
+		crash := Crash{Target: e.Target, Began: moment(e.Began), At: moment(e.At)}
+		if len(m.Details) > 0 {
+			d := m.Details[i]
+			crash.Start, crash.Preceding, crash.By = d.Start, d.Preceding, d.By
+		}
+		r.addCrash(crash)
 	}
 	return r, nil
 }
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -45,7 +43,7 @@
 	nextTell time.Time
 }
 
-// entry is one content.
+// entry is one content or scope.
 type entry struct {
 	Record
 	// stored is what the store is known to hold of the content.
@@ -66,21 +64,29 @@
 	return &Registry{opts: o, entries: make(map[Fingerprint]*entry)}
 }
 
-// Len is the number of contents that are known.
+// Len is the number of contents and scopes that are known.
 func (g *Registry) Len() int { return len(g.entries) }
 
-// Quarantined is the number of contents that are quarantined.
-func (g *Registry) Quarantined() int {
-	n := 0
+// Quarantined is the number of contents and of scopes that are quarantined.
+func (g *Registry) Quarantined() (contents, scopes int) {
 	for _, e := range g.entries {
-		if g.isQuarantined(e) {
-			n++
+		switch {
+		case !g.isQuarantined(e):
+		case e.IsScope:
+			scopes++
+		default:
+			contents++
 		}
 	}
-	return n
+	return contents, scopes
 }
 
-func (g *Registry) isQuarantined(e *entry) bool { return len(e.Crashes) >= g.opts.Threshold }
+func (g *Registry) isQuarantined(e *entry) bool {
+	if e.IsScope {
+		return len(e.Crashes) >= g.opts.Threshold && e.contents() >= scopeContents && e.inSequence() >= g.opts.Threshold
+	}
+	return len(e.Crashes) >= g.opts.Threshold
+}
 
 // Crashes is the number of targets that are known to have crashed under a content.
 func (g *Registry) Crashes(f Fingerprint) int {
@@ -130,13 +136,20 @@
 
 // canTry says whether a request with a quarantined content may be sent to find out whether the content is to blame. It may until as many
 // crashes as quarantine it have followed on each other: the others may have come together for a reason of their own. A target that
-// serves it clears the content.
+// serves it clears the content. A scope may be tried always.
 func (g *Registry) canTry(now time.Time, e *entry) bool {
+	if e.IsScope {
+		return !now.Before(e.tryAt)
+	}
 	return e.inSequence() < g.opts.Threshold && len(e.Crashes) < MaxCrashes && !now.Before(e.tryAt)
 }
 
 // planTry sets when this gateway may try a request with the content. Whoever tries first tells the others.
 func (g *Registry) planTry(e *entry) {
+	if e.IsScope {
+		g.planScopeTry(e)
+		return
+	}
 	pause := tryPause
 	var lastCrash time.Time
 	if len(e.Crashes) > 0 {
@@ -145,10 +158,14 @@
 	if e.Tried.After(lastCrash) {
 		pause = tryTimeout
 	}
-	if g.opts.Jitter != nil {
-		pause += g.opts.Jitter()
+	e.tryAt = later(lastCrash, e.Tried).Add(pause + g.jitter())
+}
+
+func (g *Registry) jitter() time.Duration {
+	if g.opts.Jitter == nil {
+		return 0
 	}
-	e.tryAt = later(lastCrash, e.Tried).Add(pause)
+	return g.opts.Jitter()
 }
 
 // renewAfter is how much later than others know a content may have been seen.
@@ -157,11 +174,14 @@
 }
 
 // NoteCrash notes that a target has crashed under a run with a content. It reports whether that was not known yet.
-func (g *Registry) NoteCrash(now time.Time, f Fingerprint, target string, began, broken time.Time) (isNew bool) {
-	crash := Crash{Target: xxhash.Sum64String(target), Began: began.Truncate(time.Millisecond), At: broken.Truncate(time.Millisecond)}
-	e := g.entry(f)
+func (g *Registry) NoteCrash(now time.Time, f Fingerprint, c Crash) (isNew bool) {
+	return g.noteCrash(now, g.entry(f), c)
+}
+
+func (g *Registry) noteCrash(now time.Time, e *entry, c Crash) (isNew bool) {
+	c.Preceding, c.learned = e.precedingAt(c.Began), now
 	before := len(e.Crashes)
-	e.merge(Record{Content: f, Seen: now.Truncate(time.Millisecond), Crashes: []Crash{crash}})
+	e.merge(Record{Content: e.Content, Seen: now.Truncate(time.Millisecond), Crashes: []Crash{c}})
 	if len(e.Crashes) == before {
 		return false
 	}
@@ -176,12 +196,16 @@
 	if !ok || len(e.Crashes) == 0 {
 		return false
 	}
-	now = now.Truncate(time.Millisecond) // as it is sent, so that others know the same time
-	e.merge(Record{Content: f, Cleared: now})
-	g.announce(now, e)
+	g.clear(now, e)
 	return true
 }
 
+// clear drops what is known against an entry.
+func (g *Registry) clear(now time.Time, e *entry) {
+	e.merge(Record{Content: e.Content, Cleared: now.Truncate(time.Millisecond)}) // as it is sent, so that others know the same time
+	g.announce(now, e)
+}
+
 // ApplyPeer takes in a peer's record. The peer tells all others: told on by each of them, records would take the square of the gateways.
 // It also writes it to the store; this gateway does at storeBy unless it has been read from there by then. It reports whether the
 // record says something new.
--- a/core/quarantine/registry_test.go
+++ b/core/quarantine/registry_test.go
@@ -19,7 +19,7 @@
 
 // noteCrash notes a crash under a run that is as long as usual.
 func noteCrash(g *Registry, at time.Time, f Fingerprint, target string) bool {
-	return g.NoteCrash(at, f, target, at.Add(-runTime), at)
+	return g.NoteCrash(at, f, NewCrash(target, "", at.Add(-runTime), at))
 }
 
 func noteCrashes(g *Registry, f Fingerprint, n int) {
@@ -35,10 +35,11 @@
 	if noteCrash(g, start.Add(50*time.Millisecond), f, "t0") {
 		t.Error("the crash of a target that has crashed is new")
 	}
-	if g.Check(start.Add(6*time.Second), f) || g.Quarantined() != 0 {
+	if n, _ := g.Quarantined(); g.Check(start.Add(6*time.Second), f) || n != 0 {
 		t.Error("quarantined after two targets")
 	}
-	if !noteCrash(g, start.Add(7*time.Second), f, "t2") || !g.Check(start.Add(8*time.Second), f) || g.Quarantined() != 1 {
+	isNew := noteCrash(g, start.Add(7*time.Second), f, "t2")
+	if n, _ := g.Quarantined(); !isNew || !g.Check(start.Add(8*time.Second), f) || n != 1 {
 		t.Error("not quarantined after three targets")
 	}
 	if g.Check(start, content(2)) {
@@ -95,7 +96,7 @@
 func TestAContentWhoseCrashesCameTogetherIsTried(t *testing.T) {
 	together := func(g *Registry, f Fingerprint, at time.Time, n int) {
 		for i := range n {
-			g.NoteCrash(at, f, fmt.Sprint(at, i), at.Add(-runTime), at)
+			g.NoteCrash(at, f, NewCrash(fmt.Sprint(at, i), "", at.Add(-runTime), at))
 		}
 	}
 	g, f := newTestRegistry(), content(1)
@@ -127,7 +128,7 @@
 	for at := start; at.Before(start.Add(10 * time.Minute)); at = at.Add(100 * time.Millisecond) {
 		if _, isTry := g.Admit(at, bad); isTry {
 			tries++
-			g.NoteCrash(at.Add(runTime), bad, fmt.Sprint("try", tries), at, at.Add(runTime))
+			g.NoteCrash(at.Add(runTime), bad, NewCrash(fmt.Sprint("try", tries), "", at, at.Add(runTime)))
 		}
 	}
 	if tries != DefaultThreshold-1 {
--- a/core/quarantine/sim_test.go
+++ b/core/quarantine/sim_test.go
@@ -143,7 +143,7 @@
 	ran := max(0, f.now.Sub(r.began)-simFirstEvent)
 	wentOn := r.item != nil && r.item.done > 0 && ran > 0
 	if !f.opts.hasProgress || !wentOn {
-		f.registry.NoteCrash(f.now, r.content, t.id, r.began, f.now)
+		f.registry.NoteCrash(f.now, r.content, NewCrash(t.id, t.id, r.began, f.now))
 	}
 	switch {
 	case r.isBad:
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -134,7 +134,7 @@
 		return v, err
 	}
 	in := events.NewReader(ans.Body)
-	for {
+	for hasPassed := false; ; {
 		e, err := in.Next()
 		if err == io.EOF {
 			return complete, nil
@@ -144,6 +144,10 @@
 		}
 		guard.noteEvent()
 		r.Event()
+		if !hasPassed {
+			hasPassed = true
+			m.opts.Quarantine.Passed(t.content)
+		}
 		t.take(e)
 	}
 }
@@ -183,7 +187,9 @@
 
 // brokenRun is a run that began after the event from and was broken off, as the quarantine is told of it.
 func brokenRun(t *task, r *fleetview.Run, from string, err error) quarantine.Broken {
-	return quarantine.Broken{Content: t.content, Target: r.Target, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err}
+	return quarantine.Broken{
+		Content: t.content, Target: r.Target, Start: r.Target.ID, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
+	}
 }
 
 // itemFailed counts a lost connection against the target, unless the run was ended here.
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -36,6 +36,8 @@
 	BrokenOff(b quarantine.Broken)
 	// Interrupted notes a run that this process has ended: its target may have crashed under it all the same.
 	Interrupted(b quarantine.Broken)
+	// Passed notes that a target has begun to answer a request.
+	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
 }
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -52,7 +52,7 @@
 	return quarantine.NewContent(&serving.Request{
 		ID: item.ID, Host: j.Host, Method: http.MethodPost, URI: item.URI,
 		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: j.Workspace},
-	})
+	}).In(j.Route, j.ID)
 }
 
 func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,6 +229,7 @@
 		return
 	}
 	a.begun = true
+	a.gw.quarantine.Passed(a.content)
 	a.stages.noteFirst(time.Now())
 	a.out.Begin(ans.Status, ans.Header, length)
 }
@@ -249,7 +250,7 @@
 // brokenOff notes that the target has broken off the request, or its answer, or has ended under it.
 func (a *attempt) brokenOff(err error) {
 	a.gw.quarantine.BrokenOff(quarantine.Broken{
-		Content: a.content, Target: a.run.Target, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
+		Content: a.content, Target: a.run.Target, Start: a.run.Target.ID, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
+	// Passed notes that a target has begun to answer a request.
+	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
 }
@@ -129,7 +131,7 @@
 // Serve answers one request. It returns once the answer is complete or given up.
 func (g *Gateway) Serve(ctx context.Context, route *serving.Route, r *serving.Request, out platform.CallerAnswer) {
 	x := &exchange{
-		gw: g, route: route, service: route.Service(r.ID), req: r, content: quarantine.NewContent(r), out: out,
+		gw: g, route: route, service: route.Service(r.ID), req: r, content: quarantine.NewContent(r).In(route.Name, ""), out: out,
 		until: r.Arrived.Add(route.Timeout), limitOf: "route", lastID: r.ResumeAfter,
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(x.until) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -106,6 +106,9 @@
 	b.brokenOff = append(b.brokenOff, run)
 }
 
+// Passed implements Quarantine.
+func (b *bench) Passed(*quarantine.Content) {}
+
 // Served implements Quarantine.
 func (b *bench) Served(*quarantine.Content) {
 	b.mu.Lock()
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,7 +21,7 @@
 )
 
 const (
-	// crashBody is the body of requests and items under which the targets of a crashFleet crash.
+	// crashBody begins the bodies of requests and items under which the targets of a crashFleet crash.
 	crashBody = "crash"
 	// maxCrashes is what the platform's rule allows: three crashes, and three retries after the third.
 	maxCrashes = 6
@@ -30,13 +31,15 @@
 	entryLapse = 600 * time.Millisecond
 )
 
-// crashFleet are targets that crash when they begin with a request whose body is crashBody. Another target under
+// crashFleet are targets that crash when they begin with a request whose body begins with crashBody. Another target under
 // another name takes the place of each.
 type crashFleet struct {
 	s *system
 	// acceptsFor is how long the address of a target that has crashed accepts connections, breaks them off, and is then that of the
 	// next target; 0 has it refuse them.
 	acceptsFor time.Duration
+	// downTime is how long after a crash another target takes the place of one whose address refuses connections.
+	downTime time.Duration
 
 	mu      sync.Mutex
 	started int
@@ -107,7 +110,7 @@
 	t.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		target := t.now()
 		body, err := io.ReadAll(r.Body)
-		if err != nil || string(body) != crashBody {
+		if err != nil || !strings.HasPrefix(string(body), crashBody) {
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			target.ServeHTTP(w, r)
 			return
@@ -148,6 +151,7 @@
 // replace puts another target in the place of one that has crashed.
 func (f *crashFleet) replace(t *crashTarget) {
 	if f.acceptsFor == 0 {
+		time.Sleep(f.downTime)
 		f.start()
 		return
 	}
@@ -236,6 +240,57 @@
 	}
 }
 
+// Guards against a caller that changes its content with each repeat and so takes all targets of a route from the other callers.
+func TestACallerThatVariesItsContentLeavesTargetsToOthers(t *testing.T) {
+	const (
+		downTime  = 700 * time.Millisecond
+		pause     = 150 * time.Millisecond
+		requests  = 60
+		knownTime = 2 * time.Second // crashes later than this after the third are late
+		maxLate   = 6
+		minServed = 0.95
+	)
+	for _, path := range []string{"/once/x", "/call/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newSystemWithoutTargets(t, wiretest.Routes)
+			f := newCrashFleet(s, 6)
+			f.downTime = downTime
+			s.startGateways(3)
+			defer s.stopAll()
+			defer f.pending.Wait()
+			for _, g := range s.gateways {
+				f.expectServed(path, g)
+			}
+			var others sync.WaitGroup
+			var served atomic.Int64
+			var third time.Time
+			atKnown := 0
+			for i := range requests {
+				g := s.gateways[i%len(s.gateways)]
+				f.s.caller.Send(g.CallerAddr(), http.MethodPost, path, fmt.Sprintf("varied-%d", i), fmt.Sprint(crashBody, i))
+				if third.IsZero() && f.count() >= 3 {
+					third = time.Now()
+				}
+				if third.IsZero() || time.Since(third) < knownTime {
+					atKnown = f.count()
+				}
+				others.Go(func() {
+					if status, _ := f.s.caller.Send(g.CallerAddr(), http.MethodPost, path, fmt.Sprintf("other-%d", i), "other"); status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+				time.Sleep(pause)
+			}
+			others.Wait()
+			late := f.count() - atKnown
+			if n := served.Load(); late > maxLate || float64(n) < minServed*requests {
+				t.Errorf("%d late crashes of %d, at most %d are allowed; %d of %d other requests served", late, f.count(), maxLate, n, requests)
+			}
+		})
+	}
+}
+
 // Guards against a backlog that runs an item again and again although targets crash under it, also as an item of another job.
 func TestAnItemThatCrashesTargetsIsSentNoMore(t *testing.T) {
 	s := newSystemWithoutTargets(t, wiretest.Routes)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -32,6 +32,7 @@
 	clearedMetric     = "quarantine.cleared"     // contents that were served after targets had crashed under them
 	recordsMetric     = "quarantine.records"     // contents that are known
 	quarantinedMetric = "quarantine.quarantined" // of these those that are quarantined
+	scopesMetric      = "quarantine.scopes"      // jobs, routes and resources that are quarantined
 	suspectsMetric    = "quarantine.suspects"    // broken requests of which it is not known yet whether their target has crashed
 	overflowMetric    = "quarantine.overflow"    // broken requests that were not followed, since too many were
 )
@@ -89,7 +90,9 @@
 	overflow metrics.Counter
 
 	// known is the number of contents in the registry: while there are none, no request needs a fingerprint.
-	known  atomic.Int64
+	known atomic.Int64
+	// passed are the contents that targets have begun to answer at this process.
+	passed *quarantine.PassedSet
 	loaded atomic.Bool // what the store holds has been read
 	// changed gets a token when the store may lack something.
 	changed chan struct{}
@@ -115,13 +118,14 @@
 		tried:    metrics.GetOrRegisterCounter(triedMetric, o.Metrics),
 		cleared:  metrics.GetOrRegisterCounter(clearedMetric, o.Metrics),
 		overflow: metrics.GetOrRegisterCounter(overflowMetric, o.Metrics),
-		changed:  make(chan struct{}, 1),
+		changed:  make(chan struct{}, 1), passed: quarantine.NewPassedSet(),
 		registry: quarantine.NewRegistry(quarantine.Options{Threshold: o.Threshold, Hold: o.Hold, Jitter: func() time.Duration { return rand.N(maxTryJitter) }}),
 		suspects: newSuspects(),
 	}
 	for name, read := range map[string]func() int64{
 		recordsMetric:     func() int64 { return int64(q.registry.Len()) },
-		quarantinedMetric: func() int64 { return int64(q.registry.Quarantined()) },
+		quarantinedMetric: func() int64 { contents, _ := q.registry.Quarantined(); return int64(contents) },
+		scopesMetric:      func() int64 { _, scopes := q.registry.Quarantined(); return int64(scopes) },
 		suspectsMetric:    func() int64 { return int64(q.suspects.len()) },
 	} {
 		o.Metrics.GetOrRegister(name, metrics.NewFunctionalGauge(func() int64 {
@@ -157,14 +161,16 @@
 	if q.IsEmpty() {
 		return nil
 	}
-	f := c.Fingerprint()
+	s, now := q.subject(c), time.Now()
 	q.mu.Lock()
-	isQuarantined, crashes := q.registry.Check(time.Now(), f), q.registry.Crashes(f)
-	q.mu.Unlock()
-	if !isQuarantined {
-		return nil
+	defer q.mu.Unlock()
+	if q.registry.Check(now, s.Content) {
+		return q.reject(c, contentBlocks)
+	}
+	if q.registry.CheckScopes(now, s) {
+		return q.reject(c, scopeBlocks)
 	}
-	return q.reject(c, crashes)
+	return nil
 }
 
 // AdmitRequest is called right before a request is sent to a target. It returns an error of type errs.Quarantined if it must not be. One
@@ -173,29 +179,79 @@
 	if q.IsEmpty() {
 		return nil
 	}
-	f := c.Fingerprint()
+	isTry, err := q.admit(c)
+	if isTry {
+		q.announce()
+	}
+	return err
+}
+
+func (q *Quarantine) admit(c *quarantine.Content) (isTry bool, err error) {
+	s, now := q.subject(c), time.Now()
 	q.mu.Lock()
-	isQuarantined, isTry := q.registry.Admit(time.Now(), f)
-	crashes := q.registry.Crashes(f)
-	q.mu.Unlock()
-	switch {
-	case isQuarantined:
-		return q.reject(c, crashes)
-	case isTry:
+	defer q.mu.Unlock()
+	if q.registry.CheckScopes(now, s) {
+		return false, q.reject(c, scopeBlocks)
+	}
+	isQuarantined, isContentTry := q.registry.Admit(now, s.Content)
+	if isQuarantined {
+		return false, q.reject(c, contentBlocks)
+	}
+	_, isScopeTry := q.registry.AdmitScopes(now, s)
+	if isContentTry || isScopeTry {
 		q.tried.Inc(1)
-		q.log.Info("tried", "request", c.Request.ID, "content", f.String(), "crashes", crashes)
-		q.announce()
+		q.log.Info("tried", "request", c.Request.ID, "content", s.Content.String(), "crashes", q.registry.Crashes(s.Content),
+			"scope_crashes", q.registry.ScopeCrashes(s))
 	}
-	return nil
+	return isContentTry || isScopeTry, nil
 }
 
-// reject counts and logs a request that is not sent.
-func (q *Quarantine) reject(c *quarantine.Content, crashes int) error {
+// What keeps a request from targets, as log lines say it.
+const (
+	contentBlocks = "content"
+	scopeBlocks   = "scope"
+)
+
+// reject counts and logs a request that is not sent. The caller holds the lock.
+func (q *Quarantine) reject(c *quarantine.Content, why string) error {
+	s := c.Subject()
+	crashes, scopeCrashes := q.registry.Crashes(s.Content), q.registry.ScopeCrashes(s)
 	q.rejected.Inc(1)
-	q.lines.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", c.Fingerprint().String(), "crashes", crashes)
+	q.lines.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", s.Content.String(), "why", why, "crashes", crashes,
+		"scope_crashes", scopeCrashes)
+	if why == scopeBlocks {
+		return errs.Newf(errs.Quarantined, "%d targets have crashed under requests like this one", scopeCrashes)
+	}
 	return errs.Newf(errs.Quarantined, "%d targets have crashed under this request", crashes)
 }
 
+// subject is what a request is known by here.
+func (q *Quarantine) subject(c *quarantine.Content) quarantine.Subject {
+	s := c.Subject()
+	s.HasPassed = q.passed.Has(c.Digest())
+	return s
+}
+
+// Passed notes that a target has begun to answer a request.
+func (q *Quarantine) Passed(c *quarantine.Content) {
+	if !q.isOn {
+		return
+	}
+	defer q.passed.Add(c.Digest())
+	if q.IsEmpty() {
+		return
+	}
+	s := q.subject(c)
+	q.mu.Lock()
+	crashes := q.registry.ScopeCrashes(s)
+	isNews := q.registry.NotePassed(time.Now(), s)
+	q.mu.Unlock()
+	if isNews {
+		q.log.Info("scopes cleared", "request", c.Request.ID, "content", s.Content.String(), "crashes", crashes)
+		q.announce()
+	}
+}
+
 // Served notes that a target has served a request whole.
 func (q *Quarantine) Served(c *quarantine.Content) {
 	if q.IsEmpty() {
@@ -215,11 +271,16 @@
 
 // noteCrash counts the crash of a target against a request.
 func (q *Quarantine) noteCrash(s suspect, target, evidence string) {
-	f := s.content.Fingerprint()
+	subject := q.subject(s.content)
+	f, crash := subject.Content, quarantine.NewCrash(target, s.start, s.began, s.broken)
 	q.mu.Lock()
 	now := time.Now()
-	isNew := q.registry.NoteCrash(now, f, target, s.began, s.broken)
+	isNew := q.registry.NoteCrash(now, f, crash)
+	if isNew && s.isEarly {
+		q.registry.NoteScopeCrash(now, subject, crash)
+	}
 	crashes, isQuarantined := q.registry.Crashes(f), q.registry.Check(now, f)
+	scopeCrashes, isScopeQuarantined := q.registry.ScopeCrashes(subject), q.registry.CheckScopes(now, subject)
 	q.known.Store(int64(q.registry.Len()))
 	q.mu.Unlock()
 	if !isNew {
@@ -227,7 +288,8 @@
 	}
 	q.crashes.Inc(1)
 	q.log.Warn("target crashed under request", "request", s.content.Request.ID, "content", f.String(), "target", target, "evidence", evidence,
-		"after_ms", now.Sub(s.broken).Milliseconds(), "crashes", crashes, "quarantined", isQuarantined)
+		"after_ms", now.Sub(s.broken).Milliseconds(), "crashes", crashes, "quarantined", isQuarantined,
+		"scope_crashes", scopeCrashes, "scope_quarantined", isScopeQuarantined)
 	q.announce()
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -382,7 +382,7 @@
 			}
 			return n
 		}
-		if n := records(); n != 2 {
+		if n := records(); n != 3 { // of two contents and of the resource that they share
 			t.Errorf("%d records in the store", n)
 		}
 		time.Sleep(2 * quarantine.DefaultHold)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -31,12 +31,14 @@
 // suspect is a request that a target has broken off, or that this process has ended while the target broke off others.
 type suspect struct {
 	content *quarantine.Content
+	start   string // see quarantine.Broken
 	began   time.Time
 	broken  time.Time
+	isEarly bool // the run has got nowhere
 }
 
 func suspectOf(b quarantine.Broken, broken time.Time) suspect {
-	return suspect{content: b.Content, began: b.Began, broken: broken}
+	return suspect{content: b.Content, start: b.Start, began: b.Began, broken: broken, isEarly: b.IsEarly()}
 }
 
 // brokenTarget is a target that has broken off requests.
