Quarantine: a target that is lost without closing its connections counts

Cause: a run that is ended because its target has sent nothing was reported to nobody.

Change: it is as suspect as one that the target breaks off. Such a target answers no probe; that its entry goes from the list within 5 s is the evidence, and a target that goes on living counts against nothing.

--- a/internal/backlog/guard.go
+++ b/internal/backlog/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutusramp/core/sleep"
@@ -13,6 +14,8 @@
 // its slot here may belong to a target that no longer lives.
 type guard struct {
 	run *fleetview.Run
+	// hasEnded says that the guard has ended the run.
+	hasEnded atomic.Bool
 
 	mu   sync.Mutex
 	last time.Time // of the last event
@@ -36,12 +39,12 @@
 		g.mu.Lock()
 		last := g.last
 		g.mu.Unlock()
-		if g.run.IsIdle(last) {
+		isTargetIdle := g.run.IsIdle(last)
+		if isTargetIdle {
 			g.run.Failed()
-			cancel()
-			return
 		}
-		if time.Since(last) > max(itemIdleTimeout, 2*g.run.IdleLimit())+g.run.QueueWait() {
+		if isTargetIdle || time.Since(last) > max(itemIdleTimeout, 2*g.run.IdleLimit())+g.run.QueueWait() {
+			g.hasEnded.Store(true)
 			cancel()
 			return
 		}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -126,7 +126,7 @@
 	from := t.lastEvent()
 	ans, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.content.Request, ResumeAfter: from})
 	if err != nil {
-		return goOn, m.itemFailed(ctx, t, r, from, err)
+		return goOn, m.itemFailed(ctx, t, guard, from, err)
 	}
 	defer ans.Body.Close()
 	guard.noteEvent()
@@ -140,7 +140,7 @@
 			return complete, nil
 		}
 		if err != nil {
-			return goOn, m.itemFailed(ctx, t, r, from, err)
+			return goOn, m.itemFailed(ctx, t, guard, from, err)
 		}
 		guard.noteEvent()
 		r.Event()
@@ -193,12 +193,18 @@
 }
 
 // itemFailed counts a lost connection against the target, unless the run was ended here.
-func (m *Manager) itemFailed(ctx context.Context, t *task, r *fleetview.Run, from string, err error) error {
+func (m *Manager) itemFailed(ctx context.Context, t *task, g *guard, from string, err error) error {
+	r := g.run
 	if r.HasEnded() && errs.As(err).Ran != errs.RanNo {
 		err = errs.New(errs.StreamBroken, "the target has started again")
 		m.opts.Quarantine.BrokenOff(brokenRun(t, r, from, err))
 		return err
 	}
+	if g.hasEnded.Load() {
+		err = errs.New(errs.TargetTimeout, "the target has sent nothing for too long")
+		m.opts.Quarantine.FellSilent(brokenRun(t, r, from, err))
+		return err
+	}
 	if ctx.Err() != nil {
 		m.opts.Quarantine.Interrupted(brokenRun(t, r, from, err))
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -36,6 +36,8 @@
 	BrokenOff(b quarantine.Broken)
 	// Interrupted notes a run that this process has ended: its target may have crashed under it all the same.
 	Interrupted(b quarantine.Broken)
+	// FellSilent notes a run that this process has ended because its target sent nothing for too long.
+	FellSilent(b quarantine.Broken)
 	// Passed notes that a target has begun to answer a request.
 	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -48,6 +48,23 @@
 	})
 }
 
+// Guards against not counting the loss of a target that falls silent under an item with its connections open.
+func TestATargetThatFallsSilentUnderAnItemCounts(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, w *world) {
+		n := w.nodes[0]
+		j := w.job("j", "mute", "ok")
+		j.Items[0].Body = []byte("another content")
+		n.submit(j)
+		time.Sleep(w.route.Retain)
+		if lost := w.targets.crashCount(); lost < 3 || lost > 6 {
+			t.Errorf("%d targets lost, want 3 to 6", lost)
+		}
+		if list := n.results(j, time.Second); len(list) != 1 || list[0].Outcome != backlog.Complete {
+			t.Errorf("results %+v, want that of the other item", list)
+		}
+	})
+}
+
 // Guards against holding an item back for good whose content is served after all.
 func TestAnItemGoesOnWhenItsContentIsCleared(t *testing.T) {
 	bubble(t, 1, func(t *testing.T, w *world) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,7 +152,9 @@
 		return err
 	}
 	if a.isSilent.Load() {
-		return errs.New(silent, "the target has sent nothing for too long")
+		err := errs.New(silent, "the target has sent nothing for too long")
+		a.gw.quarantine.FellSilent(a.brokenRun(err))
+		return err
 	}
 	if ctx.Err() != nil {
 		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
@@ -248,10 +250,13 @@
 }
 
 // brokenOff notes that the target has broken off the request, or its answer, or has ended under it.
-func (a *attempt) brokenOff(err error) {
-	a.gw.quarantine.BrokenOff(quarantine.Broken{
+func (a *attempt) brokenOff(err error) { a.gw.quarantine.BrokenOff(a.brokenRun(err)) }
+
+// brokenRun is the attempt as the quarantine is told of it.
+func (a *attempt) brokenRun(err error) quarantine.Broken {
+	return quarantine.Broken{
 		Content: a.content, Target: a.run.Target, Start: a.run.Target.ID, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
-	})
+	}
 }
 
 // relayWhole passes on an answer that is no stream. It is held until it is complete, up to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
 	BrokenOff(b quarantine.Broken)
+	// FellSilent notes a run that this process has ended because its target sent nothing for too long.
+	FellSilent(b quarantine.Broken)
 	// Passed notes that a target has begun to answer a request.
 	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -45,6 +45,7 @@
 	admitted, refunded int
 
 	quarantined error // what Check returns
+	fellSilent  []quarantine.Broken
 	brokenOff   []quarantine.Broken
 	served      int
 }
@@ -106,6 +107,13 @@
 	b.brokenOff = append(b.brokenOff, run)
 }
 
+// FellSilent implements Quarantine.
+func (b *bench) FellSilent(run quarantine.Broken) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fellSilent = append(b.fellSilent, run)
+}
+
 // Passed implements Quarantine.
 func (b *bench) Passed(*quarantine.Content) {}
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -26,6 +26,7 @@
 // Names of the metrics.
 const (
 	brokenMetric      = "quarantine.broken_off"  // runs that targets have broken off after they may have begun
+	silentMetric      = "quarantine.fell_silent" // runs that were ended because their targets sent nothing
 	crashesMetric     = "quarantine.crashes"     // crashes of targets counted against contents by this gateway
 	rejectedMetric    = "quarantine.rejected"    // sends that were not made
 	triedMetric       = "quarantine.tried"       // sends of quarantined contents that were made to find out whether they are to blame
@@ -83,6 +84,7 @@
 	log      hclog.Logger
 	lines    *logging.Routine
 	broken   metrics.Counter
+	silent   metrics.Counter
 	crashes  metrics.Counter
 	rejected metrics.Counter
 	tried    metrics.Counter
@@ -113,6 +115,7 @@
 	q := &Quarantine{
 		isOn: o.Off.Allows(policy.Quarantine), prober: o.Prober, fleet: o.Fleet, log: o.Log, lines: logging.NewRoutine(o.Log),
 		broken:   metrics.GetOrRegisterCounter(brokenMetric, o.Metrics),
+		silent:   metrics.GetOrRegisterCounter(silentMetric, o.Metrics),
 		crashes:  metrics.GetOrRegisterCounter(crashesMetric, o.Metrics),
 		rejected: metrics.GetOrRegisterCounter(rejectedMetric, o.Metrics),
 		tried:    metrics.GetOrRegisterCounter(triedMetric, o.Metrics),
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -147,7 +147,7 @@
 
 // follow finds out whether the target has crashed under a run.
 func (q *Quarantine) follow(i interruption) {
-	evidence, needsProbe := q.suspect(i.suspect, i.target.ID)
+	evidence, needsProbe := q.suspect(i.suspect, i.target.ID, true)
 	if evidence != "" {
 		q.noteCrash(i.suspect, i.target.ID, evidence)
 		return
@@ -157,6 +157,23 @@
 	}
 }
 
+// FellSilent notes a run that this process has ended because its target sent nothing for too long. A target that answers nothing can't be
+// probed: only the list shows whether it has crashed.
+func (q *Quarantine) FellSilent(b quarantine.Broken) {
+	now := time.Now()
+	if !q.isOn || !b.Counts() || !q.isExpected(b.Target.ID) {
+		return
+	}
+	q.silent.Inc(1)
+	q.mu.Lock()
+	q.suspects.prune(now)
+	q.suspects.target(b.Target.ID).last = now
+	q.mu.Unlock()
+	if evidence, _ := q.suspect(suspectOf(b, now), b.Target.ID, false); evidence != "" {
+		q.noteCrash(suspectOf(b, now), b.Target.ID, evidence)
+	}
+}
+
 // isExpected says whether a target was expected to be there when it broke off a request. One that is leaving may stop under any
 // request, so that it counts against none. Of several requests that it breaks off, the last may come after it is off the list.
 func (q *Quarantine) isExpected(target string) bool {
@@ -180,8 +197,8 @@
 }
 
 // suspect adds a suspect. It returns the evidence that its target has crashed, if there is some already, and whether the target has to
-// be probed.
-func (q *Quarantine) suspect(s suspect, target string) (evidence string, needsProbe bool) {
+// be probed, if it can be.
+func (q *Quarantine) suspect(s suspect, target string, canProbe bool) (evidence string, needsProbe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := q.suspects.target(target)
@@ -195,8 +212,8 @@
 	}
 	t.suspects = append(t.suspects, s)
 	q.suspects.n++
-	needsProbe = !t.isProbing
-	t.isProbing = true
+	needsProbe = canProbe && !t.isProbing
+	t.isProbing = t.isProbing || needsProbe
 	return "", needsProbe
 }
 
