Backlog: log lines say which body an item has where it comes in, is sent and is read

For the question of whether a byte of an item changes on its way: length and sum of the body in "item received", "item sent" and "item body read", bounded as other lines.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
@@ -47,7 +50,8 @@
 	from, made := t.lastEvent(), t.made()
 	began := time.Now()
 	m.sent.Info(began, "item sent", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
-		"route", route.Name, "target", r.Choice.String(), "from_event", from)
+		"route", route.Name, "target", r.Choice.String(), "from_event", from, "uri", t.item().URI,
+		"body_bytes", len(t.item().Body), "body_sum", bodySum(t.item().Body))
 	v, err := m.follow(ctx, t, r, route)
 	r.Done()
 	took := time.Since(began)
@@ -72,6 +76,9 @@
 	return [...]string{"go on", "complete", "failed", "hopeless"}[v]
 }
 
+// bodySum identifies an item's body in log lines: where it comes in, where it is sent and where it is given back.
+func bodySum(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -76,6 +76,7 @@
 	log       hclog.Logger
 	sent      *logging.Routine // a line for each run of an item that begins
 	runs      *logging.Routine // a line for each run of an item
+	bodies    *logging.Routine // a line for each item's body that comes in or is read
 	reg       metrics.Registry
 	replica   *Replica
 	texts     *texts
@@ -92,7 +93,8 @@
 // New returns a manager that knows nothing yet.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
-		opts: o, store: store, targets: targets, view: view, router: router, log: log, sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), reg: reg, pace: backlog.NewPace(),
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, reg: reg, pace: backlog.NewPace(),
+		sent: logging.NewRoutine(log), runs: logging.NewRoutine(log), bodies: logging.NewRoutine(log),
 		replica: NewReplica(o.Member, store, view.SetContact, view.Peers, log),
 	}
 	m.replica.isFollowing = m.isMember.Load
--- a/internal/backlog/read.go
+++ b/internal/backlog/read.go
@@ -147,5 +147,6 @@
 	if !found {
 		return nil, errs.Newf(errs.NotFound, "job %q has no item %q", id, item)
 	}
+	m.bodies.Info(time.Now(), "item body read", "job", id, "item", item, "body_bytes", len(body), "body_sum", bodySum(body))
 	return body, nil
 }
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -56,9 +56,19 @@
 	m.log.Log(levelOf(err), "job", "request", job.ID, "workspace", job.Workspace, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
 		"queued", s.queued, "limit", route.MaxQueued, "end", s.at, "tries", s.tries, "outcome", outcomeOf(err))
 	m.count("job.submit", err)
+	m.logItems(job)
 	return err
 }
 
+// logItems writes what has come in as a job's items.
+func (m *Manager) logItems(job *backlog.Job) {
+	now := time.Now()
+	for i := range job.Items {
+		item := &job.Items[i]
+		m.bodies.Info(now, "item received", "job", job.ID, "item", item.ID, "uri", item.URI, "body_bytes", len(item.Body), "body_sum", bodySum(item.Body))
+	}
+}
+
 // submission is one job on its way into the store.
 type submission struct {
 	m       *Manager
