Quarantine: a run passes once it has answered for 250 ms; suspect items go one at a time

Change: a run shows that its content does not crash targets as they begin once it has gone on for 250 ms after its first event, or is whole; a crash before that counts for the scopes. After a crash under a resource or job its other items run one at a time at a gateway until one passes.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -94,6 +95,7 @@
 		if c.job != "" {
 			c.subject.Scopes = append(c.subject.Scopes, fingerprint(nil, jobScope, workspace, c.job))
 		}
+		c.subject.Narrow = len(c.subject.Scopes)
 		if c.route != "" {
 			c.subject.Scopes = append(c.subject.Scopes, fingerprint(nil, routeScope, workspace, c.route))
 		}
@@ -101,5 +103,11 @@
 	return c.subject
 }
 
+// IsRelated says whether two requests have their resource or their job in common.
+func (c *Content) IsRelated(o *Content) bool {
+	a, b := c.Subject(), o.Subject()
+	return slices.ContainsFunc(a.Scopes[:a.Narrow], func(f Fingerprint) bool { return slices.Contains(b.Scopes[:b.Narrow], f) })
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/core/quarantine/passed.go
+++ b/core/quarantine/passed.go
@@ -5,8 +5,7 @@
 // passedGeneration is how many contents a generation of a PassedSet holds.
 const passedGeneration = 2048
 
-// PassedSet remembers the contents that targets have lately begun to answer, by their digests: at least the last passedGeneration of
-// them. It is safe for concurrent use.
+// PassedSet remembers the contents whose runs have lately passed, by their digests: at least the last passedGeneration of them. It is safe for concurrent use.
 type PassedSet struct {
 	mu            sync.Mutex
 	newest, older map[uint64]struct{}
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -18,16 +18,18 @@
 // Subject is what a request is known by.
 type Subject struct {
 	Content Fingerprint
-	// Scopes are what it has in common with requests of other contents, narrowest first.
+	// Scopes are what it has in common with requests of other contents. The first Narrow of them are its resource and its job, the
+	// last may be its route.
 	Scopes []Fingerprint
-	// HasPassed says that a target has lately begun to answer the content.
+	Narrow int
+	// HasPassed says that a run of the content has lately passed.
 	HasPassed bool
 }
 
 // digest is the part of the fingerprint by which the crashes of a scope name a content.
 func (f Fingerprint) digest() uint64 { return binary.BigEndian.Uint64(f[:]) }
 
-// hasPassed says whether a run of a content has got beyond the point at which the runs of a scope crash targets.
+// hasPassed says whether a run of a content has lately passed, and no target has crashed under it since.
 func (g *Registry) hasPassed(s Subject) bool {
 	e, ok := g.entries[s.Content]
 	if !ok {
@@ -70,6 +72,19 @@
 	return nil
 }
 
+// IsSuspect says that a target has crashed under a request of the same resource or job, and that none has passed since.
+func (g *Registry) IsSuspect(s Subject) bool {
+	if g.hasPassed(s) {
+		return false
+	}
+	for _, f := range s.Scopes[:s.Narrow] {
+		if g.Crashes(f) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // ScopeCrashes is the most crashes that are known under one of the scopes.
 func (g *Registry) ScopeCrashes(s Subject) int {
 	most := 0
@@ -79,7 +94,7 @@
 	return most
 }
 
-// NoteScopeCrash notes that a target has crashed under a run of the content before the run had got anywhere.
+// NoteScopeCrash notes that a target has crashed under a run of the content that had not passed.
 func (g *Registry) NoteScopeCrash(now time.Time, s Subject, c Crash) {
 	c.By = s.Content.digest()
 	for _, f := range s.Scopes {
@@ -89,8 +104,8 @@
 	}
 }
 
-// NotePassed notes that a run of the content has got beyond the point at which the runs of a scope crash targets. The first time it shows
-// that not each content of the scope does. Later it says nothing of the others: one that is sent again and again would hide them.
+// NotePassed notes that a run of the content has passed; see PassTime. The first time it shows that not each content of the scope crashes
+// targets. Later it says nothing of the others: one that is sent again and again would hide them.
 // It reports whether that was news.
 func (g *Registry) NotePassed(now time.Time, s Subject) (isNews bool) {
 	if g.ScopeCrashes(s) == 0 || g.hasPassed(s) {
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -141,7 +141,7 @@
 		return v, err
 	}
 	in := events.NewReader(ans.Body)
-	for hasPassed := false; ; {
+	for {
 		e, err := in.Next()
 		if err == io.EOF {
 			return complete, nil
@@ -150,9 +150,7 @@
 			return goOn, m.itemFailed(ctx, t, guard, from, err)
 		}
 		guard.noteEvent()
-		r.Event()
-		if !hasPassed {
-			hasPassed = true
+		if r.Event() >= quarantine.PassTime && t.notePassed() {
 			m.opts.Quarantine.Passed(t.content)
 		}
 		t.take(e)
@@ -195,7 +193,8 @@
 // brokenRun is a run that began after the event from and was broken off, as the quarantine is told of it.
 func brokenRun(t *task, r *fleetview.Run, from string, err error) quarantine.Broken {
 	return quarantine.Broken{
-		Content: t.content, Target: r.Target, Start: r.Target.ID, Began: r.Began(), From: from, To: t.lastEvent(), HasCrashed: r.HasEnded(), Err: err,
+		Content: t.content, Target: r.Target, Start: r.Target.ID, Began: r.Began(), From: from, To: t.lastEvent(),
+		HasPassed: r.AnsweredFor() >= quarantine.PassTime, HasCrashed: r.HasEnded(), Err: err,
 	}
 }
 
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -30,6 +30,8 @@
 type Quarantine interface {
 	// Check returns an error of type errs.Quarantined if an item must not be sent to a target.
 	Check(c *quarantine.Content) error
+	// IsSuspect says that an item may crash targets like others of its resource or job.
+	IsSuspect(c *quarantine.Content) bool
 	// AdmitRequest is Check for an item that is about to be sent.
 	AdmitRequest(c *quarantine.Content) error
 	// BrokenOff notes a run that a target has broken off.
@@ -38,7 +40,7 @@
 	Interrupted(b quarantine.Broken)
 	// FellSilent notes a run that this process has ended because its target sent nothing for too long.
 	FellSilent(b quarantine.Broken)
-	// Passed notes that a target has begun to answer a request.
+	// Passed notes that a run has passed; see quarantine.PassTime.
 	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -225,7 +225,7 @@
 			return false
 		}
 		service := route.Service(t.item().ID)
-		if full[service] || d.isQuarantined(t, now) {
+		if full[service] || d.isQuarantined(t, now) || d.mustWait(t) {
 			continue
 		}
 		if d.start(ctx, t, route, service) {
@@ -292,6 +292,22 @@
 	return true
 }
 
+// mustWait says whether a task that may crash targets like others of its resource or job has to wait until one of these that runs has
+// passed: side by side they would crash a target each.
+func (d *scheduler) mustWait(t *task) bool {
+	if !d.m.opts.Quarantine.IsSuspect(t.content) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, other := range d.tasks {
+		if other != t && other.isUnproven() && other.content.IsRelated(t.content) {
+			return true
+		}
+	}
+	return false
+}
+
 // putOff has a quarantined task wait, or gives it up.
 func (d *scheduler) putOff(t *task, now time.Time) {
 	if end := t.putOff(now); end != nil {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -26,6 +26,7 @@
 
 	mu        sync.Mutex
 	begun     bool // a run has begun here
+	hasPassed bool // a run here has passed; see quarantine.PassTime
 	running   bool
 	ending    backlog.Outcome // how it has ended, written or about to be; empty until that is known
 	cancel    context.CancelFunc
@@ -146,6 +147,22 @@
 	return t.running
 }
 
+// isUnproven says whether the task runs and none of its runs has passed.
+func (t *task) isUnproven() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running && !t.hasPassed
+}
+
+// notePassed notes that a run of the task has passed. It reports whether that was not known yet.
+func (t *task) notePassed() (isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isNew = !t.hasPassed
+	t.hasPassed = true
+	return isNew
+}
+
 func (t *task) canStart(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -110,8 +110,8 @@
 	r.view.fleet.NoteActivity(time.Now(), r.Target.ID)
 }
 
-// Event notes an event of the run's stream, for what is known of how its service answers.
-func (r *Run) Event() {
+// Event notes an event of the run's stream, for what is known of how its service answers. It reports how long ago the first one was.
+func (r *Run) Event() (sinceFirst time.Duration) {
 	v := r.view
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -127,6 +127,17 @@
 		r.first = now
 	}
 	r.event = now
+	return now.Sub(r.first)
+}
+
+// AnsweredFor is how long ago the run's first event came; 0 before it.
+func (r *Run) AnsweredFor() time.Duration {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	if r.first.IsZero() {
+		return 0
+	}
+	return time.Since(r.first)
 }
 
 // Times says, of a run that is over, how long it took until its first event and how long ago its last one was; both are the whole run
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,7 +204,7 @@
 // The header waits for the first event: until then the request can still fail over.
 func (a *attempt) relayStream(ctx context.Context, ans *platform.TargetAnswer) error {
 	in := events.NewReader(ans.Body)
-	for {
+	for hasPassed := false; ; {
 		e, err := in.Next()
 		if err == io.EOF {
 			a.begin(ans, -1) // a stream without events has a header, too
@@ -214,7 +214,10 @@
 			return a.broken(ctx, err)
 		}
 		a.noteActivity()
-		a.run.Event()
+		if sinceFirst := a.run.Event(); !hasPassed && sinceFirst >= quarantine.PassTime {
+			hasPassed = true
+			a.gw.quarantine.Passed(a.content)
+		}
 		a.begin(ans, -1)
 		if err := a.write(e.Raw); err != nil {
 			return err
@@ -231,7 +234,6 @@
 		return
 	}
 	a.begun = true
-	a.gw.quarantine.Passed(a.content)
 	a.stages.noteFirst(time.Now())
 	a.out.Begin(ans.Status, ans.Header, length)
 }
@@ -255,7 +257,8 @@
 // brokenRun is the attempt as the quarantine is told of it.
 func (a *attempt) brokenRun(err error) quarantine.Broken {
 	return quarantine.Broken{
-		Content: a.content, Target: a.run.Target, Start: a.run.Target.ID, Began: a.run.Began(), From: a.from, To: a.lastID, HasCrashed: a.run.HasEnded(), Err: err,
+		Content: a.content, Target: a.run.Target, Start: a.run.Target.ID, Began: a.run.Began(), From: a.from, To: a.lastID,
+		HasPassed: a.run.AnsweredFor() >= quarantine.PassTime, HasCrashed: a.run.HasEnded(), Err: err,
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,7 +70,7 @@
 	BrokenOff(b quarantine.Broken)
 	// FellSilent notes a run that this process has ended because its target sent nothing for too long.
 	FellSilent(b quarantine.Broken)
-	// Passed notes that a target has begun to answer a request.
+	// Passed notes that a run has passed; see quarantine.PassTime.
 	Passed(c *quarantine.Content)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -93,7 +93,7 @@
 
 	// known is the number of contents in the registry: while there are none, no request needs a fingerprint.
 	known atomic.Int64
-	// passed are the contents that targets have begun to answer at this process.
+	// passed are the contents whose runs have passed at this process.
 	passed *quarantine.PassedSet
 	loaded atomic.Bool // what the store holds has been read
 	// changed gets a token when the store may lack something.
@@ -235,7 +235,18 @@
 	return s
 }
 
-// Passed notes that a target has begun to answer a request.
+// IsSuspect says that a request may crash targets like others of its resource or job, so that it should be sent alone.
+func (q *Quarantine) IsSuspect(c *quarantine.Content) bool {
+	if q.IsEmpty() {
+		return false
+	}
+	s := q.subject(c)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.registry.IsSuspect(s)
+}
+
+// Passed notes that a run of a request has passed; see quarantine.PassTime.
 func (q *Quarantine) Passed(c *quarantine.Content) {
 	if !q.isOn {
 		return
@@ -257,6 +268,7 @@
 
 // Served notes that a target has served a request whole.
 func (q *Quarantine) Served(c *quarantine.Content) {
+	q.Passed(c)
 	if q.IsEmpty() {
 		return
 	}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -34,11 +34,11 @@
 	start   string // see quarantine.Broken
 	began   time.Time
 	broken  time.Time
-	isEarly bool // the run has got nowhere
+	isEarly bool // the run had not passed
 }
 
 func suspectOf(b quarantine.Broken, broken time.Time) suspect {
-	return suspect{content: b.Content, start: b.Start, began: b.Began, broken: broken, isEarly: b.IsEarly()}
+	return suspect{content: b.Content, start: b.Start, began: b.Began, broken: broken, isEarly: !b.HasPassed}
 }
 
 // brokenTarget is a target that has broken off requests.
