Crashes: entries share what they know through sides while the log service is away

Cause: entries share the records of crashes through a stream of the log service alone.

Change: an entry also sends its records over its sessions to sides; a side merges them into a registry of its own, passes on what is new and tells entries that connect. What has been heard is not told on by entries. A side also names the start of its target that has crashed, so that runs which one crash breaks off count once, and two crashes twice, whatever the clocks of entries say.

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -83,6 +83,8 @@
 	RetryAfterMs int64 `cbor:"4,keyasint,omitempty" json:"retry_after_ms,omitempty"`
 	// Line is the line of a job's file that the failure is about, from 1.
 	Line int `cbor:"5,keyasint,omitempty" json:"line,omitempty"`
+	// Start names the start of the target that has crashed; empty if the failure is another one.
+	Start string `cbor:"6,keyasint,omitempty" json:"-"`
 }
 
 // New returns an error of type t with the default Ran of its type.
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -67,6 +67,15 @@
 // Len is the number of contents and scopes that are known.
 func (g *Registry) Len() int { return len(g.entries) }
 
+// Records returns what is known, in no order.
+func (g *Registry) Records() []Record {
+	list := make([]Record, 0, len(g.entries))
+	for _, e := range g.entries {
+		list = append(list, e.Record.clone())
+	}
+	return list
+}
+
 // Quarantined is the number of contents and of scopes that are quarantined.
 func (g *Registry) Quarantined() (contents, scopes int) {
 	for _, e := range g.entries {
--- a/core/structs/frame.go
+++ b/core/structs/frame.go
@@ -34,6 +34,13 @@
 	Order     *Order     `cbor:"18,keyasint,omitempty"`
 	OrderDone *OrderDone `cbor:"19,keyasint,omitempty"`
 	Fence     *Fence     `cbor:"20,keyasint,omitempty"`
+	Crashes   *Crashes   `cbor:"21,keyasint,omitempty"`
+}
+
+// Crashes are records of requests under which targets have crashed, each as quarantine.Record encodes it. Entries send them to sides, which
+// pass them on to the other entries: these may not reach the log service, through which they share the records otherwise.
+type Crashes struct {
+	Records [][]byte `cbor:"1,keyasint"`
 }
 
 // Beat is a heartbeat; sessions handle it themselves. A peer sends Echo back at
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,6 +121,7 @@
 		dial = sessionDialer(e)
 	}
 	e.pool = newPool(o.Settings, o.Hosts, dial, &e.parts, o.Logger, o.Clock)
+	e.pool.crashes = o.Quarantine
 	if err := e.listen(); err != nil {
 		e.closeListeners()
 		return nil, err
--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -39,6 +39,8 @@
 	parts *Parts
 	log   hclog.Logger
 	now   func() time.Time
+	// crashes takes in what sides tell of requests under which targets have crashed.
+	crashes Quarantine
 
 	index  atomic.Pointer[index]
 	listed atomic.Bool // the host list was read once
@@ -63,7 +65,7 @@
 
 func newPool(set settings.Entry, hosts platform.HostList, dial dialFunc, parts *Parts, log hclog.Logger, now func() time.Time) *pool {
 	p := &pool{
-		set: set, hosts: hosts, dial: dial, parts: parts, log: log, now: now,
+		set: set, hosts: hosts, dial: dial, parts: parts, log: log, now: now, crashes: noQuarantine{},
 		keepers: make(map[structs.HostID]*keeper),
 		targets: make(map[structs.TargetID]*target),
 	}
@@ -239,6 +241,7 @@
 	k.session = s
 	p.mark(k)
 	p.mu.Unlock()
+	p.crashes.PeerStarted()
 	select {
 	case <-s.gone:
 	case <-ctx.Done():
@@ -260,6 +263,19 @@
 	p.wg.Wait()
 }
 
+// sessions returns the open sessions to sides.
+func (p *pool) sessions() []*sideSession {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*sideSession
+	for _, k := range p.keepers {
+		if k.session != nil {
+			list = append(list, k.session)
+		}
+	}
+	return list
+}
+
 // connected is the number of sides with a session.
 func (p *pool) connected() int {
 	p.mu.Lock()
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -18,6 +18,14 @@
 	BrokenOff(b quarantine.Broken)
 	// Served notes that a target has served a request whole.
 	Served(c *quarantine.Content)
+	// ToTell returns the records that other entries should be told now.
+	ToTell() []quarantine.Record
+	// Changed gets a token when there are some.
+	Changed() <-chan struct{}
+	// Apply takes in what another entry tells.
+	Apply(list []quarantine.Record)
+	// PeerStarted has what is quarantined told again.
+	PeerStarted()
 }
 
 // noQuarantine sends every request on.
@@ -27,6 +35,10 @@
 func (noQuarantine) AdmitRequest(*quarantine.Content) error { return nil }
 func (noQuarantine) BrokenOff(quarantine.Broken)            {}
 func (noQuarantine) Served(*quarantine.Content)             {}
+func (noQuarantine) ToTell() []quarantine.Record            { return nil }
+func (noQuarantine) Changed() <-chan struct{}               { return nil }
+func (noQuarantine) Apply([]quarantine.Record)              {}
+func (noQuarantine) PeerStarted()                           {}
 
 // contentOf is what the request and its repeats have in common.
 func contentOf(a *accepted, req *classified) *quarantine.Content {
@@ -41,7 +53,7 @@
 		return
 	}
 	c.e.quarantine.BrokenOff(quarantine.Broken{
-		Content: c.content, Target: serving.Target{ID: string(c.target.id)}, Began: c.sentAt,
+		Content: c.content, Target: serving.Target{ID: string(c.target.id)}, Start: err.Start, Began: c.sentAt,
 		From: position(c.from), To: position(c.progress.next), HasCrashed: true, Err: err,
 	})
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -42,6 +42,7 @@
 	g.Go(func() error { return serveOn(e.adminServer, e.admin) })
 	g.Go(func() error { return serveOn(e.statusServer, e.statuses) })
 	g.Go(func() error { e.pool.run(failCtx); return nil })
+	g.Go(func() error { e.tellCrashes(failCtx); return nil })
 	for _, run := range e.parts.Run {
 		g.Go(func() error { return run(failCtx) })
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -115,6 +115,8 @@
 		if parts.Orders != nil {
 			parts.Orders.SideLoad(s.host, f.Load)
 		}
+	case f.Crashes != nil:
+		s.learnCrashes(f.Crashes)
 	case f.Pull != nil && parts.Batch != nil:
 		parts.Batch.OnPull(s.host, s.conn.Send, f.Pull)
 	case f.ItemDone != nil && parts.Batch != nil:
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -7,7 +7,6 @@
 	"arbutusramp/core/jobs"
 	"arbutusramp/core/plan"
 	"arbutusramp/core/platform"
-	corequarantine "arbutusramp/core/quarantine"
 	"arbutusramp/internal/adapter/hosthttp"
 	"arbutusramp/internal/adapter/loghttp"
 	"arbutusramp/internal/adapter/weightshttp"
@@ -77,7 +76,7 @@
 	config  *follow.Follower
 	fleet   *reconcile.Fleet
 	// quarantine keeps requests under which targets have crashed from targets.
-	quarantine *quarantine.Quarantine
+	quarantine entryQuarantine
 }
 
 func newKit(s settings.Entry, logger hclog.Logger, reg metrics.Registry, v Variant) (*kit, error) {
@@ -107,10 +106,7 @@
 		PeerKeys:   k.keys.PeerKeys,
 		RetiredKey: k.keys.RetiredPeerKey,
 	})
-	k.quarantine = quarantine.New(quarantine.Options{
-		Threshold: corequarantine.DefaultThreshold, Hold: corequarantine.DefaultHold, Prober: quarantine.NoFleet{}, Fleet: quarantine.NoFleet{},
-		Log: logger.Named("quarantine"), Metrics: reg,
-	})
+	k.quarantine = newEntryQuarantine(logger.Named("quarantine"), reg)
 	k.fleet = reconcile.NewFleet(reconcile.FleetOptions{
 		Members:   k.hosts.known,
 		Weights:   k.weights,
--- a/internal/session/codec.go
+++ b/internal/session/codec.go
@@ -73,7 +73,7 @@
 		f.Head != nil, f.Data != nil, f.End != nil, f.Load != nil,
 		f.Pull != nil, f.Items != nil, f.ItemDone != nil, f.ItemStop != nil,
 		f.Config != nil, f.ItemAck != nil, f.Beat != nil, f.Order != nil,
-		f.OrderDone != nil, f.Fence != nil,
+		f.OrderDone != nil, f.Fence != nil, f.Crashes != nil,
 	} {
 		if set {
 			n++
@@ -91,6 +91,12 @@
 		return base + len(f.Data.Payload)
 	case f.Open != nil:
 		return base + len(f.Open.Body) + len(f.Open.PriorText)
+	case f.Crashes != nil:
+		size := base
+		for _, r := range f.Crashes.Records {
+			size += len(r)
+		}
+		return size
 	case f.ItemDone != nil:
 		return base + len(f.ItemDone.Body)
 	case f.Items != nil:
--- a/internal/side/sessions.go
+++ b/internal/side/sessions.go
@@ -162,6 +162,7 @@
 	s.config.ask(p)
 	s.orders.ask(p)
 	s.items.resend(p)
+	s.tellCrashes(p)
 	s.signal()
 }
 
@@ -221,6 +222,8 @@
 		s.orders.receive(p, f.Order)
 	case f.Fence != nil:
 		s.orders.learn(p, f.Fence)
+	case f.Crashes != nil:
+		return s.shareCrashes(p, f.Crashes)
 	default:
 		return errs.Newf(errs.BadFrame, "a frame from %s that a side takes none of", p.host)
 	}
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -60,13 +60,14 @@
 	ln       net.Listener
 	statusLn net.Listener
 
-	peers  *peers
-	queue  *queue
-	keys   *keyGate
-	items  *items
-	puller *puller
-	orders *orders
-	config *configuration
+	peers   *peers
+	queue   *queue
+	keys    *keyGate
+	items   *items
+	puller  *puller
+	orders  *orders
+	config  *configuration
+	crashes *crashes
 
 	healthMu sync.Mutex
 	health   health
@@ -117,6 +118,7 @@
 	s.items = newItems(s)
 	s.puller = &puller{s: s}
 	s.orders = &orders{s: s}
+	s.crashes = newCrashes(now)
 	s.config = &configuration{port: o.Config, log: s.log, apply: s.configured}
 	return s
 }
@@ -306,7 +308,7 @@
 		return failure, result
 	}
 	crashed := *failure
-	crashed.Type = errs.TargetCrashed
+	crashed.Type, crashed.Start = errs.TargetCrashed, s.crashes.startOf(s.target.ID, began, time.Now())
 	return &crashed, result
 }
 
