--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -52,6 +52,19 @@
 	}
 }
 
+// Guards against not counting a target that is lost with its connections open: an attempt that is given up since nothing comes is told.
+func TestSilentAttemptsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(3, dark, stream(first3, nil))
+		b.serve(context.Background(), route(serving.KindStream, 3, true), &caller{})
+		synctest.Wait()
+		if len(b.fellSilent) != 1 || b.fellSilent[0].Target.ID != b.sentFirst() || len(b.brokenOff) != 0 {
+			t.Errorf("%+v told as silent, %+v as broken off", b.fellSilent, b.brokenOff)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // What is told of runs that targets break off: from and to which event they went, and nothing of refusals and of runs that end here.
 func TestBrokenRunsAreTold(t *testing.T) {
 	broken := io.ErrUnexpectedEOF
