Quarantine: scopes have a switch of their own; an item that is held says until when

`[policies] off = quarantine-scopes` has each content count alone, to measure what scopes are worth. The line "item held" names the item, its content and when it is given up at the latest, so that `arbutusctl explain ITEM` answers why it is not run.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -42,13 +42,15 @@
 	Relays Name = "relays"
 	// Quarantine sends requests under which targets have crashed to no more targets; off, they are sent on.
 	Quarantine Name = "quarantine"
+	// QuarantineScopes holds back also what such requests have in common with others; off, each content counts alone.
+	QuarantineScopes Name = "quarantine-scopes"
 )
 
 // All returns the names of all mechanisms.
 func All() []Name {
 	return []Name{
 		ComeBack, Hold, GiveWay, Turns, InTimeFirst, OwnDomain, PeerLoads, PeerWord, Silence, LearnedSilence,
-		Checkpoints, StorePeers, Relays, Quarantine,
+		Checkpoints, StorePeers, Relays, Quarantine, QuarantineScopes,
 	}
 }
 
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -310,7 +310,11 @@
 
 // putOff has a quarantined task wait, or gives it up.
 func (d *scheduler) putOff(t *task, now time.Time) {
-	if end := t.putOff(now); end != nil {
+	end, isNew := t.putOff(now)
+	if isNew {
+		d.m.log.Info("item held", "job", t.job.ID, "item", t.item().ID, "content", t.content.Fingerprint().String(), "until", t.givenUpAt().UTC().Format(time.RFC3339))
+	}
+	if end != nil {
 		t.shard.finish(end)
 	}
 }
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -27,6 +27,7 @@
 	mu        sync.Mutex
 	begun     bool // a run has begun here
 	hasPassed bool // a run here has passed; see quarantine.PassTime
+	isHeld    bool // it is quarantined
 	running   bool
 	ending    backlog.Outcome // how it has ended, written or about to be; empty until that is known
 	cancel    context.CancelFunc
@@ -202,15 +203,22 @@
 }
 
 // putOff notes that the task is quarantined. It returns the task's end once its job allows to give it up: before, its content may be
-// cleared.
-func (t *task) putOff(now time.Time) *outcome {
+// cleared. isNew says that it could run until now.
+func (t *task) putOff(now time.Time) (end *outcome, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.UnixMilli() >= t.job.Submitted+(t.job.Retain+clockSlack).Milliseconds() {
-		return t.end(backlog.Errored, "")
+	if !now.Before(t.givenUpAt()) {
+		return t.end(backlog.Errored, ""), false
 	}
+	isNew = !t.isHeld
+	t.isHeld = true
 	t.notUntil = now.Add(quarantineRecheck)
-	return nil
+	return nil, isNew
+}
+
+// givenUpAt is when the task is given up if it is quarantined then.
+func (t *task) givenUpAt() time.Time {
+	return time.UnixMilli(t.job.Submitted).Add(t.job.Retain + clockSlack)
 }
 
 // begin notes that a run of the task begins, which cancel ends.
@@ -220,7 +228,7 @@
 	if !t.begun {
 		telemetry.Observe(t.shard.m.reg, waitMetric, time.Since(t.taken))
 	}
-	t.begun = true
+	t.begun, t.isHeld = true, false
 	t.running, t.preempted, t.cancel = true, false, cancel
 	t.unrouted = 0
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -78,18 +78,19 @@
 
 // Quarantine is a quarantine.Registry with a lock, and what feeds it. It is safe for concurrent use.
 type Quarantine struct {
-	isOn     bool
-	prober   platform.TargetProber
-	fleet    Fleet
-	log      hclog.Logger
-	lines    *logging.Routine
-	broken   metrics.Counter
-	silent   metrics.Counter
-	crashes  metrics.Counter
-	rejected metrics.Counter
-	tried    metrics.Counter
-	cleared  metrics.Counter
-	overflow metrics.Counter
+	isOn      bool
+	hasScopes bool // what contents share is held back, too
+	prober    platform.TargetProber
+	fleet     Fleet
+	log       hclog.Logger
+	lines     *logging.Routine
+	broken    metrics.Counter
+	silent    metrics.Counter
+	crashes   metrics.Counter
+	rejected  metrics.Counter
+	tried     metrics.Counter
+	cleared   metrics.Counter
+	overflow  metrics.Counter
 
 	// known is the number of contents in the registry: while there are none, no request needs a fingerprint.
 	known atomic.Int64
@@ -113,7 +114,7 @@
 // New returns a quarantine that knows of nothing yet.
 func New(o Options) *Quarantine {
 	q := &Quarantine{
-		isOn: o.Off.Allows(policy.Quarantine), prober: o.Prober, fleet: o.Fleet, log: o.Log, lines: logging.NewRoutine(o.Log),
+		isOn: o.Off.Allows(policy.Quarantine), hasScopes: o.Off.Allows(policy.QuarantineScopes), prober: o.Prober, fleet: o.Fleet, log: o.Log, lines: logging.NewRoutine(o.Log),
 		broken:   metrics.GetOrRegisterCounter(brokenMetric, o.Metrics),
 		silent:   metrics.GetOrRegisterCounter(silentMetric, o.Metrics),
 		crashes:  metrics.GetOrRegisterCounter(crashesMetric, o.Metrics),
@@ -217,7 +218,7 @@
 
 // reject counts and logs a request that is not sent. The caller holds the lock.
 func (q *Quarantine) reject(c *quarantine.Content, why string) error {
-	s := c.Subject()
+	s := q.subject(c)
 	crashes, scopeCrashes := q.registry.Crashes(s.Content), q.registry.ScopeCrashes(s)
 	q.rejected.Inc(1)
 	q.lines.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", s.Content.String(), "why", why, "crashes", crashes,
@@ -231,6 +232,9 @@
 // subject is what a request is known by here.
 func (q *Quarantine) subject(c *quarantine.Content) quarantine.Subject {
 	s := c.Subject()
+	if !q.hasScopes {
+		return quarantine.Subject{Content: s.Content}
+	}
 	s.HasPassed = q.passed.Has(c.Digest())
 	return s
 }
@@ -248,7 +252,7 @@
 
 // Passed notes that a run of a request has passed; see quarantine.PassTime.
 func (q *Quarantine) Passed(c *quarantine.Content) {
-	if !q.isOn {
+	if !q.isOn || !q.hasScopes {
 		return
 	}
 	defer q.passed.Add(c.Digest())
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -404,3 +404,24 @@
 		}
 	})
 }
+
+// Contents that share a resource are held back together, and with scopes switched off each counts alone.
+func TestScopesCanBeSwitchedOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		off  []string
+		want bool
+	}{
+		"on":  {nil, true},
+		"off": {[]string{string(policy.QuarantineScopes)}, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuarantine(&fleet{result: platform.ProbeGone}, c.off...)
+			for i := range quarantine.DefaultThreshold {
+				breakOff(q, fmt.Sprint("body ", i), fmt.Sprint(i))
+			}
+			if got := isQuarantined(q, "another body"); got != c.want {
+				t.Errorf("%s: held back %v, want %v", name, got, c.want)
+			}
+		})
+	}
+}
