Crashes: a late answer of a later start does not show that the run's start lives

Cause: a side tells the start that had a run from a later one by how long the engine has run, counted from when the question was sent. If the question waits for the processor until the engine is back, that time lies before the run, and the later start is taken for the one that had it: the stream is resumed there, crashes it as well, and neither crash is counted. An answer that does not come within 300 ms was taken for "not known", and the request went on to another engine without a count.

Change: the start lies between question less uptime and answer less uptime. Only if both are before the run it lives, only if both are after it has gone; else, and without an answer, the engine is asked again for up to 2 s before the request may go on.

The test of an engine that is back asks until the answer is known, which one question need not show any more. TestAStreamIsResumedOnlyWhileItsEngineIsAlive waits for the longer diagnosis in its virtual time.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,19 +45,26 @@
 }
 
 // probeEngine asks an engine for its load. A start that has ended does not answer, whatever accepts connections in its place, and a later
-// one has run for less time.
+// one has run for less time. How long an answer was on its way is not known, so that one which comes late may tell neither.
 func probeEngine(ctx context.Context, e platform.Engine, since time.Time) platform.ProbeResult {
 	asked := time.Now()
 	load, err := e.Load(ctx)
 	switch {
-	case err == nil && load.UptimeMs > 0 && asked.Add(-time.Duration(load.UptimeMs)*time.Millisecond).After(since):
-		return platform.ProbeGone
-	case err == nil:
-		return platform.ProbeAlive
 	case errs.Is(err, errs.TargetFailed):
 		return platform.ProbeGone
+	case err != nil:
+		return platform.ProbeUnknown
+	case load.UptimeMs == 0:
+		return platform.ProbeAlive // it does not tell
+	}
+	uptime := time.Duration(load.UptimeMs) * time.Millisecond
+	switch {
+	case asked.Add(-uptime - time.Millisecond).After(since):
+		return platform.ProbeGone
+	case time.Now().Add(-uptime).After(since):
+		return platform.ProbeUnknown
 	}
-	return platform.ProbeUnknown
+	return platform.ProbeAlive
 }
 
 // probeService connects to a plain service, which has nothing to ask for: only a refused connection tells something.
--- a/internal/side/call_test.go
+++ b/internal/side/call_test.go
@@ -105,7 +105,7 @@
 				return errs.New(errs.StreamBroken, "cut")
 			}
 			b.open(1, generateOpen())
-			time.Sleep(time.Second)
+			time.Sleep(2 * diagnoseTimeout)
 			synctest.Wait()
 			wantEnd(t, b.entry.answer(1), want.end, errs.RanUnknown)
 			if n := len(b.target.generations()); n != want.runs {
@@ -115,6 +115,26 @@
 	}
 }
 
+// Guards against not counting a crash whose first probes show nothing.
+func TestAnEngineIsAskedUntilItsAnswerShowsWhetherItHasCrashed(t *testing.T) {
+	bubble(t, structs.KindEngine, func(t *testing.T, b *bench) {
+		probes := 0
+		b.o.Probe = func(context.Context, time.Time) platform.ProbeResult {
+			if probes++; probes < 4 {
+				return platform.ProbeUnknown
+			}
+			return platform.ProbeGone
+		}
+		b.target.generate = func(context.Context, platform.GenerateCall, func(platform.Token) error) error {
+			return errs.New(errs.StreamBroken, "cut")
+		}
+		b.open(1, generateOpen())
+		time.Sleep(diagnoseTimeout)
+		synctest.Wait()
+		wantEnd(t, b.entry.answer(1), errs.TargetCrashed, errs.RanUnknown)
+	})
+}
+
 // Symptom: one caller on a slow line holds up the others of its session. Its stream
 // has no credit left; another stream must get its whole answer meanwhile.
 func TestSlowReaderHoldsUpNobody(t *testing.T) {
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -290,8 +290,15 @@
 	}
 }
 
-// probeTimeout bounds the question whether the target's process is there. It is on the same host.
-const probeTimeout = 300 * time.Millisecond
+const (
+	// probeTimeout bounds the question whether the target's process is there. It is on the same host.
+	probeTimeout = 300 * time.Millisecond
+	// diagnoseTimeout bounds how long the question is asked again while its answer shows nothing. Meanwhile the request is not sent to
+	// another target, which it may crash as well.
+	diagnoseTimeout = 2 * time.Second
+	// probePause is the time between two questions.
+	probePause = 50 * time.Millisecond
+)
 
 // diagnose finds out whether the target's process that had a run from a time on still runs after the run failed. The failure gets the
 // type errs.TargetCrashed if it does not: entries count such crashes against the request. Without a probe the process is
@@ -301,9 +308,7 @@
 	if s.o.Probe == nil || !broke || failure.Ran == errs.RanNo {
 		return failure, platform.ProbeAlive
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	result := s.o.Probe(ctx, began)
+	result := s.probe(began)
 	if result != platform.ProbeGone {
 		return failure, result
 	}
@@ -312,6 +317,25 @@
 	return &crashed, result
 }
 
+// probe asks whether the start of the target's process that had a run lives. An engine is asked until its answer shows that or
+// diagnoseTimeout is over; a service that lives shows nothing.
+func (s *Side) probe(began time.Time) platform.ProbeResult {
+	asked := time.Now()
+	for n := 1; ; n++ {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		result := s.o.Probe(ctx, began)
+		cancel()
+		if result != platform.ProbeUnknown || s.o.Engine == nil {
+			return result
+		}
+		if time.Since(asked) >= diagnoseTimeout {
+			s.log.Warn("not known whether the target has crashed", "target", s.target.ID, "probes", n, "ms", time.Since(asked).Milliseconds())
+			return result
+		}
+		sleep.For(context.Background(), probePause)
+	}
+}
+
 // targetFailed counts the target as unhealthy when it hung or could not be reached.
 func (s *Side) targetFailed(err *errs.Error) {
 	if err.Type != errs.TargetTimeout && err.Type != errs.TargetFailed && err.Type != errs.TargetCrashed {
