Quarantine: a target that was silent before a run began counts against nothing

Cause: that a silent run's target is gone from the list was taken for a crash under the run, although the target was lost before it began.

Change: a silent run counts only if its target has sent something to this process since the run began. A run that is ended because another one at its target was found silent is treated as that one, and silent targets are not probed.

--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -46,6 +46,7 @@
 	suspects  []suspect
 	last      time.Time // when it has last broken one off
 	isProbing bool
+	isSilent  bool // its last request was ended here because it sent nothing
 	// evidence shows that it has crashed; empty while there is none. crashedAt is when that was found.
 	evidence  string
 	crashedAt time.Time
@@ -122,7 +123,7 @@
 	if !q.isOn || !b.HasCrashed && !q.isExpected(b.Target.ID) {
 		return
 	}
-	interrupted := q.noteBroken(now, b.Target.ID)
+	interrupted := q.noteBroken(now, b.Target.ID, false)
 	switch {
 	case b.Counts() && b.HasCrashed:
 		q.noteCrash(s, b.Target.ID, "known to have crashed")
@@ -134,20 +135,24 @@
 	}
 }
 
-// noteBroken notes that a target has broken off a request. It returns the runs there that this process has ended shortly before.
-func (q *Quarantine) noteBroken(now time.Time, target string) interruptions {
+// noteBroken notes that a target has broken off a request, or that it is silent. It returns the runs there that this process has ended
+// shortly before.
+func (q *Quarantine) noteBroken(now time.Time, target string, isSilent bool) interruptions {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.suspects.prune(now)
-	q.suspects.target(target).last = now
+	t := q.suspects.target(target)
+	t.last, t.isSilent = now, isSilent
 	rest, taken := q.interrupted.take(now, target)
 	q.interrupted = rest
 	return taken
 }
 
-// follow finds out whether the target has crashed under a run.
+// follow finds out whether the target has crashed under a run. A target that is silent and has sent nothing since the run began may have
+// been lost before.
 func (q *Quarantine) follow(i interruption) {
-	evidence, needsProbe := q.suspect(i.suspect, i.target.ID, true)
+	wasHeard := q.fleet.HeardSince(i.target.ID, i.began)
+	evidence, needsProbe := q.suspect(i.suspect, i.target.ID, wasHeard)
 	if evidence != "" {
 		q.noteCrash(i.suspect, i.target.ID, evidence)
 		return
@@ -161,16 +166,16 @@
 // probed: only the list shows whether it has crashed.
 func (q *Quarantine) FellSilent(b quarantine.Broken) {
 	now := time.Now()
-	if !q.isOn || !b.Counts() || !q.isExpected(b.Target.ID) {
+	if !q.isOn || !q.isExpected(b.Target.ID) {
 		return
 	}
 	q.silent.Inc(1)
-	q.mu.Lock()
-	q.suspects.prune(now)
-	q.suspects.target(b.Target.ID).last = now
-	q.mu.Unlock()
-	if evidence, _ := q.suspect(suspectOf(b, now), b.Target.ID, false); evidence != "" {
-		q.noteCrash(suspectOf(b, now), b.Target.ID, evidence)
+	interrupted := q.noteBroken(now, b.Target.ID, true)
+	if b.Counts() {
+		interrupted = append(interrupted, interruption{suspect: suspectOf(b, now), target: b.Target})
+	}
+	for _, i := range interrupted {
+		q.follow(i)
 	}
 }
 
@@ -196,9 +201,9 @@
 	return ok && len(t.suspects) > 0
 }
 
-// suspect adds a suspect. It returns the evidence that its target has crashed, if there is some already, and whether the target has to
-// be probed, if it can be.
-func (q *Quarantine) suspect(s suspect, target string, canProbe bool) (evidence string, needsProbe bool) {
+// suspect adds a suspect, unless its target is silent and was not heard in its run. It returns the evidence that the target has crashed, if
+// there is some already, and whether the target has to be probed.
+func (q *Quarantine) suspect(s suspect, target string, wasHeard bool) (evidence string, needsProbe bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t := q.suspects.target(target)
@@ -206,13 +211,16 @@
 		return t.evidence, false
 	}
 	t.evidence = "" // of an earlier start under its id
+	if t.isSilent && !wasHeard {
+		return "", false
+	}
 	if q.suspects.n >= maxSuspects {
 		q.overflow.Inc(1)
 		return "", false
 	}
 	t.suspects = append(t.suspects, s)
 	q.suspects.n++
-	needsProbe = canProbe && !t.isProbing
+	needsProbe = !t.isSilent && !t.isProbing
 	t.isProbing = t.isProbing || needsProbe
 	return "", needsProbe
 }
