Entry: a crash late in an answer does not count for what contents share

Found on reading: entries never said that a run had passed, so that each crash counted as an early one for the path that all requests of a workspace share.

--- a/core/quarantine/contain_sim_test.go
+++ b/core/quarantine/contain_sim_test.go
@@ -35,12 +35,12 @@
 const maxLateCrashes = 3
 
 type containItem struct {
-	subject Subject
-	isBad   bool
-	client  int
-	came    time.Time
-	hasRun  bool
-	heldTil time.Time
+	subject   Subject
+	isBad     bool
+	client    int
+	came      time.Time
+	hasRun    bool
+	heldUntil time.Time
 }
 
 type containRun struct {
@@ -127,7 +127,7 @@
 }
 
 func (f *containFleet) start(item *containItem) bool {
-	if f.now.Before(item.heldTil) {
+	if f.now.Before(item.heldUntil) {
 		return false
 	}
 	var best *containTarget
@@ -140,7 +140,7 @@
 		return false
 	}
 	if f.isHeld(item) {
-		item.heldTil = f.now.Add(containRecheck)
+		item.heldUntil = f.now.Add(containRecheck)
 		return false
 	}
 	if f.mustWait(item) {
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -64,8 +64,7 @@
 // Fingerprint returns the content's fingerprint.
 func (c *Content) Fingerprint() Fingerprint { return c.Subject().Content }
 
-// Digest identifies the content as well as its fingerprint does, except against callers who want two contents to look alike. It costs a
-// twentieth.
+// Digest identifies the content for much less than its fingerprint costs, but not against callers who want two contents to look alike.
 func (c *Content) Digest() uint64 {
 	r := c.Request
 	d := xxhash.New()
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -54,10 +54,15 @@
 	}
 	c.e.quarantine.BrokenOff(quarantine.Broken{
 		Content: c.content, Target: serving.Target{ID: string(c.target.id)}, Start: err.Start, Began: c.sentAt,
-		From: position(c.from), To: position(c.progress.next), HasCrashed: true, Err: err,
+		From: position(c.from), To: position(c.progress.next), HasPassed: c.hasPassed(), HasCrashed: true, Err: err,
 	})
 }
 
+// hasPassed says whether the attempt had gone on for quarantine.PassTime after its first byte.
+func (c *call) hasPassed() bool {
+	return c.firstByte > 0 && c.e.now().Sub(c.sentAt)-c.firstByte >= quarantine.PassTime
+}
+
 // position is the place in an answer after which a run goes on; empty for its start.
 func position(tokens int) string {
 	if tokens == 0 {
