--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -50,6 +50,9 @@
 
 	once    sync.Once
 	subject Subject
+
+	digestOnce sync.Once
+	digest     uint64
 }
 
 // NewContent returns the content of r, which must not change.
@@ -64,9 +67,14 @@
 // Fingerprint returns the content's fingerprint.
 func (c *Content) Fingerprint() Fingerprint { return c.Subject().Content }
 
-// Digest identifies the content for much less than its fingerprint costs, but not against callers who want two contents to look alike.
+// Digest identifies the content for much less than its fingerprint costs, but not against callers who want two contents to look alike. It
+// is worked out once, when it is first asked for.
 func (c *Content) Digest() uint64 {
-	r := c.Request
+	c.digestOnce.Do(func() { c.digest = digestOf(c.Request) })
+	return c.digest
+}
+
+func digestOf(r *serving.Request) uint64 {
 	d := xxhash.New()
 	for _, part := range []string{r.Caller.Workspace, r.Method, r.Host, r.URI} {
 		_, _ = d.WriteString(part) // a hash never fails to write
