Interfaces for cost-aware scheduling, shared capacity and lasting headroom

Targets of one service differ in speed, and workspaces compete for capacity; the code counts requests and serves in order of arrival. Nothing is decided by them yet: the packages know nothing, and reports without the new part keep their bytes.

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"arbutusramp/core/costmodel"
 )
 
 // Job is an accepted batch job: a list of requests that run in the background.
@@ -30,6 +32,8 @@
 	Header map[string][]string `cbor:"3,keyasint"`
 	Body   []byte              `cbor:"4,keyasint"`
 	Tokens int64               `cbor:"5,keyasint"` // prompt tokens plus the maximum number of output tokens
+	// Size is what the submitter states of the size of the request.
+	Size costmodel.Size `cbor:"6,keyasint,omitzero"`
 }
 
 // Tokens returns the sum of the tokens of the job's items.
--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -19,8 +19,8 @@
 // Demand.StartKey: the n-th gateway may take the n-th of these free slots of a target immediately, and an
 // earlier one only after it has stayed free for a multiple of staggerInterval. Otherwise all gateways would
 // start an item in the same slot, and all but one would preempt it again.
-func (f *Fleet) PickBatch(now time.Time, service string, tried []string) (c Choice, ok bool) {
-	list := f.candidates(now, service, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
+func (f *Fleet) PickBatch(now time.Time, w Work, tried []string) (c Choice, ok bool) {
+	list := f.candidates(now, w.Service, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
 	ahead := f.gatewaysAhead()
 	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.canStart(now, c, ahead) })
 	if len(list) == 0 {
--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -28,7 +28,7 @@
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
 			f, now := benchFleet(targets), time.Now()
 			for b.Loop() {
-				if _, ok := f.PickOnline(now, "llm", nil); !ok {
+				if _, ok := f.PickOnline(now, Work{Service: "llm"}, nil); !ok {
 					b.Fatal("no target was picked")
 				}
 			}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -12,6 +12,9 @@
 	"slices"
 	"time"
 
+	"arbutusramp/core/costmodel"
+	"arbutusramp/core/fairshare"
+	"arbutusramp/core/headroom"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/structs"
@@ -39,10 +42,36 @@
 	MinFreeSlots int
 	// PeerTTL is how long the last report of a peer counts if no other report or sign of life of it follows.
 	PeerTTL time.Duration
+	// ExpectedTime says for which services targets are chosen by expected time.
+	ExpectedTime ExpectedTimeMode
+	// Sharing are the settings for dividing capacity between workspaces; nil to not divide it.
+	Sharing *fairshare.Options
 	// Disabled is the set of disabled mechanisms.
 	Disabled policy.Disabled
 }
 
+// ExpectedTimeMode says for which services targets are chosen by expected time.
+type ExpectedTimeMode uint8
+
+const (
+	// ExpectedTimeAuto applies to services of which a target has reported its pace.
+	ExpectedTimeAuto ExpectedTimeMode = iota
+	// ExpectedTimeOn applies to all services.
+	ExpectedTimeOn
+	// ExpectedTimeOff applies to no service.
+	ExpectedTimeOff
+)
+
+// Work describes a request or batch item for which a target is chosen.
+type Work struct {
+	Service, Route string
+	Workspace      string // empty if requests need no API key
+	Size           costmodel.Size
+	// IsStream is set if the answer is a stream, so that its latency goal is for the first event and not for the
+	// whole answer.
+	IsStream bool
+}
+
 // Fleet is one gateway's view of the targets and of the other gateways. It is not safe for concurrent use.
 type Fleet struct {
 	opts    Options
@@ -58,6 +87,9 @@
 	timings    map[string]eventTiming   // mean times between events, by service; see SilenceLimit
 	// storeContact is when the platform's store last answered this gateway.
 	storeContact time.Time
+	costs        *costmodel.Model
+	demands      *headroom.Learner
+	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
 }
 
 // targetState is a target with what this gateway has recorded of its load and health.
@@ -101,6 +133,12 @@
 	StoreContact time.Time
 	// Suspects are the ids of the targets that are suspect because they have failed requests of the gateway.
 	Suspects []string
+	// Observations are what the gateway has learned about targets since its last report.
+	Observations []costmodel.Observation
+	// Overloaded are the services of which the gateway has recently rejected or queued requests.
+	Overloaded []string
+	// Usage is the work of workspaces at the gateway; nil if it is as in the last report that had it.
+	Usage []fairshare.Usage
 }
 
 // peer is the last report of another gateway, with the time of its last report or sign of life.
@@ -111,7 +149,14 @@
 
 // New returns a Fleet without targets and peers.
 func New(o Options) *Fleet {
-	return &Fleet{opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming)}
+	f := &Fleet{
+		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
+		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}),
+	}
+	if o.Sharing != nil {
+		f.sharing = fairshare.New(*o.Sharing)
+	}
+	return f
 }
 
 // Put adds a target, or replaces the description of the one with the same id.
@@ -133,6 +178,7 @@
 func (f *Fleet) Remove(id string) {
 	delete(f.targets, id)
 	delete(f.ownBatchTargets, id)
+	f.costs.RemoveTarget(id)
 }
 
 // Targets returns all targets that have been put and not removed.
@@ -207,6 +253,10 @@
 	}
 	old := f.peers[from]
 	f.replaceReport(now, from, old, &r)
+	f.costs.ApplyObservations(now, r.Observations)
+	if f.sharing != nil && r.Usage != nil {
+		f.sharing.ApplyReport(now, string(from), r.Usage)
+	}
 	for _, id := range r.Suspects {
 		if old == nil || !slices.Contains(old.Suspects, id) {
 			f.applyPeerSuspicion(now, id)
@@ -298,6 +348,7 @@
 	for name, p := range f.peers {
 		if now.Sub(p.lastSeen) > f.opts.PeerTTL {
 			f.replaceReport(now, name, p, &Report{})
+			f.expireUsage(name)
 			delete(f.peers, name)
 			continue
 		}
@@ -339,7 +390,10 @@
 
 // Report returns this gateway's report to its peers.
 func (f *Fleet) Report(now time.Time) Report {
-	return Report{Loads: f.OwnLoads(), Demand: f.demand, StoreContact: f.storeContact, Suspects: f.ownSuspects(now)}
+	return Report{
+		Loads: f.OwnLoads(), Demand: f.demand, StoreContact: f.storeContact, Suspects: f.ownSuspects(now),
+		Observations: f.dueObservations(now), Overloaded: f.ownOverloads(now), Usage: f.ownUsage(now),
+	}
 }
 
 // OwnLoads returns this gateway's own loads by target id, without targets at which it has no requests.
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -53,7 +53,7 @@
 
 // PickOnline chooses the target for an online request, none of those in tried; ok is false if there is none.
 // Healthy targets are preferred, then those on probation, and as a last resort suspect ones.
-func (f *Fleet) PickOnline(now time.Time, service string, tried []string) (c Choice, ok bool) {
+func (f *Fleet) PickOnline(now time.Time, w Work, tried []string) (c Choice, ok bool) {
 	stages := []struct {
 		isUsable func(*targetState) bool
 		suffix   string
@@ -63,7 +63,7 @@
 		{func(ts *targetState) bool { return true }, " though suspect"},
 	}
 	for _, stage := range stages {
-		list := f.candidates(now, service, tried, stage.isUsable)
+		list := f.candidates(now, w.Service, tried, stage.isUsable)
 		if len(list) == 0 {
 			continue
 		}
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -23,14 +23,14 @@
 	StartRate float64
 }
 
-// Estimate returns the estimate for an online request of a service that arrives now.
-func (f *Fleet) Estimate(now time.Time, service string) Estimate {
-	e := Estimate{HoldTime: f.holdTimes[service]}
+// Estimate returns the estimate for an online request that arrives now.
+func (f *Fleet) Estimate(now time.Time, w Work) Estimate {
+	e := Estimate{HoldTime: f.holdTimes[w.Service]}
 	if e.HoldTime <= 0 {
 		return e
 	}
-	e.StartRate = float64(f.totalSlots(now, service)) / e.HoldTime.Seconds() / float64(1+len(f.peers))
-	c, ok := f.PickOnline(now, service, nil)
+	e.StartRate = float64(f.totalSlots(now, w.Service)) / e.HoldTime.Seconds() / float64(1+len(f.peers))
+	c, ok := f.PickOnline(now, w, nil)
 	if !ok || !c.IsQueued() || c.Target.Slots == 0 {
 		return e
 	}
--- a/core/fleet/wait_test.go
+++ b/core/fleet/wait_test.go
@@ -26,7 +26,7 @@
 		f.RecordHoldTime("llm", holdTime)
 		begin(f, "t0", structs.ClassOnline, c.online)
 		begin(f, "t0", structs.ClassBatch, c.batch)
-		if got := f.Estimate(start, "llm").Wait; got != c.want {
+		if got := f.Estimate(start, Work{Service: "llm"}).Wait; got != c.want {
 			t.Errorf("%s: expected wait %v, want %v", c.name, got, c.want)
 		}
 	}
@@ -34,12 +34,12 @@
 
 func TestEstimatedWaitIsZeroWithoutData(t *testing.T) {
 	f := testFleet("self", 0)
-	if got := f.Estimate(start, "llm").Wait; got != 0 {
+	if got := f.Estimate(start, Work{Service: "llm"}).Wait; got != 0 {
 		t.Errorf("without a target the expected wait is %v, want 0", got)
 	}
 	f.Put(target(0))
 	begin(f, "t0", structs.ClassOnline, testSlots)
-	if got := f.Estimate(start, "llm").Wait; got != 0 {
+	if got := f.Estimate(start, Work{Service: "llm"}).Wait; got != 0 {
 		t.Errorf("with an unknown hold time the expected wait is %v, want 0", got)
 	}
 }
@@ -61,7 +61,7 @@
 	const holdTime = 500 * time.Millisecond
 	f := testFleet("self", 3)
 	f.RecordHoldTime("llm", holdTime)
-	startRate := func() float64 { return f.Estimate(start, "llm").StartRate }
+	startRate := func() float64 { return f.Estimate(start, Work{Service: "llm"}).StartRate }
 	if got, want := startRate(), 3*testSlots/holdTime.Seconds(); got != want {
 		t.Errorf("without peers the start rate is %v per second, want %v", got, want)
 	}
--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -59,6 +59,9 @@
 	OtherInstance bool
 	// Foreign says that the answer belongs to another request: the connection is out of step.
 	Foreign bool
+	// Pace is how long work takes at the target at this moment, in percent of its usual duration; 0 if the target
+	// does not report it.
+	Pace int
 }
 
 // CallerAnswer is where an answer to a caller is written.
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -61,6 +61,21 @@
 	// QuarantineScopes also quarantines the resource, job or route of requests that crash targets; off, only
 	// requests with identical content are quarantined.
 	QuarantineScopes Mechanism = "quarantine-scopes"
+	// ExpectedTime chooses targets and admits requests by the expected time of their answer, for services whose
+	// targets differ in speed; off, all targets of a service count as equally fast.
+	ExpectedTime Mechanism = "expected-time"
+	// DemandForecast starts batch items only where their slot is expected to last; off, they start in any free
+	// slot.
+	DemandForecast Mechanism = "demand-forecast"
+	// YieldInOverload starts no batch items of a service while online requests are rejected or queued; off,
+	// they start in any free slot.
+	YieldInOverload Mechanism = "yield-in-overload"
+	// FairShare divides the capacity between workspaces while there is too little; off, requests are served in
+	// order of arrival and due time.
+	FairShare Mechanism = "fair-share"
+	// RetryForecast tells rejected callers to retry when the forecast of the demand expects capacity; off, after
+	// the expected wait.
+	RetryForecast Mechanism = "retry-forecast"
 )
 
 // All returns all mechanisms, in the order of their constants.
@@ -68,6 +83,7 @@
 	return []Mechanism{
 		RetryLater, QueueRetries, Preemption, StaggeredStarts, FeasibleFirst, OwnDomain, PeerLoads, PeerSuspicion, SilenceDetection, AdaptiveSilenceLimit,
 		Checkpoints, StoreThroughPeers, ReportRelays, Quarantine, QuarantineScopes,
+		ExpectedTime, DemandForecast, YieldInOverload, FairShare, RetryForecast,
 	}
 }
 
--- a/core/serving/request.go
+++ b/core/serving/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"arbutusramp/core/costmodel"
 	"arbutusramp/core/workspace"
 )
 
@@ -35,6 +36,8 @@
 	URI    string // path with query, as in the request line
 	Header http.Header
 	Body   []byte
+	// Size is what the caller states of the size of the request.
+	Size costmodel.Size
 	// Arrived is when the header of the request had been read.
 	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero if it did not set one.
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -339,7 +339,7 @@
 // was started.
 func (sc *scheduler) startRun(ctx context.Context, t *task, route *serving.Route, service string) bool {
 	runCtx, cancel := context.WithCancel(ctx)
-	r, ok := sc.m.view.StartBatch(service, t.job.Rank, t.targetsToAvoid(), func() { t.preempt(cancel) })
+	r, ok := sc.m.view.StartBatch(t.work(route, service), t.job.Rank, t.targetsToAvoid(), func() { t.preempt(cancel) })
 	if !ok {
 		cancel()
 		return false
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/backlog"
+	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
@@ -61,6 +62,11 @@
 // item returns the item of the task.
 func (t *task) item() *backlog.Item { return &t.job.Items[t.index] }
 
+// work describes the item for the choice of its target.
+func (t *task) work(route *serving.Route, service string) fleet.Work {
+	return fleet.Work{Service: service, Route: route.Name, Workspace: t.job.Workspace, Size: t.item().Size, IsStream: true}
+}
+
 // due returns the due time of the item in milliseconds since 1970.
 func (t *task) due() int64 { return t.job.SubmittedMs + t.job.DueWithin.Milliseconds() }
 
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -17,6 +17,8 @@
 	Target serving.Target
 	// Choice is the target as picked, with its load at that time.
 	Choice fleet.Choice
+	// Work is what was sent.
+	Work fleet.Work
 
 	view         *View
 	startedAt    time.Time
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -56,18 +56,18 @@
 	}
 }
 
-// StartOnline picks a target of a service for an online request and starts a run there; ok is false if there
+// StartOnline picks a target for an online request and starts a run there; ok is false if there
 // is no target. tried are the ids of the targets that earlier attempts of the request have used. StartOnline
 // preempts the batch runs of this process whose slots the request needs.
-func (v *View) StartOnline(service string, tried []string) (*Run, bool) {
+func (v *View) StartOnline(w fleet.Work, tried []string) (*Run, bool) {
 	v.mu.Lock()
 	now := time.Now()
-	c, ok := v.fleet.PickOnline(now, service, tried)
+	c, ok := v.fleet.PickOnline(now, w, tried)
 	if !ok {
 		v.mu.Unlock()
 		return nil, false
 	}
-	r := &Run{Target: c.Target, Choice: c, view: v, startedAt: now, class: structs.ClassOnline}
+	r := &Run{Target: c.Target, Choice: c, Work: w, view: v, startedAt: now, class: structs.ClassOnline}
 	v.addRun(now, r)
 	victims := v.takeVictims(now)
 	v.mu.Unlock()
@@ -76,31 +76,31 @@
 	return r, true
 }
 
-// StartBatch picks a target of a service with a free slot for a batch item and starts a run there; ok is false
+// StartBatch picks a target with a free slot for a batch item and starts a run there; ok is false
 // if there is no such target. tried are the ids of the targets that earlier attempts of the item have used.
 // preempt is called at most once, when the run must release its slot, and must not block. rank is the urgency
 // of the item, 0 the most urgent: at one target the runs with the highest rank are preempted first.
-func (v *View) StartBatch(service string, rank int, tried []string, preempt func()) (*Run, bool) {
+func (v *View) StartBatch(w fleet.Work, rank int, tried []string, preempt func()) (*Run, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	c, ok := v.fleet.PickBatch(now, service, tried)
+	c, ok := v.fleet.PickBatch(now, w, tried)
 	if !ok {
 		return nil, false
 	}
-	r := &Run{Target: c.Target, Choice: c, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	r := &Run{Target: c.Target, Choice: c, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
 	v.addRun(now, r)
 	v.preemptible[c.Target.ID] = append(v.preemptible[c.Target.ID], r)
 	signal(v.loadsChanged)
 	return r, true
 }
 
-// Prospect returns how long an online request of a service that arrives now can expect to wait for a slot and to
+// Prospect returns how long an online request that arrives now can expect to wait for a slot and to
 // hold it, and how many such requests per second this gateway may start.
-func (v *View) Prospect(service string) fleet.Estimate {
+func (v *View) Prospect(w fleet.Work) fleet.Estimate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.Estimate(time.Now(), service)
+	return v.fleet.Estimate(time.Now(), w)
 }
 
 // ApplyReport records the load report that the peer from has sent, and preempts the batch runs of this
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -23,16 +23,16 @@
 	var preempted []int
 	var runs []*Run
 	for i := range 2 {
-		r, ok := v.StartBatch("s", 0, nil, func() { preempted = append(preempted, i) })
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted = append(preempted, i) })
 		if !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 		runs = append(runs, r)
 	}
-	if _, ok := v.StartBatch("s", 0, nil, func() {}); ok {
+	if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {}); ok {
 		t.Error("a third batch run started at a target with 2 slots")
 	}
-	online, ok := v.StartOnline("s", nil)
+	online, ok := v.StartOnline(fleet.Work{Service: "s"}, nil)
 	if !ok || len(preempted) != 1 || preempted[0] != 1 {
 		t.Fatalf("online request at a full target: preempted runs %v, want a target and [1], the younger of two", preempted)
 	}
@@ -59,11 +59,11 @@
 	v := newView(4)
 	preempted := 0
 	for range 3 {
-		if _, ok := v.StartBatch("s", 0, nil, func() { preempted++ }); !ok {
+		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted++ }); !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 	}
-	r, ok := v.StartOnline("s", nil)
+	r, ok := v.StartOnline(fleet.Work{Service: "s"}, nil)
 	if !ok || !r.RecordFailure() || preempted != 3 {
 		t.Errorf("failed online run at a target with 3 batch runs: %d were preempted, want a suspect target and 3", preempted)
 	}
@@ -73,7 +73,7 @@
 func TestChangesSendSignals(t *testing.T) {
 	v := newView(1)
 	<-v.SlotFreed() // from adding the target
-	r, _ := v.StartOnline("s", nil)
+	r, _ := v.StartOnline(fleet.Work{Service: "s"}, nil)
 	<-v.LoadsChanged()
 	r.Done()
 	<-v.LoadsChanged()
@@ -86,12 +86,12 @@
 	v := newView(3)
 	var preempted []int
 	for i, rank := range []int{1, 2, 1} {
-		if _, ok := v.StartBatch("s", rank, nil, func() { preempted = append(preempted, i) }); !ok {
+		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, rank, nil, func() { preempted = append(preempted, i) }); !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 	}
 	for range 3 {
-		if _, ok := v.StartOnline("s", nil); !ok {
+		if _, ok := v.StartOnline(fleet.Work{Service: "s"}, nil); !ok {
 			t.Fatal("no target for an online request")
 		}
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -79,7 +79,7 @@
 // the deadline, timeouts and rank of the request. initialTimeout is how long callers of the route usually wait
 // for an answer.
 func (ex *exchange) newShedRequest(initialTimeout time.Duration) shed.Request {
-	prospect := ex.gw.view.Prospect(ex.service)
+	prospect := ex.gw.view.Prospect(ex.work())
 	return shed.Request{
 		ExpectedWait: prospect.Wait, HoldTime: prospect.HoldTime, StartRate: prospect.StartRate, LatencyGoal: ex.route.LatencyGoal,
 		Remaining: ex.callerTimeLeft(), InitialTimeout: initialTimeout, IdleTimeout: ex.route.EventTimeout, HigherRanks: ex.higherRanks(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/quarantine"
@@ -181,6 +182,11 @@
 	return err
 }
 
+// work describes the request for the choice of its target.
+func (ex *exchange) work() fleet.Work {
+	return fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream}
+}
+
 // tryTargets tries targets one after the other. A nil error means that the caller has a complete answer.
 func (ex *exchange) tryTargets(ctx context.Context) error {
 	for {
@@ -209,7 +215,7 @@
 	if err := ex.recheckKey(); err != nil {
 		return err
 	}
-	run, ok := ex.gw.view.StartOnline(ex.service, ex.tried)
+	run, ok := ex.gw.view.StartOnline(ex.work(), ex.tried)
 	if !ok {
 		return ex.noTargetError()
 	}
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -70,7 +70,7 @@
 // outlook is what a stream that comes now may expect.
 func (g *gateway) outlook(s *stream) shed.Request {
 	now, o := g.sim.clock.now, &g.sim.options
-	p := g.view.Estimate(now, service)
+	p := g.view.Estimate(now, corefleet.Work{Service: service})
 	return shed.Request{
 		ExpectedWait: p.Wait, HoldTime: p.HoldTime, StartRate: p.StartRate, LatencyGoal: o.Goal, Remaining: o.Patience - now.Sub(s.came), InitialTimeout: o.Patience, IdleTimeout: o.Stay,
 	}
@@ -92,7 +92,7 @@
 
 func (g *gateway) send(s *stream) {
 	now, o := g.sim.clock.now, &g.sim.options
-	c, _ := g.view.PickOnline(now, service, nil) // there is one: engines that are there never fail
+	c, _ := g.view.PickOnline(now, corefleet.Work{Service: service}, nil) // there is one: engines that are there never fail
 	id := c.Target.ID
 	g.view.Begin(now, id, structs.ClassOnline)
 	g.preempt()
@@ -114,7 +114,7 @@
 	g.sort()
 	for len(g.items) > 0 {
 		now := g.sim.clock.now
-		c, ok := g.view.PickBatch(now, service, nil)
+		c, ok := g.view.PickBatch(now, corefleet.Work{Service: service}, nil)
 		if !ok {
 			return
 		}
--- a/internal/loadshare/batch.go
+++ b/internal/loadshare/batch.go
@@ -54,6 +54,7 @@
 	IsFirst    bool
 	Admitted   []admittedCount
 	Quarantine []quarantine.Message
+	Scheduling *scheduling
 }
 
 // isBatch reports whether a datagram is a batch, which is a CBOR array, and not a report, which is a map.
@@ -65,14 +66,14 @@
 // newRelayedReport returns the part of r that hubs forward. id identifies the sender of r.
 func newRelayedReport(id fanout.ID, r report) relayedReport {
 	return relayedReport{
-		ID: id, Seq: r.Seq, Loads: r.Loads, Items: r.Items, Due: r.Due, Suspects: r.Suspects, IsFirst: r.IsFirst, Admitted: r.Admitted, Quarantine: r.Quarantine,
+		ID: id, Seq: r.Seq, Loads: r.Loads, Items: r.Items, Due: r.Due, Suspects: r.Suspects, IsFirst: r.IsFirst, Admitted: r.Admitted, Quarantine: r.Quarantine, Scheduling: r.Scheduling,
 	}
 }
 
-// isIdle reports whether the report contains no loads, waiting items, suspects, counts of admitted requests or
-// quarantine records.
+// isIdle reports whether the report contains no loads, waiting items, suspects, counts of admitted requests,
+// quarantine records or scheduling part.
 func (r relayedReport) isIdle() bool {
-	return len(r.Loads) == 0 && r.Items == 0 && len(r.Suspects) == 0 && len(r.Admitted) == 0 && len(r.Quarantine) == 0
+	return len(r.Loads) == 0 && r.Items == 0 && len(r.Suspects) == 0 && len(r.Admitted) == 0 && len(r.Quarantine) == 0 && r.Scheduling == nil
 }
 
 // mergeReports combines two reports of a gateway, of which undelivered was not forwarded. It returns next, with
@@ -89,6 +90,7 @@
 		}
 	}
 	next.Quarantine = append(undelivered.Quarantine, next.Quarantine...)
+	next.Scheduling = mergeScheduling(undelivered.Scheduling, next.Scheduling)
 	return next
 }
 
--- a/internal/loadshare/hub_test.go
+++ b/internal/loadshare/hub_test.go
@@ -125,7 +125,7 @@
 // different domains.
 func checkLoadPropagation(t *testing.T, f *largeFleet, holder int) {
 	t.Helper()
-	r, ok := f.views[holder].StartOnline("s", nil)
+	r, ok := f.views[holder].StartOnline(fleet.Work{Service: "s"}, nil)
 	if !ok {
 		t.Fatal("StartOnline found no target for an online request")
 	}
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -317,7 +317,7 @@
 		IsFirst: quotaReport.IsAfterStart, Admitted: encodeCounts(quotaReport.Counts),
 		From: s.self, Seq: seq, Loads: encodeLoads(fleetReport.Loads), Items: fleetReport.Demand.Items, Due: fleetReport.Demand.StartKey,
 		StoreContactAgeMs: now.Sub(fleetReport.StoreContact).Milliseconds(), HasLostStore: s.hasLostStore(), Domain: s.domain, Suspects: newDigests(fleetReport.Suspects), Quarantine: encodeRecords(s.quarantine.DueForPeers()),
-		UnknownIDs: s.takeUnknownIDs(), Capacity: s.capacity,
+		UnknownIDs: s.takeUnknownIDs(), Capacity: s.capacity, Scheduling: encodeScheduling(fleetReport),
 	}
 	receivers := s.selectReceivers(now, seq)
 	encoded := make(map[assignment][]byte)
@@ -426,11 +426,13 @@
 	if len(r.UnknownIDs) > 0 {
 		s.sendPeerInfos(from, r.UnknownIDs)
 	}
-	ids := s.targetIDs()
-	s.view.ApplyReport(r.From, fleet.Report{
-		Loads: decodeLoads(r.Loads, ids), Suspects: resolveTargets(r.Suspects, ids), Demand: fleet.Demand{Items: r.Items, StartKey: r.Due},
+	index := s.currentIndex()
+	fleetReport := fleet.Report{
+		Loads: decodeLoads(r.Loads, index.idByDigest), Suspects: resolveTargets(r.Suspects, index.idByDigest), Demand: fleet.Demand{Items: r.Items, StartKey: r.Due},
 		StoreContact: r.lastStoreContact(time.Now()),
-	})
+	}
+	r.Scheduling.decode(&fleetReport, index)
+	s.view.ApplyReport(r.From, fleetReport)
 	s.quarantine.ApplyRecords(s.decodeRecords(r.Quarantine, from))
 	s.quotas.ApplyReport(from.String(), quota.Report{StartID: string(r.From), IsAfterStart: r.IsFirst, Counts: decodeCounts(r.Admitted)})
 }
@@ -450,13 +452,13 @@
 	return records
 }
 
-// targetIDs returns the ids of the targets by their digests. Only the goroutine that receives datagrams calls
-// it.
-func (s *Sharer) targetIDs() map[digest]string {
+// currentIndex returns the index of the current list of targets. Only the goroutine that receives datagrams
+// calls it.
+func (s *Sharer) currentIndex() targetIndex {
 	if version := s.view.ListRevision(); s.targetIndex.idByDigest == nil || version != s.targetIndex.version {
 		s.targetIndex = newTargetIndex(version, s.view.Targets())
 	}
-	return s.targetIndex.idByDigest
+	return s.targetIndex
 }
 
 // noteReport records that a report of the gateway at from has arrived, and the domain, the capacity and the
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -49,6 +49,8 @@
 	UnknownIDs []fanout.ID `cbor:"16,keyasint,omitempty"`
 	// Capacity is the processor time available to the sender; 0 if unknown.
 	Capacity fanout.Capacity `cbor:"17,keyasint,omitempty"`
+	// Scheduling is nil unless a mechanism is on that needs it.
+	Scheduling *scheduling `cbor:"18,keyasint,omitempty"`
 }
 
 // encodeRecords converts quarantine records into the messages that a report contains.
@@ -140,15 +142,17 @@
 // targetIndex holds the target ids by their digests, for one version of the list of targets. It is cached
 // because reports arrive hundreds of times a second and the list changes rarely.
 type targetIndex struct {
-	version    uint64 // version of the list of targets; it differs after each change of the list
-	idByDigest map[digest]string
+	version         uint64 // version of the list of targets; it differs after each change of the list
+	idByDigest      map[digest]string
+	serviceByDigest map[digest]string // names of the targets' services
 }
 
 // newTargetIndex returns the index of the targets in a version of their list.
 func newTargetIndex(version uint64, targets []serving.Target) targetIndex {
-	index := targetIndex{version: version, idByDigest: make(map[digest]string, len(targets))}
+	index := targetIndex{version: version, idByDigest: make(map[digest]string, len(targets)), serviceByDigest: make(map[digest]string)}
 	for _, t := range targets {
 		index.idByDigest[newDigest(t.ID)] = t.ID
+		index.serviceByDigest[newDigest(t.Service)] = t.Service
 	}
 	return index
 }
--- a/internal/loadshare/receive.go
+++ b/internal/loadshare/receive.go
@@ -62,7 +62,7 @@
 // gateway's own table, from which runHub distributes it in the own domain.
 func (s *Sharer) applyContent(c batchContent, heartbeats []heartbeat) []fleetview.PeerUpdate {
 	now := time.Now()
-	ids := s.targetIDs()
+	index := s.currentIndex()
 	var updates []fleetview.PeerUpdate
 	s.mu.Lock()
 	hubPeer, isKnown := s.peers[c.Hub]
@@ -76,9 +76,11 @@
 		p.seq = r.Seq
 		p.lastSeen = now
 		newReports = append(newReports, peerReport{p.addr, p.name, r})
-		updates = append(updates, fleetview.PeerUpdate{Peer: p.name, Report: &fleet.Report{
-			Loads: decodeLoads(r.Loads, ids), Suspects: resolveTargets(r.Suspects, ids), Demand: fleet.Demand{Items: r.Items, StartKey: r.Due}, StoreContact: p.lastStoreContact,
-		}})
+		fleetReport := &fleet.Report{
+			Loads: decodeLoads(r.Loads, index.idByDigest), Suspects: resolveTargets(r.Suspects, index.idByDigest), Demand: fleet.Demand{Items: r.Items, StartKey: r.Due}, StoreContact: p.lastStoreContact,
+		}
+		r.Scheduling.decode(fleetReport, index)
+		updates = append(updates, fleetview.PeerUpdate{Peer: p.name, Report: fleetReport})
 		if isCrossDomain {
 			s.hub.putReport(p.hubEntry(r, now), true)
 		}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -16,9 +16,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fairshare"
 	"arbutusramp/core/fanout"
 	"arbutusramp/core/fleet"
 	coreplatform "arbutusramp/core/platform"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/quota"
 	"arbutusramp/internal/backlog"
 	"arbutusramp/internal/bootclock"
@@ -33,6 +35,7 @@
 	"arbutusramp/internal/storepath"
 	"arbutusramp/internal/watch"
 	"arbutusramp/platform/directory"
+	"arbutusramp/platform/features"
 	"arbutusramp/platform/ingress"
 	"arbutusramp/platform/runner"
 	"arbutusramp/platform/store"
@@ -97,6 +100,7 @@
 	view := fleetview.New(fleet.Options{
 		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
+		ExpectedTime: expectedTimeMode(s), Sharing: sharingOptions(s),
 	})
 	g := &Gateway{settings: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.quotas = quotas.New(self, quota.Options{Window: s.QuotaWindow, MaxExcessShare: s.QuotaExcess, MaxExcessRequests: float64(s.QuotaSlack), PeerShareTTL: claimTTL(s)}, reg)
@@ -127,6 +131,25 @@
 	return g, nil
 }
 
+// expectedTimeMode returns for which services targets are chosen by expected time.
+func expectedTimeMode(s settings.Gateway) fleet.ExpectedTimeMode {
+	switch {
+	case s.ExpectedTime == "off":
+		return fleet.ExpectedTimeOff
+	case s.ExpectedTime == "on" || features.FromContracts(s.Contracts).IsExpectedTimeRequired:
+		return fleet.ExpectedTimeOn
+	}
+	return fleet.ExpectedTimeAuto
+}
+
+// sharingOptions returns how the capacity is divided between workspaces; nil if it is not.
+func sharingOptions(s settings.Gateway) *fairshare.Options {
+	if !s.IsSharing && !features.FromContracts(s.Contracts).IsSharingRequired || !s.Off.IsEnabled(policy.FairShare) {
+		return nil
+	}
+	return &fairshare.Options{Window: s.SharingWindow, Weights: s.SharingWeights}
+}
+
 // cpuCapacity returns the processor time that a gateway may use: CPUShare of all its cores.
 func cpuCapacity(s settings.Gateway) fanout.Capacity {
 	return fanout.CapacityFromCores(s.CPUShare * float64(s.Cores))
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -37,6 +38,15 @@
 	// QuarantineHold is how long that lasts after the last of these requests.
 	QuarantineHold time.Duration
 	Grace          time.Duration // from the signal to stop until the platform kills the process
+	// Contracts are the names of the parts of the platform's contract that are in force.
+	Contracts []string
+	// ExpectedTime says for which services targets are chosen by expected time: auto, on or off.
+	ExpectedTime string
+	// IsSharing is set if the capacity is divided between workspaces while there is too little.
+	IsSharing     bool
+	SharingWindow time.Duration // over which the work of workspaces is measured
+	// SharingWeights are the weights of workspaces by name; 1 for others.
+	SharingWeights map[string]float64
 }
 
 // LoadGateway reads the settings of a gateway process. Errors as for LoadEntry.
@@ -50,6 +60,7 @@
 	rows = append(rows, gatewayStoreRows()...)
 	rows = append(rows, gatewayWorkspaceRows()...)
 	rows = append(rows, gatewayQuarantineRows()...)
+	rows = append(rows, gatewaySchedulingRows()...)
 	return table[Gateway]{role: "gateway", rows: rows, check: checkGateway}
 }
 
@@ -145,6 +156,62 @@
 	}
 }
 
+func gatewaySchedulingRows() []row[Gateway] {
+	return []row[Gateway]{
+		{section: "platform", key: "contracts", unit: "names", def: "",
+			field: names(func(g *Gateway) *[]string { return &g.Contracts }),
+			doc:   "parts of the platform's contract that are in force; some switch mechanisms on, unknown ones are ignored"},
+		{section: "scheduling", key: "expected_time", unit: "word", def: "auto",
+			field: word(func(g *Gateway) *string { return &g.ExpectedTime }, "auto", "on", "off"),
+			doc:   "for which services targets are chosen by the expected time of the answer: all, none, or with auto those of which a target reports its pace"},
+		{section: "sharing", key: "workspaces", unit: "boolean", def: "false",
+			field: boolean(func(g *Gateway) *bool { return &g.IsSharing }),
+			doc:   "whether the capacity is divided between workspaces while there is too little"},
+		{section: "sharing", key: "window", unit: "duration", def: "2s",
+			field: duration(500*time.Millisecond, 30*time.Second, func(g *Gateway) *time.Duration { return &g.SharingWindow }),
+			doc:   "time over which the work of workspaces is measured"},
+		{section: "sharing", key: "weights", unit: "names with weights", def: "",
+			field: weights(func(g *Gateway) *map[string]float64 { return &g.SharingWeights }),
+			doc:   "weights of workspaces in the division of the capacity; 1 for those that are not listed"},
+	}
+}
+
+// minWeight and maxWeight bound the weight of a workspace.
+const (
+	minWeight = 0.01
+	maxWeight = 100
+)
+
+// weights reads names with weights, as in a:2,b:0.5.
+func weights[T any](get func(*T) *map[string]float64) field[T] {
+	return field[T]{
+		value:   func(t *T) any { return *get(t) },
+		allowed: fmt.Sprintf("name:weight separated by commas, each weight %v to %v", minWeight, maxWeight),
+		set: func(t *T, value string) error {
+			list := make(map[string]float64)
+			for part := range strings.SplitSeq(value, ",") {
+				name, text, hasWeight := strings.Cut(strings.TrimSpace(part), ":")
+				if !hasWeight || name == "" {
+					return bad("%q is not a name with a weight", part)
+				}
+				weight, err := strconv.ParseFloat(text, 64)
+				if err != nil {
+					return bad("the weight %q of %s is not a number", text, name)
+				}
+				if !(weight >= minWeight && weight <= maxWeight) { // false for NaN as well
+					return bad("the weight %v of %s is out of range", weight, name)
+				}
+				if _, ok := list[name]; ok {
+					return bad("%s has two weights", name)
+				}
+				list[name] = weight
+			}
+			*get(t) = list
+			return nil
+		},
+	}
+}
+
 // policies reads names of mechanisms separated by commas.
 func policies[T any](get func(*T) *policy.Disabled) field[T] {
 	return field[T]{
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -211,7 +211,7 @@
 			d.targets = append(d.targets, newPart("a"))
 		})
 		time.Sleep(20 * time.Millisecond)
-		if r, ok := v.StartOnline("s", nil); !ok || r.Target.ID != "a" || !w.IsReady() {
+		if r, ok := v.StartOnline(fleet.Work{Service: "s"}, nil); !ok || r.Target.ID != "a" || !w.IsReady() {
 			t.Errorf("after the first part of the list: target found %v, ready %v, want target a and ready true", ok, w.IsReady())
 		}
 		d.update(func(d *fakeDirectory) {
@@ -343,7 +343,7 @@
 		if len(remaining) != 1 || !remaining[0].IsDraining {
 			t.Errorf("targets %v after a has left and b has started to drain, want only b with IsDraining true", remaining)
 		}
-		if _, ok := v.StartOnline("s", nil); ok {
+		if _, ok := v.StartOnline(fleet.Work{Service: "s"}, nil); ok {
 			t.Error("an online request was sent to a draining target")
 		}
 	})
@@ -378,7 +378,7 @@
 		var mu sync.Mutex
 		endCalls := make(map[string]int) // calls of the function for the end of the target, by target id
 		for range 2 {
-			r, ok := v.StartOnline("s", nil)
+			r, ok := v.StartOnline(fleet.Work{Service: "s"}, nil)
 			if !ok {
 				t.Fatal("no target for an online request")
 			}
