--- /dev/null
+++ b/core/costmodel/exchange_test.go
@@ -0,0 +1,131 @@
+package costmodel
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// Guards against gateways that differ in their view of a target because datagrams arrive in another order.
+func TestObservationsMergeInAnyOrder(t *testing.T) {
+	list := []Observation{{Target: "t0", Runs: 3, SpeedSum: 4, Pace: 2}, {Target: "t0", Runs: 40, SpeedSum: 30}, {Target: "t0", Runs: 1, SpeedSum: -3, Pace: 0.5, PaceAge: time.Second}}
+	var want float64
+	for i, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}} {
+		m := New()
+		for n := range 5 {
+			m.PutTarget("llm", fmt.Sprintf("t%d", n))
+		}
+		for _, k := range order {
+			m.ApplyObservations(start, list[k:k+1])
+		}
+		got := m.Slowness(start.Add(medianInterval), "t0")
+		if i == 0 {
+			want = got
+		}
+		if math.Abs(got-want) > 1e-9 || got < 1.5 || !m.HasPace("llm") {
+			t.Errorf("order %v: slowness %v, want %v as in the first order and above 1.5, and a known pace", order, got, want)
+		}
+	}
+}
+
+// Guards against damaged observations that make all later predictions NaN or infinite.
+func TestDamagedObservationsAreBounded(t *testing.T) {
+	m, _, now := trained()
+	m.ApplyObservations(now, []Observation{
+		{Target: "t0", Runs: 1, SpeedSum: math.NaN()}, {Target: "t0", Runs: 1, Pace: math.NaN()}, {Target: "t0", Runs: -5, SpeedSum: 9},
+		{Target: "t0", Runs: math.MaxInt, SpeedSum: math.Inf(1), Pace: math.Inf(1), PaceAge: -time.Hour},
+	})
+	if v := m.Slowness(now.Add(medianInterval), "t0"); !(v >= 0.125 && v <= 8) {
+		t.Errorf("slowness %v, want 1/8 to 8", v)
+	}
+}
+
+// Guards against gateways that learn only from their own requests, which are few at each target, and against one that
+// compares with the one target it knows.
+func TestGatewaysShareWhatTheyLearn(t *testing.T) {
+	s := newSimulation(0.5, 1, 1, 1, 3)
+	models, now := make([]*Model, 5), start
+	for i := range models {
+		models[i] = New()
+		for n := range 5 {
+			models[i].PutTarget("llm", fmt.Sprintf("t%d", n))
+		}
+	}
+	for range 800 {
+		now = now.Add(20 * time.Millisecond)
+		for i, m := range models { // gateway 0 uses only the slow target
+			target := fmt.Sprintf("t%d", s.random.IntN(5))
+			if i == 0 {
+				target = "t4"
+			}
+			m.ObserveRun(now, s.stream(target, 4))
+			observations := m.TakeObservations(now)
+			for k, peer := range models {
+				if k != i {
+					peer.ApplyObservations(now, observations)
+				}
+			}
+		}
+	}
+	for i, m := range models {
+		for target, want := range s.speeds {
+			if got := m.Slowness(now, target); math.Abs(math.Log2(got/want)) > 0.33 {
+				t.Errorf("gateway %d: target %s has slowness %.2f, want %.1f by a factor of 1.25 at most", i, target, got, want)
+			}
+		}
+	}
+}
+
+// Guards against reports that grow with the number of targets, and against reports without end while nothing new is
+// learned.
+func TestObservationsAreBounded(t *testing.T) {
+	m, s, now := trained()
+	m.TakeObservations(now)
+	for i := range 20 {
+		id := fmt.Sprintf("x%d", i)
+		s.speeds[id] = 1
+		for range i + 1 {
+			m.ObserveRun(now, s.stream(id, 4))
+		}
+	}
+	const reports = 40
+	runs, seen := 0, 0
+	for i := range reports {
+		list := m.TakeObservations(now)
+		if i == 0 && (len(list) == 0 || len(list) > maxObservations || list[0].Target != "x19" || list[0].Runs != 20) {
+			t.Errorf("first report %+v, want 1 to 8 observations, the first about the 20 runs at x19", list)
+		}
+		seen += len(list)
+		for _, o := range list {
+			runs += o.Runs
+		}
+	}
+	if seen != 20 || runs != 210 || m.TakeObservations(now) != nil {
+		t.Errorf("%d observations of %d runs in %d reports, and more after them; want 20 of 210", seen, runs, reports)
+	}
+}
+
+// Guards against reports and memory in deployments in which no target reports its pace and no run is observed.
+func TestModelWithoutObservationsReportsNothing(t *testing.T) {
+	m := New()
+	m.PutTarget("llm", "t0")
+	if list := m.TakeObservations(start); list != nil || m.HasPace("llm") || m.Slowness(start, "t0") != 1 {
+		t.Errorf("observations %v, HasPace %v, slowness %v, want none, false and 1", list, m.HasPace("llm"), m.Slowness(start, "t0"))
+	}
+}
+
+// Guards against memory that grows with names of routes and services that come and go with the configuration.
+func TestStateIsBounded(t *testing.T) {
+	m := New()
+	for i := range 3 * maxRoutes {
+		now := start.Add(time.Duration(i) * time.Second)
+		m.ObserveRun(now, Run{Service: fmt.Sprint("s", i), Route: fmt.Sprint("r", i), Target: "t", FirstEvent: time.Second, IsComplete: true})
+	}
+	for i := range 2 * maxTargets {
+		m.PutTarget("llm", fmt.Sprint("t", i))
+	}
+	if len(m.routes) > maxRoutes || len(m.services) > maxServices || len(m.targets) > maxTargets {
+		t.Errorf("%d routes, %d services, %d targets, want at most %d, %d, %d", len(m.routes), len(m.services), len(m.targets), maxRoutes, maxServices, maxTargets)
+	}
+}
