Feed the cost model: runs, paces and stated sizes

Nothing recorded how long a run held its slot at which target, and what callers and targets state about it was not read. Gateway and backlog pass finished runs to the model, also broken and preempted ones, whose event gaps count; gaps after a slow write to the caller do not. platform/ decodes the sizes of requests and items and the pace of targets; values that are not valid are counted in headers.invalid and logged when a fault appears. The error of the forecasts is in cost.error_percent and 'run cost'.

Without a reported pace and with expected_time = auto nothing is learned or sent.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -162,6 +162,7 @@
 // Put adds a target, or replaces the description of the one with the same id.
 func (f *Fleet) Put(t serving.Target) {
 	ts, ok := f.targets[t.ID]
+	f.costs.PutTarget(t.Service, t.ID)
 	if ok {
 		ts.Target = t
 		return
@@ -253,7 +254,7 @@
 	}
 	old := f.peers[from]
 	f.replaceReport(now, from, old, &r)
-	f.costs.ApplyObservations(now, r.Observations)
+	f.applyObservations(now, r.Observations)
 	if f.sharing != nil && r.Usage != nil {
 		f.sharing.ApplyReport(now, string(from), r.Usage)
 	}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -56,6 +56,7 @@
 		"route", route.Name, "target", r.Choice.String(), "from_event", fromEvent, "uri", t.item().URI,
 		"body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body))
 	v, err := m.streamItem(ctx, t, r, route)
+	m.costs.Record(r, v == runComplete && fromEvent == "", "item", t.item().ID)
 	r.Done()
 	took := time.Since(began)
 	timeToFirstEvent, timeSinceLastEvent := r.EventTimes()
@@ -147,6 +148,7 @@
 		return runInterrupted, m.classifyRunError(ctx, t, wd, fromEvent, err)
 	}
 	defer answer.Body.Close()
+	r.ObservePace(answer)
 	wd.noteEvent()
 	if v, err := m.classifyAnswer(t, r, answer); v != runComplete {
 		return v, err
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -90,6 +90,7 @@
 	runLog    *logging.Routine // one line per finished run
 	bodyLog   *logging.Routine // one line per item body that is received or read
 	registry  metrics.Registry
+	costs     *fleetview.CostRecorder
 	replica   *Replica
 	textStore *textStore
 	scheduler *scheduler
@@ -106,7 +107,7 @@
 // New returns a manager that has not read anything from the store. Call Run to start it.
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
-		opts: o, store: store, targets: targets, view: view, router: router, log: log, registry: reg, runTimes: backlog.NewRunTimeEstimator(),
+		opts: o, store: store, targets: targets, view: view, router: router, log: log, registry: reg, costs: fleetview.NewCostRecorder(log, reg), runTimes: backlog.NewRunTimeEstimator(),
 		sentLog: logging.NewRoutine(log), runLog: logging.NewRoutine(log), bodyLog: logging.NewRoutine(log),
 		replica: NewReplica(o.MemberID, store, view.RecordStoreContact, view.LivePeerCount, log),
 	}
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -31,6 +31,7 @@
 	// onTargetEnd is called when the target is known to have restarted; see OnTargetEnd.
 	onTargetEnd    func()
 	hasTargetEnded bool
+	cost           runCost
 }
 
 // addRun adds a run to the load of its target and to the active runs. The caller holds v.mu.
@@ -131,6 +132,7 @@
 	case !r.Choice.IsQueued():
 		v.fleet.RecordFirstEvent(r.Target.Service, now.Sub(r.startedAt))
 	}
+	r.cost.addEvent(now.Sub(r.lastEventAt))
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = now
 	}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -68,6 +68,7 @@
 		return nil, false
 	}
 	r := &Run{Target: c.Target, Choice: c, Work: w, view: v, startedAt: now, class: structs.ClassOnline}
+	r.cost.forecast, r.cost.hasForecast = v.fleet.ForecastCost(now, c, w)
 	v.addRun(now, r)
 	victims := v.takeVictims(now)
 	v.mu.Unlock()
@@ -89,6 +90,7 @@
 		return nil, false
 	}
 	r := &Run{Target: c.Target, Choice: c, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	r.cost.forecast, r.cost.hasForecast = v.fleet.ForecastCost(now, c, w)
 	v.addRun(now, r)
 	v.preemptible[c.Target.ID] = append(v.preemptible[c.Target.ID], r)
 	signal(v.loadsChanged)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,7 @@
 		return a.sendError(ctx, err)
 	}
 	defer ans.Body.Close()
+	a.run.ObservePace(ans)
 	if err := a.refusalError(ans); err != nil {
 		return err
 	}
@@ -289,6 +290,9 @@
 		return errs.Newf(errs.StreamBroken, "the target answered with status %d when asked to resume a stream", ans.Status)
 	}
 	if len(body) < maxBufferedBytes {
+		if ans.Status == http.StatusOK {
+			a.run.RecordWholeAnswer()
+		}
 		a.sendHeader(ans, int64(len(body)))
 		return a.write(body)
 	}
@@ -311,6 +315,7 @@
 	a.isWriting.Store(true)
 	err := a.callerAnswer.Write(p)
 	writeTime := time.Since(began)
+	a.run.RecordWrite(writeTime)
 	a.isReadLate = writeTime >= slowWriteThreshold
 	if writeTime >= idleCheckInterval {
 		a.noteActivity() // the target was not read during the write, so this is not silence of the target
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	sentLog   *logging.Routine // requests that are sent to a target
 	shedLog   *logging.Routine // requests that are queued or rejected
 	reg       metrics.Registry
+	costs     *fleetview.CostRecorder
 	// timeouts estimates for each route how long callers wait for an answer before they give up.
 	timeouts    *shed.CallerTimeouts
 	controllers *controllers
@@ -109,7 +110,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, log: o.Log,
 		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log),
-		reg: o.Metrics, timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
+		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
 
 // exchange is the state of one request of a caller, over all its attempts at targets.
@@ -227,6 +228,7 @@
 	ex.choices = append(ex.choices, run.Choice.String())
 	a := &attempt{exchange: ex, run: run}
 	err := a.sendAndRelay(ctx)
+	ex.gw.costs.Record(run, err == nil && a.resumedAfter == "", "request", ex.req.ID)
 	if err == nil {
 		run.RecordHoldTime()
 		ex.gw.quarantine.NoteServed(ex.content)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -97,6 +97,8 @@
 	self := fmt.Sprintf("%s-%s", s.Host.ID, uuid.NewString()[:8])
 	client := store.New(s.StoreAddr, reg)
 	targets := runner.New()
+	badHeaders := newInvalidHeaders(logger.Named("headers"), reg)
+	targets.OnInvalidHeader = badHeaders.record
 	view := fleetview.New(fleet.Options{
 		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
@@ -126,7 +128,7 @@
 	peersLog := logger.Named("peers")
 	g.peers = &peerDirectory{store: g.storePaths, loadShare: g.loadShare, self: peerRecord{Domain: s.Host.Domain, Capacity: cpuCapacity(s)}, storeLink: dependency.NewLink(peersLog, "peer addresses"), log: peersLog}
 	g.registerGauges()
-	g.server = g.newCallerServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder()})
+	g.server = g.newCallerServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record})
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
