loadshare: reports without a scheduling part keep their encoding

The nil element of each relayed report took a byte, and gateways without the mechanisms reject arrays with another number of elements. A batch carries the parts in an element of its own, which is left out while there are none. Merged observations of one target are added instead of appended, so that they don't pile up at a hub.

--- a/internal/loadshare/batch.go
+++ b/internal/loadshare/batch.go
@@ -29,6 +29,65 @@
 	Intros []peerInfo      // descriptions of gateways whose ids this batch or an earlier one contains
 	News   []relayedReport // reports that are new, and reports that the hub repeats every refreshInterval
 	Signs  []byte          // heartbeats as encoded by appendHeartbeat
+	// Scheduling holds the scheduling parts of News. It is not part of the reports, so that batches without such
+	// parts have the encoding of gateways that do not have the mechanisms.
+	Scheduling []relayedScheduling
+}
+
+// relayedScheduling is the scheduling part of the relayed report with the same id.
+type relayedScheduling struct {
+	_    struct{} `cbor:",toarray"`
+	ID   fanout.ID
+	Part *scheduling
+}
+
+// plainContent is the encoding of a batchContent without scheduling parts, and extendedContent that of others.
+type plainContent struct {
+	_      struct{} `cbor:",toarray"`
+	Hub    netip.AddrPort
+	Intros []peerInfo
+	News   []relayedReport
+	Signs  []byte
+}
+
+type extendedContent batchContent
+
+// plainContentHeader is the first byte of an encoded plainContent, an array of four elements.
+const plainContentHeader = 0x84
+
+// MarshalCBOR implements cbor.Marshaler.
+func (c batchContent) MarshalCBOR() ([]byte, error) {
+	for _, r := range c.News {
+		if r.Scheduling != nil {
+			c.Scheduling = append(c.Scheduling, relayedScheduling{ID: r.ID, Part: r.Scheduling})
+		}
+	}
+	if len(c.Scheduling) == 0 {
+		return cbor.Marshal(plainContent{Hub: c.Hub, Intros: c.Intros, News: c.News, Signs: c.Signs})
+	}
+	return cbor.Marshal(extendedContent(c))
+}
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (c *batchContent) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == plainContentHeader {
+		var plain plainContent
+		err := cbor.Unmarshal(data, &plain)
+		*c = batchContent{Hub: plain.Hub, Intros: plain.Intros, News: plain.News, Signs: plain.Signs}
+		return err
+	}
+	if err := cbor.Unmarshal(data, (*extendedContent)(c)); err != nil {
+		return err
+	}
+	parts := make(map[fanout.ID]*scheduling, len(c.Scheduling))
+	for _, s := range c.Scheduling {
+		parts[s.ID] = s.Part
+	}
+	c.Scheduling = nil
+	for i := range c.News {
+		c.News[i].Scheduling = parts[c.News[i].ID]
+	}
+	return nil
 }
 
 // peerInfo describes the gateway that an id in batches stands for. The id is gatewayID(Name).
@@ -54,7 +113,7 @@
 	IsFirst    bool
 	Admitted   []admittedCount
 	Quarantine []quarantine.Message
-	Scheduling *scheduling
+	Scheduling *scheduling `cbor:"-"` // encoded in batchContent.Scheduling
 }
 
 // isBatch reports whether a datagram is a batch, which is a CBOR array, and not a report, which is a map.
--- a/internal/loadshare/scheduling.go
+++ b/internal/loadshare/scheduling.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"arbutusramp/core/costmodel"
@@ -102,9 +103,31 @@
 	if next == nil {
 		next = &scheduling{}
 	}
-	merged := &scheduling{Observations: append(undelivered.Observations[:len(undelivered.Observations):len(undelivered.Observations)], next.Observations...), Overloaded: next.Overloaded, Usage: next.Usage}
+	merged := &scheduling{Observations: mergeObservations(undelivered.Observations, next.Observations), Overloaded: next.Overloaded, Usage: next.Usage}
 	if len(merged.Usage) == 0 {
 		merged.Usage = undelivered.Usage
 	}
 	return merged
 }
+
+// mergeObservations adds the observations in next to those in undelivered. The result is bounded by the number of
+// targets, unless a target has more runs than fit into one observation.
+func mergeObservations(undelivered, next []targetObservation) []targetObservation {
+	merged := slices.Clone(undelivered)
+	for _, o := range next {
+		i := slices.IndexFunc(merged, func(m targetObservation) bool {
+			return m.Target == o.Target && int(m.Runs)+int(o.Runs) <= maxObservedRuns
+		})
+		if i < 0 {
+			merged = append(merged, o)
+			continue
+		}
+		m := &merged[i]
+		m.Runs += o.Runs
+		m.SpeedSum = int16(max(math.MinInt16, min(math.MaxInt16, int(m.SpeedSum)+int(o.SpeedSum))))
+		if o.Pace > 0 {
+			m.Pace, m.PaceAge = o.Pace, o.PaceAge
+		}
+	}
+	return merged
+}
