--- a/internal/fleetview/cost.go
+++ b/internal/fleetview/cost.go
@@ -129,7 +129,7 @@
 	}
 	percent := 100 * math.Abs(float64(forecast.Hold-actual)) / float64(actual)
 	telemetry.ObserveValue(cr.reg, costErrorMetric, int64(min(maxErrorPercent, percent)))
-	cr.log.Info(time.Now(), "run cost", idKey, id, "target", r.Target.ID, "predicted_ms", forecast.Hold.Milliseconds(), "actual_ms", actual.Milliseconds(),
+	cr.log.Info(time.Now(), "run cost", idKey, id, "target", r.Target.ID, "predicted_ms", forecast.Hold.Round(time.Millisecond).Milliseconds(), "actual_ms", actual.Round(time.Millisecond).Milliseconds(),
 		"slowness", roundHundredths(forecast.Slowness), "pace", roundHundredths(forecast.Pace))
 }
 
