--- a/core/costmodel/exchange.go
+++ b/core/costmodel/exchange.go
@@ -10,9 +10,11 @@
 const (
 	// maxObservations is the largest number of observations in one report.
 	maxObservations = 8
-	// creditPerReport is the mean number of observations in a report. An observation takes a sixth of the bytes
-	// of a report, and a gateway sends some dozen reports a second.
-	creditPerReport = 1
+	// creditPerReport is the mean number of observations in a report, and minCredit the number from which they are
+	// sent. The first observation in a report takes up to 23 bytes, another one 12, and a report without them
+	// 32 to 111: so the reports grow by less than a quarter.
+	creditPerReport = 0.5
+	minCredit       = 2
 	// maxRuns is the largest number of runs in one observation.
 	maxRuns = 255
 	// minPaceNews is the difference between the known effect of a pace and the one that peers know, as a
@@ -27,7 +29,7 @@
 // are kept and summed up until a later call.
 func (m *Model) TakeObservations(now time.Time) []Observation {
 	m.credit = min(maxObservations, m.credit+creditPerReport)
-	if !m.hasNews {
+	if !m.hasNews || m.credit < minCredit {
 		return nil
 	}
 	type candidate struct {
--- a/internal/loadshare/scheduling_test.go
+++ b/internal/loadshare/scheduling_test.go
@@ -1,6 +1,7 @@
 package loadshare
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"testing"
@@ -12,6 +13,7 @@
 	"arbutusramp/core/fairshare"
 	"arbutusramp/core/fanout"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/serving"
 )
 
 // schedulingReport returns a report with a scheduling part, and an index of the names in it.
@@ -125,3 +127,43 @@
 		t.Error("a report without observations, overloads and usage has a scheduling part, want none")
 	}
 }
+
+// Guards against reports that grow by more than a quarter while every target has news all the time.
+func TestObservationsTakeFewBytes(t *testing.T) {
+	const targets, reports = 40, 400
+	f := fleet.New(fleet.Options{Self: "self", PeerTTL: time.Minute, ExpectedTime: fleet.ExpectedTimeOn})
+	for i := range targets {
+		f.Put(serving.Target{ID: fmt.Sprint("t", i), Service: "llm", Slots: 8})
+	}
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	var direct, relayed, added, relayedAdded int
+	for i := range reports {
+		now = now.Add(30 * time.Millisecond)
+		for k := range 5 {
+			id := fmt.Sprint("t", (5*i+k)%targets)
+			f.ObservePace(now, id, 50+i%2*100)
+			f.ObserveRun(now, costmodel.Run{Service: "llm", Target: id, Load: 1, Slots: 8, FirstEvent: time.Duration(100+k) * time.Millisecond, IsComplete: true})
+		}
+		r := report{From: "h-012-1a2b3c4d", Seq: uint64(1000 + i), Loads: encodeLoads(map[string]fleet.Load{"t1": {Online: 1}, "t2": {Online: 2}, "t3": {Batch: 1}}), Domain: newDigest("d"), Capacity: 100}
+		size, relayedSize := encodedSizes(t, r)
+		r.Scheduling = encodeScheduling(f.Report(now))
+		sizeWith, relayedSizeWith := encodedSizes(t, r)
+		direct, relayed, added, relayedAdded = direct+size, relayed+relayedSize, added+sizeWith-size, relayedAdded+relayedSizeWith-relayedSize
+	}
+	if added == 0 || 4*added > direct || 4*relayedAdded > relayed {
+		t.Errorf("observations add %d bytes to %d of reports and %d to %d of relayed ones, want some and at most a quarter", added, direct, relayedAdded, relayed)
+	}
+	t.Logf("observations add %d bytes to %d of reports and %d to %d of relayed ones", added, direct, relayedAdded, relayed)
+}
+
+// encodedSizes returns the bytes that a report takes, and those that it takes in a batch.
+func encodedSizes(t *testing.T, r report) (direct, relayed int) {
+	t.Helper()
+	data, err := cbor.Marshal(r)
+	content, contentErr := cbor.Marshal(batchContent{Hub: testAddr(1), News: []relayedReport{newRelayedReport(fanout.ID(newDigest("id")), r)}})
+	empty, emptyErr := cbor.Marshal(batchContent{Hub: testAddr(1)})
+	if err != nil || contentErr != nil || emptyErr != nil {
+		t.Fatal(err, contentErr, emptyErr)
+	}
+	return len(data), len(content) - len(empty)
+}
