--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -199,6 +199,44 @@
 	}
 }
 
+// Guards against paces and runs that are lost on their way from the targets' answers to the gateways, and against a
+// request that is not served because of a header about its size.
+func TestGatewaysLearnTheSpeedOfTargets(t *testing.T) {
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	for i, gap := range []time.Duration{time.Millisecond, 4 * time.Millisecond} {
+		id := fmt.Sprintf("i-%d", i)
+		target := httptest.NewServer(&wiretest.Target{ID: id, Events: itemEvents, EventGap: gap, Load: "1,0,8,100"})
+		t.Cleanup(target.Close)
+		s.listTarget(id, target)
+	}
+	s.startGateways(2)
+	defer s.stopAll()
+	const parallel = 4
+	for n := 0; ; n++ { // bounded by the timeout of the test
+		var group sync.WaitGroup
+		for i := range parallel {
+			group.Go(func() {
+				id := fmt.Sprintf("r%d-%d", n, i)
+				status, text := s.caller.Send(s.gateways[0].CallerAddr(), http.MethodPost, "/stream/x", id, "", wire.HeaderTokenCount, "10,20", wire.HeaderLengthHint, "20000")
+				if status != http.StatusOK || text != wiretest.StreamBody(id, itemEvents) {
+					t.Errorf("stream with an invalid length hint: status %d, text %s; want 200 and all events", status, text)
+				}
+			})
+		}
+		group.Wait()
+		costs := s.gateways[1].view.TargetCosts() // of the gateway that has no requests
+		if t.Failed() || len(costs) == 2 && costs[0].Runs > 0 && costs[1].Runs > 0 && costs[1].Slowness > costs[0].Slowness {
+			break
+		}
+	}
+	_, text := s.caller.Send(s.gateways[0].MetricsAddr(), http.MethodGet, "/metrics", "", "")
+	for _, want := range []string{"headers.invalid ", "cost.error_percent.count "} {
+		if !strings.Contains(text, want) {
+			t.Errorf("metrics lack %s: %s", want, text)
+		}
+	}
+}
+
 // itemBodies returns bodies, by item id, that a fault in the encoding as JSON, CBOR or base64, or in the splitting
 // into store records, would change.
 func itemBodies() map[string]string {
