fleet, shed, gateway: choice of targets and admission by expected time

Cause: waits were computed from one mean hold time for the whole service, and requests could wait for 0.75 of their goal whatever their service takes. Targets of different speed were therefore compared by load alone, and calls of 100 ms with a goal of 300 ms were admitted with a wait of 225 ms.

Change: for services with expected times in use, PickOnline takes the target with the earliest expected first event or whole answer, Estimate describes that target, StartRate counts slowness, and QueueWait uses the hold time of the target, between the mean of the service and four times that. Requests with a known service time may wait for what it leaves of the goal; second attempts go before first ones; retry times are spread and follow the forecast of the demand. Other services are decided as before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -90,6 +90,8 @@
 	costs        *costmodel.Model
 	demands      *headroom.Learner
 	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
+	predictions  predictor         // costs; another one in tests
+	forecasts    forecaster        // demands; another one in tests
 }
 
 // targetState is a target with what this gateway has recorded of its load and health.
@@ -153,6 +155,7 @@
 		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
 		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}),
 	}
+	f.predictions, f.forecasts = f.costs, f.demands
 	if o.Sharing != nil {
 		f.sharing = fairshare.New(*o.Sharing)
 	}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -147,13 +147,13 @@
 
 // QueueWait is how long a request may have to wait in a target's queue, by the loads of all gateways there:
 // the hold time, with its margin, for each full set of slots that is queued. It is 0 for an unlisted target.
-func (f *Fleet) QueueWait(id string) time.Duration {
+func (f *Fleet) QueueWait(now time.Time, id string) time.Duration {
 	ts, ok := f.targets[id]
 	if !ok {
 		return 0
 	}
 	slotTime := defaultHoldTime
-	if holdTime := f.holdTimes[ts.Service]; holdTime > 0 {
+	if holdTime := f.queueHoldTime(now, ts); holdTime > 0 {
 		slotTime = time.Duration(holdTimeMargin * float64(holdTime))
 	}
 	queued := max(0, -ts.freeSlots())
@@ -181,5 +181,5 @@
 	if ts.health.isPeerReported {
 		limit /= 2 // two gateways have observed the failure
 	}
-	return now.Sub(lastActivity) > limit+f.QueueWait(id)
+	return now.Sub(lastActivity) > limit+f.QueueWait(now, id)
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -40,11 +40,18 @@
 	Load      Load   // of all gateways, before the request
 	LivePeers int    // live peers whose loads are included
 	Reason    string // reason for the choice, for log lines
+	// IsByExpectedTime is set if the target was chosen by expected time.
+	IsByExpectedTime bool
+	expected         expectation // set with IsByExpectedTime
 }
 
 // String formats the choice for log lines.
 func (c Choice) String() string {
-	return fmt.Sprintf("%s %s online=%d batch=%d slots=%d peers=%d", c.Target.ID, c.Reason, c.Load.Online, c.Load.Batch, c.Target.Slots, c.LivePeers)
+	s := fmt.Sprintf("%s %s online=%d batch=%d slots=%d peers=%d", c.Target.ID, c.Reason, c.Load.Online, c.Load.Batch, c.Target.Slots, c.LivePeers)
+	if !c.IsByExpectedTime {
+		return s
+	}
+	return fmt.Sprintf("%s wait_ms=%d service_ms=%d slowness=%.2f", s, c.expected.wait.Milliseconds(), c.expected.service.Milliseconds(), c.expected.slowness)
 }
 
 func (f *Fleet) choice(c candidate, reason string) Choice {
@@ -52,7 +59,9 @@
 }
 
 // PickOnline chooses the target for an online request, none of those in tried; ok is false if there is none.
-// Healthy targets are preferred, then those on probation, and as a last resort suspect ones.
+// Healthy targets are preferred, then those on probation, and as a last resort suspect ones. Among these it
+// takes the one with the earliest expected answer where expected times are in use, otherwise the best by tier
+// and load.
 func (f *Fleet) PickOnline(now time.Time, w Work, tried []string) (c Choice, ok bool) {
 	stages := []struct {
 		isUsable func(*targetState) bool
@@ -67,6 +76,12 @@
 		if len(list) == 0 {
 			continue
 		}
+		if f.usesExpectedTime(w.Service) {
+			chosen, expected := f.earliest(now, w, list)
+			c := f.choice(chosen, tierNames[chosen.tier()]+stage.suffix)
+			c.IsByExpectedTime, c.expected = true, expected
+			return c, true
+		}
 		chosen := bestCandidate(list)
 		return f.choice(chosen, tierNames[chosen.tier()]+stage.suffix), true
 	}
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -16,8 +16,16 @@
 	// of all gateways: 0 if a slot is free there or batch items can be preempted, if no target can be chosen,
 	// or while HoldTime is unknown.
 	Wait time.Duration
-	// HoldTime is the mean time for which online requests of the service hold a slot; 0 if unknown.
+	// HoldTime is the mean time for which online requests of the service hold a slot, at Target if targets are
+	// chosen by expected time; 0 if unknown.
 	HoldTime time.Duration
+	// ServiceTime is the expected time from the start of the request in a slot of Target to the first event of a
+	// stream or the whole answer of a call; 0 if unknown or if targets are not chosen by expected time.
+	ServiceTime time.Duration
+	// Target is the id of the target that the other fields apply to; empty if targets are not chosen by expected
+	// time. Slowness is how many times longer than usual for the service work takes there.
+	Target   string
+	Slowness float64
 	// StartRate is how many online requests of the service this gateway may start per second: the capacity of
 	// the service's targets, divided by the number of live gateways; 0 if unknown.
 	StartRate float64
@@ -25,6 +33,9 @@
 
 // Estimate returns the estimate for an online request that arrives now.
 func (f *Fleet) Estimate(now time.Time, w Work) Estimate {
+	if f.usesExpectedTime(w.Service) {
+		return f.expectedEstimate(now, w)
+	}
 	e := Estimate{HoldTime: f.holdTimes[w.Service]}
 	if e.HoldTime <= 0 {
 		return e
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -53,11 +53,19 @@
 	InitialTimeout time.Duration // how long callers of the route wait on their first attempt; 0 if unknown
 	IdleTimeout    time.Duration // how long the caller waits without receiving an event; 0 for as long as Remaining
 	HigherRanks    int           // number of more urgent ranks among requests for the same targets
+	// ServiceTime is the expected time from the start in a slot to the first event or, for a call, to the whole
+	// answer. With 0 (unknown) decisions use a fixed share of the goal, and CapacityAfter is not used.
+	ServiceTime time.Duration
+	// CapacityAfter is the time until the forecast of the demand expects free capacity; 0 if unknown.
+	CapacityAfter time.Duration
 }
 
 // maxWait is how long the request may wait for a slot and still meet its goal. Less urgent requests may wait
 // less, which leaves the engines' queues to more urgent requests.
 func (r Request) maxWait() time.Duration {
+	if r.ServiceTime > 0 {
+		return r.maxExpectedWait()
+	}
 	return time.Duration(maxWaitShare * float64(r.LatencyGoal) / float64(1+r.HigherRanks))
 }
 
@@ -103,13 +111,16 @@
 // Decision is the verdict on a request that has just arrived, with its details.
 type Decision struct {
 	Verdict    Verdict
-	RetryAfter time.Duration  // how long the caller should wait before it retries; set with RetryLater
+	RetryAfter time.Duration  // how long the caller should wait before it retries; set with RetryLater, and with Reject if the service time is known
 	Queued     *QueuedRequest // the request's place in the queue; set with Queue
 }
 
 // QueuedRequest is a request that waits at the gateway for capacity. At expiresAt it is sent regardless of
 // the engines' queues.
-type QueuedRequest struct{ expiresAt time.Time }
+type QueuedRequest struct {
+	expiresAt time.Time
+	deadline  time.Time // when the caller gives up; zero if unknown
+}
 
 // Controller decides on the online requests of one service at one gateway. It does no I/O, uses no clock and
 // is not safe for concurrent use.
@@ -119,12 +130,16 @@
 
 	queue       []*QueuedRequest // in order of arrival
 	dequeueGap  time.Duration    // moving average of the time between two requests sent from the queue, without expired ones; 0 if unknown
+	retries     retrySchedule    // of rejected requests with a known service time
 	lastDequeue time.Time        // when an unexpired request was last sent from the queue, or when the queue last became non-empty
 }
 
 // Arrive decides on a request that has just arrived. With the verdict Queue the request is in the queue until
 // Dequeue is called for it.
 func (c *Controller) Arrive(now time.Time, r Request) Decision {
+	if r.ServiceTime > 0 {
+		return c.arriveExpected(now, r)
+	}
 	switch {
 	case r.LatencyGoal == 0 || r.ExpectedWait <= r.maxWait():
 		return Decision{Verdict: Send}
@@ -135,7 +150,15 @@
 	case len(c.queue) >= c.maxQueued(now, r):
 		return Decision{Verdict: Reject}
 	}
+	return c.enqueue(now, r)
+}
+
+// enqueue adds a request at the end of the queue.
+func (c *Controller) enqueue(now time.Time, r Request) Decision {
 	q := &QueuedRequest{expiresAt: now.Add(r.maxQueueTime())}
+	if r.Remaining > 0 {
+		q.deadline = now.Add(r.Remaining)
+	}
 	if len(c.queue) == 0 {
 		c.lastDequeue = now
 	}
@@ -162,9 +185,13 @@
 	return max(1/gap.Seconds(), minDequeueRateShare*startRate)
 }
 
-// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue. Requests are
-// sent in order of arrival, except expired ones.
+// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue, or Reject for one
+// with a known service time that cannot be answered any more before its caller gives up. Requests are sent in order of
+// arrival, except expired ones.
 func (c *Controller) Recheck(now time.Time, q *QueuedRequest, r Request) Verdict {
+	if r.ServiceTime > 0 && !q.deadline.IsZero() && !r.canBeServed(max(1, q.deadline.Sub(now))) {
+		return Reject
+	}
 	if !now.Before(q.expiresAt) {
 		return Send // the caller gives up soon: the engine's queue is the only place left to wait
 	}
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -196,7 +196,7 @@
 func (r *Run) MaxQueueWait() time.Duration {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.view.fleet.QueueWait(r.Target.ID)
+	return r.view.fleet.QueueWait(time.Now(), r.Target.ID)
 }
 
 // RecordHoldTime records that the run has received its complete answer. The duration of the run counts towards
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -103,6 +103,13 @@
 	return v.fleet.Estimate(time.Now(), w)
 }
 
+// CapacityAfter returns after which time a service is expected to have free capacity, up to limit; 0 if unknown.
+func (v *View) CapacityAfter(service string, limit time.Duration) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.CapacityAfter(time.Now(), service, limit)
+}
+
 // ApplyReport records the load report that the peer from has sent, and preempts the batch runs of this
 // process whose slots the online requests of the peer need.
 func (v *View) ApplyReport(from fleet.Peer, report fleet.Report) {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"arbutusramp/core/errs"
+	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/shed"
 	"arbutusramp/core/sleep"
@@ -58,18 +61,26 @@
 func (ex *exchange) admit(ctx context.Context) error {
 	timeLeft := ex.callerTimeLeft()
 	initialTimeout := ex.gw.timeouts.Observe(ex.route.Name, timeLeft)
-	request := ex.newShedRequest(initialTimeout)
+	prospect, request := ex.newShedRequest(initialTimeout)
 	ctrl := ex.gw.controllers.get(ex.service)
 	ctrl.mu.Lock()
 	decision := ctrl.Arrive(time.Now(), request)
 	ctrl.mu.Unlock()
-	ex.logVerdict(decision.Verdict, request)
+	ex.logVerdict(decision, prospect, request)
 	switch decision.Verdict {
 	case shed.Send:
 		return nil
 	case shed.Queue:
 		return ex.queue(ctx, ctrl, decision.Queued, initialTimeout)
 	}
+	if decision.Verdict == shed.RetryLater && request.CapacityAfter > 0 {
+		metrics.GetOrRegisterCounter("online.overload.forecast_retries", ex.gw.reg).Inc(1)
+	}
+	return overloadError(decision, request)
+}
+
+// overloadError returns the error of a request that is rejected because of an overload.
+func overloadError(decision shed.Decision, request shed.Request) error {
 	err := errs.Newf(errs.Overloaded, "%s: a slot is expected to be free after %d ms, the route's goal for an answer is %d ms",
 		decision.Verdict, request.ExpectedWait.Milliseconds(), request.LatencyGoal.Milliseconds())
 	return err.WithRetry(decision.RetryAfter)
@@ -77,13 +88,18 @@
 
 // newShedRequest returns the input of an admission decision: the expected wait for a slot of the service, and
 // the deadline, timeouts and rank of the request. initialTimeout is how long callers of the route usually wait
-// for an answer.
-func (ex *exchange) newShedRequest(initialTimeout time.Duration) shed.Request {
+// for an answer. The estimate that the input was made from is returned for the log.
+func (ex *exchange) newShedRequest(initialTimeout time.Duration) (fleet.Estimate, shed.Request) {
 	prospect := ex.gw.view.Prospect(ex.work())
-	return shed.Request{
+	request := shed.Request{
 		ExpectedWait: prospect.Wait, HoldTime: prospect.HoldTime, StartRate: prospect.StartRate, LatencyGoal: ex.route.LatencyGoal,
 		Remaining: ex.callerTimeLeft(), InitialTimeout: initialTimeout, IdleTimeout: ex.route.EventTimeout, HigherRanks: ex.higherRanks(),
+		ServiceTime: prospect.ServiceTime,
 	}
+	if request.ServiceTime > 0 && request.ExpectedWait > 0 {
+		request.CapacityAfter = ex.gw.view.CapacityAfter(ex.service, request.Remaining/shed.MaxRetryDivisor)
+	}
+	return prospect, request
 }
 
 // higherRanks returns the number of ranks whose requests take precedence over this request in an overload. A
@@ -106,9 +122,19 @@
 			ctrl.dequeue(queued, false)
 			return ctx.Err()
 		}
-		if ctrl.canRecheck(queued) && ctrl.recheck(queued, ex.newShedRequest(initialTimeout)) == shed.Send {
+		if !ctrl.canRecheck(queued) {
+			continue
+		}
+		prospect, request := ex.newShedRequest(initialTimeout)
+		switch verdict := ctrl.recheck(queued, request); verdict {
+		case shed.Send:
 			ctrl.dequeue(queued, true)
 			return nil
+		case shed.Reject:
+			ctrl.dequeue(queued, false)
+			decision := shed.Decision{Verdict: verdict}
+			ex.logVerdict(decision, prospect, request)
+			return overloadError(decision, request)
 		}
 	}
 }
@@ -147,10 +173,15 @@
 
 // logVerdict logs that a request is queued or rejected, with the values behind the decision. A request that is
 // sent immediately is logged by logSent instead.
-func (ex *exchange) logVerdict(verdict shed.Verdict, request shed.Request) {
-	if verdict == shed.Send {
+func (ex *exchange) logVerdict(decision shed.Decision, prospect fleet.Estimate, request shed.Request) {
+	if decision.Verdict == shed.Send {
 		return
 	}
-	ex.gw.shedLog.Info(time.Now(), "overload", "request", ex.req.ID, "route", ex.route.Name, "verdict", verdict.String(), "wait_ms", request.ExpectedWait.Milliseconds(),
-		"hold_ms", request.HoldTime.Milliseconds(), "pace", request.StartRate, "left_ms", request.Remaining.Milliseconds(), "full_ms", request.InitialTimeout.Milliseconds())
+	fields := []any{"request", ex.req.ID, "route", ex.route.Name, "verdict", decision.Verdict.String(), "wait_ms", request.ExpectedWait.Milliseconds(),
+		"hold_ms", request.HoldTime.Milliseconds(), "pace", request.StartRate, "left_ms", request.Remaining.Milliseconds(), "full_ms", request.InitialTimeout.Milliseconds()}
+	if request.ServiceTime > 0 {
+		fields = append(fields, "target", prospect.Target, "slowness", prospect.Slowness, "service_ms", request.ServiceTime.Milliseconds(),
+			"capacity_ms", request.CapacityAfter.Milliseconds(), "retry_ms", decision.RetryAfter.Milliseconds())
+	}
+	ex.gw.shedLog.Info(time.Now(), "overload", fields...)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,6 +225,9 @@
 	}
 	ex.tried = append(ex.tried, run.Target.ID)
 	ex.choices = append(ex.choices, run.Choice.String())
+	if run.Choice.IsByExpectedTime {
+		metrics.GetOrRegisterCounter("online.choices.expected_time", ex.gw.reg).Inc(1)
+	}
 	a := &attempt{exchange: ex, run: run}
 	err := a.sendAndRelay(ctx)
 	if err == nil {
