--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -21,6 +21,16 @@
 	// least and as a share of it, targets count as equal. Predictions are not more exact than that.
 	minTimeTolerance   = 5 * time.Millisecond
 	timeToleranceShare = 0.1
+	// spreadShare is by how much later than the earliest target others are expected to answer that are still
+	// chosen often, as a share of the wait that one more request at a target causes. Reports of other gateways
+	// are some milliseconds old: with a smaller share all gateways choose the same target meanwhile, with a
+	// larger one requests wait although a slot is free elsewhere.
+	spreadShare = 0.25
+	// maxSpreads is how many times the spread later than the earliest target others are not chosen at all.
+	maxSpreads = 16
+	// ownDomainWeight is how many times more often a target in the gateway's own failure domain is chosen than
+	// an equal one in another domain, because traffic between domains is costly.
+	ownDomainWeight = 16
 )
 
 // predictor predicts the cost of runs; *costmodel.Model implements it.
@@ -33,10 +43,15 @@
 type expectation struct {
 	wait     time.Duration // until a slot is free, 0 if one is free or held by a batch item
 	service  time.Duration // from the start in a slot to what the goal measures; 0 if unknown
-	hold     time.Duration // for which requests hold a slot of the target on average; 0 if unknown
+	hold     time.Duration // for which requests hold a slot of the target on average; 0 if unknown or not needed for wait
 	slowness float64       // duration of work at the target relative to its service
 }
 
+// step is by how much each request ahead in the queue of the target extends the wait.
+func (e expectedCandidate) step() time.Duration {
+	return e.hold / time.Duration(max(1, e.target.Slots))
+}
+
 // total is the expected time from now to what the goal measures: the first event of a stream, the whole answer
 // of a call.
 func (e expectation) total() time.Duration { return e.wait + e.service }
@@ -45,8 +60,8 @@
 func (f *Fleet) expect(now time.Time, w Work, c candidate) expectation {
 	slots := max(1, c.target.Slots)
 	e := expectation{slowness: f.slowness(now, c.target.ID)}
-	e.hold = f.targetHoldTime(now, c.target, e.slowness)
 	if queuedAhead := c.load.Online - slots; queuedAhead >= 0 {
+		e.hold = f.targetHoldTime(now, c.target, e.slowness)
 		e.wait = e.hold * time.Duration(queuedAhead+1) / time.Duration(slots)
 	}
 	p, ok := f.predictions.Predict(now, costmodel.Query{
@@ -60,7 +75,7 @@
 	case w.IsStream:
 		e.service = scale(f.timings[w.Service].firstEvent, e.slowness)
 	default:
-		e.service = e.hold
+		e.service = scale(f.holdTimes[w.Service], e.slowness)
 	}
 	return e
 }
@@ -88,31 +103,83 @@
 	return time.Duration(factor * float64(d))
 }
 
-// earliest returns the candidate with the earliest expected time, and its expectation. Candidates within the
-// tolerance of that time are compared by tier, cost and tieBreak, as where no times are known.
-func (f *Fleet) earliest(now time.Time, w Work, list []candidate) (candidate, expectation) {
-	expectations := make(map[string]expectation, len(list))
-	best := time.Duration(math.MaxInt64)
-	for _, c := range list {
-		e := f.expect(now, w, c)
-		expectations[c.target.ID] = e
-		best = min(best, e.total())
+// expectedCandidate is a candidate with its expectation.
+type expectedCandidate struct {
+	candidate
+	expectation
+}
+
+// expectAll returns the candidates with their expectations, and the earliest of them with its hold time. list is not
+// empty.
+func (f *Fleet) expectAll(now time.Time, w Work, list []candidate) (all []expectedCandidate, earliest expectedCandidate) {
+	all = make([]expectedCandidate, len(list))
+	for i, c := range list {
+		all[i] = expectedCandidate{c, f.expect(now, w, c)}
 	}
-	limit := best + max(minTimeTolerance, scale(best, timeToleranceShare))
-	equal := slices.DeleteFunc(list, func(c candidate) bool { return expectations[c.target.ID].total() > limit })
-	chosen := bestCandidate(equal)
-	return chosen, expectations[chosen.target.ID]
+	earliest = slices.MinFunc(all, func(a, b expectedCandidate) int {
+		return cmp.Or(cmp.Compare(a.total(), b.total()), cmp.Compare(a.target.tieBreak, b.target.tieBreak), cmp.Compare(a.target.ID, b.target.ID))
+	})
+	earliest.hold = f.targetHoldTime(now, earliest.target, earliest.slowness)
+	return all, earliest
+}
+
+// chooseExpected chooses one of the candidates at random, those with an earlier expected time, more free slots or
+// in the own domain more often. If all gateways chose the earliest target, they would send more requests there
+// between two reports than it has free slots.
+func (f *Fleet) chooseExpected(now time.Time, w Work, list []candidate) expectedCandidate {
+	all, earliest := f.expectAll(now, w, list)
+	limit := earliest.total() + max(minTimeTolerance, scale(earliest.total(), timeToleranceShare))
+	isEqualAndFree := func(c expectedCandidate) bool { return c.total() <= limit && c.tier() == tierFree }
+	hasFreeSlot := slices.ContainsFunc(all, isEqualAndFree)
+	spread := max(minTimeTolerance, scale(f.holdTimes[w.Service], spreadShare)/time.Duration(max(1, earliest.target.Slots)))
+	f.draws++
+	chosen, firstArrival := earliest, math.Inf(1)
+	for _, c := range all {
+		if c.total()-earliest.total() > maxSpreads*spread || hasFreeSlot && c.tier() == tierPreempt {
+			continue
+		}
+		// Each candidate has an arrival time with its weight as the rate; the first one is chosen. Unlike a draw from
+		// the sum of the weights it does not depend on the order of the list.
+		arrival := -math.Log(c.target.draw(f.draws)) / c.weight(c.total()-earliest.total(), spread)
+		if arrival < firstArrival {
+			chosen, firstArrival = c, arrival
+		}
+	}
+	return chosen
+}
+
+// weight is how often the candidate is chosen, relative to others, if its expected time is that much later than
+// the earliest one.
+func (c expectedCandidate) weight(delay, spread time.Duration) float64 {
+	w := math.Exp(-float64(delay)/float64(spread)) * float64(max(1, c.target.Slots-c.load.Online))
+	if c.isSameDomain {
+		w *= ownDomainWeight
+	}
+	return w
+}
+
+// draw returns a number between 0 and 1, neither included, that differs between targets, gateways and values
+// of n and is otherwise random (splitmix64).
+func (ts *targetState) draw(n uint64) float64 {
+	const increment, bits = 0x9e3779b97f4a7c15, 53
+	z := ts.tieBreak + n*increment
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	z ^= z >> 31
+	return (float64(z>>(64-bits)) + 0.5) / (1 << bits)
 }
 
 // expectedEstimate is Estimate for a service whose targets are chosen by expected time.
 func (f *Fleet) expectedEstimate(now time.Time, w Work) Estimate {
-	e := Estimate{HoldTime: f.holdTimes[w.Service], StartRate: f.capacityRate(now, w.Service) / float64(1+len(f.peers)), Slowness: 1}
-	c, ok := f.PickOnline(now, w, nil)
-	if !ok {
-		return e
+	list, _ := f.onlineCandidates(now, w.Service, nil)
+	if len(list) == 0 {
+		return Estimate{HoldTime: f.holdTimes[w.Service], Slowness: 1}
+	}
+	_, best := f.expectAll(now, w, list)
+	e := Estimate{Target: best.target.ID, Wait: best.wait, WaitStep: best.step(), HoldTime: best.hold, ServiceTime: best.service, Slowness: best.slowness}
+	if e.Wait > 0 {
+		e.StartRate = f.capacityRate(now, w.Service) / float64(1+len(f.peers))
 	}
-	e.Target, e.Wait, e.ServiceTime, e.Slowness = c.Target.ID, c.expected.wait, c.expected.service, c.expected.slowness
-	e.HoldTime = cmp.Or(c.expected.hold, e.HoldTime)
 	return e
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -90,6 +90,7 @@
 	costs        *costmodel.Model
 	demands      *headroom.Learner
 	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
+	draws        uint64            // random choices of a target so far
 	predictions  predictor         // costs; another one in tests
 	forecasts    forecaster        // demands; another one in tests
 }
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -60,9 +60,25 @@
 
 // PickOnline chooses the target for an online request, none of those in tried; ok is false if there is none.
 // Healthy targets are preferred, then those on probation, and as a last resort suspect ones. Among these it
-// takes the one with the earliest expected answer where expected times are in use, otherwise the best by tier
-// and load.
+// chooses by the expected time of the answer where expected times are in use, otherwise by tier and load.
 func (f *Fleet) PickOnline(now time.Time, w Work, tried []string) (c Choice, ok bool) {
+	list, suffix := f.onlineCandidates(now, w.Service, tried)
+	if len(list) == 0 {
+		return Choice{}, false
+	}
+	if f.usesExpectedTime(w.Service) {
+		chosen := f.chooseExpected(now, w, list)
+		c = f.choice(chosen.candidate, tierNames[chosen.tier()]+suffix)
+		c.IsByExpectedTime, c.expected = true, chosen.expectation
+		return c, true
+	}
+	chosen := bestCandidate(list)
+	return f.choice(chosen, tierNames[chosen.tier()]+suffix), true
+}
+
+// onlineCandidates returns the targets among which PickOnline chooses: the healthy ones, if there are none those
+// on probation, and if there are none of these either all. suffix says for log lines which of these they are.
+func (f *Fleet) onlineCandidates(now time.Time, service string, tried []string) (list []candidate, suffix string) {
 	stages := []struct {
 		isUsable func(*targetState) bool
 		suffix   string
@@ -72,20 +88,11 @@
 		{func(ts *targetState) bool { return true }, " though suspect"},
 	}
 	for _, stage := range stages {
-		list := f.candidates(now, w.Service, tried, stage.isUsable)
-		if len(list) == 0 {
-			continue
-		}
-		if f.usesExpectedTime(w.Service) {
-			chosen, expected := f.earliest(now, w, list)
-			c := f.choice(chosen, tierNames[chosen.tier()]+stage.suffix)
-			c.IsByExpectedTime, c.expected = true, expected
-			return c, true
+		if list := f.candidates(now, service, tried, stage.isUsable); len(list) > 0 {
+			return list, stage.suffix
 		}
-		chosen := bestCandidate(list)
-		return f.choice(chosen, tierNames[chosen.tier()]+stage.suffix), true
 	}
-	return Choice{}, false
+	return nil, ""
 }
 
 // bestCandidate returns the candidate with the best tier and, within it, the lowest cost. tieBreak decides
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -22,12 +22,15 @@
 	// ServiceTime is the expected time from the start of the request in a slot of Target to the first event of a
 	// stream or the whole answer of a call; 0 if unknown or if targets are not chosen by expected time.
 	ServiceTime time.Duration
+	// WaitStep is by how much each request ahead in the queue of Target extends Wait; 0 as ServiceTime.
+	WaitStep time.Duration
 	// Target is the id of the target that the other fields apply to; empty if targets are not chosen by expected
 	// time. Slowness is how many times longer than usual for the service work takes there.
 	Target   string
 	Slowness float64
 	// StartRate is how many online requests of the service this gateway may start per second: the capacity of
-	// the service's targets, divided by the number of live gateways; 0 if unknown.
+	// the service's targets, divided by the number of live gateways; 0 if unknown or, if targets are chosen by
+	// expected time, if Wait is 0.
 	StartRate float64
 }
 
--- a/core/shed/expected.go
+++ b/core/shed/expected.go
@@ -13,6 +13,10 @@
 	// within a quarter of the actual time at the median, and reports of other gateways' requests are some
 	// milliseconds old.
 	serviceMargin = 1.15
+	// waitMarginSteps is the margin on an expected wait, in requests ahead in the queue. It is not known when the
+	// requests in the slots have started, and requests that other gateways have just sent are not counted yet: with
+	// a margin of half a request, a third of the requests with the longest wait is late.
+	waitMarginSteps = 2
 	// minExpectedWaitShare is the share of its goal that a request may always wait for a slot, so that requests
 	// that miss their goal even in a free slot are still served, and targets are not idle between two of them.
 	minExpectedWaitShare = 0.1
@@ -21,7 +25,7 @@
 // maxExpectedWait is maxWait for a request with a known service time: the part of its goal that the service
 // leaves.
 func (r Request) maxExpectedWait() time.Duration {
-	left := float64(r.LatencyGoal) - serviceMargin*float64(r.ServiceTime)
+	left := float64(r.LatencyGoal) - serviceMargin*float64(r.ServiceTime) - waitMarginSteps*float64(r.WaitStep)
 	return time.Duration(max(left, minExpectedWaitShare*float64(r.LatencyGoal)) / float64(1+r.HigherRanks))
 }
 
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -56,6 +56,9 @@
 	// ServiceTime is the expected time from the start in a slot to the first event or, for a call, to the whole
 	// answer. With 0 (unknown) decisions use a fixed share of the goal, and CapacityAfter is not used.
 	ServiceTime time.Duration
+	// WaitStep is by how much each request ahead in the queue extends ExpectedWait; 0 if unknown. It is used only with
+	// ServiceTime.
+	WaitStep time.Duration
 	// CapacityAfter is the time until the forecast of the demand expects free capacity; 0 if unknown.
 	CapacityAfter time.Duration
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -94,7 +94,7 @@
 	request := shed.Request{
 		ExpectedWait: prospect.Wait, HoldTime: prospect.HoldTime, StartRate: prospect.StartRate, LatencyGoal: ex.route.LatencyGoal,
 		Remaining: ex.callerTimeLeft(), InitialTimeout: initialTimeout, IdleTimeout: ex.route.EventTimeout, HigherRanks: ex.higherRanks(),
-		ServiceTime: prospect.ServiceTime,
+		ServiceTime: prospect.ServiceTime, WaitStep: prospect.WaitStep,
 	}
 	if request.ServiceTime > 0 && request.ExpectedWait > 0 {
 		request.CapacityAfter = ex.gw.view.CapacityAfter(ex.service, request.Remaining/shed.MaxRetryDivisor)
