--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -22,14 +22,15 @@
 	minTimeTolerance   = 5 * time.Millisecond
 	timeToleranceShare = 0.1
 	// spreadShare is by how much later than the earliest target others are expected to answer that are still
-	// chosen often, as a share of the wait that one more request at a target causes. Reports of other gateways
-	// are some milliseconds old: with a smaller share all gateways choose the same target meanwhile, with a
-	// larger one requests wait although a slot is free elsewhere.
+	// chosen often, as a share of the wait that one more request causes at a target of the service's mean speed.
+	// Reports of other gateways are some milliseconds old: with a smaller share all gateways choose the same target
+	// meanwhile, with a larger one requests wait although a slot is free elsewhere.
 	spreadShare = 0.25
 	// maxSpreads is how many times the spread later than the earliest target others are not chosen at all.
 	maxSpreads = 16
 	// ownDomainWeight is how many times more often a target in the gateway's own failure domain is chosen than
-	// an equal one in another domain, because traffic between domains is costly.
+	// one in another domain, because traffic between domains is costly. It does not apply to targets that are
+	// later than the earliest by more than the spread.
 	ownDomainWeight = 16
 )
 
@@ -152,7 +153,7 @@
 // the earliest one.
 func (c expectedCandidate) weight(delay, spread time.Duration) float64 {
 	w := math.Exp(-float64(delay)/float64(spread)) * float64(max(1, c.target.Slots-c.load.Online))
-	if c.isSameDomain {
+	if c.isSameDomain && delay <= spread {
 		w *= ownDomainWeight
 	}
 	return w
