--- a/core/fleet/expected_load_test.go
+++ b/core/fleet/expected_load_test.go
@@ -141,3 +141,27 @@
 		}
 	}
 }
+
+// Guards against a stampede of rejected callers that retry when the targets are as full as before: a caller that retries at
+// the given time finds a place.
+func TestRejectedCallersFindAPlace(t *testing.T) {
+	wave := callCase(0.8)
+	wave.hasWave = true
+	for _, load := range []struct {
+		name string
+		load loadCase
+		want float64
+	}{
+		{"a square wave of calls at 0.8 of the capacity", wave, 0.95},
+		{"a steady demand of 1.2 of the capacity", callCase(1.2), 0.8},
+	} {
+		byLoad := simulate(load.load)
+		load.load.expected = true
+		r := simulate(load.load)
+		share := func(r loadResult) float64 { return float64(r.returnedInGoal) / float64(max(1, r.returned)) }
+		t.Logf("%s: %d second attempts, %.3f of them in goal; by load alone %d, %.3f\nby load: %v\nby time: %v", load.name, r.returned, share(r), byLoad.returned, share(byLoad), byLoad, r)
+		if got := share(r); got < load.want || got <= share(byLoad) {
+			t.Errorf("%s: %.3f of the second attempts are in goal, by load alone %.3f; want at least %.2f and more than that", load.name, got, share(byLoad), load.want)
+		}
+	}
+}
--- a/core/fleet/loadsim_test.go
+++ b/core/fleet/loadsim_test.go
@@ -53,6 +53,7 @@
 // within the goal after the attempt was made.
 type loadResult struct {
 	requests, sent, inGoal, lateAnswers, retries, rejected int
+	returned, returnedInGoal                               int // second attempts that arrived; of these, sent at once and in goal
 	queued, queuedLate                                     int // sent to a target without a free slot; of these, late
 	longestQueue, otherDomain                              int
 }
@@ -69,14 +70,13 @@
 // order of arrival.
 type loadSim struct {
 	loadCase
-	now      time.Time
-	events   simEvents
-	order    int
-	rng      *rand.Rand
-	nodes    []*simGateway
-	targets  map[string]*simTarget
-	result   loadResult
-	forecast forecaster
+	now     time.Time
+	events  simEvents
+	order   int
+	rng     *rand.Rand
+	nodes   []*simGateway
+	targets map[string]*simTarget
+	result  loadResult
 }
 
 type simEvent struct {
@@ -272,6 +272,7 @@
 		s.result.retries++
 		s.after(d.RetryAfter, func() {
 			a.sentAt = s.now
+			s.result.returned++
 			s.anyGateway().arrive(a)
 		})
 	case shed.Queue:
@@ -316,6 +317,9 @@
 	}
 	observe := func() {
 		if s.now.Sub(a.sentAt) <= s.goal {
+			if a.sentAt != a.firstAt {
+				s.result.returnedInGoal++
+			}
 			if s.now.Sub(start) <= s.duration {
 				s.result.inGoal++
 			}
