shed, gateway: drop passed retry times; default retry time for callers without a deadline

Cause: retry times that have passed were dropped only when a first attempt arrived at an empty queue, and a rejected caller without a deadline was told to retry after 1 ms.

--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// BenchmarkPickOnlineByExpectedTime measures the same where targets are chosen by expected time.
+func BenchmarkPickOnlineByExpectedTime(b *testing.B) {
+	for _, targets := range fleetSizes {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			f, now := benchFleet(targets), time.Now()
+			f.opts.ExpectedTime = ExpectedTimeOn
+			f.RecordHoldTime("llm", time.Second)
+			for b.Loop() {
+				if _, ok := f.PickOnline(now, Work{Service: "llm"}, nil); !ok {
+					b.Fatal("no target was picked")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkApplyReport measures applying a peer's report and computing the preemptions that follow from it,
 // at a gateway with three batch items.
 func BenchmarkApplyReport(b *testing.B) {
--- a/core/shed/expected.go
+++ b/core/shed/expected.go
@@ -131,6 +131,7 @@
 	} else {
 		delay = s.spread(min(earliest, time.Duration(latestRetryShare*float64(limit))), limit)
 	}
+	s.removePassed(now)
 	if len(s.due) < maxDueRetries {
 		s.due = append(s.due, now.Add(delay))
 	}
@@ -151,7 +152,7 @@
 	if r.StartRate <= 0 {
 		return 0
 	}
-	s.due = slices.DeleteFunc(s.due, func(t time.Time) bool { return !t.After(now) })
+	s.removePassed(now)
 	end, n := now.Add(r.maxWait()), 0
 	for _, t := range s.due {
 		if !t.After(end) {
@@ -160,3 +161,8 @@
 	}
 	return seconds(float64(n) / r.StartRate)
 }
+
+// removePassed drops the retry times that have passed.
+func (s *retrySchedule) removePassed(now time.Time) {
+	s.due = slices.DeleteFunc(s.due, func(t time.Time) bool { return !t.After(now) })
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -83,6 +83,9 @@
 func overloadError(decision shed.Decision, request shed.Request) error {
 	err := errs.Newf(errs.Overloaded, "%s: a slot is expected to be free after %d ms, the route's goal for an answer is %d ms",
 		decision.Verdict, request.ExpectedWait.Milliseconds(), request.LatencyGoal.Milliseconds())
+	if request.ServiceTime > 0 && decision.RetryAfter == 0 {
+		return err // gets the default retry time
+	}
 	return err.WithRetry(decision.RetryAfter)
 }
 
