Divide the capacity of a service between workspaces

A workspace could take all the capacity there is: requests were queued and batch items were started in order of arrival and due time, whoever owned them. A ledger of offered and served work by workspace now gives each its weighted max-min share, from the load reports of all gateways. Requests over the share need a free slot and a part of the share that is not used up; batch items of workspaces within their share start first within a rank. Nothing changes while [sharing] is off.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -89,7 +89,8 @@
 	storeContact time.Time
 	costs        *costmodel.Model
 	demands      *headroom.Learner
-	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
+	sharing      *fairshare.Ledger          // nil if capacity is not divided between workspaces
+	capacities   map[string]serviceCapacity // by service; see capacity
 }
 
 // targetState is a target with what this gateway has recorded of its load and health.
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -11,6 +11,7 @@
 package shed
 
 import (
+	"slices"
 	"time"
 
 	"arbutusramp/core/policy"
@@ -53,6 +54,7 @@
 	InitialTimeout time.Duration // how long callers of the route wait on their first attempt; 0 if unknown
 	IdleTimeout    time.Duration // how long the caller waits without receiving an event; 0 for as long as Remaining
 	HigherRanks    int           // number of more urgent ranks among requests for the same targets
+	Share          Share         // position of the request's workspace in the division of the capacity
 }
 
 // maxWait is how long the request may wait for a slot and still meet its goal. Less urgent requests may wait
@@ -108,8 +110,11 @@
 }
 
 // QueuedRequest is a request that waits at the gateway for capacity. At expiresAt it is sent regardless of
-// the engines' queues.
-type QueuedRequest struct{ expiresAt time.Time }
+// the engines' queues, unless its workspace is over its share.
+type QueuedRequest struct {
+	expiresAt time.Time
+	key       queueKey
+}
 
 // Controller decides on the online requests of one service at one gateway. It does no I/O, uses no clock and
 // is not safe for concurrent use.
@@ -117,7 +122,7 @@
 	// Disabled is the set of disabled mechanisms.
 	Disabled policy.Disabled
 
-	queue       []*QueuedRequest // in order of arrival
+	queue       []*QueuedRequest // in order of their keys, and then of arrival
 	dequeueGap  time.Duration    // moving average of the time between two requests sent from the queue, without expired ones; 0 if unknown
 	lastDequeue time.Time        // when an unexpired request was last sent from the queue, or when the queue last became non-empty
 }
@@ -125,6 +130,9 @@
 // Arrive decides on a request that has just arrived. With the verdict Queue the request is in the queue until
 // Dequeue is called for it.
 func (c *Controller) Arrive(now time.Time, r Request) Decision {
+	if r.Share.IsOver {
+		return c.arriveOverShare(now, r)
+	}
 	switch {
 	case r.LatencyGoal == 0 || r.ExpectedWait <= r.maxWait():
 		return Decision{Verdict: Send}
@@ -132,14 +140,19 @@
 		return Decision{Verdict: RetryLater, RetryAfter: r.retryAfter()}
 	case r.isFirstAttempt() || !c.Disabled.IsEnabled(policy.QueueRetries):
 		return Decision{Verdict: Send}
-	case len(c.queue) >= c.maxQueued(now, r):
+	case c.queuedBefore(r.queueKey()) >= c.maxQueued(now, r):
 		return Decision{Verdict: Reject}
 	}
-	q := &QueuedRequest{expiresAt: now.Add(r.maxQueueTime())}
+	return c.enqueue(now, r)
+}
+
+// enqueue puts a request into the queue.
+func (c *Controller) enqueue(now time.Time, r Request) Decision {
+	q := &QueuedRequest{expiresAt: now.Add(r.maxQueueTime()), key: r.queueKey()}
 	if len(c.queue) == 0 {
 		c.lastDequeue = now
 	}
-	c.queue = append(c.queue, q)
+	c.queue = slices.Insert(c.queue, c.queuedBefore(q.key), q)
 	return Decision{Verdict: Queue, Queued: q}
 }
 
@@ -162,9 +175,12 @@
 	return max(1/gap.Seconds(), minDequeueRateShare*startRate)
 }
 
-// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue. Requests are
-// sent in order of arrival, except expired ones.
+// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue, or RetryLater for
+// an expired one of a workspace over its share. Requests are sent in the order of the queue, except expired ones.
 func (c *Controller) Recheck(now time.Time, q *QueuedRequest, r Request) Verdict {
+	if q.key.isOver {
+		return c.recheckOverShare(now, q, r)
+	}
 	if !now.Before(q.expiresAt) {
 		return Send // the caller gives up soon: the engine's queue is the only place left to wait
 	}
@@ -177,7 +193,7 @@
 	return Queue
 }
 
-// IsFirst reports whether q has been in the queue for the longest time.
+// IsFirst reports whether q is the next request of the queue to be sent.
 func (c *Controller) IsFirst(q *QueuedRequest) bool { return len(c.queue) > 0 && c.queue[0] == q }
 
 // IsExpired reports whether the request has reached its maximum queue time.
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -183,8 +183,10 @@
 func (sc *scheduler) publishDemand() int {
 	var demand fleet.Demand
 	now := time.Now()
-	for _, t := range sc.startableTasks(now) {
-		if key := sc.startKey(t, now); demand.Items == 0 || key < demand.StartKey {
+	tasks := sc.startableTasks(now)
+	overShare := sc.overShareTasks(tasks)
+	for _, t := range tasks {
+		if key := sc.startKey(t, now, overShare[t]); demand.Items == 0 || key < demand.StartKey {
 			demand.StartKey = key
 		}
 		demand.Items++
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -31,11 +31,14 @@
 	// onTargetEnd is called when the target is known to have restarted; see OnTargetEnd.
 	onTargetEnd    func()
 	hasTargetEnded bool
+	// sharedWork is the time in a slot that was counted for the workspace when the run began.
+	sharedWork time.Duration
 }
 
 // addRun adds a run to the load of its target and to the active runs. The caller holds v.mu.
 func (v *View) addRun(now time.Time, r *Run) {
 	v.fleet.Begin(now, r.Target.ID, r.class)
+	v.recordServed(now, r)
 	if v.active[r.Target.ID] == nil {
 		v.active[r.Target.ID] = make(map[*Run]struct{})
 	}
@@ -102,7 +105,9 @@
 		return
 	}
 	r.isDone = true
-	v.fleet.End(time.Now(), r.Target.ID, r.class)
+	now := time.Now()
+	v.fleet.End(now, r.Target.ID, r.class)
+	v.correctServed(now, r)
 	v.removeRun(r)
 	v.removePreemptible(r)
 	signal(v.loadsChanged)
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -59,17 +59,22 @@
 	timeLeft := ex.callerTimeLeft()
 	initialTimeout := ex.gw.timeouts.Observe(ex.route.Name, timeLeft)
 	request := ex.newShedRequest(initialTimeout)
+	ex.applyShare(&request)
 	ctrl := ex.gw.controllers.get(ex.service)
 	ctrl.mu.Lock()
 	decision := ctrl.Arrive(time.Now(), request)
 	ctrl.mu.Unlock()
 	ex.logVerdict(decision.Verdict, request)
+	ex.noteShare(decision.Verdict)
 	switch decision.Verdict {
 	case shed.Send:
 		return nil
 	case shed.Queue:
 		return ex.queue(ctx, ctrl, decision.Queued, initialTimeout)
 	}
+	if ex.share.IsOverShare {
+		return ex.overShareError().WithRetry(decision.RetryAfter)
+	}
 	err := errs.Newf(errs.Overloaded, "%s: a slot is expected to be free after %d ms, the route's goal for an answer is %d ms",
 		decision.Verdict, request.ExpectedWait.Milliseconds(), request.LatencyGoal.Milliseconds())
 	return err.WithRetry(decision.RetryAfter)
@@ -106,9 +111,17 @@
 			ctrl.dequeue(queued, false)
 			return ctx.Err()
 		}
-		if ctrl.canRecheck(queued) && ctrl.recheck(queued, ex.newShedRequest(initialTimeout)) == shed.Send {
+		if !ctrl.canRecheck(queued) {
+			continue
+		}
+		switch ctrl.recheck(queued, ex.newQueuedRequest(initialTimeout)) {
+		case shed.Send:
 			ctrl.dequeue(queued, true)
 			return nil
+		case shed.RetryLater:
+			ctrl.dequeue(queued, false)
+			ex.noteShare(shed.RetryLater)
+			return ex.overShareError()
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	servedLog *logging.Routine // requests that were served
 	sentLog   *logging.Routine // requests that are sent to a target
 	shedLog   *logging.Routine // requests that are queued or rejected
+	shareLog  *logging.Routine // requests that are rejected because of the share of their workspace
 	reg       metrics.Registry
 	// timeouts estimates for each route how long callers wait for an answer before they give up.
 	timeouts    *shed.CallerTimeouts
@@ -108,7 +109,7 @@
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
 	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, log: o.Log,
-		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log),
+		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
 
@@ -134,6 +135,7 @@
 	lastEventID   string   // id of the last stream event that the caller has received, possibly from an earlier request
 	choices       []string // for each attempt the target and why it was chosen, for the log
 	stages        stages
+	share         fleet.ShareDecision // on the request, by the share of its workspace
 }
 
 // Serve handles one request and writes its answer or error to callerAnswer. It returns when the answer is
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -180,7 +180,7 @@
 		return due
 	}
 	left := g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
-	return backlog.StartKey(g.sim.clock.now, due, left, 0)
+	return backlog.StartKey(g.sim.clock.now, due, left, 0, false)
 }
 
 func (g *gateway) sort() {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	g.watch = watch.New(watch.Options{
-		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin,
+		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -61,12 +61,16 @@
 	// revokeWithin bounds how long a revoked key may still be accepted; see Options.RevokeWithin.
 	revokeWithin time.Duration
 
+	weights map[string]float64 // see Options.Weights
+
 	mu         sync.RWMutex
 	config     *serving.Config
 	router     *serving.Router
 	workspaces *workspace.Index
 	proof      freshness.Proof // when a read last confirmed that config is the newest version
-	hasTargets bool            // the target list, or a part of it with at least one target, has been read
+	// unknownWeights are the workspaces in weights that config does not contain.
+	unknownWeights []string
+	hasTargets     bool // the target list, or a part of it with at least one target, has been read
 }
 
 // Quotas applies the quotas of each configuration that is put in force.
@@ -90,13 +94,15 @@
 	// RevokeWithin bounds how long after the revocation of a key a request with this key may still be
 	// authorized, also by a process that cannot reach the store; 0 means no bound.
 	RevokeWithin time.Duration
-	Clock        bootclock.Clock // the time since the start of the host, including suspensions
-	Log          hclog.Logger
+	// Weights are the configured weights of workspaces in the division of the capacity, by name.
+	Weights map[string]float64
+	Clock   bootclock.Clock // the time since the start of the host, including suspensions
+	Log     hclog.Logger
 }
 
 // New returns a Watch without a configuration or targets.
 func New(o Options) *Watch {
-	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, proof: freshness.New(o.RevokeWithin)}
+	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, weights: o.Weights, proof: freshness.New(o.RevokeWithin)}
 }
 
 // Run reads the configuration and the target list repeatedly until ctx ends, and then returns nil.
@@ -217,6 +223,7 @@
 	index, problems := workspace.NewIndex(c.Workspaces)
 	w.workspaces = index
 	w.quotas.SetWorkspaces(c.Workspaces)
+	w.logUnknownWeights(c.Workspaces)
 	for _, problem := range append(c.Problems, problems...) {
 		w.log.Error("part of the configuration left out", "version", c.Version, "error", problem)
 	}
