--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -33,7 +33,7 @@
 	oldest := l.expirePeers(now)
 	s.sweep(now)
 	*d = division{at: now, capacity: capacity, oldestInput: oldest}
-	var demands []demand
+	demands := l.demands[:0]
 	s.eachUsage(now, func(u Usage) {
 		if u.Offered > 0 {
 			demands = append(demands, demand{u.Offered, l.weight(u.Workspace)})
@@ -44,6 +44,7 @@
 		demands = append(demands, demand{s.rest.offered, s.rest.members})
 		d.members += s.rest.members
 	}
+	l.demands = demands
 	for _, dem := range demands {
 		d.offered, d.weights = d.offered+dem.work, d.weights+dem.weight
 	}
--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -55,6 +55,7 @@
 	weights  map[ID]float64
 	services map[string]*service
 	peers    map[string]*peerUsage
+	demands  []demand // reused by division
 	// lastReport is when Report last returned a list; zero before the first.
 	lastReport time.Time
 }
--- a/core/shed/share.go
+++ b/core/shed/share.go
@@ -42,6 +42,16 @@
 	return c.enqueue(now, r)
 }
 
+// limitOverShareQueueTime limits the time for which a request of a workspace over its share is queued to the time after
+// which it would miss its latency goal. Such requests arrive about as fast as slots become free for them, so that
+// with a longer time the queue would fill and nearly all of them would be late.
+func (r Request) limitOverShareQueueTime(queueTime time.Duration) time.Duration {
+	if r.LatencyGoal == 0 {
+		return queueTime
+	}
+	return min(queueTime, r.maxWait())
+}
+
 // shareRetryAfter is the time after which the caller of a request over its share should retry.
 func (r Request) shareRetryAfter() time.Duration {
 	after := max(minShareRetry, r.ExpectedWait, time.Duration(minRetryHoldTimes*float64(r.HoldTime)))
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -75,7 +75,11 @@
 	if timeLeft == 0 || r.Remaining > 0 && r.Remaining < timeLeft {
 		timeLeft = r.Remaining
 	}
-	return time.Duration(maxQueueTimeShare * float64(timeLeft))
+	queueTime := time.Duration(maxQueueTimeShare * float64(timeLeft))
+	if r.Share.IsOver {
+		return r.limitOverShareQueueTime(queueTime)
+	}
+	return queueTime
 }
 
 // retryAfter is the time after which the caller should retry: when a slot is expected to be free, but not
