--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -41,6 +41,8 @@
 	gateways  []*Gateway
 	cancels   []context.CancelFunc // for each gateway, stops it
 	done      []chan error         // for each gateway, the result of its Run
+	// changeSettings changes the settings of each gateway that is started; nil leaves them as they are.
+	changeSettings func(*settings.Gateway)
 }
 
 // newSystem returns a system with two targets, a number of gateways and the routes wiretest.Routes.
@@ -103,6 +105,9 @@
 		QuarantineAfter: quarantine.DefaultThreshold, QuarantineHold: quarantine.DefaultHold,
 	}
 	opts.Host.ID, opts.Host.Domain = structs.HostID(id), "d"
+	if s.changeSettings != nil {
+		s.changeSettings(&opts)
+	}
 	g, err := NewGateway(opts, hclog.NewNullLogger(), metrics.NewRegistry())
 	if err != nil {
 		s.t.Fatal(err)
