A workspace over its share uses the share for its most urgent requests

Thinning passed requests of all ranks alike. A request now needs one credit more for each more urgent rank, so that after a less urgent one there is still credit for an urgent one: of 600 requests, a third of them urgent, before a share of a half, nearly all urgent ones and 300 in total are admitted.

--- a/core/fairshare/admit.go
+++ b/core/fairshare/admit.go
@@ -6,7 +6,7 @@
 	// initialCredit is the credit of a workspace without history: half a request rounds neither way.
 	initialCredit = 0.5
 	// maxCredit bounds the requests that a workspace over its share may have admitted at once after a time
-	// without a free slot.
+	// without a free slot. Several gateways fill the same free slots, so that a higher bound overfills them.
 	maxCredit = 2
 )
 
@@ -20,8 +20,8 @@
 }
 
 // Admit returns the decision on a request that has just been offered. A request of a workspace over its share adds
-// to the credit of the workspace.
-func (l *Ledger) Admit(now time.Time, service, workspace string, capacity float64) Admission {
+// to the credit of the workspace. higherRanks is the number of ranks that are more urgent than the request.
+func (l *Ledger) Admit(now time.Time, service, workspace string, higherRanks int, capacity float64) Admission {
 	adm := Admission{Decision: l.Decide(now, service, workspace, capacity)}
 	if !adm.IsOverShare {
 		return adm
@@ -30,11 +30,22 @@
 	if a == nil {
 		return adm
 	}
-	a.credit = min(maxCredit, a.credit+float32(adm.Share/adm.Offered))
-	adm.HasCredit = a.credit >= 1 && !adm.IsUsedUp
+	a.higherRanks = max(a.higherRanks, uint8(min(higherRanks, maxHigherRanks)))
+	a.addCredit(float32(adm.Share / adm.Offered))
+	// After a less urgent request is admitted there is still credit for one of the next more urgent rank, so that the
+	// workspace uses its share for its most urgent requests first.
+	adm.HasCredit = a.credit >= 1+float32(min(higherRanks, maxHigherRanks)) && !adm.IsUsedUp
 	return adm
 }
 
+// maxHigherRanks bounds the number of more urgent ranks that a decision takes into account.
+const maxHigherRanks = 4
+
+// addCredit adds to the credit of a workspace, up to what its least urgent requests need and one more.
+func (a *account) addCredit(credit float32) {
+	a.credit = min(maxCredit+float32(a.higherRanks), a.credit+credit)
+}
+
 // TakeCredit records that a request of a workspace over its share is admitted or queued.
 func (l *Ledger) TakeCredit(now time.Time, service, workspace string) {
 	if _, a := l.account(now, service, workspace); a != nil {
@@ -45,7 +56,7 @@
 // ReturnCredit takes back a TakeCredit for a request that is rejected after all.
 func (l *Ledger) ReturnCredit(now time.Time, service, workspace string) {
 	if _, a := l.account(now, service, workspace); a != nil {
-		a.credit = min(maxCredit, a.credit+1)
+		a.addCredit(1)
 	}
 }
 
--- a/core/fairshare/window.go
+++ b/core/fairshare/window.go
@@ -28,6 +28,7 @@
 	bucket          int64 // the newest bucket with work; see service.bucketOf
 	offered, served ring
 	credit          float32 // requests over the share that may be admitted; see Ledger.Admit
+	higherRanks     uint8   // the largest number of more urgent ranks of its requests so far
 	rejected        uint32  // requests rejected by share since the account was created
 }
 
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -71,15 +71,15 @@
 	IsSlotFree, IsAdmitted bool
 }
 
-// OfferOnline records an online request that has arrived, and decides on it by the share of its workspace. canQueue is
-// set if the request may wait at the gateway for a slot.
-func (f *Fleet) OfferOnline(now time.Time, w Work, canQueue bool) ShareDecision {
+// OfferOnline records an online request that has arrived, and decides on it by the share of its workspace. higherRanks
+// is the number of more urgent ranks, and canQueue is set if the request may wait at the gateway for a slot.
+func (f *Fleet) OfferOnline(now time.Time, w Work, higherRanks int, canQueue bool) ShareDecision {
 	if !f.isShared(w) {
 		return ShareDecision{}
 	}
 	f.expirePeers(now)
 	f.sharing.Offer(now, w.Service, w.Workspace, f.workTime(now, w))
-	d := ShareDecision{IsShared: true, Admission: f.sharing.Admit(now, w.Service, w.Workspace, float64(f.capacity(now, w.Service).slots))}
+	d := ShareDecision{IsShared: true, Admission: f.sharing.Admit(now, w.Service, w.Workspace, higherRanks, float64(f.capacity(now, w.Service).slots))}
 	if !d.IsOverShare {
 		return d
 	}
--- a/internal/fleetview/share.go
+++ b/internal/fleetview/share.go
@@ -10,15 +10,15 @@
 // IsSharing reports whether capacity is divided between workspaces.
 func (v *View) IsSharing() bool { return v.fleet.IsSharing() } // set once, so that no lock is needed
 
-// OfferOnline records an online request that has arrived, and decides on it by the share of its workspace. canQueue is
-// set if the request may wait at the gateway for a slot.
-func (v *View) OfferOnline(w fleet.Work, canQueue bool) fleet.ShareDecision {
+// OfferOnline records an online request that has arrived, and decides on it by the share of its workspace. higherRanks
+// is the number of more urgent ranks, and canQueue is set if the request may wait at the gateway for a slot.
+func (v *View) OfferOnline(w fleet.Work, higherRanks int, canQueue bool) fleet.ShareDecision {
 	if !v.IsSharing() {
 		return fleet.ShareDecision{}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.fleet.OfferOnline(time.Now(), w, canQueue)
+	return v.fleet.OfferOnline(time.Now(), w, higherRanks, canQueue)
 }
 
 // RecordShareRejection records that a request was rejected because its workspace is over its share.
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -21,7 +21,7 @@
 	if !ex.gw.view.IsSharing() {
 		return
 	}
-	ex.share = ex.gw.view.OfferOnline(ex.work(), request.IsSecondAttempt())
+	ex.share = ex.gw.view.OfferOnline(ex.work(), request.HigherRanks, request.IsSecondAttempt())
 	request.Share = shed.Share{IsDivided: true, IsOver: ex.share.IsOverShare, IsAdmitted: ex.share.IsAdmitted, IsSlotFree: ex.share.IsSlotFree}
 }
 
