--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -89,10 +89,11 @@
 	storeContact time.Time
 	costs        *costmodel.Model
 	demands      *headroom.Learner
-	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
-	draws        uint64            // random choices of a target so far
-	predictions  predictor         // costs; another one in tests
-	forecasts    forecaster        // demands; another one in tests
+	sharing      *fairshare.Ledger          // nil if capacity is not divided between workspaces
+	capacities   map[string]serviceCapacity // by service; see capacity
+	draws        uint64                     // random choices of a target so far
+	predictions  predictor                  // costs; another one in tests
+	forecasts    forecaster                 // demands; another one in tests
 }
 
 // targetState is a target with what this gateway has recorded of its load and health.
--- a/core/shed/expected.go
+++ b/core/shed/expected.go
@@ -52,18 +52,19 @@
 // have to wait is rejected, and the wait of first attempts leaves room for the retries that are due.
 func (c *Controller) arriveExpected(now time.Time, r Request) Decision {
 	isFirst := r.isFirstAttempt() && c.Disabled.IsEnabled(policy.RetryLater)
+	queued := c.queuedBefore(r.queueKey())
 	switch {
 	case !r.canBeServed(r.Remaining):
 		return r.reject()
 	case r.LatencyGoal == 0 || r.ExpectedWait == 0:
 		return Decision{Verdict: Send}
-	case isFirst && (len(c.queue) > 0 || r.ExpectedWait > r.maxWait()-c.retries.wait(now, r)):
+	case isFirst && (queued > 0 || r.ExpectedWait > r.maxWait()-c.retries.wait(now, r)):
 		return Decision{Verdict: RetryLater, RetryAfter: c.retries.schedule(now, r, c.Disabled.IsEnabled(policy.RetryForecast))}
 	case r.ExpectedWait <= r.maxWait():
 		return Decision{Verdict: Send}
 	case r.isFirstAttempt() || !c.Disabled.IsEnabled(policy.QueueRetries):
 		return Decision{Verdict: Send}
-	case len(c.queue) >= c.maxQueued(now, r) && !c.canServeBeyondQueue(now, r):
+	case queued >= c.maxQueued(now, r) && !c.canServeBeyondQueue(now, r):
 		return r.reject()
 	}
 	return c.enqueue(now, r)
@@ -79,7 +80,7 @@
 // its caller gives up: at the rate at which queued requests are sent or, if the demand is expected to fall, at
 // the start rate from then on.
 func (c *Controller) canServeBeyondQueue(now time.Time, r Request) bool {
-	ahead := float64(len(c.queue) + 1)
+	ahead := float64(c.queuedBefore(r.queueKey()) + 1)
 	timeLeft := r.firstEventTimeout() - time.Duration(serviceMargin*float64(r.ServiceTime))
 	if rate := c.dequeueRate(now, r.StartRate); r.ExpectedWait+seconds(ahead/rate) <= timeLeft {
 		return true
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -11,6 +11,7 @@
 package shed
 
 import (
+	"slices"
 	"time"
 
 	"arbutusramp/core/policy"
@@ -61,6 +62,7 @@
 	WaitStep time.Duration
 	// CapacityAfter is the time until the forecast of the demand expects free capacity; 0 if unknown.
 	CapacityAfter time.Duration
+	Share         Share // position of the request's workspace in the division of the capacity
 }
 
 // maxWait is how long the request may wait for a slot and still meet its goal. Less urgent requests may wait
@@ -84,7 +86,11 @@
 	if timeLeft == 0 || r.Remaining > 0 && r.Remaining < timeLeft {
 		timeLeft = r.Remaining
 	}
-	return time.Duration(maxQueueTimeShare * float64(timeLeft))
+	queueTime := time.Duration(maxQueueTimeShare * float64(timeLeft))
+	if r.Share.IsOver {
+		return r.limitOverShareQueueTime(queueTime)
+	}
+	return queueTime
 }
 
 // retryAfter is the time after which the caller should retry: when a slot is expected to be free, but not
@@ -119,10 +125,11 @@
 }
 
 // QueuedRequest is a request that waits at the gateway for capacity. At expiresAt it is sent regardless of
-// the engines' queues.
+// the engines' queues, unless its workspace is over its share.
 type QueuedRequest struct {
 	expiresAt time.Time
 	deadline  time.Time // when the caller gives up; zero if unknown
+	key       queueKey
 }
 
 // Controller decides on the online requests of one service at one gateway. It does no I/O, uses no clock and
@@ -131,7 +138,7 @@
 	// Disabled is the set of disabled mechanisms.
 	Disabled policy.Disabled
 
-	queue       []*QueuedRequest // in order of arrival
+	queue       []*QueuedRequest // in order of their keys, and then of arrival
 	dequeueGap  time.Duration    // moving average of the time between two requests sent from the queue, without expired ones; 0 if unknown
 	retries     retrySchedule    // of rejected requests with a known service time
 	lastDequeue time.Time        // when an unexpired request was last sent from the queue, or when the queue last became non-empty
@@ -140,6 +147,9 @@
 // Arrive decides on a request that has just arrived. With the verdict Queue the request is in the queue until
 // Dequeue is called for it.
 func (c *Controller) Arrive(now time.Time, r Request) Decision {
+	if r.Share.IsOver {
+		return c.arriveOverShare(now, r)
+	}
 	if r.ServiceTime > 0 {
 		return c.arriveExpected(now, r)
 	}
@@ -150,22 +160,22 @@
 		return Decision{Verdict: RetryLater, RetryAfter: r.retryAfter()}
 	case r.isFirstAttempt() || !c.Disabled.IsEnabled(policy.QueueRetries):
 		return Decision{Verdict: Send}
-	case len(c.queue) >= c.maxQueued(now, r):
+	case c.queuedBefore(r.queueKey()) >= c.maxQueued(now, r):
 		return Decision{Verdict: Reject}
 	}
 	return c.enqueue(now, r)
 }
 
-// enqueue adds a request at the end of the queue.
+// enqueue puts a request into the queue.
 func (c *Controller) enqueue(now time.Time, r Request) Decision {
-	q := &QueuedRequest{expiresAt: now.Add(r.maxQueueTime())}
+	q := &QueuedRequest{expiresAt: now.Add(r.maxQueueTime()), key: r.queueKey()}
 	if r.Remaining > 0 {
 		q.deadline = now.Add(r.Remaining)
 	}
 	if len(c.queue) == 0 {
 		c.lastDequeue = now
 	}
-	c.queue = append(c.queue, q)
+	c.queue = slices.Insert(c.queue, c.queuedBefore(q.key), q)
 	return Decision{Verdict: Queue, Queued: q}
 }
 
@@ -188,10 +198,13 @@
 	return max(1/gap.Seconds(), minDequeueRateShare*startRate)
 }
 
-// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue, or Reject for one
-// with a known service time that cannot be answered any more before its caller gives up. Requests are sent in order of
-// arrival, except expired ones.
+// Recheck decides on a queued request with the input r as of now; the verdict is Send or Queue, RetryLater for an
+// expired one of a workspace over its share, or Reject for one with a known service time that cannot be answered
+// any more before its caller gives up. Requests are sent in the order of the queue, except expired ones.
 func (c *Controller) Recheck(now time.Time, q *QueuedRequest, r Request) Verdict {
+	if q.key.isOver {
+		return c.recheckOverShare(now, q, r)
+	}
 	if r.ServiceTime > 0 && !q.deadline.IsZero() && !r.canBeServed(max(1, q.deadline.Sub(now))) {
 		return Reject
 	}
@@ -207,7 +220,7 @@
 	return Queue
 }
 
-// IsFirst reports whether q has been in the queue for the longest time.
+// IsFirst reports whether q is the next request of the queue to be sent.
 func (c *Controller) IsFirst(q *QueuedRequest) bool { return len(c.queue) > 0 && c.queue[0] == q }
 
 // IsExpired reports whether the request has reached its maximum queue time.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -62,11 +62,13 @@
 	timeLeft := ex.callerTimeLeft()
 	initialTimeout := ex.gw.timeouts.Observe(ex.route.Name, timeLeft)
 	prospect, request := ex.newShedRequest(initialTimeout)
+	ex.applyShare(&request)
 	ctrl := ex.gw.controllers.get(ex.service)
 	ctrl.mu.Lock()
 	decision := ctrl.Arrive(time.Now(), request)
 	ctrl.mu.Unlock()
 	ex.logVerdict(decision, prospect, request)
+	ex.noteShare(decision.Verdict)
 	switch decision.Verdict {
 	case shed.Send:
 		return nil
@@ -76,6 +78,9 @@
 	if decision.Verdict == shed.RetryLater && request.CapacityAfter > 0 {
 		metrics.GetOrRegisterCounter("online.overload.forecast_retries", ex.gw.reg).Inc(1)
 	}
+	if ex.share.IsOverShare {
+		return ex.overShareError().WithRetry(decision.RetryAfter)
+	}
 	return overloadError(decision, request)
 }
 
@@ -128,11 +133,15 @@
 		if !ctrl.canRecheck(queued) {
 			continue
 		}
-		prospect, request := ex.newShedRequest(initialTimeout)
+		prospect, request := ex.newQueuedRequest(initialTimeout)
 		switch verdict := ctrl.recheck(queued, request); verdict {
 		case shed.Send:
 			ctrl.dequeue(queued, true)
 			return nil
+		case shed.RetryLater:
+			ctrl.dequeue(queued, false)
+			ex.noteShare(verdict)
+			return ex.overShareError()
 		case shed.Reject:
 			ctrl.dequeue(queued, false)
 			decision := shed.Decision{Verdict: verdict}
