Batch items start where their slot is expected to last, and yield in an overload

Cause: items start in any free slot, and most runs are preempted before they have gained an event; in an overload the least urgent work keeps being served. Change: core/headroom learns the demand and how far the online requests at a target grow within the gain time; PickBatchSlot starts items only where their slot lasts with a probability of one half, urgent items at a lower one and on fast targets. Gateways report overloads, and no gateway starts items for the mean hold time after the last report. Within a rank the run that loses least is preempted. Only for services whose costs are predicted.

--- a/core/backlog/pace.go
+++ b/core/backlog/pace.go
@@ -83,6 +83,22 @@
 	if !ok {
 		return 0
 	}
-	events := max(1, float64(estimate.eventsPerToken)*float64(tokens)-float64(eventsDone))
-	return time.Duration(float64(estimate.secondsPerEvent) * events * float64(time.Second))
+	return time.Duration(float64(estimate.secondsPerEvent) * estimate.eventsLeft(tokens, eventsDone) * float64(time.Second))
+}
+
+// EventsLeft returns the expected number of events that such an item still produces. It returns 0 before the first
+// complete item of the route.
+func (e *RunTimeEstimator) EventsLeft(route string, tokens int64, eventsDone int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	estimate, ok := e.byRoute[route]
+	if !ok || estimate.eventsPerToken == 0 {
+		return 0
+	}
+	return int(estimate.eventsLeft(tokens, eventsDone))
+}
+
+// eventsLeft returns the expected number of events that an item still produces, at least 1.
+func (e *routeEstimate) eventsLeft(tokens int64, eventsDone int) float64 {
+	return max(1, float64(e.eventsPerToken)*float64(tokens)-float64(eventsDone))
 }
--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -15,25 +15,57 @@
 const staggerInterval = 12 * time.Millisecond
 
 // PickBatch chooses the target for a batch item: one with free slots beyond Options.MinFreeAfterStart, and
-// none of those in tried. ok is false if there is none. Gateways stagger their starts in the order of their
-// Demand.StartKey: the n-th gateway may take the n-th of these free slots of a target immediately, and an
+// none of those in tried. ok is false if there is none; see PickBatchSlot.
+func (f *Fleet) PickBatch(now time.Time, w Work, tried []string) (c Choice, ok bool) {
+	p := f.PickBatchSlot(now, w, tried)
+	return p.Choice, p.IsPicked
+}
+
+// PickBatchSlot is PickBatch with the reason why an item has to wait. Gateways stagger their starts in the order
+// of their Demand.StartKey: the n-th gateway may take the n-th of the free slots of a target immediately, and an
 // earlier one only after it has stayed free for a multiple of staggerInterval. Otherwise all gateways would
 // start an item in the same slot, and all but one would preempt it again.
-func (f *Fleet) PickBatch(now time.Time, w Work, tried []string) (c Choice, ok bool) {
+//
+// For services whose costs are predicted, an item starts only where its slot is expected to last and while
+// online requests are neither rejected nor queued. Without this, in a demand that alternates between a low and a high
+// level, most runs are preempted before they have gained an event.
+func (f *Fleet) PickBatchSlot(now time.Time, w Work, tried []string) BatchPick {
 	list := f.candidates(now, w.Service, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
 	ahead := f.gatewaysAhead()
 	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.canStart(now, c, ahead) })
 	if len(list) == 0 {
-		return Choice{}, false
+		return BatchPick{}
+	}
+	if f.isYielding(now, w.Service) && !(w.IsUrgent && !f.isUrgentShareUsed(now, w.Service)) {
+		return BatchPick{Deferral: DeferredForOverload}
+	}
+	pick := BatchPick{IsPicked: true}
+	isUrgent := w.IsUrgent && f.isCostAware(w.Service)
+	var probabilities map[string]float64 // by target id; nil if they are not computed
+	if f.opts.Disabled.IsEnabled(policy.DemandForecast) && f.isCostAware(w.Service) {
+		pick.IsForecast = true
+		list, probabilities, pick.Probability = f.lastingCandidates(now, w, list)
+		if len(list) == 0 {
+			return BatchPick{Deferral: DeferredForHeadroom, IsForecast: true, Probability: pick.Probability}
+		}
 	}
 	best := slices.MinFunc(list, func(a, b candidate) int {
+		if isUrgent {
+			if order := cmp.Compare(f.slownessClass(now, a.target.ID), f.slownessClass(now, b.target.ID)); order != 0 {
+				return order
+			}
+		}
 		return cmp.Or(
 			cmp.Compare(b.freeSlots()+b.domainBonus(), a.freeSlots()+a.domainBonus()),
 			cmp.Compare(a.target.tieBreak, b.target.tieBreak),
 			cmp.Compare(a.target.ID, b.target.ID),
 		)
 	})
-	return f.choice(best, fmt.Sprintf("turn %d", ahead)), true
+	if probabilities != nil {
+		pick.Probability = probabilities[best.target.ID]
+	}
+	pick.Choice = f.choice(best, fmt.Sprintf("turn %d", ahead))
+	return pick
 }
 
 // batchDomainBonus is how many free slots are added to those of a target in the gateway's own failure domain
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,6 +70,8 @@
 	// IsStream is set if the answer is a stream, so that its latency goal is for the first event and not for the
 	// whole answer.
 	IsStream bool
+	// IsUrgent is set for a batch item that would miss its due time if it did not start now.
+	IsUrgent bool
 }
 
 // Fleet is one gateway's view of the targets and of the other gateways. It is not safe for concurrent use.
@@ -89,6 +91,8 @@
 	storeContact time.Time
 	costs        *costmodel.Model
 	demands      *headroom.Learner
+	observed     observedTargets
+	overloads    map[string]*overload
 	sharing      *fairshare.Ledger // nil if capacity is not divided between workspaces
 }
 
@@ -151,7 +155,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
-		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}),
+		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}), overloads: make(map[string]*overload),
 	}
 	if o.Sharing != nil {
 		f.sharing = fairshare.New(*o.Sharing)
@@ -172,6 +176,7 @@
 		ts.setPeerBatch(name, p.Loads[t.ID].Batch)
 	}
 	f.targets[t.ID] = ts
+	f.observed.reset()
 }
 
 // Remove drops a target. Requests that are still running there are not ended.
@@ -179,6 +184,7 @@
 	delete(f.targets, id)
 	delete(f.ownBatchTargets, id)
 	f.costs.RemoveTarget(id)
+	f.observed.reset()
 }
 
 // Targets returns all targets that have been put and not removed.
@@ -196,6 +202,7 @@
 		ts.ownLoad.addRequests(c, 1)
 		ts.health.recordStart(now)
 		f.trackOwnBatch(id, ts)
+		f.observeDemand(now)
 	}
 }
 
@@ -204,6 +211,7 @@
 	if ts, ok := f.targets[id]; ok {
 		ts.updateLoad(now, func() { ts.ownLoad.addRequests(c, -1) })
 		f.trackOwnBatch(id, ts)
+		f.observeDemand(now)
 	}
 }
 
@@ -263,6 +271,8 @@
 		}
 	}
 	f.peers[from] = &peer{lastSeen: now, Report: r}
+	f.applyOverloads(now, from, r.Overloaded)
+	f.observeDemand(now)
 }
 
 // Heartbeat is a sign of life of a peer, which another gateway forwards in place of the peer's report.
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
@@ -67,6 +68,9 @@
 	}
 	toEvent, isPreempted := t.lastEvent(), t.finishRun(r.Target.ID, v)
 	m.scheduler.notifyRunFinished()
+	if isPreempted && t.eventCount() == eventsBefore {
+		metrics.GetOrRegisterCounter(cutWithoutGainMetric, m.registry).Inc(1)
+	}
 	if v == runFailed {
 		m.saveFailure(t)
 	}
@@ -151,6 +155,7 @@
 	if v, err := m.classifyAnswer(t, r, answer); v != runComplete {
 		return v, err
 	}
+	eventsLeft := m.runTimes.EventsLeft(t.job.Route, t.item().Tokens, t.eventCount())
 	reader := events.NewReader(answer.Body)
 	for {
 		e, err := reader.Next()
@@ -164,12 +169,14 @@
 		if r.RecordEvent() >= quarantine.MinPassDuration && t.markPassed() {
 			m.opts.Quarantine.NotePassed(t.content)
 		}
-		t.appendEvent(e)
+		eventsLeft--
+		r.RecordProgress(t.appendEvent(e), eventsLeft)
 	}
 }
 
-// appendEvent appends an event to the task's text, on a line of its own.
-func (t *task) appendEvent(e events.Event) {
+// appendEvent appends an event to the task's text, on a line of its own. It returns the number of events since the
+// last checkpoint.
+func (t *task) appendEvent(e events.Event) (unsavedEvents int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastEventID != "" {
@@ -179,6 +186,7 @@
 	t.lastEventID = e.ID
 	t.events++
 	t.unsavedEvents++
+	return t.unsavedEvents
 }
 
 // classifyAnswer returns the verdict on an answer before its body is read, and the reason. runComplete means
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -13,6 +13,7 @@
 	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
+	"arbutusramp/internal/logging"
 )
 
 const (
@@ -48,7 +49,9 @@
 	runFinished chan struct{}
 	// shardAdopted receives a token when the items of another shard may run.
 	shardAdopted chan struct{}
-	scanCount    metrics.Counter // see scansMetric
+	scanCount    metrics.Counter  // see scansMetric
+	deferLog     *logging.Routine // long deferrals of starts
+	overloadLog  *logging.Routine // begins and ends of overloads
 }
 
 // scansMetric is the name of the counter of scans of all jobs for new and finished items.
@@ -58,7 +61,7 @@
 func newScheduler(m *Manager) *scheduler {
 	return &scheduler{
 		m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task), runFinished: make(chan struct{}, 1), shardAdopted: make(chan struct{}, 1),
-		scanCount: metrics.GetOrRegisterCounter(scansMetric, m.registry),
+		scanCount: metrics.GetOrRegisterCounter(scansMetric, m.registry), deferLog: logging.NewRoutine(m.log), overloadLog: logging.NewRoutine(m.log),
 	}
 }
 
@@ -148,6 +151,7 @@
 		for sc.startNext(ctx) {
 			sleep.For(ctx, startPause)
 		}
+		sc.logOverloads()
 		if sc.publishDemand() > 0 || sc.hasPausedTask() {
 			pollTimer.Reset(demandPollInterval)
 		} else {
@@ -223,7 +227,8 @@
 // reports whether it has started one.
 func (sc *scheduler) startNext(ctx context.Context) bool {
 	now := time.Now()
-	fullServices := make(map[string]bool) // services without a free slot
+	fullServices := make(map[string]bool)     // services without a free slot
+	deferredServices := make(map[string]bool) // services of which only urgent items may start
 	for _, ordered := range sc.sortTasks(sc.startableTasks(now), now) {
 		t := ordered.task
 		route, _, err := sc.m.router.Route(t.job.Host, t.item().URI)
@@ -235,13 +240,23 @@
 			return false
 		}
 		service := route.Service(t.item().ID)
-		if fullServices[service] || sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
+		if fullServices[service] {
 			continue
 		}
-		if sc.startRun(ctx, t, route, service) {
+		w := t.work(route, service)
+		w.IsUrgent = sc.isUrgent(t, now)
+		if deferredServices[service] && !w.IsUrgent || sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
+			continue
+		}
+		isStarted, pick := sc.startRun(ctx, t, route, w)
+		if isStarted {
 			return true
 		}
-		fullServices[service] = true
+		if pick.Deferral == fleet.NotDeferred || w.IsUrgent {
+			fullServices[service] = true
+			continue
+		}
+		deferredServices[service] = true
 	}
 	return false
 }
@@ -335,34 +350,36 @@
 	}
 }
 
-// startRun starts a run of a task if a target of the service has a free slot for it. It reports whether a run
-// was started.
-func (sc *scheduler) startRun(ctx context.Context, t *task, route *serving.Route, service string) bool {
+// startRun starts a run of a task if a target of the service has a free slot for it that is expected to last. It
+// reports whether a run was started, and the choice or the reason behind.
+func (sc *scheduler) startRun(ctx context.Context, t *task, route *serving.Route, w fleet.Work) (isStarted bool, pick fleet.BatchPick) {
 	runCtx, cancel := context.WithCancel(ctx)
-	r, ok := sc.m.view.StartBatch(t.work(route, service), t.job.Rank, t.targetsToAvoid(), func() { t.preempt(cancel) })
-	if !ok {
+	r, pick := sc.m.view.StartBatchOrDefer(w, t.job.Rank, t.targetsToAvoid(), func() { t.preempt(cancel) })
+	if !pick.IsPicked {
 		cancel()
-		return false
+		sc.recordDeferral(t, w, pick)
+		return false, pick
 	}
 	if !sc.registerRun() {
 		r.Done()
 		cancel()
-		return false
+		return false, pick
 	}
 	if sc.m.opts.Quarantine.AdmitRequest(t.content) != nil {
 		sc.deferQuarantined(t, time.Now())
 		sc.activeRuns.Done()
 		r.Done()
 		cancel()
-		return false
+		return false, pick
 	}
+	sc.recordStart(t, w, pick)
 	t.markStarted(cancel)
 	go func() {
 		defer sc.activeRuns.Done()
 		defer cancel()
 		sc.m.runItem(runCtx, t, r, route)
 	}()
-	return true
+	return true, pick
 }
 
 // registerRun adds a run to activeRuns and returns true. It returns false, without adding one, once stopRuns
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -41,6 +41,7 @@
 	checkpoint     []platform.KeyedRecord // records of the last checkpoint; empty without one
 	failures       int                    // failed runs, including those at former owners
 	unroutedChecks int                    // consecutive checks that found no route
+	deferral       deferral               // of the start, since the last run
 	avoidTargets   []string               // ids of targets at which the last run was broken off or failed
 }
 
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"arbutusramp/core/fleet"
@@ -28,6 +29,8 @@
 	rank         int    // of a batch run: its urgency, 0 the most urgent
 	preempt      func() // of a batch run: makes it release its slot
 	isDone       bool
+	// unsavedEvents and eventsLeft are of a batch run; see RecordProgress.
+	unsavedEvents, eventsLeft atomic.Int64
 	// onTargetEnd is called when the target is known to have restarted; see OnTargetEnd.
 	onTargetEnd    func()
 	hasTargetEnded bool
@@ -109,6 +112,23 @@
 	signal(v.slotFreed)
 }
 
+// RecordProgress records how many events a batch run has gained since the last saved one, and how many it is expected to
+// gain yet. Both decide which runs are preempted.
+func (r *Run) RecordProgress(unsavedEvents, eventsLeft int) {
+	r.unsavedEvents.Store(int64(unsavedEvents))
+	r.eventsLeft.Store(int64(eventsLeft))
+}
+
+// preemptionLoss returns how much is lost by preempting the run: the events since the last saved one, relative to
+// the events that are left, because a run that is nearly complete soon releases its slot anyway. It is -1 before the
+// first event. The caller holds the lock of the view.
+func (r *Run) preemptionLoss() float64 {
+	if r.firstEventAt.IsZero() {
+		return -1
+	}
+	return float64(1+r.unsavedEvents.Load()) / float64(1+max(0, r.eventsLeft.Load()))
+}
+
 // RecordActivity records that the target of the run has just sent data to this process.
 func (r *Run) RecordActivity() {
 	r.view.mu.Lock()
@@ -211,8 +231,10 @@
 }
 
 // takeVictims removes the runs that must be preempted from v.preemptible and returns them. At each target it
-// chooses the least urgent runs, and among equally urgent ones the youngest, since the oldest are closest to
-// completion. A chosen run counts in the load of its target until it is done. The caller holds v.mu.
+// chooses the least urgent runs, and among equally urgent ones those that lose least if the costs of the service
+// are predicted (see preemptionLoss), and otherwise the youngest, since the oldest are closest to completion. Of
+// runs that lose the same the youngest are chosen. A chosen run counts in the load of its target until it is done.
+// The caller holds v.mu.
 func (v *View) takeVictims(now time.Time) []*Run {
 	var victims []*Run
 	for id, n := range v.fleet.Preempt(now) {
@@ -223,7 +245,13 @@
 		if n <= 0 {
 			continue
 		}
-		slices.SortStableFunc(runs, func(a, b *Run) int { return cmp.Compare(a.rank, b.rank) })
+		isByLoss := v.fleet.IsCostAware(runs[0].Target.Service)
+		slices.SortStableFunc(runs, func(a, b *Run) int {
+			if order := cmp.Compare(a.rank, b.rank); order != 0 || !isByLoss {
+				return order
+			}
+			return cmp.Or(cmp.Compare(b.preemptionLoss(), a.preemptionLoss()), a.startedAt.Compare(b.startedAt))
+		})
 		victims = append(victims, runs[len(runs)-n:]...)
 		v.preemptible[id] = runs[:len(runs)-n]
 	}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/headroom"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/structs"
 )
@@ -81,18 +82,54 @@
 // preempt is called at most once, when the run must release its slot, and must not block. rank is the urgency
 // of the item, 0 the most urgent: at one target the runs with the highest rank are preempted first.
 func (v *View) StartBatch(w fleet.Work, rank int, tried []string, preempt func()) (*Run, bool) {
+	r, pick := v.StartBatchOrDefer(w, rank, tried, preempt)
+	return r, pick.IsPicked
+}
+
+// StartBatchOrDefer is StartBatch with the choice behind the start, or with the reason why the item has to wait.
+// The run is nil if none was started.
+func (v *View) StartBatchOrDefer(w fleet.Work, rank int, tried []string, preempt func()) (*Run, fleet.BatchPick) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	c, ok := v.fleet.PickBatch(now, w, tried)
-	if !ok {
-		return nil, false
+	pick := v.fleet.PickBatchSlot(now, w, tried)
+	if !pick.IsPicked {
+		return nil, pick
 	}
-	r := &Run{Target: c.Target, Choice: c, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	r := &Run{Target: pick.Target, Choice: pick.Choice, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
 	v.addRun(now, r)
-	v.preemptible[c.Target.ID] = append(v.preemptible[c.Target.ID], r)
+	v.preemptible[pick.Target.ID] = append(v.preemptible[pick.Target.ID], r)
 	signal(v.loadsChanged)
-	return r, true
+	return r, pick
+}
+
+// NoteOverload records that this process has rejected or queued an online request of a service, and reports the
+// first one of an overload to the peers at once.
+func (v *View) NoteOverload(service string) {
+	v.mu.Lock()
+	isNew := v.fleet.NoteOverload(time.Now(), service)
+	v.mu.Unlock()
+	if isNew {
+		signal(v.loadsChanged)
+	}
+}
+
+// TakeOverloadChanges returns the overloads of services that have begun or ended since the last call.
+func (v *View) TakeOverloadChanges() []fleet.OverloadChange {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.TakeOverloadChanges(time.Now())
+}
+
+// Demand returns the demand of a service and the age of the last observation of it; zero while it is not observed.
+func (v *View) Demand(service string) (demand headroom.Summary, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	demand = v.fleet.Demand(service)
+	if demand.ObservedAt.IsZero() {
+		return demand, 0
+	}
+	return demand, time.Since(demand.ObservedAt)
 }
 
 // Prospect returns how long an online request that arrives now can expect to wait for a slot and to
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -64,6 +64,9 @@
 	decision := ctrl.Arrive(time.Now(), request)
 	ctrl.mu.Unlock()
 	ex.logVerdict(decision.Verdict, request)
+	if decision.Verdict != shed.Send {
+		ex.gw.view.NoteOverload(ex.service)
+	}
 	switch decision.Verdict {
 	case shed.Send:
 		return nil
--- a/internal/telemetry/histogram.go
+++ b/internal/telemetry/histogram.go
@@ -16,8 +16,13 @@
 // Observe adds a duration to the histogram of that name in reg, in milliseconds. The name should end
 // in "ms".
 func Observe(reg metrics.Registry, name string, d time.Duration) {
+	ObserveValue(reg, name, d.Milliseconds())
+}
+
+// ObserveValue adds a value to the histogram of that name in reg. The name should end in the unit.
+func ObserveValue(reg metrics.Registry, name string, value int64) {
 	h := reg.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	})
-	h.(metrics.Histogram).Update(d.Milliseconds())
+	h.(metrics.Histogram).Update(value)
 }
