Starts of batch items: patient items, staggering by lasting slots, simulation

Change: starts are staggered by the number of slots that last and from its last change; items that can wait for the next low phase of a periodic demand need 0.9. Peaks between two observations count, and growth is learned apart for falling demand as well. The simulation of fleets pauses between starts as the product does.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -41,10 +41,9 @@
 	}
 	pick := BatchPick{IsPicked: true}
 	isUrgent := w.IsUrgent && f.isCostAware(w.Service)
-	var probabilities map[string]float64 // by target id; nil if they are not computed
 	if f.opts.Disabled.IsEnabled(policy.DemandForecast) && f.isCostAware(w.Service) {
 		pick.IsForecast = true
-		list, probabilities, pick.Probability = f.lastingCandidates(now, w, list)
+		list, pick.Probability = f.lastingCandidates(now, w, list, ahead)
 		if len(list) == 0 {
 			return BatchPick{Deferral: DeferredForHeadroom, IsForecast: true, Probability: pick.Probability}
 		}
@@ -61,8 +60,8 @@
 			cmp.Compare(a.target.ID, b.target.ID),
 		)
 	})
-	if probabilities != nil {
-		pick.Probability = probabilities[best.target.ID]
+	if pick.IsForecast {
+		pick.Probability = best.target.lasting.probability
 	}
 	pick.Choice = f.choice(best, fmt.Sprintf("turn %d", ahead))
 	return pick
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -72,6 +72,9 @@
 	IsStream bool
 	// IsUrgent is set for a batch item that would miss its due time if it did not start now.
 	IsUrgent bool
+	// StartSlack is for how long the start of a batch item can be deferred so that it still meets its due time; 0 if
+	// unknown or none.
+	StartSlack time.Duration
 }
 
 // Fleet is one gateway's view of the targets and of the other gateways. It is not safe for concurrent use.
@@ -107,6 +110,9 @@
 	peerBatch map[Peer]int
 	// freeSince is when the target last went from no free slots to some.
 	freeSince time.Time
+	lasting   lastingSlots
+	// peakOnline is the highest number of online requests since the last observation of the demand.
+	peakOnline int
 	// tieBreak decides between targets of the same tier and cost, lowest first. It differs between gateways,
 	// so that they do not all pick the same target.
 	tieBreak uint64
@@ -200,6 +206,7 @@
 func (f *Fleet) Begin(now time.Time, id string, c structs.Class) {
 	if ts, ok := f.targets[id]; ok {
 		ts.ownLoad.addRequests(c, 1)
+		ts.peakOnline = max(ts.peakOnline, ts.totalLoad().Online)
 		ts.health.recordStart(now)
 		f.trackOwnBatch(id, ts)
 		f.observeDemand(now)
@@ -229,6 +236,7 @@
 func (ts *targetState) updateLoad(now time.Time, update func()) {
 	oldFreeSlots := ts.freeSlots()
 	update()
+	ts.peakOnline = max(ts.peakOnline, ts.totalLoad().Online)
 	if oldFreeSlots <= 0 && ts.freeSlots() > 0 {
 		ts.freeSince = now
 	}
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -18,6 +18,9 @@
 	minStartProbability = 0.5
 	// minUrgentProbability is the same for an item that would miss its due time if it did not start now.
 	minUrgentProbability = 0.15
+	// minPatientProbability is the same for an item that can wait for the next low phase of a periodic demand. The slots
+	// of nearly full targets are left to items that can't.
+	minPatientProbability = 0.9
 	// maxUrgentShare is the share of a service's slots up to which batch items may hold slots for an urgent item to
 	// start in an overload.
 	maxUrgentShare = 1.0 / 16
@@ -26,9 +29,10 @@
 	slownessStep = 1.25
 	// observeInterval is the shortest time between two observations of the demand.
 	observeInterval = 50 * time.Millisecond
-	// overloadReportTime is how long after it was noted an overload is reported: two regular reports, which are
-	// 200 ms apart, so that it is not lost with one datagram.
-	overloadReportTime = 450 * time.Millisecond
+	// overloadReportTime is how long after it was noted an overload is reported. It is longer than the interval of
+	// 200 ms between regular reports, so that an overload that is reported at once is reported twice at least, and is
+	// not lost with one datagram.
+	overloadReportTime = 250 * time.Millisecond
 	// maxYieldTime is the longest time after the last report of an overload in which no batch item starts.
 	maxYieldTime = 2 * time.Second
 	// maxOverloads bounds the services whose overload is recorded; further ones are ignored until others end.
@@ -93,23 +97,90 @@
 	return items >= max(1, int(maxUrgentShare*float64(f.totalSlots(now, service))))
 }
 
-// lastingCandidates returns the candidates at which a slot is expected to last for the item, and the highest
-// probability of all.
-func (f *Fleet) lastingCandidates(now time.Time, w Work, list []candidate) (lasting []candidate, probabilities map[string]float64, highest float64) {
-	limit := minStartProbability
-	if w.IsUrgent {
-		limit = minUrgentProbability
+// startProbability returns the lowest probability that its slot lasts at which a batch item starts.
+func (f *Fleet) startProbability(w Work) float64 {
+	period := f.demands.Summary(w.Service).Period
+	switch {
+	case w.IsUrgent:
+		return minUrgentProbability
+	case period > 0 && w.StartSlack > period:
+		return minPatientProbability
+	}
+	return minStartProbability
+}
+
+// lastingSlots is the number of slots of a target that were last found to last for batch items.
+type lastingSlots struct {
+	slots          int
+	probability    float64   // of the first of them, or of a free slot if none lasts
+	since, checked time.Time // since when the number is unchanged, and when it was last computed
+}
+
+// maxLastingAge is the age from which on the last number of lasting slots is no longer compared with the next one.
+const maxLastingAge = 100 * time.Millisecond
+
+// update records the number of lasting slots.
+func (l *lastingSlots) update(now time.Time, slots int) {
+	if slots != l.slots || now.Sub(l.checked) > maxLastingAge {
+		l.slots, l.since = slots, now
+	}
+	l.checked = now
+}
+
+// slotUse is the load of a target and its slots.
+type slotUse struct {
+	load  Load
+	slots int
+}
+
+// lastingCount is the number of slots that last, with the probability of the first free one.
+type lastingCount struct {
+	slots       int
+	probability float64
+}
+
+// countLasting returns how many slots batch items may take one after the other at a target with this use, each with at
+// least the probability limit that it lasts.
+func (f *Fleet) countLasting(now time.Time, service string, use slotUse, limit float64) lastingCount {
+	var count lastingCount
+	for batch := use.load.Batch; use.load.Online+batch < use.slots-f.opts.MinFreeAfterStart; batch++ {
+		p := f.demands.Lasts(now, service, use.load.Online, batch, use.slots)
+		if batch == use.load.Batch {
+			count.probability = p
+		}
+		if p < limit {
+			break
+		}
+		count.slots++
 	}
-	probabilities = make(map[string]float64, len(list))
+	return count
+}
+
+// lastingCandidates returns the candidates at which a slot is expected to last for the item, and the highest
+// probability of all. Gateways stagger their starts as canStart does, but by the number of slots that last and from the
+// time of its last change: slots begin to last at many targets at once when the demand falls, and all gateways would
+// start items in the same ones. The first gateway in turn waits for staggerInterval as well, because the slot that an online
+// request has just released is the one that all gateways send their next online requests to.
+func (f *Fleet) lastingCandidates(now time.Time, w Work, list []candidate, ahead int) (lasting []candidate, highest float64) {
+	limit := f.startProbability(w)
+	known := make(map[slotUse]lastingCount) // many targets have the same load
 	for _, c := range list {
-		p := f.demands.Lasts(now, w.Service, c.load.Online, c.load.Batch, c.target.Slots)
+		use := slotUse{c.load, c.target.Slots}
+		count, ok := known[use]
+		if !ok {
+			count = f.countLasting(now, w.Service, use, limit)
+			known[use] = count
+		}
+		n, p := count.slots, count.probability
 		highest = max(highest, p)
-		if p >= limit {
+		c.target.lasting.update(now, n)
+		c.target.lasting.probability = p
+		gatewaysWithoutSlot := max(0, ahead-(n-1))
+		if n > 0 && now.Sub(c.target.lasting.since) >= time.Duration(1+gatewaysWithoutSlot)*staggerInterval {
 			lasting = append(lasting, c)
-			probabilities[c.target.ID] = p
 		}
 	}
-	return lasting, probabilities, highest
+	return lasting, highest
 }
 
 // slownessClass returns the class of a target's slowness: targets of one class count as equally fast.
@@ -169,7 +240,9 @@
 		counts := f.observed.counts[:0]
 		for _, ts := range list {
 			if !ts.IsDraining {
-				counts = append(counts, headroom.Count{Target: ts.ID, Online: ts.ownLoad.Online + ts.peerLoad.Online, Slots: ts.Slots})
+				online := ts.ownLoad.Online + ts.peerLoad.Online
+				counts = append(counts, headroom.Count{Target: ts.ID, Online: online, Slots: ts.Slots, Peak: ts.peakOnline})
+				ts.peakOnline = online
 			}
 		}
 		f.demands.Observe(now, service, counts)
--- a/core/headroom/demand.go
+++ b/core/headroom/demand.go
@@ -28,12 +28,13 @@
 	minDispersion = 2
 	// maxForecastPeriods is how many past periods a forecast averages.
 	maxForecastPeriods = 3
-	// risingSwingShare is the share of the swing by which the forecast must rise for the demand to count as rising.
-	risingSwingShare = 0.1
-	// risingNoise is how many standard deviations of independent arrivals the demand must have risen within
-	// trendBins to count as rising without a forecast.
-	risingNoise = 1.0
-	trendBins   = 3
+	// trendSwingShare is the share of the swing by which the forecast must change for the demand to count as rising or
+	// falling.
+	trendSwingShare = 0.1
+	// trendNoise is how many standard deviations of independent arrivals the demand must have changed within
+	// trendBins to count as rising or falling without a forecast.
+	trendNoise = 1.0
+	trendBins  = 3
 	// levelBins is the number of bins of the level.
 	levelBins = int64(time.Second / binTime)
 )
@@ -197,19 +198,37 @@
 	return sum / float64(periods), true
 }
 
-// isRising reports whether the demand rises within the time ahead by the forecast, or has just risen.
-func (d *demand) isRising(now time.Time, ahead time.Duration) bool {
+// trend is the direction of the demand.
+type trend uint8
+
+const (
+	steady trend = iota
+	rising
+	falling
+	trends
+)
+
+// trend returns the direction of the demand within the time ahead by the forecast, or its direction in the last trendBins.
+// A rise in either takes precedence.
+func (d *demand) trend(now time.Time, ahead time.Duration) trend {
+	var rise, fall float64 // by the forecast
 	if d.period > 0 {
 		base, _ := d.forecast(now, 0)
 		for step := binTime; step <= ahead; step += binTime {
-			if later, _ := d.forecast(now, step); later-base > risingSwingShare*d.swing {
-				return true
-			}
+			later, _ := d.forecast(now, step)
+			rise, fall = max(rise, later-base), max(fall, base-later)
 		}
 	}
-	if d.last-d.first < trendBins {
-		return false
+	change, noise := 0.0, math.Inf(1)
+	if d.last-d.first >= trendBins {
+		before := d.values[(d.last-trendBins)%bins]
+		change, noise = d.current()-before, trendNoise*math.Sqrt(max(1, before))
+	}
+	switch limit := trendSwingShare * d.swing; {
+	case d.period > 0 && rise > limit || change > noise:
+		return rising
+	case d.period > 0 && fall > limit || change < -noise:
+		return falling
 	}
-	before := d.values[(d.last-trendBins)%bins]
-	return d.current()-before > risingNoise*math.Sqrt(max(1, before))
+	return steady
 }
--- a/core/headroom/growth.go
+++ b/core/headroom/growth.go
@@ -25,27 +25,20 @@
 }
 
 // growth is the distribution of the maximum number of online requests at a target within the gain time, as growth
-// over the number at its beginning, by the class of that number, for other and for rising demand.
+// over the number at its beginning, by the class of that number and the trend of the demand. A target that is nearly full
+// keeps its slots while the demand falls, and loses them at a steady high level.
 type growth struct {
-	byCount   [2][countClasses]distribution
+	byCount   [trends][countClasses]distribution
 	all       distribution
 	decayedAt time.Time
 }
 
-// index returns the index of growth.byCount.
-func index(isRising bool) int {
-	if isRising {
-		return 1
-	}
-	return 0
-}
-
 func countClass(online, slots int) int { return min(countClasses-1, online*classesInFull/slots) }
 
 // add records that a count has grown by at most grown requests.
-func (g *growth) add(online, grown, slots int, isRising bool) {
+func (g *growth) add(online, grown, slots int, t trend) {
 	class := min(growthClasses-1, grown*growthClasses/slots)
-	for _, d := range []*distribution{&g.byCount[index(isRising)][countClass(online, slots)], &g.all} {
+	for _, d := range []*distribution{&g.byCount[t][countClass(online, slots)], &g.all} {
 		d.weights[class]++
 		d.total++
 	}
@@ -82,19 +75,24 @@
 }
 
 // atMost returns the probability that a count grows by at most room requests. With too few observations of the
-// count and of its kind of demand, it is that of the count in any demand, then that of all counts, and then 1.
-func (g *growth) atMost(online, room, slots int, isRising bool) float64 {
+// count and the trend, it is that of the count in any demand, then that of all counts, and then 1.
+func (g *growth) atMost(online, room, slots int, t trend) float64 {
 	class := countClass(online, slots)
-	own, other := &g.byCount[index(isRising)][class], &g.byCount[index(!isRising)][class]
-	switch {
-	case own.total >= minWeight:
+	if own := &g.byCount[t][class]; own.total >= minWeight {
 		return float64(own.weightAtMost(room, slots) / own.total)
-	case own.total+other.total >= minWeight:
-		return float64((own.weightAtMost(room, slots) + other.weightAtMost(room, slots)) / (own.total + other.total))
-	case g.all.total >= minWeight:
-		return float64(g.all.weightAtMost(room, slots) / g.all.total)
 	}
-	return 1
+	var weight, total float32
+	for i := range g.byCount {
+		weight += g.byCount[i][class].weightAtMost(room, slots)
+		total += g.byCount[i][class].total
+	}
+	if total < minWeight {
+		weight, total = g.all.weightAtMost(room, slots), g.all.total
+	}
+	if total < minWeight {
+		return 1
+	}
+	return float64(weight / total)
 }
 
 // weightAtMost returns the weight of the classes that contain only growths of at most room requests. The last
@@ -136,13 +134,14 @@
 }
 
 type pending struct {
-	at       time.Time
-	online   int
-	isRising bool
+	at     time.Time
+	online int
+	peak   int // since the observation before
+	trend  trend
 }
 
 // observe records the counts of the watched targets, and adds to g the growths whose gain time has ended.
-func (ws *watches) observe(now time.Time, counts []Count, isRising bool, gainTime time.Duration, g *growth) {
+func (ws *watches) observe(now time.Time, counts []Count, t trend, gainTime time.Duration, g *growth) {
 	if len(counts) > maxWatches && now.Sub(ws.turnSince) > turnGainTimes*gainTime {
 		ws.turnSince = now
 		ws.offset = (ws.offset + maxWatches) % len(counts)
@@ -160,26 +159,27 @@
 			*w = watch{target: c.Target}
 		}
 		if c.Slots > 0 {
-			w.observe(now, c, isRising, gainTime, g)
+			w.observe(now, c, t, gainTime, g)
 		}
 	}
 }
 
 // observe records a count, and adds to g the growths whose gain time has ended.
-func (w *watch) observe(now time.Time, c *Count, isRising bool, gainTime time.Duration, g *growth) {
+func (w *watch) observe(now time.Time, c *Count, t trend, gainTime time.Duration, g *growth) {
 	if w.length > 0 && now.Sub(w.at(w.length-1).at) > gainTime/2 {
 		w.length = 0 // the maximum between two observations so far apart is unknown
 	}
 	for w.length > 0 && now.Sub(w.at(0).at) >= gainTime || w.length == maxPending {
-		begin, highest := w.at(0), c.Online
-		for i := range w.length {
-			highest = max(highest, w.at(i).online)
+		begin, highest := w.at(0), max(c.Online, c.Peak)
+		for i := 1; i < w.length; i++ {
+			highest = max(highest, w.at(i).online, w.at(i).peak)
 		}
-		g.add(begin.online, highest-begin.online, c.Slots, begin.isRising)
+		highest = max(highest, begin.online)
+		g.add(begin.online, highest-begin.online, c.Slots, begin.trend)
 		w.first = (w.first + 1) % maxPending
 		w.length--
 	}
-	*w.at(w.length) = pending{now, c.Online, isRising}
+	*w.at(w.length) = pending{now, c.Online, c.Peak, t}
 	w.length++
 }
 
--- a/core/headroom/headroom.go
+++ b/core/headroom/headroom.go
@@ -23,6 +23,9 @@
 type Count struct {
 	Target        string
 	Online, Slots int
+	// Peak is the highest number since the last observation. A request that arrives and another that ends between two
+	// observations leave the number as it is, but the first has needed a slot.
+	Peak int
 }
 
 // Options are the settings of a Learner.
@@ -43,8 +46,7 @@
 	demand   demand
 	growth   growth
 	watches  watches
-	// isRising is set while the demand rises or is about to rise.
-	isRising bool
+	trend    trend
 }
 
 // New returns a Learner without observations.
@@ -75,9 +77,9 @@
 		online += counts[i].Online
 	}
 	s.demand.add(now, float64(online))
-	s.isRising = s.demand.isRising(now, l.opts.GainTime)
+	s.trend = s.demand.trend(now, l.opts.GainTime)
 	s.growth.decay(now)
-	s.watches.observe(now, counts, s.isRising, l.opts.GainTime, &s.growth)
+	s.watches.observe(now, counts, s.trend, l.opts.GainTime, &s.growth)
 }
 
 // makeRoom drops the service that was observed longest ago if there are maxServices.
@@ -106,7 +108,7 @@
 	if !ok || now.Sub(s.lastSeen) > windowTime {
 		return 1
 	}
-	return s.growth.atMost(online, room, slots, s.isRising)
+	return s.growth.atMost(online, room, slots, s.trend)
 }
 
 // Forecast returns the expected number of online requests at all targets of a service after a time.
@@ -143,6 +145,6 @@
 	}
 	return Summary{
 		Online: s.demand.current(), Mean: s.demand.mean, Swing: s.demand.swing, Period: time.Duration(s.demand.period * float64(binTime)),
-		IsRising: s.isRising, ObservedAt: s.lastSeen,
+		IsRising: s.trend == rising, ObservedAt: s.lastSeen,
 	}
 }
--- a/internal/backlog/headroom.go
+++ b/internal/backlog/headroom.go
@@ -27,11 +27,13 @@
 	probabilityMetric    = "batch.start_lasts_percent" // histogram of the probability that the slot of a started run lasts
 )
 
-// isUrgent reports whether an item can still meet its due time, but not if its start is deferred further.
-func (sc *scheduler) isUrgent(t *task, now time.Time) bool {
+// startSlack returns for how long the start of an item can be deferred so that it still meets its due time, at least 0,
+// and whether it is urgent: it can meet its due time, but not if it is deferred further.
+func (sc *scheduler) startSlack(t *task, now time.Time) (slack time.Duration, isUrgent bool) {
 	remaining := sc.m.runTimes.Remaining(t.job.Route, t.item().Tokens, t.eventCount())
-	slack := time.UnixMilli(t.due()).Sub(now) - remaining
-	return slack >= 0 && slack < max(minUrgentSlack, time.Duration(urgentRemainingShare*float64(remaining)))
+	slack = time.UnixMilli(t.due()).Sub(now) - remaining
+	isUrgent = slack >= 0 && slack < max(minUrgentSlack, time.Duration(urgentRemainingShare*float64(remaining)))
+	return max(0, slack), isUrgent
 }
 
 // deferral is the time for which the start of an item has been deferred.
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -244,7 +244,7 @@
 			continue
 		}
 		w := t.work(route, service)
-		w.IsUrgent = sc.isUrgent(t, now)
+		w.StartSlack, w.IsUrgent = sc.startSlack(t, now)
 		if deferredServices[service] && !w.IsUrgent || sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
 			continue
 		}
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -47,6 +47,7 @@
 	controller shed.Controller
 	items      []*item // that wait, in the order of key
 	runs       []*run
+	nextStart  time.Time // no item starts before
 	told       time.Time
 	dirty      bool // loads have changed since told
 }
@@ -54,6 +55,9 @@
 // serve takes a stream: it is sent to an engine, its caller is sent away, or it is held.
 func (g *gateway) serve(s *stream) {
 	d := g.controller.Arrive(g.sim.clock.now, g.outlook(s))
+	if d.Verdict != shed.Send && g.view.NoteOverload(g.sim.clock.now, service) {
+		g.changed()
+	}
 	switch d.Verdict {
 	case shed.Send:
 		g.send(s)
@@ -114,16 +118,59 @@
 	g.sort()
 	for len(g.items) > 0 {
 		now := g.sim.clock.now
-		c, ok := g.view.PickBatch(now, corefleet.Work{Service: service}, nil)
-		if !ok {
+		if now.Before(g.nextStart) {
+			return
+		}
+		i, id := g.pickItem(now)
+		if id == "" {
+			return
+		}
+		it := g.items[i]
+		g.items = slices.Delete(g.items, i, i+1)
+		g.start(it, id)
+		if pause := g.sim.options.StartPause; pause > 0 {
+			g.nextStart = now.Add(pause)
+			g.sim.clock.after(pause, g.startItems)
 			return
 		}
-		it := g.items[0]
-		g.items = g.items[1:]
-		g.start(it, c.Target.ID)
 	}
 }
 
+// pickItem returns the index of the item that starts next and its target: the first item, or the first urgent one while
+// others are deferred. The target is empty if none starts.
+func (g *gateway) pickItem(now time.Time) (i int, target string) {
+	pick := g.view.PickBatchSlot(now, corefleet.Work{Service: service, IsUrgent: g.isUrgent(g.items[0]), StartSlack: max(0, g.slack(g.items[0]))}, nil)
+	if pick.IsPicked || pick.Deferral == corefleet.NotDeferred {
+		return 0, pick.Target.ID
+	}
+	i = slices.IndexFunc(g.items, g.isUrgent)
+	if i < 1 {
+		return 0, ""
+	}
+	return i, g.view.PickBatchSlot(now, corefleet.Work{Service: service, IsUrgent: true}, nil).Target.ID
+}
+
+// minUrgentSlack and urgentRemainingShare are those of the product.
+const (
+	minUrgentSlack       = 2 * time.Second
+	urgentRemainingShare = 0.25
+)
+
+// isUrgent reports whether an item can still be in time, but not if it starts much later.
+func (g *gateway) isUrgent(it *item) bool {
+	remaining := g.remaining(it)
+	slack := g.slack(it)
+	return slack >= 0 && slack < max(minUrgentSlack, time.Duration(urgentRemainingShare*float64(remaining)))
+}
+
+// slack is how long an item's start can be deferred.
+func (g *gateway) slack(it *item) time.Duration { return it.due.Sub(g.sim.clock.now) - g.remaining(it) }
+
+// remaining is how long an item still has to run.
+func (g *gateway) remaining(it *item) time.Duration {
+	return g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
+}
+
 func (g *gateway) start(it *item, id string) {
 	o := &g.sim.options
 	r := &run{item: it, target: id}
@@ -133,6 +180,7 @@
 		g.startItems()
 	}}
 	g.runs = append(g.runs, r)
+	g.sim.report.Runs++
 	g.view.Begin(g.sim.clock.now, id, structs.ClassBatch)
 	g.changed()
 	g.sim.engines[id].take(r.work)
@@ -145,23 +193,41 @@
 	g.changed()
 }
 
-// preempt cuts off as many items as online requests need slots, the newest first.
+// preempt cuts off as many items as online requests need slots: the newest first, or those that lose least if the costs
+// are predicted.
 func (g *gateway) preempt() {
 	cuts := g.view.Preempt(g.sim.clock.now)
 	for _, id := range slices.Sorted(maps.Keys(cuts)) {
-		n := cuts[id]
-		for i := len(g.runs) - 1; i >= 0 && n > 0; i-- {
-			if g.runs[i].target == id {
-				g.cut(g.runs[i])
-				n--
+		var there []*run
+		for _, r := range slices.Backward(g.runs) {
+			if r.target == id {
+				there = append(there, r)
 			}
 		}
+		if g.view.IsCostAware(service) {
+			slices.SortStableFunc(there, func(a, b *run) int { return cmp.Compare(g.loss(a), g.loss(b)) })
+		}
+		for _, r := range there[:min(cuts[id], len(there))] {
+			g.cut(r)
+		}
+	}
+}
+
+// loss is what is lost by cutting a run, as in the product; no events are saved in the model.
+func (g *gateway) loss(r *run) float64 {
+	made := r.work.made(g.sim.clock.now)
+	if made == 0 {
+		return -1
 	}
+	return float64(1+made) / float64(1+r.item.left-made)
 }
 
 // cut ends a run; its item goes on later from its last event.
 func (g *gateway) cut(r *run) {
 	g.sim.report.Cut++
+	if r.work.made(g.sim.clock.now) == 0 {
+		g.sim.report.CutWithoutGain++
+	}
 	r.item.left = max(1, r.item.left-r.work.made(g.sim.clock.now))
 	g.sim.engines[r.target].stop(r.work)
 	g.end(r)
@@ -179,8 +245,7 @@
 	if !g.sim.policy.Off.IsEnabled(policy.FeasibleFirst) {
 		return due
 	}
-	left := g.sim.options.Prompt + time.Duration(it.left)*g.sim.options.Event
-	return backlog.StartKey(g.sim.clock.now, due, left, 0)
+	return backlog.StartKey(g.sim.clock.now, due, g.remaining(it), 0)
 }
 
 func (g *gateway) sort() {
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"arbutusramp/core/errs"
+	corefleet "arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
 )
 
@@ -12,6 +13,10 @@
 	Name string
 	// Spare slots stay free at each engine after an item has started there.
 	Spare int
+	// Reserve slots must be free beside an item when it starts, but are not kept free afterwards.
+	Reserve int
+	// ExpectedTime says whether the costs of requests are predicted.
+	ExpectedTime corefleet.ExpectedTimeMode
 	// Off are the product's mechanisms that are switched off.
 	Off policy.Disabled
 }
@@ -34,6 +39,7 @@
 	Lost                     int           // engines that are gone from the start
 	Seconds                  int           // of arrivals
 	Streams                  float64       // a second, on average over a burst and the time after it
+	IsSteady                 bool          // arrivals of streams without bursts
 	Burst                    float64       // times the usual traffic, for a tenth of the time from its middle on; 0 is none
 	Jobs                     float64       // a second
 	JobItems                 int           // of each job
@@ -45,6 +51,7 @@
 	Stay                     time.Duration // what a caller waits for the first event
 	Due                      time.Duration // of an item, from its job's arrival
 	Lag                      time.Duration // until a peer hears of a load
+	StartPause               time.Duration // between two starts of items by a gateway; the product's is 6 ms
 	Seed                     uint64
 }
 
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -28,8 +28,12 @@
 	P99Ms       float64 `json:"first_event_p99_ms"`
 	Items       int     `json:"items"`
 	ItemsInTime int     `json:"items_in_time"`
+	Runs        int     `json:"item_runs"`
 	Cut         int     `json:"runs_cut"`
-	firsts      *hdrhistogram.Histogram
+	// CutWithoutGain counts the runs that were cut before their first event.
+	CutWithoutGain int `json:"runs_cut_without_gain"`
+	ItemsDone      int `json:"items_done"`
+	firsts         *hdrhistogram.Histogram
 }
 
 // Bounds of first events, in microseconds.
@@ -54,6 +58,7 @@
 
 // done takes in an item's end.
 func (r *Result) done(now time.Time, it *item) {
+	r.ItemsDone++
 	if !now.After(it.due) {
 		r.ItemsInTime++
 	}
--- a/internal/lab/fleet/sim.go
+++ b/internal/lab/fleet/sim.go
@@ -47,7 +47,7 @@
 	}
 	for i := range o.Gateways {
 		name := corefleet.Peer(fmt.Sprintf("g%d", i))
-		view := corefleet.New(corefleet.Options{Self: name, MinFreeAfterStart: p.Spare, MinFreeSlots: p.Spare, PeerTTL: peerTTL, Disabled: p.Off})
+		view := corefleet.New(corefleet.Options{Self: name, MinFreeAfterStart: max(p.Spare, p.Reserve), MinFreeSlots: p.Spare, PeerTTL: peerTTL, ExpectedTime: p.ExpectedTime, Disabled: p.Off})
 		s.gateways = append(s.gateways, &gateway{sim: s, name: name, view: view, controller: shed.Controller{Disabled: p.Off}})
 	}
 	for i := range o.Engines - o.Lost {
@@ -98,6 +98,9 @@
 	if at%burstEvery < burstFor {
 		rate = s.options.Streams * burstFactor
 	}
+	if s.options.IsSteady {
+		rate = s.options.Streams
+	}
 	all := time.Duration(s.options.Seconds) * time.Second
 	if s.options.Burst > 0 && at >= all/2 && at < all/2+all/10 {
 		rate *= s.options.Burst
