--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -173,6 +173,9 @@
 func (f *Fleet) Put(t serving.Target) {
 	ts, ok := f.targets[t.ID]
 	if ok {
+		if ts.Service != t.Service {
+			f.observed.reset()
+		}
 		ts.Target = t
 		return
 	}
--- a/core/headroom/growth.go
+++ b/core/headroom/growth.go
@@ -33,7 +33,9 @@
 	decayedAt time.Time
 }
 
-func countClass(online, slots int) int { return min(countClasses-1, online*classesInFull/slots) }
+func countClass(online, slots int) int {
+	return min(countClasses-1, max(0, online)*classesInFull/slots)
+}
 
 // add records that a count has grown by at most grown requests.
 func (g *growth) add(online, grown, slots int, t trend) {
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/policy"
 	"arbutusramp/core/serving"
 )
 
@@ -99,3 +100,29 @@
 		t.Errorf("runs preempted in order %v, want [1 2 0]", preempted)
 	}
 }
+
+// Guards against work that is repeated: where costs are predicted, the run without an event is preempted first, then the one
+// that has gained least since its last saved event relative to what is left; a run that is nearly complete is the last.
+func TestRunThatLosesLeastIsPreemptedFirst(t *testing.T) {
+	v := New(fleet.Options{Self: "self", PeerTTL: time.Minute, ExpectedTime: fleet.ExpectedTimeOn, Disabled: policy.Disabled{policy.DemandForecast: true}})
+	v.UpdateTargets([]serving.Target{{ID: "t", Service: "s", Slots: 4}}, nil)
+	var preempted []int
+	for i, progress := range [][2]int{{50, 10}, {0, 0}, {2, 300}, {90, 300}} {
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted = append(preempted, i) })
+		if !ok {
+			t.Fatal("no free slot for a batch run")
+		}
+		if progress[0] > 0 {
+			r.RecordEvent()
+			r.RecordProgress(progress[0], progress[1])
+		}
+	}
+	for range 4 {
+		if _, ok := v.StartOnline(fleet.Work{Service: "s"}, nil); !ok {
+			t.Fatal("no target for an online request")
+		}
+	}
+	if !slices.Equal(preempted, []int{1, 2, 3, 0}) {
+		t.Errorf("runs preempted in order %v, want [1 2 3 0]", preempted)
+	}
+}
