--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -129,6 +129,10 @@
 // between two reports than it has free slots.
 func (f *Fleet) chooseExpected(now time.Time, w Work, list []candidate) expectedCandidate {
 	all, earliest := f.expectAll(now, w, list)
+	if earliest.hold == 0 { // no wait is known, so that a full queue would count as a free slot
+		best := bestCandidate(list)
+		return expectedCandidate{best, f.expect(now, w, best)}
+	}
 	limit := earliest.total() + max(minTimeTolerance, scale(earliest.total(), timeToleranceShare))
 	isEqualAndFree := func(c expectedCandidate) bool { return c.total() <= limit && c.tier() == tierFree }
 	hasFreeSlot := slices.ContainsFunc(all, isEqualAndFree)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,6 +70,11 @@
 	// IsStream is set if the answer is a stream, so that its latency goal is for the first event and not for the
 	// whole answer.
 	IsStream bool
+	// IsUrgent is set for a batch item that would miss its due time if it did not start now.
+	IsUrgent bool
+	// StartSlack is for how long the start of a batch item can be deferred so that it still meets its due time; 0 if
+	// unknown or none.
+	StartSlack time.Duration
 }
 
 // Fleet is one gateway's view of the targets and of the other gateways. It is not safe for concurrent use.
@@ -94,6 +99,8 @@
 	draws        uint64                     // random choices of a target so far
 	predictions  predictor                  // costs; another one in tests
 	forecasts    forecaster                 // demands; another one in tests
+	observed     observedTargets
+	overloads    map[string]*overload // by service
 }
 
 // targetState is a target with what this gateway has recorded of its load and health.
@@ -107,6 +114,9 @@
 	peerBatch map[Peer]int
 	// freeSince is when the target last went from no free slots to some.
 	freeSince time.Time
+	lasting   lastingSlots
+	// peakOnline is the highest number of online requests since the last observation of the demand.
+	peakOnline int
 	// tieBreak decides between targets of the same tier and cost, lowest first. It differs between gateways,
 	// so that they do not all pick the same target.
 	tieBreak uint64
@@ -155,7 +165,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
-		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}),
+		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}), overloads: make(map[string]*overload),
 	}
 	f.predictions, f.forecasts = f.costs, f.demands
 	if o.Sharing != nil {
@@ -169,6 +179,9 @@
 	ts, ok := f.targets[t.ID]
 	f.costs.PutTarget(t.Service, t.ID)
 	if ok {
+		if ts.Service != t.Service {
+			f.observed.reset()
+		}
 		ts.Target = t
 		return
 	}
@@ -178,6 +191,7 @@
 		ts.setPeerBatch(name, p.Loads[t.ID].Batch)
 	}
 	f.targets[t.ID] = ts
+	f.observed.reset()
 }
 
 // Remove drops a target. Requests that are still running there are not ended.
@@ -185,6 +199,7 @@
 	delete(f.targets, id)
 	delete(f.ownBatchTargets, id)
 	f.costs.RemoveTarget(id)
+	f.observed.reset()
 }
 
 // Targets returns all targets that have been put and not removed.
@@ -200,8 +215,10 @@
 func (f *Fleet) Begin(now time.Time, id string, c structs.Class) {
 	if ts, ok := f.targets[id]; ok {
 		ts.ownLoad.addRequests(c, 1)
+		ts.peakOnline = max(ts.peakOnline, ts.totalLoad().Online)
 		ts.health.recordStart(now)
 		f.trackOwnBatch(id, ts)
+		f.observeDemand(now)
 	}
 }
 
@@ -210,6 +227,7 @@
 	if ts, ok := f.targets[id]; ok {
 		ts.updateLoad(now, func() { ts.ownLoad.addRequests(c, -1) })
 		f.trackOwnBatch(id, ts)
+		f.observeDemand(now)
 	}
 }
 
@@ -227,6 +245,7 @@
 func (ts *targetState) updateLoad(now time.Time, update func()) {
 	oldFreeSlots := ts.freeSlots()
 	update()
+	ts.peakOnline = max(ts.peakOnline, ts.totalLoad().Online)
 	if oldFreeSlots <= 0 && ts.freeSlots() > 0 {
 		ts.freeSince = now
 	}
@@ -269,6 +288,8 @@
 		}
 	}
 	f.peers[from] = &peer{lastSeen: now, Report: r}
+	f.applyOverloads(now, from, r.Overloaded)
+	f.observeDemand(now)
 }
 
 // Heartbeat is a sign of life of a peer, which another gateway forwards in place of the peer's report.
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -69,6 +69,9 @@
 	ctrl.mu.Unlock()
 	ex.logVerdict(decision, prospect, request)
 	ex.noteShare(decision.Verdict)
+	if decision.Verdict != shed.Send {
+		ex.gw.view.NoteOverload(ex.service)
+	}
 	switch decision.Verdict {
 	case shed.Send:
 		return nil
--- a/internal/telemetry/histogram.go
+++ b/internal/telemetry/histogram.go
@@ -19,7 +19,7 @@
 	ObserveValue(reg, name, d.Milliseconds())
 }
 
-// ObserveValue adds a value to the histogram of that name in reg.
+// ObserveValue adds a value to the histogram of that name in reg. The name should end in the unit.
 func ObserveValue(reg metrics.Registry, name string, value int64) {
 	h := reg.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
