Endpoint /scheduling and arbutusctl load: speeds, demand and shares as a gateway sees them

Cause: what expected times, forecasts and shares are based on was visible only in log lines of single decisions. A gateway now serves it as JSON beside its metrics, bounded to 200 targets, 64 services and 100 workspaces a service with counts of the rest, and arbutusctl load prints it as tables. Two gauges count overloaded services and slow targets. Ledger.Workspaces takes its limit and returns the total.

--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -98,7 +98,7 @@
 	if d := l.Decide(now, "s", "a", 16); d.Use > 0 || d.Offered > 0 || d.IsOverShare {
 		t.Errorf("a window after its last request a workspace has %+v, want no use", d)
 	}
-	if n := len(l.Workspaces(now, "s")); n != 1 {
+	if _, n := l.Workspaces(now, "s", 1); n != 1 {
 		t.Errorf("%d workspaces are kept after a window without work of one of two, want 1", n)
 	}
 }
@@ -265,7 +265,7 @@
 	}
 	now = now.Add(3 * time.Second)
 	l.Decide(now, "s", names[0], 16)
-	if n := len(l.Workspaces(now, "s")); n != 0 {
+	if _, n := l.Workspaces(now, "s", 1); n != 0 {
 		t.Errorf("%d idle workspaces are kept, want 0", n)
 	}
 	runtime.KeepAlive(l)
--- a/core/fairshare/summary.go
+++ b/core/fairshare/summary.go
@@ -18,18 +18,14 @@
 	Rejected    int // requests of the workspace that this gateway has rejected because of its share
 }
 
-// maxSummaries bounds the result of Workspaces.
-const maxSummaries = 64
-
-// Workspaces returns the positions of the workspaces with the most offered and served work at a service, by the
-// capacity that the last decision was based on.
-func (l *Ledger) Workspaces(now time.Time, service string) []WorkspaceSummary {
+// Workspaces returns the positions of the workspaces with the most offered and served work at a service, at most
+// limit, by the capacity that the last decision was based on. total is the number of all workspaces with work.
+func (l *Ledger) Workspaces(now time.Time, service string, limit int) (list []WorkspaceSummary, total int) {
 	s, ok := l.services[service]
 	if !ok {
-		return nil
+		return nil, 0
 	}
 	capacity := s.div.capacity
-	var list []WorkspaceSummary
 	s.eachUsage(now, func(u Usage) {
 		if u.Offered == 0 && u.Served == 0 {
 			return
@@ -44,5 +40,5 @@
 	slices.SortFunc(list, func(a, b WorkspaceSummary) int {
 		return cmp.Or(cmp.Compare(b.Offered+b.Use, a.Offered+a.Use), cmp.Compare(a.ID, b.ID))
 	})
-	return list[:min(maxSummaries, len(list))]
+	return list[:min(limit, len(list))], len(list)
 }
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -134,15 +134,6 @@
 	return f.sharing.OverShareAtStart(now, service, waiting, float64(f.capacity(now, service).slots))
 }
 
-// Workspaces returns the positions of the workspaces with the most work at a service, for operators.
-func (f *Fleet) Workspaces(now time.Time, service string) []fairshare.WorkspaceSummary {
-	if f.sharing == nil {
-		return nil
-	}
-	f.expirePeers(now)
-	return f.sharing.Workspaces(now, service)
-}
-
 // expireUsage drops the usage of workspaces that a peer has reported.
 func (f *Fleet) expireUsage(name Peer) {
 	if f.sharing != nil {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -21,7 +21,7 @@
 // Ctl runs arbutusctl with the process's arguments and returns its exit status.
 func Ctl() int {
 	return run("arbutusctl",
-		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, &explainCmd{}, jobGroup(), labGroup())
+		&planCmd{}, &confirmCmd{}, &statusCmd{}, &watchCmd{}, &explainCmd{}, &loadCmd{}, jobGroup(), labGroup())
 }
 
 func run(name string, cmds ...subcommands.Command) int {
--- a/internal/fleetview/share.go
+++ b/internal/fleetview/share.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"arbutusramp/core/fairshare"
 	"arbutusramp/core/fleet"
 )
 
@@ -51,13 +50,6 @@
 	return over
 }
 
-// Workspaces returns the positions of the workspaces with the most work at a service.
-func (v *View) Workspaces(service string) []fairshare.WorkspaceSummary {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.fleet.Workspaces(time.Now(), service)
-}
-
 // recordServed records the work of a run that begins. The caller holds v.mu.
 func (v *View) recordServed(now time.Time, r *Run) {
 	r.sharedWork = v.fleet.ServeWork(now, r.Work)
--- a/internal/fleetview/share_test.go
+++ b/internal/fleetview/share_test.go
@@ -34,13 +34,13 @@
 		online.Done()
 		seconds := time.Since(began).Seconds()
 		want := map[string]float64{"preempted": 0.25, "whole": 1, "online": 1}
-		list := v.Workspaces("s")
+		list := v.Scheduling().Services[0].Workspaces
 		if len(list) != len(want) {
 			t.Fatalf("workspaces %+v, want %d", list, len(want))
 		}
 		for _, w := range list {
-			if used := w.Use * seconds; used < 0.95*want[w.Name] || used > 1.05*want[w.Name] {
-				t.Errorf("%s has used %.2f s in slots, want %.2f", w.Name, used, want[w.Name])
+			if used := w.Use * seconds; used < 0.95*want[w.Workspace] || used > 1.05*want[w.Workspace] {
+				t.Errorf("%s has used %.2f s in slots, want %.2f", w.Workspace, used, want[w.Workspace])
 			}
 		}
 	})
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -10,6 +10,7 @@
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
 	"arbutusramp/internal/loadshare"
+	"arbutusramp/internal/scheduling"
 	"arbutusramp/internal/storepath"
 	"arbutusramp/internal/telemetry"
 	"arbutusramp/platform/store"
@@ -75,6 +76,14 @@
 	g.auxServers = append(g.auxServers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
 }
 
+// metricsHandler returns the handler for operators: the state of the scheduling, and the metrics at all other paths.
+func (g *Gateway) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(scheduling.Path, scheduling.Handler(g.view.Scheduling))
+	mux.Handle("/", telemetry.TextHandler(g.reg))
+	return mux
+}
+
 // listen opens the listeners for readiness checks, metrics and callers.
 func (g *Gateway) listen() error {
 	for _, listener := range []struct {
@@ -82,7 +91,7 @@
 		handler http.Handler
 	}{
 		{g.settings.ReadyAddr, http.HandlerFunc(g.serveReady)},
-		{g.settings.MetricsAddr, telemetry.TextHandler(g.reg)},
+		{g.settings.MetricsAddr, g.metricsHandler()},
 	} {
 		ln, err := net.Listen("tcp", listener.addr)
 		if err != nil {
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -17,6 +17,8 @@
 	reportsReceivedMetric       = "reports.heard"
 	reportsReceivedBytesMetric  = "reports.heard_bytes"
 	peersMetric                 = "peers"
+	overloadedMetric            = "scheduling.overloaded_services" // services whose batch starts are suspended
+	slowTargetsMetric           = "scheduling.slow_targets"        // targets that take twice as long as usual or longer
 	inFlightMetric              = "callers.in_flight"
 	itemsMetric                 = "backlog.items"
 	itemsRunningMetric          = "backlog.items_running"
@@ -31,6 +33,8 @@
 		configAgeMetric:             func() int64 { return g.watch.Age().Milliseconds() },
 		targetsMetric:               func() int64 { return int64(len(g.view.Targets())) },
 		peersMetric:                 func() int64 { return int64(g.loadShare.PeerCount()) },
+		overloadedMetric:            func() int64 { return int64(g.view.OverloadedServices()) },
+		slowTargetsMetric:           func() int64 { return int64(g.view.SlowTargets()) },
 		reportsHubMetric:            func() int64 { return int64(g.loadShare.HubReporterCount()) },
 		reportsSentMetric:           g.loadShare.Traffic().Own.Datagrams,
 		reportsSentBytesMetric:      g.loadShare.Traffic().Own.Bytes,
