explain: decisions on a request or an item with target, prediction and share

Cause: explain printed the lines about an id, and the reader had to know which of their fields a rejection, a late answer or a preemption was based on. It now ends with the decisions in words: verdict, expected wait and service time, slowness, share, and the online request that was sent to the target of a preempted run last. The line request gets answer_ms and goal_ms, so that a late answer is recognised, and item sent the predicted times and the probability that the slot lasts.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -53,9 +53,11 @@
 func (m *Manager) runItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) {
 	fromEvent, eventsBefore := t.lastEvent(), t.eventCount()
 	began := time.Now()
-	m.sentLog.Info(began, "item sent", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
-		"route", route.Name, "target", r.Choice.String(), "from_event", fromEvent, "uri", t.item().URI,
-		"body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body))
+	fields := []any{
+		"job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch, "route", route.Name, "target", r.Choice.String(),
+		"from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
+	}
+	m.sentLog.Info(began, "item sent", append(fields, r.ForecastFields()...)...)
 	v, err := m.streamItem(ctx, t, r, route)
 	m.costs.Record(r, v == runComplete && fromEvent == "", "item", t.item().ID)
 	r.Done()
--- a/internal/command/ctl_explain.go
+++ b/internal/command/ctl_explain.go
@@ -20,7 +20,7 @@
 func (*explainCmd) Name() string     { return "explain" }
 func (*explainCmd) Synopsis() string { return "tell the story of a request, job or item from logs" }
 func (*explainCmd) Usage() string {
-	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them.\n" +
+	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them,\n  then the decisions on it: targets, predicted waits and times, shares.\n" +
 		"explain -summary FILE...\n  Counts what became of all requests, jobs and items of the logs.\n" +
 		"explain -slots 5s FILE...\n  Tells where the slot-seconds of targets with batch work went, in windows of that length.\n"
 }
@@ -77,7 +77,10 @@
 	if len(story) == 0 {
 		return errs.New(errs.NotFound, fmt.Sprintf("no line about %q in %d lines", id, len(lines)))
 	}
-	return explain.Print(os.Stdout, story)
+	if err := explain.Print(os.Stdout, story); err != nil {
+		return err
+	}
+	return explain.PrintDecisions(os.Stdout, explain.Decisions(id, lines))
 }
 
 // readLogs reads the lines of all files. Errors: errs.NotFound, those of reading.
--- a/internal/fleetview/cost.go
+++ b/internal/fleetview/cost.go
@@ -102,6 +102,20 @@
 	return run.FirstEvent + run.EventTime, c.forecast, c.hasForecast && isComplete && !run.HasQueued && !c.hasSlowRead
 }
 
+// ForecastFields returns the log fields with what was expected of the run when its target was chosen: the time in its
+// slot, the time to its first event and the slowness of the target, and of a batch run the probability that its slot
+// lasts. What was not predicted is left out.
+func (r *Run) ForecastFields() []any {
+	var fields []any
+	if f := r.cost.forecast; r.cost.hasForecast { // set before the run is returned, so that no lock is needed
+		fields = append(fields, "predicted_ms", f.Hold.Milliseconds(), "predicted_first_ms", f.FirstEvent.Milliseconds(), "slowness", roundHundredths(f.Slowness))
+	}
+	if r.hasLasting {
+		fields = append(fields, "probability", roundHundredths(r.lastingProbability))
+	}
+	return fields
+}
+
 // TargetCosts returns what is known of the speed of the targets, in the order of their ids.
 func (v *View) TargetCosts() []costmodel.TargetSummary {
 	v.mu.Lock()
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -35,6 +35,9 @@
 	onTargetEnd    func()
 	hasTargetEnded bool
 	cost           runCost
+	// lastingProbability is that with which the slot of a batch run was expected to last; valid if hasLasting is set.
+	lastingProbability float64
+	hasLasting         bool
 	// sharedWork is the time in a slot that was counted for the workspace when the run began.
 	sharedWork time.Duration
 }
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -97,7 +97,7 @@
 	if !pick.IsPicked {
 		return nil, pick
 	}
-	r := &Run{Target: pick.Target, Choice: pick.Choice, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt}
+	r := &Run{Target: pick.Target, Choice: pick.Choice, Work: w, view: v, startedAt: now, class: structs.ClassBatch, rank: rank, preempt: preempt, lastingProbability: pick.Probability, hasLasting: pick.IsForecast}
 	r.cost.forecast, r.cost.hasForecast = v.fleet.ForecastCost(now, pick.Choice, w)
 	v.addRun(now, r)
 	v.preemptible[pick.Target.ID] = append(v.preemptible[pick.Target.ID], r)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,6 +290,18 @@
 	return max(time.Millisecond, min(suggested, time.Until(ex.req.Deadline)/shed.MaxRetryDivisor))
 }
 
+// answerTime returns the time from the arrival of the request to what the latency goal is for: the start of the answer
+// of a stream, the whole answer of a call. It is 0 without an answer.
+func (ex *exchange) answerTime(now time.Time) time.Duration {
+	switch {
+	case ex.stages.answerStart.IsZero():
+		return 0
+	case ex.work().IsStream:
+		return ex.stages.answerStart.Sub(ex.req.Arrived)
+	}
+	return now.Sub(ex.req.Arrived)
+}
+
 // record logs the outcome of the request and counts it in the metrics.
 func (ex *exchange) record(err error) {
 	now := time.Now()
@@ -304,6 +316,7 @@
 		"request", ex.req.ID, "workspace", ex.req.Caller.Workspace, "route", ex.route.Name, "config", ex.gw.config.Version(),
 		"config_age_ms", ex.gw.config.Age().Milliseconds(), "service", ex.service, "targets", ex.choices,
 		"may_have_run", ex.possibleRuns, "held_ms", ex.stages.queueTime.Milliseconds(), "first_ms", ex.stages.timeToAnswerStart().Milliseconds(), "outcome", outcome, "ms", total.Milliseconds(),
+		"answer_ms", ex.answerTime(now).Milliseconds(), "goal_ms", ex.route.LatencyGoal.Milliseconds(),
 	}
 	if err == nil {
 		ex.gw.servedLog.Info(now, "request", fields...)
