--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -41,6 +41,8 @@
 	acceptsFor time.Duration
 	// downTime is the time from a crash to the replacement of a target whose address refuses connections.
 	downTime time.Duration
+	// eventGap is the pause of the targets after each event of a stream, and before a single answer.
+	eventGap time.Duration
 
 	mu           sync.Mutex
 	started      int            // targets started so far, for their ids
@@ -104,7 +106,7 @@
 	f.started++
 	f.mu.Unlock()
 	t.mu.Lock()
-	t.current = &wiretest.Target{ID: id, Events: itemEvents}
+	t.current = &wiretest.Target{ID: id, Events: itemEvents, EventGap: f.eventGap}
 	t.mu.Unlock()
 }
 
