quarantine: similar bodies and the caller's address are scopes, narrower than the route

Cause: the crashes of one caller that varies its content closed the resource and the route of all callers of the workspace, or of everybody without workspaces, since these were the only scopes that its contents shared. Change: min-hashes of the body, and the address of the caller, are scopes within workspace and route. A crash that a quarantined narrower scope explains does not count against a broader one. The log line and the counters of rejected requests name the kind of the scope and the time to its next trial.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -4,8 +4,8 @@
 // internal/quarantine detects the crashes, exchanges the records between processes and checks requests before
 // they are sent.
 //
-// A content is what a request and its repeats have in common; a scope is a resource, a batch job or a route
-// that several contents share. A record lists the crashes of one content or scope. A trial is a request that
+// A content is what a request and its repeats have in common; a scope is what several contents share: similar
+// bodies, the address of their caller, a resource, a batch job or a route. A record lists the crashes of one content or scope. A trial is a request that
 // is sent although its content or one of its scopes is quarantined, to find out whether it crashes a target.
 package quarantine
 
@@ -99,13 +99,16 @@
 // First parts of the fingerprints of scopes, one for each kind of scope. None is the name of a workspace,
 // which is the first part of a content's fingerprint, so that a scope never has the fingerprint of a content.
 const (
+	similarScope  = "\x00similar"
+	callerScope   = "\x00caller"
 	resourceScope = "\x00resource"
 	jobScope      = "\x00job"
 	routeScope    = "\x00route"
 )
 
 // Subject returns the fingerprints of the content and of its scopes: the resource (method, host and path), the
-// batch job and the route, each within the workspace. They are computed once, on the first call.
+// batch job and the route, each within the workspace, and similar bodies and the address of the caller, each within
+// workspace and route. They are computed once, on the first call.
 func (c *Content) Subject() Subject {
 	c.subjectOnce.Do(func() {
 		r := c.Request
@@ -118,11 +121,24 @@
 		c.subject.NarrowScopes = len(c.subject.Scopes)
 		if c.route != "" {
 			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, routeScope, workspace, c.route))
+			c.addNarrowScopes()
 		}
 	})
 	return c.subject
 }
 
+// addNarrowScopes adds the scopes that are narrower than the route, for a request that has a route.
+func (c *Content) addNarrowScopes() {
+	r := c.Request
+	for i, hash := range similarHashes(r.Body) {
+		part := binary.BigEndian.AppendUint64([]byte{byte(i)}, hash)
+		c.subject.Similar = append(c.subject.Similar, hashParts(part, similarScope, r.Caller.Workspace, c.route))
+	}
+	if r.CallerAddr != "" {
+		c.subject.Caller = hashParts(nil, callerScope, r.Caller.Workspace, c.route, r.CallerAddr)
+	}
+}
+
 // IsRelated reports whether the requests of two contents have the same resource or the same batch job.
 func (c *Content) IsRelated(other *Content) bool {
 	a, b := c.Subject(), other.Subject()
--- a/core/quarantine/message.go
+++ b/core/quarantine/message.go
@@ -20,6 +20,7 @@
 	// Details holds the fields of each crash that CrashMessage lacks, in the order of Crashes. It is empty if
 	// the software version of the sender does not have these fields.
 	Details []CrashDetails `cbor:"7,keyasint,omitempty"`
+	Kind    ScopeKind      `cbor:"8,keyasint,omitempty"` // Record.Kind
 }
 
 // CrashMessage is the encoded form of the fields of a Crash that every software version sends. The fields are
@@ -42,7 +43,7 @@
 
 // Message returns the encoded form of r.
 func (r Record) Message() Message {
-	m := Message{Content: r.Content[:], ClearedAt: toMillis(r.ClearedAt), LastSeen: toMillis(r.LastSeen), LastTrial: toMillis(r.LastTrial), IsScope: r.IsScope}
+	m := Message{Content: r.Content[:], ClearedAt: toMillis(r.ClearedAt), LastSeen: toMillis(r.LastSeen), LastTrial: toMillis(r.LastTrial), IsScope: r.IsScope, Kind: r.Kind}
 	for _, c := range r.Crashes {
 		m.Crashes = append(m.Crashes, CrashMessage{Target: c.TargetDigest, Began: toMillis(c.BeganAt), At: toMillis(c.BrokenAt)})
 		m.Details = append(m.Details, CrashDetails{Start: c.StartDigest, Preceding: c.PrecedingCrashes, By: c.ContentDigest})
@@ -60,7 +61,7 @@
 	if len(m.Details) > 0 && len(m.Details) != len(m.Crashes) {
 		return r, errs.Newf(errs.BadFrame, "message has details of %d crashes, want %d", len(m.Details), len(m.Crashes))
 	}
-	r.IsScope = m.IsScope
+	r.IsScope, r.Kind = m.IsScope, m.Kind
 	r.ClearedAt, r.LastSeen, r.LastTrial = fromMillis(m.ClearedAt), fromMillis(m.LastSeen), fromMillis(m.LastTrial)
 	for i, c := range m.Crashes {
 		crash := Crash{TargetDigest: c.Target, BeganAt: fromMillis(c.Began), BrokenAt: fromMillis(c.At)}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -25,9 +25,9 @@
 type Record struct {
 	// Content is the fingerprint of the content or scope.
 	Content Fingerprint
-	// IsScope reports whether Content identifies a scope: a resource, job or route that several contents
-	// share.
+	// IsScope reports whether Content identifies a scope; Kind is then the kind of the scope.
 	IsScope bool
+	Kind    ScopeKind
 	// Crashes are the crashes since ClearedAt, each once, newest first; at most MaxCrashes.
 	Crashes []Crash
 	// ClearedAt is when a target last served a request with the content, or when a run in the scope last passed;
@@ -98,7 +98,7 @@
 // removed, and then the oldest ones beyond MaxCrashes.
 func (r *Record) merge(other Record) {
 	r.ClearedAt, r.LastSeen, r.LastTrial = later(r.ClearedAt, other.ClearedAt), later(r.LastSeen, other.LastSeen), later(r.LastTrial, other.LastTrial)
-	r.IsScope = r.IsScope || other.IsScope
+	r.IsScope, r.Kind = r.IsScope || other.IsScope, max(r.Kind, other.Kind)
 	for _, c := range other.Crashes {
 		r.addCrash(c)
 	}
@@ -147,8 +147,11 @@
 // after the previous crash, according to the clocks of the observing hosts or to PrecedingCrashes. Only
 // sequential crashes show that the content or scope causes them: targets that are lost together, for another
 // reason, all crash while running whatever content many callers send at that time.
-func (r Record) countSequential() int {
-	crashes := slices.SortedFunc(slices.Values(r.Crashes), func(a, b Crash) int {
+func (r Record) countSequential() int { return countSequential(r.Crashes) }
+
+// countSequential is Record.countSequential for a list of crashes of a record.
+func countSequential(list []Crash) int {
+	crashes := slices.SortedFunc(slices.Values(list), func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.PrecedingCrashes, b.PrecedingCrashes), a.BrokenAt.Compare(b.BrokenAt))
 	})
 	n := 0
@@ -163,11 +166,11 @@
 	return n
 }
 
-// countContents returns how many different contents the crashed targets were running, for the record of a
-// scope.
-func (r Record) countContents() int {
-	digests := make(map[uint64]bool, len(r.Crashes))
-	for _, c := range r.Crashes {
+// countContents returns how many different contents the crashed targets were running, for crashes in the record of
+// a scope.
+func countContents(list []Crash) int {
+	digests := make(map[uint64]bool, len(list))
+	for _, c := range list {
 		digests[c.ContentDigest] = true
 	}
 	return len(digests)
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -51,6 +51,8 @@
 	// nextSendAt is a time before which no record has to be sent to peers. Until then DueForPeers does not scan the
 	// entries; it is called for each report to peers, many times a second.
 	nextSendAt time.Time
+	// changes counts the changes of crashes; see entry.unexplained.
+	changes int
 }
 
 // entry is the record of one content or scope, with the times at which it is next sent to peers and written to the
@@ -70,6 +72,9 @@
 	announcedLastSeen time.Time
 	// trialAt is when this gateway may send the next request with the content or of the scope as a trial.
 	trialAt time.Time
+	// unexplained is the result of Registry.unexplainedCrashes when Registry.changes was unexplainedAt.
+	unexplained   []Crash
+	unexplainedAt int
 }
 
 // NewRegistry returns an empty registry.
@@ -104,12 +109,13 @@
 }
 
 // isQuarantined reports whether the crashes of an entry suffice for a quarantine. Those of a scope must be
-// sequential and happen while running different contents.
+// sequential, happen while running different contents, and not be explained by a narrower scope.
 func (reg *Registry) isQuarantined(e *entry) bool {
-	if e.IsScope {
-		return len(e.Crashes) >= reg.opts.Threshold && e.countContents() >= minScopeContents && e.countSequential() >= reg.opts.Threshold
+	if len(e.Crashes) < reg.opts.Threshold || !e.IsScope {
+		return len(e.Crashes) >= reg.opts.Threshold
 	}
-	return len(e.Crashes) >= reg.opts.Threshold
+	crashes := reg.unexplainedCrashes(e)
+	return len(crashes) >= reg.opts.Threshold && countContents(crashes) >= minScopeContents && countSequential(crashes) >= reg.opts.Threshold
 }
 
 // CrashCount returns the number of crashes in the record of a content or scope; 0 if it has no record.
@@ -220,6 +226,7 @@
 	if len(e.Crashes) == previousCount {
 		return false
 	}
+	reg.changes++
 	reg.scheduleTrial(e)
 	reg.scheduleAnnouncement(now, e)
 	return true
@@ -241,6 +248,7 @@
 	// Records are sent with times in milliseconds: with the same precision here, all gateways store the same
 	// time.
 	e.merge(Record{Content: e.Content, ClearedAt: now.Truncate(time.Millisecond)})
+	reg.changes++
 	reg.scheduleAnnouncement(now, e)
 }
 
@@ -259,6 +267,7 @@
 		return false
 	}
 	e.merge(r)
+	reg.changes++
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	reg.scheduleTrial(e)
 	reg.scheduleWrite(e, storeBy)
@@ -277,6 +286,7 @@
 	e.stored = r.clone()
 	isNew = !e.covers(r, 0)
 	e.merge(r)
+	reg.changes++
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	if isNew {
 		reg.scheduleTrial(e)
@@ -318,6 +328,7 @@
 		}
 	}
 	delete(reg.entries, evicted.Content)
+	reg.changes++
 }
 
 // Expire discards the expired records and returns the fingerprints of those that the store still holds, so
@@ -331,6 +342,7 @@
 			stored = append(stored, f)
 		}
 		delete(reg.entries, f)
+		reg.changes++
 	}
 	return stored
 }
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"iter"
+	"slices"
 	"time"
 )
 
@@ -16,6 +18,27 @@
 	maxScopeTrialDelay = time.Minute
 )
 
+// ScopeKind is the kind of a scope.
+type ScopeKind uint8
+
+// Kinds of scopes. Records of software versions without kinds have SharedScope.
+const (
+	SharedScope  ScopeKind = iota // a resource, a batch job or a route
+	SimilarScope                  // contents with similar bodies
+	CallerScope                   // requests from one address
+)
+
+// breadth orders the kinds of scopes from the narrowest to the broadest.
+func (k ScopeKind) breadth() int {
+	switch k {
+	case SimilarScope:
+		return 0
+	case CallerScope:
+		return 1
+	}
+	return 2
+}
+
 // Subject identifies a request by its content and its scopes.
 type Subject struct {
 	// Content is the fingerprint of the request's content.
@@ -25,10 +48,33 @@
 	Scopes []Fingerprint
 	// NarrowScopes is the number of scopes without the route, the first ones in Scopes.
 	NarrowScopes int
+	// Similar are the fingerprints of the similarity scopes, Caller is that of the caller's address; empty and zero if
+	// the request has none.
+	Similar []Fingerprint
+	Caller  Fingerprint
 	// HasPassed reports whether a run of the content has recently passed; see MinPassDuration.
 	HasPassed bool
 }
 
+// scopes returns the fingerprints and kinds of all scopes of the request, the narrowest first.
+func (s Subject) scopes() iter.Seq2[Fingerprint, ScopeKind] {
+	return func(yield func(Fingerprint, ScopeKind) bool) {
+		for _, f := range s.Similar {
+			if !yield(f, SimilarScope) {
+				return
+			}
+		}
+		if s.Caller != (Fingerprint{}) && !yield(s.Caller, CallerScope) {
+			return
+		}
+		for _, f := range s.Scopes {
+			if !yield(f, SharedScope) {
+				return
+			}
+		}
+	}
+}
+
 // prefix64 returns the first 64 bits of a content's fingerprint, which serve as Crash.ContentDigest in the record
 // of a scope.
 func (f Fingerprint) prefix64() uint64 { return binary.BigEndian.Uint64(f[:]) }
@@ -46,19 +92,24 @@
 // CheckScopes reports whether a request must not be sent now because one of its scopes is quarantined. A
 // request whose content has passed is not affected. It updates LastSeen of each quarantined scope that it checks.
 func (reg *Registry) CheckScopes(now time.Time, s Subject) (isQuarantined bool) {
-	return reg.blockingScope(now, s) != nil
+	_, isQuarantined = reg.BlockingScope(now, s)
+	return isQuarantined
 }
 
 // AdmitScopes is CheckScopes for a request that the caller sends immediately unless isQuarantined is true.
 // isTrial reports whether the request is sent as a trial of one of its scopes.
 func (reg *Registry) AdmitScopes(now time.Time, s Subject) (isQuarantined, isTrial bool) {
-	if reg.blockingScope(now, s) != nil {
+	if reg.CheckScopes(now, s) {
 		return true, false
 	}
 	if reg.hasPassed(s) {
 		return false, false
 	}
-	for _, f := range s.Scopes {
+	isSimilar := reg.isSimilar(now, s)
+	for f, kind := range s.scopes() {
+		if kind == SimilarScope && !isSimilar {
+			continue
+		}
 		if _, isScopeTrial := reg.Admit(now, f); isScopeTrial {
 			isTrial = true
 		}
@@ -66,18 +117,90 @@
 	return false, isTrial
 }
 
-// blockingScope returns the entry of the first scope whose quarantine forbids to send the request now; nil if
-// there is none.
-func (reg *Registry) blockingScope(now time.Time, s Subject) *entry {
+// Block describes the quarantine of a scope that forbids to send a request.
+type Block struct {
+	Scope   Fingerprint
+	Kind    string    // "similar", "caller", "resource", "job" or "route"
+	Crashes int       // in the record of the scope
+	Until   time.Time // when this process may send the next request of the scope as a trial
+}
+
+// BlockingScope returns the first scope, the narrowest kinds first, whose quarantine forbids to send the request now;
+// isBlocked is false if there is none. It updates LastSeen of each quarantined scope that it checks.
+func (reg *Registry) BlockingScope(now time.Time, s Subject) (b Block, isBlocked bool) {
 	if reg.hasPassed(s) {
-		return nil
+		return Block{}, false
+	}
+	isSimilar := reg.isSimilar(now, s)
+	for f, kind := range s.scopes() {
+		if kind == SimilarScope && !isSimilar || !reg.Check(now, f) {
+			continue
+		}
+		e := reg.entries[f]
+		return Block{Scope: f, Kind: s.scopeName(f, kind), Crashes: len(e.Crashes), Until: e.trialAt}, true
+	}
+	return Block{}, false
+}
+
+// scopeName returns the name of the kind of one of the request's scopes for Block.Kind.
+func (s Subject) scopeName(f Fingerprint, kind ScopeKind) string {
+	index := slices.Index(s.Scopes, f)
+	switch {
+	case kind == SimilarScope:
+		return "similar"
+	case kind == CallerScope:
+		return "caller"
+	case index >= s.NarrowScopes:
+		return "route"
+	case index > 0:
+		return "job"
 	}
-	for _, f := range s.Scopes {
-		if reg.Check(now, f) {
-			return reg.entries[f]
+	return "resource"
+}
+
+// isSimilar reports whether so many similarity scopes of the request are quarantined that its content counts as
+// similar to contents that crash targets.
+func (reg *Registry) isSimilar(now time.Time, s Subject) bool {
+	n := 0
+	for _, f := range s.Similar {
+		if reg.activeEntry(now, f) != nil {
+			n++
 		}
 	}
-	return nil
+	return n >= minSimilarScopes
+}
+
+// unexplainedCrashes returns the crashes of a scope that no quarantined scope of a narrower kind explains. A crash
+// that is explained says nothing about the other contents of the broader scope: neither about others on the route of
+// a caller that crashes targets, nor about those that a crashed target was running at the same time. A quarantined
+// content explains nothing: in a scope whose contents all crash targets, each of them is quarantined in the end.
+func (reg *Registry) unexplainedCrashes(e *entry) []Crash {
+	if e.unexplainedAt == reg.changes && e.unexplained != nil {
+		return e.unexplained
+	}
+	explanations := make([]int, len(e.Crashes)) // for each crash; minSimilarScopes of them explain it
+	for _, narrower := range reg.entries {
+		if !narrower.IsScope || narrower.Kind.breadth() >= e.Kind.breadth() || len(narrower.Crashes) < reg.opts.Threshold || !reg.isQuarantined(narrower) {
+			continue
+		}
+		weight := minSimilarScopes
+		if narrower.Kind == SimilarScope {
+			weight = 1
+		}
+		for i, c := range e.Crashes {
+			if slices.ContainsFunc(narrower.Crashes, c.isSameCrash) {
+				explanations[i] += weight
+			}
+		}
+	}
+	unexplained := make([]Crash, 0, len(e.Crashes))
+	for i, c := range e.Crashes {
+		if explanations[i] < minSimilarScopes {
+			unexplained = append(unexplained, c)
+		}
+	}
+	e.unexplained, e.unexplainedAt = unexplained, reg.changes
+	return unexplained
 }
 
 // IsSuspect reports whether a target has crashed while running a request of the same resource or batch job,
@@ -97,7 +220,7 @@
 // MaxScopeCrashes returns the highest number of crashes in the records of the request's scopes.
 func (reg *Registry) MaxScopeCrashes(s Subject) int {
 	highest := 0
-	for _, f := range s.Scopes {
+	for f := range s.scopes() {
 		highest = max(highest, reg.CrashCount(f))
 	}
 	return highest
@@ -107,9 +230,9 @@
 // is meant for runs that had not passed when the target crashed; see MinPassDuration.
 func (reg *Registry) NoteScopeCrash(now time.Time, s Subject, c Crash) {
 	c.ContentDigest = s.Content.prefix64()
-	for _, f := range s.Scopes {
+	for f, kind := range s.scopes() {
 		e := reg.getOrCreateEntry(f)
-		e.IsScope = true
+		e.IsScope, e.Kind = true, kind
 		reg.noteCrash(now, e, c)
 	}
 }
@@ -117,13 +240,15 @@
 // NotePassed notes that a run of the request's content has passed; see MinPassDuration. The first run of a content
 // that passes shows that not every content of its scopes crashes targets, and clears the scopes. Later runs
 // that pass clear nothing: otherwise a content that is sent repeatedly would hide the crashes of other
-// contents. isNew reports whether crashes were cleared.
+// contents. It clears no similarity scopes of contents that the request hardly resembles; see minClearingScopes.
+// isNew reports whether crashes were cleared.
 func (reg *Registry) NotePassed(now time.Time, s Subject) (isNew bool) {
 	if reg.MaxScopeCrashes(s) == 0 || reg.hasPassed(s) {
 		return false
 	}
-	for _, f := range s.Scopes {
-		if reg.CrashCount(f) > 0 {
+	canClearSimilar := reg.countCrashed(s.Similar) >= minClearingScopes
+	for f, kind := range s.scopes() {
+		if reg.CrashCount(f) > 0 && (kind != SimilarScope || canClearSimilar) {
 			reg.clear(now, reg.entries[f])
 		}
 	}
@@ -133,6 +258,17 @@
 	return true
 }
 
+// countCrashed returns the number of scopes that have crashes.
+func (reg *Registry) countCrashed(scopes []Fingerprint) int {
+	n := 0
+	for _, f := range scopes {
+		if reg.CrashCount(f) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // scheduleScopeTrial sets trialAt of a scope to a time after its last crash and its last trial. The delay
 // doubles with each crash beyond Options.Threshold.
 func (reg *Registry) scheduleScopeTrial(e *entry) {
--- a/core/quarantine/share.go
+++ b/core/quarantine/share.go
@@ -21,19 +21,20 @@
 	}
 }
 
-// DueForPeers returns up to n records that are due to be sent to peers, the quarantined ones first, and schedules
-// the next time that each is sent.
+// DueForPeers returns up to n records that are due to be sent to peers, and schedules the next time that each is sent.
+// The quarantined ones come first, then those with several crashes: most of those with one crash belong to requests
+// that a target was running beside the one that has crashed it.
 func (reg *Registry) DueForPeers(now time.Time, n int) []Record {
 	if now.Before(reg.nextSendAt) {
 		return nil
 	}
 	var list []Record
-	for _, wantsQuarantined := range []bool{true, false} {
+	for priority := range lowestSendPriority + 1 {
 		for _, e := range reg.entries {
 			if len(list) == n {
 				return list
 			}
-			if reg.isQuarantined(e) != wantsQuarantined || e.sendAt.IsZero() || now.Before(e.sendAt) {
+			if reg.sendPriority(e) != priority || e.sendAt.IsZero() || now.Before(e.sendAt) {
 				continue
 			}
 			e.sendAt = now.Add(e.sendInterval)
@@ -45,6 +46,20 @@
 	return list
 }
 
+// lowestSendPriority is the highest result of sendPriority.
+const lowestSendPriority = 2
+
+// sendPriority returns the place of an entry in the order in which records are sent to peers; 0 is the first.
+func (reg *Registry) sendPriority(e *entry) int {
+	switch {
+	case reg.isQuarantined(e):
+		return 0
+	case len(e.Crashes) > 1:
+		return 1
+	}
+	return lowestSendPriority
+}
+
 // earliestSend returns when the next record is due to be sent to peers, or maxSendInterval after now if that
 // is earlier.
 func (reg *Registry) earliestSend(now time.Time) time.Time {
--- a/core/serving/request.go
+++ b/core/serving/request.go
@@ -47,6 +47,8 @@
 	Credential workspace.Credential
 	// Caller holds the workspace that Credential belongs to; for a batch item, the workspace of its job.
 	Caller Caller
+	// CallerAddr is the IP address that the request came from, which may be that of a proxy; empty for a batch item.
+	CallerAddr string
 	// ResumeAfter is the id of the last event of a stream that the caller has received; empty to start the
 	// stream from the beginning.
 	ResumeAfter string
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -37,7 +37,10 @@
 	clearedMetric     = "quarantine.cleared"     // contents whose crashes were cleared because a target served them
 	recordsMetric     = "quarantine.records"     // records of contents and scopes
 	quarantinedMetric = "quarantine.quarantined" // contents that are quarantined
-	scopesMetric      = "quarantine.scopes"      // scopes (resources, jobs and routes) that are quarantined
+	scopesMetric      = "quarantine.scopes"      // scopes of all kinds that are quarantined
+	// rejectedByMetric, with the name of a kind of scope or reasonContent appended, counts the rejected requests by
+	// what forbade to send them.
+	rejectedByMetric = "quarantine.rejected."
 	suspectsMetric    = "quarantine.suspects"    // runs for which it is not known yet whether their target has crashed
 	overflowMetric    = "quarantine.overflow"    // runs that were not tracked because there were too many suspects
 )
@@ -90,6 +93,7 @@
 	prober     platform.TargetProber
 	fleet      Fleet
 	log        hclog.Logger
+	metrics    metrics.Registry
 	routineLog *logging.Routine // limits the rate of lines that each request may cause
 	brokenOff  metrics.Counter
 	fellSilent metrics.Counter
@@ -122,7 +126,7 @@
 // New returns a Quarantine without records, and registers its metrics. Run loads the records from the store.
 func New(o Options) *Quarantine {
 	q := &Quarantine{
-		isOn: o.Disabled.IsEnabled(policy.Quarantine), hasScopes: o.Disabled.IsEnabled(policy.QuarantineScopes), prober: o.Prober, fleet: o.Fleet, log: o.Log, routineLog: logging.NewRoutine(o.Log),
+		isOn: o.Disabled.IsEnabled(policy.Quarantine), hasScopes: o.Disabled.IsEnabled(policy.QuarantineScopes), prober: o.Prober, fleet: o.Fleet, log: o.Log, metrics: o.Metrics, routineLog: logging.NewRoutine(o.Log),
 		brokenOff:   metrics.GetOrRegisterCounter(brokenOffMetric, o.Metrics),
 		fellSilent:  metrics.GetOrRegisterCounter(fellSilentMetric, o.Metrics),
 		crashes:     metrics.GetOrRegisterCounter(crashesMetric, o.Metrics),
@@ -180,10 +184,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.registry.Check(now, subject.Content) {
-		return q.reject(c, reasonContent)
+		return q.rejectContent(c)
 	}
-	if q.registry.CheckScopes(now, subject) {
-		return q.reject(c, reasonScope)
+	if block, isBlocked := q.registry.BlockingScope(now, subject); isBlocked {
+		return q.rejectScope(c, block)
 	}
 	return nil
 }
@@ -207,12 +211,12 @@
 	subject, now := q.subject(c), time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.registry.CheckScopes(now, subject) {
-		return false, q.reject(c, reasonScope)
+	if block, isBlocked := q.registry.BlockingScope(now, subject); isBlocked {
+		return false, q.rejectScope(c, block)
 	}
 	isQuarantined, isContentTrial := q.registry.Admit(now, subject.Content)
 	if isQuarantined {
-		return false, q.reject(c, reasonContent)
+		return false, q.rejectContent(c)
 	}
 	_, isScopeTrial := q.registry.AdmitScopes(now, subject)
 	if isContentTrial || isScopeTrial {
@@ -229,19 +233,32 @@
 	reasonScope   = "scope"
 )
 
-// reject counts and logs a request that is not sent, and returns the error for its caller. q.mu must be held.
-func (q *Quarantine) reject(c *quarantine.Content, reason string) error {
-	subject := q.subject(c)
-	crashCount, maxScopeCrashes := q.registry.CrashCount(subject.Content), q.registry.MaxScopeCrashes(subject)
-	q.rejected.Inc(1)
-	q.routineLog.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", subject.Content.String(), "why", reason, "crashes", crashCount,
-		"scope_crashes", maxScopeCrashes)
-	if reason == reasonScope {
-		return errs.Newf(errs.Quarantined, "%d targets have crashed while running similar requests", maxScopeCrashes)
-	}
+// rejectContent counts and logs a request that is not sent because its content is quarantined, and returns the error
+// for its caller. q.mu must be held.
+func (q *Quarantine) rejectContent(c *quarantine.Content) error {
+	crashCount := q.registry.CrashCount(c.Fingerprint())
+	q.countRejected(reasonContent)
+	q.routineLog.Info(time.Now(), "quarantined", "request", c.Request.ID, "content", c.Fingerprint().String(), "why", reasonContent, "crashes", crashCount,
+		"scope_crashes", q.registry.MaxScopeCrashes(q.subject(c)))
 	return errs.Newf(errs.Quarantined, "%d targets have crashed while running this request", crashCount)
 }
 
+// rejectScope counts and logs a request that is not sent because of the quarantine of a scope, and returns the error
+// for its caller. q.mu must be held.
+func (q *Quarantine) rejectScope(c *quarantine.Content, block quarantine.Block) error {
+	now := time.Now()
+	q.countRejected(block.Kind)
+	q.routineLog.Info(now, "quarantined", "request", c.Request.ID, "content", c.Fingerprint().String(), "why", reasonScope, "crashes", q.registry.CrashCount(c.Fingerprint()),
+		"scope_crashes", block.Crashes, "scope", block.Scope.String(), "kind", block.Kind, "trial_in_ms", block.Until.Sub(now).Milliseconds())
+	return errs.Newf(errs.Quarantined, "%d targets have crashed while running similar requests", block.Crashes)
+}
+
+// countRejected counts a request that was not sent, in total and by the kind of scope that forbade it.
+func (q *Quarantine) countRejected(kind string) {
+	q.rejected.Inc(1)
+	metrics.GetOrRegisterCounter(rejectedByMetric+kind, q.metrics).Inc(1)
+}
+
 // subject returns the fingerprints of a request and whether a run of its content has recently passed. If the
 // quarantine of scopes is disabled, it returns only the fingerprint of the content.
 func (q *Quarantine) subject(c *quarantine.Content) quarantine.Subject {
@@ -315,7 +332,8 @@
 		q.registry.NoteScopeCrash(now, subject, crash)
 	}
 	crashCount, isQuarantined := q.registry.CrashCount(f), q.registry.Check(now, f)
-	maxScopeCrashes, isScopeQuarantined := q.registry.MaxScopeCrashes(subject), q.registry.CheckScopes(now, subject)
+	maxScopeCrashes := q.registry.MaxScopeCrashes(subject)
+	block, isScopeQuarantined := q.registry.BlockingScope(now, subject)
 	q.recordCount.Store(int64(q.registry.Len()))
 	q.mu.Unlock()
 	if !isNew {
@@ -324,7 +342,7 @@
 	q.crashes.Inc(1)
 	q.log.Warn("target crashed under request", "request", s.content.Request.ID, "content", f.String(), "target", target, "evidence", evidence,
 		"after_ms", now.Sub(s.brokenAt).Milliseconds(), "crashes", crashCount, "quarantined", isQuarantined,
-		"scope_crashes", maxScopeCrashes, "scope_quarantined", isScopeQuarantined)
+		"scope_crashes", maxScopeCrashes, "scope_quarantined", isScopeQuarantined, "scope", block.Scope.String(), "kind", block.Kind)
 	q.propagate()
 }
 
