quarantine: hold batch items that have crashed a target while their resource crashes others

Cause: an item that passes clears the resource that it shares with items that crash targets, so that each of those goes on to three crashes. Change: an item that was running when a target crashed waits 20 s, then 40 s, while contents of its resource or job still crash targets. The memory of these crashes lasts 10 s and survives a clearance. The simulation has one more variant; its checks are unchanged.

--- a/core/quarantine/contain_sim_test.go
+++ b/core/quarantine/contain_sim_test.go
@@ -13,6 +13,8 @@
 type containmentRules struct {
 	hasScopes bool // scopes are quarantined as well
 	isSerial  bool // suspect items of the same resource or job run one at a time
+	// hasHold: an item that was running when a target crashed waits while others of its scopes crash targets.
+	hasHold bool
 }
 
 // jobLoad describes the targets and the batch jobs that arrive.
@@ -102,7 +104,7 @@
 		item.subject = Subject{
 			Content:      hashParts(nil, fmt.Sprint(job, "/", i)),
 			Scopes:       []Fingerprint{hashParts(nil, uri), hashParts(nil, fmt.Sprint("job", job)), hashParts(nil, "route")},
-			NarrowScopes: 2,
+			NarrowScopes: 2, IsItem: f.rules.hasHold,
 		}
 		if !item.isCrashing {
 			f.harmless++
@@ -252,11 +254,11 @@
 // test logs the mean results of the compared variants of the rules, among them how many harmless items are
 // served.
 func TestContainmentOfCrashingItems(t *testing.T) {
-	production := containmentRules{hasScopes: true, isSerial: true}
+	production := containmentRules{hasScopes: true, isSerial: true, hasHold: true}
 	variants := []struct {
 		name string
 		containmentRules
-	}{{"contents alone", containmentRules{}}, {"scopes", containmentRules{hasScopes: true}}, {"scopes, serial (production)", production}}
+	}{{"contents alone", containmentRules{}}, {"scopes", containmentRules{hasScopes: true}}, {"scopes, serial", containmentRules{hasScopes: true, isSerial: true}}, {"scopes, serial, hold (production)", production}}
 	for _, load := range []jobLoad{
 		{targets: 9, crashingShare: 0.03, clients: 1}, {targets: 9, crashingShare: 0.2, clients: 1}, {targets: 9, crashingShare: 0.5, clients: 1},
 		{targets: 9, crashingShare: 0.2, clients: 5}, {targets: 9, crashingShare: 0.2, clients: 1, hasLosses: true}, {targets: 9, crashingShare: 0.2, clients: 1, hasSharedURI: true},
@@ -278,7 +280,7 @@
 			}
 			slices.Sort(waits)
 			n := float64(*simSeeds)
-			t.Logf("load %+v: rules %-28s mean crashes %5.1f, harmless items served (share) %.3f, wait for the first run: mean %4.0f ms, 99th percentile %5d ms", load, variant.name,
+			t.Logf("load %+v: rules %-33s mean crashes %5.1f, harmless items served (share) %.3f, wait for the first run: mean %4.0f ms, 99th percentile %5d ms", load, variant.name,
 				float64(crashes)/n, float64(served)/float64(harmless), meanMillis(waits), waits[len(waits)*99/100].Milliseconds())
 		}
 	}
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -118,6 +118,7 @@
 		if c.job != "" {
 			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, jobScope, workspace, c.job))
 		}
+		c.subject.IsItem = c.job != ""
 		c.subject.NarrowScopes = len(c.subject.Scopes)
 		if c.route != "" {
 			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, routeScope, workspace, c.route))
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -75,6 +75,8 @@
 	// unexplained is the result of Registry.unexplainedCrashes when Registry.changes was unexplainedAt.
 	unexplained   []Crash
 	unexplainedAt int
+	// recent are the crashes of a scope within recentCrashWindow, one for each content and at most MaxCrashes.
+	recent []recentCrash
 }
 
 // NewRegistry returns an empty registry.
@@ -227,6 +229,7 @@
 		return false
 	}
 	reg.changes++
+	e.noteRecent(now, []Crash{c})
 	reg.scheduleTrial(e)
 	reg.scheduleAnnouncement(now, e)
 	return true
@@ -267,6 +270,7 @@
 		return false
 	}
 	e.merge(r)
+	e.noteRecent(now, r.Crashes)
 	reg.changes++
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	reg.scheduleTrial(e)
@@ -286,6 +290,7 @@
 	e.stored = r.clone()
 	isNew = !e.covers(r, 0)
 	e.merge(r)
+	e.noteRecent(now, r.Crashes)
 	reg.changes++
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	if isNew {
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -16,6 +16,12 @@
 	// need cause crashes.
 	minScopeTrialDelay = 5 * time.Second
 	maxScopeTrialDelay = time.Minute
+	// A batch item that was running when a target crashed waits for crashedItemDelay, and twice as long after each
+	// further crash, while a resource or job of it has crashes of at least minScopeContents contents within
+	// recentCrashWindow. Such a scope is cleared by each harmless item that passes, so that its quarantine alone
+	// does not keep the items that crash targets from doing so again.
+	crashedItemDelay  = 20 * time.Second
+	recentCrashWindow = 10 * time.Second
 )
 
 // ScopeKind is the kind of a scope.
@@ -48,6 +54,8 @@
 	Scopes []Fingerprint
 	// NarrowScopes is the number of scopes without the route, the first ones in Scopes.
 	NarrowScopes int
+	// IsItem reports whether the request is a batch item, which can wait.
+	IsItem bool
 	// Similar are the fingerprints of the similarity scopes, Caller is that of the caller's address; empty and zero if
 	// the request has none.
 	Similar []Fingerprint
@@ -131,6 +139,9 @@
 	if reg.hasPassed(s) {
 		return Block{}, false
 	}
+	if b, isHeld := reg.heldItem(now, s); isHeld {
+		return b, true
+	}
 	isSimilar := reg.isSimilar(now, s)
 	for f, kind := range s.scopes() {
 		if kind == SimilarScope && !isSimilar || !reg.Check(now, f) {
@@ -142,6 +153,52 @@
 	return Block{}, false
 }
 
+// heldItem reports whether a batch item must wait because of crashedItemDelay, and until when.
+func (reg *Registry) heldItem(now time.Time, s Subject) (b Block, isHeld bool) {
+	e, ok := reg.entries[s.Content]
+	if !s.IsItem || !ok || len(e.Crashes) == 0 {
+		return Block{}, false
+	}
+	until := e.Crashes[0].BrokenAt.Add(crashedItemDelay << (len(e.Crashes) - 1))
+	if !now.Before(until) {
+		return Block{}, false
+	}
+	for _, f := range s.Scopes[:s.NarrowScopes] {
+		if scope, ok := reg.entries[f]; ok && scope.countRecentContents(now) >= minScopeContents {
+			return Block{Scope: f, Kind: s.scopeName(f, SharedScope), Crashes: len(scope.recent), Until: until}, true
+		}
+	}
+	return Block{}, false
+}
+
+// recentCrash is a crash of a scope, which stays known for recentCrashWindow after the scope was cleared.
+type recentCrash struct {
+	contentDigest uint64
+	notedAt       time.Time // by the clock of this process
+}
+
+// noteRecent adds the crashes of a scope that were not known before to the recent ones.
+func (e *entry) noteRecent(now time.Time, crashes []Crash) {
+	e.recent = slices.DeleteFunc(e.recent, func(c recentCrash) bool { return now.Sub(c.notedAt) > recentCrashWindow })
+	for _, c := range crashes {
+		isKnown := slices.ContainsFunc(e.recent, func(r recentCrash) bool { return r.contentDigest == c.ContentDigest })
+		if !isKnown && len(e.recent) < MaxCrashes && now.Sub(c.BrokenAt) < recentCrashWindow {
+			e.recent = append(e.recent, recentCrash{c.ContentDigest, now})
+		}
+	}
+}
+
+// countRecentContents returns how many different contents crashed targets were running within recentCrashWindow.
+func (e *entry) countRecentContents(now time.Time) int {
+	n := 0
+	for _, c := range e.recent {
+		if now.Sub(c.notedAt) <= recentCrashWindow {
+			n++
+		}
+	}
+	return n
+}
+
 // scopeName returns the name of the kind of one of the request's scopes for Block.Kind.
 func (s Subject) scopeName(f Fingerprint, kind ScopeKind) string {
 	index := slices.Index(s.Scopes, f)
