--- a/core/quarantine/similar.go
+++ b/core/quarantine/similar.go
@@ -6,7 +6,7 @@
 	// similarScopeCount is the number of similarity scopes of a content. Each is derived from several minimum hashes of
 	// the body: two bodies share it with the probability J^minima, where J is the share of parts that they have in
 	// common.
-	similarScopeCount = 4
+	similarScopeCount = 5
 	// minSimilarScopes is how many similarity scopes of a content must be quarantined before the content counts as
 	// similar to those that crash targets.
 	minSimilarScopes = 2
@@ -32,9 +32,9 @@
 	case len(body) < 1<<9:
 		return 4, 3, 64
 	case len(body) < 1<<10:
-		return 4, 6, 61
+		return 4, 8, 61
 	case len(body) < 1<<13:
-		return 4, 12, 61
+		return 4, maxMinima, 61
 	}
 	return 4, maxMinima, 58
 }
