quarantine: tests of narrow scopes, and a crashing caller of its own address

The socket test gets a case in which contents share nothing and the crashing caller has an address of its own.

--- a/internal/node/quarantine_outage_test.go
+++ b/internal/node/quarantine_outage_test.go
@@ -17,6 +17,7 @@
 const (
 	crashingWorkspace = "crashing"
 	otherWorkspaces   = 3 // "other-0", "other-1" and so on
+	ownAddress        = "no workspaces, own address and new contents"
 )
 
 // promptBody returns the body of a request with a prompt of words words after the instructions that all callers of
@@ -65,9 +66,10 @@
 }
 
 // Guards against a quarantine that is an outage by itself: it must not reject requests whose contents were never sent
-// before because one caller crashes targets with contents that differ in a byte from each other.
+// before because one caller crashes targets with contents that differ in a byte from each other or, from its own
+// address, with contents that share nothing.
 func TestCrashingCallerDoesNotBlockOthers(t *testing.T) {
-	for _, workspaces := range []string{"same workspace", "other workspaces", "no workspaces"} {
+	for _, workspaces := range []string{"same workspace", "other workspaces", "no workspaces", ownAddress} {
 		for name, path := range map[string]string{"call": "/call/x", "stream": "/stream/x", "one attempt": "/once/x"} {
 			t.Run(workspaces+"/"+name, func(t *testing.T) {
 				t.Parallel()
@@ -91,7 +93,7 @@
 	)
 	crashing, others := []string{""}, []string{""}
 	config := wiretest.Routes
-	if workspaces != "no workspaces" {
+	if workspaces == "same workspace" || workspaces == "other workspaces" {
 		keys := map[string][]string{crashingWorkspace: {crashingWorkspace}}
 		crashing, others = []string{crashingWorkspace}, []string{crashingWorkspace}
 		if workspaces == "other workspaces" {
@@ -110,13 +112,20 @@
 	defer s.stopAll()
 	defer f.replacements.Wait()
 	rng := rand.New(rand.NewPCG(1, 1))
+	crashingCaller := s.caller.WithKey(crashing[0])
+	if workspaces == ownAddress {
+		crashingCaller = wiretest.NewCallerFrom("127.0.0.2", callTimeout, maxIdleConns)
+	}
 	crashingBody := crashBody + promptBody(rng, promptWords)
 	var requests sync.WaitGroup
 	answers := &answerCounts{unserved: make(map[string]int)}
 	for i := range repeats {
 		repeat := withChangedByte(rng, crashingBody)
+		if workspaces == ownAddress {
+			repeat = crashBody + promptBody(rng, promptWords)
+		}
 		requests.Go(func() {
-			s.caller.WithKey(crashing[0]).Send(s.gateways[i%len(s.gateways)].CallerAddr(), http.MethodPost, path, fmt.Sprint("crashing-", i), repeat)
+			crashingCaller.Send(s.gateways[i%len(s.gateways)].CallerAddr(), http.MethodPost, path, fmt.Sprint("crashing-", i), repeat)
 		})
 		for j, g := range s.gateways {
 			body, key := promptBody(rng, promptWords), others[(i+j)%len(others)]
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -41,8 +41,8 @@
 	// rejectedByMetric, with the name of a kind of scope or reasonContent appended, counts the rejected requests by
 	// what forbade to send them.
 	rejectedByMetric = "quarantine.rejected."
-	suspectsMetric    = "quarantine.suspects"    // runs for which it is not known yet whether their target has crashed
-	overflowMetric    = "quarantine.overflow"    // runs that were not tracked because there were too many suspects
+	suspectsMetric   = "quarantine.suspects" // runs for which it is not known yet whether their target has crashed
+	overflowMetric   = "quarantine.overflow" // runs that were not tracked because there were too many suspects
 )
 
 // Fleet provides the state of targets and sends reports to peers.
