quarantine: request further reports until no record is due

Cause: a crash changes up to nine records for each request that the target was running, and a report holds eight. The rest waited for the next change of the loads, at most 200 ms.

--- a/core/quarantine/similar_test.go
+++ b/core/quarantine/similar_test.go
@@ -66,3 +66,17 @@
 		t.Error("a body of two digits has similarity scopes, want none: it would be similar to all other numbers")
 	}
 }
+
+// BenchmarkSimilarHashes measures what the similarity scopes of a content cost. They are computed once per request, and
+// only while records are known.
+func BenchmarkSimilarHashes(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, size := range []int{300, 1500, 15000, 1000000} {
+		body := []byte(randomText(rng, size))
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			for b.Loop() {
+				similarHashes(body)
+			}
+		})
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -364,14 +364,20 @@
 // adds some hundred bytes.
 const maxRecordsPerReport = 8
 
-// DueForPeers returns the records for the next report to peers: those that are due, at most maxRecordsPerReport.
+// DueForPeers returns the records for the next report to peers: those that are due, at most maxRecordsPerReport. If
+// more may be due, it requests another report: one crash changes up to nine records for each request that the target
+// was running.
 func (q *Quarantine) DueForPeers() []quarantine.Record {
 	if q.IsEmpty() {
 		return nil
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.registry.DueForPeers(time.Now(), maxRecordsPerReport)
+	list := q.registry.DueForPeers(time.Now(), maxRecordsPerReport)
+	q.mu.Unlock()
+	if len(list) == maxRecordsPerReport {
+		q.fleet.RequestReport()
+	}
+	return list
 }
 
 // NotePeerStarted notes that a new or restarted peer was found, which has no records yet. It causes all quarantined
