--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -58,8 +58,8 @@
 	ReportRelays Mechanism = "relays"
 	// Quarantine rejects requests whose content has crashed targets; off, they are sent to further targets.
 	Quarantine Mechanism = "quarantine"
-	// QuarantineScopes also quarantines the resource, job or route of requests that crash targets; off, only
-	// requests with identical content are quarantined.
+	// QuarantineScopes also quarantines similar bodies, or the caller's address, resource, job or route, of requests
+	// that crash targets; off, only requests with identical content are quarantined.
 	QuarantineScopes Mechanism = "quarantine-scopes"
 	// ExpectedTime chooses targets and admits requests by the expected time of their answer, for services whose
 	// targets differ in speed; off, all targets of a service count as equally fast.
