quarantine: find the scopes that explain crashes once per change

Cause: with many scopes, each record's check scanned all 1,024 records after each change of any crash. The quarantined narrow scopes are now listed once per change, and a known crash whose times change counts as a change.

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -51,8 +51,11 @@
 	// nextSendAt is a time before which no record has to be sent to peers. Until then DueForPeers does not scan the
 	// entries; it is called for each report to peers, many times a second.
 	nextSendAt time.Time
-	// changes counts the changes of crashes; see entry.unexplained.
+	// changes counts the changes of crashes, so that results derived from them can be kept until the next one.
 	changes int
+	// narrow is the result of narrowQuarantined when changes was narrowAt.
+	narrow   []*entry
+	narrowAt int
 }
 
 // entry is the record of one content or scope, with the times at which it is next sent to peers and written to the
@@ -225,10 +228,10 @@
 	c.PrecedingCrashes, c.notedAt = e.countNotedBefore(c.BeganAt), now
 	previousCount := len(e.Crashes)
 	e.merge(Record{Content: e.Content, LastSeen: now.Truncate(time.Millisecond), Crashes: []Crash{c}})
+	reg.changes++ // also if the crash is known: its times may have changed
 	if len(e.Crashes) == previousCount {
 		return false
 	}
-	reg.changes++
 	e.noteRecent(now, []Crash{c})
 	reg.scheduleTrial(e)
 	reg.scheduleAnnouncement(now, e)
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -232,12 +232,15 @@
 // a caller that crashes targets, nor about those that a crashed target was running at the same time. A quarantined
 // content explains nothing: in a scope whose contents all crash targets, each of them is quarantined in the end.
 func (reg *Registry) unexplainedCrashes(e *entry) []Crash {
+	if e.Kind == SimilarScope {
+		return e.Crashes // no kind is narrower
+	}
 	if e.unexplainedAt == reg.changes && e.unexplained != nil {
 		return e.unexplained
 	}
 	explanations := make([]int, len(e.Crashes)) // for each crash; minSimilarScopes of them explain it
-	for _, narrower := range reg.entries {
-		if !narrower.IsScope || narrower.Kind.breadth() >= e.Kind.breadth() || len(narrower.Crashes) < reg.opts.Threshold || !reg.isQuarantined(narrower) {
+	for _, narrower := range reg.narrowQuarantined() {
+		if narrower.Kind.breadth() >= e.Kind.breadth() {
 			continue
 		}
 		weight := minSimilarScopes
@@ -315,6 +318,25 @@
 	return true
 }
 
+// narrowQuarantined returns the quarantined scopes of the kinds that may explain crashes of broader ones.
+func (reg *Registry) narrowQuarantined() []*entry {
+	if reg.narrowAt == reg.changes {
+		return reg.narrow
+	}
+	reg.narrow, reg.narrowAt = nil, reg.changes
+	// Whether a caller's scope is quarantined depends on the similarity scopes, which therefore come first.
+	for _, kind := range []ScopeKind{SimilarScope, CallerScope} {
+		var list []*entry
+		for _, e := range reg.entries {
+			if e.IsScope && e.Kind == kind && reg.isQuarantined(e) {
+				list = append(list, e)
+			}
+		}
+		reg.narrow = append(reg.narrow, list...)
+	}
+	return reg.narrow
+}
+
 // countCrashed returns the number of scopes that have crashes.
 func (reg *Registry) countCrashed(scopes []Fingerprint) int {
 	n := 0
