quarantine: a further attempt waits for the probe of its last target

Cause: a request that crashes targets was repeated before its first crash counted, so that it always cost two targets. Change: the next attempt of an online request waits up to 60 ms while the last target's crash is not known.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -113,7 +113,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	registry *quarantine.Registry
-	suspects suspectTable
+	suspects *suspectTable
 	// recentInterruptions are the runs that this process has recently ended; see NoteInterrupted.
 	recentInterruptions interruptions
 }
@@ -194,8 +194,10 @@
 
 // AdmitRequest must be called immediately before a request is sent to a target. It returns an error of type
 // errs.Quarantined if the request must not be sent. If a trial is due, a quarantined request is admitted, to
-// find out whether it causes the crashes, and the record of the trial is sent to peers and to the store.
+// find out whether it causes the crashes, and the record of the trial is sent to peers and to the store. A further
+// attempt of an online request waits for at most maxVerdictWait.
 func (q *Quarantine) AdmitRequest(c *quarantine.Content) error {
+	q.awaitVerdict(c)
 	if q.IsEmpty() {
 		return nil
 	}
--- a/internal/quarantine/report_test.go
+++ b/internal/quarantine/report_test.go
@@ -6,7 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"arbutusramp/core/platform"
+	"arbutusramp/core/quarantine"
+	"arbutusramp/core/serving"
 )
 
 // Guards against records that wait for the next regular report to peers, in which time other gateways send on what
@@ -31,3 +35,27 @@
 		time.Sleep(suspicionTTL)
 	})
 }
+
+// Guards against a request that crashes a second target before the crash of its first one counts: its next attempt
+// must wait for the probe of the first target, but not for a target that answers no probe.
+func TestNextAttemptWaitsForVerdict(t *testing.T) {
+	for name, test := range map[string]struct {
+		result      platform.ProbeResult
+		wantCrashes int
+	}{"crashed": {platform.ProbeGone, 1}, "no answer": {platform.ProbeUnknown, 0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := newTestQuarantine(&testFleet{result: test.result})
+				c, began := testContent("body"), time.Now()
+				q.NoteBrokenOff(quarantine.BrokenRun{Content: c, Target: serving.Target{ID: "t"}, BeganAt: began, Err: errors.New("EOF")})
+				if err := q.AdmitRequest(c); err != nil || time.Since(began) > maxVerdictWait {
+					t.Errorf("next attempt: error %v after %v, want none after at most 60 ms", err, time.Since(began))
+				}
+				if n := q.registry.CrashCount(c.Fingerprint()); n != test.wantCrashes {
+					t.Errorf("%d crashes counted when the next attempt is sent, want %d", n, test.wantCrashes)
+				}
+				time.Sleep(suspicionTTL) // until the last probe is over
+			})
+		})
+	}
+}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -1,10 +1,13 @@
 package quarantine
 
 import (
+	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"arbutusramp/core/quarantine"
+	"arbutusramp/core/sleep"
 )
 
 const (
@@ -48,20 +51,20 @@
 // is not safe for concurrent use.
 type suspectTable struct {
 	byTarget map[string]*suspectTarget // by the id of the target
-	count    int                       // number of suspects of all targets
+	count    atomic.Int64              // number of suspects of all targets; may be read without the lock
 }
 
 // newSuspectTable returns a table without targets.
-func newSuspectTable() suspectTable { return suspectTable{byTarget: make(map[string]*suspectTarget)} }
+func newSuspectTable() *suspectTable { return &suspectTable{byTarget: make(map[string]*suspectTarget)} }
 
 // len returns the number of suspects of all targets.
-func (s *suspectTable) len() int { return s.count }
+func (s *suspectTable) len() int { return int(s.count.Load()) }
 
 // prune removes the targets, with their suspects, whose lastBrokenAt is more than suspicionTTL before now.
 func (s *suspectTable) prune(now time.Time) {
 	for id, t := range s.byTarget {
 		if now.Sub(t.lastBrokenAt) > suspicionTTL {
-			s.count -= len(t.suspects)
+			s.count.Add(int64(-len(t.suspects)))
 			delete(s.byTarget, id)
 		}
 	}
@@ -75,7 +78,7 @@
 		return nil
 	}
 	list := t.suspects
-	s.count -= len(list)
+	s.count.Add(int64(-len(list)))
 	t.suspects, t.evidence, t.crashedAt = nil, evidence, now
 	return list
 }
@@ -87,9 +90,9 @@
 	if !ok {
 		return false
 	}
-	s.count -= len(t.suspects)
+	s.count.Add(int64(-len(t.suspects)))
 	t.suspects = slices.DeleteFunc(t.suspects, func(run suspect) bool { return run.brokenAt.Before(observedAt) })
-	s.count += len(t.suspects)
+	s.count.Add(int64(len(t.suspects)))
 	return len(t.suspects) > 0
 }
 
@@ -201,6 +204,37 @@
 	return ok && len(t.suspects) > 0
 }
 
+const (
+	// maxVerdictWait bounds how long the next attempt of an online request waits until it is known whether the target
+	// of the last one has crashed. The first probe is sent after 10 ms; without the wait, a request that crashes
+	// targets crashes its second one before its first crash counts.
+	maxVerdictWait      = 60 * time.Millisecond
+	verdictPollInterval = 5 * time.Millisecond
+)
+
+// awaitVerdict waits, for at most maxVerdictWait, while it is not known whether an earlier run of an online request has
+// crashed its target.
+func (q *Quarantine) awaitVerdict(c *quarantine.Content) {
+	for waited := time.Duration(0); waited < maxVerdictWait && q.isSuspectRun(c); waited += verdictPollInterval {
+		sleep.For(context.Background(), verdictPollInterval)
+	}
+}
+
+// isSuspectRun reports whether a run of an online request is among the suspects.
+func (q *Quarantine) isSuspectRun(c *quarantine.Content) bool {
+	if q.suspects.len() == 0 || c.Subject().IsItem {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.suspects.byTarget {
+		if slices.ContainsFunc(t.suspects, func(s suspect) bool { return s.content == c }) {
+			return true
+		}
+	}
+	return false
+}
+
 // addSuspect adds a run to the suspects of its target and reports whether the target has to be probed. If the
 // target is already known to have crashed since the run began, it returns the evidence instead. A run at a
 // silent target that has sent nothing since the run began is not added: the target may have been lost before
@@ -216,12 +250,12 @@
 	if t.isSilent && !hasSentData {
 		return "", false
 	}
-	if q.suspects.count >= maxSuspects {
+	if q.suspects.len() >= maxSuspects {
 		q.overflow.Inc(1)
 		return "", false
 	}
 	t.suspects = append(t.suspects, s)
-	q.suspects.count++
+	q.suspects.count.Add(1)
 	needsProbe = !t.isSilent && !t.isProbing
 	t.isProbing = t.isProbing || needsProbe
 	return "", needsProbe
