--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"iter"
+	"slices"
 	"time"
 )
 
@@ -14,8 +16,35 @@
 	// need cause crashes.
 	minScopeTrialDelay = 5 * time.Second
 	maxScopeTrialDelay = time.Minute
+	// A batch item that was running when a target crashed waits for crashedItemDelay, and twice as long after each
+	// further crash, while a resource or job of it has crashes of at least minScopeContents contents within
+	// recentCrashWindow. Such a scope is cleared by each harmless item that passes, so that its quarantine alone
+	// does not keep the items that crash targets from doing so again.
+	crashedItemDelay  = 20 * time.Second
+	recentCrashWindow = 10 * time.Second
 )
 
+// ScopeKind is the kind of a scope.
+type ScopeKind uint8
+
+// Kinds of scopes. Records of software versions without kinds have SharedScope.
+const (
+	SharedScope  ScopeKind = iota // a resource, a batch job or a route
+	SimilarScope                  // contents with similar bodies
+	CallerScope                   // requests from one address
+)
+
+// breadth orders the kinds of scopes from the narrowest to the broadest.
+func (k ScopeKind) breadth() int {
+	switch k {
+	case SimilarScope:
+		return 0
+	case CallerScope:
+		return 1
+	}
+	return 2
+}
+
 // Subject identifies a request by its content and its scopes.
 type Subject struct {
 	// Content is the fingerprint of the request's content.
@@ -25,10 +54,35 @@
 	Scopes []Fingerprint
 	// NarrowScopes is the number of scopes without the route, the first ones in Scopes.
 	NarrowScopes int
+	// IsItem reports whether the request is a batch item, which can wait.
+	IsItem bool
+	// Similar are the fingerprints of the similarity scopes, Caller is that of the caller's address; empty and zero if
+	// the request has none.
+	Similar []Fingerprint
+	Caller  Fingerprint
 	// HasPassed reports whether a run of the content has recently passed; see MinPassDuration.
 	HasPassed bool
 }
 
+// scopes returns the fingerprints and kinds of all scopes of the request, the narrowest first.
+func (s Subject) scopes() iter.Seq2[Fingerprint, ScopeKind] {
+	return func(yield func(Fingerprint, ScopeKind) bool) {
+		for _, f := range s.Similar {
+			if !yield(f, SimilarScope) {
+				return
+			}
+		}
+		if s.Caller != (Fingerprint{}) && !yield(s.Caller, CallerScope) {
+			return
+		}
+		for _, f := range s.Scopes {
+			if !yield(f, SharedScope) {
+				return
+			}
+		}
+	}
+}
+
 // prefix64 returns the first 64 bits of a content's fingerprint, which serve as Crash.ContentDigest in the record
 // of a scope.
 func (f Fingerprint) prefix64() uint64 { return binary.BigEndian.Uint64(f[:]) }
@@ -46,19 +100,24 @@
 // CheckScopes reports whether a request must not be sent now because one of its scopes is quarantined. A
 // request whose content has passed is not affected. It updates LastSeen of each quarantined scope that it checks.
 func (reg *Registry) CheckScopes(now time.Time, s Subject) (isQuarantined bool) {
-	return reg.blockingScope(now, s) != nil
+	_, isQuarantined = reg.BlockingScope(now, s)
+	return isQuarantined
 }
 
 // AdmitScopes is CheckScopes for a request that the caller sends immediately unless isQuarantined is true.
 // isTrial reports whether the request is sent as a trial of one of its scopes.
 func (reg *Registry) AdmitScopes(now time.Time, s Subject) (isQuarantined, isTrial bool) {
-	if reg.blockingScope(now, s) != nil {
+	if reg.CheckScopes(now, s) {
 		return true, false
 	}
 	if reg.hasPassed(s) {
 		return false, false
 	}
-	for _, f := range s.Scopes {
+	isSimilar := reg.isSimilar(now, s)
+	for f, kind := range s.scopes() {
+		if kind == SimilarScope && !isSimilar {
+			continue
+		}
 		if _, isScopeTrial := reg.Admit(now, f); isScopeTrial {
 			isTrial = true
 		}
@@ -66,18 +125,142 @@
 	return false, isTrial
 }
 
-// blockingScope returns the entry of the first scope whose quarantine forbids to send the request now; nil if
-// there is none.
-func (reg *Registry) blockingScope(now time.Time, s Subject) *entry {
+// Block describes the quarantine of a scope that forbids to send a request.
+type Block struct {
+	Scope   Fingerprint
+	Kind    string    // "similar", "caller", "resource", "job" or "route"
+	Crashes int       // in the record of the scope
+	Until   time.Time // when this process may send the next request of the scope as a trial
+}
+
+// BlockingScope returns the first scope, the narrowest kinds first, whose quarantine forbids to send the request now;
+// isBlocked is false if there is none. It updates LastSeen of each quarantined scope that it checks.
+func (reg *Registry) BlockingScope(now time.Time, s Subject) (b Block, isBlocked bool) {
 	if reg.hasPassed(s) {
-		return nil
+		return Block{}, false
 	}
-	for _, f := range s.Scopes {
-		if reg.Check(now, f) {
-			return reg.entries[f]
+	if b, isHeld := reg.heldItem(now, s); isHeld {
+		return b, true
+	}
+	isSimilar := reg.isSimilar(now, s)
+	for f, kind := range s.scopes() {
+		if kind == SimilarScope && !isSimilar || !reg.Check(now, f) {
+			continue
+		}
+		e := reg.entries[f]
+		return Block{Scope: f, Kind: s.scopeName(f, kind), Crashes: len(e.Crashes), Until: e.trialAt}, true
+	}
+	return Block{}, false
+}
+
+// heldItem reports whether a batch item must wait because of crashedItemDelay, and until when.
+func (reg *Registry) heldItem(now time.Time, s Subject) (b Block, isHeld bool) {
+	e, ok := reg.entries[s.Content]
+	if !s.IsItem || !ok || len(e.Crashes) == 0 {
+		return Block{}, false
+	}
+	until := e.Crashes[0].BrokenAt.Add(crashedItemDelay << (len(e.Crashes) - 1))
+	if !now.Before(until) {
+		return Block{}, false
+	}
+	for _, f := range s.Scopes[:s.NarrowScopes] {
+		if scope, ok := reg.entries[f]; ok && scope.countRecentContents(now) >= minScopeContents {
+			return Block{Scope: f, Kind: s.scopeName(f, SharedScope), Crashes: len(scope.recent), Until: until}, true
+		}
+	}
+	return Block{}, false
+}
+
+// recentCrash is a crash of a scope, which stays known for recentCrashWindow after the scope was cleared.
+type recentCrash struct {
+	contentDigest uint64
+	notedAt       time.Time // by the clock of this process
+}
+
+// noteRecent adds the crashes of a scope that were not known before to the recent ones.
+func (e *entry) noteRecent(now time.Time, crashes []Crash) {
+	e.recent = slices.DeleteFunc(e.recent, func(c recentCrash) bool { return now.Sub(c.notedAt) > recentCrashWindow })
+	for _, c := range crashes {
+		isKnown := slices.ContainsFunc(e.recent, func(r recentCrash) bool { return r.contentDigest == c.ContentDigest })
+		if !isKnown && len(e.recent) < MaxCrashes && now.Sub(c.BrokenAt) < recentCrashWindow {
+			e.recent = append(e.recent, recentCrash{c.ContentDigest, now})
 		}
 	}
-	return nil
+}
+
+// countRecentContents returns how many different contents crashed targets were running within recentCrashWindow.
+func (e *entry) countRecentContents(now time.Time) int {
+	n := 0
+	for _, c := range e.recent {
+		if now.Sub(c.notedAt) <= recentCrashWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// scopeName returns the name of the kind of one of the request's scopes for Block.Kind.
+func (s Subject) scopeName(f Fingerprint, kind ScopeKind) string {
+	index := slices.Index(s.Scopes, f)
+	switch {
+	case kind == SimilarScope:
+		return "similar"
+	case kind == CallerScope:
+		return "caller"
+	case index >= s.NarrowScopes:
+		return "route"
+	case index > 0:
+		return "job"
+	}
+	return "resource"
+}
+
+// isSimilar reports whether so many similarity scopes of the request are quarantined that its content counts as
+// similar to contents that crash targets.
+func (reg *Registry) isSimilar(now time.Time, s Subject) bool {
+	n := 0
+	for _, f := range s.Similar {
+		if reg.activeEntry(now, f) != nil {
+			n++
+		}
+	}
+	return n >= minSimilarScopes
+}
+
+// unexplainedCrashes returns the crashes of a scope that no quarantined scope of a narrower kind explains. A crash
+// that is explained says nothing about the other contents of the broader scope: neither about others on the route of
+// a caller that crashes targets, nor about those that a crashed target was running at the same time. A quarantined
+// content explains nothing: in a scope whose contents all crash targets, each of them is quarantined in the end.
+func (reg *Registry) unexplainedCrashes(e *entry) []Crash {
+	if e.Kind == SimilarScope {
+		return e.Crashes // no kind is narrower
+	}
+	if e.unexplainedAt == reg.changes && e.unexplained != nil {
+		return e.unexplained
+	}
+	explanations := make([]int, len(e.Crashes)) // for each crash; minSimilarScopes of them explain it
+	for _, narrower := range reg.narrowQuarantined() {
+		if narrower.Kind.breadth() >= e.Kind.breadth() {
+			continue
+		}
+		weight := minSimilarScopes
+		if narrower.Kind == SimilarScope {
+			weight = 1
+		}
+		for i, c := range e.Crashes {
+			if slices.ContainsFunc(narrower.Crashes, c.isSameCrash) {
+				explanations[i] += weight
+			}
+		}
+	}
+	unexplained := make([]Crash, 0, len(e.Crashes))
+	for i, c := range e.Crashes {
+		if explanations[i] < minSimilarScopes {
+			unexplained = append(unexplained, c)
+		}
+	}
+	e.unexplained, e.unexplainedAt = unexplained, reg.changes
+	return unexplained
 }
 
 // IsSuspect reports whether a target has crashed while running a request of the same resource or batch job,
@@ -97,7 +280,7 @@
 // MaxScopeCrashes returns the highest number of crashes in the records of the request's scopes.
 func (reg *Registry) MaxScopeCrashes(s Subject) int {
 	highest := 0
-	for _, f := range s.Scopes {
+	for f := range s.scopes() {
 		highest = max(highest, reg.CrashCount(f))
 	}
 	return highest
@@ -107,9 +290,9 @@
 // is meant for runs that had not passed when the target crashed; see MinPassDuration.
 func (reg *Registry) NoteScopeCrash(now time.Time, s Subject, c Crash) {
 	c.ContentDigest = s.Content.prefix64()
-	for _, f := range s.Scopes {
+	for f, kind := range s.scopes() {
 		e := reg.getOrCreateEntry(f)
-		e.IsScope = true
+		e.IsScope, e.Kind = true, kind
 		reg.noteCrash(now, e, c)
 	}
 }
@@ -117,13 +300,15 @@
 // NotePassed notes that a run of the request's content has passed; see MinPassDuration. The first run of a content
 // that passes shows that not every content of its scopes crashes targets, and clears the scopes. Later runs
 // that pass clear nothing: otherwise a content that is sent repeatedly would hide the crashes of other
-// contents. isNew reports whether crashes were cleared.
+// contents. It clears no similarity scopes of contents that the request hardly resembles; see minClearingScopes.
+// isNew reports whether crashes were cleared.
 func (reg *Registry) NotePassed(now time.Time, s Subject) (isNew bool) {
 	if reg.MaxScopeCrashes(s) == 0 || reg.hasPassed(s) {
 		return false
 	}
-	for _, f := range s.Scopes {
-		if reg.CrashCount(f) > 0 {
+	canClearSimilar := reg.countCrashed(s.Similar) >= minClearingScopes
+	for f, kind := range s.scopes() {
+		if reg.CrashCount(f) > 0 && (kind != SimilarScope || canClearSimilar) {
 			reg.clear(now, reg.entries[f])
 		}
 	}
@@ -133,6 +318,36 @@
 	return true
 }
 
+// narrowQuarantined returns the quarantined scopes of the kinds that may explain crashes of broader ones.
+func (reg *Registry) narrowQuarantined() []*entry {
+	if reg.narrowAt == reg.changes {
+		return reg.narrow
+	}
+	reg.narrow, reg.narrowAt = nil, reg.changes
+	// Whether a caller's scope is quarantined depends on the similarity scopes, which therefore come first.
+	for _, kind := range []ScopeKind{SimilarScope, CallerScope} {
+		var list []*entry
+		for _, e := range reg.entries {
+			if e.IsScope && e.Kind == kind && reg.isQuarantined(e) {
+				list = append(list, e)
+			}
+		}
+		reg.narrow = append(reg.narrow, list...)
+	}
+	return reg.narrow
+}
+
+// countCrashed returns the number of scopes that have crashes.
+func (reg *Registry) countCrashed(scopes []Fingerprint) int {
+	n := 0
+	for _, f := range scopes {
+		if reg.CrashCount(f) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // scheduleScopeTrial sets trialAt of a scope to a time after its last crash and its last trial. The delay
 // doubles with each crash beyond Options.Threshold.
 func (reg *Registry) scheduleScopeTrial(e *entry) {
