costmodel, fleet: keep what all targets of a request have in common

Each online request computes the expected time at all targets twice, under the lock of the view: the usual cost, the slowness (three times for a full target) and the rate of all targets. The usual cost is now kept until the next observed run, a slowness for 10 ms unless the target is observed, the rate for 50 ms, and the list of expectations is reused.

--- a/core/costmodel/costmodel.go
+++ b/core/costmodel/costmodel.go
@@ -67,6 +67,8 @@
 	maxServices     = 64
 	maxRoutes       = 1024
 	maxPaceServices = 1024
+	// maxUsual bounds the costs that are kept between two observed runs.
+	maxUsual = 1024
 	// minGaps is the number of event gaps from which a run counts. The mean of fewer gaps is dominated by a
 	// single step of the target.
 	minGaps = 3
@@ -81,9 +83,10 @@
 	services         map[string]*service
 	routes           map[routeKey]*route
 	servicesWithPace map[string]bool
-	credit           float64 // observations that may be sent now; see TakeObservations
-	lastTag          uint32  // of the newest target
-	hasNews          bool    // a target may have an observation that was not sent
+	usual            map[usualKey]usualCost // since the last observed run
+	credit           float64                // observations that may be sent now; see TakeObservations
+	lastTag          uint32                 // of the newest target
+	hasNews          bool                   // a target may have an observation that was not sent
 }
 
 // routeKey identifies a route, whose requests may go to several services.
@@ -93,7 +96,7 @@
 func New() *Model {
 	return &Model{
 		targets: make(map[string]*target), services: make(map[string]*service), routes: make(map[routeKey]*route),
-		servicesWithPace: make(map[string]bool), credit: maxObservations,
+		servicesWithPace: make(map[string]bool), usual: make(map[usualKey]usualCost), credit: maxObservations,
 	}
 }
 
@@ -130,35 +133,66 @@
 
 // Predict returns the expected cost of a run at its target; ok is false while nothing is known of its service.
 func (m *Model) Predict(now time.Time, q Query) (p Prediction, ok bool) {
-	s := m.serviceOf(now, q.Service)
-	r, ok := m.routes[routeKey{q.Service, q.Route}]
+	key := usualKey{routeKey{q.Service, q.Route}, q.Size, occupancyClass(q.Load, q.Slots)}
+	u, isKnown := m.usual[key]
+	if !isKnown {
+		u = m.computeUsual(now, key)
+		if len(m.usual) >= maxUsual {
+			clear(m.usual)
+		}
+		m.usual[key] = u
+	}
+	if !u.ok {
+		return Prediction{}, false
+	}
+	slowness := m.Slowness(now, q.Target)
+	p.FirstEvent = toDuration(u.firstEvent * slowness)
+	p.Hold = p.FirstEvent + toDuration(u.eventTime*slowness)
+	return p, u.isHoldKnown
+}
+
+// usualKey is what the cost of a run at a target of slowness 1 depends on.
+type usualKey struct {
+	route     routeKey
+	size      Size
+	occupancy int
+}
+
+// usualCost is the predicted cost of a run at a target of slowness 1, in seconds.
+type usualCost struct {
+	firstEvent, eventTime float64
+	ok, isHoldKnown       bool
+}
+
+// computeUsual computes the cost that is kept in Model.usual: each request needs it for all targets of its service.
+func (m *Model) computeUsual(now time.Time, key usualKey) usualCost {
+	s := m.serviceOf(now, key.route.service)
+	r, ok := m.routes[key.route]
 	if !ok || !r.isKnown() {
 		r = &s.anyRoute
 	}
-	slowness, class := m.logSlowness(now, q.Target), occupancyClass(q.Load, q.Slots)
 	if r.isCall() {
-		whole := toDuration(r.whole.at(class, outputClass(q.Size)) + slowness)
-		return Prediction{FirstEvent: whole, Hold: whole}, true
+		return usualCost{firstEvent: math.Exp2(r.whole.at(key.occupancy, outputClass(key.size))), ok: true, isHoldKnown: true}
 	}
 	if !r.isKnown() || s.first.level.len() == 0 {
-		return Prediction{}, false
+		return usualCost{}
 	}
-	p.FirstEvent = toDuration(s.first.at(class, sizeClass(q.Size.PromptTokens)) + slowness)
-	p.Hold = p.FirstEvent
-	gaps := max(0, r.output.expectedEvents(q.Size)-1)
+	u := usualCost{firstEvent: math.Exp2(s.first.at(key.occupancy, sizeClass(key.size.PromptTokens))), ok: true, isHoldKnown: true}
+	gaps := max(0, r.output.expectedEvents(key.size)-1)
 	if s.gap.level.len() == 0 {
-		return p, gaps < minGaps
+		u.isHoldKnown = gaps < minGaps
+		return u
 	}
-	p.Hold += toDuration(math.Log2(gaps) + s.gap.at(class, 0) + slowness)
-	return p, true
+	u.eventTime = gaps * math.Exp2(s.gap.at(key.occupancy, 0))
+	return u
 }
 
 // maxDuration bounds predicted durations.
 const maxDuration = time.Hour
 
-// toDuration converts the binary logarithm of a number of seconds to a duration of at most maxDuration.
-func toDuration(log float64) time.Duration {
-	return time.Duration(min(math.Exp2(log), maxDuration.Seconds()) * float64(time.Second))
+// toDuration converts a number of seconds to a duration of at most maxDuration.
+func toDuration(seconds float64) time.Duration {
+	return time.Duration(min(seconds, maxDuration.Seconds()) * float64(time.Second))
 }
 
 // ObserveRun records a finished run.
@@ -167,6 +201,7 @@
 	if t == nil {
 		return
 	}
+	clear(m.usual)
 	rt := m.routeOf(now, routeKey{r.Service, r.Route})
 	class, slowness := occupancyClass(r.Load, r.Slots), t.runSlowness(now, m.median(now, r.Service))
 	if gaps := r.Events - 1; r.IsStream && gaps >= minGaps && r.EventTime > 0 {
--- a/core/costmodel/costmodel_test.go
+++ b/core/costmodel/costmodel_test.go
@@ -183,3 +183,34 @@
 		t.Errorf("slowness %.2f after the target reports its usual pace again, want about 1", v)
 	}
 }
+
+// Guards against kept values that hide news: a reported pace, a peer's observation and a finished run change the next
+// prediction, also within the time for which a slowness is kept.
+func TestKeptValuesFollowObservations(t *testing.T) {
+	m, s, now := trained()
+	q := query(s.stream("t0", 1))
+	predict := func() time.Duration {
+		p, _ := m.Predict(now, q)
+		return p.Hold
+	}
+	before := predict()
+	m.ObservePace(now, "llm", "t0", 400)
+	paced := predict()
+	if paced < 2*before {
+		t.Errorf("after a pace of 400%% the predicted hold time is %v, before it %v, want twice that at least", paced, before)
+	}
+	m.ApplyObservations(now, []Observation{{Target: "t0", Runs: 255, SpeedSum: -2 * 255}})
+	if observed := predict(); observed > paced/2 {
+		t.Errorf("after a peer has observed a fast target the predicted hold time is %v, before it %v, want half of that at most", observed, paced)
+	}
+	slow := s.stream("t1", 1)
+	slow.EventTime *= 1000
+	slow.Events *= 1000
+	before = predict()
+	for range windowSize {
+		m.ObserveRun(now, slow)
+	}
+	if after := predict(); after == before {
+		t.Errorf("the predicted hold time is %v before and after %d long runs of the route", after, windowSize)
+	}
+}
--- a/core/costmodel/exchange.go
+++ b/core/costmodel/exchange.go
@@ -106,6 +106,7 @@
 func (t *target) apply(now time.Time, median float64, o Observation) {
 	runs := max(0, min(maxRuns, o.Runs))
 	if runs > 0 {
+		t.current = currentSlowness{}
 		t.speed.add(now, median, clip(o.SpeedSum, maxSlowness*float64(runs)), runs)
 		t.runs += runs
 	}
--- a/core/costmodel/target.go
+++ b/core/costmodel/target.go
@@ -41,12 +41,24 @@
 	recentPace float64 // mean of the reports of the last recentPaceTime
 	isOwnPace  bool    // pace was reported to this gateway and not to a peer
 
+	current currentSlowness
+
 	newRuns     int // runs that peers have not been told of
 	newSpeedSum float64
 	sharedPace  float64 // the pace that peers know
 	sharedAt    time.Time
 }
 
+// slownessTTL is how long a computed slowness is used unless the target is observed. Within it a pace loses 2% of its
+// effect.
+const slownessTTL = 10 * time.Millisecond
+
+// currentSlowness is a slowness that was computed at a time; zero if there is none.
+type currentSlowness struct {
+	at     time.Time
+	factor float64
+}
+
 // average is a mean in which older values have less weight. Values that are added at the same time can be added
 // in any order.
 type average struct {
@@ -114,6 +126,7 @@
 func (t *target) observeSpeed(now time.Time, median, speed float64) {
 	known := median + t.learned(now, median)
 	speed = clip(known+clip(speed-known, maxResidual), maxSlowness)
+	t.current = currentSlowness{}
 	t.speed.add(now, median, speed, 1)
 	if t.hasRecentPace(now) {
 		t.usualPace.add(now, 0, t.recentPace, 1)
@@ -134,21 +147,21 @@
 		t.recentPace += (pace - t.recentPace) * -math.Expm1(-at.Sub(t.paceAt).Seconds()/recentPaceTime.Seconds())
 	}
 	t.pace, t.paceAt, t.isOwnPace = pace, at, isOwn
+	t.current = currentSlowness{}
 	return true
 }
 
 // Slowness returns how many times longer than usual for its service work takes at a target now; 1 if unknown. It
 // is the learned factor times the pace that the target has reported, relative to its usual pace.
 func (m *Model) Slowness(now time.Time, target string) float64 {
-	return math.Exp2(m.logSlowness(now, target))
-}
-
-func (m *Model) logSlowness(now time.Time, target string) float64 {
 	t, ok := m.targets[target]
 	if !ok {
-		return 0
+		return 1
+	}
+	if age := now.Sub(t.current.at); t.current.at.IsZero() || age < 0 || age >= slownessTTL {
+		t.current = currentSlowness{now, math.Exp2(t.slowness(now, m.median(now, t.service)))}
 	}
-	return t.slowness(now, m.median(now, t.service))
+	return t.current.factor
 }
 
 // Pace returns the part of the slowness of a target that follows from the pace it has reported; 1 if unknown.
--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"arbutusramp/core/costmodel"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/structs"
 )
@@ -36,15 +37,29 @@
 	}
 }
 
+// learnedFleet returns benchFleet with expected times in use and known costs of all targets.
+func learnedFleet(targets int, now time.Time) *Fleet {
+	f := benchFleet(targets)
+	f.opts.ExpectedTime = ExpectedTimeOn
+	f.RecordHoldTime("llm", time.Second)
+	for i := range targets {
+		id := fmt.Sprintf("i-%08x", i)
+		f.ObservePace(now, id, 100+i%50)
+		f.ObserveRun(now, costmodel.Run{
+			Service: "llm", Route: "chat", Target: id, Load: 1 + i%7, Slots: 7, FirstEvent: 50 * time.Millisecond, EventTime: time.Second, Events: 50, IsStream: true, IsComplete: true,
+		})
+	}
+	return f
+}
+
 // BenchmarkPickOnlineByExpectedTime measures the same where targets are chosen by expected time.
 func BenchmarkPickOnlineByExpectedTime(b *testing.B) {
 	for _, targets := range fleetSizes {
 		b.Run(fmt.Sprint(targets), func(b *testing.B) {
-			f, now := benchFleet(targets), time.Now()
-			f.opts.ExpectedTime = ExpectedTimeOn
-			f.RecordHoldTime("llm", time.Second)
+			now := time.Now()
+			f := learnedFleet(targets, now)
 			for b.Loop() {
-				if _, ok := f.PickOnline(now, Work{Service: "llm"}, nil); !ok {
+				if _, ok := f.PickOnline(now, Work{Service: "llm", Route: "chat", IsStream: true}, nil); !ok {
 					b.Fatal("no target was picked")
 				}
 			}
@@ -52,6 +67,25 @@
 	}
 }
 
+// BenchmarkEstimateOfFullTargets measures the estimate for an online request, which is made once per request and, for
+// the first queued one, every 10 ms, while online requests hold all slots.
+func BenchmarkEstimateOfFullTargets(b *testing.B) {
+	for _, targets := range fleetSizes {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			now := time.Now()
+			f := learnedFleet(targets, now)
+			for _, ts := range f.targets {
+				ts.ownLoad.Online = ts.Slots
+			}
+			for b.Loop() {
+				if e := f.Estimate(now, Work{Service: "llm", Route: "chat", IsStream: true}); e.StartRate == 0 {
+					b.Fatal("the start rate is unknown")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkApplyReport measures applying a peer's report and computing the preemptions that follow from it,
 // at a gateway with three batch items.
 func BenchmarkApplyReport(b *testing.B) {
--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -111,12 +111,13 @@
 }
 
 // expectAll returns the candidates with their expectations, and the earliest of them with its hold time. list is not
-// empty.
+// empty. The result is valid until the next call.
 func (f *Fleet) expectAll(now time.Time, w Work, list []candidate) (all []expectedCandidate, earliest expectedCandidate) {
-	all = make([]expectedCandidate, len(list))
-	for i, c := range list {
-		all[i] = expectedCandidate{c, f.expect(now, w, c)}
+	all = f.expected[:0]
+	for _, c := range list {
+		all = append(all, expectedCandidate{c, f.expect(now, w, c)})
 	}
+	f.expected = all
 	earliest = slices.MinFunc(all, func(a, b expectedCandidate) int {
 		return cmp.Or(cmp.Compare(a.total(), b.total()), cmp.Compare(a.target.tieBreak, b.target.tieBreak), cmp.Compare(a.target.ID, b.target.ID))
 	})
@@ -189,18 +190,23 @@
 }
 
 // capacityRate is how many online requests per second all targets of a service together can serve, without
-// draining and suspect targets; 0 if unknown.
+// draining and suspect targets; 0 if unknown. It is at most capacityTTL old.
 func (f *Fleet) capacityRate(now time.Time, service string) float64 {
-	rate := 0.0
+	c := f.capacity(now, service)
+	if !c.rateAt.IsZero() && now.Sub(c.rateAt) < capacityTTL {
+		return c.rate
+	}
+	c.rateAt, c.rate = now, 0
 	for _, ts := range f.targets {
 		if ts.Service != service || ts.IsDraining || ts.health.state(now) == suspect {
 			continue
 		}
 		if hold := f.targetHoldTime(now, ts, f.slowness(now, ts.ID)); hold > 0 {
-			rate += float64(ts.Slots) / hold.Seconds()
+			c.rate += float64(ts.Slots) / hold.Seconds()
 		}
 	}
-	return rate
+	f.capacities[service] = c
+	return c.rate
 }
 
 // queueHoldTime is the hold time of a target by which its silence is judged; 0 if unknown. It is at least the
--- a/core/fleet/expected_test.go
+++ b/core/fleet/expected_test.go
@@ -177,3 +177,38 @@
 		}
 	}
 }
+
+// countingPredictor counts the predictions.
+type countingPredictor struct {
+	fakePredictor
+	predictions int
+}
+
+func (p *countingPredictor) Predict(now time.Time, q costmodel.Query) (costmodel.Prediction, bool) {
+	p.predictions++
+	return p.fakePredictor.Predict(now, q)
+}
+
+// Guards against work that is repeated for each request while all targets are full: with 3,000 targets the start rate
+// alone took half of an estimate, under the lock that all requests need.
+func TestStartRateIsNotComputedForEachEstimate(t *testing.T) {
+	const targets = 20
+	f := expectedFleet(targets, nil)
+	counting := &countingPredictor{fakePredictor: fakePredictor{base: costmodel.Prediction{FirstEvent: 50 * ms, Hold: 800 * ms}}}
+	f.predictions = counting
+	for _, ts := range f.targets {
+		ts.ownLoad.Online = ts.Slots
+	}
+	first := f.Estimate(start, Work{Service: "llm"})
+	counting.predictions = 0
+	second := f.Estimate(start.Add(ms), Work{Service: "llm"})
+	if limit := 2*targets + 1; counting.predictions > limit || second.StartRate != first.StartRate || first.StartRate == 0 {
+		t.Errorf("the second estimate takes %d predictions and has the start rate %v, want at most %d and %v", counting.predictions, second.StartRate, limit, first.StartRate)
+	}
+	for _, ts := range f.targets {
+		ts.IsDraining = ts.ID != first.Target
+	}
+	if later := f.Estimate(start.Add(2*capacityTTL), Work{Service: "llm"}); later.StartRate > first.StartRate/(targets-1) {
+		t.Errorf("the start rate with one target left is %v, that with %d targets was %v", later.StartRate, targets, first.StartRate)
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -97,6 +97,7 @@
 	sharing      *fairshare.Ledger          // nil if capacity is not divided between workspaces
 	capacities   map[string]serviceCapacity // by service; see capacity
 	draws        uint64                     // random choices of a target so far
+	expected     []expectedCandidate        // reused by expectAll
 	predictions  predictor                  // costs; another one in tests
 	forecasts    forecaster                 // demands; another one in tests
 	observed     observedTargets
--- a/core/fleet/forecast.go
+++ b/core/fleet/forecast.go
@@ -28,7 +28,7 @@
 	if limit <= 0 || !f.usesExpectedTime(service) || !f.opts.Disabled.IsEnabled(policy.RetryForecast) {
 		return 0
 	}
-	capacity := forecastFillShare * float64(f.totalSlots(now, service))
+	capacity := forecastFillShare * float64(f.capacity(now, service).slots)
 	step := max(forecastStep, limit/maxForecastSteps)
 	for ahead := step; ahead < limit; ahead += step {
 		online, isPeriodic := f.forecasts.Forecast(now, service, ahead)
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -11,6 +11,8 @@
 type serviceCapacity struct {
 	at             time.Time
 	slots, targets int
+	rateAt         time.Time // zero while rate is not computed
+	rate           float64   // see capacityRate
 }
 
 // capacityTTL is how long a computed capacity is used. Computing it takes time in proportion to the number of
@@ -35,7 +37,7 @@
 	if !ok && len(f.capacities) >= maxCapacities {
 		clear(f.capacities)
 	}
-	c = serviceCapacity{at: now}
+	c.at, c.slots, c.targets = now, 0, 0
 	for _, ts := range f.targets {
 		if ts.Service == service && !ts.IsDraining && ts.health.state(now) != suspect {
 			c.slots += ts.Slots
