fairshare: a rounding error is no workspace

The work of peers is a sum from which reports are taken out again, and what rounding left of it counted as a workspace that offers work. The only workspace with requests was then over its share and rejected. Workspaces count from a millionth of a slot on; TestEndedWorkLeavesNoMember fails without it.

--- a/core/fairshare/division.go
+++ b/core/fairshare/division.go
@@ -24,6 +24,10 @@
 // demand is what a workspace or a group of workspaces with the same needs claims of the capacity.
 type demand struct{ work, weight float64 }
 
+// minWork is the work in slots from which a workspace counts in a division. Sums of the reports of peers keep a rounding
+// error after a report has been taken out, which would count as another workspace that offers work.
+const minWork = 1e-6
+
 // division returns the division of a service's capacity, which is at most divisionTTL old.
 func (l *Ledger) division(now time.Time, s *service, capacity float64) *division {
 	d := &s.div
@@ -35,12 +39,12 @@
 	*d = division{at: now, capacity: capacity, oldestInput: oldest}
 	demands := l.demands[:0]
 	s.eachUsage(now, func(u Usage) {
-		if u.Offered > 0 {
+		if u.Offered > minWork {
 			demands = append(demands, demand{u.Offered, l.weight(u.Workspace)})
 			d.members++
 		}
 	})
-	if s.rest.offered > 0 && s.rest.members > 0 {
+	if s.rest.offered > minWork && s.rest.members > 0 {
 		demands = append(demands, demand{s.rest.offered, s.rest.members})
 		d.members += s.rest.members
 	}
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -304,3 +304,25 @@
 		l.Admit(now, "s", name, 0, 16)
 	}
 }
+
+// Guards against a rounding error that counts as a workspace: the only workspace that requests work is never over its
+// share, whatever others have requested before.
+func TestEndedWorkLeavesNoMember(t *testing.T) {
+	for _, id := range []fairshare.ID{7, fairshare.RestID} {
+		l := fairshare.New(fairshare.Options{Window: 2 * time.Second})
+		now := offerFor(l, start, 3*time.Second, map[string]float64{"a": 30}, 0.5)
+		l.ApplyReport(now, "p1", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.1, Served: 0.1}})
+		l.ApplyReport(now, "p2", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.2, Served: 0.2}})
+		l.ApplyReport(now, "p3", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.3, Served: 0.3}})
+		if d := l.Decide(now, "s", "a", 16); !d.IsOverShare {
+			t.Errorf("workspace %d: with work of another workspace the decision is %+v, want it over its share", id, d)
+		}
+		now = offerFor(l, now, 100*time.Millisecond, map[string]float64{"a": 30}, 0.5)
+		for _, peer := range []string{"p1", "p2", "p3"} {
+			l.ApplyReport(now, peer, []fairshare.Usage{{Service: "s", Workspace: id}})
+		}
+		if d := l.Decide(now, "s", "a", 16); d.IsOverShare {
+			t.Errorf("workspace %d: with no other work the decision is %+v, want it not over its share", id, d)
+		}
+	}
+}
--- a/core/fairshare/starts.go
+++ b/core/fairshare/starts.go
@@ -50,11 +50,11 @@
 		}
 	}
 	s.eachUsage(now, func(u Usage) {
-		if work := max(u.Offered, u.Served); work > 0 && !isWaiting[u.Workspace] {
+		if work := max(u.Offered, u.Served); work > minWork && !isWaiting[u.Workspace] {
 			demands = append(demands, demand{work, l.weight(u.Workspace)})
 		}
 	})
-	if work := max(s.rest.offered, s.rest.served); work > 0 && s.rest.members > 0 {
+	if work := max(s.rest.offered, s.rest.served); work > minWork && s.rest.members > 0 {
 		demands = append(demands, demand{work, s.rest.members})
 	}
 	return waterLevel(demands, capacity)
