headroom: the time of a forecast does not grow with its distance

The forecast went through all periods between now and the requested time. For a deadline of years, which any caller may state, a look-up in an overload took that many steps, 200 times for each request and under the lock of the view. The first period that leads into the window is now computed.

--- a/core/headroom/demand.go
+++ b/core/headroom/demand.go
@@ -181,13 +181,14 @@
 	}
 	position := float64(now.Sub(d.start)+ahead)/float64(binTime) - 0.5 // a bin's value belongs to its middle
 	sum, periods := 0.0, 0
-	for k := 1.0; periods < maxForecastPeriods; k++ {
+	// The first multiple of the period that leads back into the window is computed: callers may state deadlines of years.
+	for k := max(1, math.Floor((position-float64(d.last))/d.period)+1); periods < maxForecastPeriods; k++ {
 		p := position - k*d.period
 		if p < float64(d.first) {
 			break
 		}
 		if p >= float64(d.last) {
-			continue // the forecast reaches further than a period
+			continue // by rounding
 		}
 		sum += d.at(p)
 		periods++
--- a/core/headroom/headroom_test.go
+++ b/core/headroom/headroom_test.go
@@ -239,3 +239,17 @@
 		findPeriod(deviations[:], variance)
 	}
 }
+
+// Guards against a forecast whose time grows with the distance: callers state deadlines of years, and each rejected
+// request takes up to 200 forecasts under a lock.
+func TestFarForecastsTakeNoLonger(t *testing.T) {
+	s, l := newSimulation(1, 0.5*targets*slots, squareWave), New(Options{GainTime: gainTime})
+	now := s.run(l, 40*time.Second)
+	const year = 365 * 24 * time.Hour
+	for i := range 10_000 {
+		online, isPeriodic := l.Forecast(now, "llm", 250*year+time.Duration(i)*time.Millisecond)
+		if !isPeriodic || online < 0 || online > targets*slots {
+			t.Fatalf("forecast %v, periodic %t, want a number of online requests from 0 to %d", online, isPeriodic, targets*slots)
+		}
+	}
+}
