gateway: requests without a workspace keep the order of the queue

With sharing set and no workspaces in the configuration, queued requests were ordered by rank, as if the capacity was divided. TestNothingIsDividedBetweenRequestsWithoutWorkspace fails without the change.

--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -23,7 +23,7 @@
 		return
 	}
 	ex.share = ex.gw.view.OfferOnline(ex.work(), request.HigherRanks, request.IsSecondAttempt())
-	request.Share = shed.Share{IsDivided: true, IsOver: ex.share.IsOverShare, IsAdmitted: ex.share.IsAdmitted, IsSlotFree: ex.share.IsSlotFree}
+	request.Share = shed.Share{IsDivided: ex.share.IsShared, IsOver: ex.share.IsOverShare, IsAdmitted: ex.share.IsAdmitted, IsSlotFree: ex.share.IsSlotFree}
 }
 
 // newQueuedRequest returns the input of the decision on a queued request, and the estimate that it was made from.
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -22,6 +22,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/quota"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/shed"
 	"arbutusramp/internal/fleetview"
 )
 
@@ -143,3 +144,18 @@
 		t.Error("requests are rejected by share without a division, want none")
 	}
 }
+
+// Guards against another order of the queue in a deployment that sets sharing and has no workspaces.
+func TestNothingIsDividedBetweenRequestsWithoutWorkspace(t *testing.T) {
+	h := newHarness(1)
+	h.view = fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second, Sharing: &fairshare.Options{Window: 2 * time.Second}})
+	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	for workspace, isDivided := range map[string]bool{"": false, "a": true} {
+		ex := &exchange{gw: h.gw, route: newRoute(serving.KindSafe, 1, false), req: &serving.Request{Caller: serving.Caller{Workspace: workspace}}, service: "s"}
+		var request shed.Request
+		ex.applyShare(&request)
+		if request.Share != (shed.Share{IsDivided: isDivided}) {
+			t.Errorf("workspace %q: the share is %+v, want divided %v", workspace, request.Share, isDivided)
+		}
+	}
+}
