costmodel: reports search only the targets that were observed

Each answer with a pace made the next reports go through all targets for news, also when the pace was none. The targets that were observed since they were last searched are now kept. With 3,000 targets and a pace that is no news a search took 187 us before, 2 us now (one run).

--- a/core/costmodel/costmodel.go
+++ b/core/costmodel/costmodel.go
@@ -86,7 +86,7 @@
 	usual            map[usualKey]usualCost // since the last observed run
 	credit           float64                // observations that may be sent now; see TakeObservations
 	lastTag          uint32                 // of the newest target
-	hasNews          bool                   // a target may have an observation that was not sent
+	withNews         map[string]*target     // by id: those that may have an observation that was not sent
 }
 
 // routeKey identifies a route, whose requests may go to several services.
@@ -96,7 +96,7 @@
 func New() *Model {
 	return &Model{
 		targets: make(map[string]*target), services: make(map[string]*service), routes: make(map[routeKey]*route),
-		servicesWithPace: make(map[string]bool), usual: make(map[usualKey]usualCost), credit: maxObservations,
+		servicesWithPace: make(map[string]bool), usual: make(map[usualKey]usualCost), withNews: make(map[string]*target), credit: maxObservations,
 	}
 }
 
@@ -108,6 +108,7 @@
 	case t.service == "": // known from peers only
 		t.service = service
 	default:
+		m.RemoveTarget(id)
 		m.targets[id] = m.newTarget(service)
 	}
 }
@@ -129,7 +130,10 @@
 }
 
 // RemoveTarget drops what is known of a target.
-func (m *Model) RemoveTarget(id string) { delete(m.targets, id) }
+func (m *Model) RemoveTarget(id string) {
+	delete(m.targets, id)
+	delete(m.withNews, id)
+}
 
 // Predict returns the expected cost of a run at its target; ok is false while nothing is known of its service.
 func (m *Model) Predict(now time.Time, q Query) (p Prediction, ok bool) {
@@ -202,6 +206,7 @@
 		return
 	}
 	clear(m.usual)
+	m.withNews[r.Target] = t
 	rt := m.routeOf(now, routeKey{r.Service, r.Route})
 	class, slowness := occupancyClass(r.Load, r.Slots), t.runSlowness(now, m.median(now, r.Service))
 	if gaps := r.Events - 1; r.IsStream && gaps >= minGaps && r.EventTime > 0 {
@@ -228,7 +233,7 @@
 func (m *Model) observeDuration(now time.Time, s *service, t *target, c *curve, class, size int, duration, slowness float64) {
 	if speed, ok := c.compare(class, size, duration, t.tag); ok {
 		t.observeSpeed(now, m.median(now, t.service), speed)
-		s.isMedianStale, m.hasNews = true, true
+		s.isMedianStale = true
 	}
 	c.observe(class, size, duration, slowness, t.tag)
 }
--- a/core/costmodel/exchange.go
+++ b/core/costmodel/exchange.go
@@ -29,7 +29,7 @@
 // are kept and summed up until a later call.
 func (m *Model) TakeObservations(now time.Time) []Observation {
 	m.credit = min(maxObservations, m.credit+creditPerReport)
-	if !m.hasNews || m.credit < minCredit {
+	if len(m.withNews) == 0 || m.credit < minCredit {
 		return nil
 	}
 	type candidate struct {
@@ -38,18 +38,21 @@
 		news float64
 	}
 	var list []candidate
-	for id, t := range m.targets {
-		if news := t.news(now); news > 0 {
-			list = append(list, candidate{id, t, news})
+	for id, t := range m.withNews {
+		news := t.news(now)
+		if news == 0 {
+			delete(m.withNews, id) // without an observation the known and the sent pace only come closer
+			continue
 		}
+		list = append(list, candidate{id, t, news})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(b.news, a.news), cmp.Compare(a.id, b.id)) })
 	count := min(len(list), int(m.credit))
 	m.credit -= float64(count)
-	m.hasNews = len(list) > count
 	var observations []Observation
 	for _, c := range list[:count] {
 		observations = append(observations, c.t.takeObservation(now, c.id))
+		delete(m.withNews, c.id)
 	}
 	return observations
 }
--- a/core/costmodel/exchange_test.go
+++ b/core/costmodel/exchange_test.go
@@ -119,3 +119,40 @@
 		t.Errorf("%d routes, %d services, %d targets, want at most %d, %d, %d", len(m.routes), len(m.services), len(m.targets), maxRoutes, maxServices, maxTargets)
 	}
 }
+
+// Guards against reports that go through all targets although nothing new is known of them: answers with a pace are
+// frequent, and each starts and ends with a report.
+func TestOnlyTargetsWithNewsAreSearched(t *testing.T) {
+	m, now := New(), start
+	for i := range 100 {
+		m.ObservePace(now, "llm", fmt.Sprint(i), 100) // as peers assume
+	}
+	m.ObservePace(now, "llm", "slow", 400)
+	var sent []Observation
+	for range 2 * maxObservations {
+		now = now.Add(time.Millisecond)
+		sent = append(sent, m.TakeObservations(now)...)
+	}
+	if len(sent) != 1 || sent[0].Target != "slow" || len(m.withNews) != 0 {
+		t.Errorf("sent %v with %d targets left to search, want one observation of the slow target and none left", sent, len(m.withNews))
+	}
+	m.ObservePace(now, "llm", "gone", 400)
+	m.RemoveTarget("gone")
+	if sent := m.TakeObservations(now); len(sent) != 0 {
+		t.Errorf("sent %v of a removed target, want none", sent)
+	}
+}
+
+// BenchmarkTakeObservations measures the search for news at 3,000 targets, of which one has answered since the last report
+// with a pace that is no news.
+func BenchmarkTakeObservations(b *testing.B) {
+	m, now := New(), start
+	for i := range 3000 {
+		m.ObservePace(now, "llm", fmt.Sprint(i), 105)
+	}
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		m.ObservePace(now, "llm", "1", 105)
+		m.TakeObservations(now)
+	}
+}
--- a/core/costmodel/target.go
+++ b/core/costmodel/target.go
@@ -182,7 +182,7 @@
 	}
 	m.notePace(service)
 	t.setPace(now, math.Log2(float64(max(minPacePercent, min(maxPacePercent, percent)))/100), true)
-	m.hasNews = true
+	m.withNews[target] = t
 }
 
 // medianInterval is how long the median of the speeds of a service's targets is used before it is computed again.
