fairshare: a refund takes back only the work it belongs to

A run counts for its workspace with its predicted time when it begins, and the rest was taken back in the bucket in which it ended. The first bucket left the window before the second, so that the use of the workspace was too low, down to 0, for as long as the run had lasted: its share did not count as used up, and its batch items started before those of others. The work is now taken back where it was recorded, and not at all once that has left the window. TestRefundsTakeBackOnlyTheirWork reads 0.00 of 2 slots without the change.

--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -102,8 +102,7 @@
 	}
 }
 
-// Serve records work of a workspace that is sent to a target. Negative work takes back work that was recorded and
-// not done.
+// Serve records work of a workspace that is sent to a target.
 func (l *Ledger) Serve(now time.Time, service, workspace string, work time.Duration) {
 	if s, a := l.account(now, service, workspace); a != nil {
 		a.advance(s.bucketOf(now))
@@ -111,6 +110,19 @@
 	}
 }
 
+// Refund takes back work that Serve has recorded at a time and that was not done. Work that has left the window is not
+// taken back from later work.
+func (l *Ledger) Refund(now, servedAt time.Time, service, workspace string, work time.Duration) {
+	s, a := l.account(now, service, workspace)
+	if a == nil {
+		return
+	}
+	a.advance(s.bucketOf(now))
+	if bucket := s.bucketOf(servedAt); a.bucket-bucket < bucketCount {
+		a.served.takeBack(bucket, work)
+	}
+}
+
 // Decide returns the position of a workspace at a service whose targets have capacity slots.
 func (l *Ledger) Decide(now time.Time, service, workspace string, capacity float64) Decision {
 	s, ok := l.services[service]
--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -326,3 +326,24 @@
 		}
 	}
 }
+
+// Guards against refunds that hide other work: a run that was predicted to be long and is not leaves the use of its
+// workspace as it is, also after the run has left the window.
+func TestRefundsTakeBackOnlyTheirWork(t *testing.T) {
+	l := fairshare.New(fairshare.Options{Window: 2 * time.Second})
+	now := offerFor(l, start, 2*time.Second, map[string]float64{"a": 2}, 1)
+	longAt := now
+	l.Serve(longAt, "s", "a", 10*time.Second)
+	now = offerFor(l, now, time.Second, map[string]float64{"a": 2}, 1)
+	l.Refund(now, longAt, "s", "a", 9*time.Second+900*time.Millisecond)
+	for range 30 {
+		now = offerFor(l, now, 100*time.Millisecond, map[string]float64{"a": 2}, 1)
+		if use := l.Decide(now, "s", "a", 16).Use; use < 1.8 || use > 2.3 {
+			t.Errorf("%v after the long run the use is %.2f slots, want about 2", now.Sub(longAt), use)
+		}
+	}
+	l.Refund(now, longAt, "s", "a", 9*time.Second)
+	if use := l.Decide(now, "s", "a", 16).Use; use < 1.8 {
+		t.Errorf("after a refund of work that has left the window the use is %.2f slots, want about 2", use)
+	}
+}
--- a/core/fairshare/window.go
+++ b/core/fairshare/window.go
@@ -13,13 +13,18 @@
 	r[bucket%bucketCount] += float32(work.Seconds())
 }
 
-// sum returns the work in all buckets; 0 if more has been taken back than recorded.
+// takeBack reduces the work in a bucket, to 0 at least.
+func (r *ring) takeBack(bucket int64, work time.Duration) {
+	r[bucket%bucketCount] = max(0, r[bucket%bucketCount]-float32(work.Seconds()))
+}
+
+// sum returns the work in all buckets.
 func (r *ring) sum() float64 {
 	sum := float32(0)
 	for _, work := range r {
 		sum += work
 	}
-	return max(0, float64(sum))
+	return float64(sum)
 }
 
 // account is the work of a workspace at a service of this gateway.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -119,10 +119,10 @@
 	return work
 }
 
-// RefundWork takes back a part of what ServeWork has recorded: the run has held its slot for a shorter time.
-func (f *Fleet) RefundWork(now time.Time, w Work, unused time.Duration) {
+// RefundWork takes back a part of what ServeWork has recorded at a time: the run has held its slot for a shorter time.
+func (f *Fleet) RefundWork(now, servedAt time.Time, w Work, unused time.Duration) {
 	if f.isShared(w) && unused > 0 {
-		f.sharing.Serve(now, w.Service, w.Workspace, -unused)
+		f.sharing.Refund(now, servedAt, w.Service, w.Workspace, unused)
 	}
 }
 
--- a/internal/fleetview/share.go
+++ b/internal/fleetview/share.go
@@ -66,5 +66,5 @@
 // correctServed takes back the work that a run has not done: it was preempted, refused or short. The caller holds
 // v.mu.
 func (v *View) correctServed(now time.Time, r *Run) {
-	v.fleet.RefundWork(now, r.Work, r.sharedWork-now.Sub(r.startedAt))
+	v.fleet.RefundWork(now, r.startedAt, r.Work, r.sharedWork-now.Sub(r.startedAt))
 }
