--- a/core/fairshare/fairshare_test.go
+++ b/core/fairshare/fairshare_test.go
@@ -304,3 +304,46 @@
 		l.Admit(now, "s", name, 0, 16)
 	}
 }
+
+// Guards against a rounding error that counts as a workspace: the only workspace that requests work is never over its
+// share, whatever others have requested before.
+func TestEndedWorkLeavesNoMember(t *testing.T) {
+	for _, id := range []fairshare.ID{7, fairshare.RestID} {
+		l := fairshare.New(fairshare.Options{Window: 2 * time.Second})
+		now := offerFor(l, start, 3*time.Second, map[string]float64{"a": 30}, 0.5)
+		l.ApplyReport(now, "p1", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.1, Served: 0.1}})
+		l.ApplyReport(now, "p2", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.2, Served: 0.2}})
+		l.ApplyReport(now, "p3", []fairshare.Usage{{Service: "s", Workspace: id, Offered: 0.3, Served: 0.3}})
+		if d := l.Decide(now, "s", "a", 16); !d.IsOverShare {
+			t.Errorf("workspace %d: with work of another workspace the decision is %+v, want it over its share", id, d)
+		}
+		now = offerFor(l, now, 100*time.Millisecond, map[string]float64{"a": 30}, 0.5)
+		for _, peer := range []string{"p1", "p2", "p3"} {
+			l.ApplyReport(now, peer, []fairshare.Usage{{Service: "s", Workspace: id}})
+		}
+		if d := l.Decide(now, "s", "a", 16); d.IsOverShare {
+			t.Errorf("workspace %d: with no other work the decision is %+v, want it not over its share", id, d)
+		}
+	}
+}
+
+// Guards against refunds that hide other work: a run that was predicted to be long and is not leaves the use of its
+// workspace as it is, also after the run has left the window.
+func TestRefundsTakeBackOnlyTheirWork(t *testing.T) {
+	l := fairshare.New(fairshare.Options{Window: 2 * time.Second})
+	now := offerFor(l, start, 2*time.Second, map[string]float64{"a": 2}, 1)
+	longAt := now
+	l.Serve(longAt, "s", "a", 10*time.Second)
+	now = offerFor(l, now, time.Second, map[string]float64{"a": 2}, 1)
+	l.Refund(now, longAt, "s", "a", 9*time.Second+900*time.Millisecond)
+	for range 30 {
+		now = offerFor(l, now, 100*time.Millisecond, map[string]float64{"a": 2}, 1)
+		if use := l.Decide(now, "s", "a", 16).Use; use < 1.8 || use > 2.3 {
+			t.Errorf("%v after the long run the use is %.2f slots, want about 2", now.Sub(longAt), use)
+		}
+	}
+	l.Refund(now, longAt, "s", "a", 9*time.Second)
+	if use := l.Decide(now, "s", "a", 16).Use; use < 1.8 {
+		t.Errorf("after a refund of work that has left the window the use is %.2f slots, want about 2", use)
+	}
+}
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -11,6 +11,8 @@
 type serviceCapacity struct {
 	at             time.Time
 	slots, targets int
+	rateAt         time.Time // zero while rate is not computed
+	rate           float64   // see capacityRate
 }
 
 // capacityTTL is how long a computed capacity is used. Computing it takes time in proportion to the number of
@@ -35,7 +37,7 @@
 	if !ok && len(f.capacities) >= maxCapacities {
 		clear(f.capacities)
 	}
-	c = serviceCapacity{at: now}
+	c.at, c.slots, c.targets = now, 0, 0
 	for _, ts := range f.targets {
 		if ts.Service == service && !ts.IsDraining && ts.health.state(now) != suspect {
 			c.slots += ts.Slots
@@ -117,10 +119,10 @@
 	return work
 }
 
-// RefundWork takes back a part of what ServeWork has recorded: the run has held its slot for a shorter time.
-func (f *Fleet) RefundWork(now time.Time, w Work, unused time.Duration) {
+// RefundWork takes back a part of what ServeWork has recorded at a time: the run has held its slot for a shorter time.
+func (f *Fleet) RefundWork(now, servedAt time.Time, w Work, unused time.Duration) {
 	if f.isShared(w) && unused > 0 {
-		f.sharing.Serve(now, w.Service, w.Workspace, -unused)
+		f.sharing.Refund(now, servedAt, w.Service, w.Workspace, unused)
 	}
 }
 
