--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"arbutusramp/core/costmodel"
@@ -92,8 +93,8 @@
 
 // HasFreeSlot reports whether an online request would get a slot immediately, possibly of a batch item.
 func (f *Fleet) HasFreeSlot(now time.Time, w Work) bool {
-	c, ok := f.PickOnline(now, w, nil)
-	return ok && !c.IsQueued()
+	list, _ := f.onlineCandidates(now, w.Service, nil)
+	return slices.ContainsFunc(list, func(c candidate) bool { return c.load.Online < c.target.Slots })
 }
 
 // RecordShareRejection records that a request was rejected because its workspace is over its share.
--- a/core/shed/expected.go
+++ b/core/shed/expected.go
@@ -64,7 +64,7 @@
 		return Decision{Verdict: Send}
 	case r.isFirstAttempt() || !c.Disabled.IsEnabled(policy.QueueRetries):
 		return Decision{Verdict: Send}
-	case queued >= c.maxQueued(now, r) && !c.canServeBeyondQueue(now, r):
+	case queued >= c.maxQueued(now, r):
 		return r.reject()
 	}
 	return c.enqueue(now, r)
@@ -76,18 +76,6 @@
 	return Decision{Verdict: Reject, RetryAfter: r.Remaining / MaxRetryDivisor}
 }
 
-// canServeBeyondQueue reports whether a second attempt that finds the queue full is expected to be served before
-// its caller gives up: at the rate at which queued requests are sent or, if the demand is expected to fall, at
-// the start rate from then on.
-func (c *Controller) canServeBeyondQueue(now time.Time, r Request) bool {
-	ahead := float64(c.queuedBefore(r.queueKey()) + 1)
-	timeLeft := r.firstEventTimeout() - time.Duration(serviceMargin*float64(r.ServiceTime))
-	if rate := c.dequeueRate(now, r.StartRate); r.ExpectedWait+seconds(ahead/rate) <= timeLeft {
-		return true
-	}
-	return r.CapacityAfter > 0 && c.Disabled.IsEnabled(policy.RetryForecast) && r.CapacityAfter+seconds(ahead/r.StartRate) <= r.maxQueueTime()
-}
-
 // seconds converts a number of seconds to a duration; infinity and NaN become the longest one.
 func seconds(s float64) time.Duration {
 	if d := s * float64(time.Second); d < math.MaxInt64/2 {
--- a/core/shed/share.go
+++ b/core/shed/share.go
@@ -65,7 +65,7 @@
 // queue of an engine it would delay the requests of the other workspaces.
 func (c *Controller) recheckOverShare(now time.Time, q *QueuedRequest, r Request) Verdict {
 	switch {
-	case c.IsFirst(q) && r.Share.IsSlotFree:
+	case c.IsFirst(now, q) && r.Share.IsSlotFree:
 		return Send
 	case q.IsExpired(now):
 		return RetryLater
--- a/core/shed/share_test.go
+++ b/core/shed/share_test.go
@@ -75,7 +75,7 @@
 			want = []int{3, 5, 1, 4, 0, 2}
 		}
 		for place, i := range want {
-			if !c.IsFirst(arrivals[i]) {
+			if !c.IsFirst(start, arrivals[i]) {
 				t.Errorf("divided %v: arrival %d is not at place %d, want the order %v", isDivided, i, place, want)
 			}
 			c.Dequeue(start, arrivals[i], true)
--- a/core/shed/shed.go
+++ b/core/shed/shed.go
@@ -129,7 +129,10 @@
 type QueuedRequest struct {
 	expiresAt time.Time
 	deadline  time.Time // when the caller gives up; zero if unknown
-	key       queueKey
+	// goalAt is until when the request can still be answered within its latency goal; zero if that has no influence
+	// on the order.
+	goalAt time.Time
+	key    queueKey
 }
 
 // Controller decides on the online requests of one service at one gateway. It does no I/O, uses no clock and
@@ -138,7 +141,7 @@
 	// Disabled is the set of disabled mechanisms.
 	Disabled policy.Disabled
 
-	queue       []*QueuedRequest // in order of their keys, and then of arrival
+	queue       []*QueuedRequest // in order of their keys, and then of arrival; see also IsFirst
 	dequeueGap  time.Duration    // moving average of the time between two requests sent from the queue, without expired ones; 0 if unknown
 	retries     retrySchedule    // of rejected requests with a known service time
 	lastDequeue time.Time        // when an unexpired request was last sent from the queue, or when the queue last became non-empty
@@ -172,6 +175,9 @@
 	if r.Remaining > 0 {
 		q.deadline = now.Add(r.Remaining)
 	}
+	if r.ServiceTime > 0 {
+		q.goalAt = now.Add(r.maxWait())
+	}
 	if len(c.queue) == 0 {
 		c.lastDequeue = now
 	}
@@ -211,7 +217,7 @@
 	if !now.Before(q.expiresAt) {
 		return Send // the caller gives up soon: the engine's queue is the only place left to wait
 	}
-	if !c.IsFirst(q) {
+	if !c.IsFirst(now, q) {
 		return Queue
 	}
 	if float64(r.ExpectedWait) <= queuedWaitShare*float64(r.maxWait()) {
@@ -220,8 +226,19 @@
 	return Queue
 }
 
-// IsFirst reports whether q is the next request of the queue to be sent.
-func (c *Controller) IsFirst(q *QueuedRequest) bool { return len(c.queue) > 0 && c.queue[0] == q }
+// IsFirst reports whether q is the next request of the queue to be sent: the first one that can still meet its
+// latency goal, or else the first one. In the order of arrival alone, each request of a lasting overload would wait
+// until it is late, and the ones after it as well.
+func (c *Controller) IsFirst(now time.Time, q *QueuedRequest) bool {
+	if i := slices.IndexFunc(c.queue, func(o *QueuedRequest) bool { return !o.isLate(now) }); i >= 0 {
+		return c.queue[i] == q
+	}
+	return len(c.queue) > 0 && c.queue[0] == q
+}
+
+// isLate reports whether the request can no longer be answered within its latency goal. It is false for requests
+// without a known service time.
+func (q *QueuedRequest) isLate(now time.Time) bool { return !q.goalAt.IsZero() && now.After(q.goalAt) }
 
 // IsExpired reports whether the request has reached its maximum queue time.
 func (q *QueuedRequest) IsExpired(now time.Time) bool { return !now.Before(q.expiresAt) }
--- a/core/shed/shed_test.go
+++ b/core/shed/shed_test.go
@@ -143,7 +143,7 @@
 	first := c.Arrive(start, retry)
 	second := c.Arrive(start, retry)
 	c.Dequeue(start.Add(ms), first.Queued, false)
-	if len(c.queue) != 1 || !c.IsFirst(second.Queued) {
+	if len(c.queue) != 1 || !c.IsFirst(start, second.Queued) {
 		t.Errorf("%d requests are queued after the first was removed, want 1, the second", len(c.queue))
 	}
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -160,7 +160,8 @@
 func (c *controller) canRecheck(queued *shed.QueuedRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.IsFirst(queued) || queued.IsExpired(time.Now())
+	now := time.Now()
+	return c.IsFirst(now, queued) || queued.IsExpired(now)
 }
 
 // recheck decides again about a queued request.
