--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -62,7 +62,7 @@
 	slots := max(1, c.target.Slots)
 	e := expectation{slowness: f.slowness(now, c.target.ID)}
 	if queuedAhead := c.load.Online - slots; queuedAhead >= 0 {
-		e.hold = f.targetHoldTime(now, c.target, e.slowness)
+		e.hold = f.targetHoldTime(c.target, e.slowness)
 		e.wait = e.hold * time.Duration(queuedAhead+1) / time.Duration(slots)
 	}
 	p, ok := f.predictions.Predict(now, costmodel.Query{
@@ -90,13 +90,10 @@
 	return min(maxSlowness, max(minSlowness, s))
 }
 
-// targetHoldTime is how long requests of unknown size hold a slot of a target on average; 0 if unknown.
-func (f *Fleet) targetHoldTime(now time.Time, ts *targetState, slowness float64) time.Duration {
-	slots := max(1, ts.Slots)
-	p, ok := f.predictions.Predict(now, costmodel.Query{Service: ts.Service, Target: ts.ID, Load: slots, Slots: slots})
-	if ok && p.Hold > 0 {
-		return p.Hold
-	}
+// targetHoldTime is how long online requests hold a slot of a target on average; 0 if unknown. It follows from the
+// mean of the service's online requests: a prediction without a route would include batch items, which take several
+// times longer.
+func (f *Fleet) targetHoldTime(ts *targetState, slowness float64) time.Duration {
 	return scale(f.holdTimes[ts.Service], slowness)
 }
 
@@ -120,7 +117,7 @@
 	earliest = slices.MinFunc(all, func(a, b expectedCandidate) int {
 		return cmp.Or(cmp.Compare(a.total(), b.total()), cmp.Compare(a.target.tieBreak, b.target.tieBreak), cmp.Compare(a.target.ID, b.target.ID))
 	})
-	earliest.hold = f.targetHoldTime(now, earliest.target, earliest.slowness)
+	earliest.hold = f.targetHoldTime(earliest.target, earliest.slowness)
 	return all, earliest
 }
 
@@ -196,7 +193,7 @@
 		if ts.Service != service || ts.IsDraining || ts.health.state(now) == suspect {
 			continue
 		}
-		if hold := f.targetHoldTime(now, ts, f.slowness(now, ts.ID)); hold > 0 {
+		if hold := f.targetHoldTime(ts, f.slowness(now, ts.ID)); hold > 0 {
 			rate += float64(ts.Slots) / hold.Seconds()
 		}
 	}
@@ -210,6 +207,6 @@
 	if mean <= 0 || !f.usesExpectedTime(ts.Service) {
 		return mean
 	}
-	hold := f.targetHoldTime(now, ts, f.slowness(now, ts.ID))
+	hold := f.targetHoldTime(ts, f.slowness(now, ts.ID))
 	return min(scale(mean, maxQueueWaitFactor), max(mean, hold))
 }
