--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -44,6 +44,8 @@
 	PeerTTL time.Duration
 	// ExpectedTime says for which services targets are chosen by expected time.
 	ExpectedTime ExpectedTimeMode
+	// YieldsInOverload suspends starts of batch items while online requests of their service are rejected or queued.
+	YieldsInOverload bool
 	// Sharing are the settings for dividing capacity between workspaces; nil to not divide it.
 	Sharing *fairshare.Options
 	// Disabled is the set of disabled mechanisms.
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -75,7 +75,7 @@
 }
 
 func (f *Fleet) yieldsInOverload(service string) bool {
-	return f.opts.Disabled.IsEnabled(policy.YieldInOverload) && f.isCostAware(service)
+	return f.opts.YieldsInOverload && f.opts.Disabled.IsEnabled(policy.YieldInOverload) && f.isCostAware(service)
 }
 
 // yieldTime is how long after the last report of an overload no batch item of a service starts: until the
--- a/core/fleet/room_test.go
+++ b/core/fleet/room_test.go
@@ -18,7 +18,7 @@
 	for _, m := range disabled {
 		off[m] = true
 	}
-	f := New(Options{Self: "self", PeerTTL: time.Hour, ExpectedTime: ExpectedTimeOn, Disabled: off})
+	f := New(Options{Self: "self", PeerTTL: time.Hour, ExpectedTime: ExpectedTimeOn, YieldsInOverload: true, Disabled: off})
 	for i := range targets {
 		f.Put(serving.Target{ID: fmt.Sprintf("t%04d", i), Service: "llm", Slots: 8})
 	}
--- a/core/fleet/scheduling_test.go
+++ b/core/fleet/scheduling_test.go
@@ -14,7 +14,7 @@
 // Guards against an answer for operators that grows with the deployment, and that leaves out the slowest targets, the
 // largest services or the busiest workspaces.
 func TestSchedulingStateIsBounded(t *testing.T) {
-	f := New(Options{Self: "self", PeerTTL: time.Second, ExpectedTime: ExpectedTimeOn, Sharing: &fairshare.Options{Window: time.Second}})
+	f := New(Options{Self: "self", PeerTTL: time.Second, ExpectedTime: ExpectedTimeOn, YieldsInOverload: true, Sharing: &fairshare.Options{Window: time.Second}})
 	for i := range 300 {
 		f.Put(serving.Target{ID: fmt.Sprintf("t-%03d", i), Service: fmt.Sprintf("s-%02d", i%75), Slots: 1 + i%75})
 	}
@@ -45,7 +45,7 @@
 
 // Guards against figures for operators that differ from those of the decisions: wait, overload, usage of peers.
 func TestSchedulingStateIsThatOfTheDecisions(t *testing.T) {
-	f := New(Options{Self: "self", PeerTTL: time.Second, ExpectedTime: ExpectedTimeOn, Sharing: &fairshare.Options{Window: time.Second}})
+	f := New(Options{Self: "self", PeerTTL: time.Second, ExpectedTime: ExpectedTimeOn, YieldsInOverload: true, Sharing: &fairshare.Options{Window: time.Second}})
 	f.Put(serving.Target{ID: "t", Service: "s", Slots: 2})
 	f.Put(serving.Target{ID: "gone", Service: "s", Slots: 2, IsDraining: true})
 	f.RecordHoldTime("s", 100*time.Millisecond)
--- a/internal/lab/fleet/sim.go
+++ b/internal/lab/fleet/sim.go
@@ -47,7 +47,7 @@
 	}
 	for i := range o.Gateways {
 		name := corefleet.Peer(fmt.Sprintf("g%d", i))
-		view := corefleet.New(corefleet.Options{Self: name, MinFreeAfterStart: max(p.Spare, p.Reserve), MinFreeSlots: p.Spare, PeerTTL: peerTTL, ExpectedTime: p.ExpectedTime, Disabled: p.Off})
+		view := corefleet.New(corefleet.Options{Self: name, MinFreeAfterStart: max(p.Spare, p.Reserve), MinFreeSlots: p.Spare, PeerTTL: peerTTL, ExpectedTime: p.ExpectedTime, YieldsInOverload: true, Disabled: p.Off})
 		s.gateways = append(s.gateways, &gateway{sim: s, name: name, view: view, controller: shed.Controller{Disabled: p.Off}})
 	}
 	for i := range o.Engines - o.Lost {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -102,7 +102,7 @@
 	view := fleetview.New(fleet.Options{
 		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
-		ExpectedTime: expectedTimeMode(s), Sharing: sharingOptions(s),
+		ExpectedTime: expectedTimeMode(s), YieldsInOverload: s.YieldsInOverload, Sharing: sharingOptions(s),
 	})
 	g := &Gateway{settings: s, log: logger, reg: reg, view: view, began: time.Now()}
 	g.quotas = quotas.New(self, quota.Options{Window: s.QuotaWindow, MaxExcessShare: s.QuotaExcess, MaxExcessRequests: float64(s.QuotaSlack), PeerShareTTL: claimTTL(s)}, reg)
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -42,6 +42,8 @@
 	Contracts []string
 	// ExpectedTime says for which services targets are chosen by expected time: auto, on or off.
 	ExpectedTime string
+	// YieldsInOverload is set if starts of batch items are suspended in an overload of their service.
+	YieldsInOverload bool
 	// IsSharing is set if the capacity is divided between workspaces while there is too little.
 	IsSharing     bool
 	SharingWindow time.Duration // over which the work of workspaces is measured
@@ -164,6 +166,9 @@
 		{section: "scheduling", key: "expected_time", unit: "word", def: "auto",
 			field: word(func(g *Gateway) *string { return &g.ExpectedTime }, "auto", "on", "off"),
 			doc:   "for which services targets are chosen by the expected time of the answer: all, none, or with auto those of which a target reports its pace"},
+		{section: "scheduling", key: "yield_in_overload", unit: "boolean", def: "false",
+			field: boolean(func(g *Gateway) *bool { return &g.YieldsInOverload }),
+			doc:   "whether starts of batch items are suspended while online requests of their service are rejected or queued"},
 		{section: "sharing", key: "workspaces", unit: "boolean", def: "false",
 			field: boolean(func(g *Gateway) *bool { return &g.IsSharing }),
 			doc:   "whether the capacity is divided between workspaces while there is too little"},
