Cost-aware scheduling is off unless the settings ask for it

So a deployment keeps the choice by load until [scheduling] expected_time asks for the other; the contract that names too little capacity switches on shares alone.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -136,12 +136,12 @@
 // expectedTimeMode returns for which services targets are chosen by expected time.
 func expectedTimeMode(s settings.Gateway) fleet.ExpectedTimeMode {
 	switch {
-	case s.ExpectedTime == "off":
-		return fleet.ExpectedTimeOff
-	case s.ExpectedTime == "on" || features.FromContracts(s.Contracts).IsExpectedTimeRequired:
+	case s.ExpectedTime == "on":
 		return fleet.ExpectedTimeOn
+	case s.ExpectedTime == "auto":
+		return fleet.ExpectedTimeAuto
 	}
-	return fleet.ExpectedTimeAuto
+	return fleet.ExpectedTimeOff
 }
 
 // sharingOptions returns how the capacity is divided between workspaces; nil if it is not.
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -208,6 +208,7 @@
 // request that is not served because of a header about its size.
 func TestGatewaysLearnTheSpeedOfTargets(t *testing.T) {
 	s := newSystemWithoutTargets(t, wiretest.Routes)
+	s.changeSettings = func(g *settings.Gateway) { g.ExpectedTime = "auto" }
 	for i, gap := range []time.Duration{time.Millisecond, 4 * time.Millisecond} {
 		id := fmt.Sprintf("i-%d", i)
 		target := httptest.NewServer(&wiretest.Target{ID: id, Events: itemEvents, EventGap: gap, Load: "1,0,8,100"})
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -163,7 +163,7 @@
 		{section: "platform", key: "contracts", unit: "names", def: "",
 			field: names(func(g *Gateway) *[]string { return &g.Contracts }),
 			doc:   "parts of the platform's contract that are in force; some switch mechanisms on, unknown ones are ignored"},
-		{section: "scheduling", key: "expected_time", unit: "word", def: "auto",
+		{section: "scheduling", key: "expected_time", unit: "word", def: "off",
 			field: word(func(g *Gateway) *string { return &g.ExpectedTime }, "auto", "on", "off"),
 			doc:   "for which services targets are chosen by the expected time of the answer: all, none, or with auto those of which a target reports its pace"},
 		{section: "scheduling", key: "yield_in_overload", unit: "boolean", def: "false",
