fleet: one name for whether a service's costs are predicted

usesExpectedTime returned isCostAware and nothing else. The comment of PickBatchSlot says that yielding in an overload is a setting. No behaviour changes; tests of core/fleet and internal/fleetview passed.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -26,8 +26,8 @@
 // earlier one only after it has stayed free for a multiple of staggerInterval. Otherwise all gateways would
 // start an item in the same slot, and all but one would preempt it again.
 //
-// For services whose costs are predicted, an item starts only where its slot is expected to last and while
-// online requests are neither rejected nor queued. Without this, in a demand that alternates between a low and a high
+// For services whose costs are predicted, an item starts only where its slot is expected to last and, with
+// Options.YieldsInOverload, while online requests are neither rejected nor queued. Without the first, in a demand that alternates between a low and a high
 // level, most runs are preempted before they have gained an event.
 func (f *Fleet) PickBatchSlot(now time.Time, w Work, tried []string) BatchPick {
 	list := f.candidates(now, w.Service, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
--- a/core/fleet/cost.go
+++ b/core/fleet/cost.go
@@ -7,10 +7,8 @@
 	"arbutusramp/core/policy"
 )
 
-// usesExpectedTime reports whether targets of a service are chosen by expected time.
-func (f *Fleet) usesExpectedTime(service string) bool { return f.isCostAware(service) }
-
-// isCostAware reports whether the costs of a service's requests are predicted.
+// isCostAware reports whether the costs of a service's requests are predicted, and its targets chosen by expected
+// time.
 func (f *Fleet) isCostAware(service string) bool {
 	return f.canBeCostAware() && (f.opts.ExpectedTime == ExpectedTimeOn || f.costs.HasPace(service))
 }
--- a/core/fleet/cost_test.go
+++ b/core/fleet/cost_test.go
@@ -42,7 +42,7 @@
 		choice, _ := f.PickOnline(end, work, nil)
 		forecast, ok := f.ForecastCost(end, choice, work)
 		observations := f.Report(end).Observations
-		if ok != c.want || (len(observations) > 0) != c.want || f.usesExpectedTime("llm") != c.want || len(f.TargetCosts(end)) != 4 {
+		if ok != c.want || (len(observations) > 0) != c.want || f.isCostAware("llm") != c.want || len(f.TargetCosts(end)) != 4 {
 			t.Errorf("%s: forecast %+v (known: %v), observations %+v, want them: %v, and four known targets", c.name, forecast, ok, observations, c.want)
 		}
 	}
--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -210,7 +210,7 @@
 // mean of the service: a target that was fast and has become slow must not count as silent before others do.
 func (f *Fleet) queueHoldTime(now time.Time, ts *targetState) time.Duration {
 	mean := f.holdTimes[ts.Service]
-	if mean <= 0 || !f.usesExpectedTime(ts.Service) {
+	if mean <= 0 || !f.isCostAware(ts.Service) {
 		return mean
 	}
 	hold := f.targetHoldTime(ts, f.slowness(now, ts.ID))
--- a/core/fleet/forecast.go
+++ b/core/fleet/forecast.go
@@ -25,7 +25,7 @@
 // targets can serve at once, looking ahead up to limit. It is limit if that is expected only later, and 0 if it
 // is unknown: targets are not chosen by expected time, or no period is found in the demand.
 func (f *Fleet) CapacityAfter(now time.Time, service string, limit time.Duration) time.Duration {
-	if limit <= 0 || !f.usesExpectedTime(service) || !f.opts.Disabled.IsEnabled(policy.RetryForecast) {
+	if limit <= 0 || !f.isCostAware(service) || !f.opts.Disabled.IsEnabled(policy.RetryForecast) {
 		return 0
 	}
 	capacity := forecastFillShare * float64(f.capacity(now, service).slots)
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -66,7 +66,7 @@
 	if len(list) == 0 {
 		return Choice{}, false
 	}
-	if f.usesExpectedTime(w.Service) {
+	if f.isCostAware(w.Service) {
 		chosen := f.chooseExpected(now, w, list)
 		c = f.choice(chosen.candidate, tierNames[chosen.tier()]+suffix)
 		c.IsByExpectedTime, c.expected = true, chosen.expectation
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -36,7 +36,7 @@
 
 // Estimate returns the estimate for an online request that arrives now.
 func (f *Fleet) Estimate(now time.Time, w Work) Estimate {
-	if f.usesExpectedTime(w.Service) {
+	if f.isCostAware(w.Service) {
 		return f.expectedEstimate(now, w)
 	}
 	e := Estimate{HoldTime: f.holdTimes[w.Service]}
