Logs name the software version of targets and what a caller resumes

Without them the logs could not tell the hypotheses of the incident apart: whether streams change their version within one answer, over a caller's tries or at one target. The directory has read the version before and dropped it. No decision depends on it yet.

--- a/core/serving/request.go
+++ b/core/serving/request.go
@@ -52,4 +52,7 @@
 	// ResumeAfter is the id of the last event of a stream that the caller has received; empty to start the
 	// stream from the beginning.
 	ResumeAfter string
+	// Resumes is the id of the caller's request that brought the first event of the stream that this request
+	// resumes; empty if the caller did not name it.
+	Resumes string
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -283,7 +283,7 @@
 	w.view.EndTargets(changes.endedIDs)
 	w.observer.NoteTargetsGone(changes.goneIDs)
 	for _, t := range changes.put {
-		w.targetLog.Info(time.Now(), "target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "domain", t.Domain, "draining", t.IsDraining)
+		w.targetLog.Info(time.Now(), "target", "target", t.ID, "addr", t.Addr, "service", t.Service, "slots", t.Slots, "version", t.Version, "domain", t.Domain, "draining", t.IsDraining)
 	}
 	for _, id := range changes.goneIDs {
 		w.log.Info("target gone", "target", id, "restarted", slices.Contains(changes.endedIDs, id))
