gateway: a broken stream goes on only at the version that began it

Callers got whole answers whose events came from two software versions: a stream that its target broke off went on at the target with the most room, whatever its version.

An exchange now keeps the service and the version that sent the first event, and the choice of a target leaves out those of other versions: in all attempts of the exchange, so that it can't depend on load or health. Before the first event any version serves. When no target of the version is left, the answer is broken off at once, with an error of its own (version_gone).

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -44,6 +44,7 @@
 	TargetRefused    Type = "target_refused"
 	StreamBroken     Type = "stream_broken"
 	Quarantined      Type = "quarantined"
+	VersionGone      Type = "version_gone"
 	SessionLost      Type = "session_lost"
 	Cancelled        Type = "cancelled"
 	LogDown          Type = "log_down"
--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -30,7 +30,7 @@
 // Options.YieldsInOverload, while online requests are neither rejected nor queued. Without the first, in a demand that alternates between a low and a high
 // level, most runs are preempted before they have gained an event.
 func (f *Fleet) PickBatchSlot(now time.Time, w Work, tried []string) BatchPick {
-	list := f.candidates(now, w.Service, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
+	list := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
 	ahead := f.gatewaysAhead()
 	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.canStart(now, c, ahead) })
 	if len(list) == 0 {
--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -174,7 +174,7 @@
 
 // expectedEstimate is Estimate for a service whose targets are chosen by expected time.
 func (f *Fleet) expectedEstimate(now time.Time, w Work) Estimate {
-	list, _ := f.onlineCandidates(now, w.Service, nil)
+	list, _ := f.onlineCandidates(now, w, nil)
 	if len(list) == 0 {
 		return Estimate{HoldTime: f.holdTimes[w.Service], Slowness: 1}
 	}
--- a/core/fleet/expected_load_test.go
+++ b/core/fleet/expected_load_test.go
@@ -61,7 +61,7 @@
 }
 
 func pickEarliest(f *Fleet, now time.Time, w Work) Choice {
-	list, _ := f.onlineCandidates(now, w.Service, nil)
+	list, _ := f.onlineCandidates(now, w, nil)
 	_, best := f.expectAll(now, w, list)
 	return f.choice(best.candidate, "")
 }
@@ -69,7 +69,7 @@
 func pickEarliestOf(d int) func(*rand.Rand) func(*Fleet, time.Time, Work) Choice {
 	return func(rng *rand.Rand) func(*Fleet, time.Time, Work) Choice {
 		return func(f *Fleet, now time.Time, w Work) Choice {
-			list, _ := f.onlineCandidates(now, w.Service, nil)
+			list, _ := f.onlineCandidates(now, w, nil)
 			sortByID(list)
 			rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 			_, best := f.expectAll(now, w, list[:d])
--- a/core/fleet/overload.go
+++ b/core/fleet/overload.go
@@ -100,7 +100,7 @@
 		if isOverloaded != o.isTaken {
 			list = append(list, OverloadChange{
 				Service: service, IsOverloaded: isOverloaded, Source: o.source, Age: now.Sub(o.began), YieldTime: f.yieldTime(service),
-				Online: f.demands.Summary(service).Online, Slots: f.totalSlots(now, service),
+				Online: f.demands.Summary(service).Online, Slots: f.totalSlots(now, Work{Service: service}),
 			})
 			o.isTaken = isOverloaded
 		}
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -20,13 +20,13 @@
 
 func (c candidate) freeSlots() int { return c.target.freeSlots() }
 
-// candidates returns the targets of a service that may get a request, in no particular order: those that are
-// not draining, not in tried and usable by isUsable.
-func (f *Fleet) candidates(now time.Time, service string, tried []string, isUsable func(*targetState) bool) []candidate {
+// candidates returns the targets that may get a request, in no particular order: those of its service and version
+// that are not draining, not in tried and usable by isUsable.
+func (f *Fleet) candidates(now time.Time, w Work, tried []string, isUsable func(*targetState) bool) []candidate {
 	f.expirePeers(now)
 	var list []candidate
 	for _, ts := range f.targets {
-		if ts.Service != service || ts.IsDraining || slices.Contains(tried, ts.ID) || !isUsable(ts) {
+		if !w.fits(ts) || ts.IsDraining || slices.Contains(tried, ts.ID) || !isUsable(ts) {
 			continue
 		}
 		list = append(list, candidate{target: ts, load: ts.totalLoad(), isSameDomain: ts.Domain == f.opts.Domain && f.opts.Disabled.IsEnabled(policy.OwnDomain)})
@@ -34,6 +34,22 @@
 	return list
 }
 
+// fits reports whether a target has the service and the version that the work needs.
+func (w Work) fits(ts *targetState) bool {
+	return ts.Service == w.Service && (w.Version == nil || ts.Version == *w.Version)
+}
+
+// IsServed reports whether any target that is not draining has the service and the version that the work needs. The
+// target may be suspect or full.
+func (f *Fleet) IsServed(w Work) bool {
+	for _, ts := range f.targets {
+		if w.fits(ts) && !ts.IsDraining {
+			return true
+		}
+	}
+	return false
+}
+
 // Choice is the target chosen for a request, with the loads and the reason behind the choice.
 type Choice struct {
 	Target    serving.Target
@@ -62,7 +78,7 @@
 // Healthy targets are preferred, then those on probation, and as a last resort suspect ones. Among these it
 // chooses by the expected time of the answer where expected times are in use, otherwise by tier and load.
 func (f *Fleet) PickOnline(now time.Time, w Work, tried []string) (c Choice, ok bool) {
-	list, suffix := f.onlineCandidates(now, w.Service, tried)
+	list, suffix := f.onlineCandidates(now, w, tried)
 	if len(list) == 0 {
 		return Choice{}, false
 	}
@@ -78,7 +94,7 @@
 
 // onlineCandidates returns the targets among which PickOnline chooses: the healthy ones, if there are none those
 // on probation, and if there are none of these either all. suffix says for log lines which of these they are.
-func (f *Fleet) onlineCandidates(now time.Time, service string, tried []string) (list []candidate, suffix string) {
+func (f *Fleet) onlineCandidates(now time.Time, w Work, tried []string) (list []candidate, suffix string) {
 	stages := []struct {
 		isUsable func(*targetState) bool
 		suffix   string
@@ -88,7 +104,7 @@
 		{func(ts *targetState) bool { return true }, " though suspect"},
 	}
 	for _, stage := range stages {
-		if list := f.candidates(now, service, tried, stage.isUsable); len(list) > 0 {
+		if list := f.candidates(now, w, tried, stage.isUsable); len(list) > 0 {
 			return list, stage.suffix
 		}
 	}
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -94,7 +94,7 @@
 	for _, ts := range f.observed.get(f.targets, service) {
 		items += ts.totalLoad().Batch
 	}
-	return items >= max(1, int(maxUrgentShare*float64(f.totalSlots(now, service))))
+	return items >= max(1, int(maxUrgentShare*float64(f.totalSlots(now, Work{Service: service}))))
 }
 
 // startProbability returns the lowest probability that its slot lasts at which a batch item starts.
--- a/core/fleet/share.go
+++ b/core/fleet/share.go
@@ -95,7 +95,7 @@
 
 // HasFreeSlot reports whether an online request would get a slot immediately, possibly of a batch item.
 func (f *Fleet) HasFreeSlot(now time.Time, w Work) bool {
-	list, _ := f.onlineCandidates(now, w.Service, nil)
+	list, _ := f.onlineCandidates(now, w, nil)
 	return slices.ContainsFunc(list, func(c candidate) bool { return c.load.Online < c.target.Slots })
 }
 
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -43,7 +43,7 @@
 	if e.HoldTime <= 0 {
 		return e
 	}
-	e.StartRate = float64(f.totalSlots(now, w.Service)) / e.HoldTime.Seconds() / float64(1+len(f.peers))
+	e.StartRate = float64(f.totalSlots(now, w)) / e.HoldTime.Seconds() / float64(1+len(f.peers))
 	c, ok := f.PickOnline(now, w, nil)
 	if !ok || !c.IsQueued() || c.Target.Slots == 0 {
 		return e
@@ -53,12 +53,12 @@
 	return e
 }
 
-// totalSlots is how many requests the service's targets process at once, without draining and suspect
+// totalSlots is how many requests the targets that fit the work process at once, without draining and suspect
 // targets.
-func (f *Fleet) totalSlots(now time.Time, service string) int {
+func (f *Fleet) totalSlots(now time.Time, w Work) int {
 	sum := 0
 	for _, ts := range f.targets {
-		if ts.Service == service && !ts.IsDraining && ts.health.state(now) != suspect {
+		if w.fits(ts) && !ts.IsDraining && ts.health.state(now) != suspect {
 			sum += ts.Slots
 		}
 	}
--- a/core/serving/target.go
+++ b/core/serving/target.go
@@ -1,5 +1,11 @@
 package serving
 
+// Origin is the software that began a stream. The stream can only go on at targets of the same service and version.
+type Origin struct {
+	Service string
+	Version string // Target.Version of the target that sent the first event
+}
+
 // Target is one run of a program that serves requests of a service. A restart creates a new target, even with
 // the same name and address, because nothing recorded about the previous run applies to it.
 type Target struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,11 +132,13 @@
 	hasTakenQuota bool
 	// isNearQuota is true if the workspace has used up most of its quota.
 	isNearQuota   bool
-	hasSentHeader bool     // the header of an answer has been sent to the caller
-	lastEventID   string   // id of the last stream event that the caller has received, possibly from an earlier request
-	choices       []string // for each attempt the target and why it was chosen, for the log
-	stages        stages
-	share         fleet.ShareDecision // on the request, by the share of its workspace
+	hasSentHeader bool   // the header of an answer has been sent to the caller
+	lastEventID   string // id of the last stream event that the caller has received, possibly from an earlier request
+	// origin is what began the stream; nil before its first event.
+	origin  *serving.Origin
+	choices []string // for each attempt the target and why it was chosen, for the log
+	stages  stages
+	share   fleet.ShareDecision // on the request, by the share of its workspace
 }
 
 // Serve handles one request and writes its answer or error to callerAnswer. It returns when the answer is
@@ -187,7 +189,11 @@
 
 // work describes the request for the choice of its target.
 func (ex *exchange) work() fleet.Work {
-	return fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream}
+	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream}
+	if ex.origin != nil {
+		w.Version = &ex.origin.Version
+	}
+	return w
 }
 
 // tryTargets tries targets one after the other. A nil error means that the caller has a complete answer.
@@ -204,7 +210,7 @@
 func (ex *exchange) canRetry(err error) bool {
 	e := errs.As(err)
 	switch e.Type {
-	case errs.NoTarget, errs.Cancelled, errs.Unauthenticated, errs.ConfigStale, errs.Quarantined:
+	case errs.NoTarget, errs.VersionGone, errs.Cancelled, errs.Unauthenticated, errs.ConfigStale, errs.Quarantined:
 		return false
 	}
 	if e.Ran == errs.RanNo {
@@ -241,8 +247,13 @@
 	return err
 }
 
-// noTargetError returns the error of a request that has been tried at all available targets of its service.
+// noTargetError returns the error of a request that has been tried at all available targets of its service, or of its
+// version if it goes on with a stream.
 func (ex *exchange) noTargetError() error {
+	if ex.origin != nil {
+		return errs.Newf(errs.VersionGone, "the stream began at version %q of service %s, and no other target of it is available after %d were tried",
+			ex.origin.Version, ex.origin.Service, len(ex.tried))
+	}
 	e := errs.Newf(errs.NoTarget, "no other target of service %s is available after %d were tried", ex.service, len(ex.tried))
 	if ex.possibleRuns > 0 {
 		return e.WithRan(errs.RanUnknown)
@@ -272,7 +283,8 @@
 	if ex.possibleRuns > 0 {
 		return e.WithRan(errs.RanUnknown)
 	}
-	if e.Type == errs.Unauthenticated || e.Type == errs.Quarantined {
+	switch e.Type {
+	case errs.Unauthenticated, errs.Quarantined, errs.VersionGone:
 		return e // a retry would fail the same way
 	}
 	return e.WithRan(errs.RanNo).WithRetry(ex.retryAfter(time.Duration(e.RetryAfterMs) * time.Millisecond))
@@ -318,6 +330,9 @@
 		"may_have_run", ex.possibleRuns, "held_ms", ex.stages.queueTime.Milliseconds(), "first_ms", ex.stages.timeToAnswerStart().Milliseconds(), "outcome", outcome, "ms", total.Milliseconds(),
 		"answer_ms", ex.answerTime(now).Milliseconds(), "goal_ms", ex.route.LatencyGoal.Milliseconds(),
 	}
+	if ex.origin != nil {
+		fields = append(fields, "version", ex.origin.Version)
+	}
 	if err == nil {
 		ex.gw.servedLog.Info(now, "request", fields...)
 		return
