Streams that callers take up go on at the version that began them

Callers held events of two versions after they had resumed a stream at another gateway: a resumption was chosen a target like any other request, and no gateway knew where the stream had begun.

The gateway that sends the first event of a stream records service and version under the request's id and announces them to three peers, chosen by a hash of the stream, before the caller has the event. A gateway that is asked to resume a stream named in Resumes looks at its own records, then asks the first six peers of the same order for up to 200 ms. An origin that nobody knows for certain is not guessed: the request is rejected at once (stream_unknown, 503, not run), and so is one whose version has no target left or whose service is no longer on the route (version_gone).

Records last 30 to 60 s, are bounded, and take 22 bytes or so on the way; streams in progress are announced again each 10 s.

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -45,6 +45,7 @@
 	StreamBroken     Type = "stream_broken"
 	Quarantined      Type = "quarantined"
 	VersionGone      Type = "version_gone"
+	StreamUnknown    Type = "stream_unknown"
 	SessionLost      Type = "session_lost"
 	Cancelled        Type = "cancelled"
 	LogDown          Type = "log_down"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -50,6 +50,7 @@
 	StreamBroken:     {502, RanUnknown, "resend if idempotent"},
 	Quarantined:      {502, RanNo, "don't resend it: targets crash under this request; report it"},
 	VersionGone:      {503, RanNo, "request the stream from the beginning: no target of the version that began it is left"},
+	StreamUnknown:    {503, RanNo, "resend, naming the request that brought the first event, or request the stream from the beginning"},
 	SessionLost:      {502, RanUnknown, "resend if idempotent"},
 	Cancelled:        {409, RanUnknown, "nothing; it was cancelled"},
 	LogDown:          {503, RanNo, "come back after the time given, with the same key"},
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -69,9 +69,9 @@
 	Service, Route string
 	// Version, if it is not nil, is the software version that the target must have: that of the stream or text that
 	// the request goes on with.
-	Version *string
-	Workspace      string // empty if requests need no API key
-	Size           costmodel.Size
+	Version   *string
+	Workspace string // empty if requests need no API key
+	Size      costmodel.Size
 	// IsStream is set if the answer is a stream, so that its latency goal is for the first event and not for the
 	// whole answer.
 	IsStream bool
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -134,6 +134,14 @@
 	return demand, time.Since(demand.ObservedAt)
 }
 
+// IsServed reports whether any target that is not draining has the service and the version that the work needs. The
+// target may be suspect or full.
+func (v *View) IsServed(w fleet.Work) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.IsServed(w)
+}
+
 // Prospect returns how long an online request that arrives now can expect to wait for a slot and to
 // hold it, and how many such requests per second this gateway may start.
 func (v *View) Prospect(w fleet.Work) fleet.Estimate {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -230,7 +230,7 @@
 			a.gw.quarantine.NotePassed(a.content)
 		}
 		a.sendHeader(ans, -1)
-		a.noteOrigin()
+		a.noteOrigin(time.Now())
 		if err := a.write(event.Raw); err != nil {
 			return err
 		}
@@ -240,13 +240,6 @@
 	}
 }
 
-// noteOrigin records that the stream began at the version of this attempt's target, if this is its first event.
-func (a *attempt) noteOrigin() {
-	if a.origin == nil {
-		a.origin = &serving.Origin{Service: a.run.Target.Service, Version: a.run.Target.Version}
-	}
-}
-
 // sendHeader sends the status and header of ans to the caller, unless an earlier attempt has sent a header: a
 // resumed stream keeps its first one. length is that of the body in bytes, -1 if unknown.
 func (a *attempt) sendHeader(ans *platform.TargetAnswer, length int64) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/origin"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
 	"arbutusramp/core/quarantine"
@@ -48,6 +49,8 @@
 	access      Access
 	quotas      Quotas
 	quarantine  Quarantine
+	origins     Origins
+	resumeLog   *logging.Routine // streams that callers resume
 }
 
 // Access checks the API keys of callers.
@@ -84,6 +87,14 @@
 	NoteServed(c *quarantine.Content)
 }
 
+// Origins knows which software began a stream, also those of other gateways.
+type Origins interface {
+	// Announce records the origin of a stream and passes it on to other gateways. It does not block.
+	Announce(r origin.Record)
+	// Find returns the origin of a stream and where it is known from; ok is false if it is not known for certain.
+	Find(ctx context.Context, key origin.Key) (o serving.Origin, source origin.Source, ok bool)
+}
+
 // ConfigStatus provides the version and age of the configuration, which are logged with each request.
 type ConfigStatus interface {
 	// Version returns the version of the configuration that this process uses.
@@ -101,6 +112,8 @@
 	Quotas  Quotas
 	// Quarantine is checked when a request arrives and before each send.
 	Quarantine Quarantine
+	// Origins is asked when a caller resumes a stream, and told when one begins.
+	Origins Origins
 
 	Disabled policy.Disabled // policies that are disabled
 	Log      hclog.Logger
@@ -109,7 +122,8 @@
 
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
-	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, log: o.Log,
+	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, log: o.Log,
+		resumeLog: logging.NewRoutine(o.Log),
 		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
@@ -135,10 +149,12 @@
 	hasSentHeader bool   // the header of an answer has been sent to the caller
 	lastEventID   string // id of the last stream event that the caller has received, possibly from an earlier request
 	// origin is what began the stream; nil before its first event.
-	origin  *serving.Origin
-	choices []string // for each attempt the target and why it was chosen, for the log
-	stages  stages
-	share   fleet.ShareDecision // on the request, by the share of its workspace
+	origin *serving.Origin
+	// announcedAt is when the origin was last announced; zero before the first event of this exchange.
+	announcedAt time.Time
+	choices     []string // for each attempt the target and why it was chosen, for the log
+	stages      stages
+	share       fleet.ShareDecision // on the request, by the share of its workspace
 }
 
 // Serve handles one request and writes its answer or error to callerAnswer. It returns when the answer is
@@ -154,6 +170,9 @@
 	ctx, cancel := context.WithDeadline(ctx, ex.deadline)
 	defer cancel()
 	err := ex.gw.quarantine.Check(ex.content)
+	if err == nil && ex.isResumption() {
+		err = ex.findOrigin(ctx)
+	}
 	if err == nil {
 		err = ex.takeQuota()
 	}
@@ -251,8 +270,7 @@
 // version if it goes on with a stream.
 func (ex *exchange) noTargetError() error {
 	if ex.origin != nil {
-		return errs.Newf(errs.VersionGone, "the stream began at version %q of service %s, and no other target of it is available after %d were tried",
-			ex.origin.Version, ex.origin.Service, len(ex.tried))
+		return ex.versionGoneError()
 	}
 	e := errs.Newf(errs.NoTarget, "no other target of service %s is available after %d were tried", ex.service, len(ex.tried))
 	if ex.possibleRuns > 0 {
@@ -284,7 +302,7 @@
 		return e.WithRan(errs.RanUnknown)
 	}
 	switch e.Type {
-	case errs.Unauthenticated, errs.Quarantined, errs.VersionGone:
+	case errs.Unauthenticated, errs.Quarantined, errs.VersionGone, errs.StreamUnknown:
 		return e // a retry would fail the same way
 	}
 	return e.WithRan(errs.RanNo).WithRetry(ex.retryAfter(time.Duration(e.RetryAfterMs) * time.Millisecond))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"arbutusramp/core/sleep"
 	"arbutusramp/core/workspace"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/origins"
 )
 
 // script defines how a target answers one request.
@@ -75,10 +76,15 @@
 	for i := range targetCount {
 		h.view.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 	return h
 }
 
+// newOrigins returns a registry of origins without peers.
+func newOrigins() *origins.Registry {
+	return origins.New(hclog.NewNullLogger(), metrics.NewRegistry())
+}
+
 // Authorize implements Access.
 func (h *harness) Authorize(*serving.Route, workspace.Credential) (serving.Caller, error) {
 	return serving.Caller{Workspace: h.workspace}, h.authErr
@@ -406,7 +412,7 @@
 			}
 			return wholeAnswer(200, "ok", nil)(nil, platform.TargetCall{})
 		})
-		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Metrics: metrics.NewRegistry(),
+		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Metrics: metrics.NewRegistry(),
 			Log: hclog.New(&hclog.LoggerOptions{Output: &logLines, JSONFormat: true})})
 		h.serve(context.Background(), newRoute(serving.KindSafe, 2, false), &fakeCaller{})
 	})
--- a/internal/loadshare/batch.go
+++ b/internal/loadshare/batch.go
@@ -116,12 +116,21 @@
 	Scheduling *scheduling `cbor:"-"` // encoded in batchContent.Scheduling
 }
 
-// isBatch reports whether a datagram is a batch, which is a CBOR array, and not a report, which is a map.
-func isBatch(data []byte) bool {
-	const majorTypeArray = 4
-	return len(data) > 0 && data[0]>>5 == majorTypeArray
+// Major types of CBOR, by which the kinds of datagrams are told apart.
+const (
+	majorTypeBytes = 2 // a message, see SendMessage
+	majorTypeArray = 4 // a batch
+	majorTypeMap   = 5 // a report
+)
+
+// hasMajorType reports whether a datagram is a CBOR item of a major type.
+func hasMajorType(data []byte, majorType byte) bool {
+	return len(data) > 0 && data[0]>>5 == majorType
 }
 
+// isBatch reports whether a datagram is a batch.
+func isBatch(data []byte) bool { return hasMajorType(data, majorTypeArray) }
+
 // newRelayedReport returns the part of r that hubs forward. id identifies the sender of r.
 func newRelayedReport(id fanout.ID, r report) relayedReport {
 	return relayedReport{
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -105,6 +105,7 @@
 	view      *fleetview.View
 	// hasLostStore reports whether this process has lost its direct connection to the platform's store.
 	hasLostStore func() bool
+	onMessage    func(payload []byte, from netip.AddrPort)
 	quotas       Quotas
 	// quarantine provides and receives records of requests during which targets crashed.
 	quarantine Quarantine
@@ -167,7 +168,9 @@
 	// HasLostStore reports whether this process has lost its direct connection to the platform's store. It is
 	// not called before Run.
 	HasLostStore func() bool
-	Log          hclog.Logger
+	// OnMessage is called with each message of a peer, see SendMessage; nil to ignore them. It must not block.
+	OnMessage func(payload []byte, from netip.AddrPort)
+	Log       hclog.Logger
 }
 
 // New opens the socket for the reports of peers. Run sends, receives and closes the socket.
@@ -181,7 +184,7 @@
 		return nil, errors.Wrap(err, "listen for datagrams of peers")
 	}
 	return &Sharer{
-		self: o.Self, domain: newDigest(o.Domain), capacity: o.Capacity, hasRelays: o.Disabled.IsEnabled(policy.ReportRelays), view: o.View, hasLostStore: o.HasLostStore, quotas: o.Quotas, quarantine: o.Quarantine,
+		self: o.Self, domain: newDigest(o.Domain), capacity: o.Capacity, hasRelays: o.Disabled.IsEnabled(policy.ReportRelays), view: o.View, hasLostStore: o.HasLostStore, onMessage: o.OnMessage, quotas: o.Quotas, quarantine: o.Quarantine,
 		log: o.Log, routineLog: logging.NewRoutine(o.Log), conn: conn, hub: newHub(), peers: make(map[netip.AddrPort]*peer), byID: make(map[fanout.ID]*peer), unknownIDs: make(map[fanout.ID]struct{}), startTime: time.Now(),
 	}, nil
 }
@@ -232,13 +235,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	isKnown = s.isPeerListKnown(now)
 	others := make([]fanout.Member, 0, len(s.peers))
 	for addr, p := range s.peers {
 		if now.Sub(p.lastSeen) <= silentAfter {
 			others = append(others, fanout.Member{Addr: addr, Capacity: p.capacity})
 		}
 	}
-	return fanout.Rank(s.selfMember(), others), s.isPeerListLoaded || now.Sub(s.startTime) > peerListTimeout
+	return fanout.Rank(s.selfMember(), others), isKnown
+}
+
+// isPeerListKnown reports whether the list of gateways has been loaded, or peerListTimeout has passed since the start.
+// The caller holds the lock.
+func (s *Sharer) isPeerListKnown(now time.Time) bool {
+	return s.isPeerListLoaded || now.Sub(s.startTime) > peerListTimeout
 }
 
 // upsertPeer returns the peer with a name at an address. It adds the peer if it is missing, and removes a
@@ -409,6 +419,10 @@
 		s.handleBatch(data, from)
 		return
 	}
+	if hasMajorType(data, majorTypeBytes) {
+		s.handleMessage(data, from)
+		return
+	}
 	var r report
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		s.log.Warn("cannot decode load report", "from", from.String(), "error", err)
--- a/internal/loadshare/traffic.go
+++ b/internal/loadshare/traffic.go
@@ -22,6 +22,7 @@
 type Traffic struct {
 	Own       Flow // sent with the process's own report, counted once for each receiver
 	Forwarded Flow // sent with reports of other gateways, as a hub or after IsForwardRequested, or with descriptions of gateways
+	Messages  Flow // sent by SendMessage
 	Received  Flow // all received datagrams, including batches of hubs
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -29,6 +29,7 @@
 	"arbutusramp/internal/gateway"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/logging"
+	"arbutusramp/internal/origins"
 	"arbutusramp/internal/quarantine"
 	"arbutusramp/internal/quotas"
 	"arbutusramp/internal/settings"
@@ -76,6 +77,7 @@
 	quotas    *quotas.Quotas
 	// quarantine blocks requests whose content has crashed targets.
 	quarantine   *quarantine.Quarantine
+	origins      *origins.Registry
 	storePaths   *storepath.Paths
 	peers        *peerDirectory
 	server       *http.Server   // serves callers
@@ -109,9 +111,11 @@
 	g.quarantine = quarantine.New(quarantine.Options{
 		Threshold: s.QuarantineAfter, Hold: s.QuarantineHold, Disabled: s.Off, Prober: targets, Fleet: view, Log: logger.Named("quarantine"), Metrics: reg,
 	})
+	g.origins = origins.New(logger.Named("origins"), reg)
 	if err := g.openStorePaths(client, fleet.Peer(self)); err != nil {
 		return nil, err
 	}
+	g.origins.SetTransport(g.loadShare)
 	g.watch = watch.New(watch.Options{
 		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
@@ -119,7 +123,7 @@
 	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
-		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Disabled: s.Off,
+		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Disabled: s.Off,
 		Log: logger.Named("online"), Metrics: reg,
 	})
 	if err := g.listen(); err != nil {
@@ -244,6 +248,7 @@
 	group.Go(func() error { return g.watch.Run(workCtx) })
 	group.Go(func() error { return g.loadShare.Run(workCtx) })
 	group.Go(func() error { return g.peers.run(workCtx) })
+	group.Go(func() error { return g.origins.Run(workCtx) })
 	group.Go(func() error { return g.quarantine.Run(workCtx, g.storePaths) })
 	for i := range g.auxServers {
 		group.Go(func() error { return ignoreClosed(g.auxServers[i].Serve(g.auxListeners[i])) })
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -59,7 +59,7 @@
 		}
 		if g.loadShare, err = loadshare.New(loadshare.Options{
 			Addr: ln.Addr().String(), Self: self, Domain: string(g.settings.Host.Domain), Capacity: cpuCapacity(g.settings), Disabled: g.settings.Off,
-			View: g.view, Quotas: g.quotas, Quarantine: g.quarantine, HasLostStore: isStoreLost, Log: log,
+			View: g.view, Quotas: g.quotas, Quarantine: g.quarantine, HasLostStore: isStoreLost, OnMessage: g.origins.HandleMessage, Log: log,
 		}); err == nil {
 			return ln, nil
 		}
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -16,6 +16,9 @@
 	reportsForwardedBytesMetric = "reports.passed_on_bytes"
 	reportsReceivedMetric       = "reports.heard"
 	reportsReceivedBytesMetric  = "reports.heard_bytes"
+	messagesSentMetric          = "messages.sent" // datagrams to single peers, such as announcements of origins
+	messagesSentBytesMetric     = "messages.sent_bytes"
+	originRecordsMetric         = "origins.records" // streams whose origin this gateway knows
 	peersMetric                 = "peers"
 	overloadedMetric            = "scheduling.overloaded_services" // services whose batch starts are suspended
 	slowTargetsMetric           = "scheduling.slow_targets"        // targets that take twice as long as usual or longer
@@ -42,6 +45,9 @@
 		reportsForwardedBytesMetric: g.loadShare.Traffic().Forwarded.Bytes,
 		reportsReceivedMetric:       g.loadShare.Traffic().Received.Datagrams,
 		reportsReceivedBytesMetric:  g.loadShare.Traffic().Received.Bytes,
+		messagesSentMetric:          g.loadShare.Traffic().Messages.Datagrams,
+		messagesSentBytesMetric:     g.loadShare.Traffic().Messages.Bytes,
+		originRecordsMetric:         func() int64 { return int64(g.origins.Len()) },
 		inFlightMetric:              g.inFlight,
 		itemsMetric:                 func() int64 { return int64(g.jobs.Counts().Items) },
 		itemsRunningMetric:          func() int64 { return int64(g.jobs.Counts().RunningItems) },
--- /dev/null
+++ b/internal/origins/origins.go
@@ -0,0 +1,340 @@
+// Package origins records which software began the streams of a gateway, announces it to peers and finds it for
+// streams that callers resume here after they began at another gateway. The records and the choice of the peers are
+// in package core/origin.
+package origins
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/core/origin"
+	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
+	"arbutusramp/internal/logging"
+)
+
+const (
+	// shardCount is the number of shards of the records, each under its own lock.
+	shardCount = 16
+	// announceDelay is how long records wait for others that go to the same peers.
+	announceDelay = 2 * time.Millisecond
+	// repeatAfter is the time after which a question is sent again to the peers that have not answered.
+	repeatAfter = 40 * time.Millisecond
+	// findTimeout bounds the time for which answers are awaited. It is some times longer than a datagram takes to
+	// another region and back, and short for a caller that waits for the next event.
+	findTimeout = 200 * time.Millisecond
+	// peersPollInterval is the interval at which a question waits for the list of peers shortly after the start.
+	peersPollInterval = 10 * time.Millisecond
+	// maxQueries bounds the questions that await answers at one time; further ones are not asked.
+	maxQueries = 4096
+	// maxPending bounds the records that wait to be announced; further ones are kept here alone.
+	maxPending = 8192
+)
+
+// Names of the metrics.
+const (
+	announcedMetric = "origins.announced" // records sent to peers, each counted once for each peer
+	askedMetric     = "origins.asked"     // questions to peers
+	foundMetric     = "origins.found"     // questions that a peer has answered with an origin
+	unsentMetric    = "origins.unsent"    // records that were not announced, since too many were waiting
+)
+
+// Transport sends messages to peers. The messages of peers are passed to Registry.HandleMessage.
+type Transport interface {
+	// LivePeers returns the addresses of the peers that are live. isKnown is false shortly after the start, while
+	// some peers are not known yet.
+	LivePeers() (addrs []netip.AddrPort, isKnown bool)
+	// SendMessage sends a message to a peer. It may get lost.
+	SendMessage(payload []byte, to netip.AddrPort)
+}
+
+// NoPeers is a Transport of a process without peers.
+type NoPeers struct{}
+
+// LivePeers implements Transport.
+func (NoPeers) LivePeers() (addrs []netip.AddrPort, isKnown bool) { return nil, true }
+
+// SendMessage implements Transport.
+func (NoPeers) SendMessage([]byte, netip.AddrPort) {}
+
+// Registry holds the origins that this gateway knows. It is safe for concurrent use.
+type Registry struct {
+	log        hclog.Logger
+	routineLog *logging.Routine
+	reg        metrics.Registry
+	transport  Transport
+	shards     [shardCount]shard
+	wake       chan struct{} // holds a value while records are pending
+
+	mu        sync.Mutex
+	pending   []origin.Record // records to announce
+	queries   map[uint32]*query
+	lastQuery uint32
+}
+
+// shard is a part of the records.
+type shard struct {
+	mu    sync.Mutex
+	table *origin.Table
+}
+
+// query is a question that awaits answers.
+type query struct {
+	unanswered map[netip.AddrPort]struct{}
+	done       chan struct{} // closed when an origin is found or all have answered
+	isDone     bool
+}
+
+// New returns a registry without records. Until SetTransport is called it has no peers.
+func New(log hclog.Logger, reg metrics.Registry) *Registry {
+	r := &Registry{transport: NoPeers{}, log: log, routineLog: logging.NewRoutine(log), reg: reg, wake: make(chan struct{}, 1), queries: make(map[uint32]*query)}
+	for i := range r.shards {
+		r.shards[i].table = origin.NewTable(origin.MaxRecords / shardCount)
+	}
+	return r
+}
+
+// SetTransport sets the transport. It is not safe to call it while the registry is in use.
+func (r *Registry) SetTransport(t Transport) { r.transport = t }
+
+// Announce records the origin of a stream that this gateway serves and sends it to the keepers. It does not block.
+func (r *Registry) Announce(record origin.Record) {
+	r.add(record)
+	r.mu.Lock()
+	isFull := len(r.pending) >= maxPending
+	if !isFull {
+		r.pending = append(r.pending, record)
+	}
+	r.mu.Unlock()
+	if isFull {
+		metrics.GetOrRegisterCounter(unsentMetric, r.reg).Inc(1)
+		return
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends announcements until ctx ends.
+func (r *Registry) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.wake:
+		}
+		sleep.For(ctx, announceDelay)
+		r.sendPending()
+	}
+}
+
+// sendPending sends the pending records to their keepers.
+func (r *Registry) sendPending() {
+	r.mu.Lock()
+	pending := r.pending
+	r.pending = nil
+	r.mu.Unlock()
+	peers, _ := r.transport.LivePeers()
+	byKeeper := make(map[netip.AddrPort][]origin.Record)
+	for _, record := range pending {
+		for _, addr := range origin.Keepers(record.Key, peers, origin.KeeperCount) {
+			byKeeper[addr] = append(byKeeper[addr], record)
+		}
+	}
+	for addr, records := range byKeeper {
+		metrics.GetOrRegisterCounter(announcedMetric, r.reg).Inc(int64(len(records)))
+		for len(records) > 0 {
+			n := min(len(records), origin.MaxRows)
+			r.send(origin.Message{Records: records[:n]}, addr)
+			records = records[n:]
+		}
+	}
+}
+
+// send sends a message to a peer. An error is logged; the message is then lost.
+func (r *Registry) send(m origin.Message, to netip.AddrPort) {
+	data, err := m.Encode()
+	if err != nil {
+		r.log.Error("cannot encode origins", "error", err)
+		return
+	}
+	r.transport.SendMessage(data, to)
+}
+
+// add records an origin here.
+func (r *Registry) add(record origin.Record) {
+	s := r.shardOf(record.Key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Add(time.Now(), record)
+}
+
+// get returns the record of a stream that this gateway has.
+func (r *Registry) get(key origin.Key) (origin.Record, bool) {
+	s := r.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Get(time.Now(), key)
+}
+
+func (r *Registry) shardOf(key origin.Key) *shard { return &r.shards[key%shardCount] }
+
+// Len returns the number of records.
+func (r *Registry) Len() int {
+	sum := 0
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		sum += s.table.Len()
+		s.mu.Unlock()
+	}
+	return sum
+}
+
+// Find returns the origin of a stream: the one recorded here or else that of the peers, which it asks for up to
+// findTimeout. ok is false if none of them knows it for certain.
+func (r *Registry) Find(ctx context.Context, key origin.Key) (o serving.Origin, source origin.Source, ok bool) {
+	source = origin.SourceSelf
+	record, isKnown := r.get(key)
+	if !isKnown {
+		r.ask(ctx, key)
+		source = origin.SourcePeer
+		record, isKnown = r.get(key)
+	}
+	if !isKnown || record.IsUncertain {
+		return serving.Origin{}, origin.SourceNone, false
+	}
+	if source == origin.SourcePeer {
+		metrics.GetOrRegisterCounter(foundMetric, r.reg).Inc(1)
+	}
+	return record.Origin, source, true
+}
+
+// ask asks peers for the origin of a stream and returns when one has told it, all have answered, ctx has ended or
+// findTimeout has passed.
+func (r *Registry) ask(ctx context.Context, key origin.Key) {
+	id, q := r.newQuery(origin.Keepers(key, r.awaitPeers(ctx), origin.AskedCount))
+	if q == nil {
+		return
+	}
+	defer r.removeQuery(id)
+	metrics.GetOrRegisterCounter(askedMetric, r.reg).Inc(1)
+	timeout := sleep.NewTimer(findTimeout)
+	defer timeout.Stop()
+	repeat := sleep.NewTimer(repeatAfter)
+	defer repeat.Stop()
+	m := origin.Message{Query: id, Asked: []origin.Key{key}}
+	for {
+		for _, addr := range r.unanswered(q) {
+			r.send(m, addr)
+		}
+		select {
+		case <-q.done:
+			return
+		case <-ctx.Done():
+			return
+		case <-timeout.C:
+			return
+		case <-repeat.C:
+			repeat.Reset(repeatAfter)
+		}
+	}
+}
+
+// awaitPeers returns the live peers, shortly after the start only once they are known or ctx has ended.
+func (r *Registry) awaitPeers(ctx context.Context) []netip.AddrPort {
+	for {
+		peers, isKnown := r.transport.LivePeers()
+		if isKnown || !sleep.For(ctx, peersPollInterval) {
+			return peers
+		}
+	}
+}
+
+// newQuery registers a question to peers. The query is nil if there is nobody to ask or too many questions await
+// answers.
+func (r *Registry) newQuery(peers []netip.AddrPort) (id uint32, q *query) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(peers) == 0 || len(r.queries) >= maxQueries {
+		return 0, nil
+	}
+	q = &query{unanswered: make(map[netip.AddrPort]struct{}, len(peers)), done: make(chan struct{})}
+	for _, addr := range peers {
+		q.unanswered[addr] = struct{}{}
+	}
+	for r.lastQuery++; r.lastQuery == 0 || r.queries[r.lastQuery] != nil; r.lastQuery++ {
+		continue // 0 means no question, and numbers start over
+	}
+	r.queries[r.lastQuery] = q
+	return r.lastQuery, q
+}
+
+func (r *Registry) removeQuery(id uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.queries, id)
+}
+
+// unanswered returns the peers that have not answered a question.
+func (r *Registry) unanswered(q *query) []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addrs := make([]netip.AddrPort, 0, len(q.unanswered))
+	for addr := range q.unanswered {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// HandleMessage applies a message of the peer at an address.
+func (r *Registry) HandleMessage(payload []byte, from netip.AddrPort) {
+	m, err := origin.DecodeMessage(payload)
+	if err != nil {
+		r.routineLog.Info(time.Now(), "cannot decode origins", "from", from.String(), "error", err)
+		return
+	}
+	for _, record := range m.Records {
+		r.add(record)
+	}
+	if m.Query != 0 {
+		r.answer(m, from)
+	}
+	if m.Answers != 0 {
+		r.noteAnswer(m, from)
+	}
+}
+
+// answer answers the question of a peer.
+func (r *Registry) answer(question origin.Message, from netip.AddrPort) {
+	reply := origin.Message{Answers: question.Query}
+	for _, key := range question.Asked {
+		if record, ok := r.get(key); ok {
+			reply.Records = append(reply.Records, record)
+		} else {
+			reply.Asked = append(reply.Asked, key)
+		}
+	}
+	r.send(reply, from)
+}
+
+// noteAnswer records the answer of a peer to a question. Its records have been added before.
+func (r *Registry) noteAnswer(m origin.Message, from netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q, ok := r.queries[m.Answers]
+	if !ok {
+		return
+	}
+	delete(q.unanswered, from)
+	if !q.isDone && (len(m.Records) > 0 || len(q.unanswered) == 0) {
+		q.isDone = true
+		close(q.done)
+	}
+}
