origins: records that too few peers have got are sent again

Records with fewer than three keepers now wait, for up to 5 s, for peers that become live. An idle process is not woken for it.

--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	shardCount = 16
 	// announceDelay is how long records wait for others that go to the same peers.
 	announceDelay = 2 * time.Millisecond
+	// retryInterval is the interval at which records that too few peers have got are sent to peers that have become
+	// live, and retryFor how long that goes on: peers start at different times, and a host may be cut off for seconds.
+	retryInterval = 200 * time.Millisecond
+	retryFor      = 5 * time.Second
 	// repeatAfter is the time after which a question is sent again to the peers that have not answered.
 	repeatAfter = 40 * time.Millisecond
 	// findTimeout bounds the time for which answers are awaited. It is some times longer than a datagram takes to
@@ -72,11 +77,18 @@
 	wake       chan struct{} // holds a value while records are pending
 
 	mu        sync.Mutex
-	pending   []origin.Record // records to announce
+	pending   []*announcement
 	queries   map[uint32]*query
 	lastQuery uint32
 }
 
+// announcement is a record that is to be sent to its keepers.
+type announcement struct {
+	record origin.Record
+	sentTo []netip.AddrPort
+	until  time.Time // it is not retried later
+}
+
 // shard is a part of the records.
 type shard struct {
 	mu    sync.Mutex
@@ -108,7 +120,7 @@
 	r.mu.Lock()
 	isFull := len(r.pending) >= maxPending
 	if !isFull {
-		r.pending = append(r.pending, record)
+		r.pending = append(r.pending, &announcement{record: record, until: time.Now().Add(retryFor)})
 	}
 	r.mu.Unlock()
 	if isFull {
@@ -123,38 +135,63 @@
 
 // Run sends announcements until ctx ends.
 func (r *Registry) Run(ctx context.Context) error {
+	retry := sleep.NewTimer(retryInterval)
+	defer retry.Stop()
+	isRetryDue := false
 	for {
+		var retryDue <-chan struct{} // nil, so that an idle process is not woken, unless records wait for peers
+		if isRetryDue {
+			retryDue = retry.C
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-r.wake:
+			sleep.For(ctx, announceDelay)
+		case <-retryDue:
 		}
-		sleep.For(ctx, announceDelay)
-		r.sendPending()
+		isRetryDue = r.sendPending(time.Now())
+		retry.Reset(retryInterval)
 	}
 }
 
-// sendPending sends the pending records to their keepers.
-func (r *Registry) sendPending() {
-	r.mu.Lock()
-	pending := r.pending
-	r.pending = nil
-	r.mu.Unlock()
+// sendPending sends the pending records to those of their keepers that have not got them, and keeps the records for
+// which there are too few peers. It reports whether there are any of these.
+func (r *Registry) sendPending(now time.Time) (isRetryDue bool) {
+	pending := r.takePending()
 	peers, _ := r.transport.LivePeers()
 	byKeeper := make(map[netip.AddrPort][]origin.Record)
-	for _, record := range pending {
-		for _, addr := range origin.Keepers(record.Key, peers, origin.KeeperCount) {
-			byKeeper[addr] = append(byKeeper[addr], record)
+	var unfinished []*announcement
+	for _, a := range pending {
+		for _, addr := range origin.Keepers(a.record.Key, peers, origin.KeeperCount) {
+			if !slices.Contains(a.sentTo, addr) {
+				a.sentTo = append(a.sentTo, addr)
+				byKeeper[addr] = append(byKeeper[addr], a.record)
+			}
+		}
+		if len(a.sentTo) < origin.KeeperCount && now.Before(a.until) {
+			unfinished = append(unfinished, a)
 		}
 	}
 	for addr, records := range byKeeper {
 		metrics.GetOrRegisterCounter(announcedMetric, r.reg).Inc(int64(len(records)))
-		for len(records) > 0 {
-			n := min(len(records), origin.MaxRows)
-			r.send(origin.Message{Records: records[:n]}, addr)
-			records = records[n:]
+		for chunk := range slices.Chunk(records, origin.MaxRows) {
+			r.send(origin.Message{Records: chunk}, addr)
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending = append(unfinished, r.pending...)
+	return len(unfinished) > 0
+}
+
+// takePending returns the pending announcements and clears them.
+func (r *Registry) takePending() []*announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pending := r.pending
+	r.pending = nil
+	return pending
 }
 
 // send sends a message to a peer. An error is logged; the message is then lost.
