A stream whose target's entry changes its version goes on nowhere else

The entry of a target may be rewritten under the same id with another version. A stream that the target served meanwhile would have gone on at the version that the entry had named before, although it is not known which of the two made its events.

Runs note that the entry of their target has got another version. The answer goes on, since it comes from one process; its origin becomes uncertain here and at its keepers, so that neither this gateway nor another continues it. An attempt that was to go on with a stream at such a target is given up before its first event.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -208,6 +208,15 @@
 	f.observed.reset()
 }
 
+// Target returns the target with an id; ok is false if there is none.
+func (f *Fleet) Target(id string) (t serving.Target, ok bool) {
+	ts, ok := f.targets[id]
+	if !ok {
+		return serving.Target{}, false
+	}
+	return ts.Target, true
+}
+
 // Targets returns all targets that have been put and not removed.
 func (f *Fleet) Targets() []serving.Target {
 	list := make([]serving.Target, 0, len(f.targets))
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -34,7 +34,9 @@
 	// onTargetEnd is called when the target is known to have restarted; see OnTargetEnd.
 	onTargetEnd    func()
 	hasTargetEnded bool
-	cost           runCost
+	// hasVersionChanged is set when the entry of the target has got another version since the run began.
+	hasVersionChanged atomic.Bool
+	cost              runCost
 	// lastingProbability is that with which the slot of a batch run was expected to last; valid if hasLasting is set.
 	lastingProbability float64
 	hasLasting         bool
@@ -82,6 +84,10 @@
 	return r.hasTargetEnded
 }
 
+// HasVersionChanged reports whether the entry of the run's target has got another version under the same id since the
+// run began. The version of what the target sends in this run is then not known for certain.
+func (r *Run) HasVersionChanged() bool { return r.hasVersionChanged.Load() }
+
 // EndTargets calls the OnTargetEnd functions of all runs at the targets with these ids, which are known to have
 // restarted. An id names one start of a target: the restarted target has another id. Without this call such
 // a run could last forever: a crash behind a network partition closes no connection, and data from the
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -240,6 +240,11 @@
 	now := time.Now()
 	v.listRevision++
 	for _, t := range present {
+		if old, ok := v.fleet.Target(t.ID); ok && (old.Version != t.Version || old.Service != t.Service) {
+			for r := range v.active[t.ID] {
+				r.hasVersionChanged.Store(true)
+			}
+		}
 		v.fleet.Put(t)
 	}
 	for _, id := range goneIDs {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,8 @@
 	// resumedAfter is the id of the event after which the target was asked to resume; empty for a run from
 	// the beginning.
 	resumedAfter string
+	// hasRelayed is set when an event of this attempt has been sent to the caller.
+	hasRelayed bool
 	// hasTimedOut is set when watchIdle cancels the attempt.
 	hasTimedOut atomic.Bool
 	// lastActivity is when the last part of the answer arrived, or when the request was sent, in nanoseconds
@@ -222,6 +224,7 @@
 			return nil
 		}
 		if err != nil {
+			a.noteVersionChange()
 			return a.brokenOffError(ctx, err)
 		}
 		a.noteActivity()
@@ -229,6 +232,10 @@
 			isPassRecorded = true
 			a.gw.quarantine.NotePassed(a.content)
 		}
+		if a.run.HasVersionChanged() && a.origin != nil && !a.hasRelayed {
+			return errs.New(errs.StreamBroken, "the target has got another version, which may not fit the events that the caller has")
+		}
+		a.hasRelayed = true
 		a.sendHeader(ans, -1)
 		a.noteOrigin(time.Now())
 		if err := a.write(event.Raw); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,9 @@
 	lastEventID   string // id of the last stream event that the caller has received, possibly from an earlier request
 	// origin is what began the stream; nil before its first event.
 	origin *serving.Origin
+	// isOriginUncertain is set when the version of the events that the caller has is no longer certain, so that the stream
+	// can't go on at another target.
+	isOriginUncertain bool
 	// announcedAt is when the origin was last announced; zero before the first event of this exchange.
 	announcedAt time.Time
 	choices     []string // for each attempt the target and why it was chosen, for the log
@@ -227,6 +230,9 @@
 
 // canRetry reports whether the request may be sent to another target after err.
 func (ex *exchange) canRetry(err error) bool {
+	if ex.isOriginUncertain {
+		return false
+	}
 	e := errs.As(err)
 	switch e.Type {
 	case errs.NoTarget, errs.VersionGone, errs.Cancelled, errs.Unauthenticated, errs.ConfigStale, errs.Quarantined:
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -65,17 +65,34 @@
 
 // noteOrigin records that an event of this attempt is about to be sent to the caller. The first event of a stream
 // determines its origin. The origin is announced before the caller has the event, so that the caller can resume the
-// stream at another gateway, and again at intervals, since the peers that keep it may stop.
+// stream at another gateway, and again at intervals, since the peers that keep it may stop. If the entry of the target
+// changes its version while it serves the stream, the origin becomes uncertain: the answer goes on, since it comes from
+// one process, but no other target does.
 func (a *attempt) noteOrigin(now time.Time) {
 	if a.origin == nil {
 		a.origin = &serving.Origin{Service: a.run.Target.Service, Version: a.run.Target.Version}
 	}
-	if !a.announcedAt.IsZero() && now.Sub(a.announcedAt) < origin.AnnounceInterval {
+	a.noteVersionChange()
+	if a.announcedAt.IsZero() || now.Sub(a.announcedAt) >= origin.AnnounceInterval {
+		a.announceOrigin(now)
+	}
+}
+
+// noteVersionChange makes the origin uncertain if the entry of the target has got another version during this attempt.
+func (a *attempt) noteVersionChange() {
+	if !a.hasRelayed || a.isOriginUncertain || !a.run.HasVersionChanged() {
 		return
 	}
+	a.isOriginUncertain = true
+	a.gw.log.Warn("origin of stream uncertain", "request", a.req.ID, "target", a.run.Target.ID, "version", a.run.Target.Version, "why", "the entry of the target has got another version")
+	a.announceOrigin(time.Now())
+}
+
+// announceOrigin announces the origin under all ids by which the caller may name the stream.
+func (a *attempt) announceOrigin(now time.Time) {
 	a.announcedAt = now
 	for _, id := range a.streamIDs() {
-		a.gw.origins.Announce(origin.Record{Key: origin.NewKey(a.req.Caller.Workspace, id), Origin: *a.origin})
+		a.gw.origins.Announce(origin.Record{Key: origin.NewKey(a.req.Caller.Workspace, id), Origin: *a.origin, IsUncertain: a.isOriginUncertain})
 	}
 }
 
