gateway: a stream goes on only at the start of a target that the list names

Where the entries of targets tell their start, a target may start again under its name, with another version, before the list says so. Such a target is now asked for its start before a stream goes on there, and left out unless it answers as the one on the list. Targets whose names are not used again, as on the platform of the users, are not asked.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	quotas      Quotas
 	quarantine  Quarantine
 	origins     Origins
+	prober      platform.TargetProber
 	resumeLog   *logging.Routine // streams that callers resume
 }
 
@@ -114,6 +115,8 @@
 	Quarantine Quarantine
 	// Origins is asked when a caller resumes a stream, and told when one begins.
 	Origins Origins
+	// Prober checks which start of a target runs before a stream goes on there.
+	Prober platform.TargetProber
 
 	Disabled policy.Disabled // policies that are disabled
 	Log      hclog.Logger
@@ -122,7 +125,7 @@
 
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
-	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, log: o.Log,
+	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, prober: o.Prober, log: o.Log,
 		resumeLog: logging.NewRoutine(o.Log),
 		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
@@ -258,6 +261,9 @@
 		return err
 	}
 	ex.tried = append(ex.tried, run.Target.ID)
+	if err := ex.verifyStart(ctx, run.Target); err != nil {
+		return err
+	}
 	ex.choices = append(ex.choices, run.Choice.String())
 	if run.Choice.IsByExpectedTime {
 		metrics.GetOrRegisterCounter("online.choices.expected_time", ex.gw.reg).Inc(1)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -76,7 +76,7 @@
 	for i := range targetCount {
 		h.view.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 	return h
 }
 
@@ -85,6 +85,11 @@
 	return origins.New(hclog.NewNullLogger(), metrics.NewRegistry())
 }
 
+// Probe implements platform.TargetProber.
+func (h *harness) Probe(context.Context, serving.Target) platform.ProbeResult {
+	return platform.ProbeAlive
+}
+
 // Authorize implements Access.
 func (h *harness) Authorize(*serving.Route, workspace.Credential) (serving.Caller, error) {
 	return serving.Caller{Workspace: h.workspace}, h.authErr
@@ -412,7 +417,7 @@
 			}
 			return wholeAnswer(200, "ok", nil)(nil, platform.TargetCall{})
 		})
-		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Metrics: metrics.NewRegistry(),
+		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Metrics: metrics.NewRegistry(),
 			Log: hclog.New(&hclog.LoggerOptions{Output: &logLines, JSONFormat: true})})
 		h.serve(context.Background(), newRoute(serving.KindSafe, 2, false), &fakeCaller{})
 	})
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/origin"
+	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 )
 
@@ -56,6 +57,16 @@
 	return ex.versionGoneError()
 }
 
+// verifyStart checks, if a stream goes on at a target, that the start of the target that the list names still runs. A
+// target with a start time may start again under its name with another version, and the list tells that later. Other
+// names are not used again. Error: errs.TargetFailed, not run.
+func (ex *exchange) verifyStart(ctx context.Context, t serving.Target) error {
+	if ex.origin == nil || t.StartedMs == 0 || ex.gw.prober.Probe(ctx, t) == platform.ProbeAlive {
+		return nil
+	}
+	return errs.Newf(errs.TargetFailed, "it is not known whether target %s has started again", t.ID).WithRan(errs.RanNo)
+}
+
 // versionGoneError returns the error of a stream that can't go on because no other target of its version is left.
 func (ex *exchange) versionGoneError() error {
 	metrics.GetOrRegisterCounter(versionGoneMetric, ex.gw.reg).Inc(1)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -123,7 +123,7 @@
 	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
-		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Disabled: s.Off,
+		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Prober: targets, Disabled: s.Off,
 		Log: logger.Named("online"), Metrics: reg,
 	})
 	if err := g.listen(); err != nil {
