backlog: the text of an item goes on only at the version that began it

Texts of batch items held events of two software versions: a run that was preempted or broken off went on at any target of the service.

A text now has an origin, the service and version that sent its first event, in the task and in the progress that the next owner reads. A run that goes on with a text is sent to that version only. If none of its targets is in service, or the text has no origin (progress of an older build), the item begins again from the start. While its targets are full and others are not, it waits for as long as the events of the text would take to produce again, at least a second, then begins again where there is a slot: at most twice the cost of the better choice. Of two texts of different versions the later one is kept, since the item was begun again for a reason.

A run without a required version always drops the text, at one place.

--- a/core/backlog/pace.go
+++ b/core/backlog/pace.go
@@ -86,6 +86,18 @@
 	return time.Duration(float64(estimate.secondsPerEvent) * estimate.eventsLeft(tokens, eventsDone) * float64(time.Second))
 }
 
+// TimeOf returns the expected time for which a target produces a number of events on the route. It returns 0 before the
+// first observation on the route.
+func (e *RunTimeEstimator) TimeOf(route string, events int) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	estimate, ok := e.byRoute[route]
+	if !ok {
+		return 0
+	}
+	return time.Duration(float64(estimate.secondsPerEvent) * float64(events) * float64(time.Second))
+}
+
 // EventsLeft returns the expected number of events that such an item still produces. It returns 0 before the first
 // complete item of the route.
 func (e *RunTimeEstimator) EventsLeft(route string, tokens int64, eventsDone int) int {
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -87,16 +87,23 @@
 	// Outcome is the outcome of an item whose owner could not write the result any more; empty for an
 	// unfinished item. Without it the next owner would have a target resume an output that is already complete.
 	Outcome Outcome `cbor:"6,keyasint,omitempty"`
+	// Service and Version are those of the target that sent the first event of Text: only targets of the same service and
+	// software version can go on with it. Service is empty if they are not known.
+	Service string `cbor:"7,keyasint,omitempty"`
+	Version string `cbor:"8,keyasint,omitempty"`
 }
 
 // HasStarted reports whether a run of the item has produced an event, a failure or an outcome.
 func (p Progress) HasStarted() bool { return p.LastEventID != "" || p.Failures > 0 || p.Outcome != "" }
 
-// Merge merges other progress of the same item into p. It keeps the longer text, because all targets produce
-// the same events for an item, the larger number of failures, and the outcome if either has one.
+// Merge merges other progress of the same item, which was written later, into p. It keeps the longer text, because all
+// targets of a version produce the same events for an item, the larger number of failures, and the outcome if either
+// has one. Of texts of two versions it keeps the later one: the item was begun again because the other version could
+// not go on.
 func (p *Progress) Merge(o Progress) {
-	if len(o.Text) > len(p.Text) {
+	if o.Text != "" && (len(o.Text) > len(p.Text) || o.Service != p.Service || o.Version != p.Version) {
 		p.LastEventID, p.Text = o.LastEventID, o.Text
+		p.Service, p.Version = o.Service, o.Version
 	}
 	p.Failures = max(p.Failures, o.Failures)
 	if p.Outcome == "" {
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -174,15 +174,22 @@
 			m.opts.Quarantine.NotePassed(t.content)
 		}
 		eventsLeft--
-		r.RecordProgress(t.appendEvent(e), eventsLeft)
+		unsavedEvents, err := t.appendEvent(e, r)
+		if err != nil {
+			return runInterrupted, err
+		}
+		r.RecordProgress(unsavedEvents, eventsLeft)
 	}
 }
 
-// appendEvent appends an event to the task's text, on a line of its own. It returns the number of events since the
-// last checkpoint.
-func (t *task) appendEvent(e events.Event) (unsavedEvents int) {
+// appendEvent appends an event of a run to the task's text, on a line of its own. It returns the number of events since
+// the last checkpoint. Error: errs.StreamBroken if the event may not fit the text.
+func (t *task) appendEvent(e events.Event, r *fleetview.Run) (unsavedEvents int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if err := t.noteOrigin(r); err != nil {
+		return 0, err
+	}
 	if t.lastEventID != "" {
 		t.text = append(t.text, '\n')
 	}
@@ -190,7 +197,7 @@
 	t.lastEventID = e.ID
 	t.events++
 	t.unsavedEvents++
-	return t.unsavedEvents
+	return t.unsavedEvents, nil
 }
 
 // classifyAnswer returns the verdict on an answer before its body is read, and the reason. runComplete means
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -229,8 +229,7 @@
 // reports whether it has started one.
 func (sc *scheduler) startNext(ctx context.Context) bool {
 	now := time.Now()
-	fullServices := make(map[string]bool)     // services without a free slot
-	deferredServices := make(map[string]bool) // services of which only urgent items may start
+	scan := newStartScan(sc.m.view)
 	for _, ordered := range sc.sortTasks(sc.startableTasks(now), now) {
 		t := ordered.task
 		route, _, err := sc.m.router.Route(t.job.Host, t.item().URI)
@@ -241,24 +240,20 @@
 		if err != nil {
 			return false
 		}
-		service := route.Service(t.item().ID)
-		if fullServices[service] {
-			continue
-		}
-		w := t.work(route, service)
-		w.StartSlack, w.IsUrgent = sc.startSlack(t, now)
-		if deferredServices[service] && !w.IsUrgent || sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
-			continue
-		}
-		isStarted, pick := sc.startRun(ctx, t, route, w)
-		if isStarted {
-			return true
-		}
-		if pick.Deferral == fleet.NotDeferred || w.IsUrgent {
-			fullServices[service] = true
-			continue
+		for _, w := range sc.nextWork(t, route, now, scan) {
+			w.StartSlack, w.IsUrgent = sc.startSlack(t, now)
+			if scan.isBlocked(w) {
+				continue
+			}
+			if sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
+				break
+			}
+			isStarted, pick := sc.startRun(ctx, t, route, w)
+			if isStarted {
+				return true
+			}
+			scan.noteNotStarted(w, pick)
 		}
-		deferredServices[service] = true
 	}
 	return false
 }
@@ -374,6 +369,9 @@
 		cancel()
 		return false, pick
 	}
+	if w.Version == nil {
+		sc.dropText(t)
+	}
 	sc.recordStart(t, w, pick)
 	t.markStarted(cancel)
 	go func() {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -36,6 +36,8 @@
 	notBefore      time.Time              // the task must not start earlier
 	lastEventID    string                 // id of the last event in text
 	text           []byte                 // data of the events so far, joined by newlines
+	origin         serving.Origin         // of the target that sent the first event of text; Service is empty if not known
+	pinnedSince    time.Time              // since when the task could not start at the version of its text; see version.go
 	events         int                    // number of events in text
 	unsavedEvents  int                    // number of events since the last checkpoint
 	checkpoint     []platform.KeyedRecord // records of the last checkpoint; empty without one
@@ -82,12 +84,14 @@
 func (t *task) progress() *backlog.Progress {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastEventID: t.lastEventID, Text: string(t.text), Failures: t.failures, Outcome: t.outcome}
+	return &backlog.Progress{Job: t.job.ID, Item: t.item().ID, LastEventID: t.lastEventID, Text: string(t.text), Failures: t.failures, Outcome: t.outcome,
+		Service: t.origin.Service, Version: t.origin.Version}
 }
 
 // mergeProgress merges the stored progress p into the task. While the task has an active run it only takes
 // the number of failures; if p has an outcome, another process has finished the item, and the run is
-// cancelled so that a later call can apply the outcome. Otherwise the task continues from the longer text.
+// cancelled so that a later call can apply the outcome. Otherwise the task continues from the longer text, unless that
+// is of another version than its own.
 // mergeProgress returns the item's result if p has an outcome that the task takes, else nil.
 func (t *task) mergeProgress(p backlog.Progress) *pendingResult {
 	t.mu.Lock()
@@ -99,8 +103,9 @@
 	if t.hasActiveRun || t.outcome != "" {
 		return nil
 	}
-	if len(p.Text) > len(t.text) {
-		t.lastEventID, t.text = p.LastEventID, []byte(p.Text)
+	origin := serving.Origin{Service: p.Service, Version: p.Version}
+	if len(p.Text) > len(t.text) && (len(t.text) == 0 || origin == t.origin || p.Outcome == backlog.Complete) {
+		t.lastEventID, t.text, t.origin = p.LastEventID, []byte(p.Text), origin
 		t.events = strings.Count(p.Text, "\n") + 1
 	}
 	switch p.Outcome {
@@ -253,4 +258,5 @@
 	t.hasRun, t.isQuarantined = true, false
 	t.hasActiveRun, t.isPreempted, t.cancel = true, false, cancel
 	t.unroutedChecks = 0
+	t.pinnedSince = time.Time{}
 }
