--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,7 +92,7 @@
 // replaceTarget removes a target from the views of all processes after half of restartTime, and adds another
 // one after restartTime. crashes, the number of targets that have ended, distinguishes the replacements.
 func (cl *cluster) replaceTarget(target string, crashes int) {
-	replacement := serving.Target{ID: fmt.Sprintf("restart-%d", crashes), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}
+	replacement := serving.Target{ID: fmt.Sprintf("restart-%d", crashes), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: versionOf(crashes)}
 	cl.restarts.Go(func() {
 		time.Sleep(restartTime / 2)
 		cl.eachNode(func(n *node) {
@@ -135,7 +136,7 @@
 	n := &node{cl: cl, name: name, view: cl.store.View(), done: make(chan struct{})}
 	n.fleet = fleetview.New(fleet.Options{Domain: "d", Self: fleet.Peer(name), MinFreeAfterStart: 0, PeerTTL: time.Second, ExpectedTime: cl.expectedTime, YieldsInOverload: true})
 	for i := range 3 {
-		n.fleet.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8}}, nil)
+		n.fleet.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: versionOf(i)}}, nil)
 	}
 	log := testLogger(name)
 	var store platform.Store = n.view
@@ -251,12 +252,38 @@
 		if !strings.HasPrefix(r.Item, "ok") {
 			wantText, wantOutcome = "", backlog.Errored
 		}
-		if r.Outcome != wantOutcome || r.Text != wantText {
+		text, versions := splitVersions(r.Text)
+		if len(versions) > 1 {
+			cl.reportFailure("job %s: the text of item %s has events of versions %v, want one version", j.ID, r.Item, versions)
+		}
+		if r.Outcome != wantOutcome || text != wantText {
 			cl.reportFailure("job %s: the result of item %s is %s with a text of %d bytes, want %s with the expected text of %d bytes", j.ID, r.Item, r.Outcome, len(r.Text), wantOutcome, len(wantText))
 		}
 	}
 }
 
+// versionCount is the number of software versions of the targets.
+const versionCount = 2
+
+// versionOf returns the version of the i-th target.
+func versionOf(i int) string { return fmt.Sprintf("v%d", i%versionCount) }
+
+// versionSeparator separates the version of the target from the rest of an event's data.
+const versionSeparator = "@"
+
+// splitVersions returns a text without the versions in its events, and the different versions.
+func splitVersions(text string) (plain string, versions []string) {
+	lines := strings.Split(text, "\n")
+	for i, line := range lines {
+		data, version, _ := strings.Cut(line, versionSeparator)
+		lines[i] = data
+		if !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return strings.Join(lines, "\n"), versions
+}
+
 // expectedOutput returns the whole output of an item: the data of all its events, joined by newlines.
 func expectedOutput(item string) string {
 	var lines []string
@@ -478,7 +505,7 @@
 				_ = writer.CloseWithError(ctx.Err())
 				return
 			}
-			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s:%d\n\n", i, id, i); err != nil {
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s:%d%s%s\n\n", i, id, i, versionSeparator, c.Target.Version); err != nil {
 				return
 			}
 		}
