A stream without a known beginning goes on if only one version can have begun it

Rejecting every stream of unknown origin would also reject callers that do not name the request that began their stream, at services that have had one version for hours, and all streams after a restart of the fleet.

A gateway keeps which versions of a service have been on the list of targets, also those that came and went within one read. If it was one only for [streams] single_version_after (2 minutes), and the route has led to that service alone, that is where all resumable streams began. The list is read again, from where it is known, before that is relied on: another gateway may have used a target that this one has not heard of. Without an answer of the store, or after a gap in the list, nothing is assumed.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -97,6 +97,9 @@
 	SourceNone Source = "none" // it is not known
 	SourceSelf Source = "self" // a record of this gateway
 	SourcePeer Source = "peer" // a peer that was asked
+	SourceOnly Source = "only" // the service has had targets of one version only
+	// SourceUncertain is that of a record by which the origin is uncertain.
+	SourceUncertain Source = "uncertain"
 )
 
 // merge returns what two records of a stream tell together.
--- a/core/platform/directory.go
+++ b/core/platform/directory.go
@@ -17,6 +17,9 @@
 	Config(ctx context.Context, known uint64, wait time.Duration) (ConfigNews, error)
 	// Targets waits likewise for changes of the list of targets.
 	Targets(ctx context.Context, known uint64, wait time.Duration) (TargetNews, error)
+	// NewTargets returns, without waiting, all targets whose entries were written after the state that known describes, which
+	// must not be 0. It may be called beside Targets. Error besides the common ones: *Expired.
+	NewTargets(ctx context.Context, known uint64) ([]serving.Target, error)
 }
 
 // ConfigNews is what has changed of the configuration.
@@ -39,6 +42,8 @@
 	More    bool
 	Present []serving.Target
 	Gone    []string // names
+	// Replaced are targets whose entries were written and then replaced or removed since the state before.
+	Replaced []serving.Target
 	// Unusable are the entries that name no target to use, whatever stood under their names before.
 	Unusable []UnusableEntry
 }
--- a/internal/backlog/version_test.go
+++ b/internal/backlog/version_test.go
@@ -9,6 +9,7 @@
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
 	"arbutusramp/internal/fleetview"
 )
 
@@ -67,7 +68,7 @@
 				j, version := n.startLongItem()
 				runs := n.occupy(version)
 				preemptedAt := time.Now()
-				time.AfterFunc(busyFor, func() {
+				sleep.AfterFunc(busyFor, func() {
 					for _, r := range runs {
 						r.Done()
 					}
--- a/internal/gateway/expected_test.go
+++ b/internal/gateway/expected_test.go
@@ -27,7 +27,7 @@
 		h := newHarness(0, delayed(100*time.Millisecond, wholeAnswer(200, "ok", nil)))
 		h.view = fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second, ExpectedTime: fleet.ExpectedTimeOn})
 		h.view.UpdateTargets([]serving.Target{{ID: "t0", Service: "s", Slots: 4}}, nil)
-		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Log: hclog.New(&hclog.LoggerOptions{Output: &log}), Metrics: reg})
+		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Versions: h, Log: hclog.New(&hclog.LoggerOptions{Output: &log}), Metrics: reg})
 		route := newRoute(serving.KindSafe, 1, false)
 		send := func() *fakeCaller {
 			caller := &fakeCaller{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	quotas      Quotas
 	quarantine  Quarantine
 	origins     Origins
+	versions    Versions
 	prober      platform.TargetProber
 	resumeLog   *logging.Routine // streams that callers resume
 }
@@ -96,6 +97,13 @@
 	Find(ctx context.Context, key origin.Key) (o serving.Origin, source origin.Source, ok bool)
 }
 
+// Versions knows which versions services have had.
+type Versions interface {
+	// OnlyOrigin returns the origin of all streams on a route that can still be resumed; ok is false if they can have
+	// several, or if that is not known.
+	OnlyOrigin(ctx context.Context, route *serving.Route) (o serving.Origin, ok bool)
+}
+
 // ConfigStatus provides the version and age of the configuration, which are logged with each request.
 type ConfigStatus interface {
 	// Version returns the version of the configuration that this process uses.
@@ -115,6 +123,8 @@
 	Quarantine Quarantine
 	// Origins is asked when a caller resumes a stream, and told when one begins.
 	Origins Origins
+	// Versions is asked for the origin of a stream that Origins does not know.
+	Versions Versions
 	// Prober checks which start of a target runs before a stream goes on there.
 	Prober platform.TargetProber
 
@@ -125,7 +135,7 @@
 
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
-	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, prober: o.Prober, log: o.Log,
+	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, versions: o.Versions, prober: o.Prober, log: o.Log,
 		resumeLog: logging.NewRoutine(o.Log),
 		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,8 @@
 	isOverQuota        bool   // Admit rejects requests
 	admitted, refunded int    // calls of Admit and Refund
 
+	onlyOrigin serving.Origin // returned by OnlyOrigin; the zero value stands for none
+
 	quarantineErr error // returned by Check and AdmitRequest
 	silentRuns    []quarantine.BrokenRun
 	brokenRuns    []quarantine.BrokenRun
@@ -76,7 +78,7 @@
 	for i := range targetCount {
 		h.view.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 4}}, nil)
 	}
-	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Versions: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 	return h
 }
 
@@ -85,6 +87,11 @@
 	return origins.New(hclog.NewNullLogger(), metrics.NewRegistry())
 }
 
+// OnlyOrigin implements Versions.
+func (h *harness) OnlyOrigin(context.Context, *serving.Route) (serving.Origin, bool) {
+	return h.onlyOrigin, h.onlyOrigin != serving.Origin{}
+}
+
 // Probe implements platform.TargetProber.
 func (h *harness) Probe(context.Context, serving.Target) platform.ProbeResult {
 	return platform.ProbeAlive
@@ -417,7 +424,7 @@
 			}
 			return wholeAnswer(200, "ok", nil)(nil, platform.TargetCall{})
 		})
-		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Metrics: metrics.NewRegistry(),
+		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Versions: h, Metrics: metrics.NewRegistry(),
 			Log: hclog.New(&hclog.LoggerOptions{Output: &logLines, JSONFormat: true})})
 		h.serve(context.Background(), newRoute(serving.KindSafe, 2, false), &fakeCaller{})
 	})
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -35,6 +35,11 @@
 	if ex.req.Resumes != "" {
 		o, source, ok = ex.gw.origins.Find(ctx, origin.NewKey(ex.req.Caller.Workspace, ex.req.Resumes))
 	}
+	if source == origin.SourceNone {
+		if o, ok = ex.gw.versions.OnlyOrigin(ctx, ex.route); ok {
+			source = origin.SourceOnly
+		}
+	}
 	metrics.GetOrRegisterCounter(resumedMetric, ex.gw.reg).Inc(1)
 	metrics.GetOrRegisterCounter(resumedMetric+"."+string(source), ex.gw.reg).Inc(1)
 	now := time.Now()
--- a/internal/gateway/share_test.go
+++ b/internal/gateway/share_test.go
@@ -73,7 +73,7 @@
 			h.view.UpdateTargets([]serving.Target{{ID: "t0", Service: "s", Slots: slots}}, nil)
 		}
 		log := hclog.New(&hclog.LoggerOptions{Output: &out})
-		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: noQuotas{}, Quarantine: h, Origins: newOrigins(), Prober: h, Log: log, Metrics: reg})
+		h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: noQuotas{}, Quarantine: h, Origins: newOrigins(), Prober: h, Versions: h, Log: log, Metrics: reg})
 		var mu sync.Mutex
 		var calls sync.WaitGroup
 		began := time.Now()
@@ -149,7 +149,7 @@
 func TestNothingIsDividedBetweenRequestsWithoutWorkspace(t *testing.T) {
 	h := newHarness(1)
 	h.view = fleetview.New(fleet.Options{Self: "self", PeerTTL: time.Second, Sharing: &fairshare.Options{Window: 2 * time.Second}})
-	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
+	h.gw = New(Options{Targets: h, View: h.view, Config: h, Access: h, Quotas: h, Quarantine: h, Origins: newOrigins(), Prober: h, Versions: h, Log: hclog.NewNullLogger(), Metrics: metrics.NewRegistry()})
 	for workspace, isDivided := range map[string]bool{"": false, "a": true} {
 		ex := &exchange{gw: h.gw, route: newRoute(serving.KindSafe, 1, false), req: &serving.Request{Caller: serving.Caller{Workspace: workspace}}, service: "s"}
 		var request shed.Request
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -117,13 +117,13 @@
 	}
 	g.origins.SetTransport(g.loadShare)
 	g.watch = watch.New(watch.Options{
-		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights,
+		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights, SingleVersionAfter: s.SingleVersionAfter,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
-		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Prober: targets, Disabled: s.Off,
+		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Versions: g.watch, Prober: targets, Disabled: s.Off,
 		Log: logger.Named("online"), Metrics: reg,
 	})
 	if err := g.listen(); err != nil {
--- a/internal/node/versions_test.go
+++ b/internal/node/versions_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"arbutusramp/core/serving"
+	"arbutusramp/internal/settings"
 	"arbutusramp/platform/wire"
 	"arbutusramp/platform/wiretest"
 )
@@ -484,3 +485,20 @@
 	}
 	f.expectRejected("rewritten entry", f.s.gateways[1], h, id, "stream_unknown")
 }
+
+// Guards against callers that don't say which request began their stream and can't resume it any more, although the
+// service has had one version only, and against a guess when it has several.
+func TestStreamOfUnknownOriginGoesOnAtTheOnlyVersion(t *testing.T) {
+	f := newVersionFleet(t, 0, "v1", "v1")
+	defer f.s.stopAll()
+	f.s.changeSettings = func(o *settings.Gateway) { o.SingleVersionAfter = 500 * time.Millisecond }
+	f.s.startGateways(2)
+	h := f.begin(f.s.gateways[0], "v1")
+	for status := 0; status != http.StatusOK; {
+		status, _ = f.takeUp(f.s.gateways[1], &h, itemEvents, "")
+	}
+	f.expectWhole("Resumes is missing", h)
+	h = f.begin(f.s.gateways[0], "v1")
+	f.startTarget("i-2", "v2", time.Time{})
+	f.expectRejected("a second version has just come", f.s.gateways[1], h, "", "stream_unknown")
+}
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -244,8 +244,11 @@
 		source = origin.SourcePeer
 		record, isKnown = r.get(key)
 	}
-	if !isKnown || record.IsUncertain {
+	switch {
+	case !isKnown:
 		return serving.Origin{}, origin.SourceNone, false
+	case record.IsUncertain:
+		return serving.Origin{}, origin.SourceUncertain, false
 	}
 	if source == origin.SourcePeer {
 		metrics.GetOrRegisterCounter(foundMetric, r.reg).Inc(1)
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -37,7 +37,10 @@
 	QuarantineAfter int
 	// QuarantineHold is how long that lasts after the last of these requests.
 	QuarantineHold time.Duration
-	Grace          time.Duration // from the signal to stop until the platform kills the process
+	// SingleVersionAfter is how long a service must have had targets of one version only until streams of unknown origin
+	// go on there.
+	SingleVersionAfter time.Duration
+	Grace              time.Duration // from the signal to stop until the platform kills the process
 	// Contracts are the names of the parts of the platform's contract that are in force.
 	Contracts []string
 	// ExpectedTime says for which services targets are chosen by expected time: auto, on or off.
@@ -155,6 +158,9 @@
 		{section: "quarantine", key: "hold", unit: "duration", def: "1h",
 			field: duration(time.Minute, 30*24*time.Hour, func(g *Gateway) *time.Duration { return &g.QuarantineHold }),
 			doc:   "how long after the last of these requests that lasts"},
+		{section: "streams", key: "single_version_after", unit: "duration", def: "2m",
+			field: duration(time.Second, 24*time.Hour, func(g *Gateway) *time.Duration { return &g.SingleVersionAfter }),
+			doc:   "how long a service must have had targets of one software version only until a resumed stream of unknown origin goes on there; longer than any stream lasts and targets serve after their entry is gone"},
 	}
 }
 
--- a/internal/watch/targets.go
+++ b/internal/watch/targets.go
@@ -1,6 +1,8 @@
 package watch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"arbutusramp/core/platform"
@@ -79,6 +81,9 @@
 	return changes
 }
 
+// all returns the targets on the list, in no particular order.
+func (l *targetList) all() []serving.Target { return slices.Collect(maps.Values(l.targets)) }
+
 // applyEntry applies the entry of a target. An entry of an older start than the last known one is ignored: a
 // read may be answered from an earlier state of the store, and a target that has restarted no longer answers
 // as its previous start.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -68,6 +68,7 @@
 	router     *serving.Router
 	workspaces *workspace.Index
 	proof      freshness.Proof // when a read last confirmed that config is the newest version
+	versions   *versions
 	// unknownWeights are the workspaces in weights that config does not contain.
 	unknownWeights []string
 	hasTargets     bool // the target list, or a part of it with at least one target, has been read
@@ -96,13 +97,16 @@
 	RevokeWithin time.Duration
 	// Weights are the configured weights of workspaces in the division of the capacity, by name.
 	Weights map[string]float64
-	Clock   bootclock.Clock // the time since the start of the host, including suspensions
-	Log     hclog.Logger
+	// SingleVersionAfter is how long a service must have had targets of one version only until a stream of unknown origin
+	// is taken for one of that version; see OnlyOrigin.
+	SingleVersionAfter time.Duration
+	Clock              bootclock.Clock // the time since the start of the host, including suspensions
+	Log                hclog.Logger
 }
 
 // New returns a Watch without a configuration or targets.
 func New(o Options) *Watch {
-	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, weights: o.Weights, proof: freshness.New(o.RevokeWithin)}
+	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, weights: o.Weights, proof: freshness.New(o.RevokeWithin), versions: newVersions(o.SingleVersionAfter)}
 }
 
 // Run reads the configuration and the target list repeatedly until ctx ends, and then returns nil.
@@ -223,6 +227,7 @@
 	index, problems := workspace.NewIndex(c.Workspaces)
 	w.workspaces = index
 	w.quotas.SetWorkspaces(c.Workspaces)
+	w.versions.noteRoutes(time.Now(), c.Routes)
 	w.logUnknownWeights(c.Workspaces)
 	for _, problem := range append(c.Problems, problems...) {
 		w.log.Error("part of the configuration left out", "version", c.Version, "error", problem)
@@ -255,7 +260,9 @@
 		if isBack {
 			list.recordRecovery(now)
 		}
-		w.applyTargets(list.update(now, news))
+		changes := list.update(now, news)
+		w.versions.noteTargets(now, news, list.all())
+		w.applyTargets(changes)
 		w.markTargetsKnown(news.Whole || len(news.Present) > 0)
 	})
 	return nil
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -74,7 +74,7 @@
 
 // Targets implements platform.Directory.
 func (d *fakeDirectory) Targets(ctx context.Context, known uint64, wait time.Duration) (platform.TargetNews, error) {
-	var news platform.TargetNews
+	news := platform.TargetNews{Known: known}
 	err := d.answer(ctx, wait, func() bool {
 		if len(d.targets) == 0 {
 			return false
@@ -86,6 +86,20 @@
 	return news, err
 }
 
+// NewTargets implements platform.Directory. It returns the queued targets and leaves them queued.
+func (d *fakeDirectory) NewTargets(context.Context, uint64) ([]serving.Target, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isDown {
+		return nil, errs.New(errs.LogDown, "down")
+	}
+	var targets []serving.Target
+	for _, news := range d.targets {
+		targets = append(targets, news.Present...)
+	}
+	return targets, nil
+}
+
 // answer returns once takeNews has returned true, which takes a queued answer, or once wait has passed. It
 // returns an error at once while the store is down.
 func (d *fakeDirectory) answer(ctx context.Context, wait time.Duration, takeNews func() bool) error {
@@ -106,6 +120,9 @@
 	}
 }
 
+// testKeep is the SingleVersionAfter of the watch.
+const testKeep = time.Minute
+
 // newConfig returns a configuration with one route of host "h" for each path prefix.
 func newConfig(version uint64, prefixes ...string) *serving.Config {
 	config := &serving.Config{Version: version}
@@ -138,7 +155,7 @@
 		v := fleetview.New(fleet.Options{PeerTTL: time.Second})
 		startedAt := time.Now()
 		w := New(Options{
-			Directory: d, View: v, Quotas: &d.quotas, Observer: d, RevokeWithin: d.revokeWithin, Log: log,
+			Directory: d, View: v, Quotas: &d.quotas, Observer: d, RevokeWithin: d.revokeWithin, SingleVersionAfter: testKeep, Log: log,
 			Clock: func() time.Duration { return time.Since(startedAt) + time.Duration(d.suspendedNanos.Load()) },
 		})
 		done := make(chan error)
