lab origins: five ways of knowing which version began a stream, in one model

Two rules pull against each other: streams must not change their version, and at least half as large a share of resumed streams must go on as of new ones begin. The model plays told to all, keepers, asked only, computed from the id, and any version, on the same streams and faults, with 2 to 556 gateways.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -65,6 +65,7 @@
 		&mixCmd{},
 		&chooseCmd{},
 		&fleetCmd{},
+		&originsCmd{},
 		&ablateCmd{},
 		&onlineCmd{},
 		&configCmd{},
