--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -34,12 +34,12 @@
 }
 
 const (
-	// KeeperCount is how many peers keep the origin of a stream, beside the gateway that serves it. With three of
+	// KeeperCount is how many peers keep the origin of a stream, beside the gateway that serves it. With five of
 	// them a loss of half of the gateways at once leaves the origins of 15 streams in 16.
-	KeeperCount = 3
+	KeeperCount = 5
 	// AskedCount is how many peers are asked for an origin. It exceeds KeeperCount because gateways that have
 	// started or stopped since then change which peers come first.
-	AskedCount = 6
+	AskedCount = 8
 	// Lifetime is how long an origin is kept at least after it was last announced. Callers that resume a stream
 	// do so within seconds.
 	Lifetime = 30 * time.Second
