--- a/internal/backlog/version.go
+++ b/internal/backlog/version.go
@@ -12,9 +12,13 @@
 	"arbutusramp/internal/fleetview"
 )
 
-// minVersionWait is the shortest time for which an item waits for a target with the version of its text while targets of
-// other versions could run it from the beginning.
-const minVersionWait = time.Second
+// An item waits for a target with the version of its text, while targets of other versions could run it from the
+// beginning, for versionWaitFactor times as long as its events would take to produce again, and at least for
+// minVersionWait. A factor of 1 would bound what one item loses, but items that begin again take slots from others.
+const (
+	versionWaitFactor = 4
+	minVersionWait    = 4 * time.Second
+)
 
 // restartedMetric counts the items that were begun again because no target could go on with their text.
 const restartedMetric = "item.restarted"
@@ -87,8 +91,7 @@
 
 // nextWork returns the work of the task's next run, in the order in which it is to be tried. A task with a text goes on
 // with it at the version that began it. It begins again from the start if no target of that version is in service on the
-// route, or if it has waited for one for as long as another target takes to produce the events of the text again: waiting
-// longer could cost more than that, beginning again earlier wastes work.
+// route, or if it has waited too long for a slot at one; see versionWaitFactor.
 func (sc *scheduler) nextWork(t *task, route *serving.Route, now time.Time, scan *startScan) []fleet.Work {
 	anyVersion := t.work(route, route.Service(t.item().ID))
 	t.mu.Lock()
@@ -106,7 +109,7 @@
 	if t.pinnedSince.IsZero() {
 		t.pinnedSince = now
 	}
-	if now.Sub(t.pinnedSince) < max(minVersionWait, sc.m.runTimes.TimeOf(t.job.Route, t.events)) {
+	if now.Sub(t.pinnedSince) < max(minVersionWait, versionWaitFactor*sc.m.runTimes.TimeOf(t.job.Route, t.events)) {
 		return []fleet.Work{pinned}
 	}
 	return []fleet.Work{pinned, anyVersion}
--- a/internal/command/lab_fleet.go
+++ b/internal/command/lab_fleet.go
@@ -31,6 +31,8 @@
 	f.IntVar(&o.Seconds, "seconds", o.Seconds, "length of the arrivals, in virtual seconds")
 	f.Float64Var(&o.Streams, "streams", o.Streams, "streams a second")
 	f.Float64Var(&o.Jobs, "jobs", o.Jobs, "jobs a second")
+	f.IntVar(&o.Versions, "versions", o.Versions, "number of software versions of the engines")
+	f.Float64Var(&o.OldShare, "old-share", o.OldShare, "share of the engines with the oldest version; 0 for an equal share")
 	f.DurationVar(&o.Lag, "lag", o.Lag, "time until a peer hears of a load")
 	f.Uint64Var(&o.Seed, "seed", o.Seed, "seed of arrivals and lengths")
 	f.StringVar(&c.plot, "plot", "", "file for a plot of streams against items in time; its ending says the format")
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -29,6 +29,7 @@
 type engine struct {
 	clock   *clock
 	slots   int
+	version string
 	running []*work
 	waiting []*work
 }
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -30,6 +30,10 @@
 type item struct {
 	due  time.Time
 	left int // events
+	// made is how many events of the item have been made at version, and go on from there.
+	made       int
+	version    string
+	waitsSince time.Time // since when an item with events waits; zero before its next start is tried
 }
 
 // run is an item at an engine.
@@ -136,18 +140,80 @@
 	}
 }
 
-// pickItem returns the index of the item that starts next and its target: the first item, or the first urgent one while
-// others are deferred. The target is empty if none starts.
+// startClass is what decides, beside the item itself, whether it can start: the version that it needs, if it needs one.
+type startClass struct {
+	version  string
+	isPinned bool
+}
+
+func classOf(w corefleet.Work) startClass {
+	if w.Version == nil {
+		return startClass{}
+	}
+	return startClass{version: *w.Version, isPinned: true}
+}
+
+// pickItem returns the index of the item that starts next and its target: the first in order that can start, urgent ones
+// while others are deferred. The target is empty if none starts. An item with events that starts without a required
+// version begins again.
 func (g *gateway) pickItem(now time.Time) (i int, target string) {
-	pick := g.view.PickBatchSlot(now, corefleet.Work{Service: service, IsUrgent: g.isUrgent(g.items[0]), StartSlack: max(0, g.slack(g.items[0]))}, nil)
-	if pick.IsPicked || pick.Deferral == corefleet.NotDeferred {
-		return 0, pick.Target.ID
+	full, deferred := make(map[startClass]bool), make(map[startClass]bool)
+	for i, it := range g.items {
+		for _, w := range g.works(it, now) {
+			class := classOf(w)
+			if full[class] || deferred[class] && !w.IsUrgent {
+				continue
+			}
+			pick := g.view.PickBatchSlot(now, w, nil)
+			if pick.IsPicked {
+				if w.Version == nil {
+					g.restart(it)
+				}
+				return i, pick.Target.ID
+			}
+			if pick.Deferral == corefleet.NotDeferred || w.IsUrgent {
+				full[class] = true
+			} else {
+				deferred[class] = true
+			}
+		}
 	}
-	i = slices.IndexFunc(g.items, g.isUrgent)
-	if i < 1 {
-		return 0, ""
+	return 0, ""
+}
+
+// works returns what an item needs of a target, in the order in which it is to be tried.
+func (g *gateway) works(it *item, now time.Time) []corefleet.Work {
+	w := corefleet.Work{Service: service, IsUrgent: g.isUrgent(it), StartSlack: max(0, g.slack(it))}
+	if it.made == 0 || g.sim.policy.Items == AnyVersion {
+		return []corefleet.Work{w}
 	}
-	return i, g.view.PickBatchSlot(now, corefleet.Work{Service: service, IsUrgent: true}, nil).Target.ID
+	pinned := w
+	pinned.Version = &it.version
+	if it.waitsSince.IsZero() {
+		it.waitsSince = now
+	}
+	canRestart := g.sim.policy.Items == RestartAtOnce || g.sim.policy.Items == WaitThenRestart && now.Sub(it.waitsSince) >= max(minVersionWait, versionWaitFactor*time.Duration(it.made)*g.sim.options.Event)
+	if !canRestart {
+		return []corefleet.Work{pinned}
+	}
+	return []corefleet.Work{pinned, w}
+}
+
+// minVersionWait and versionWaitFactor are those of the product.
+const (
+	minVersionWait    = 4 * time.Second
+	versionWaitFactor = 4
+)
+
+// restart makes an item begin again, unless its events go on at any version.
+func (g *gateway) restart(it *item) {
+	if it.made == 0 || g.sim.policy.Items == AnyVersion {
+		return
+	}
+	g.sim.report.Restarted++
+	g.sim.report.EventsLost += it.made
+	it.left += it.made
+	it.made = 0
 }
 
 // minUrgentSlack and urgentRemainingShare are those of the product.
@@ -174,6 +240,7 @@
 func (g *gateway) start(it *item, id string) {
 	o := &g.sim.options
 	r := &run{item: it, target: id}
+	it.waitsSince = time.Time{}
 	r.work = &work{prompt: o.Prompt, event: o.Event, events: it.left, over: func() {
 		g.sim.report.done(g.sim.clock.now, it)
 		g.end(r)
@@ -228,7 +295,12 @@
 	if r.work.made(g.sim.clock.now) == 0 {
 		g.sim.report.CutWithoutGain++
 	}
-	r.item.left = max(1, r.item.left-r.work.made(g.sim.clock.now))
+	made := min(r.work.made(g.sim.clock.now), r.item.left-1)
+	if made > 0 && r.item.made == 0 {
+		r.item.version = g.sim.engines[r.target].version
+	}
+	r.item.left -= made
+	r.item.made += made
 	g.sim.engines[r.target].stop(r.work)
 	g.end(r)
 	g.queue(r.item)
--- a/internal/lab/fleet/options.go
+++ b/internal/lab/fleet/options.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"arbutusramp/core/errs"
@@ -17,10 +19,27 @@
 	Reserve int
 	// ExpectedTime says whether the costs of requests are predicted.
 	ExpectedTime corefleet.ExpectedTimeMode
+	// Items says what becomes of items with events whose version has no free slot.
+	Items ItemVersions
 	// Off are the product's mechanisms that are switched off.
 	Off policy.Disabled
 }
 
+// ItemVersions says where an item with events goes on.
+type ItemVersions uint8
+
+const (
+	// WaitThenRestart waits for a target of its version for some times as long as its events took, then begins again; the
+	// product's.
+	WaitThenRestart ItemVersions = iota
+	// AnyVersion goes on at any version.
+	AnyVersion
+	// RestartAtOnce begins again where there is a slot.
+	RestartAtOnce
+	// WaitForVersion waits for a target of its version.
+	WaitForVersion
+)
+
 // Policies returns those that are compared: the product's and what was tried before it.
 func Policies() []Policy {
 	admitAll := policy.Disabled{policy.RetryLater: true, policy.QueueRetries: true, policy.FeasibleFirst: true}
@@ -29,6 +48,9 @@
 		{Name: "no turns", Off: policy.Disabled{policy.RetryLater: true, policy.QueueRetries: true, policy.FeasibleFirst: true, policy.StaggeredStarts: true}},
 		{Name: "all admitted", Off: admitAll},
 		{Name: "due first", Off: policy.Disabled{policy.FeasibleFirst: true}},
+		{Name: "any version", Items: AnyVersion},
+		{Name: "restart at once", Items: RestartAtOnce},
+		{Name: "wait for version", Items: WaitForVersion},
 		{Name: "product"},
 	}
 }
@@ -52,7 +74,11 @@
 	Due                      time.Duration // of an item, from its job's arrival
 	Lag                      time.Duration // until a peer hears of a load
 	StartPause               time.Duration // between two starts of items by a gateway; the product's is 6 ms
-	Seed                     uint64
+	// Versions is the number of software versions of the engines. OldShare is the share of the engines that have the
+	// first of them; the others have the rest in turn. 0 is an equal share.
+	Versions int
+	OldShare float64
+	Seed     uint64
 }
 
 // DefaultOptions is the small deployment of docs/PLATFORM.md.
@@ -61,7 +87,7 @@
 	return Options{
 		Gateways: 8, Engines: 9, Slots: 8, Seconds: 60, Streams: 42, Jobs: 0.5, JobItems: 10,
 		Prompt: 57 * ms, Event: 15400 * time.Microsecond, StreamEvents: 42, ItemEvents: 290,
-		Goal: 300 * ms, Patience: 5 * time.Second, Stay: 2 * time.Second, Due: 18 * time.Second, Lag: 5 * ms, Seed: 1,
+		Versions: 1, Goal: 300 * ms, Patience: 5 * time.Second, Stay: 2 * time.Second, Due: 18 * time.Second, Lag: 5 * ms, Seed: 1,
 	}
 }
 
@@ -73,11 +99,27 @@
 	calmFactor  = 0.38
 )
 
+// version returns the version of the i-th of n engines.
+func (o *Options) version(i, n int) string {
+	if o.Versions == 1 {
+		return "v0"
+	}
+	if o.OldShare == 0 {
+		return fmt.Sprintf("v%d", i%o.Versions)
+	}
+	if old := max(1, int(math.Round(o.OldShare*float64(n)))); i < old {
+		return "v0"
+	}
+	return fmt.Sprintf("v%d", 1+i%(o.Versions-1))
+}
+
 // check refuses options that no simulation can be made of. Error: errs.BadSettings.
 func (o *Options) check() error {
 	switch {
 	case o.Gateways < 1 || o.Slots < 1 || o.Seconds < 1 || o.JobItems < 1:
 		return errs.New(errs.BadSettings, "gateways, slots, seconds and items of a job must be at least 1")
+	case o.Versions < 1 || o.OldShare < 0 || o.OldShare > 1:
+		return errs.New(errs.BadSettings, "there must be one version at least, and a share between 0 and 1")
 	case o.Lost < 0 || o.Engines <= o.Lost:
 		return errs.Newf(errs.BadSettings, "%d of %d engines can't be lost", o.Lost, o.Engines)
 	case o.Streams <= 0 || o.Jobs < 0:
--- a/internal/lab/fleet/report.go
+++ b/internal/lab/fleet/report.go
@@ -33,7 +33,10 @@
 	// CutWithoutGain counts the runs that were cut before their first event.
 	CutWithoutGain int `json:"runs_cut_without_gain"`
 	ItemsDone      int `json:"items_done"`
-	firsts         *hdrhistogram.Histogram
+	// Restarted counts the items that were begun again, EventsLost their events.
+	Restarted  int `json:"items_restarted"`
+	EventsLost int `json:"events_lost"`
+	firsts     *hdrhistogram.Histogram
 }
 
 // Bounds of first events, in microseconds.
@@ -74,11 +77,11 @@
 // Print writes the report as a table.
 func (r *Report) Print(w io.Writer) {
 	o := r.Options
-	fmt.Fprintf(w, "%d gateways, %d of %d engines, %.0f streams/s and %.2f jobs/s for %d s, seed %d\n",
-		o.Gateways, o.Engines-o.Lost, o.Engines, o.Streams, o.Jobs, o.Seconds, o.Seed)
-	fmt.Fprintf(w, "%-16s %8s %8s %8s %8s %8s %8s %8s\n", "policy", "streams", "away", "refused", "p50 ms", "p99 ms", "items", "cut")
+	fmt.Fprintf(w, "%d gateways, %d of %d engines, %d versions, %.0f streams/s and %.2f jobs/s for %d s, seed %d\n",
+		o.Gateways, o.Engines-o.Lost, o.Engines, o.Versions, o.Streams, o.Jobs, o.Seconds, o.Seed)
+	fmt.Fprintf(w, "%-16s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "policy", "streams", "away", "refused", "p50 ms", "p99 ms", "items", "cut", "restarts", "lost ev.")
 	for _, p := range r.Policies {
-		fmt.Fprintf(w, "%-16s %8.3f %8d %8d %8.0f %8.0f %8.3f %8d\n",
-			p.Policy, share(p.InTime, p.Streams), p.SentAway, p.Refused, p.P50Ms, p.P99Ms, share(p.ItemsInTime, p.Items), p.Cut)
+		fmt.Fprintf(w, "%-16s %8.3f %8d %8d %8.0f %8.0f %8.3f %8d %8d %8d\n",
+			p.Policy, share(p.InTime, p.Streams), p.SentAway, p.Refused, p.P50Ms, p.P99Ms, share(p.ItemsInTime, p.Items), p.Cut, p.Restarted, p.EventsLost)
 	}
 }
--- a/internal/lab/fleet/sim.go
+++ b/internal/lab/fleet/sim.go
@@ -52,9 +52,10 @@
 	}
 	for i := range o.Engines - o.Lost {
 		id := fmt.Sprintf("e%d", i)
-		s.engines[id] = &engine{clock: s.clock, slots: o.Slots}
+		version := o.version(i, o.Engines-o.Lost)
+		s.engines[id] = &engine{clock: s.clock, slots: o.Slots, version: version}
 		for _, g := range s.gateways {
-			g.view.Put(serving.Target{ID: id, Service: service, Slots: o.Slots})
+			g.view.Put(serving.Target{ID: id, Service: service, Slots: o.Slots, Version: version})
 		}
 	}
 	return s
