--- a/internal/explain/decisions.go
+++ b/internal/explain/decisions.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Messages of the lines with the values behind decisions under load.
@@ -48,18 +46,7 @@
 
 // PrintDecisions writes decisions below a heading; nothing if there are none.
 func PrintDecisions(w io.Writer, list []Decision) error {
-	if len(list) == 0 {
-		return nil
-	}
-	p := &printer{w: w}
-	p.printf("\nDecisions:\n")
-	for _, d := range list[:min(maxDecisions, len(list))] {
-		p.printf("%s %s %s\n", d.Time.Format("15:04:05.000000"), d.Source, d.Text)
-	}
-	if n := len(list) - maxDecisions; n > 0 {
-		p.printf("%d more decisions left out\n", n)
-	}
-	return errors.Wrap(p.err, "print")
+	return printDecisions(w, "Decisions", list)
 }
 
 // decision describes the decision behind a line; "" if it is not about one. all are the lines of all processes.
