--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -244,6 +244,9 @@
 		if event.ID != "" {
 			a.lastEventID = event.ID
 		}
+		if len(event.Data) > 0 {
+			a.isPositionLost = event.ID == ""
+		}
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,9 @@
 	lastEventID   string // id of the last stream event that the caller has received, possibly from an earlier request
 	// origin is what began the stream; nil before its first event.
 	origin *serving.Origin
+	// isPositionLost is set when the last event that the caller has received had no id, so that no target can be asked
+	// to go on after it.
+	isPositionLost bool
 	// isOriginUncertain is set when the version of the events that the caller has is no longer certain, so that the stream
 	// can't go on at another target.
 	isOriginUncertain bool
@@ -243,7 +246,7 @@
 
 // canRetry reports whether the request may be sent to another target after err.
 func (ex *exchange) canRetry(err error) bool {
-	if ex.isOriginUncertain {
+	if ex.isOriginUncertain || ex.isPositionLost {
 		return false
 	}
 	e := errs.As(err)
