--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -43,6 +43,7 @@
 	store              *keyedlog.Store
 	targets            *fakeTargets
 	route              *serving.Route
+	versions           int         // number of software versions of the targets
 	isRouteRemoved     atomic.Bool // the current configuration lacks the route
 	nodesMu            sync.Mutex  // held for changes of nodes, and for reads outside the test's goroutine
 	nodes              []*node
@@ -73,9 +74,13 @@
 }
 
 // newCluster returns a cluster with that many running processes.
-func newCluster(t *testing.T, nodes int) *cluster {
+func newCluster(t *testing.T, nodes int) *cluster { return newClusterWith(t, nodes, defaultVersions) }
+
+// newClusterWith is newCluster with targets of a number of software versions.
+func newClusterWith(t *testing.T, nodes, versions int) *cluster {
 	cl := &cluster{
-		t: t, store: keyedlog.New(testShards), targets: newFakeTargets(), reportFailure: t.Errorf, keepFor: testKeepFor,
+		versions: versions,
+		t:        t, store: keyedlog.New(testShards), targets: newFakeTargets(), reportFailure: t.Errorf, keepFor: testKeepFor,
 		route: &serving.Route{
 			Name: "batch", Host: "h", Prefix: "/b/", Kind: serving.KindBatch, MaxAttempts: 3,
 			ServiceWeights: []serving.ServiceWeight{{Service: "llm", Weight: 1}}, DueWithin: 18 * time.Second, RetainFor: time.Minute,
@@ -92,7 +97,7 @@
 // replaceTarget removes a target from the views of all processes after half of restartTime, and adds another
 // one after restartTime. crashes, the number of targets that have ended, distinguishes the replacements.
 func (cl *cluster) replaceTarget(target string, crashes int) {
-	replacement := serving.Target{ID: fmt.Sprintf("restart-%d", crashes), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: versionOf(crashes)}
+	replacement := serving.Target{ID: fmt.Sprintf("restart-%d", crashes), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: cl.versionOf(crashes)}
 	cl.restarts.Go(func() {
 		time.Sleep(restartTime / 2)
 		cl.eachNode(func(n *node) {
@@ -123,8 +128,13 @@
 // withCluster runs f in virtual time with a cluster of that many processes, after the shards have been
 // divided among them.
 func withCluster(t *testing.T, nodes int, f func(t *testing.T, cl *cluster)) {
+	withVersions(t, nodes, defaultVersions, f)
+}
+
+// withVersions is withCluster with targets of a number of software versions.
+func withVersions(t *testing.T, nodes, versions int, f func(t *testing.T, cl *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		cl := newCluster(t, nodes)
+		cl := newClusterWith(t, nodes, versions)
 		defer cl.stopAll()
 		time.Sleep(2 * time.Second)
 		f(t, cl)
@@ -136,7 +146,7 @@
 	n := &node{cl: cl, name: name, view: cl.store.View(), done: make(chan struct{})}
 	n.fleet = fleetview.New(fleet.Options{Domain: "d", Self: fleet.Peer(name), MinFreeAfterStart: 0, PeerTTL: time.Second, ExpectedTime: cl.expectedTime, YieldsInOverload: true})
 	for i := range 3 {
-		n.fleet.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: versionOf(i)}}, nil)
+		n.fleet.UpdateTargets([]serving.Target{{ID: fmt.Sprintf("target-%d", i), Service: "llm", Addr: "127.0.0.1:1", Domain: "d", Slots: 8, Version: cl.versionOf(i)}}, nil)
 	}
 	log := testLogger(name)
 	var store platform.Store = n.view
@@ -262,11 +272,11 @@
 	}
 }
 
-// versionCount is the number of software versions of the targets.
-const versionCount = 2
+// defaultVersions is the number of software versions of the targets of a cluster.
+const defaultVersions = 2
 
 // versionOf returns the version of the i-th target.
-func versionOf(i int) string { return fmt.Sprintf("v%d", i%versionCount) }
+func (cl *cluster) versionOf(i int) string { return fmt.Sprintf("v%d", i%cl.versions) }
 
 // versionSeparator separates the version of the target from the rest of an event's data.
 const versionSeparator = "@"
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -51,7 +51,16 @@
 
 // The loss of a target that falls silent under an item with its connections open must count against the item.
 func TestATargetThatFallsSilentUnderAnItemCounts(t *testing.T) {
-	withCluster(t, 1, func(t *testing.T, w *cluster) {
+	testTargetSilentUnderItem(t, 1)
+}
+
+// The same where the other items can't go on at each target, because targets have two software versions.
+func TestATargetThatFallsSilentBesideAnotherVersionCounts(t *testing.T) {
+	testTargetSilentUnderItem(t, 2)
+}
+
+func testTargetSilentUnderItem(t *testing.T, versions int) {
+	withVersions(t, 1, versions, func(t *testing.T, w *cluster) {
 		n := w.nodes[0]
 		others := w.job("others", repeat("okay", 120)...) // while the other job waits, targets have something to send
 		n.submit(others)
