Streams of callers without Resumes go on where only one version is possible, also after restarts

On the deployments as they are, callers do not send Resumes and all targets have one version.

A stream is not resumed later than twice the timeout of its route; with [streams] target_linger (5 s) that is how long a service must have had one version.

--- a/core/origin/message.go
+++ b/core/origin/message.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"arbutusramp/core/errs"
@@ -19,6 +21,23 @@
 	Asked []Key
 	// Answers is the number of the question that this message answers; 0 for none.
 	Answers uint32
+	// Route, in a question, is the route whose only origin is asked for. Only, in an answer, is that; nil if there is none.
+	Route *RouteID
+	Only  *OnlyOrigin
+}
+
+// RouteID identifies a route in all configurations.
+type RouteID struct {
+	_            struct{} `cbor:",toarray"`
+	Host, Prefix string
+}
+
+// OnlyOrigin is the origin of all streams on a route that can still be resumed, as the sender knows it.
+type OnlyOrigin struct {
+	_                struct{} `cbor:",toarray"`
+	Service, Version string
+	// Age is how long ago the store last confirmed the list of targets that the sender has.
+	Age time.Duration
 }
 
 // encodedMessage is the encoding of a Message. Each origin stands in it once, because most records have the same few.
@@ -29,6 +48,8 @@
 	Query   uint32
 	Asked   []Key
 	Answers uint32
+	Route   *RouteID
+	Only    *OnlyOrigin
 }
 
 type encodedOrigin struct {
@@ -46,7 +67,7 @@
 
 // Encode returns the encoding of a message. Error: errs.Internal.
 func (m Message) Encode() ([]byte, error) {
-	e := encodedMessage{Query: m.Query, Asked: m.Asked, Answers: m.Answers}
+	e := encodedMessage{Query: m.Query, Asked: m.Asked, Answers: m.Answers, Route: m.Route, Only: m.Only}
 	index := make(map[serving.Origin]int)
 	for _, r := range m.Records {
 		if r.IsUncertain {
@@ -77,7 +98,7 @@
 	if len(e.Records) > MaxRows || len(e.Asked) > MaxRows {
 		return Message{}, errs.Newf(errs.BadFrame, "a message holds %d origins and %d keys, at most %d are allowed", len(e.Records), len(e.Asked), MaxRows)
 	}
-	m := Message{Query: e.Query, Asked: e.Asked, Answers: e.Answers}
+	m := Message{Query: e.Query, Asked: e.Asked, Answers: e.Answers, Route: e.Route, Only: e.Only}
 	for _, r := range e.Records {
 		switch {
 		case r.Origin == uncertainOrigin:
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -117,9 +117,10 @@
 	}
 	g.origins.SetTransport(g.loadShare)
 	g.watch = watch.New(watch.Options{
-		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights, SingleVersionAfter: s.SingleVersionAfter,
+		Directory: directory.New(g.storePaths, self), View: view, Quotas: g.quotas, Observer: g.quarantine, RevokeWithin: s.RevokeWithin, Weights: s.SharingWeights, TargetLinger: s.TargetLinger, Peers: g.origins,
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
+	g.origins.SetHistory(g.watch)
 	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
--- a/internal/origins/origins.go
+++ b/internal/origins/origins.go
@@ -73,6 +73,7 @@
 	routineLog *logging.Routine
 	reg        metrics.Registry
 	transport  Transport
+	history    History // nil if questions about routes are not answered
 	shards     [shardCount]shard
 	wake       chan struct{} // holds a value while records are pending
 
@@ -100,8 +101,20 @@
 	unanswered map[netip.AddrPort]struct{}
 	done       chan struct{} // closed when an origin is found or all have answered
 	isDone     bool
+	only       *origin.OnlyOrigin // the first answer to a question about a route
 }
 
+// History tells what this gateway knows of the versions that services have had.
+type History interface {
+	// LocalOnly returns the origin of all streams on a route that can still be resumed, and how long ago the store last
+	// confirmed the list of targets by which that is known; ok is false if there can be several origins.
+	LocalOnly(route origin.RouteID) (o serving.Origin, age time.Duration, ok bool)
+}
+
+// SetHistory sets what questions of peers about routes are answered from. It is not safe to call it while the registry is
+// in use.
+func (r *Registry) SetHistory(h History) { r.history = h }
+
 // New returns a registry without records. Until SetTransport is called it has no peers.
 func New(log hclog.Logger, reg metrics.Registry) *Registry {
 	r := &Registry{transport: NoPeers{}, log: log, routineLog: logging.NewRoutine(log), reg: reg, wake: make(chan struct{}, 1), queries: make(map[uint32]*query)}
@@ -256,12 +269,28 @@
 	return record.Origin, source, true
 }
 
-// ask asks peers for the origin of a stream and returns when one has told it, all have answered, ctx has ended or
-// findTimeout has passed.
+// ask asks peers for the origin of a stream. An answer is recorded.
 func (r *Registry) ask(ctx context.Context, key origin.Key) {
+	r.query(ctx, key, origin.Message{Asked: []origin.Key{key}})
+}
+
+// AskOnly asks peers for the origin of all streams on a route that can still be resumed. age is how long ago the list by
+// which the peer knows it was confirmed, at most.
+func (r *Registry) AskOnly(ctx context.Context, route origin.RouteID) (o serving.Origin, age time.Duration, ok bool) {
+	began := time.Now()
+	only := r.query(ctx, origin.NewKey(route.Host, route.Prefix), origin.Message{Route: &route})
+	if only == nil {
+		return serving.Origin{}, 0, false
+	}
+	return serving.Origin{Service: only.Service, Version: only.Version}, only.Age + time.Since(began), true
+}
+
+// query sends a question to the peers that come first for a key, and returns when one has told what is asked for, all
+// have answered, ctx has ended or findTimeout has passed. It returns the answer to a question about a route.
+func (r *Registry) query(ctx context.Context, key origin.Key, m origin.Message) *origin.OnlyOrigin {
 	id, q := r.newQuery(origin.Keepers(key, r.awaitPeers(ctx), origin.AskedCount))
 	if q == nil {
-		return
+		return nil
 	}
 	defer r.removeQuery(id)
 	metrics.GetOrRegisterCounter(askedMetric, r.reg).Inc(1)
@@ -269,24 +298,31 @@
 	defer timeout.Stop()
 	repeat := sleep.NewTimer(repeatAfter)
 	defer repeat.Stop()
-	m := origin.Message{Query: id, Asked: []origin.Key{key}}
+	m.Query = id
 	for {
 		for _, addr := range r.unanswered(q) {
 			r.send(m, addr)
 		}
 		select {
 		case <-q.done:
-			return
+			return r.onlyOf(q)
 		case <-ctx.Done():
-			return
+			return nil
 		case <-timeout.C:
-			return
+			return nil
 		case <-repeat.C:
 			repeat.Reset(repeatAfter)
 		}
 	}
 }
 
+// onlyOf returns the answer to a question about a route; nil if there is none.
+func (r *Registry) onlyOf(q *query) *origin.OnlyOrigin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return q.only
+}
+
 // awaitPeers returns the live peers, shortly after the start only once they are known or ctx has ended.
 func (r *Registry) awaitPeers(ctx context.Context) []netip.AddrPort {
 	for {
@@ -361,6 +397,11 @@
 			reply.Asked = append(reply.Asked, key)
 		}
 	}
+	if question.Route != nil && r.history != nil {
+		if o, age, ok := r.history.LocalOnly(*question.Route); ok {
+			reply.Only = &origin.OnlyOrigin{Service: o.Service, Version: o.Version, Age: age}
+		}
+	}
 	r.send(reply, from)
 }
 
@@ -373,7 +414,10 @@
 		return
 	}
 	delete(q.unanswered, from)
-	if !q.isDone && (len(m.Records) > 0 || len(q.unanswered) == 0) {
+	if q.only == nil {
+		q.only = m.Only
+	}
+	if !q.isDone && (len(m.Records) > 0 || m.Only != nil || len(q.unanswered) == 0) {
 		q.isDone = true
 		close(q.done)
 	}
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -37,10 +37,9 @@
 	QuarantineAfter int
 	// QuarantineHold is how long that lasts after the last of these requests.
 	QuarantineHold time.Duration
-	// SingleVersionAfter is how long a service must have had targets of one version only until streams of unknown origin
-	// go on there.
-	SingleVersionAfter time.Duration
-	Grace              time.Duration // from the signal to stop until the platform kills the process
+	// TargetLinger is how long targets may still be used after their entry has gone from the list.
+	TargetLinger time.Duration
+	Grace        time.Duration // from the signal to stop until the platform kills the process
 	// Contracts are the names of the parts of the platform's contract that are in force.
 	Contracts []string
 	// ExpectedTime says for which services targets are chosen by expected time: auto, on or off.
@@ -158,9 +157,9 @@
 		{section: "quarantine", key: "hold", unit: "duration", def: "1h",
 			field: duration(time.Minute, 30*24*time.Hour, func(g *Gateway) *time.Duration { return &g.QuarantineHold }),
 			doc:   "how long after the last of these requests that lasts"},
-		{section: "streams", key: "single_version_after", unit: "duration", def: "2m",
-			field: duration(time.Second, 24*time.Hour, func(g *Gateway) *time.Duration { return &g.SingleVersionAfter }),
-			doc:   "how long a service must have had targets of one software version only until a resumed stream of unknown origin goes on there; longer than any stream lasts and targets serve after their entry is gone"},
+		{section: "streams", key: "target_linger", unit: "duration", def: "5s",
+			field: duration(0, time.Hour, func(g *Gateway) *time.Duration { return &g.TargetLinger }),
+			doc:   "how long targets may still be used after their entry has gone from the list; a service must have had one software version only for this and two timeouts of the route until a resumed stream of unknown origin goes on there"},
 	}
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -69,6 +69,7 @@
 	workspaces *workspace.Index
 	proof      freshness.Proof // when a read last confirmed that config is the newest version
 	versions   *versions
+	peers      OriginPeers // nil to ask nobody
 	// unknownWeights are the workspaces in weights that config does not contain.
 	unknownWeights []string
 	hasTargets     bool // the target list, or a part of it with at least one target, has been read
@@ -97,16 +98,17 @@
 	RevokeWithin time.Duration
 	// Weights are the configured weights of workspaces in the division of the capacity, by name.
 	Weights map[string]float64
-	// SingleVersionAfter is how long a service must have had targets of one version only until a stream of unknown origin
-	// is taken for one of that version; see OnlyOrigin.
-	SingleVersionAfter time.Duration
-	Clock              bootclock.Clock // the time since the start of the host, including suspensions
-	Log                hclog.Logger
+	// TargetLinger is how long targets may still be used after their entry has gone from the list; see OnlyOrigin.
+	TargetLinger time.Duration
+	// Peers are asked for versions that were on the list before the start of this process; nil to ask nobody.
+	Peers OriginPeers
+	Clock bootclock.Clock // the time since the start of the host, including suspensions
+	Log   hclog.Logger
 }
 
 // New returns a Watch without a configuration or targets.
 func New(o Options) *Watch {
-	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, weights: o.Weights, proof: freshness.New(o.RevokeWithin), versions: newVersions(o.SingleVersionAfter)}
+	return &Watch{directory: o.Directory, view: o.View, quotas: o.Quotas, observer: o.Observer, clock: o.Clock, log: o.Log, targetLog: logging.NewRoutine(o.Log), revokeWithin: o.RevokeWithin, weights: o.Weights, proof: freshness.New(o.RevokeWithin), versions: newVersions(o.TargetLinger), peers: o.Peers}
 }
 
 // Run reads the configuration and the target list repeatedly until ctx ends, and then returns nil.
