--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -35,7 +35,7 @@
 
 const (
 	// KeeperCount is how many peers keep the origin of a stream, beside the gateway that serves it. With five of
-	// them a loss of half of the gateways at once leaves the origins of 15 streams in 16.
+	// them a loss of half of the gateways at once leaves the origins of 31 in 32 of the streams that break off.
 	KeeperCount = 5
 	// AskedCount is how many peers are asked for an origin. It exceeds KeeperCount because gateways that have
 	// started or stopped since then change which peers come first.
--- a/internal/loadshare/batch.go
+++ b/internal/loadshare/batch.go
@@ -119,8 +119,7 @@
 // Major types of CBOR, by which the kinds of datagrams are told apart.
 const (
 	majorTypeBytes = 2 // a message, see SendMessage
-	majorTypeArray = 4 // a batch
-	majorTypeMap   = 5 // a report
+	majorTypeArray = 4 // a batch; a report is a map
 )
 
 // hasMajorType reports whether a datagram is a CBOR item of a major type.
