backlog: the first event after a change of a target's version is not appended

Found by reading: whether an event is the first of its run was told by the time since the first event, which had been recorded a moment before. That is 0 in the virtual time of the tests and never on a real clock, so that the first event of a run at a target whose entry had just got another version would have been appended to the text of the old one. The run now says so itself; the test asks on the real clock. It was not seen red on its own: before, the parameter that it passes did not exist.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -161,7 +161,7 @@
 	}
 	eventsLeft := m.runTimes.EventsLeft(t.job.Route, t.item().Tokens, t.eventCount())
 	reader := events.NewReader(answer.Body)
-	for {
+	for isFirst := true; ; isFirst = false {
 		e, err := reader.Next()
 		if err == io.EOF {
 			return runComplete, nil
@@ -174,7 +174,7 @@
 			m.opts.Quarantine.NotePassed(t.content)
 		}
 		eventsLeft--
-		unsavedEvents, err := t.appendEvent(e, r)
+		unsavedEvents, err := t.appendEvent(e, r, isFirst)
 		if err != nil {
 			return runInterrupted, err
 		}
@@ -182,12 +182,12 @@
 	}
 }
 
-// appendEvent appends an event of a run to the task's text, on a line of its own. It returns the number of events since
+// appendEvent appends an event of a run, the first of the run or a later one, to the task's text, on a line of its own. It returns the number of events since
 // the last checkpoint. Error: errs.StreamBroken if the event may not fit the text.
-func (t *task) appendEvent(e events.Event, r *fleetview.Run) (unsavedEvents int, err error) {
+func (t *task) appendEvent(e events.Event, r *fleetview.Run, isFirstOfRun bool) (unsavedEvents int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if err := t.noteOrigin(r); err != nil {
+	if err := t.noteOrigin(r, isFirstOfRun); err != nil {
 		return 0, err
 	}
 	if t.lastEventID != "" {
--- a/internal/backlog/version.go
+++ b/internal/backlog/version.go
@@ -24,9 +24,9 @@
 
 // noteOrigin records the target of the run as the origin of the text if the text is empty. If the entry of the target has
 // got another version during the run, the origin of the text is no longer known. Error: errs.StreamBroken if that has
-// happened before the first event of a run that goes on with a text. The caller holds the task's lock.
-func (t *task) noteOrigin(r *fleetview.Run) error {
-	isFirstOfRun := r.SinceFirstEvent() == 0
+// happened before the first event of a run that goes on with a text; isFirstOfRun is set for that event. The caller holds
+// the task's lock.
+func (t *task) noteOrigin(r *fleetview.Run, isFirstOfRun bool) error {
 	switch hasChanged := r.HasVersionChanged(); {
 	case hasChanged && t.lastEventID != "" && isFirstOfRun:
 		return errs.New(errs.StreamBroken, "the target has got another version, which may not fit the text of the item")
--- a/internal/backlog/version_test.go
+++ b/internal/backlog/version_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutusramp/core/backlog"
+	"arbutusramp/core/events"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
@@ -98,7 +99,29 @@
 	return runs
 }
 
-// Guards against an owner that goes on with a text whose version it does not know, as that of an older build.
+// Guards against an event that is appended to the text of another version, because the entry of the target has changed
+// after the run was sent and before its first event.
+func TestFirstEventAfterAChangeOfTheVersionIsNotAppended(t *testing.T) {
+	view := fleetview.New(fleet.Options{PeerTTL: time.Second})
+	target := serving.Target{ID: "t", Service: "llm", Slots: 2, Version: "v1"}
+	view.UpdateTargets([]serving.Target{target}, nil)
+	run, ok := view.StartBatch(fleet.Work{Service: "llm"}, 0, nil, func() {})
+	if !ok {
+		t.Fatal("no run was started")
+	}
+	tk := &task{lastEventID: "1", text: []byte("a"), events: 1, origin: serving.Origin{Service: "llm", Version: "v1"}}
+	run.RecordEvent()
+	target.Version = "v2"
+	view.UpdateTargets([]serving.Target{target}, nil)
+	if _, err := tk.appendEvent(events.Event{ID: "2", Data: []byte("b")}, run, true); err == nil || string(tk.text) != "a" || tk.origin.Version != "v1" {
+		t.Errorf("first event of the run: error %v, text %q, origin %+v; want an error, and text and origin as they were", err, tk.text, tk.origin)
+	}
+	if _, err := tk.appendEvent(events.Event{ID: "2", Data: []byte("b")}, run, false); err != nil || string(tk.text) != "a\nb" || tk.origin.Service != "" {
+		t.Errorf("later event of the run: error %v, text %q, origin %+v; want it appended and an unknown origin", err, tk.text, tk.origin)
+	}
+}
+
+// Guards against an owner that goes on with a text whose version it does not know, as that of an earlier release.
 func TestTextOfUnknownVersionIsNotContinued(t *testing.T) {
 	withCluster(t, 2, func(t *testing.T, cl *cluster) {
 		cl.isRouteRemoved.Store(true) // no item runs until the progress has been read
