Logs name the parts of a request's prompt

The incident's logs could not show what the requests under which targets crash share: neither 'sent' nor the lines of the quarantine name the parts of a prompt. No decision uses them yet.

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"arbutusramp/core/costmodel"
+	"arbutusramp/core/serving"
 )
 
 // Job is an accepted batch job: a list of requests that run in the background.
@@ -34,6 +35,8 @@
 	Tokens int64               `cbor:"5,keyasint"` // prompt tokens plus the maximum number of output tokens
 	// Size is what the submitter states of the size of the request.
 	Size costmodel.Size `cbor:"6,keyasint,omitzero"`
+	// Prompt is what the submitter states of the prompt.
+	Prompt serving.Prompt `cbor:"7,keyasint,omitzero"`
 }
 
 // Tokens returns the sum of the tokens of the job's items.
--- a/core/serving/request.go
+++ b/core/serving/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"arbutusramp/core/costmodel"
@@ -28,6 +29,19 @@
 	return r.Rank
 }
 
+// MaxPromptParts is the number of parts of a prompt that are known at most.
+const MaxPromptParts = 64
+
+// Prompt is what identifies the prompt of a request. Requests whose prompts begin alike have parts in common; the last
+// part belongs to the request alone, or to its session.
+type Prompt struct {
+	Model string   `cbor:"1,keyasint,omitempty"` // model that the request is for; empty if it was not stated
+	Parts []string `cbor:"2,keyasint,omitempty"` // ids of the parts in order, at most MaxPromptParts; empty if they were not stated
+}
+
+// String returns the ids of the parts, with commas between them.
+func (p Prompt) String() string { return strings.Join(p.Parts, ",") }
+
 // Request is one request of a caller, with its whole body.
 type Request struct {
 	ID     string
@@ -38,6 +52,8 @@
 	Body   []byte
 	// Size is what the caller states of the size of the request.
 	Size costmodel.Size
+	// Prompt is what the caller states of the prompt.
+	Prompt Prompt
 	// Arrived is when the header of the request had been read.
 	Arrived time.Time
 	// Deadline is when the caller stops waiting; zero if it did not set one.
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -55,7 +55,7 @@
 	began := time.Now()
 	fields := []any{
 		"job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch, "route", route.Name, "target", r.Choice.String(),
-		"version", r.Target.Version, "from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
+		"version", r.Target.Version, "parts", t.item().Prompt.String(), "from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
 	}
 	m.sentLog.Info(began, "item sent", append(fields, r.ForecastFields()...)...)
 	v, err := m.streamItem(ctx, t, r, route)
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -58,7 +58,7 @@
 	item := &j.Items[index]
 	return quarantine.NewContent(&serving.Request{
 		ID: item.ID, Host: j.Host, Method: http.MethodPost, URI: item.URI,
-		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: j.Workspace},
+		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: j.Workspace}, Prompt: item.Prompt,
 	}).SetRouteAndJob(j.Route, j.ID)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -143,7 +143,7 @@
 // attempt, the log line of the finished request is missing and this line is the only record of the target.
 func (a *attempt) logSent(now time.Time) {
 	a.gw.sentLog.Info(now, "sent", "request", a.req.ID, "route", a.route.Name, "attempt", len(a.tried), "target", a.run.Choice.String(),
-		"version", a.run.Target.Version, "after_event", a.lastEventID, "resumes", a.req.Resumes, "left_ms", a.deadline.Sub(now).Milliseconds())
+		"version", a.run.Target.Version, "parts", a.req.Prompt.String(), "after_event", a.lastEventID, "resumes", a.req.Resumes, "left_ms", a.deadline.Sub(now).Milliseconds())
 }
 
 // noteTargetFailure records that the target failed this attempt, and logs if that makes the target suspect, so
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -299,7 +299,7 @@
 	isNew := q.registry.NotePassed(time.Now(), subject)
 	q.mu.Unlock()
 	if isNew {
-		q.log.Info("scopes cleared", "request", c.Request.ID, "content", subject.Content.String(), "crashes", maxScopeCrashes)
+		q.log.Info("scopes cleared", "request", c.Request.ID, "content", subject.Content.String(), "parts", c.Request.Prompt.String(), "crashes", maxScopeCrashes)
 		q.propagate()
 	}
 }
@@ -350,7 +350,7 @@
 			return
 		}
 		q.crashes.Inc(1)
-		q.log.Warn("target crashed under request", "request", s.content.Request.ID, "content", f.String(), "target", target, "evidence", evidence,
+		q.log.Warn("target crashed under request", "request", s.content.Request.ID, "content", f.String(), "target", target, "evidence", evidence, "parts", s.content.Request.Prompt.String(), "passed", !s.isUnpassed,
 			"after_ms", now.Sub(s.brokenAt).Milliseconds(), "crashes", crashCount, "quarantined", isQuarantined,
 			"scope_crashes", maxScopeCrashes, "scope_quarantined", isScopeQuarantined, "scope", block.Scope.String(), "kind", block.Kind)
 		q.propagate()
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -119,7 +119,7 @@
 	s := newSuspect(b, now)
 	q.brokenOff.Inc(1)
 	q.log.Warn("broken off by target", "request", b.Content.Request.ID, "content", b.Content.Fingerprint().String(), "target", b.Target.ID,
-		"from_event", b.FromEvent, "to_event", b.ToEvent, "error", b.Err.Error())
+		"parts", b.Content.Request.Prompt.String(), "from_event", b.FromEvent, "to_event", b.ToEvent, "error", b.Err.Error())
 	if !q.isOn || !b.HasCrashed && !q.wasInService(b.Target.ID) {
 		return
 	}
