--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
+	"arbutusramp/platform/wire"
 	"arbutusramp/platform/wiretest"
 	"arbutusramp/standin/keyedlog"
 )
@@ -34,10 +35,16 @@
 	unlistDelay = 600 * time.Millisecond
 )
 
-// crashFleet is a set of targets of a system that crash when they receive a body that starts with crashBody. Each
-// crashed target is replaced by another one under a new id.
+// crashFleet is a set of targets of a system that crash when they receive a request that is deadly. Each crashed target
+// is replaced by another one under a new id.
 type crashFleet struct {
 	s *system
+	// isDeadly reports whether a request crashes a target; nil means one whose body starts with crashBody.
+	isDeadly func(header http.Header, body []byte) bool
+	// crashDelay is the time from the arrival of a deadly request to the crash.
+	crashDelay time.Duration
+	// onRun, if it is not nil, is called with each request that reaches a target.
+	onRun func(header http.Header, isDeadly bool)
 	// acceptsFor is how long the address of a crashed target accepts connections and closes them immediately,
 	// before the next target uses it. If 0, the address refuses connections.
 	acceptsFor time.Duration
@@ -119,11 +126,16 @@
 	t.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		target := t.currentTarget()
 		body, err := io.ReadAll(r.Body)
-		if err != nil || !strings.HasPrefix(string(body), crashBody) {
+		isDeadly := err == nil && f.isDeadlyRequest(r.Header, body)
+		if f.onRun != nil && r.URL.Path != wire.PathReport {
+			f.onRun(r.Header, isDeadly)
+		}
+		if !isDeadly {
 			r.Body = io.NopCloser(bytes.NewReader(body))
 			target.ServeHTTP(w, r)
 			return
 		}
+		time.Sleep(f.crashDelay)
 		f.crash(target.ID, t)
 		panic(http.ErrAbortHandler)
 	}))
@@ -134,6 +146,14 @@
 	f.s.listTarget(t.currentTarget().ID, t.server)
 }
 
+// isDeadlyRequest reports whether a request crashes a target.
+func (f *crashFleet) isDeadlyRequest(header http.Header, body []byte) bool {
+	if f.isDeadly != nil {
+		return f.isDeadly(header, body)
+	}
+	return strings.HasPrefix(string(body), crashBody)
+}
+
 // crash simulates a crash of the target with the given id at t: it closes all connections and, unless the fleet is
 // supervised, the listener. It starts the replacement of the target in the background.
 func (f *crashFleet) crash(id string, t *crashTarget) {
