Answers with neither length nor chunks: an empty one is not whole, and a crash does not count as a service

A target's answer may end with its connection alone.

An answer without framing and without content counts as broken off, unless a stream was asked to go on after an event.

--- a/core/fleet/loadsim_test.go
+++ b/core/fleet/loadsim_test.go
@@ -46,7 +46,10 @@
 	sizeSpread      float64       // hold times differ from the mean by at most this share of it
 	reportDelay     time.Duration // until peers receive a report
 	domains         int           // failure domains of the gateways and targets
-	seed            uint64
+	// skew is the share of the first attempts that one gateway gets from the middle of the run on; the others get their
+	// part of the rest.
+	skew float64
+	seed uint64
 }
 
 // loadResult counts requests by what became of them. An attempt is in goal if its first event or whole answer came
@@ -56,6 +59,13 @@
 	returned, returnedInGoal                               int // second attempts that arrived; of these, sent at once and in goal
 	queued, queuedLate                                     int // sent to a target without a free slot; of these, late
 	longestQueue, otherDomain                              int
+	// firstAttempts counts the first attempts in each half of the run, firstSent those of them that were sent at once.
+	firstAttempts, firstSent [2]int
+}
+
+// firstSentShare is the share of the first attempts that were sent at once, in one half of the run.
+func (r loadResult) firstSentShare(half int) float64 {
+	return float64(r.firstSent[half]) / float64(max(1, r.firstAttempts[half]))
 }
 
 func (r loadResult) lateShare() float64   { return float64(r.lateAnswers) / float64(max(1, r.sent)) }
@@ -225,7 +235,7 @@
 		}
 		a := attempt{size: 1 + s.sizeSpread*(2*s.rng.Float64()-1), firstAt: s.now, sentAt: s.now}
 		s.result.requests++
-		s.anyGateway().arrive(a)
+		s.firstGateway().arrive(a)
 		s.after(seconds(s.rng.ExpFloat64()/s.rateAt(s.now)), arrive)
 	}
 	s.after(0, arrive)
@@ -244,6 +254,22 @@
 
 func seconds(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
 
+// half is 0 in the first half of the run and 1 in the second.
+func (s *loadSim) half() int {
+	if s.now.Sub(start) < s.duration/2 {
+		return 0
+	}
+	return 1
+}
+
+// firstGateway is the gateway of a first attempt.
+func (s *loadSim) firstGateway() *simGateway {
+	if s.skew > 0 && s.half() == 1 && s.rng.Float64() < s.skew {
+		return s.nodes[0]
+	}
+	return s.anyGateway()
+}
+
 func (s *loadSim) anyGateway() *simGateway { return s.nodes[s.rng.IntN(len(s.nodes))] }
 
 func (g *simGateway) work() Work { return Work{Service: "llm", IsStream: g.sim.isStream} }
@@ -265,8 +291,15 @@
 		g.send(a)
 		return
 	}
+	isFirst := a.sentAt.Equal(a.firstAt)
+	if isFirst {
+		s.result.firstAttempts[s.half()]++
+	}
 	switch d := g.ctrl.Arrive(s.now, g.request(a)); d.Verdict {
 	case shed.Send:
+		if isFirst {
+			s.result.firstSent[s.half()]++
+		}
 		g.send(a)
 	case shed.RetryLater:
 		s.result.retries++
--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -53,6 +53,8 @@
 	Header http.Header
 	Length int64 // of the body in bytes, -1 when not known
 	Body   io.ReadCloser
+	// IsUnframed says that the body has neither a length nor chunks: only the end of its connection ends it.
+	IsUnframed bool
 	// NotRun is the target's word that it has not begun with the request.
 	NotRun bool
 	// OtherInstance says that another target has taken over the address.
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -58,7 +58,7 @@
 		"version", r.Target.Version, "parts", t.item().Prompt.String(), "from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
 	}
 	m.sentLog.Info(began, "item sent", append(fields, r.ForecastFields()...)...)
-	v, err := m.streamItem(ctx, t, r, route)
+	v, isUnframed, err := m.streamItem(ctx, t, r, route)
 	m.costs.Record(r, v == runComplete && fromEvent == "", "item", t.item().ID)
 	r.Done()
 	took := time.Since(began)
@@ -66,7 +66,7 @@
 	telemetry.Observe(m.registry, runMetric, took)
 	m.runTimes.ObserveRun(t.job.Route, t.eventCount()-eventsBefore, took)
 	if v == runComplete {
-		m.opts.Quarantine.NoteServed(t.content)
+		m.noteServed(t, r, fromEvent, isUnframed)
 		m.runTimes.ObserveItem(t.job.Route, t.eventCount(), t.item().Tokens)
 	}
 	toEvent, isPreempted := t.lastEvent(), t.finishRun(r.Target.ID, v)
@@ -141,9 +141,18 @@
 	return nil, false
 }
 
+// noteServed reports to the quarantine that the target has sent the whole output of the item.
+func (m *Manager) noteServed(t *task, r *fleetview.Run, fromEvent string, isUnframed bool) {
+	if isUnframed {
+		m.opts.Quarantine.NoteServedUnframed(brokenRun(t, r, fromEvent, nil))
+		return
+	}
+	m.opts.Quarantine.NoteServed(t.content)
+}
+
 // streamItem sends the item to the target of r and appends the events of its stream to the task. It returns the
-// verdict on the run, and the reason unless that is runComplete.
-func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (runVerdict, error) {
+// verdict on the run, and the reason unless that is runComplete; isUnframed is that of the answer.
+func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (v runVerdict, isUnframed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := newWatchdog(ctx, cancel, r)
@@ -151,23 +160,26 @@
 	fromEvent := t.lastEvent()
 	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.content.Request, ResumeAfter: fromEvent})
 	if err != nil {
-		return runInterrupted, m.classifyRunError(ctx, t, wd, fromEvent, err)
+		return runInterrupted, false, m.classifyRunError(ctx, t, wd, fromEvent, err)
 	}
 	defer answer.Body.Close()
 	r.ObservePace(answer)
 	wd.noteEvent()
 	if v, err := m.classifyAnswer(t, r, answer); v != runComplete {
-		return v, err
+		return v, answer.IsUnframed, err
 	}
 	eventsLeft := m.runTimes.EventsLeft(t.job.Route, t.item().Tokens, t.eventCount())
 	reader := events.NewReader(answer.Body)
 	for isFirst := true; ; isFirst = false {
 		e, err := reader.Next()
+		if err == io.EOF && answer.IsUnframed && isFirst && fromEvent == "" {
+			err = io.ErrUnexpectedEOF // as from a target that crashes when it begins to answer
+		}
 		if err == io.EOF {
-			return runComplete, nil
+			return runComplete, answer.IsUnframed, nil
 		}
 		if err != nil {
-			return runInterrupted, m.classifyRunError(ctx, t, wd, fromEvent, err)
+			return runInterrupted, answer.IsUnframed, m.classifyRunError(ctx, t, wd, fromEvent, err)
 		}
 		wd.noteEvent()
 		if r.RecordEvent() >= quarantine.MinPassDuration && t.markPassed() {
@@ -176,7 +188,7 @@
 		eventsLeft--
 		unsavedEvents, err := t.appendEvent(e, r, isFirst)
 		if err != nil {
-			return runInterrupted, err
+			return runInterrupted, answer.IsUnframed, err
 		}
 		r.RecordProgress(unsavedEvents, eventsLeft)
 	}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -49,6 +49,9 @@
 	NotePassed(c *quarantine.Content)
 	// NoteServed records that a target has sent the whole output for the content.
 	NoteServed(c *quarantine.Content)
+	// NoteServedUnframed is NoteServed for an answer whose end its target may have caused by a crash, because only the
+	// end of its connection has ended it.
+	NoteServedUnframed(b quarantine.BrokenRun)
 }
 
 // Options are the settings of a Manager.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,8 @@
 	resumedAfter string
 	// hasRelayed is set when an event of this attempt has been sent to the caller.
 	hasRelayed bool
+	// isUnframed is set when the answer has neither a length nor chunks.
+	isUnframed bool
 	// hasTimedOut is set when watchIdle cancels the attempt.
 	hasTimedOut atomic.Bool
 	// lastActivity is when the last part of the answer arrived, or when the request was sent, in nanoseconds
@@ -84,6 +86,7 @@
 	}
 	defer ans.Body.Close()
 	a.run.ObservePace(ans)
+	a.isUnframed = ans.IsUnframed
 	if err := a.refusalError(ans); err != nil {
 		return err
 	}
@@ -217,8 +220,11 @@
 // header is sent with the first event: until then the request can still be retried elsewhere.
 func (a *attempt) relayStream(ctx context.Context, ans *platform.TargetAnswer) error {
 	reader := events.NewReader(ans.Body)
-	for isPassRecorded := false; ; {
+	for isPassRecorded, hasEvent := false, false; ; hasEvent = true {
 		event, err := reader.Next()
+		if err == io.EOF && a.isEmptyUnframed(hasEvent) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF {
 			a.sendHeader(ans, -1) // a stream without events still has a header
 			return nil
@@ -250,6 +256,22 @@
 	}
 }
 
+// isEmptyUnframed reports whether an answer that has ended without content, unless hasContent is true, has to count as
+// broken off: a target that crashes when it begins to answer ends its connection as a whole answer would. A stream that
+// was asked to go on may have no events left.
+func (a *attempt) isEmptyUnframed(hasContent bool) bool {
+	return a.isUnframed && !hasContent && a.resumedAfter == ""
+}
+
+// noteServed reports to the quarantine that the target has answered the attempt completely.
+func (a *attempt) noteServed() {
+	if a.isUnframed {
+		a.gw.quarantine.NoteServedUnframed(a.brokenRun(nil))
+		return
+	}
+	a.gw.quarantine.NoteServed(a.content)
+}
+
 // sendHeader sends the status and header of ans to the caller, unless an earlier attempt has sent a header: a
 // resumed stream keeps its first one. length is that of the body in bytes, -1 if unknown.
 func (a *attempt) sendHeader(ans *platform.TargetAnswer, length int64) {
@@ -290,6 +312,9 @@
 // maxBufferedBytes, so that an incomplete answer can be requested again.
 func (a *attempt) relayWhole(ctx context.Context, ans *platform.TargetAnswer) error {
 	body, err := io.ReadAll(io.LimitReader(ans.Body, maxBufferedBytes))
+	if err == nil && ans.Status == http.StatusOK && a.isEmptyUnframed(len(body) > 0) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return a.brokenOffError(ctx, err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,9 @@
 	NotePassed(c *quarantine.Content)
 	// NoteServed records that a target has answered a request completely.
 	NoteServed(c *quarantine.Content)
+	// NoteServedUnframed is NoteServed for an answer whose end its target may have caused by a crash, because only the
+	// end of its connection has ended it.
+	NoteServedUnframed(run quarantine.BrokenRun)
 }
 
 // Origins knows which software began a stream, also those of other gateways.
@@ -286,7 +289,7 @@
 	ex.gw.costs.Record(run, err == nil && a.resumedAfter == "", "request", ex.req.ID)
 	if err == nil {
 		run.RecordHoldTime()
-		ex.gw.quarantine.NoteServed(ex.content)
+		a.noteServed()
 	}
 	return err
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -145,6 +145,8 @@
 	h.served++
 }
 
+func (h *harness) NoteServedUnframed(b quarantine.BrokenRun) { h.NoteServed(b.Content) }
+
 // Version implements ConfigStatus.
 func (h *harness) Version() uint64 { return 1 }
 
--- a/internal/quarantine/interrupted.go
+++ b/internal/quarantine/interrupted.go
@@ -57,6 +57,25 @@
 	return rest, atTarget
 }
 
+// NoteServedUnframed notes a run whose answer has ended as a whole one, with neither a length nor chunks: a crash of the
+// target ends its connection in the same way. The run counts as served if the target breaks off no other run within
+// interruptionWindow; else it is as suspect as that one.
+func (q *Quarantine) NoteServedUnframed(b quarantine.BrokenRun) {
+	if !q.isOn {
+		return
+	}
+	endedAt := time.Now()
+	q.NoteInterrupted(b)
+	time.AfterFunc(interruptionWindow, func() {
+		q.mu.Lock()
+		hasBrokenOff := q.suspects.hasBrokenSince(b.Target.ID, endedAt.Add(-interruptionWindow))
+		q.mu.Unlock()
+		if !hasBrokenOff {
+			q.NoteServed(b.Content)
+		}
+	})
+}
+
 // NoteInterrupted notes a run that this process has ended, such as that of a batch item whose slot an online
 // request needs. If the target breaks off another run within interruptionWindow before or after, the ended
 // run is as suspect as that one. When a target crashes, its runs do not all break off at once. After the
