Quarantine: parts of prompts that crash targets

Cause: bodies are new each time, and caller, route and the other parts are shared with sound requests, so that neither contents nor any scope told the bad requests from sound ones; a pass of a sound request cleared what three crashes had shown. The part of the prompt, which is what crashes share and passes don't, was not known to the quarantine.

Change: each part of a prompt, within workspace and model, has a record like a scope. Any pass of a run with a part clears it; gateways keep when parts have passed, so that a part that has passed is blamed only where no other explains the crashes, and tell peers that know of crashes alone. The smallest explanation is blamed: parts that have never passed first, then those with more crashes; parts with the same crashes block only requests that have all of them. Two quick trials and a late one are sent in all, with requests whose other parts have no crashes. Crashes that a blamed part explains count neither against contents nor against broader scopes.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -61,6 +61,9 @@
 	subjectOnce sync.Once // guards the computation of subject
 	subject     Subject
 
+	partsOnce sync.Once // guards the computation of parts
+	parts     []Fingerprint
+
 	digestOnce sync.Once // guards the computation of digest
 	digest     uint64
 }
@@ -124,10 +127,17 @@
 			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, routeScope, workspace, c.route))
 			c.addNarrowScopes()
 		}
+		c.subject.Parts = c.PromptParts()
 	})
 	return c.subject
 }
 
+// PromptParts returns the fingerprints of the parts of the request's prompt, in their order.
+func (c *Content) PromptParts() []Fingerprint {
+	c.partsOnce.Do(func() { c.parts = partFingerprints(c.Request.Caller.Workspace, c.Request.Prompt) })
+	return c.parts
+}
+
 // addNarrowScopes adds the scopes that are narrower than the route, for a request that has a route.
 func (c *Content) addNarrowScopes() {
 	r := c.Request
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,11 @@
 	// Jitter returns a duration that is added to each delay before a trial, so that gateways do not send
 	// trials of a content simultaneously. If it is nil, nothing is added.
 	Jitter func() time.Duration
+	// Passes are the times at which runs with parts of prompts have passed in this process; nil for an empty table.
+	Passes *PassTimes
+	// PassDelay returns the delay before a pass of a part is sent to peers that have only heard of its crashes, so that not
+	// all gateways send theirs. If it is nil, it is sent at once.
+	PassDelay func() time.Duration
 }
 
 // Registry holds the records of one process: those of the contents and scopes during whose runs targets have
@@ -56,6 +62,11 @@
 	// narrow is the result of narrowQuarantined when changes was narrowAt.
 	narrow   []*entry
 	narrowAt int
+	// parts is the result of blamedParts when changes was partsAt.
+	parts   []partGroup
+	partsAt int
+	// partCount is the number of entries of parts.
+	partCount int
 }
 
 // entry is the record of one content or scope, with the times at which it is next sent to peers and written to the
@@ -80,10 +91,15 @@
 	unexplainedAt int
 	// recent are the crashes of a scope within recentCrashWindow, one for each content and at most MaxCrashes.
 	recent []recentCrash
+	// isPassPending is set while sendAt is that of a pass which a peer may send first.
+	isPassPending bool
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(o Options) *Registry {
+	if o.Passes == nil {
+		o.Passes = NewPassTimes()
+	}
 	return &Registry{opts: o, entries: make(map[Fingerprint]*entry)}
 }
 
@@ -113,13 +129,20 @@
 	return contents, scopes
 }
 
-// isQuarantined reports whether the crashes of an entry suffice for a quarantine. Those of a scope must be
-// sequential, happen while running different contents, and not be explained by a narrower scope.
+// isQuarantined reports whether the crashes of an entry suffice for a quarantine: those of a content that no blamed part
+// of prompts explains. Those of a scope must also be sequential, happen while running different contents, and not be
+// explained by any narrower scope.
 func (reg *Registry) isQuarantined(e *entry) bool {
-	if len(e.Crashes) < reg.opts.Threshold || !e.IsScope {
-		return len(e.Crashes) >= reg.opts.Threshold
+	if e.Kind == PartScope {
+		return slices.ContainsFunc(reg.blamedParts(), func(g partGroup) bool { return slices.Contains(g.members, e) })
+	}
+	if len(e.Crashes) < reg.opts.Threshold {
+		return false
 	}
 	crashes := reg.unexplainedCrashes(e)
+	if !e.IsScope {
+		return len(crashes) >= reg.opts.Threshold
+	}
 	return len(crashes) >= reg.opts.Threshold && countContents(crashes) >= minScopeContents && countSequential(crashes) >= reg.opts.Threshold
 }
 
@@ -149,11 +172,23 @@
 	if e == nil {
 		return false
 	}
+	reg.noteSeen(now, e)
+	return !reg.canAdmitTrial(now, e)
+}
+
+// noteSeen notes that a request with a quarantined content or of a quarantined scope has come.
+func (reg *Registry) noteSeen(now time.Time, e *entry) {
 	e.LastSeen = later(e.LastSeen, now)
 	if e.LastSeen.Sub(e.announcedLastSeen) > reg.renewInterval() {
 		reg.scheduleAnnouncement(now, e)
 	}
-	return !reg.canAdmitTrial(now, e)
+}
+
+// noteTrial notes that a request is sent as a trial, and schedules the record to be sent to peers.
+func (reg *Registry) noteTrial(now time.Time, e *entry) {
+	e.LastTrial = now.Truncate(time.Millisecond)
+	reg.scheduleTrial(e)
+	reg.scheduleAnnouncement(now, e)
 }
 
 // Admit is Check for a request that the caller sends immediately unless isQuarantined is true. isTrial reports
@@ -166,9 +201,7 @@
 	if e == nil {
 		return false, false
 	}
-	e.LastTrial = now.Truncate(time.Millisecond)
-	reg.scheduleTrial(e)
-	reg.scheduleAnnouncement(now, e)
+	reg.noteTrial(now, e)
 	return false, true
 }
 
@@ -187,7 +220,7 @@
 // scheduleTrial sets trialAt, from which this gateway may send a request as a trial. The gateway that sends
 // the first trial sends the record with the new LastTrial to the others, which then wait as well.
 func (reg *Registry) scheduleTrial(e *entry) {
-	if e.IsScope {
+	if e.IsScope && e.Kind != PartScope {
 		reg.scheduleScopeTrial(e)
 		return
 	}
@@ -199,6 +232,9 @@
 	if e.LastTrial.After(lastCrashAt) {
 		delay = trialTimeout
 	}
+	if e.Kind == PartScope {
+		delay = reg.partTrialDelay(e, e.LastTrial.After(lastCrashAt))
+	}
 	e.trialAt = later(lastCrashAt, e.LastTrial).Add(delay + reg.trialJitter())
 }
 
@@ -219,7 +255,7 @@
 // NoteCrash adds the crash of a target while it ran a request with the content f. It reports whether the crash
 // was not known before.
 func (reg *Registry) NoteCrash(now time.Time, f Fingerprint, c Crash) (isNew bool) {
-	return reg.noteCrash(now, reg.getOrCreateEntry(f), c)
+	return reg.noteCrash(now, reg.getOrCreateEntry(f, SharedScope), c)
 }
 
 // noteCrash adds a crash to an entry and schedules the record to be sent and written if the crash was not
@@ -268,13 +304,15 @@
 	if reg.isExpired(now, r) {
 		return false
 	}
-	e := reg.getOrCreateEntry(r.Content)
+	e := reg.getOrCreateEntry(r.Content, r.Kind)
+	e.cancelPassIfKnown(r)
 	if e.covers(r, reg.renewInterval()) {
 		return false
 	}
 	e.merge(r)
 	e.noteRecent(now, r.Crashes)
 	reg.changes++
+	reg.applyOwnPass(now, e, r)
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	reg.scheduleTrial(e)
 	reg.scheduleWrite(e, storeBy)
@@ -289,12 +327,13 @@
 	if reg.isExpired(now, r) {
 		return false
 	}
-	e := reg.getOrCreateEntry(r.Content)
+	e := reg.getOrCreateEntry(r.Content, r.Kind)
 	e.stored = r.clone()
 	isNew = !e.covers(r, 0)
 	e.merge(r)
 	e.noteRecent(now, r.Crashes)
 	reg.changes++
+	reg.applyOwnPass(now, e, r)
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
 	if isNew {
 		reg.scheduleTrial(e)
@@ -313,29 +352,46 @@
 	}
 }
 
-// getOrCreateEntry returns the entry of the content or scope f. If there is none, it creates one, and evicts
-// another if there are already maxRecords.
-func (reg *Registry) getOrCreateEntry(f Fingerprint) *entry {
+// getOrCreateEntry returns the entry of the content or scope f, whose kind counts only if it is PartScope. If there is
+// none, it creates one, and evicts another if there are already maxRecords, or maxPartRecords of parts.
+func (reg *Registry) getOrCreateEntry(f Fingerprint, kind ScopeKind) *entry {
 	if e, ok := reg.entries[f]; ok {
 		return e
 	}
-	if len(reg.entries) >= maxRecords {
-		reg.evict()
+	isPart := kind == PartScope
+	if isPart && reg.partCount >= maxPartRecords || !isPart && len(reg.entries)-reg.partCount >= maxRecords {
+		reg.evict(isPart)
+	}
+	e := &entry{Record: Record{Content: f, IsScope: isPart}, stored: Record{Content: f}}
+	if isPart {
+		e.Kind = PartScope
+		reg.partCount++
 	}
-	e := &entry{Record: Record{Content: f}, stored: Record{Content: f}}
 	reg.entries[f] = e
 	return e
 }
 
-// evict removes the entry with the fewest crashes; of several such entries, the one with the oldest LastSeen.
-func (reg *Registry) evict() {
+// evict removes the entry with the fewest crashes, of a part or of anything else; of several such entries, the one with
+// the oldest LastSeen.
+func (reg *Registry) evict(isPart bool) {
 	var evicted *entry
 	for _, e := range reg.entries {
+		if (e.Kind == PartScope) != isPart {
+			continue
+		}
 		if evicted == nil || cmp.Or(cmp.Compare(len(e.Crashes), len(evicted.Crashes)), e.LastSeen.Compare(evicted.LastSeen)) < 0 {
 			evicted = e
 		}
 	}
-	delete(reg.entries, evicted.Content)
+	reg.remove(evicted)
+}
+
+// remove removes an entry.
+func (reg *Registry) remove(e *entry) {
+	if e.Kind == PartScope {
+		reg.partCount--
+	}
+	delete(reg.entries, e.Content)
 	reg.changes++
 }
 
@@ -349,8 +405,7 @@
 		if !e.stored.LastSeen.IsZero() {
 			stored = append(stored, f)
 		}
-		delete(reg.entries, f)
-		reg.changes++
+		reg.remove(e)
 	}
 	return stored
 }
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -32,12 +32,13 @@
 	SharedScope  ScopeKind = iota // a resource, a batch job or a route
 	SimilarScope                  // contents with similar bodies
 	CallerScope                   // requests from one address
+	PartScope                     // requests with one part in their prompts
 )
 
 // breadth orders the kinds of scopes from the narrowest to the broadest.
 func (k ScopeKind) breadth() int {
 	switch k {
-	case SimilarScope:
+	case PartScope, SimilarScope:
 		return 0
 	case CallerScope:
 		return 1
@@ -60,6 +61,9 @@
 	// the request has none.
 	Similar []Fingerprint
 	Caller  Fingerprint
+	// Parts are the fingerprints of the parts of the request's prompt, in their order. They are not among the scopes that
+	// the first pass of a content clears: a part crashes targets whatever else a request has, so that each pass clears it.
+	Parts []Fingerprint
 	// HasPassed reports whether a run of the content has recently passed; see MinPassDuration.
 	HasPassed bool
 }
@@ -110,8 +114,9 @@
 	if reg.CheckScopes(now, s) {
 		return true, false
 	}
+	isTrial = reg.admitParts(now, s)
 	if reg.hasPassed(s) {
-		return false, false
+		return false, isTrial
 	}
 	isSimilar := reg.isSimilar(now, s)
 	for f, kind := range s.scopes() {
@@ -128,14 +133,18 @@
 // Block describes the quarantine of a scope that forbids to send a request.
 type Block struct {
 	Scope   Fingerprint
-	Kind    string    // "similar", "caller", "resource", "job" or "route"
+	Kind    string    // KindPart, "similar", "caller", "resource", "job" or "route"
 	Crashes int       // in the record of the scope
 	Until   time.Time // when this process may send the next request of the scope as a trial
+	Part    int       // with the kind "part", its index in the prompt of the request
 }
 
 // BlockingScope returns the first scope, the narrowest kinds first, whose quarantine forbids to send the request now;
 // isBlocked is false if there is none. It updates LastSeen of each quarantined scope that it checks.
 func (reg *Registry) BlockingScope(now time.Time, s Subject) (b Block, isBlocked bool) {
+	if b, isBlocked := reg.blockingPart(now, s); isBlocked {
+		return b, true
+	}
 	if reg.hasPassed(s) {
 		return Block{}, false
 	}
@@ -159,7 +168,11 @@
 	if !s.IsItem || !ok || len(e.Crashes) == 0 {
 		return Block{}, false
 	}
-	until := e.Crashes[0].BrokenAt.Add(crashedItemDelay << (len(e.Crashes) - 1))
+	crashes := reg.unexplainedCrashes(e)
+	if len(crashes) == 0 {
+		return Block{}, false
+	}
+	until := crashes[0].BrokenAt.Add(crashedItemDelay << (len(crashes) - 1))
 	if !now.Before(until) {
 		return Block{}, false
 	}
@@ -227,12 +240,13 @@
 	return n >= minSimilarScopes
 }
 
-// unexplainedCrashes returns the crashes of a scope that no quarantined scope of a narrower kind explains. A crash
+// unexplainedCrashes returns the crashes of a scope that no quarantined scope of a narrower kind explains, or those of a
+// content that no blamed part of prompts explains: the content is blocked with the part, or was running beside it. A crash
 // that is explained says nothing about the other contents of the broader scope: neither about others on the route of
 // a caller that crashes targets, nor about those that a crashed target was running at the same time. A quarantined
 // content explains nothing: in a scope whose contents all crash targets, each of them is quarantined in the end.
 func (reg *Registry) unexplainedCrashes(e *entry) []Crash {
-	if e.Kind == SimilarScope {
+	if e.IsScope && e.Kind.breadth() == 0 {
 		return e.Crashes // no kind is narrower
 	}
 	if e.unexplainedAt == reg.changes && e.unexplained != nil {
@@ -240,7 +254,7 @@
 	}
 	explanations := make([]int, len(e.Crashes)) // for each crash; minSimilarScopes of them explain it
 	for _, narrower := range reg.narrowQuarantined() {
-		if narrower.Kind.breadth() >= e.Kind.breadth() {
+		if e.IsScope && narrower.Kind.breadth() >= e.Kind.breadth() || !e.IsScope && narrower.Kind != PartScope {
 			continue
 		}
 		weight := minSimilarScopes
@@ -283,6 +297,9 @@
 	for f := range s.scopes() {
 		highest = max(highest, reg.CrashCount(f))
 	}
+	for _, part := range s.Parts {
+		highest = max(highest, reg.CrashCount(part))
+	}
 	return highest
 }
 
@@ -291,10 +308,11 @@
 func (reg *Registry) NoteScopeCrash(now time.Time, s Subject, c Crash) {
 	c.ContentDigest = s.Content.prefix64()
 	for f, kind := range s.scopes() {
-		e := reg.getOrCreateEntry(f)
+		e := reg.getOrCreateEntry(f, kind)
 		e.IsScope, e.Kind = true, kind
 		reg.noteCrash(now, e, c)
 	}
+	reg.notePartCrash(now, s, c)
 }
 
 // NotePassed notes that a run of the request's content has passed; see MinPassDuration. The first run of a content
@@ -303,8 +321,9 @@
 // contents. It clears no similarity scopes of contents that the request hardly resembles; see minClearingScopes.
 // isNew reports whether crashes were cleared.
 func (reg *Registry) NotePassed(now time.Time, s Subject) (isNew bool) {
+	isNew = reg.notePartsPassed(now, s)
 	if reg.MaxScopeCrashes(s) == 0 || reg.hasPassed(s) {
-		return false
+		return isNew
 	}
 	canClearSimilar := reg.countCrashed(s.Similar) >= minClearingScopes
 	for f, kind := range s.scopes() {
@@ -313,7 +332,7 @@
 		}
 	}
 	if reg.CrashCount(s.Content) == 0 {
-		reg.clear(now, reg.getOrCreateEntry(s.Content))
+		reg.clear(now, reg.getOrCreateEntry(s.Content, SharedScope))
 	}
 	return true
 }
@@ -325,6 +344,9 @@
 	}
 	reg.narrow, reg.narrowAt = nil, reg.changes
 	// Whether a caller's scope is quarantined depends on the similarity scopes, which therefore come first.
+	for _, g := range reg.blamedParts() {
+		reg.narrow = append(reg.narrow, g.members[0])
+	}
 	for _, kind := range []ScopeKind{SimilarScope, CallerScope} {
 		var list []*entry
 		for _, e := range reg.entries {
--- a/core/quarantine/share.go
+++ b/core/quarantine/share.go
@@ -4,7 +4,7 @@
 
 // scheduleAnnouncement schedules the record of an entry to be sent to peers and written to the store at once.
 func (reg *Registry) scheduleAnnouncement(now time.Time, e *entry) {
-	e.sendAt, e.sendInterval, e.announcedLastSeen = now, minSendInterval, e.LastSeen
+	e.sendAt, e.sendInterval, e.announcedLastSeen, e.isPassPending = now, minSendInterval, e.LastSeen, false
 	reg.nextSendAt = time.Time{}
 	reg.scheduleWrite(e, now)
 }
@@ -37,7 +37,7 @@
 			if reg.sendPriority(e) != priority || e.sendAt.IsZero() || now.Before(e.sendAt) {
 				continue
 			}
-			e.sendAt = now.Add(e.sendInterval)
+			e.sendAt, e.isPassPending = now.Add(e.sendInterval), false
 			e.sendInterval = min(maxSendInterval, sendIntervalGrowth*e.sendInterval)
 			list = append(list, e.Record.clone())
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -107,7 +107,9 @@
 	recordCount atomic.Int64
 	// passedContents are the digests of contents of which a run has recently passed in this process.
 	passedContents *quarantine.PassedSet
-	isLoaded       atomic.Bool // the newest records in the store have been read
+	// passes are when runs with parts of prompts have passed in this process.
+	passes   *quarantine.PassTimes
+	isLoaded atomic.Bool // the newest records in the store have been read
 	// writeSignal receives a value when records may be due to be written to the store.
 	writeSignal chan struct{}
 
@@ -125,6 +127,7 @@
 
 // New returns a Quarantine without records, and registers its metrics. Run loads the records from the store.
 func New(o Options) *Quarantine {
+	passes := quarantine.NewPassTimes()
 	q := &Quarantine{
 		isOn: o.Disabled.IsEnabled(policy.Quarantine), hasScopes: o.Disabled.IsEnabled(policy.QuarantineScopes), prober: o.Prober, fleet: o.Fleet, log: o.Log, metrics: o.Metrics, routineLog: logging.NewRoutine(o.Log),
 		brokenOff:   metrics.GetOrRegisterCounter(brokenOffMetric, o.Metrics),
@@ -134,8 +137,11 @@
 		trials:      metrics.GetOrRegisterCounter(trialsMetric, o.Metrics),
 		cleared:     metrics.GetOrRegisterCounter(clearedMetric, o.Metrics),
 		overflow:    metrics.GetOrRegisterCounter(overflowMetric, o.Metrics),
-		writeSignal: make(chan struct{}, 1), passedContents: quarantine.NewPassedSet(),
-		registry: quarantine.NewRegistry(quarantine.Options{Threshold: o.Threshold, Hold: o.Hold, Jitter: func() time.Duration { return rand.N(maxTrialJitter) }}),
+		writeSignal: make(chan struct{}, 1), passedContents: quarantine.NewPassedSet(), passes: passes,
+		registry: quarantine.NewRegistry(quarantine.Options{
+			Threshold: o.Threshold, Hold: o.Hold, Passes: passes, Jitter: func() time.Duration { return rand.N(maxTrialJitter) },
+			PassDelay: func() time.Duration { return rand.N(quarantine.MaxPassDelay) },
+		}),
 		suspects: newSuspectTable(),
 	}
 	for name, read := range map[string]func() int64{
@@ -250,11 +256,23 @@
 func (q *Quarantine) rejectScope(c *quarantine.Content, block quarantine.Block) error {
 	now := time.Now()
 	q.countRejected(block.Kind)
+	part := blamedPart(c, block)
 	q.routineLog.Info(now, "quarantined", "request", c.Request.ID, "content", c.Fingerprint().String(), "why", reasonScope, "crashes", q.registry.CrashCount(c.Fingerprint()),
-		"scope_crashes", block.Crashes, "scope", block.Scope.String(), "kind", block.Kind, "trial_in_ms", block.Until.Sub(now).Milliseconds())
+		"scope_crashes", block.Crashes, "scope", block.Scope.String(), "kind", block.Kind, "part", part, "trial_in_ms", block.Until.Sub(now).Milliseconds())
+	if part != "" {
+		return errs.Newf(errs.Quarantined, "%d targets have crashed while running requests with the part %s in their prompts", block.Crashes, part)
+	}
 	return errs.Newf(errs.Quarantined, "%d targets have crashed while running similar requests", block.Crashes)
 }
 
+// blamedPart returns the id of the part of a request's prompt that blocks it; empty if anything else does.
+func blamedPart(c *quarantine.Content, block quarantine.Block) string {
+	if block.Kind != quarantine.KindPart {
+		return ""
+	}
+	return c.Request.Prompt.Parts[block.Part]
+}
+
 // countRejected counts a request that was not sent, in total and by the kind of scope that forbade it.
 func (q *Quarantine) countRejected(kind string) {
 	q.rejected.Inc(1)
@@ -290,6 +308,7 @@
 		return
 	}
 	defer q.passedContents.Add(c.Digest())
+	q.passes.Note(time.Now(), c.PromptParts())
 	if q.IsEmpty() {
 		return
 	}
