A gateway's part of the capacity follows its part of the requests

What callers see: where most new connections go to one gateway, it rejects first attempts for which there is room.

Cause: the rate at which a gateway may start requests was the capacity divided by the number of gateways. It spaces the retries of rejected callers and the room that is kept for them; a gateway with nearly all callers kept eight times too much room, for every retry that it had asked for. Class: an equal division between gateways taken for the actual one.

Change: the rate is the capacity times the gateway's part of the online requests at the targets, at least an equal part.

--- a/core/fleet/expected.go
+++ b/core/fleet/expected.go
@@ -181,7 +181,7 @@
 	_, best := f.expectAll(now, w, list)
 	e := Estimate{Target: best.target.ID, Wait: best.wait, WaitStep: best.step(), HoldTime: best.hold, ServiceTime: best.service, Slowness: best.slowness}
 	if e.Wait > 0 {
-		e.StartRate = f.capacityRate(now, w.Service) / float64(1+len(f.peers))
+		e.StartRate = f.capacityRate(now, w.Service) * f.startShare(w.Service)
 	}
 	return e
 }
--- a/core/fleet/loadsim_test.go
+++ b/core/fleet/loadsim_test.go
@@ -49,7 +49,9 @@
 	// skew is the share of the first attempts that one gateway gets from the middle of the run on; the others get their
 	// part of the rest.
 	skew float64
-	seed uint64
+	// retriesElsewhere is set if second attempts come to other gateways than the first ones.
+	retriesElsewhere bool
+	seed             uint64
 }
 
 // loadResult counts requests by what became of them. An attempt is in goal if its first event or whole answer came
@@ -306,7 +308,11 @@
 		s.after(d.RetryAfter, func() {
 			a.sentAt = s.now
 			s.result.returned++
-			s.anyGateway().arrive(a)
+			next := s.anyGateway()
+			for s.retriesElsewhere && next == g {
+				next = s.anyGateway()
+			}
+			next.arrive(a)
 		})
 	case shed.Queue:
 		s.after(recheckGap, func() { g.recheck(a, d.Queued) })
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -28,9 +28,8 @@
 	// time. Slowness is how many times longer than usual for the service work takes there.
 	Target   string
 	Slowness float64
-	// StartRate is how many online requests of the service this gateway may start per second: the capacity of
-	// the service's targets, divided by the number of live gateways; 0 if unknown or, if targets are chosen by
-	// expected time, if Wait is 0.
+	// StartRate is how many online requests of the service this gateway may start per second: its share of the capacity
+	// of the service's targets; 0 if unknown or, if targets are chosen by expected time, if Wait is 0.
 	StartRate float64
 }
 
@@ -43,7 +42,7 @@
 	if e.HoldTime <= 0 {
 		return e
 	}
-	e.StartRate = float64(f.totalSlots(now, w)) / e.HoldTime.Seconds() / float64(1+len(f.peers))
+	e.StartRate = float64(f.totalSlots(now, w)) / e.HoldTime.Seconds() * f.startShare(w.Service)
 	c, ok := f.PickOnline(now, w, nil)
 	if !ok || !c.IsQueued() || c.Target.Slots == 0 {
 		return e
@@ -65,6 +64,20 @@
 	return sum
 }
 
+// startShare returns the share of the online requests of a service that this gateway may start: its part of those at the
+// targets, or an equal one if it has fewer. Callers may come to gateways very unevenly; an equal share would have the
+// gateway that most of them come to reject requests for which there is room.
+func (f *Fleet) startShare(service string) float64 {
+	own, total := 0, 0
+	for _, ts := range f.targets {
+		if ts.Service == service {
+			own, total = own+ts.ownLoad.Online, total+ts.ownLoad.Online+ts.peerLoad.Online
+		}
+	}
+	equal := 1 / float64(1+len(f.peers))
+	return max(equal, (float64(own)+equal)/float64(total+1)) // as if one more request were divided equally
+}
+
 // IsQueued reports whether the request has to wait for a slot at the chosen target, because online requests
 // hold all of them.
 func (c Choice) IsQueued() bool { return c.Load.Online >= c.Target.Slots }
