Room for retries is at most their share of the start rate

Callers are told to retry at half of the start rate at most, so that the rest is left to first attempts; yet the room that first attempts leave to retries that are due was not bounded. In an overload each first attempt that is rejected for the sake of retries becomes a retry, until none is sent at once. The room is bounded by the same half now.

--- a/core/shed/expected.go
+++ b/core/shed/expected.go
@@ -148,7 +148,8 @@
 }
 
 // wait is how long the retries keep the targets busy that are due before a first attempt with the longest wait
-// is in a slot.
+// is in a slot, as far as their share of the start rate goes. Without that bound, first attempts that are rejected for
+// the sake of retries become retries, until no first attempt is sent any more.
 func (s *retrySchedule) wait(now time.Time, r Request) time.Duration {
 	if r.StartRate <= 0 {
 		return 0
@@ -160,7 +161,7 @@
 			n++
 		}
 	}
-	return seconds(float64(n) / r.StartRate)
+	return min(seconds(float64(n)/r.StartRate), time.Duration(retryRateShare*float64(r.maxWait())))
 }
 
 // removePassed drops the retry times that have passed.
