--- a/core/quarantine/share.go
+++ b/core/quarantine/share.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // scheduleAnnouncement schedules the record of an entry to be sent to peers and written to the store at once.
 func (reg *Registry) scheduleAnnouncement(now time.Time, e *entry) {
@@ -28,27 +32,32 @@
 	if now.Before(reg.nextSendAt) {
 		return nil
 	}
-	var list []Record
-	for priority := range lowestSendPriority + 1 {
-		for _, e := range reg.entries {
-			if len(list) == n {
-				return list
-			}
-			if reg.sendPriority(e) != priority || e.sendAt.IsZero() || now.Before(e.sendAt) {
-				continue
-			}
-			e.sendAt, e.isPassPending = now.Add(e.sendInterval), false
-			e.sendInterval = min(maxSendInterval, sendIntervalGrowth*e.sendInterval)
-			list = append(list, e.Record.clone())
+	type dueEntry struct {
+		*entry
+		priority int
+	}
+	var due []dueEntry
+	for _, e := range reg.entries {
+		if !e.sendAt.IsZero() && !now.Before(e.sendAt) {
+			due = append(due, dueEntry{e, reg.sendPriority(e)})
 		}
 	}
+	slices.SortFunc(due, func(a, b dueEntry) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), a.sendAt.Compare(b.sendAt), slices.Compare(a.Content[:], b.Content[:]))
+	})
+	list := make([]Record, 0, min(n, len(due)))
+	for _, e := range due[:min(n, len(due))] {
+		e.sendAt, e.isPassPending = now.Add(e.sendInterval), false
+		e.sendInterval = min(maxSendInterval, sendIntervalGrowth*e.sendInterval)
+		list = append(list, e.Record.clone())
+	}
+	if len(list) == n {
+		return list // more may be due
+	}
 	reg.nextSendAt = reg.earliestSend(now)
 	return list
 }
 
-// lowestSendPriority is the highest result of sendPriority.
-const lowestSendPriority = 2
-
 // sendPriority returns the place of an entry in the order in which records are sent to peers; 0 is the first.
 func (reg *Registry) sendPriority(e *entry) int {
 	switch {
@@ -57,7 +66,7 @@
 	case len(e.Crashes) > 1:
 		return 1
 	}
-	return lowestSendPriority
+	return 2
 }
 
 // earliestSend returns when the next record is due to be sent to peers, or maxSendInterval after now if that
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -66,6 +66,7 @@
 		&chooseCmd{},
 		&fleetCmd{},
 		&originsCmd{},
+		&partsCmd{},
 		&ablateCmd{},
 		&onlineCmd{},
 		&configCmd{},
