--- a/internal/explain/decisions.go
+++ b/internal/explain/decisions.go
@@ -16,6 +16,9 @@
 	msgRunCost   = "run cost"
 	msgDeferred  = "item deferred"
 	msgSuspended = "batch starts suspended"
+
+	msgQuarantined = "quarantined"
+	msgCrashed     = "target crashed under request"
 )
 
 // maxDecisions bounds the decisions that are printed for one id: a job can have many thousand items.
@@ -66,10 +69,34 @@
 		return l.preemption(all)
 	case msgDeferred:
 		return l.deferral(all)
+	case msgQuarantined:
+		return l.quarantineDecision()
+	case msgCrashed:
+		return l.crash()
 	}
 	return ""
 }
 
+// quarantineDecision describes why a request was not sent because of the quarantine.
+func (l Line) quarantineDecision() string {
+	switch {
+	case l.text("part") != "":
+		return fmt.Sprintf("not sent: %s targets have crashed under requests with the part %s in their prompts; the next trial is due in %s ms at the earliest", l.value("scope_crashes"), l.text("part"), l.value("trial_in_ms"))
+	case l.text("kind") != "":
+		return fmt.Sprintf("not sent: %s targets have crashed under requests that share the same %s; the next trial is due in %s ms at the earliest", l.value("scope_crashes"), l.text("kind"), l.value("trial_in_ms"))
+	}
+	return fmt.Sprintf("not sent: %s targets have crashed under this content", l.value("crashes"))
+}
+
+// crash describes a crash of a target that counts against a request.
+func (l Line) crash() string {
+	text := fmt.Sprintf("target %s crashed under it (%s), the crash %s of its content", l.text("target"), l.text("evidence"), l.value("crashes"))
+	if parts := l.text("parts"); parts != "" {
+		text += "; parts of its prompt: " + parts
+	}
+	return text
+}
+
 // verdicts are the verdicts of admission control in words.
 var verdicts = map[string]string{"come back": "rejected, to be sent again", "hold": "queued at the gateway", "refuse": "rejected for good"}
 
--- a/internal/explain/decisions_test.go
+++ b/internal/explain/decisions_test.go
@@ -21,10 +21,14 @@
 {"@timestamp":"2026-01-01T10:00:08.060000Z","@message":"sent","request":"r7","target":"i-10 free slot online=6 batch=1 slots=8 peers=2"}
 {"@timestamp":"2026-01-01T10:00:08.080000Z","@message":"item run","item":"b3","target":"i-1 free slot online=5 batch=0 slots=8 peers=2","from_event":"","to_event":"","ms":80,"preempted":true}
 {"@timestamp":"2026-01-01T10:00:09.000000Z","@message":"item run","item":"b4","target":"i-1 free slot online=5 batch=0 slots=8 peers=2","ms":80,"preempted":false,"verdict":"complete"}
+{"@timestamp":"2026-01-01T10:00:10.000000Z","@message":"target crashed under request","request":"q1","content":"c0","target":"i-1","evidence":"refused or another start answered","parts":"f1,bad,o1","crashes":1}
+{"@timestamp":"2026-01-01T10:00:10.100000Z","@message":"quarantined","request":"q2","content":"c1","why":"scope","crashes":0,"scope_crashes":3,"kind":"part","part":"bad","trial_in_ms":410}
+{"@timestamp":"2026-01-01T10:00:10.200000Z","@message":"quarantined","request":"q3","content":"c2","why":"scope","crashes":0,"scope_crashes":4,"kind":"caller","part":"","trial_in_ms":10000}
+{"@timestamp":"2026-01-01T10:00:10.300000Z","@message":"quarantined","request":"q4","content":"c3","why":"content","crashes":3,"scope_crashes":3}
 `
 
-// Guards against a rejected, late, deferred or preempted request or item whose target, prediction or share is not named,
-// and against decisions for answers in time and runs that ended by themselves.
+// Guards against a rejected, late, deferred or preempted request or item whose target, prediction or share is not named, a
+// quarantined one without what is blamed, and against decisions for answers in time and runs that ended by themselves.
 func TestDecisionsNameTargetPredictionAndShare(t *testing.T) {
 	lines, err := Read("g-1", strings.NewReader(loadLog))
 	if err != nil {
@@ -48,6 +52,10 @@
 			"preempted at i-1 (free slot): 5 online requests and 0 items at 8 slots after 80 ms without an event gained; g-1 sent request r6 there 30 ms before",
 		},
 		"b4": nil,
+		"q1": {"target i-1 crashed under it (refused or another start answered), the crash 1 of its content; parts of its prompt: f1,bad,o1"},
+		"q2": {"not sent: 3 targets have crashed under requests with the part bad in their prompts; the next trial is due in 410 ms at the earliest"},
+		"q3": {"not sent: 4 targets have crashed under requests that share the same caller; the next trial is due in 10000 ms at the earliest"},
+		"q4": {"not sent: 3 targets have crashed under this content"},
 	} {
 		var got []string
 		for _, d := range Decisions(id, lines) {
