Quarantine: a pass says of a part what held when the answer began

A run that began before a part turned bad ends whole after targets have crashed under the part, and cleared these crashes: long items would have delayed the verdict with each that ends. The pass counts from the beginning of the answer now. TestBlamedParts, 'a run that was answered before the part turned bad ends', is red with the time of the pass.

--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -266,11 +266,22 @@
 	}
 }
 
-// notePartsPassed clears the parts of a request of which a run has passed, and reports whether any had crashes.
+// notePartsPassed notes a pass of the parts of a request, and reports whether that has cleared crashes of any.
 func (reg *Registry) notePartsPassed(now time.Time, s Subject) (isNew bool) {
+	at := now
+	if !s.AnsweredAt.IsZero() {
+		at = s.AnsweredAt
+	}
 	for _, part := range s.Parts {
-		if reg.CrashCount(part) > 0 {
-			reg.clear(now, reg.entries[part])
+		e, ok := reg.entries[part]
+		if !ok || len(e.Crashes) == 0 {
+			continue
+		}
+		crashCount := len(e.Crashes)
+		e.merge(Record{Content: part, ClearedAt: at.Truncate(time.Millisecond)})
+		reg.changes++
+		if len(e.Crashes) < crashCount {
+			reg.scheduleAnnouncement(now, e)
 			isNew = true
 		}
 	}
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -52,6 +52,14 @@
 	s.registry.NotePassed(s.now, r)
 }
 
+// passLate has a run of a request with the parts pass now whose answer began before everything else.
+func (s *partSim) passLate(parts ...string) {
+	r := s.request(parts...)
+	r.AnsweredAt = testStart
+	s.passes.Note(r.AnsweredAt, r.Parts)
+	s.registry.NotePassed(s.now, r)
+}
+
 // isBlocked reports whether a request with the parts is blocked because of them, but for trials.
 func (s *partSim) isBlocked(parts ...string) bool {
 	return len(s.registry.blamedIn(s.now, s.request(parts...))) > 0
@@ -93,6 +101,8 @@
 		{"two bad parts, a sound request afterwards", []func(*partSim){crashOf("f", "bad"), crashOf("f", "ill"), crashOf("f", "bad"), crashOf("f", "ill"), crashOf("f", "bad"), crashOf("f", "ill"), passOf("f", "x")},
 			[][]string{{"f", "bad"}, {"f", "ill"}}, [][]string{{"f", "x"}}},
 		{"a part that passed before turns bad", append([]func(*partSim){passOf("f", "bad"), passOf("f", "x")}, append(bad("f"), passOf("f", "x"))...), [][]string{{"g", "bad"}}, [][]string{{"f", "x"}}},
+		{"a run that was answered before the part turned bad ends", []func(*partSim){passOf("f", "x"), crashOf("f", "bad"), crashOf("f", "bad"), func(s *partSim) { s.passLate("f", "bad") }, crashOf("f", "bad")},
+			[][]string{{"g", "bad"}}, [][]string{{"f", "x"}}},
 		{"a pass clears", append(append([]func(*partSim){passOf("f", "x")}, bad("f")...), passOf("g", "bad")), nil, [][]string{{"f", "bad"}, {"g", "bad"}}},
 		{"what is left after a pass is blamed", append(bad("f"), passOf("g", "bad")), [][]string{{"f", "x"}}, [][]string{{"g", "bad"}}},
 	} {
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -66,6 +66,9 @@
 	Parts []Fingerprint
 	// HasPassed reports whether a run of the content has recently passed; see MinPassDuration.
 	HasPassed bool
+	// AnsweredAt is when the answer of a run that has passed began; zero if it began just now. It is used by NotePassed
+	// only: the run shows nothing of a part that has begun to crash targets since.
+	AnsweredAt time.Time
 }
 
 // scopes returns the fingerprints and kinds of all scopes of the request, the narrowest first.
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -143,11 +143,12 @@
 
 // noteServed reports to the quarantine that the target has sent the whole output of the item.
 func (m *Manager) noteServed(t *task, r *fleetview.Run, fromEvent string, isUnframed bool) {
+	answeredAt := time.Now().Add(-r.SinceFirstEvent())
 	if isUnframed {
-		m.opts.Quarantine.NoteServedUnframed(brokenRun(t, r, fromEvent, nil))
+		m.opts.Quarantine.NoteServedUnframed(brokenRun(t, r, fromEvent, nil), answeredAt)
 		return
 	}
-	m.opts.Quarantine.NoteServed(t.content)
+	m.opts.Quarantine.NoteServed(t.content, answeredAt)
 }
 
 // streamItem sends the item to the target of r and appends the events of its stream to the task. It returns the
@@ -182,8 +183,8 @@
 			return runInterrupted, answer.IsUnframed, m.classifyRunError(ctx, t, wd, fromEvent, err)
 		}
 		wd.noteEvent()
-		if r.RecordEvent() >= quarantine.MinPassDuration && t.markPassed() {
-			m.opts.Quarantine.NotePassed(t.content)
+		if sinceFirst := r.RecordEvent(); sinceFirst >= quarantine.MinPassDuration && t.markPassed() {
+			m.opts.Quarantine.NotePassed(t.content, time.Now().Add(-sinceFirst))
 		}
 		eventsLeft--
 		unsavedEvents, err := t.appendEvent(e, r, isFirst)
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -44,14 +44,14 @@
 	NoteInterrupted(b quarantine.BrokenRun)
 	// NoteSilent records a run that this process has cancelled because its target sent nothing for too long.
 	NoteSilent(b quarantine.BrokenRun)
-	// NotePassed records that a run has gone on for quarantine.MinPassDuration after its first event: the content does not
+	// NotePassed records that a run has gone on for quarantine.MinPassDuration after its first event, at answeredAt: the content does not
 	// crash targets at the start of a run.
-	NotePassed(c *quarantine.Content)
-	// NoteServed records that a target has sent the whole output for the content.
-	NoteServed(c *quarantine.Content)
+	NotePassed(c *quarantine.Content, answeredAt time.Time)
+	// NoteServed records that a target has sent the whole output for the content, from answeredAt on.
+	NoteServed(c *quarantine.Content, answeredAt time.Time)
 	// NoteServedUnframed is NoteServed for an answer whose end its target may have caused by a crash, because only the
 	// end of its connection has ended it.
-	NoteServedUnframed(b quarantine.BrokenRun)
+	NoteServedUnframed(b quarantine.BrokenRun, answeredAt time.Time)
 }
 
 // Options are the settings of a Manager.
--- a/internal/backlog/quarantine_test.go
+++ b/internal/backlog/quarantine_test.go
@@ -108,7 +108,7 @@
 		if runs := cl.targets.runCount(j.Items[0].ID); runs != 0 {
 			t.Errorf("the quarantined item was run %d times, want 0", runs)
 		}
-		n.quarantine.NoteServed(content)
+		n.quarantine.NoteServed(content, time.Now())
 		cl.checkResults(j, n.results(j, 10*time.Second))
 	})
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -224,7 +224,7 @@
 	c.session.forget(c.stream)
 	c.target.release(c.reports)
 	c.e.report(c.group, c.target, choose.Outcome{FirstByte: c.firstByte})
-	c.e.quarantine.NoteServed(c.content)
+	c.e.quarantine.NoteServed(c.content, c.sentAt.Add(c.firstByte))
 	c.stream = nil
 }
 
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/quarantine"
@@ -17,7 +18,7 @@
 	// NoteBrokenOff notes a run that a target has broken off.
 	NoteBrokenOff(b quarantine.BrokenRun)
 	// NoteServed notes that a target has served a request whole.
-	NoteServed(c *quarantine.Content)
+	NoteServed(c *quarantine.Content, answeredAt time.Time)
 	// DueForPeers returns the records that other entries should be told now.
 	DueForPeers() []quarantine.Record
 	// Changed gets a token when there are some.
@@ -31,14 +32,14 @@
 // noQuarantine sends every request on.
 type noQuarantine struct{}
 
-func (noQuarantine) Check(*quarantine.Content) error        { return nil }
-func (noQuarantine) AdmitRequest(*quarantine.Content) error { return nil }
-func (noQuarantine) NoteBrokenOff(quarantine.BrokenRun)     {}
-func (noQuarantine) NoteServed(*quarantine.Content)         {}
-func (noQuarantine) DueForPeers() []quarantine.Record       { return nil }
-func (noQuarantine) Changed() <-chan struct{}               { return nil }
-func (noQuarantine) ApplyRecords([]quarantine.Record)       {}
-func (noQuarantine) NotePeerStarted()                       {}
+func (noQuarantine) Check(*quarantine.Content) error           { return nil }
+func (noQuarantine) AdmitRequest(*quarantine.Content) error    { return nil }
+func (noQuarantine) NoteBrokenOff(quarantine.BrokenRun)        {}
+func (noQuarantine) NoteServed(*quarantine.Content, time.Time) {}
+func (noQuarantine) DueForPeers() []quarantine.Record          { return nil }
+func (noQuarantine) Changed() <-chan struct{}                  { return nil }
+func (noQuarantine) ApplyRecords([]quarantine.Record)          {}
+func (noQuarantine) NotePeerStarted()                          {}
 
 // contentOf is what the request and its repeats have in common.
 func contentOf(a *accepted, req *classified) *quarantine.Content {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -236,7 +236,7 @@
 		a.noteActivity()
 		if sinceFirst := a.run.RecordEvent(); !isPassRecorded && sinceFirst >= quarantine.MinPassDuration {
 			isPassRecorded = true
-			a.gw.quarantine.NotePassed(a.content)
+			a.gw.quarantine.NotePassed(a.content, time.Now().Add(-sinceFirst))
 		}
 		if a.run.HasVersionChanged() && a.origin != nil && !a.hasRelayed {
 			return errs.New(errs.StreamBroken, "the target has got another version, which may not fit the events that the caller has")
@@ -265,11 +265,12 @@
 
 // noteServed reports to the quarantine that the target has answered the attempt completely.
 func (a *attempt) noteServed() {
+	answeredAt := time.Now().Add(-a.run.SinceFirstEvent())
 	if a.isUnframed {
-		a.gw.quarantine.NoteServedUnframed(a.brokenRun(nil))
+		a.gw.quarantine.NoteServedUnframed(a.brokenRun(nil), answeredAt)
 		return
 	}
-	a.gw.quarantine.NoteServed(a.content)
+	a.gw.quarantine.NoteServed(a.content, answeredAt)
 }
 
 // sendHeader sends the status and header of ans to the caller, unless an earlier attempt has sent a header: a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,14 +82,14 @@
 	NoteBrokenOff(run quarantine.BrokenRun)
 	// NoteSilent records a run that this process ended because its target sent nothing for too long.
 	NoteSilent(run quarantine.BrokenRun)
-	// NotePassed records that a run has sent events for quarantine.MinPassDuration, which shows that its content does not
-	// crash a target at the beginning of a run.
-	NotePassed(c *quarantine.Content)
-	// NoteServed records that a target has answered a request completely.
-	NoteServed(c *quarantine.Content)
+	// NotePassed records that a run has sent events for quarantine.MinPassDuration since answeredAt, which shows that its
+	// content does not crash a target at the beginning of a run.
+	NotePassed(c *quarantine.Content, answeredAt time.Time)
+	// NoteServed records that a target has answered a request completely, from answeredAt on.
+	NoteServed(c *quarantine.Content, answeredAt time.Time)
 	// NoteServedUnframed is NoteServed for an answer whose end its target may have caused by a crash, because only the
 	// end of its connection has ended it.
-	NoteServedUnframed(run quarantine.BrokenRun)
+	NoteServedUnframed(run quarantine.BrokenRun, answeredAt time.Time)
 }
 
 // Origins knows which software began a stream, also those of other gateways.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -136,16 +136,18 @@
 }
 
 // NotePassed implements Quarantine.
-func (h *harness) NotePassed(*quarantine.Content) {}
+func (h *harness) NotePassed(*quarantine.Content, time.Time) {}
 
 // NoteServed implements Quarantine.
-func (h *harness) NoteServed(*quarantine.Content) {
+func (h *harness) NoteServed(*quarantine.Content, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.served++
 }
 
-func (h *harness) NoteServedUnframed(b quarantine.BrokenRun) { h.NoteServed(b.Content) }
+func (h *harness) NoteServedUnframed(b quarantine.BrokenRun, answeredAt time.Time) {
+	h.NoteServed(b.Content, answeredAt)
+}
 
 // Version implements ConfigStatus.
 func (h *harness) Version() uint64 { return 1 }
--- a/internal/lab/parts/gateway.go
+++ b/internal/lab/parts/gateway.go
@@ -72,10 +72,11 @@
 	g.registry.NoteScopeCrash(now, s, c)
 }
 
-// notePassed notes that a run has passed.
-func (g *gateway) notePassed(now time.Time, r *request) {
+// notePassed notes that a run whose answer began at answeredAt has passed.
+func (g *gateway) notePassed(now, answeredAt time.Time, r *request) {
 	s := g.subject(r)
-	g.passes.Note(now, s.Parts)
+	s.AnsweredAt = answeredAt
+	g.passes.Note(answeredAt, s.Parts)
 	g.registry.NotePassed(now, s)
 }
 
--- a/internal/lab/parts/play.go
+++ b/internal/lab/parts/play.go
@@ -228,7 +228,7 @@
 	}
 	p.after(p.o.Prefill+min(quarantine.MinPassDuration, p.o.Answer), func() {
 		if !r.isOver {
-			p.gateways[r.gateway].notePassed(p.now, r.request)
+			p.gateways[r.gateway].notePassed(p.now, r.began.Add(p.o.Prefill), r.request)
 			p.count(r.request, 0, 1)
 			p.scheduleReport(r.gateway)
 		}
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -39,7 +39,7 @@
 				if q.Check(c) != nil || q.AdmitRequest(c) != nil {
 					b.Fatal("request without crashes is rejected, want it admitted")
 				}
-				q.NoteServed(c)
+				q.NoteServed(c, time.Now())
 			}
 		})
 	}
--- a/internal/quarantine/interrupted.go
+++ b/internal/quarantine/interrupted.go
@@ -60,7 +60,7 @@
 // NoteServedUnframed notes a run whose answer has ended as a whole one, with neither a length nor chunks: a crash of the
 // target ends its connection in the same way. The run counts as served if the target breaks off no other run within
 // interruptionWindow; else it is as suspect as that one.
-func (q *Quarantine) NoteServedUnframed(b quarantine.BrokenRun) {
+func (q *Quarantine) NoteServedUnframed(b quarantine.BrokenRun, answeredAt time.Time) {
 	if !q.isOn {
 		return
 	}
@@ -71,7 +71,7 @@
 		hasBrokenOff := q.suspects.hasBrokenSince(b.Target.ID, endedAt.Add(-interruptionWindow))
 		q.mu.Unlock()
 		if !hasBrokenOff {
-			q.NoteServed(b.Content)
+			q.NoteServed(b.Content, answeredAt)
 		}
 	})
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -302,17 +302,19 @@
 	return q.registry.IsSuspect(subject)
 }
 
-// NotePassed notes that a run of a request has passed; see quarantine.MinPassDuration.
-func (q *Quarantine) NotePassed(c *quarantine.Content) {
+// NotePassed notes that a run of a request, whose answer began at answeredAt, has passed; see
+// quarantine.MinPassDuration.
+func (q *Quarantine) NotePassed(c *quarantine.Content, answeredAt time.Time) {
 	if !q.isOn || !q.hasScopes {
 		return
 	}
 	defer q.passedContents.Add(c.Digest())
-	q.passes.Note(time.Now(), c.PromptParts())
+	q.passes.Note(answeredAt, c.PromptParts())
 	if q.IsEmpty() {
 		return
 	}
 	subject := q.subject(c)
+	subject.AnsweredAt = answeredAt
 	q.mu.Lock()
 	maxScopeCrashes := q.registry.MaxScopeCrashes(subject)
 	isNew := q.registry.NotePassed(time.Now(), subject)
@@ -323,9 +325,10 @@
 	}
 }
 
-// NoteServed notes that a target has served a request completely, which clears the content and counts as a pass.
-func (q *Quarantine) NoteServed(c *quarantine.Content) {
-	q.NotePassed(c)
+// NoteServed notes that a target has served a request completely, with an answer that began at answeredAt. This clears
+// the content and counts as a pass.
+func (q *Quarantine) NoteServed(c *quarantine.Content, answeredAt time.Time) {
+	q.NotePassed(c, answeredAt)
 	if q.IsEmpty() {
 		return
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -186,7 +186,7 @@
 		if isQuarantined(q, "body") || q.AdmitRequest(testContent("body")) != nil || q.AdmitRequest(testContent("body")) == nil {
 			t.Error("a second after three simultaneous crashes: not exactly one of two requests is admitted as a trial")
 		}
-		q.NoteServed(testContent("body"))
+		q.NoteServed(testContent("body"), time.Now())
 		if isQuarantined(q, "body") || q.AdmitRequest(testContent("body")) != nil {
 			t.Error("content that the trial has served is still quarantined")
 		}
@@ -343,7 +343,7 @@
 				t.Errorf("gateway %d does not quarantine the content after three crashes at three gateways", i)
 			}
 		}
-		quarantines[1].NoteServed(testContent("body"))
+		quarantines[1].NoteServed(testContent("body"), time.Now())
 		time.Sleep(time.Second)
 		for i, q := range append(quarantines, late) {
 			if isQuarantined(q, "body") {
--- a/internal/quarantine/unframed_test.go
+++ b/internal/quarantine/unframed_test.go
@@ -22,7 +22,7 @@
 			for i := range quarantine.DefaultThreshold {
 				target, beganAt := serving.Target{ID: fmt.Sprint("t", i)}, time.Now()
 				time.Sleep(runDuration)
-				q.NoteServedUnframed(quarantine.BrokenRun{Content: testContent("bad"), Target: target, BeganAt: beganAt})
+				q.NoteServedUnframed(quarantine.BrokenRun{Content: testContent("bad"), Target: target, BeganAt: beganAt}, time.Now())
 				if breaksOthers {
 					q.NoteBrokenOff(quarantine.BrokenRun{Content: testContent(fmt.Sprint("other", i)), Target: target, BeganAt: beganAt, Err: errors.New("EOF")})
 				}
