Quarantine: a request without doubtful parts tries its scopes early

Where a request states parts and none of these may be to blame, it is a trial 0.3 to 0.8 s after the last crash: no crashes under them, or they have passed before and each crash was under a part that has not.

TestScopeIsTriedWithSoundRequest guards against it.

--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -221,14 +221,52 @@
 	return false
 }
 
-// isClean reports whether no targets have crashed under the other parts of a request.
+// isClean reports whether no other parts of a request may be to blame for crashes.
 func (reg *Registry) isClean(s Subject, g partGroup) bool {
 	return !slices.ContainsFunc(s.Parts, func(part Fingerprint) bool {
 		isMember := slices.ContainsFunc(g.members, func(e *entry) bool { return e.Content == part })
-		return !isMember && reg.CrashCount(part) > 0
+		return !isMember && reg.isDoubtful(part)
 	})
 }
 
+// isDoubtful reports whether a part may be to blame for crashes: targets have crashed under it, and it has not passed
+// before, or not each of the crashes was under another part that has never passed.
+func (reg *Registry) isDoubtful(part Fingerprint) bool {
+	e, ok := reg.entries[part]
+	if !ok || len(e.Crashes) == 0 {
+		return false
+	}
+	if !e.hasPassed() {
+		return true
+	}
+	unpassed := reg.unpassedCrashes()
+	return slices.ContainsFunc(e.Crashes, func(c Crash) bool { return !unpassed[c.id()] })
+}
+
+// unpassedCrashes returns the ids of the crashes under parts that have never passed.
+func (reg *Registry) unpassedCrashes() map[uint64]bool {
+	if reg.unpassedAt == reg.changes {
+		return reg.unpassed
+	}
+	reg.unpassed, reg.unpassedAt = make(map[uint64]bool), reg.changes
+	for _, e := range reg.entries {
+		if e.Kind != PartScope || e.hasPassed() {
+			continue
+		}
+		for _, c := range e.Crashes {
+			reg.unpassed[c.id()] = true
+		}
+	}
+	return reg.unpassed
+}
+
+// canAdmitSoundTrial reports whether a request may be sent as a trial of a quarantined scope, earlier than others, since
+// none of the parts of its prompt may be to blame. A scope whose crashes are those of a few parts or contents is cleared
+// by it before these are found.
+func (reg *Registry) canAdmitSoundTrial(now time.Time, e *entry, s Subject) bool {
+	return len(s.Parts) > 0 && !now.Before(e.soundTrialAt) && !slices.ContainsFunc(s.Parts, reg.isDoubtful)
+}
+
 // admitParts notes a request that is sent as a trial of the blamed parts that it has. It reports whether there are any.
 func (reg *Registry) admitParts(now time.Time, s Subject) (isTrial bool) {
 	for _, g := range reg.blamedIn(now, s) {
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -226,3 +226,33 @@
 		t.Errorf("record of kind %d read back as kind %d, error %v", r.Kind, got.Kind, err)
 	}
 }
+
+// Guards against a caller or route that is held back for long, because targets have crashed under several parts or
+// contents before any of these is found, although a request without any of them would pass.
+func TestScopeIsTriedWithSoundRequest(t *testing.T) {
+	s := newPartSim()
+	s.pass("f", "x")
+	s.crash(s.request("f", "bad"))
+	s.crash(s.request("f", "ill"))
+	s.crash(s.request("f", "bad"))
+	s.now = s.now.Add(-time.Second)
+	if b, isBlocked := s.registry.BlockingScope(s.now, s.request("f", "y")); !isBlocked || b.Kind == KindPart {
+		t.Fatalf("request on a route with three crashes: blocked %t by %s, want by its resource or route", isBlocked, b.Kind)
+	}
+	s.now = s.now.Add(trialDelay)
+	if _, isBlocked := s.registry.BlockingScope(s.now, s.request("f", "bad")); !isBlocked {
+		t.Error("a request with a part that may be bad is sent as a trial of its route")
+	}
+	sound := s.request("f", "y")
+	if isQuarantined, isTrial := s.registry.AdmitScopes(s.now, sound); isQuarantined || !isTrial {
+		t.Errorf("sound request: quarantined %t, sent as a trial %t; want a trial", isQuarantined, isTrial)
+	}
+	if isQuarantined, _ := s.registry.AdmitScopes(s.now, s.request("f", "z")); !isQuarantined {
+		t.Error("a second sound request is sent before the result of the trial is known")
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.registry.NotePassed(s.now, sound)
+	if _, isBlocked := s.registry.BlockingScope(s.now, s.request("f", "z")); isBlocked {
+		t.Error("the route is blocked after a trial has passed")
+	}
+}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -67,6 +67,9 @@
 	partsAt int
 	// partCount is the number of entries of parts.
 	partCount int
+	// unpassed is the result of unpassedCrashes when changes was unpassedAt.
+	unpassed   map[uint64]bool
+	unpassedAt int
 }
 
 // entry is the record of one content or scope, with the times at which it is next sent to peers and written to the
@@ -86,6 +89,9 @@
 	announcedLastSeen time.Time
 	// trialAt is when this gateway may send the next request with the content or of the scope as a trial.
 	trialAt time.Time
+	// soundTrialAt is when this gateway may send a request of the scope as a trial if none of the parts of its prompt may be
+	// to blame.
+	soundTrialAt time.Time
 	// unexplained is the result of Registry.unexplainedCrashes when Registry.changes was unexplainedAt.
 	unexplained   []Crash
 	unexplainedAt int
@@ -220,10 +226,6 @@
 // scheduleTrial sets trialAt, from which this gateway may send a request as a trial. The gateway that sends
 // the first trial sends the record with the new LastTrial to the others, which then wait as well.
 func (reg *Registry) scheduleTrial(e *entry) {
-	if e.IsScope && e.Kind != PartScope {
-		reg.scheduleScopeTrial(e)
-		return
-	}
 	delay := trialDelay
 	var lastCrashAt time.Time
 	if len(e.Crashes) > 0 {
@@ -232,10 +234,15 @@
 	if e.LastTrial.After(lastCrashAt) {
 		delay = trialTimeout
 	}
-	if e.Kind == PartScope {
+	last, jitter := later(lastCrashAt, e.LastTrial), reg.trialJitter()
+	switch {
+	case e.Kind == PartScope:
 		delay = reg.partTrialDelay(e, e.LastTrial.After(lastCrashAt))
+	case e.IsScope:
+		e.soundTrialAt = last.Add(delay + jitter)
+		delay = reg.scopeTrialDelay(e)
 	}
-	e.trialAt = later(lastCrashAt, e.LastTrial).Add(delay + reg.trialJitter())
+	e.trialAt = last.Add(delay + jitter)
 }
 
 // trialJitter returns the duration to add to a delay before a trial; see Options.Jitter.
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -126,7 +126,8 @@
 		if kind == SimilarScope && !isSimilar {
 			continue
 		}
-		if _, isScopeTrial := reg.Admit(now, f); isScopeTrial {
+		if e := reg.activeEntry(now, f); e != nil {
+			reg.noteTrial(now, e)
 			isTrial = true
 		}
 	}
@@ -160,6 +161,9 @@
 			continue
 		}
 		e := reg.entries[f]
+		if reg.canAdmitSoundTrial(now, e, s) {
+			continue
+		}
 		return Block{Scope: f, Kind: s.scopeName(f, kind), Crashes: len(e.Crashes), Until: e.trialAt}, true
 	}
 	return Block{}, false
@@ -373,16 +377,12 @@
 	return n
 }
 
-// scheduleScopeTrial sets trialAt of a scope to a time after its last crash and its last trial. The delay
-// doubles with each crash beyond Options.Threshold.
-func (reg *Registry) scheduleScopeTrial(e *entry) {
+// scopeTrialDelay is the delay before the next trial of a scope, after its last crash and its last trial. It doubles with
+// each crash beyond Options.Threshold.
+func (reg *Registry) scopeTrialDelay(e *entry) time.Duration {
 	delay := minScopeTrialDelay
 	for range len(e.Crashes) - reg.opts.Threshold {
 		delay = min(maxScopeTrialDelay, 2*delay)
 	}
-	e.trialAt = e.LastTrial
-	if len(e.Crashes) > 0 {
-		e.trialAt = later(e.LastTrial, e.Crashes[0].BrokenAt)
-	}
-	e.trialAt = e.trialAt.Add(delay + reg.trialJitter())
+	return delay
 }
--- a/internal/lab/parts/play_test.go
+++ b/internal/lab/parts/play_test.go
@@ -30,7 +30,9 @@
 		{"two deadly parts on a cold route", func(o *Options) { o.DeadlyPart, o.Sound, o.Firsts, o.BadFrom = 2, 2, 1, 0 }},
 		{"targets lost for another reason", func(o *Options) { o.Lose, o.LoseShare = 4*time.Second, 0.34 }},
 		{"young gateways", func(o *Options) { o.Restart = 5 * time.Second }},
-		{"28 gateways, lost reports", func(o *Options) { o.Gateways, o.Targets, o.Sound, o.Bad, o.Loss, o.Duration = 28, 30, 80, 20, 0.1, 16*time.Second }},
+		{"28 gateways, lost reports", func(o *Options) {
+			o.Gateways, o.Targets, o.Sound, o.Bad, o.Loss, o.Duration = 28, 30, 80, 20, 0.1, 16*time.Second
+		}},
 	} {
 		o := DefaultOptions()
 		test.change(&o)
