--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -4,9 +4,10 @@
 // internal/quarantine detects the crashes, exchanges the records between processes and checks requests before
 // they are sent.
 //
-// A content is what a request and its repeats have in common; a scope is what several contents share: similar
-// bodies, the address of their caller, a resource, a batch job or a route. A record lists the crashes of one content or scope. A trial is a request that
-// is sent although its content or one of its scopes is quarantined, to find out whether it crashes a target.
+// A content is what a request and its repeats have in common; a scope is what several contents share: a part of their
+// prompts, similar bodies, the address of their caller, a resource, a batch job or a route. A record lists the crashes of
+// one content or scope. A trial is a request that is sent although its content or one of its scopes is quarantined, to
+// find out whether it crashes a target.
 package quarantine
 
 import (
@@ -110,8 +111,9 @@
 )
 
 // Subject returns the fingerprints of the content and of its scopes: the resource (method, host and path), the
-// batch job and the route, each within the workspace, and similar bodies and the address of the caller, each within
-// workspace and route. They are computed once, on the first call.
+// batch job and the route, each within the workspace, similar bodies and the address of the caller, each within
+// workspace and route, and the parts of the prompt, each within workspace and model. They are computed once, on the first
+// call.
 func (c *Content) Subject() Subject {
 	c.subjectOnce.Do(func() {
 		r := c.Request
--- a/internal/lab/parts/options.go
+++ b/internal/lab/parts/options.go
@@ -47,14 +47,14 @@
 	Delay    time.Duration // of a report to peers, at most
 	Loss     float64       // share of reports that are lost
 
-	Sound      float64       // sound requests a second
-	SoundFrom  time.Duration // when the sound ones begin
-	Bad        float64       // deadly requests a second, of all deadly parts
-	BadFrom    time.Duration // when the deadly ones begin
-	Firsts     int           // first parts, which sound and deadly requests share
-	Middles    int           // middle parts of sound requests
-	DeadlyPart int           // number of deadly parts
-	IsFirst    bool          // the deadly part is the first one; otherwise it is in the middle
+	Sound         float64       // sound requests a second
+	SoundFrom     time.Duration // when the sound ones begin
+	Bad           float64       // deadly requests a second, of all deadly parts
+	BadFrom       time.Duration // when the deadly ones begin
+	Firsts        int           // first parts, which sound and deadly requests share
+	Middles       int           // middle parts of sound requests
+	DeadlyParts   int           // number of deadly parts
+	IsFirstDeadly bool          // the deadly part is the first one; otherwise it is in the middle
 	// Lose is the time between two losses of LoseShare of the targets at once, for another reason; 0 for none.
 	Lose      time.Duration
 	LoseShare float64
@@ -68,14 +68,14 @@
 	const ms = time.Millisecond
 	return Options{
 		Gateways: 8, Targets: 9, Slots: 8, Duration: 30 * time.Second, Down: 3500 * ms, Prefill: 110 * ms, Answer: 800 * ms, Detect: 13 * ms, Delay: 8 * ms, Loss: 0.01,
-		Sound: 40, Bad: 10, BadFrom: 5 * time.Second, Firsts: 8, Middles: 1300, DeadlyPart: 1, Seed: 1,
+		Sound: 40, Bad: 10, BadFrom: 5 * time.Second, Firsts: 8, Middles: 1300, DeadlyParts: 1, Seed: 1,
 	}
 }
 
 // check refuses options that no simulation can be made of. Error: errs.BadSettings.
 func (o *Options) check() error {
 	switch {
-	case o.Gateways < 1 || o.Targets < 1 || o.Slots < 1 || o.Firsts < 1 || o.Middles < 1 || o.DeadlyPart < 0:
+	case o.Gateways < 1 || o.Targets < 1 || o.Slots < 1 || o.Firsts < 1 || o.Middles < 1 || o.DeadlyParts < 0:
 		return errs.New(errs.BadSettings, "there must be a gateway, a target with a slot and a part of each kind at least")
 	case o.Duration <= 0 || o.Down <= 0 || o.Prefill <= 0 || o.Answer <= 0 || o.Detect <= 0 || o.Delay <= 0 || o.Lose < 0:
 		return errs.New(errs.BadSettings, "times must be above 0")
--- a/internal/lab/parts/play.go
+++ b/internal/lab/parts/play.go
@@ -138,7 +138,7 @@
 
 // arrivals draws the requests of one kind.
 func (p *play) arrivals(from time.Duration, rate float64, isDeadly bool) {
-	if rate <= 0 || isDeadly && p.o.DeadlyPart == 0 {
+	if rate <= 0 || isDeadly && p.o.DeadlyParts == 0 {
 		return
 	}
 	for at := from; ; {
@@ -157,9 +157,9 @@
 	p.requests++
 	r := &request{deadly: -1, parts: []string{fmt.Sprint("f", p.rng.IntN(p.o.Firsts)), fmt.Sprint("m", p.rng.IntN(p.o.Middles)), fmt.Sprint("own", p.requests)}}
 	if isDeadly {
-		r.deadly = p.rng.IntN(p.o.DeadlyPart)
+		r.deadly = p.rng.IntN(p.o.DeadlyParts)
 		place := 1
-		if p.o.IsFirst {
+		if p.o.IsFirstDeadly {
 			place = 0
 		}
 		r.parts[place] = fmt.Sprint("deadly", r.deadly)
--- a/internal/lab/parts/play_test.go
+++ b/internal/lab/parts/play_test.go
@@ -22,12 +22,12 @@
 		change func(*Options)
 	}{
 		{"middle part", func(*Options) {}},
-		{"first part", func(o *Options) { o.IsFirst = true }},
+		{"first part", func(o *Options) { o.IsFirstDeadly = true }},
 		{"few sound requests", func(o *Options) { o.Sound = 1 }},
 		{"one first part, few sound requests", func(o *Options) { o.Sound, o.Firsts = 4, 1 }},
 		{"cold route", func(o *Options) { o.BadFrom, o.SoundFrom, o.Firsts = 0, 2*time.Second, 1 }},
-		{"two deadly parts", func(o *Options) { o.DeadlyPart = 2 }},
-		{"two deadly parts on a cold route", func(o *Options) { o.DeadlyPart, o.Sound, o.Firsts, o.BadFrom = 2, 2, 1, 0 }},
+		{"two deadly parts", func(o *Options) { o.DeadlyParts = 2 }},
+		{"two deadly parts on a cold route", func(o *Options) { o.DeadlyParts, o.Sound, o.Firsts, o.BadFrom = 2, 2, 1, 0 }},
 		{"targets lost for another reason", func(o *Options) { o.Lose, o.LoseShare = 4*time.Second, 0.34 }},
 		{"young gateways", func(o *Options) { o.Restart = 5 * time.Second }},
 		{"28 gateways, lost reports", func(o *Options) {
@@ -58,7 +58,7 @@
 func TestLostTargetsRejectNoRequests(t *testing.T) {
 	for _, share := range []float64{0.34, 1} {
 		o := DefaultOptions()
-		o.DeadlyPart, o.Lose, o.LoseShare = 0, 6*time.Second, share
+		o.DeadlyParts, o.Lose, o.LoseShare = 0, 6*time.Second, share
 		r, err := Run(o, []Way{Explanation, Nothing})
 		if err != nil {
 			t.Fatal(err)
