--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -64,9 +64,13 @@
 	return sum
 }
 
-// startShare returns the share of the online requests of a service that this gateway may start: its part of those at the
-// targets, or an equal one if it has fewer. Callers may come to gateways very unevenly; an equal share would have the
-// gateway that most of them come to reject requests for which there is room.
+// maxEvenShareFactor is how many times its equal share of the requests a gateway may have until its actual one counts.
+// Below that the difference is mostly chance.
+const maxEvenShareFactor = 2
+
+// startShare returns the share of the online requests of a service that this gateway may start: an equal one, or its part
+// of those at the targets if that is much larger. Callers may come to gateways very unevenly; an equal share would have
+// the gateway that most of them come to reject requests for which there is room.
 func (f *Fleet) startShare(service string) float64 {
 	own, total := 0, 0
 	for _, ts := range f.targets {
@@ -75,7 +79,11 @@
 		}
 	}
 	equal := 1 / float64(1+len(f.peers))
-	return max(equal, (float64(own)+equal)/float64(total+1)) // as if one more request were divided equally
+	part := (float64(own) + equal) / float64(total+1) // as if one more request were divided equally
+	if part < min(maxEvenShareFactor*equal, (1+equal)/2) {
+		return equal
+	}
+	return part
 }
 
 // IsQueued reports whether the request has to wait for a slot at the chosen target, because online requests
--- a/internal/quarantine/interrupted.go
+++ b/internal/quarantine/interrupted.go
@@ -6,6 +6,7 @@
 
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
+	"arbutusramp/core/sleep"
 )
 
 const (
@@ -66,7 +67,7 @@
 	}
 	endedAt := time.Now()
 	q.NoteInterrupted(b)
-	time.AfterFunc(interruptionWindow, func() {
+	sleep.AfterFunc(interruptionWindow, func() {
 		q.mu.Lock()
 		hasBrokenOff := q.suspects.hasBrokenSince(b.Target.ID, endedAt.Add(-interruptionWindow))
 		q.mu.Unlock()
