Quarantine: early trials of a scope get rarer with each crash

Found by reading: a caller that crashes targets with parts that are new each time has no doubtful parts, and would have got an early trial 0.3 to 0.8 s after each crash for good; 25 in a minute (TestEarlyTrialsOfAScopeGetRarer, red without the change). The delay doubles with each crash.

--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -256,3 +256,23 @@
 		t.Error("the route is blocked after a trial has passed")
 	}
 }
+
+// Guards against early trials that let a caller crash targets for good, whose requests have new parts each time.
+func TestEarlyTrialsOfAScopeGetRarer(t *testing.T) {
+	const maxTrials = 8 // delays of 0.3 s that double, in a minute
+	s := newPartSim()
+	for i := range DefaultThreshold {
+		s.crash(s.request(fmt.Sprint("n", i)))
+	}
+	trials := 0
+	for until := s.now.Add(time.Minute); s.now.Before(until); s.now = s.now.Add(100 * time.Millisecond) {
+		r := s.request(fmt.Sprint("new", s.contents))
+		if isQuarantined, _ := s.registry.AdmitScopes(s.now, r); !isQuarantined {
+			trials++
+			s.crash(r)
+		}
+	}
+	if trials < 3 || trials > maxTrials {
+		t.Errorf("%d trials in a minute of a route on which each request crashes a target, want 3 to %d", trials, maxTrials)
+	}
+}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -239,8 +239,8 @@
 	case e.Kind == PartScope:
 		delay = reg.partTrialDelay(e, e.LastTrial.After(lastCrashAt))
 	case e.IsScope:
-		e.soundTrialAt = last.Add(delay + jitter)
-		delay = reg.scopeTrialDelay(e)
+		e.soundTrialAt = last.Add(max(delay, reg.scopeTrialDelay(e, trialDelay)) + jitter)
+		delay = reg.scopeTrialDelay(e, minScopeTrialDelay)
 	}
 	e.trialAt = last.Add(delay + jitter)
 }
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -377,10 +377,9 @@
 	return n
 }
 
-// scopeTrialDelay is the delay before the next trial of a scope, after its last crash and its last trial. It doubles with
-// each crash beyond Options.Threshold.
-func (reg *Registry) scopeTrialDelay(e *entry) time.Duration {
-	delay := minScopeTrialDelay
+// scopeTrialDelay is the delay before the next trial of a scope, after its last crash and its last trial. It begins with
+// delay and doubles with each crash beyond Options.Threshold.
+func (reg *Registry) scopeTrialDelay(e *entry, delay time.Duration) time.Duration {
 	for range len(e.Crashes) - reg.opts.Threshold {
 		delay = min(maxScopeTrialDelay, 2*delay)
 	}
