lab: one virtual clock for the simulations of the fleet and of parts

The simulation of parts had written again what internal/lab/fleet had: functions in the order of their virtual times, on a heap. The clock moves to internal/lab/virtual, unchanged but for its exported names, and both use it.

--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"arbutusramp/internal/lab/virtual"
 )
 
 // work is a stream or an item at an engine.
@@ -27,7 +29,7 @@
 
 // engine serves work in the order of arrival.
 type engine struct {
-	clock   *clock
+	clock   *virtual.Clock
 	slots   int
 	version string
 	running []*work
@@ -45,13 +47,13 @@
 		w := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		e.running = append(e.running, w)
-		w.began = e.clock.now
-		e.clock.after(w.prompt, func() {
+		w.began = e.clock.Now
+		e.clock.After(w.prompt, func() {
 			if !w.stopped && w.first != nil {
 				w.first()
 			}
 		})
-		e.clock.after(w.prompt+time.Duration(w.events-1)*w.event, func() {
+		e.clock.After(w.prompt+time.Duration(w.events-1)*w.event, func() {
 			if !w.stopped {
 				e.stop(w)
 				w.over()
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -58,8 +58,8 @@
 
 // serve takes a stream: it is sent to an engine, its caller is sent away, or it is held.
 func (g *gateway) serve(s *stream) {
-	d := g.controller.Arrive(g.sim.clock.now, g.outlook(s))
-	if d.Verdict != shed.Send && g.view.NoteOverload(g.sim.clock.now, service) {
+	d := g.controller.Arrive(g.sim.clock.Now, g.outlook(s))
+	if d.Verdict != shed.Send && g.view.NoteOverload(g.sim.clock.Now, service) {
 		g.changed()
 	}
 	switch d.Verdict {
@@ -67,7 +67,7 @@
 		g.send(s)
 	case shed.RetryLater:
 		g.sim.report.SentAway++
-		g.sim.clock.after(d.RetryAfter, func() { g.sim.anyGateway().serve(s) })
+		g.sim.clock.After(d.RetryAfter, func() { g.sim.anyGateway().serve(s) })
 	case shed.Queue:
 		g.enqueue(s, d.Queued)
 	case shed.Reject:
@@ -77,7 +77,7 @@
 
 // outlook is what a stream that comes now may expect.
 func (g *gateway) outlook(s *stream) shed.Request {
-	now, o := g.sim.clock.now, &g.sim.options
+	now, o := g.sim.clock.Now, &g.sim.options
 	p := g.view.Estimate(now, corefleet.Work{Service: service})
 	return shed.Request{
 		ExpectedWait: p.Wait, HoldTime: p.HoldTime, StartRate: p.StartRate, LatencyGoal: o.Goal, Remaining: o.Patience - now.Sub(s.came), InitialTimeout: o.Patience, IdleTimeout: o.Stay,
@@ -88,30 +88,30 @@
 const queuePollInterval = 10 * time.Millisecond
 
 func (g *gateway) enqueue(s *stream, t *shed.QueuedRequest) {
-	g.sim.clock.after(queuePollInterval, func() {
-		if g.controller.Recheck(g.sim.clock.now, t, g.outlook(s)) == shed.Queue {
+	g.sim.clock.After(queuePollInterval, func() {
+		if g.controller.Recheck(g.sim.clock.Now, t, g.outlook(s)) == shed.Queue {
 			g.enqueue(s, t)
 			return
 		}
-		g.controller.Dequeue(g.sim.clock.now, t, true)
+		g.controller.Dequeue(g.sim.clock.Now, t, true)
 		g.send(s)
 	})
 }
 
 func (g *gateway) send(s *stream) {
-	now, o := g.sim.clock.now, &g.sim.options
+	now, o := g.sim.clock.Now, &g.sim.options
 	c, _ := g.view.PickOnline(now, corefleet.Work{Service: service}, nil) // there is one: engines that are there never fail
 	id := c.Target.ID
 	g.view.Begin(now, id, structs.ClassOnline)
 	g.preempt()
 	g.changed()
 	g.sim.engines[id].take(&work{prompt: o.Prompt, event: o.Event, events: s.events,
-		first: func() { g.sim.report.first(g.sim.clock.now.Sub(s.came), o.Goal) },
+		first: func() { g.sim.report.first(g.sim.clock.Now.Sub(s.came), o.Goal) },
 		over: func() {
 			if !c.IsQueued() {
-				g.view.RecordHoldTime(service, g.sim.clock.now.Sub(now))
+				g.view.RecordHoldTime(service, g.sim.clock.Now.Sub(now))
 			}
-			g.view.End(g.sim.clock.now, id, structs.ClassOnline)
+			g.view.End(g.sim.clock.Now, id, structs.ClassOnline)
 			g.changed()
 			g.startItems()
 		}})
@@ -121,7 +121,7 @@
 func (g *gateway) startItems() {
 	g.sort()
 	for len(g.items) > 0 {
-		now := g.sim.clock.now
+		now := g.sim.clock.Now
 		if now.Before(g.nextStart) {
 			return
 		}
@@ -134,7 +134,7 @@
 		g.start(it, id)
 		if pause := g.sim.options.StartPause; pause > 0 {
 			g.nextStart = now.Add(pause)
-			g.sim.clock.after(pause, g.startItems)
+			g.sim.clock.After(pause, g.startItems)
 			return
 		}
 	}
@@ -230,7 +230,7 @@
 }
 
 // slack is how long an item's start can be deferred.
-func (g *gateway) slack(it *item) time.Duration { return it.due.Sub(g.sim.clock.now) - g.remaining(it) }
+func (g *gateway) slack(it *item) time.Duration { return it.due.Sub(g.sim.clock.Now) - g.remaining(it) }
 
 // remaining is how long an item still has to run.
 func (g *gateway) remaining(it *item) time.Duration {
@@ -242,13 +242,13 @@
 	r := &run{item: it, target: id}
 	it.waitsSince = time.Time{}
 	r.work = &work{prompt: o.Prompt, event: o.Event, events: it.left, over: func() {
-		g.sim.report.done(g.sim.clock.now, it)
+		g.sim.report.done(g.sim.clock.Now, it)
 		g.end(r)
 		g.startItems()
 	}}
 	g.runs = append(g.runs, r)
 	g.sim.report.Runs++
-	g.view.Begin(g.sim.clock.now, id, structs.ClassBatch)
+	g.view.Begin(g.sim.clock.Now, id, structs.ClassBatch)
 	g.changed()
 	g.sim.engines[id].take(r.work)
 }
@@ -256,14 +256,14 @@
 // end counts a run as over.
 func (g *gateway) end(r *run) {
 	g.runs = slices.DeleteFunc(g.runs, func(other *run) bool { return other == r })
-	g.view.End(g.sim.clock.now, r.target, structs.ClassBatch)
+	g.view.End(g.sim.clock.Now, r.target, structs.ClassBatch)
 	g.changed()
 }
 
 // preempt cuts off as many items as online requests need slots: the newest first, or those that lose least if the costs
 // are predicted.
 func (g *gateway) preempt() {
-	cuts := g.view.Preempt(g.sim.clock.now)
+	cuts := g.view.Preempt(g.sim.clock.Now)
 	for _, id := range slices.Sorted(maps.Keys(cuts)) {
 		var there []*run
 		for _, r := range slices.Backward(g.runs) {
@@ -282,7 +282,7 @@
 
 // loss is what is lost by cutting a run, as in the product; no events are saved in the model.
 func (g *gateway) loss(r *run) float64 {
-	made := r.work.made(g.sim.clock.now)
+	made := r.work.made(g.sim.clock.Now)
 	if made == 0 {
 		return -1
 	}
@@ -292,10 +292,10 @@
 // cut ends a run; its item goes on later from its last event.
 func (g *gateway) cut(r *run) {
 	g.sim.report.Cut++
-	if r.work.made(g.sim.clock.now) == 0 {
+	if r.work.made(g.sim.clock.Now) == 0 {
 		g.sim.report.CutWithoutGain++
 	}
-	made := min(r.work.made(g.sim.clock.now), r.item.left-1)
+	made := min(r.work.made(g.sim.clock.Now), r.item.left-1)
 	if made > 0 && r.item.made == 0 {
 		r.item.version = g.sim.engines[r.target].version
 	}
@@ -317,7 +317,7 @@
 	if !g.sim.policy.Off.IsEnabled(policy.FeasibleFirst) {
 		return due
 	}
-	return backlog.StartKey(g.sim.clock.now, due, g.remaining(it), 0, false)
+	return backlog.StartKey(g.sim.clock.Now, due, g.remaining(it), 0, false)
 }
 
 func (g *gateway) sort() {
@@ -330,20 +330,20 @@
 		return
 	}
 	g.dirty = true
-	g.sim.clock.after(max(0, tellGap-g.sim.clock.now.Sub(g.told)), g.tell)
+	g.sim.clock.After(max(0, tellGap-g.sim.clock.Now.Sub(g.told)), g.tell)
 }
 
 func (g *gateway) tell() {
 	g.dirty = false
-	g.told = g.sim.clock.now
+	g.told = g.sim.clock.Now
 	g.view.SetDemand(g.want())
-	report := g.view.Report(g.sim.clock.now)
+	report := g.view.Report(g.sim.clock.Now)
 	for _, peer := range g.sim.gateways {
 		if peer == g {
 			continue
 		}
-		g.sim.clock.after(g.sim.options.Lag, func() {
-			peer.view.ApplyReport(g.sim.clock.now, g.name, report)
+		g.sim.clock.After(g.sim.options.Lag, func() {
+			peer.view.ApplyReport(g.sim.clock.Now, g.name, report)
 			peer.preempt()
 			peer.startItems()
 		})
@@ -362,11 +362,11 @@
 	var look, tell func()
 	look = func() {
 		g.startItems()
-		g.sim.clock.after(looks, look)
+		g.sim.clock.After(looks, look)
 	}
 	tell = func() {
 		g.changed()
-		g.sim.clock.after(refresh, tell)
+		g.sim.clock.After(refresh, tell)
 	}
 	look()
 	tell()
--- a/internal/lab/fleet/sim.go
+++ b/internal/lab/fleet/sim.go
@@ -9,6 +9,7 @@
 	corefleet "arbutusramp/core/fleet"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/shed"
+	"arbutusramp/internal/lab/virtual"
 )
 
 // service is that of all engines.
@@ -21,7 +22,7 @@
 type sim struct {
 	options  Options
 	policy   Policy
-	clock    *clock
+	clock    *virtual.Clock
 	rng      *rand.Rand
 	engines  map[string]*engine
 	gateways []*gateway
@@ -42,7 +43,7 @@
 
 func newSim(o Options, p Policy) *sim {
 	s := &sim{
-		options: o, policy: p, clock: &clock{now: time.Unix(0, 0)}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
+		options: o, policy: p, clock: &virtual.Clock{Now: time.Unix(0, 0)}, rng: rand.New(rand.NewPCG(o.Seed, 1)),
 		engines: make(map[string]*engine), report: newResult(p.Name),
 	}
 	for i := range o.Gateways {
@@ -67,8 +68,8 @@
 	for _, g := range s.gateways {
 		g.live()
 	}
-	end := s.clock.now.Add(time.Duration(s.options.Seconds) * time.Second)
-	s.clock.run(end.Add(2 * s.options.Due))
+	end := s.clock.Now.Add(time.Duration(s.options.Seconds) * time.Second)
+	s.clock.Run(end.Add(2 * s.options.Due))
 	s.report.close()
 	return s.report
 }
@@ -80,8 +81,8 @@
 		st := &stream{events: s.length(s.options.StreamEvents)}
 		g := s.anyGateway()
 		s.report.Streams++
-		s.clock.after(at, func() {
-			st.came = s.clock.now
+		s.clock.After(at, func() {
+			st.came = s.clock.Now
 			g.serve(st)
 		})
 	}
@@ -121,12 +122,12 @@
 
 // job hands the items of a job to the gateways that own them.
 func (s *sim) job(at time.Duration) {
-	due := s.clock.now.Add(at + s.options.Due)
+	due := s.clock.Now.Add(at + s.options.Due)
 	for range s.options.JobItems {
 		it := &item{due: due, left: s.length(s.options.ItemEvents)}
 		g := s.anyGateway()
 		s.report.Items++
-		s.clock.after(at, func() {
+		s.clock.After(at, func() {
 			g.queue(it)
 			g.changed()
 			g.startItems()
--- a/internal/lab/parts/play.go
+++ b/internal/lab/parts/play.go
@@ -1,7 +1,6 @@
 package parts
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
+	"arbutusramp/internal/lab/virtual"
 )
 
 const (
@@ -62,11 +62,9 @@
 type play struct {
 	o        Options
 	way      Way
-	now      time.Time
+	clock    virtual.Clock
 	rng      *rand.Rand // of arrivals and choices
 	net      *rand.Rand // of the network
-	events   events
-	order    int
 	gateways []*gateway
 	isDue    []bool // for each gateway, a report is scheduled
 	targets  []*target
@@ -85,7 +83,7 @@
 	}
 	r := &Report{Options: o}
 	for _, w := range ways {
-		p := &play{o: o, way: w, now: start, rng: rand.New(rand.NewPCG(o.Seed, 1)), net: rand.New(rand.NewPCG(o.Seed, 2)),
+		p := &play{o: o, way: w, clock: virtual.Clock{Now: start}, rng: rand.New(rand.NewPCG(o.Seed, 1)), net: rand.New(rand.NewPCG(o.Seed, 2)),
 			isDue: make([]bool, o.Gateways), crashes: make(map[int]int), limit: make(map[int]time.Time), late: make(map[int]int)}
 		r.Ways = append(r.Ways, p.run())
 	}
@@ -104,28 +102,20 @@
 	p.arrivals(p.o.BadFrom, p.o.Bad, true)
 	if p.o.Lose > 0 {
 		for at := p.o.Lose; at < p.o.Duration; at += p.o.Lose {
-			p.at(start.Add(at), p.loseTargets)
+			p.clock.After(at, p.loseTargets)
 		}
 	}
 	if p.o.Restart > 0 {
-		p.at(start.Add(p.o.Restart), func() {
+		p.clock.After(p.o.Restart, func() {
 			for i := 1; i < len(p.gateways); i++ {
 				p.gateways[i] = newGateway(p.way, p.net)
 			}
 		})
 	}
 	for i := range p.gateways {
-		p.after(resendGap, func() { p.resend(i) })
-	}
-	end := start.Add(p.o.Duration)
-	for len(p.events) > 0 {
-		e := heap.Pop(&p.events).(event)
-		if e.at.After(end) {
-			break
-		}
-		p.now = e.at
-		e.run()
+		p.clock.After(resendGap, func() { p.resend(i) })
 	}
+	p.clock.Run(start.Add(p.o.Duration))
 	p.result.Way = p.way.String()
 	for _, n := range p.late {
 		p.result.Late = max(p.result.Late, n)
@@ -148,7 +138,7 @@
 		}
 		r, g := p.newRequest(isDeadly), p.rng.IntN(p.o.Gateways)
 		choice := p.rng.Uint64()
-		p.at(start.Add(at), func() { p.arrive(r, g, choice) })
+		p.clock.After(at, func() { p.arrive(r, g, choice) })
 	}
 }
 
@@ -177,7 +167,7 @@
 
 // arrive has a gateway take a request, which is sent to the target with the fewest runs.
 func (p *play) arrive(r *request, g int, choice uint64) {
-	isLateSound := r.deadly < 0 && !p.last.IsZero() && p.now.After(p.last.Add(2*stable))
+	isLateSound := r.deadly < 0 && !p.last.IsZero() && p.clock.Now.After(p.last.Add(2*stable))
 	if r.deadly < 0 {
 		p.result.Sound++
 	}
@@ -188,7 +178,7 @@
 	if t == nil {
 		return
 	}
-	if !p.gateways[g].isAdmitted(p.now, r) {
+	if !p.gateways[g].isAdmitted(p.clock.Now, r) {
 		if r.deadly < 0 {
 			p.result.Rejected++
 		}
@@ -198,7 +188,7 @@
 		return
 	}
 	p.scheduleReport(g)
-	p.begin(t, &run{request: r, gateway: g, began: p.now})
+	p.begin(t, &run{request: r, gateway: g, began: p.clock.Now})
 }
 
 // pick returns the target with the fewest runs of those with a free slot; nil if there is none.
@@ -218,7 +208,7 @@
 	t.runs = append(t.runs, r)
 	if r.request.deadly >= 0 {
 		p.noteReached(r.request.deadly)
-		p.after(p.o.Prefill, func() {
+		p.clock.After(p.o.Prefill, func() {
 			if !r.isOver {
 				p.noteDeadlyCrash(r.request.deadly)
 				p.crash(t)
@@ -226,14 +216,14 @@
 		})
 		return
 	}
-	p.after(p.o.Prefill+min(quarantine.MinPassDuration, p.o.Answer), func() {
+	p.clock.After(p.o.Prefill+min(quarantine.MinPassDuration, p.o.Answer), func() {
 		if !r.isOver {
-			p.gateways[r.gateway].notePassed(p.now, r.began.Add(p.o.Prefill), r.request)
+			p.gateways[r.gateway].notePassed(p.clock.Now, r.began.Add(p.o.Prefill), r.request)
 			p.count(r.request, 0, 1)
 			p.scheduleReport(r.gateway)
 		}
 	})
-	p.after(p.o.Prefill+p.o.Answer, func() {
+	p.clock.After(p.o.Prefill+p.o.Answer, func() {
 		if !r.isOver {
 			r.isOver = true
 			t.runs = without(t.runs, r)
@@ -254,7 +244,7 @@
 // noteReached counts a deadly request that reaches a target.
 func (p *play) noteReached(deadly int) {
 	p.result.Reached++
-	if limit, ok := p.limit[deadly]; ok && p.now.After(limit) {
+	if limit, ok := p.limit[deadly]; ok && p.clock.Now.After(limit) {
 		p.late[deadly]++
 	}
 }
@@ -263,16 +253,16 @@
 func (p *play) noteDeadlyCrash(deadly int) {
 	p.crashes[deadly]++
 	if p.crashes[deadly] == enough {
-		p.limit[deadly], p.last = p.now.Add(stable), p.now
+		p.limit[deadly], p.last = p.clock.Now.Add(stable), p.clock.Now
 	}
 }
 
 // crash ends all runs at a target, which is replaced later.
 func (p *play) crash(t *target) {
 	p.result.Crashes++
-	id, runs, at := fmt.Sprint("start-", p.result.Crashes), t.runs, p.now
+	id, runs, at := fmt.Sprint("start-", p.result.Crashes), t.runs, p.clock.Now
 	t.runs, t.isDown = nil, true
-	p.after(p.o.Down, func() { t.isDown = false })
+	p.clock.After(p.o.Down, func() { t.isDown = false })
 	for _, r := range runs {
 		r.isOver = true
 		if r.request.deadly < 0 {
@@ -281,8 +271,8 @@
 		if at.Sub(r.began) >= p.o.Prefill+quarantine.MinPassDuration {
 			continue // the run has passed
 		}
-		p.after(p.o.Detect, func() {
-			p.gateways[r.gateway].noteCrash(p.now, r.request, quarantine.NewCrash(id, id, r.began, at))
+		p.clock.After(p.o.Detect, func() {
+			p.gateways[r.gateway].noteCrash(p.clock.Now, r.request, quarantine.NewCrash(id, id, r.began, at))
 			p.count(r.request, 1, 0)
 			p.scheduleReport(r.gateway)
 		})
@@ -294,7 +284,7 @@
 	if p.way != Ratio {
 		return
 	}
-	p.after(p.o.Delay, func() {
+	p.clock.After(p.o.Delay, func() {
 		for _, g := range p.gateways {
 			g.addCounts(r, crashes, passes)
 		}
@@ -313,7 +303,7 @@
 // resend has a gateway send what is due again.
 func (p *play) resend(g int) {
 	p.scheduleReport(g)
-	p.after(resendGap, func() { p.resend(g) })
+	p.clock.After(resendGap, func() { p.resend(g) })
 }
 
 // scheduleReport has a gateway send what is due soon.
@@ -322,13 +312,13 @@
 		return
 	}
 	p.isDue[g] = true
-	p.after(reportGap, func() { p.report(g) })
+	p.clock.After(reportGap, func() { p.report(g) })
 }
 
 // report sends records that are due to all peers, and the rest later.
 func (p *play) report(g int) {
 	p.isDue[g] = false
-	records := p.gateways[g].registry.DueForPeers(p.now, reportRecords)
+	records := p.gateways[g].registry.DueForPeers(p.clock.Now, reportRecords)
 	if len(records) == 0 {
 		return
 	}
@@ -337,9 +327,9 @@
 			continue
 		}
 		delay := p.o.Delay/4 + time.Duration(p.net.Int64N(int64(p.o.Delay)))
-		p.after(delay, func() {
+		p.clock.After(delay, func() {
 			for _, r := range records {
-				p.gateways[i].registry.ApplyPeer(p.now, r, p.now)
+				p.gateways[i].registry.ApplyPeer(p.clock.Now, r, p.clock.Now)
 			}
 		})
 	}
@@ -347,31 +337,3 @@
 		p.scheduleReport(g)
 	}
 }
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func (p *play) at(t time.Time, run func()) {
-	p.order++
-	heap.Push(&p.events, event{t, p.order, run})
-}
-
-func (p *play) after(d time.Duration, run func()) { p.at(p.now.Add(d), run) }
--- a/internal/lab/fleet/clock.go
+++ b/internal/lab/virtual/clock.go
@@ -1,13 +1,15 @@
-package fleet
+// Package virtual runs simulations in virtual time.
+package virtual
 
 import (
 	"container/heap"
 	"time"
 )
 
-// clock runs functions in the order of their virtual times.
-type clock struct {
-	now   time.Time
+// Clock runs functions in the order of their virtual times. Now is the time of the one that runs, and before the first
+// one the time at which the simulation begins.
+type Clock struct {
+	Now   time.Time
 	queue events
 	seq   int
 }
@@ -18,17 +20,17 @@
 	run func()
 }
 
-// after sets f to run once d has passed.
-func (c *clock) after(d time.Duration, f func()) {
+// After sets f to run once d has passed.
+func (c *Clock) After(d time.Duration, f func()) {
 	c.seq++
-	heap.Push(&c.queue, event{c.now.Add(d), c.seq, f})
+	heap.Push(&c.queue, event{c.Now.Add(d), c.seq, f})
 }
 
-// run runs all functions until none is left or the time is over.
-func (c *clock) run(until time.Time) {
+// Run runs all functions until none is left or the time is over.
+func (c *Clock) Run(until time.Time) {
 	for len(c.queue) > 0 && !c.queue[0].at.After(until) {
 		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
+		c.Now = e.at
 		e.run()
 	}
 }
