quarantine: one bounded map of two generations

PassTimes repeated the generations of PassedSet; both hold a generic map of two generations now. One difference: the time of a part is compared with that in the previous generation as well, so that it never goes back, as its comment says. The simulations of parts give the same results.

--- a/core/quarantine/passes.go
+++ b/core/quarantine/passes.go
@@ -8,27 +8,25 @@
 // passTimesGenerationSize is the number of parts in a full generation of PassTimes.
 const passTimesGenerationSize = 4096
 
-// PassTimes holds when the answers of runs with the parts of prompts that have passed in this process last began; see MinPassDuration. It has two
-// generations and holds at least the last passTimesGenerationSize parts. It is safe for concurrent use.
+// PassTimes holds when the answers of runs with the parts of prompts that have passed in this process last began; see
+// MinPassDuration. It holds at least the last passTimesGenerationSize parts. It is safe for concurrent use.
 type PassTimes struct {
 	mu sync.Mutex
-	// current is the generation to which parts are added, previous the full one before it.
-	current, previous map[Fingerprint]time.Time
+	generations[Fingerprint, time.Time]
 }
 
 // NewPassTimes returns a PassTimes without parts.
-func NewPassTimes() *PassTimes { return &PassTimes{current: make(map[Fingerprint]time.Time)} }
+func NewPassTimes() *PassTimes {
+	return &PassTimes{generations: newGenerations[Fingerprint, time.Time](passTimesGenerationSize)}
+}
 
-// Note notes that a run with the parts, whose answer began at answeredAt, has passed. If the current generation is full, it first becomes the
-// previous one, and the one before it is discarded.
+// Note notes that a run with the parts, whose answer began at answeredAt, has passed.
 func (p *PassTimes) Note(answeredAt time.Time, parts []Fingerprint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, part := range parts {
-		if len(p.current) >= passTimesGenerationSize {
-			p.current, p.previous = make(map[Fingerprint]time.Time), p.current
-		}
-		p.current[part] = later(answeredAt, p.current[part])
+		last, _ := p.get(part)
+		p.put(part, later(answeredAt, last))
 	}
 }
 
@@ -36,8 +34,6 @@
 func (p *PassTimes) Last(part Fingerprint) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if at, ok := p.current[part]; ok {
-		return at
-	}
-	return p.previous[part]
+	last, _ := p.get(part)
+	return last
 }
