--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"time"
 
+	"arbutusramp/core/platform"
 	"arbutusramp/platform/wire"
 	"arbutusramp/platform/wiretest"
 	"arbutusramp/review/stand"
@@ -21,6 +22,8 @@
 	host       = "ficu95.example"
 	// stableWindow is the bound stable_window_ms of kelpie-callback, after which machines are in touch.
 	stableWindow = 3 * time.Second
+	// heartbeat is heartbeat_ms of kelpie-callback.
+	heartbeat = 1200 * time.Millisecond
 )
 
 // deployment is a small deployment: a store, runners and gateways.
@@ -31,6 +34,7 @@
 	runs     *stand.Runs
 	runners  []*stand.Runner
 	gateways []*stand.Gateway
+	stopBeat context.CancelFunc
 }
 
 // newDeployment starts the store with a configuration, the runners and the gateways, and waits until the machines are in
@@ -46,10 +50,11 @@
 		if err := r.Start(d.runs, p.record); err != nil {
 			return nil, err
 		}
-		if err := wiretest.PutTarget(ctx, view, r.Entry(zone(i))); err != nil {
+		if err := wiretest.PutRawEntry(ctx, view, r.ID, r.Entry(zone(i), 1)); err != nil {
 			return nil, err
 		}
 	}
+	d.beat(view)
 	d.server = d.store.Serve()
 	for i := range gatewayCount {
 		g, err := stand.NewGateway(fmt.Sprintf("front-%s-%d", zone(i), i), zone(i), p.dir, d.server.Listener.Addr().String())
@@ -71,6 +76,20 @@
 	return d, nil
 }
 
+// beat lets the runners write their entries again and again until the end of the play.
+func (d *deployment) beat(view platform.Store) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stopBeat = cancel
+	go func() {
+		for seq := 2; ctx.Err() == nil; seq++ {
+			time.Sleep(heartbeat)
+			for i, r := range d.runners {
+				_ = wiretest.PutRawEntry(ctx, view, r.ID, r.Entry(zone(i), seq)) // the store in this process takes it
+			}
+		}
+	}()
+}
+
 func zone(i int) string { return []string{"hall-forth", "hall-clyde", "hall-tay"}[i%3] }
 
 // stop ends all processes.
@@ -78,6 +97,7 @@
 	if d == nil {
 		return
 	}
+	d.stopBeat()
 	for _, g := range d.gateways {
 		g.Kill()
 	}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"arbutusramp/platform/wire"
-	"arbutusramp/platform/wiretest"
 )
 
 // Run is one run of a request at a runner.
@@ -66,8 +65,6 @@
 	Queue    int           // requests that wait for a slot; more are rejected as not run
 	Events   int           // events of a stream
 	EventGap time.Duration // time for each event
-	// WeightVersion is the version of its weights; a request that expects another one is rejected. Empty for none.
-	WeightVersion string
 
 	runs     *Runs
 	record   *Record
@@ -76,6 +73,9 @@
 
 	mu      sync.Mutex
 	waiting int
+	// weightVersion is the version of its weights, which its answers tell; 0 for none.
+	weightVersion int
+	lastArrival   time.Time // of a request
 	// secondAnswers is the share of the answers that are sent a second time, at the point where the next answer on the
 	// channel is expected.
 	secondAnswers float64
@@ -102,9 +102,49 @@
 	return nil
 }
 
-// Entry returns the runner's entry in the list of runners.
-func (r *Runner) Entry(zone string) wiretest.TargetEntry {
-	return wiretest.TargetEntry{Name: r.ID, Addr: r.listener.Addr().String(), Domain: zone, Slots: r.Slots}
+// Entry returns the runner's entry in the list of runners, as it writes it for the seq-th time.
+func (r *Runner) Entry(zone string, seq int) []byte {
+	return fmt.Appendf(nil, `{"service":"llm","addr":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"stage":"mixed","models":[{"name":"m","version":%d,"adapters":[]}],"seq":%d}`, r.listener.Addr().String(), zone, r.Slots, r.weights(), seq)
+}
+
+// weights returns the version of the runner's weights.
+func (r *Runner) weights() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.weightVersion
+}
+
+// SetWeightVersion puts weights of another version in place.
+func (r *Runner) SetWeightVersion(version int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.weightVersion = version
+}
+
+// hasExpectedWeights reports whether the runner has the version of weights that a request expects, if it names one.
+func (r *Runner) hasExpectedWeights(req *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	expected := req.Header.Get("X-Arbutusramp-Expect-Version")
+	return expected == "" || expected == strconv.Itoa(r.weightVersion)
+}
+
+// LastArrival returns when the last request arrived that names this runner.
+func (r *Runner) LastArrival() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastArrival
+}
+
+// weightHeader returns the header line that tells the version of the weights.
+func (r *Runner) weightHeader() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastArrival = time.Now()
+	if r.weightVersion == 0 {
+		return ""
+	}
+	return fmt.Sprintf("X-Arbutusramp-Weight-Versions: %d\r\n", r.weightVersion)
 }
 
 // SetSecondAnswers begins the disruption garble with how = "extra late" with a share of the answers; 0 ends it.
@@ -187,9 +227,9 @@
 
 // answer answers one request and reports whether the channel can be used for the next one.
 func (r *Runner) answer(c *channel, reader *bufio.Reader, req *http.Request, id string) bool {
-	expected := req.Header.Get("X-Arbutusramp-Expect-Version")
-	if req.Header.Get(wire.HeaderExpectInstance) != r.ID || expected != "" && expected != r.WeightVersion {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, wire.HeaderNotRun)
+	if req.Header.Get(wire.HeaderExpectInstance) != r.ID || !r.hasExpectedWeights(req) {
+		r.record.Addf("%s: answers 421 to %s", r.ID, id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Arbutusramp-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, r.ID)
 		return err == nil
 	}
 	if req.URL.Path == wire.PathReport {
@@ -233,7 +273,7 @@
 	r.runs.add(id, Run{Runner: r.ID, Began: time.Now(), LastEventID: lastEventID})
 	r.record.Addf("%s: runs %s from event %q", r.ID, id, lastEventID)
 	first, _ := strconv.Atoi(lastEventID) // 0 without the header
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nX-Arbutusramp-Response-Stamp: %s.%s\r\nTransfer-Encoding: chunked\r\n\r\n", wire.HeaderRequestID, id, r.ID, id); err != nil {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nX-Arbutusramp-Response-Stamp: %s.%s\r\n%sTransfer-Encoding: chunked\r\n\r\n", wire.HeaderRequestID, id, r.ID, id, r.weightHeader()); err != nil {
 		return false
 	}
 	for i := first + 1; i <= r.Events; i++ {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/platform/wiretest"
@@ -167,7 +170,13 @@
 	page, err := v.Read(r.Context(), platform.Read{
 		Partition: platform.Partition{Topic: r.FormValue("topic"), Index: int(number("part"))}, From: number("from"), Wait: time.Duration(number("wait_ms")) * time.Millisecond,
 	})
-	if err != nil {
+	var expired *platform.Expired
+	switch {
+	case errors.As(err, &expired):
+		w.WriteHeader(http.StatusGone)
+		fmt.Fprintf(w, `{"first":%d}`, expired.First)
+		return
+	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
