--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The values are those of kelpie-callback, as fleetbench wire prints them, but for addresses and ports.
+	// The values are those of kelpie-callback, as the users' bench prints them, but for addresses and ports.
 	text := render(string(template), map[string]string{
 		"node": name, "zone": zone, "ip": "127.0.0.1", "limits.cpu_share": "0.8", "limits.cores": "1",
 		"listen.front": g.CallersAddr, "listen.ready_addr": g.readyAddr, "port_range.0": fmt.Sprint(ports[2]), "port_range.1": fmt.Sprint(ports[3]),
@@ -137,7 +137,7 @@
 func (g *Gateway) AwaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get("http://" + g.readyAddr + "/-/readyz")
+		resp, err := client.Get("http://" + g.readyAddr + Names.Paths.Ready)
 		if err != nil {
 			continue
 		}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -15,8 +15,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"arbutusramp/platform/wire"
 )
 
 // Run is one run of a request at a runner.
@@ -125,7 +123,7 @@
 func (r *Runner) hasExpectedWeights(req *http.Request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	expected := req.Header.Get("X-Arbutusramp-Expect-Version")
+	expected := req.Header.Get(Names.Headers.ExpectVersion)
 	return expected == "" || expected == strconv.Itoa(r.weightVersion)
 }
 
@@ -144,7 +142,7 @@
 	if r.weightVersion == 0 {
 		return ""
 	}
-	return fmt.Sprintf("X-Arbutusramp-Weight-Versions: %d\r\n", r.weightVersion)
+	return fmt.Sprintf("%s: %d\r\n", Names.Headers.WeightVersions, r.weightVersion)
 }
 
 // SetSecondAnswers begins the disruption garble with how = "extra late" with a share of the answers; 0 ends it.
@@ -192,7 +190,7 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		id := req.Header.Get(wire.HeaderRequestID)
+		id := req.Header.Get(Names.Headers.RequestID)
 		if second != nil {
 			r.record.Addf("%s: second answer of the request before, sent where the answer to %s is expected: %q", r.ID, id, firstLine(second))
 			if _, err := conn.Write(second); err != nil {
@@ -227,12 +225,12 @@
 
 // answer answers one request and reports whether the channel can be used for the next one.
 func (r *Runner) answer(c *channel, reader *bufio.Reader, req *http.Request, id string) bool {
-	if req.Header.Get(wire.HeaderExpectInstance) != r.ID || !r.hasExpectedWeights(req) {
+	if req.Header.Get(Names.Headers.ExpectInstance) != r.ID || !r.hasExpectedWeights(req) {
 		r.record.Addf("%s: answers 421 to %s", r.ID, id)
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Arbutusramp-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, r.ID)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", Names.Headers.RequestID, id, Names.Headers.InstanceID, r.ID)
 		return err == nil
 	}
-	if req.URL.Path == wire.PathReport {
+	if req.URL.Path == Names.Paths.Report {
 		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 13\r\n\r\n{\"running\":0}")
 		return err == nil
 	}
@@ -265,15 +263,15 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, wire.HeaderNotRun)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", Names.Headers.RequestID, id, Names.Headers.NotRun)
 		return err == nil
 	}
 	defer func() { <-r.slots }()
-	lastEventID := req.Header.Get(wire.HeaderLastEventID)
+	lastEventID := req.Header.Get(Names.Headers.LastEventID)
 	r.runs.add(id, Run{Runner: r.ID, Began: time.Now(), LastEventID: lastEventID})
 	r.record.Addf("%s: runs %s from event %q", r.ID, id, lastEventID)
 	first, _ := strconv.Atoi(lastEventID) // 0 without the header
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nX-Arbutusramp-Response-Stamp: %s.%s\r\n%sTransfer-Encoding: chunked\r\n\r\n", wire.HeaderRequestID, id, r.ID, id, r.weightHeader()); err != nil {
+	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: %s.%s\r\n%sTransfer-Encoding: chunked\r\n\r\n", Names.Headers.RequestID, id, Names.Headers.Stamp, r.ID, id, r.weightHeader()); err != nil {
 		return false
 	}
 	for i := first + 1; i <= r.Events; i++ {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -5,7 +5,8 @@
 import (
 	"context"
 	"encoding/binary"
-	"fmt"
+	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -17,7 +18,6 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
-	"arbutusramp/platform/wiretest"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -73,13 +73,21 @@
 // Serve serves the store on a loopback port.
 func (s *Store) Serve() *httptest.Server {
 	v := &view{Store: s, inner: s.Log.View()}
-	all := wiretest.StoreHandler(v)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/log-read", v.serveRead)
-	mux.Handle("/", all)
+	mux.HandleFunc("POST "+Names.Paths.Append, v.serveAppend)
+	mux.HandleFunc("GET "+Names.Paths.Read, v.serveRead)
+	mux.HandleFunc("GET "+Names.Paths.Newest, v.serveNewest)
+	mux.HandleFunc("POST "+Names.Paths.Join, v.serveJoin)
+	mux.HandleFunc("POST "+Names.Paths.Leave, v.serveLeave)
 	return httptest.NewServer(mux)
 }
 
+// Put writes a record to partition 0 of a topic.
+func Put(ctx context.Context, s platform.Store, topic, key string, value []byte) error {
+	_, err := s.Append(ctx, platform.Append{Partition: platform.Partition{Topic: topic}, Records: []platform.KeyedRecord{{Key: key, Value: value}}})
+	return err
+}
+
 // view is the store as its HTTP handler calls it.
 type view struct {
 	*Store
@@ -161,27 +169,61 @@
 	return len(records)
 }
 
-// serveRead serves a read of records. Unlike that of wiretest, it keeps to max_kb.
-func (v *view) serveRead(w http.ResponseWriter, r *http.Request) {
-	number := func(name string) uint64 {
-		n, _ := strconv.ParseUint(r.FormValue(name), 10, 64) // gateways send valid numbers
-		return n
+// number returns the number in a parameter, 0 if it is missing.
+func number(r *http.Request, name string) uint64 {
+	n, _ := strconv.ParseUint(r.FormValue(name), 10, 64) // gateways send valid numbers
+	return n
+}
+
+func partitionOf(r *http.Request) platform.Partition {
+	return platform.Partition{Topic: r.FormValue("topic"), Index: int(number(r, "part"))}
+}
+
+func (v *view) serveAppend(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
 	}
-	page, err := v.Read(r.Context(), platform.Read{
-		Partition: platform.Partition{Topic: r.FormValue("topic"), Index: int(number("part"))}, From: number("from"), Wait: time.Duration(number("wait_ms")) * time.Millisecond,
-	})
-	var expired *platform.Expired
-	switch {
-	case errors.As(err, &expired):
-		w.WriteHeader(http.StatusGone)
-		fmt.Fprintf(w, `{"first":%d}`, expired.First)
+	a := platform.Append{Partition: platform.Partition{Topic: query.Get("topic")}, Records: decodeRecords(body)}
+	a.Partition.Index, _ = strconv.Atoi(query.Get("part")) // gateways send valid numbers
+	if query.Has("at") {
+		at, _ := strconv.ParseUint(query.Get("at"), 10, 64)
+		a.At = &at
+	}
+	if name := query.Get("producer"); name != "" {
+		a.Producer = &platform.Producer{Name: name}
+		a.Producer.Epoch, _ = strconv.ParseUint(query.Get("epoch"), 10, 64)
+		a.Producer.Seq, _ = strconv.ParseUint(query.Get("seq"), 10, 64)
+	}
+	done, err := v.Append(r.Context(), a)
+	if err != nil {
+		writeError(w, err)
 		return
-	case err != nil:
-		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"offset": done.First, "end": done.End})
+}
+
+// decodeRecords decodes the body of an append: for each record its length, that of its key, the key and the value.
+func decodeRecords(body []byte) (records []platform.KeyedRecord) {
+	for len(body) > 0 {
+		length := int(binary.BigEndian.Uint32(body))
+		record := body[4 : 4+length]
+		key := 1 + int(record[0])
+		records = append(records, platform.KeyedRecord{Key: string(record[1:key]), Value: record[key:]})
+		body = body[4+length:]
+	}
+	return records
+}
+
+func (v *view) serveRead(w http.ResponseWriter, r *http.Request) {
+	page, err := v.Read(r.Context(), platform.Read{Partition: partitionOf(r), From: number(r, "from"), Wait: time.Duration(number(r, "wait_ms")) * time.Millisecond})
+	if err != nil {
+		writeError(w, err)
 		return
 	}
 	maxBytes := maxPageBytes
-	if kb := number("max_kb"); kb > 0 {
+	if kb := number(r, "max_kb"); kb > 0 {
 		maxBytes = min(maxBytes, int(kb)<<10)
 	}
 	out := binary.BigEndian.AppendUint64(nil, page.End)
@@ -195,4 +237,82 @@
 	_, _ = w.Write(out) // a write error is ignored: the caller disconnected
 }
 
+func (v *view) serveNewest(w http.ResponseWriter, r *http.Request) {
+	page, err := v.Newest(r.Context(), partitionOf(r), r.FormValue("after"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	items := make([]map[string]any, 0, len(page.Records))
+	for _, record := range page.Records {
+		items = append(items, map[string]any{"key": record.Key, "value": record.Value, "offset": record.Offset})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": page.More, "end": page.End})
+}
+
+// membership is the body of a call about a group.
+type membership struct {
+	Group, Member string
+	Topics        []string
+	TTL           int64 `json:"ttl_ms"`
+	Generation    uint64
+}
+
+func (v *view) serveJoin(w http.ResponseWriter, r *http.Request) {
+	var m membership
+	if json.NewDecoder(r.Body).Decode(&m) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	dealt, err := v.Join(r.Context(), platform.Membership{Group: m.Group, Member: m.Member, Topics: m.Topics, TTL: time.Duration(m.TTL) * time.Millisecond, Generation: m.Generation})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	parts := make([][]any, 0, len(dealt.Held))
+	for _, p := range dealt.Held {
+		parts = append(parts, []any{p.Topic, p.Index, 0})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"generation": dealt.Generation, "ttl_ms": m.TTL, "parts": parts})
+}
+
+func (v *view) serveLeave(w http.ResponseWriter, r *http.Request) {
+	var m membership
+	if json.NewDecoder(r.Body).Decode(&m) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if err := v.Leave(context.WithoutCancel(r.Context()), m.Group, m.Member); err != nil {
+		writeError(w, err)
+	}
+}
+
+// writeError answers a call with an error as the platform's store does. A call whose answer is lost gets none.
+func writeError(w http.ResponseWriter, err error) {
+	var moved *platform.EndMoved
+	var fenced *platform.Fenced
+	var gap *platform.OutOfSequence
+	var expired *platform.Expired
+	switch {
+	case errors.As(err, &moved):
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"end": moved.End})
+	case errors.As(err, &fenced):
+		writeJSON(w, http.StatusConflict, map[string]any{"why": "fenced"})
+	case errors.As(err, &gap):
+		writeJSON(w, http.StatusConflict, map[string]any{"why": "seq", "seq": gap.Expected})
+	case errors.As(err, &expired):
+		writeJSON(w, http.StatusGone, map[string]any{"first": expired.First})
+	case errs.Is(err, errs.AppendUnknown):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a write error is ignored: the caller disconnected
+}
+
 var _ platform.Store = (*view)(nil)
