runner: an answer with another request's id says nothing of this request

Cause: the id of an answer was compared only for answers that did not state a rejection, because valid rejections may lack an id. A late second copy of a rejection stands where the answer to the next request on the connection is expected, and was believed for that request: not run, another instance (421), and the load in its header.

Change: an answer with another id is foreign whatever its status; neither NotRun, OtherInstance nor Pace is set, and the request counts as possibly run. Items end a run with a foreign answer before it counts as activity of the target. Foreign answers are counted.

--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -59,7 +59,8 @@
 	NotRun bool
 	// OtherInstance says that another target has taken over the address.
 	OtherInstance bool
-	// Foreign says that the answer belongs to another request: the connection is out of step.
+	// Foreign says that the answer belongs to another request: the connection is out of step. It says nothing of this
+	// request: neither NotRun nor OtherInstance is set, and Pace is 0.
 	Foreign bool
 	// Pace is how long work takes at the target at this moment, in percent of its usual duration; 0 if the target
 	// does not report it.
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -164,6 +164,9 @@
 		return runInterrupted, false, m.classifyRunError(ctx, t, wd, fromEvent, err)
 	}
 	defer answer.Body.Close()
+	if answer.Foreign {
+		return runInterrupted, false, errs.New(errs.TargetFailed, "the answer belongs to another request")
+	}
 	r.ObservePace(answer)
 	wd.noteEvent()
 	if v, err := m.classifyAnswer(t, r, answer); v != runComplete {
@@ -222,8 +225,6 @@
 		return runInterrupted, errs.New(errs.TargetFailed, "the target's address now belongs to another target")
 	case answer.NotRun:
 		return runInterrupted, errs.Newf(errs.TargetFailed, "the target did not start the item: status %d", answer.Status)
-	case answer.Foreign:
-		return runInterrupted, errs.New(errs.TargetFailed, "the answer belongs to another request")
 	case answer.Status == http.StatusOK:
 		return runComplete, nil
 	case answer.Status == http.StatusUnprocessableEntity:
--- a/internal/fleetview/cost.go
+++ b/internal/fleetview/cost.go
@@ -57,7 +57,7 @@
 
 // ObservePace records the pace that the target of the run has reported in the header of an answer, if it has.
 func (r *Run) ObservePace(ans *platform.TargetAnswer) {
-	if ans.Pace <= 0 || ans.OtherInstance || ans.Foreign {
+	if ans.Pace <= 0 || ans.OtherInstance {
 		return
 	}
 	r.view.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
@@ -37,6 +39,8 @@
 	slowWriteThreshold = time.Second
 	// eventStreamType is the media type of streamed answers.
 	eventStreamType = "text/event-stream"
+	// foreignAnswersMetric counts the attempts at whose place on a connection the answer to another request arrived.
+	foreignAnswersMetric = "online.foreign_answers"
 )
 
 // attempt is one send of a request to a target, with the relay of its answer.
@@ -85,6 +89,9 @@
 		return a.sendError(ctx, err)
 	}
 	defer ans.Body.Close()
+	if ans.Foreign {
+		return a.foreignAnswerError()
+	}
 	a.run.ObservePace(ans)
 	a.isUnframed = ans.IsUnframed
 	if err := a.refusalError(ans); err != nil {
@@ -191,8 +198,15 @@
 	return err
 }
 
-// refusalError returns an error if the target answered that it has not started the request, or if the answer
-// belongs to another request; otherwise nil.
+// foreignAnswerError returns the error of an attempt whose place on the connection the answer to another request has
+// taken. The target may be running the request.
+func (a *attempt) foreignAnswerError() error {
+	a.cancel() // requests and answers on the connection no longer match: it must not be reused
+	metrics.GetOrRegisterCounter(foreignAnswersMetric, a.gw.reg).Inc(1)
+	return errs.New(errs.TargetFailed, "the answer belongs to another request").WithRan(errs.RanUnknown)
+}
+
+// refusalError returns an error if the target answered that it has not started the request; otherwise nil.
 func (a *attempt) refusalError(ans *platform.TargetAnswer) error {
 	switch {
 	case ans.OtherInstance:
@@ -204,9 +218,6 @@
 		a.possibleRuns--
 		a.run.RecordActivity()
 		return errs.Newf(errs.TargetFailed, "the target refused the request with status %d", ans.Status).WithRan(errs.RanNo)
-	case ans.Foreign:
-		a.cancel() // requests and answers on the connection no longer match: it must not be reused
-		return errs.New(errs.TargetFailed, "the answer belongs to another request")
 	}
 	return nil
 }
