Batch items are owed however many targets have crashed under them

Cause: items were judged as online requests are. Three crashes under a content quarantined it, and resource, job, route, similar bodies or parts likewise; an item has no caller that could be told, and only another run of it could clear it.

Change: items are neither checked nor recorded by the quarantine, so that nothing of peers, the store, shared parts or earlier versions holds them, and they neither clear nor cause anything for online requests. An item whose target fails during its run waits until the service is calm: no healthy target, or no more than 2 in 100, has failed within 0.25 to 3 s, which grows with the runs lost in a row; after 5 to 40 s it runs even if the service is not calm. A single failure costs 80 ms, as before. Failures are those of this gateway and of its peers' reports. Removed: scopes of jobs, the wait of 20 s and 40 s, suspects one at a time, giving up after the retention, interrupted runs as evidence.

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -18,7 +18,7 @@
 	Host        string        `cbor:"3,keyasint"`           // host name of the submission; selects the items' route
 	SubmittedMs int64         `cbor:"4,keyasint"`           // milliseconds since 1970, by the accepting process's clock
 	DueWithin   time.Duration `cbor:"5,keyasint"`           // time after SubmittedMs within which the items should be finished
-	RetainFor   time.Duration `cbor:"6,keyasint"`           // time after SubmittedMs during which no quarantined item is given up
+	RetainFor   time.Duration `cbor:"6,keyasint"`           // time after SubmittedMs during which no item is given up; read by earlier software versions only
 	MaxAttempts int           `cbor:"7,keyasint"`           // failed runs after which an item gets the outcome Errored
 	Items       []Item        `cbor:"8,keyasint"`           // the requests of the job
 	Rank        int           `cbor:"9,keyasint,omitempty"` // urgency of the job among all jobs; 0 is the most urgent
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -90,6 +90,7 @@
 	// only these, because there may be many hundred targets.
 	ownBatchTargets map[string]*targetState
 	peers           map[Peer]*peer
+	failures        map[string]*FailureLog // by service
 	// nextExpiry is a time before which no peer expires; zero until it is computed.
 	nextExpiry time.Time
 	demand     Demand
@@ -170,7 +171,7 @@
 // New returns a Fleet without targets and peers.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
+		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), failures: make(map[string]*FailureLog), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
 		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}), overloads: make(map[string]*overload),
 	}
 	f.predictions, f.forecasts = f.costs, f.demands
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -88,6 +88,9 @@
 		return false
 	}
 	h := &ts.health
+	if h.failures == 0 {
+		f.noteFailed(now, ts.Service)
+	}
 	h.failures++
 	h.isPeerReported = false
 	h.suspectUntil = now.Add(min(maxSuspectTime, minSuspectTime<<min(h.failures-1, 4)))
@@ -121,6 +124,7 @@
 	if ts.health.state(now) != healthy || now.Sub(ts.health.lastReceived) < minSilenceForPeerReport {
 		return
 	}
+	f.noteFailed(now, ts.Service)
 	ts.health.failures, ts.health.isPeerReported = 1, true
 	ts.health.suspectUntil = now.Add(minSuspectTime)
 }
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -1,11 +1,11 @@
 // Package quarantine decides which requests must not be sent to any target because several targets have
-// crashed while running them. Without it, retries by the caller, by other gateways or by the backlog send
-// such a request to one target after another until none is left. The package does no I/O; package
-// internal/quarantine detects the crashes, exchanges the records between processes and checks requests before
-// they are sent.
+// crashed while running them. Without it, retries by the caller or by other gateways send
+// such a request to one target after another until none is left. Batch items have no part in it: they are never
+// suspected, and wait in another way; see core/backlog.CrashWait. The package does no I/O; package internal/quarantine
+// detects the crashes, exchanges the records between processes and checks requests before they are sent.
 //
 // A content is what a request and its repeats have in common; a scope is what several contents share: a part of their
-// prompts, similar bodies, the address of their caller, a resource, a batch job or a route. A record lists the crashes of
+// prompts, similar bodies, the address of their caller, a resource or a route. A record lists the crashes of
 // one content or scope. A trial is a request that is sent although its content or one of its scopes is quarantined, to
 // find out whether it crashes a target.
 package quarantine
@@ -15,7 +15,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
-	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,9 +54,8 @@
 type Content struct {
 	// Request is the request, or one of its repeats.
 	Request *serving.Request
-	// route is the name of the request's route, job the id of its batch job; each is empty if the request has
-	// none.
-	route, job string
+	// route is the name of the request's route; empty if it has none.
+	route string
 
 	subjectOnce sync.Once // guards the computation of subject
 	subject     Subject
@@ -72,10 +70,9 @@
 // NewContent returns the content of r. The caller must not change r afterwards.
 func NewContent(r *serving.Request) *Content { return &Content{Request: r} }
 
-// SetRouteAndJob sets the name of the request's route and the id of its batch job; each is empty if the request
-// has none. It returns c and must be called before other goroutines use c.
-func (c *Content) SetRouteAndJob(route, job string) *Content {
-	c.route, c.job = route, job
+// SetRoute sets the name of the request's route. It returns c and must be called before other goroutines use c.
+func (c *Content) SetRoute(route string) *Content {
+	c.route = route
 	return c
 }
 
@@ -106,12 +103,11 @@
 	similarScope  = "\x00similar"
 	callerScope   = "\x00caller"
 	resourceScope = "\x00resource"
-	jobScope      = "\x00job"
 	routeScope    = "\x00route"
 )
 
-// Subject returns the fingerprints of the content and of its scopes: the resource (method, host and path), the
-// batch job and the route, each within the workspace, similar bodies and the address of the caller, each within
+// Subject returns the fingerprints of the content and of its scopes: the resource (method, host and path) and the
+// route, each within the workspace, similar bodies and the address of the caller, each within
 // workspace and route, and the parts of the prompt, each within workspace and model. They are computed once, on the first
 // call.
 func (c *Content) Subject() Subject {
@@ -120,11 +116,6 @@
 		workspace := r.Caller.Workspace
 		c.subject.Content = FingerprintOf(r)
 		c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, resourceScope, workspace, r.Method, r.Host, r.URI))
-		if c.job != "" {
-			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, jobScope, workspace, c.job))
-		}
-		c.subject.IsItem = c.job != ""
-		c.subject.NarrowScopes = len(c.subject.Scopes)
 		if c.route != "" {
 			c.subject.Scopes = append(c.subject.Scopes, hashParts(nil, routeScope, workspace, c.route))
 			c.addNarrowScopes()
@@ -152,11 +143,5 @@
 	}
 }
 
-// IsRelated reports whether the requests of two contents have the same resource or the same batch job.
-func (c *Content) IsRelated(other *Content) bool {
-	a, b := c.Subject(), other.Subject()
-	return slices.ContainsFunc(a.Scopes[:a.NarrowScopes], func(f Fingerprint) bool { return slices.Contains(b.Scopes[:b.NarrowScopes], f) })
-}
-
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -95,8 +95,6 @@
 	// unexplained is the result of Registry.unexplainedCrashes when Registry.changes was unexplainedAt.
 	unexplained   []Crash
 	unexplainedAt int
-	// recent are the crashes of a scope within recentCrashWindow, one for each content and at most MaxCrashes.
-	recent []recentCrash
 	// isPassPending is set while sendAt is that of a pass which a peer may send first.
 	isPassPending bool
 }
@@ -275,7 +273,6 @@
 	if len(e.Crashes) == previousCount {
 		return false
 	}
-	e.noteRecent(now, []Crash{c})
 	reg.scheduleTrial(e)
 	reg.scheduleAnnouncement(now, e)
 	return true
@@ -317,7 +314,6 @@
 		return false
 	}
 	e.merge(r)
-	e.noteRecent(now, r.Crashes)
 	reg.changes++
 	reg.applyOwnPass(now, e, r)
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
@@ -338,7 +334,6 @@
 	e.stored = r.clone()
 	isNew = !e.covers(r, 0)
 	e.merge(r)
-	e.noteRecent(now, r.Crashes)
 	reg.changes++
 	reg.applyOwnPass(now, e, r)
 	e.announcedLastSeen = later(e.announcedLastSeen, r.LastSeen)
--- a/core/quarantine/scope.go
+++ b/core/quarantine/scope.go
@@ -16,12 +16,6 @@
 	// need cause crashes.
 	minScopeTrialDelay = 5 * time.Second
 	maxScopeTrialDelay = time.Minute
-	// A batch item that was running when a target crashed waits for crashedItemDelay, and twice as long after each
-	// further crash, while a resource or job of it has crashes of at least minScopeContents contents within
-	// recentCrashWindow. Such a scope is cleared by each harmless item that passes, so that its quarantine alone
-	// does not keep the items that crash targets from doing so again.
-	crashedItemDelay  = 20 * time.Second
-	recentCrashWindow = 10 * time.Second
 )
 
 // ScopeKind is the kind of a scope.
@@ -29,7 +23,7 @@
 
 // Kinds of scopes. Records of software versions without kinds have SharedScope.
 const (
-	SharedScope  ScopeKind = iota // a resource, a batch job or a route
+	SharedScope  ScopeKind = iota // a resource or a route
 	SimilarScope                  // contents with similar bodies
 	CallerScope                   // requests from one address
 	PartScope                     // requests with one part in their prompts
@@ -50,13 +44,8 @@
 type Subject struct {
 	// Content is the fingerprint of the request's content.
 	Content Fingerprint
-	// Scopes are the fingerprints of the request's scopes: its resource, its batch job if it has one, and its
-	// route if it has one.
+	// Scopes are the fingerprints of the request's scopes: its resource, and its route if it has one.
 	Scopes []Fingerprint
-	// NarrowScopes is the number of scopes without the route, the first ones in Scopes.
-	NarrowScopes int
-	// IsItem reports whether the request is a batch item, which can wait.
-	IsItem bool
 	// Similar are the fingerprints of the similarity scopes, Caller is that of the caller's address; empty and zero if
 	// the request has none.
 	Similar []Fingerprint
@@ -137,7 +126,7 @@
 // Block describes the quarantine of a scope that forbids to send a request.
 type Block struct {
 	Scope   Fingerprint
-	Kind    string    // KindPart, "similar", "caller", "resource", "job" or "route"
+	Kind    string    // KindPart, "similar", "caller", "resource" or "route"
 	Crashes int       // in the record of the scope
 	Until   time.Time // when this process may send the next request of the scope as a trial
 	Part    int       // with the kind "part", its index in the prompt of the request
@@ -152,9 +141,6 @@
 	if reg.hasPassed(s) {
 		return Block{}, false
 	}
-	if b, isHeld := reg.heldItem(now, s); isHeld {
-		return b, true
-	}
 	isSimilar := reg.isSimilar(now, s)
 	for f, kind := range s.scopes() {
 		if kind == SimilarScope && !isSimilar || !reg.Check(now, f) {
@@ -169,68 +155,15 @@
 	return Block{}, false
 }
 
-// heldItem reports whether a batch item must wait because of crashedItemDelay, and until when.
-func (reg *Registry) heldItem(now time.Time, s Subject) (b Block, isHeld bool) {
-	e, ok := reg.entries[s.Content]
-	if !s.IsItem || !ok || len(e.Crashes) == 0 {
-		return Block{}, false
-	}
-	crashes := reg.unexplainedCrashes(e)
-	if len(crashes) == 0 {
-		return Block{}, false
-	}
-	until := crashes[0].BrokenAt.Add(crashedItemDelay << (len(crashes) - 1))
-	if !now.Before(until) {
-		return Block{}, false
-	}
-	for _, f := range s.Scopes[:s.NarrowScopes] {
-		if scope, ok := reg.entries[f]; ok && scope.countRecentContents(now) >= minScopeContents {
-			return Block{Scope: f, Kind: s.scopeName(f, SharedScope), Crashes: len(scope.recent), Until: until}, true
-		}
-	}
-	return Block{}, false
-}
-
-// recentCrash is a crash of a scope, which stays known for recentCrashWindow after the scope was cleared.
-type recentCrash struct {
-	contentDigest uint64
-	notedAt       time.Time // by the clock of this process
-}
-
-// noteRecent adds the crashes of a scope that were not known before to the recent ones.
-func (e *entry) noteRecent(now time.Time, crashes []Crash) {
-	e.recent = slices.DeleteFunc(e.recent, func(c recentCrash) bool { return now.Sub(c.notedAt) > recentCrashWindow })
-	for _, c := range crashes {
-		isKnown := slices.ContainsFunc(e.recent, func(r recentCrash) bool { return r.contentDigest == c.ContentDigest })
-		if !isKnown && len(e.recent) < MaxCrashes && now.Sub(c.BrokenAt) < recentCrashWindow {
-			e.recent = append(e.recent, recentCrash{c.ContentDigest, now})
-		}
-	}
-}
-
-// countRecentContents returns how many different contents crashed targets were running within recentCrashWindow.
-func (e *entry) countRecentContents(now time.Time) int {
-	n := 0
-	for _, c := range e.recent {
-		if now.Sub(c.notedAt) <= recentCrashWindow {
-			n++
-		}
-	}
-	return n
-}
-
 // scopeName returns the name of the kind of one of the request's scopes for Block.Kind.
 func (s Subject) scopeName(f Fingerprint, kind ScopeKind) string {
-	index := slices.Index(s.Scopes, f)
 	switch {
 	case kind == SimilarScope:
 		return "similar"
 	case kind == CallerScope:
 		return "caller"
-	case index >= s.NarrowScopes:
+	case slices.Index(s.Scopes, f) > 0:
 		return "route"
-	case index > 0:
-		return "job"
 	}
 	return "resource"
 }
@@ -284,20 +217,6 @@
 	return unexplained
 }
 
-// IsSuspect reports whether a target has crashed while running a request of the same resource or batch job,
-// and neither the resource or job has been cleared since nor a run of the request's content has passed.
-func (reg *Registry) IsSuspect(s Subject) bool {
-	if reg.hasPassed(s) {
-		return false
-	}
-	for _, f := range s.Scopes[:s.NarrowScopes] {
-		if reg.CrashCount(f) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // MaxScopeCrashes returns the highest number of crashes in the records of the request's scopes.
 func (reg *Registry) MaxScopeCrashes(s Subject) int {
 	highest := 0
--- a/internal/backlog/compact.go
+++ b/internal/backlog/compact.go
@@ -12,9 +12,8 @@
 const (
 	// compactionInterval is the interval between two searches for expired jobs.
 	compactionInterval = 10 * time.Second
-	// maxClockSkew is added to the time for which a job is kept and to the time for which a quarantined item is
-	// retried. Both begin at the submission time by the clock of the accepting process, and clocks differ between
-	// hosts.
+	// maxClockSkew is added to the time for which a job is kept, which begins at the submission time by the clock of the
+	// accepting process: clocks differ between hosts.
 	maxClockSkew = time.Minute
 )
 
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,7 +15,6 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/events"
 	"arbutusramp/core/platform"
-	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/telemetry"
@@ -43,6 +43,7 @@
 
 const (
 	runInterrupted runVerdict = iota // the item resumes later, after its last event
+	runLost                          // the target has failed during the run; the item resumes later
 	runComplete                      // the item has its whole output
 	runFailed                        // the target has answered with status 500; counts as a failed attempt
 	runRejected                      // the target has answered with status 422; no target can run the item
@@ -58,7 +59,7 @@
 		"version", r.Target.Version, "parts", t.item().Prompt.String(), "from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
 	}
 	m.sentLog.Info(began, "item sent", append(fields, r.ForecastFields()...)...)
-	v, isUnframed, err := m.streamItem(ctx, t, r, route)
+	v, err := m.streamItem(ctx, t, r)
 	m.costs.Record(r, v == runComplete && fromEvent == "", "item", t.item().ID)
 	r.Done()
 	took := time.Since(began)
@@ -66,10 +67,9 @@
 	telemetry.Observe(m.registry, runMetric, took)
 	m.runTimes.ObserveRun(t.job.Route, t.eventCount()-eventsBefore, took)
 	if v == runComplete {
-		m.noteServed(t, r, fromEvent, isUnframed)
 		m.runTimes.ObserveItem(t.job.Route, t.eventCount(), t.item().Tokens)
 	}
-	toEvent, isPreempted := t.lastEvent(), t.finishRun(r.Target.ID, v)
+	toEvent, isPreempted := t.lastEvent(), t.finishRun(runEnd{target: r.Target.ID, verdict: v, hasAdvanced: t.eventCount() > eventsBefore})
 	m.scheduler.notifyRunFinished()
 	if isPreempted && t.eventCount() == eventsBefore {
 		metrics.GetOrRegisterCounter(cutWithoutGainMetric, m.registry).Inc(1)
@@ -84,7 +84,7 @@
 
 // String returns the verdict as it is logged.
 func (v runVerdict) String() string {
-	return [...]string{"go on", "complete", "failed", "hopeless"}[v]
+	return [...]string{"go on", "target lost", "complete", "failed", "hopeless"}[v]
 }
 
 // bodyChecksum returns the checksum that identifies an item's body in the log lines about receiving, sending
@@ -99,11 +99,18 @@
 	return err.Error()
 }
 
-// finishRun applies the verdict on a run at the target to the task, and passes the item's result to the shard
-// if the run decides it. It reports whether the run was preempted. The run counts as active until the verdict
-// is applied: the scheduler starts a task again that has no active run and no outcome.
-func (t *task) finishRun(target string, v runVerdict) (isPreempted bool) {
-	result, isPreempted := t.applyVerdict(target, v)
+// runEnd describes the end of a run.
+type runEnd struct {
+	target      string // id of the target
+	verdict     runVerdict
+	hasAdvanced bool // the run has added events to the text
+}
+
+// finishRun applies the end of a run to the task, and passes the item's result to the shard if the run decides it. It
+// reports whether the run was preempted. The run counts as active until the verdict is applied: the scheduler starts a
+// task again that has no active run and no outcome.
+func (t *task) finishRun(end runEnd) (isPreempted bool) {
+	result, isPreempted := t.applyVerdict(end)
 	if result != nil && !t.shard.enqueueResult(result) {
 		// The shard has been released, so the result can't be written here. It is saved as progress, so that the
 		// next owner writes it without running the whole item again. This happens if the process was suspended and
@@ -114,13 +121,21 @@
 	return isPreempted
 }
 
-// applyVerdict updates the task after a run at the target. It returns the item's result if the run decides
-// it, else nil. The caller passes the result to the shard, which must not happen under the task's lock.
-func (t *task) applyVerdict(target string, v runVerdict) (result *pendingResult, isPreempted bool) {
+// applyVerdict updates the task after a run. It returns the item's result if the run decides it, else nil. The caller
+// passes the result to the shard, which must not happen under the task's lock.
+func (t *task) applyVerdict(end runEnd) (result *pendingResult, isPreempted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hasActiveRun = false
-	switch v {
+	if end.hasAdvanced {
+		t.lostRuns = 0
+	}
+	switch end.verdict {
+	case runLost:
+		t.lostRuns++
+		t.lostAt, t.crashWait = time.Now(), backlog.NewCrashWait(t.lostRuns, rand.Float64())
+		t.avoidTargets = []string{end.target}
+		return nil, t.isPreempted
 	case runComplete:
 		return t.setOutcome(backlog.Complete, string(t.text)), t.isPreempted
 	case runRejected:
@@ -136,41 +151,31 @@
 		t.avoidTargets = nil
 		return nil, true
 	}
-	t.avoidTargets = []string{target}
+	t.avoidTargets = []string{end.target}
 	t.notBefore = time.Now().Add(retryDelay)
 	return nil, false
 }
 
-// noteServed reports to the quarantine that the target has sent the whole output of the item.
-func (m *Manager) noteServed(t *task, r *fleetview.Run, fromEvent string, isUnframed bool) {
-	answeredAt := time.Now().Add(-r.SinceFirstEvent())
-	if isUnframed {
-		m.opts.Quarantine.NoteServedUnframed(brokenRun(t, r, fromEvent, nil), answeredAt)
-		return
-	}
-	m.opts.Quarantine.NoteServed(t.content, answeredAt)
-}
-
 // streamItem sends the item to the target of r and appends the events of its stream to the task. It returns the
-// verdict on the run, and the reason unless that is runComplete; isUnframed is that of the answer.
-func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run, route *serving.Route) (v runVerdict, isUnframed bool, err error) {
+// verdict on the run, and the reason unless that is runComplete.
+func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run) (runVerdict, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := newWatchdog(ctx, cancel, r)
 	r.OnTargetEnd(cancel)
 	fromEvent := t.lastEvent()
-	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.content.Request, ResumeAfter: fromEvent})
+	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request, ResumeAfter: fromEvent})
 	if err != nil {
-		return runInterrupted, false, m.classifyRunError(ctx, t, wd, fromEvent, err)
+		return m.classifyRunError(ctx, t, wd, err)
 	}
 	defer answer.Body.Close()
 	if answer.Foreign {
-		return runInterrupted, false, errs.New(errs.TargetFailed, "the answer belongs to another request")
+		return runInterrupted, errs.New(errs.TargetFailed, "the answer belongs to another request")
 	}
 	r.ObservePace(answer)
 	wd.noteEvent()
 	if v, err := m.classifyAnswer(t, r, answer); v != runComplete {
-		return v, answer.IsUnframed, err
+		return v, err
 	}
 	eventsLeft := m.runTimes.EventsLeft(t.job.Route, t.item().Tokens, t.eventCount())
 	reader := events.NewReader(answer.Body)
@@ -180,19 +185,17 @@
 			err = io.ErrUnexpectedEOF // as from a target that crashes when it begins to answer
 		}
 		if err == io.EOF {
-			return runComplete, answer.IsUnframed, nil
+			return runComplete, nil
 		}
 		if err != nil {
-			return runInterrupted, answer.IsUnframed, m.classifyRunError(ctx, t, wd, fromEvent, err)
+			return m.classifyRunError(ctx, t, wd, err)
 		}
 		wd.noteEvent()
-		if sinceFirst := r.RecordEvent(); sinceFirst >= quarantine.MinPassDuration && t.markPassed() {
-			m.opts.Quarantine.NotePassed(t.content, time.Now().Add(-sinceFirst))
-		}
+		r.RecordEvent()
 		eventsLeft--
 		unsavedEvents, err := t.appendEvent(e, r, isFirst)
 		if err != nil {
-			return runInterrupted, answer.IsUnframed, err
+			return runInterrupted, err
 		}
 		r.RecordProgress(unsavedEvents, eventsLeft)
 	}
@@ -235,39 +238,33 @@
 	return runInterrupted, errs.Newf(errs.TargetFailed, "the target answered with status %d", answer.Status)
 }
 
-// brokenRun returns the description, as it is reported to the quarantine, of a run that has ended before the
-// item's output was complete. The run began after the event fromEvent; err is the reason of its end.
-func brokenRun(t *task, r *fleetview.Run, fromEvent string, err error) quarantine.BrokenRun {
-	return quarantine.BrokenRun{
-		Content: t.content, Target: r.Target, StartID: r.Target.ID, BeganAt: r.StartedAt(), FromEvent: fromEvent, ToEvent: t.lastEvent(),
-		HasPassed: r.SinceFirstEvent() >= quarantine.MinPassDuration, HasCrashed: r.HasTargetEnded(), Err: err,
-	}
-}
-
-// classifyRunError reports a run that has ended with err to the quarantine, and returns the error that states
-// why it ended. A lost connection counts as a failure of the target, unless this process has cancelled the
-// run.
-func (m *Manager) classifyRunError(ctx context.Context, t *task, wd *watchdog, fromEvent string, err error) error {
+// classifyRunError returns the verdict on a run that has ended with err, and the error that states why. A lost connection
+// counts as a failure of the target, unless this process has cancelled the run.
+func (m *Manager) classifyRunError(ctx context.Context, t *task, wd *watchdog, err error) (runVerdict, error) {
 	r := wd.run
-	if r.HasTargetEnded() && errs.As(err).Ran != errs.RanNo {
-		err = errs.New(errs.StreamBroken, "the target has restarted")
-		m.opts.Quarantine.NoteBrokenOff(brokenRun(t, r, fromEvent, err))
-		return err
-	}
-	if wd.hasCancelledRun.Load() {
-		err = errs.New(errs.TargetTimeout, "the target sent nothing for too long")
-		m.opts.Quarantine.NoteSilent(brokenRun(t, r, fromEvent, err))
-		return err
-	}
-	if ctx.Err() != nil {
-		m.opts.Quarantine.NoteInterrupted(brokenRun(t, r, fromEvent, err))
-		return errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	hasBegun := errs.As(err).Ran != errs.RanNo
+	switch {
+	case r.HasTargetEnded() && hasBegun:
+		return runLost, errs.New(errs.StreamBroken, "the target has restarted")
+	case wd.hasCancelledRun.Load():
+		return cancelledVerdict(r), errs.New(errs.TargetTimeout, "the target sent nothing for too long")
+	case ctx.Err() != nil:
+		return cancelledVerdict(r), errs.Newf(errs.Cancelled, "%v", ctx.Err())
 	}
 	if r.RecordFailure() {
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
-	if errs.As(err).Ran != errs.RanNo {
-		m.opts.Quarantine.NoteBrokenOff(brokenRun(t, r, fromEvent, err))
+	if hasBegun && m.view.IsInService(r.Target.ID) { // a target that is leaving may end at any time
+		return runLost, err
+	}
+	return runInterrupted, err
+}
+
+// cancelledVerdict returns the verdict on a run that this process has cancelled. If its target has failed, also in other
+// runs, the run would have been lost.
+func cancelledVerdict(r *fleetview.Run) runVerdict {
+	if r.HasTargetFailed() {
+		return runLost
 	}
-	return err
+	return runInterrupted
 }
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -15,7 +15,6 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
-	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/logging"
@@ -28,32 +27,6 @@
 	Route(host, uri string) (*serving.Route, serving.Limits, error)
 }
 
-// Quarantine decides from the runs of items which contents crash targets, and blocks items with such a content.
-type Quarantine interface {
-	// Check returns an error of type errs.Quarantined if items with the content must not be sent to a target.
-	Check(c *quarantine.Content) error
-	// IsSuspect reports whether targets have crashed while running items of the content's resource or job. If so, an
-	// item with this content must not run beside another of the resource or job that has not passed; see NotePassed.
-	IsSuspect(c *quarantine.Content) bool
-	// AdmitRequest is called right before an item is sent. It returns an error of type errs.Quarantined if the item
-	// must not be sent. Unlike Check, it counts the item as the trial if a trial of its quarantined content is due.
-	AdmitRequest(c *quarantine.Content) error
-	// NoteBrokenOff records a run that its target has broken off, or whose connection was lost.
-	NoteBrokenOff(b quarantine.BrokenRun)
-	// NoteInterrupted records a run that this process has cancelled. Its target may still have crashed because of it.
-	NoteInterrupted(b quarantine.BrokenRun)
-	// NoteSilent records a run that this process has cancelled because its target sent nothing for too long.
-	NoteSilent(b quarantine.BrokenRun)
-	// NotePassed records that a run has gone on for quarantine.MinPassDuration after its first event, at answeredAt: the content does not
-	// crash targets at the start of a run.
-	NotePassed(c *quarantine.Content, answeredAt time.Time)
-	// NoteServed records that a target has sent the whole output for the content, from answeredAt on.
-	NoteServed(c *quarantine.Content, answeredAt time.Time)
-	// NoteServedUnframed is NoteServed for an answer whose end its target may have caused by a crash, because only the
-	// end of its connection has ended it.
-	NoteServedUnframed(b quarantine.BrokenRun, answeredAt time.Time)
-}
-
 // Options are the settings of a Manager.
 type Options struct {
 	// MemberID identifies this process instance among the members of the group that owns the shards. A restarted
@@ -72,8 +45,6 @@
 	KeepFor time.Duration
 	// Disabled holds the mechanisms that are switched off.
 	Disabled policy.Disabled
-	// Quarantine decides before each run of an item whether it may be sent.
-	Quarantine Quarantine
 	// Rank returns the number of live processes that take precedence over this one for membership of the group
 	// that owns the shards. Only processes of low rank join; isKnown is false while the rank can't be determined.
 	// If Rank is nil, every process joins.
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
@@ -245,7 +246,7 @@
 			if scan.isBlocked(w) {
 				continue
 			}
-			if sc.deferIfQuarantined(t, now) || sc.mustWaitForRelated(t) {
+			if sc.mustAwaitCalm(t, w.Service, now) {
 				break
 			}
 			isStarted, pick := sc.startRun(ctx, t, route, w)
@@ -305,48 +306,17 @@
 	}
 }
 
-// quarantineRecheckDelay is the time between two checks of a quarantined item. The item leaves the quarantine
-// if another request with the same content is served meanwhile.
-const quarantineRecheckDelay = time.Second
-
-// deferIfQuarantined reports whether a task's content is quarantined. If so, it defers the task as
-// deferQuarantined does.
-func (sc *scheduler) deferIfQuarantined(t *task, now time.Time) bool {
-	if sc.m.opts.Quarantine.Check(t.content) == nil {
+// mustAwaitCalm reports whether a task has to wait because its target failed during its last run, and other targets of
+// the service have failed lately.
+func (sc *scheduler) mustAwaitCalm(t *task, service string, now time.Time) bool {
+	lostRuns, until := t.awaitCalm(func(w backlog.CrashWait) time.Time { return sc.m.view.CalmAt(service, w.Calm, w.Failures) })
+	if !now.Before(until) {
 		return false
 	}
-	sc.deferQuarantined(t, now)
+	sc.deferLog.Info(now, "item waits", "job", t.job.ID, "item", t.item().ID, "service", service, "lost_runs", lostRuns, "until_ms", until.Sub(now).Milliseconds())
 	return true
 }
 
-// mustWaitForRelated reports whether a task whose content is suspect has to wait because another task of the
-// same resource or job runs and has not passed yet. If both ran at the same time, each might crash a target.
-func (sc *scheduler) mustWaitForRelated(t *task) bool {
-	if !sc.m.opts.Quarantine.IsSuspect(t.content) {
-		return false
-	}
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	for _, other := range sc.tasks {
-		if other != t && other.isUnproven() && other.content.IsRelated(t.content) {
-			return true
-		}
-	}
-	return false
-}
-
-// deferQuarantined delays a quarantined task by quarantineRecheckDelay. After the task's giveUpTime it gives
-// the item up, with the outcome Errored.
-func (sc *scheduler) deferQuarantined(t *task, now time.Time) {
-	result, isNew := t.markQuarantined(now)
-	if isNew {
-		sc.m.log.Info("item held", "job", t.job.ID, "item", t.item().ID, "content", t.content.Fingerprint().String(), "until", t.giveUpTime().UTC().Format(time.RFC3339))
-	}
-	if result != nil {
-		t.shard.enqueueResult(result)
-	}
-}
-
 // startRun starts a run of a task if a target of the service has a free slot for it that is expected to last. It
 // reports whether a run was started, and the choice or the reason behind.
 func (sc *scheduler) startRun(ctx context.Context, t *task, route *serving.Route, w fleet.Work) (isStarted bool, pick fleet.BatchPick) {
@@ -362,13 +332,6 @@
 		cancel()
 		return false, pick
 	}
-	if sc.m.opts.Quarantine.AdmitRequest(t.content) != nil {
-		sc.deferQuarantined(t, time.Now())
-		sc.activeRuns.Done()
-		r.Done()
-		cancel()
-		return false, pick
-	}
 	if w.Version == nil {
 		sc.dropText(t)
 	}
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -10,7 +10,6 @@
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/platform"
-	"arbutusramp/core/quarantine"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/telemetry"
 )
@@ -21,14 +20,12 @@
 	job   *backlog.Job
 	index int // of the item in its job
 
-	content *quarantine.Content // the request as it is sent to targets
+	request *serving.Request // as it is sent to targets
 
 	createdAt time.Time // creation of the task; waitMetric measures the time from here to the first run
 
 	mu             sync.Mutex
 	hasRun         bool                   // a run has begun in this process
-	hasPassed      bool                   // a run in this process has gone on for quarantine.MinPassDuration after its first event
-	isQuarantined  bool                   // the last check found the content quarantined
 	hasActiveRun   bool                   // a run has begun and its verdict has not been applied
 	outcome        backlog.Outcome        // stored or queued to be stored; empty while the item is unfinished
 	cancel         context.CancelFunc     // cancels the last run; nil before the first
@@ -45,21 +42,23 @@
 	unroutedChecks int                    // consecutive checks that found no route
 	deferral       deferral               // of the start, since the last run
 	avoidTargets   []string               // ids of targets at which the last run was broken off or failed
+	lostRuns       int                    // runs in a row during which their targets have failed, since one has added events
+	lostAt         time.Time              // end of the last of them
+	crashWait      backlog.CrashWait      // before the next run; valid if lostRuns is not 0
 }
 
 // newTask returns the task of the item at an index of a job, which belongs to shard s.
 func newTask(s *shard, j *backlog.Job, index int) *task {
-	return &task{shard: s, job: j, index: index, content: contentOf(j, index), createdAt: time.Now()}
+	return &task{shard: s, job: j, index: index, request: requestOf(j, index), createdAt: time.Now()}
 }
 
-// contentOf returns the request of the item at an index of a job, as it is sent to targets, in the form in
-// which the quarantine identifies it.
-func contentOf(j *backlog.Job, index int) *quarantine.Content {
+// requestOf returns the request of the item at an index of a job, as it is sent to targets.
+func requestOf(j *backlog.Job, index int) *serving.Request {
 	item := &j.Items[index]
-	return quarantine.NewContent(&serving.Request{
+	return &serving.Request{
 		ID: item.ID, Host: j.Host, Method: http.MethodPost, URI: item.URI,
 		Header: http.Header(item.Header), Body: item.Body, Caller: serving.Caller{Workspace: j.Workspace}, Prompt: item.Prompt,
-	}).SetRouteAndJob(j.Route, j.ID)
+	}
 }
 
 // item returns the item of the task.
@@ -169,23 +168,6 @@
 	return t.hasActiveRun
 }
 
-// isUnproven reports whether the task has an active run and none of its runs has shown that it does not crash
-// its target; see hasPassed.
-func (t *task) isUnproven() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.hasActiveRun && !t.hasPassed
-}
-
-// markPassed sets hasPassed. It reports whether that was not set before.
-func (t *task) markPassed() (isNew bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	isNew = !t.hasPassed
-	t.hasPassed = true
-	return isNew
-}
-
 // canStart reports whether a run may begin: the item is unfinished, has no active run, and its pause is over.
 func (t *task) canStart(now time.Time) bool {
 	t.mu.Lock()
@@ -228,24 +210,17 @@
 	return t.setOutcome(backlog.Errored, "")
 }
 
-// markQuarantined sets isQuarantined and delays the next check. After giveUpTime it gives the item up and
-// returns its result; before, it returns nil, because the content may still be cleared. isNew reports whether
-// the task was not quarantined until now.
-func (t *task) markQuarantined(now time.Time) (result *pendingResult, isNew bool) {
+// awaitCalm delays a task whose target failed during its last run until the service is calm, for a limited time. It returns
+// how many of its runs in a row were lost, and until when it waits; zero if it does not. calmAt returns from when the
+// service counts as calm for a wait.
+func (t *task) awaitCalm(calmAt func(backlog.CrashWait) time.Time) (lostRuns int, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !now.Before(t.giveUpTime()) {
-		return t.setOutcome(backlog.Errored, ""), false
+	if t.lostRuns == 0 {
+		return 0, time.Time{}
 	}
-	isNew = !t.isQuarantined
-	t.isQuarantined = true
-	t.notBefore = now.Add(quarantineRecheckDelay)
-	return nil, isNew
-}
-
-// giveUpTime returns the time from which the item is given up if it is quarantined.
-func (t *task) giveUpTime() time.Time {
-	return time.UnixMilli(t.job.SubmittedMs).Add(t.job.RetainFor + maxClockSkew)
+	t.notBefore = t.crashWait.Until(t.lostAt, calmAt(t.crashWait))
+	return t.lostRuns, t.notBefore
 }
 
 // markStarted sets the task's state at the beginning of a run. cancel cancels the run.
@@ -255,7 +230,7 @@
 	if !t.hasRun {
 		telemetry.Observe(t.shard.m.registry, waitMetric, time.Since(t.createdAt))
 	}
-	t.hasRun, t.isQuarantined = true, false
+	t.hasRun = true
 	t.hasActiveRun, t.isPreempted, t.cancel = true, false, cancel
 	t.unroutedChecks = 0
 	t.pinnedSince = time.Time{}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -67,6 +67,7 @@
 		&fleetCmd{},
 		&originsCmd{},
 		&partsCmd{},
+		&crashesCmd{},
 		&ablateCmd{},
 		&onlineCmd{},
 		&configCmd{},
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -219,6 +219,14 @@
 	return isSuspect
 }
 
+// HasTargetFailed reports whether the target is known to have restarted since the run began, or is listed, has failed and
+// has sent nothing to this process since.
+func (r *Run) HasTargetFailed() bool {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.hasTargetEnded || r.view.fleet.HasFailed(r.Target.ID)
+}
+
 // IsIdle reports whether the target has sent no data to this process since sentAt, the time when a request was
 // sent to it, for so long that it has probably failed.
 func (r *Run) IsIdle(sentAt time.Time) bool {
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -205,6 +205,14 @@
 	return v.fleet.Report(time.Now())
 }
 
+// CalmAt returns the time from which a service counts as calm unless more of its targets fail: only few of them, or the
+// given number, have failed within the window before it. It is zero if the service has been calm all the time.
+func (v *View) CalmAt(service string, window time.Duration, failures int) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.CalmAt(service, window, failures)
+}
+
 // SetDemand records how many batch items this process waits to start, and when the first of them is due.
 func (v *View) SetDemand(demand fleet.Demand) {
 	v.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,7 +183,7 @@
 // complete or the request has failed.
 func (g *Gateway) Serve(ctx context.Context, route *serving.Route, r *serving.Request, callerAnswer platform.CallerAnswer) {
 	ex := &exchange{
-		gw: g, route: route, service: route.Service(r.ID), req: r, content: quarantine.NewContent(r).SetRouteAndJob(route.Name, ""), callerAnswer: callerAnswer,
+		gw: g, route: route, service: route.Service(r.ID), req: r, content: quarantine.NewContent(r).SetRoute(route.Name), callerAnswer: callerAnswer,
 		deadline: r.Arrived.Add(route.Timeout), deadlineSource: "route", lastEventID: r.ResumeAfter,
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(ex.deadline) {
--- a/internal/lab/parts/play.go
+++ b/internal/lab/parts/play.go
@@ -160,7 +160,7 @@
 	}
 	content := quarantine.NewContent(&serving.Request{
 		Method: http.MethodPost, Host: "h", URI: fmt.Sprint("/", p.requests), CallerAddr: "10.0.0.1", Body: body, Prompt: serving.Prompt{Model: "m", Parts: r.parts},
-	}).SetRouteAndJob("route", "")
+	}).SetRoute("route")
 	r.subject = content.Subject()
 	return r
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -121,7 +121,7 @@
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.origins.SetHistory(g.watch)
-	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Quarantine: g.quarantine, Rank: g.loadShare.Rank},
+	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Rank: g.loadShare.Rank},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
 		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Versions: g.watch, Prober: targets, Disabled: s.Off,
--- a/internal/quarantine/interrupted.go
+++ b/internal/quarantine/interrupted.go
@@ -10,11 +10,10 @@
 )
 
 const (
-	// interruptionWindow is the maximum time between the end of a run by this process and the end of another
-	// run that its target breaks off, for the ended run to be suspect as well. Until the cancellation has
-	// reached the target, the ended run may still crash it.
+	// interruptionWindow is the maximum time between the end of an answer without framing and the end of another run that
+	// its target breaks off, for the first run to be suspect as well: when a target crashes, its runs do not all end at once.
 	interruptionWindow = 50 * time.Millisecond
-	// maxInterruptions bounds the number of ended runs that are kept for interruptionWindow.
+	// maxInterruptions bounds the number of such runs that are kept for interruptionWindow.
 	maxInterruptions = 1024
 )
 
@@ -24,7 +23,7 @@
 	target serving.Target
 }
 
-// interruptions are the runs that this process has recently ended, oldest first. Those that were ended more than
+// interruptions are the runs whose answers have recently ended without framing, oldest first. Those that ended more than
 // interruptionWindow ago are removed when the list is next used.
 type interruptions []suspectAtTarget
 
@@ -66,7 +65,9 @@
 		return
 	}
 	endedAt := time.Now()
-	q.NoteInterrupted(b)
+	if b.CountsAgainstRequest() {
+		q.noteUnframedEnd(endedAt, b)
+	}
 	sleep.AfterFunc(interruptionWindow, func() {
 		q.mu.Lock()
 		hasBrokenOff := q.suspects.hasBrokenSince(b.Target.ID, endedAt.Add(-interruptionWindow))
@@ -77,16 +78,9 @@
 	})
 }
 
-// NoteInterrupted notes a run that this process has ended, such as that of a batch item whose slot an online
-// request needs. If the target breaks off another run within interruptionWindow before or after, the ended
-// run is as suspect as that one. When a target crashes, its runs do not all break off at once. After the
-// first one, this process may itself cancel the others at that target, so they are noted here instead of as
-// broken off.
-func (q *Quarantine) NoteInterrupted(b quarantine.BrokenRun) {
-	if !q.isOn || !b.CountsAgainstRequest() {
-		return
-	}
-	now := time.Now()
+// noteUnframedEnd makes a run suspect whose answer has ended without framing, if its target breaks off another run within
+// interruptionWindow before or after.
+func (q *Quarantine) noteUnframedEnd(now time.Time, b quarantine.BrokenRun) {
 	run := suspectAtTarget{suspect: newSuspect(b, now), target: b.Target}
 	q.mu.Lock()
 	hasBrokenOff := q.suspects.hasBrokenSince(b.Target.ID, now.Add(-interruptionWindow))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -116,7 +116,7 @@
 	mu       sync.Mutex // guards the fields below
 	registry *quarantine.Registry
 	suspects *suspectTable
-	// recentInterruptions are the runs that this process has recently ended; see NoteInterrupted.
+	// recentInterruptions are the runs whose answers have recently ended without framing; see NoteServedUnframed.
 	recentInterruptions interruptions
 }
 
@@ -290,18 +290,6 @@
 	return subject
 }
 
-// IsSuspect reports whether a request may crash its target, because targets have crashed while running
-// requests of the same resource or batch job. Such requests should be sent one at a time.
-func (q *Quarantine) IsSuspect(c *quarantine.Content) bool {
-	if q.IsEmpty() {
-		return false
-	}
-	subject := q.subject(c)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.registry.IsSuspect(subject)
-}
-
 // NotePassed notes that a run of a request, whose answer began at answeredAt, has passed; see
 // quarantine.MinPassDuration.
 func (q *Quarantine) NotePassed(c *quarantine.Content, answeredAt time.Time) {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -222,7 +222,7 @@
 
 // isSuspectRun reports whether a run of an online request is among the suspects.
 func (q *Quarantine) isSuspectRun(c *quarantine.Content) bool {
-	if q.suspects.len() == 0 || c.Subject().IsItem {
+	if q.suspects.len() == 0 {
 		return false
 	}
 	q.mu.Lock()
