Large batch jobs: the chunks of two attempts to store a job are never combined

Cause: the chunks of the first append were written without a condition under keys of the job's id alone, and two gateways encode a job differently. A first append without an answer was refused to its caller, another gateway accepted the job, and the late append then replaced chunks of the accepted one, which could not be decoded any more.

Change: the records of a job of several appends carry an id of the attempt in their keys, a job consists of the chunks of one attempt, and the last append is conditional on the end of the state in which all chunks before are present. A first append without an answer is looked up and repeated, in place of a refusal. Chunks of the stored attempt that are applied again are ignored. A submission whose time ends between two attempts has a typed error (the nil error before would have panicked).

--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -111,38 +111,116 @@
 	if i == 0 {
 		return key
 	}
-	return key + "#" + strconv.Itoa(i)
+	return key + chunkSeparator + strconv.Itoa(i)
 }
 
-// chunkAssembler reassembles values from their chunks. partial holds the chunks of incomplete values by key and
-// index; a chunk that has not been added is nil.
-type chunkAssembler struct{ partial map[string][][]byte }
+const (
+	chunkSeparator   = "#" // before the index of a chunk in its key
+	attemptSeparator = "@" // before the attempt in the key of a chunk
+)
 
-// add adds one record. It returns the key of the value to which the record belongs, and the value if the record
-// was its last missing chunk; otherwise a nil value. Errors: errs.BadFrame.
-func (a *chunkAssembler) add(r platform.KeyedRecord) (key string, value []byte, err error) {
-	if len(r.Value) < chunkHeaderBytes {
-		return "", nil, errs.Newf(errs.BadFrame, "record %s of %d bytes is shorter than a chunk header", r.Key, len(r.Value))
+// attemptChunkKey returns the key of chunk i of a value that an attempt writes with more than one append. Without an
+// attempt it is that of chunkKey.
+func attemptChunkKey(key, attempt string, i int) string {
+	if attempt == "" {
+		return chunkKey(key, i)
+	}
+	return key + chunkSeparator + strconv.Itoa(i) + attemptSeparator + attempt
+}
+
+// WithAttempt returns the records of a value with keys of their own for one attempt to write it. Records that do not fit
+// into one append need that: each attempt may encode the value in another way, and an append that was not answered may be
+// done after another attempt has succeeded. Chunks of two attempts are never combined.
+func WithAttempt(records []platform.KeyedRecord, attempt string) []platform.KeyedRecord {
+	if len(records) == 0 {
+		return nil
+	}
+	tagged := make([]platform.KeyedRecord, len(records))
+	for i, r := range records {
+		tagged[i] = platform.KeyedRecord{Key: attemptChunkKey(records[0].Key, attempt, i), Value: r.Value}
+	}
+	return tagged
+}
+
+// splitAttemptKey splits the key of a chunk that WithAttempt has made; ok is false for any other key.
+func splitAttemptKey(recordKey string) (key, attempt string, ok bool) {
+	at := strings.LastIndex(recordKey, chunkSeparator)
+	if at < 0 {
+		return "", "", false
+	}
+	index, attempt, ok := strings.Cut(recordKey[at+len(chunkSeparator):], attemptSeparator)
+	if _, err := strconv.Atoi(index); err != nil || !ok {
+		return "", "", false
+	}
+	return recordKey[:at], attempt, true
+}
+
+// splitChunkKey returns the key of the value to which chunk i belongs, and the attempt that has written it, if it has one.
+func splitChunkKey(recordKey string, i int) (key, attempt string) {
+	if key, attempt, ok := splitAttemptKey(recordKey); ok {
+		return key, attempt
+	}
+	if i == 0 {
+		return recordKey, ""
+	}
+	key, _, _ = strings.Cut(recordKey, chunkSeparator)
+	return key, ""
+}
+
+// valueID identifies a value by its key and the attempt that writes it.
+type valueID struct{ key, attempt string }
+
+// assembled is a value that was put together from its chunks.
+type assembled struct {
+	valueID
+	chunks int // number of chunks
+	data   []byte
+}
+
+// chunkAssembler reassembles values from their chunks. partial holds the chunks of incomplete values by index; a chunk that
+// has not been added is nil.
+type chunkAssembler struct{ partial map[valueID][][]byte }
+
+func newChunkAssembler() chunkAssembler {
+	return chunkAssembler{partial: make(map[valueID][][]byte)}
+}
+
+// add adds one record. It returns the value to which the record belongs, whose data is nil unless the record was its last
+// missing chunk. Errors: errs.BadFrame.
+func (a *chunkAssembler) add(r platform.KeyedRecord) (assembled, error) {
+	i, n, err := chunkHeader(r)
+	if err != nil {
+		return assembled{}, err
 	}
-	i, n := int(binary.BigEndian.Uint16(r.Value)), int(binary.BigEndian.Uint16(r.Value[2:]))
 	part := r.Value[chunkHeaderBytes:]
 	if n == 1 {
-		return r.Key, part, nil
+		return assembled{valueID: valueID{key: r.Key}, chunks: 1, data: part}, nil
 	}
-	if i >= n {
-		return "", nil, errs.Newf(errs.BadFrame, "record %s has chunk index %d, but its value has only %d chunks", r.Key, i, n)
+	v := assembled{chunks: n}
+	v.key, v.attempt = splitChunkKey(r.Key, i)
+	if len(a.partial[v.valueID]) != n {
+		a.partial[v.valueID] = make([][]byte, n)
 	}
-	key, _, _ = strings.Cut(r.Key, "#")
-	if len(a.partial[key]) != n {
-		a.partial[key] = make([][]byte, n)
-	}
-	a.partial[key][i] = part
-	for _, p := range a.partial[key] {
+	a.partial[v.valueID][i] = part
+	for _, p := range a.partial[v.valueID] {
 		if p == nil {
-			return key, nil, nil
+			v.data = nil
+			return v, nil
 		}
-		value = append(value, p...)
+		v.data = append(v.data, p...)
+	}
+	delete(a.partial, v.valueID)
+	return v, nil
+}
+
+// chunkHeader returns the index of the chunk in a record, and the number of chunks of its value. Errors: errs.BadFrame.
+func chunkHeader(r platform.KeyedRecord) (i, n int, err error) {
+	if len(r.Value) < chunkHeaderBytes {
+		return 0, 0, errs.Newf(errs.BadFrame, "record %s of %d bytes is shorter than a chunk header", r.Key, len(r.Value))
+	}
+	i, n = int(binary.BigEndian.Uint16(r.Value)), int(binary.BigEndian.Uint16(r.Value[2:]))
+	if n > 1 && i >= n {
+		return 0, 0, errs.Newf(errs.BadFrame, "record %s has chunk index %d, but its value has only %d chunks", r.Key, i, n)
 	}
-	delete(a.partial, key)
-	return key, value, nil
+	return i, n, nil
 }
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -20,7 +20,11 @@
 // jobState is the state of one job. Its records may be applied in any order: a process that loads the backlog
 // reads the newest record of each key in key order.
 type jobState struct {
-	job         *Job // nil until the job's record has been applied
+	job *Job // nil until the job's record has been applied
+	// attempt is the one that has written the job, empty if it did so with one append; chunks is the number of the job's
+	// chunks. They are valid if job is not nil.
+	attempt     string
+	chunks      int
 	isCancelled bool
 	results     []*Result           // by position; nil at positions whose result has not been applied yet
 	doneItems   map[string]bool     // ids of the items that have a result
@@ -29,7 +33,7 @@
 
 // NewState returns a state without jobs.
 func NewState() *State {
-	return &State{chunks: chunkAssembler{partial: make(map[string][][]byte)}, jobs: make(map[string]*jobState)}
+	return &State{chunks: newChunkAssembler(), jobs: make(map[string]*jobState)}
 }
 
 // Apply applies one record, of any kind. Applying a record again has no effect. Errors: errs.BadFrame for a
@@ -39,22 +43,37 @@
 		s.applyTombstone(r.Key)
 		return nil
 	}
-	key, value, err := s.chunks.add(r)
-	if err != nil || value == nil {
+	if s.isOfStoredJob(r.Key) {
+		return nil
+	}
+	value, err := s.chunks.add(r)
+	if err != nil || value.data == nil {
 		return err
 	}
-	kind, _, _ := strings.Cut(key, "/")
+	kind, _, _ := strings.Cut(value.key, "/")
 	switch kind {
 	case kindJob:
-		return decodeAndApply(value, s.applyJob)
+		return decodeAndApply(value.data, func(j *Job) { s.applyJob(j, value) })
 	case kindCancel:
-		return decodeAndApply(value, s.applyCancel)
+		return decodeAndApply(value.data, s.applyCancel)
 	case kindResult:
-		return decodeAndApply(value, s.applyResult)
+		return decodeAndApply(value.data, s.applyResult)
 	case kindProgress:
-		return decodeAndApply(value, s.applyProgress)
+		return decodeAndApply(value.data, s.applyProgress)
+	}
+	return errs.Newf(errs.BadFrame, "record %q is of an unknown kind", value.key)
+}
+
+// isOfStoredJob reports whether a record is a chunk of the attempt that has stored a job. Applied again, it would be the
+// first chunk of a value that never becomes complete.
+func (s *State) isOfStoredJob(recordKey string) bool {
+	key, attempt, ok := splitAttemptKey(recordKey)
+	if !ok {
+		return false
 	}
-	return errs.Newf(errs.BadFrame, "record %q is of an unknown kind", key)
+	kind, id, _ := strings.Cut(key, "/")
+	js, isKnown := s.jobs[id]
+	return kind == kindJob && isKnown && js.job != nil && js.attempt == attempt
 }
 
 // decodeAndApply decodes a value from CBOR and passes it to applyValue. Errors: errs.BadFrame.
@@ -67,12 +86,19 @@
 	return nil
 }
 
-// applyTombstone applies the deletion of a key. The tombstone of a job's first chunk removes the whole job from
-// the state. Other tombstones have no effect: a job's other records are deleted with it, and progress is only
-// deleted once it is obsolete.
-func (s *State) applyTombstone(key string) {
-	kind, id, _ := strings.Cut(key, "/")
-	if kind == kindJob && !strings.Contains(id, "#") {
+// applyTombstone applies the deletion of a key. The tombstone of a job's plain key removes the whole job from the state,
+// that of a chunk of an attempt all that is known of the attempt, unless it has stored the job. Other tombstones have no
+// effect: a job's other records are deleted with it, and progress is only deleted once it is obsolete.
+func (s *State) applyTombstone(recordKey string) {
+	kind, id, _ := strings.Cut(recordKey, "/")
+	if kind != kindJob {
+		return
+	}
+	if key, attempt, ok := splitAttemptKey(recordKey); ok {
+		delete(s.chunks.partial, valueID{key, attempt})
+		return
+	}
+	if !strings.Contains(id, chunkSeparator) {
 		delete(s.jobs, id)
 	}
 }
@@ -87,11 +113,25 @@
 	return js
 }
 
-func (s *State) applyJob(j *Job) {
+func (s *State) applyJob(j *Job, value assembled) {
 	js := s.jobStateFor(j.ID)
 	if js.job == nil {
-		js.job = j
+		js.job, js.attempt, js.chunks = j, value.attempt, value.chunks
+	}
+}
+
+// HasChunks reports whether the given chunks of a value that is not complete yet have been applied and not been deleted
+// since.
+func (s *State) HasChunks(records []platform.KeyedRecord) bool {
+	for _, r := range records {
+		i, _, err := chunkHeader(r)
+		key, attempt := splitChunkKey(r.Key, i)
+		parts := s.chunks.partial[valueID{key, attempt}]
+		if err != nil || i >= len(parts) || parts[i] == nil {
+			return false
+		}
 	}
+	return true
 }
 
 func (s *State) applyCancel(id *string) {
@@ -250,11 +290,14 @@
 	if !ok || js.job == nil {
 		return JobTombstones{}, nil
 	}
-	jobs, err := EncodeJob(js.job)
-	if err != nil {
-		return JobTombstones{}, err
+	var tombstones JobTombstones
+	key := joinKey(kindJob, id)
+	for i := range js.chunks {
+		tombstones.Jobs = append(tombstones.Jobs, platform.KeyedRecord{Key: attemptChunkKey(key, js.attempt, i)})
+	}
+	if js.attempt != "" {
+		tombstones.Jobs = append(tombstones.Jobs, platform.KeyedRecord{Key: key}) // removes the job from the states
 	}
-	tombstones := JobTombstones{Jobs: Tombstones(jobs)}
 	for _, r := range js.results {
 		if r == nil {
 			continue
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -242,3 +242,57 @@
 		}
 	}
 }
+
+// Guards against a value that is put together from chunks of two attempts to write it, in any order of the records, and
+// against chunks that stay in memory when they are applied again or deleted.
+func TestChunksOfTwoAttemptsAreNotCombined(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	encode := func(attempt string) []platform.KeyedRecord {
+		j := testJob()
+		j.Items[1].Body = []byte(strings.Repeat(attempt, 5*chunkBytes/len(attempt)))
+		records, err := EncodeJob(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return WithAttempt(records, attempt)
+	}
+	for range 50 {
+		accepted, refused := encode("a1"), encode("b2")
+		refused = refused[:len(refused)-1] // the last append of this attempt was not done
+		records := append(append(accepted, accepted[:2]...), refused...)
+		rng.Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
+		s := NewState()
+		for _, r := range records {
+			if err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		j, ok := s.Job("job")
+		if !ok || !strings.HasPrefix(string(j.Items[1].Body), "a1") || len(j.Items) != 3 {
+			t.Fatal("the job of the attempt that was done is not the one in the state")
+		}
+		if s.HasChunks(accepted) || !s.HasChunks(refused) {
+			t.Errorf("chunks kept in memory: of the stored job %t, of the other attempt %t; want only the latter", s.HasChunks(accepted), s.HasChunks(refused))
+		}
+		for _, r := range Tombstones(refused) {
+			if err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(s.chunks.partial) > 0 {
+			t.Errorf("%d incomplete values are left after the deletion of their chunks, want none", len(s.chunks.partial))
+		}
+		tombstones, err := s.TombstonesOf("job")
+		if err != nil || len(tombstones.Jobs) != 6+1 {
+			t.Errorf("%d tombstones delete the job, error %v; want one for each of 6 chunks and one of the plain key", len(tombstones.Jobs), err)
+		}
+		for _, r := range tombstones.Jobs {
+			if err := s.Apply(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, ok := s.Job("job"); ok {
+			t.Error("the job is still there after its deletion")
+		}
+	}
+}
--- a/core/backlog/text.go
+++ b/core/backlog/text.go
@@ -74,18 +74,18 @@
 
 // NewTextReader returns a TextReader to which no record has been added.
 func NewTextReader() *TextReader {
-	return &TextReader{chunkAssembler{partial: make(map[string][][]byte)}}
+	return &TextReader{newChunkAssembler()}
 }
 
 // Add adds one record. If that was the last missing record of a text, it returns the text, its key and true in
 // isComplete. Errors: errs.BadFrame for a malformed record.
 func (t *TextReader) Add(r platform.KeyedRecord) (key, text string, isComplete bool, err error) {
-	key, value, err := t.chunks.add(r)
-	if err != nil || value == nil {
+	value, err := t.chunks.add(r)
+	if err != nil || value.data == nil {
 		return "", "", false, err
 	}
-	if err := cbor.Unmarshal(value, &text); err != nil {
-		return "", "", false, errs.Newf(errs.BadFrame, "decode text %s: %v", key, err)
+	if err := cbor.Unmarshal(value.data, &text); err != nil {
+		return "", "", false, errs.Newf(errs.BadFrame, "decode text %s: %v", value.key, err)
 	}
-	return key, text, true, nil
+	return value.key, text, true, nil
 }
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,7 +40,8 @@
 //
 // All jobs are written to one partition, each on the condition that its writer has read all earlier records.
 // So the limit holds across processes. A job whose append was not answered is either found in the later
-// records, or its append can no longer succeed.
+// records, or its append can no longer succeed. A job that is too large for one append is stored by its last one; the
+// records before it carry an id of this attempt, so that they are never combined with those of another one.
 func (m *Manager) Submit(ctx context.Context, route *serving.Route, job *backlog.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
@@ -53,7 +55,11 @@
 	if err != nil {
 		return err
 	}
-	s := &submission{m: m, route: route, job: job, records: records}
+	if recordsPerAppend(records) < len(records) {
+		records = backlog.WithAttempt(records, rand.Text())
+	}
+	s := &submission{m: m, route: route, job: job}
+	s.leading, s.records = splitAppends(records)
 	err = s.run(ctx)
 	m.log.Log(logLevel(err), "job", "request", job.ID, "workspace", job.Workspace, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
 		"queued", s.queuedTokens, "limit", route.MaxQueuedTokens, "end", s.expectedEnd, "tries", s.tries, "outcome", logOutcome(err))
@@ -73,14 +79,17 @@
 
 // submission is one call of Submit.
 type submission struct {
-	m            *Manager
-	route        *serving.Route
-	job          *backlog.Job
-	records      []platform.KeyedRecord
-	expectedEnd  uint64 // the last append succeeds only if this is the end of the partition
-	queuedTokens int64  // tokens of unfinished items of the workspace on the route, without this job
-	tries        int    // number of calls of tryAppend
-	mayBeStored  bool   // an append that was not answered may have succeeded or may still succeed
+	m     *Manager
+	route *serving.Route
+	job   *backlog.Job
+	// leading are the records of a job that is too large for one append, but for the last ones, by append; empty for any other
+	// job.
+	leading      [][]platform.KeyedRecord
+	records      []platform.KeyedRecord // those of the last append, which stores the job
+	expectedEnd  uint64                 // the last append succeeds only if this is the end of the partition
+	queuedTokens int64                  // tokens of unfinished items of the workspace on the route, without this job
+	tries        int                    // number of calls of tryAppend
+	mayBeStored  bool                   // an append that was not answered may have succeeded or may still succeed
 }
 
 // run writes the job unless it has been accepted already, and retries until ctx ends.
@@ -89,9 +98,6 @@
 	if s.isAccepted() {
 		return nil
 	}
-	if err := s.writeLeadingChunks(ctx); err != nil {
-		return err
-	}
 	for {
 		done, err := s.tryAppend(ctx)
 		if done {
@@ -103,18 +109,22 @@
 	}
 }
 
-// retryPauseAfter returns the pause before the next attempt after err; 0 if the append failed only because
-// another record was written first.
+// retryPauseAfter returns the pause before the next attempt after err; 0 without an error, and if the append failed only
+// because another record was written first.
 func retryPauseAfter(err error) time.Duration {
 	var moved *platform.EndMoved
-	if errors.As(err, &moved) {
+	if err == nil || errors.As(err, &moved) {
 		return 0
 	}
 	return writeRetryPause
 }
 
-// finalError returns the error that the caller gets after the last attempt, which failed with err.
+// finalError returns the error that the caller gets after the last attempt, which failed with err; nil if it has only
+// prepared the next one.
 func (s *submission) finalError(err error) error {
+	if err == nil {
+		err = errs.New(errs.LogBusy, "the time for the submission was over")
+	}
 	e := errs.As(err)
 	if s.mayBeStored {
 		return errs.Newf(errs.AppendUnknown, "the job may have been accepted: %v", err).WithRan(errs.RanUnknown)
@@ -159,6 +169,9 @@
 	if !isWithinLimit && !s.mayBeStored {
 		return s.rejectIfOverLimit(ctx)
 	}
+	if missing := s.missingLeadingChunks(); missing != nil {
+		return false, s.writeLeadingChunks(ctx, missing)
+	}
 	s.expectedEnd = next
 	return s.handleAppendResult(ctx, s.append(ctx))
 }
@@ -220,20 +233,45 @@
 	return false, err
 }
 
-// writeLeadingChunks writes the first records of a job that is too large for one append, and leaves the last
-// ones in s.records. The first records have no effect without the last ones, which are written on the
-// condition that the partition has not grown.
-func (s *submission) writeLeadingChunks(ctx context.Context) error {
-	for {
-		n := recordsPerAppend(s.records)
-		if n == len(s.records) {
-			return nil
+// missingLeadingChunks returns the records of the first append of the job, but for the last one, that the state does not
+// contain; nil if it contains all. They may have been deleted since they were written. The last append stores the job only
+// if the partition still ends where it did in that state.
+func (s *submission) missingLeadingChunks() (missing []platform.KeyedRecord) {
+	s.m.replica.withState(func(st *backlog.State) {
+		for _, records := range s.leading {
+			if !st.HasChunks(records) {
+				missing = records
+				return
+			}
 		}
-		_, err := s.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: s.records[:n]})
-		if err != nil {
-			return errs.Newf(errs.LogDown, "failed to write the first chunks of a large job: %v", err).WithRan(errs.RanNo).WithRetry(writeRetryPause)
+	})
+	return missing
+}
+
+// writeLeadingChunks writes records that have no effect without the last ones. If the append is not answered, it reads what
+// the store has: the records are there, or are written again, under the same keys.
+func (s *submission) writeLeadingChunks(ctx context.Context, records []platform.KeyedRecord) error {
+	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	done, err := s.m.store.Append(appendCtx, platform.Append{Partition: jobPartition, Records: records})
+	if errs.Is(err, errs.AppendUnknown) {
+		return s.m.replica.catchUp(ctx, jobPartition)
+	}
+	if err != nil {
+		return err
+	}
+	s.m.replica.applyOwnAt(jobPartition, done.First, records)
+	return nil
+}
+
+// splitAppends divides records into those of the last append and those of the appends before.
+func splitAppends(records []platform.KeyedRecord) (leading [][]platform.KeyedRecord, last []platform.KeyedRecord) {
+	for {
+		n := recordsPerAppend(records)
+		if n == len(records) {
+			return leading, records
 		}
-		s.records = s.records[n:]
+		leading, records = append(leading, records[:n]), records[n:]
 	}
 }
 
