watch: a target that was removed because another one answered is back with the next renewal of its entry

Cause: entries that say what they said before were left out. Change: the renewals of entries restore targets that RemoveTarget has removed. A target whose address was taken over is gone and renews nothing.

--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -22,6 +22,8 @@
 	preemptible map[string][]*Run
 	// active holds, by target id, all runs of this process, including preempted ones that are not done yet.
 	active map[string]map[*Run]struct{}
+	// misdirected holds the ids of the targets that RemoveTarget has removed and that are still on the list.
+	misdirected map[string]bool
 	// listRevision counts the calls of UpdateTargets.
 	listRevision uint64
 
@@ -37,6 +39,7 @@
 		fleet:        fleet.New(o),
 		preemptible:  make(map[string][]*Run),
 		active:       make(map[string]map[*Run]struct{}),
+		misdirected:  make(map[string]bool),
 		loadsChanged: make(chan struct{}, 1),
 		slotFreed:    make(chan struct{}, 1),
 	}
@@ -254,9 +257,11 @@
 			}
 		}
 		v.fleet.Put(t)
+		delete(v.misdirected, t.ID)
 	}
 	for _, id := range goneIDs {
 		v.fleet.Remove(id)
+		delete(v.misdirected, id)
 	}
 	victims := v.takeVictims(now)
 	v.mu.Unlock()
@@ -295,5 +300,32 @@
 // RequestReport triggers a load report to the peers before the next regular one.
 func (v *View) RequestReport() { signal(v.loadsChanged) }
 
-// RemoveTarget removes the target with this id at once. It is called when another target answers at its address.
-func (v *View) RemoveTarget(id string) { v.UpdateTargets(nil, []string{id}) }
+// maxMisdirected bounds the targets that RemoveTarget has removed and that can be restored.
+const maxMisdirected = 4096
+
+// RemoveTarget removes the target with this id at once, until RestoreTargets or UpdateTargets brings it back. It is called
+// when another target answers at its address.
+func (v *View) RemoveTarget(id string) {
+	v.UpdateTargets(nil, []string{id})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.misdirected) < maxMisdirected {
+		v.misdirected[id] = true
+	}
+}
+
+// RestoreTargets adds those of the targets again that RemoveTarget has removed, and returns them. It is called with targets
+// whose entries in the list were renewed: a target whose address was taken over renews none.
+func (v *View) RestoreTargets(renewed []serving.Target) (restored []serving.Target) {
+	v.mu.Lock()
+	for _, t := range renewed {
+		if v.misdirected[t.ID] {
+			restored = append(restored, t)
+		}
+	}
+	v.mu.Unlock()
+	if len(restored) > 0 {
+		v.UpdateTargets(restored, nil)
+	}
+	return restored
+}
--- a/internal/watch/targets.go
+++ b/internal/watch/targets.go
@@ -33,6 +33,7 @@
 // targetChanges are the changes of the list that result from one read.
 type targetChanges struct {
 	put     []serving.Target // targets that are new or have changed
+	renewed []serving.Target // targets whose entries were written again without another change
 	goneIDs []string         // ids of targets that are no longer on the list
 	// endedIDs are the ids in goneIDs whose targets have restarted. An id names one start of a target;
 	// requests that were sent to an earlier start are never answered.
@@ -96,6 +97,7 @@
 	delete(l.graceUntil, t.Name)
 	old, ok := l.targets[t.Name]
 	if ok && old == t {
+		changes.renewed = append(changes.renewed, t)
 		return
 	}
 	if ok && old.ID != t.ID {
