backlog: a run that was cancelled because its target failed counts as lost, also if the target's earlier data arrives late

Seen: TestItemDoesNotFeedABurst (doom) failed once in a run of the package with the race detector: run 5 of an item began 764 ms after the one before, want at least 1 s.

Cause: a cancelled run counted as lost while its target was marked as failed. What the target had sent on other connections before it failed arrives afterwards and unmarks it; the run then counted as preempted. Now a failure since the run began decides.

Measured: the tests of lost targets and of large jobs, 25 times with the race detector, no failure.

--- a/core/fleet/failures.go
+++ b/core/fleet/failures.go
@@ -64,8 +64,9 @@
 	return log.CalmAt(targets, window, failures)
 }
 
-// HasFailed reports whether a listed target has failed and has sent nothing to this gateway since.
-func (f *Fleet) HasFailed(id string) bool {
+// HasFailedSince reports whether a failure has made a listed target suspect at the time since or later. What the target has
+// sent before it failed may arrive afterwards and make it healthy again.
+func (f *Fleet) HasFailedSince(id string, since time.Time) bool {
 	ts, ok := f.targets[id]
-	return ok && ts.health.failures > 0
+	return ok && !ts.health.lastFailed.Before(since)
 }
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -38,6 +38,7 @@
 	suspectUntil time.Time // the target is suspect until then
 	lastStart    time.Time // when the last request was about to be sent to the target
 	lastReceived time.Time // when the target last sent something
+	lastFailed   time.Time // when a failure last made the target suspect
 	// isPeerReported is set while only a peer's report has made the target suspect.
 	isPeerReported bool
 }
@@ -92,6 +93,7 @@
 		f.noteFailed(now, ts.Service)
 	}
 	h.failures++
+	h.lastFailed = now
 	h.isPeerReported = false
 	h.suspectUntil = now.Add(min(maxSuspectTime, minSuspectTime<<min(h.failures-1, 4)))
 	return true
@@ -126,6 +128,7 @@
 	}
 	f.noteFailed(now, ts.Service)
 	ts.health.failures, ts.health.isPeerReported = 1, true
+	ts.health.lastFailed = now
 	ts.health.suspectUntil = now.Add(minSuspectTime)
 }
 
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -219,12 +219,12 @@
 	return isSuspect
 }
 
-// HasTargetFailed reports whether the target is known to have restarted since the run began, or is listed, has failed and
-// has sent nothing to this process since.
+// HasTargetFailed reports whether the target is known to have restarted since the run began, or is listed and has failed
+// since then.
 func (r *Run) HasTargetFailed() bool {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.hasTargetEnded || r.view.fleet.HasFailed(r.Target.ID)
+	return r.hasTargetEnded || r.view.fleet.HasFailedSince(r.Target.ID, r.startedAt)
 }
 
 // IsIdle reports whether the target has sent no data to this process since sentAt, the time when a request was
