Large batch jobs: refused and failed submissions leave nothing in the store

Cause: the first chunks were written before the limit was checked, nothing deleted them, and each gateway keeps chunks in memory that wait for others.

A submission that fails deletes its chunks. The owner of a job's shard deletes attempts that have been incomplete for 30 s, on the condition that the partition has not grown since, so that an append that completes the job is never met. Chunks of stored jobs that are applied again are ignored for all versions.

--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -43,7 +43,7 @@
 		s.applyTombstone(r.Key)
 		return nil
 	}
-	if s.isOfStoredJob(r.Key) {
+	if s.isOfStoredJob(r) {
 		return nil
 	}
 	value, err := s.chunks.add(r)
@@ -64,13 +64,14 @@
 	return errs.Newf(errs.BadFrame, "record %q is of an unknown kind", value.key)
 }
 
-// isOfStoredJob reports whether a record is a chunk of the attempt that has stored a job. Applied again, it would be the
+// isOfStoredJob reports whether a record is one of several chunks of a job that is stored. Applied again, it would be the
 // first chunk of a value that never becomes complete.
-func (s *State) isOfStoredJob(recordKey string) bool {
-	key, attempt, ok := splitAttemptKey(recordKey)
-	if !ok {
+func (s *State) isOfStoredJob(r platform.KeyedRecord) bool {
+	i, n, err := chunkHeader(r)
+	if err != nil || n == 1 {
 		return false
 	}
+	key, attempt := splitChunkKey(r.Key, i)
 	kind, id, _ := strings.Cut(key, "/")
 	js, isKnown := s.jobs[id]
 	return kind == kindJob && isKnown && js.job != nil && js.attempt == attempt
@@ -87,8 +88,8 @@
 }
 
 // applyTombstone applies the deletion of a key. The tombstone of a job's plain key removes the whole job from the state,
-// that of a chunk of an attempt all that is known of the attempt, unless it has stored the job. Other tombstones have no
-// effect: a job's other records are deleted with it, and progress is only deleted once it is obsolete.
+// that of any of a job's chunks those of its attempt that wait for others. Other tombstones have no effect: a job's other
+// records are deleted with it, and progress is only deleted once it is obsolete.
 func (s *State) applyTombstone(recordKey string) {
 	kind, id, _ := strings.Cut(recordKey, "/")
 	if kind != kindJob {
@@ -98,11 +99,44 @@
 		delete(s.chunks.partial, valueID{key, attempt})
 		return
 	}
-	if !strings.Contains(id, chunkSeparator) {
+	key, _, isChunk := strings.Cut(recordKey, chunkSeparator)
+	delete(s.chunks.partial, valueID{key: key})
+	if !isChunk {
 		delete(s.jobs, id)
 	}
 }
 
+// IncompleteJob is an attempt to store a job of which the state contains some chunks, but not all.
+type IncompleteJob struct {
+	Job     string // id of the job
+	Attempt string // empty if an earlier software version has written the chunks
+	// Tombstones delete the chunks.
+	Tombstones []platform.KeyedRecord
+}
+
+// IncompleteJobs returns the attempts to store jobs that are not complete, in no particular order. Their submissions are
+// under way or have failed.
+func (s *State) IncompleteJobs() []IncompleteJob {
+	var list []IncompleteJob
+	for id, parts := range s.chunks.partial {
+		kind, job, _ := strings.Cut(id.key, "/")
+		if kind != kindJob {
+			continue
+		}
+		if _, isStored := s.Job(job); isStored && id.attempt == "" {
+			continue // the tombstone of the first chunk would delete the job
+		}
+		incomplete := IncompleteJob{Job: job, Attempt: id.attempt}
+		for i, part := range parts {
+			if part != nil {
+				incomplete.Tombstones = append(incomplete.Tombstones, platform.KeyedRecord{Key: attemptChunkKey(id.key, id.attempt, i)})
+			}
+		}
+		list = append(list, incomplete)
+	}
+	return list
+}
+
 // jobStateFor returns the state of a job and adds an empty one for a new id.
 func (s *State) jobStateFor(id string) *jobState {
 	js, ok := s.jobs[id]
--- /dev/null
+++ b/internal/backlog/chunks.go
@@ -0,0 +1,93 @@
+package backlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"arbutusramp/core/backlog"
+	"arbutusramp/core/platform"
+)
+
+// minChunkAge is how long the chunks of an incomplete attempt to store a job must have been there before they are deleted.
+// A submission lasts submitTimeout; an append that was not answered may be done some seconds later.
+const minChunkAge = 30 * time.Second
+
+// discardChunks deletes the chunks of a submission that has failed, in the background. No append that stores the job may
+// still be done.
+func (m *Manager) discardChunks(leading [][]platform.KeyedRecord) {
+	var tombstones []platform.KeyedRecord
+	for _, records := range leading {
+		tombstones = append(tombstones, backlog.Tombstones(records)...)
+	}
+	m.saveRecords(jobPartition, tombstones)
+}
+
+// attemptID identifies an attempt to store a job.
+type attemptID struct{ job, attempt string }
+
+// chunkSweeper finds the chunks that failed submissions have left in the store: their process has ended, or an append was
+// done after they had been discarded. The zero value is not usable; use newChunkSweeper.
+type chunkSweeper struct {
+	m         *Manager
+	firstSeen map[attemptID]time.Time // of the incomplete attempts of the last search
+}
+
+func newChunkSweeper(m *Manager) *chunkSweeper {
+	return &chunkSweeper{m: m, firstSeen: make(map[attemptID]time.Time)}
+}
+
+// sweep deletes the chunks of incomplete attempts that were there minChunkAge ago, for the jobs of this process's shards.
+// Each deletion is done only if the partition still ends where it did when the attempt was found incomplete: otherwise the
+// append that completes the job may have been done meanwhile.
+func (c *chunkSweeper) sweep(ctx context.Context, now time.Time) {
+	for _, incomplete := range c.old(now) {
+		next, isLoaded := c.m.replica.nextOffset(jobPartition)
+		if !isLoaded || !c.isIncomplete(incomplete) {
+			continue
+		}
+		_, err := c.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: incomplete.Tombstones, At: &next})
+		var moved *platform.EndMoved
+		if errors.As(err, &moved) {
+			continue // the next search decides again
+		}
+		if err != nil {
+			c.m.log.Warn("chunks of a failed submission not dropped", "job", incomplete.Job, "attempt", incomplete.Attempt, "error", err)
+			return
+		}
+		c.m.log.Info("chunks of a failed submission dropped", "job", incomplete.Job, "attempt", incomplete.Attempt, "chunks", len(incomplete.Tombstones))
+	}
+}
+
+// old returns the attempts of this process's shards that are incomplete and were so minChunkAge ago.
+func (c *chunkSweeper) old(now time.Time) (list []backlog.IncompleteJob) {
+	var all []backlog.IncompleteJob
+	c.m.replica.withState(func(st *backlog.State) { all = st.IncompleteJobs() })
+	firstSeen := make(map[attemptID]time.Time, len(all))
+	for _, incomplete := range all {
+		id := attemptID{incomplete.Job, incomplete.Attempt}
+		at, isKnown := c.firstSeen[id]
+		if !isKnown {
+			at = now
+		}
+		firstSeen[id] = at
+		if now.Sub(at) >= minChunkAge && c.m.scheduler.owns(c.m.shardOf(incomplete.Job)) {
+			list = append(list, incomplete)
+		}
+	}
+	c.firstSeen = firstSeen
+	return list
+}
+
+// isIncomplete reports whether an attempt is still incomplete.
+func (c *chunkSweeper) isIncomplete(wanted backlog.IncompleteJob) (isIncomplete bool) {
+	c.m.replica.withState(func(st *backlog.State) {
+		for _, incomplete := range st.IncompleteJobs() {
+			if incomplete.Job == wanted.Job && incomplete.Attempt == wanted.Attempt {
+				isIncomplete = true
+			}
+		}
+	})
+	return isIncomplete
+}
--- a/internal/backlog/compact.go
+++ b/internal/backlog/compact.go
@@ -17,10 +17,12 @@
 	maxClockSkew = time.Minute
 )
 
-// compact deletes the expired jobs of this process's shards until ctx ends. The store keeps the newest record
-// of each key forever: without deletion it would fill up and reject new jobs.
+// compact deletes the expired jobs of this process's shards, and what failed submissions have left of jobs, until ctx ends.
+// The store keeps the newest record of each key forever: without deletion it would fill up and reject new jobs.
 func (m *Manager) compact(ctx context.Context) error {
+	sweeper := newChunkSweeper(m)
 	for sleep.For(ctx, compactionInterval) {
+		sweeper.sweep(ctx, time.Now())
 		for _, id := range m.expiredJobs(time.Now()) {
 			if err := m.deleteJob(ctx, id); err != nil {
 				m.log.Warn("old job not dropped", "job", id, "error", err)
--- a/internal/backlog/large_job_test.go
+++ b/internal/backlog/large_job_test.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/backlog"
 	"arbutusramp/core/errs"
+	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/standin/keyedlog"
 )
@@ -97,3 +98,107 @@
 	}
 	return keys
 }
+
+// liveJobBytes returns how many bytes the live records in the partition of jobs have.
+func (cl *cluster) liveJobBytes() (n int) {
+	sizes := make(map[string]int)
+	for _, r := range cl.store.Records(jobPartition) {
+		sizes[r.Key] = len(r.Value)
+	}
+	for _, size := range sizes {
+		n += size
+	}
+	return n
+}
+
+// Guards against large jobs that are refused because of the limit and leave their first chunks in the store, and so in the
+// memory of all processes, for good.
+func TestRefusedLargeJobsLeaveNothing(t *testing.T) {
+	withCluster(t, 2, func(t *testing.T, cl *cluster) {
+		const refusals = 20
+		accepted := cl.largeJob("accepted")
+		route := *cl.route
+		route.MaxQueuedTokens = accepted.Tokens()
+		if err := cl.nodes[0].manager.Submit(context.Background(), &route, accepted); err != nil {
+			t.Fatal(err)
+		}
+		stored := cl.liveJobBytes()
+		for i := range refusals {
+			err := cl.nodes[i%2].manager.Submit(context.Background(), &route, cl.largeJob(fmt.Sprint("refused-", i)))
+			if !errs.Is(err, errs.RateLimited) {
+				t.Errorf("submission of a job over the limit: error %v, want RateLimited", err)
+			}
+		}
+		if n := cl.liveJobBytes(); n != stored {
+			t.Errorf("the store holds %d bytes of jobs after %d refusals, want the %d of the accepted job", n, refusals, stored)
+		}
+		cl.checkResults(accepted, cl.nodes[1].results(accepted, 30*time.Second))
+	})
+}
+
+// Guards against chunks that stay for good after submissions that are not refused by the limit: the process ends between
+// two appends, the answer to the first one is lost, or that one is done late.
+func TestChunksOfFailedSubmissionsAreDeleted(t *testing.T) {
+	for name, faults := range map[string]keyedlog.Faults{
+		"answers are lost": {LoseAnswers: true}, "appends are done late": {Late: 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, 2, func(t *testing.T, cl *cluster) {
+				n0, n1 := cl.nodes[0], cl.nodes[1]
+				ctx, cancel := context.WithTimeout(context.Background(), appendTimeout/2)
+				defer cancel()
+				n0.view.Set(faults)
+				if err := n0.manager.Submit(ctx, cl.route, cl.largeJob("a")); err == nil {
+					t.Error("submission without answers of the store succeeded, want an error")
+				}
+				n0.kill()
+				accepted := cl.largeJob("b")
+				n1.submit(accepted)
+				cl.checkResults(accepted, n1.results(accepted, 30*time.Second))
+				time.Sleep(minChunkAge + 3*compactionInterval)
+				for _, key := range cl.newestJobKeys() {
+					if !strings.HasPrefix(key, "j/b") {
+						t.Errorf("the store still holds %s, want only the accepted job", key)
+					}
+				}
+				n1.manager.replica.withState(func(st *backlog.State) {
+					if left := st.IncompleteJobs(); len(left) > 0 {
+						t.Errorf("%d incomplete jobs are still in memory, want none", len(left))
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against a job that is lost because its chunks are taken for those of a failed submission: it is stored after they
+// were found incomplete, or its submission was under way all the time.
+func TestJobIsNotSweptWhileItIsStored(t *testing.T) {
+	withCluster(t, 1, func(t *testing.T, cl *cluster) {
+		n := cl.nodes[0]
+		j := cl.largeJob("j")
+		scoped := *j
+		records, err := backlog.EncodeJob(&scoped)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leading, last := splitAppends(backlog.WithAttempt(records, "a"))
+		n.manager.writeRecords(t.Context(), jobPartition, leading[0])
+		time.Sleep(time.Second)
+		sweeper := newChunkSweeper(n.manager)
+		sweeper.sweep(t.Context(), time.Now())
+		old := sweeper.old(time.Now().Add(minChunkAge))
+		if len(old) != 1 {
+			t.Fatalf("%d incomplete attempts, want 1", len(old))
+		}
+		// Another process stores the job; this one has not read that yet.
+		if _, err := n.view.Sibling().Append(t.Context(), platform.Append{Partition: jobPartition, Records: last}); err != nil {
+			t.Fatal(err)
+		}
+		sweeper.sweep(t.Context(), time.Now().Add(minChunkAge))
+		time.Sleep(time.Second)
+		restarted := cl.start("node-1")
+		time.Sleep(2 * time.Second)
+		cl.checkResults(j, restarted.results(j, 30*time.Second))
+	})
+}
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -30,11 +30,11 @@
 	for _, t := range tasks {
 		records = append(records, m.progressRecords(t)...)
 	}
-	m.saveRecords(records)
+	m.saveRecords(progressPartition, records)
 }
 
-// saveRecords writes progress records in the background. It retries for up to progressSaveTimeout.
-func (m *Manager) saveRecords(records []platform.KeyedRecord) {
+// saveRecords writes records to a partition in the background. It retries for up to progressSaveTimeout.
+func (m *Manager) saveRecords(p platform.Partition, records []platform.KeyedRecord) {
 	if len(records) == 0 {
 		return
 	}
@@ -43,7 +43,7 @@
 		defer m.pendingSaves.Done()
 		ctx, cancel := context.WithTimeout(m.saveCtx, progressSaveTimeout)
 		defer cancel()
-		m.writeProgress(ctx, records)
+		m.writeRecords(ctx, p, records)
 	}()
 }
 
@@ -55,14 +55,14 @@
 	}
 	saved := m.progressRecords(t)
 	t.noteCheckpoint(saved)
-	m.saveRecords(saved)
+	m.saveRecords(progressPartition, saved)
 }
 
 // writeCheckpoints periodically writes the due checkpoints and the tombstones of obsolete progress until ctx
 // ends. If this process is lost, the next owner repeats about checkpointEvents events of each item at most.
 func (m *Manager) writeCheckpoints(ctx context.Context) error {
 	for sleep.For(ctx, checkpointInterval) {
-		m.writeProgress(ctx, m.scheduler.dueCheckpoints())
+		m.writeRecords(ctx, progressPartition, m.scheduler.dueCheckpoints())
 	}
 	return nil
 }
@@ -108,18 +108,18 @@
 	return records
 }
 
-// writeProgress writes progress records and tombstones to the store in as few calls as possible. It repeats
-// failed calls until ctx ends; that is safe after a lost answer, since a repeated write has no effect.
-func (m *Manager) writeProgress(ctx context.Context, records []platform.KeyedRecord) {
+// writeRecords writes records and tombstones to a partition in as few calls as possible. It repeats failed calls until ctx
+// ends; that is safe after a lost answer for records whose repeated write has no effect.
+func (m *Manager) writeRecords(ctx context.Context, p platform.Partition, records []platform.KeyedRecord) {
 	for len(records) > 0 {
 		n := recordsPerAppend(records)
-		_, err := m.store.Append(ctx, platform.Append{Partition: progressPartition, Records: records[:n]})
+		_, err := m.store.Append(ctx, platform.Append{Partition: p, Records: records[:n]})
 		if err == nil {
 			records = records[n:]
 			continue
 		}
 		if !sleep.For(ctx, writeRetryPause) {
-			m.log.Warn("progress of items not written", "records", len(records), "error", err)
+			m.log.Warn("records not written", "topic", p.Topic, "records", len(records), "error", err)
 			return
 		}
 	}
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -61,6 +61,9 @@
 	s := &submission{m: m, route: route, job: job}
 	s.leading, s.records = splitAppends(records)
 	err = s.run(ctx)
+	if err != nil && s.hasWrittenChunks && !s.mayBeStored {
+		m.discardChunks(s.leading)
+	}
 	m.log.Log(logLevel(err), "job", "request", job.ID, "workspace", job.Workspace, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
 		"queued", s.queuedTokens, "limit", route.MaxQueuedTokens, "end", s.expectedEnd, "tries", s.tries, "outcome", logOutcome(err))
 	m.countOutcome("job.submit", err)
@@ -90,6 +93,8 @@
 	queuedTokens int64                  // tokens of unfinished items of the workspace on the route, without this job
 	tries        int                    // number of calls of tryAppend
 	mayBeStored  bool                   // an append that was not answered may have succeeded or may still succeed
+	// hasWrittenChunks is set once an append of leading records has been sent.
+	hasWrittenChunks bool
 }
 
 // run writes the job unless it has been accepted already, and retries until ctx ends.
@@ -253,6 +258,7 @@
 func (s *submission) writeLeadingChunks(ctx context.Context, records []platform.KeyedRecord) error {
 	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	s.hasWrittenChunks = true
 	done, err := s.m.store.Append(appendCtx, platform.Append{Partition: jobPartition, Records: records})
 	if errs.Is(err, errs.AppendUnknown) {
 		return s.m.replica.catchUp(ctx, jobPartition)
