--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -250,6 +250,8 @@
 		return cancelledVerdict(r), errs.New(errs.TargetTimeout, "the target sent nothing for too long")
 	case ctx.Err() != nil:
 		return cancelledVerdict(r), errs.Newf(errs.Cancelled, "%v", ctx.Err())
+	case errs.Is(err, errs.BadRequest):
+		return runInterrupted, err // an item that an earlier software version has accepted; nothing was sent to the target
 	}
 	if r.RecordFailure() {
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
