Quarantine: a part of prompts is tried before it is blocked for good

Cause: where nothing has passed yet, targets crash together under deadly requests and sound ones beside them. The part that all share then has more crashes than the deadly one, is blamed, and with five crashes trials are over but for one a minute later, although none had been made.

Change: trials of a part end only if one has been made since the first of its crashes.

Evidence: TestPartIsTriedBeforeItIsClosed fails before: no sound request is sent within a second.

--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -206,9 +206,12 @@
 	return now.Sub(later(first.LastTrial, g.crashes[0].BrokenAt)) >= mixedTrialDelay
 }
 
-// isClosed reports whether a part has crashed so many targets that trials with it are over, but for the late one.
+// isClosed reports whether a part has crashed so many targets that trials with it are over, but for the late one. There
+// must have been a trial since the first of these crashes: where nothing has passed yet, many targets may crash together
+// under a part that all requests share.
 func (reg *Registry) isClosed(e *entry) bool {
-	return len(e.Crashes) >= reg.opts.Threshold+maxPartTrials
+	n := len(e.Crashes)
+	return n >= reg.opts.Threshold+maxPartTrials && e.LastTrial.After(e.Crashes[n-1].BrokenAt)
 }
 
 // hasLateCrash reports whether a target has crashed in a late trial.
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -276,3 +276,37 @@
 		t.Errorf("%d trials in a minute of a route on which each request crashes a target, want 3 to %d", trials, maxTrials)
 	}
 }
+
+// Guards against an outage from the start on: many targets crash together before anything has passed, under requests with
+// a deadly part that share their first part with the sound ones beside them. The shared part has more crashes than the
+// deadly one; it must be tried before it is blocked for good.
+func TestPartIsTriedBeforeItIsClosed(t *testing.T) {
+	s := newPartSim()
+	for range DefaultThreshold + maxPartTrials + 1 {
+		s.crash(s.request("shared", "bad"), s.request("shared", fmt.Sprint("m", s.crashes)))
+		s.now = s.now.Add(-time.Second + 2*minCrashGap)
+	}
+	s.crash(s.request("shared", "m")) // the target was lost for another reason
+	if !s.isBlocked("shared", "other") {
+		t.Fatal("the shared part is not blamed, want it blamed before anything has passed")
+	}
+	const within = time.Second
+	deadline := s.now.Add(within)
+	for {
+		sound := s.request("shared", "other")
+		if _, isBlocked := s.registry.BlockingScope(s.now, sound); !isBlocked {
+			if _, isTrial := s.registry.AdmitScopes(s.now, sound); !isTrial {
+				t.Error("a sound request is sent and not noted as a trial")
+			}
+			s.passes.Note(s.now, sound.Parts)
+			s.registry.NotePassed(s.now, sound)
+			break
+		}
+		if s.now = s.now.Add(50 * time.Millisecond); s.now.After(deadline) {
+			t.Fatalf("no sound request was sent within %v", within)
+		}
+	}
+	if s.isBlocked("shared", "other") || !s.isBlocked("shared", "bad") {
+		t.Errorf("sound requests blocked: %t, those with the deadly part: %t; want only the latter", s.isBlocked("shared", "other"), s.isBlocked("shared", "bad"))
+	}
+}
