backlog: progress that was read from two writes is not combined

Change: the progress carries the checksum of its text, and is dropped if that does not fit; the item then begins again.

Evidence: TestProgressOfTwoWritesIsNotCombined fails before.

--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -52,8 +52,16 @@
 
 // EncodeProgress returns the records that store the progress of an item. shard is the shard of its job, index
 // the item's index in the job. Errors: those of EncodeJob.
+//
+// Each write of the progress replaces the records of the one before. If it takes several, a reader may find some of one
+// write and some of another: the checksum of the text tells.
 func EncodeProgress(p *Progress, shard, index int) ([]platform.KeyedRecord, error) {
-	return encodeRecords(ProgressPrefix(shard)+joinKey(p.Job, strconv.Itoa(index)), p)
+	checked := *p
+	checked.TextChecksum = 0
+	if p.Text != "" {
+		checked.TextChecksum = Checksum(p.Text)
+	}
+	return encodeRecords(ProgressPrefix(shard)+joinKey(p.Job, strconv.Itoa(index)), &checked)
 }
 
 // Tombstones returns a tombstone, a record with the same key and no value, for each written record. Writing the
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -59,7 +59,15 @@
 	case kindResult:
 		return decodeAndApply(value.data, s.applyResult)
 	case kindProgress:
-		return decodeAndApply(value.data, s.applyProgress)
+		var p Progress
+		if err := decodeAndApply(value.data, func(decoded *Progress) { p = *decoded }); err != nil {
+			return err
+		}
+		if p.TextChecksum != 0 && p.TextChecksum != Checksum(p.Text) {
+			return errs.Newf(errs.BadFrame, "the progress of item %s of job %s consists of parts of several", p.Item, p.Job)
+		}
+		s.applyProgress(&p)
+		return nil
 	}
 	return errs.Newf(errs.BadFrame, "record %q is of an unknown kind", value.key)
 }
--- a/core/backlog/state_test.go
+++ b/core/backlog/state_test.go
@@ -296,3 +296,33 @@
 		}
 	}
 }
+
+// Guards against a text that is put together from two writes of an item's progress, of which a new owner has read some
+// records each.
+func TestProgressOfTwoWritesIsNotCombined(t *testing.T) {
+	encode := func(text string) []platform.KeyedRecord {
+		records, err := EncodeProgress(&Progress{Job: "job", Item: "i2", LastEventID: "2", Text: text}, 7, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return records
+	}
+	first, second := encode(strings.Repeat("a", 2*chunkBytes)), encode(strings.Repeat("b", 2*chunkBytes))
+	s := NewState()
+	for _, r := range append(second[:1:1], first[1:]...) {
+		if err := s.Apply(r); err != nil && !errs.Is(err, errs.BadFrame) {
+			t.Fatal(err)
+		}
+	}
+	if p := s.Progress("job", "i2"); p.HasStarted() {
+		t.Errorf("progress with a text of %d bytes from two writes, want none", len(p.Text))
+	}
+	for _, r := range second {
+		if err := s.Apply(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if p := s.Progress("job", "i2"); p.Text != strings.Repeat("b", 2*chunkBytes) {
+		t.Errorf("progress with a text of %d bytes after all records of one write, want that of the write", len(p.Text))
+	}
+}
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -94,6 +94,9 @@
 	// software version can go on with it. Service is empty if they are not known.
 	Service string `cbor:"7,keyasint,omitempty"`
 	Version string `cbor:"8,keyasint,omitempty"`
+	// TextChecksum is the checksum of Text, set by EncodeProgress; 0 if Text is empty or an earlier software version has
+	// written the progress.
+	TextChecksum uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // HasStarted reports whether a run of the item has produced an event, a failure or an outcome.
