--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -367,13 +367,6 @@
 	return len(f.streams[target])
 }
 
-// hang makes a target send nothing more, with its connections open. It is not replaced.
-func (f *fakeTargets) hang(target string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hung[target] = true
-}
-
 // hangAndReplace makes a target send nothing more, with its connections open, and has it replaced. It has no
 // effect on a target that hangs already.
 func (f *fakeTargets) hangAndReplace(target string) {
@@ -397,13 +390,6 @@
 	return f.hung[target]
 }
 
-// crashCount returns how many targets were replaced after they had crashed or stopped sending.
-func (f *fakeTargets) crashCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.crashes
-}
-
 // Send implements platform.TargetCaller; see fakeTargets.
 func (f *fakeTargets) Send(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
 	if ctx.Err() != nil {
