--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -20,6 +20,8 @@
 	// mixedTrialDelay is the delay after which a trial may have other parts with crashes. What crashes its target may be
 	// one of those, and then the trial says nothing about the blamed part.
 	mixedTrialDelay = 5 * time.Second
+	// maxTrialLead is how long before a trial is noted its run may have begun. Until a trial, the part is blocked for longer.
+	maxTrialLead = 100 * time.Millisecond
 	// minCrashGap is the time between two crashes from which they count as separate events. Targets that are lost together
 	// for another reason are lost at the same time.
 	minCrashGap = 20 * time.Millisecond
@@ -206,12 +208,16 @@
 	return now.Sub(later(first.LastTrial, g.crashes[0].BrokenAt)) >= mixedTrialDelay
 }
 
-// isClosed reports whether a part has crashed so many targets that trials with it are over, but for the late one. There
-// must have been a trial since the first of these crashes: where nothing has passed yet, many targets may crash together
-// under a part that all requests share.
+// isClosed reports whether a part has crashed so many targets that trials with it are over, but for the late one. The last
+// trial must have been one of them: where nothing has passed yet, many targets may crash together under a part that all
+// requests share before any trial, and a trial may end without a result for another reason.
 func (reg *Registry) isClosed(e *entry) bool {
-	n := len(e.Crashes)
-	return n >= reg.opts.Threshold+maxPartTrials && e.LastTrial.After(e.Crashes[n-1].BrokenAt)
+	return len(e.Crashes) >= reg.opts.Threshold+maxPartTrials && slices.ContainsFunc(e.Crashes, e.isOfLastTrial)
+}
+
+// isOfLastTrial reports whether a crash happened during the last trial or a later run.
+func (e *entry) isOfLastTrial(c Crash) bool {
+	return !e.LastTrial.IsZero() && c.BrokenAt.After(e.LastTrial) && !c.BeganAt.Add(maxTrialLead).Before(e.LastTrial)
 }
 
 // hasLateCrash reports whether a target has crashed in a late trial.
--- a/core/quarantine/part_test.go
+++ b/core/quarantine/part_test.go
@@ -310,3 +310,35 @@
 		t.Errorf("sound requests blocked: %t, those with the deadly part: %t; want only the latter", s.isBlocked("shared", "other"), s.isBlocked("shared", "bad"))
 	}
 }
+
+// Guards against an outage of a minute because a trial has ended without a result: its target was lost for another reason,
+// or has rejected it.
+func TestPartIsTriedAgainAfterTrialWithoutResult(t *testing.T) {
+	s := newPartSim()
+	for range DefaultThreshold + maxPartTrials {
+		s.crash(s.request("shared", fmt.Sprint("m", s.crashes)))
+	}
+	const trials = 3
+	for i := range trials {
+		deadline := s.now.Add(trialTimeout + time.Second)
+		for {
+			if _, isBlocked := s.registry.BlockingScope(s.now, s.request("shared", "other")); !isBlocked {
+				break
+			}
+			if s.now = s.now.Add(50 * time.Millisecond); s.now.After(deadline) {
+				t.Fatalf("trial %d was not sent within %v", i+1, trialTimeout+time.Second)
+			}
+		}
+		s.registry.AdmitScopes(s.now, s.request("shared", "other"))
+		s.now = s.now.Add(time.Millisecond)
+		if !s.isBlocked("shared", "other") {
+			t.Fatal("the part is not blocked after a trial without a result")
+		}
+	}
+	s.now = s.now.Add(-time.Millisecond)
+	s.crash(s.request("shared", "other")) // in the last trial
+	s.now = s.now.Add(lateTrialDelay / 2)
+	if _, isBlocked := s.registry.BlockingScope(s.now, s.request("shared", "other")); !isBlocked {
+		t.Error("a request is sent although the last trial has crashed its target, want none before the late trial")
+	}
+}
