--- a/core/fleet/failures.go
+++ b/core/fleet/failures.go
@@ -55,13 +55,7 @@
 	if !ok {
 		return time.Time{}
 	}
-	targets := 0
-	for _, ts := range f.targets {
-		if ts.Service == service {
-			targets++
-		}
-	}
-	return log.CalmAt(targets, window, failures)
+	return log.CalmAt(len(f.observed.get(f.targets, service)), window, failures)
 }
 
 // HasFailedSince reports whether a failure has made a listed target suspect at the time since or later. What the target has
