backlog: chunks of failed submissions are deleted with one conditional append

The sweeper searched the state again for each attempt and made an append for each. The end of the partition is now read before the one search, and one append on that condition deletes what it has found: an append that completes a job in between fails the condition as before.

--- a/internal/backlog/chunks.go
+++ b/internal/backlog/chunks.go
@@ -39,24 +39,26 @@
 }
 
 // sweep deletes the chunks of incomplete attempts that were there minChunkAge ago, for the jobs of this process's shards.
-// Each deletion is done only if the partition still ends where it did when the attempt was found incomplete: otherwise the
-// append that completes the job may have been done meanwhile.
+// They are deleted only if the partition ends where it did when the attempts were found incomplete: otherwise an append that
+// completes one of the jobs may have been done meanwhile, and the next search decides again.
 func (c *chunkSweeper) sweep(ctx context.Context, now time.Time) {
+	next, isLoaded := c.m.replica.nextOffset(jobPartition)
+	var tombstones []platform.KeyedRecord
 	for _, incomplete := range c.old(now) {
-		next, isLoaded := c.m.replica.nextOffset(jobPartition)
-		if !isLoaded || !c.isIncomplete(incomplete) {
-			continue
-		}
-		_, err := c.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: incomplete.Tombstones, At: &next})
-		var moved *platform.EndMoved
-		if errors.As(err, &moved) {
-			continue // the next search decides again
-		}
-		if err != nil {
-			c.m.log.Warn("chunks of a failed submission not dropped", "job", incomplete.Job, "attempt", incomplete.Attempt, "error", err)
-			return
-		}
-		c.m.log.Info("chunks of a failed submission dropped", "job", incomplete.Job, "attempt", incomplete.Attempt, "chunks", len(incomplete.Tombstones))
+		tombstones = append(tombstones, incomplete.Tombstones...)
+	}
+	if !isLoaded || len(tombstones) == 0 {
+		return
+	}
+	tombstones = tombstones[:recordsPerAppend(tombstones)] // the rest with the next search
+	_, err := c.m.store.Append(ctx, platform.Append{Partition: jobPartition, Records: tombstones, At: &next})
+	var moved *platform.EndMoved
+	switch {
+	case errors.As(err, &moved):
+	case err != nil:
+		c.m.log.Warn("chunks of failed submissions not dropped", "chunks", len(tombstones), "error", err)
+	default:
+		c.m.log.Info("chunks of failed submissions dropped", "chunks", len(tombstones), "first", tombstones[0].Key)
 	}
 }
 
@@ -79,15 +81,3 @@
 	c.firstSeen = firstSeen
 	return list
 }
-
-// isIncomplete reports whether an attempt is still incomplete.
-func (c *chunkSweeper) isIncomplete(wanted backlog.IncompleteJob) (isIncomplete bool) {
-	c.m.replica.withState(func(st *backlog.State) {
-		for _, incomplete := range st.IncompleteJobs() {
-			if incomplete.Job == wanted.Job && incomplete.Attempt == wanted.Attempt {
-				isIncomplete = true
-			}
-		}
-	})
-	return isIncomplete
-}
