--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -45,6 +45,43 @@
 	// Once says that the request must not be sent twice, not even over a connection that the
 	// target has closed meanwhile.
 	Once bool
+	// Record, if it is not nil, is filled in before Send returns.
+	Record *SendRecord
+}
+
+// SendRecord describes one send of a request and what shows whether the target has begun with it.
+type SendRecord struct {
+	// Writes is the number of connections to which any byte of the request was written.
+	Writes int
+	// IsReused says that the last of these connections had carried another request before.
+	IsReused bool
+	// LocalAddr is this process's address on the last of these connections; empty without one.
+	LocalAddr string
+	// Status is the status of the answer, 0 without one.
+	Status int
+	// AnswerID is the request id in the answer; empty if there is none.
+	AnswerID string
+	// Evidence is what shows that the target has not begun with the request.
+	Evidence Evidence
+}
+
+// Evidence is what shows that a target has not begun with a request.
+type Evidence uint8
+
+const (
+	// EvidenceNone shows nothing: the request may have run.
+	EvidenceNone Evidence = iota
+	// EvidenceNotWritten says that no byte of the request was written to a connection.
+	EvidenceNotWritten
+	// EvidenceRejection is a rejection with the id of the request.
+	EvidenceRejection
+	// EvidenceFirstRejection is a rejection without an id that is the first answer on its connection.
+	EvidenceFirstRejection
+)
+
+// String returns the evidence as it is logged.
+func (e Evidence) String() string {
+	return [...]string{"none", "nothing written", "rejection with the id of the request", "rejection without an id, first answer on its connection"}[e]
 }
 
 // TargetAnswer is the answer of a target. Body must be closed.
