gateway: a status of a target is no promise that a once-only request has not run

Cause: relayWhole passed on every whole answer of a target.

Change: on routes whose requests may run once, such an answer becomes target_failed (502) without the target's stamp. Idempotent routes still pass it on unchanged.

TestStatusOfTargetIsNoPromiseOnRoutesThatRunOnce: 8 of 16 cases failed before, none now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -334,6 +334,9 @@
 	if ans.Status >= http.StatusInternalServerError && a.canRetryStatus() {
 		return errs.Newf(errs.TargetFailed, "the target answered with status %d", ans.Status)
 	}
+	if !a.route.IsIdempotent() && promisesNotRun(ans.Status) {
+		return errs.Newf(errs.TargetFailed, "the target answered with status %d, which does not show that it has not run the request", ans.Status)
+	}
 	if a.hasSentHeader {
 		return errs.Newf(errs.StreamBroken, "the target answered with status %d when asked to resume a stream", ans.Status)
 	}
@@ -351,6 +354,17 @@
 	return a.relayRest(ctx, ans)
 }
 
+// promisesNotRun reports whether a caller takes the status for the promise that its request has not run and never will. A
+// target promises that with a header, not with its status, so such a status of its own is not passed on to a caller that
+// would repeat a request that may run only once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // canRetryStatus reports whether the request is retried after an answer with a 5xx status. The caller gets the
 // answer of the last attempt unchanged.
 func (a *attempt) canRetryStatus() bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -333,6 +333,40 @@
 	}
 }
 
+// Guards against a false promise: callers take status 408, 421, 429 or 503 for the word that the request has not run and
+// never will, but a target that has run it may answer with one of them as well.
+func TestStatusOfTargetIsNoPromiseOnRoutesThatRunOnce(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		for name, c := range map[string]struct {
+			route     *serving.Route
+			isPassed  bool // the answer of the target is passed on
+			wantSends int
+		}{
+			"unsafe":                       {newRoute(serving.KindUnsafe, 3, false), false, 1},
+			"stream that is not resumable": {newRoute(serving.KindStream, 3, false), false, 1},
+			"resumable stream":             {newRoute(serving.KindStream, 1, true), true, 1},
+			"safe":                         {newRoute(serving.KindSafe, 1, false), true, 1},
+		} {
+			t.Run(fmt.Sprint(name, " ", status), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHarness(3, wholeAnswer(status, "busy", nil))
+					caller := &fakeCaller{}
+					h.serve(context.Background(), c.route, caller)
+					if len(h.sentTo) != c.wantSends {
+						t.Errorf("sent to %v, want %d sends", h.sentTo, c.wantSends)
+					}
+					if c.isPassed && (caller.status != status || caller.body.String() != "busy") {
+						t.Errorf("caller got status %d and error %v, want the answer of the target", caller.status, caller.err)
+					}
+					if !c.isPassed && (caller.headersSent != 0 || caller.err == nil || caller.err.Type != errs.TargetFailed || caller.err.Ran != errs.RanUnknown) {
+						t.Errorf("caller got status %d and error %v, want target_failed with unknown run state", caller.status, caller.err)
+					}
+				})
+			})
+		}
+	}
+}
+
 func TestResumedStreamStartsAfterLastEvent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(2, streamAnswer(firstEvents, io.ErrUnexpectedEOF), streamAnswer(lastEvents, nil))
