backlog: the whole text of an item is replaced by no other text

Cause: progress with the outcome complete holds the whole output, but merging it with progress of another version took that text, and a task that had begun at another version kept its own text if the stored one was not longer. The result was listed as complete with a part of the output.

Change: text and outcome of a complete item stay together, in any order of the records and for an empty output.

--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -105,9 +105,10 @@
 // Merge merges other progress of the same item, which was written later, into p. It keeps the longer text, because all
 // targets of a version produce the same events for an item, the larger number of failures, and the outcome if either
 // has one. Of texts of two versions it keeps the later one: the item was begun again because the other version could
-// not go on.
+// not go on. The text of a complete item is its whole output, which no other text replaces, however long it is.
 func (p *Progress) Merge(o Progress) {
-	if o.Text != "" && (len(o.Text) > len(p.Text) || o.Service != p.Service || o.Version != p.Version) {
+	isLater := o.Text != "" && (len(o.Text) > len(p.Text) || o.Service != p.Service || o.Version != p.Version)
+	if p.Outcome != Complete && (isLater || p.Outcome == "" && o.Outcome == Complete) {
 		p.LastEventID, p.Text = o.LastEventID, o.Text
 		p.Service, p.Version = o.Service, o.Version
 	}
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -103,7 +103,8 @@
 		return nil
 	}
 	origin := serving.Origin{Service: p.Service, Version: p.Version}
-	if len(p.Text) > len(t.text) && (len(t.text) == 0 || origin == t.origin || p.Outcome == backlog.Complete) {
+	// The text of a complete item is its whole output. It may be shorter than one of another version that has begun here.
+	if p.Outcome == backlog.Complete || len(p.Text) > len(t.text) && (len(t.text) == 0 || origin == t.origin) {
 		t.lastEventID, t.text, t.origin = p.LastEventID, []byte(p.Text), origin
 		t.events = strings.Count(p.Text, "\n") + 1
 	}
--- a/internal/backlog/version_test.go
+++ b/internal/backlog/version_test.go
@@ -169,3 +169,16 @@
 		cl.checkResults(j, n.results(j, 30*time.Second))
 	})
 }
+
+// Guards against a result that is listed as complete with a part of the output: the whole text that a former owner has
+// stored is not longer than the text of another version that has begun here.
+func TestCompleteProgressReplacesTextOfAnotherVersion(t *testing.T) {
+	stored := backlog.Progress{Job: "j", Item: "i", LastEventID: "2", Text: "a\nb", Outcome: backlog.Complete, Service: "llm", Version: "v1"}
+	for name, text := range map[string]string{"shorter": "x", "as long": "x\ny", "longer": "x\ny\nz"} {
+		tk := &task{job: &backlog.Job{ID: "j", Items: []backlog.Item{{ID: "i"}}}, lastEventID: "7", text: []byte(text), origin: serving.Origin{Service: "llm", Version: "v2"}}
+		result := tk.mergeProgress(stored)
+		if result == nil || result.outcome != backlog.Complete || result.text != stored.Text {
+			t.Errorf("the own text is %s: result %+v, want complete with the stored text", name, result)
+		}
+	}
+}
