logging: lines left out are counted, timed and bounded in bytes

The line that says how many lines the queue has left out had no timestamp, so that arbutusctl explain never read it, and neither it nor left_out of a bounded line said since when lines were missing: from the logs it could not be told whether the trace of a request is complete. Both now say since when, and metrics log.left_out.KIND and log.left_out.queue count at once. The queue is bounded by 4 MB as well as by 4,096 lines, since the lines of requests become longer. NewTrace is a bounded kind of line with 1,000 a second.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -53,6 +53,7 @@
 	reg := metrics.NewRegistry()
 	telemetry.RegisterProcess(reg)
 	out := logging.NewAsync(os.Stdout)
+	reg.GetOrRegister(logging.LeftOutMetric+"queue", metrics.NewFunctionalGauge(out.LeftOut))
 	defer out.Flush(lastLines) // a reader that stalls loses them, as it does others
 	logger := logging.New("gateway", s.Logs, out)
 	g, err := node.NewGateway(s, logger, reg)
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,21 +13,30 @@
 )
 
 const (
-	// queuedLines is how many lines wait for a reader that stalls; at about 400 bytes each they
-	// take 1.6 MB at most.
+	// queuedLines is how many lines wait for a reader that stalls.
 	queuedLines = 4096
+	// queuedBytes bounds the same lines in bytes: most have about 400, but that of a request that was sent
+	// to many targets has 2 KB.
+	queuedBytes = 4 << 20
 	// routineShare of the queue is open to lines below warn: a reader that stalls must not cost
 	// the lines of failures for those of requests that went well.
 	routineShare = 0.5
+	// timeFormat is that of the timestamps of other lines.
+	timeFormat = "2006-01-02T15:04:05.000000Z07:00"
 )
 
 // Async is a writer that never blocks its callers: a reader of the process's output that stalls
 // must not stall requests. Lines that find the queue full are left out, and the next line that
-// gets through says how many.
+// gets through says how many, and since when.
 type Async struct {
 	to    io.Writer
 	lines chan queued
-	lost  atomic.Int64
+	bytes atomic.Int64 // of the lines in the queue
+	total atomic.Int64 // lines left out since the start
+
+	mu        sync.Mutex // guards lost and lostSince
+	lost      int64      // lines left out since the last report of them
+	lostSince time.Time  // when the first of them was left out
 }
 
 // queued is a line on its way, or the mark of a Flush.
@@ -47,18 +57,46 @@
 
 // LevelWrite implements hclog.LevelWriter.
 func (a *Async) LevelWrite(level hclog.Level, p []byte) (int, error) {
-	if level < hclog.Warn && float64(len(a.lines)) >= routineShare*queuedLines {
-		a.lost.Add(1)
+	share := 1.0
+	if level < hclog.Warn {
+		share = routineShare
+	}
+	if float64(len(a.lines)) >= share*queuedLines || float64(a.bytes.Load()) >= share*queuedBytes {
+		a.leaveOut()
 		return len(p), nil
 	}
+	a.bytes.Add(int64(len(p)))
 	select {
 	case a.lines <- queued{line: append([]byte(nil), p...)}:
 	default:
-		a.lost.Add(1)
+		a.bytes.Add(-int64(len(p)))
+		a.leaveOut()
 	}
 	return len(p), nil
 }
 
+// leaveOut counts a line that is left out.
+func (a *Async) leaveOut() {
+	a.total.Add(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lost == 0 {
+		a.lostSince = time.Now()
+	}
+	a.lost++
+}
+
+// takeLost returns how many lines were left out since its last call, and when the first of them was.
+func (a *Async) takeLost() (n int64, since time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n, a.lost = a.lost, 0
+	return n, a.lostSince
+}
+
+// LeftOut returns how many lines were left out since the start.
+func (a *Async) LeftOut() int64 { return a.total.Load() }
+
 // Flush waits until all lines so far are written, up to a time: a process that ends at once would lose its
 // last ones, and one whose reader stalls must end all the same. It reports whether they are.
 func (a *Async) Flush(within time.Duration) bool {
@@ -84,8 +122,10 @@
 			close(q.reached)
 			continue
 		}
-		if n := a.lost.Swap(0); n > 0 {
-			fmt.Fprintf(a.to, "{\"@level\":\"warn\",\"@message\":\"log lines left out\",\"lines\":%d}\n", n)
+		a.bytes.Add(-int64(len(q.line)))
+		if n, since := a.takeLost(); n > 0 {
+			fmt.Fprintf(a.to, "{\"@level\":\"warn\",\"@message\":\"log lines left out\",\"@timestamp\":%q,\"lines\":%d,\"since\":%q}\n",
+				time.Now().Format(timeFormat), n, since.Format(timeFormat))
 		}
 		// Output that can't be written has no other place to be reported.
 		_, _ = a.to.Write(q.line)
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 
 	"arbutusramp/internal/settings"
 )
@@ -95,3 +97,60 @@
 		t.Errorf("the next line does not say %s", want)
 	}
 }
+
+// Guards against a queue that holds many times the memory of usual lines when the lines are long, and against lines that
+// are left out and not counted, or told at a time that can't be read.
+func TestLongLinesAreBoundedInBytesAndCounted(t *testing.T) {
+	s := &stalled{goOn: make(chan struct{})}
+	out := NewAsync(s)
+	const lines, lineBytes = queuedLines, 8 << 10
+	line := []byte(`{"@message":"long","text":"` + strings.Repeat("x", lineBytes) + "\"}\n")
+	for range lines {
+		_, _ = out.LevelWrite(hclog.Warn, line)
+	}
+	close(s.goOn)
+	if !out.Flush(time.Minute) {
+		t.Fatal("the lines were not written within a minute")
+	}
+	written, told := 0, 0
+	for _, text := range strings.Split(strings.TrimSpace(s.text()), "\n") {
+		var l struct {
+			Message string    `json:"@message"`
+			Time    time.Time `json:"@timestamp"`
+			Since   time.Time `json:"since"`
+			Lines   int       `json:"lines"`
+		}
+		if err := json.Unmarshal([]byte(text), &l); err != nil {
+			t.Fatalf("cannot decode the line %s: %v", text, err)
+		}
+		if l.Message == "long" {
+			written++
+			continue
+		}
+		if told += l.Lines; l.Since.IsZero() || l.Time.Before(l.Since) {
+			t.Errorf("%d lines left out since %v, told at %v; want two times in order", l.Lines, l.Since, l.Time)
+		}
+	}
+	if maxWritten := queuedBytes/lineBytes + 1; written > maxWritten || written+told != lines || out.LeftOut() != int64(told) {
+		t.Errorf("%d of %d lines written, %d told as left out, %d counted; want at most %d written and the rest told and counted", written, lines, told, out.LeftOut(), maxWritten)
+	}
+}
+
+// Guards against lines that are left out without a trace: a counter has them at once, the next line says since when.
+func TestLeftOutLinesAreCounted(t *testing.T) {
+	var out bytes.Buffer
+	counter := metrics.NewCounter()
+	r := NewTrace(hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true})).CountIn(counter)
+	now := time.Date(2026, 1, 1, 10, 0, 0, 0, time.UTC)
+	const lines = traceBurst + 7
+	for range lines {
+		r.Info(now, "moved")
+	}
+	if n := counter.Count(); n != lines-traceBurst {
+		t.Errorf("%d lines counted as left out, want %d", n, lines-traceBurst)
+	}
+	r.Info(now.Add(time.Second), "moved")
+	if want := `"left_out":7,"left_out_since":"2026-01-01T10:00:00.000000Z"`; !strings.Contains(out.String(), want) {
+		t.Errorf("the next line does not say %s", want)
+	}
+}
--- a/internal/logging/routine.go
+++ b/internal/logging/routine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 )
 
@@ -13,6 +14,11 @@
 	// usual nothing is left out, in a flood the log stays below 100 KB a second.
 	routinePerS  = 200
 	routineBurst = 400
+	// tracePerS bounds each kind of line of requests that were sent more than once, or of which a send did not run. Of
+	// these an investigation needs each one, and outside of overload all are written. In an overload rejections
+	// multiply: the bound keeps the log below 2 MB a second, and its processor time below 3% of a core.
+	tracePerS  = 1000
+	traceBurst = 2000
 )
 
 // Routine writes lines about what went well, which may be many, at a bounded rate. Lines about
@@ -20,9 +26,11 @@
 type Routine struct {
 	log   hclog.Logger
 	limit *rate.Limiter
+	total metrics.Counter // lines left out since the start; nil if it is not counted
 
-	mu      sync.Mutex
-	leftOut int64
+	mu        sync.Mutex // guards leftOut and leftSince
+	leftOut   int64      // lines left out since the last one that was written
+	leftSince time.Time  // when the first of them was left out
 }
 
 // NewRoutine returns a Routine for one kind of line.
@@ -30,20 +38,42 @@
 	return &Routine{log: log, limit: rate.NewLimiter(routinePerS, routineBurst)}
 }
 
-// Info writes a line, or leaves it out; the next one that is written says how many were.
+// NewTrace returns a Routine with the larger bound, for one kind of line that an investigation of a request needs.
+func NewTrace(log hclog.Logger) *Routine {
+	return &Routine{log: log, limit: rate.NewLimiter(tracePerS, traceBurst)}
+}
+
+// CountIn makes r count the lines that it leaves out, and returns r. It must be called before the first line.
+func (r *Routine) CountIn(c metrics.Counter) *Routine {
+	r.total = c
+	return r
+}
+
+// Info writes a line, or leaves it out; the next one that is written says how many were, and since when.
 func (r *Routine) Info(now time.Time, msg string, args ...any) {
 	if !r.limit.AllowN(now, 1) {
-		r.mu.Lock()
-		r.leftOut++
-		r.mu.Unlock()
+		r.leaveOut(now)
 		return
 	}
 	r.mu.Lock()
-	n := r.leftOut
+	n, since := r.leftOut, r.leftSince
 	r.leftOut = 0
 	r.mu.Unlock()
 	if n > 0 {
-		args = append(args, "left_out", n)
+		args = append(args, "left_out", n, "left_out_since", since.Format(timeFormat))
 	}
 	r.log.Info(msg, args...)
 }
+
+// leaveOut counts a line that is left out at now.
+func (r *Routine) leaveOut(now time.Time) {
+	if r.total != nil {
+		r.total.Inc(1)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leftOut == 0 {
+		r.leftSince = now
+	}
+	r.leftOut++
+}
