--- a/internal/command/ctl_explain.go
+++ b/internal/command/ctl_explain.go
@@ -20,7 +20,7 @@
 func (*explainCmd) Name() string     { return "explain" }
 func (*explainCmd) Synopsis() string { return "tell the story of a request, job or item from logs" }
 func (*explainCmd) Usage() string {
-	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them,\n  then where its stream began, where it went on or why not,\n  and the decisions on it: targets, predicted waits and times, shares.\n" +
+	return "explain ID FILE...\n  Prints the lines about ID in the processes' logs, with what they came to believe around them,\n  then where its stream began, where it went on or why not,\n  the decisions on it: targets, predicted waits and times, shares,\n  and each send with its connection, answer and evidence, and whether it may have run more than once.\n" +
 		"explain -summary FILE...\n  Counts what became of all requests, jobs and items of the logs.\n" +
 		"explain -slots 5s FILE...\n  Tells where the slot-seconds of targets with batch work went, in windows of that length.\n"
 }
@@ -83,7 +83,10 @@
 	if err := explain.PrintStream(os.Stdout, explain.StreamSteps(id, lines)); err != nil {
 		return err
 	}
-	return explain.PrintDecisions(os.Stdout, explain.Decisions(id, lines))
+	if err := explain.PrintDecisions(os.Stdout, explain.Decisions(id, lines)); err != nil {
+		return err
+	}
+	return explain.PrintSends(os.Stdout, explain.Sends(id, lines))
 }
 
 // readLogs reads the lines of all files. Errors: errs.NotFound, those of reading.
