gateway: the line of a request tells each of its sends with connection, answer and evidence

`sent` was bounded to 200 lines a second with first and later sends alike, a rejection had no line, and the line of a served request was one of a sample. The line `request` now has `sends`, bounded to eight, and `targets` is bounded likewise. Requests that were sent more than once, or of which a send did not run, have a bound of their own (1,000 a second); doubtful ones (foreign answer, second write, no evidence, more than one possible run) are not bounded, since there are few and each is needed. Later sends have a larger bound than first ones and say how the send before ended, which is what is left if the process dies. Metrics: online.not_run.EVIDENCE, online.second_writes, online.resent.KIND. What a send counted as is read from the count of possible runs, so that the line can't differ from it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,7 @@
 	// isReadLate is true if the last write to the caller took at least slowWriteThreshold, so that the target
 	// was read late.
 	isReadLate bool
+	send       sendOutcome
 }
 
 // sendAndRelay sends the request to the target and relays the answer to the caller.
@@ -73,6 +74,7 @@
 	defer a.cancel()
 	sentAt := time.Now()
 	a.lastActivity.Store(int64(sentAt.Sub(a.req.Arrived)))
+	a.send.sentAt, a.send.runsBefore = sentAt, a.possibleRuns
 	a.possibleRuns++
 	a.resumedAfter = a.lastEventID
 	a.stages.noteSent(sentAt)
@@ -83,12 +85,13 @@
 	a.run.OnTargetEnd(a.cancel)
 	ans, err := a.gw.targets.Send(ctx, platform.TargetCall{
 		Target: a.run.Target, Request: a.req, TimeLeft: a.deadline.Sub(sentAt),
-		ResumeAfter: a.resumedAfter, Once: !a.route.IsIdempotent(),
+		ResumeAfter: a.resumedAfter, Once: !a.route.IsIdempotent(), Record: &a.send.record,
 	})
 	if err != nil {
 		return a.sendError(ctx, err)
 	}
 	defer ans.Body.Close()
+	a.send.status, a.send.isForeign = ans.Status, ans.Foreign
 	if ans.Foreign {
 		return a.foreignAnswerError()
 	}
@@ -149,13 +152,6 @@
 	a.run.RecordActivity()
 }
 
-// logSent logs the request and its target before the request is sent. If this process is killed during the
-// attempt, the log line of the finished request is missing and this line is the only record of the target.
-func (a *attempt) logSent(now time.Time) {
-	a.gw.sentLog.Info(now, "sent", "request", a.req.ID, "route", a.route.Name, "attempt", len(a.tried), "target", a.run.Choice.String(),
-		"version", a.run.Target.Version, "parts", a.req.Prompt.String(), "after_event", a.lastEventID, "resumes", a.req.Resumes, "left_ms", a.deadline.Sub(now).Milliseconds())
-}
-
 // noteTargetFailure records that the target failed this attempt, and logs if that makes the target suspect, so
 // that other targets are preferred.
 func (a *attempt) noteTargetFailure(reason string) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"arbutusramp/core/workspace"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/logging"
+	"arbutusramp/internal/sendlog"
 )
 
 const (
@@ -33,16 +34,15 @@
 
 // Gateway serves online requests. It is safe for concurrent use.
 type Gateway struct {
-	targets   platform.TargetCaller
-	view      *fleetview.View
-	config    ConfigStatus
-	log       hclog.Logger     // failed requests and failures of targets
-	servedLog *logging.Routine // requests that were served
-	sentLog   *logging.Routine // requests that are sent to a target
-	shedLog   *logging.Routine // requests that are queued or rejected
-	shareLog  *logging.Routine // requests that are rejected because of the share of their workspace
-	reg       metrics.Registry
-	costs     *fleetview.CostRecorder
+	targets  platform.TargetCaller
+	view     *fleetview.View
+	config   ConfigStatus
+	log      hclog.Logger     // failed requests and failures of targets
+	sendLogs sendLogs         // sends, and requests that were served
+	shedLog  *logging.Routine // requests that are queued or rejected
+	shareLog *logging.Routine // requests that are rejected because of the share of their workspace
+	reg      metrics.Registry
+	costs    *fleetview.CostRecorder
 	// timeouts estimates for each route how long callers wait for an answer before they give up.
 	timeouts    *shed.CallerTimeouts
 	controllers *controllers
@@ -140,7 +140,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, versions: o.Versions, prober: o.Prober, log: o.Log,
 		resumeLog: logging.NewRoutine(o.Log),
-		servedLog: logging.NewRoutine(o.Log), sentLog: logging.NewRoutine(o.Log), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
+		sendLogs:  newSendLogs(o.Log, o.Metrics), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
 
@@ -174,7 +174,8 @@
 	isOriginUncertain bool
 	// announcedAt is when the origin was last announced; zero before the first event of this exchange.
 	announcedAt time.Time
-	choices     []string // for each attempt the target and why it was chosen, for the log
+	choices     []string // for each attempt the target and why it was chosen, for the log; see noteChoice
+	sends       sendlog.List
 	stages      stages
 	share       fleet.ShareDecision // on the request, by the share of its workspace
 }
@@ -280,12 +281,13 @@
 	if err := ex.verifyStart(ctx, run.Target); err != nil {
 		return err
 	}
-	ex.choices = append(ex.choices, run.Choice.String())
+	ex.noteChoice(run.Choice.String())
 	if run.Choice.IsByExpectedTime {
 		metrics.GetOrRegisterCounter("online.choices.expected_time", ex.gw.reg).Inc(1)
 	}
 	a := &attempt{exchange: ex, run: run}
 	err := a.sendAndRelay(ctx)
+	a.noteSendEnd(err)
 	ex.gw.costs.Record(run, err == nil && a.resumedAfter == "", "request", ex.req.ID)
 	if err == nil {
 		run.RecordHoldTime()
@@ -379,8 +381,10 @@
 	if ex.origin != nil {
 		fields = append(fields, "version", ex.origin.Version)
 	}
+	fields = ex.sends.Fields(fields)
+	ex.countResent()
 	if err == nil {
-		ex.gw.servedLog.Info(now, "request", fields...)
+		ex.logServed(now, fields)
 		return
 	}
 	ex.gw.log.Warn("request", append(fields, "content", ex.content.Fingerprint().String(), "error", err.Error(), "begun", ex.hasSentHeader, "last_event", ex.lastEventID,
