backlog: the lines of an item's runs tell connection, answer and evidence

The same as for requests: `item run` has `sends`, runs that counted as not run and later runs have the larger bound, doubtful ones none. Metrics: item.not_run.EVIDENCE, item.second_writes, item.foreign_answers.

go test -race of internal/backlog passes.

--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -17,6 +17,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/internal/fleetview"
+	"arbutusramp/internal/sendlog"
 	"arbutusramp/internal/telemetry"
 )
 
@@ -58,8 +59,9 @@
 		"job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch, "route", route.Name, "target", r.Choice.String(),
 		"version", r.Target.Version, "parts", t.item().Prompt.String(), "from_event", fromEvent, "uri", t.item().URI, "body_bytes", len(t.item().Body), "body_sum", bodyChecksum(t.item().Body),
 	}
-	m.sentLog.Info(began, "item sent", append(fields, r.ForecastFields()...)...)
-	v, err := m.streamItem(ctx, t, r)
+	number := m.sendLogs.logSent(t, began, append(fields, r.ForecastFields()...))
+	end := runSend{}
+	v, err := m.streamItem(ctx, t, r, &end)
 	m.costs.Record(r, v == runComplete && fromEvent == "", "item", t.item().ID)
 	r.Done()
 	took := time.Since(began)
@@ -77,9 +79,11 @@
 	if v == runFailed {
 		m.saveFailure(t)
 	}
-	m.runLog.Info(time.Now(), "item run", "job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
+	m.sendLogs.logRun(t, &end, []any{
+		"job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
 		"route", route.Name, "target", r.Choice.String(), "from_event", fromEvent, "to_event", toEvent, "ms", took.Milliseconds(),
-		"first_ms", timeToFirstEvent.Milliseconds(), "idle_ms", timeSinceLastEvent.Milliseconds(), "verdict", v.String(), "preempted", isPreempted, "error", errText(err))
+		"first_ms", timeToFirstEvent.Milliseconds(), "idle_ms", timeSinceLastEvent.Milliseconds(), "verdict", v.String(), "preempted", isPreempted, "error", errText(err),
+	}, sendlog.Send{Number: number, Target: r.Target.ID, TookMs: sendlog.Milliseconds(took), AfterEvent: fromEvent}, err)
 }
 
 // String returns the verdict as it is logged.
@@ -157,14 +161,15 @@
 }
 
 // streamItem sends the item to the target of r and appends the events of its stream to the task. It returns the
-// verdict on the run, and the reason unless that is runComplete.
-func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run) (runVerdict, error) {
+// verdict on the run, and the reason unless that is runComplete. It fills in end.
+func (m *Manager) streamItem(ctx context.Context, t *task, r *fleetview.Run, end *runSend) (runVerdict, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := newWatchdog(ctx, cancel, r)
 	r.OnTargetEnd(cancel)
 	fromEvent := t.lastEvent()
-	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request, ResumeAfter: fromEvent})
+	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request, ResumeAfter: fromEvent, Record: &end.record})
+	end.setAnswer(answer, err)
 	if err != nil {
 		return m.classifyRunError(ctx, t, wd, err)
 	}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -60,8 +60,8 @@
 	view      *fleetview.View
 	router    Router
 	log       hclog.Logger
-	sentLog   *logging.Routine // one line per run that starts
-	runLog    *logging.Routine // one line per finished run
+	sendLogs  sendLogs         // runs that start and that have ended
+	runLog    *logging.Routine // texts that are thrown away
 	bodyLog   *logging.Routine // one line per item body that is received or read
 	registry  metrics.Registry
 	costs     *fleetview.CostRecorder
@@ -82,7 +82,7 @@
 func New(o Options, store platform.Store, targets platform.TargetCaller, view *fleetview.View, router Router, log hclog.Logger, reg metrics.Registry) *Manager {
 	m := &Manager{
 		opts: o, store: store, targets: targets, view: view, router: router, log: log, registry: reg, costs: fleetview.NewCostRecorder(log, reg), runTimes: backlog.NewRunTimeEstimator(),
-		sentLog: logging.NewRoutine(log), runLog: logging.NewRoutine(log), bodyLog: logging.NewRoutine(log),
+		sendLogs: newSendLogs(log, reg), runLog: logging.NewRoutine(log), bodyLog: logging.NewRoutine(log),
 		replica: NewReplica(o.MemberID, store, view.RecordStoreContact, view.LivePeerCount, log),
 	}
 	m.replica.isFollowing = m.isMember.Load
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -26,6 +26,7 @@
 
 	mu             sync.Mutex
 	hasRun         bool                   // a run has begun in this process
+	sends          int                    // runs that have begun in this process
 	hasActiveRun   bool                   // a run has begun and its verdict has not been applied
 	outcome        backlog.Outcome        // stored or queued to be stored; empty while the item is unfinished
 	cancel         context.CancelFunc     // cancels the last run; nil before the first
