entry: the line of a retry says what the failed attempt counted as

`route` names the target of each attempt, `retry` named only the error of the one before, not whether it had run.

go test -race of internal/entry passes.

--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -94,7 +94,7 @@
 	if c.progress.next > 0 {
 		r.resumes.Inc(1)
 	}
-	r.log.Info("retry", "request", c.in.id, "failed", c.target.id, "error", err, "position", c.progress.next)
+	r.log.Info("retry", "request", c.in.id, "attempt", c.attempt, "failed", c.target.id, "error", err, "ran", err.Ran, "position", c.progress.next)
 }
 
 // ended counts a call that has ended, with err nil after a whole answer.
