Events of targets are bounded while they are read

Cause: events.Reader compared the size of an event with its bound only where a line ended, so that one line without end was read into memory whole. Blank lines, comments and other events without id or data were unbounded, and counted as progress: they kept a stream from going to another target and held it until its time limit.

Change: the bound is checked with each buffer that is read. Events without content may have 64 KiB together between two events with content, each counted as 64 bytes at least. An answer beyond a bound ends with the new type answer_too_large (502, may have run), its connection is closed, its target counts as failing, and it is counted (online.oversized_answers) and logged. The content of its request is not blamed. Only events with an id or data are progress of a stream.

--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -43,6 +43,7 @@
 	TargetCrashed    Type = "target_crashed"
 	TargetRefused    Type = "target_refused"
 	StreamBroken     Type = "stream_broken"
+	AnswerTooLarge   Type = "answer_too_large"
 	Quarantined      Type = "quarantined"
 	VersionGone      Type = "version_gone"
 	StreamUnknown    Type = "stream_unknown"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -48,6 +48,7 @@
 	TargetTimeout:    {504, RanUnknown, "resend if idempotent"},
 	TargetRefused:    {502, RanYes, "correct the request; the target refused it"},
 	StreamBroken:     {502, RanUnknown, "resend if idempotent"},
+	AnswerTooLarge:   {502, RanUnknown, "resend if idempotent; report it if it recurs: a target sends more than an answer may have"},
 	Quarantined:      {502, RanNo, "don't resend it: targets crash under this request, or under a part of its prompt that the message names; report it"},
 	VersionGone:      {503, RanNo, "request the stream from the beginning: no target of the version that began it is left"},
 	StreamUnknown:    {503, RanNo, "resend, naming the request that brought the first event, or request the stream from the beginning"},
--- a/core/events/events.go
+++ b/core/events/events.go
@@ -7,11 +7,19 @@
 	"bytes"
 	"io"
 
-	"github.com/pkg/errors"
+	"arbutusramp/core/errs"
 )
 
-// maxEventBytes bounds the size of one event, including line ends.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event, including line ends. The largest events of the deployments have 1 KB.
+	maxEventBytes = 1 << 20
+	// maxBytesWithoutContent bounds the events without content between two events with content, in bytes. Targets send
+	// them, if at all, as a sign of life every few seconds.
+	maxBytesWithoutContent = 64 << 10
+	// minBytesWithoutContent is what an event without content counts at least, in bytes: each costs a write to a caller,
+	// and 64 Ki blank lines take longer than some time limits.
+	minBytesWithoutContent = 64
+)
 
 // Event is one server-sent event.
 type Event struct {
@@ -20,43 +28,68 @@
 	Data []byte // the values of the data lines, joined by line feeds
 }
 
+// HasContent reports whether the event has an id or data. Blank lines and comments are events without content, which a
+// target can send without end although it does not get on.
+func (e *Event) HasContent() bool { return e.ID != "" || len(e.Data) > 0 }
+
 // Reader reads events one by one from a stream. It is not safe for concurrent use.
-type Reader struct{ buffered *bufio.Reader }
+type Reader struct {
+	buffered     *bufio.Reader
+	withoutBytes int // what is counted of the events without content since the last one with content
+}
 
 // NewReader returns a Reader that reads its stream from r.
-func NewReader(r io.Reader) *Reader { return &Reader{bufio.NewReader(r)} }
+func NewReader(r io.Reader) *Reader { return &Reader{buffered: bufio.NewReader(r)} }
 
 // Next returns the next event. Errors: io.EOF if the stream ends between two events; io.ErrUnexpectedEOF if it
-// ends inside an event; an untyped error if the event exceeds maxEventBytes; any other error of the stream as it
-// is.
+// ends inside an event; errs.AnswerTooLarge if the event exceeds maxEventBytes, or the events without
+// content maxBytesWithoutContent; any other error of the stream as it is. It reads at most one buffer beyond these bounds.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	hasData := false
 	for {
-		line, err := r.buffered.ReadSlice('\n')
-		if err != nil && err != bufio.ErrBufferFull {
-			return Event{}, endError(err, len(e.Raw)+len(line))
-		}
-		e.Raw = append(e.Raw, line...)
-		if len(e.Raw) > maxEventBytes {
-			return Event{}, errors.Errorf("event exceeds %d bytes", maxEventBytes)
+		lineStart := len(e.Raw)
+		if err := r.readLine(&e); err != nil {
+			return Event{}, err
 		}
-		if err == bufio.ErrBufferFull {
-			rest, err := r.buffered.ReadBytes('\n')
-			if err != nil {
-				return Event{}, endError(err, len(e.Raw)+len(rest))
-			}
-			e.Raw = append(e.Raw, rest...)
-			line = e.Raw[bytes.LastIndexByte(e.Raw[:len(e.Raw)-1], '\n')+1:]
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.Raw[lineStart:], "\r\n")
 		if len(line) == 0 {
-			return e, nil
+			return e, r.checkContent(&e)
 		}
 		hasData = e.addLine(line, hasData)
 	}
 }
 
+// readLine adds the next line to the bytes of e. Its errors are those of Next.
+func (r *Reader) readLine(e *Event) error {
+	for {
+		part, err := r.buffered.ReadSlice('\n')
+		if err != nil && err != bufio.ErrBufferFull {
+			return endError(err, len(e.Raw)+len(part))
+		}
+		if len(e.Raw)+len(part) > maxEventBytes {
+			return errs.Newf(errs.AnswerTooLarge, "an event exceeds %d bytes", maxEventBytes)
+		}
+		e.Raw = append(e.Raw, part...)
+		if err == nil {
+			return nil
+		}
+	}
+}
+
+// checkContent returns an error of type errs.AnswerTooLarge if e has no content, like too many bytes before it.
+func (r *Reader) checkContent(e *Event) error {
+	if e.HasContent() {
+		r.withoutBytes = 0
+		return nil
+	}
+	r.withoutBytes += max(len(e.Raw), minBytesWithoutContent)
+	if r.withoutBytes > maxBytesWithoutContent {
+		return errs.Newf(errs.AnswerTooLarge, "more than %d bytes without an event that has an id or data", maxBytesWithoutContent)
+	}
+	return nil
+}
+
 // endError returns the error of Next when reading the stream has failed with err after bytesRead bytes of an
 // event: io.ErrUnexpectedEOF for an end inside the event, else err.
 func endError(err error, bytesRead int) error {
--- a/core/events/events_test.go
+++ b/core/events/events_test.go
@@ -7,6 +7,8 @@
 	"testing/iotest"
 
 	"github.com/pkg/errors"
+
+	"arbutusramp/core/errs"
 )
 
 // The reader must return the same events no matter how the bytes of the stream are divided into reads.
@@ -73,3 +75,84 @@
 		}
 	})
 }
+
+// countingReader counts the bytes that are read from it.
+type countingReader struct {
+	io.Reader
+	taken int
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.taken += n
+	return n, err
+}
+
+// endlessReader returns the same text again and again.
+type endlessReader struct {
+	text string
+	at   int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.text[r.at]
+		r.at = (r.at + 1) % len(r.text)
+	}
+	return len(p), nil
+}
+
+// Guards against a stream that fills the memory of its reader: a line, or lines, that never complete an event.
+func TestEndlessEventIsNotReadBeyondItsBound(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", "data:\n", ": x\n", "id: 1\n", "\r"} {
+		source := &countingReader{Reader: &endlessReader{text: text}}
+		if _, err := NewReader(source).Next(); !errs.Is(err, errs.AnswerTooLarge) || source.taken > maxEventBytes+2*4096 {
+			t.Errorf("endless %q: error %v after %d bytes, want answer_too_large after at most %d", text, err, source.taken, maxEventBytes+2*4096)
+		}
+	}
+}
+
+// Guards against a stream that passes for progress although none of its events has an id or data. Events without content
+// that are a sign of life between others are returned.
+func TestEventsWithoutContentAreBounded(t *testing.T) {
+	for _, text := range []string{"\n", "\r\n", ": x\n\n", "event: x\n\n", "data\n\n"} {
+		source := &countingReader{Reader: &endlessReader{text: text}}
+		reader := NewReader(source)
+		var err error
+		for err == nil {
+			_, err = reader.Next()
+		}
+		if !errs.Is(err, errs.AnswerTooLarge) || source.taken > maxBytesWithoutContent+2*4096 {
+			t.Errorf("endless %q: error %v after %d bytes, want answer_too_large after at most %d", text, err, source.taken, maxBytesWithoutContent+2*4096)
+		}
+	}
+	between := strings.Repeat(": x\n\n", maxBytesWithoutContent/minBytesWithoutContent) + "id: 1\n\n"
+	reader := NewReader(strings.NewReader(strings.Repeat(between, 3)))
+	events := 0
+	for {
+		e, err := reader.Next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatalf("comments between events: error %v, want none", err)
+		}
+		if e.HasContent() {
+			events++
+		}
+	}
+	if events != 3 {
+		t.Errorf("%d events with content, want 3", events)
+	}
+}
+
+// An event of exactly the largest size is returned, one byte more is refused.
+func TestLargestEvent(t *testing.T) {
+	event := func(size int) string { return "data: " + strings.Repeat("x", size-len("data: \n\n")) + "\n\n" }
+	if e, err := NewReader(strings.NewReader(event(maxEventBytes))).Next(); err != nil || len(e.Raw) != maxEventBytes {
+		t.Errorf("event of %d bytes: %d bytes, error %v; want the whole event", maxEventBytes, len(e.Raw), err)
+	}
+	if _, err := NewReader(strings.NewReader(event(maxEventBytes + 1))).Next(); !errs.Is(err, errs.AnswerTooLarge) {
+		t.Errorf("event of %d bytes: error %v, want answer_too_large", maxEventBytes+1, err)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -227,9 +227,9 @@
 // header is sent with the first event: until then the request can still be retried elsewhere.
 func (a *attempt) relayStream(ctx context.Context, ans *platform.TargetAnswer) error {
 	reader := events.NewReader(ans.Body)
-	for isPassRecorded, hasEvent := false, false; ; hasEvent = true {
+	for isPassRecorded, hasContent := false, false; ; {
 		event, err := reader.Next()
-		if err == io.EOF && a.isEmptyUnframed(hasEvent) {
+		if err == io.EOF && a.isEmptyUnframed(hasContent) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
@@ -240,10 +240,13 @@
 			a.noteVersionChange()
 			return a.brokenOffError(ctx, err)
 		}
-		a.noteActivity()
-		if sinceFirst := a.run.RecordEvent(); !isPassRecorded && sinceFirst >= quarantine.MinPassDuration {
-			isPassRecorded = true
-			a.gw.quarantine.NotePassed(a.content, time.Now().Add(-sinceFirst))
+		if event.HasContent() {
+			hasContent = true
+			a.noteActivity()
+			if sinceFirst := a.run.RecordEvent(); !isPassRecorded && sinceFirst >= quarantine.MinPassDuration {
+				isPassRecorded = true
+				a.gw.quarantine.NotePassed(a.content, time.Now().Add(-sinceFirst))
+			}
 		}
 		if a.run.HasVersionChanged() && a.origin != nil && !a.hasRelayed {
 			return errs.New(errs.StreamBroken, "the target has got another version, which may not fit the events that the caller has")
@@ -294,6 +297,10 @@
 // brokenOffError returns the error of an attempt whose answer ended with err before it was complete, and records
 // the failure if the target caused it.
 func (a *attempt) brokenOffError(ctx context.Context, err error) error {
+	if errs.Is(err, errs.AnswerTooLarge) {
+		a.noteOversized(err)
+		return err
+	}
 	if localErr := a.localError(ctx, errs.StreamBroken); localErr != nil {
 		return localErr
 	}
--- /dev/null
+++ b/internal/node/endless_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+
+	"arbutusramp/platform/wire"
+	"arbutusramp/platform/wiretest"
+)
+
+const (
+	// maxSocketBytes is how much the kernel may hold of what a target has written and a gateway has not read: the send buffer
+	// that floodTarget sets, and the receive buffer, which the kernel enlarges to 6 MB at most.
+	maxSocketBytes = 8 << 20
+	// maxFloodBytes ends a flood that no gateway ends, so that a failing test does not take all memory.
+	maxFloodBytes = 128 << 20
+	// floodHead begins an answer to which the body of a flood is added. The argument is the id of the request.
+	floodHead = "HTTP/1.1 200 OK\r\n" + wire.HeaderRequestID + ": %s\r\nConnection: close\r\n"
+)
+
+// streamHead begins a stream whose events follow without chunks. The argument is the id of the request.
+const streamHead = floodHead + "Content-Type: text/event-stream\r\n\r\n"
+
+// flood is an answer without end.
+type flood struct {
+	name string
+	head string             // the first part of the answer; %s stands for the id of the request
+	next func(n int) string // the n-th of the parts that follow, from 0
+}
+
+// floodTarget answers each request with bytes without end, until its caller closes the connection.
+type floodTarget struct {
+	listener net.Listener
+	// choose returns the answer to a request by its path.
+	choose func(path string) flood
+	sent   atomic.Int64  // bytes written after the heads, to all connections
+	served atomic.Int64  // requests
+	ended  chan struct{} // receives a value for each answer that a caller has ended
+}
+
+// newFloodTarget starts a target that listens until the test ends.
+func newFloodTarget(t *testing.T, choose func(path string) flood) *floodTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &floodTarget{listener: listener, choose: choose, ended: make(chan struct{}, 1<<10)}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(conn)
+		}
+	}()
+	return f
+}
+
+// serve answers one request on a connection.
+func (f *floodTarget) serve(conn net.Conn) {
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10) // otherwise more bytes count as sent than were read
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil || req.URL.Path == wire.PathReport {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body) // a failure shows with the next write
+	f.served.Add(1)
+	defer func() { f.ended <- struct{}{} }()
+	answer := f.choose(req.URL.Path)
+	if _, err := io.WriteString(conn, strings.Replace(answer.head, "%s", req.Header.Get(wire.HeaderRequestID), 1)); err != nil {
+		return
+	}
+	for n, sent := 0, 0; sent < maxFloodBytes; n++ {
+		written, err := io.WriteString(conn, answer.next(n))
+		f.sent.Add(int64(written))
+		sent += written
+		if err != nil {
+			return
+		}
+	}
+}
+
+// repeated returns parts of a flood that consist of copies of text.
+func repeated(text string) func(int) string {
+	part := strings.Repeat(text, max(1, 16<<10/len(text)))
+	return func(int) string { return part }
+}
+
+// newFloodSystem returns a system with one gateway and one target, which answers with the floods by the number that a
+// path ends with.
+func newFloodSystem(t *testing.T, floods []flood) (*system, *floodTarget) {
+	f := newFloodTarget(t, func(path string) flood {
+		n, err := strconv.Atoi(path[strings.LastIndexByte(path, '/')+1:])
+		if err != nil {
+			t.Errorf("path %s does not end with the number of a flood", path)
+		}
+		return floods[n]
+	})
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	s.listTargetAt("i-0", f.listener.Addr().String())
+	s.startGateways(1)
+	return s, f
+}
+
+// listTargetAt adds a target at an address to the list of targets in the store.
+func (s *system) listTargetAt(id, addr string) {
+	s.must(wiretest.PutTarget(s.t.Context(), s.store, wiretest.TargetEntry{Name: id, Addr: addr, Domain: "d", Slots: targetSlots}))
+}
+
+// counter returns the value of a counter of the n-th gateway.
+func (s *system) counter(n int, name string) int64 {
+	return metrics.GetOrRegisterCounter(name, s.gateways[n].reg).Count()
+}
+
+// checkFloods sends a request for each of the floods on each of the paths. It reports a failure unless the gateway ends
+// each answer by a bound, after at most maxTaken bytes, and after one run that it does not state as not run.
+func checkFloods(t *testing.T, floods []flood, paths []string, maxTaken int64) {
+	s, f := newFloodSystem(t, floods)
+	defer s.stopAll()
+	for i, test := range floods {
+		for _, path := range paths {
+			name := test.name + " on " + path
+			taken, runs, oversized := f.sent.Load(), f.served.Load(), s.counter(0, "online.oversized_answers")
+			status, _ := s.caller.Send(s.gateways[0].CallerAddr(), http.MethodPost, fmt.Sprint(path, i), fmt.Sprint("r", path, i), "")
+			<-f.ended
+			taken, runs, oversized = f.sent.Load()-taken, f.served.Load()-runs, s.counter(0, "online.oversized_answers")-oversized
+			t.Logf("%s: %d bytes taken, status %d", name, taken, status)
+			if taken > maxTaken {
+				t.Errorf("%s: the gateway took %d bytes, want at most %d", name, taken, maxTaken)
+			}
+			if oversized != 1 {
+				t.Errorf("%s: %d answers counted as beyond their bounds, want 1: something else has ended it", name, oversized)
+			}
+			if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || runs != 1 {
+				t.Errorf("%s: status %d after %d runs, want one run and no status that says that the request has not run", name, status, runs)
+			}
+		}
+	}
+}
+
+// allPaths are the paths of one route of each kind whose callers wait for the answer.
+var allPaths = []string{"/stream/", "/call/", "/once/"}
+
+// Guards against a gateway that takes bytes without end from a target: into its memory, as events that never end, or as
+// progress of a stream, as lines without content. One request took up to 1.4 GB of heap in 1.5 s.
+func TestEndlessEventEndsAnswer(t *testing.T) {
+	checkFloods(t, []flood{
+		{"one line", streamHead, repeated("x")},
+		{"data lines", streamHead, repeated("data: x\n")},
+		{"comment lines", streamHead, repeated(": x\n")},
+		{"blank lines", streamHead, repeated("\n")},
+		{"blank lines with carriage returns", streamHead, repeated("\r\n")},
+		{"comments", streamHead, repeated(": x\n\n")},
+		{"events without data or id", streamHead, repeated("event: x\n\n")},
+	}, allPaths, maxSocketBytes+2<<20)
+}
