--- a/internal/explain/sends.go
+++ b/internal/explain/sends.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"arbutusramp/core/platform"
 	"arbutusramp/internal/sendlog"
 )
 
@@ -198,6 +199,8 @@
 	}
 	fmt.Fprintf(&b, ", %d ms: ", s.TookMs)
 	switch {
+	case s.Writes == 0 && s.Evidence != platform.EvidenceNotWritten.String():
+		b.WriteString("connection not recorded")
 	case s.Writes == 0:
 		b.WriteString("written to no connection")
 	case s.Writes == 1:
--- a/internal/explain/sends_test.go
+++ b/internal/explain/sends_test.go
@@ -16,7 +16,7 @@
 {"@timestamp":"2026-01-01T10:00:02.010000Z","@message":"sent","request":"r2","attempt":2,"target":"i-2 free slot online=6 batch=1 slots=8 peers=2","after_event":"","before":{"n":1,"target":"i-1","at_ms":0,"ms":9,"writes":1,"counted":"may have run","error":"reset"}}
 {"@timestamp":"2026-01-01T10:00:03.000000Z","@message":"request","request":"r3","outcome":"served","ms":50,"may_have_run":1,"sends":[{"n":1,"target":"i-1","at_ms":0,"ms":12,"writes":2,"status":503,"counted":"not run","evidence":"none"},{"n":2,"target":"i-2","at_ms":12,"ms":38,"writes":1,"status":200,"counted":"ran"}]}
 {"@timestamp":"2026-01-01T10:00:04.000000Z","@message":"request","request":"r4","outcome":"served","ms":50,"may_have_run":1,"targets":["i-1 x","i-2 x"]}
-{"@timestamp":"2026-01-01T10:00:05.000000Z","@message":"request","request":"r5","outcome":"no_target","ms":50,"may_have_run":0,"targets":["i-1 x"],"sends":[{"n":1,"target":"i-1","at_ms":3,"ms":2,"writes":1,"status":503,"counted":"not run","evidence":"rejection with the id of the request"}],"sends_left_out":12}
+{"@timestamp":"2026-01-01T10:00:05.000000Z","@message":"request","request":"r5","outcome":"no_target","ms":50,"may_have_run":0,"targets":["i-1 x"],"sends":[{"n":1,"target":"i-1","at_ms":3,"ms":2,"writes":0,"status":503,"counted":"not run","evidence":"rejection with the id of the request"}],"sends_left_out":12}
 {"@timestamp":"2026-01-01T10:00:05.100000Z","@message":"request","request":"r6","outcome":"overloaded","ms":0,"may_have_run":0,"targets":null}
 {"@timestamp":"2026-01-01T10:00:06.000000Z","@message":"item sent","item":"b1","job":"j","attempt":1,"target":"i-1 free slot","from_event":""}
 {"@timestamp":"2026-01-01T10:00:06.500000Z","@message":"item run","item":"b1","job":"j","ms":500,"verdict":"go on","sends":[{"n":1,"target":"i-1","at_ms":0,"ms":500,"writes":1,"status":200,"counted":"ran"}]}
@@ -69,7 +69,7 @@
 			"has run at most once, in 2 sends",
 		},
 		"r5": {
-			"10:00:04.953 g-1 send 1 to i-1, 2 ms: written; answer 503; counted as not run, evidence: rejection with the id of the request",
+			"10:00:04.953 g-1 send 1 to i-1, 2 ms: connection not recorded; answer 503; counted as not run, evidence: rejection with the id of the request",
 			"10:00:05.000 g-1 12 more sends are left out of the line; 0 sends of all ran or may have run",
 			"has not run: none of 13 sends ran or may have run",
 		},
@@ -101,7 +101,7 @@
 	}
 	want := `
 Sends:
-10:00:04.953000 g-1 send 1 to i-1, 2 ms: written; answer 503; counted as not run, evidence: rejection with the id of the request
+10:00:04.953000 g-1 send 1 to i-1, 2 ms: connection not recorded; answer 503; counted as not run, evidence: rejection with the id of the request
 10:00:05.000000 g-1 12 more sends are left out of the line; 0 sends of all ran or may have run
 g-2 left out 7 lines between 10:00:03.800 and 10:00:04.500
 g-2 left out 3 lines "sent" between 10:00:14.900 and 10:00:15.000
