--- a/core/platform/target.go
+++ b/core/platform/target.go
@@ -12,7 +12,8 @@
 // TargetCaller sends requests to targets.
 type TargetCaller interface {
 	// Send returns a target's answer once its header has arrived. Cancelling ctx cancels the
-	// request at the target. Error: errs.TargetFailed, with RanNo when nothing was sent.
+	// request at the target. Error: errs.BadRequest if its URI can't be sent, else errs.TargetFailed, with RanNo exactly
+	// if no byte of the request was written to a connection; none is written later.
 	Send(ctx context.Context, c TargetCall) (*TargetAnswer, error)
 }
 
@@ -42,8 +43,8 @@
 	TimeLeft time.Duration
 	// ResumeAfter is the id of the last event that is already there; empty from the start.
 	ResumeAfter string
-	// Once says that the request must not be sent twice, not even over a connection that the
-	// target has closed meanwhile.
+	// Once says that the request must not be sent twice: it is written to one connection at most, even if that ends
+	// without an answer. A connection that fails before the first byte was written to it does not count.
 	Once bool
 	// Record, if it is not nil, is filled in before Send returns.
 	Record *SendRecord
@@ -92,12 +93,16 @@
 	Body   io.ReadCloser
 	// IsUnframed says that the body has neither a length nor chunks: only the end of its connection ends it.
 	IsUnframed bool
-	// NotRun is the target's word that it has not begun with the request.
+	// NotRun says that the target has not begun with the request, and why that is known is in SendRecord.Evidence. It is set
+	// only for a rejection (status 421, or 4xx or 503 with the header that says so, once) that carries the id of the request
+	// and no other, or no id and is the first answer on its connection, and only if the request was written to no other
+	// connection.
 	NotRun bool
-	// OtherInstance says that another target has taken over the address.
+	// OtherInstance says that another target has taken over the address. It is set only with NotRun.
 	OtherInstance bool
-	// Foreign says that the answer belongs to another request: the connection is out of step. It says nothing of this
-	// request: neither NotRun nor OtherInstance is set, and Pace is 0.
+	// Foreign says that the answer shows nothing of this request, which may have run, and must not be passed on. It
+	// carries another id, several or none, or it is a rejection that does not meet the conditions of NotRun.
+	// OtherInstance is not set then, and Pace is 0.
 	Foreign bool
 	// Pace is how long work takes at the target at this moment, in percent of its usual duration; 0 if the target
 	// does not report it.
