backlog: items are told apart by job and item id, not by the two joined

Cause: an owner kept its items, and those with a position, under job id, slash and item id. Item ok/ok of job a and item ok of job a/ok had one key: the second result of a shard was dropped and its item was never listed.

Change: the key has two fields.

TestIDsWithSlashesNameDifferentItems: no result for the second job before, one now.

--- a/internal/backlog/manager_test.go
+++ b/internal/backlog/manager_test.go
@@ -34,6 +34,25 @@
 	})
 }
 
+// Guards against an item that is never run, or whose result is dropped, because ids with slashes make it look like an item
+// of another job.
+func TestIDsWithSlashesNameDifferentItems(t *testing.T) {
+	withCluster(t, 1, func(t *testing.T, cl *cluster) {
+		n, part := cl.nodes[0], "ok"
+		for i := 0; n.manager.shardOf("a") != n.manager.shardOf("a/"+part); i++ {
+			part = fmt.Sprint("ok", i) // the result is dropped only if one shard has both jobs
+		}
+		outer, inner := cl.job("a", "ok"), cl.job("a/"+part, "ok")
+		outer.Items[0].ID, inner.Items[0].ID = part+"/ok", "ok"
+		for _, j := range []*backlog.Job{outer, inner} {
+			n.submit(j)
+		}
+		for _, j := range []*backlog.Job{outer, inner} {
+			cl.checkResults(j, n.results(j, 20*time.Second))
+		}
+	})
+}
+
 // A job that is submitted to several processes at the same time must be written once.
 func TestResubmittedJobIsWrittenOnce(t *testing.T) {
 	withCluster(t, 3, func(t *testing.T, cl *cluster) {
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -40,8 +40,8 @@
 	m *Manager
 
 	mu         sync.Mutex
-	shards     map[*shard]bool        // adopted and not released
-	tasks      map[string]*task       // by job id, slash and item id
+	shards     map[*shard]bool // adopted and not released
+	tasks      map[itemKey]*task
 	tombstones []platform.KeyedRecord // of obsolete progress; written with the next checkpoints
 	leaseEnd   time.Time              // until then the store assigns this process's shards to no other
 	isClosed   bool                   // the process stops: no run begins any more
@@ -61,7 +61,7 @@
 // newScheduler returns a scheduler without shards.
 func newScheduler(m *Manager) *scheduler {
 	return &scheduler{
-		m: m, shards: make(map[*shard]bool), tasks: make(map[string]*task), runFinished: make(chan struct{}, 1), shardAdopted: make(chan struct{}, 1),
+		m: m, shards: make(map[*shard]bool), tasks: make(map[itemKey]*task), runFinished: make(chan struct{}, 1), shardAdopted: make(chan struct{}, 1),
 		scanCount: metrics.GetOrRegisterCounter(scansMetric, m.registry), deferLog: logging.NewRoutine(m.log), overloadLog: logging.NewRoutine(m.log),
 	}
 }
--- a/internal/backlog/shard.go
+++ b/internal/backlog/shard.go
@@ -40,12 +40,12 @@
 	// isClosed is set once the shard accepts no more results, because run has ended and would not write them.
 	isClosed       bool
 	pending        []*pendingResult
-	nextPositions  map[string]int  // position of the next result, by job id
-	positioned     map[string]bool // items to which this owner has assigned a position, by job and item id
-	unconfirmed    *resultBatch    // the batch whose write the store has not acknowledged yet; it is repeated unchanged
-	flushRequested chan struct{}   // receives a token when results are pending
-	stopped        chan struct{}   // closed once run has returned
-	seq            uint64          // sequence number of the next write of results
+	nextPositions  map[string]int   // position of the next result, by job id
+	positioned     map[itemKey]bool // items to which this owner has assigned a position, by job and item id
+	unconfirmed    *resultBatch     // the batch whose write the store has not acknowledged yet; it is repeated unchanged
+	flushRequested chan struct{}    // receives a token when results are pending
+	stopped        chan struct{}    // closed once run has returned
+	seq            uint64           // sequence number of the next write of results
 }
 
 // pendingResult is the result of an item that has not been stored yet.
@@ -60,8 +60,11 @@
 // item returns the id of the item.
 func (p *pendingResult) item() string { return p.job.Items[p.index].ID }
 
+// itemKey names an item of a job. Both ids may hold any characters, so that no separator could join them.
+type itemKey struct{ job, item string }
+
 // key returns the key of the item in shard.positioned.
-func (p *pendingResult) key() string { return p.job.ID + "/" + p.item() }
+func (p *pendingResult) key() itemKey { return itemKey{p.job.ID, p.item()} }
 
 // startShard starts the ownership of a shard that the store has assigned to this process in an epoch. The
 // ownership ends with ctx or when the shard's stop is called.
@@ -69,7 +72,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &shard{
 		m: m, index: index, epoch: epoch, formerOwnersDoneAt: formerOwnersDoneAt, flushRequested: make(chan struct{}, 1), stopped: make(chan struct{}),
-		nextPositions: make(map[string]int), positioned: make(map[string]bool),
+		nextPositions: make(map[string]int), positioned: make(map[itemKey]bool),
 	}
 	s.stop = func() {
 		cancel()
--- a/internal/backlog/tasks.go
+++ b/internal/backlog/tasks.go
@@ -87,7 +87,7 @@
 // scheduler's lock.
 func (sc *scheduler) addJob(st *backlog.State, s *shard, j *backlog.Job) {
 	for i := range j.Items {
-		key := j.ID + "/" + j.Items[i].ID
+		key := itemKey{j.ID, j.Items[i].ID}
 		if _, ok := sc.tasks[key]; ok || st.HasResult(j.ID, j.Items[i].ID) {
 			continue
 		}
