backlog: the text of an item is bounded, and blank lines are no part of it

Cause: a run appended each event to its item's text, so that a target that sends valid events without end filled the memory, wrote checkpoints of it to the store, and held the item. Blank lines and comments counted as events: they kept the watchdog from ending the run, and took the place of the last event, so that a run that was broken off after them began again in the middle of the text.

Change: a text has at most 4 KiB for each token that the item may generate, at least 4 MiB and at most 16 MiB, and 16 events for each token, at least 20,000. All texts of a process together may have 24 MiB beyond 1 KiB for each token (256 KiB at least). A run beyond that ends with the new verdict "too large": the target counts as failing, the item's text and its checkpoint are dropped, since none of it is certain, and it begins again elsewhere after the wait that items of crashed targets have. Events without id or data are left out. Such runs are counted (item.oversized_answers) and logged with target, job and item.

--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -326,6 +326,11 @@
 	hung     map[string]bool             // ids of targets that send nothing more
 	refusing map[string]bool             // ids of targets that refuse connections
 	streams  map[string][]*io.PipeWriter // open answers by target id
+	// floods, if it is not nil, reports whether a run of an item, the n-th from 1 on, is answered with valid events without
+	// end; see floodBody.
+	floods func(id string, n int) bool
+	// comments is sent after each event of a stream.
+	comments string
 	// replace is called for each target that has ended; see cluster.replaceTarget.
 	replace func(target string, crashes int)
 }
@@ -400,7 +405,7 @@
 	f.runs[id]++
 	f.startTimes[id] = append(f.startTimes[id], time.Now())
 	f.resumedAfter[id] = c.ResumeAfter
-	isDown := f.refusing[c.Target.ID]
+	isDown, isFlood := f.refusing[c.Target.ID], f.floods != nil && f.floods(id, f.runs[id])
 	if !isDown {
 		f.begunTimes[id] = append(f.begunTimes[id], time.Now())
 	}
@@ -410,6 +415,8 @@
 	}
 	answer := &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(""))}
 	switch {
+	case isFlood:
+		answer.Body = floodBody(ctx)
 	case strings.HasPrefix(id, "never"):
 		answer.Status = http.StatusUnprocessableEntity
 	case strings.HasPrefix(id, "fail"):
@@ -505,7 +512,7 @@
 				_ = writer.CloseWithError(ctx.Err())
 				return
 			}
-			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s:%d%s%s\n\n", i, id, i, versionSeparator, c.Target.Version); err != nil {
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s:%d%s%s\n\n%s", i, id, i, versionSeparator, c.Target.Version, f.comments); err != nil {
 				return
 			}
 		}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -48,6 +48,7 @@
 	runComplete                      // the item has its whole output
 	runFailed                        // the target has answered with status 500; counts as a failed attempt
 	runRejected                      // the target has answered with status 422; no target can run the item
+	runFlooded                       // the target has sent more than the item can have; the item begins again from the start
 )
 
 // runItem runs a task's item once, at the target of r, from the event after the task's last one. It applies the
@@ -67,7 +68,9 @@
 	took := time.Since(began)
 	timeToFirstEvent, timeSinceLastEvent := r.EventTimes()
 	telemetry.Observe(m.registry, runMetric, took)
-	m.runTimes.ObserveRun(t.job.Route, t.eventCount()-eventsBefore, took)
+	if v != runFlooded {
+		m.runTimes.ObserveRun(t.job.Route, t.eventCount()-eventsBefore, took)
+	}
 	if v == runComplete {
 		m.runTimes.ObserveItem(t.job.Route, t.eventCount(), t.item().Tokens)
 	}
@@ -76,8 +79,11 @@
 	if isPreempted && t.eventCount() == eventsBefore {
 		metrics.GetOrRegisterCounter(cutWithoutGainMetric, m.registry).Inc(1)
 	}
-	if v == runFailed {
+	switch v {
+	case runFailed:
 		m.saveFailure(t)
+	case runFlooded:
+		m.dropCheckpoint(t)
 	}
 	m.sendLogs.logRun(t, &end, []any{
 		"job", t.job.ID, "item", t.item().ID, "shard", t.shard.index, "epoch", t.shard.epoch,
@@ -88,7 +94,7 @@
 
 // String returns the verdict as it is logged.
 func (v runVerdict) String() string {
-	return [...]string{"go on", "target lost", "complete", "failed", "hopeless"}[v]
+	return [...]string{"go on", "target lost", "complete", "failed", "hopeless", "too large"}[v]
 }
 
 // bodyChecksum returns the checksum that identifies an item's body in the log lines about receiving, sending
@@ -140,6 +146,8 @@
 		t.lostAt, t.crashWait = time.Now(), backlog.NewCrashWait(t.lostRuns, rand.Float64())
 		t.avoidTargets = []string{end.target}
 		return nil, t.isPreempted
+	case runFlooded:
+		return t.applyFlood(end, time.Now()), t.isPreempted
 	case runComplete:
 		return t.setOutcome(backlog.Complete, string(t.text)), t.isPreempted
 	case runRejected:
@@ -184,7 +192,7 @@
 	}
 	eventsLeft := m.runTimes.EventsLeft(t.job.Route, t.item().Tokens, t.eventCount())
 	reader := events.NewReader(answer.Body)
-	for isFirst := true; ; isFirst = false {
+	for isFirst := true; ; {
 		e, err := reader.Next()
 		if err == io.EOF && answer.IsUnframed && isFirst && fromEvent == "" {
 			err = io.ErrUnexpectedEOF // as from a target that crashes when it begins to answer
@@ -195,6 +203,9 @@
 		if err != nil {
 			return m.classifyRunError(ctx, t, wd, err)
 		}
+		if !e.HasContent() {
+			continue // blank lines and comments are neither progress nor a part of the text
+		}
 		wd.noteEvent()
 		r.RecordEvent()
 		eventsLeft--
@@ -202,6 +213,12 @@
 		if err != nil {
 			return runInterrupted, err
 		}
+		isFirst = false
+		if err := m.checkText(t, len(e.Data)+1); err != nil {
+			m.noteOversized(t, r.Target, err)
+			r.RecordFailure()
+			return runFlooded, err
+		}
 		r.RecordProgress(unsavedEvents, eventsLeft)
 	}
 }
@@ -258,6 +275,9 @@
 	case errs.Is(err, errs.BadRequest):
 		return runInterrupted, err // an item that an earlier software version has accepted; nothing was sent to the target
 	}
+	if errs.Is(err, errs.AnswerTooLarge) {
+		m.noteOversized(t, r.Target, err)
+	}
 	if r.RecordFailure() {
 		m.log.Warn("target suspect", "target", r.Target.ID, "addr", r.Target.Addr, "why", err.Error(), "item", t.item().ID)
 	}
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -45,7 +45,10 @@
 	avoidTargets   []string               // ids of targets at which the last run was broken off or failed
 	lostRuns       int                    // runs in a row during which their targets have failed, since one has added events
 	lostAt         time.Time              // end of the last of them
-	crashWait      backlog.CrashWait      // before the next run; valid if lostRuns is not 0
+	floodedRuns    int                    // runs whose targets have sent more than the item can have; see applyFlood
+	// ignoresStoredText is set once the text of such a run has been dropped: its checkpoints may still be stored.
+	ignoresStoredText bool
+	crashWait         backlog.CrashWait // before the next run; valid if lostRuns is not 0
 }
 
 // newTask returns the task of the item at an index of a job, which belongs to shard s.
@@ -105,7 +108,7 @@
 	}
 	origin := serving.Origin{Service: p.Service, Version: p.Version}
 	// The text of a complete item is its whole output. It may be shorter than one of another version that has begun here.
-	if p.Outcome == backlog.Complete || len(p.Text) > len(t.text) && (len(t.text) == 0 || origin == t.origin) {
+	if p.Outcome == backlog.Complete || !t.ignoresStoredText && len(p.Text) > len(t.text) && (len(t.text) == 0 || origin == t.origin) {
 		t.lastEventID, t.text, t.origin = p.LastEventID, []byte(p.Text), origin
 		t.events = strings.Count(p.Text, "\n") + 1
 	}
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -167,3 +169,60 @@
 		{"events without data or id", streamHead, repeated("event: x\n\n")},
 	}, allPaths, maxSocketBytes+2<<20)
 }
+
+// Guards against an item whose run takes bytes without end: into its text, as events that are valid, or as blank lines,
+// which are no progress. The item must be done by another target, with nothing of the flood in its text.
+func TestItemOfFloodingTargetIsDoneElsewhere(t *testing.T) {
+	data := strings.Repeat("x", 16<<10)
+	manyEvents := func(n int) string {
+		var part strings.Builder
+		for i := range 1000 {
+			fmt.Fprintf(&part, "id: %d\ndata: x\n\n", 1000*n+i+1)
+		}
+		return part.String()
+	}
+	for _, test := range []struct {
+		flood
+		maxTaken  int64
+		oversized int64
+	}{
+		{flood{"large events", streamHead, func(n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n+1, data) }}, maxSocketBytes + 5<<20, 1},
+		{flood{"small events", streamHead, manyEvents}, maxSocketBytes + 1<<20, 1},
+		{flood{"one line", streamHead, repeated("x")}, maxSocketBytes + 2<<20, 1},
+		{flood{"blank lines", streamHead, repeated("\n")}, maxSocketBytes + 1<<20, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFloodTarget(t, func(string) flood { return test.flood })
+			s := newSystemWithoutTargets(t, wiretest.Routes)
+			s.listTargetAt("i-0", f.listener.Addr().String())
+			s.startGateways(1)
+			defer s.stopAll()
+			addr := s.gateways[0].CallerAddr()
+			if status, text := s.caller.Submit(addr, "job", []wiretest.Item{{ID: "i1", Path: "/batch/1", Tokens: 10}}); status != http.StatusAccepted {
+				t.Fatalf("submit: status %d, text %s; want 202", status, text)
+			}
+			<-f.ended
+			if taken := f.sent.Load(); taken > test.maxTaken {
+				t.Errorf("the run took %d bytes, want at most %d", taken, test.maxTaken)
+			}
+			t.Logf("%d bytes taken in the first run", f.sent.Load())
+			sound := httptest.NewServer(&wiretest.Target{ID: "i-1", Events: itemEvents})
+			t.Cleanup(sound.Close)
+			s.listTarget("i-1", sound)
+			s.must(wiretest.RemoveTarget(t.Context(), s.store, "i-0"))
+			status, page := s.caller.Results(addr, "job", 0, 5*time.Second)
+			for range 3 { // each read waits for a limited time
+				if len(page.Results) > 0 {
+					break
+				}
+				status, page = s.caller.Results(addr, "job", 0, 5*time.Second)
+			}
+			if status != http.StatusOK || len(page.Results) != 1 || page.Results[0].Text != wiretest.ItemText("i1", itemEvents) {
+				t.Errorf("results: status %d, %d results; want the text of all events once, and nothing of the flood", status, len(page.Results))
+			}
+			if n := s.counter(0, "item.oversized_answers"); n < test.oversized {
+				t.Errorf("%d runs counted as beyond their bounds, want at least %d", n, test.oversized)
+			}
+		})
+	}
+}
