gateway: large answers take from one memory

Cause: each attempt buffered up to 1 MiB of a whole answer, and a Reader up to 1 MiB of an event, so that 200 requests at once to targets that send without end held 200 MB, more than a host has. Callers that don't read held it until the time limit.

Change: answers up to 64 KiB are free (the largest of the deployments have 5 KB, their events 1 KB); what all attempts hold beyond takes from 24 MiB, including the arrays that a growing buffer outgrows. A whole answer that finds none left is passed on as it arrives, which costs only its second attempt if it breaks off; an event of more than 64 KiB that finds none left ends its answer (answer_too_large). The bound of a body (platform/runner) holds for the rest, which is read only as fast as its caller takes it.

--- a/core/events/events.go
+++ b/core/events/events.go
@@ -19,8 +19,21 @@
 	// minBytesWithoutContent is what an event without content counts at least, in bytes: each costs a write to a caller,
 	// and 64 Ki blank lines take longer than some time limits.
 	minBytesWithoutContent = 64
+	// freeBytes is the size up to which an event takes nothing from a Budget. Then it takes stepBytes, each time it grows by
+	// a copiesPerEvent-th of that: an event is held up to three times, as its bytes, its data, and an array it outgrows.
+	freeBytes      = 64 << 10
+	stepBytes      = copiesPerEvent * (64 << 10)
+	copiesPerEvent = 3
 )
 
+// Budget bounds what several Readers hold together.
+type Budget interface {
+	// Take takes n bytes and reports true if they were free.
+	Take(n int64) bool
+	// Return gives back n bytes.
+	Return(n int64)
+}
+
 // Event is one server-sent event.
 type Event struct {
 	Raw  []byte // all bytes of the event, including the blank line that ends it
@@ -36,6 +49,32 @@
 type Reader struct {
 	buffered     *bufio.Reader
 	withoutBytes int // what is counted of the events without content since the last one with content
+	budget       Budget
+	taken        int64 // from budget, for the event that Next has returned last
+}
+
+// SetBudget makes the Reader take from b what large events hold. It must be called before the first call of Next, and
+// Close after the last one.
+func (r *Reader) SetBudget(b Budget) { r.budget = b }
+
+// Close gives back what the Reader has taken from its budget. The event that Next has returned last must not be used any
+// more.
+func (r *Reader) Close() {
+	if r.taken > 0 {
+		r.budget.Return(r.taken)
+		r.taken = 0
+	}
+}
+
+// reserve takes from the budget what an event of a size holds. Error: errs.AnswerTooLarge if that is not free.
+func (r *Reader) reserve(size int) error {
+	for r.budget != nil && size > freeBytes+int(r.taken/copiesPerEvent) {
+		if !r.budget.Take(stepBytes) {
+			return errs.Newf(errs.AnswerTooLarge, "no memory is left for an event of more than %d bytes", size)
+		}
+		r.taken += stepBytes
+	}
+	return nil
 }
 
 // NewReader returns a Reader that reads its stream from r.
@@ -43,8 +82,10 @@
 
 // Next returns the next event. Errors: io.EOF if the stream ends between two events; io.ErrUnexpectedEOF if it
 // ends inside an event; errs.AnswerTooLarge if the event exceeds maxEventBytes, or the events without
-// content maxBytesWithoutContent; any other error of the stream as it is. It reads at most one buffer beyond these bounds.
+// content maxBytesWithoutContent, or if its budget is used up; any other error of the stream as it is. It reads at most one
+// buffer beyond these bounds. The event may be used until the next call of Next or Close.
 func (r *Reader) Next() (Event, error) {
+	r.Close() // the event before
 	var e Event
 	hasData := false
 	for {
@@ -70,6 +111,9 @@
 		if len(e.Raw)+len(part) > maxEventBytes {
 			return errs.Newf(errs.AnswerTooLarge, "an event exceeds %d bytes", maxEventBytes)
 		}
+		if err := r.reserve(len(e.Raw) + len(part)); err != nil {
+			return err
+		}
 		e.Raw = append(e.Raw, part...)
 		if err == nil {
 			return nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -227,6 +227,8 @@
 // header is sent with the first event: until then the request can still be retried elsewhere.
 func (a *attempt) relayStream(ctx context.Context, ans *platform.TargetAnswer) error {
 	reader := events.NewReader(ans.Body)
+	reader.SetBudget(a.gw.answerMemory)
+	defer reader.Close()
 	for isPassRecorded, hasContent := false, false; ; {
 		event, err := reader.Next()
 		if err == io.EOF && a.isEmptyUnframed(hasContent) {
@@ -326,8 +328,10 @@
 // relayWhole passes on an answer that is not a stream. It buffers the body until it is complete, up to
 // maxBufferedBytes, so that an incomplete answer can be requested again.
 func (a *attempt) relayWhole(ctx context.Context, ans *platform.TargetAnswer) error {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxBufferedBytes))
-	if err == nil && ans.Status == http.StatusOK && a.isEmptyUnframed(len(body) > 0) {
+	body := newBodyBuffer(a.gw.answerMemory)
+	defer body.release()
+	err := body.fill(ans.Body)
+	if err == nil && ans.Status == http.StatusOK && a.isEmptyUnframed(len(body.data) > 0) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -343,17 +347,18 @@
 	if a.hasSentHeader {
 		return errs.Newf(errs.StreamBroken, "the target answered with status %d when asked to resume a stream", ans.Status)
 	}
-	if len(body) < maxBufferedBytes {
+	if body.isWhole {
 		if ans.Status == http.StatusOK {
 			a.run.RecordWholeAnswer()
 		}
-		a.sendHeader(ans, int64(len(body)))
-		return a.write(body)
+		a.sendHeader(ans, int64(len(body.data)))
+		return a.write(body.data)
 	}
 	a.sendHeader(ans, ans.Length)
-	if err := a.write(body); err != nil {
+	if err := a.write(body.data); err != nil {
 		return err
 	}
+	body.release()
 	return a.relayRest(ctx, ans)
 }
 
--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,3 +41,100 @@
 		}
 	})
 }
+
+// floodBody is a body that returns the same byte without end, or blocks until its attempt ends after stopAt bytes, if that
+// is not 0. It counts what is read of all bodies that are not closed.
+type floodBody struct {
+	ctx    context.Context
+	stopAt int
+	read   int
+	total  *atomic.Int64
+}
+
+func (b *floodBody) Read(p []byte) (int, error) {
+	if b.stopAt > 0 && b.read >= b.stopAt {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	for i := range p {
+		p[i] = 'x'
+	}
+	b.read += len(p)
+	b.total.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func (b *floodBody) Close() error {
+	b.total.Add(-int64(b.read))
+	return nil
+}
+
+// Guards against a gateway that runs out of memory because many answers without end arrive at once: whole ones whose
+// callers don't read, and streams in the middle of an event.
+func TestManyEndlessAnswersAreBoundedTogether(t *testing.T) {
+	const requests = 200
+	for _, test := range []struct {
+		name, mediaType string
+		kind            serving.Kind
+		stopAt          int
+	}{
+		{"whole answers to callers that don't read", "text/plain", serving.KindUnsafe, 0},
+		{"events that go on", eventStreamType, serving.KindStream, 900 << 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var total atomic.Int64
+				h := newHarness(requests, func(ctx context.Context, _ platform.TargetCall) (*platform.TargetAnswer, error) {
+					return &platform.TargetAnswer{Status: 200, Header: http.Header{"Content-Type": {test.mediaType}}, Length: -1, Body: &floodBody{ctx, test.stopAt, 0, &total}}, nil
+				})
+				canRead, begun := make(chan struct{}), atomic.Int64{}
+				var wg sync.WaitGroup
+				for range requests {
+					wg.Go(func() {
+						ctx, cancel := context.WithCancel(context.Background())
+						defer cancel()
+						h.serve(ctx, newRoute(test.kind, 1, false), &fakeCaller{onWrite: func() {
+							begun.Add(1)
+							<-canRead
+							cancel() // the caller leaves
+						}})
+					})
+				}
+				synctest.Wait()
+				t.Logf("%d bytes held of %d answers, %d of them begun", total.Load(), requests, begun.Load())
+				if limit := int64(requests*(freeBuffer+16<<10) + maxAnswerMemory); total.Load() > limit {
+					t.Errorf("the gateway holds %d bytes of %d answers, want at most %d", total.Load(), requests, limit)
+				}
+				close(canRead)
+				wg.Wait()
+				if held := h.gw.answerMemory.Held(); held != 0 {
+					t.Errorf("%d bytes of the memory for answers are taken after all requests have ended, want 0", held)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a whole answer that is lost or cut because no memory is left for a large one: it is passed on as it
+// arrives.
+func TestLargeAnswerWithoutMemoryIsPassedOn(t *testing.T) {
+	for _, size := range []int{0, 1, minBuffer, freeBuffer, freeBuffer + 1, 300_000, maxBufferedBytes, maxBufferedBytes + 1, 3 << 20} {
+		for _, isMemoryLeft := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				text := strings.Repeat("0123456789", size/10+1)[:size]
+				h := newHarness(1, wholeAnswer(200, text, nil))
+				if !isMemoryLeft {
+					h.gw.answerMemory.Take(maxAnswerMemory)
+				}
+				caller := &fakeCaller{}
+				h.serve(context.Background(), newRoute(serving.KindSafe, 2, false), caller)
+				if caller.status != 200 || caller.body.String() != text || len(h.sentTo) != 1 {
+					t.Errorf("answer of %d bytes, memory left %t: status %d, %d bytes, error %v; want all of it", size, isMemoryLeft, caller.status, caller.body.Len(), caller.err)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/core/limit"
 	"arbutusramp/core/origin"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/policy"
@@ -56,6 +57,8 @@
 	versions    Versions
 	prober      platform.TargetProber
 	resumeLog   *logging.Routine // streams that callers resume
+	// answerMemory bounds what all attempts hold of large answers.
+	answerMemory *limit.Memory
 }
 
 // Access checks the API keys of callers.
@@ -142,8 +145,8 @@
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
 	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, versions: o.Versions, prober: o.Prober, log: o.Log,
-		resumeLog: logging.NewRoutine(o.Log),
-		sendLogs:  newSendLogs(o.Log, o.Metrics), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
+		resumeLog: logging.NewRoutine(o.Log), answerMemory: limit.NewMemory(maxAnswerMemory),
+		sendLogs: newSendLogs(o.Log, o.Metrics), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
 
