--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -122,7 +122,7 @@
 
 // Limits bound the size of callers' requests.
 type Limits struct {
-	MaxBodyBytes int64 // largest body of a request; 0 for no limit
+	MaxBodyBytes int64 // largest body of a request; 0 for the default of platform/ingress
 }
 
 // Config is one version of the operator's configuration.
