entry: a target that has given a part of its answer has begun, whatever its error says

Cause: an attempt counted as not run by the word of its last error alone, and many types say not run by default. A side that had sent the head of an answer and then ended the stream with draining was believed, and the call went to a second target.

Change: a head or a part of the answer shows that the attempt has begun.

TestSideKilledAtEachStepOfNonIdempotentCall/refused_after_the_head: 1 call at the second target before, none now.

--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -15,7 +15,8 @@
 }
 
 func (c *call) retry(s *scratch, err *errs.Error) *errs.Error {
-	c.maybeRan = c.maybeRan || err.Ran != errs.RanNo
+	// A target that has given a head or a part has begun, whatever the error says: many types say "not run" by default.
+	c.maybeRan = c.maybeRan || err.Ran != errs.RanNo || c.firstByte != 0
 	if !c.mayRetry(err) {
 		return err
 	}
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -30,6 +30,12 @@
 		{name: "after a part", ran: errs.RanUnknown, onOpen: func(e *Entry) func(*fakeSide, uint64, *structs.Open) {
 			return func(f *fakeSide, s uint64, _ *structs.Open) { f.head(s, 200); f.data(s, 0, "x"); f.kill(e.pool) }
 		}},
+		{name: "refused after the head", ran: errs.RanUnknown, onOpen: func(*Entry) func(*fakeSide, uint64, *structs.Open) {
+			return func(f *fakeSide, s uint64, _ *structs.Open) {
+				f.head(s, 200)
+				f.end(s, 0, errs.New(errs.Draining, "leaving"))
+			}
+		}},
 		{name: "refused by the side", otherRan: 1, onOpen: func(*Entry) func(*fakeSide, uint64, *structs.Open) {
 			return func(f *fakeSide, s uint64, _ *structs.Open) { f.end(s, 0, errs.New(errs.Draining, "leaving")) }
 		}},
