httpclient: answers and refusals are bounded, and not read on behind their readers

A streamed answer was read to its end behind the part that its reader had taken, without a bound. A refusal beyond its bound counted as whole, and its connection was used again with the rest on it.

Change: a client may have a bound of its own; a response of a relay has 8 MiB at most. Behind its reader 256 KiB of a streamed answer are read, then its connection is closed. A body beyond its bound ends with answer_too_large.

--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -13,14 +13,20 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"arbutusramp/core/errs"
 )
 
 const (
-	dialTimeout  = time.Second
-	idleTimeout  = 10 * time.Second
-	maxConns     = 16 << 10
-	readBuffer   = 8 << 10 // bytes; bounds an answer's header
-	maxBody      = 64 << 20
+	dialTimeout = time.Second
+	idleTimeout = 10 * time.Second
+	maxConns    = 16 << 10
+	readBuffer  = 8 << 10 // bytes; bounds an answer's header
+	// maxBody bounds the body of an answer that is read whole, in bytes, unless the client has another bound.
+	maxBody = 64 << 20
+	// maxDrain bounds what is read of a streamed answer behind the part that its reader has taken. Beyond it another
+	// connection costs less.
+	maxDrain     = 256 << 10
 	maxStaleIdle = 64 // idle connections found closed before a new one is dialled
 )
 
@@ -41,9 +47,10 @@
 
 // Client sends requests to one address. It is safe for concurrent use.
 type Client struct {
-	host   *fasthttp.HostClient
-	addr   string
-	prefix string
+	maxBody int // bytes
+	host    *fasthttp.HostClient
+	addr    string
+	prefix  string
 }
 
 // New returns a Client for a base URL such as "http://127.0.0.1:8080".
@@ -56,6 +63,8 @@
 	return &Client{
 		addr:   addr,
 		prefix: prefix,
+
+		maxBody: maxBody,
 		host: &fasthttp.HostClient{
 			Addr:                addr,
 			Dial:                dial,
@@ -67,6 +76,12 @@
 	}
 }
 
+// WithMaxBody bounds the bodies of answers to n bytes. It must be called before the first request.
+func (c *Client) WithMaxBody(n int) *Client {
+	c.maxBody = n
+	return c
+}
+
 func dial(addr string) (net.Conn, error) {
 	return net.DialTimeout("tcp", addr, dialTimeout)
 }
@@ -161,12 +176,13 @@
 	resp.SkipBody = req.Header.IsHead()
 	br := c.host.AcquireReader(conn)
 	defer c.host.ReleaseReader(br)
+	isAtEnd := true
 	if read == nil {
-		err = readAnswer(br, resp)
+		err = c.readAnswer(br, resp)
 	} else {
-		err = readStream(br, resp, read)
+		isAtEnd, err = c.readStream(br, resp, read)
 	}
-	return err == nil && !resp.ConnectionClose(), err
+	return err == nil && isAtEnd && !resp.ConnectionClose(), err
 }
 
 func (c *Client) write(conn net.Conn, req *fasthttp.Request) error {
@@ -178,42 +194,59 @@
 	return bw.Flush()
 }
 
-func readAnswer(br *bufio.Reader, resp *fasthttp.Response) error {
-	if err := resp.ReadLimitBody(br, maxBody); err != nil {
+// readAnswer reads an answer whole. Error: *Error, with errs.AnswerTooLarge beyond the bound.
+func (c *Client) readAnswer(br *bufio.Reader, resp *fasthttp.Response) error {
+	err := resp.ReadLimitBody(br, c.maxBody)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return c.tooLarge()
+	}
+	if err != nil {
 		return &Error{Sent: true, Cause: errors.WithStack(err)}
 	}
 	return nil
 }
 
-func readStream(br *bufio.Reader, resp *fasthttp.Response, read func(io.Reader) error) error {
+// tooLarge returns the error of an answer whose body is beyond the bound.
+func (c *Client) tooLarge() error {
+	return &Error{Sent: true, Answered: true, Cause: errs.Newf(errs.AnswerTooLarge, "the body of an answer exceeds %d bytes", c.maxBody)}
+}
+
+// readStream hands the body of an answer to read. isAtEnd reports whether the whole answer has been read, so that the
+// connection can carry another request.
+func (c *Client) readStream(br *bufio.Reader, resp *fasthttp.Response, read func(io.Reader) error) (isAtEnd bool, err error) {
 	resp.StreamBody = true
 	if err := resp.ReadLimitBody(br, 0); err != nil {
-		return &Error{Sent: true, Cause: errors.WithStack(err)}
+		return false, &Error{Sent: true, Cause: errors.WithStack(err)}
 	}
 	body := resp.BodyStream()
 	if body == nil {
 		body = strings.NewReader("")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return readRefusal(body, resp)
+		return true, c.readRefusal(body, resp)
 	}
 	if err := read(body); err != nil {
-		return err
+		return false, err
 	}
-	// The rest up to the end of the body has to be read before the
-	// connection can carry another request.
-	if _, err := io.Copy(io.Discard, body); err != nil {
-		return &Error{Sent: true, Answered: true, Cause: errors.WithStack(err)}
+	switch _, err := io.CopyN(io.Discard, body, maxDrain+1); err {
+	case io.EOF:
+		return true, nil
+	case nil:
+		return false, nil
+	default:
+		return false, &Error{Sent: true, Answered: true, Cause: errors.WithStack(err)}
 	}
-	return nil
 }
 
 // readRefusal puts the body of an answer other than 200 into resp.
-func readRefusal(body io.Reader, resp *fasthttp.Response) error {
-	text, err := io.ReadAll(io.LimitReader(body, maxBody))
+func (c *Client) readRefusal(body io.Reader, resp *fasthttp.Response) error {
+	text, err := io.ReadAll(io.LimitReader(body, int64(c.maxBody)+1))
 	if err != nil {
 		return &Error{Sent: true, Answered: true, Cause: errors.WithStack(err)}
 	}
+	if len(text) > c.maxBody {
+		return c.tooLarge()
+	}
 	resp.SetBodyRaw(text)
 	return nil
 }
--- a/internal/storepath/peer.go
+++ b/internal/storepath/peer.go
@@ -23,13 +23,17 @@
 	// peerPageTimeout bounds a read of the newest records through a peer. The context of the caller usually ends
 	// earlier.
 	peerPageTimeout = 10 * time.Second
+	// maxResponseBytes bounds the response of a relay, which holds an answer of the store of 4 MiB at most, encoded anew.
+	maxResponseBytes = 8 << 20
 )
 
 // peerStore is a platform.Store that makes each call through the relay of one peer.
 type peerStore struct{ client *httpclient.Client }
 
 // newPeerStore returns a store that makes its calls through the relay at addr (IP:port).
-func newPeerStore(addr string) *peerStore { return &peerStore{httpclient.New("http://" + addr)} }
+func newPeerStore(addr string) *peerStore {
+	return &peerStore{httpclient.New("http://" + addr).WithMaxBody(maxResponseBytes)}
+}
 
 // call sends a request to the relay and returns its response. isWrite says that the request changes the store:
 // without an answer, the outcome is then unknown. Errors: those of the store; those of unansweredError.
