--- a/internal/explain/sends.go
+++ b/internal/explain/sends.go
@@ -216,8 +216,10 @@
 		fmt.Fprintf(&b, ", last on a %s one from %s", kind, s.LocalAddr)
 	}
 	switch {
+	case s.IsForeign && s.AnswerID == "":
+		fmt.Fprintf(&b, "; FOREIGN answer %d without an id", s.Status)
 	case s.IsForeign:
-		fmt.Fprintf(&b, "; answer %d of ANOTHER REQUEST, id %q", s.Status, s.AnswerID)
+		fmt.Fprintf(&b, "; FOREIGN answer %d with id %q", s.Status, s.AnswerID)
 	case s.Status != 0:
 		fmt.Fprintf(&b, "; answer %d", s.Status)
 	default:
--- a/internal/sendlog/sendlog.go
+++ b/internal/sendlog/sendlog.go
@@ -36,8 +36,8 @@
 	IsReused   bool    `json:"reused,omitempty"`    // the last of them had carried another request
 	LocalAddr  string  `json:"local,omitempty"`     // address of this process on it
 	Status     int     `json:"status,omitempty"`    // of the answer
-	AnswerID   string  `json:"answer_id,omitempty"` // request id in the answer if it is not that of the request
-	IsForeign  bool    `json:"foreign,omitempty"`   // the answer belongs to another request
+	AnswerID   string  `json:"answer_id,omitempty"` // request id in the answer; empty for that of the request unless IsForeign
+	IsForeign  bool    `json:"foreign,omitempty"`   // the answer shows nothing of the request; see platform.TargetAnswer
 	Verdict    Verdict `json:"counted"`
 	Evidence   string  `json:"evidence,omitempty"` // that the target has not begun; set for each send that counted as not run
 	Error      string  `json:"error,omitempty"`
@@ -59,7 +59,7 @@
 func (s *Send) SetEnd(e End) {
 	s.Writes, s.IsReused, s.LocalAddr = e.Record.Writes, e.Record.IsReused, e.Record.LocalAddr
 	s.Status, s.IsForeign = max(e.Status, e.Record.Status), e.IsForeign
-	if e.Record.AnswerID != e.RequestID {
+	if e.IsForeign || e.Record.AnswerID != e.RequestID {
 		s.AnswerID = e.Record.AnswerID
 	}
 	switch {
@@ -106,7 +106,7 @@
 		text += ", after event " + s.AfterEvent
 	}
 	if s.IsForeign {
-		text += ", foreign answer with id " + s.AnswerID
+		text += fmt.Sprintf(", foreign answer with id %q", s.AnswerID)
 	}
 	if s.Evidence != "" {
 		text += ", evidence: " + s.Evidence
