backlog: only events that follow the last one are appended to the text of an item

Cause: every event of a run was appended, whatever its id. A target that sent an event twice, or began its stream again, put events into the text twice; an event without an id removed the line end before the next one.

Change: an event whose id is empty or not greater than the last one ends the run, which goes on after the last event that followed.

--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -331,6 +331,12 @@
 	floods func(id string, n int) bool
 	// comments is sent after each event of a stream.
 	comments string
+	// answers are sent before the usual ones, by item id; see scriptedAnswer.
+	answers map[string][]string
+	// intercept, if it is not nil, answers a request in place of its target if it returns true. It must be set before the
+	// first request.
+	intercept   func(context.Context, platform.TargetCall) (*platform.TargetAnswer, error, bool)
+	intercepted map[string]int // number of runs that intercept has answered, by item id
 	// replace is called for each target that has ended; see cluster.replaceTarget.
 	replace func(target string, crashes int)
 }
@@ -340,6 +346,7 @@
 	return &fakeTargets{
 		runs: make(map[string]int), startTimes: make(map[string][]time.Time), begunTimes: make(map[string][]time.Time), resumedAfter: make(map[string]string),
 		streams: make(map[string][]*io.PipeWriter), hung: make(map[string]bool), refusing: make(map[string]bool),
+		intercepted: make(map[string]int),
 	}
 }
 
@@ -413,7 +420,19 @@
 	if isDown {
 		return nil, errs.New(errs.TargetFailed, "connection refused").WithRan(errs.RanNo)
 	}
+	if f.intercept != nil {
+		if answer, err, ok := f.intercept(ctx, c); ok {
+			f.mu.Lock()
+			f.intercepted[id]++
+			f.mu.Unlock()
+			return answer, err
+		}
+	}
 	answer := &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(""))}
+	if body, ok := f.scriptedAnswer(id); ok {
+		answer.Body = body
+		return answer, nil
+	}
 	switch {
 	case isFlood:
 		answer.Body = floodBody(ctx)
@@ -457,6 +476,13 @@
 	return f.runs[id]
 }
 
+// ownAnswerCount returns how often an item was sent to a target that has answered as the item's kind says.
+func (f *fakeTargets) ownAnswerCount(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id] - f.intercepted[id]
+}
+
 // begunCount returns how often an item was sent to a target that has accepted the connection.
 func (f *fakeTargets) begunCount(id string) int {
 	f.mu.Lock()
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -223,14 +223,25 @@
 	}
 }
 
-// appendEvent appends an event of a run, the first of the run or a later one, to the task's text, on a line of its own. It returns the number of events since
-// the last checkpoint. Error: errs.StreamBroken if the event may not fit the text.
+// follows reports whether an event may come after the last one of a text, whose ids increase. No run could go on after an
+// event without an id. Ids that are no numbers can't be compared.
+func follows(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	return id != "" && id != last && (err != nil || lastErr != nil || n > m)
+}
+
+// appendEvent appends an event of a run, the first of the run or a later one, to the task's text, on a line of its own. It
+// returns the number of events since the last checkpoint. Error: errs.StreamBroken if the event may not fit the text.
 func (t *task) appendEvent(e events.Event, r *fleetview.Run, isFirstOfRun bool) (unsavedEvents int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err := t.noteOrigin(r, isFirstOfRun); err != nil {
 		return 0, err
 	}
+	if !follows(e.ID, t.lastEventID) {
+		return 0, errs.Newf(errs.StreamBroken, "event %q came after event %q", e.ID, t.lastEventID)
+	}
 	if t.lastEventID != "" {
 		t.text = append(t.text, '\n')
 	}
