--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
 	"arbutusramp/core/sleep"
@@ -138,3 +139,60 @@
 		}
 	}
 }
+
+// trickleWhole is a script of a target that sends a whole answer byte by byte, one every 50 ms, without end.
+func trickleWhole(ctx context.Context, _ platform.TargetCall) (*platform.TargetAnswer, error) {
+	r, w := io.Pipe()
+	go func() {
+		for sleep.For(ctx, 50*time.Millisecond) {
+			if _, err := io.WriteString(w, "x"); err != nil {
+				return
+			}
+		}
+		_ = w.CloseWithError(ctx.Err())
+	}()
+	return &platform.TargetAnswer{Status: 200, Header: http.Header{}, Length: -1, Body: r}, nil
+}
+
+// trickleEvent is trickleWhole as a stream whose first event does not end.
+func trickleEvent(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error) {
+	ans, err := trickleWhole(ctx, c)
+	ans.Header.Set("Content-Type", eventStreamType)
+	return ans, err
+}
+
+// Guards against an answer that arrives a byte at a time and holds its request for ever, or beyond the time limit: one that
+// may be repeated goes to another target, the others end at their time limits and may have run.
+func TestTrickledAnswerEnds(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		route    *serving.Route
+		trickle  script
+		sends    int
+		isServed bool
+	}{
+		{"call", newRoute(serving.KindSafe, 2, false), trickleWhole, 2, true},
+		{"call that may run once", newRoute(serving.KindUnsafe, 2, false), trickleWhole, 1, false},
+		{"stream", newRoute(serving.KindStream, 2, true), trickleEvent, 2, true},
+		{"stream that may run once", newRoute(serving.KindStream, 2, false), trickleEvent, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				second := wholeAnswer(200, "ok", nil)
+				if test.route.Kind == serving.KindStream {
+					second = streamAnswer(firstEvents, nil)
+				}
+				h := newHarness(3, test.trickle, second)
+				caller := &fakeCaller{}
+				h.serve(context.Background(), test.route, caller)
+				isServed := caller.status == 200 && !caller.isAborted
+				if len(h.sentTo) != test.sends || isServed != test.isServed || caller.answeredAfter > test.route.Timeout {
+					t.Errorf("sent to %v, served %t after %v, error %v; want %d sends, served %t, within %v", h.sentTo, isServed, caller.answeredAfter, caller.err, test.sends, test.isServed, test.route.Timeout)
+				}
+				if !test.isServed && (caller.err == nil || caller.err.Ran != errs.RanUnknown) {
+					t.Errorf("error %v, want one that says that the request may have run", caller.err)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -226,3 +227,35 @@
 		})
 	}
 }
+
+// Guards against a target that sends without end and keeps others from being served: requests that may be repeated go to
+// another target, also many at once.
+func TestOthersAreServedBesideAFlood(t *testing.T) {
+	const atOnce = 6 // fewer than the slots of the sound target
+	f := newFloodTarget(t, func(string) flood { return flood{"event", streamHead, repeated("x")} })
+	s := newSystemWithoutTargets(t, wiretest.Routes)
+	s.listTargetAt("i-0", f.listener.Addr().String())
+	sound := httptest.NewServer(&wiretest.Target{ID: "i-1", Events: itemEvents})
+	t.Cleanup(sound.Close)
+	s.listTarget("i-1", sound)
+	s.startGateways(1)
+	defer s.stopAll()
+	addr := s.gateways[0].CallerAddr()
+	var wg sync.WaitGroup
+	for i := range atOnce {
+		wg.Go(func() {
+			id := fmt.Sprint("s", i)
+			if status, text := s.caller.Send(addr, http.MethodPost, "/stream/x", id, ""); status != http.StatusOK || text != wiretest.StreamBody(id, itemEvents) {
+				t.Errorf("stream %s: status %d, %d bytes; want 200 and all events once", id, status, len(text))
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d requests at the target that floods, %d bytes taken from it", f.served.Load(), f.sent.Load())
+	if f.served.Load() == 0 {
+		t.Error("no request has reached the target that floods")
+	}
+	if limit := f.served.Load() * (maxSocketBytes + 2<<20); f.sent.Load() > limit {
+		t.Errorf("%d bytes taken, want at most %d", f.sent.Load(), limit)
+	}
+}
