--- a/platform/runner/connection.go
+++ b/internal/singlesend/singlesend.go
@@ -1,6 +1,10 @@
-package runner
+// Package singlesend controls on which connections the HTTP client of the standard library sends a request, and tells whether
+// a byte of it was written. The client repeats some requests by itself; a request that may be sent only once is written to one
+// connection at most, whatever its rules are.
+package singlesend
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -20,8 +24,8 @@
 	errNoRequest = errors.New("no request may be written to this connection")
 	// errSentOnce is the error of a second send of a request that may be sent only once.
 	errSentOnce = errors.New("the connection ended without an answer, and the request must not be sent on another one")
-	// errAnsweredBefore is the error of an answer that was read before the request was written.
-	errAnsweredBefore = errors.New("the target sent an answer before the request was written")
+	// ErrAnsweredBefore is the error of an answer that was read before the request was written.
+	ErrAnsweredBefore = errors.New("the target sent an answer before the request was written")
 )
 
 // connection is a connection to a target.
@@ -47,13 +51,13 @@
 	idHashes []uint64
 }
 
-// maxRequestsPerConnection bounds the requests on a connection, since each new one is compared with all before. Opening a
+// MaxRequestsPerConnection bounds the requests on a connection, since each new one is compared with all before. Opening a
 // connection once in so many requests costs next to nothing.
-const maxRequestsPerConnection = 512
+const MaxRequestsPerConnection = 512
 
 // exchange is one request on a connection.
 type exchange struct {
-	request *sentRequest
+	request *Request
 	conn    *connection
 	isFirst bool          // no other request was on the connection before
 	ended   chan struct{} // closed once the header of the answer has been read, or the request has failed
@@ -63,7 +67,7 @@
 
 // begin adds a request to the connection. It returns nil if the connection must not be used for it. It waits for the end of
 // the request before, whose answer has already been read. The HTTP client adds one request at a time.
-func (c *connection) begin(request *sentRequest) *exchange {
+func (c *connection) begin(request *Request) *exchange {
 	last, isFirst := c.current(), len(c.idHashes) == 0
 	if last != nil {
 		<-last.ended
@@ -71,7 +75,7 @@
 	var next *exchange
 	idHash := xxhash.Sum64String(request.id)
 	isInStep := last != nil && last.isIdentified && !slices.Contains(c.idHashes, idHash)
-	if isFirst || isInStep && len(c.idHashes) < maxRequestsPerConnection {
+	if isFirst || isInStep && len(c.idHashes) < MaxRequestsPerConnection {
 		next = &exchange{request: request, conn: c, isFirst: isFirst, ended: make(chan struct{})}
 		c.idHashes = append(c.idHashes, idHash)
 	}
@@ -107,8 +111,9 @@
 	return current.request.write(current, p)
 }
 
-// sentRequest is the request of one Send. The HTTP client may begin it on several connections, one after the other.
-type sentRequest struct {
+// Request is a request that is sent with an http.Transport. The HTTP client may begin it on several connections, one after the
+// other. Its methods but those that the HTTP client calls must be called by the goroutine that sends it.
+type Request struct {
 	id      string
 	addr    string // of the target
 	isOnce  bool   // the request may be written to one connection only
@@ -121,10 +126,36 @@
 	isClosed bool      // nothing may be written any more
 }
 
+// requestKey is the context key for the *Request that is sent.
+type requestKey struct{}
+
+// New returns a request with the given id to addr, and the context with which it must be sent by a transport that has Dial and
+// RefuseRepeat. With isOnce it may be written to one connection only.
+func New(ctx context.Context, id, addr string, isOnce bool) (*Request, context.Context) {
+	s := &Request{id: id, addr: addr, isOnce: isOnce}
+	s.trace.GotConn = s.gotConn
+	return s, httptrace.WithClientTrace(context.WithValue(ctx, requestKey{}, s), &s.trace)
+}
+
+// Dial opens a connection with dialer for the request in ctx, to its address.
+func Dial(ctx context.Context, dialer *net.Dialer, network string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, ctx.Value(requestKey{}).(*Request).addr)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn}, nil
+}
+
+// IsFirstOnConnection reports whether no other request was on the connection before, whose answer has been read.
+func (s *Request) IsFirstOnConnection() bool { return s.current.isFirst }
+
+// CloseConnection closes the connection whose answer has been read.
+func (s *Request) CloseConnection() { _ = s.current.conn.Close() } // the connection is given up
+
 // write writes a part of the request to the connection of e, if that is permitted.
-func (s *sentRequest) write(e *exchange, p []byte) (int, error) {
+func (s *Request) write(e *exchange, p []byte) (int, error) {
 	if e.conn.hasEarlyBytes.Load() {
-		return 0, errAnsweredBefore
+		return 0, ErrAnsweredBefore
 	}
 	before, err := s.beginWrite(e)
 	if err != nil {
@@ -140,7 +171,7 @@
 
 // beginWrite notes a write to the connection of e, and returns on which exchange the newest write before was. An error means
 // that nothing must be written.
-func (s *sentRequest) beginWrite(e *exchange) (before *exchange, err error) {
+func (s *Request) beginWrite(e *exchange) (before *exchange, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before = s.writer
@@ -158,7 +189,7 @@
 }
 
 // undoWrite notes that the first write to the connection of e has failed before its first byte.
-func (s *sentRequest) undoWrite(e, before *exchange) {
+func (s *Request) undoWrite(e, before *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.writer == e {
@@ -167,9 +198,9 @@
 	s.writes--
 }
 
-// noteAnswer notes that an answer has been read, and returns the number of connections to which the request was written. If
+// NoteAnswer notes that an answer has been read, and returns the number of connections to which the request was written. If
 // it was not written to the newest one, it returns 0 and ends the permission to write it.
-func (s *sentRequest) noteAnswer() (writes int) {
+func (s *Request) NoteAnswer() (writes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.writer == nil || s.writer != s.current {
@@ -179,17 +210,17 @@
 	return s.writes
 }
 
-// close ends the permission to write the request, and returns the number of connections to which a part of it may have been
+// Close ends the permission to write the request, and returns the number of connections to which a part of it may have been
 // written.
-func (s *sentRequest) close() (writes int) {
+func (s *Request) Close() (writes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isClosed = true
 	return s.writes
 }
 
-// record returns the record of the send, without what an answer shows.
-func (s *sentRequest) record() platform.SendRecord {
+// Record returns the record of the send, without what an answer shows.
+func (s *Request) Record() platform.SendRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := platform.SendRecord{Writes: s.writes}
@@ -200,17 +231,17 @@
 }
 
 // isSpent reports whether the request must not be written to another connection.
-func (s *sentRequest) isSpent() bool {
+func (s *Request) isSpent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.isOnce && s.writes > 0
 }
 
-// refuseRepeat is called each time the HTTP client begins to look for a connection for a request, as the function that
-// selects a proxy, which is never one. Its error ends a request that must not be sent again before a connection is taken
-// for it: the connection would be closed unused.
-func refuseRepeat(req *http.Request) (*url.URL, error) {
-	if s, ok := req.Context().Value(sentRequestKey{}).(*sentRequest); ok && s.isSpent() {
+// RefuseRepeat is the function of a transport that selects a proxy, which is never one. It is called each time the
+// HTTP client begins to look for a connection. Its error ends a request that must not be sent again before a connection is
+// taken for it: the connection would be closed unused.
+func RefuseRepeat(req *http.Request) (*url.URL, error) {
+	if s, ok := req.Context().Value(requestKey{}).(*Request); ok && s.isSpent() {
 		return nil, errSentOnce
 	}
 	return nil, nil
@@ -218,16 +249,16 @@
 
 // gotConn is called before the request is written to a connection. If the connection must not be used, it is closed: the
 // HTTP client then finds that nothing was written, and takes another one.
-func (s *sentRequest) gotConn(info httptrace.GotConnInfo) {
-	s.end(false)
-	conn := info.Conn.(*connection) // dialForSend returns no others
+func (s *Request) gotConn(info httptrace.GotConnInfo) {
+	s.End(false)
+	conn := info.Conn.(*connection) // Dial returns no others
 	if s.current = conn.begin(s); s.current == nil {
 		_ = conn.Close() // the connection is given up
 	}
 }
 
-// end notes that the header of the answer has been read, or that the request has failed on its newest connection.
-func (s *sentRequest) end(isIdentified bool) {
+// End notes that the header of the answer has been read, or that the request has failed on its newest connection.
+func (s *Request) End(isIdentified bool) {
 	if s.current != nil {
 		s.current.isIdentified = isIdentified
 		close(s.current.ended)
