gateway: a target is not blamed for memory that other answers hold

One request for a stream with an event of 100 KB made each target of its service suspect, if callers that read slowly held the 24 MiB for large answers: an event that found no memory counted as a target that sends without end. Suspect targets get no requests while others are left. The deployments have no events beyond 64 KiB, so this needs one of another kind.

The error for it is now one of its own, of the same type. The answer ends as before (502, may have run) and is counted and logged; only the target's health is left alone. A target that does send without end exceeds the bound of an event with the first of its requests that finds memory, and counts as failing then.

--- a/core/events/events.go
+++ b/core/events/events.go
@@ -34,6 +34,10 @@
 	Return(n int64)
 }
 
+// ErrNoMemory is the error of Next for an event that found its budget used up. It says nothing of the stream: others hold
+// the memory.
+var ErrNoMemory = errs.New(errs.AnswerTooLarge, "no memory is left for a large event")
+
 // Event is one server-sent event.
 type Event struct {
 	Raw  []byte // all bytes of the event, including the blank line that ends it
@@ -66,11 +70,11 @@
 	}
 }
 
-// reserve takes from the budget what an event of a size holds. Error: errs.AnswerTooLarge if that is not free.
+// reserve takes from the budget what an event of a size holds. Error: ErrNoMemory if that is not free.
 func (r *Reader) reserve(size int) error {
 	for r.budget != nil && size > freeBytes+int(r.taken/copiesPerEvent) {
 		if !r.budget.Take(stepBytes) {
-			return errs.Newf(errs.AnswerTooLarge, "no memory is left for an event of more than %d bytes", size)
+			return ErrNoMemory
 		}
 		r.taken += stepBytes
 	}
@@ -82,8 +86,8 @@
 
 // Next returns the next event. Errors: io.EOF if the stream ends between two events; io.ErrUnexpectedEOF if it
 // ends inside an event; errs.AnswerTooLarge if the event exceeds maxEventBytes, or the events without
-// content maxBytesWithoutContent, or if its budget is used up; any other error of the stream as it is. It reads at most one
-// buffer beyond these bounds. The event may be used until the next call of Next or Close.
+// content maxBytesWithoutContent; ErrNoMemory, which is of that type, if its budget is used up; any other error of the stream
+// as it is. It reads at most one buffer beyond these bounds. The event may be used until the next call of Next or Close.
 func (r *Reader) Next() (Event, error) {
 	r.Close() // the event before
 	var e Event
--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/serving"
@@ -196,3 +199,23 @@
 		})
 	}
 }
+
+// Guards against targets that count as failing although they have sent nothing wrong: the memory for large answers is held by
+// other requests, whose callers are slow.
+func TestTargetIsNotBlamedForMemoryOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		event := "id: 1\ndata: " + strings.Repeat("x", 100<<10) + "\n\n"
+		h := newHarness(2, streamAnswer(event, nil))
+		h.gw.answerMemory.Take(maxAnswerMemory)
+		var logLines bytes.Buffer
+		h.gw.log = hclog.New(&hclog.LoggerOptions{Output: &logLines})
+		caller := &fakeCaller{}
+		h.serve(context.Background(), newRoute(serving.KindStream, 2, true), caller)
+		if caller.err == nil || caller.err.Type != errs.AnswerTooLarge || caller.err.Ran != errs.RanUnknown {
+			t.Errorf("error %v, want answer_too_large with unknown run state", caller.err)
+		}
+		if strings.Contains(logLines.String(), "target suspect") || len(h.brokenRuns) > 0 {
+			t.Errorf("%d sends, %d broken runs; want no target marked suspect:\n%s", len(h.sentTo), len(h.brokenRuns), logLines.String())
+		}
+	})
+}
