internal/node: the test of endless events does not depend on the speed of the machine

It failed once in a run at a load of 20 to 40, "0 answers counted as beyond their bounds, want 1". Traced: 30 of 30 copies at once with GOMAXPROCS=1 failed; each time quarantine.fell_silent rose by one in place of online.oversized_answers, or the route's 1.5 s were over. A run that may be repeated is ended when no event comes for too long, also by a gateway that gets no processor time: that is allowed. The routes of the test now have time limits of 60 s, and an end as silent counts on routes that may be repeated only. The bound on the bytes taken is checked as before. 30 of 30 copies pass.

--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -112,12 +112,15 @@
 		}
 		return floods[n]
 	})
-	s := newSystemWithoutTargets(t, wiretest.Routes)
+	s := newSystemWithoutTargets(t, patientRoutes)
 	s.listTargetAt("i-0", f.listener.Addr().String())
 	s.startGateways(1)
 	return s, f
 }
 
+// patientRoutes are wiretest.Routes with time limits that no request reaches, also on a busy machine: the bounds must end it.
+var patientRoutes = strings.NewReplacer(`"timeout_ms":1500`, `"timeout_ms":60000`, `"timeout_ms":2500`, `"timeout_ms":60000`).Replace(wiretest.Routes)
+
 // listTargetAt adds a target at an address to the list of targets in the store.
 func (s *system) listTargetAt(id, addr string) {
 	s.must(wiretest.PutTarget(s.t.Context(), s.store, wiretest.TargetEntry{Name: id, Addr: addr, Domain: "d", Slots: targetSlots}))
@@ -136,16 +139,18 @@
 	for i, test := range floods {
 		for _, path := range paths {
 			name := test.name + " on " + path
-			taken, runs, oversized := f.sent.Load(), f.served.Load(), s.counter(0, "online.oversized_answers")
+			taken, runs, oversized, silent := f.sent.Load(), f.served.Load(), s.counter(0, "online.oversized_answers"), s.counter(0, "quarantine.fell_silent")
 			status, _ := s.caller.Send(s.gateways[0].CallerAddr(), http.MethodPost, fmt.Sprint(path, i), fmt.Sprint("r", path, i), "")
 			<-f.ended
 			taken, runs, oversized = f.sent.Load()-taken, f.served.Load()-runs, s.counter(0, "online.oversized_answers")-oversized
+			silent = s.counter(0, "quarantine.fell_silent") - silent
 			t.Logf("%s: %d bytes taken, status %d", name, taken, status)
 			if taken > maxTaken {
 				t.Errorf("%s: the gateway took %d bytes, want at most %d", name, taken, maxTaken)
 			}
-			if oversized != 1 {
-				t.Errorf("%s: %d answers counted as beyond their bounds, want 1: something else has ended it", name, oversized)
+			// On a busy machine, a run that may be repeated can be ended before its bound because no event has come for too long.
+			if oversized+silent != 1 || silent > 0 && path == "/once/" {
+				t.Errorf("%s: %d answers counted as beyond their bounds, %d as silent, want 1 in all, and none as silent on a route that runs once", name, oversized, silent)
 			}
 			if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || runs != 1 {
 				t.Errorf("%s: status %d after %d runs, want one run and no status that says that the request has not run", name, status, runs)
