singlesend: a rejection that was read before the first write took effect is no evidence

A request counted as not run, and went on to another target, although its target had run it: a rejection without an id was read on a new connection between the moment at which the first write looks for early bytes and the write itself. As the first answer on its connection it needed no id.

The note of early bytes is asked again when the answer is judged: its bytes have been read by then. What remains: bytes that the kernel holds when the write begins can't be told from an early answer to it.

--- a/internal/singlesend/singlesend.go
+++ b/internal/singlesend/singlesend.go
@@ -146,8 +146,12 @@
 	return &connection{Conn: conn}, nil
 }
 
-// IsFirstOnConnection reports whether no other request was on the connection before, whose answer has been read.
-func (s *Request) IsFirstOnConnection() bool { return s.current.isFirst }
+// IsFirstOnConnection reports whether the answer that has been read is the first one on its connection: no other request was
+// on it before, and no bytes were read before the first write began. The latter is asked once more here, since a write that
+// has found none may be slow to begin.
+func (s *Request) IsFirstOnConnection() bool {
+	return s.current.isFirst && !s.current.conn.hasEarlyBytes.Load()
+}
 
 // CloseConnection closes the connection whose answer has been read.
 func (s *Request) CloseConnection() { _ = s.current.conn.Close() } // the connection is given up
--- a/internal/singlesend/singlesend_test.go
+++ b/internal/singlesend/singlesend_test.go
@@ -118,3 +118,26 @@
 		t.Errorf("%d bytes written after the answer, error %v, want an error", n, err)
 	}
 }
+
+// Guards against a request that counts as not run because of a rejection that was read while its first write began: the write
+// has found no early bytes, and is slow to begin.
+func TestAnswerReadWhileWriteBeginsIsNotFirst(t *testing.T) {
+	raw := &bytesConn{}
+	c, request := &connection{Conn: raw}, &Request{id: "r1"}
+	request.current = c.begin(request)
+	request.mu.Lock() // holds the write after it has looked for early bytes
+	hasWritten := make(chan error)
+	go func() {
+		_, err := c.Write([]byte("a"))
+		hasWritten <- err
+	}()
+	raw.WriteString("HTTP/1.1 503 Service Unavailable\r\n\r\n") // bytes.Buffer.WriteString returns no error
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, error %v, want 1", n, err)
+	}
+	request.mu.Unlock()
+	err := <-hasWritten
+	if request.IsFirstOnConnection() {
+		t.Errorf("write error %v; the answer counts as the first one on its connection, want that it shows nothing", err)
+	}
+}
