logging: lines of libraries are bounded and never block

net/http writes a line with up to 4 KB of the bytes that a connection brought without a request to standard error, where it reads connections: a target that sends second copies of its answers filled that output without a bound, and a reader that stalls blocked the reading of connections.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"log"
 	"os"
 	"time"
 
@@ -56,6 +57,8 @@
 	reg.GetOrRegister(logging.LeftOutMetric+"queue", metrics.NewFunctionalGauge(out.LeftOut))
 	defer out.Flush(lastLines) // a reader that stalls loses them, as it does others
 	logger := logging.New("gateway", s.Logs, out)
+	log.SetFlags(0)
+	log.SetOutput(logging.NewLibraryWriter(logger))
 	g, err := node.NewGateway(s, logger, reg)
 	if err != nil {
 		logger.Error("not started", "error", err)
