gateway: a request that was not written has not run, also if its attempt was cancelled

A request that may run once was answered 502 (may have run) although another target had room, if its target became known as restarted while a connection to it was still being opened, which is when connections hang. Its content was reported to the quarantine as that of a run that the target's crash had broken off. Where a deadline ended the attempt at that point, the answer was 504 and not "not run".

The gateway looked for its own reason to cancel before it looked at what Send had shown. Send says "not run" only if no byte was written and none will be, whatever ended it (platform/runner, TestSendsOnceAndTellsWhatHasNotRun), and items already relied on that. A target isn't blamed for an attempt that was cancelled.

Evidence before: TestRestartBeforeWriteLeavesRequestNotRun, 1 send, stream_broken, 1 broken run for each of three kinds of route.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,16 +180,20 @@
 	return nil
 }
 
-// sendError returns the error of an attempt whose Send failed with err, and records the failure.
+// sendError returns the error of an attempt whose Send failed with err, and records the failure. If nothing was written, the
+// request has not run, also if this process has cancelled the attempt, and its content has ended no target.
 func (a *attempt) sendError(ctx context.Context, err error) error {
-	if localErr := a.localError(ctx, errs.TargetFailed); localErr != nil {
-		return localErr
-	}
-	a.noteTargetFailure(err.Error())
 	if errs.As(err).Ran == errs.RanNo {
 		a.possibleRuns--
+		if ctx.Err() == nil {
+			a.noteTargetFailure(err.Error())
+		}
 		return err
 	}
+	if localErr := a.localError(ctx, errs.TargetFailed); localErr != nil {
+		return localErr
+	}
+	a.noteTargetFailure(err.Error())
 	a.recordBrokenOff(err)
 	return err
 }
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -68,3 +68,33 @@
 		})
 	}
 }
+
+// neverConnects is a script of a target to which no connection can be opened: Send shows that nothing was written.
+func neverConnects(ctx context.Context, _ platform.TargetCall) (*platform.TargetAnswer, error) {
+	<-ctx.Done()
+	return nil, errs.Newf(errs.TargetFailed, "%v", ctx.Err()).WithRan(errs.RanNo)
+}
+
+// Guards against a request that fails as possibly run, and against content that is blamed for a crash, although Send has shown
+// that nothing was written: the target is known to have restarted while a connection to it was being opened.
+func TestRestartBeforeWriteLeavesRequestNotRun(t *testing.T) {
+	for _, route := range []*serving.Route{newRoute(serving.KindUnsafe, 1, false), newRoute(serving.KindStream, 1, false), newRoute(serving.KindSafe, 1, false)} {
+		t.Run(route.Kind.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(2, neverConnects, wholeAnswer(200, "ok", nil))
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					h.view.EndTargets([]string{h.firstTarget()})
+				}()
+				caller := &fakeCaller{}
+				h.serve(context.Background(), route, caller)
+				if len(h.sentTo) != 2 || caller.body.String() != "ok" || caller.err != nil {
+					t.Errorf("%d sends, body %q, error %v; want the answer of the second target", len(h.sentTo), caller.body.String(), caller.err)
+				}
+				if len(h.brokenRuns) > 0 {
+					t.Errorf("%d broken runs reported, want none: no target has had the request", len(h.brokenRuns))
+				}
+			})
+		})
+	}
+}
