--- a/internal/node/endless_test.go
+++ b/internal/node/endless_test.go
@@ -112,14 +112,14 @@
 		}
 		return floods[n]
 	})
-	s := newSystemWithoutTargets(t, patientRoutes)
+	s := newSystemWithoutTargets(t, longTimeoutRoutes)
 	s.listTargetAt("i-0", f.listener.Addr().String())
 	s.startGateways(1)
 	return s, f
 }
 
-// patientRoutes are wiretest.Routes with time limits that no request reaches, also on a busy machine: the bounds must end it.
-var patientRoutes = strings.NewReplacer(`"timeout_ms":1500`, `"timeout_ms":60000`, `"timeout_ms":2500`, `"timeout_ms":60000`).Replace(wiretest.Routes)
+// longTimeoutRoutes are wiretest.Routes with time limits that no request reaches, also on a busy machine: the bounds must end it.
+var longTimeoutRoutes = strings.NewReplacer(`"timeout_ms":1500`, `"timeout_ms":60000`, `"timeout_ms":2500`, `"timeout_ms":60000`).Replace(wiretest.Routes)
 
 // listTargetAt adds a target at an address to the list of targets in the store.
 func (s *system) listTargetAt(id, addr string) {
