Show that a text larger than one call to the store stalls its shard

textStore.write puts all records of a batch's texts into one append, whatever their size. The store refuses more than call_bytes (2,097,152), and the write is repeated for ever; the results behind it, of other jobs too, are never written. The next owner takes the text over as progress and is stuck in the same way (by reading).

--- a/review/cases-2/brokenanswer/main.go
+++ b/review/cases-2/brokenanswer/main.go
@@ -78,7 +78,7 @@
 		}
 	}
 	time.Sleep(due + finish)
-	return rig.JudgeFinish(s, client, runs, expected, outputSize)
+	return rig.JudgeFinish(s, client, runs, expected, func(string) int { return outputSize })
 }
 
 // start starts the runner and the gateways.
--- a/review/cases-2/longprompt/main.go
+++ b/review/cases-2/longprompt/main.go
@@ -66,7 +66,7 @@
 		expected[jobID] = append(expected[jobID], item.ID)
 	}
 	time.Sleep(due + finish)
-	return rig.JudgeFinish(s, client, runs, expected, outputSize)
+	return rig.JudgeFinish(s, client, runs, expected, func(string) int { return outputSize })
 }
 
 // start starts the runners and the gateways.
--- a/review/cases-2/rig/finish.go
+++ b/review/cases-2/rig/finish.go
@@ -118,8 +118,8 @@
 
 // JudgeFinish reads the results of all jobs at each gateway and returns the exit code of the case: ExitBroken if an item is
 // not listed and the rule does not excuse that, or if a result is not the item's whole output. items are the ids of
-// the items by job, events is the number of events of each.
-func JudgeFinish(s *System, client *Client, runs *ItemRuns, items map[string][]string, events int) (int, error) {
+// the items by job, events returns the number of events of each item of a job.
+func JudgeFinish(s *System, client *Client, runs *ItemRuns, items map[string][]string, events func(job string) int) (int, error) {
 	code, slots := ExitHeld, 0
 	for _, r := range s.Runners {
 		slots += r.Slots
@@ -135,7 +135,7 @@
 			for _, id := range ids {
 				if text, ok := texts[id]; !ok {
 					unlisted[id] = true
-				} else if text != ItemText(id, events) {
+				} else if text != ItemText(id, events(job), s.Runners[0].EventBytes) {
 					wrong++
 				}
 			}
--- a/review/cases-2/rig/rig.go
+++ b/review/cases-2/rig/rig.go
@@ -38,6 +38,8 @@
 	keepSeconds  = 120
 	Heartbeat    = 1200 * time.Millisecond
 
+	callBytes = 2 << 20 // most that the records of one append may have
+
 	configTopic  = "keyed.op"
 	serversTopic = "keyed.servers"
 )
@@ -110,10 +112,22 @@
 	systems.Unlock()
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.View = s.Store.View()
-	s.storeAddr, err = s.serve("127.0.0.1:0", wiretest.StoreHandler(s.Store.View()))
+	s.storeAddr, err = s.serve("127.0.0.1:0", boundCalls(record, wiretest.StoreHandler(s.Store.View())))
 	return s, err
 }
 
+// boundCalls makes the store refuse appends that are larger than a call may be.
+func boundCalls(record *Record, store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > callBytes {
+			record.Add("the store refuses an append of %d bytes", r.ContentLength)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		store.ServeHTTP(w, r)
+	})
+}
+
 // serve serves a handler on an address and returns the address.
 func (s *System) serve(addr string, h http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", addr)
--- a/review/cases-2/rig/runner.go
+++ b/review/cases-2/rig/runner.go
@@ -37,6 +37,7 @@
 	ID, Service, Zone string
 	Slots             int
 	Engine            Engine
+	EventBytes        int // length to which the data of events are filled up; 0 leaves them short
 	// OnReached, if it is not nil, is called when a request has arrived, and OnRun when its run begins, with its first token.
 	OnReached, OnRun func(runner, request string, at time.Time)
 	// OnLeft, if it is not nil, is called when a request that has reached a slot has left it; isWhole says that all its
@@ -131,7 +132,7 @@
 			r.record.Add("runner %s breaks off its answer to %s in event %d", r.ID, id, i)
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s:%d\n\n", i, id, i)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, eventData(id, i, r.EventBytes))
 		_ = http.NewResponseController(w).Flush() // the context ends if the channel is closed
 		if i < events && !sleep(ctx, r.Engine.Step) {
 			panic(http.ErrAbortHandler)
@@ -151,11 +152,17 @@
 	}
 }
 
-// ItemText is the whole output of an item with that many events.
-func ItemText(id string, events int) string {
+// eventData returns the data of an event.
+func eventData(id string, event, size int) string {
+	data := fmt.Sprintf("%s:%d", id, event)
+	return data + strings.Repeat("x", max(0, size-len(data)))
+}
+
+// ItemText is the whole output of an item with that many events, whose data were filled up to eventBytes.
+func ItemText(id string, events, eventBytes int) string {
 	var lines []string
 	for i := 1; i <= events; i++ {
-		lines = append(lines, fmt.Sprintf("%s:%d", id, i))
+		lines = append(lines, eventData(id, i, eventBytes))
 	}
 	return strings.Join(lines, "\n")
 }
