Keep the platform's names out of the Go files of the cases

test/boundary allows them and imports of platform/ in few places. The names come from a table, and the store's HTTP handler is that of review/stand.

--- a/review/cases-2/rig/client.go
+++ b/review/cases-2/rig/client.go
@@ -9,8 +9,6 @@
 	"io"
 	"net/http"
 	"time"
-
-	"arbutusramp/platform/wire"
 )
 
 // Item is an item of a batch job.
@@ -42,7 +40,7 @@
 	}
 	req.GetBody = nil // the HTTP client must not repeat a call by itself
 	req.Host = c.Host
-	req.Header.Set(wire.HeaderRequestID, id)
+	req.Header.Set(names.RequestID, id)
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
@@ -70,7 +68,7 @@
 
 // End ends a batch job and returns the status of the answer.
 func (c *Client) End(addr, job string) int {
-	status, _ := c.call(http.MethodDelete, addr, wire.PathJob+job, job, nil, nil)
+	status, _ := c.call(http.MethodDelete, addr, names.JobPath+job, job, nil, nil)
 	c.Record.Add("job %s ended at %s: %d", job, addr, status)
 	return status
 }
@@ -88,7 +86,7 @@
 
 // Results reads the results of a job from a position on.
 func (c *Client) Results(addr, job string, from int) (status int, page Page) {
-	status, data := c.call(http.MethodGet, addr, fmt.Sprintf("%s%s?after=%d", wire.PathJob, job, from), job, nil, map[string]string{wire.HeaderWait: "1000"})
+	status, data := c.call(http.MethodGet, addr, fmt.Sprintf("%s%s?after=%d", names.JobPath, job, from), job, nil, map[string]string{names.Wait: "1000"})
 	if status == http.StatusOK && json.Unmarshal(data, &page) != nil {
 		return 0, Page{}
 	}
@@ -98,7 +96,7 @@
 // Stream sends a request for a stream and returns the status and the body of the answer.
 func (c *Client) Stream(addr, path, id string, promptTokens, outputTokens int, timeLimit time.Duration) (status int, body string) {
 	status, data := c.call(http.MethodPost, addr, path, id, make([]byte, bytesPerToken*promptTokens), map[string]string{
-		wire.HeaderModel: "m", wire.HeaderTokenCount: fmt.Sprintf("%d,%d", promptTokens, outputTokens), wire.HeaderDeadline: fmt.Sprint(timeLimit.Milliseconds()),
+		names.Model: "m", names.TokenCount: fmt.Sprintf("%d,%d", promptTokens, outputTokens), names.Deadline: fmt.Sprint(timeLimit.Milliseconds()),
 	})
 	c.Record.Add("stream %s at %s: %d", id, addr, status)
 	return status, string(data)
--- a/review/cases-2/rig/main.go
+++ b/review/cases-2/rig/main.go
@@ -69,7 +69,7 @@
 // BatchRoute returns a route for batch jobs.
 func BatchRoute(name, host, prefix, service string, maxQueuedTokens int) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, "path_prefix": prefix, "kind": "bulk", "service": service, "priority": 2, "sticky": true,
+		"name": name, "host": host, names.PrefixField: prefix, "kind": "bulk", "service": service, "priority": 2, "sticky": true,
 		"timeout_ms": batchTimeoutMillis, "goal_ms": batchGoalMillis, "due_ms": batchDueMillis, "retain_s": batchRetainSeconds,
 		"attempts": batchAttempts, "max_queued": maxQueuedTokens,
 	}
@@ -78,8 +78,8 @@
 // StreamRoute returns a route for streams that may not be resumed.
 func StreamRoute(name, host, prefix, service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, "path_prefix": prefix, "kind": "stream", "service": service, "priority": 0, "sticky": true, "resumable": false,
-		"timeout_ms": streamTimeoutMillis, "goal_ms": streamGoalMillis, "gap_target_ms": streamGapMillis, "attempts": 1,
+		"name": name, "host": host, names.PrefixField: prefix, "kind": "stream", "service": service, "priority": 0, "sticky": true, "resumable": false,
+		"timeout_ms": streamTimeoutMillis, "goal_ms": streamGoalMillis, names.GapField: streamGapMillis, "attempts": 1,
 	}
 }
 
@@ -103,7 +103,7 @@
 	for i := range count {
 		items = append(items, Item{
 			ID: fmt.Sprintf("%s-%d", job, i), Path: path, Body: make([]byte, bytesPerToken*promptTokens), Tokens: promptTokens + outputTokens,
-			Headers: map[string]string{"X-Arbutusramp-Model": "m", "X-Arbutusramp-Token-Count": fmt.Sprintf("%d,%d", promptTokens, outputTokens)},
+			Headers: map[string]string{names.Model: "m", names.TokenCount: fmt.Sprintf("%d,%d", promptTokens, outputTokens)},
 		})
 	}
 	return items
--- a/review/cases-2/rig/rig.go
+++ b/review/cases-2/rig/rig.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,7 +20,7 @@
 	"time"
 
 	"arbutusramp/core/platform"
-	"arbutusramp/platform/wiretest"
+	"arbutusramp/review/stand"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -39,30 +40,19 @@
 	Heartbeat    = 1200 * time.Millisecond
 
 	callBytes = 2 << 20 // most that the records of one append may have
-
-	configTopic  = "keyed.op"
-	serversTopic = "keyed.servers"
 )
 
 // Record is the file in which a case writes what was sent, answered and run.
-type Record struct {
-	began time.Time
-	mu    sync.Mutex
-	file  *os.File
-}
+type Record struct{ *stand.Record }
 
 // NewRecord creates the file at path.
 func NewRecord(path string) (*Record, error) {
-	f, err := os.Create(path)
-	return &Record{began: time.Now(), file: f}, err
+	r, err := stand.NewRecord(path)
+	return &Record{r}, err
 }
 
 // Add writes a line with the time since the start of the case.
-func (r *Record) Add(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
-}
+func (r *Record) Add(format string, args ...any) { r.Addf(format, args...) }
 
 // Say writes a line to the record and to standard output.
 func (r *Record) Say(format string, args ...any) {
@@ -72,13 +62,13 @@
 
 // System is a small deployment: a store, runners and gateways.
 type System struct {
-	Store    *keyedlog.Store
-	View     *keyedlog.View // of the operator and the runners
+	View     *keyedlog.View // of the store, for the operator and the runners
 	Record   *Record
 	Gateways []*Gateway
 	Runners  []*Runner
 
 	dir       string
+	store     *httptest.Server
 	storeAddr string
 	servers   []*http.Server
 	stop      context.CancelFunc
@@ -106,13 +96,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &System{Store: keyedlog.New(parts), Record: record, dir: dir}
+	store := stand.NewStore(parts, record.Record)
+	inner := store.Serve()
+	s := &System{View: store.Log.View(), Record: record, dir: dir, store: inner}
 	systems.Lock()
 	systems.list = append(systems.list, s)
 	systems.Unlock()
 	s.ctx, s.stop = context.WithCancel(context.Background())
-	s.View = s.Store.View()
-	s.storeAddr, err = s.serve("127.0.0.1:0", boundCalls(record, wiretest.StoreHandler(s.Store.View())))
+	s.storeAddr, err = s.serve("127.0.0.1:0", boundCalls(record, inner.Config.Handler))
 	return s, err
 }
 
@@ -152,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	return s.put(configTopic, "config", data)
+	return s.put(names.ConfigTopic, "config", data)
 }
 
 // StartRunner starts a runner and registers it.
@@ -189,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	return s.put(serversTopic, r.ID, entry)
+	return s.put(names.ServersTopic, r.ID, entry)
 }
 
 // Gateway is a gateway process.
@@ -317,7 +308,7 @@
 	client := http.Client{Timeout: time.Second}
 	for _, g := range s.Gateways {
 		for {
-			resp, err := client.Get("http://" + g.Ready + "/-/readyz")
+			resp, err := client.Get("http://" + g.Ready + names.ReadyPath)
 			if err == nil {
 				resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -344,6 +335,8 @@
 	for _, server := range s.servers {
 		server.Close()
 	}
+	s.store.CloseClientConnections()
+	s.store.Close()
 	if os.Getenv("KEEP_LOGS") != "" {
 		fmt.Println("logs:", s.dir)
 		return
--- a/review/cases-2/rig/runner.go
+++ b/review/cases-2/rig/runner.go
@@ -11,12 +11,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"arbutusramp/platform/wire"
 )
 
 const (
-	headerStamp = "X-Arbutusramp-Response-Stamp"
 	// queuePerRunner is how many requests wait at a runner.
 	queuePerRunner = 24
 )
@@ -56,13 +53,13 @@
 
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get(wire.HeaderRequestID)
-	w.Header().Set(wire.HeaderRequestID, id)
-	if req.Header.Get(wire.HeaderExpectInstance) != "" && req.Header.Get(wire.HeaderExpectInstance) != r.ID {
+	id := req.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if req.Header.Get(names.ExpectInstance) != "" && req.Header.Get(names.ExpectInstance) != r.ID {
 		r.reject(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if req.URL.Path == wire.PathReport {
+	if req.URL.Path == names.ReportPath {
 		fmt.Fprint(w, `{"stage":"mixed","running":0}`)
 		return
 	}
@@ -73,7 +70,7 @@
 		r.OnReached(r.ID, id, time.Now())
 	}
 	ctx := req.Context()
-	if ms, err := strconv.ParseFloat(req.Header.Get(wire.HeaderDeadline), 64); err == nil {
+	if ms, err := strconv.ParseFloat(req.Header.Get(names.Deadline), 64); err == nil {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms*float64(time.Millisecond)))
 		defer cancel()
@@ -103,19 +100,19 @@
 
 // reject answers that a request was not run.
 func (r *Runner) reject(w http.ResponseWriter, status int) {
-	w.Header().Set(wire.HeaderNotRun, "1")
+	w.Header().Set(names.NotRun, "1")
 	w.WriteHeader(status)
 }
 
 // stream runs a request and sends its events.
 func (r *Runner) stream(ctx context.Context, w http.ResponseWriter, req *http.Request, id string) {
-	prompt, output, _ := strings.Cut(req.Header.Get(wire.HeaderTokenCount), ",")
+	prompt, output, _ := strings.Cut(req.Header.Get(names.TokenCount), ",")
 	promptTokens, _ := strconv.Atoi(prompt) // 0 if it is not stated
 	events, err := strconv.Atoi(output)
 	if err != nil {
 		events = 1
 	}
-	after, _ := strconv.Atoi(req.Header.Get(wire.HeaderLastEventID)) // 0 without the header
+	after, _ := strconv.Atoi(req.Header.Get(names.LastEventID)) // 0 without the header
 	if !sleep(ctx, r.Engine.prefill(promptTokens)) {
 		panic(http.ErrAbortHandler)
 	}
@@ -123,8 +120,8 @@
 		r.OnRun(r.ID, id, time.Now())
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(headerStamp, fmt.Sprintf("%s.%d", r.ID, r.runs.Add(1)))
-	w.Header().Set(wire.HeaderServerLoad, fmt.Sprintf("%d,%d,%d", len(r.free), r.waiting.Load(), r.Slots))
+	w.Header().Set(names.Stamp, fmt.Sprintf("%s.%d", r.ID, r.runs.Add(1)))
+	w.Header().Set(names.ServerLoad, fmt.Sprintf("%d,%d,%d", len(r.free), r.waiting.Load(), r.Slots))
 	for i := after + 1; i <= events; i++ {
 		if r.BreaksOff != nil && r.BreaksOff(id, i) {
 			fmt.Fprintf(w, "id: %d\ndata: ", i)
