backlog: what an item avoids is a preference with an end, and binds no other item

Beside an idle target 30 sound items stood still while another target was full.

Cause: a task avoided the target of its last broken run without an end, also if no other target could take it; and a scan took 'this task found no slot' for 'its class has none'.

Change: fleet.Avoidance orders avoided targets last, and excludes them for a bounded time only while another target can take batch items. A scan's conclusion holds for works that asked for the same targets; a deferral holds for works that can wait at least as long. The list of targets that batch starts skipped without an end is gone from the pick.

The other tests of the package pass as before.

--- a/core/fleet/batch.go
+++ b/core/fleet/batch.go
@@ -14,10 +14,43 @@
 // has received a report of what that gateway has started.
 const staggerInterval = 12 * time.Millisecond
 
-// PickBatch chooses the target for a batch item: one with free slots beyond Options.MinFreeAfterStart, and
-// none of those in tried. ok is false if there is none; see PickBatchSlot.
-func (f *Fleet) PickBatch(now time.Time, w Work, tried []string) (c Choice, ok bool) {
-	p := f.PickBatchSlot(now, w, tried)
+// Avoidance is the preference of a batch item for other targets than those where its last runs were broken off or
+// failed. It never excludes the last target that can take batch items.
+type Avoidance struct {
+	Targets []string // ids
+	// IsStrict makes the item wait for a slot at another target while there is one that can take batch items. Without it,
+	// the item runs at a target that it avoids if no other one has a slot now.
+	IsStrict bool
+}
+
+// includes reports whether the item avoids a target.
+func (a Avoidance) includes(c candidate) bool { return slices.Contains(a.Targets, c.target.ID) }
+
+// drop removes the targets from the list that the item does not run at now, and reports whether there are any.
+func (a Avoidance) drop(list []candidate) (rest []candidate, hasDropped bool) {
+	isOther := func(c candidate) bool { return !a.includes(c) }
+	if !a.IsStrict || !slices.ContainsFunc(list, isOther) {
+		return list, false
+	}
+	rest = slices.DeleteFunc(list, a.includes)
+	return rest, len(rest) < len(list)
+}
+
+// compare orders the targets that the item avoids after the others.
+func (a Avoidance) compare(b, c candidate) int {
+	switch isFirst, isSecond := a.includes(b), a.includes(c); {
+	case isFirst == isSecond:
+		return 0
+	case isFirst:
+		return 1
+	}
+	return -1
+}
+
+// PickBatch chooses the target for a batch item: one with free slots beyond Options.MinFreeAfterStart. ok is false if
+// there is none; see PickBatchSlot.
+func (f *Fleet) PickBatch(now time.Time, w Work) (c Choice, ok bool) {
+	p := f.PickBatchSlot(now, w)
 	return p.Choice, p.IsPicked
 }
 
@@ -29,12 +62,13 @@
 // For services whose costs are predicted, an item starts only where its slot is expected to last and, with
 // Options.YieldsInOverload, while online requests are neither rejected nor queued. Without the first, in a demand that alternates between a low and a high
 // level, most runs are preempted before they have gained an event.
-func (f *Fleet) PickBatchSlot(now time.Time, w Work, tried []string) BatchPick {
-	list := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
+func (f *Fleet) PickBatchSlot(now time.Time, w Work) BatchPick {
+	list := f.candidates(now, w, nil, func(ts *targetState) bool { return ts.health.canTakeBatch(now) })
+	list, isAvoiding := w.Avoid.drop(list)
 	ahead := f.gatewaysAhead()
 	list = slices.DeleteFunc(list, func(c candidate) bool { return !f.canStart(now, c, ahead) })
 	if len(list) == 0 {
-		return BatchPick{}
+		return BatchPick{IsAvoiding: isAvoiding}
 	}
 	if f.isYielding(now, w.Service) && !(w.IsUrgent && !f.isUrgentShareUsed(now, w.Service)) {
 		return BatchPick{Deferral: DeferredForOverload}
@@ -45,10 +79,13 @@
 		pick.IsForecast = true
 		list, pick.Probability = f.lastingCandidates(now, w, list, ahead)
 		if len(list) == 0 {
-			return BatchPick{Deferral: DeferredForHeadroom, IsForecast: true, Probability: pick.Probability}
+			return BatchPick{Deferral: DeferredForHeadroom, IsForecast: true, Probability: pick.Probability, IsAvoiding: isAvoiding}
 		}
 	}
 	best := slices.MinFunc(list, func(a, b candidate) int {
+		if order := w.Avoid.compare(a, b); order != 0 {
+			return order
+		}
 		if isUrgent {
 			if order := cmp.Compare(f.slownessClass(now, a.target.ID), f.slownessClass(now, b.target.ID)); order != 0 {
 				return order
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -89,13 +89,13 @@
 func TestPickBatchFillsFreeSlotsOnly(t *testing.T) {
 	f := testFleet("self", 2)
 	for range 2 * testSlots {
-		got, ok := f.PickBatch(start, Work{Service: "llm"}, nil)
+		got, ok := f.PickBatch(start, Work{Service: "llm"})
 		if !ok {
 			t.Fatal("no target was picked though slots are free, want t0 or t1")
 		}
 		f.Begin(start, got.Target.ID, structs.ClassBatch)
 	}
-	if got, ok := f.PickBatch(start, Work{Service: "llm"}, nil); ok {
+	if got, ok := f.PickBatch(start, Work{Service: "llm"}); ok {
 		t.Errorf("picked %s though all slots are taken, want no target", got)
 	}
 	if n := f.OwnLoadAt("t0").Batch; n != testSlots {
@@ -161,25 +161,25 @@
 	if !f.RecordFailure(start, "t0") || f.RecordFailure(start, "t0") {
 		t.Error("of two failures in a row, the result of RecordFailure is wrong for the first (want true: the target becomes suspect) or the second (want false: not counted)")
 	}
-	if _, ok := f.PickBatch(start, Work{Service: "llm"}, nil); ok {
+	if _, ok := f.PickBatch(start, Work{Service: "llm"}); ok {
 		t.Error("a batch item was sent to a suspect target, want none")
 	}
 	later := start.Add(minSuspectTime)
-	if _, ok := f.PickBatch(later, Work{Service: "llm"}, nil); !ok {
+	if _, ok := f.PickBatch(later, Work{Service: "llm"}); !ok {
 		t.Error("no batch item was sent to a target on probation, want one")
 	}
 	f.Begin(later, "t0", structs.ClassBatch)
-	if _, ok := f.PickBatch(later, Work{Service: "llm"}, nil); ok {
+	if _, ok := f.PickBatch(later, Work{Service: "llm"}); ok {
 		t.Error("a second batch item was sent to a target on probation within the probation interval, want none")
 	}
 	if !f.RecordFailure(later, "t0") {
 		t.Error("a failure on probation does not make the target suspect, want suspect")
 	}
-	if _, ok := f.PickBatch(later.Add(minSuspectTime), Work{Service: "llm"}, nil); ok {
+	if _, ok := f.PickBatch(later.Add(minSuspectTime), Work{Service: "llm"}); ok {
 		t.Error("a batch item was sent 500 ms after the second of two failures, want none: the target must be suspect for longer than after the first")
 	}
 	f.RecordActivity(later, "t0")
-	if _, ok := f.PickBatch(later, Work{Service: "llm"}, nil); !ok {
+	if _, ok := f.PickBatch(later, Work{Service: "llm"}); !ok {
 		t.Error("no batch item was sent to a target that has just sent something, want one")
 	}
 }
@@ -231,7 +231,7 @@
 		for range freeSlots {
 			f.End(start, "t0", structs.ClassOnline)
 		}
-		_, ok := f.PickBatch(start.Add(freeFor), Work{Service: "llm"}, nil)
+		_, ok := f.PickBatch(start.Add(freeFor), Work{Service: "llm"})
 		return ok
 	}
 	cases := []struct {
@@ -321,7 +321,7 @@
 		f := testFleet("self", 2)
 		begin(f, "t0", structs.ClassOnline, c.ownDomain)
 		begin(f, "t1", structs.ClassOnline, c.otherDomain)
-		if got, ok := f.PickBatch(start, Work{Service: "llm"}, nil); !ok || got.Target.ID != c.want {
+		if got, ok := f.PickBatch(start, Work{Service: "llm"}); !ok || got.Target.ID != c.want {
 			t.Errorf("with %d of 4 slots taken at t0 in the own domain and %d of 4 at t1 in another: choice %s (found: %v), want t1 if t0 has no free slot and t0 otherwise", c.ownDomain, c.otherDomain, got.Target.ID, ok)
 		}
 	}
--- a/core/fleet/peers_test.go
+++ b/core/fleet/peers_test.go
@@ -85,7 +85,7 @@
 	f.Put(serving.Target{ID: "t", Service: "s", Slots: 1})
 	now := time.UnixMilli(0)
 	hasFreeSlot := func() bool {
-		_, ok := f.PickBatch(now, Work{Service: "s"}, nil)
+		_, ok := f.PickBatch(now, Work{Service: "s"})
 		return ok
 	}
 	f.ApplyReport(now, "peer", Report{Loads: map[string]Load{"t": {Online: 1}}})
--- a/core/fleet/room.go
+++ b/core/fleet/room.go
@@ -61,6 +61,9 @@
 	IsPicked bool
 	// Deferral is why the item has to wait although a slot is free.
 	Deferral DeferReason
+	// IsAvoiding is set if the item has to wait and targets that it avoids were left out. Whether they have a slot is then
+	// not known.
+	IsAvoiding bool
 	// IsForecast is set if Probability was computed.
 	IsForecast bool
 	// Probability is that with which the slot at the target is expected to last for batchGainTime; without a
--- a/core/fleet/room_test.go
+++ b/core/fleet/room_test.go
@@ -41,8 +41,8 @@
 
 // pickWhenSettled returns the choice for w after the free slots have been unchanged for some time.
 func pickWhenSettled(f *Fleet, now time.Time, w Work) BatchPick {
-	f.PickBatchSlot(now, w, nil)
-	return f.PickBatchSlot(now.Add(4*staggerInterval), w, nil)
+	f.PickBatchSlot(now, w)
+	return f.PickBatchSlot(now.Add(4*staggerInterval), w)
 }
 
 // Guards against items that start in slots which online requests take again at once: counts of 3 and 8 alternate every
@@ -87,8 +87,8 @@
 	for after, want := range map[time.Duration]bool{0: false, staggerInterval: false, 2 * staggerInterval: true} {
 		g := *f
 		g.targets["t0000"].lasting = lastingSlots{}
-		g.PickBatchSlot(now, Work{Service: "llm"}, nil)
-		if p := g.PickBatchSlot(now.Add(after), Work{Service: "llm"}, nil); p.IsPicked != want {
+		g.PickBatchSlot(now, Work{Service: "llm"})
+		if p := g.PickBatchSlot(now.Add(after), Work{Service: "llm"}); p.IsPicked != want {
 			t.Errorf("after %v: picked %t, want %t", after, p.IsPicked, want)
 		}
 	}
@@ -180,7 +180,7 @@
 				f := costAwareFleet(targets, off)
 				now := learn(f, start, 60, func(int) int { return int(math.Abs(3 + 2*rng.NormFloat64())) })
 				for b.Loop() {
-					f.PickBatchSlot(now, Work{Service: "llm"}, nil)
+					f.PickBatchSlot(now, Work{Service: "llm"})
 				}
 			})
 		}
--- a/internal/backlog/bounds.go
+++ b/internal/backlog/bounds.go
@@ -120,7 +120,7 @@
 	t.floodedRuns++
 	t.lostRuns, t.lostAt = max(t.lostRuns+1, t.floodedRuns), now
 	t.crashWait = backlog.NewCrashWait(t.lostRuns, rand.Float64())
-	t.avoidTargets = []string{end.target}
+	t.avoided.add(now, end.target, maxAvoidTime)
 	t.text, t.lastEventID, t.origin = nil, "", serving.Origin{}
 	t.events, t.unsavedEvents = 0, 0
 	t.ignoresStoredText = true
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -137,17 +137,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hasActiveRun = false
+	now := time.Now()
 	if end.hasAdvanced {
 		t.lostRuns = 0
 	}
 	switch end.verdict {
 	case runLost:
 		t.lostRuns++
-		t.lostAt, t.crashWait = time.Now(), backlog.NewCrashWait(t.lostRuns, rand.Float64())
-		t.avoidTargets = []string{end.target}
+		t.lostAt, t.crashWait = now, backlog.NewCrashWait(t.lostRuns, rand.Float64())
+		t.avoided.add(now, end.target, avoidTime)
 		return nil, t.isPreempted
 	case runFlooded:
-		return t.applyFlood(end, time.Now()), t.isPreempted
+		return t.applyFlood(end, now), t.isPreempted
 	case runComplete:
 		return t.setOutcome(backlog.Complete, string(t.text)), t.isPreempted
 	case runRejected:
@@ -157,14 +158,13 @@
 		if t.failures >= t.job.MaxAttempts {
 			return t.setOutcome(backlog.Errored, ""), t.isPreempted
 		}
+		t.avoided.add(now, end.target, maxAvoidTime)
 	}
 	if t.isPreempted {
-		// The run was cancelled for online requests, not because of a fault of its target.
-		t.avoidTargets = nil
-		return nil, true
+		return nil, true // cancelled for online requests, not because of a fault of its target
 	}
-	t.avoidTargets = []string{end.target}
-	t.notBefore = time.Now().Add(retryDelay)
+	t.avoided.add(now, end.target, avoidTime)
+	t.notBefore = now.Add(retryDelay)
 	return nil, false
 }
 
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -243,6 +243,7 @@
 		}
 		for _, w := range sc.nextWork(t, route, now, scan) {
 			w.StartSlack, w.IsUrgent = sc.startSlack(t, now)
+			w.Avoid = t.avoidance(now)
 			if scan.isBlocked(w) {
 				continue
 			}
@@ -321,7 +322,7 @@
 // reports whether a run was started, and the choice or the reason behind.
 func (sc *scheduler) startRun(ctx context.Context, t *task, route *serving.Route, w fleet.Work) (isStarted bool, pick fleet.BatchPick) {
 	runCtx, cancel := context.WithCancel(ctx)
-	r, pick := sc.m.view.StartBatchOrDefer(w, t.job.Rank, t.targetsToAvoid(), func() { t.preempt(cancel) })
+	r, pick := sc.m.view.StartBatchOrDefer(w, t.job.Rank, func() { t.preempt(cancel) })
 	if !pick.IsPicked {
 		cancel()
 		sc.recordDeferral(t, w, pick)
--- a/internal/backlog/share_test.go
+++ b/internal/backlog/share_test.go
@@ -33,7 +33,7 @@
 		first.RecordHoldTime()
 		first.Done()
 		for range 15 {
-			view.StartBatch(fleet.Work{Service: "s", Workspace: "large"}, 0, nil, func() {})
+			view.StartBatch(fleet.Work{Service: "s", Workspace: "large"}, 0, func() {})
 		}
 		time.Sleep(time.Second)
 		sc := &scheduler{m: &Manager{view: view, runTimes: backlog.NewRunTimeEstimator(), router: &oneRoute{serving.Route{ServiceWeights: []serving.ServiceWeight{{Service: "s", Weight: 1}}}}}}
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -42,7 +42,7 @@
 	failures       int                    // failed runs, including those at former owners
 	unroutedChecks int                    // consecutive checks that found no route
 	deferral       deferral               // of the start, since the last run
-	avoidTargets   []string               // ids of targets at which the last run was broken off or failed
+	avoided        avoidedTargets         // where the last runs were broken off or failed
 	lostRuns       int                    // runs in a row during which their targets have failed, since one has added events
 	lostAt         time.Time              // end of the last of them
 	floodedRuns    int                    // runs whose targets have sent more than the item can have; see applyFlood
@@ -187,13 +187,6 @@
 	return &pendingResult{job: t.job, index: t.index, outcome: o, text: text}
 }
 
-// targetsToAvoid returns the ids of the targets at which the last run was broken off or failed.
-func (t *task) targetsToAvoid() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.avoidTargets
-}
-
 // preempt cancels the task's run with cancel because online requests need its slot.
 func (t *task) preempt(cancel context.CancelFunc) {
 	t.mu.Lock()
--- a/internal/backlog/version.go
+++ b/internal/backlog/version.go
@@ -1,6 +1,8 @@
 package backlog
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -38,24 +40,28 @@
 	return nil
 }
 
-// startScan is one search for a task to start. It keeps what it has found out about services and versions.
+// startScan is one search for a task to start. It keeps what it has found out about services and versions. A conclusion
+// holds only for works that ask for the same targets: what one task avoids, or how long it can wait, says nothing of others.
 type startScan struct {
-	view     *fleetview.View
-	full     map[startClass]bool // no slot is free
-	deferred map[startClass]bool // only urgent items may start
+	view *fleetview.View
+	full map[startClass]bool // no slot is free
+	// deferred holds, for works that are not urgent, the least slack with which one was deferred. Less patient ones may start.
+	deferred map[startClass]time.Duration
 	served   map[serving.Origin]bool
 }
 
-// startClass is what decides, beside the task itself, whether a work can start.
+// startClass identifies the targets at which a work may start.
 type startClass struct {
 	service, version string
-	isPinned         bool // version is required
+	isPinned         bool   // version is required
+	avoided          string // ids of the targets that are left out, in order; empty if none is
 }
 
 func newStartScan(view *fleetview.View) *startScan {
-	return &startScan{view: view, full: make(map[startClass]bool), deferred: make(map[startClass]bool), served: make(map[serving.Origin]bool)}
+	return &startScan{view: view, full: make(map[startClass]bool), deferred: make(map[startClass]time.Duration), served: make(map[serving.Origin]bool)}
 }
 
+// classOf returns the class of a work without regard to what it avoids.
 func classOf(w fleet.Work) startClass {
 	if w.Version == nil {
 		return startClass{service: w.Service}
@@ -63,19 +69,39 @@
 	return startClass{service: w.Service, version: *w.Version, isPinned: true}
 }
 
-// isBlocked reports whether the work can't start, because an earlier task of its class could not.
-func (s *startScan) isBlocked(w fleet.Work) bool {
+// avoidingClassOf returns the class of a work if the targets that it avoids are left out.
+func avoidingClassOf(w fleet.Work) startClass {
 	class := classOf(w)
-	return s.full[class] || s.deferred[class] && !w.IsUrgent
+	if w.Avoid.IsStrict {
+		class.avoided = strings.Join(slices.Sorted(slices.Values(w.Avoid.Targets)), " ")
+	}
+	return class
+}
+
+// isBlocked reports whether the work can't start, because an earlier one could not that had at least as many targets.
+func (s *startScan) isBlocked(w fleet.Work) bool {
+	return s.isClassBlocked(classOf(w), w) || w.Avoid.IsStrict && s.isClassBlocked(avoidingClassOf(w), w)
 }
 
-// noteNotStarted records that a work of a class could not start.
+func (s *startScan) isClassBlocked(class startClass, w fleet.Work) bool {
+	slack, isDeferred := s.deferred[class]
+	return s.full[class] || isDeferred && !w.IsUrgent && w.StartSlack >= slack
+}
+
+// noteNotStarted records that a work could not start.
 func (s *startScan) noteNotStarted(w fleet.Work, pick fleet.BatchPick) {
-	if pick.Deferral == fleet.NotDeferred || w.IsUrgent {
-		s.full[classOf(w)] = true
-		return
+	class := classOf(w)
+	if pick.IsAvoiding {
+		class = avoidingClassOf(w)
+	}
+	switch slack, isDeferred := s.deferred[class]; {
+	case pick.Deferral == fleet.NotDeferred || w.IsUrgent:
+		s.full[class] = true
+	case pick.Deferral == fleet.DeferredForOverload:
+		s.deferred[class] = 0
+	case !isDeferred || w.StartSlack < slack:
+		s.deferred[class] = w.StartSlack
 	}
-	s.deferred[classOf(w)] = true
 }
 
 // isServed reports whether a target of a service and version is in service.
--- a/internal/backlog/version_test.go
+++ b/internal/backlog/version_test.go
@@ -105,7 +105,7 @@
 	view := fleetview.New(fleet.Options{PeerTTL: time.Second})
 	target := serving.Target{ID: "t", Service: "llm", Slots: 2, Version: "v1"}
 	view.UpdateTargets([]serving.Target{target}, nil)
-	run, ok := view.StartBatch(fleet.Work{Service: "llm"}, 0, nil, func() {})
+	run, ok := view.StartBatch(fleet.Work{Service: "llm"}, 0, func() {})
 	if !ok {
 		t.Fatal("no run was started")
 	}
--- a/internal/fleetview/share_test.go
+++ b/internal/fleetview/share_test.go
@@ -22,7 +22,7 @@
 		first.Done()
 		began := time.Now()
 		for _, workspace := range []string{"preempted", "whole"} {
-			item, _ := v.StartBatch(fleet.Work{Service: "s", Workspace: workspace}, 0, nil, func() {})
+			item, _ := v.StartBatch(fleet.Work{Service: "s", Workspace: workspace}, 0, func() {})
 			time.Sleep(250 * time.Millisecond)
 			if workspace == "whole" {
 				time.Sleep(750 * time.Millisecond)
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -82,21 +82,20 @@
 }
 
 // StartBatch picks a target with a free slot for a batch item and starts a run there; ok is false
-// if there is no such target. tried are the ids of the targets that earlier attempts of the item have used.
-// preempt is called at most once, when the run must release its slot, and must not block. rank is the urgency
+// if there is no such target. preempt is called at most once, when the run must release its slot, and must not block. rank is the urgency
 // of the item, 0 the most urgent: at one target the runs with the highest rank are preempted first.
-func (v *View) StartBatch(w fleet.Work, rank int, tried []string, preempt func()) (*Run, bool) {
-	r, pick := v.StartBatchOrDefer(w, rank, tried, preempt)
+func (v *View) StartBatch(w fleet.Work, rank int, preempt func()) (*Run, bool) {
+	r, pick := v.StartBatchOrDefer(w, rank, preempt)
 	return r, pick.IsPicked
 }
 
 // StartBatchOrDefer is StartBatch with the choice behind the start, or with the reason why the item has to wait.
 // The run is nil if none was started.
-func (v *View) StartBatchOrDefer(w fleet.Work, rank int, tried []string, preempt func()) (*Run, fleet.BatchPick) {
+func (v *View) StartBatchOrDefer(w fleet.Work, rank int, preempt func()) (*Run, fleet.BatchPick) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	pick := v.fleet.PickBatchSlot(now, w, tried)
+	pick := v.fleet.PickBatchSlot(now, w)
 	if !pick.IsPicked {
 		return nil, pick
 	}
--- a/internal/fleetview/view_test.go
+++ b/internal/fleetview/view_test.go
@@ -24,13 +24,13 @@
 	var preempted []int
 	var runs []*Run
 	for i := range 2 {
-		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted = append(preempted, i) })
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() { preempted = append(preempted, i) })
 		if !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 		runs = append(runs, r)
 	}
-	if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {}); ok {
+	if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() {}); ok {
 		t.Error("a third batch run started at a target with 2 slots")
 	}
 	online, ok := v.StartOnline(fleet.Work{Service: "s"}, nil)
@@ -60,7 +60,7 @@
 	v := newView(4)
 	preempted := 0
 	for range 3 {
-		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted++ }); !ok {
+		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() { preempted++ }); !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 	}
@@ -87,7 +87,7 @@
 	v := newView(3)
 	var preempted []int
 	for i, rank := range []int{1, 2, 1} {
-		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, rank, nil, func() { preempted = append(preempted, i) }); !ok {
+		if _, ok := v.StartBatch(fleet.Work{Service: "s"}, rank, func() { preempted = append(preempted, i) }); !ok {
 			t.Fatal("no free slot for a batch run")
 		}
 	}
@@ -108,7 +108,7 @@
 	v.UpdateTargets([]serving.Target{{ID: "t", Service: "s", Slots: 4}}, nil)
 	var preempted []int
 	for i, progress := range [][2]int{{50, 10}, {0, 0}, {2, 300}, {90, 300}} {
-		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() { preempted = append(preempted, i) })
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() { preempted = append(preempted, i) })
 		if !ok {
 			t.Fatal("no free slot for a batch run")
 		}
--- a/internal/lab/fleet/gateway.go
+++ b/internal/lab/fleet/gateway.go
@@ -164,7 +164,7 @@
 			if full[class] || deferred[class] && !w.IsUrgent {
 				continue
 			}
-			pick := g.view.PickBatchSlot(now, w, nil)
+			pick := g.view.PickBatchSlot(now, w)
 			if pick.IsPicked {
 				if w.Version == nil {
 					g.restart(it)
--- a/internal/loadshare/batch_test.go
+++ b/internal/loadshare/batch_test.go
@@ -133,7 +133,7 @@
 	}
 	idleHeartbeat := func(seq uint16) []byte { return appendHeartbeat(nil, heartbeat{id: id, seq: seq, isIdle: true}) }
 	hasFreeSlot := func() bool {
-		r, ok := view.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {})
+		r, ok := view.StartBatch(fleet.Work{Service: "s"}, 0, func() {})
 		if ok {
 			r.Done()
 		}
--- a/internal/loadshare/bench_test.go
+++ b/internal/loadshare/bench_test.go
@@ -30,7 +30,7 @@
 	}
 	defer sharer.conn.Close()
 	for range targetsPerGateway {
-		if _, ok := view.StartBatch(fleet.Work{Service: "llm"}, 0, nil, func() {}); !ok {
+		if _, ok := view.StartBatch(fleet.Work{Service: "llm"}, 0, func() {}); !ok {
 			b.Fatal("StartBatch found no free slot for a batch item")
 		}
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -112,7 +112,7 @@
 func awaitFreeSlot(t *testing.T, v *fleetview.View, wantFreeSlot bool) {
 	t.Helper()
 	for {
-		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {})
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() {})
 		if ok {
 			r.Done()
 		}
@@ -137,7 +137,7 @@
 		s.handleDatagram(data, from)
 	}
 	hasFreeSlot := func() bool {
-		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {})
+		r, ok := v.StartBatch(fleet.Work{Service: "s"}, 0, func() {})
 		if ok {
 			r.Done()
 		}
@@ -284,7 +284,7 @@
 	if !ok || p.name != "sender" || p.seq != 3 || p.domain != newDigest("far") {
 		t.Errorf("the peer at the sender's address is %+v, want name sender, sequence number 3 and the sender's domain", p)
 	}
-	if _, hasFreeSlot := view.StartBatch(fleet.Work{Service: "s"}, 0, nil, func() {}); hasFreeSlot {
+	if _, hasFreeSlot := view.StartBatch(fleet.Work{Service: "s"}, 0, func() {}); hasFreeSlot {
 		t.Error("a batch item finds a free slot after a forwarded report with load, want none")
 	}
 	if addrs := other.domainPeersExcept(time.Now(), origin); len(addrs) != 0 {
