fleet: a silence limit knows what was sent and learns from the runs that it ends

Cause: the limit learned only from events that arrived and ended each run that would have shown it to be too short; it did not know the size of the prompt; and each end counted as a failure of the target.

Change: extra time for long prompts that the target reads; three times the longest silence of an earlier run of the same work; a bounded, decaying factor where ending runs does not help; one failure for a run, none if its work was silent elsewhere; silence is told to the quarantine only if the target was silent to all; a stream at a target that answers others is begun again no earlier than 0.5 s before its caller gives up.

Tried and not kept: a limit that doubles with each silent run, counted; runs that were ended beside a suspect one began to count anew, and 12 items late by 5 s were not done in 18 s.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -77,6 +77,9 @@
 	IsStream bool
 	// IsUrgent is set for a batch item that would miss its due time if it did not start now.
 	IsUrgent bool
+	// SilentFor is for how long an earlier run was silent that this process has ended, the longest since the last event; 0
+	// without one.
+	SilentFor time.Duration
 	// Avoid are the targets that a batch item prefers not to run at.
 	Avoid Avoidance
 	// StartSlack is for how long the start of a batch item can be deferred so that it still meets its due time; 0 if
--- a/core/fleet/timing.go
+++ b/core/fleet/timing.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+	"math/bits"
 	"time"
 
 	"arbutusramp/core/policy"
@@ -20,14 +22,73 @@
 	// retransmitted after 200 ms, and callers give up after two seconds without an event.
 	minSilenceLimit = 300 * time.Millisecond
 	maxSilenceLimit = 1800 * time.Millisecond
+	// maxPatientLimit bounds the limit for a run after silent ones, and of a service where ending them did not help.
+	maxPatientLimit = 30 * time.Second
+)
+
+const (
+	// promptClasses is the number of classes of prompts, one for each factor of two.
+	promptClasses = 24
+	// unknownReadTime is how long a target may read a prompt token, as long as the service has not shown it for prompts of
+	// that size. It is a few times slower than usual engines.
+	unknownReadTime = 40 * time.Microsecond
+	// readingFactor is how many times longer than the mean the reading of a prompt may take.
+	readingFactor = 2
+	// minReadingTime is the shortest extra time of a prompt that counts. What ordinary prompts take is part of the silence
+	// limit; their sum would let a silent target keep each request that was sent to it for longer than the one before.
+	minReadingTime = 100 * time.Millisecond
+	// MaxReadingTime bounds the extra time for all prompts at a target.
+	MaxReadingTime = 10 * time.Second
+)
+
+const (
+	// silentRunFactor is how many times longer than an earlier run a run may be silent.
+	silentRunFactor = 3
+	// maxPatience bounds the factor by which a service's silence limit grows where ending silent runs does not help.
+	maxPatience = 8
+	// patienceGrowth and patienceLoss are the factors for a run that was ended in vain, and for one that went on sooner
+	// elsewhere. The loss is larger: of two runs in a row, both may have hit targets that are really silent.
+	patienceGrowth = 1.5
+	patienceLoss   = 2
+	// patienceHalfTime is the time after which half of the growth is left.
+	patienceHalfTime = 15 * time.Second
 )
 
 // eventTiming holds the moving averages of the event times of a service's streams.
 type eventTiming struct {
 	firstEvent time.Duration // from a request to its first event, if it did not queue; 0 if unknown
 	eventGap   time.Duration // between two events; 0 if unknown
+	// byPrompt is firstEvent by the class of the prompt's size; 0 if unknown.
+	byPrompt [promptClasses]time.Duration
+	patience patience
+}
+
+// patience is the factor by which the silence limit of a service is longer than its event times suggest. The event times
+// come from runs that were not ended, so that they never show that the limit is too short; whether the run after
+// an ended one is silent as long does. The zero value is a factor of 1.
+type patience struct {
+	excess float64   // of the factor over 1
+	at     time.Time // when excess was last updated
 }
 
+// factor returns the factor at a time, at least 1.
+func (p patience) factor(now time.Time) float64 {
+	age := max(0, now.Sub(p.at))
+	return 1 + p.excess*math.Exp2(-float64(age)/float64(patienceHalfTime))
+}
+
+// update adds the outcome of a run that followed one that was ended for its silence.
+func (p *patience) update(now time.Time, hasHelped bool) {
+	factor := p.factor(now) * patienceGrowth
+	if hasHelped {
+		factor = p.factor(now) / patienceLoss
+	}
+	p.excess, p.at = min(maxPatience, max(1, factor))-1, now
+}
+
+// promptClass returns the class of a prompt of that many tokens, 0 if unknown.
+func promptClass(tokens int) int { return min(promptClasses-1, bits.Len(uint(max(0, tokens)))) }
+
 // updateMean adds the observation d to a moving average; an average of 0 has no observations yet.
 func updateMean(mean *time.Duration, d time.Duration) {
 	if *mean == 0 {
@@ -37,11 +98,20 @@
 	*mean += time.Duration(meanWeight * float64(d-*mean))
 }
 
-// RecordFirstEvent records how long a stream of a service took from its request to its first event. It is
-// called only for requests that did not wait for a slot.
-func (f *Fleet) RecordFirstEvent(service string, elapsed time.Duration) {
-	timing := f.timings[service]
+// RecordFirstEvent records how long a stream took from its request to its first event. It is called only for requests that
+// did not wait for a slot.
+func (f *Fleet) RecordFirstEvent(w Work, elapsed time.Duration) {
+	timing := f.timings[w.Service]
 	updateMean(&timing.firstEvent, elapsed)
+	updateMean(&timing.byPrompt[promptClass(w.Size.PromptTokens)], elapsed)
+	f.timings[w.Service] = timing
+}
+
+// RecordRunAfterSilence records the outcome of a run whose predecessor was ended because its target sent nothing: hasHelped
+// is set if this run had its first event sooner, and not if it was silent for at least as long.
+func (f *Fleet) RecordRunAfterSilence(now time.Time, service string, hasHelped bool) {
+	timing := f.timings[service]
+	timing.patience.update(now, hasHelped)
 	f.timings[service] = timing
 }
 
@@ -52,16 +122,57 @@
 	f.timings[service] = timing
 }
 
-// SilenceLimit is how long a target of a service may send nothing while it has requests, before it counts as
-// silent.
+// SilenceLimit is how long a target may send nothing while it has a run of the work, before it counts as silent, without
+// the time that it takes to read long prompts; see ReadingTime and Patient.
+func (f *Fleet) SilenceLimit(now time.Time, w Work) time.Duration {
+	limit := f.UsualSilenceLimit(w.Service)
+	if !f.opts.Disabled.IsEnabled(policy.AdaptiveSilenceLimit) {
+		return limit
+	}
+	return f.Patient(now, w, limit)
+}
+
+// UsualSilenceLimit is the SilenceLimit of a service by its event times.
 //
 // A single limit for all services does not work: engines with steps of 80 ms send an event every half second
 // and would always count as silent, and where events come every 20 ms a dead target would get requests for
 // longer than necessary.
-func (f *Fleet) SilenceLimit(service string) time.Duration {
+func (f *Fleet) UsualSilenceLimit(service string) time.Duration {
 	timing := f.timings[service]
 	if timing.firstEvent == 0 || timing.eventGap == 0 || !f.opts.Disabled.IsEnabled(policy.AdaptiveSilenceLimit) {
 		return defaultSilenceLimit
 	}
 	return min(maxSilenceLimit, max(minSilenceLimit, silenceGapFactor*timing.eventGap, silenceFirstEventFactor*timing.firstEvent))
 }
+
+// Patient returns for how long a run of the work may be silent where limit is usual: longer if ending silent runs of its
+// service has not helped, and if earlier runs of the same work were silent.
+func (f *Fleet) Patient(now time.Time, w Work, limit time.Duration) time.Duration {
+	limit = scale(limit, f.timings[w.Service].patience.factor(now))
+	return min(maxPatientLimit, max(limit, silentRunFactor*w.SilentFor))
+}
+
+// IsSlowItself reports whether the work has been silent at another target for as long as a sound target ever is by itself.
+func (f *Fleet) IsSlowItself(w Work) bool { return w.SilentFor >= minSilenceLimit }
+
+// ReadingTime is how much longer than usual for its service a target may take to the first event of the work because of the
+// size of its prompt; 0 for ordinary prompts, and while the size is unknown.
+func (f *Fleet) ReadingTime(w Work) time.Duration {
+	timing, tokens := f.timings[w.Service], w.Size.PromptTokens
+	class := promptClass(tokens)
+	for class > 0 && timing.byPrompt[class] == 0 {
+		class--
+	}
+	var reading time.Duration
+	if class > 0 {
+		reading = readingFactor * max(0, timing.byPrompt[class]-timing.firstEvent)
+	}
+	if class < promptClass(tokens) {
+		shown := 1<<class - 1 // the largest prompt of the class
+		reading += time.Duration(tokens-shown) * unknownReadTime
+	}
+	if reading < minReadingTime {
+		return 0
+	}
+	return min(MaxReadingTime, reading)
+}
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -74,7 +74,7 @@
 	if v == runComplete {
 		m.runTimes.ObserveItem(t.job.Route, t.eventCount(), t.item().Tokens)
 	}
-	toEvent, isPreempted := t.lastEvent(), t.finishRun(runEnd{target: r.Target.ID, verdict: v, hasAdvanced: t.eventCount() > eventsBefore})
+	toEvent, isPreempted := t.lastEvent(), t.finishRun(runEnd{target: r.Target.ID, verdict: v, hasAdvanced: t.eventCount() > eventsBefore, silentFor: end.silentFor})
 	m.scheduler.notifyRunFinished()
 	if isPreempted && t.eventCount() == eventsBefore {
 		metrics.GetOrRegisterCounter(cutWithoutGainMetric, m.registry).Inc(1)
@@ -113,7 +113,8 @@
 type runEnd struct {
 	target      string // id of the target
 	verdict     runVerdict
-	hasAdvanced bool // the run has added events to the text
+	hasAdvanced bool          // the run has added events to the text
+	silentFor   time.Duration // see runSend
 }
 
 // finishRun applies the end of a run to the task, and passes the item's result to the shard if the run decides it. It
@@ -141,6 +142,7 @@
 	if end.hasAdvanced {
 		t.lostRuns = 0
 	}
+	t.noteSilence(end)
 	switch end.verdict {
 	case runLost:
 		t.lostRuns++
@@ -176,6 +178,7 @@
 	wd := newWatchdog(ctx, cancel, r)
 	r.OnTargetEnd(cancel)
 	fromEvent := t.lastEvent()
+	defer func() { end.silentFor = wd.silentFor(ctx) }()
 	answer, err := m.targets.Send(ctx, platform.TargetCall{Target: r.Target, Request: t.request, ResumeAfter: fromEvent, Record: &end.record})
 	end.setAnswer(answer, err)
 	if err != nil {
--- a/internal/backlog/task.go
+++ b/internal/backlog/task.go
@@ -45,6 +45,7 @@
 	avoided        avoidedTargets         // where the last runs were broken off or failed
 	lostRuns       int                    // runs in a row during which their targets have failed, since one has added events
 	lostAt         time.Time              // end of the last of them
+	silentFor      time.Duration          // of earlier runs; see fleet.Work
 	floodedRuns    int                    // runs whose targets have sent more than the item can have; see applyFlood
 	// ignoresStoredText is set once the text of such a run has been dropped: its checkpoints may still be stored.
 	ignoresStoredText bool
@@ -70,7 +71,17 @@
 
 // work describes the item for the choice of its target.
 func (t *task) work(route *serving.Route, service string) fleet.Work {
-	return fleet.Work{Service: service, Route: route.Name, Workspace: t.job.Workspace, Size: t.item().Size, IsStream: true}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fleet.Work{Service: service, Route: route.Name, Workspace: t.job.Workspace, Size: t.item().Size, IsStream: true, SilentFor: t.silentFor}
+}
+
+// noteSilence notes, for the next run, for how long one was silent when it was ended. The caller holds the task's lock.
+func (t *task) noteSilence(end runEnd) {
+	if end.hasAdvanced {
+		t.silentFor = 0
+	}
+	t.silentFor = max(t.silentFor, end.silentFor)
 }
 
 // due returns the due time of the item in milliseconds since 1970.
--- a/internal/backlog/watchdog.go
+++ b/internal/backlog/watchdog.go
@@ -36,6 +36,17 @@
 	w.run.RecordActivity()
 }
 
+// silentFor returns the time since the last activity of a run, if its context has been cancelled while its target went on; else
+// 0.
+func (w *watchdog) silentFor(ctx context.Context) time.Duration {
+	if ctx.Err() == nil || w.run.HasTargetEnded() {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.lastActivity)
+}
+
 // watch cancels the run once the target has sent nothing on any stream for too long, which also counts as a
 // failure of the target, or nothing of this run for longer than itemIdleTimeout allows. It returns then or
 // when ctx ends.
@@ -46,7 +57,7 @@
 		w.mu.Unlock()
 		isTargetIdle := w.run.IsIdle(lastActivity)
 		if isTargetIdle {
-			w.run.RecordFailure()
+			w.run.RecordSilence()
 		}
 		if isTargetIdle || time.Since(lastActivity) > max(itemIdleTimeout, 2*w.run.IdleLimit())+w.run.MaxQueueWait() {
 			w.hasCancelledRun.Store(true)
--- a/internal/fleetview/cost.go
+++ b/internal/fleetview/cost.go
@@ -69,7 +69,9 @@
 func (r *Run) RecordWholeAnswer() {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	r.cost.whole = time.Since(r.startedAt)
+	now := time.Now()
+	r.recordAfterSilence(now)
+	r.cost.whole = now.Sub(r.startedAt)
 }
 
 // RecordWrite records the duration of a write to the caller, during which the target was not read.
--- a/internal/fleetview/run.go
+++ b/internal/fleetview/run.go
@@ -35,8 +35,9 @@
 	onTargetEnd    func()
 	hasTargetEnded bool
 	// hasVersionChanged is set when the entry of the target has got another version since the run began.
-	hasVersionChanged atomic.Bool
-	cost              runCost
+	hasVersionChanged  atomic.Bool
+	hasRecordedSilence atomic.Bool
+	cost               runCost
 	// lastingProbability is that with which the slot of a batch run was expected to last; valid if hasLasting is set.
 	lastingProbability float64
 	hasLasting         bool
@@ -119,6 +120,7 @@
 	}
 	r.isDone = true
 	now := time.Now()
+	r.recordAfterSilence(now)
 	v.fleet.End(now, r.Target.ID, r.class)
 	v.correctServed(now, r)
 	v.removeRun(r)
@@ -164,8 +166,9 @@
 	case !r.firstEventAt.IsZero():
 		v.fleet.RecordEventGap(r.Target.Service, now.Sub(r.lastEventAt))
 	case !r.Choice.IsQueued():
-		v.fleet.RecordFirstEvent(r.Target.Service, now.Sub(r.startedAt))
+		v.fleet.RecordFirstEvent(r.Work, now.Sub(r.startedAt))
 	}
+	r.recordAfterSilence(now)
 	r.cost.addEvent(now.Sub(r.lastEventAt))
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = now
@@ -196,11 +199,57 @@
 	return r.firstEventAt.Sub(r.startedAt), time.Since(r.lastEventAt)
 }
 
-// IdleLimit returns how long a working target of the run's service may send no data during a run.
+// recordAfterSilence records whether it has helped that the run before was ended for its silence: this one is answered now, or
+// ends without an answer. The caller holds the lock of the view.
+func (r *Run) recordAfterSilence(now time.Time) {
+	elapsed := now.Sub(r.startedAt)
+	if !r.view.fleet.IsSlowItself(r.Work) || r.Choice.IsQueued() || r.hasAnswered() {
+		return
+	}
+	// A caller that gives up often ends a run before it was silent for as long as the one before.
+	if r.isDone && elapsed < min(r.Work.SilentFor, r.view.fleet.UsualSilenceLimit(r.Work.Service)) {
+		return
+	}
+	r.view.fleet.RecordRunAfterSilence(now, r.Work.Service, !r.isDone && elapsed < r.Work.SilentFor)
+}
+
+// hasAnswered reports whether the first event, or the whole answer of a call, has arrived. The caller holds the lock of the
+// view.
+func (r *Run) hasAnswered() bool { return !r.firstEventAt.IsZero() || r.cost.whole > 0 }
+
+// Patient returns for how long the run may be silent where limit is usual; see fleet.Fleet.Patient.
+func (r *Run) Patient(limit time.Duration) time.Duration {
+	r.view.mu.Lock()
+	defer r.view.mu.Unlock()
+	return r.view.fleet.Patient(time.Now(), r.Work, limit)
+}
+
+// IdleLimit returns how long a working target may send no data during the run.
 func (r *Run) IdleLimit() time.Duration {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.view.fleet.SilenceLimit(r.Target.Service)
+	return r.view.fleet.SilenceLimit(time.Now(), r.Work) + r.view.readingAt(r.Target.ID)
+}
+
+// readingAt returns how long a target reads the long prompts that this process has sent to it. It may send nothing to anybody
+// meanwhile. The caller holds v.mu.
+func (v *View) readingAt(target string) (reading time.Duration) {
+	for r := range v.active[target] {
+		if r.firstEventAt.IsZero() {
+			reading += v.fleet.ReadingTime(r.Work)
+		}
+	}
+	return min(fleet.MaxReadingTime, reading)
+}
+
+// RecordSilence records that the target has sent nothing for too long during the run, which is a failure of the target; see
+// RecordFailure. It is none if an earlier run of the work was silent as well: that is probably slow by itself. One run shows one
+// failure, for however long it goes on.
+func (r *Run) RecordSilence() bool {
+	if r.view.fleet.IsSlowItself(r.Work) || r.hasRecordedSilence.Swap(true) {
+		return false
+	}
+	return r.RecordFailure()
 }
 
 // RecordFailure records that the run has failed at its target. It reports whether this failure made the target
@@ -232,7 +281,9 @@
 func (r *Run) IsIdle(sentAt time.Time) bool {
 	r.view.mu.Lock()
 	defer r.view.mu.Unlock()
-	return r.view.fleet.IsSilentSince(time.Now(), sentAt, r.Target.ID)
+	now := time.Now()
+	f := r.view.fleet
+	return f.IsSilentSince(now, sentAt, r.Target.ID, f.SilenceLimit(now, r.Work), r.view.readingAt(r.Target.ID))
 }
 
 // MaxQueueWait returns the longest time that the run may have to wait for a slot at its target, computed from the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,8 +30,11 @@
 	// usual wait in a queue, so that an overload does not send every request twice. The timeout is also at
 	// least twice as long as a working target may send nothing.
 	minStreamAnswerTimeout = time.Second
+	// minRetryTime is how long before the caller of a stream gives up a further attempt must begin to be of use. Until then
+	// an answer that is late has a better chance than another attempt.
+	minRetryTime = 500 * time.Millisecond
 	// minCallAnswerTimeout is the corresponding minimum for safe calls. Above it the timeout is 1.5 times the
-	// latency goal of the route.
+	// latency goal of the route. Both grow with Run.Patient.
 	minCallAnswerTimeout = 250 * time.Millisecond
 	// slowWriteThreshold is the duration of one write to the caller from which the caller counts as too slow.
 	// The answer of the target is not read during the write, and targets close connections whose answer
@@ -57,6 +60,8 @@
 	isUnframed bool
 	// hasTimedOut is set when watchIdle cancels the attempt.
 	hasTimedOut atomic.Bool
+	// isTargetSilent is set with hasTimedOut if the target sent nothing to other requests of this process either.
+	isTargetSilent atomic.Bool
 	// lastActivity is when the last part of the answer arrived, or when the request was sent, in nanoseconds
 	// since the arrival of the request. It is not a wall-clock time, because the wall clock may jump.
 	lastActivity atomic.Int64
@@ -121,13 +126,14 @@
 			}
 			isIdle := a.route.Kind == serving.KindStream && a.run.IsIdle(sentAt)
 			if isIdle {
-				a.noteTargetFailure("silent")
+				a.noteSilentTarget()
 			}
 			if !isIdle && !a.isOverdue() {
 				continue
 			}
 			if canRetryElsewhere {
 				a.hasTimedOut.Store(true)
+				a.isTargetSilent.Store(isIdle)
 				a.cancel()
 				return
 			}
@@ -139,9 +145,9 @@
 // isOverdue reports whether no part of this answer has arrived for longer than the answer timeout and the
 // expected queueing time at the target. Answers of the target to other requests don't count.
 func (a *attempt) isOverdue() bool {
-	answerTimeout := max(minStreamAnswerTimeout, 2*a.run.IdleLimit())
+	answerTimeout := max(2*a.run.IdleLimit(), a.run.Patient(max(minStreamAnswerTimeout, a.route.EventTimeout-minRetryTime)))
 	if a.route.Kind == serving.KindSafe {
-		answerTimeout = max(minCallAnswerTimeout, a.route.LatencyGoal*3/2)
+		answerTimeout = a.run.Patient(max(minCallAnswerTimeout, a.route.LatencyGoal*3/2))
 	}
 	return time.Since(a.req.Arrived)-time.Duration(a.lastActivity.Load()) > answerTimeout+a.run.MaxQueueWait()
 }
@@ -156,10 +162,32 @@
 // that other targets are preferred.
 func (a *attempt) noteTargetFailure(reason string) {
 	if a.run.RecordFailure() {
-		a.gw.log.Warn("target suspect", "target", a.run.Target.ID, "addr", a.run.Target.Addr, "why", reason, "request", a.req.ID)
+		a.logSuspect(reason)
 	}
 }
 
+// noteSilentTarget records that the target has been silent for too long during this attempt, and logs if that makes it
+// suspect.
+func (a *attempt) noteSilentTarget() {
+	if a.run.RecordSilence() {
+		a.logSuspect("silent")
+	}
+}
+
+// logSuspect logs that this attempt has made its target suspect.
+func (a *attempt) logSuspect(reason string) {
+	a.gw.log.Warn("target suspect", "target", a.run.Target.ID, "addr", a.run.Target.Addr, "why", reason, "request", a.req.ID)
+}
+
+// noteSilence notes, for the next attempt, for how long this one was silent when it was ended.
+func (a *attempt) noteSilence() {
+	silentFor := time.Since(a.req.Arrived) - time.Duration(a.lastActivity.Load())
+	if a.hasRelayed {
+		a.silentFor = 0
+	}
+	a.silentFor = max(a.silentFor, silentFor)
+}
+
 // localError returns the error of an attempt that this process cancelled: because the target has restarted,
 // because the target sent nothing for too long (an error of type timeoutType), or because ctx has ended. It
 // returns nil if none of these applies.
@@ -171,7 +199,10 @@
 	}
 	if a.hasTimedOut.Load() {
 		err := errs.New(timeoutType, "the target sent nothing for too long")
-		a.gw.quarantine.NoteSilent(a.brokenRun(err))
+		a.noteSilence()
+		if a.isTargetSilent.Load() {
+			a.gw.quarantine.NoteSilent(a.brokenRun(err))
+		}
 		return err
 	}
 	if ctx.Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,6 +164,7 @@
 	tried []string // ids of the targets of the attempts so far, including attempts that could not connect
 	// possibleRuns counts the targets that may have started the request.
 	possibleRuns int
+	silentFor    time.Duration // of earlier attempts; see fleet.Work
 	// hasTakenQuota is true once the request has been taken from the quota of its workspace.
 	hasTakenQuota bool
 	// isNearQuota is true if the workspace has used up most of its quota.
@@ -237,7 +238,7 @@
 
 // work describes the request for the choice of its target.
 func (ex *exchange) work() fleet.Work {
-	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream}
+	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream, SilentFor: ex.silentFor}
 	if ex.origin != nil {
 		w.Version = &ex.origin.Version
 	}
