fleet: a probation ends by a trial while the healthy targets are full

Cause: after one failure a target got online requests again only if no healthy target was left; without batch work nothing ended its probation.

Change: where no healthy target has a slot, a request that may be sent again elsewhere tries a target on probation that has one, one every 450 ms.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -75,6 +75,8 @@
 	// IsStream is set if the answer is a stream, so that its latency goal is for the first event and not for the
 	// whole answer.
 	IsStream bool
+	// IsRepeatable is set for an online request that may be sent to another target if its run fails.
+	IsRepeatable bool
 	// IsUrgent is set for a batch item that would miss its due time if it did not start now.
 	IsUrgent bool
 	// SilentFor is for how long an earlier run was silent that this process has ended, the longest since the last event; 0
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -364,3 +364,34 @@
 		t.Errorf("after a failure of t0 this gateway reports suspects %v, want t0", got)
 	}
 }
+
+// Guards against targets that stay unused after one failure, for as long as another target is healthy, while requests are
+// rejected because that one is full.
+func TestTargetOnProbationIsTriedWhileHealthyOnesAreFull(t *testing.T) {
+	repeatable, once := Work{Service: "llm", IsRepeatable: true}, Work{Service: "llm"}
+	f := testFleet("self", 2)
+	f.RecordFailure(start, "t0")
+	later := start.Add(minSuspectTime + probationInterval)
+	if c, _ := f.PickOnline(later, repeatable, nil); c.Target.ID != "t1" {
+		t.Errorf("picked %q while t1 is healthy and has slots, want t1", c.Target.ID)
+	}
+	for range testSlots {
+		f.Begin(later, "t1", structs.ClassOnline)
+	}
+	if c, _ := f.PickOnline(start.Add(minSuspectTime/2), repeatable, nil); c.Target.ID != "t1" {
+		t.Errorf("picked %q while t0 is suspect, want t1", c.Target.ID)
+	}
+	if c, _ := f.PickOnline(later, once, nil); c.Target.ID != "t1" {
+		t.Errorf("picked %q for a request that may not run again, want t1", c.Target.ID)
+	}
+	if c, _ := f.PickOnline(later, repeatable, nil); c.Target.ID != "t0" || c.IsQueued() {
+		t.Errorf("picked %q while t1 is full, want t0, which is on probation", c.Target.ID)
+	}
+	f.Begin(later, "t0", structs.ClassOnline)
+	if c, _ := f.PickOnline(later.Add(probationInterval/2), repeatable, nil); c.Target.ID != "t1" {
+		t.Errorf("picked %q soon after a trial of t0, want t1: one request at a time shows whether t0 is healthy", c.Target.ID)
+	}
+	if c, _ := f.PickOnline(later.Add(2*probationInterval), repeatable, nil); c.Target.ID != "t0" {
+		t.Errorf("picked %q long after a trial of t0, want t0", c.Target.ID)
+	}
+}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -27,7 +27,7 @@
 	// with each consecutive failure.
 	minSuspectTime = 500 * time.Millisecond
 	maxSuspectTime = 4 * time.Second
-	// probationInterval is the shortest time between two batch items that are sent to a target on probation.
+	// probationInterval is the shortest time between two trials of a target on probation, by batch items or online requests.
 	probationInterval = 450 * time.Millisecond
 )
 
@@ -58,14 +58,12 @@
 // canTakeBatch reports whether the target may get a batch item: a suspect one gets none, and one on probation
 // at most one every probationInterval.
 func (h *health) canTakeBatch(now time.Time) bool {
-	switch h.state(now) {
-	case healthy:
-		return true
-	case probation:
-		return now.Sub(h.lastStart) > probationInterval
-	default:
-		return false
-	}
+	return h.state(now) == healthy || h.isTrialDue(now)
+}
+
+// isTrialDue reports whether the target is on probation and may get a request that shows whether it is healthy.
+func (h *health) isTrialDue(now time.Time) bool {
+	return h.state(now) == probation && now.Sub(h.lastStart) > probationInterval
 }
 
 // recordStart records that a request is about to be sent to the target.
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -93,13 +93,24 @@
 }
 
 // onlineCandidates returns the targets among which PickOnline chooses: the healthy ones, if there are none those
-// on probation, and if there are none of these either all. suffix says for log lines which of these they are.
+// on probation, and if there are none of these either all. suffix says for log lines which of these they are. If the
+// healthy ones have no slot, a request that may run again elsewhere tries one on probation: else targets that have failed
+// once would stay unused for as long as others are healthy.
 func (f *Fleet) onlineCandidates(now time.Time, w Work, tried []string) (list []candidate, suffix string) {
+	sound := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.state(now) == healthy })
+	if w.IsRepeatable && len(sound) > 0 && !slices.ContainsFunc(sound, candidate.hasSlot) {
+		due := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.isTrialDue(now) })
+		if due = slices.DeleteFunc(due, func(c candidate) bool { return !c.hasSlot() }); len(due) > 0 {
+			return due, " on trial"
+		}
+	}
+	if len(sound) > 0 {
+		return sound, ""
+	}
 	stages := []struct {
 		isUsable func(*targetState) bool
 		suffix   string
 	}{
-		{func(ts *targetState) bool { return ts.health.state(now) == healthy }, ""},
 		{func(ts *targetState) bool { return ts.health.state(now) == probation }, " on probation"},
 		{func(ts *targetState) bool { return true }, " though suspect"},
 	}
@@ -146,6 +157,9 @@
 	}
 }
 
+// hasSlot reports whether an online request would get a slot immediately, possibly of a batch item.
+func (c candidate) hasSlot() bool { return c.tier() != tierQueue }
+
 // onlineDomainBonus is the number of requests that a target in another failure domain counts in addition to
 // its load, because traffic between domains is costly. With exactly that many more requests, a target in the
 // gateway's own domain has the same cost as one in another domain.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,7 +238,8 @@
 
 // work describes the request for the choice of its target.
 func (ex *exchange) work() fleet.Work {
-	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream, SilentFor: ex.silentFor}
+	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream, SilentFor: ex.silentFor,
+		IsRepeatable: ex.route.IsIdempotent() && ex.possibleRuns+1 < ex.route.MaxAttempts}
 	if ex.origin != nil {
 		w.Version = &ex.origin.Version
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -107,6 +107,9 @@
 							if unserved := l.late - o.lateServed; unserved > 2 || unserved > 0 && delay <= 1200*time.Millisecond {
 								t.Errorf("%d of %d late streams were not served, want none, or 2 if their delay has to be learned first", unserved, l.late)
 							}
+							if o.shortServed != l.short {
+								t.Errorf("%d of %d streams beside them were served, want all", o.shortServed, l.short)
+							}
 							if extra := o.lateRuns - l.late; extra > 4 {
 								t.Errorf("%d late streams were run %d times more than needed, want at most 4", l.late, extra)
 							}
