backlog: a start asks whether its job has ended, and the loop of starts looks at the jobs

Cause: items are started in a loop that lasts until the queue is empty where items are short; the jobs were read only before it, and no start asked for their end. New jobs were not seen either.

Change: the loop scans the jobs at the interval at which it is entered otherwise, and each start asks whether its job has ended.

--- a/internal/backlog/avoidance_test.go
+++ b/internal/backlog/avoidance_test.go
@@ -106,14 +106,18 @@
 	}
 }
 
-// fillTarget reports to the process that a peer fills all slots of a target with online requests, until release is called.
-func (n *node) fillTarget(target string) (release func()) {
+// fillTargets reports to the process that a peer fills all slots of targets with online requests, until release is called.
+func (n *node) fillTargets(targets ...string) (release func()) {
+	loads := make(map[string]fleet.Load)
+	for _, id := range targets {
+		loads[id] = fleet.Load{Online: 8}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for hasTime := true; hasTime; hasTime = sleep.For(ctx, 100*time.Millisecond) {
-			n.fleet.ApplyReport("peer", fleet.Report{Loads: map[string]fleet.Load{target: {Online: 8}}})
+			n.fleet.ApplyReport("peer", fleet.Report{Loads: loads})
 		}
 		n.fleet.ApplyReport("peer", fleet.Report{})
 	}()
@@ -128,7 +132,7 @@
 func TestBrokenRunStallsNoOtherItemBesideAnIdleTarget(t *testing.T) {
 	forEachBrokenRun(t, func(t *testing.T, cl *cluster, n *node, broken func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error)) {
 		n.fleet.UpdateTargets(nil, []string{"target-2"})
-		defer n.fillTarget("target-0")()
+		defer n.fillTargets("target-0")()
 		cl.breakFirstRuns(1, broken)
 		first := cl.job("first", "ok")
 		n.submit(first)
@@ -152,7 +156,7 @@
 			return emptyAnswer(http.StatusInternalServerError), nil, true
 		}
 		n.fleet.UpdateTargets(nil, []string{"target-1"})
-		release := n.fillTarget("target-0")
+		release := n.fillTargets("target-0")
 		j := cl.job("j", repeat("ok", 6)...)
 		n.submit(j)
 		time.Sleep(maxAvoidTime / 2)
--- a/internal/backlog/scheduler.go
+++ b/internal/backlog/scheduler.go
@@ -143,14 +143,18 @@
 	defer pollTimer.Stop()
 	var changed <-chan struct{}
 	var lastScan time.Time // zero if a scan is due
-	for {
+	scanIfDue := func() {
 		if time.Since(lastScan) >= idlePollInterval {
 			lastScan = time.Now()
 			sc.scanCount.Inc(1)
 			changed = sc.sync()
 		}
+	}
+	for {
+		scanIfDue()
 		for sc.startNext(ctx) {
 			sleep.For(ctx, startPause)
+			scanIfDue() // the loop may last for as long as items wait
 		}
 		sc.logOverloads()
 		if sc.publishDemand() > 0 || sc.hasPausedTask() {
@@ -247,7 +251,7 @@
 			if scan.isBlocked(w) {
 				continue
 			}
-			if sc.mustAwaitCalm(t, w.Service, now) {
+			if sc.mustAwaitCalm(t, w.Service, now) || sc.hasJobEnded(t) {
 				break
 			}
 			isStarted, pick := sc.startRun(ctx, t, route, w)
@@ -260,6 +264,12 @@
 	return false
 }
 
+// hasJobEnded reports whether the job of a task has ended since the last scan.
+func (sc *scheduler) hasJobEnded(t *task) (hasEnded bool) {
+	sc.m.replica.withState(func(st *backlog.State) { hasEnded = st.IsCancelled(t.job.ID) })
+	return hasEnded
+}
+
 // startableTasks returns the tasks that can start now, in no particular order.
 func (sc *scheduler) startableTasks(now time.Time) []*task {
 	if !sc.canStartItems(now) {
