backlog: a text larger than one append is written in parts

Cause: all texts of a batch were one append, which the store refuses for its size and which was repeated unchanged for ever.

Change: as many appends as needed; records that do not follow each other are found by key; results and tombstones count with their framing, and never exceed an append either.

--- a/internal/backlog/compact.go
+++ b/internal/backlog/compact.go
@@ -67,11 +67,11 @@
 		{Partition: resultPartition, Records: tombstones.Results},
 		{Partition: jobPartition, Records: tombstones.Jobs},
 	} {
-		if len(a.Records) == 0 {
-			continue
-		}
-		if _, err := m.store.Append(ctx, a); err != nil {
-			return err
+		for left := a.Records; len(left) > 0; left = left[len(a.Records):] {
+			a.Records = left[:recordsPerAppend(left)]
+			if _, err := m.store.Append(ctx, a); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/backlog/progress.go
+++ b/internal/backlog/progress.go
@@ -125,11 +125,14 @@
 	}
 }
 
+// recordOverheadBytes is what the framing of a record adds to its key and its value, at most.
+const recordOverheadBytes = 8
+
 // recordsPerAppend returns how many leading records fit into one append, at least one.
 func recordsPerAppend(records []platform.KeyedRecord) int {
 	size := 0
 	for i, r := range records {
-		size += len(r.Key) + len(r.Value)
+		size += len(r.Key) + len(r.Value) + recordOverheadBytes
 		if i > 0 && size > maxAppendBytes {
 			return i
 		}
--- a/internal/backlog/result_batch.go
+++ b/internal/backlog/result_batch.go
@@ -22,6 +22,9 @@
 	records      []platform.KeyedRecord // records of the results; set once the texts are written
 }
 
+// resultOverheadBytes is the maximum size of the record of a result without its text: key, ids, framing and encoding.
+const resultOverheadBytes = 1 << 10
+
 // flush writes pending results, as many as fit into one append. It reports whether further results are
 // pending after a successful write.
 func (s *shard) flush(ctx context.Context) bool {
@@ -54,7 +57,7 @@
 	b := &resultBatch{}
 	size := 0
 	for _, p := range s.pending {
-		size += len(p.text)
+		size += len(p.text) + resultOverheadBytes
 		if b.pendingCount > 0 && size > maxAppendBytes/2 {
 			break
 		}
@@ -88,7 +91,7 @@
 // few processes these reads cost less than one separate read for each text that a caller asks for; see
 // Options.MaxInlineReadBytes.
 func (m *Manager) storesInline(text string) bool {
-	return len(text)*(1+m.view.LivePeerCount()) <= m.opts.MaxInlineReadBytes
+	return len(text) <= maxAppendBytes/2 && len(text)*(1+m.view.LivePeerCount()) <= m.opts.MaxInlineReadBytes
 }
 
 // prepare writes the separately stored texts of a batch and encodes its results. It returns false if the
--- a/internal/backlog/texts.go
+++ b/internal/backlog/texts.go
@@ -26,8 +26,8 @@
 	log   hclog.Logger
 }
 
-// write writes texts to the store and returns the offset of each by its key. It repeats a write that failed
-// or was not answered; that is safe, because the same text has the same key. ok is false if ctx has ended or
+// write writes texts to the store, with as many appends as their size needs, and returns the offset of each by its key. It
+// repeats an append that failed or was not answered; that is safe, because the same text has the same key. ok is false if ctx has ended or
 // a text can't be encoded.
 func (t *textStore) write(ctx context.Context, texts []backlog.Text) (offsets map[string]uint64, ok bool) {
 	var records []platform.KeyedRecord
@@ -39,30 +39,25 @@
 		}
 		records = append(records, encoded...)
 	}
-	if len(records) == 0 {
-		return nil, true
-	}
-	for tries := 0; ; tries++ {
-		appended, err := t.store.Append(ctx, platform.Append{Partition: textPartition, Records: records})
+	offsets = make(map[string]uint64, len(records))
+	for tries := 0; len(records) > 0; {
+		n := recordsPerAppend(records)
+		appended, err := t.store.Append(ctx, platform.Append{Partition: textPartition, Records: records[:n]})
 		if err == nil {
-			return recordOffsets(records, appended.First), true
+			for i, r := range records[:n] {
+				offsets[r.Key] = appended.First + uint64(i)
+			}
+			records = records[n:]
+			continue
 		}
-		if tries == 0 {
+		if tries++; tries == 1 {
 			t.log.Warn("texts not written yet", "texts", len(texts), "error", err)
 		}
 		if !sleep.For(ctx, writeRetryPause) {
 			return nil, false
 		}
 	}
-}
-
-// recordOffsets returns the offsets of adjacent records by key. first is the offset of the first one.
-func recordOffsets(records []platform.KeyedRecord, first uint64) map[string]uint64 {
-	offsets := make(map[string]uint64, len(records))
-	for i, r := range records {
-		offsets[r.Key] = first + uint64(i)
-	}
-	return offsets
+	return offsets, true
 }
 
 // fillPage reads the separately stored texts of a page's results and adds them. It shortens the page to end
@@ -136,7 +131,8 @@
 	textByKey := make(map[string]string)
 	err := t.readAtOffsets(ctx, results, textByKey)
 	var expired *platform.Expired
-	if errors.As(err, &expired) {
+	if errors.As(err, &expired) || err == nil && len(textByKey) < len(results) {
+		// Between the appends of a text others may have written, so that its records do not follow each other.
 		err = t.readNewest(ctx, results[0].Job, textByKey)
 	}
 	return textByKey, err
@@ -153,7 +149,7 @@
 	}
 	first := results[0].TextOffset
 	for from := first; from < first+uint64(records); {
-		page, err := t.store.Read(ctx, platform.Read{Partition: textPartition, From: from, MaxBytes: size})
+		page, err := t.store.Read(ctx, platform.Read{Partition: textPartition, From: from, MaxBytes: min(size, readBytes)})
 		if err != nil || len(page.Records) == 0 {
 			return err
 		}
