fleet: online requests try a target on probation only if its entry was renewed or its probation is long

Change: such a request goes there once the target has renewed its entry a second after its failure, or after 4 s of probation.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -371,7 +371,8 @@
 	repeatable, once := Work{Service: "llm", IsRepeatable: true}, Work{Service: "llm"}
 	f := testFleet("self", 2)
 	f.RecordFailure(start, "t0")
-	later := start.Add(minSuspectTime + probationInterval)
+	f.RecordRenewal(start.Add(minRenewalAge/2), "t0") // it may have been written before the failure
+	later := start.Add(minRenewalAge + probationInterval)
 	if c, _ := f.PickOnline(later, repeatable, nil); c.Target.ID != "t1" {
 		t.Errorf("picked %q while t1 is healthy and has slots, want t1", c.Target.ID)
 	}
@@ -381,6 +382,13 @@
 	if c, _ := f.PickOnline(start.Add(minSuspectTime/2), repeatable, nil); c.Target.ID != "t1" {
 		t.Errorf("picked %q while t0 is suspect, want t1", c.Target.ID)
 	}
+	if c, _ := f.PickOnline(later, repeatable, nil); c.Target.ID != "t1" {
+		t.Errorf("picked %q while t0 has not renewed its entry, want t1", c.Target.ID)
+	}
+	if c, _ := f.PickOnline(start.Add(minSuspectTime+maxProbation), repeatable, nil); c.Target.ID != "t0" {
+		t.Errorf("picked %q though t0 has been on probation for %v, want t0", c.Target.ID, maxProbation)
+	}
+	f.RecordRenewal(later, "t0")
 	if c, _ := f.PickOnline(later, once, nil); c.Target.ID != "t1" {
 		t.Errorf("picked %q for a request that may not run again, want t1", c.Target.ID)
 	}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -29,6 +29,11 @@
 	maxSuspectTime = 4 * time.Second
 	// probationInterval is the shortest time between two trials of a target on probation, by batch items or online requests.
 	probationInterval = 450 * time.Millisecond
+	// minRenewalAge is how long after a failure a target must have renewed its entry to count as running. A renewal arrives
+	// some hundred milliseconds after it was written.
+	minRenewalAge = time.Second
+	// maxProbation is the time on probation from which on online requests try a target whatever its entry shows.
+	maxProbation = 4 * time.Second
 )
 
 // health tracks the health of one target by the outcomes of its requests. Targets are not probed: probes add
@@ -39,6 +44,7 @@
 	lastStart    time.Time // when the last request was about to be sent to the target
 	lastReceived time.Time // when the target last sent something
 	lastFailed   time.Time // when a failure last made the target suspect
+	lastRenewed  time.Time // when the target last renewed its entry in the list of targets
 	// isPeerReported is set while only a peer's report has made the target suspect.
 	isPeerReported bool
 }
@@ -66,6 +72,21 @@
 	return h.state(now) == probation && now.Sub(h.lastStart) > probationInterval
 }
 
+// isOnlineTrialDue reports whether a caller's request may show whether a target on probation is healthy. It costs the caller the
+// silence limit if it is not. So the target must have renewed its entry well after its failure, which those that are down do
+// not, or have been on probation for long.
+func (h *health) isOnlineTrialDue(now time.Time) bool {
+	hasReturned := h.lastRenewed.Sub(h.lastFailed) >= minRenewalAge || now.Sub(h.suspectUntil) >= maxProbation
+	return hasReturned && h.isTrialDue(now)
+}
+
+// RecordRenewal records that a target has renewed its entry in the list of targets.
+func (f *Fleet) RecordRenewal(now time.Time, id string) {
+	if ts, ok := f.targets[id]; ok {
+		ts.health.lastRenewed = now
+	}
+}
+
 // recordStart records that a request is about to be sent to the target.
 func (h *health) recordStart(now time.Time) { h.lastStart = now }
 
--- a/core/fleet/pick.go
+++ b/core/fleet/pick.go
@@ -94,12 +94,12 @@
 
 // onlineCandidates returns the targets among which PickOnline chooses: the healthy ones, if there are none those
 // on probation, and if there are none of these either all. suffix says for log lines which of these they are. If the
-// healthy ones have no slot, a request that may run again elsewhere tries one on probation: else targets that have failed
-// once would stay unused for as long as others are healthy.
+// healthy ones have no slot, a request that may run again elsewhere tries one on probation that seems to have returned: else
+// targets that have failed once would stay unused for as long as others are healthy.
 func (f *Fleet) onlineCandidates(now time.Time, w Work, tried []string) (list []candidate, suffix string) {
 	sound := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.state(now) == healthy })
 	if w.IsRepeatable && len(sound) > 0 && !slices.ContainsFunc(sound, candidate.hasSlot) {
-		due := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.isTrialDue(now) })
+		due := f.candidates(now, w, tried, func(ts *targetState) bool { return ts.health.isOnlineTrialDue(now) })
 		if due = slices.DeleteFunc(due, func(c candidate) bool { return !c.hasSlot() }); len(due) > 0 {
 			return due, " on trial"
 		}
--- a/internal/backlog/large_text_test.go
+++ b/internal/backlog/large_text_test.go
@@ -114,7 +114,7 @@
 	withCluster(t, 1, func(t *testing.T, cl *cluster) {
 		m := cl.nodes[0].manager
 		s := &shard{m: m, nextPositions: make(map[string]int), positioned: make(map[itemKey]bool)}
-		j := cl.job("j", repeat("never", 20_000)...)
+		j := cl.job("j", repeat("never", 60_000)...)
 		for i := range j.Items {
 			s.pending = append(s.pending, &pendingResult{job: j, index: i, outcome: backlog.Errored})
 		}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -302,7 +302,7 @@
 // maxMisdirected bounds the targets that RemoveTarget has removed and that can be restored.
 const maxMisdirected = 4096
 
-// RemoveTarget removes the target with this id at once, until RestoreTargets or UpdateTargets brings it back. It is called
+// RemoveTarget removes the target with this id at once, until ApplyRenewals or UpdateTargets brings it back. It is called
 // when another target answers at its address.
 func (v *View) RemoveTarget(id string) {
 	v.UpdateTargets(nil, []string{id})
@@ -313,11 +313,13 @@
 	}
 }
 
-// RestoreTargets adds those of the targets again that RemoveTarget has removed, and returns them. It is called with targets
-// whose entries in the list were renewed: a target whose address was taken over renews none.
-func (v *View) RestoreTargets(renewed []serving.Target) (restored []serving.Target) {
+// ApplyRenewals records that the entries of targets in the list were renewed. It adds those again that RemoveTarget has
+// removed, and returns them: a target whose address was taken over renews no entry.
+func (v *View) ApplyRenewals(renewed []serving.Target) (restored []serving.Target) {
 	v.mu.Lock()
+	now := time.Now()
 	for _, t := range renewed {
+		v.fleet.RecordRenewal(now, t.ID)
 		if v.misdirected[t.ID] {
 			restored = append(restored, t)
 		}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -29,6 +29,13 @@
 	interval    time.Duration // between two streams
 }
 
+// renewEntries renews the entries of all targets every second until ctx ends.
+func (h *harness) renewEntries(ctx context.Context) {
+	for sleep.For(ctx, time.Second) {
+		h.view.ApplyRenewals(h.view.Targets())
+	}
+}
+
 // lateOutcome is what a lateLoad has led to.
 type lateOutcome struct{ lateServed, shortServed, lateRuns int }
 
@@ -58,6 +65,9 @@
 		}()
 		return &platform.TargetAnswer{Status: 200, Header: http.Header{"Content-Type": {eventStreamType}}, Length: -1, Body: r}, nil
 	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go h.renewEntries(ctx)
 	route := newRoute(serving.KindStream, l.attempts, true)
 	route.EventTimeout = callerPatience
 	var wg sync.WaitGroup
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -285,7 +285,7 @@
 	for _, t := range changes.olderStarts {
 		w.log.Info("entry of an older start left out", "target", t.ID)
 	}
-	for _, t := range w.view.RestoreTargets(changes.renewed) {
+	for _, t := range w.view.ApplyRenewals(changes.renewed) {
 		w.log.Info("target restored", "target", t.ID, "addr", t.Addr, "why", "its entry was renewed after another instance had answered")
 	}
 	if len(changes.put) == 0 && len(changes.goneIDs) == 0 {
