backlog: records of texts that are not valid UTF-8 can be read

A target that sends such bytes made the record of the result unreadable at all gateways, and the results behind it invisible.

Cause: values were encoded with any bytes and decoded only if they were valid UTF-8.

Evidence: TestTextOfAnyBytesIsListed lists none of two items on the code before, both now.

--- a/core/backlog/text.go
+++ b/core/backlog/text.go
@@ -4,7 +4,6 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
@@ -84,7 +83,7 @@
 	if err != nil || value.data == nil {
 		return "", "", false, err
 	}
-	if err := cbor.Unmarshal(value.data, &text); err != nil {
+	if err := decoding.Unmarshal(value.data, &text); err != nil {
 		return "", "", false, errs.Newf(errs.BadFrame, "decode text %s: %v", value.key, err)
 	}
 	return value.key, text, true, nil
--- a/internal/backlog/large_text_test.go
+++ b/internal/backlog/large_text_test.go
@@ -124,3 +124,28 @@
 		}
 	})
 }
+
+// Guards against a text that is not valid UTF-8, which made its record and all results behind it unreadable.
+func TestTextOfAnyBytesIsListed(t *testing.T) {
+	for _, inline := range []int{0, 16 << 20} {
+		t.Run(fmt.Sprintf("stored inline up to %d bytes", inline), func(t *testing.T) {
+			withCluster(t, 0, func(t *testing.T, cl *cluster) {
+				cl.maxInlineReadBytes = inline
+				cl.startNodes(2)
+				time.Sleep(2 * time.Second)
+				j := cl.job("bytes", "ok", "ok")
+				const text = "a\xff\xc3"
+				cl.targets.intercept = func(_ context.Context, c platform.TargetCall) (*platform.TargetAnswer, error, bool) {
+					return streamOf(strings.NewReader("id: 1\ndata: "+text+"\n\n"), io.EOF), nil, c.Request.ID == j.Items[0].ID
+				}
+				cl.nodes[0].submit(j)
+				for _, n := range cl.nodes {
+					list := n.results(j, 10*time.Second)
+					if len(list) != 2 || list[0].Item == j.Items[0].ID && list[0].Text != text || list[1].Item == j.Items[0].ID && list[1].Text != text {
+						t.Errorf("process %s shows %+v, want both items and the bytes that the target sent", n.name, list)
+					}
+				}
+			})
+		})
+	}
+}
