gateway: a request may go to its target again if there is no other one

Callers saw: with one target of a service left, a broken stream was aborted and a lost answer of a safe call became an error, although the route allowed another attempt.

Cause: the targets that a request was sent to were excluded for good, a preference without an end.

Change: if no other target is left, and the last attempt may have run, the request goes to one of them again, within the attempts of its route.

Evidence: TestBrokenAnswerOfTheOnlyTargetIsRepeatedThere, four of six forms fail on the code before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,10 @@
 	deadlineSource string                // source of that deadline, for the log: "route" or "caller"
 
 	tried []string // ids of the targets of the attempts so far, including attempts that could not connect
-	// possibleRuns counts the targets that may have started the request.
+	// mayRepeat is set if the last attempt may have run, so that the request may go to a target that it was sent to before if
+	// there is no other one.
+	mayRepeat bool
+	// possibleRuns counts the attempts in which a target may have started the request.
 	possibleRuns int
 	silentFor    time.Duration // of earlier attempts; see fleet.Work
 	// hasTakenQuota is true once the request has been taken from the quota of its workspace.
@@ -253,6 +256,7 @@
 		if err == nil || ctx.Err() != nil || !ex.canRetry(err) {
 			return err
 		}
+		ex.mayRepeat = errs.As(err).Ran != errs.RanNo
 	}
 }
 
@@ -278,6 +282,9 @@
 		return err
 	}
 	run, ok := ex.gw.view.StartOnline(ex.work(), ex.tried)
+	if !ok && ex.mayRepeat {
+		run, ok = ex.gw.view.StartOnline(ex.work(), nil)
+	}
 	if !ok {
 		return ex.noTargetError()
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -257,6 +257,37 @@
 	lastEvents  = "id: 4\ndata: d\n\nid: 5\ndata: e\n\n"
 )
 
+// Guards against requests that fail because the only target of their service has broken one answer, although it would serve
+// them and they may run again.
+func TestBrokenAnswerOfTheOnlyTargetIsRepeatedThere(t *testing.T) {
+	cases := []struct {
+		name    string
+		route   *serving.Route
+		scripts []script
+		sends   int
+		body    string // empty if the request fails
+	}{
+		{"a stream", newRoute(serving.KindStream, 2, true), []script{streamAnswer(firstEvents, io.ErrUnexpectedEOF), streamAnswer(lastEvents, nil)}, 2, firstEvents + lastEvents},
+		{"a safe call", newRoute(serving.KindSafe, 2, false), []script{loseAnswer, wholeAnswer(200, "ok", nil)}, 2, "ok"},
+		{"a safe call that the target refuses then", newRoute(serving.KindSafe, 3, false), []script{loseAnswer, refuseRequest}, 2, ""},
+		{"a safe call that always fails", newRoute(serving.KindSafe, 3, false), []script{loseAnswer}, 3, ""},
+		{"an unsafe call", newRoute(serving.KindUnsafe, 2, false), []script{loseAnswer}, 1, ""},
+		{"a call that has not run", newRoute(serving.KindSafe, 2, false), []script{refuseRequest}, 1, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(1, c.scripts...)
+				caller := &fakeCaller{}
+				h.serve(context.Background(), c.route, caller)
+				if len(h.sentTo) != c.sends || caller.body.String() != c.body || caller.isAborted || (caller.err == nil) != (c.body != "") {
+					t.Errorf("%d sends, body %q, aborted %t, error %v; want %d sends and body %q (an error if it is empty)", len(h.sentTo), caller.body.String(), caller.isAborted, caller.err, c.sends, c.body)
+				}
+			})
+		})
+	}
+}
+
 // Covers, for each way in which targets answer or fail, what the caller gets and to how many targets the request
 // is sent.
 func TestServe(t *testing.T) {
