backlog: the wait of an item for the version of its text has an upper bound

Cause: four times as long as its events took to produce, without a bound: an item of a long text kept away from idle targets of other versions for minutes.

Test: TestVersionWaitIsBounded.

--- a/internal/backlog/version.go
+++ b/internal/backlog/version.go
@@ -14,13 +14,20 @@
 )
 
 // An item waits for a target with the version of its text, while targets of other versions could run it from the
-// beginning, for versionWaitFactor times as long as its events would take to produce again, and at least for
-// minVersionWait. A factor of 1 would bound what one item loses, but items that begin again take slots from others.
+// beginning, for versionWaitFactor times as long as its events would take to produce again, at least for minVersionWait and
+// at most for maxVersionWait. A factor of 1 would bound what one item loses, but items that begin again take slots from
+// others.
 const (
 	versionWaitFactor = 4
 	minVersionWait    = 4 * time.Second
+	maxVersionWait    = 20 * time.Second
 )
 
+// versionWait returns how long an item waits for a target with the version of its text, whose events took producing.
+func versionWait(producing time.Duration) time.Duration {
+	return min(maxVersionWait, max(minVersionWait, versionWaitFactor*producing))
+}
+
 // restartedMetric counts the items that were begun again because no target could go on with their text.
 const restartedMetric = "item.restarted"
 
@@ -133,7 +140,7 @@
 	if t.pinnedSince.IsZero() {
 		t.pinnedSince = now
 	}
-	if now.Sub(t.pinnedSince) < max(minVersionWait, versionWaitFactor*sc.m.runTimes.TimeOf(t.job.Route, t.events)) {
+	if now.Sub(t.pinnedSince) < versionWait(sc.m.runTimes.TimeOf(t.job.Route, t.events)) {
 		return []fleet.Work{pinned}
 	}
 	return []fleet.Work{pinned, anyVersion}
--- a/internal/backlog/version_test.go
+++ b/internal/backlog/version_test.go
@@ -59,6 +59,15 @@
 	})
 }
 
+// Guards against a long text that keeps its item from targets that could run it, for as long as its version has no slot.
+func TestVersionWaitIsBounded(t *testing.T) {
+	for producing, want := range map[time.Duration]time.Duration{0: minVersionWait, 2 * time.Second: 8 * time.Second, time.Minute: maxVersionWait} {
+		if got := versionWait(producing); got != want {
+			t.Errorf("an item whose text took %v waits %v for its version, want %v", producing, got, want)
+		}
+	}
+}
+
 // Guards against an item that throws its text away while a target of its version frees a slot soon, and against one that
 // waits much longer than another target would need to produce the text again.
 func TestItemWaitsForItsVersionWithinBounds(t *testing.T) {
