backlog: a run that gave way to online requests was not silent

Found when the change was read once more: a run that was preempted 300 ms or more after its start counted as silent, so that its next run could double as evidence that silence limits are too short, on each busy hour.

Change: only runs that were ended for the silence of their target count. TestPreemptedRunWasNotSilent fails on the code before.

--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -189,9 +189,8 @@
 // IsSilentSince reports whether a target has been silent for longer than a working target ever is: it has sent
 // nothing to this gateway within limit, reading and QueueWait, counted from its last activity or from sent, when a request
 // was sent to it, whichever is later. limit is the SilenceLimit of that request, reading the time in which the target reads
-// long prompts. QueueWait is added because with many gateways each has few
-// requests at a target, and one that waits in the queue there receives nothing. It is false while silence
-// detection is disabled.
+// long prompts. QueueWait is added because with many gateways each has few requests at a target, and one that waits in
+// the queue there receives nothing. It is false while silence detection is disabled.
 func (f *Fleet) IsSilentSince(now, sent time.Time, id string, limit, reading time.Duration) bool {
 	ts, ok := f.targets[id]
 	if !ok {
--- a/internal/backlog/sends.go
+++ b/internal/backlog/sends.go
@@ -48,7 +48,7 @@
 	status    int // of the answer; 0 without one
 	isForeign bool
 	isNotRun  bool
-	silentFor time.Duration // if this process has cancelled the run, the time since the last event or the start; else 0
+	silentFor time.Duration // see watchdog.silentFor
 }
 
 // setAnswer notes the answer or the error of the send.
--- a/internal/backlog/silence_test.go
+++ b/internal/backlog/silence_test.go
@@ -92,3 +92,32 @@
 		}
 	}
 }
+
+// Guards against runs that were cancelled for online requests and count as silent, so that the silence limits of their service
+// grow in each busy hour.
+func TestPreemptedRunWasNotSilent(t *testing.T) {
+	withCluster(t, 1, func(t *testing.T, cl *cluster) {
+		n := cl.nodes[0]
+		cl.targets.intercept = func(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error, bool) {
+			a, err := lateAnswers["late head"](ctx, cl.targets, c, 350*time.Millisecond)
+			return a, err, true
+		}
+		j := cl.job("j", "ok")
+		n.submit(j)
+		for n.manager.Counts().RunningItems == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(320 * time.Millisecond)
+		release := n.fillTargets("target-0", "target-1", "target-2")
+		time.Sleep(50 * time.Millisecond)
+		n.manager.scheduler.mu.Lock()
+		for _, tk := range n.manager.scheduler.tasks {
+			if tk.silentFor != 0 || !tk.isPreempted {
+				t.Errorf("silent for %v, preempted %t; want a preempted run that counts as not silent", tk.silentFor, tk.isPreempted)
+			}
+		}
+		n.manager.scheduler.mu.Unlock()
+		release()
+		cl.checkResults(j, n.results(j, 10*time.Second))
+	})
+}
--- a/internal/backlog/texts.go
+++ b/internal/backlog/texts.go
@@ -27,8 +27,8 @@
 }
 
 // write writes texts to the store, with as many appends as their size needs, and returns the offset of each by its key. It
-// repeats an append that failed or was not answered; that is safe, because the same text has the same key. ok is false if ctx has ended or
-// a text can't be encoded.
+// repeats an append that failed or was not answered; that is safe, because the same text has the same key. ok is false if
+// ctx has ended or a text can't be encoded.
 func (t *textStore) write(ctx context.Context, texts []backlog.Text) (offsets map[string]uint64, ok bool) {
 	var records []platform.KeyedRecord
 	for _, text := range texts {
--- a/internal/backlog/watchdog.go
+++ b/internal/backlog/watchdog.go
@@ -36,10 +36,11 @@
 	w.run.RecordActivity()
 }
 
-// silentFor returns the time since the last activity of a run, if its context has been cancelled while its target went on; else
-// 0.
+// silentFor returns the time since the last activity of a run that was cancelled because its target seemed to have failed: for
+// the silence of this run or of others there. It is 0 for others, also if the target has in fact ended.
 func (w *watchdog) silentFor(ctx context.Context) time.Duration {
-	if ctx.Err() == nil || w.run.HasTargetEnded() {
+	isForFailure := w.hasCancelledRun.Load() || w.run.HasTargetFailed()
+	if ctx.Err() == nil || !isForFailure || w.run.HasTargetEnded() {
 		return 0
 	}
 	w.mu.Lock()
