--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,8 +162,8 @@
 	deadlineSource string                // source of that deadline, for the log: "route" or "caller"
 
 	tried []string // ids of the targets of the attempts so far, including attempts that could not connect
-	// mayRepeat is set if the last attempt may have run, so that the request may go to a target that it was sent to before if
-	// there is no other one.
+	// mayRepeat is set if the last attempt may have run and broke off, so that the request may go to a target that it was
+	// sent to before if there is no other one. A target that has sent more than an answer may have would do so again.
 	mayRepeat bool
 	// possibleRuns counts the attempts in which a target may have started the request.
 	possibleRuns int
@@ -256,7 +256,7 @@
 		if err == nil || ctx.Err() != nil || !ex.canRetry(err) {
 			return err
 		}
-		ex.mayRepeat = errs.As(err).Ran != errs.RanNo
+		ex.mayRepeat = errs.As(err).Ran != errs.RanNo && !errs.Is(err, errs.AnswerTooLarge)
 	}
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -76,7 +76,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			caller := &fakeCaller{}
-			giveUp := time.AfterFunc(callerPatience, cancel)
+			giveUp := sleep.AfterFunc(callerPatience, cancel)
 			caller.onWrite = func() { giveUp.Stop() }
 			began := time.Now()
 			h.gw.Serve(ctx, route, &serving.Request{ID: id, Arrived: began, Deadline: began.Add(h.callerTimeout)}, caller)
