--- a/core/fleet/timing.go
+++ b/core/fleet/timing.go
@@ -29,8 +29,8 @@
 const (
 	// promptClasses is the number of classes of prompts, one for each factor of two.
 	promptClasses = 24
-	// unknownReadTime is how long a target may read a prompt token, as long as the service has not shown it for prompts of
-	// that size. It is a few times slower than usual engines.
+	// unknownReadTime is an upper estimate of the time to read one prompt token, for prompts of a size that the service has not
+	// been seen to read.
 	unknownReadTime = 40 * time.Microsecond
 	// readingFactor is how many times longer than the mean the reading of a prompt may take.
 	readingFactor = 2
@@ -63,9 +63,9 @@
 	patience patience
 }
 
-// patience is the factor by which the silence limit of a service is longer than its event times suggest. The event times
-// come from runs that were not ended, so that they never show that the limit is too short; whether the run after
-// an ended one is silent as long does. The zero value is a factor of 1.
+// patience is the factor by which the silence limit of a service is longer than its event times suggest. Event times come
+// from runs that were not ended, so they never show that the limit is too short. It is too short if the run that follows
+// an ended one is silent for as long. The zero value is a factor of 1.
 type patience struct {
 	excess float64   // of the factor over 1
 	at     time.Time // when excess was last updated
@@ -107,8 +107,8 @@
 	f.timings[w.Service] = timing
 }
 
-// RecordRunAfterSilence records the outcome of a run whose predecessor was ended because its target sent nothing: hasHelped
-// is set if this run had its first event sooner, and not if it was silent for at least as long.
+// RecordRunAfterSilence records the outcome of a run of a work whose last run was ended because its target sent nothing.
+// hasHelped is set if this run was answered sooner, and not if it was silent for as long.
 func (f *Fleet) RecordRunAfterSilence(now time.Time, service string, hasHelped bool) {
 	timing := f.timings[service]
 	timing.patience.update(now, hasHelped)
@@ -152,7 +152,8 @@
 	return min(maxPatientLimit, max(limit, silentRunFactor*w.SilentFor))
 }
 
-// IsSlowItself reports whether the work has been silent at another target for as long as a sound target ever is by itself.
+// IsSlowItself reports whether an earlier run of the work was silent for so long that the work, and not its targets, is
+// probably slow.
 func (f *Fleet) IsSlowItself(w Work) bool { return w.SilentFor >= minSilenceLimit }
 
 // ReadingTime is how much longer than usual for its service a target may take to the first event of the work because of the
