backlog: a run that was cancelled as its answer arrived was silent until then

Cause, traced: the answer came in the same moment as the check that cancelled the run. The answer had just reset the time since the last event, so that the run counted as silent for 0 s, and the next one was cancelled in the same moment again.

Change: the watchdog keeps for how long the run was silent when it cancelled it.

--- a/internal/backlog/watchdog.go
+++ b/internal/backlog/watchdog.go
@@ -19,6 +19,8 @@
 
 	mu           sync.Mutex
 	lastActivity time.Time // of the last answer or event of the run; at first the start of the watchdog
+	// cancelledAfter is for how long the run was silent when the watchdog cancelled it; 0 if it has not.
+	cancelledAfter time.Duration
 }
 
 // newWatchdog starts a watchdog of run r, which ends with ctx. cancel cancels the run.
@@ -45,7 +47,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Since(w.lastActivity)
+	// An event may arrive in the moment in which the run is cancelled. The run was silent all the same.
+	return max(w.cancelledAfter, time.Since(w.lastActivity))
 }
 
 // watch cancels the run once the target has sent nothing on any stream for too long, which also counts as a
@@ -60,7 +63,11 @@
 		if isTargetIdle {
 			w.run.RecordSilence()
 		}
-		if isTargetIdle || time.Since(lastActivity) > max(itemIdleTimeout, 2*w.run.IdleLimit())+w.run.MaxQueueWait() {
+		silentFor := time.Since(lastActivity)
+		if isTargetIdle || silentFor > max(itemIdleTimeout, 2*w.run.IdleLimit())+w.run.MaxQueueWait() {
+			w.mu.Lock()
+			w.cancelledAfter = silentFor
+			w.mu.Unlock()
 			w.hasCancelledRun.Store(true)
 			cancel()
 			return
