--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -35,16 +35,16 @@
 	chunkCountLimit = 1 << 16
 )
 
-// decoding reads the encoded values of records. A text may hold any bytes, since targets send them, also in parts of
+// decMode reads the encoded values of records. A text may hold any bytes, since targets send them, also in parts of
 // characters; CBOR encodes it as a string whatever it holds.
-var decoding = must(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode())
+var decMode = mustDecMode()
 
-// must returns v, and panics for invalid options.
-func must[T any](v T, err error) T {
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic(err)
 	}
-	return v
+	return m
 }
 
 // EncodeJob returns the records that store a job. Errors: errs.BodyTooLarge, errs.Internal.
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -86,7 +86,7 @@
 // decodeAndApply decodes a value from CBOR and passes it to applyValue. Errors: errs.BadFrame.
 func decodeAndApply[T any](value []byte, applyValue func(*T)) error {
 	v := new(T)
-	if err := decoding.Unmarshal(value, v); err != nil {
+	if err := decMode.Unmarshal(value, v); err != nil {
 		return errs.Newf(errs.BadFrame, "decode backlog record: %v", err)
 	}
 	applyValue(v)
--- a/core/backlog/text.go
+++ b/core/backlog/text.go
@@ -83,7 +83,7 @@
 	if err != nil || value.data == nil {
 		return "", "", false, err
 	}
-	if err := decoding.Unmarshal(value.data, &text); err != nil {
+	if err := decMode.Unmarshal(value.data, &text); err != nil {
 		return "", "", false, errs.Newf(errs.BadFrame, "decode text %s: %v", value.key, err)
 	}
 	return value.key, text, true, nil
--- a/core/fleet/timing.go
+++ b/core/fleet/timing.go
@@ -125,11 +125,7 @@
 // SilenceLimit is how long a target may send nothing while it has a run of the work, before it counts as silent, without
 // the time that it takes to read long prompts; see ReadingTime and Patient.
 func (f *Fleet) SilenceLimit(now time.Time, w Work) time.Duration {
-	limit := f.UsualSilenceLimit(w.Service)
-	if !f.opts.Disabled.IsEnabled(policy.AdaptiveSilenceLimit) {
-		return limit
-	}
-	return f.Patient(now, w, limit)
+	return f.Patient(now, w, f.UsualSilenceLimit(w.Service))
 }
 
 // UsualSilenceLimit is the SilenceLimit of a service by its event times.
@@ -146,8 +142,11 @@
 }
 
 // Patient returns for how long a run of the work may be silent where limit is usual: longer if ending silent runs of its
-// service has not helped, and if earlier runs of the same work were silent.
+// service has not helped, and if earlier runs of the same work were silent. It is limit while the adaptive limit is disabled.
 func (f *Fleet) Patient(now time.Time, w Work, limit time.Duration) time.Duration {
+	if !f.opts.Disabled.IsEnabled(policy.AdaptiveSilenceLimit) {
+		return limit
+	}
 	limit = scale(limit, f.timings[w.Service].patience.factor(now))
 	return min(maxPatientLimit, max(limit, silentRunFactor*w.SilentFor))
 }
--- a/internal/backlog/avoidance_test.go
+++ b/internal/backlog/avoidance_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -18,31 +19,34 @@
 	"arbutusramp/internal/fleetview"
 )
 
-// brokenRuns are the ways in which a sound target may break one run of an item.
-var brokenRuns = map[string]func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error){
-	"cut off inside an event": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+// brokenRun is an answer with which a sound target breaks one run of an item.
+type brokenRun func(platform.TargetCall) (*platform.TargetAnswer, error)
+
+// brokenRuns are the ways in which that may happen.
+var brokenRuns = map[string]brokenRun{
+	"cut off inside an event": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		return streamOf(strings.NewReader("id: 1\ndata: x"), io.ErrUnexpectedEOF), nil
 	},
-	"no answer": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+	"no answer": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		return nil, errs.New(errs.TargetFailed, "reset").WithRan(errs.RanUnknown)
 	},
-	"status 500": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+	"status 500": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		return emptyAnswer(http.StatusInternalServerError), nil
 	},
-	"status 404": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+	"status 404": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		return emptyAnswer(http.StatusNotFound), nil
 	},
-	"answer to another request": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+	"answer to another request": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		answer := streamOf(strings.NewReader("id: 1\ndata: other\n\n"), io.EOF)
 		answer.Foreign = true
 		return answer, nil
 	},
-	"rejected, not run": func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error) {
+	"rejected, not run": func(platform.TargetCall) (*platform.TargetAnswer, error) {
 		answer := emptyAnswer(http.StatusServiceUnavailable)
 		answer.NotRun = true
 		return answer, nil
 	},
-	"event out of order": func(_ context.Context, _ *fakeTargets, c platform.TargetCall) (*platform.TargetAnswer, error) {
+	"event out of order": func(c platform.TargetCall) (*platform.TargetAnswer, error) {
 		event := fmt.Sprintf("id: 1\ndata: %s:1%s%s\n\n", c.Request.ID, versionSeparator, c.Target.Version)
 		return streamOf(strings.NewReader(event+event), io.EOF), nil
 	},
@@ -55,35 +59,29 @@
 
 // streamOf returns a stream with the content of r, which ends with err.
 func streamOf(r io.Reader, err error) *platform.TargetAnswer {
-	return &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(io.MultiReader(r, failingReader{err}))}
+	return &platform.TargetAnswer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: io.NopCloser(io.MultiReader(r, iotest.ErrReader(err)))}
 }
 
-// failingReader is an io.Reader whose reads fail.
-type failingReader struct{ err error }
-
-func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
-
 // breakFirstRuns makes the targets break the first run of each of the first items, as broken says.
-func (cl *cluster) breakFirstRuns(items int, broken func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error)) {
-	hasBroken := make(map[string]bool)
-	cl.targets.intercept = func(ctx context.Context, c platform.TargetCall) (*platform.TargetAnswer, error, bool) {
-		id := c.Request.ID
+func (cl *cluster) breakFirstRuns(items int, broken brokenRun) {
+	brokenItems := 0
+	cl.targets.intercept = func(_ context.Context, c platform.TargetCall) (*platform.TargetAnswer, error, bool) {
 		cl.targets.mu.Lock()
-		isBroken := !hasBroken[id] && len(hasBroken) < items && cl.targets.runs[id] == 1
+		isBroken := brokenItems < items && cl.targets.runs[c.Request.ID] == 1
 		if isBroken {
-			hasBroken[id] = true
+			brokenItems++
 		}
 		cl.targets.mu.Unlock()
 		if !isBroken {
 			return nil, nil, false
 		}
-		answer, err := broken(ctx, cl.targets, c)
+		answer, err := broken(c)
 		return answer, err, true
 	}
 }
 
 // forEachBrokenRun runs f in virtual time for each of brokenRuns, with a cluster of one process.
-func forEachBrokenRun(t *testing.T, f func(t *testing.T, cl *cluster, n *node, broken func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error))) {
+func forEachBrokenRun(t *testing.T, f func(t *testing.T, cl *cluster, n *node, broken brokenRun)) {
 	for name, broken := range brokenRuns {
 		t.Run(name, func(t *testing.T) {
 			withCluster(t, 1, func(t *testing.T, cl *cluster) { f(t, cl, cl.nodes[0], broken) })
@@ -95,7 +93,7 @@
 func TestBrokenRunAtTheOnlyTargetStallsNoItem(t *testing.T) {
 	for _, brokenItems := range []int{1, 5} {
 		t.Run(fmt.Sprint(brokenItems, " broken runs"), func(t *testing.T) {
-			forEachBrokenRun(t, func(t *testing.T, cl *cluster, n *node, broken func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error)) {
+			forEachBrokenRun(t, func(t *testing.T, cl *cluster, n *node, broken brokenRun) {
 				n.fleet.UpdateTargets(nil, []string{"target-1", "target-2"})
 				cl.breakFirstRuns(brokenItems, broken)
 				j := cl.job("j", repeat("ok", 40)...)
@@ -130,7 +128,7 @@
 // Guards against items that stand still beside an idle target while the other targets are full, because one of them has had a
 // broken run at the idle one.
 func TestBrokenRunStallsNoOtherItemBesideAnIdleTarget(t *testing.T) {
-	forEachBrokenRun(t, func(t *testing.T, cl *cluster, n *node, broken func(context.Context, *fakeTargets, platform.TargetCall) (*platform.TargetAnswer, error)) {
+	forEachBrokenRun(t, func(t *testing.T, cl *cluster, n *node, broken brokenRun) {
 		n.fleet.UpdateTargets(nil, []string{"target-2"})
 		defer n.fillTargets("target-0")()
 		cl.breakFirstRuns(1, broken)
--- a/internal/backlog/compact.go
+++ b/internal/backlog/compact.go
@@ -67,11 +67,12 @@
 		{Partition: resultPartition, Records: tombstones.Results},
 		{Partition: jobPartition, Records: tombstones.Jobs},
 	} {
-		for left := a.Records; len(left) > 0; left = left[len(a.Records):] {
-			a.Records = left[:recordsPerAppend(left)]
-			if _, err := m.store.Append(ctx, a); err != nil {
+		for left := a.Records; len(left) > 0; {
+			n := recordsPerAppend(left)
+			if _, err := m.store.Append(ctx, platform.Append{Partition: a.Partition, Records: left[:n]}); err != nil {
 				return err
 			}
+			left = left[n:]
 		}
 	}
 	return nil
--- a/internal/backlog/item.go
+++ b/internal/backlog/item.go
@@ -282,7 +282,7 @@
 	switch {
 	case r.HasTargetEnded() && hasBegun:
 		return runLost, errs.New(errs.StreamBroken, "the target has restarted")
-	case wd.hasCancelledRun.Load():
+	case wd.hasCancelledRun():
 		return cancelledVerdict(r), errs.New(errs.TargetTimeout, "the target sent nothing for too long")
 	case ctx.Err() != nil:
 		return cancelledVerdict(r), errs.Newf(errs.Cancelled, "%v", ctx.Err())
--- a/internal/backlog/watchdog.go
+++ b/internal/backlog/watchdog.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"arbutusramp/core/sleep"
@@ -14,8 +13,6 @@
 // The end of the run also releases its slot, which may belong to a target that has ended.
 type watchdog struct {
 	run *fleetview.Run
-	// hasCancelledRun is set once the watchdog has cancelled the run.
-	hasCancelledRun atomic.Bool
 
 	mu           sync.Mutex
 	lastActivity time.Time // of the last answer or event of the run; at first the start of the watchdog
@@ -38,10 +35,17 @@
 	w.run.RecordActivity()
 }
 
+// hasCancelledRun reports whether the watchdog has cancelled the run.
+func (w *watchdog) hasCancelledRun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cancelledAfter > 0
+}
+
 // silentFor returns the time since the last activity of a run that was cancelled because its target seemed to have failed: for
 // the silence of this run or of others there. It is 0 for others, also if the target has in fact ended.
 func (w *watchdog) silentFor(ctx context.Context) time.Duration {
-	isForFailure := w.hasCancelledRun.Load() || w.run.HasTargetFailed()
+	isForFailure := w.hasCancelledRun() || w.run.HasTargetFailed()
 	if ctx.Err() == nil || !isForFailure || w.run.HasTargetEnded() {
 		return 0
 	}
@@ -68,7 +72,6 @@
 			w.mu.Lock()
 			w.cancelledAfter = silentFor
 			w.mu.Unlock()
-			w.hasCancelledRun.Store(true)
 			cancel()
 			return
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,7 +84,7 @@
 	a.resumedAfter = a.lastEventID
 	a.stages.noteSent(sentAt)
 	a.logSent(sentAt)
-	canRetryElsewhere := a.route.IsIdempotent() && a.possibleRuns < a.route.MaxAttempts
+	canRetryElsewhere := a.mayRunAgain(a.possibleRuns)
 	stop := a.watchIdle(ctx, sentAt, canRetryElsewhere)
 	defer stop()
 	a.run.OnTargetEnd(a.cancel)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -242,7 +242,7 @@
 // work describes the request for the choice of its target.
 func (ex *exchange) work() fleet.Work {
 	w := fleet.Work{Service: ex.service, Route: ex.route.Name, Workspace: ex.req.Caller.Workspace, Size: ex.req.Size, IsStream: ex.route.Kind == serving.KindStream, SilentFor: ex.silentFor,
-		IsRepeatable: ex.route.IsIdempotent() && ex.possibleRuns+1 < ex.route.MaxAttempts}
+		IsRepeatable: ex.mayRunAgain(ex.possibleRuns + 1)}
 	if ex.origin != nil {
 		w.Version = &ex.origin.Version
 	}
@@ -273,7 +273,12 @@
 	if e.Ran == errs.RanNo {
 		return true
 	}
-	return ex.route.IsIdempotent() && ex.possibleRuns < ex.route.MaxAttempts
+	return ex.mayRunAgain(ex.possibleRuns)
+}
+
+// mayRunAgain reports whether the request may be sent again after that many possible runs.
+func (ex *exchange) mayRunAgain(runs int) bool {
+	return ex.route.IsIdempotent() && runs < ex.route.MaxAttempts
 }
 
 // tryNextTarget sends the request to one target and relays its answer.
