standin/keyedlog: an append larger than a call is refused, for all tests

The bound stood in a wrapper of one test; the stand-in itself took appends of any size, which is why no test could show that a large text stalls its shard.

--- a/internal/backlog/large_text_test.go
+++ b/internal/backlog/large_text_test.go
@@ -10,38 +10,23 @@
 	"time"
 
 	"arbutusramp/core/backlog"
-	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/standin/keyedlog"
 )
 
-// boundedStore refuses appends that are larger than a call may be, as the platform's store does.
-type boundedStore struct {
+// interleavedStore calls between after each append.
+type interleavedStore struct {
 	platform.Store
-	// between is called after each append; nil for none.
 	between func()
 }
 
-// callBytes is the largest append, with the framing of its records.
-const callBytes = 2 << 20
-
-func (s boundedStore) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
-	size := 0
-	for _, r := range a.Records {
-		size += len(r.Key) + len(r.Value) + recordOverheadBytes
-	}
-	if size > callBytes {
-		return platform.Appended{}, errs.Newf(errs.BadRequest, "the store answered with status 413: %d bytes", size)
-	}
-	appended, err := s.Store.Append(ctx, a)
-	if s.between != nil {
-		s.between()
-	}
-	return appended, err
+func (s interleavedStore) Append(ctx context.Context, a platform.Append) (platform.Appended, error) {
+	defer s.between()
+	return s.Store.Append(ctx, a)
 }
 
 // largeText is longer than one append may be.
-func largeText() string { return strings.Repeat("0123456789abcdef", callBytes/16+1000) }
+func largeText() string { return strings.Repeat("0123456789abcdef", keyedlog.CallBytes/16+1000) }
 
 // Guards against one item whose text exceeds one append, which is then refused for ever with all results of its shard behind
 // it, also at the next owner of the shard.
@@ -50,7 +35,6 @@
 		t.Run(fmt.Sprintf("stored inline up to %d bytes", inline), func(t *testing.T) {
 			withCluster(t, 0, func(t *testing.T, cl *cluster) {
 				cl.maxInlineReadBytes = inline
-				cl.wrapStore = func(s platform.Store) platform.Store { return boundedStore{Store: s} }
 				cl.startNodes(2)
 				time.Sleep(2 * time.Second)
 				n, text := cl.nodes[0], largeText()
@@ -90,7 +74,7 @@
 	store := keyedlog.New(1)
 	others := 0
 	writer := newTestTextStore(store)
-	writer.store = boundedStore{Store: writer.store, between: func() {
+	writer.store = interleavedStore{Store: writer.store, between: func() {
 		others++
 		if _, ok := newTestTextStore(store).write(context.Background(), []backlog.Text{{Job: "other", Index: others, Text: "between"}}); !ok {
 			t.Error("the text of another job was not written, want it written")
--- a/standin/keyedlog/keyedlog.go
+++ b/standin/keyedlog/keyedlog.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 )
 
@@ -93,8 +94,22 @@
 
 func (l *partition) end() uint64 { return l.first + uint64(len(l.records)) }
 
-// append does one write.
+const (
+	// CallBytes is the largest size of the records of one append, with their framing.
+	CallBytes = 2 << 20
+	// framingBytes is what a record has in a call beside its key and its value: its length and that of the key.
+	framingBytes = 5
+)
+
+// append does one write. Error: errs.BadRequest for more than CallBytes; nothing is done then.
 func (s *Store) append(a platform.Append) (platform.Appended, error) {
+	size := 0
+	for _, r := range a.Records {
+		size += len(r.Key) + len(r.Value) + framingBytes
+	}
+	if size > CallBytes {
+		return platform.Appended{}, errs.Newf(errs.BadRequest, "an append of %d bytes, more than %d", size, CallBytes)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.log(a.Partition)
