ingress: the items and headers of a batch job are bounded before they are decoded

What callers saw: one batch job of 4 MiB whose items are empty objects, answered 400, took 341 MB of a gateway (TestCrowd, job of empty items; 408 MB a job in a benchmark), 16 of them 6,484 MB, 8 items of many headers 1,523 MB: any gateway with less ended, with all requests on it.

Cause: the body was decoded whole before its items were counted, and the headers of an item into a map without a bound. An item of two bytes is decoded to a hundred, a header of six to a hundred and fifty.

The headers of an item stay where they are until their size is known: beyond max_header_bytes (the decoder now gets the operator's limits) they can't be sent to a target, and the job is 400.

--- a/core/serving/config.go
+++ b/core/serving/config.go
@@ -4,6 +4,7 @@
 package serving
 
 import (
+	"cmp"
 	"hash/fnv"
 	"net/url"
 	"slices"
@@ -120,9 +121,23 @@
 	return h.Sum64()
 }
 
-// Limits bound the size of callers' requests.
+// Limits bound what callers may send, and how long they may take for it.
 type Limits struct {
-	MaxBodyBytes int64 // largest body of a request; 0 for the default of platform/ingress
+	MaxHeadBytes int64         // largest head of a request, and of what the headers of an item have in a head
+	MaxBodyBytes int64         // largest body of a request
+	HeadTime     time.Duration // longest time from the first byte of a head to its last one
+	IdleTime     time.Duration // longest time that a connection stays open without a request
+}
+
+// DefaultLimits are the limits in force until the operator sets others.
+var DefaultLimits = Limits{MaxHeadBytes: 64 << 10, MaxBodyBytes: 16 << 20, HeadTime: 10 * time.Second, IdleTime: 90 * time.Second}
+
+// OrDefault returns l with the defaults in place of values that are not set.
+func (l Limits) OrDefault() Limits {
+	return Limits{
+		MaxHeadBytes: cmp.Or(l.MaxHeadBytes, DefaultLimits.MaxHeadBytes), MaxBodyBytes: cmp.Or(l.MaxBodyBytes, DefaultLimits.MaxBodyBytes),
+		HeadTime: cmp.Or(l.HeadTime, DefaultLimits.HeadTime), IdleTime: cmp.Or(l.IdleTime, DefaultLimits.IdleTime),
+	}
 }
 
 // Config is one version of the operator's configuration.
