--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -18,6 +18,9 @@
 const (
 	BadRequest       Type = "bad_request"
 	BodyTooLarge     Type = "body_too_large"
+	HeadTooLarge     Type = "head_too_large"
+	RequestTimeout   Type = "request_timeout"
+	ProcessFull      Type = "process_full"
 	BadItem          Type = "bad_item"
 	BadSettings      Type = "bad_settings"
 	BadFrame         Type = "bad_frame"
--- a/core/errs/types.go
+++ b/core/errs/types.go
@@ -23,6 +23,9 @@
 var table = map[Type]Info{
 	BadRequest:       {400, RanNo, "correct the request"},
 	BodyTooLarge:     {413, RanNo, "send a smaller body"},
+	HeadTooLarge:     {431, RanNo, "send fewer or shorter header lines"},
+	RequestTimeout:   {408, RanNo, "send the whole request in less time"},
+	ProcessFull:      {503, RanNo, "come back after the time given; another gateway may have room"},
 	BadItem:          {400, RanNo, "correct the line that is named"},
 	BadSettings:      {400, RanNo, "correct the settings that are named"},
 	BadFrame:         {502, RanUnknown, "resend if idempotent; report it"},
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -134,6 +134,16 @@
 	return route, w.config.Limits, nil
 }
 
+// Limits returns the limits in force for what callers send; the defaults before the first configuration.
+func (w *Watch) Limits() serving.Limits {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.config == nil {
+		return serving.DefaultLimits
+	}
+	return w.config.Limits.OrDefault()
+}
+
 // Version returns the version of the configuration in force, 0 before the first.
 func (w *Watch) Version() uint64 {
 	w.mu.RLock()
