inbound: one account of what clients hold of a gateway's memory and descriptors

Cause: heads, bodies, decoded jobs and connections were bounded one by one, with limits of the code's own, and nothing counted them together. A head is parsed into a map before a handler can ask for memory; a body was read with io.ReadAll, which holds more than twice its size for a moment; a connection had no bound at all.

Change: internal/inbound. An Account divides a share of the host's memory ([host] memory, descriptors; without them what the system reports, at most 1 GB) between the clients of all listeners of the process: callers, peers, readiness, metrics. - The connection pays for each line and byte of a head as it arrives, before the server parses it, and ends it by the operator's limits (431, 408). Connections are closed after the operator's idle time. - A body is read into a buffer that grows by four and is paid for before each step; a large one gets a larger receive buffer of the socket, which is paid for as well. It must have arrived before the answer is due, that of a job at a least rate (408). - A job pays for what its decoding and its records take, by bytes and number of strings. - Requests that hold up to 64 KiB have a reserve. Bodies of one workspace have at most half. - Under pressure, clients that have kept the process waiting for a second are ended, those first that hold most for longest; connections make room in the same way. What then finds no room is 503 with Retry-After, before anything is sent. - What is rejected before its end is read on for half a second, so that a reset does not discard the answer. Connections for operators and peers keep a tenth to themselves. All is given back in one place, when the request is answered or the connection closes. 408 and 421 are answered only for what has not run, as 429 and 503 were.

The tests of internal/inbound run on pipes in a synctest bubble and check each path for what is left held. internal/node's connection tracker is part of inbound now; its two tests are unchanged in what they check.

--- /dev/null
+++ b/internal/inbound/reject.go
@@ -0,0 +1,68 @@
+package inbound
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"arbutusramp/core/errs"
+)
+
+const (
+	// rejectTime is how long a rejected connection stays open, so that its client reads the answer: a connection that is closed
+	// with unread bytes is reset, which may discard the answer.
+	rejectTime = 500 * time.Millisecond
+	// maxDiscardedBytes bounds what is read and discarded of a rejected connection meanwhile.
+	maxDiscardedBytes = 256 << 10
+)
+
+// rejectConn answers with err on a connection whose request is not read to its end, and closes the connection. err says that
+// the request has not run.
+func rejectConn(conn net.Conn, err error) {
+	defer conn.Close()
+	typed := errs.As(err)
+	status, body := errs.Lookup(typed.Type).Status, encodeError(typed)
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n", status, http.StatusText(status), len(body))
+	if typed.RetryAfterMs > 0 {
+		answer += "Retry-After: " + retryAfter(typed) + "\r\n"
+	}
+	if conn.SetDeadline(time.Now().Add(rejectTime)) != nil {
+		return // the client has closed it
+	}
+	if _, writeErr := io.WriteString(conn, answer+"\r\n"+string(body)); writeErr != nil {
+		return
+	}
+	if closer, ok := conn.(interface{ CloseWrite() error }); !ok || closer.CloseWrite() != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, conn, maxDiscardedBytes) // until the client closes it, or the time has passed
+}
+
+// writeRejection answers a request with err.
+func writeRejection(w http.ResponseWriter, err *errs.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
+	if err.RetryAfterMs > 0 {
+		w.Header().Set("Retry-After", retryAfter(err))
+	}
+	w.WriteHeader(errs.Lookup(err.Type).Status)
+	_, _ = w.Write(encodeError(err)) // a client that has left needs no answer
+}
+
+// encodeError returns an error as callers get it.
+func encodeError(err *errs.Error) []byte {
+	data, encodeErr := json.Marshal(err)
+	if encodeErr != nil {
+		return []byte(`{}`)
+	}
+	return data
+}
+
+// retryAfter returns the time after which a client should come back, in seconds.
+func retryAfter(err *errs.Error) string {
+	return strconv.FormatFloat(float64(err.RetryAfterMs)/1000, 'f', 3, 64)
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -27,6 +27,7 @@
 	"arbutusramp/internal/dependency"
 	"arbutusramp/internal/fleetview"
 	"arbutusramp/internal/gateway"
+	"arbutusramp/internal/inbound"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/origins"
@@ -55,14 +56,6 @@
 	// separately, which costs one call for the reader and one for the owner of the text. Reading 512 KiB takes
 	// as much time on the link of the store as these two calls.
 	inlineReadBytes = 512 << 10
-
-	// headerTimeout bounds the time for reading the header of a request, idleTimeout the time that a
-	// connection stays open between requests. Both exceed the limits that the operator sets for callers, so
-	// that the gateway closes no connection of a caller within those limits.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
-	// maxHeaderBytes bounds the header of a request. It exceeds the operator's limit for callers as well.
-	maxHeaderBytes = 64 << 10
 )
 
 // Gateway is a gateway process. It serves the online requests and batch jobs of callers on the users' platform.
@@ -76,12 +69,14 @@
 	loadShare *loadshare.Sharer
 	quotas    *quotas.Quotas
 	// quarantine blocks requests whose content has crashed targets.
-	quarantine   *quarantine.Quarantine
-	origins      *origins.Registry
-	storePaths   *storepath.Paths
-	peers        *peerDirectory
-	server       *http.Server   // serves callers
-	conns        *connTracker   // the listener for callers
+	quarantine *quarantine.Quarantine
+	origins    *origins.Registry
+	storePaths *storepath.Paths
+	peers      *peerDirectory
+	server     *http.Server // serves callers
+	callers    *inbound.Listener
+	// account divides the memory and the descriptors of the process between its clients.
+	account      *inbound.Account
 	auxServers   []*http.Server // servers of auxListeners, at the same indexes
 	auxListeners []net.Listener // the listeners other than that for callers; see readyListener
 
@@ -106,7 +101,11 @@
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
 		ExpectedTime: expectedTimeMode(s), YieldsInOverload: s.YieldsInOverload, Sharing: sharingOptions(s),
 	})
-	g := &Gateway{settings: s, log: logger, reg: reg, view: view, began: time.Now()}
+	host, err := inbound.NewHost(s.MemoryMB, s.Descriptors)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{settings: s, log: logger, reg: reg, view: view, account: inbound.NewAccount(host, logger.Named("inbound"), reg), began: time.Now()}
 	g.quotas = quotas.New(self, quota.Options{Window: s.QuotaWindow, MaxExcessShare: s.QuotaExcess, MaxExcessRequests: float64(s.QuotaSlack), PeerShareTTL: claimTTL(s)}, reg)
 	g.quarantine = quarantine.New(quarantine.Options{
 		Threshold: s.QuarantineAfter, Hold: s.QuarantineHold, Disabled: s.Off, Prober: targets, Fleet: view, Log: logger.Named("quarantine"), Metrics: reg,
@@ -133,7 +132,7 @@
 	peersLog := logger.Named("peers")
 	g.peers = &peerDirectory{store: g.storePaths, loadShare: g.loadShare, self: peerRecord{Domain: s.Host.Domain, Capacity: cpuCapacity(s)}, storeLink: dependency.NewLink(peersLog, "peer addresses"), log: peersLog}
 	g.registerGauges()
-	g.server = g.newCallerServer(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record})
+	g.server = g.callers.NewServer(g.countRequests(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record}))
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
@@ -176,18 +175,6 @@
 	return s.RevokeWithin + loadshare.PeerTTL
 }
 
-// newCallerServer returns the HTTP server for callers.
-func (g *Gateway) newCallerServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           g.countRequests(handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         g.conns.handleState,
-		ErrorLog:          g.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-}
-
 // newRejectionRecorder returns a function that counts and logs a request that was rejected because no route
 // matches it or its key is not valid.
 func (g *Gateway) newRejectionRecorder() func(request string, err error) {
@@ -254,7 +241,7 @@
 	for i := range g.auxServers {
 		group.Go(func() error { return ignoreClosed(g.auxServers[i].Serve(g.auxListeners[i])) })
 	}
-	group.Go(func() error { return ignoreClosed(g.server.Serve(g.conns)) })
+	group.Go(func() error { return ignoreClosed(g.server.Serve(g.callers)) })
 	jobsDone := make(chan error, 1)
 	go func() { jobsDone <- g.jobs.Run(ctx) }()
 	select {
@@ -277,7 +264,7 @@
 }
 
 // CallerAddr returns the address of the listener for callers.
-func (g *Gateway) CallerAddr() string { return g.conns.Addr().String() }
+func (g *Gateway) CallerAddr() string { return g.callers.Addr().String() }
 
 // ReadyAddr returns the address of the listener for readiness checks.
 func (g *Gateway) ReadyAddr() string { return g.auxListeners[readyListener].Addr().String() }
@@ -294,15 +281,15 @@
 }
 
 // countBusy implements callerConns.
-func (g *Gateway) countBusy() int { return g.conns.countBusy() }
+func (g *Gateway) countBusy() int { return g.callers.CountBusy() }
 
 // closeIdle implements callerConns.
-func (g *Gateway) closeIdle() { g.conns.closeIdle() }
+func (g *Gateway) closeIdle() { g.callers.CloseIdle() }
 
 // stopAccepting implements callerConns.
 func (g *Gateway) stopAccepting() {
 	g.isRejecting.Store(true)
-	if err := g.conns.Close(); err != nil {
+	if err := g.callers.Close(); err != nil {
 		g.log.Warn("failed to close the listener", "error", err)
 	}
 }
--- a/internal/node/gateway_listen.go
+++ b/internal/node/gateway_listen.go
@@ -1,14 +1,18 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/fleet"
 	"arbutusramp/core/policy"
+	"arbutusramp/core/serving"
+	"arbutusramp/internal/inbound"
 	"arbutusramp/internal/loadshare"
 	"arbutusramp/internal/scheduling"
 	"arbutusramp/internal/storepath"
@@ -37,7 +41,7 @@
 		storePeers = storepath.NoPeers{}
 	}
 	g.storePaths = storepath.New(client, storePeers, g.log.Named("store"), g.reg)
-	g.addListener(ln, storepath.NewRelay(client, log))
+	g.addListener("peers", ln, 0, storepath.NewRelay(client, log))
 	return nil
 }
 
@@ -54,7 +58,7 @@
 		tries = maxPortTries
 	}
 	for range tries {
-		if ln, err = net.Listen("tcp", g.settings.PeerAddr); err != nil {
+		if ln, err = inbound.Listen(context.Background(), g.settings.PeerAddr); err != nil {
 			return nil, errors.Wrap(err, "listen for peers")
 		}
 		if g.loadShare, err = loadshare.New(loadshare.Options{
@@ -70,10 +74,21 @@
 	return nil, err
 }
 
-// addListener adds a listener that Run serves with handler, in addition to the listener for callers.
-func (g *Gateway) addListener(ln net.Listener, handler http.Handler) {
-	g.auxListeners = append(g.auxListeners, ln)
-	g.auxServers = append(g.auxServers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
+// operatorLimits are the limits for clients of the listeners for peers, readiness checks and metrics: other gateways and
+// programs of the operators.
+var operatorLimits = serving.Limits{MaxHeadBytes: 8 << 10, HeadTime: 5 * time.Second, IdleTime: 90 * time.Second}
+
+// maxProbeConnections bounds the connections to each of the listeners for readiness checks and metrics.
+const maxProbeConnections = 64
+
+// addListener adds a listener that Run serves with handler, in addition to the listener for callers. maxConnections bounds its
+// connections; 0 leaves that to the account.
+func (g *Gateway) addListener(name string, ln net.Listener, maxConnections int, handler http.Handler) {
+	bounded := inbound.NewListener(ln, inbound.Options{
+		Name: name, Account: g.account, Limits: func() serving.Limits { return operatorLimits }, MaxConnections: maxConnections, Log: g.log.Named(name),
+	})
+	g.auxListeners = append(g.auxListeners, bounded)
+	g.auxServers = append(g.auxServers, bounded.NewServer(handler))
 }
 
 // metricsHandler returns the handler for operators: the state of the scheduling, and the metrics at all other paths.
@@ -87,22 +102,24 @@
 // listen opens the listeners for readiness checks, metrics and callers.
 func (g *Gateway) listen() error {
 	for _, listener := range []struct {
-		addr    string
-		handler http.Handler
+		name, addr string
+		handler    http.Handler
 	}{
-		{g.settings.ReadyAddr, http.HandlerFunc(g.serveReady)},
-		{g.settings.MetricsAddr, g.metricsHandler()},
+		{"ready", g.settings.ReadyAddr, http.HandlerFunc(g.serveReady)},
+		{"metrics", g.settings.MetricsAddr, g.metricsHandler()},
 	} {
-		ln, err := net.Listen("tcp", listener.addr)
+		ln, err := inbound.Listen(context.Background(), listener.addr)
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		g.addListener(ln, listener.handler)
+		g.addListener(listener.name, ln, maxProbeConnections, listener.handler)
 	}
-	ln, err := net.Listen("tcp", g.settings.CallerAddr)
+	ln, err := inbound.Listen(context.Background(), g.settings.CallerAddr)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	g.conns = newConnTracker(ln)
+	g.callers = inbound.NewListener(ln, inbound.Options{
+		Name: "callers", Account: g.account, Limits: g.watch.Limits, MaxConnections: g.account.MaxClients(), Log: g.log.Named("http"),
+	})
 	return nil
 }
--- a/internal/storepath/relay.go
+++ b/internal/storepath/relay.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/inbound"
 )
 
 const (
@@ -17,8 +18,10 @@
 	relayPath = "/store"
 	// mediaType is the content type of an encoded request or response.
 	mediaType = "application/cbor"
-	// maxRequestBytes bounds an encoded request. The largest append that the store accepts is 2 MB.
-	maxRequestBytes = 4 << 20
+	// MaxRequestBytes bounds an encoded request. The largest append that the store accepts is 2 MB.
+	MaxRequestBytes = 4 << 20
+	// relayReadTime bounds the time for reading a request of a peer, which gives up after less.
+	relayReadTime = 10 * time.Second
 )
 
 // Relay is an HTTP handler that makes the store calls of peers which cannot reach the store directly.
@@ -38,9 +41,10 @@
 		http.NotFound(w, req)
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, maxRequestBytes))
+	body, err := inbound.ReadBody(w, req, inbound.BodyLimits{MaxBytes: MaxRequestBytes, Until: time.Now().Add(relayReadTime)})
 	if err != nil {
-		return // the caller disconnected
+		http.Error(w, err.Error(), errs.Lookup(errs.As(err).Type).Status) // the peer takes any status but 200 for a lost call
+		return
 	}
 	var call request
 	if err := cbor.Unmarshal(body, &call); err != nil {
--- a/internal/storepath/relay_test.go
+++ b/internal/storepath/relay_test.go
@@ -12,6 +12,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/inbound/inboundtest"
 	"arbutusramp/standin/keyedlog"
 )
 
@@ -19,8 +20,7 @@
 // relay, and the server.
 func newRelayedStore(t *testing.T, s platform.Store) (platform.Store, *httptest.Server) {
 	t.Helper()
-	server := httptest.NewServer(NewRelay(s, hclog.NewNullLogger()))
-	t.Cleanup(server.Close)
+	server := inboundtest.NewServer(t, NewRelay(s, hclog.NewNullLogger()))
 	return newPeerStore(strings.TrimPrefix(server.URL, "http://")), server
 }
 
