backlog: the jobs that gateways keep are bounded in memory

Cause: max_queued bounds the tokens of a workspace's unfinished items, nothing the bytes of jobs.

Change: the state counts what its jobs and the chunks of unfinished submissions take. A submission that would exceed 0.15 of the memory of the smallest host (gateways publish theirs with their peer address) is 503 with Retry-After 2 s, not run; jobs go after [backlog] keep. Gauge backlog.job_bytes, kept_bytes in the line of each submission. Large answers of targets take from the account as well (was a constant of 24 MiB).

Records of earlier software versions have no memory and count as any.

--- a/core/backlog/codec.go
+++ b/core/backlog/codec.go
@@ -199,7 +199,18 @@
 
 // chunkAssembler reassembles values from their chunks. partial holds the chunks of incomplete values by index; a chunk that
 // has not been added is nil.
-type chunkAssembler struct{ partial map[valueID][][]byte }
+type chunkAssembler struct {
+	partial map[valueID][][]byte
+	bytes   int64 // of all chunks in partial
+}
+
+// drop removes the chunks of an incomplete value.
+func (a *chunkAssembler) drop(id valueID) {
+	for _, part := range a.partial[id] {
+		a.bytes -= int64(len(part))
+	}
+	delete(a.partial, id)
+}
 
 func newChunkAssembler() chunkAssembler {
 	return chunkAssembler{partial: make(map[valueID][][]byte)}
@@ -219,8 +230,10 @@
 	v := assembled{chunks: n}
 	v.key, v.attempt = splitChunkKey(r.Key, i)
 	if len(a.partial[v.valueID]) != n {
+		a.drop(v.valueID)
 		a.partial[v.valueID] = make([][]byte, n)
 	}
+	a.bytes += int64(len(part) - len(a.partial[v.valueID][i]))
 	a.partial[v.valueID][i] = part
 	for _, p := range a.partial[v.valueID] {
 		if p == nil {
@@ -229,7 +242,7 @@
 		}
 		v.data = append(v.data, p...)
 	}
-	delete(a.partial, v.valueID)
+	a.drop(v.valueID)
 	return v, nil
 }
 
--- a/core/backlog/state.go
+++ b/core/backlog/state.go
@@ -11,8 +11,9 @@
 // State is the state of all jobs, built from the records that were applied. Use NewState to create one; the
 // zero value is not usable. State has no lock of its own: callers serialize access.
 type State struct {
-	chunks chunkAssembler
-	jobs   map[string]*jobState // by job id
+	chunks   chunkAssembler
+	jobs     map[string]*jobState // by job id
+	jobBytes int64                // of all jobs; see JobBytes
 }
 
 // jobState is the state of one job. Its records may be applied in any order: a process that loads the backlog
@@ -23,6 +24,7 @@
 	// chunks. They are valid if job is not nil.
 	attempt     string
 	chunks      int
+	bytes       int64 // of job; see Job.Bytes
 	isCancelled bool
 	results     []*Result           // by position; nil at positions whose result has not been applied yet
 	doneItems   map[string]bool     // ids of the items that have a result
@@ -102,12 +104,13 @@
 		return
 	}
 	if key, attempt, ok := splitAttemptKey(recordKey); ok {
-		delete(s.chunks.partial, valueID{key, attempt})
+		s.chunks.drop(valueID{key, attempt})
 		return
 	}
 	key, _, isChunk := strings.Cut(recordKey, chunkSeparator)
-	delete(s.chunks.partial, valueID{key: key})
-	if !isChunk {
+	s.chunks.drop(valueID{key: key})
+	if js, isKnown := s.jobs[id]; isKnown && !isChunk {
+		s.jobBytes -= js.bytes
 		delete(s.jobs, id)
 	}
 }
@@ -156,10 +159,14 @@
 func (s *State) applyJob(j *Job, value assembled) {
 	js := s.jobStateFor(j.ID)
 	if js.job == nil {
-		js.job, js.attempt, js.chunks = j, value.attempt, value.chunks
+		js.job, js.attempt, js.chunks, js.bytes = j, value.attempt, value.chunks, j.Bytes()
+		s.jobBytes += js.bytes
 	}
 }
 
+// JobBytes returns about how much memory the jobs take, with the parts of those that are being submitted, in bytes.
+func (s *State) JobBytes() int64 { return s.jobBytes + s.chunks.bytes }
+
 // HasChunks reports whether the given chunks of a value that is not complete yet have been applied and not been deleted
 // since.
 func (s *State) HasChunks(records []platform.KeyedRecord) bool {
--- a/core/backlog/types.go
+++ b/core/backlog/types.go
@@ -39,6 +39,29 @@
 	Prompt serving.Prompt `cbor:"7,keyasint,omitzero"`
 }
 
+const (
+	// itemBytes is what an item takes in memory beside its strings and its body, in bytes, headerBytes what each of its headers
+	// does.
+	itemBytes   = 512
+	headerBytes = 128
+)
+
+// Bytes returns about how much memory the job takes in each process that keeps it, in bytes.
+func (j *Job) Bytes() int64 {
+	sum := int64(len(j.Items)) * itemBytes
+	for i := range j.Items {
+		item := &j.Items[i]
+		sum += int64(len(item.ID) + len(item.URI) + len(item.Body))
+		for name, values := range item.Header {
+			sum += headerBytes + int64(len(name))
+			for _, value := range values {
+				sum += int64(len(value))
+			}
+		}
+	}
+	return sum
+}
+
 // Tokens returns the sum of the tokens of the job's items.
 func (j *Job) Tokens() int64 {
 	var sum int64
--- a/internal/backlog/harness_test.go
+++ b/internal/backlog/harness_test.go
@@ -46,6 +46,7 @@
 	nodesMu            sync.Mutex  // held for changes of nodes, and for reads outside the test's goroutine
 	nodes              []*node
 	keepFor            time.Duration // see Options.KeepFor
+	maxJobBytes        func() int64  // of all processes; see Options.MaxJobBytes
 	maxInlineReadBytes int           // see Options.MaxInlineReadBytes; 0 stores all texts separately
 	// expectedTime is that of the fleet.Options of each process that is started.
 	expectedTime fleet.ExpectedTimeMode
@@ -148,7 +149,7 @@
 	if cl.wrapStore != nil {
 		store = cl.wrapStore(store)
 	}
-	o := Options{MemberID: name, Shards: testShards, MinTTL: testMinTTL, KeepFor: cl.keepFor, MaxInlineReadBytes: cl.maxInlineReadBytes}
+	o := Options{MemberID: name, Shards: testShards, MinTTL: testMinTTL, KeepFor: cl.keepFor, MaxInlineReadBytes: cl.maxInlineReadBytes, MaxJobBytes: cl.maxJobBytes}
 	if cl.rank != nil {
 		o.Rank = func() (int, bool) { return cl.rank(n) }
 	}
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -49,6 +49,8 @@
 	// that owns the shards. Only processes of low rank join; isKnown is false while the rank can't be determined.
 	// If Rank is nil, every process joins.
 	Rank func() (rank int, isKnown bool)
+	// MaxJobBytes returns how much memory all jobs may take in each process, in bytes; nil if that is not bounded.
+	MaxJobBytes func() int64
 }
 
 // Manager accepts, runs and returns batch jobs in one process. Use New to create one. Lock order: scheduler or
@@ -105,6 +107,7 @@
 	Items        int           // unfinished items of the shards that the process owns
 	RunningItems int           // those of the items that have an active run
 	Shards       int           // shards that the process owns
+	JobBytes     int64         // memory that all jobs take in each process
 	JobStateAge  time.Duration // maximum age of the process's state of jobs and cancellations
 }
 
@@ -112,6 +115,7 @@
 func (m *Manager) Counts() Counts {
 	c := m.scheduler.counts()
 	c.JobStateAge = m.replica.stateAge(jobPartition)
+	m.replica.withState(func(st *backlog.State) { c.JobBytes = st.JobBytes() })
 	return c
 }
 
--- a/internal/backlog/submit.go
+++ b/internal/backlog/submit.go
@@ -26,6 +26,8 @@
 	cancelTimeout = 3 * time.Second
 	// limitRetryDelay is the retry delay that the caller of a job receives if the job exceeds its route's limit.
 	limitRetryDelay = time.Second
+	// memoryRetryDelay is the retry delay that the caller of a job receives while the jobs that are kept leave no memory for it.
+	memoryRetryDelay = 2 * time.Second
 	// writeRetryPause is the pause after a failed write to the store.
 	writeRetryPause = 60 * time.Millisecond
 	// maxAppendBytes is the maximum size of the records of one append: 2 MiB less 64 KiB for framing.
@@ -34,7 +36,8 @@
 
 // Submit writes a job to the store and returns nil once it is there. A job with the id of an accepted one is
 // not written again; that is a success as well. Errors: errs.BadRequest (the id is too long),
-// errs.BodyTooLarge, errs.RateLimited (the job exceeds its workspace's limit on the route), errs.LogDown and
+// errs.BodyTooLarge, errs.RateLimited (the job exceeds its workspace's limit on the route), errs.ProcessFull (the jobs
+// that are kept leave no memory for it), errs.LogDown and
 // errs.LogBusy (the job is not in the store), errs.AppendUnknown (the job may be in the store or may still be
 // written).
 //
@@ -65,7 +68,7 @@
 		m.discardChunks(s.leading)
 	}
 	m.log.Log(logLevel(err), "job", "request", job.ID, "workspace", job.Workspace, "route", route.Name, "items", len(job.Items), "tokens", job.Tokens(),
-		"queued", s.queuedTokens, "limit", route.MaxQueuedTokens, "end", s.expectedEnd, "tries", s.tries, "outcome", logOutcome(err))
+		"queued", s.queuedTokens, "limit", route.MaxQueuedTokens, "kept_bytes", s.keptBytes, "end", s.expectedEnd, "tries", s.tries, "outcome", logOutcome(err))
 	m.countOutcome("job.submit", err)
 	m.logItems(job)
 	return err
@@ -91,6 +94,7 @@
 	records      []platform.KeyedRecord // those of the last append, which stores the job
 	expectedEnd  uint64                 // the last append succeeds only if this is the end of the partition
 	queuedTokens int64                  // tokens of unfinished items of the workspace on the route, without this job
+	keptBytes    int64                  // memory that all jobs take, without this one; see backlog.State.JobBytes
 	tries        int                    // number of calls of tryAppend
 	mayBeStored  bool                   // an append that was not answered may have succeeded or may still succeed
 	// hasWrittenChunks is set once an append of leading records has been sent.
@@ -206,14 +210,37 @@
 			return false, nil
 		}
 	}
+	if !s.fitsMemory() {
+		return true, errs.Newf(errs.ProcessFull, "the jobs that are kept take %d bytes of memory, which leaves too little for a job of %d bytes", s.keptBytes, s.job.Bytes()).WithRetry(memoryRetryDelay)
+	}
 	return true, errs.Newf(errs.RateLimited, "the workspace has %d queued tokens on the route, where its limit is %d; the job would exceed the limit", s.queuedTokens, s.route.MaxQueuedTokens).WithRetry(limitRetryDelay)
 }
 
-// fitsLimit updates queuedTokens from the state and reports whether these and the job's tokens are within the
-// route's limit.
+// fitsLimit updates queuedTokens and keptBytes from the state and reports whether these and the job are within the route's limit
+// and the memory for jobs.
 func (s *submission) fitsLimit(st *backlog.State) bool {
 	s.queuedTokens = st.QueuedTokens(s.job.Workspace, s.route.Name)
-	return s.route.MaxQueuedTokens == 0 || s.queuedTokens+s.job.Tokens() <= s.route.MaxQueuedTokens
+	s.keptBytes = st.JobBytes()
+	for _, records := range s.leading {
+		if st.HasChunks(records) {
+			s.keptBytes -= recordBytes(records)
+		}
+	}
+	isWithinLimit := s.route.MaxQueuedTokens == 0 || s.queuedTokens+s.job.Tokens() <= s.route.MaxQueuedTokens
+	return isWithinLimit && s.fitsMemory()
+}
+
+// fitsMemory reports whether the job has room beside the jobs that are kept. Every process keeps all jobs.
+func (s *submission) fitsMemory() bool {
+	return s.m.opts.MaxJobBytes == nil || s.keptBytes+s.job.Bytes() <= s.m.opts.MaxJobBytes()
+}
+
+// recordBytes returns the size of the values of records.
+func recordBytes(records []platform.KeyedRecord) (sum int64) {
+	for _, r := range records {
+		sum += int64(len(r.Value))
+	}
+	return sum
 }
 
 // handleAppendResult evaluates the error of an append. Its results are those of tryAppend.
--- a/internal/gateway/bounds.go
+++ b/internal/gateway/bounds.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxAnswerMemory bounds what all attempts hold of large answers, in bytes: a host has 160 MB, and a target that sends
-	// without end may be asked by many requests at once.
+	// maxAnswerMemory bounds what all attempts hold of large answers if the options do not, in bytes: a target that sends without
+	// end may be asked by many requests at once.
 	maxAnswerMemory = 24 << 20
 	// minBuffer is the size with which a bodyBuffer begins; most answers have less than 1 KB.
 	minBuffer = 1 << 10
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 	Age() time.Duration
 }
 
-// Options configures a Gateway. All fields but Disabled are required.
+// Options configures a Gateway. All fields but Disabled and AnswerMemory are required.
 type Options struct {
 	Targets platform.TargetCaller // sends requests to targets
 	View    *fleetview.View       // chooses the targets
@@ -136,6 +136,8 @@
 	Versions Versions
 	// Prober checks which start of a target runs before a stream goes on there.
 	Prober platform.TargetProber
+	// AnswerMemory bounds what all attempts hold of large answers; nil for maxAnswerMemory.
+	AnswerMemory *limit.Memory
 
 	Disabled policy.Disabled // policies that are disabled
 	Log      hclog.Logger
@@ -144,8 +146,11 @@
 
 // New returns a Gateway with the given options.
 func New(o Options) *Gateway {
+	if o.AnswerMemory == nil {
+		o.AnswerMemory = limit.NewMemory(maxAnswerMemory)
+	}
 	return &Gateway{targets: o.Targets, view: o.View, config: o.Config, access: o.Access, quotas: o.Quotas, quarantine: o.Quarantine, origins: o.Origins, versions: o.Versions, prober: o.Prober, log: o.Log,
-		resumeLog: logging.NewRoutine(o.Log), answerMemory: limit.NewMemory(maxAnswerMemory),
+		resumeLog: logging.NewRoutine(o.Log), answerMemory: o.AnswerMemory,
 		sendLogs: newSendLogs(o.Log, o.Metrics), shedLog: logging.NewRoutine(o.Log), shareLog: logging.NewRoutine(o.Log),
 		reg: o.Metrics, costs: fleetview.NewCostRecorder(o.Log, o.Metrics), timeouts: shed.NewCallerTimeouts(), controllers: newControllers(o.Disabled)}
 }
--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -121,59 +121,61 @@
 
 // readBody reads the body of r. Errors as for ReadBody.
 func (c *Conn) readBody(r *http.Request, l BodyLimits) ([]byte, error) {
-	if r.ContentLength > l.MaxBytes {
-		return nil, errs.Newf(errs.BodyTooLarge, "the body of %d bytes is larger than %d bytes", r.ContentLength, l.MaxBytes)
+	data, err := readAll(r.Body, r.ContentLength, l.MaxBytes, func(n int64) error {
+		if n > knownBodyBytes {
+			c.widen()
+		}
+		return c.takeOf(r.Context(), c.body.memory, &c.body.held, n)
+	}, c.noteProgress)
+	if err != nil && errs.As(err).Type == errs.Internal { // of the connection
+		return nil, c.bodyError(err)
+	}
+	return data, err
+}
+
+// readAll reads r to its end. length is its length, negative if that is not known. It calls take before it allocates memory, with the
+// number of bytes, and with a negative number when it has given some up, and note after each read. Errors: errs.BodyTooLarge if
+// r has more than maxBytes, those of take, and those of r.
+func readAll(r io.Reader, length, maxBytes int64, take func(int64) error, note func(int)) ([]byte, error) {
+	if length > maxBytes {
+		return nil, errs.Newf(errs.BodyTooLarge, "the body of %d bytes is larger than %d bytes", length, maxBytes)
+	}
+	most, first := maxBytes, int64(firstBodyBytes)
+	if length >= 0 {
+		most, first = length, knownBodyBytes
 	}
 	var data []byte
 	for {
-		if len(data) == cap(data) {
-			grown, err := c.growBody(r, data, l.MaxBytes)
-			if err != nil {
+		if held := int64(cap(data)); len(data) == cap(data) && held < most {
+			size := min(most, max(first, bodyGrowth*held))
+			if err := take(size); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, size), data...)
+			if err := take(-held); err != nil {
 				return nil, err
 			}
-			data = grown
 		}
 		free := data[len(data):cap(data)]
 		var last [1]byte // the body has its stated or its largest length: only its end may follow
 		if len(free) == 0 {
 			free = last[:]
 		}
-		n, err := r.Body.Read(free)
-		switch {
-		case len(data)+n > cap(data):
-			return nil, errs.Newf(errs.BodyTooLarge, "the body is larger than %d bytes", l.MaxBytes)
-		case err == nil || err == io.EOF:
-			c.noteProgress(n)
-			data = data[:len(data)+n]
-			if err == io.EOF {
-				return data, nil
-			}
-		default:
-			return nil, c.bodyError(err)
+		n, err := r.Read(free)
+		if len(data)+n > cap(data) {
+			return nil, errs.Newf(errs.BodyTooLarge, "the body is larger than %d bytes", maxBytes)
+		}
+		data = data[:len(data)+n]
+		note(n)
+		if err == io.EOF {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 }
 
-// growBody returns a larger buffer with the same content; the same one if the body can't have more. Errors as for Account.take.
-func (c *Conn) growBody(r *http.Request, data []byte, maxBytes int64) ([]byte, error) {
-	most, size := maxBytes, int64(firstBodyBytes)
-	if r.ContentLength >= 0 {
-		most, size = r.ContentLength, knownBodyBytes
-	}
-	size = min(most, max(size, bodyGrowth*int64(cap(data))))
-	if size == int64(cap(data)) {
-		return data, nil
-	}
-	if size > knownBodyBytes {
-		c.widen()
-	}
-	if err := c.takeOf(r.Context(), c.body.memory, &c.body.held, size); err != nil {
-		return nil, err
-	}
-	grown := append(make([]byte, 0, size), data...)
-	return grown, c.takeOf(r.Context(), c.body.memory, &c.body.held, -int64(cap(data)))
-}
-
 // widen gives the connection a large receive buffer for the rest of the request if there is memory for it.
 func (c *Conn) widen() {
 	tcp, ok := c.Conn.(*net.TCPConn)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -101,7 +101,7 @@
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
 		ExpectedTime: expectedTimeMode(s), YieldsInOverload: s.YieldsInOverload, Sharing: sharingOptions(s),
 	})
-	host, err := inbound.NewHost(s.MemoryMB, s.Descriptors)
+	host, err := inbound.NewHost(s.Host.MemoryMB, s.Host.Descriptors)
 	if err != nil {
 		return nil, err
 	}
@@ -120,17 +120,17 @@
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.origins.SetHistory(g.watch)
-	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Rank: g.loadShare.Rank},
+	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Rank: g.loadShare.Rank, MaxJobBytes: func() int64 { return g.peers.maxJobBytes() }},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
-		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Versions: g.watch, Prober: targets, Disabled: s.Off,
+		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Versions: g.watch, Prober: targets, Disabled: s.Off, AnswerMemory: g.account.Answers(),
 		Log: logger.Named("online"), Metrics: reg,
 	})
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
 	peersLog := logger.Named("peers")
-	g.peers = &peerDirectory{store: g.storePaths, loadShare: g.loadShare, self: peerRecord{Domain: s.Host.Domain, Capacity: cpuCapacity(s)}, storeLink: dependency.NewLink(peersLog, "peer addresses"), log: peersLog}
+	g.peers = &peerDirectory{store: g.storePaths, loadShare: g.loadShare, self: peerRecord{Domain: s.Host.Domain, Capacity: cpuCapacity(s), MemoryBytes: host.MemoryBytes}, storeLink: dependency.NewLink(peersLog, "peer addresses"), log: peersLog}
 	g.registerGauges()
 	g.server = g.callers.NewServer(g.countRequests(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record}))
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -26,6 +26,7 @@
 	itemsMetric                 = "backlog.items"
 	itemsRunningMetric          = "backlog.items_running"
 	shardsMetric                = "backlog.shards"
+	jobBytesMetric              = "backlog.job_bytes"   // memory that all jobs take in this gateway
 	jobsAgeMetric               = "backlog.jobs_age_ms" // age of this gateway's copy of the state of jobs
 )
 
@@ -52,6 +53,7 @@
 		itemsMetric:                 func() int64 { return int64(g.jobs.Counts().Items) },
 		itemsRunningMetric:          func() int64 { return int64(g.jobs.Counts().RunningItems) },
 		shardsMetric:                func() int64 { return int64(g.jobs.Counts().Shards) },
+		jobBytesMetric:              func() int64 { return g.jobs.Counts().JobBytes },
 		jobsAgeMetric:               func() int64 { return g.jobs.Counts().JobStateAge.Milliseconds() },
 	} {
 		g.reg.GetOrRegister(name, metrics.NewFunctionalGauge(read))
--- a/internal/node/peerdirectory.go
+++ b/internal/node/peerdirectory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -35,12 +36,28 @@
 	self      peerRecord       // published for this gateway
 	storeLink *dependency.Link // tracks whether the store answers
 	log       hclog.Logger
+	// leastMemory is the memory of the smallest host of a gateway, in bytes.
+	leastMemory atomic.Int64
 }
 
 // peerRecord is the stored record of a gateway. Its key is the peer address of the gateway.
 type peerRecord struct {
 	Domain   structs.FailureDomain `cbor:"1,keyasint"`
 	Capacity fanout.Capacity       `cbor:"2,keyasint,omitempty"`
+	// MemoryBytes is the memory of the gateway's host; 0 if it is not known, as for earlier software versions.
+	MemoryBytes int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// jobMemoryShare is the share of the smallest host's memory for batch jobs, which every gateway keeps.
+const jobMemoryShare = 0.15
+
+// maxJobBytes returns how much memory all batch jobs may take in each gateway, in bytes.
+func (d *peerDirectory) maxJobBytes() int64 {
+	least := d.self.MemoryBytes
+	if others := d.leastMemory.Load(); others > 0 {
+		least = min(least, others)
+	}
+	return int64(jobMemoryShare * float64(least))
 }
 
 // run writes the address of this process once and reads those of the others at intervals, until ctx ends.
@@ -73,17 +90,22 @@
 
 // read adds all published gateways to the peers of loadShare.
 func (d *peerDirectory) read(ctx context.Context) error {
+	var leastMemory int64
 	_, err := platform.EachNewest(ctx, d.store, peerPartition, "", func(records []platform.StoredRecord) bool {
 		for _, r := range records {
 			var record peerRecord
 			if err := cbor.Unmarshal(r.Value, &record); err != nil {
 				d.log.Info("peer record can't be decoded; the peer reports its domain itself", "addr", r.Key, "error", err)
 			}
+			if record.MemoryBytes > 0 && (leastMemory == 0 || record.MemoryBytes < leastMemory) {
+				leastMemory = record.MemoryBytes
+			}
 			d.loadShare.AddPeer(r.Key, string(record.Domain), record.Capacity)
 		}
 		return true
 	})
 	if err == nil {
+		d.leastMemory.Store(leastMemory)
 		d.loadShare.MarkPeersListed()
 	}
 	return err
--- a/internal/settings/gateway_table.go
+++ b/internal/settings/gateway_table.go
@@ -22,10 +22,6 @@
 
 	CPUShare float64 // of each of Cores that the process may use, 0 to 1
 	Cores    int
-	// MemoryMB is the memory of the host that the process may use, in MB (10^6 bytes); 0 if the settings do not say.
-	MemoryMB int
-	// Descriptors is how many descriptors the process may have open; 0 if the settings do not say.
-	Descriptors int
 
 	StoreAddr string          // IP:port of the platform's store
 	Shards    int             // partitions of a topic of the store, which are the shards of the backlog
@@ -93,12 +89,6 @@
 		{section: "host", key: "cores", unit: "number", def: "1",
 			field: integer(1, 1024, func(g *Gateway) *int { return &g.Cores }),
 			doc:   "cores of the host"},
-		{section: "host", key: "memory", unit: "MB", def: "0",
-			field: integer(0, 1<<30, func(g *Gateway) *int { return &g.MemoryMB }),
-			doc:   "memory of the host that the process may use, in units of 10^6 bytes; 0 takes what the system reports"},
-		{section: "host", key: "descriptors", unit: "number", def: "0",
-			field: integer(0, 1<<30, func(g *Gateway) *int { return &g.Descriptors }),
-			doc:   "descriptors that the process may have open; 0 takes the limit that the system reports"},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,10 @@
 	ID     structs.HostID
 	Domain structs.FailureDomain
 	Region structs.Region
+	// MemoryMB is the memory of the host that the process may use, in MB (10^6 bytes); 0 if the settings do not say.
+	MemoryMB int
+	// Descriptors is how many descriptors the process may have open; 0 if the settings do not say.
+	Descriptors int
 }
 
 // Logs is the [log] section.
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -61,6 +61,12 @@
 		{section: "host", key: "region", unit: "name",
 			field: name(func(t *T) *structs.Region { return &get(t).Region }),
 			doc:   "region of the failure domain"},
+		{section: "host", key: "memory", unit: "MB", def: "0",
+			field: integer(0, 1<<30, func(t *T) *int { return &get(t).MemoryMB }),
+			doc:   "memory of the host that the process may use, in units of 10^6 bytes, from which follows what clients may hold; 0 takes what the system reports, at most 1000"},
+		{section: "host", key: "descriptors", unit: "number", def: "0",
+			field: integer(0, 1<<30, func(t *T) *int { return &get(t).Descriptors }),
+			doc:   "descriptors that the process may have open, from which follows how many connections clients may have; 0 takes the limit that the system reports, at most 16384"},
 	}
 }
 
