logging: a line as long as a client's words is cut

Cause: lines hold ids, paths and errors with words of clients, up to a head's size and six times that in JSON; the queue counts bytes but took a line of any length. Change: a line above 16 KiB is written as a line of its own kind with its length and its first 2 KiB. TestALineOfAClientsWordsIsCut (12 MB before).

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -1,8 +1,10 @@
 package logging
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,10 @@
 	// queuedBytes bounds the same lines in bytes: most have about 400, but that of a request that was sent
 	// to many targets has 2 KB.
 	queuedBytes = 4 << 20
+	// maxLineBytes is the length of the longest line that is written whole, in bytes, cutLineBytes that of the begin of a longer
+	// one.
+	maxLineBytes = 16 << 10
+	cutLineBytes = 2 << 10
 	// routineShare of the queue is open to lines below warn: a reader that stalls must not cost
 	// the lines of failures for those of requests that went well.
 	routineShare = 0.5
@@ -65,16 +71,31 @@
 		a.leaveOut()
 		return len(p), nil
 	}
-	a.bytes.Add(int64(len(p)))
+	line := cut(p)
+	a.bytes.Add(int64(len(line)))
 	select {
-	case a.lines <- queued{line: append([]byte(nil), p...)}:
+	case a.lines <- queued{line: append([]byte(nil), line...)}:
 	default:
-		a.bytes.Add(-int64(len(p)))
+		a.bytes.Add(-int64(len(line)))
 		a.leaveOut()
 	}
 	return len(p), nil
 }
 
+// cut returns a line, or its begin in a line that is marked as cut if it is longer than maxLineBytes: it holds words of
+// clients, which may be as long as the head of a request.
+func cut(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return line
+	}
+	begin := strings.ToValidUTF8(string(line[:cutLineBytes]), "")
+	short, err := json.Marshal(map[string]any{"@level": "warn", "@message": "line cut", "bytes": len(line), "begin": begin})
+	if err != nil {
+		return nil // strings and numbers can always be encoded
+	}
+	return append(short, '\n')
+}
+
 // leaveOut counts a line that is left out.
 func (a *Async) leaveOut() {
 	a.total.Add(1)
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -154,3 +154,24 @@
 		t.Errorf("the next line does not say %s", want)
 	}
 }
+
+// Guards against lines as long as what a client has sent: they are cut, and stay whole lines of JSON.
+func TestALineOfAClientsWordsIsCut(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	log := New("p", settings.Logs{Level: "info", JSON: true}, a)
+	log.Info("request", "id", strings.Repeat("\u00e9\"", 1<<20))
+	log.Info("request", "id", "short")
+	if !a.Flush(time.Minute) {
+		t.Fatal("the lines were not written within a minute")
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 2 || len(lines[0]) > maxLineBytes || !strings.Contains(lines[0], `"@message":"line cut"`) || !strings.Contains(lines[1], "short") {
+		t.Fatalf("%d lines, the first of %d bytes; want a cut line and a whole one", len(lines), len(lines[0]))
+	}
+	for _, line := range lines {
+		if !json.Valid([]byte(line)) {
+			t.Errorf("%q is not JSON", line)
+		}
+	}
+}
