entry, side: connections and bodies take from an account

Cause: the entry allocated a body of the length that a caller states before a byte of it came, and nothing bounded the sum of bodies or the number of connections at any listener; a status listener took bodies and had no time limit at a side.

Change: [host] memory and descriptors as at a gateway. Connections at all listeners count; a body is read as at a gateway and held until the request is answered. Listeners for operators take 16 connections each at an entry, 64 at a side, and status listeners no bodies. Heads were bounded before (fasthttp's buffer of 4 KiB). By reading and by the packages' tests; no crowd was run against these processes. Bodies between entries (64 MiB) are read before their proof is checked, as before.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -13,36 +13,19 @@
 // the reason.
 const maxDiscard = 16 << 20
 
+// holdKey is the user value of a request that holds its memory. The server closes it with the request.
+const holdKey = "hold"
+
 // readBody takes the request's body out of ctx, so that it may outlive the
-// request's buffers. Errors: errs.BodyTooLarge, errs.BadRequest.
-func readBody(ctx *fasthttp.RequestCtx, limit int) ([]byte, *errs.Error) {
-	size := ctx.Request.Header.ContentLength()
-	if size > limit {
-		return nil, tooLarge(limit)
-	}
+// request's buffers. Errors: errs.BodyTooLarge, errs.ProcessFull, errs.BadRequest.
+func (e *Entry) readBody(ctx *fasthttp.RequestCtx) ([]byte, *errs.Error) {
+	hold := e.account.NewHold()
+	ctx.SetUserValue(holdKey, hold)
 	if !ctx.Request.IsBodyStream() {
 		return ctx.Request.SwapBody(nil), nil
 	}
-	stream := ctx.RequestBodyStream()
-	if size >= 0 {
-		body := make([]byte, size)
-		if _, err := io.ReadFull(stream, body); err != nil {
-			return nil, brokenBody(err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
-	if err != nil {
-		return nil, brokenBody(err)
-	}
-	if len(body) > limit {
-		return nil, tooLarge(limit)
-	}
-	return body, nil
-}
-
-func brokenBody(err error) *errs.Error {
-	return errs.Newf(errs.BadRequest, "the body broke off: %v", err)
+	body, err := hold.ReadBody(ctx, ctx.RequestBodyStream(), int64(ctx.Request.Header.ContentLength()), int64(e.set.MaxBody))
+	return body, errs.As(err)
 }
 
 func tooLarge(limit int) *errs.Error {
--- a/internal/entry/classify.go
+++ b/internal/entry/classify.go
@@ -70,7 +70,7 @@
 	c.method = fasthttp.MethodPost
 	c.path = path
 	var err *errs.Error
-	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+	if c.body, err = e.readBody(ctx); err != nil {
 		return err
 	}
 	g, err := parseGenerate(c.body, path == pathChat)
@@ -135,7 +135,7 @@
 	c.path = path
 	c.headers = serviceHeaders(&ctx.Request.Header)
 	var err *errs.Error
-	if c.body, err = readBody(ctx, e.set.MaxBody); err != nil {
+	if c.body, err = e.readBody(ctx); err != nil {
 		return err
 	}
 	c.nonIdempotent = isNonIdempotent(svc, configured, c.method)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -24,6 +25,7 @@
 	"arbutusramp/core/limit"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/inbound"
 	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
@@ -67,6 +69,8 @@
 	rec     *recorder
 	// quarantine is asked before each attempt.
 	quarantine Quarantine
+	// account divides the memory and the descriptors of the process between its clients.
+	account *inbound.Account
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -105,8 +109,13 @@
 	if err != nil {
 		return nil, err
 	}
+	host, err := inbound.NewHost(o.Settings.Host.MemoryMB, o.Settings.Host.Descriptors)
+	if err != nil {
+		return nil, errs.Newf(errs.BadSettings, "%v", err)
+	}
 	e := &Entry{
-		set: o.Settings, log: o.Logger, metrics: o.Metrics, now: o.Clock,
+		account: inbound.NewAccount(host, o.Logger.Named("inbound"), o.Metrics),
+		set:     o.Settings, log: o.Logger, metrics: o.Metrics, now: o.Clock,
 		config: o.Config, parts: o.Parts, policy: policy,
 		keys:       workspaceKeys{source: o.Config},
 		secrets:    o.Keys,
@@ -142,30 +151,31 @@
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callers, err = listenTLS(e.set.CallerAddr, e.secrets.CallerTLS()); err != nil {
+	if e.callers, err = e.listenTLS(e.set.CallerAddr, e.secrets.CallerTLS()); err != nil {
 		return err
 	}
-	if e.admin, err = listenTLS(e.set.AdminAddr, e.secrets.AdminTLS()); err != nil {
+	if e.admin, err = e.listenTLS(e.set.AdminAddr, e.secrets.AdminTLS()); err != nil {
 		return err
 	}
-	if e.peers, err = listen(e.set.PeerAddr); err != nil {
+	if e.peers, err = e.listenOn(e.set.PeerAddr); err != nil {
 		return err
 	}
-	e.statuses, err = listen(e.set.StatusAddr)
+	e.statuses, err = e.listenOn(e.set.StatusAddr)
 	return err
 }
 
-func listen(addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+// listenOn listens on a TCP address; the connections count in the account.
+func (e *Entry) listenOn(addr string) (net.Listener, error) {
+	ln, err := inbound.Listen(context.Background(), addr)
 	if err != nil {
 		return nil, errs.Newf(errs.BadSettings, "listen on %q: %v", addr, err)
 	}
-	return ln, nil
+	return e.account.Count(ln), nil
 }
 
 // listenTLS serves plain TCP without a config.
-func listenTLS(addr string, config *tls.Config) (net.Listener, error) {
-	ln, err := listen(addr)
+func (e *Entry) listenTLS(addr string, config *tls.Config) (net.Listener, error) {
+	ln, err := e.listenOn(addr)
 	if err != nil || config == nil {
 		return ln, err
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -25,6 +25,9 @@
 	// needs a moment to see that it is not ready.
 	stopGrace = 2 * time.Second
 	drainPoll = 20 * time.Millisecond
+	// operatorConnections bounds the connections to each of the listeners for operators, whose requests are read whole before their
+	// key is checked.
+	operatorConnections = 16
 )
 
 // Run serves until ctx is cancelled. Then the entry is not ready at once, takes new requests for
@@ -75,7 +78,10 @@
 	e.callerServer.StreamRequestBody = true
 	e.adminServer = e.newServer(e.serveAdmin)
 	e.adminServer.MaxRequestBodySize = e.set.MaxBody
+	e.adminServer.Concurrency = operatorConnections
 	e.statusServer = e.newServer(telemetry.Handler(e.metrics, e.notReady))
+	e.statusServer.GetOnly = true
+	e.statusServer.Concurrency = operatorConnections
 }
 
 func (e *Entry) newServer(h fasthttp.RequestHandler) *fasthttp.Server {
--- a/internal/session/server.go
+++ b/internal/session/server.go
@@ -40,6 +40,7 @@
 	http := &fasthttp.Server{
 		Handler:               s.upgrade,
 		ReadTimeout:           handshakeTimeout,
+		GetOnly:               true, // a handshake has no body
 		NoDefaultServerHeader: true,
 		Logger:                quiet{},
 	}
--- a/internal/side/side.go
+++ b/internal/side/side.go
@@ -18,6 +18,7 @@
 	"arbutusramp/core/platform"
 	"arbutusramp/core/sleep"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/inbound"
 	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/session"
 	"arbutusramp/internal/settings"
@@ -148,16 +149,21 @@
 }
 
 func (s *Side) listen() error {
-	ln, err := net.Listen("tcp", s.o.Settings.SessionAddr)
+	host, err := inbound.NewHost(s.o.Settings.Host.MemoryMB, s.o.Settings.Host.Descriptors)
+	if err != nil {
+		return errs.Newf(errs.BadSettings, "%v", err)
+	}
+	account := inbound.NewAccount(host, s.log.Named("inbound"), s.metrics.registry)
+	ln, err := net.Listen("tcp", s.o.Settings.SessionAddr) // sessions have large windows
 	if err != nil {
 		return errs.Newf(errs.BadSettings, "listen for sessions: %v", err)
 	}
-	statusLn, err := net.Listen("tcp", s.o.Settings.StatusAddr)
+	statusLn, err := inbound.Listen(context.Background(), s.o.Settings.StatusAddr)
 	if err != nil {
 		ln.Close()
 		return errs.Newf(errs.BadSettings, "listen for status: %v", err)
 	}
-	s.ln, s.statusLn = ln, statusLn
+	s.ln, s.statusLn = account.Count(ln), account.Count(statusLn)
 	return nil
 }
 
--- a/internal/side/status.go
+++ b/internal/side/status.go
@@ -1,6 +1,8 @@
 package side
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
@@ -33,6 +35,14 @@
 	}
 }
 
+const (
+	// statusConnections bounds the connections to the listener for readiness checks and metrics, statusReadTime the time for a
+	// request and statusIdleTime that between two.
+	statusConnections = 64
+	statusReadTime    = 5 * time.Second
+	statusIdleTime    = 90 * time.Second
+)
+
 func (s *Side) serveStatus() *fasthttp.Server {
 	gauge := func(name string, f func() int64) {
 		// A second side of one process keeps the first one's gauge.
@@ -44,7 +54,10 @@
 	gauge("limit", func() int64 { return int64(s.queue.load().Limit) })
 	gauge("sessions", func() int64 { return int64(len(s.peers.all())) })
 	gauge("config_version", func() int64 { return int64(s.config.version()) })
-	server := &fasthttp.Server{Handler: telemetry.Handler(s.metrics.registry, s.notReady), NoDefaultServerHeader: true}
+	server := &fasthttp.Server{
+		Handler: telemetry.Handler(s.metrics.registry, s.notReady), NoDefaultServerHeader: true,
+		GetOnly: true, Concurrency: statusConnections, ReadTimeout: statusReadTime, IdleTimeout: statusIdleTime,
+	}
 	go func() {
 		if err := server.Serve(s.statusLn); err != nil {
 			s.log.Warn("status listener failed", "error", err)
