inbound: room is made at the listener that has too few connections

Change: the account makes room among all listeners, a listener's own bound among its own connections. TestRoomIsMadeWhereItIsScarce is red without it.

--- a/internal/inbound/account.go
+++ b/internal/inbound/account.go
@@ -158,10 +158,10 @@
 // hold n bytes together. It reports true if there are such clients, also if they have been ended before and hold something
 // still.
 func (a *Account) relieve(n int64) bool {
-	list, isNew := a.listWaiting(func(w waiting) bool { return w.held >= minEndedBytes })
-	if !isNew {
+	if !a.mayScan() {
 		return true // the last look was a moment ago
 	}
+	list := listWaiting(a.all(), func(w waiting) bool { return w.held >= minEndedBytes })
 	slices.SortFunc(list, func(x, y waiting) int { return cmp.Compare(y.cost(), x.cost()) })
 	var sum int64
 	for _, w := range list {
@@ -174,33 +174,41 @@
 	return len(list) > 0
 }
 
-// makeRoom ends the connections that have kept the process waiting for longest, if any have for stillTime, once there are nearly as
-// many as there may be.
-func (a *Account) makeRoom(open, most int) {
-	if float64(open) < pressureShare*float64(most) {
+// makeRoom ends those of the listeners' connections that have kept the process waiting for longest, if any have for stillTime, once
+// there are nearly as many open as there may be.
+func (a *Account) makeRoom(open, most int, listeners []*Listener) {
+	if float64(open) < pressureShare*float64(most) || !a.mayScan() {
 		return
 	}
-	list, _ := a.listWaiting(func(waiting) bool { return true })
+	list := listWaiting(listeners, func(waiting) bool { return true })
 	slices.SortFunc(list, func(x, y waiting) int { return cmp.Compare(y.time, x.time) })
 	for _, w := range list[:min(len(list), 1+int(endedShare*float64(most)))] {
 		w.conn.end(w)
 	}
 }
 
-// listWaiting returns the clients that have kept the process waiting for stillTime and that isWanted admits. isNew is false if the
-// last look was less than scanInterval ago.
-func (a *Account) listWaiting(isWanted func(waiting) bool) (list []waiting, isNew bool) {
-	now := time.Now()
+// all returns the listeners of the account.
+func (a *Account) all() []*Listener {
 	a.mu.Lock()
-	listeners := a.listeners
-	isNew = now.Sub(a.scannedAt) >= scanInterval
-	if isNew {
-		a.scannedAt = now
-	}
-	a.mu.Unlock()
-	if !isNew {
-		return nil, false
+	defer a.mu.Unlock()
+	return a.listeners
+}
+
+// mayScan reports whether the last look at all connections was scanInterval ago, and if so counts one now.
+func (a *Account) mayScan() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if now.Sub(a.scannedAt) < scanInterval {
+		return false
 	}
+	a.scannedAt = now
+	return true
+}
+
+// listWaiting returns the clients of listeners that have kept the process waiting for stillTime and that isWanted admits.
+func listWaiting(listeners []*Listener, isWanted func(waiting) bool) (list []waiting) {
+	now := time.Now()
 	for _, l := range listeners {
 		for _, c := range l.list() {
 			if w := c.waiting(now); w.time >= stillTime && isWanted(w) {
@@ -208,5 +216,5 @@
 			}
 		}
 	}
-	return list, true
+	return list
 }
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -320,6 +320,36 @@
 	})
 }
 
+// Guards against connections that are closed for the sake of another listener, which has few of its own.
+func TestRoomIsMadeWhereItIsScarce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench(t, smallHost, echo)
+		few := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
+		o := b.listener.o
+		o.MaxConnections = 4
+		probes := &bench{listener: NewListener(few, o), pipes: few}
+		server := probes.listener.NewServer(http.HandlerFunc(echo))
+		go func() { _ = server.Serve(probes.listener) }() // until the test closes it
+		defer server.Close()
+		var idle []*client
+		for range 2 * o.MaxConnections {
+			c := b.dial()
+			c.send(request("/", 2, "ok"))
+			idle = append(idle, c)
+		}
+		time.Sleep(testLimits.IdleTime * 4 / 5)
+		for range 3 * o.MaxConnections {
+			probes.dial()
+			time.Sleep(2 * scanInterval)
+		}
+		for _, c := range idle {
+			if c.send(request("/", 2, "ok")); c.hasEnded() {
+				t.Fatal("a connection was closed within its limits, with room for many")
+			}
+		}
+	})
+}
+
 // Guards against bodies that are read wrongly at the sizes where the buffer grows.
 func TestBodyIsReadWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -123,13 +123,14 @@
 // admit returns the connection if there is room for it, else nil.
 func (l *Listener) admit(inner net.Conn) *Conn {
 	a := l.o.Account
-	most := int(a.connections.Max())
-	if l.o.MaxConnections > 0 {
-		most = min(most, l.o.MaxConnections)
+	a.makeRoom(int(a.connections.Held()), int(a.connections.Max()), a.all())
+	if most := l.o.MaxConnections; most > 0 {
+		a.makeRoom(l.count(), most, []*Listener{l})
+		if l.count() >= most {
+			return nil
+		}
 	}
-	open := l.count()
-	a.makeRoom(max(open, int(a.connections.Held())), most)
-	if open >= most || !a.connections.Take(1) {
+	if !a.connections.Take(1) {
 		return nil
 	}
 	c := &Conn{Conn: inner, listener: l, requests: a.requests}
