backlog: what long texts of items take follows from the host's memory

Cause: the bound of 24 MiB for texts beyond their expected length was the same on a host of 112 MB and on one of 536 MB. Change: 0.08 of the host's memory, 24 MiB at most. The texts come from targets, not from clients: the bound stands beside the account of requests, whose shares leave room for it.

--- a/internal/backlog/bounds.go
+++ b/internal/backlog/bounds.go
@@ -26,8 +26,8 @@
 	// plainBytesPerToken and minPlainText give the length up to which a text takes nothing from excessTextBudget.
 	plainBytesPerToken = 1 << 10
 	minPlainText       = 256 << 10
-	// excessTextBudget bounds what the texts of all items of the process have beyond that, in bytes: a host has 160 MB, and
-	// targets that send without end may run many items at once.
+	// excessTextBudget bounds what the texts of all items of the process have beyond that if the options do not bound it
+	// further, in bytes: targets that send without end may run many items at once.
 	excessTextBudget = 24 << 20
 	// excessTextStep is how much a text grows between two checks of excessTextBudget, in bytes.
 	excessTextStep = 64 << 10
@@ -85,6 +85,14 @@
 	return sum
 }
 
+// maxExcessText returns the bound of what the texts of all items have beyond plainText, in bytes.
+func (m *Manager) maxExcessText() int {
+	if most := m.opts.MaxExcessText; most > 0 {
+		return min(most, excessTextBudget)
+	}
+	return excessTextBudget
+}
+
 // checkText returns an error of type errs.AnswerTooLarge if the text of a task, to which added bytes have just been added,
 // exceeds its bound, or takes more memory than is left for texts of its kind.
 func (m *Manager) checkText(t *task, added int) error {
@@ -100,7 +108,7 @@
 	case size <= plainText(item) || size/excessTextStep == (size-added)/excessTextStep:
 		return nil
 	}
-	if excess := m.scheduler.excessText(); excess > excessTextBudget {
+	if excess := m.scheduler.excessText(); excess > m.maxExcessText() {
 		return errs.Newf(errs.AnswerTooLarge, "the text of an item with %d tokens has %d bytes, and all long texts %d bytes more than expected", outputTokens(item), size, excess)
 	}
 	return nil
--- a/internal/backlog/manager.go
+++ b/internal/backlog/manager.go
@@ -51,6 +51,9 @@
 	Rank func() (rank int, isKnown bool)
 	// MaxJobBytes returns how much memory all jobs may take in each process, in bytes; nil if that is not bounded.
 	MaxJobBytes func() int64
+	// MaxExcessText bounds what the texts of all running items may have beyond their expected length, in bytes; 0 for the
+	// largest bound.
+	MaxExcessText int
 }
 
 // Manager accepts, runs and returns batch jobs in one process. Use New to create one. Lock order: scheduler or
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -56,6 +56,9 @@
 	// separately, which costs one call for the reader and one for the owner of the text. Reading 512 KiB takes
 	// as much time on the link of the store as these two calls.
 	inlineReadBytes = 512 << 10
+
+	// textMemoryShare is the share of the host's memory for what the texts of batch items have beyond their expected length.
+	textMemoryShare = 0.08
 )
 
 // Gateway is a gateway process. It serves the online requests and batch jobs of callers on the users' platform.
@@ -120,7 +123,7 @@
 		Clock: bootclock.Now, Log: logger.Named("watch"),
 	})
 	g.origins.SetHistory(g.watch)
-	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Rank: g.loadShare.Rank, MaxJobBytes: func() int64 { return g.peers.maxJobBytes() }},
+	g.jobs = backlog.New(backlog.Options{MemberID: self, Shards: s.Shards, MinTTL: s.MinTTL, KeepFor: s.Keep, MaxInlineReadBytes: inlineReadBytes, Disabled: s.Off, Rank: g.loadShare.Rank, MaxJobBytes: func() int64 { return g.peers.maxJobBytes() }, MaxExcessText: int(textMemoryShare * float64(host.MemoryBytes))},
 		g.storePaths, targets, view, g.watch, logger.Named("backlog"), reg)
 	online := gateway.New(gateway.Options{
 		Targets: targets, View: view, Config: g.watch, Access: g.watch, Quotas: g.quotas, Quarantine: g.quarantine, Origins: g.origins, Versions: g.watch, Prober: targets, Disabled: s.Off, AnswerMemory: g.account.Answers(),
