inbound: the rest of a rejected request's body may take 5 s

Cause (by reading): a body on a slow link that arrives more than a second after its request was rejected was reset with the answer. Connections that wait for it make room under pressure like others.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -22,7 +22,7 @@
 	// headGrace is by how much the arrival of a head may exceed its time limit: the network has a part in it.
 	headGrace = 500 * time.Millisecond
 	// restTime is how long the rest of a request's body is read and discarded after its answer.
-	restTime = time.Second
+	restTime = 5 * time.Second
 	// progressBytes is how much of a body must arrive for its client to count as moving, in bytes.
 	progressBytes = 16 << 10
 )
