inbound: a workspace that uses up its share has only its own uploads ended

Cause (by reading): when the part of one workspace was full, the clients that had waited for longest were ended, whoever they were, though the account had room.

--- a/internal/inbound/account.go
+++ b/internal/inbound/account.go
@@ -130,7 +130,11 @@
 	if held+n > m.Max() {
 		return errs.Newf(errs.BodyTooLarge, "the request takes %d bytes of memory, this process has %d for one", held+n, m.Max())
 	}
-	for until := time.Now().Add(reliefWait); a.relieve(n) && time.Now().Before(until); {
+	var only *limit.Memory
+	if a.requests.Held()+n <= a.requests.Max() {
+		only = m // a part of its own is used up
+	}
+	for until := time.Now().Add(reliefWait); a.relieve(n, only) && time.Now().Before(until); {
 		if !sleep.For(ctx, reliefPoll) {
 			break
 		}
@@ -155,13 +159,13 @@
 }
 
 // relieve ends clients that have kept the process waiting for stillTime, those first that hold most for longest, until they
-// hold n bytes together. It reports true if there are such clients, also if they have been ended before and hold something
-// still.
-func (a *Account) relieve(n int64) bool {
+// hold n bytes together; of those whose bodies are held in only, unless it is nil. It reports true if there are such clients, also if
+// they have been ended before and hold something still.
+func (a *Account) relieve(n int64, only *limit.Memory) bool {
 	if !a.mayScan() {
 		return true // the last look was a moment ago
 	}
-	list := listWaiting(a.all(), func(w waiting) bool { return w.held >= minEndedBytes })
+	list := listWaiting(a.all(), func(w waiting) bool { return w.held >= minEndedBytes && (only == nil || w.memory == only) })
 	slices.SortFunc(list, func(x, y waiting) int { return cmp.Compare(y.cost(), x.cost()) })
 	var sum int64
 	for _, w := range list {
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -291,6 +291,8 @@
 	phase phase
 	time  time.Duration // how long it has waited; 0 if it does not wait
 	held  int64         // bytes
+	// memory is that from which its body is held; nil without one.
+	memory *limit.Memory
 }
 
 // cost returns what the client has held for how long, in bytes times milliseconds.
@@ -304,7 +306,7 @@
 	if c.waitsSince.IsZero() || c.isClosed {
 		return waiting{}
 	}
-	w := waiting{conn: c, phase: c.phase, time: now.Sub(c.waitsSince), held: c.held + c.body.held}
+	w := waiting{conn: c, phase: c.phase, time: now.Sub(c.waitsSince), held: c.held + c.body.held, memory: c.body.memory}
 	if c.phase == phaseIdle && c.hasServed {
 		w.time -= c.listener.o.Limits().IdleTime / 2
 	}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -288,6 +288,35 @@
 	})
 }
 
+// Guards against a workspace that uses up its share and so has uploads of others ended, though there is room for them.
+func TestWorkspaceBeyondItsShareEndsItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := startBench(t, smallHost, echo)
+		const size = 4 << 20
+		other := b.dial()
+		other.send(request("/other", size, strings.Repeat("x", size-1)))
+		time.Sleep(stillTime)
+		var clients []*client
+		for range 4 {
+			c := b.dial()
+			c.send(request("/loud", size, strings.Repeat("x", size-1)))
+			clients = append(clients, c)
+		}
+		time.Sleep(2 * stillTime)
+		last := b.dial()
+		last.send(request("/loud", size, strings.Repeat("x", size)))
+		time.Sleep(reliefWait)
+		if other.send("x"); other.status() != http.StatusOK || last.status() != http.StatusOK {
+			t.Errorf("status %d of another workspace's upload, %d of the loud one's last; want 200 and 200", other.status(), last.status())
+		}
+		for _, c := range append(clients, other, last) {
+			c.Close()
+		}
+		time.Sleep(rejectTime + restTime)
+		b.checkFree(t)
+	})
+}
+
 // Guards against connections that keep all others out: those that keep the process waiting make room, and those that are kept
 // between requests stay.
 func TestConnectionsMakeRoom(t *testing.T) {
