--- a/internal/inbound/body.go
+++ b/internal/inbound/body.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// firstBodyBytes is the size with which the buffer of a body begins if its length is larger or not known, bodyGrowth the
-	// factor by which it grows. The buffer that it outgrows is held until its content is copied.
+	// firstBodyBytes is the size with which the buffer of a body begins if its length is not known, knownBodyBytes if it is known
+	// and larger. bodyGrowth is the factor by which the buffer grows; the one that it outgrows is held until its content is copied.
 	firstBodyBytes = 4 << 10
 	knownBodyBytes = 64 << 10
 	bodyGrowth     = 4
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -44,7 +44,6 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-
 	requests *limit.Memory // of the account
 
 	mu       sync.Mutex // guards all below
