inbound: the reason of an ended client is read under its lock

What callers saw: a request that has a still client ended could be broken off in place of served: between the end and its log line the ended client's handler could finish and clear the reason, and the line panicked on it (net/http recovers the panic and closes the connection of the request that was to be served). Cause: Conn.end read endedBy after it had given up the lock.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -320,12 +320,13 @@
 		c.mu.Unlock()
 		return
 	}
-	c.endedBy = errProcessFull("room")
+	reason := errProcessFull("room")
+	c.endedBy = reason
 	c.isDropped = c.phase == phaseIdle
 	isReading := c.phase == phaseHead || c.body.isReading
 	c.applyDeadline()
 	c.mu.Unlock()
-	c.listener.note(c, "client ended", c.endedBy, "phase", w.phase.String(), "waited_ms", w.time.Milliseconds(), "client_bytes", w.held)
+	c.listener.note(c, "client ended", reason, "phase", w.phase.String(), "waited_ms", w.time.Milliseconds(), "client_bytes", w.held)
 	if !isReading {
 		_ = c.Close() // the client may have closed it already
 	}
