--- a/core/errs/errs.go
+++ b/core/errs/errs.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -120,6 +121,14 @@
 	return &c
 }
 
+// RetryAfter returns the time to come back as a value of the header Retry-After, in seconds; empty if coming back does not help.
+func (e *Error) RetryAfter() string {
+	if e.RetryAfterMs <= 0 {
+		return ""
+	}
+	return strconv.FormatFloat(float64(e.RetryAfterMs)/1000, 'f', 3, 64)
+}
+
 // WithLine returns a copy of e that names line n of a job's file.
 func (e *Error) WithLine(n int) *Error {
 	c := *e
--- a/core/jsonshape/jsonshape.go
+++ b/core/jsonshape/jsonshape.go
@@ -14,8 +14,8 @@
 	Strings  int // in the whole text
 }
 
-// maxEscapedBytes is the largest number of bytes of JSON that stand for one byte of a string.
-const maxEscapedBytes = 6
+// MaxEscapedBytes is the largest number of bytes of JSON that stand for one byte of a string.
+const MaxEscapedBytes = 6
 
 // Measure returns the shape of the object in text, with the list under a key of ASCII letters, without decoding it. It reads valid
 // JSON only as encoding/json does; of other texts the result has no meaning, and the decoder rejects them.
@@ -69,5 +69,5 @@
 // isKey reports whether the decoder takes a JSON string for the key. It ignores case.
 func isKey(quoted []byte, key string) bool {
 	var got string
-	return len(quoted) <= len(`""`)+maxEscapedBytes*len(key) && json.Unmarshal(quoted, &got) == nil && strings.EqualFold(got, key)
+	return len(quoted) <= len(`""`)+MaxEscapedBytes*len(key) && json.Unmarshal(quoted, &got) == nil && strings.EqualFold(got, key)
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"arbutusramp/internal/hangup"
-	"arbutusramp/internal/inbound"
 	"arbutusramp/internal/logging"
 	"arbutusramp/internal/node"
 	"arbutusramp/internal/settings"
@@ -61,17 +60,12 @@
 	logger := logging.New("gateway", s.Logs, out)
 	log.SetFlags(0)
 	log.SetOutput(logging.NewLibraryWriter(logger))
-	host, err := inbound.NewHost(s.Host.MemoryMB, s.Host.Descriptors)
-	if err != nil {
-		logger.Error("not started", "error", err)
-		return err
-	}
-	debug.SetMemoryLimit(host.RuntimeBytes())
 	g, err := node.NewGateway(s, logger, reg)
 	if err != nil {
 		logger.Error("not started", "error", err)
 		return err
 	}
+	debug.SetMemoryLimit(g.RuntimeBytes())
 	go reloadOn(ctx, hangup.Signals(), node.NewGatewayReloader(path, s, logger).Reload)
 	return g.Run(ctx)
 }
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -19,11 +19,11 @@
 // readBody takes the request's body out of ctx, so that it may outlive the
 // request's buffers. Errors: errs.BodyTooLarge, errs.ProcessFull, errs.BadRequest.
 func (e *Entry) readBody(ctx *fasthttp.RequestCtx) ([]byte, *errs.Error) {
-	hold := e.account.NewHold()
-	ctx.SetUserValue(holdKey, hold)
 	if !ctx.Request.IsBodyStream() {
 		return ctx.Request.SwapBody(nil), nil
 	}
+	hold := e.account.NewHold()
+	ctx.SetUserValue(holdKey, hold)
 	body, err := hold.ReadBody(ctx, ctx.RequestBodyStream(), int64(ctx.Request.Header.ContentLength()), int64(e.set.MaxBody))
 	return body, errs.As(err)
 }
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -136,10 +136,11 @@
 	} else {
 		c.meter.add(p[:n])
 		need := c.meter.cost() - c.held
-		isTooLarge := c.meter.size > min(c.listener.o.Limits().MaxHeadBytes, maxHeadBytes)+headSlack
+		maxBytes := min(c.listener.o.Limits().MaxHeadBytes, maxHeadBytes)
+		isTooLarge := c.meter.size > maxBytes+headSlack
 		c.mu.Unlock()
 		if isTooLarge {
-			err = errs.Newf(errs.HeadTooLarge, "the head of the request is larger than %d bytes", c.listener.o.Limits().MaxHeadBytes)
+			err = errs.Newf(errs.HeadTooLarge, "the head of the request is larger than %d bytes", maxBytes)
 		} else if takeErr := c.take(context.Background(), need); takeErr != nil {
 			err = takeErr
 		}
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -48,15 +48,15 @@
 func (p *pipes) Close() error   { p.once.Do(func() { close(p.done) }); return nil }
 func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
-// bench is a server with its clients in a bubble.
-type bench struct {
+// testServer is a server with its clients in a bubble.
+type testServer struct {
 	listener *Listener
 	pipes    *pipes
 }
 
-// startBench serves h on a host of the given memory.
-func startBench(t *testing.T, memory int64, h http.HandlerFunc) *bench {
-	b := &bench{pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}}
+// startServer serves h on a host of the given memory.
+func startServer(t *testing.T, memory int64, h http.HandlerFunc) *testServer {
+	b := &testServer{pipes: &pipes{conns: make(chan net.Conn), done: make(chan struct{})}}
 	b.listener = newTestListener(b.pipes, Host{MemoryBytes: memory, Descriptors: 1000})
 	server := b.listener.NewServer(h)
 	go func() { _ = server.Serve(b.listener) }() // until the test closes it
@@ -72,7 +72,7 @@
 	ended  bool
 }
 
-func (b *bench) dial() *client {
+func (b *testServer) dial() *client {
 	inner, outer := net.Pipe()
 	c := &client{Conn: outer}
 	b.pipes.conns <- inner
@@ -129,6 +129,16 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, sent)
 }
 
+// stillUploads returns clients that send a body of a size to a path without its last byte and stay.
+func (b *testServer) stillUploads(n int, path string, size int) (list []*client) {
+	for range n {
+		c := b.dial()
+		c.send(request(path, size, strings.Repeat("x", size-1)))
+		list = append(list, c)
+	}
+	return list
+}
+
 const smallHost, largeHost = 112 * megabyte, 1000 * megabyte
 
 // Guards against heads that are served beyond the operator's limits, and against the end of a legal one.
@@ -148,7 +158,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := startBench(t, smallHost, echo)
+				b := startServer(t, smallHost, echo)
 				c := b.dial()
 				c.send(test.text)
 				time.Sleep(test.after)
@@ -165,7 +175,7 @@
 }
 
 // checkFree checks that nothing is held.
-func (b *bench) checkFree(t *testing.T) {
+func (b *testServer) checkFree(t *testing.T) {
 	t.Helper()
 	synctest.Wait()
 	a := b.listener.o.Account
@@ -177,7 +187,7 @@
 // Guards against connections that stay open for longer than the operator allows, and against the end of one within it.
 func TestIdleConnectionEndsAtItsLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, largeHost, echo)
+		b := startServer(t, largeHost, echo)
 		unused, used := b.dial(), b.dial()
 		time.Sleep(testLimits.IdleTime * 4 / 5)
 		used.send(request("/", 2, "ok"))
@@ -200,15 +210,10 @@
 // one that moves is not.
 func TestStillUploadYieldsToAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, smallHost, echo)
+		b := startServer(t, smallHost, echo)
 		const size = 4 << 20
 		part := strings.Repeat("x", size-1)
-		var still []*client
-		for range 20 {
-			c := b.dial()
-			c.send(request("/", size, part))
-			still = append(still, c)
-		}
+		still := b.stillUploads(20, "/", size)
 		rejected := 0
 		for _, c := range still {
 			if c.status() == http.StatusServiceUnavailable {
@@ -241,7 +246,7 @@
 // Guards against the end of an upload that moves, and against one that moves too slowly to end in time.
 func TestUploadMayTakeItsTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, largeHost, echo)
+		b := startServer(t, largeHost, echo)
 		slow, tooSlow := b.dial(), b.dial()
 		slow.send(request("/", 10, ""))
 		tooSlow.send(request("/", 30, ""))
@@ -267,14 +272,9 @@
 // Guards against a workspace whose uploads leave nothing to another one.
 func TestWorkspaceHasAShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, smallHost, echo)
+		b := startServer(t, smallHost, echo)
 		const size = 4 << 20
-		var clients []*client
-		for range 20 {
-			c := b.dial()
-			c.send(request("/loud", size, strings.Repeat("x", size-1)))
-			clients = append(clients, c)
-		}
+		clients := b.stillUploads(20, "/loud", size)
 		c := b.dial()
 		c.send(request("/other", size, strings.Repeat("x", size)))
 		if c.status() != http.StatusOK {
@@ -291,17 +291,12 @@
 // Guards against a workspace that uses up its share and so has uploads of others ended, though there is room for them.
 func TestWorkspaceBeyondItsShareEndsItsOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, smallHost, echo)
+		b := startServer(t, smallHost, echo)
 		const size = 4 << 20
 		other := b.dial()
 		other.send(request("/other", size, strings.Repeat("x", size-1)))
 		time.Sleep(stillTime)
-		var clients []*client
-		for range 4 {
-			c := b.dial()
-			c.send(request("/loud", size, strings.Repeat("x", size-1)))
-			clients = append(clients, c)
-		}
+		clients := b.stillUploads(4, "/loud", size)
 		time.Sleep(2 * stillTime)
 		last := b.dial()
 		last.send(request("/loud", size, strings.Repeat("x", size)))
@@ -321,7 +316,7 @@
 // between requests stay.
 func TestConnectionsMakeRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, smallHost, echo)
+		b := startServer(t, smallHost, echo)
 		most := int(b.listener.o.Account.connections.Max())
 		kept := b.dial()
 		kept.send(request("/", 2, "ok"))
@@ -352,11 +347,11 @@
 // Guards against connections that are closed for the sake of another listener, which has few of its own.
 func TestRoomIsMadeWhereItIsScarce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, smallHost, echo)
+		b := startServer(t, smallHost, echo)
 		few := &pipes{conns: make(chan net.Conn), done: make(chan struct{})}
 		o := b.listener.o
 		o.MaxConnections = 4
-		probes := &bench{listener: NewListener(few, o), pipes: few}
+		probes := &testServer{listener: NewListener(few, o), pipes: few}
 		server := probes.listener.NewServer(http.HandlerFunc(echo))
 		go func() { _ = server.Serve(probes.listener) }() // until the test closes it
 		defer server.Close()
@@ -382,7 +377,7 @@
 // Guards against bodies that are read wrongly at the sizes where the buffer grows.
 func TestBodyIsReadWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := startBench(t, largeHost, echo)
+		b := startServer(t, largeHost, echo)
 		for _, size := range []int{0, 1, firstBodyBytes, firstBodyBytes + 1, knownBodyBytes, knownBodyBytes + 1, 1 << 20, 4 << 20} {
 			for _, chunked := range []bool{false, true} {
 				c := b.dial()
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -92,10 +92,7 @@
 // account wraps h so that requests hold what they have taken until h returns.
 func (l *Listener) account(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*Conn)
-		if !ok {
-			panic("inbound: the server serves another listener")
-		}
+		c := connOf(r.Context())
 		defer c.finishRequest()
 		if err := c.beginRequest(r); err != nil {
 			l.note(c, "request rejected", err, "phase", phaseRequest.String())
--- a/internal/inbound/reject.go
+++ b/internal/inbound/reject.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"arbutusramp/core/errs"
@@ -27,8 +26,8 @@
 	typed := errs.As(err)
 	status, body := errs.Lookup(typed.Type).Status, encodeError(typed)
 	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n", status, http.StatusText(status), len(body))
-	if typed.RetryAfterMs > 0 {
-		answer += "Retry-After: " + retryAfter(typed) + "\r\n"
+	if wait := typed.RetryAfter(); wait != "" {
+		answer += "Retry-After: " + wait + "\r\n"
 	}
 	if conn.SetDeadline(time.Now().Add(rejectTime)) != nil {
 		return // the client has closed it
@@ -46,8 +45,8 @@
 func writeRejection(w http.ResponseWriter, err *errs.Error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Connection", "close")
-	if err.RetryAfterMs > 0 {
-		w.Header().Set("Retry-After", retryAfter(err))
+	if wait := err.RetryAfter(); wait != "" {
+		w.Header().Set("Retry-After", wait)
 	}
 	w.WriteHeader(errs.Lookup(err.Type).Status)
 	_, _ = w.Write(encodeError(err)) // a client that has left needs no answer
@@ -61,8 +60,3 @@
 	}
 	return data
 }
-
-// retryAfter returns the time after which a client should come back, in seconds.
-func retryAfter(err *errs.Error) string {
-	return strconv.FormatFloat(float64(err.RetryAfterMs)/1000, 'f', 3, 64)
-}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -78,6 +78,7 @@
 	peers      *peerDirectory
 	server     *http.Server // serves callers
 	callers    *inbound.Listener
+	host       inbound.Host
 	// account divides the memory and the descriptors of the process between its clients.
 	account      *inbound.Account
 	auxServers   []*http.Server // servers of auxListeners, at the same indexes
@@ -108,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{settings: s, log: logger, reg: reg, view: view, account: inbound.NewAccount(host, logger.Named("inbound"), reg), began: time.Now()}
+	g := &Gateway{settings: s, log: logger, reg: reg, view: view, host: host, account: inbound.NewAccount(host, logger.Named("inbound"), reg), began: time.Now()}
 	g.quotas = quotas.New(self, quota.Options{Window: s.QuotaWindow, MaxExcessShare: s.QuotaExcess, MaxExcessRequests: float64(s.QuotaSlack), PeerShareTTL: claimTTL(s)}, reg)
 	g.quarantine = quarantine.New(quarantine.Options{
 		Threshold: s.QuarantineAfter, Hold: s.QuarantineHold, Disabled: s.Off, Prober: targets, Fleet: view, Log: logger.Named("quarantine"), Metrics: reg,
@@ -266,6 +267,9 @@
 	return err
 }
 
+// RuntimeBytes returns the memory that the Go runtime of the process should stay within, in bytes.
+func (g *Gateway) RuntimeBytes() int64 { return g.host.RuntimeBytes() }
+
 // CallerAddr returns the address of the listener for callers.
 func (g *Gateway) CallerAddr() string { return g.callers.Addr().String() }
 
