runner: what is no HTTP answer by its status is a failure of its target

What callers saw: a target that answers with status 000 ends the caller's connection without any answer, on routes of all kinds; requests that may be repeated are not sent elsewhere. Status 600 to 999 and an answer of version 9.9 were passed on as they are, an unasked switch of the protocol (101) ended the connection. Cause: net/http parses any three characters that strconv takes for a number that is not negative (000, 099, +20) and any version; WriteHeader of the answer to the caller panics below 100. Change: internal/httpanswer has the rule for what an answer is (version 1.x, status 200 to 599); a transport that applies it stands before the client for targets (sends, items, probes) and the store's. An answer that is none is an error of the send, which has the consequences of any: target_failed, may have run, the target counts as failing. What net/http could not parse is the same error; it quotes 80 bytes of the answer, before up to 64 KB of it went into the log and to the caller. Counter targets.invalid_answers; log line 'invalid answer' with target and request, bounded. Evidence: TestAnswerWithoutValidStatusIsAFailure (one gateway, store and target on sockets) failed on in 10 of 10 forms: nine reached the caller as an answer or as an ended connection, the tenth ('hello' in place of a status) lacked only the counter. It passes now. Why it works: nothing reads a target's status before the transport has checked it. The case 'other protocol' of TestOnlySoundRejectionOfThisRequestIsEvidence expected 101 to be passed on; TestSwitchOfProtocolIsNoAnswer has taken its place with the same claims (not run is never said, no evidence, one write).

--- /dev/null
+++ b/internal/httpanswer/httpanswer.go
@@ -0,0 +1,97 @@
+// Package httpanswer decides what counts as an answer in HTTP/1.0 and 1.1. HTTP clients accept more than that; what they accept is
+// not passed on and shows nothing, unless it passes these checks. Source: RFC 9110, sections 5 and 15; RFC 9112, section 4.
+package httpanswer
+
+import (
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// minStatus and maxStatus bound the status of an answer. Lower ones belong to interim answers, which HTTP clients pass over,
+	// and to a switch of the protocol, which no request asks for.
+	minStatus = 200
+	maxStatus = 599
+	// maxQuoted bounds what an error quotes of an answer, in bytes.
+	maxQuoted = 80
+	// brokenPrefix begins most errors of net/http about an answer.
+	brokenPrefix = "net/http: HTTP/1.x transport connection broken: "
+)
+
+// Error says that what was read is no answer. It is short, whatever was read.
+type Error struct {
+	Fault string
+	Cause error // of the HTTP client; nil without one
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "invalid answer: " + e.Fault }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// newError returns an Error with a formatted fault.
+func newError(format string, args ...any) *Error { return &Error{Fault: fmt.Sprintf(format, args...)} }
+
+// Is reports whether err says that what was read is no answer.
+func Is(err error) bool {
+	var e *Error
+	return errors.As(err, &e)
+}
+
+// Check checks the head of an answer. Error: *Error.
+func Check(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return newError("version %q", quotable(resp.Proto))
+	}
+	return CheckStatus(resp.StatusCode)
+}
+
+// CheckStatus checks the status of an answer that is not an interim one. Error: *Error.
+func CheckStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return newError("status %03d", status)
+	}
+	return nil
+}
+
+// quotable returns the beginning of a text of an answer, for an error.
+func quotable(text string) string { return text[:min(len(text), maxQuoted)] }
+
+// Transport passes on only the answers of Base that are valid.
+type Transport struct{ Base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper. Errors: *Error for what is no answer, and those of Base.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Base.RoundTrip(req)
+	if err != nil {
+		return nil, typedError(err)
+	}
+	if err := Check(resp); err != nil {
+		_ = resp.Body.Close() // closes the connection, unless the body is empty
+		return nil, err
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes those of Base.
+func (t *Transport) CloseIdleConnections() {
+	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
+
+// typedError returns an *Error for an error of a transport that says that an answer could not be parsed, and any other error as it
+// is. The transport quotes a line of any length.
+func typedError(err error) error {
+	var malformed textproto.ProtocolError
+	// net/http has no type for the errors of a status line.
+	if text := err.Error(); errors.As(err, &malformed) || strings.Contains(text, "malformed HTTP ") {
+		return &Error{Fault: quotable(strings.TrimPrefix(text, brokenPrefix)), Cause: err}
+	}
+	return err
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -100,6 +100,7 @@
 	targets := runner.New()
 	badHeaders := newInvalidHeaders(logger.Named("headers"), reg)
 	targets.OnInvalidHeader = badHeaders.record
+	targets.OnInvalidAnswer = newInvalidAnswerRecorder(logger.Named("targets"), reg)
 	view := fleetview.New(fleet.Options{
 		Domain: string(s.Host.Domain), Self: fleet.Peer(self),
 		MinFreeAfterStart: startSpareSlots, MinFreeSlots: keepSpareSlots, PeerTTL: loadshare.PeerTTL, Disabled: s.Off,
