httpanswer: an answer without a length is whole only if its connection ended in order

What callers saw: a target answers an upload of 4 MB at once with a 200 without a length, sends a part and resets the connection while the upload is still being written: the caller gets the part as a whole answer (streams, calls, unsafe calls). The same at the store: an append whose records the store has not read counts as stored. Cause: the kernel reports a reset once, to whichever system call comes first. If that is the write of the request, the read of the answer finds the plain end of the data, and net/http takes it for the end of a body without a length. An upload that fits the socket buffers is not being written any more, so that only the read is left to get the report. Change: httpanswer.Conn stands under the connections to targets and the store. At the end of the data it ends a write that waits, waits for its result, and returns an error if it was a reset or the like. A write that fails because the target has ended the connection before (EPIPE) says nothing against that end. Why it works: a read meets the end without an error only after an orderly end, or after another call has taken the report; that call is a write, which has begun by then, and its result is noted before the lock is given up. Not covered: a target that ends its side in order, and resets the connection before that end is read, may count as cut: its write error closes the connection in net/http.

--- a/internal/node/broken_answers_test.go
+++ b/internal/node/broken_answers_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -87,6 +89,9 @@
 	}
 	id := req.Header.Get(wire.HeaderRequestID)
 	text, contentType := wiretest.StreamBody(id, itemEvents), "text/event-stream"
+	if lastEvent, err := strconv.Atoi(req.Header.Get(wire.HeaderLastEventID)); err == nil {
+		text = strings.TrimPrefix(text, wiretest.StreamBody(id, lastEvent))
+	}
 	if !strings.HasPrefix(req.URL.Path, "/stream/") && !strings.HasPrefix(req.URL.Path, "/batch/") {
 		text, contentType = wiretest.CallAnswer(id, fmt.Sprint(len(body))), "text/plain"
 	}
@@ -203,3 +208,78 @@
 	}
 	checkBrokenHeads(t, heads)
 }
+
+// largeBodyRoutes are longTimeoutRoutes with bodies of largeBody.
+var largeBodyRoutes = strings.Replace(longTimeoutRoutes, `"max_body_bytes":1000000`, `"max_body_bytes":8000000`, 1)
+
+// largeBody is larger than the buffers of a connection, so that it is still being written when its answer arrives.
+var largeBody = strings.Repeat("x", 4<<20)
+
+// cutRuns is how often each case of a cut answer is tried: who notices the end of a connection first is a matter of chance.
+const cutRuns = 8
+
+// Guards against a part of an answer that counts as a whole one: it has no length, and its connection is reset while the request is
+// still being written.
+func TestAnswerCutDuringUploadIsAFailure(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		framing string
+		pause   time.Duration // between the part and the reset
+	}{
+		{"reset later", "Connection: close\r\n", 30 * time.Millisecond},
+		{"reset at once", "Connection: close\r\n", 0},
+		{"with a length", "Content-Length: 100000\r\n", 30 * time.Millisecond},
+		{"in chunks", "Transfer-Encoding: chunked\r\n", 30 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s, target := newRawSystem(t, largeBodyRoutes, func(conn *net.TCPConn, req *http.Request) bool {
+				part, contentType := earlyAnswer(req)
+				if strings.Contains(test.framing, "chunked") {
+					part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\n%s\r\n%s", wire.HeaderRequestID, req.Header.Get(wire.HeaderRequestID), contentType, test.framing, part)
+				time.Sleep(test.pause)
+				_ = conn.SetLinger(0) // close resets the connection
+				return false
+			})
+			defer s.stopAll()
+			for n := range cutRuns {
+				checkFailsOver(t, s, target, fmt.Sprint(strings.ReplaceAll(test.name, " ", "-"), n), largeBody)
+			}
+		})
+	}
+}
+
+// earlyAnswer returns the body of an answer that is sent before its request has been read, and its media type.
+func earlyAnswer(req *http.Request) (body, contentType string) {
+	if strings.HasPrefix(req.URL.Path, "/stream/") {
+		return wiretest.StreamBody(req.Header.Get(wire.HeaderRequestID), 3), "text/event-stream"
+	}
+	return "part of an answer", "text/plain"
+}
+
+// Guards against a whole answer that counts as cut: it has no length, and its connection ends in order while the request is still
+// being written.
+func TestWholeAnswerDuringUploadIsPassedOn(t *testing.T) {
+	closed := make(chan struct{})
+	defer close(closed)
+	s, target := newRawSystem(t, largeBodyRoutes, func(conn *net.TCPConn, req *http.Request) bool {
+		body, contentType := earlyAnswer(req)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n%s", wire.HeaderRequestID, req.Header.Get(wire.HeaderRequestID), contentType, body)
+		_ = conn.CloseWrite()
+		_, _ = conn.Read(make([]byte, 1<<10)) // unread bytes fill the buffers of the connection
+		<-closed                              // until the test has ended: a close with unread bytes is a reset
+		return false
+	})
+	defer s.stopAll()
+	for n := range cutRuns {
+		for _, path := range allPaths {
+			id := fmt.Sprint(strings.Trim(path, "/"), n)
+			want, _ := earlyAnswer(&http.Request{URL: &url.URL{Path: path}, Header: http.Header{wire.HeaderRequestID: {id}}})
+			if status, text := s.caller.WithTimeout(longTimeout).Send(s.gateways[0].CallerAddr(), http.MethodPost, path+"x", id, largeBody); status != http.StatusOK || text != want || target.sendCount(id) != 1 {
+				t.Errorf("%s: status %d, %d sends, body %.300q; want 200 and the answer of the first target", id, status, target.sendCount(id), text)
+			}
+		}
+	}
+}
--- a/internal/singlesend/singlesend.go
+++ b/internal/singlesend/singlesend.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/httpanswer"
 )
 
 var (
@@ -143,7 +144,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn}, nil
+	return &connection{Conn: &httpanswer.Conn{Conn: conn}}, nil
 }
 
 // IsFirstOnConnection reports whether the answer that has been read is the first one on its connection: no other request was
