httpanswer: the own interface takes only what is an answer

What callers would see: a plain service or engine that answers with status 000 is taken for one that has answered 200, and its body for the result, also by keyed calls that keep the answer; status 101, 600 and names of fields with blanks are passed on. In the same way the log service, the host list, the weight store, the relay of store calls, and the answers of peers (configuration, batch jobs) were read, the latter beside a proof of their body. Change: httpanswer.CheckNext applies the rule to the bytes of a head before fasthttp parses them: in internal/adapter/httpclient, and in CheckedConn, the connections of the two clients of peers that are fasthttp's own. The entry checks the status that a side sends. arbutusctl and the fetch of the scheduling use httpanswer.Client in place of http.DefaultClient.

--- a/internal/adapter/httpclient/client.go
+++ b/internal/adapter/httpclient/client.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/httpanswer"
 )
 
 const (
@@ -176,6 +177,9 @@
 	resp.SkipBody = req.Header.IsHead()
 	br := c.host.AcquireReader(conn)
 	defer c.host.ReleaseReader(br)
+	if err := httpanswer.CheckNext(br); err != nil {
+		return false, &Error{Sent: true, Cause: errors.WithStack(err)}
+	}
 	isAtEnd := true
 	if read == nil {
 		err = c.readAnswer(br, resp)
--- a/internal/batch/peerhttp.go
+++ b/internal/batch/peerhttp.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -13,6 +14,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
+	"arbutusramp/internal/httpanswer"
 	"arbutusramp/internal/keyring"
 	"arbutusramp/internal/settings"
 )
@@ -60,10 +62,20 @@
 			MaxConnsPerHost:     256,
 			MaxResponseBodySize: maxPeerReply,
 			MaxIdleConnDuration: 30 * time.Second,
+			Dial:                dialPeer,
 		},
 	}
 }
 
+// dialPeer opens a connection to another entry.
+func dialPeer(addr string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return httpanswer.NewCheckedConn(conn), nil
+}
+
 // Call implements PeerCaller.
 func (p *httpPeers) Call(ctx context.Context, host platform.Host, r *PeerRequest) (*PeerReply, error) {
 	body, err := cbor.Marshal(r)
--- a/internal/batch/peerhttp_test.go
+++ b/internal/batch/peerhttp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -104,3 +105,24 @@
 		}
 	}
 }
+
+// Guards against a reply that counts although its status or a field name of it is none of an answer.
+func TestReplyThatIsNoAnswerIsNotTaken(t *testing.T) {
+	reply, err := cbor.Marshal(&PeerReply{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, head := range []string{"HTTP/1.1 000 Unknown\r\n", "HTTP/1.1 200 OK\r\nX Y: z\r\n"} {
+		peer := servePeer(t, func(ctx *fasthttp.RequestCtx) {
+			given := replyProof([]byte("secret of k"), string(ctx.Request.Header.Peek(headerPeerProof)), reply)
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(c net.Conn) {
+				fmt.Fprintf(c, "%s%s: %s\r\nContent-Length: %d\r\n\r\n%s", head, headerPeerProof, given, len(reply), reply)
+			})
+		})
+		p := newHTTPPeers(keysOf("k"), hclog.NewNullLogger())
+		if _, err := p.Call(context.Background(), peer, &PeerRequest{Op: OpProbe, Host: structs.HostID("e1")}); !errs.Is(err, errs.SessionLost) {
+			t.Errorf("reply %q: error %v, want session_lost", head, err)
+		}
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"arbutusramp/core/errs"
+	"arbutusramp/internal/httpanswer"
 	"arbutusramp/internal/problem"
 )
 
@@ -22,7 +23,6 @@
 type Client struct {
 	base string // http://IP:port of the callers' listener
 	key  string
-	http http.Client
 }
 
 // New returns a Client of the entry at base (http://IP:port).
@@ -60,7 +60,7 @@
 	}
 	maps.Copy(req.Header, header)
 	req.Header.Set("Authorization", "Bearer "+c.key)
-	resp, err := c.http.Do(req)
+	resp, err := httpanswer.Client.Do(req)
 	if err != nil {
 		return nil, wrap(err, path)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,6 +9,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/httpanswer"
 	"arbutusramp/internal/problem"
 )
 
@@ -210,6 +211,9 @@
 	if c.head == nil {
 		return errs.New(errs.BadFrame, "the side sent an answer without a head")
 	}
+	if err := httpanswer.CheckStatus(c.head.Status); err != nil {
+		return errs.Newf(errs.BadFrame, "the side sent an %v", err)
+	}
 	setTarget(ctx, c)
 	ctx.Response.SetStatusCode(c.head.Status)
 	for _, h := range c.head.Headers {
--- a/internal/follow/peer.go
+++ b/internal/follow/peer.go
@@ -15,6 +15,7 @@
 	"arbutusramp/core/errs"
 	"arbutusramp/core/platform"
 	"arbutusramp/core/structs"
+	"arbutusramp/internal/httpanswer"
 	"arbutusramp/internal/settings"
 )
 
@@ -92,7 +93,13 @@
 		self: self,
 		auth: a,
 		client: &fasthttp.Client{
-			Dial:                      dial,
+			Dial: func(addr string) (net.Conn, error) {
+				conn, err := dial(addr)
+				if err != nil {
+					return nil, err
+				}
+				return httpanswer.NewCheckedConn(conn), nil
+			},
 			NoDefaultUserAgentHeader:  true,
 			MaxConnsPerHost:           connsPerPeer,
 			MaxIdleConnDuration:       idleConn,
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -5,9 +5,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -20,6 +22,8 @@
 	maxStatus = 599
 	// maxQuoted bounds what an error quotes of an answer, in bytes.
 	maxQuoted = 80
+	// defaultDialTimeout bounds the time in which Client opens a connection.
+	defaultDialTimeout = 30 * time.Second
 	// brokenPrefix begins most errors of net/http about an answer.
 	brokenPrefix = "net/http: HTTP/1.x transport connection broken: "
 )
@@ -85,6 +89,16 @@
 // quotable returns the beginning of a text of an answer, for an error.
 func quotable(text string) string { return text[:min(len(text), maxQuoted)] }
 
+// Client is http.DefaultClient with the checks of this package.
+var Client = &http.Client{Transport: &Transport{newDefaultTransport()}}
+
+// newDefaultTransport returns a copy of http.DefaultTransport whose connections are of type Conn.
+func newDefaultTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone() // the standard library sets no other
+	t.DialContext = Dial(&net.Dialer{Timeout: defaultDialTimeout})
+	return t
+}
+
 // Transport passes on only the answers of Base that are valid.
 type Transport struct{ Base http.RoundTripper }
 
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -13,6 +13,7 @@
 
 	"arbutusramp/core/errs"
 	"arbutusramp/core/fleet"
+	"arbutusramp/internal/httpanswer"
 )
 
 const (
@@ -53,7 +54,7 @@
 	if err != nil {
 		return s, errs.New(errs.BadRequest, err.Error())
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpanswer.Client.Do(req)
 	if err != nil {
 		return s, errs.New(errs.TargetFailed, err.Error())
 	}
