ingress: a panic while a request is served is answered, counted and logged

What callers saw: their connection ended without an answer (as with status 000, where WriteHeader panicked); the process wrote it to its standard error only. Cause: the handler left panics to net/http, which closes the connection. Both are logged with the request and the stack (8 KiB at most) and counted as panics.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -137,7 +137,7 @@
 	peersLog := logger.Named("peers")
 	g.peers = &peerDirectory{store: g.storePaths, loadShare: g.loadShare, self: peerRecord{Domain: s.Host.Domain, Capacity: cpuCapacity(s), MemoryBytes: host.MemoryBytes}, storeLink: dependency.NewLink(peersLog, "peer addresses"), log: peersLog}
 	g.registerGauges()
-	g.server = g.callers.NewServer(g.countRequests(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record}))
+	g.server = g.callers.NewServer(g.countRequests(&ingress.Handler{Router: g.watch, Online: online, Jobs: g.jobs, IsClosing: g.isStopping.Load, IsRejecting: g.isRejecting.Load, OnRejected: g.newRejectionRecorder(), OnInvalidHeader: badHeaders.record, OnPanic: g.recordPanic}))
 	g.log.Info("started", "id", s.Host.ID, "member", self, "domain", s.Host.Domain, "callers", s.CallerAddr, "store", s.StoreAddr, "shards", s.Shards, "policies_off", len(s.Off))
 	return g, nil
 }
@@ -192,6 +192,18 @@
 	}
 }
 
+// panicMetric counts the requests during which the process has panicked.
+const panicMetric = "panics"
+
+// maxStackBytes bounds the stack in the log line of a panic.
+const maxStackBytes = 8 << 10
+
+// recordPanic counts and logs a panic while a request was served.
+func (g *Gateway) recordPanic(request string, value any, stack []byte) {
+	metrics.GetOrRegisterCounter(panicMetric, g.reg).Inc(1)
+	g.log.Error("panic", "request", request, "value", fmt.Sprint(value), "stack", string(stack[:min(len(stack), maxStackBytes)]))
+}
+
 // countRequests wraps h to count the requests in flight and to record when the last one arrived.
 func (g *Gateway) countRequests(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
