fleet: how long an answer may take follows from the spread of hold times

Cause: twice the mean, by which a stop decides what can still be answered, is more than requests of one length need and less than those of a service whose lengths differ. Change: the mean deviation of hold times is kept beside their mean; an answer is expected after the mean and four deviations at most (RFC 6298). TestLongestAnswerFollowsFromSpread: 1.0 to 1.2 s for requests of 1 s, 3 to 6 s where one in four takes 3 s. Weighed: a larger part of the grace (0.95 for answers): leaves no time to write them.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -102,7 +102,9 @@
 	nextExpiry time.Time
 	demand     Demand
 	holdTimes  map[string]time.Duration // mean time for which online requests hold a slot, by service; see RecordHoldTime
-	timings    map[string]eventTiming   // mean times between events, by service; see SilenceLimit
+	// holdSpreads are the mean deviations from holdTimes, by service.
+	holdSpreads map[string]time.Duration
+	timings     map[string]eventTiming // mean times between events, by service; see SilenceLimit
 	// storeContact is when the platform's store last answered this gateway.
 	storeContact time.Time
 	costs        *costmodel.Model
@@ -178,7 +180,7 @@
 // New returns a Fleet without targets and peers.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), failures: make(map[string]*FailureLog), holdTimes: make(map[string]time.Duration), timings: make(map[string]eventTiming),
+		opts: o, targets: make(map[string]*targetState), ownBatchTargets: make(map[string]*targetState), peers: make(map[Peer]*peer), failures: make(map[string]*FailureLog), holdTimes: make(map[string]time.Duration), holdSpreads: make(map[string]time.Duration), timings: make(map[string]eventTiming),
 		costs: costmodel.New(), demands: headroom.New(headroom.Options{GainTime: batchGainTime}), overloads: make(map[string]*overload),
 	}
 	f.predictions, f.forecasts = f.costs, f.demands
--- a/core/fleet/wait.go
+++ b/core/fleet/wait.go
@@ -5,9 +5,24 @@
 // RecordHoldTime records that an online request of a service has held its slot for d. It is called only for
 // requests that did not wait for a slot: for others the time at which they began to run is unknown.
 func (f *Fleet) RecordHoldTime(service string, d time.Duration) {
-	mean := f.holdTimes[service]
+	mean, spread := f.holdTimes[service], f.holdSpreads[service]
+	if mean == 0 {
+		spread = d / 2 // nothing is known of others yet
+	} else {
+		updateMean(&spread, max(d-mean, mean-d))
+	}
 	updateMean(&mean, d)
-	f.holdTimes[service] = mean
+	f.holdTimes[service], f.holdSpreads[service] = mean, spread
+}
+
+// holdSpread returns by how much hold times of a service differ from their mean on average, for requests that hold a slot for hold
+// on average; 0 if unknown.
+func (f *Fleet) holdSpread(service string, hold time.Duration) time.Duration {
+	mean := f.holdTimes[service]
+	if mean <= 0 {
+		return 0
+	}
+	return scale(f.holdSpreads[service], float64(hold)/float64(mean))
 }
 
 // Estimate is an estimate of how an online request that arrives now will be served.
@@ -33,6 +48,16 @@
 	StartRate float64
 }
 
+// spreadFactor is how many mean deviations beyond its mean a time may take at most, as for retransmission timeouts. Source: RFC
+// 6298, section 2.
+const spreadFactor = 4
+
+// LongestAnswer returns how long the whole answer to an online request that arrives now is expected to take at most; 0 if unknown.
+func (f *Fleet) LongestAnswer(now time.Time, w Work) time.Duration {
+	e := f.Estimate(now, w)
+	return e.Wait + max(e.HoldTime, e.ServiceTime) + spreadFactor*f.holdSpread(w.Service, e.HoldTime)
+}
+
 // Estimate returns the estimate for an online request that arrives now.
 func (f *Fleet) Estimate(now time.Time, w Work) Estimate {
 	if f.isCostAware(w.Service) {
--- a/core/fleet/wait_test.go
+++ b/core/fleet/wait_test.go
@@ -74,3 +74,33 @@
 		t.Errorf("with a peer and one remaining target the start rate is %v per second, want %v", got, want)
 	}
 }
+
+// Guards against an estimate that most answers keep and some exceed by far, and against one that is far beyond all of them.
+func TestLongestAnswerFollowsFromSpread(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		hold      func(n int) time.Duration // of the n-th request
+		low, high time.Duration
+	}{
+		{"always the same", func(int) time.Duration { return time.Second }, time.Second, 1200 * time.Millisecond},
+		{"one of four takes thrice as long", func(n int) time.Duration {
+			if n%4 == 0 {
+				return 3 * time.Second
+			}
+			return time.Second
+		}, 3 * time.Second, 6 * time.Second},
+		{"a single one", nil, 3 * time.Second, 3 * time.Second},
+	} {
+		f := New(Options{})
+		if test.hold == nil {
+			f.RecordHoldTime("s", time.Second)
+		} else {
+			for n := range 100 {
+				f.RecordHoldTime("s", test.hold(n))
+			}
+		}
+		if got := f.LongestAnswer(start, Work{Service: "s"}); got < test.low || got > test.high {
+			t.Errorf("%s: %v, want %v to %v", test.name, got, test.low, test.high)
+		}
+	}
+}
--- a/internal/fleetview/view.go
+++ b/internal/fleetview/view.go
@@ -152,6 +152,13 @@
 	return v.fleet.Estimate(time.Now(), w)
 }
 
+// LongestAnswer returns how long the whole answer to an online request that arrives now is expected to take at most; 0 if unknown.
+func (v *View) LongestAnswer(w fleet.Work) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.fleet.LongestAnswer(time.Now(), w)
+}
+
 // CapacityAfter returns after which time a service is expected to have free capacity, up to limit; 0 if unknown.
 func (v *View) CapacityAfter(service string, limit time.Duration) time.Duration {
 	v.mu.Lock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -9,12 +9,8 @@
 	"arbutusramp/internal/stopping"
 )
 
-const (
-	// answerTimeFactor is how many times the mean time of its service the answer to a request is expected to take at most.
-	answerTimeFactor = 2
-	// stopRetryAfter is when a caller should come back that is rejected because this process stops: at once, to another one.
-	stopRetryAfter = 10 * time.Millisecond
-)
+// stopRetryAfter is when a caller should come back that is rejected because this process stops: at once, to another one.
+const stopRetryAfter = 10 * time.Millisecond
 
 // Stop tells whether and when the process stops.
 type Stop interface {
@@ -38,8 +34,7 @@
 	if !isStopping || ex.hasSentHeader || !ex.deadline.After(stop.AnswerBy) {
 		return nil
 	}
-	prospect := ex.gw.view.Prospect(ex.work())
-	need := answerTimeFactor * (prospect.Wait + max(prospect.HoldTime, prospect.ServiceTime))
+	need := ex.gw.view.LongestAnswer(ex.work())
 	if need == 0 { // unknown
 		need = stop.AnswerBy.Sub(stop.AcceptUntil)
 	}
