--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -9,9 +9,6 @@
 	"arbutusramp/internal/stopping"
 )
 
-// stopRetryAfter is when a caller should come back that is rejected because this process stops: at once, to another one.
-const stopRetryAfter = 10 * time.Millisecond
-
 // Stop tells whether and when the process stops.
 type Stop interface {
 	// Times returns the times of the stop; isStopping is false if it has not begun.
@@ -26,16 +23,15 @@
 	return g.newExchange(route, r, nil).checkStop(time.Now())
 }
 
-// checkStop returns an error if the process stops too soon for an answer to a request that is sent now. A request whose own deadline
-// comes before is sent, and so is one that goes on with an answer that has begun: both end in the same way without the stop.
-// Error: errs.Draining.
+// checkStop returns an error if the process stops too soon for an answer to a request that is sent now. It allows a request whose own
+// deadline comes first, since that ends it, and one whose answer has begun, since its caller can only gain. Error: errs.Draining.
 func (ex *exchange) checkStop(now time.Time) error {
 	stop, isStopping := ex.gw.stop.Times()
 	if !isStopping || ex.hasSentHeader || !ex.deadline.After(stop.AnswerBy) {
 		return nil
 	}
 	need := ex.gw.view.LongestAnswer(ex.work())
-	if need == 0 { // unknown
+	if need == 0 { // unknown; a new request has as much time before the process rejects it
 		need = stop.AnswerBy.Sub(stop.AcceptUntil)
 	}
 	if now.Add(need).After(stop.AnswerBy) {
@@ -60,7 +56,7 @@
 	if ex.possibleRuns > 0 {
 		return err.WithRan(errs.RanUnknown)
 	}
-	return err.WithRetry(stopRetryAfter)
+	return err.WithRetry(stopping.RetryAfter)
 }
 
 // unansweredError returns the error of a request that the stop of the process has ended.
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -18,8 +18,8 @@
 	// new requests on the others. Requests that arrived before have over half of the grace period left.
 	// Requests accepted later might be cut off at its end.
 	stopAcceptingShare = 0.375
-	// answerAllShare is when all that waits for an answer, or for the rest of its request, is answered with an error. What a target
-	// does then may be complete a little later, but nobody would know in time.
+	// answerAllShare is when all that waits for an answer, or for the rest of its request, is answered with an error. These answers
+	// take some time to write when there are many.
 	answerAllShare = 0.875
 	// closeAllShare is when connections with requests are closed, so that the process exits before it is
 	// killed.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -60,10 +60,6 @@
 
 	// textMemoryShare is the share of the host's memory for what the texts of batch items have beyond their expected length.
 	textMemoryShare = 0.08
-
-	// stopRetryAfter is when a client should send its request again that has not arrived when the process stops: at once, on a
-	// connection to another one.
-	stopRetryAfter = 10 * time.Millisecond
 )
 
 // Gateway is a gateway process. It serves the online requests and batch jobs of callers on the users' platform.
@@ -318,7 +314,7 @@
 // answerAll implements callerConns.
 func (g *Gateway) answerAll() {
 	g.stop.End()
-	g.callers.EndReads(errs.New(errs.Draining, "the process stops before the request has arrived").WithRetry(stopRetryAfter))
+	g.callers.EndReads(errs.New(errs.Draining, "the process stops before the request has arrived").WithRetry(stopping.RetryAfter))
 }
 
 // closeIdle implements callerConns.
--- a/internal/stopping/stopping.go
+++ b/internal/stopping/stopping.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// RetryAfter is when a caller should come back whose request is rejected because the process stops: at once, on a connection to
+// another process.
+const RetryAfter = 10 * time.Millisecond
+
 // Times are the times of a stop.
 type Times struct {
 	AcceptUntil time.Time // requests are accepted until then
